--- /dev/null
+++ b/crates/bendhinge_codes/src/lib.rs
@@ -0,0 +1,12 @@
+//! The numbered result codes that callers, operators and logs see.
+//!
+//! Every code is declared once, in [`ResultCode`]; the table in `docs/RESULT-CODES.md` is
+//! generated from that declaration by [`markdown_table`] and compared in CI.
+
+mod code;
+mod status;
+mod table;
+
+pub use code::ResultCode;
+pub use status::{ExitStatus, Ran};
+pub use table::markdown_table;
--- /dev/null
+++ b/crates/bendhinge_configuration/src/lib.rs
@@ -0,0 +1,27 @@
+//! The fleet's configuration: its form, plans for changing it, and when a confirmed one is in
+//! force.
+//!
+//! Operators publish confirmed documents on the platform; nothing here writes there. The
+//! document is INI, like the settings, with one section per thing that operators name.
+
+mod adoption;
+mod delta;
+mod model;
+mod order;
+mod parse;
+mod plan;
+mod schema;
+mod seal;
+
+pub use adoption::{Adoption, Offer, SETTLE_TIME};
+pub use delta::{Delta, DeltaError};
+pub use model::{
+    Class, Configuration, Customer, Hall, KeyHash, Pool, PoolKind, ServingState, UpstreamOverride,
+};
+pub use order::{EngineOrder, order_for};
+pub use parse::{canonical_document, parse};
+pub use plan::{
+    Change, Confirmed, HallLoad, Intent, IntentError, Plan, PlanError, PoolEffect, PoolMember, ShareEffect,
+};
+pub use schema::SCHEMA;
+pub use seal::{SealError, SealKey};
--- /dev/null
+++ b/crates/bendhinge_configuration/src/parse.rs
@@ -0,0 +1,183 @@
+//! From a document to typed values, with every fault found in one run.
+
+use std::collections::{BTreeMap, HashMap};
+use std::str::FromStr;
+
+use bendhinge_codes::ResultCode;
+use bendhinge_ids::{
+    ClassName, ConfigRevision, CustomerName, Digest, DigestError, HallName, ModelName, UpstreamName,
+};
+use bendhinge_ini::{Document, Faults, Millis, Ratio, Section};
+use bendhinge_placement::LoadBound;
+
+use crate::SCHEMA;
+use crate::model::{Class, Configuration, Customer, Hall, KeyHash, Pool, PoolKind, UpstreamOverride};
+
+/// Reads a configuration; `file` is named in faults.
+pub fn parse(file: &str, text: &str) -> Result<Configuration, Faults> {
+    let document = Document::parse(file, text, &SCHEMA);
+    let configuration = Reader { document: &document }.configuration();
+    document.finish(configuration)
+}
+
+/// The document with faults noted but values not yet taken; for applying changes.
+#[must_use]
+pub fn canonical_document(file: &str, text: &str) -> Document {
+    Document::parse(file, text, &SCHEMA)
+}
+
+/// A digest, or `none`.
+struct OptionalDigest(Option<Digest>);
+
+impl FromStr for OptionalDigest {
+    type Err = DigestError;
+
+    fn from_str(text: &str) -> Result<Self, DigestError> {
+        if text == "none" { Ok(Self(None)) } else { text.parse().map(|digest| Self(Some(digest))) }
+    }
+}
+
+struct Reader<'a> {
+    document: &'a Document,
+}
+
+impl Reader<'_> {
+    fn configuration(&self) -> Option<Configuration> {
+        let halls = self.named("hall", Self::hall);
+        let classes = self.named("class", Self::class);
+        let customers = self.customers(&classes);
+        let pools = self.named("pool", Self::pool);
+        let upstreams = self.named("upstream", Self::upstream);
+        let fleet = self.document.section("fleet")?;
+        let revision = self.document.value(fleet, "revision").map(ConfigRevision)?;
+        let base: OptionalDigest = self.document.value(fleet, "base")?;
+        let _plan: OptionalDigest = self.document.value(fleet, "plan")?;
+        let text = self.document.canonical(&SCHEMA);
+        let customer_by_key = self.customers_by_key();
+        let digest = Digest::of(text.as_bytes());
+        Some(Configuration {
+            revision,
+            base: base.0,
+            digest,
+            text,
+            halls,
+            classes,
+            customers,
+            pools,
+            upstreams,
+            customer_by_key,
+        })
+    }
+
+    fn named<N: FromStr<Err: std::fmt::Display> + Ord, T>(
+        &self,
+        kind: &str,
+        read: impl Fn(&Self, &Section) -> Option<T>,
+    ) -> BTreeMap<N, T> {
+        let sections = self.document.sections(kind);
+        sections
+            .filter_map(|section| {
+                let value = read(self, section);
+                let name = self.document.name(section);
+                Some((name?, value?))
+            })
+            .collect()
+    }
+
+    fn hall(&self, section: &Section) -> Option<Hall> {
+        let region = self.document.value::<HallName>(section, "region");
+        let state = self.document.value(section, "state");
+        Some(Hall { region: region?.to_string(), state: state? })
+    }
+
+    fn class(&self, section: &Section) -> Option<Class> {
+        const HIGHEST: u8 = 9;
+        let share = self.document.value::<Ratio>(section, "share");
+        let engine_priority = self.document.value::<u8>(section, "engine_priority")?;
+        if engine_priority > HIGHEST {
+            let message = format!("'engine_priority = {engine_priority}': write 0 to {HIGHEST}");
+            self.document.fault_at(section, "engine_priority", ResultCode::InvalidValue, message);
+        }
+        Some(Class { share: share?.0, engine_priority })
+    }
+
+    fn customers(&self, classes: &BTreeMap<ClassName, Class>) -> BTreeMap<CustomerName, Customer> {
+        self.named("customer", |reader, section| {
+            let document = reader.document;
+            let class = document.value::<ClassName>(section, "class");
+            if let Some(class) = class.as_ref().filter(|class| !classes.contains_key(*class)) {
+                let message =
+                    format!("class '{class}' is not defined; add [class.{class}] or correct the name");
+                document.fault_at(section, "class", ResultCode::UnknownReference, message);
+            }
+            let _key: Option<KeyHash> = document.value(section, "key_sha256");
+            let in_progress = document.value(section, "in_progress");
+            let share = document.value::<Ratio>(section, "share");
+            Some(Customer { class: class?, in_progress: in_progress?, share: share?.0 })
+        })
+    }
+
+    fn customers_by_key(&self) -> HashMap<KeyHash, CustomerName> {
+        let mut by_key = HashMap::new();
+        for section in self.document.sections("customer") {
+            let key = section.text("key_sha256").and_then(|text| text.parse::<KeyHash>().ok());
+            let (Some(key), Ok(name)) = (key, section.name.parse::<CustomerName>()) else { continue };
+            if let Some(other) = by_key.insert(key, name) {
+                let message = format!("customer '{other}' has the same key; give each its own");
+                self.document.fault_at(section, "key_sha256", ResultCode::RepeatedKey, message);
+            }
+        }
+        by_key
+    }
+
+    fn pool(&self, section: &Section) -> Option<Pool> {
+        let kind = self.pool_kind(section);
+        let load_bound = self.document.value::<Ratio>(section, "load_bound")?;
+        if load_bound.0 <= 1.0 {
+            let message = format!("'load_bound = {}': write a number above 1", load_bound.0);
+            self.document.fault_at(section, "load_bound", ResultCode::InvalidValue, message);
+        }
+        let slots = self.document.value::<std::num::NonZeroU32>(section, "slots")?;
+        let turn = self.document.value::<Millis>(section, "turn_ms")?;
+        Some(Pool { kind: kind?, load_bound: LoadBound(load_bound.0), slots: slots.get(), turn: turn.0 })
+    }
+
+    fn pool_kind(&self, section: &Section) -> Option<PoolKind> {
+        match section.text("kind")? {
+            "model" => {
+                let version = self.document.value(section, "version");
+                let adapter = section.text("adapter").filter(|name| !name.is_empty());
+                let model = self.document.value::<ModelName>(section, "model");
+                Some(PoolKind::Model {
+                    model: model?,
+                    version: version?,
+                    adapter: adapter.map(str::to_owned),
+                })
+            }
+            "service" => self.service_path(section),
+            other => {
+                let message = format!("'kind = {other}': write model or service");
+                self.document.fault_at(section, "kind", ResultCode::InvalidValue, message);
+                None
+            }
+        }
+    }
+
+    fn service_path(&self, section: &Section) -> Option<PoolKind> {
+        let path = section.text("path")?;
+        let taken = path.starts_with("/v1/") || path == "/" || path == "/v1";
+        if !path.starts_with('/') || taken || path.contains(['?', '#', ' ']) {
+            let message =
+                format!("'path = {path}': write a path such as /portal, other than / and below /v1");
+            self.document.fault_at(section, "path", ResultCode::InvalidValue, message);
+            return None;
+        }
+        Some(PoolKind::Service { path: path.to_owned() })
+    }
+
+    fn upstream(&self, section: &Section) -> Option<UpstreamOverride> {
+        let state = self.document.value(section, "state");
+        let role = self.document.value::<UpstreamName>(section, "role");
+        Some(UpstreamOverride { state: state?, role: role?.to_string() })
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_delivery/src/lib.rs
@@ -0,0 +1,12 @@
+//! One answer, whole, to its own request: what an attempt's end means, when another attempt is
+//! allowed, and how a request marked as not repeatable runs at most once.
+//!
+//! `docs/design/DELIVERY.md` says what was weighed.
+
+mod attempt;
+mod once;
+mod vouch;
+
+pub use attempt::{AttemptEnd, NextStep, Repeatable, next_step};
+pub use once::{Claim, Claimant, OnceKey, OnceLedger, OnceLimits, OnceOutcome};
+pub use vouch::OwnershipHistory;
--- /dev/null
+++ b/crates/bendhinge_http/src/client.rs
@@ -0,0 +1,106 @@
+//! Small whole requests: the platform's pages, load reports, operators' addresses.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use hyper::{HeaderMap, Request, StatusCode};
+use serde::de::DeserializeOwned;
+use smol::Timer;
+
+use crate::body::ReadBodyError;
+use crate::pool::{ConnectError, SendFailure};
+use crate::{Body, Pool, read_body};
+
+/// Why a small request got no whole answer.
+#[derive(Debug, thiserror::Error)]
+pub enum FetchError {
+    /// No connection.
+    #[error(transparent)]
+    Connect(#[from] ConnectError),
+    /// The connection closed before the request was written.
+    #[error("the connection closed before the request was sent")]
+    NotSent,
+    /// The connection broke after the request was sent.
+    #[error("the connection broke: {0}")]
+    Broken(hyper::Error),
+    /// The answer's body was too long or broke off.
+    #[error(transparent)]
+    Body(#[from] ReadBodyError),
+    /// No whole answer within the time allowed.
+    #[error("no answer within {0:?}")]
+    Timeout(Duration),
+    /// The answer is not of the expected form.
+    #[error("unexpected answer: {0}")]
+    Form(#[from] serde_json::Error),
+    /// The answer has another status than 200.
+    #[error("the answer's status is {0}")]
+    Status(StatusCode),
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Fetched {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// Sends `request` to `address` and gathers an answer of at most `limit` bytes within `time`.
+pub async fn fetch(
+    pool: &Pool,
+    address: SocketAddr,
+    request: Request<Body>,
+    limit: usize,
+    time: Duration,
+) -> Result<Fetched, FetchError> {
+    let exchange = async {
+        let mut connection = pool.connection(address).await?;
+        let answer = match connection.send(request).await {
+            Ok(answer) => answer,
+            Err(SendFailure::NotSent(request)) => {
+                // An idle connection had gone; one fresh connection settles it.
+                connection = pool.connect(address).await?;
+                connection.send(*request).await.map_err(send_error)?
+            }
+            Err(failure) => return Err(send_error(failure)),
+        };
+        let (head, body) = answer.into_parts();
+        let body = read_body(body, limit).await?;
+        pool.give_back(connection).await;
+        Ok(Fetched { status: head.status, headers: head.headers, body })
+    };
+    let too_long = async {
+        Timer::after(time).await;
+        Err(FetchError::Timeout(time))
+    };
+    exchange.or(too_long).await
+}
+
+fn send_error(failure: SendFailure) -> FetchError {
+    match failure {
+        SendFailure::NotSent(_) => FetchError::NotSent,
+        SendFailure::Unknown(error) => FetchError::Broken(error),
+    }
+}
+
+/// Gets `path` from `address` as JSON.
+pub async fn fetch_json<T: DeserializeOwned>(
+    pool: &Pool,
+    address: SocketAddr,
+    path: &str,
+    time: Duration,
+) -> Result<T, FetchError> {
+    const LIMIT: usize = 16 << 20;
+    let request = Request::get(path).header("host", address.to_string()).body(crate::empty_body());
+    let request = request.expect("a path made here is a valid URI");
+    let fetched = fetch(pool, address, request, LIMIT, time).await?;
+    if fetched.status != StatusCode::OK {
+        return Err(FetchError::Status(fetched.status));
+    }
+    Ok(serde_json::from_slice(&fetched.body)?)
+}
--- /dev/null
+++ b/crates/bendhinge_http/src/lib.rs
@@ -0,0 +1,16 @@
+//! HTTP/1.1 over `smol`: a server loop, a pooled client that knows what was sent, and the
+//! workers that run both. All protocol work is hyper's.
+
+mod body;
+mod client;
+mod pool;
+mod serve;
+mod signal;
+mod workers;
+
+pub use body::{Body, BodyError, ReadBodyError, channel_body, empty_body, full_body, read_body};
+pub use client::{FetchError, Fetched, fetch, fetch_json};
+pub use pool::{ConnectError, Connection, Pool, SendFailure};
+pub use serve::{CutConnection, ServeLimits, Server, ServerStop};
+pub use signal::termination;
+pub use workers::{Tasks, run_until};
--- /dev/null
+++ b/crates/bendhinge_http/src/pool.rs
@@ -0,0 +1,133 @@
+//! Reused connections to upstreams, with certainty about what was sent.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use futures_lite::FutureExt;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use smol::Timer;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+
+use crate::{Body, Tasks};
+
+/// Why no connection could be made; nothing was sent.
+#[derive(Debug, thiserror::Error)]
+pub enum ConnectError {
+    /// The connection was refused or failed.
+    #[error("cannot connect: {0}")]
+    Io(#[from] std::io::Error),
+    /// It took longer than allowed.
+    #[error("connecting took too long")]
+    Timeout,
+    /// The HTTP layer could not start.
+    #[error("cannot start HTTP: {0}")]
+    Http(#[from] hyper::Error),
+}
+
+/// Why a request got no answer.
+#[derive(Debug)]
+pub enum SendFailure {
+    /// No byte of the request was written: it comes back and did not run.
+    NotSent(Box<Request<Body>>),
+    /// Some of it may have been written: whether it ran is not known.
+    Unknown(hyper::Error),
+}
+
+/// One connection to an upstream, used for one request at a time.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Body>,
+    /// The address it leads to.
+    pub address: SocketAddr,
+    /// Whether it carried a request before, so that the upstream may be closing it.
+    pub reused: bool,
+}
+
+impl Connection {
+    /// Sends one request and waits for the head of its answer.
+    pub async fn send(&mut self, request: Request<Body>) -> Result<Response<Incoming>, SendFailure> {
+        let sent = self.sender.try_send_request(request).await;
+        sent.map_err(|mut failure| match failure.take_message() {
+            Some(request) => SendFailure::NotSent(Box::new(request)),
+            None => SendFailure::Unknown(failure.into_error()),
+        })
+    }
+}
+
+struct Idle {
+    sender: SendRequest<Body>,
+    since: Instant,
+}
+
+/// Idle connections by address.
+pub struct Pool {
+    tasks: Tasks,
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+    connect_time: Duration,
+    idle_time: Duration,
+    idle_per_address: usize,
+}
+
+impl Pool {
+    /// A pool whose connections are made within `connect_time` and kept idle for `idle_time`.
+    #[must_use]
+    pub fn new(tasks: Tasks, connect_time: Duration, idle_time: Duration) -> Self {
+        const IDLE_PER_ADDRESS: usize = 256;
+        Self { tasks, idle: Mutex::default(), connect_time, idle_time, idle_per_address: IDLE_PER_ADDRESS }
+    }
+
+    /// An idle connection to `address`, or a new one.
+    pub async fn connection(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
+        match self.take_idle(address) {
+            Some(sender) => Ok(Connection { sender, address, reused: true }),
+            None => self.connect(address).await,
+        }
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Body>> {
+        let mut idle = self.idle.lock().unwrap();
+        let connections = idle.get_mut(&address)?;
+        while let Some(candidate) = connections.pop() {
+            if candidate.sender.is_ready() && candidate.since.elapsed() < self.idle_time {
+                return Some(candidate.sender);
+            }
+        }
+        None
+    }
+
+    /// A new connection to `address`.
+    pub async fn connect(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
+        let connecting = async { TcpStream::connect(address).await.map_err(ConnectError::from) };
+        let too_long = async {
+            Timer::after(self.connect_time).await;
+            Err(ConnectError::Timeout)
+        };
+        let stream = connecting.or(too_long).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::handshake(FuturesIo::new(stream)).await?;
+        self.tasks
+            .spawn(async move {
+                // Its error reaches whoever waits for the answer.
+                let _ = connection.await;
+            })
+            .detach();
+        Ok(Connection { sender, address, reused: false })
+    }
+
+    /// Takes a connection back once the body of its last answer was read to the end.
+    pub async fn give_back(&self, mut connection: Connection) {
+        if connection.sender.ready().await.is_err() {
+            return;
+        }
+        let mut idle = self.idle.lock().unwrap();
+        let connections = idle.entry(connection.address).or_default();
+        if connections.len() < self.idle_per_address {
+            connections.push(Idle { sender: connection.sender, since: Instant::now() });
+        }
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_http/src/workers.rs
@@ -0,0 +1,28 @@
+//! The threads that run a process's tasks.
+
+use std::future::Future;
+use std::num::NonZeroUsize;
+use std::sync::Arc;
+use std::thread;
+
+use smol::Executor;
+use smol::channel::bounded;
+
+/// The executor that a process's tasks run on; cheap to clone.
+pub type Tasks = Arc<Executor<'static>>;
+
+/// Runs `tasks` on `workers` threads until `main` is done, and gives its result.
+///
+/// Tasks that are still running then are dropped.
+pub fn run_until<T>(tasks: &Tasks, workers: NonZeroUsize, main: impl Future<Output = T>) -> T {
+    let (stop, stopped) = bounded::<()>(1);
+    thread::scope(|scope| {
+        for _ in 1..workers.get() {
+            let stopped = stopped.clone();
+            scope.spawn(move || smol::block_on(tasks.run(stopped.recv())));
+        }
+        let result = smol::block_on(tasks.run(main));
+        drop(stop);
+        result
+    })
+}
--- /dev/null
+++ b/crates/bendhinge_ids/src/lib.rs
@@ -0,0 +1,11 @@
+//! Names, keys, numbers and instants that several duties share, each a type of its own.
+
+mod chat;
+mod name;
+mod number;
+mod time;
+
+pub use chat::{ChatKey, RequestId};
+pub use name::{BoxName, ClassName, CustomerName, HallName, ModelName, NameError, PoolName, UpstreamName};
+pub use number::{ConfigRevision, Digest, DigestError, EventSequence, Incarnation, PermitId, RouterLife};
+pub use time::Instant;
--- /dev/null
+++ b/crates/bendhinge_ids/src/number.rs
@@ -0,0 +1,108 @@
+//! Numbers with one meaning each.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use sha2::Digest as _;
+
+use crate::BoxName;
+
+/// The revision of a confirmed configuration; only ever grows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ConfigRevision(pub u64);
+
+impl ConfigRevision {
+    /// The revision that a plan made from this one will have.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for ConfigRevision {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
+/// One life of a process, from its start to its end: milliseconds since 1970 at its start.
+///
+/// A later life of the same box has a higher number unless the box's clock was set back, in
+/// which case its peers keep ignoring it until the clock has caught up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Incarnation(pub u64);
+
+/// One life of one box's router.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RouterLife {
+    /// The box.
+    pub name: BoxName,
+    /// Which life.
+    pub incarnation: Incarnation,
+}
+
+/// The number of an event in the record of one life of a process; 0 stands for none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EventSequence(pub u64);
+
+/// A permit's number, unique within the life of the router that counted it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PermitId(pub u64);
+
+/// The first 16 bytes of a document's SHA-256.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Digest(pub [u8; 16]);
+
+impl Digest {
+    /// The digest of `bytes`.
+    #[must_use]
+    pub fn of(bytes: &[u8]) -> Self {
+        let full = sha2::Sha256::digest(bytes);
+        let mut short = [0; 16];
+        short.copy_from_slice(&full[..16]);
+        Self(short)
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
+
+/// Why a text is not a digest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a digest is 32 hexadecimal digits")]
+pub struct DigestError;
+
+impl FromStr for Digest {
+    type Err = DigestError;
+
+    fn from_str(text: &str) -> Result<Self, DigestError> {
+        if text.len() != 32 || !text.is_ascii() {
+            return Err(DigestError);
+        }
+        let mut bytes = [0; 16];
+        for (index, byte) in bytes.iter_mut().enumerate() {
+            let digits = &text[index * 2..index * 2 + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| DigestError)?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = DigestError;
+
+    fn try_from(text: String) -> Result<Self, DigestError> {
+        text.parse()
+    }
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> Self {
+        digest.to_string()
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_ini/src/values.rs
@@ -0,0 +1,57 @@
+//! Value forms that several keys share.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+/// A span written in whole milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Millis(pub Duration);
+
+impl FromStr for Millis {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        const LONGEST_MS: u64 = 86_400_000;
+        match text.parse::<u64>() {
+            Ok(millis) if millis <= LONGEST_MS => Ok(Self(Duration::from_millis(millis))),
+            _ => Err(format!("write whole milliseconds from 0 to {LONGEST_MS}")),
+        }
+    }
+}
+
+/// A size written in bytes, or with `K` or `M` behind it for 1024 and 1024².
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ByteCount(pub usize);
+
+impl FromStr for ByteCount {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (digits, unit) = match text.as_bytes().last() {
+            Some(b'K') => (&text[..text.len() - 1], 1 << 10),
+            Some(b'M') => (&text[..text.len() - 1], 1 << 20),
+            _ => (text, 1),
+        };
+        digits
+            .parse::<usize>()
+            .ok()
+            .and_then(|count| count.checked_mul(unit))
+            .map(Self)
+            .ok_or_else(|| "write a number of bytes, as 65536, 64K or 8M".to_owned())
+    }
+}
+
+/// A positive decimal number.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ratio(pub f64);
+
+impl FromStr for Ratio {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text.parse::<f64>() {
+            Ok(ratio) if ratio > 0.0 && ratio < 1e6 => Ok(Self(ratio)),
+            _ => Err("write a decimal number above 0 and below 1000000".to_owned()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_lab/src/bench/mod.rs
@@ -0,0 +1,1 @@
+//! The bench of the decisions in virtual time.
--- /dev/null
+++ b/crates/bendhinge_membership/src/lib.rs
@@ -0,0 +1,16 @@
+//! Who is live and who is leaving, as the platform's lagging list and the routers themselves
+//! tell it; and what routers tell each other within a fixed budget of bytes.
+//!
+//! `docs/design/MEMBERSHIP.md` says what was weighed.
+
+mod directory;
+mod exchange;
+mod freshness;
+mod list;
+mod summary;
+
+pub use directory::{Directory, SUSPECT_AFTER};
+pub use exchange::{EXCHANGE_BYTES, Exchange, Heard};
+pub use freshness::{Freshness, FreshnessLimits};
+pub use list::{Member, MemberList, MemberRole, MemberState};
+pub use summary::{ClassUsage, CustomerUsage, NameHash, Summary, SummaryVersion, UpstreamCount};
--- /dev/null
+++ b/crates/bendhinge_operator/src/commands/plan.rs
@@ -0,0 +1,57 @@
+//! `bendhinge plan`.
+
+use bendhinge_configuration::{Intent, Plan, PoolMember};
+use bendhinge_membership::{MemberList, MemberRole, MemberState};
+
+use super::CommandError;
+use crate::args::PlanArgs;
+use crate::render;
+use crate::router::{page, read_key};
+
+pub(crate) fn run(args: &PlanArgs) -> Result<(), CommandError> {
+    let key = read_key(&args.key_file)?;
+    let in_force = page(args.router, &key, "/configuration")?;
+    let base = bendhinge_configuration::parse("the configuration in force", &in_force)?;
+    let members = page(args.router, &key, "/members")?;
+    let members: MemberList = serde_json::from_str(&members).map_err(CommandError::Answer)?;
+    let plan = Plan::make(&base, &intents(args)?, &pool_members(&members))?;
+    let json = serde_json::to_string_pretty(&plan).map_err(CommandError::Answer)?;
+    if let Some(out) = &args.out {
+        std::fs::write(out, &json).map_err(|error| CommandError::Write(out.clone(), error))?;
+    }
+    if args.json {
+        println!("{json}");
+    } else {
+        print!("{}", render::plan(&plan));
+    }
+    Ok(())
+}
+
+fn intents(args: &PlanArgs) -> Result<Vec<Intent>, CommandError> {
+    let state =
+        |title: String, value: &str| Intent::Set { title, key: "state".to_owned(), value: value.to_owned() };
+    let mut intents = Vec::new();
+    for change in &args.set {
+        intents.push(Intent::parse_set(change)?);
+    }
+    intents.extend(args.remove.iter().map(|title| Intent::Remove { title: title.clone() }));
+    intents.extend(args.drain_hall.iter().map(|hall| state(format!("hall.{hall}"), "drained")));
+    intents.extend(args.restore_hall.iter().map(|hall| state(format!("hall.{hall}"), "serving")));
+    intents
+        .extend(args.drain_upstream.iter().map(|upstream| state(format!("upstream.{upstream}"), "drained")));
+    Ok(intents)
+}
+
+fn pool_members(list: &MemberList) -> Vec<PoolMember> {
+    let live = list.members.iter().filter(|member| member.state == MemberState::Live);
+    live.filter_map(|member| match &member.role {
+        MemberRole::Router { .. } => None,
+        MemberRole::Upstream { name, pool, weight } => Some(PoolMember {
+            name: name.clone(),
+            pool: pool.clone(),
+            hall: member.hall.clone(),
+            weight: *weight,
+        }),
+    })
+    .collect()
+}
--- /dev/null
+++ b/crates/bendhinge_operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/bendhinge_peer/src/lib.rs
@@ -0,0 +1,21 @@
+//! What routers say to each other: `capnp-rpc` over connections that only holders of the
+//! fleet's shared key can open.
+//!
+//! The objects of `capnp-rpc` stay on one thread: everything here runs on one
+//! [`smol::LocalExecutor`].
+
+mod client;
+mod convert;
+mod duties;
+mod secure;
+mod server;
+mod traffic;
+
+#[expect(warnings, clippy::all, clippy::pedantic, missing_docs, reason = "generated code is taken as it is")]
+mod peer_capnp;
+
+pub use client::{CallError, PeerClient};
+pub use duties::{ClaimRequest, ConfigAnswer, OnceAnswer, PeerDuties, PermitAnswer, Told};
+pub use secure::{PeerKey, SecureError};
+pub use server::serve;
+pub use traffic::Traffic;
--- /dev/null
+++ b/crates/bendhinge_placement/src/lib.rs
@@ -0,0 +1,23 @@
+//! Which upstream serves a turn: pure functions over explicit state and an explicit clock.
+//!
+//! * [`Ranking`] orders the upstreams of a pool for a chat by weighted rendezvous hashing.
+//! * [`LoadBound`] says how many requests an upstream may carry, as a multiple of the mean.
+//! * [`PermitLedger`] is the exact count at the moment of admission, kept by the one router
+//!   that counts for an upstream, with the displaced chats that it remembers.
+//! * [`assess`] tells a router, from lagged knowledge alone, whether asking is needed at all.
+//!
+//! `docs/design/PLACEMENT.md` says what was weighed and which measurement decided.
+
+mod bound;
+mod displaced;
+mod knowledge;
+mod ledger;
+mod owner;
+mod ranking;
+
+pub use bound::{LoadBound, PoolLoad};
+pub use displaced::DisplacedChats;
+pub use knowledge::{Assessment, KnownLoad, assess};
+pub use ledger::{Denied, Granted, LedgerLimits, LoadReport, PermitLedger, PermitRequest};
+pub use owner::{owner_of, rank_owners};
+pub use ranking::{Ranked, Ranking, SHORTLIST, Shortlist, UpstreamIndex};
--- /dev/null
+++ b/crates/bendhinge_router/src/control/housekeeping.rs
@@ -0,0 +1,83 @@
+//! What is done at short periods: looking at the clock, settling configurations, following the
+//! health of others, and starting admission rounds.
+
+use std::time::Duration;
+
+use bendhinge_ids::{BoxName, Instant, RouterLife};
+use smol::Timer;
+
+use super::Control;
+use crate::node::Node;
+use crate::{admission, clock, configuration, membership, placement};
+
+const PERIOD: Duration = Duration::from_millis(100);
+/// Routers that are no longer listed are forgotten after this silence.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+pub(super) async fn run(control: Control) {
+    let mut next_round = clock::now();
+    loop {
+        Timer::after(PERIOD).await;
+        let now = clock::now();
+        control.node.is_fresh();
+        look_after_permits(&control.node, now);
+        follow_fleet(&control, now);
+        placement::refresh_totals(&control.node);
+        if now >= next_round {
+            admission::begin_round(&control.node);
+            next_round = now + control.node.settings.control.exchange;
+        }
+    }
+}
+
+fn follow_fleet(control: &Control, now: Instant) {
+    let node = &control.node;
+    let (highest, alone, counting) = {
+        let mut membership = node.membership.lock().unwrap();
+        let listed: Vec<BoxName> =
+            membership.directory.listed_routers().map(|(name, _)| name.clone()).collect();
+        membership.exchange.forget(|name| listed.contains(name), FORGET_AFTER, now);
+        let mut counting = membership.directory.counting_routers(
+            &node.life.name,
+            node.is_stopping(),
+            &membership.exchange,
+            now,
+        );
+        counting.sort();
+        (membership.highest_revision(now), membership.is_alone(&node.life.name), counting)
+    };
+    let settled = configuration::settle(node, highest, alone);
+    let health_changed = placement::refresh(node);
+    let fleet = node.fleet();
+    if settled || health_changed || counting != fleet.counting {
+        membership::rebuild_fleet(node);
+        control
+            .peers
+            .keep_only(|address| node.fleet().routers.iter().any(|router| router.address == address));
+    }
+}
+
+/// Renews the permits of routers that were heard of, and ends those of lives that are over.
+fn look_after_permits(node: &Node, now: Instant) {
+    let heard: Vec<(RouterLife, Instant)> = {
+        let membership = node.membership.lock().unwrap();
+        let heard = membership.exchange.summaries(now).map(|(summary, age)| {
+            let life = RouterLife { name: summary.name.clone(), incarnation: summary.version.incarnation };
+            (life, now - age)
+        });
+        heard.collect()
+    };
+    let mut ledger = node.ledger.lock().unwrap();
+    ledger.renew(&node.life, now);
+    for (life, then) in &heard {
+        ledger.renew(life, *then);
+    }
+    let is_over = |holder: &RouterLife| {
+        heard.iter().any(|(life, _)| life.name == holder.name && life.incarnation > holder.incarnation)
+    };
+    let over: Vec<RouterLife> = ledger.holders().filter(|holder| is_over(holder)).cloned().collect();
+    for holder in &over {
+        ledger.drop_holder(holder, now);
+    }
+    ledger.expire(now);
+}
--- /dev/null
+++ b/crates/bendhinge_router/src/control/mod.rs
@@ -0,0 +1,67 @@
+//! All that passes between routers, and from the platform and the upstreams' reports: one
+//! thread with one executor, where the objects of `capnp-rpc` live.
+
+mod calls;
+mod duties;
+mod exchange;
+mod housekeeping;
+mod loads;
+mod peers;
+mod platform;
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bendhinge_ids::{BoxName, RouterLife};
+use smol::LocalExecutor;
+use smol::channel::Receiver;
+use smol::net::TcpListener;
+
+pub(crate) use calls::{ControlCall, acquire, claim, send};
+
+use self::peers::Peers;
+use crate::node::Node;
+
+/// What the tasks of this thread share.
+#[derive(Clone)]
+struct Control {
+    node: Arc<Node>,
+    peers: Rc<Peers>,
+    executor: Rc<LocalExecutor<'static>>,
+}
+
+/// Runs everything between routers until `stopped` is closed.
+pub(crate) fn run(
+    node: &Arc<Node>,
+    listener: TcpListener,
+    calls: Receiver<ControlCall>,
+    stopped: &Receiver<()>,
+) {
+    let executor = Rc::new(LocalExecutor::new());
+    let control = Control {
+        node: Arc::clone(node),
+        peers: Rc::new(Peers::new(Arc::clone(node), Rc::clone(&executor))),
+        executor: Rc::clone(&executor),
+    };
+    let serving = bendhinge_peer::serve(
+        listener,
+        node.settings.keys.peers.clone(),
+        Rc::new(duties::Duties::new(Arc::clone(node))),
+        Arc::clone(&node.traffic),
+        Rc::clone(&executor),
+    );
+    executor.spawn(serving).detach();
+    executor.spawn(calls::run(control.clone(), calls)).detach();
+    executor.spawn(exchange::run(control.clone())).detach();
+    executor.spawn(platform::watch_configuration(control.clone())).detach();
+    executor.spawn(platform::watch_members(control.clone())).detach();
+    executor.spawn(loads::run(control.clone())).detach();
+    executor.spawn(housekeeping::run(control)).detach();
+    let _ = smol::block_on(executor.run(stopped.recv()));
+}
+
+/// The life in which another router was last heard of.
+pub(crate) fn life_of(node: &Node, name: &BoxName) -> Option<RouterLife> {
+    let version = node.membership.lock().unwrap().exchange.version(name)?;
+    Some(RouterLife { name: name.clone(), incarnation: version.incarnation })
+}
--- /dev/null
+++ b/crates/bendhinge_router/src/main.rs
@@ -0,0 +1,5 @@
+//! The router's process.
+
+fn main() -> bendhinge_codes::ExitStatus {
+    bendhinge_router::main()
+}
--- /dev/null
+++ b/crates/bendhinge_router/src/membership/mod.rs
@@ -0,0 +1,121 @@
+//! The duty of membership: who is live, who counts for what, and what routers tell each other.
+
+mod fleet;
+mod rebuild;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bendhinge_delivery::OwnershipHistory;
+use bendhinge_ids::{BoxName, ConfigRevision, Instant};
+use bendhinge_membership::{Directory, Exchange, MemberList, Summary, SummaryVersion, UpstreamCount};
+use bendhinge_timeline::EventKind;
+
+pub(crate) use fleet::{Fleet, FleetPool, Owner, RouterEntry, Target};
+pub(crate) use rebuild::rebuild_fleet;
+
+use crate::node::Node;
+use crate::{admission, clock};
+
+/// Word of other routers that is older than this is not taken as word of now.
+const RECENT_WORD: Duration = Duration::from_secs(10);
+
+/// What the router knows of members.
+pub(crate) struct Membership {
+    pub(crate) directory: Directory,
+    pub(crate) exchange: Exchange,
+    pub(crate) history: OwnershipHistory,
+    sequence: u64,
+}
+
+impl Membership {
+    pub(crate) fn new(once_window: Duration) -> Self {
+        Self {
+            directory: Directory::default(),
+            exchange: Exchange::default(),
+            history: OwnershipHistory::new(once_window),
+            sequence: 0,
+        }
+    }
+
+    /// The highest revision that other routers told of lately; `None` if none told anything.
+    pub(crate) fn highest_revision(&self, now: Instant) -> Option<ConfigRevision> {
+        let recent = self.exchange.summaries(now).filter(|(_, age)| *age < RECENT_WORD);
+        recent.map(|(summary, _)| summary.config_revision).max()
+    }
+
+    /// Whether the list is known and names no other router.
+    pub(crate) fn is_alone(&self, own: &BoxName) -> bool {
+        self.directory.is_known() && self.directory.listed_routers().all(|(name, _)| name == own)
+    }
+}
+
+/// Takes in a list; `true` if it was newer than the known one.
+pub(crate) fn take_list(node: &Node, from: &str, list: MemberList) -> bool {
+    let now = clock::now();
+    let (newer, revision, routers, upstreams) = {
+        let mut membership = node.membership.lock().unwrap();
+        let newer = membership.directory.offer(list, now);
+        if newer {
+            let boxes = membership.directory.listed_routers().map(|(name, _)| name.clone()).collect();
+            membership.history.note(boxes, now);
+        }
+        let directory = &membership.directory;
+        (newer, directory.list().revision, directory.listed_routers().count(), directory.upstreams().count())
+    };
+    if newer {
+        node.metrics.list_revision.set(revision);
+        node.note(EventKind::ListChanged { revision, routers, upstreams, from: from.to_owned() });
+    }
+    newer
+}
+
+/// Takes in summaries of other routers.
+pub(crate) fn hear(node: &Node, summaries: Vec<Summary>) {
+    let now = clock::now();
+    let mut membership = node.membership.lock().unwrap();
+    membership.exchange.hear(&node.life.name, summaries, now);
+}
+
+/// What to tell a peer: the router's own summary first, then others' as the budget allows.
+pub(crate) fn tell(node: &Node) -> Vec<Summary> {
+    let upstreams = counted_upstreams(node);
+    let usage = admission::usage_to_tell(node);
+    let (config_revision, config_digest) = node.configuration.lock().unwrap().latest();
+    let now = clock::now();
+    let mut membership = node.membership.lock().unwrap();
+    membership.sequence += 1;
+    let version = SummaryVersion { incarnation: node.life.incarnation, sequence: membership.sequence };
+    let own = Summary {
+        name: node.life.name.clone(),
+        version,
+        age: Duration::ZERO,
+        leaving: node.is_stopping(),
+        platform_fails: node.platform_fails.load(Ordering::Relaxed),
+        list_revision: membership.directory.list().revision,
+        config_revision,
+        config_digest,
+        upstreams,
+        classes: usage.classes,
+        customers: usage.customers,
+    };
+    membership.exchange.select(own, now)
+}
+
+fn counted_upstreams(node: &Node) -> Vec<UpstreamCount> {
+    let fleet = node.fleet();
+    let owned = fleet.owned_upstreams();
+    let counts: Vec<u32> = {
+        let ledger = node.ledger.lock().unwrap();
+        owned.iter().map(|target| ledger.in_progress(&target.name)).collect()
+    };
+    let knowledge = node.knowledge.lock().unwrap();
+    let pairs = owned.iter().zip(counts);
+    pairs
+        .map(|(target, count)| UpstreamCount {
+            upstream: target.hash,
+            in_progress: u16::try_from(count).unwrap_or(u16::MAX),
+            reachable: knowledge.is_reachable(target.hash),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/bendhinge_router/src/node.rs
@@ -0,0 +1,152 @@
+//! What the duties of one router share.
+//!
+//! Each duty's state has a lock of its own, held for a few microseconds and never over a wait.
+//! No two are held at once, but for `membership`, under which `knowledge` may be taken.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, RwLock};
+
+use bendhinge_delivery::{OnceLedger, OnceLimits};
+use bendhinge_http::{Pool, Tasks};
+use bendhinge_ids::{EventSequence, RequestId, RouterLife};
+use bendhinge_membership::{Freshness, FreshnessLimits};
+use bendhinge_peer::Traffic;
+use bendhinge_placement::{LedgerLimits, PermitLedger};
+use bendhinge_timeline::{EventKind, EventLink, ProcessId, Record};
+use smol::channel::Sender;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::admission::AdmissionState;
+use crate::clock;
+use crate::configuration::ConfigurationState;
+use crate::control::ControlCall;
+use crate::membership::{Fleet, Membership};
+use crate::metrics::Metrics;
+use crate::placement::Knowledge;
+use crate::settings::Settings;
+
+/// How many displaced chats a router remembers; about 100 bytes each.
+const DISPLACED_CHATS: usize = 20_000;
+
+/// One router.
+pub(crate) struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) life: RouterLife,
+    pub(crate) tasks: Tasks,
+    pub(crate) record: Record,
+    pub(crate) metrics: Metrics,
+    pub(crate) traffic: Arc<Traffic>,
+    pub(crate) upstreams: Pool,
+    pub(crate) calls: Sender<ControlCall>,
+    pub(crate) stopping: AtomicBool,
+    pub(crate) platform_fails: AtomicBool,
+    pub(crate) in_progress: AtomicUsize,
+    pub(crate) freshness: Mutex<Freshness>,
+    pub(crate) configuration: Mutex<ConfigurationState>,
+    pub(crate) membership: Mutex<Membership>,
+    pub(crate) knowledge: Mutex<Knowledge>,
+    pub(crate) ledger: Mutex<PermitLedger>,
+    pub(crate) admission: Mutex<AdmissionState>,
+    pub(crate) once: Mutex<OnceLedger>,
+    fleet: RwLock<Arc<Fleet>>,
+    next_request: AtomicU64,
+}
+
+/// The parts that are made before the node.
+pub(crate) struct NodeParts {
+    pub(crate) settings: Settings,
+    pub(crate) life: RouterLife,
+    pub(crate) tasks: Tasks,
+    pub(crate) metrics: Metrics,
+    pub(crate) traffic: Arc<Traffic>,
+    pub(crate) calls: Sender<ControlCall>,
+}
+
+impl Node {
+    pub(crate) fn new(parts: NodeParts) -> Self {
+        let NodeParts { settings, life, tasks, metrics, traffic, calls } = parts;
+        let now = clock::now();
+        let process = ProcessId { name: life.name.to_string(), incarnation: life.incarnation };
+        let limits = FreshnessLimits { gap: settings.control.gap, patience: settings.control.patience };
+        let ledger = LedgerLimits { lease: settings.control.lease, displaced_chats: DISPLACED_CHATS };
+        let once = OnceLimits { window: settings.once.window, keys: settings.once.keys };
+        Self {
+            record: Record::new(process, settings.events),
+            upstreams: Pool::new(Arc::clone(&tasks), settings.limits.connect, settings.limits.idle),
+            stopping: AtomicBool::new(false),
+            platform_fails: AtomicBool::new(false),
+            in_progress: AtomicUsize::new(0),
+            freshness: Mutex::new(Freshness::new(limits, now)),
+            configuration: Mutex::default(),
+            membership: Mutex::new(Membership::new(settings.once.window)),
+            knowledge: Mutex::default(),
+            ledger: Mutex::new(PermitLedger::new(ledger)),
+            admission: Mutex::default(),
+            once: Mutex::new(OnceLedger::new(once)),
+            fleet: RwLock::default(),
+            next_request: AtomicU64::new(0),
+            settings,
+            life,
+            tasks,
+            metrics,
+            traffic,
+            calls,
+        }
+    }
+
+    /// The fleet as this router now knows it.
+    pub(crate) fn fleet(&self) -> Arc<Fleet> {
+        Arc::clone(&self.fleet.read().unwrap())
+    }
+
+    pub(crate) fn set_fleet(&self, fleet: Fleet) {
+        *self.fleet.write().unwrap() = Arc::new(fleet);
+    }
+
+    /// A new request's number: unlike those of all other lives with all but certainty.
+    pub(crate) fn new_request(&self) -> RequestId {
+        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
+        let life = xxh3_64_with_seed(self.life.name.as_str().as_bytes(), self.life.incarnation.0);
+        RequestId(xxh3_64_with_seed(&number.to_le_bytes(), life))
+    }
+
+    /// Whether the router was asked to stop.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Whether the view may be trusted for new work; see [`Freshness`].
+    pub(crate) fn is_fresh(&self) -> bool {
+        let mut freshness = self.freshness.lock().unwrap();
+        let gaps = freshness.gaps();
+        let fresh = freshness.observe(clock::now());
+        let woke = freshness.gaps() > gaps;
+        drop(freshness);
+        if woke {
+            self.note(EventKind::Woke);
+            spdlog::warn!("woke from a freeze; the view is renewed before new work");
+        }
+        fresh
+    }
+
+    /// Notes an event of the process.
+    pub(crate) fn note(&self, kind: EventKind) {
+        self.record.note(None, None, kind);
+    }
+
+    /// Notes an event of a request.
+    pub(crate) fn note_request(&self, request: RequestId, kind: EventKind) -> EventSequence {
+        self.record.note(Some(request), None, kind)
+    }
+
+    /// Notes an event of a request that follows from another process's.
+    pub(crate) fn note_caused(&self, request: RequestId, cause: EventLink, kind: EventKind) -> EventSequence {
+        self.record.note(Some(request), Some(cause), kind)
+    }
+}
+
+/// The tie to an event of another router's life.
+pub(crate) fn link(life: &RouterLife, sequence: EventSequence) -> EventLink {
+    let process = ProcessId { name: life.name.to_string(), incarnation: life.incarnation };
+    EventLink { process, sequence }
+}
