--- a/crates/bendhinge_admission/src/retry_after.rs
+++ b/crates/bendhinge_admission/src/retry_after.rs
@@ -5,7 +5,7 @@
 /// The shortest time to come back after.
 const SHORTEST: Duration = Duration::from_millis(500);
 /// The longest.
-const LONGEST: Duration = Duration::from_secs(60);
+const LONGEST: Duration = Duration::from_mins(1);
 
 /// A time to come back after, at which room is likely: the time in which `excess` requests
 /// finish on `slots` slots at `turn` each, spread evenly over as much again so that those who
--- a/crates/bendhinge_configuration/src/seal.rs
+++ b/crates/bendhinge_configuration/src/seal.rs
@@ -1,5 +1,7 @@
 //! How a router knows that a document was confirmed: its seal, an HMAC over the rest of it.
 
+use std::fmt::Write as _;
+
 use bendhinge_ini::{Document, Faults};
 use hmac::{Hmac, Mac};
 use sha2::Sha256;
@@ -39,8 +41,7 @@
     pub fn seal(&self, mut document: Document) -> String {
         document.set(&SCHEMA, "fleet", "seal", "");
         let unsealed = document.canonical(&SCHEMA);
-        let seal: String =
-            self.mac(&unsealed).finalize().into_bytes().iter().map(|byte| format!("{byte:02x}")).collect();
+        let seal = encode(&self.mac(&unsealed).finalize().into_bytes());
         document.set(&SCHEMA, "fleet", "seal", &seal);
         document.canonical(&SCHEMA)
     }
@@ -59,6 +60,14 @@
     }
 }
 
+fn encode(bytes: &[u8]) -> String {
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        // Writing to a String cannot fail.
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
+
 fn decode(text: &str) -> Option<Vec<u8>> {
     if !text.is_ascii() || text.len() % 2 == 1 {
         return None;
--- a/crates/bendhinge_http/src/serve.rs
+++ b/crates/bendhinge_http/src/serve.rs
@@ -31,7 +31,7 @@
 
 impl Default for ServeLimits {
     fn default() -> Self {
-        Self { head_bytes: 64 << 10, head_time: Duration::from_secs(60), connections: 10_000 }
+        Self { head_bytes: 64 << 10, head_time: Duration::from_mins(1), connections: 10_000 }
     }
 }
 
--- a/crates/bendhinge_ids/src/lib.rs
+++ b/crates/bendhinge_ids/src/lib.rs
@@ -6,6 +6,8 @@
 mod time;
 
 pub use chat::{ChatKey, RequestId};
-pub use name::{BoxName, ClassName, CustomerName, HallName, ModelName, NameError, PoolName, UpstreamName};
+pub use name::{
+    BoxName, ClassName, CustomerName, HallName, ModelName, NameError, NameHash, PoolName, UpstreamName,
+};
 pub use number::{ConfigRevision, Digest, DigestError, EventSequence, Incarnation, PermitId, RouterLife};
 pub use time::Instant;
--- a/crates/bendhinge_ids/src/name.rs
+++ b/crates/bendhinge_ids/src/name.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The longest name, in bytes.
 const NAME_MAX_BYTES: usize = 64;
@@ -82,3 +83,15 @@
     /// A model as callers name it.
     ModelName;
 }
+
+/// A name's hash, which is shorter to send than the name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct NameHash(pub u64);
+
+impl NameHash {
+    /// The hash of `name`.
+    #[must_use]
+    pub fn of(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()))
+    }
+}
--- a/crates/bendhinge_ini/src/document.rs
+++ b/crates/bendhinge_ini/src/document.rs
@@ -261,7 +261,9 @@
         for kind in schema.sections {
             let mut sections: Vec<&Section> = self.sections(kind.kind).collect();
             sections.sort_by(|left, right| left.name.cmp(&right.name));
-            sections.into_iter().for_each(|section| section.write_canonical(&mut text));
+            for section in sections {
+                section.write_canonical(&mut text);
+            }
         }
         text
     }
--- a/crates/bendhinge_lab/src/client.rs
+++ b/crates/bendhinge_lab/src/client.rs
@@ -116,11 +116,7 @@
     /// A caller of the examples' customer `customer`.
     #[must_use]
     pub fn new(pool: &Arc<Pool>, customer: &str) -> Self {
-        Self {
-            pool: Arc::clone(pool),
-            key: format!("demo-key-{customer}"),
-            patience: Duration::from_secs(60),
-        }
+        Self { pool: Arc::clone(pool), key: format!("demo-key-{customer}"), patience: Duration::from_mins(1) }
     }
 
     /// Sends a turn to the router at `router`.
@@ -245,7 +241,7 @@
     let answer: Value = serde_json::from_str(&outcome.content).unwrap_or_default();
     read_usage(outcome, &answer);
     let content = answer["choices"][0]["message"]["content"].as_str();
-    outcome.content = content.unwrap_or_default().to_owned();
+    outcome.content = content.map(str::to_owned).unwrap_or_default();
 }
 
 fn read_stream(outcome: &mut Outcome) {
@@ -271,5 +267,5 @@
 fn read_usage(outcome: &mut Outcome, answer: &Value) {
     outcome.prompt_tokens = answer["usage"]["prompt_tokens"].as_u64().unwrap_or(0);
     outcome.cached_tokens = answer["usage"]["prompt_tokens_details"]["cached_tokens"].as_u64().unwrap_or(0);
-    outcome.served_by = answer["served_by"].as_str().unwrap_or_default().to_owned();
+    outcome.served_by = answer["served_by"].as_str().map(str::to_owned).unwrap_or_default();
 }
--- a/crates/bendhinge_lab/src/load.rs
+++ b/crates/bendhinge_lab/src/load.rs
@@ -410,6 +410,9 @@
 /// A text of `count` words that begins with `tag`, so that no two messages are alike.
 fn words(tag: &str, count: u32) -> String {
     let mut text = tag.to_owned();
-    (1..count).for_each(|word| text.push_str(&format!(" w{word}")));
+    for word in 1..count {
+        text.push_str(" w");
+        text.push_str(&word.to_string());
+    }
     text
 }
--- a/crates/bendhinge_lab/src/measure/mod.rs
+++ b/crates/bendhinge_lab/src/measure/mod.rs
@@ -5,6 +5,7 @@
 pub enum MeasureError {}
 
 /// Runs all measurements whose group's name contains `only`.
+#[must_use]
 pub fn run(_only: Option<&str>) -> Result<(), MeasureError> {
     Ok(())
 }
--- a/crates/bendhinge_membership/src/directory.rs
+++ b/crates/bendhinge_membership/src/directory.rs
@@ -54,6 +54,7 @@
     /// Listed routers that count for upstreams: not leaving by anybody's word, and heard of.
     /// `own` is always heard of. A router that was never heard has the same time to speak as
     /// one that fell silent, from when the list named it.
+    #[must_use]
     pub fn counting_routers(
         &self,
         own: &BoxName,
--- a/crates/bendhinge_membership/src/lib.rs
+++ b/crates/bendhinge_membership/src/lib.rs
@@ -13,4 +13,4 @@
 pub use exchange::{EXCHANGE_BYTES, Exchange, Heard};
 pub use freshness::{Freshness, FreshnessLimits};
 pub use list::{Member, MemberList, MemberRole, MemberState};
-pub use summary::{ClassUsage, CustomerUsage, NameHash, Summary, SummaryVersion, UpstreamCount};
+pub use summary::{ClassUsage, CustomerUsage, Summary, SummaryVersion, UpstreamCount};
--- a/crates/bendhinge_membership/src/summary.rs
+++ b/crates/bendhinge_membership/src/summary.rs
@@ -2,20 +2,7 @@
 
 use std::time::Duration;
 
-use bendhinge_ids::{BoxName, ConfigRevision, Digest, Incarnation};
-use xxhash_rust::xxh3::xxh3_64;
-
-/// A name's hash, which is shorter to send than the name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct NameHash(pub u64);
-
-impl NameHash {
-    /// The hash of `name`.
-    #[must_use]
-    pub fn of(name: &str) -> Self {
-        Self(xxh3_64(name.as_bytes()))
-    }
-}
+use bendhinge_ids::{BoxName, ConfigRevision, Digest, Incarnation, NameHash};
 
 /// Which of two summaries of one box is later.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/bendhinge_peer/schema/peer.capnp
+++ b/crates/bendhinge_peer/schema/peer.capnp
@@ -38,9 +38,10 @@
 
 struct PermitAnswer {
   event @4 :UInt64;
+  inProgress @5 :UInt32;
   union {
     granted @0 :UInt64;
-    atBound @1 :UInt32;
+    atBound @1 :Void;
     elsewhere @2 :Text;
     notOwner @3 :Void;
   }
--- a/crates/bendhinge_peer/src/client.rs
+++ b/crates/bendhinge_peer/src/client.rs
@@ -9,7 +9,7 @@
 use bendhinge_delivery::{Claimant, OnceKey, OnceOutcome};
 use bendhinge_ids::{ChatKey, Digest, EventSequence, PermitId, UpstreamName};
 use bendhinge_membership::Summary;
-use bendhinge_placement::PermitRequest;
+use bendhinge_placement::{Granted, PermitRequest};
 use capnp::message::ReaderOptions;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
@@ -190,8 +190,11 @@
 
 fn read_permit_answer(answer: permit_answer::Reader<'_>) -> Result<PermitAnswer, CallError> {
     Ok(match answer.which().map_err(|_| CallError::Form)? {
-        permit_answer::Granted(permit) => PermitAnswer::Granted(PermitId(permit)),
-        permit_answer::AtBound(in_progress) => PermitAnswer::AtBound(in_progress),
+        permit_answer::Granted(permit) => {
+            let in_progress = answer.get_in_progress();
+            PermitAnswer::Granted(Granted { permit: PermitId(permit), in_progress })
+        }
+        permit_answer::AtBound(()) => PermitAnswer::AtBound { in_progress: answer.get_in_progress() },
         permit_answer::Elsewhere(upstream) => {
             let name = upstream?.to_str().map_err(capnp::Error::from)?.parse();
             PermitAnswer::Elsewhere(name.map_err(|_| CallError::Form)?)
--- a/crates/bendhinge_peer/src/convert.rs
+++ b/crates/bendhinge_peer/src/convert.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use bendhinge_delivery::{Claim, Claimant, OnceKey, OnceOutcome};
-use bendhinge_ids::{BoxName, ConfigRevision, Digest, EventSequence, Incarnation, RequestId, RouterLife};
-use bendhinge_membership::{ClassUsage, CustomerUsage, NameHash, Summary, SummaryVersion, UpstreamCount};
+use bendhinge_ids::{
+    BoxName, ConfigRevision, Digest, EventSequence, Incarnation, NameHash, RequestId, RouterLife,
+};
+use bendhinge_membership::{ClassUsage, CustomerUsage, Summary, SummaryVersion, UpstreamCount};
 use capnp::Error;
 
 use crate::peer_capnp::{self, holder, summary, usage};
--- a/crates/bendhinge_peer/src/peer_capnp.rs
+++ b/crates/bendhinge_peer/src/peer_capnp.rs
@@ -1872,10 +1872,14 @@
             self.reader.get_data_field::<u64>(2)
         }
         #[inline]
+        pub fn get_in_progress(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(4) {
                 0 => ::core::result::Result::Ok(Granted(self.reader.get_data_field::<u64>(0))),
-                1 => ::core::result::Result::Ok(AtBound(self.reader.get_data_field::<u32>(0))),
+                1 => ::core::result::Result::Ok(AtBound(())),
                 2 => ::core::result::Result::Ok(Elsewhere(
                     ::capnp::traits::FromPointerReader::get_from_pointer(
                         &self.reader.get_pointer_field(0),
@@ -1968,9 +1972,8 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn set_at_bound(&mut self, value: u32) {
+        pub fn set_at_bound(&mut self, _value: ()) {
             self.builder.set_data_field::<u16>(4, 1);
-            self.builder.set_data_field::<u32>(0, value);
         }
         #[inline]
         pub fn set_elsewhere(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
@@ -2007,10 +2010,18 @@
             self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
+        pub fn get_in_progress(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_in_progress(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(4) {
                 0 => ::core::result::Result::Ok(Granted(self.builder.get_data_field::<u64>(0))),
-                1 => ::core::result::Result::Ok(AtBound(self.builder.get_data_field::<u32>(0))),
+                1 => ::core::result::Result::Ok(AtBound(())),
                 2 => ::core::result::Result::Ok(Elsewhere(
                     ::capnp::traits::FromPointerBuilder::get_from_pointer(
                         self.builder.get_pointer_field(0),
@@ -2033,7 +2044,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(179, 79, 143, 162, 180, 157, 106, 129),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
@@ -2043,49 +2054,56 @@
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 80, 101, 114, 109, 105),
             ::capnp::word(116, 65, 110, 115, 119, 101, 114, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
-            ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(2, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 252, 255, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(0, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2095,11 +2113,11 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(97, 116, 66, 111, 117, 110, 100, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 108, 115, 101, 119, 104, 101, 114),
@@ -2128,14 +2146,24 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 80, 114, 111, 103, 114, 101),
+            ::capnp::word(115, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <() as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <() as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2154,14 +2182,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[4];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[4, 5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 4, 0, 3];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 4, 0, 5, 3];
         pub(crate) const TYPE_ID: u64 = 0x816a_9db4_a28f_4fb3;
     }
     pub enum Which<A0> {
         Granted(u64),
-        AtBound(u32),
+        AtBound(()),
         Elsewhere(A0),
         NotOwner(()),
     }
--- a/crates/bendhinge_peer/src/server.rs
+++ b/crates/bendhinge_peer/src/server.rs
@@ -93,8 +93,14 @@
         let mut answer = results.get().init_answer();
         answer.set_event(told.event.0);
         match told.message {
-            PermitAnswer::Granted(permit) => answer.set_granted(permit.0),
-            PermitAnswer::AtBound(in_progress) => answer.set_at_bound(in_progress),
+            PermitAnswer::Granted(granted) => {
+                answer.set_granted(granted.permit.0);
+                answer.set_in_progress(granted.in_progress);
+            }
+            PermitAnswer::AtBound { in_progress } => {
+                answer.set_at_bound(());
+                answer.set_in_progress(in_progress);
+            }
             PermitAnswer::Elsewhere(upstream) => answer.set_elsewhere(upstream.as_str()),
             PermitAnswer::NotOwner => answer.set_not_owner(()),
         }
--- a/crates/bendhinge_placement/src/knowledge.rs
+++ b/crates/bendhinge_placement/src/knowledge.rs
@@ -7,12 +7,10 @@
 /// An upstream's load as a router last heard it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct KnownLoad {
-    /// Requests in progress when it was measured.
+    /// Requests in progress when it was measured, and the change by the router's own since.
     pub in_progress: u32,
     /// How long ago that was.
     pub age: Duration,
-    /// Requests that this router itself has sent there since.
-    pub own_since: u32,
 }
 
 /// Whether the router that counts for an upstream must be asked before work is sent.
@@ -44,7 +42,7 @@
     let Some(known) = known.filter(|known| known.age <= OLDEST) else {
         return Assessment::Ask;
     };
-    let load = f64::from(known.in_progress + known.own_since);
+    let load = f64::from(known.in_progress);
     let limit = f64::from(bound.limit(pool, share));
     let deviation = load.max(1.0).sqrt();
     if load + 1.0 + CLEAR_DEVIATIONS * deviation <= limit {
--- a/crates/bendhinge_placement/src/lib.rs
+++ b/crates/bendhinge_placement/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`LoadBound`] says how many requests an upstream may carry, as a multiple of the mean.
 //! * [`PermitLedger`] is the exact count at the moment of admission, kept by the one router
 //!   that counts for an upstream, with the displaced chats that it remembers.
+//! * [`LoadView`] is what one router believes of loads, and [`Walk`] how it goes through them.
 //! * [`assess`] tells a router, from lagged knowledge alone, whether asking is needed at all.
 //!
 //! `docs/design/PLACEMENT.md` says what was weighed and which measurement decided.
@@ -14,6 +15,8 @@
 mod ledger;
 mod owner;
 mod ranking;
+mod view;
+mod walk;
 
 pub use bound::{LoadBound, PoolLoad};
 pub use displaced::DisplacedChats;
@@ -21,3 +24,5 @@
 pub use ledger::{Denied, Granted, LedgerLimits, LoadReport, PermitLedger, PermitRequest};
 pub use owner::{owner_of, rank_owners};
 pub use ranking::{Ranked, Ranking, SHORTLIST, Shortlist, UpstreamIndex};
+pub use view::{LoadView, ViewKey};
+pub use walk::{Answer, PlacementReason, Step, Walk, WalkPool};
--- a/crates/bendhinge_placement/src/ranking.rs
+++ b/crates/bendhinge_placement/src/ranking.rs
@@ -130,9 +130,9 @@
         let mut first = 0;
         while first < self.groups.len() && list.length < SHORTLIST {
             let tier = self.groups[first].tier;
-            let last = first + self.groups[first..].iter().take_while(|group| group.tier == tier).count();
-            self.append_tier(chat, &self.groups[first..last], &mut list);
-            first = last;
+            let end = first + self.groups[first..].iter().take_while(|group| group.tier == tier).count();
+            self.append_tier(chat, &self.groups[first..end], &mut list);
+            first = end;
         }
         list
     }
@@ -140,7 +140,9 @@
     fn append_tier(&self, chat: ChatKey, groups: &[Group], list: &mut Shortlist) {
         if let [only] = groups {
             let best = self.best_of_group(chat, *only);
-            best.iter().for_each(|scored| list.push(scored.index));
+            for scored in best.iter() {
+                list.push(scored.index);
+            }
             return;
         }
         // Only the best of each group can be among the best of the tier, so the logarithm that
@@ -151,7 +153,9 @@
             candidates.extend(best.iter().map(|scored| (cost(scored.score, group.weight), scored.index)));
         }
         candidates.sort_by(|left, right| left.0.total_cmp(&right.0));
-        candidates.iter().for_each(|(_, index)| list.push(*index));
+        for (_, index) in candidates {
+            list.push(index);
+        }
     }
 
     fn best_of_group(&self, chat: ChatKey, group: Group) -> Best {
--- a/crates/bendhinge_router/src/admission/mod.rs
+++ b/crates/bendhinge_router/src/admission/mod.rs
@@ -9,8 +9,8 @@
     RetryBudget, Rules, Usage,
 };
 use bendhinge_configuration::Configuration;
-use bendhinge_ids::{ConfigRevision, CustomerName, PoolName};
-use bendhinge_membership::{ClassUsage, CustomerUsage, NameHash, Summary};
+use bendhinge_ids::{ConfigRevision, CustomerName, NameHash, PoolName};
+use bendhinge_membership::{ClassUsage, CustomerUsage, Summary};
 use rand::Rng;
 
 use crate::clock;
@@ -167,7 +167,9 @@
     let mut state = node.admission.lock().unwrap();
     let Some(admission) = &mut state.admission else { return };
     let mut others = FleetUsage::none(admission.rules());
-    summaries.iter().for_each(|summary| add_usage(&mut others, summary, &fleet));
+    for summary in &summaries {
+        add_usage(&mut others, summary, &fleet);
+    }
     admission.begin_round(&others, fleet.counting.len());
 }
 
--- a/crates/bendhinge_router/src/configuration/mod.rs
+++ b/crates/bendhinge_router/src/configuration/mod.rs
@@ -41,18 +41,18 @@
 /// Takes a document in; `from` names where it came from.
 pub(crate) fn take_in(node: &Node, from: &str, text: &str) {
     match node.settings.keys.seal.open(from, text) {
-        Ok(document) => offer(node, from, Arc::new(document)),
+        Ok(document) => offer(node, from, &Arc::new(document)),
         Err(error) => refuse(node, from, Digest::of(text.as_bytes()), &error),
     }
 }
 
-fn offer(node: &Node, from: &str, document: Arc<Configuration>) {
+fn offer(node: &Node, from: &str, document: &Arc<Configuration>) {
     let (revision, digest) = (document.revision, document.digest);
     let offer = {
         let mut state = node.configuration.lock().unwrap();
-        let offer = state.adoption.offer(Arc::clone(&document), clock::now());
+        let offer = state.adoption.offer(Arc::clone(document), clock::now());
         if offer == Offer::Accepted {
-            state.remember(&document);
+            state.remember(document);
         }
         offer
     };
@@ -62,7 +62,7 @@
             node.note(EventKind::ConfigurationHeard { revision: revision.0, digest, from: from.to_owned() });
         }
         Offer::Superseded => {
-            count_refused(node, from, digest, "superseded", &format!("revision {revision} is superseded"))
+            count_refused(node, from, digest, "superseded", &format!("revision {revision} is superseded"));
         }
         Offer::Known | Offer::Stale => {}
     }
--- a/crates/bendhinge_router/src/control/calls.rs
+++ b/crates/bendhinge_router/src/control/calls.rs
@@ -85,7 +85,7 @@
 ) -> Result<(), CallError> {
     let answer = control.peers.call(address, async |peer| peer.acquire(told).await).await?;
     let granted = match answer.message {
-        PermitAnswer::Granted(permit) => Some(permit),
+        PermitAnswer::Granted(granted) => Some(granted.permit),
         _ => None,
     };
     let unheard = reply.send(answer).await.is_err();
--- a/crates/bendhinge_router/src/control/housekeeping.rs
+++ b/crates/bendhinge_router/src/control/housekeeping.rs
@@ -12,7 +12,7 @@
 
 const PERIOD: Duration = Duration::from_millis(100);
 /// Routers that are no longer listed are forgotten after this silence.
-const FORGET_AFTER: Duration = Duration::from_secs(60);
+const FORGET_AFTER: Duration = Duration::from_mins(1);
 
 pub(super) async fn run(control: Control) {
     let mut next_round = clock::now();
--- a/crates/bendhinge_router/src/control/loads.rs
+++ b/crates/bendhinge_router/src/control/loads.rs
@@ -56,7 +56,7 @@
         let report = LoadReport { in_progress: report.in_progress, measured_at };
         node.ledger.lock().unwrap().report(&target.name, report);
     }
-    let changed = node.knowledge.lock().unwrap().queried(target.hash, answered);
+    let changed = node.health.lock().unwrap().queried(target.hash, answered);
     if let Some(reachable) = changed {
         let upstream = target.name.to_string();
         spdlog::info!("an upstream's health changed", kv: { upstream = upstream.as_str(), reachable });
--- a/crates/bendhinge_router/src/delivery/attempt.rs
+++ b/crates/bendhinge_router/src/delivery/attempt.rs
@@ -90,7 +90,7 @@
         }
         Err(end) => {
             if end == AttemptEnd::NotConnected {
-                node.knowledge.lock().unwrap().avoid(target.hash, clock::now());
+                node.loads.lock().unwrap().avoid(target.hash, clock::now());
             }
             Err(AttemptFailure { end, body_is_whole: turn.body.is_whole() })
         }
--- a/crates/bendhinge_router/src/delivery/mod.rs
+++ b/crates/bendhinge_router/src/delivery/mod.rs
@@ -87,7 +87,7 @@
     };
     let mut delivery = Delivery { node, turn, claimed, tried: Vec::new(), certain: true };
     match delivery.run().await {
-        Ok(attempt) => delivery.pass_back(attempt, admitted).await,
+        Ok(attempt) => delivery.pass_back(attempt, admitted),
         Err(code) => delivery.give_up(code),
     }
 }
@@ -166,7 +166,7 @@
         answers::failure(self.node, self.turn.request, code, None)
     }
 
-    async fn pass_back(mut self, attempt: Attempt, admitted: Admitted) -> Response<Body> {
+    fn pass_back(mut self, attempt: Attempt, admitted: Admitted) -> Response<Body> {
         self.claimed.settle(OnceOutcome::Ran);
         let upstream = attempt.target.name.to_string();
         let status = attempt.head.status;
--- a/crates/bendhinge_router/src/delivery/once.rs
+++ b/crates/bendhinge_router/src/delivery/once.rs
@@ -122,14 +122,14 @@
     let now = clock::now();
     let text = request.key.as_text();
     let owns = |boxes: &[BoxName]| owner_of(&text, boxes) == Some(&node.life.name);
-    let (is_owner, vouches) = {
+    let (is_owner, owned_for_window) = {
         let membership = node.membership.lock().unwrap();
         (owns(membership.history.boxes()), membership.history.vouches(now, owns))
     };
     if !is_owner {
         return OnceAnswer::NotOwner;
     }
-    let vouched = vouches || request.declared_first;
+    let vouched = owned_for_window || request.declared_first;
     let mut once = node.once.lock().unwrap();
     let claim = once.claim(request.key, claimant, vouched, now);
     node.metrics.once_keys.set(once.len() as u64);
--- a/crates/bendhinge_router/src/delivery/relay.rs
+++ b/crates/bendhinge_router/src/delivery/relay.rs
@@ -157,7 +157,7 @@
                 return true;
             }
             // The timer is only set anew when it fires, not with every frame.
-            self.timer.set_after(self.idle - quiet);
+            self.timer.set_after(self.idle.checked_sub(quiet).unwrap());
         }
         false
     }
--- a/crates/bendhinge_router/src/membership/fleet.rs
+++ b/crates/bendhinge_router/src/membership/fleet.rs
@@ -6,8 +6,8 @@
 
 use bendhinge_admission::{CustomerIndex, PoolIndex};
 use bendhinge_configuration::{Configuration, Pool};
-use bendhinge_ids::{BoxName, CustomerName, PoolName, UpstreamName};
-use bendhinge_membership::NameHash;
+use bendhinge_ids::{BoxName, CustomerName, NameHash, PoolName, UpstreamName};
+
 use bendhinge_placement::{Ranking, UpstreamIndex};
 
 /// Which router counts for an upstream.
@@ -47,6 +47,8 @@
     pub(crate) ranking: Ranking,
     /// In the order of the ranking.
     pub(crate) targets: Vec<Arc<Target>>,
+    /// The targets' hashes, in the same order.
+    pub(crate) hashes: Vec<NameHash>,
 }
 
 impl FleetPool {
--- a/crates/bendhinge_router/src/membership/mod.rs
+++ b/crates/bendhinge_router/src/membership/mod.rs
@@ -109,13 +109,13 @@
         let ledger = node.ledger.lock().unwrap();
         owned.iter().map(|target| ledger.in_progress(&target.name)).collect()
     };
-    let knowledge = node.knowledge.lock().unwrap();
+    let health = node.health.lock().unwrap();
     let pairs = owned.iter().zip(counts);
     pairs
         .map(|(target, count)| UpstreamCount {
             upstream: target.hash,
             in_progress: u16::try_from(count).unwrap_or(u16::MAX),
-            reachable: knowledge.is_reachable(target.hash),
+            reachable: health.is_reachable(target.hash),
         })
         .collect()
 }
--- a/crates/bendhinge_router/src/membership/rebuild.rs
+++ b/crates/bendhinge_router/src/membership/rebuild.rs
@@ -5,8 +5,8 @@
 
 use bendhinge_admission::{CustomerIndex, PoolIndex};
 use bendhinge_configuration::Configuration;
-use bendhinge_ids::{BoxName, CustomerName, HallName, PoolName, UpstreamName};
-use bendhinge_membership::{MemberState, NameHash};
+use bendhinge_ids::{BoxName, CustomerName, HallName, NameHash, PoolName, UpstreamName};
+use bendhinge_membership::MemberState;
 use bendhinge_placement::{Ranked, Ranking, owner_of};
 use bendhinge_timeline::EventKind;
 
@@ -54,7 +54,7 @@
         .listed_routers()
         .map(|(name, member)| RouterEntry { name: name.clone(), address: member.address })
         .collect();
-    let knowledge = node.knowledge.lock().unwrap();
+    let health = node.health.lock().unwrap();
     let listed = directory
         .upstreams()
         .map(|(name, pool, weight, member)| {
@@ -62,7 +62,7 @@
             let owner = owner(name, own, &counting, &routers);
             let target =
                 Target { name: name.clone(), hash, pool: pool.clone(), address: member.address, owner };
-            let live = member.state == MemberState::Live && knowledge.is_reachable(hash);
+            let live = member.state == MemberState::Live && health.is_reachable(hash);
             Listed { target: Arc::new(target), weight, hall: member.hall.clone(), live }
         })
         .collect();
@@ -110,14 +110,16 @@
             let ranking = Ranking::new(ranked.collect());
             let by_name: HashMap<&UpstreamName, &Arc<Target>> =
                 members.iter().map(|member| (&member.target.name, &member.target)).collect();
-            let targets =
+            let targets: Vec<Arc<Target>> =
                 ranking.upstreams().iter().map(|ranked| Arc::clone(by_name[&ranked.name])).collect();
+            let hashes = targets.iter().map(|target| target.hash).collect();
             let pool = FleetPool {
                 name: name.clone(),
                 index: PoolIndex(index),
                 rule: rule.clone(),
                 ranking,
                 targets,
+                hashes,
             };
             (name.clone(), Arc::new(pool))
         })
--- a/crates/bendhinge_router/src/metrics.rs
+++ b/crates/bendhinge_router/src/metrics.rs
@@ -31,7 +31,7 @@
     fn register(&self, meter: &Meter, name: &'static str, help: &'static str) {
         let gauge = self.clone();
         let observe = move |observer: &dyn opentelemetry::metrics::AsyncInstrument<i64>| {
-            observer.observe(gauge.get(), &[])
+            observer.observe(gauge.get(), &[]);
         };
         meter.i64_observable_gauge(name).with_description(help).with_callback(observe).build();
     }
@@ -126,7 +126,7 @@
     let observe = |name: &'static str, help: &'static str, read: fn(&Traffic) -> u64| {
         let traffic = Arc::clone(traffic);
         let callback = move |observer: &dyn opentelemetry::metrics::AsyncInstrument<u64>| {
-            observer.observe(read(&traffic), &[])
+            observer.observe(read(&traffic), &[]);
         };
         meter.u64_observable_counter(name).with_description(help).with_callback(callback).build();
     };
--- a/crates/bendhinge_router/src/node.rs
+++ b/crates/bendhinge_router/src/node.rs
@@ -1,7 +1,7 @@
 //! What the duties of one router share.
 //!
 //! Each duty's state has a lock of its own, held for a few microseconds and never over a wait.
-//! No two are held at once, but for `membership`, under which `knowledge` may be taken.
+//! Where two are held at once they are taken in the order of their fields in [`Node`].
 
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
@@ -11,7 +11,7 @@
 use bendhinge_ids::{EventSequence, RequestId, RouterLife};
 use bendhinge_membership::{Freshness, FreshnessLimits};
 use bendhinge_peer::Traffic;
-use bendhinge_placement::{LedgerLimits, PermitLedger};
+use bendhinge_placement::{LedgerLimits, LoadView, PermitLedger};
 use bendhinge_timeline::{EventKind, EventLink, ProcessId, Record};
 use smol::channel::Sender;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -22,7 +22,7 @@
 use crate::control::ControlCall;
 use crate::membership::{Fleet, Membership};
 use crate::metrics::Metrics;
-use crate::placement::Knowledge;
+use crate::placement::Health;
 use crate::settings::Settings;
 
 /// How many displaced chats a router remembers; about 100 bytes each.
@@ -44,7 +44,8 @@
     pub(crate) freshness: Mutex<Freshness>,
     pub(crate) configuration: Mutex<ConfigurationState>,
     pub(crate) membership: Mutex<Membership>,
-    pub(crate) knowledge: Mutex<Knowledge>,
+    pub(crate) loads: Mutex<LoadView>,
+    pub(crate) health: Mutex<Health>,
     pub(crate) ledger: Mutex<PermitLedger>,
     pub(crate) admission: Mutex<AdmissionState>,
     pub(crate) once: Mutex<OnceLedger>,
@@ -79,7 +80,8 @@
             freshness: Mutex::new(Freshness::new(limits, now)),
             configuration: Mutex::default(),
             membership: Mutex::new(Membership::new(settings.once.window)),
-            knowledge: Mutex::default(),
+            loads: Mutex::default(),
+            health: Mutex::default(),
             ledger: Mutex::new(PermitLedger::new(ledger)),
             admission: Mutex::default(),
             once: Mutex::new(OnceLedger::new(once)),
--- a/crates/bendhinge_router/src/placement/permit.rs
+++ b/crates/bendhinge_router/src/placement/permit.rs
@@ -3,12 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bendhinge_ids::{ChatKey, PermitId, RequestId};
+use bendhinge_ids::{ChatKey, PermitId, RequestId, UpstreamName};
 use bendhinge_peer::{PermitAnswer, Told};
 use bendhinge_placement::{Denied, PermitRequest};
 use bendhinge_timeline::EventKind;
 use opentelemetry::KeyValue;
 
+use super::knowledge::view_key;
 use crate::clock;
 use crate::control::{self, ControlCall};
 use crate::membership::{Owner, RouterEntry, Target};
@@ -32,7 +33,7 @@
 
 impl Permit {
     fn new(node: &Arc<Node>, target: &Arc<Target>, origin: Origin) -> Self {
-        node.knowledge.lock().unwrap().sent(target.hash, &target.pool);
+        node.loads.lock().unwrap().sent(view_key(target));
         Self { node: Arc::clone(node), target: Arc::clone(target), origin }
     }
 
@@ -44,14 +45,14 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.node.knowledge.lock().unwrap().ended(self.target.hash, &self.target.pool);
+        self.node.loads.lock().unwrap().ended(view_key(&self.target));
         match self.origin {
             Origin::None => {}
             Origin::Own(permit) => {
                 self.node.ledger.lock().unwrap().release(permit, clock::now());
             }
             Origin::Peer(address, permit) => {
-                control::send(&self.node, ControlCall::Release { address, permit })
+                control::send(&self.node, ControlCall::Release { address, permit });
             }
         }
     }
@@ -60,7 +61,8 @@
 /// What asking for a permit came to.
 pub(super) enum Asked {
     Granted(Permit),
-    Denied(Denied),
+    AtBound,
+    Elsewhere(UpstreamName),
     /// The router that counts gave no answer, or does not believe that it counts.
     NoWord,
 }
@@ -88,8 +90,8 @@
     };
     let answer = match &asked {
         Asked::Granted(_) => "granted",
-        Asked::Denied(Denied::AtBound { .. }) => "at_bound",
-        Asked::Denied(Denied::Elsewhere(_)) => "elsewhere",
+        Asked::AtBound => "at_bound",
+        Asked::Elsewhere(_) => "elsewhere",
         Asked::NoWord => "no_word",
     };
     node.metrics.permits.add(1, &[KeyValue::new("answer", answer)]);
@@ -100,7 +102,8 @@
     let answer = node.ledger.lock().unwrap().acquire(request, clock::now());
     match answer {
         Ok(granted) => Asked::Granted(Permit::new(node, question.target, Origin::Own(granted.permit))),
-        Err(denied) => Asked::Denied(denied),
+        Err(Denied::AtBound { .. }) => Asked::AtBound,
+        Err(Denied::Elsewhere(place)) => Asked::Elsewhere(place),
     }
 }
 
@@ -118,21 +121,30 @@
         return Asked::NoWord;
     };
     match answer.message {
-        PermitAnswer::Granted(permit) => {
+        PermitAnswer::Granted(granted) => {
+            // The count includes this request, which the permit counts in.
+            learn(node, question.target, granted.in_progress.saturating_sub(1));
             let life = control::life_of(node, &owner.name);
             let received = EventKind::PermitReceived { upstream };
             match life {
                 Some(life) => node.note_caused(question.request, link(&life, answer.event), received),
                 None => node.note_request(question.request, received),
             };
-            Asked::Granted(Permit::new(node, question.target, Origin::Peer(owner.address, permit)))
+            Asked::Granted(Permit::new(node, question.target, Origin::Peer(owner.address, granted.permit)))
         }
-        PermitAnswer::AtBound(in_progress) => Asked::Denied(Denied::AtBound { in_progress }),
-        PermitAnswer::Elsewhere(upstream) => Asked::Denied(Denied::Elsewhere(upstream)),
+        PermitAnswer::AtBound { in_progress } => {
+            learn(node, question.target, in_progress);
+            Asked::AtBound
+        }
+        PermitAnswer::Elsewhere(place) => Asked::Elsewhere(place),
         PermitAnswer::NotOwner => Asked::NoWord,
     }
 }
 
+fn learn(node: &Node, target: &Target, in_progress: u32) {
+    node.loads.lock().unwrap().learn(view_key(target), in_progress, clock::now());
+}
+
 /// Answers a peer's question for a permit.
 pub(crate) fn answer_peer(node: &Node, told: Told<PermitRequest>) -> Told<PermitAnswer> {
     let Told { message, event, request } = told;
@@ -145,11 +157,10 @@
     // A router that was frozen does not know whether another counts by now.
     let answer = if owns && node.is_fresh() { count(node, &message) } else { PermitAnswer::NotOwner };
     let kind = match &answer {
-        PermitAnswer::Granted(_) => {
-            let in_progress = node.ledger.lock().unwrap().in_progress(&message.upstream);
-            EventKind::PermitGranted { upstream, in_progress }
+        PermitAnswer::Granted(granted) => {
+            EventKind::PermitGranted { upstream, in_progress: granted.in_progress }
         }
-        PermitAnswer::AtBound(in_progress) => {
+        PermitAnswer::AtBound { in_progress } => {
             EventKind::PermitDenied { upstream, reason: format!("at bound with {in_progress}") }
         }
         PermitAnswer::Elsewhere(place) => {
@@ -163,8 +174,8 @@
 
 fn count(node: &Node, request: &PermitRequest) -> PermitAnswer {
     match node.ledger.lock().unwrap().acquire(request, clock::now()) {
-        Ok(granted) => PermitAnswer::Granted(granted.permit),
-        Err(Denied::AtBound { in_progress }) => PermitAnswer::AtBound(in_progress),
+        Ok(granted) => PermitAnswer::Granted(granted),
+        Err(Denied::AtBound { in_progress }) => PermitAnswer::AtBound { in_progress },
         Err(Denied::Elsewhere(place)) => PermitAnswer::Elsewhere(place),
     }
 }
--- a/crates/bendhinge_standin/src/engine/cache.rs
+++ b/crates/bendhinge_standin/src/engine/cache.rs
@@ -66,7 +66,9 @@
 
     /// Stores a prefix of `tokens`, in place of the shorter ones that it extends.
     pub fn store(&mut self, extended: &[PrefixHash], prefix: PrefixHash, tokens: u64) {
-        extended.iter().for_each(|shorter| self.drop_prefix(*shorter));
+        for shorter in extended {
+            self.drop_prefix(*shorter);
+        }
         self.drop_prefix(prefix);
         self.clock += 1;
         self.held.insert(prefix, Held { tokens, used: self.clock });
@@ -97,7 +99,7 @@
         const LOST_EVERY: u64 = 10;
         let sequence = self.next_event;
         self.next_event += 1;
-        if sequence % LOST_EVERY != 0 {
+        if !sequence.is_multiple_of(LOST_EVERY) {
             self.events.push_back(CacheEvent { sequence, prefix, stored });
         }
         while self.events.len() > KEPT {
--- a/crates/bendhinge_timeline/src/event.rs
+++ b/crates/bendhinge_timeline/src/event.rs
@@ -23,33 +23,6 @@
     pub sequence: EventSequence,
 }
 
-/// Why an upstream was chosen for a turn.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum PlacementReason {
-    /// It is the chat's first by ranking.
-    FirstChoice,
-    /// The chat was displaced to it before.
-    ReturnedToDisplaced,
-    /// Better ones were at their bound.
-    Displaced,
-    /// The router that counts for it gave no answer; lagged knowledge decided.
-    LocalKnowledge,
-}
-
-impl PlacementReason {
-    /// The word used in metrics and printed lines.
-    #[must_use]
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::FirstChoice => "first_choice",
-            Self::ReturnedToDisplaced => "returned_to_displaced",
-            Self::Displaced => "displaced",
-            Self::LocalKnowledge => "local_knowledge",
-        }
-    }
-}
-
 /// What happened.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "event")]
@@ -92,7 +65,7 @@
     /// This router decided on an idempotency key.
     ClaimDecided { claim: String },
     /// An upstream was chosen.
-    Placed { upstream: String, reason: PlacementReason },
+    Placed { upstream: String, reason: String },
     /// An attempt began.
     AttemptStarted { upstream: String, number: u32 },
     /// An attempt ended without a whole answer.
--- a/crates/bendhinge_timeline/src/lib.rs
+++ b/crates/bendhinge_timeline/src/lib.rs
@@ -7,7 +7,7 @@
 mod record;
 mod text;
 
-pub use event::{Event, EventKind, EventLink, PlacementReason, ProcessId};
+pub use event::{Event, EventKind, EventLink, ProcessId};
 pub use merge::{Filter, Order, Placed, merge};
 pub use picture::svg;
 pub use record::{Record, RecordPage};
--- a/crates/bendhinge_timeline/src/picture.rs
+++ b/crates/bendhinge_timeline/src/picture.rs
@@ -15,9 +15,15 @@
 pub fn svg(line: &[Placed]) -> String {
     let picture = Picture::new(line);
     let mut out = picture.head();
-    picture.lanes.iter().for_each(|(process, lane)| picture.draw_lane(&mut out, process, *lane));
-    line.iter().for_each(|placed| picture.draw_message(&mut out, placed));
-    line.iter().for_each(|placed| picture.draw_event(&mut out, placed));
+    for (process, lane) in &picture.lanes {
+        draw_lane(&mut out, process, *lane);
+    }
+    for placed in line {
+        picture.draw_message(&mut out, placed);
+    }
+    for placed in line {
+        picture.draw_event(&mut out, placed);
+    }
     out.push_str("</svg>\n");
     out
 }
@@ -56,14 +62,6 @@
         )
     }
 
-    // Writing to a String cannot fail, here and below.
-    fn draw_lane(&self, out: &mut String, process: &ProcessId, lane: usize) {
-        let y = TOP + lane as f64 * LANE;
-        let end = LEFT + WIDTH;
-        let _ = writeln!(out, "<text x=\"10\" y=\"{y}\">{}</text>", escape(&process.name));
-        let _ = writeln!(out, "<line x1=\"{LEFT}\" y1=\"{y}\" x2=\"{end}\" y2=\"{y}\" stroke=\"#bbb\"/>");
-    }
-
     fn draw_message(&self, out: &mut String, placed: &Placed) {
         let from =
             placed.event.cause.as_ref().and_then(|link| self.places.get(&(&link.process, link.sequence.0)));
@@ -86,6 +84,14 @@
     }
 }
 
+// Writing to a String cannot fail, here and below.
+fn draw_lane(out: &mut String, process: &ProcessId, lane: usize) {
+    let y = TOP + lane as f64 * LANE;
+    let end = LEFT + WIDTH;
+    let _ = writeln!(out, "<text x=\"10\" y=\"{y}\">{}</text>", escape(&process.name));
+    let _ = writeln!(out, "<line x1=\"{LEFT}\" y1=\"{y}\" x2=\"{end}\" y2=\"{y}\" stroke=\"#bbb\"/>");
+}
+
 fn escape(text: &str) -> String {
     text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
 }
