--- a/crates/bendhinge_lab/src/deployment.rs
+++ b/crates/bendhinge_lab/src/deployment.rs
@@ -69,6 +69,20 @@
         self
     }
 
+    /// Keeps only the first `count` upstreams of a pool.
+    #[must_use]
+    pub fn with_upstreams(mut self, pool: &str, count: usize) -> Self {
+        let mut kept = 0;
+        self.members.members.retain(|member| match &member.role {
+            MemberRole::Upstream { pool: of, .. } if of.as_str() == pool => {
+                kept += 1;
+                kept <= count
+            }
+            _ => true,
+        });
+        self
+    }
+
     /// Sets a key of the settings.
     #[must_use]
     pub fn with_setting(mut self, section: &str, key: &str, value: &str) -> Self {
--- a/crates/bendhinge_placement/src/walk.rs
+++ b/crates/bendhinge_placement/src/walk.rs
@@ -194,7 +194,6 @@
     /// turn is sent without a permit.
     pub fn answered(&mut self, answer: Answer, view: &LoadView) -> Option<UpstreamIndex> {
         match answer {
-            Answer::Granted => None,
             Answer::AtBound => {
                 self.advance();
                 None
@@ -206,8 +205,8 @@
                 self.stage = Stage::Returning;
                 None
             }
-            // Its place is gone: ask the first again, as any other.
-            Answer::Elsewhere(None) => None,
+            // With its place gone, the first is asked again, as any other.
+            Answer::Granted | Answer::Elsewhere(None) => None,
             Answer::NoWord => self.decide_alone(view),
         }
     }
--- a/crates/bendhinge_router/src/delivery/relay.rs
+++ b/crates/bendhinge_router/src/delivery/relay.rs
@@ -91,7 +91,19 @@
     idle: Duration,
     last_frame: Instant,
     timer: Timer,
-    broken: bool,
+    breaking: Breaking,
+}
+
+/// How far a broken answer is on its way to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Breaking {
+    /// It is not broken.
+    No,
+    /// Its last event is sent, and the server must be let flush it: an error right behind it
+    /// would make the server drop what it still buffers.
+    Flushing,
+    /// The connection is cut next.
+    Cut,
 }
 
 impl RelayBody {
@@ -105,7 +117,7 @@
             idle,
             last_frame: Instant::now(),
             timer: Timer::after(idle),
-            broken: false,
+            breaking: Breaking::No,
         }
     }
 
@@ -137,19 +149,27 @@
     /// caller has does not look whole.
     fn break_off(&mut self) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         self.connection = None;
-        let first_time = !std::mem::replace(&mut self.broken, true);
+        self.breaking = Breaking::Flushing;
         let request = self.held.as_ref().map(|held| held.request);
         if let Some(held) = self.held.take() {
             held.cut_short();
         }
-        match request.filter(|_| first_time && self.end_mark.is_some()) {
+        match request.filter(|_| self.end_mark.is_some()) {
             Some(request) => {
                 Poll::Ready(Some(Ok(Frame::data(answers::error_event(request, ResultCode::AnswerCutShort)))))
             }
-            None => Poll::Ready(Some(Err("the upstream's answer broke off".into()))),
+            None => self.flush_or_cut(),
         }
     }
 
+    fn flush_or_cut(&mut self) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.breaking == Breaking::Flushing {
+            self.breaking = Breaking::Cut;
+            return Poll::Pending;
+        }
+        Poll::Ready(Some(Err("the upstream's answer broke off".into())))
+    }
+
     fn is_idle_too_long(&mut self, context: &mut Context<'_>) -> bool {
         while Pin::new(&mut self.timer).poll(context).is_ready() {
             let quiet = self.last_frame.elapsed();
@@ -171,8 +191,28 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if self.broken {
-            return self.break_off();
+        let polled = self.poll_next(context);
+        if polled.is_pending() && self.breaking == Breaking::Cut {
+            // Pending lets the server flush; it is to ask again right after.
+            context.waker().wake_by_ref();
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.held.is_none() && self.breaking == Breaking::No
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        // A stream that breaks off carries an event more than the upstream announced.
+        if self.end_mark.is_some() { SizeHint::default() } else { self.body.size_hint() }
+    }
+}
+
+impl RelayBody {
+    fn poll_next(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.breaking != Breaking::No {
+            return self.flush_or_cut();
         }
         match Pin::new(&mut self.body).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
@@ -188,15 +228,6 @@
             Poll::Pending => Poll::Pending,
         }
     }
-
-    fn is_end_stream(&self) -> bool {
-        self.held.is_none() && !self.broken
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        // A stream that breaks off carries an event more than the upstream announced.
-        if self.end_mark.is_some() { SizeHint::default() } else { self.body.size_hint() }
-    }
 }
 
 impl Drop for RelayBody {
