--- a/crates/bendhinge_admission/src/gate.rs
+++ b/crates/bendhinge_admission/src/gate.rs
@@ -11,6 +11,8 @@
 /// not enough for all. A burst that comes through one router of many is then not held to that
 /// router's part of an idle pool.
 const FREE_FOR_ALL: f64 = 0.7;
+/// The part of a limit that all routers together may pass it by.
+const SLACK: f64 = 0.1;
 /// The part of its due from which a class is held to fairness between its customers.
 const CONTENDED: f64 = 0.9;
 
@@ -108,7 +110,10 @@
                 Ok(())
             }
             Some(reason) => {
-                self.count(ask.pool, ask.customer, |usage| usage.refused += 1);
+                // What a customer's own limit or a deadline keeps out is not wanted of the pool:
+                // a part kept free for it would be used by nobody.
+                let wanted = u32::from(reason == RefusalReason::OverShare);
+                self.count(ask.pool, ask.customer, |usage| usage.refused += wanted);
                 Err(self.refusal(ask.pool, reason, spread))
             }
         }
@@ -164,7 +169,7 @@
     fn customer_limit(&self, customer: CustomerIndex) -> u32 {
         let newcomer = || {
             part_of(
-                self.rules.customers[customer.0].limit,
+                Limit::Hard(self.rules.customers[customer.0].limit),
                 0,
                 Usage::default(),
                 Usage::default(),
@@ -217,9 +222,9 @@
             let limit = self.rules.customers[customer.0].limit;
             let own = sum_over_pools(&self.own, *customer);
             let of_others = sum_over_pools(others, *customer);
-            limits
-                .entry(*customer)
-                .or_insert_with(|| part_of(limit, own.in_progress, own, of_others, self.routers));
+            limits.entry(*customer).or_insert_with(|| {
+                part_of(Limit::Hard(limit), own.in_progress, own, of_others, self.routers)
+            });
         }
         limits
     }
@@ -240,25 +245,23 @@
     /// others has it back with its first request.
     fn class_dues(&self, pool: PoolIndex, own: &PoolUsage, others: &PoolUsage) -> Vec<u32> {
         let slots = f64::from(self.rules.pools[pool.0].slots);
-        let all_shares: f64 = self.rules.classes.iter().map(|class| class.share).sum();
         let wants: Vec<Want> = self
             .rules
             .classes
             .iter()
             .enumerate()
             .map(|(index, class)| {
-                let wanted = own.class(ClassIndex(index)).wanted() + others.class(ClassIndex(index)).wanted();
-                Want { weight: class.share, amount: f64::from(wanted) }
+                let mut usage = own.class(ClassIndex(index));
+                usage += others.class(ClassIndex(index));
+                want(class.share, usage)
             })
             .collect();
-        let parts = fill(&wants, slots);
-        let shares = wants.iter().map(|want| slots * want.weight / all_shares);
-        parts.iter().zip(shares).map(|(part, share)| round_up(part.max(share))).collect()
+        at_least_shares(&wants, slots).into_iter().map(round_up).collect()
     }
 
     fn class_round(&self, class: ClassIndex, due: u32, own: &PoolUsage, others: &PoolUsage) -> ClassRound {
         let (own_class, other_class) = (own.class(class), others.class(class));
-        let allowed = part_of(due, own_class.in_progress, own_class, other_class, self.routers);
+        let allowed = part_of(Limit::Share(due), own_class.in_progress, own_class, other_class, self.routers);
         let in_progress = own_class.in_progress + other_class.in_progress;
         let contended = f64::from(in_progress) >= CONTENDED * f64::from(due);
         if !contended {
@@ -277,23 +280,45 @@
         active.dedup();
         let wants: Vec<Want> = active
             .iter()
-            .map(|customer| Want {
-                weight: self.rules.customers[customer.0].share,
-                amount: f64::from(own.customer(*customer).wanted() + others.customer(*customer).wanted()),
+            .map(|customer| {
+                let mut usage = own.customer(*customer);
+                usage += others.customer(*customer);
+                want(self.rules.customers[customer.0].share, usage)
             })
             .collect();
-        let parts = fill(&wants, f64::from(due));
+        let parts = at_least_shares(&wants, f64::from(due));
         let mut customers = HashMap::with_capacity(active.len());
         for (customer, part) in active.iter().zip(parts) {
             let (own, others) = (own.customer(*customer), others.customer(*customer));
-            customers.insert(*customer, part_of(round_up(part), own.in_progress, own, others, self.routers));
+            customers.insert(
+                *customer,
+                part_of(Limit::Share(round_up(part)), own.in_progress, own, others, self.routers),
+            );
         }
         let newcomer_due = f64::from(due) / (active.len() + 1) as f64;
-        let newcomer = part_of(round_up(newcomer_due), 0, Usage::default(), Usage::default(), self.routers);
+        let newcomer = part_of(
+            Limit::Share(round_up(newcomer_due)),
+            0,
+            Usage::default(),
+            Usage::default(),
+            self.routers,
+        );
         ClassRound { allowed: 0, contended: true, customers, newcomer }
     }
 }
 
+fn want(weight: f64, usage: Usage) -> Want {
+    Want { weight, amount: f64::from(usage.wanted()), growing: usage.refused > 0 }
+}
+
+/// A fair division, in which none has less than its weighted part though it wants nothing yet:
+/// whoever comes back to a share that was lent to others has it with its first request.
+fn at_least_shares(wants: &[Want], total: f64) -> Vec<f64> {
+    let weights: f64 = wants.iter().map(|want| want.weight).sum();
+    let parts = fill(wants, total).into_iter().zip(wants);
+    parts.map(|(part, want)| part.max(total * want.weight / weights)).collect()
+}
+
 fn sum_over_pools(usage: &FleetUsage, customer: CustomerIndex) -> Usage {
     let mut sum = Usage::default();
     usage.pools.iter().for_each(|pool| sum += pool.customer(customer));
@@ -310,13 +335,29 @@
     count
 }
 
+/// What all routers together may have in progress.
+#[derive(Clone, Copy, Debug)]
+enum Limit {
+    /// A customer's own limit.
+    Hard(u32),
+    /// A part of the pool that is due to a class or a customer.
+    Share(u32),
+}
+
 /// The most that one router may have in progress of a `limit` for the fleet: what it has, and
 /// of what is free the part that its own wants are of all wants. Where the fleet is over the
 /// limit, because what was lent is wanted back, each router gives up its part of the excess.
 ///
-/// The one added to each router's wants gives a router that wanted nothing yet its part. The
-/// rounding is upwards, so over a round the fleet passes a limit by less than its routers.
-fn part_of(limit: u32, has: u32, own: Usage, others: Usage, routers: usize) -> u32 {
+/// The one added to each router's wants gives a router that wanted nothing yet its part. Some
+/// slack is added, because requests do not come to the routers as their wants were, and one
+/// router's part would stay unused while another refuses. The rounding is upwards: over a round
+/// the fleet passes a share by at most the slack and its number of routers, and a customer's own
+/// limit, which has no slack, by less than its number of routers.
+fn part_of(limit: Limit, has: u32, own: Usage, others: Usage, routers: usize) -> u32 {
+    let (limit, slack) = match limit {
+        Limit::Hard(limit) => (limit, 0.0),
+        Limit::Share(due) => (due, f64::from(due) * SLACK / routers as f64),
+    };
     let in_progress = has + others.in_progress;
     if in_progress > limit {
         let kept = f64::from(limit) / f64::from(in_progress);
@@ -324,5 +365,5 @@
     }
     let all_wants = f64::from(own.wanted() + others.wanted()) + routers as f64;
     let part = (f64::from(own.wanted()) + 1.0) / all_wants;
-    has + round_up(f64::from(limit - in_progress) * part)
+    has + round_up(f64::from(limit - in_progress) * part + slack)
 }
--- a/crates/bendhinge_lab/src/measure/decisions.rs
+++ b/crates/bendhinge_lab/src/measure/decisions.rs
@@ -2,7 +2,7 @@
 
 use super::{MeasureError, figure};
 use crate::bench::placement::PlacementFigures;
-use crate::bench::{PolicyKind, Scenario, decision, placement};
+use crate::bench::{PolicyKind, Scenario, admission, decision, placement};
 
 /// Runs of a scenario; figures are their means, worst cases their worst.
 const SEEDS: [u64; 3] = [20_261_202, 20_261_203, 20_261_204];
@@ -70,3 +70,28 @@
     }
     Ok(())
 }
+
+/// Shares under a surge, with the routers of today, with more, and with a single one that sees
+/// everything.
+pub(super) fn shares() -> Result<(), MeasureError> {
+    for routers in [1, 3, 9, 36] {
+        let runs: Vec<_> = SEEDS.iter().map(|seed| admission::run(routers, *seed)).collect();
+        let worst = |figure: fn(&admission::AdmissionFigures) -> f64| {
+            runs.iter().map(figure).fold(f64::MAX, f64::min)
+        };
+        let highest =
+            |figure: fn(&admission::AdmissionFigures) -> f64| runs.iter().map(figure).fold(0.0, f64::max);
+        let name = format!("{routers}_routers");
+        figure(&format!("share.worst_ratio.{name}"), worst(|run| run.worst_class), "ratio");
+        figure(&format!("share.worst_customer_ratio.{name}"), worst(|run| run.worst_customer), "ratio");
+        figure(&format!("refuse.false.{name}"), highest(|run| run.false_refusals), "ratio");
+        figure(
+            &format!("refuse.false_by_a_twentieth.{name}"),
+            highest(|run| run.false_by_a_twentieth),
+            "ratio",
+        );
+        figure(&format!("admission.peak_over_slots.{name}"), highest(|run| run.peak_over_slots), "ratio");
+        figure(&format!("admission.utilization.{name}"), worst(|run| run.utilization), "ratio");
+    }
+    Ok(())
+}
--- a/crates/bendhinge_lab/src/measure/mod.rs
+++ b/crates/bendhinge_lab/src/measure/mod.rs
@@ -21,6 +21,7 @@
     ("placement.today", decisions::today),
     ("placement.curve", decisions::curve),
     ("placement.letter1", decisions::letter1),
+    ("share", decisions::shares),
     ("decision", decisions::costs),
 ];
 
