--- a/crates/bendhinge_http/src/serve.rs
+++ b/crates/bendhinge_http/src/serve.rs
@@ -124,7 +124,9 @@
             let _open = open;
             let _ = stream.set_nodelay(true);
             let service = service_fn(move |request| {
-                let answer = handler(request);
+                // Boxed, because the library keeps room for it as long as the connection is open;
+                // while an answer streams, this is all that is left of how it was made.
+                let answer = Box::pin(handler(request));
                 async move { unless_cut(answer.await) }
             });
             let serving = http1::Builder::new()
--- a/crates/bendhinge_lab/src/fleet.rs
+++ b/crates/bendhinge_lab/src/fleet.rs
@@ -179,8 +179,12 @@
     /// Publishes the list as it is now, under a new revision.
     pub async fn publish_members(&mut self) -> Result<(), FleetError> {
         self.members.revision += 1;
-        let platform = self.platform.address("platform");
-        self.put(platform, "/control/members", &self.members).await?;
+        self.publish_list(&self.members).await
+    }
+
+    /// Publishes any list.
+    pub async fn publish_list(&self, list: &MemberList) -> Result<(), FleetError> {
+        self.put(self.platform.address("platform"), "/control/members", list).await?;
         Ok(())
     }
 
--- a/crates/bendhinge_lab/src/measure/decisions.rs
+++ b/crates/bendhinge_lab/src/measure/decisions.rs
@@ -24,10 +24,20 @@
     PlacementFigures::over_runs(&runs.collect::<Vec<_>>())
 }
 
+/// Runs each kind on a thread of its own: they share nothing, and none of their figures is a time.
+fn run_all(kinds: &[PolicyKind], scenario: Scenario) -> Vec<PlacementFigures> {
+    std::thread::scope(|scope| {
+        let threads: Vec<_> = kinds.iter().map(|kind| scope.spawn(move || run(*kind, scenario))).collect();
+        threads.into_iter().map(|thread| thread.join().expect("a bench does not panic")).collect()
+    })
+}
+
 fn compare(scenario: Scenario) {
     let size = scenario.name;
-    let ours = run(PolicyKind::Bendhinge, scenario);
-    let oracle = run(PolicyKind::Oracle, scenario);
+    let kinds = [PolicyKind::Bendhinge, PolicyKind::Oracle].into_iter().chain(PolicyKind::BASELINES);
+    let kinds: Vec<PolicyKind> = kinds.collect();
+    let results = run_all(&kinds, scenario);
+    let (ours, oracle) = (&results[0], &results[1]);
     figure(&format!("reuse.churn.{size}"), ours.reuse, "ratio");
     figure(&format!("reuse.oracle.{size}"), oracle.reuse, "ratio");
     figure(&format!("reuse.oracle_ratio.{size}"), ours.reuse / oracle.reuse, "ratio");
@@ -41,8 +51,7 @@
     figure(&format!("placement.placed.{size}"), ours.placed as f64, "turns");
     figure(&format!("placement.asked_per_turn.{size}"), ours.asked_per_turn, "messages");
     figure(&format!("placement.messages_per_router.{size}"), ours.messages_per_router, "1/s");
-    for baseline in PolicyKind::BASELINES {
-        let figures = run(baseline, scenario);
+    for (baseline, figures) in kinds.iter().zip(&results).skip(2) {
         let name = baseline.name();
         figure(&format!("reuse.churn.{size}.baseline_{name}"), figures.reuse, "ratio");
         figure(&format!("skew.peak_over_bound.{size}.baseline_{name}"), figures.peak_over_bound, "ratio");
--- a/crates/bendhinge_lab/src/measure/mod.rs
+++ b/crates/bendhinge_lab/src/measure/mod.rs
@@ -1,6 +1,9 @@
 //! Measurements: one line a figure, `measure NAME VALUE UNIT`.
 
+mod control;
 mod decisions;
+mod failures;
+mod router;
 
 /// Why a measurement failed.
 #[derive(Debug, thiserror::Error)]
@@ -18,6 +21,9 @@
 type Group = (&'static str, fn() -> Result<(), MeasureError>);
 
 const GROUPS: &[Group] = &[
+    ("router", router::run),
+    ("control", control::run),
+    ("failures", failures::run),
     ("placement.today", decisions::today),
     ("placement.curve", decisions::curve),
     ("placement.letter1", decisions::letter1),
