--- /dev/null
+++ b/crates/bendhinge_configuration/tests/plan.rs
@@ -0,0 +1,123 @@
+//! From an intent to a plan to a sealed document.
+
+use bendhinge_configuration::{
+    Configuration, Intent, IntentError, Plan, PlanError, PoolMember, SealKey, canonical_document, order_for,
+    parse,
+};
+
+const BASE: &str = include_str!("../../../examples/boyaca/configuration.ini");
+
+fn base() -> Configuration {
+    parse("base", BASE).unwrap()
+}
+
+fn members() -> Vec<PoolMember> {
+    let halls = ["tunja", "duitama", "sogamoso"];
+    let member = |number: usize| PoolMember {
+        name: format!("b-runner-{number}").parse().unwrap(),
+        pool: "language".parse().unwrap(),
+        hall: halls[number % 3].parse().unwrap(),
+        weight: 1.0,
+    };
+    (0..12).map(member).collect()
+}
+
+fn set(text: &str) -> Intent {
+    Intent::parse_set(text).unwrap()
+}
+
+#[test]
+fn draining_a_hall_tells_what_moves() {
+    let plan = Plan::make(&base(), &[set("hall.tunja.state=drained")], &members()).unwrap();
+    let pool = plan.pools.iter().find(|pool| pool.pool.as_str() == "language").unwrap();
+    assert_eq!((pool.upstreams_before, pool.upstreams_after), (12, 8));
+    assert_eq!((pool.slots_before, pool.slots_after), (96, 64));
+    // A third of the upstreams goes, and with it a third of the chats, no more.
+    assert!((pool.chats_moved - 1.0 / 3.0).abs() < 0.03, "{}", pool.chats_moved);
+    let tunja = pool.halls.iter().find(|load| load.hall.as_str() == "tunja").unwrap();
+    assert!(tunja.before > 0.3 && tunja.after == 0.0);
+    assert_eq!(plan.changes.len(), 1);
+}
+
+#[test]
+fn a_share_tells_what_would_be_refused() {
+    let plan = Plan::make(&base(), &[set("class.reader.share=110")], &members()).unwrap();
+    let of = |class: &str| plan.shares.iter().find(|share| share.class == class).unwrap();
+    assert!((of("deadline").before - 0.6).abs() < 1e-9 && (of("deadline").after - 0.3).abs() < 1e-9);
+    assert!((of("reader").after - 0.55).abs() < 1e-9);
+    assert!(plan.pools.is_empty(), "no chat moves");
+}
+
+#[test]
+fn a_model_version_is_a_reload() {
+    let plan = Plan::make(&base(), &[set("pool.language.version=2")], &members()).unwrap();
+    assert!(plan.pools.iter().any(|pool| pool.reloads));
+}
+
+#[test]
+fn faulty_intents_are_told_apart() {
+    let base = base();
+    let make = |intent: Intent| Plan::make(&base, &[intent], &members());
+    assert!(matches!(Intent::parse_set("class.reader.share"), Err(IntentError::Form(_))));
+    assert!(matches!(make(set("fleet.revision=9")), Err(IntentError::FleetSection)));
+    assert!(matches!(
+        make(Intent::Remove { title: "customer.nobody".to_owned() }),
+        Err(IntentError::NothingToRemove(_))
+    ));
+    let table = [
+        ("class.reader.shares=9", "did you mean 'share'"),
+        ("class.reader.share=many", "decimal number"),
+        ("customer.archive.class=gold", "not defined"),
+        ("pool.language.load_bound=1", "above 1"),
+        ("halls.tunja.state=drained", "did you mean 'hall'"),
+    ];
+    for (text, expected) in table {
+        let error = make(set(text)).unwrap_err().to_string();
+        assert!(error.contains(expected), "{text}: {error}");
+    }
+    let error = make(Intent::Remove { title: "class.reader".to_owned() }).unwrap_err().to_string();
+    assert!(error.contains("class 'reader' is not defined"), "{error}");
+}
+
+#[test]
+fn a_confirmation_is_bound_to_its_base() {
+    let (base, key) = (base(), SealKey::new("a key of 16 and more"));
+    let first = Plan::make(&base, &[set("class.reader.share=20")], &members()).unwrap();
+    let second = Plan::make(&base, &[set("class.reader.share=30")], &members()).unwrap();
+    let confirmed = first.confirm(&base, &key).unwrap();
+    let in_force = key.open("published", &confirmed.document).unwrap();
+    assert_eq!(in_force.revision.0, 2);
+    assert_eq!(in_force.base, Some(base.digest));
+    let late = second.confirm(&in_force, &key);
+    assert!(matches!(late, Err(PlanError::BaseChanged { .. })), "{late:?}");
+    let mut altered = first;
+    altered.document = altered.document.replace("share = 20", "share = 99");
+    assert!(matches!(altered.confirm(&base, &key), Err(PlanError::Altered)));
+}
+
+#[test]
+fn a_seal_covers_every_line() {
+    let key = SealKey::new("a key of 16 and more");
+    let sealed = key.seal(canonical_document("x", BASE));
+    assert!(key.open("x", &sealed).is_ok());
+    for (from, to) in [
+        ("share = 60", "share = 61"),
+        ("revision = 1", "revision = 2"),
+        ("class = deadline", "class = reader"),
+    ] {
+        assert!(key.open("x", &sealed.replacen(from, to, 1)).is_err(), "{from}");
+    }
+    assert!(SealKey::new("another key, just as long").open("x", &sealed).is_err());
+}
+
+/// An order depends on the confirmed configuration alone, and carries its revision as its fence.
+#[test]
+fn orders_follow_from_the_configuration() {
+    let base = base();
+    let order = order_for(&base, &"language".parse().unwrap(), &"b-runner-1".parse().unwrap()).unwrap();
+    assert_eq!(
+        (order.fence, order.model.as_str(), order.version, order.role.as_str()),
+        (1, "boletin-7b", 1, "generate")
+    );
+    assert!(order_for(&base, &"portal".parse().unwrap(), &"b-portal-1".parse().unwrap()).is_none());
+}
--- a/crates/bendhinge_ini/src/document.rs
+++ b/crates/bendhinge_ini/src/document.rs
@@ -219,7 +219,8 @@
         let parsed = text.parse::<T>();
         parsed
             .map_err(|error| {
-                let message = format!("'{key} = {text}' in [{}]: {error}", section.title());
+                let form = section.kind.key(key).map_or("another value", |key| key.form);
+                let message = format!("'{key} = {text}' in [{}]: {error}; write {form}", section.title());
                 self.fault(section.line_of(key), ResultCode::InvalidValue, message);
             })
             .ok()
