--- a/crates/bendhinge_lab/src/measure/control.rs
+++ b/crates/bendhinge_lab/src/measure/control.rs
@@ -42,7 +42,7 @@
     );
     figure(&format!("control.memory_mb.{routers}_routers"), spent.memory_mb, "MiB");
     figure(
-        &format!("config.platform_calls_per_min.{routers}_routers"),
+        &format!("config.platform_calls_per_min.watch_2s.{routers}_routers"),
         spent.platform_calls_per_min,
         "1/min",
     );
@@ -81,7 +81,10 @@
 async fn one_size(tasks: &Tasks, routers: usize) -> Result<Spent, FleetError> {
     const LARGEST_BUSY: usize = 9;
     let deployment = Deployment::example("boyaca").expect("the example is part of the project");
-    let fleet = Fleet::start(tasks, deployment.with_routers(routers), EngineShape::default()).await?;
+    // Short watches, so that enough calls fall into the time; with the 20 s of the settings
+    // there are a tenth as many.
+    let deployment = deployment.with_routers(routers).with_setting("platform", "wait_ms", "2000");
+    let fleet = Fleet::start(tasks, deployment, EngineShape::default()).await?;
     // Connections between all routers are made in the first seconds.
     Timer::after(Duration::from_secs(5)).await;
     let calls = fleet.platform_calls().await?;
--- a/crates/bendhinge_lab/src/process.rs
+++ b/crates/bendhinge_lab/src/process.rs
@@ -84,9 +84,24 @@
         self.signal(Signal::TERM);
     }
 
-    /// Freezes it.
+    /// Freezes it, and waits until every one of its threads has stopped.
     pub fn freeze(&self) {
+        const POLL: Duration = Duration::from_millis(1);
         self.signal(Signal::STOP);
+        while self.has_running_thread() {
+            std::thread::sleep(POLL);
+        }
+    }
+
+    /// Whether a thread is in another state than stopped (proc(5)); false once it has ended.
+    fn has_running_thread(&self) -> bool {
+        let threads = std::fs::read_dir(format!("/proc/{}/task", self.child.id()));
+        let threads = threads.into_iter().flatten().flatten();
+        threads.into_iter().any(|thread| {
+            let stat = std::fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+            let state = stat.rsplit_once(')').and_then(|(_, rest)| rest.split_whitespace().next());
+            state.is_some_and(|state| !matches!(state, "T" | "t" | "Z" | "X"))
+        })
     }
 
     /// Lets it go on.
--- a/crates/bendhinge_peer/schema/peer.capnp
+++ b/crates/bendhinge_peer/schema/peer.capnp
@@ -73,7 +73,7 @@
 interface Peer {
   exchange @0 (summaries :List(Summary)) -> (summaries :List(Summary));
   acquire @1 (upstream :Text, holder :Holder, firstChoice :Bool, chat :UInt64, limit :UInt32) -> (answer :PermitAnswer);
-  release @2 (permit :UInt64) -> ();
+  release @2 (permits :List(UInt64)) -> ();
   displaced @3 (chat :UInt64, upstream :Text) -> ();
   claimOnce @4 (key :Data, holder :Holder, declaredFirst :Bool) -> (claim :Claim, event :UInt64);
   settleOnce @5 (key :Data, holder :Holder, outcome :OnceOutcome) -> ();
--- a/crates/bendhinge_peer/src/client.rs
+++ b/crates/bendhinge_peer/src/client.rs
@@ -116,10 +116,13 @@
         .await
     }
 
-    /// Returns a permit.
-    pub async fn release(&self, permit: PermitId) -> Result<(), CallError> {
+    /// Returns permits.
+    pub async fn release(&self, permits: &[PermitId]) -> Result<(), CallError> {
         let mut request = self.peer.release_request();
-        request.get().set_permit(permit.0);
+        let mut list = request.get().init_permits(u32::try_from(permits.len()).unwrap_or(0));
+        for (index, permit) in (0..).zip(permits) {
+            list.set(index, permit.0);
+        }
         within(self.time, async { Ok(request.send().promise.await.map(drop)?) }).await
     }
 
--- a/crates/bendhinge_peer/src/duties.rs
+++ b/crates/bendhinge_peer/src/duties.rs
@@ -70,8 +70,8 @@
     fn exchange(&self, summaries: Vec<Summary>) -> Vec<Summary>;
     /// Counts a request for an upstream.
     fn acquire(&self, request: Told<PermitRequest>) -> Told<PermitAnswer>;
-    /// Takes a permit back.
-    fn release(&self, permit: PermitId);
+    /// Takes permits back.
+    fn release(&self, permits: &[PermitId]);
     /// Remembers where a chat went that its first upstream could not take.
     fn displaced(&self, chat: ChatKey, place: UpstreamName);
     /// Claims an idempotency key.
--- a/crates/bendhinge_peer/src/lib.rs
+++ b/crates/bendhinge_peer/src/lib.rs
@@ -9,6 +9,7 @@
 mod duties;
 mod secure;
 mod server;
+mod squeeze;
 mod traffic;
 
 #[expect(warnings, clippy::all, clippy::pedantic, missing_docs, reason = "generated code is taken as it is")]
@@ -18,4 +19,5 @@
 pub use duties::{ClaimRequest, ConfigAnswer, OnceAnswer, PeerDuties, PermitAnswer, Told};
 pub use secure::{PeerKey, SecureError};
 pub use server::serve;
+pub use squeeze::{Squeeze, UnpackError};
 pub use traffic::Traffic;
--- a/crates/bendhinge_peer/src/peer_capnp.rs
+++ b/crates/bendhinge_peer/src/peer_capnp.rs
@@ -4553,7 +4553,7 @@
             }
         }
 
-        impl Reader<'_> {
+        impl<'a> Reader<'a> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -4562,8 +4562,15 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_permit(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
+            pub fn get_permits(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u64>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_permits(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
             }
         }
 
@@ -4572,7 +4579,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4644,12 +4651,30 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_permit(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
+            pub fn get_permits(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u64>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn set_permit(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(0, value);
+            pub fn set_permits(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_permits(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u64> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_permits(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -4663,12 +4688,12 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(211, 246, 188, 202, 129, 227, 137, 144),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4684,22 +4709,28 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(112, 101, 114, 109, 105, 116, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 101, 114, 109, 105, 116, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => {
+                        <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect()
+                    }
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
--- a/crates/bendhinge_peer/src/secure.rs
+++ b/crates/bendhinge_peer/src/secure.rs
@@ -14,16 +14,16 @@
 use smol::net::TcpStream;
 use snow::{Builder, HandshakeState, TransportState};
 
-use crate::Traffic;
+use crate::{Squeeze, Traffic};
 
 const PATTERN: &str = "Noise_NNpsk0_25519_ChaChaPoly_BLAKE2s";
-/// The largest Noise message, by its specification.
-const LARGEST_FRAME: usize = 65_535;
-/// Plain bytes in a frame: as much as a typical message needs at most.
-const LARGEST_PIECE: usize = 16 << 10;
+/// Plain bytes in a frame, and between it and the messages' reader and writer. A router of a
+/// large fleet has hundreds of connections, and most messages are a few hundred bytes.
+const LARGEST_PIECE: usize = 4 << 10;
 /// The length that stands before each frame, big-endian.
 const LENGTH_BYTES: usize = 2;
 const TAG_BYTES: usize = 16;
+const FORM_BYTES: usize = 1;
 
 /// The key that all routers of a fleet share.
 #[derive(Clone)]
@@ -72,8 +72,8 @@
     stream.set_nodelay(true)?;
     let transport = shake_hands(&mut stream, key, side, traffic).await?;
     let transport = Rc::new(RefCell::new(transport));
-    let (reader, to_reader) = piper::pipe(LARGEST_PIECE * 4);
-    let (from_writer, writer) = piper::pipe(LARGEST_PIECE * 4);
+    let (reader, to_reader) = piper::pipe(LARGEST_PIECE);
+    let (from_writer, writer) = piper::pipe(LARGEST_PIECE);
     let incoming = receive_frames(stream.clone(), Rc::clone(&transport), to_reader, Arc::clone(traffic));
     let outgoing = send_frames(stream, transport, from_writer, Arc::clone(traffic));
     executor.spawn(incoming).detach();
@@ -154,14 +154,16 @@
     mut plain: piper::Writer,
     traffic: Arc<Traffic>,
 ) {
-    let mut piece = vec![0; LARGEST_FRAME];
+    let mut squeeze = Squeeze::default();
     while let Ok(frame) = read_frame(&mut stream, &traffic).await {
-        let read = transport.borrow_mut().read_message(&frame, &mut piece);
-        let Ok(length) = read else {
+        let mut packed = vec![0; frame.len()];
+        let read = transport.borrow_mut().read_message(&frame, &mut packed);
+        let piece = read.ok().and_then(|length| squeeze.unpack(&packed[..length], LARGEST_PIECE).ok());
+        let Some(piece) = piece else {
             traffic.foreign();
             break;
         };
-        if plain.write_all(&piece[..length]).await.is_err() {
+        if plain.write_all(&piece).await.is_err() {
             break;
         }
     }
@@ -175,12 +177,14 @@
     traffic: Arc<Traffic>,
 ) {
     let mut piece = vec![0; LARGEST_PIECE];
-    let mut frame = vec![0; LARGEST_PIECE + TAG_BYTES];
+    let mut frame = vec![0; LARGEST_PIECE + FORM_BYTES + TAG_BYTES];
+    let mut squeeze = Squeeze::default();
     while let Ok(length) = plain.read(&mut piece).await {
         if length == 0 {
             break;
         }
-        let written = transport.borrow_mut().write_message(&piece[..length], &mut frame);
+        let packed = squeeze.pack(&piece[..length]);
+        let written = transport.borrow_mut().write_message(&packed, &mut frame);
         let Ok(length) = written else { break };
         if write_frame(&mut stream, &frame[..length], &traffic).await.is_err() {
             break;
--- a/crates/bendhinge_peer/src/server.rs
+++ b/crates/bendhinge_peer/src/server.rs
@@ -112,7 +112,8 @@
         params: peer::ReleaseParams,
         _: peer::ReleaseResults,
     ) -> Result<(), Error> {
-        self.0.release(PermitId(params.get()?.get_permit()));
+        let permits: Vec<PermitId> = params.get()?.get_permits()?.iter().map(PermitId).collect();
+        self.0.release(&permits);
         Ok(())
     }
 
--- a/crates/bendhinge_router/src/control/calls.rs
+++ b/crates/bendhinge_router/src/control/calls.rs
@@ -66,7 +66,7 @@
         ControlCall::Acquire { address, told, reply } => acquire_from(&control, address, &told, &reply).await,
         ControlCall::Claim { address, told, reply } => claim_from(&control, address, &told, &reply).await,
         ControlCall::Release { address, permit } => {
-            control.peers.call(address, async |peer| peer.release(permit).await).await
+            control.peers.call(address, async |peer| peer.release(&[permit]).await).await
         }
         ControlCall::Displaced { address, chat, place } => {
             control.peers.call(address, async |peer| peer.displaced(chat, &place).await).await
@@ -91,7 +91,7 @@
     let unheard = reply.send(answer).await.is_err();
     if let Some(permit) = granted.filter(|_| unheard) {
         // The caller went away while the permit was on its way.
-        control.peers.call(address, async |peer| peer.release(permit).await).await?;
+        control.peers.call(address, async |peer| peer.release(&[permit]).await).await?;
     }
     Ok(())
 }
--- a/crates/bendhinge_router/src/control/duties.rs
+++ b/crates/bendhinge_router/src/control/duties.rs
@@ -31,8 +31,11 @@
         placement::answer_peer(&self.node, request)
     }
 
-    fn release(&self, permit: PermitId) {
-        self.node.ledger.lock().unwrap().release(permit, clock::now());
+    fn release(&self, permits: &[PermitId]) {
+        let mut ledger = self.node.ledger.lock().unwrap();
+        for permit in permits {
+            ledger.release(*permit, clock::now());
+        }
     }
 
     fn displaced(&self, chat: ChatKey, place: UpstreamName) {
--- a/crates/bendhinge_router/src/placement/permit.rs
+++ b/crates/bendhinge_router/src/placement/permit.rs
@@ -102,7 +102,11 @@
     let answer = node.ledger.lock().unwrap().acquire(request, clock::now());
     match answer {
         Ok(granted) => Asked::Granted(Permit::new(node, question.target, Origin::Own(granted.permit))),
-        Err(Denied::AtBound { .. }) => Asked::AtBound,
+        Err(Denied::AtBound { in_progress }) => {
+            // Others' permits are in the own count before the view hears of them.
+            learn(node, question.target, in_progress);
+            Asked::AtBound
+        }
         Err(Denied::Elsewhere(place)) => Asked::Elsewhere(place),
     }
 }
