--- a/crates/bendhinge_lab/src/measure/mod.rs
+++ b/crates/bendhinge_lab/src/measure/mod.rs
@@ -18,24 +18,34 @@
     println!("measure {name} {value:.4} {unit}");
 }
 
-type Group = (&'static str, fn() -> Result<(), MeasureError>);
+/// How a group of figures is run.
+#[derive(Clone, Copy)]
+enum Group {
+    /// Over real processes, which may not start.
+    Processes(fn() -> Result<(), MeasureError>),
+    /// In this process alone.
+    Bench(fn()),
+}
 
-const GROUPS: &[Group] = &[
-    ("router", router::run),
-    ("control", control::run),
-    ("failures", failures::run),
-    ("placement.today", decisions::today),
-    ("placement.curve", decisions::curve),
-    ("placement.letter1", decisions::letter1),
-    ("share", decisions::shares),
-    ("decision", decisions::costs),
+const GROUPS: &[(&str, Group)] = &[
+    ("router", Group::Processes(router::run)),
+    ("control", Group::Processes(control::run)),
+    ("failures", Group::Processes(failures::run)),
+    ("placement.today", Group::Bench(decisions::today)),
+    ("placement.curve", Group::Bench(decisions::curve)),
+    ("placement.letter1", Group::Bench(decisions::letter1)),
+    ("share", Group::Bench(decisions::shares)),
+    ("decision", Group::Bench(decisions::costs)),
 ];
 
 /// Runs all measurements whose group's name contains `only`.
 pub fn run(only: Option<&str>) -> Result<(), MeasureError> {
     let wanted = |name: &str| only.is_none_or(|only| name.contains(only));
     for (_, group) in GROUPS.iter().filter(|(name, _)| wanted(name)) {
-        group()?;
+        match group {
+            Group::Processes(run) => run()?,
+            Group::Bench(run) => run(),
+        }
     }
     Ok(())
 }
--- a/crates/bendhinge_placement/src/walk.rs
+++ b/crates/bendhinge_placement/src/walk.rs
@@ -82,6 +82,8 @@
     Returning,
     /// At upstreams with little load, after this many.
     LastAsks(usize),
+    /// At an upstream that the router took on its own knowledge.
+    Alone,
     Over,
 }
 
@@ -113,13 +115,13 @@
     first_asked: bool,
     /// Whether the chat was remembered to be elsewhere.
     was_elsewhere: bool,
-    alone: bool,
     frugal: bool,
 }
 
 impl<'a> Walk<'a> {
     /// A walk for `chat`, around the upstreams in `tried`. Those that refused
     /// connections of late come last.
+    #[must_use]
     pub fn new(
         pool: WalkPool<'a>,
         chat: ChatKey,
@@ -143,7 +145,6 @@
             asking: None,
             first_asked: false,
             was_elsewhere: false,
-            alone: false,
             frugal: false,
         }
     }
@@ -177,7 +178,7 @@
     #[must_use]
     pub fn reason(&self) -> PlacementReason {
         match self.stage {
-            _ if self.alone => PlacementReason::LocalKnowledge,
+            Stage::Alone => PlacementReason::LocalKnowledge,
             Stage::Returning => PlacementReason::ReturnedToDisplaced,
             _ if self.asking == self.lasting_first => PlacementReason::FirstChoice,
             _ => PlacementReason::Displaced,
@@ -243,7 +244,7 @@
     fn decide_alone(&mut self, view: &LoadView) -> Option<UpstreamIndex> {
         let upstream = self.asking?;
         if view.load(self.pool.hash(upstream)) < self.limit(view, upstream) {
-            self.alone = true;
+            self.stage = Stage::Alone;
             return Some(upstream);
         }
         self.advance();
@@ -255,7 +256,7 @@
             Stage::Shortlist(place) => self.candidates.get(place).copied(),
             Stage::Returning => self.asking,
             Stage::LastAsks(_) => self.least_loaded(view, now),
-            Stage::Over => None,
+            Stage::Alone | Stage::Over => None,
         }
     }
 
@@ -266,7 +267,7 @@
             Stage::Shortlist(place) if place + 1 < self.candidates.len() => Stage::Shortlist(place + 1),
             Stage::Shortlist(_) => Stage::LastAsks(0),
             Stage::LastAsks(asks) if asks + 1 < LAST_ASKS => Stage::LastAsks(asks + 1),
-            Stage::LastAsks(_) | Stage::Over => Stage::Over,
+            Stage::LastAsks(_) | Stage::Alone | Stage::Over => Stage::Over,
         };
     }
 
