Split what had grown: intents, effects and division in files of their own; hex by library

One test had been weakened by mistake while the linter was made content (a frame shorter than its length is cut short, not foreign): it failed, and has its 70,000 bytes again. The engine's stand-in can resume a stream at a token.

--- a/crates/bendhinge_admission/src/lib.rs
+++ b/crates/bendhinge_admission/src/lib.rs
@@ -6,6 +6,7 @@
 //! `docs/design/ADMISSION.md` says what was weighed.
 
 mod budget;
+mod division;
 mod gate;
 mod retry_after;
 mod rules;
--- a/crates/bendhinge_configuration/src/lib.rs
+++ b/crates/bendhinge_configuration/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod adoption;
 mod delta;
+mod effects;
+mod intent;
 mod model;
 mod order;
 mod parse;
@@ -15,13 +17,13 @@
 
 pub use adoption::{Adoption, Offer, SETTLE_TIME};
 pub use delta::{Delta, DeltaError};
+pub use effects::{HallLoad, PoolEffect, PoolMember, ShareEffect};
+pub use intent::{Intent, IntentError};
 pub use model::{
     Class, Configuration, Customer, Hall, KeyHash, Pool, PoolKind, ServingState, UpstreamOverride,
 };
 pub use order::{EngineOrder, order_for};
 pub use parse::{canonical_document, parse};
-pub use plan::{
-    Change, Confirmed, HallLoad, Intent, IntentError, Plan, PlanError, PoolEffect, PoolMember, ShareEffect,
-};
+pub use plan::{Change, Confirmed, Plan, PlanError};
 pub use schema::SCHEMA;
 pub use seal::{SealError, SealKey};
--- a/crates/bendhinge_configuration/src/model.rs
+++ b/crates/bendhinge_configuration/src/model.rs
@@ -96,7 +96,7 @@
 
 impl fmt::Display for KeyHash {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.iter().try_for_each(|byte| write!(formatter, "{byte:02x}"))
+        formatter.write_str(&hex::encode(self.0))
     }
 }
 
@@ -104,14 +104,9 @@
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, String> {
-        let error = || "write the 64 hexadecimal digits of the key's SHA-256".to_owned();
-        if text.len() != 64 || !text.is_ascii() {
-            return Err(error());
-        }
         let mut hash = [0; 32];
-        for (index, byte) in hash.iter_mut().enumerate() {
-            *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).map_err(|_| error())?;
-        }
+        let decoded = hex::decode_to_slice(text, &mut hash);
+        decoded.map_err(|_| "write the 64 hexadecimal digits of the key's SHA-256".to_owned())?;
         Ok(Self(hash))
     }
 }
--- a/crates/bendhinge_configuration/src/plan.rs
+++ b/crates/bendhinge_configuration/src/plan.rs
@@ -1,74 +1,12 @@
-//! From a stated intent to a plan, and from a confirmed plan to the document to publish.
-
-use std::collections::BTreeMap;
+//! From stated intents to a plan, and from a confirmed plan to the document to publish.
 
 use bendhinge_codes::ResultCode;
-use bendhinge_ids::{ChatKey, ConfigRevision, Digest, HallName, PoolName, UpstreamName};
-use bendhinge_ini::{Document, Faults};
-use bendhinge_placement::{Ranked, Ranking};
+use bendhinge_ids::{ConfigRevision, Digest};
+use bendhinge_ini::Faults;
 use serde::{Deserialize, Serialize};
 
-use crate::{Configuration, SCHEMA, SealKey, canonical_document, parse};
-
-/// One change that an operator states.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Intent {
-    /// Set a key of a section.
-    Set {
-        /// The section's title, as `class.readers`.
-        title: String,
-        /// The key.
-        key: String,
-        /// Its new value.
-        value: String,
-    },
-    /// Remove a section.
-    Remove {
-        /// The section's title.
-        title: String,
-    },
-}
-
-/// Why an intent gives no plan.
-#[derive(Debug, thiserror::Error)]
-pub enum IntentError {
-    /// The text has not the form of an intent.
-    #[error("{code}: '{0}' is not an intent; write SECTION.KEY=VALUE, as class.readers.share=20", code = ResultCode::IntentInvalid)]
-    Form(String),
-    /// What is to be removed is not there.
-    #[error("{code}: there is no section [{0}] to remove", code = ResultCode::IntentInvalid)]
-    NothingToRemove(String),
-    /// The section `fleet` is written by the tool alone.
-    #[error("{code}: [fleet] is written by plan and confirm", code = ResultCode::IntentInvalid)]
-    FleetSection,
-    /// The configuration that would result has faults.
-    #[error(transparent)]
-    Faults(#[from] Faults),
-}
-
-impl Intent {
-    /// Reads `SECTION.KEY=VALUE`.
-    pub fn parse_set(text: &str) -> Result<Self, IntentError> {
-        let form = || IntentError::Form(text.to_owned());
-        let (place, value) = text.split_once('=').ok_or_else(form)?;
-        let (title, key) = place.trim().rsplit_once('.').ok_or_else(form)?;
-        Ok(Self::Set { title: title.to_owned(), key: key.to_owned(), value: value.trim().to_owned() })
-    }
-
-    fn apply(&self, document: &mut Document) -> Result<(), IntentError> {
-        match self {
-            Self::Set { title, .. } | Self::Remove { title } if title == "fleet" => {
-                Err(IntentError::FleetSection)
-            }
-            Self::Set { title, key, value } => {
-                document.set(&SCHEMA, title, key, value);
-                Ok(())
-            }
-            Self::Remove { title } if document.remove(title) => Ok(()),
-            Self::Remove { title } => Err(IntentError::NothingToRemove(title.clone())),
-        }
-    }
-}
+use crate::effects::{PoolEffect, PoolMember, ShareEffect, pool_effects, share_effects};
+use crate::{Configuration, Delta, Intent, IntentError, SCHEMA, SealKey, canonical_document, parse};
 
 /// A line of the document that changes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -81,62 +19,6 @@
     pub after: String,
 }
 
-/// An upstream as the platform lists it, for reckoning a plan's effects.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PoolMember {
-    /// Its name.
-    pub name: UpstreamName,
-    /// Its pool.
-    pub pool: PoolName,
-    /// Its hall.
-    pub hall: HallName,
-    /// Its size relative to others.
-    pub weight: f64,
-}
-
-/// The part of a pool's load that a hall will carry.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct HallLoad {
-    /// The hall.
-    pub hall: HallName,
-    /// The part before, 0 to 1.
-    pub before: f64,
-    /// The part after.
-    pub after: f64,
-}
-
-/// What a plan does to one pool.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PoolEffect {
-    /// The pool.
-    pub pool: PoolName,
-    /// Upstreams that take new work, before.
-    pub upstreams_before: usize,
-    /// And after.
-    pub upstreams_after: usize,
-    /// Requests served at once, before.
-    pub slots_before: u32,
-    /// And after. Beyond these, classes above their share are refused.
-    pub slots_after: u32,
-    /// The part of the chats whose first upstream changes, 0 to 1; their context is lost.
-    pub chats_moved: f64,
-    /// Load by hall.
-    pub halls: Vec<HallLoad>,
-    /// Whether engines are ordered to load something else.
-    pub reloads: bool,
-}
-
-/// What a plan does to a class when a pool is full.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ShareEffect {
-    /// The class.
-    pub class: String,
-    /// Its part of a full pool before, 0 to 1; beyond it the class is refused.
-    pub before: f64,
-    /// And after.
-    pub after: f64,
-}
-
 /// What will change; nothing does until it is confirmed and published.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
@@ -239,7 +121,7 @@
 }
 
 fn changes(before: &str, after: &str) -> Vec<Change> {
-    let delta = crate::Delta::between(before, after);
+    let delta = Delta::between(before, after);
     let section_of = |text: &str, title: &str| {
         let head = format!("[{title}]\n");
         let start = text.find(&head).map(|start| start + head.len());
@@ -260,118 +142,3 @@
         })
         .collect()
 }
-
-fn serving(configuration: &Configuration, pool: &PoolName, members: &[PoolMember]) -> Vec<PoolMember> {
-    let of_pool = members.iter().filter(|member| member.pool == *pool);
-    of_pool.filter(|member| configuration.may_serve(&member.name, &member.hall)).cloned().collect()
-}
-
-fn pool_effects(before: &Configuration, after: &Configuration, members: &[PoolMember]) -> Vec<PoolEffect> {
-    let effects = after.pools.keys().map(|pool| pool_effect(pool, before, after, members));
-    effects.filter(PoolEffect::changes_anything).collect()
-}
-
-impl PoolEffect {
-    fn changes_anything(&self) -> bool {
-        let upstreams = self.upstreams_before != self.upstreams_after;
-        let slots = self.slots_before != self.slots_after;
-        upstreams || slots || self.reloads || self.chats_moved > 0.0
-    }
-}
-
-fn pool_effect(
-    pool: &PoolName,
-    before: &Configuration,
-    after: &Configuration,
-    members: &[PoolMember],
-) -> PoolEffect {
-    let old = serving(before, pool, members);
-    let new = serving(after, pool, members);
-    PoolEffect {
-        pool: pool.clone(),
-        upstreams_before: old.len(),
-        upstreams_after: new.len(),
-        slots_before: slots(before, pool, &old),
-        slots_after: slots(after, pool, &new),
-        chats_moved: chats_moved(&old, &new),
-        halls: hall_loads(&old, &new),
-        reloads: before.pools.get(pool).is_some_and(|previous| previous.kind != after.pools[pool].kind),
-    }
-}
-
-fn slots(configuration: &Configuration, pool: &PoolName, members: &[PoolMember]) -> u32 {
-    let per_weight = configuration.pools.get(pool).map_or(0, |pool| pool.slots);
-    let weight: f64 = members.iter().map(|member| member.weight).sum();
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a positive count far below 2^32"
-    )]
-    let slots = (weight * f64::from(per_weight)).round() as u32;
-    slots
-}
-
-fn ranking(members: &[PoolMember]) -> Ranking {
-    let ranked = members.iter().map(|member| Ranked {
-        name: member.name.clone(),
-        weight: member.weight,
-        tier: 0,
-        serving: true,
-    });
-    Ranking::new(ranked.collect())
-}
-
-/// The part of the chats whose first upstream changes, over a sample of keys.
-fn chats_moved(before: &[PoolMember], after: &[PoolMember]) -> f64 {
-    const SAMPLE: u64 = 4_096;
-    let (before, after) = (ranking(before), ranking(after));
-    if before.serving() == 0 || after.serving() == 0 {
-        return if before.serving() == after.serving() { 0.0 } else { 1.0 };
-    }
-    let first = |ranking: &Ranking, chat| ranking.get(ranking.shortlist(chat).as_slice()[0]).name.clone();
-    let chats = (0..SAMPLE).map(|number| ChatKey::of("sample", &number.to_le_bytes()));
-    let moved = chats.filter(|chat| first(&before, *chat) != first(&after, *chat)).count();
-    moved as f64 / SAMPLE as f64
-}
-
-fn hall_loads(before: &[PoolMember], after: &[PoolMember]) -> Vec<HallLoad> {
-    let parts = |members: &[PoolMember]| {
-        let total: f64 = members.iter().map(|member| member.weight).sum();
-        let mut parts = BTreeMap::new();
-        for member in members {
-            *parts.entry(member.hall.clone()).or_insert(0.0) += member.weight / total;
-        }
-        parts
-    };
-    let (before, after) = (parts(before), parts(after));
-    let mut halls: Vec<HallName> = before.keys().chain(after.keys()).cloned().collect();
-    halls.sort();
-    halls.dedup();
-    halls
-        .into_iter()
-        .map(|hall| HallLoad {
-            before: before.get(&hall).copied().unwrap_or(0.0),
-            after: after.get(&hall).copied().unwrap_or(0.0),
-            hall,
-        })
-        .collect()
-}
-
-fn share_effects(before: &Configuration, after: &Configuration) -> Vec<ShareEffect> {
-    let part = |configuration: &Configuration, name| {
-        let total: f64 = configuration.classes.values().map(|class| class.share).sum();
-        configuration.classes.get(name).map_or(0.0, |class| class.share / total)
-    };
-    let mut names: Vec<_> = before.classes.keys().chain(after.classes.keys()).collect();
-    names.sort();
-    names.dedup();
-    names
-        .into_iter()
-        .map(|name| ShareEffect {
-            class: name.to_string(),
-            before: part(before, name),
-            after: part(after, name),
-        })
-        .filter(|effect| (effect.before - effect.after).abs() > 1e-9)
-        .collect()
-}
--- a/crates/bendhinge_configuration/src/seal.rs
+++ b/crates/bendhinge_configuration/src/seal.rs
@@ -1,7 +1,5 @@
 //! How a router knows that a document was confirmed: its seal, an HMAC over the rest of it.
 
-use std::fmt::Write as _;
-
 use bendhinge_ini::{Document, Faults};
 use hmac::{Hmac, Mac};
 use sha2::Sha256;
@@ -41,7 +39,7 @@
     pub fn seal(&self, mut document: Document) -> String {
         document.set(&SCHEMA, "fleet", "seal", "");
         let unsealed = document.canonical(&SCHEMA);
-        let seal = encode(&self.mac(&unsealed).finalize().into_bytes());
+        let seal = hex::encode(self.mac(&unsealed).finalize().into_bytes());
         document.set(&SCHEMA, "fleet", "seal", &seal);
         document.canonical(&SCHEMA)
     }
@@ -51,26 +49,10 @@
         let configuration = crate::parse(file, text)?;
         let mut unsealed = Document::parse(file, text, &SCHEMA);
         let seal = unsealed.section("fleet").and_then(|fleet| fleet.text("seal")).unwrap_or_default();
-        let seal = decode(seal).ok_or(SealError::Invalid)?;
+        let seal = hex::decode(seal).map_err(|_| SealError::Invalid)?;
         unsealed.set(&SCHEMA, "fleet", "seal", "");
         let unsealed = unsealed.canonical(&SCHEMA);
         self.mac(&unsealed).verify_slice(&seal).map_err(|_| SealError::Invalid)?;
         Ok(configuration)
     }
 }
-
-fn encode(bytes: &[u8]) -> String {
-    bytes.iter().fold(String::new(), |mut text, byte| {
-        // Writing to a String cannot fail.
-        let _ = write!(text, "{byte:02x}");
-        text
-    })
-}
-
-fn decode(text: &str) -> Option<Vec<u8>> {
-    if !text.is_ascii() || text.len() % 2 == 1 {
-        return None;
-    }
-    let pairs = (0..text.len()).step_by(2);
-    pairs.map(|start| u8::from_str_radix(&text[start..start + 2], 16).ok()).collect()
-}
--- a/crates/bendhinge_ids/src/number.rs
+++ b/crates/bendhinge_ids/src/number.rs
@@ -68,7 +68,7 @@
 
 impl fmt::Display for Digest {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.iter().try_for_each(|byte| write!(formatter, "{byte:02x}"))
+        formatter.write_str(&hex::encode(self.0))
     }
 }
 
@@ -81,14 +81,8 @@
     type Err = DigestError;
 
     fn from_str(text: &str) -> Result<Self, DigestError> {
-        if text.len() != 32 || !text.is_ascii() {
-            return Err(DigestError);
-        }
         let mut bytes = [0; 16];
-        for (index, byte) in bytes.iter_mut().enumerate() {
-            let digits = &text[index * 2..index * 2 + 2];
-            *byte = u8::from_str_radix(digits, 16).map_err(|_| DigestError)?;
-        }
+        hex::decode_to_slice(text, &mut bytes).map_err(|_| DigestError)?;
         Ok(Self(bytes))
     }
 }
--- a/crates/bendhinge_lab/src/measure/decisions.rs
+++ b/crates/bendhinge_lab/src/measure/decisions.rs
@@ -39,7 +39,10 @@
     figure(&format!("reuse.churn.{size}"), ours.reuse, "ratio");
     figure(&format!("reuse.oracle.{size}"), oracle.reuse, "ratio");
     figure(&format!("reuse.oracle_ratio.{size}"), ours.reuse / oracle.reuse, "ratio");
-    figure(&format!("skew.peak_over_bound.{size}"), ours.peak_over_bound, "ratio");
+    // With an engine lost every second routers never agree for long, and there is nothing to tell.
+    if ours.peak_over_bound > 0.0 {
+        figure(&format!("skew.peak_over_bound.{size}"), ours.peak_over_bound, "ratio");
+    }
     let disagreeing = ours.peak_over_bound_disagreeing;
     figure(&format!("skew.peak_over_bound.{size}.disagreeing"), disagreeing, "ratio");
     figure(&format!("skew.admissions_over_bound.{size}"), ours.over_bound, "ratio");
@@ -52,7 +55,8 @@
     for (baseline, figures) in kinds.iter().zip(&results).skip(2) {
         let name = baseline.name();
         figure(&format!("reuse.churn.{size}.baseline_{name}"), figures.reuse, "ratio");
-        figure(&format!("skew.peak_over_bound.{size}.baseline_{name}"), figures.peak_over_bound, "ratio");
+        let worst = figures.peak_over_bound.max(figures.peak_over_bound_disagreeing);
+        figure(&format!("skew.peak_over_bound.{size}.baseline_{name}"), worst, "ratio");
         figure(&format!("skew.p99_over_mean.{size}.baseline_{name}"), figures.p99_over_mean, "ratio");
     }
 }
--- a/crates/bendhinge_lab/src/measure/failures.rs
+++ b/crates/bendhinge_lab/src/measure/failures.rs
@@ -17,7 +17,7 @@
 use crate::client::{Caller, ChatTurn, Message};
 use crate::deployment::Deployment;
 use crate::fleet::{EngineShape, Fleet, FleetError};
-use crate::load::{CallKind, ChatKind, Load, LoadShape};
+use crate::load::{CallKind, ChatKind, Load, LoadShape, Tally};
 
 const SEED: u64 = 20_261_202;
 
@@ -83,23 +83,29 @@
     }
 }
 
+/// A fleet with a load that runs beside what is measured.
+struct Loaded {
+    fleet: Arc<Fleet>,
+    running: smol::Task<Tally>,
+}
+
+fn begin_load(tasks: &Tasks, fleet: Fleet, shape: LoadShape) -> Loaded {
+    const RETRIES: u32 = 20;
+    let fleet = Arc::new(fleet);
+    let load = Arc::new(Load::new(&fleet, RETRIES));
+    let beside = Arc::clone(&fleet);
+    let running = tasks.spawn(async move { load.run(&beside, &shape, SEED).await });
+    Loaded { fleet, running }
+}
+
 /// Two engines leave by the platform's list, under load: the last new work there, and what was cut.
 async fn drain(tasks: &Tasks) -> Result<(), FleetError> {
     let fleet = Fleet::start(tasks, boyaca(3), EngineShape::default()).await?;
-    let fleet = Arc::new(smol::lock::RwLock::new(fleet));
-    let load = Arc::new(Load::new(&*fleet.read().await, 20));
-    let running = {
-        let (fleet, load) = (Arc::clone(&fleet), Arc::clone(&load));
-        tasks.spawn(async move {
-            let guard = fleet.read().await;
-            load.run(&guard, &steady(60, 150), SEED).await
-        })
-    };
+    let Loaded { fleet, running } = begin_load(tasks, fleet, steady(60, 150));
     Timer::after(Duration::from_secs(2)).await;
     let leaving = ["b-runner-1", "b-runner-2"];
     let members = {
-        let guard = fleet.read().await;
-        let mut members = guard.members.clone();
+        let mut members = fleet.members.clone();
         members.revision += 1;
         for member in &mut members.members {
             let name = match &member.role {
@@ -112,13 +118,13 @@
         }
         members
     };
-    fleet.read().await.publish_list(&members).await?;
+    fleet.publish_list(&members).await?;
     let began = Instant::now();
     let mut last_new_work = Duration::ZERO;
-    let mut begun = begun_at(&*fleet.read().await, &leaving).await?;
+    let mut begun = begun_at(&fleet, &leaving).await?;
     while began.elapsed() < Duration::from_secs(6) {
         Timer::after(Duration::from_millis(50)).await;
-        let now = begun_at(&*fleet.read().await, &leaving).await?;
+        let now = begun_at(&fleet, &leaving).await?;
         if now > begun {
             last_new_work = began.elapsed();
             begun = now;
@@ -176,21 +182,13 @@
             pause: Duration::from_millis(60),
         })
         .collect();
-    let fleet = Arc::new(smol::lock::RwLock::new(fleet));
-    let load = Arc::new(Load::new(&*fleet.read().await, 20));
-    let running = {
-        let (fleet, load) = (Arc::clone(&fleet), Arc::clone(&load));
-        tasks.spawn(async move {
-            let guard = fleet.read().await;
-            load.run(&guard, &shape, SEED).await
-        })
-    };
-    trouble(&*fleet.read().await).await?;
+    let Loaded { fleet, running } = begin_load(tasks, fleet, shape);
+    trouble(&fleet).await?;
     let tally = running.await;
     let mut tried = 0_u64;
     let mut duplicates = 0_u64;
     for portal in ["b-portal-1", "b-portal-2", "b-portal-3"] {
-        let runs: HashMap<String, u32> = fleet.read().await.upstream_page(portal, "/control/runs").await?;
+        let runs: HashMap<String, u32> = fleet.upstream_page(portal, "/control/runs").await?;
         tried += runs.len() as u64;
         duplicates += runs.values().map(|count| u64::from(count - 1)).sum::<u64>();
     }
--- a/crates/bendhinge_lab/tests/security.rs
+++ b/crates/bendhinge_lab/tests/security.rs
@@ -39,9 +39,9 @@
     run(|tasks| async move {
         let fleet = start(&tasks).await;
         let address = fleet.routers["box-1"].address("peers");
-        for frame in [&[0_u8, 48][..], &[0, 4, 1, 2, 3, 4], &[0xff; 9_000]] {
+        for frame in [vec![0_u8, 48], vec![0, 4, 1, 2, 3, 4], vec![0xff; 70_000]] {
             let mut stream = smol::net::TcpStream::connect(address).await.unwrap();
-            let mut bytes = frame.to_vec();
+            let mut bytes = frame;
             bytes.resize(bytes.len().max(50), 7);
             // The router may close before all is written.
             let _ = stream.write_all(&bytes).await;
--- a/crates/bendhinge_standin/src/engine/server.rs
+++ b/crates/bendhinge_standin/src/engine/server.rs
@@ -202,11 +202,8 @@
 
     async fn complete(&self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
-        let priority = head
-            .headers
-            .get("x-priority")
-            .and_then(|value| value.to_str().ok())
-            .and_then(|text| text.parse().ok());
+        let priority =
+            number_header(&head.headers, "x-priority").and_then(|number| u8::try_from(number).ok());
         let turn = match read_body(body, LARGEST_TURN).await {
             Ok(bytes) => serde_json::from_slice::<Turn>(&bytes),
             Err(error) => return text(StatusCode::BAD_REQUEST, error.to_string()),
@@ -229,7 +226,8 @@
         if faults.garbage {
             return text(StatusCode::OK, "{ this is no JSON");
         }
-        let job = Job { engine: self.clone(), turn, cached, faults, _slot: slot, running };
+        let resume_from = number_header(&head.headers, "x-resume-from").unwrap_or(0);
+        let job = Job { engine: self.clone(), turn, cached, faults, resume_from, _slot: slot, running };
         if job.turn.stream { job.stream() } else { job.whole().await }
     }
 
@@ -252,6 +250,10 @@
     }
 }
 
+fn number_header(headers: &hyper::HeaderMap, name: &str) -> Option<u32> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
 async fn pause(micros: u64) {
     if micros > 0 {
         Timer::after(Duration::from_micros(micros)).await;
@@ -300,6 +302,8 @@
     turn: Turn,
     cached: u64,
     faults: Faults,
+    /// The first token that is sent; a stream that broke is resumed there.
+    resume_from: u32,
     _slot: Slot,
     running: Running,
 }
@@ -359,6 +363,9 @@
     async fn send_tokens(mut self, sender: &Sender<io::Result<Bytes>>) {
         let tokens = self.turn.tokens();
         for (number, token) in (0_u32..).zip(&tokens) {
+            if number < self.resume_from {
+                continue;
+            }
             if self.faults.cut_after_tokens == Some(number) {
                 let _ = sender.send(Err(io::Error::other("cut"))).await;
                 return;
