--- a/crates/bendhinge_http/src/pool.rs
+++ b/crates/bendhinge_http/src/pool.rs
@@ -15,10 +15,6 @@
 
 use crate::{Body, Tasks};
 
-/// What is read at once. Most answers are streams of small events, for which the library's own
-/// 8 KiB for each connection would be empty space.
-const READ_BYTES: usize = 4 << 10;
-
 /// Why no connection could be made; nothing was sent.
 #[derive(Debug, thiserror::Error)]
 pub enum ConnectError {
@@ -113,9 +109,7 @@
         };
         let stream = connecting.or(too_long).await?;
         stream.set_nodelay(true)?;
-        let mut builder = http1::Builder::new();
-        let builder = builder.read_buf_exact_size(Some(READ_BYTES));
-        let (sender, connection) = builder.handshake(FuturesIo::new(stream)).await?;
+        let (sender, connection) = http1::handshake(FuturesIo::new(stream)).await?;
         self.tasks
             .spawn(async move {
                 // Its error reaches whoever waits for the answer.
