--- a/crates/bendhinge_lab/src/bench/workload.rs
+++ b/crates/bendhinge_lab/src/bench/workload.rs
@@ -70,9 +70,9 @@
         length: Duration::from_secs(600),
     };
 
-    /// The size of letter 1.
-    pub const LETTER: Self = Self {
-        name: "letter1",
+    /// The size that both users plan for within two years.
+    pub const PLANNED: Self = Self {
+        name: "planned",
         routers: 460,
         engines: 1_400,
         rate: 12_000.0,
--- a/crates/bendhinge_lab/src/demo.rs
+++ b/crates/bendhinge_lab/src/demo.rs
@@ -1,4 +1,4 @@
-//! The demonstration: a deployment of the brief, small, with a load of its shape.
+//! The demonstration: one of the two deployments under `examples/`, with a load of its shape.
 
 use std::num::NonZeroUsize;
 use std::sync::Arc;
--- a/crates/bendhinge_lab/src/measure/control.rs
+++ b/crates/bendhinge_lab/src/measure/control.rs
@@ -12,7 +12,7 @@
 use crate::fleet::{EngineShape, Fleet, FleetError};
 
 const SIZES: [usize; 4] = [3, 9, 18, 36];
-/// Turns a second that each router is given while it is measured: what a node of letter 1 has.
+/// Turns a second that each router is given while it is measured: what a router has at the planned size.
 const TURNS_PER_ROUTER: f64 = 26.0;
 const LENGTH: Duration = Duration::from_secs(10);
 
--- a/crates/bendhinge_lab/src/measure/decisions.rs
+++ b/crates/bendhinge_lab/src/measure/decisions.rs
@@ -11,8 +11,8 @@
     compare(Scenario::TODAY);
 }
 
-pub(super) fn letter1() {
-    compare(Scenario::LETTER);
+pub(super) fn planned() {
+    compare(Scenario::PLANNED);
 }
 
 fn run(kind: PolicyKind, scenario: Scenario) -> PlacementFigures {
--- a/crates/bendhinge_lab/src/measure/mod.rs
+++ b/crates/bendhinge_lab/src/measure/mod.rs
@@ -33,7 +33,7 @@
     ("failures", Group::Processes(failures::run)),
     ("placement.today", Group::Bench(decisions::today)),
     ("placement.curve", Group::Bench(decisions::curve)),
-    ("placement.letter1", Group::Bench(decisions::letter1)),
+    ("placement.planned", Group::Bench(decisions::planned)),
     ("share", Group::Bench(decisions::shares)),
     ("decision", Group::Bench(decisions::costs)),
 ];
--- a/crates/bendhinge_placement/src/budget.rs
+++ b/crates/bendhinge_placement/src/budget.rs
@@ -2,8 +2,8 @@
 
 use bendhinge_ids::Instant;
 
-/// Asks a second that are always affordable. Both users' routers ask less today; at the size of
-/// letter 1 a router has more turns than that, and most of them need no permit.
+/// Asks a second that are always affordable. Both users' routers ask less today; at the planned size
+/// a router has more turns than that, and most of them need no permit.
 const ASKS_PER_SECOND: f64 = 10.0;
 /// Asks that may be saved up.
 const RESERVE: f64 = 20.0;
