--- a/crates/bendhinge_lab/tests/placement.rs
+++ b/crates/bendhinge_lab/tests/placement.rs
@@ -40,7 +40,7 @@
                 let mut turn = turn(&format!("hot {number}"), true, 400);
                 turn.headers.push(("x-bendhinge-chat", "hot".to_owned()));
                 tasks.spawn(async move {
-                    until_served(&caller, routers[number as usize % routers.len()], &turn).await
+                    until_served(&caller, routers[number as usize % routers.len()], &turn).await;
                 })
             })
             .collect();
