--- a/crates/bendhinge_lab/src/client.rs
+++ b/crates/bendhinge_lab/src/client.rs
@@ -38,6 +38,13 @@
 }
 
 impl ChatTurn {
+    /// The first turn of a chat, with one message.
+    #[must_use]
+    pub fn first(model: &str, text: &str, stream: bool, max_tokens: u32) -> Self {
+        let messages = vec![Message { role: "user", content: text.to_owned() }];
+        Self { model: model.to_owned(), messages, stream, max_tokens, headers: Vec::new() }
+    }
+
     fn body(&self) -> String {
         let messages =
             self.messages.iter().map(|message| json!({ "role": message.role, "content": message.content }));
--- a/crates/bendhinge_lab/src/measure/control.rs
+++ b/crates/bendhinge_lab/src/measure/control.rs
@@ -7,7 +7,7 @@
 use smol::Timer;
 
 use super::{MeasureError, figure};
-use crate::client::{Caller, ChatTurn, Message};
+use crate::client::{Caller, ChatTurn};
 use crate::deployment::Deployment;
 use crate::fleet::{EngineShape, Fleet, FleetError};
 
@@ -151,14 +151,7 @@
     while began.elapsed() < LENGTH {
         let caller = Caller::new(&fleet.pool, "newsroom-tunja");
         let router = routers[number as usize % routers.len()];
-        let messages = vec![Message { role: "user", content: format!("control {number}") }];
-        let turn = ChatTurn {
-            model: "boletin-7b".to_owned(),
-            messages,
-            stream: false,
-            max_tokens: 50,
-            headers: Vec::new(),
-        };
+        let turn = ChatTurn::first("boletin-7b", &format!("control {number}"), false, 50);
         pending.push(fleet.tasks.spawn(async move { caller.chat(router, &turn).await.served() }));
         number += 1;
         // Kept to the plan, also where one pause took longer.
--- a/crates/bendhinge_lab/src/measure/failures.rs
+++ b/crates/bendhinge_lab/src/measure/failures.rs
@@ -14,7 +14,7 @@
 use smol::Timer;
 
 use super::{MeasureError, figure};
-use crate::client::{Caller, ChatTurn, Message};
+use crate::client::{Caller, ChatTurn};
 use crate::deployment::Deployment;
 use crate::fleet::{EngineShape, Fleet, FleetError};
 use crate::load::{CallKind, ChatKind, Load, LoadShape, Tally};
@@ -153,14 +153,7 @@
         ["box-1", "box-3"].iter().map(|name| fleet.routers[*name].address("callers")).collect();
     let mut slowest = Duration::ZERO;
     for number in 0..60_usize {
-        let messages = vec![Message { role: "user", content: format!("failover {number}") }];
-        let turn = ChatTurn {
-            model: "boletin-7b".to_owned(),
-            messages,
-            stream: true,
-            max_tokens: 4,
-            headers: Vec::new(),
-        };
+        let turn = ChatTurn::first("boletin-7b", &format!("failover {number}"), true, 4);
         let outcome = Caller::new(&fleet.pool, "newsroom-tunja").chat(addresses[number % 2], &turn).await;
         slowest = slowest.max(if outcome.served() { outcome.first } else { Duration::from_secs(60) });
     }
--- a/crates/bendhinge_lab/src/measure/router.rs
+++ b/crates/bendhinge_lab/src/measure/router.rs
@@ -11,7 +11,7 @@
 use smol::Timer;
 
 use super::{MeasureError, figure};
-use crate::client::{Caller, ChatTurn, Message};
+use crate::client::{Caller, ChatTurn};
 use crate::deployment::Deployment;
 use crate::fleet::{EngineShape, Fleet, FleetError};
 
@@ -33,8 +33,7 @@
 }
 
 fn turn(number: usize, stream: bool, max_tokens: u32) -> ChatTurn {
-    let messages = vec![Message { role: "user", content: format!("question {number}") }];
-    ChatTurn { model: "boletin-7b".to_owned(), messages, stream, max_tokens, headers: Vec::new() }
+    ChatTurn::first("boletin-7b", &format!("question {number}"), stream, max_tokens)
 }
 
 struct Slice {
--- a/crates/bendhinge_lab/tests/common/mod.rs
+++ b/crates/bendhinge_lab/tests/common/mod.rs
@@ -9,7 +9,7 @@
 
 use bendhinge_delivery::OnceKey;
 use bendhinge_http::{Tasks, run_until};
-use bendhinge_lab::client::{Caller, ChatTurn, Message, Outcome};
+use bendhinge_lab::client::{Caller, ChatTurn, Outcome};
 use bendhinge_lab::deployment::Deployment;
 use bendhinge_lab::fleet::{EngineShape, Fleet, FleetError};
 use hyper::Method;
@@ -49,8 +49,7 @@
 
 /// A turn with one message.
 pub fn turn(text: &str, stream: bool, max_tokens: u32) -> ChatTurn {
-    let messages = vec![Message { role: "user", content: text.to_owned() }];
-    ChatTurn { model: MODEL.to_owned(), messages, stream, max_tokens, headers: Vec::new() }
+    ChatTurn::first(MODEL, text, stream, max_tokens)
 }
 
 /// Where callers reach one router.
--- a/crates/bendhinge_membership/src/exchange.rs
+++ b/crates/bendhinge_membership/src/exchange.rs
@@ -22,13 +22,6 @@
     sent_at: Instant,
 }
 
-/// Something learnt from an exchange that asks for action.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Heard {
-    /// How many summaries were new.
-    pub news: usize,
-}
-
 /// The summaries that one router knows of others.
 #[derive(Debug, Default)]
 pub struct Exchange {
@@ -37,15 +30,12 @@
 
 impl Exchange {
     /// Takes in summaries from a peer; older versions and the router's own are passed over.
-    pub fn hear(&mut self, own_name: &BoxName, summaries: Vec<Summary>, now: Instant) -> Heard {
-        let mut heard = Heard::default();
+    pub fn hear(&mut self, own_name: &BoxName, summaries: Vec<Summary>, now: Instant) {
         for summary in summaries {
             if summary.name != *own_name && self.is_news(&summary) {
                 self.insert(summary, now);
-                heard.news += 1;
             }
         }
-        heard
     }
 
     fn is_news(&self, summary: &Summary) -> bool {
--- a/crates/bendhinge_membership/src/lib.rs
+++ b/crates/bendhinge_membership/src/lib.rs
@@ -10,7 +10,7 @@
 mod summary;
 
 pub use directory::{Directory, suspect_after};
-pub use exchange::{EXCHANGE_BYTES, Exchange, Heard};
+pub use exchange::{EXCHANGE_BYTES, Exchange};
 pub use freshness::{Freshness, FreshnessLimits};
 pub use list::{Member, MemberList, MemberRole, MemberState};
 pub use summary::{ClassUsage, CustomerUsage, Summary, SummaryVersion, UpstreamCount};
--- a/crates/bendhinge_placement/src/displaced.rs
+++ b/crates/bendhinge_placement/src/displaced.rs
@@ -49,26 +49,9 @@
         }
     }
 
-    /// Forgets `chat`, because it is back at its first upstream.
-    pub fn forget(&mut self, chat: ChatKey) {
-        self.places.remove(&chat);
-    }
-
     /// Where `chat` went, if it was displaced.
     #[must_use]
     pub fn place(&self, chat: ChatKey) -> Option<&UpstreamName> {
         self.places.get(&chat).map(|place| &place.upstream)
     }
-
-    /// How many chats are remembered.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.places.len()
-    }
-
-    /// Whether none is.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.places.is_empty()
-    }
 }
--- a/crates/bendhinge_placement/src/ledger.rs
+++ b/crates/bendhinge_placement/src/ledger.rs
@@ -144,11 +144,6 @@
         self.outstanding.len()
     }
 
-    /// Upstreams with their counts.
-    pub fn counts(&self) -> impl Iterator<Item = (&UpstreamName, u32)> {
-        self.counts.iter().map(|(name, count)| (name, count.permits + count.beyond_permits))
-    }
-
     /// Asks for a permit.
     pub fn acquire(&mut self, request: &PermitRequest, now: Instant) -> Result<Granted, Denied> {
         let displaced = request.first_choice_of.and_then(|chat| self.displaced.place(chat));
@@ -191,11 +186,6 @@
         self.displaced.remember(chat, place);
     }
 
-    /// Forgets where `chat` was displaced to: its place is gone or full.
-    pub fn forget_displaced(&mut self, chat: ChatKey) {
-        self.displaced.forget(chat);
-    }
-
     /// Takes in an upstream's report. What it shows beyond the permits of its time was sent
     /// without one, or under those of a router that counted before this one.
     pub fn report(&mut self, upstream: &UpstreamName, report: LoadReport) {
--- a/crates/bendhinge_placement/src/walk.rs
+++ b/crates/bendhinge_placement/src/walk.rs
@@ -62,11 +62,9 @@
     Exhausted,
 }
 
-/// The answer to [`Step::Ask`].
+/// The answer to [`Step::Ask`], other than a permit, which ends the walk.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
-    /// A permit was given; the walk is over.
-    Granted,
     /// The upstream is at its bound.
     AtBound,
     /// The chat was displaced before, to an upstream that is still ranked, or to one that is gone.
@@ -236,7 +234,6 @@
                 self.was_elsewhere = true;
                 None
             }
-            Answer::Granted => None,
             Answer::NoWord => self.decide_alone(view),
         }
     }
--- a/crates/bendhinge_router/src/admission/mod.rs
+++ b/crates/bendhinge_router/src/admission/mod.rs
@@ -134,9 +134,8 @@
 }
 
 fn rules(configuration: &Configuration, fleet: &Fleet) -> Rules {
-    let class_index = |name| configuration.classes.keys().position(|class| class == name).unwrap_or(0);
-    let class_indices: HashMap<_, _> =
-        configuration.classes.keys().map(|name| (name, class_index(name))).collect();
+    let numbered = configuration.classes.keys().enumerate();
+    let class_indices: HashMap<_, _> = numbered.map(|(index, name)| (name, index)).collect();
     let classes = configuration.classes.values().map(|class| ClassRule { share: class.share });
     let customers = configuration.customers.values().map(|customer| CustomerRule {
         class: ClassIndex(class_indices[&customer.class]),
--- a/crates/bendhinge_router/src/control/housekeeping.rs
+++ b/crates/bendhinge_router/src/control/housekeeping.rs
@@ -37,13 +37,7 @@
         let listed: Vec<BoxName> =
             membership.directory.listed_routers().map(|(name, _)| name.clone()).collect();
         membership.exchange.forget(|name| listed.contains(name), FORGET_AFTER, now);
-        let mut counting = membership.directory.counting_routers(
-            &node.life.name,
-            node.is_stopping(),
-            &membership.exchange,
-            now,
-        );
-        counting.sort();
+        let counting = membership.counting_routers(node, now);
         (membership.highest_revision(now), membership.is_alone(&node.life.name), counting)
     };
     let settled = configuration::settle(node, highest, alone);
--- a/crates/bendhinge_router/src/membership/mod.rs
+++ b/crates/bendhinge_router/src/membership/mod.rs
@@ -15,7 +15,7 @@
 pub(crate) use rebuild::rebuild_fleet;
 
 use crate::node::Node;
-use crate::{admission, clock};
+use crate::{admission, clock, placement};
 
 /// Word of other routers that is older than this is not taken as word of now.
 const RECENT_WORD: Duration = Duration::from_secs(10);
@@ -38,6 +38,14 @@
         }
     }
 
+    /// The routers that count for upstreams, in the order of their names.
+    pub(crate) fn counting_routers(&self, node: &Node, now: Instant) -> Vec<BoxName> {
+        let own = &node.life.name;
+        let mut counting = self.directory.counting_routers(own, node.is_stopping(), &self.exchange, now);
+        counting.sort();
+        counting
+    }
+
     /// The highest revision that other routers told of lately; `None` if none told anything.
     pub(crate) fn highest_revision(&self, now: Instant) -> Option<ConfigRevision> {
         let recent = self.exchange.summaries(now).filter(|(_, age)| *age < RECENT_WORD);
@@ -103,19 +111,12 @@
 }
 
 fn counted_upstreams(node: &Node) -> Vec<UpstreamCount> {
-    let fleet = node.fleet();
-    let owned = fleet.owned_upstreams();
-    let counts: Vec<u32> = {
-        let ledger = node.ledger.lock().unwrap();
-        owned.iter().map(|target| ledger.in_progress(&target.name)).collect()
-    };
+    let counts = placement::own_counts(node, &node.fleet());
     let health = node.health.lock().unwrap();
-    let pairs = owned.iter().zip(counts);
-    pairs
-        .map(|(target, count)| UpstreamCount {
-            upstream: target.hash,
-            in_progress: u16::try_from(count).unwrap_or(u16::MAX),
-            reachable: health.is_reachable(target.hash),
-        })
-        .collect()
+    let told = counts.iter().map(|(target, count)| UpstreamCount {
+        upstream: target.hash,
+        in_progress: u16::try_from(*count).unwrap_or(u16::MAX),
+        reachable: health.is_reachable(target.hash),
+    });
+    told.collect()
 }
--- a/crates/bendhinge_router/src/membership/rebuild.rs
+++ b/crates/bendhinge_router/src/membership/rebuild.rs
@@ -48,8 +48,7 @@
     let own = &node.life.name;
     let membership = node.membership.lock().unwrap();
     let directory = &membership.directory;
-    let mut counting = directory.counting_routers(own, node.is_stopping(), &membership.exchange, now);
-    counting.sort();
+    let counting = membership.counting_routers(node, now);
     let routers: Vec<RouterEntry> = directory
         .listed_routers()
         .map(|(name, member)| RouterEntry { name: name.clone(), address: member.address })
--- a/crates/bendhinge_router/src/placement/choose.rs
+++ b/crates/bendhinge_router/src/placement/choose.rs
@@ -41,13 +41,14 @@
         return Err(ResultCode::NoUpstream);
     }
     let mut driver = Driver { node, pool, chat, request, walk };
-    let chosen = driver.go().await.ok_or(ResultCode::AllUpstreamsAtBound)?;
+    let (index, permit) = driver.go().await.ok_or(ResultCode::AllUpstreamsAtBound)?;
     let reason = driver.walk.reason();
-    driver.tell_displaced(&chosen.target);
-    let upstream = chosen.target.name.to_string();
+    driver.tell_displaced(index);
+    let target = Arc::clone(pool.target(index));
+    let upstream = target.name.to_string();
     node.note_request(request, EventKind::Placed { upstream, reason: reason.to_string() });
     node.metrics.placements.add(1, &[KeyValue::new("reason", reason.as_str())]);
-    Ok(chosen)
+    Ok(Chosen { target, permit })
 }
 
 struct Driver<'a> {
@@ -59,26 +60,22 @@
 }
 
 impl Driver<'_> {
-    async fn go(&mut self) -> Option<Chosen> {
+    async fn go(&mut self) -> Option<(UpstreamIndex, Permit)> {
         loop {
-            let step = self.next();
-            let answered = match step {
+            let (upstream, first_choice, limit) = match self.next() {
                 Step::Exhausted => return None,
-                Step::Take(upstream) => return Some(self.take(upstream)),
-                Step::Ask { upstream, first_choice, limit } => self.ask(upstream, first_choice, limit).await,
+                Step::Take(upstream) => return Some((upstream, self.uncounted(upstream))),
+                Step::Ask { upstream, first_choice, limit } => (upstream, first_choice, limit),
             };
-            let answer = match answered {
-                Asked::Granted(permit) => {
-                    let Step::Ask { upstream, .. } = step else { continue };
-                    return Some(Chosen { target: Arc::clone(self.pool.target(upstream)), permit });
-                }
+            let answer = match self.ask(upstream, first_choice, limit).await {
+                Asked::Granted(permit) => return Some((upstream, permit)),
                 Asked::AtBound => Answer::AtBound,
                 Asked::Elsewhere(place) => Answer::Elsewhere(self.pool.ranking.find(&place)),
                 Asked::NoWord => Answer::NoWord,
             };
             let alone = self.walk.answered(answer, &self.node.loads.lock().unwrap());
             if let Some(upstream) = alone {
-                return Some(self.take(upstream));
+                return Some((upstream, self.uncounted(upstream)));
             }
         }
     }
@@ -95,19 +92,18 @@
         ask(self.node, &Question { target, first_choice_of, limit, request: self.request }).await
     }
 
-    fn take(&self, upstream: UpstreamIndex) -> Chosen {
-        let target = self.pool.target(upstream);
-        Chosen { target: Arc::clone(target), permit: Permit::uncounted(self.node, target) }
+    fn uncounted(&self, upstream: UpstreamIndex) -> Permit {
+        Permit::uncounted(self.node, self.pool.target(upstream))
     }
 
     /// Lets the routers that will be asked for the chat first know where it is.
-    fn tell_displaced(&self, place: &Target) {
-        let Some(index) = self.pool.ranking.find(&place.name) else { return };
-        for remembering in self.walk.remembering(index) {
+    fn tell_displaced(&self, place: UpstreamIndex) {
+        let name = &self.pool.target(place).name;
+        for remembering in self.walk.remembering(place) {
             match &self.pool.target(remembering).owner {
-                Owner::Own => note_displaced(self.node, self.chat, &place.name),
+                Owner::Own => note_displaced(self.node, self.chat, name),
                 Owner::Peer(owner) => {
-                    let (address, chat, place) = (owner.address, self.chat, place.name.clone());
+                    let (address, chat, place) = (owner.address, self.chat, name.clone());
                     control::send(self.node, ControlCall::Displaced { address, chat, place });
                 }
                 Owner::Nobody => {}
--- a/crates/bendhinge_router/src/placement/knowledge.rs
+++ b/crates/bendhinge_router/src/placement/knowledge.rs
@@ -1,6 +1,7 @@
 //! Keeping the view of loads up to date, and which upstreams answer.
 
 use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
 
 use bendhinge_ids::{BoxName, NameHash};
 use bendhinge_placement::ViewKey;
@@ -51,16 +52,23 @@
     learn_from_others(node, &fleet)
 }
 
+/// The upstreams that this router counts for, with their counts.
+pub(crate) fn own_counts(node: &Node, fleet: &Fleet) -> Vec<(Arc<Target>, u32)> {
+    let owned = fleet.owned_upstreams();
+    let ledger = node.ledger.lock().unwrap();
+    let counted = owned.into_iter().map(|target| {
+        let count = ledger.in_progress(&target.name);
+        (target, count)
+    });
+    counted.collect()
+}
+
 fn learn_own_counts(node: &Node, fleet: &Fleet) {
     let now = clock::now();
-    let owned = fleet.owned_upstreams();
-    let counts: Vec<u32> = {
-        let ledger = node.ledger.lock().unwrap();
-        owned.iter().map(|target| ledger.in_progress(&target.name)).collect()
-    };
+    let counts = own_counts(node, fleet);
     let mut loads = node.loads.lock().unwrap();
-    for (target, count) in owned.iter().zip(counts) {
-        loads.learn(view_key(target), count, now);
+    for (target, count) in &counts {
+        loads.learn(view_key(target), *count, now);
     }
 }
 
--- a/crates/bendhinge_router/src/placement/mod.rs
+++ b/crates/bendhinge_router/src/placement/mod.rs
@@ -5,5 +5,5 @@
 mod permit;
 
 pub(crate) use choose::{Chosen, choose, note_displaced};
-pub(crate) use knowledge::{Health, refresh, refresh_totals};
+pub(crate) use knowledge::{Health, own_counts, refresh, refresh_totals};
 pub(crate) use permit::{Permit, answer_peer};
