Names of the field: machine, zone and tenant in place of the earlier house words

Mechanical: no behaviour changes. Ruled out: keeping the old setting keys as aliases, since nothing is deployed yet.

--- a/crates/bendhinge_admission/src/rules.rs
+++ b/crates/bendhinge_admission/src/rules.rs
@@ -6,9 +6,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ClassIndex(pub usize);
 
-/// The position of a customer in [`Rules`].
+/// The position of a tenant in [`Rules`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct CustomerIndex(pub usize);
+pub struct TenantIndex(pub usize);
 
 /// The position of a pool in [`Rules`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -21,14 +21,14 @@
     pub share: f64,
 }
 
-/// A customer.
+/// A tenant.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct CustomerRule {
+pub struct TenantRule {
     /// Its class.
     pub class: ClassIndex,
     /// Requests in progress in the whole fleet.
     pub limit: u32,
-    /// Its part of its class, relative to other customers.
+    /// Its part of its class, relative to other tenants.
     pub share: f64,
 }
 
@@ -46,8 +46,8 @@
 pub struct Rules {
     /// Classes.
     pub classes: Vec<ClassRule>,
-    /// Customers.
-    pub customers: Vec<CustomerRule>,
+    /// Tenants.
+    pub tenants: Vec<TenantRule>,
     /// Pools.
     pub pools: Vec<PoolRule>,
 }
--- a/crates/bendhinge_configuration/src/model.rs
+++ b/crates/bendhinge_configuration/src/model.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bendhinge_ids::{
-    ClassName, ConfigRevision, CustomerName, Digest, HallName, ModelName, PoolName, UpstreamName,
+    ClassName, ConfigRevision, Digest, ModelName, PoolName, TenantName, UpstreamName, ZoneName,
 };
 use bendhinge_placement::LoadBound;
 use sha2::Digest as _;
@@ -22,25 +22,25 @@
     pub digest: Digest,
     /// Its canonical text.
     pub text: String,
-    /// Halls.
-    pub halls: BTreeMap<HallName, Hall>,
+    /// Zones.
+    pub zones: BTreeMap<ZoneName, Zone>,
     /// Priority classes.
     pub classes: BTreeMap<ClassName, Class>,
-    /// Customers.
-    pub customers: BTreeMap<CustomerName, Customer>,
+    /// Tenants.
+    pub tenants: BTreeMap<TenantName, Tenant>,
     /// Pools.
     pub pools: BTreeMap<PoolName, Pool>,
     /// What is set for single upstreams.
     pub upstreams: BTreeMap<UpstreamName, UpstreamOverride>,
-    pub(crate) customer_by_key: HashMap<KeyHash, CustomerName>,
+    pub(crate) tenant_by_key: HashMap<KeyHash, TenantName>,
 }
 
 impl Configuration {
-    /// The customer whose bearer key this is.
+    /// The tenant whose bearer key this is.
     #[must_use]
-    pub fn customer_of_key(&self, key: &str) -> Option<(&CustomerName, &Customer)> {
-        let name = self.customer_by_key.get(&KeyHash::of(key))?;
-        self.customers.get_key_value(name)
+    pub fn tenant_of_key(&self, key: &str) -> Option<(&TenantName, &Tenant)> {
+        let name = self.tenant_by_key.get(&KeyHash::of(key))?;
+        self.tenants.get_key_value(name)
     }
 
     /// The pool that serves `model`.
@@ -67,13 +67,13 @@
             .map(|(_, name, pool)| (name, pool))
     }
 
-    /// Whether operators let `upstream`, which stands in `hall`, take new work.
+    /// Whether operators let `upstream`, which stands in `zone`, take new work.
     #[must_use]
-    pub fn may_serve(&self, upstream: &UpstreamName, hall: &HallName) -> bool {
-        let hall_serves = self.halls.get(hall).is_none_or(|hall| hall.state == ServingState::Serving);
+    pub fn may_serve(&self, upstream: &UpstreamName, zone: &ZoneName) -> bool {
+        let zone_serves = self.zones.get(zone).is_none_or(|zone| zone.state == ServingState::Serving);
         let itself =
             self.upstreams.get(upstream).is_none_or(|upstream| upstream.state == ServingState::Serving);
-        hall_serves && itself
+        zone_serves && itself
     }
 }
 
@@ -82,7 +82,7 @@
     rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
 
-/// The SHA-256 of a customer's bearer key.
+/// The SHA-256 of a tenant's bearer key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct KeyHash([u8; 32]);
 
@@ -133,9 +133,9 @@
     }
 }
 
-/// A hall.
+/// A zone.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Hall {
+pub struct Zone {
     /// The region it stands in.
     pub region: String,
     /// Whether its upstreams take new work.
@@ -151,14 +151,14 @@
     pub engine_priority: u8,
 }
 
-/// A customer.
+/// A tenant.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Customer {
+pub struct Tenant {
     /// The class of its requests.
     pub class: ClassName,
     /// How many of its requests may be in progress in the whole fleet.
     pub in_progress: u32,
-    /// Its part of its class, relative to the class's other customers.
+    /// Its part of its class, relative to the class's other tenants.
     pub share: f64,
 }
 
--- a/crates/bendhinge_ids/src/lib.rs
+++ b/crates/bendhinge_ids/src/lib.rs
@@ -7,7 +7,7 @@
 
 pub use chat::{ChatKey, RequestId};
 pub use name::{
-    BoxName, ClassName, CustomerName, HallName, ModelName, NameError, NameHash, PoolName, UpstreamName,
+    ClassName, MachineName, ModelName, NameError, NameHash, PoolName, TenantName, UpstreamName, ZoneName,
 };
 pub use number::{ConfigRevision, Digest, DigestError, EventSequence, Incarnation, PermitId, RouterLife};
 pub use time::Instant;
--- a/crates/bendhinge_ids/src/name.rs
+++ b/crates/bendhinge_ids/src/name.rs
@@ -68,12 +68,12 @@
 }
 
 names! {
-    /// A box: one machine that runs one router.
-    BoxName;
-    /// A hall: one data centre or fire zone, the unit in which operators drain.
-    HallName;
-    /// A customer: whoever holds a bearer key.
-    CustomerName;
+    /// A machine that runs one router.
+    MachineName;
+    /// A zone: one data centre or fire zone, the unit in which operators drain.
+    ZoneName;
+    /// A tenant: whoever holds a bearer key.
+    TenantName;
     /// An upstream: one model engine's runner or one instance of a plain service.
     UpstreamName;
     /// A pool of upstreams that can stand in for one another.
--- a/crates/bendhinge_operator/src/commands/check.rs
+++ b/crates/bendhinge_operator/src/commands/check.rs
@@ -9,11 +9,11 @@
     let text = read_file(file)?;
     let configuration = bendhinge_configuration::parse(&file.display().to_string(), &text)?;
     println!(
-        "revision {}: {} halls, {} classes, {} customers, {} pools; no faults",
+        "revision {}: {} zones, {} classes, {} tenants, {} pools; no faults",
         configuration.revision,
-        configuration.halls.len(),
+        configuration.zones.len(),
         configuration.classes.len(),
-        configuration.customers.len(),
+        configuration.tenants.len(),
         configuration.pools.len()
     );
     Ok(())
--- a/crates/bendhinge_operator/src/commands/plan.rs
+++ b/crates/bendhinge_operator/src/commands/plan.rs
@@ -35,8 +35,8 @@
         intents.push(Intent::parse_set(change)?);
     }
     intents.extend(args.remove.iter().map(|title| Intent::Remove { title: title.clone() }));
-    intents.extend(args.drain_hall.iter().map(|hall| state(format!("hall.{hall}"), "drained")));
-    intents.extend(args.restore_hall.iter().map(|hall| state(format!("hall.{hall}"), "serving")));
+    intents.extend(args.drain_zone.iter().map(|zone| state(format!("zone.{zone}"), "drained")));
+    intents.extend(args.restore_zone.iter().map(|zone| state(format!("zone.{zone}"), "serving")));
     intents
         .extend(args.drain_upstream.iter().map(|upstream| state(format!("upstream.{upstream}"), "drained")));
     Ok(intents)
@@ -49,7 +49,7 @@
         MemberRole::Upstream { name, pool, weight } => Some(PoolMember {
             name: name.clone(),
             pool: pool.clone(),
-            hall: member.hall.clone(),
+            zone: member.zone.clone(),
             weight: *weight,
         }),
     })
--- a/crates/bendhinge_operator/src/render.rs
+++ b/crates/bendhinge_operator/src/render.rs
@@ -53,13 +53,13 @@
             "  engines are ordered to load another model, version or adapter; all context there is lost\n",
         );
     }
-    for hall in &pool.halls {
+    for zone in &pool.zones {
         let _ = writeln!(
             text,
             "  load in {}: {} before, {} after",
-            hall.hall,
-            percent(hall.before),
-            percent(hall.after)
+            zone.zone,
+            percent(zone.before),
+            percent(zone.after)
         );
     }
     if pool.upstreams_after == 0 {
--- a/crates/bendhinge_router/src/settings/mod.rs
+++ b/crates/bendhinge_router/src/settings/mod.rs
@@ -9,7 +9,7 @@
 
 use bendhinge_codes::ResultCode;
 use bendhinge_configuration::SealKey;
-use bendhinge_ids::{BoxName, HallName};
+use bendhinge_ids::{MachineName, ZoneName};
 use bendhinge_ini::{ByteCount, Document, Fault, Faults, Millis, Section};
 use bendhinge_peer::PeerKey;
 
@@ -18,10 +18,10 @@
 /// All settings.
 #[derive(Clone)]
 pub struct Settings {
-    /// This box.
-    pub name: BoxName,
-    /// Its hall.
-    pub hall: HallName,
+    /// This machine.
+    pub name: MachineName,
+    /// Its zone.
+    pub zone: ZoneName,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where operators connect.
@@ -159,7 +159,7 @@
         let control = self.section("control", Self::control);
         let router = self.0.section("router")?;
         let name = self.0.value(router, "name");
-        let hall = self.0.value(router, "hall");
+        let zone = self.0.value(router, "zone");
         let callers = self.0.value(router, "callers");
         let operators = self.0.value(router, "operators");
         let peers = self.0.value(router, "peers");
@@ -167,7 +167,7 @@
         let events = self.0.value::<NonZeroUsize>(router, "events");
         Some(Settings {
             name: name?,
-            hall: hall?,
+            zone: zone?,
             callers: callers?,
             operators: operators?,
             peers: peers?,
