--- a/crates/bendhinge_delivery/src/lib.rs
+++ b/crates/bendhinge_delivery/src/lib.rs
@@ -4,9 +4,13 @@
 //! `docs/design/DELIVERY.md` says what was weighed.
 
 mod attempt;
+mod course;
+mod events;
 mod once;
 mod vouch;
 
 pub use attempt::{AttemptEnd, NextStep, Repeatable, next_step};
+pub use course::{Course, CourseRules, SendEnd};
+pub use events::EventSplitter;
 pub use once::{Claim, Claimant, OnceKey, OnceLedger, OnceLimits, OnceOutcome};
 pub use vouch::OwnershipHistory;
--- /dev/null
+++ b/crates/bendhinge_fleet/src/belief.rs
@@ -0,0 +1,123 @@
+//! A value with the instant as of which it was known to be current.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bendhinge_ids::Instant;
+
+/// A number of the store that rises with each of its changes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Revision(pub u64);
+
+/// Which value is held: at which revision of the store it was read, and its digest.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Version {
+    /// The revision at which it was read.
+    pub revision: Revision,
+    /// The hash of its content: equal content at a later revision is no new value.
+    pub digest: u64,
+}
+
+/// A value that is held.
+#[derive(Clone, Debug)]
+pub struct Held<T> {
+    /// Which one it is.
+    pub version: Version,
+    /// The value.
+    pub value: Arc<T>,
+    /// An instant at which the store surely held it.
+    ///
+    /// It is the start of the read, or, where it was heard from another router, the start of the
+    /// question less the age that the answer stated: never later than the truth, whatever was
+    /// delayed, cut or frozen on the way.
+    pub as_of: Instant,
+}
+
+/// What became of an offered value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// It is newer and is held now.
+    New,
+    /// It is the one that is held, which is known to be current as of a later instant.
+    Confirmed,
+    /// It is older, or known already.
+    Old,
+}
+
+/// What is believed; at first nothing.
+#[derive(Debug)]
+pub struct Belief<T>(Option<Held<T>>);
+
+impl<T> Default for Belief<T> {
+    fn default() -> Self {
+        Self(None)
+    }
+}
+
+impl<T> Belief<T> {
+    /// What is held.
+    #[must_use]
+    pub const fn held(&self) -> Option<&Held<T>> {
+        self.0.as_ref()
+    }
+
+    /// The value that is held.
+    #[must_use]
+    pub fn value(&self) -> Option<&Arc<T>> {
+        self.0.as_ref().map(|held| &held.value)
+    }
+
+    /// Its version; of nothing, the lowest.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.0.as_ref().map(|held| held.version).unwrap_or_default()
+    }
+
+    /// How long ago it was known to be current; `None` if nothing is held.
+    #[must_use]
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.0.as_ref().map(|held| now.since(held.as_of))
+    }
+
+    /// Whether it was known to be current within the last `span`.
+    #[must_use]
+    pub fn is_within(&self, span: Duration, now: Instant) -> bool {
+        self.age(now).is_some_and(|age| age <= span)
+    }
+
+    /// Whether another's value of `version` would have to be fetched to be held.
+    #[must_use]
+    pub fn lacks(&self, version: Version) -> bool {
+        match &self.0 {
+            None => version.revision > Revision::default(),
+            Some(held) => version.revision > held.version.revision && version.digest != held.version.digest,
+        }
+    }
+
+    /// Takes word that the value of `version` was current as of `as_of`. Only the value that is
+    /// held can be confirmed, and only by a revision that is not older.
+    pub fn confirm(&mut self, version: Version, as_of: Instant) -> Offer {
+        let Some(held) = &mut self.0 else { return Offer::Old };
+        if held.version.digest != version.digest {
+            return Offer::Old;
+        }
+        let newer = as_of > held.as_of;
+        held.as_of = held.as_of.max(as_of);
+        held.version.revision = held.version.revision.max(version.revision);
+        if newer { Offer::Confirmed } else { Offer::Old }
+    }
+
+    /// Takes a value. It never goes back to an older revision.
+    pub fn offer(&mut self, version: Version, as_of: Instant, value: impl FnOnce() -> Arc<T>) -> Offer {
+        if let Some(held) = &self.0 {
+            if held.version.digest == version.digest {
+                return self.confirm(version, as_of);
+            }
+            if version.revision <= held.version.revision {
+                return Offer::Old;
+            }
+        }
+        self.0 = Some(Held { version, value: value(), as_of });
+        Offer::New
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_fleet/src/directory.rs
@@ -0,0 +1,166 @@
+//! Which upstreams there are.
+//!
+//! A list is taken from the platform as it is, but for one thing: while the platform's store is
+//! in trouble, entries can lapse although their upstreams are well. Entries that vanish right
+//! after a time without evidence are therefore kept for a while, to be judged by their answers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bendhinge_ids::{Instant, NameHash, PoolName, UpstreamName, ZoneName};
+
+/// Whether an upstream takes new work, as it reports itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum UpstreamState {
+    /// It does.
+    Ready,
+    /// It is about to leave.
+    Draining,
+}
+
+/// An upstream as listed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct UpstreamEntry {
+    /// Its name, a new one for each of its lives.
+    pub name: UpstreamName,
+    /// The hash of its name.
+    pub hash: NameHash,
+    /// Its pool.
+    pub pool: PoolName,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: UpstreamState,
+    /// The store's revision at which it first appeared.
+    pub made: u64,
+}
+
+/// A whole list, in the order of names.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct UpstreamList {
+    /// The entries.
+    pub entries: Vec<Arc<UpstreamEntry>>,
+}
+
+/// An upstream as this router sees it.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// Its entry.
+    pub entry: Arc<UpstreamEntry>,
+    /// When this router first heard of it.
+    pub since: Instant,
+    /// When it vanished from the list, if it did.
+    pub vanished: Option<Instant>,
+    /// When it stopped taking new work, if it did.
+    pub left: Option<Instant>,
+}
+
+impl Listed {
+    /// Whether it takes new work.
+    #[must_use]
+    pub fn takes_work(&self) -> bool {
+        self.left.is_none()
+    }
+}
+
+/// The times that the directory depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct DirectoryLimits {
+    /// Evidence older than this means that the store was in trouble.
+    pub gap: Duration,
+    /// How long after such trouble vanished entries are doubted, and how long each is kept.
+    pub doubt: Duration,
+    /// How long upstreams that take no new work are remembered, for what they keep.
+    pub remember: Duration,
+}
+
+/// All upstreams as this router sees them.
+#[derive(Debug)]
+pub struct Directory {
+    limits: DirectoryLimits,
+    listed: Vec<Listed>,
+    evidence_seen: Option<Instant>,
+    doubt_until: Option<Instant>,
+}
+
+impl Directory {
+    /// An empty directory.
+    #[must_use]
+    pub const fn new(limits: DirectoryLimits) -> Self {
+        Self { limits, listed: Vec::new(), evidence_seen: None, doubt_until: None }
+    }
+
+    /// All upstreams, those that take no new work among them, in the order of names.
+    #[must_use]
+    pub fn listed(&self) -> &[Listed] {
+        &self.listed
+    }
+
+    /// Notes that the list was known to be current as of `as_of`, heard at `now`; a gap since
+    /// the last such word casts doubt on entries that vanish soon after.
+    pub fn evidence(&mut self, as_of: Instant, now: Instant) {
+        let gap = self.evidence_seen.is_some_and(|seen| as_of.since(seen) > self.limits.gap);
+        if gap {
+            self.doubt_until = Some(now + self.limits.doubt);
+        }
+        self.evidence_seen = Some(self.evidence_seen.map_or(as_of, |seen| seen.max(as_of)));
+    }
+
+    /// Takes in a list; call [`Directory::evidence`] first.
+    pub fn take(&mut self, list: &UpstreamList, now: Instant) {
+        let doubted = self.doubt_until.is_some_and(|until| now < until);
+        let mut before = std::mem::take(&mut self.listed);
+        for entry in &list.entries {
+            let known = before.iter().position(|listed| listed.entry.name == entry.name);
+            let known = known.map(|position| before.swap_remove(position));
+            self.listed.push(renewed(known.as_ref(), entry, now));
+        }
+        for mut listed in before {
+            listed.vanished.get_or_insert(now);
+            if listed.left.is_none() && !doubted {
+                listed.left = Some(now);
+            }
+            self.listed.push(listed);
+        }
+        self.listed.sort_by(|left, right| left.entry.name.cmp(&right.entry.name));
+        self.prune(now);
+    }
+
+    /// Gives up vanished upstreams whose time is over; `true` if there was one.
+    pub fn prune(&mut self, now: Instant) -> bool {
+        let limits = self.limits;
+        let mut changed = false;
+        for listed in &mut self.listed {
+            let doubt_is_over = listed.vanished.is_some_and(|since| now.since(since) > limits.doubt);
+            if doubt_is_over && listed.left.is_none() {
+                listed.left = Some(now);
+                changed = true;
+            }
+        }
+        let before = self.listed.len();
+        self.listed.retain(|listed| {
+            listed.vanished.is_none() || listed.left.is_none_or(|left| now.since(left) < limits.remember)
+        });
+        changed || self.listed.len() != before
+    }
+}
+
+fn renewed(known: Option<&Listed>, entry: &Arc<UpstreamEntry>, now: Instant) -> Listed {
+    let left = known.and_then(|known| known.left);
+    let was_draining = known.is_some_and(|known| known.entry.state == UpstreamState::Draining);
+    Listed {
+        entry: Arc::clone(entry),
+        since: known.map_or(now, |known| known.since),
+        vanished: None,
+        left: match entry.state {
+            UpstreamState::Draining => left.or(Some(now)),
+            // Leaving wins over joining: an upstream that said it leaves does not come back.
+            UpstreamState::Ready => left.filter(|_| was_draining),
+        },
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -0,0 +1,22 @@
+//! What a router believes of its fleet, how old that belief is, and who refreshes it.
+//!
+//! * [`Belief`] is a value with the instant as of which it was known to be current.
+//! * [`Roster`] is which routers there are, found from a few seeds.
+//! * [`ReadingPlan`] says when a router itself reads the platform's store.
+//! * [`Directory`] is which upstreams there are, over lists that may vanish by mistake.
+//! * [`Judge`] is which upstreams answer, by their own answers.
+//!
+//! All of it is pure: explicit state, an explicit clock, no input or output.
+//! `docs/design/PLATFORM.md` says what was weighed.
+
+mod belief;
+mod directory;
+mod judge;
+mod reading;
+mod roster;
+
+pub use belief::{Belief, Held, Offer, Revision, Version};
+pub use directory::{Directory, DirectoryLimits, Listed, UpstreamEntry, UpstreamList, UpstreamState};
+pub use judge::{Judge, JudgeLimits, Mishap, Standing};
+pub use reading::{ReadingLimits, ReadingPlan};
+pub use roster::{Contact, Heard, Member, MemberLife, Roster, RosterLimits};
--- /dev/null
+++ b/crates/bendhinge_fleet/src/reading.rs
@@ -0,0 +1,80 @@
+//! When a router reads the platform's store itself.
+//!
+//! Nobody is appointed. Each router lets its belief grow to an age that depends on its rank
+//! among the live routers, and reads when the belief is older: the first in rank reads most, the
+//! others hear from it and stay silent, and when it dies, is cut off or is turned away, the next
+//! one's patience ends a little later.
+
+use std::time::Duration;
+
+use bendhinge_ids::Instant;
+
+/// The times that reading depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadingLimits {
+    /// The age at which the first in rank reads.
+    pub first: Duration,
+    /// How much later the next in rank does.
+    pub step: Duration,
+    /// The age at which every router reads.
+    pub last: Duration,
+    /// How long after a failed read a router waits whose belief others keep fresh.
+    pub retry: Duration,
+    /// How long it waits when nobody does.
+    pub urgent_retry: Duration,
+}
+
+/// One router's plan.
+#[derive(Debug)]
+pub struct ReadingPlan {
+    limits: ReadingLimits,
+    failed_at: Option<Instant>,
+    failures: u32,
+}
+
+impl ReadingPlan {
+    /// A plan before any read.
+    #[must_use]
+    pub const fn new(limits: ReadingLimits) -> Self {
+        Self { limits, failed_at: None, failures: 0 }
+    }
+
+    /// Whether the last read failed.
+    #[must_use]
+    pub const fn is_failing(&self) -> bool {
+        self.failed_at.is_some()
+    }
+
+    /// Notes a read that gave an answer.
+    pub const fn succeeded(&mut self) {
+        self.failed_at = None;
+        self.failures = 0;
+    }
+
+    /// Notes a read without an answer.
+    pub const fn failed(&mut self, now: Instant) {
+        self.failed_at = Some(now);
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// The age of the belief at which a router of `rank` reads.
+    #[must_use]
+    pub fn patience(&self, rank: usize) -> Duration {
+        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+        self.limits.first.saturating_add(self.limits.step.saturating_mul(rank)).min(self.limits.last)
+    }
+
+    /// How long until the router should read: zero if it is due. `age` is that of its oldest
+    /// belief, `None` if it believes nothing yet.
+    #[must_use]
+    pub fn wait(&self, age: Option<Duration>, rank: usize, now: Instant) -> Duration {
+        let until_due = match age {
+            None => Duration::ZERO,
+            Some(age) => self.patience(rank).saturating_sub(age),
+        };
+        let Some(failed_at) = self.failed_at else { return until_due };
+        let is_fresh = age.is_some_and(|age| age < self.limits.last);
+        let pause = if is_fresh { self.limits.retry } else { self.limits.urgent_retry };
+        until_due.max(pause.saturating_sub(now.since(failed_at)))
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_fleet/src/roster.rs
@@ -0,0 +1,225 @@
+//! Which routers there are.
+//!
+//! Nothing lists them. A router knows a few seeds, which may be stale, down or cut off, and
+//! hears of the others from whoever it reaches. What is known of a member is how long ago
+//! anybody heard from it directly; members that nobody heard from are kept for a while as
+//! contacts, so that two parts of a fleet that were cut apart find each other again.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bendhinge_ids::Instant;
+use rustc_hash::FxHashMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// A number drawn at each start, which tells a router's lives at one address apart.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct MemberLife(pub u64);
+
+/// The times that membership depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct RosterLimits {
+    /// A member unheard of for longer counts as dead.
+    pub dead_after: Duration,
+    /// One unheard of for longer is forgotten.
+    pub forgotten_after: Duration,
+}
+
+/// What is known of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Its life.
+    pub life: MemberLife,
+    /// When anybody last heard from it, by the own clock.
+    pub heard: Instant,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
+    /// Whether its reads of the store fail.
+    pub is_store_failing: bool,
+}
+
+/// A member as another router tells of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heard {
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its life.
+    pub life: MemberLife,
+    /// How long ago it was heard from.
+    pub age: Duration,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
+    /// Whether its reads of the store fail.
+    pub is_store_failing: bool,
+}
+
+/// Whom to talk to next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Contact {
+    /// One of the first in rank, which hear from the store.
+    Reader(SocketAddr),
+    /// Any live member.
+    Any(SocketAddr),
+    /// A seed, or a member that counts as dead.
+    Lost(SocketAddr),
+}
+
+impl Contact {
+    /// Where it is reached.
+    #[must_use]
+    pub const fn address(self) -> SocketAddr {
+        match self {
+            Self::Reader(address) | Self::Any(address) | Self::Lost(address) => address,
+        }
+    }
+}
+
+/// The members as one router knows them.
+#[derive(Debug)]
+pub struct Roster {
+    own: SocketAddr,
+    limits: RosterLimits,
+    seeds: Vec<SocketAddr>,
+    members: FxHashMap<SocketAddr, Member>,
+}
+
+impl Roster {
+    /// A roster of a router reached at `own` that knows only its seeds.
+    #[must_use]
+    pub fn new(own: SocketAddr, seeds: &[SocketAddr], limits: RosterLimits) -> Self {
+        let mut roster = Self { own, limits, seeds: Vec::new(), members: FxHashMap::default() };
+        roster.set_seeds(seeds);
+        roster
+    }
+
+    /// Replaces the seeds after the settings changed.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        self.seeds = seeds.iter().copied().filter(|seed| *seed != self.own).collect();
+    }
+
+    /// Takes in what another router tells, received at `now`.
+    pub fn hear(&mut self, heard: &Heard, now: Instant) {
+        if heard.address == self.own || heard.age >= self.limits.forgotten_after {
+            return;
+        }
+        let member = Member {
+            life: heard.life,
+            heard: now - heard.age,
+            is_leaving: heard.is_leaving,
+            is_store_failing: heard.is_store_failing,
+        };
+        let known = self.members.entry(heard.address).or_insert(member);
+        if member.heard > known.heard {
+            *known = member;
+        }
+    }
+
+    /// The known members, for telling others.
+    pub fn members(&self, now: Instant) -> impl Iterator<Item = Heard> {
+        self.members.iter().map(move |(address, member)| Heard {
+            address: *address,
+            life: member.life,
+            age: now.since(member.heard),
+            is_leaving: member.is_leaving,
+            is_store_failing: member.is_store_failing,
+        })
+    }
+
+    /// Forgets members that nobody heard from for long.
+    pub fn forget(&mut self, now: Instant) {
+        let after = self.limits.forgotten_after;
+        self.members.retain(|_, member| now.since(member.heard) < after);
+    }
+
+    /// The members that were heard from lately and are not about to stop.
+    pub fn live(&self, now: Instant) -> impl Iterator<Item = (SocketAddr, &Member)> {
+        let live = self.members.iter().filter(move |(_, member)| self.is_live(member, now));
+        live.map(|(address, member)| (*address, member))
+    }
+
+    fn is_live(&self, member: &Member, now: Instant) -> bool {
+        !member.is_leaving && now.since(member.heard) < self.limits.dead_after
+    }
+
+    /// How many members are live, this router among them.
+    #[must_use]
+    pub fn live_count(&self, now: Instant) -> usize {
+        1 + self.live(now).count()
+    }
+
+    /// The live members and this router in the order in which they read the store: those whose
+    /// reads fail come last.
+    fn ranked(&self, own_reads_fail: bool, now: Instant) -> Vec<SocketAddr> {
+        let own = (own_reads_fail, rank_score(self.own), self.own);
+        let others =
+            self.live(now).map(|(address, member)| (member.is_store_failing, rank_score(address), address));
+        let mut ranked: Vec<_> = others.chain([own]).collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(.., address)| address).collect()
+    }
+
+    /// This router's place in the order in which members read the store; 0 is the first.
+    #[must_use]
+    pub fn own_rank(&self, own_reads_fail: bool, now: Instant) -> usize {
+        let ranked = self.ranked(own_reads_fail, now);
+        ranked.iter().position(|address| *address == self.own).unwrap_or(0)
+    }
+
+    /// Whom to ask in a round: somebody who hears from the store, and any other; `draw` gives a
+    /// number below its argument.
+    pub fn contacts(
+        &self,
+        own_reads_fail: bool,
+        now: Instant,
+        draw: &mut impl FnMut(usize) -> usize,
+    ) -> Vec<Contact> {
+        let ranked = self.ranked(own_reads_fail, now);
+        let others: Vec<SocketAddr> = ranked.iter().copied().filter(|address| *address != self.own).collect();
+        let mut contacts = Vec::new();
+        if let Some(reader) = pick(&others[..others.len().min(readers(others.len()))], draw) {
+            contacts.push(Contact::Reader(reader));
+        }
+        if let Some(any) = pick(&others, draw).filter(|any| contacts.iter().all(|one| one.address() != *any))
+        {
+            contacts.push(Contact::Any(any));
+        }
+        contacts
+    }
+
+    /// Somebody to look for: a seed that is no live member, or a member that counts as dead.
+    pub fn lost_contact(&self, now: Instant, draw: &mut impl FnMut(usize) -> usize) -> Option<Contact> {
+        let is_live = |address| self.members.get(&address).is_some_and(|member| self.is_live(member, now));
+        let mut lost: Vec<SocketAddr> = self.seeds.iter().copied().filter(|seed| !is_live(*seed)).collect();
+        let dead = self.members.keys().copied().filter(|address| !is_live(*address));
+        lost.extend(dead.filter(|address| !self.seeds.contains(address)));
+        lost.sort_unstable();
+        pick(&lost, draw).map(Contact::Lost)
+    }
+}
+
+/// How many of the first in rank are asked for what they hear from the store: about the square
+/// root of the fleet, so that no one of them is asked by all.
+fn readers(others: usize) -> usize {
+    /// Fleets up to this size ask one of the first two.
+    const FEW: usize = 2;
+    others.isqrt().max(FEW).min(others)
+}
+
+fn pick(among: &[SocketAddr], draw: &mut impl FnMut(usize) -> usize) -> Option<SocketAddr> {
+    if among.is_empty() { None } else { among.get(draw(among.len())).copied() }
+}
+
+/// A member's place among the others: the same at all routers, and no zone's machines first.
+fn rank_score(address: SocketAddr) -> u64 {
+    /// Any number; it sets this order apart from other uses of the hash.
+    const SEED: u64 = 0x5eed;
+    match address {
+        SocketAddr::V4(address) => {
+            let mut bytes = [0; 6];
+            bytes[..4].copy_from_slice(&address.ip().octets());
+            bytes[4..].copy_from_slice(&address.port().to_be_bytes());
+            xxh3_64_with_seed(&bytes, SEED)
+        }
+        SocketAddr::V6(address) => xxh3_64_with_seed(&address.ip().octets(), SEED),
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -0,0 +1,210 @@
+//! Exchanges with other gateways: by turns, and at once when there is news.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bendhinge_fleet::{Heard, Offer, UpstreamList};
+use bendhinge_ids::Instant;
+use bendhinge_peer::{FleetDuties, Known, Word};
+use bytes::Bytes;
+use rand::Rng;
+use smol::Timer;
+
+use super::Control;
+use crate::clock;
+use crate::knowledge::RulesInForce;
+
+/// After how many rounds somebody lost is looked for.
+const LOST_EVERY: u32 = 4;
+/// How many others are told news at once.
+const TOLD_AT_ONCE: usize = 8;
+
+fn draw(below: usize) -> usize {
+    rand::rng().random_range(0..below)
+}
+
+/// Exchanges for ever.
+pub(super) async fn run(control: Rc<Control>) {
+    let mut round = 0_u32;
+    loop {
+        let now = clock::now();
+        let failing = control.plan.borrow().is_failing();
+        let mut contacts = control.roster.borrow().contacts(failing, now, &mut draw);
+        if contacts.is_empty() || round.is_multiple_of(LOST_EVERY) {
+            contacts.extend(control.roster.borrow().lost_contact(now, &mut draw));
+        }
+        for contact in contacts {
+            let asking = Rc::clone(&control);
+            let task = async move { ask(&asking, contact.address()).await };
+            control.executor.spawn(task).detach();
+        }
+        round = round.wrapping_add(1);
+        Timer::after(period(&control)).await;
+        control.peers.prune();
+    }
+}
+
+/// The period, spread so that gateways started together do not stay in step.
+fn period(control: &Control) -> Duration {
+    control.settings.fleet.exchange.mul_f64(rand::rng().random_range(0.8..1.2))
+}
+
+/// Tells some of the others at once, who then fetch what they lack.
+pub(super) async fn tell_news(control: &Rc<Control>) {
+    let now = clock::now();
+    let mut others: Vec<SocketAddr> = control.roster.borrow().live(now).map(|(address, _)| address).collect();
+    while others.len() > TOLD_AT_ONCE {
+        others.swap_remove(draw(others.len()));
+    }
+    let told = others.into_iter().map(|address| {
+        let control = Rc::clone(control);
+        let executor = Rc::clone(&control.executor);
+        executor.spawn(async move { ask(&control, address).await })
+    });
+    let told: Vec<_> = told.collect();
+    for task in told {
+        task.await;
+    }
+}
+
+/// Exchanges words with the gateway at `address` and takes its word in.
+async fn ask(control: &Rc<Control>, address: SocketAddr) {
+    let asked = clock::now();
+    let word = own_word(control, asked);
+    let Ok(answer) = control.peers.call(address, async |peer| peer.exchange(&word).await).await else {
+        return;
+    };
+    take_in(control, &answer, Some(asked));
+    fetch_news(control, address, &answer).await;
+}
+
+/// What this gateway tells at `now`.
+fn own_word(control: &Control, now: Instant) -> Word {
+    let upstreams = &control.delivering.upstreams;
+    let sender = Heard {
+        address: control.settings.peers,
+        life: control.life,
+        age: Duration::ZERO,
+        is_leaving: control.lifecycle.is_stopping(),
+        is_store_failing: control.plan.borrow().is_failing(),
+    };
+    Word {
+        sender,
+        rules: control.delivering.rules.known(now),
+        upstreams: upstreams.known(now),
+        members: control.roster.borrow().members(now).collect(),
+        loads: upstreams.loads_to_tell(now),
+        reads: Vec::new(),
+    }
+}
+
+/// Takes a word in. `asked` is when it was asked for: only then is it known how old it can be at
+/// most, and only then does it count as evidence of what is current.
+fn take_in(control: &Control, word: &Word, asked: Option<Instant>) {
+    let now = clock::now();
+    let mut roster = control.roster.borrow_mut();
+    roster.hear(&word.sender, now);
+    for heard in &word.members {
+        roster.hear(heard, now);
+    }
+    drop(roster);
+    let delivering = &control.delivering;
+    let Some(asked) = asked else { return };
+    if let Some(known) = word.rules {
+        delivering.rules.confirm(known.version, asked - known.age);
+    }
+    if let Some(known) = word.upstreams {
+        delivering.upstreams.confirm(known.version, asked - known.age);
+    }
+    delivering.upstreams.hear_loads(&word.loads, asked);
+}
+
+/// Fetches what the gateway at `address` holds and this one lacks.
+async fn fetch_news(control: &Rc<Control>, address: SocketAddr, word: &Word) {
+    let delivering = &control.delivering;
+    if word.rules.is_some_and(|known| delivering.rules.lacks(known.version)) {
+        let asked = clock::now();
+        let fetched = control.peers.call(address, async |peer| peer.rules().await).await;
+        if let Ok(Some((known, document))) = fetched {
+            control.take_rules(&known, asked, document, "peer");
+        }
+    }
+    if word.upstreams.is_some_and(|known| delivering.upstreams.lacks(known.version)) {
+        let asked = clock::now();
+        let fetched = control.peers.call(address, async |peer| peer.upstreams().await).await;
+        if let Ok(Some((known, list))) = fetched {
+            control.take_upstreams(&known, asked, list, "peer");
+        }
+    }
+}
+
+impl Control {
+    /// Takes a document of rules that was known to be current `known.age` before `asked`.
+    pub(super) fn take_rules(self: &Rc<Self>, known: &Known, asked: Instant, document: Bytes, from: &str) {
+        let rules = match self.delivering.dialect.read_rules(&document) {
+            Ok(rules) => rules,
+            Err(error) => return self.delivering.log.process("rules_refused", from, &error.to_string()),
+        };
+        let offered = RulesInForce { rules, document };
+        let offer = self.delivering.rules.offer(known.version, asked - known.age, offered);
+        if offer == Offer::New {
+            self.delivering.log.belief("rules", known.version, from);
+            self.spread();
+        }
+    }
+
+    /// Takes a list of upstreams that was known to be current `known.age` before `asked`.
+    pub(super) fn take_upstreams(
+        self: &Rc<Self>,
+        known: &Known,
+        asked: Instant,
+        list: UpstreamList,
+        from: &str,
+    ) {
+        let offer = self.delivering.upstreams.offer(known.version, asked - known.age, list);
+        if offer == Offer::New {
+            self.delivering.log.belief("upstreams", known.version, from);
+            self.spread();
+        }
+    }
+
+    /// Tells others of news in the background.
+    fn spread(self: &Rc<Self>) {
+        let control = Rc::clone(self);
+        self.executor.spawn(async move { tell_news(&control).await }).detach();
+    }
+}
+
+/// What this gateway answers to its peers.
+pub(super) struct Duties(pub(super) Rc<Control>);
+
+impl FleetDuties for Duties {
+    fn exchange(&self, word: Word) -> Word {
+        take_in(&self.0, &word, None);
+        let control = Rc::clone(&self.0);
+        let address = word.sender.address;
+        let delivering = &self.0.delivering;
+        let has_news = word.rules.is_some_and(|known| delivering.rules.lacks(known.version))
+            || word.upstreams.is_some_and(|known| delivering.upstreams.lacks(known.version));
+        let answer = own_word(&self.0, clock::now());
+        if has_news {
+            let executor = Rc::clone(&control.executor);
+            executor.spawn(async move { fetch_news(&control, address, &word).await }).detach();
+        }
+        answer
+    }
+
+    fn rules(&self) -> Option<(Known, Bytes)> {
+        let rules = &self.0.delivering.rules;
+        let known = rules.known(clock::now())?;
+        Some((known, rules.current()?.document.clone()))
+    }
+
+    fn upstreams(&self) -> Option<(Known, UpstreamList)> {
+        let upstreams = &self.0.delivering.upstreams;
+        let known = upstreams.known(clock::now())?;
+        Some((known, Arc::unwrap_or_clone(upstreams.list()?)))
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -0,0 +1,98 @@
+//! Everything between gateways and towards the platform's store, on one thread: the objects of
+//! `capnp-rpc` stay on theirs.
+
+mod exchange;
+mod peers;
+mod store;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bendhinge_fleet::{MemberLife, ReadingPlan, Roster};
+use bendhinge_peer::{Traffic, serve_fleet};
+use smol::net::TcpListener;
+use smol::{LocalExecutor, Timer};
+
+use self::exchange::Duties;
+use self::peers::Peers;
+use crate::delivery::Delivering;
+use crate::lifecycle::Lifecycle;
+use crate::settings::Settings;
+
+/// What runs between gateways and towards the store.
+pub(crate) struct Control {
+    settings: Settings,
+    delivering: Arc<Delivering>,
+    lifecycle: Arc<Lifecycle>,
+    life: MemberLife,
+    roster: RefCell<Roster>,
+    plan: RefCell<ReadingPlan>,
+    peers: Peers,
+    executor: Rc<LocalExecutor<'static>>,
+    /// Whether the store was reachable when it was last looked at.
+    store_answers: Cell<Option<bool>>,
+}
+
+impl Control {
+    pub(crate) fn new(
+        settings: Settings,
+        delivering: Arc<Delivering>,
+        lifecycle: Arc<Lifecycle>,
+        executor: &Rc<LocalExecutor<'static>>,
+    ) -> Rc<Self> {
+        let roster = Roster::new(settings.peers, &settings.fleet.seeds, settings.fleet.roster);
+        let plan = ReadingPlan::new(settings.store.reading);
+        let traffic = Arc::new(Traffic::default());
+        let peers = Peers::new(&settings.fleet, traffic, Rc::clone(executor));
+        Rc::new(Self {
+            life: MemberLife(rand::random()),
+            roster: RefCell::new(roster),
+            plan: RefCell::new(plan),
+            peers,
+            executor: Rc::clone(executor),
+            store_answers: Cell::new(None),
+            settings,
+            delivering,
+            lifecycle,
+        })
+    }
+
+    /// Starts everything on the executor.
+    pub(crate) fn start(self: &Rc<Self>, listener: TcpListener) {
+        let serving = serve_fleet(
+            listener,
+            self.settings.fleet.key.clone(),
+            Rc::new(Duties(Rc::clone(self))),
+            Arc::clone(self.peers.traffic()),
+            Rc::clone(&self.executor),
+        );
+        self.executor.spawn(serving).detach();
+        self.executor.spawn(store::run(Rc::clone(self))).detach();
+        self.executor.spawn(exchange::run(Rc::clone(self))).detach();
+        self.executor.spawn(housekeeping(Rc::clone(self))).detach();
+    }
+
+    /// Takes settings that were read anew.
+    pub(crate) fn follow(&self, settings: &Settings) {
+        self.roster.borrow_mut().set_seeds(&settings.fleet.seeds);
+    }
+
+    /// Tells the others at once that this gateway leaves.
+    pub(crate) async fn say_goodbye(self: &Rc<Self>) {
+        exchange::tell_news(self).await;
+    }
+}
+
+/// Gives up what is too old.
+async fn housekeeping(control: Rc<Control>) {
+    const PERIOD: Duration = Duration::from_secs(1);
+    loop {
+        Timer::after(PERIOD).await;
+        let now = crate::clock::now();
+        control.roster.borrow_mut().forget(now);
+        control.delivering.upstreams.prune();
+        control.delivering.pool.prune();
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -0,0 +1,296 @@
+//! One send to one upstream, up to the point from which its answer is passed on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bendhinge_delivery::SendEnd;
+use bendhinge_http::{Body, Connection, SendFailure, full_body, read_body};
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_TYPE};
+use hyper::http::response;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use smol::Timer;
+
+use super::{Delivering, Turn};
+use crate::clock;
+use crate::dialect::{AnswerFields, AttemptFields};
+use crate::knowledge::Chosen;
+
+/// A request that must not run twice goes on a connection that was used this lately, or on a new
+/// one: an upstream may forget one that stands idle without a word.
+const FRESH_CONNECTION: Duration = Duration::from_millis(900);
+
+/// An answer whose head is there.
+pub(super) struct Attempt {
+    pub(super) chosen: Chosen,
+    pub(super) head: response::Parts,
+    pub(super) body: AttemptBody,
+}
+
+/// The body of an answer.
+pub(super) enum AttemptBody {
+    /// Gathered and found whole.
+    Whole(Bytes),
+    /// A stream, still on its connection.
+    Stream(Incoming, Connection),
+}
+
+/// How long a send may take.
+pub(super) struct SendTimes {
+    /// How long its head is waited for.
+    pub(super) head: Duration,
+    /// How long the upstream is told to work.
+    pub(super) left: Duration,
+}
+
+/// A send that ended without an answer that may be passed on, with an answer of the upstream
+/// that it failed.
+pub(super) struct Ended {
+    pub(super) end: SendEnd,
+    pub(super) failure: Option<Box<FailureAnswer>>,
+}
+
+/// An upstream's whole answer that it failed.
+pub(super) struct FailureAnswer {
+    pub(super) head: response::Parts,
+    pub(super) body: Bytes,
+}
+
+impl From<SendEnd> for Ended {
+    fn from(end: SendEnd) -> Self {
+        Self { end, failure: None }
+    }
+}
+
+/// Sends the turn to the chosen upstream.
+pub(super) async fn attempt(
+    delivering: &Arc<Delivering>,
+    turn: &Turn,
+    chosen: Chosen,
+    times: &SendTimes,
+    resume_after: Option<&str>,
+) -> Result<Attempt, (Chosen, Ended)> {
+    let sending = async {
+        let request = outgoing(delivering, turn, &chosen, times, resume_after);
+        let (answer, connection) = exchange(delivering, turn, &chosen, request).await?;
+        take_answer(delivering, turn, &chosen, answer, connection).await
+    };
+    let too_long = async {
+        Timer::after(times.head).await;
+        Err(SendEnd::Silent.into())
+    };
+    match sending.or(too_long).await {
+        Ok((head, body)) => Ok(Attempt { chosen, head, body }),
+        Err(ended) => Err((chosen, ended)),
+    }
+}
+
+fn outgoing(
+    delivering: &Delivering,
+    turn: &Turn,
+    chosen: &Chosen,
+    times: &SendTimes,
+    resume_after: Option<&str>,
+) -> Request<Body> {
+    let mut request = Request::new(full_body(turn.body.clone()));
+    *request.method_mut() = turn.head.method.clone();
+    *request.uri_mut() = turn.head.uri.clone();
+    *request.headers_mut() = turn.head.headers.clone();
+    let fields = AttemptFields {
+        upstream: &chosen.entry,
+        time_left: times.left,
+        tenant: turn.tenant.as_ref().map(|tenant| &tenant.name),
+        priority: turn.priority,
+        fetch_from: chosen.fetch_from,
+        resume_after,
+    };
+    delivering.dialect.write_attempt(request.headers_mut(), &fields);
+    request
+}
+
+async fn exchange(
+    delivering: &Delivering,
+    turn: &Turn,
+    chosen: &Chosen,
+    request: Request<Body>,
+) -> Result<(Response<Incoming>, Connection), Ended> {
+    let address = chosen.entry.address;
+    let connecting = if turn.route.kind.is_repeatable() {
+        delivering.pool.connection(address).await
+    } else {
+        delivering.pool.connection_used_within(address, FRESH_CONNECTION).await
+    };
+    let mut connection = connecting.map_err(|_| SendEnd::NotConnected)?;
+    // Connecting may have taken long, or the process may have been frozen meanwhile.
+    if !delivering.may_still_be_sent(turn) {
+        return Err(SendEnd::NotSent.into());
+    }
+    match send(&mut connection, request).await {
+        Ok(answer) => Ok((answer, connection)),
+        Err(NotAnswered::Unsent(request)) if connection.reused => {
+            // An idle connection that the upstream had closed says nothing about the upstream.
+            connection = delivering.pool.connect(address).await.map_err(|_| SendEnd::NotConnected)?;
+            if !delivering.may_still_be_sent(turn) {
+                return Err(SendEnd::NotSent.into());
+            }
+            let answer = send(&mut connection, *request).await.map_err(|failure| failure.end())?;
+            Ok((answer, connection))
+        }
+        Err(failure) => Err(failure.end().into()),
+    }
+}
+
+enum NotAnswered {
+    Unsent(Box<Request<Body>>),
+    Ended(SendEnd),
+}
+
+impl NotAnswered {
+    const fn end(&self) -> SendEnd {
+        match self {
+            Self::Unsent(_) => SendEnd::NotSent,
+            Self::Ended(end) => *end,
+        }
+    }
+}
+
+async fn send(
+    connection: &mut Connection,
+    request: Request<Body>,
+) -> Result<Response<Incoming>, NotAnswered> {
+    connection.send(request).await.map_err(|failure| match failure {
+        SendFailure::NotSent(request) => NotAnswered::Unsent(request),
+        SendFailure::Unknown(error) if error.is_parse() => NotAnswered::Ended(SendEnd::Spoilt),
+        SendFailure::Unknown(_) => NotAnswered::Ended(SendEnd::Lost),
+    })
+}
+
+/// Decides whether an answer may be passed on, and whether as it comes or only when seen whole.
+async fn take_answer(
+    delivering: &Arc<Delivering>,
+    turn: &Turn,
+    chosen: &Chosen,
+    answer: Response<Incoming>,
+    connection: Connection,
+) -> Result<(response::Parts, AttemptBody), Ended> {
+    let (head, body) = answer.into_parts();
+    let fields = delivering.dialect.read_answer(&head);
+    if let Some(load) = fields.load {
+        delivering.upstreams.load_said(chosen.entry.hash, load);
+    }
+    if fields.id != turn.call.id {
+        // A late answer to an earlier request: nothing on this connection can be trusted.
+        return Err(SendEnd::Spoilt.into());
+    }
+    if let Some(end) = not_run(&fields) {
+        gather_and_return(delivering, &head, body, connection).await;
+        return Err(end.into());
+    }
+    let is_success = head.status.is_success();
+    if is_success && !fields.is_stamped {
+        return Err(SendEnd::Spoilt.into());
+    }
+    if is_success && turn.route.kind.is_stream() && is_event_stream(&head.headers) {
+        return Ok((head, AttemptBody::Stream(body, connection)));
+    }
+    let whole = gather(delivering, &head, body, connection).await.map_err(|()| SendEnd::Lost)?;
+    if head.status.is_server_error() || promises_not_run(head.status) {
+        let failure = Some(Box::new(FailureAnswer { head, body: whole }));
+        return Err(Ended { end: SendEnd::Failed, failure });
+    }
+    Ok((head, AttemptBody::Whole(whole)))
+}
+
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
+}
+
+/// Only an upstream that says so itself did not run a request.
+const fn not_run(fields: &AnswerFields) -> Option<SendEnd> {
+    if fields.is_another {
+        return Some(SendEnd::Replaced);
+    }
+    if fields.not_run { Some(SendEnd::Rejected) } else { None }
+}
+
+/// Statuses that promise that a request did not run. An upstream that answers with one without
+/// saying that it did not run it is not believed.
+pub(super) fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
+async fn gather(
+    delivering: &Arc<Delivering>,
+    head: &response::Parts,
+    body: Incoming,
+    connection: Connection,
+) -> Result<Bytes, ()> {
+    let whole = read_body(body, delivering.answer_bytes).await.map_err(|_| ())?;
+    delivering.return_connection(&head.headers, connection);
+    Ok(whole)
+}
+
+/// Reads the short answer of an upstream that did not run the request, so that its connection can
+/// be used again; the request does not wait for it for long.
+async fn gather_and_return(
+    delivering: &Arc<Delivering>,
+    head: &response::Parts,
+    body: Incoming,
+    connection: Connection,
+) {
+    const PATIENCE: Duration = Duration::from_millis(20);
+    let reading = async {
+        let _ = gather(delivering, head, body, connection).await;
+    };
+    let too_long = async {
+        Timer::after(PATIENCE).await;
+    };
+    reading.or(too_long).await;
+}
+
+impl Delivering {
+    /// Puts a connection whose answer was read to its end back for reuse, in the background.
+    pub(super) fn return_connection(self: &Arc<Self>, headers: &HeaderMap, connection: Connection) {
+        if closes(headers) {
+            return;
+        }
+        let keep = kept_alive_for(headers);
+        let delivering = Arc::clone(self);
+        self.tasks
+            .spawn(async move {
+                match keep {
+                    Some(keep) => delivering.pool.give_back_for(connection, keep).await,
+                    None => delivering.pool.give_back(connection).await,
+                }
+            })
+            .detach();
+    }
+
+    /// Whether the turn may be sent now: rules may have changed, or grown too old to act on.
+    fn may_still_be_sent(&self, turn: &Turn) -> bool {
+        clock::now() < turn.limit && turn.is_allowed(&self.rules)
+    }
+}
+
+fn closes(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    values.flat_map(|value| value.split(',')).any(|word| word.trim().eq_ignore_ascii_case("close"))
+}
+
+/// How long the upstream says it keeps an idle connection, less a margin for the way.
+fn kept_alive_for(headers: &HeaderMap) -> Option<Duration> {
+    const MARGIN: Duration = Duration::from_millis(300);
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    let kept = Duration::from_secs(seconds.trim().parse().ok()?);
+    Some(kept.saturating_sub(MARGIN))
+}
--- /dev/null
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -0,0 +1,216 @@
+//! Passing a stream of events on as they come: whole, gone on with elsewhere, or visibly cut.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Mutex;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bendhinge_codes::ResultCode;
+use bendhinge_delivery::{EventSplitter, SendEnd};
+use bendhinge_fleet::Mishap;
+use bendhinge_http::{Body, BodyError, Connection};
+use bytes::Bytes;
+use futures_lite::{FutureExt, Stream, StreamExt, stream};
+use http_body_util::BodyExt;
+use hyper::HeaderMap;
+use hyper::body::{Frame, Incoming};
+use smol::Timer;
+
+use super::Delivery;
+use super::attempt::{Attempt, AttemptBody};
+use crate::knowledge::Chosen;
+use crate::lifecycle::InProgress;
+
+/// How often longer than the longest pause on time a stream may be silent before it goes on
+/// elsewhere, where it can.
+const SILENT_GAPS: u32 = 3;
+
+/// A stream on its way through. Dropped before its end, because its caller left, it drops the
+/// upstream's connection with it, which cancels the work there.
+pub(super) struct Relay {
+    delivery: Delivery,
+    events: EventSplitter,
+    source: Option<Source>,
+    is_over: bool,
+    _in_progress: InProgress,
+}
+
+/// The upstream that the stream comes from now.
+struct Source {
+    chosen: Chosen,
+    headers: HeaderMap,
+    body: Incoming,
+    connection: Connection,
+}
+
+/// What the upstream's side of the stream came to.
+enum Heard {
+    Bytes(Bytes),
+    End,
+    Broke(SendEnd),
+}
+
+impl Relay {
+    pub(super) fn new(
+        delivery: Delivery,
+        chosen: Chosen,
+        headers: HeaderMap,
+        body: Incoming,
+        connection: Connection,
+        in_progress: InProgress,
+    ) -> Self {
+        let source = Source { chosen, headers, body, connection };
+        let events = EventSplitter::default();
+        Self { delivery, events, source: Some(source), is_over: false, _in_progress: in_progress }
+    }
+
+    /// The next whole events; `None` at the end, `Err` if the stream must look cut.
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        while !self.is_over {
+            match self.hear().await {
+                Heard::Bytes(bytes) => {
+                    if let Some(events) = self.events.feed(&bytes) {
+                        return Some(Ok(events));
+                    }
+                }
+                Heard::End => return self.finish(),
+                Heard::Broke(end) => {
+                    if !self.go_on_elsewhere(end).await {
+                        return Some(Err(self.cut()));
+                    }
+                }
+            }
+        }
+        None
+    }
+
+    async fn hear(&mut self) -> Heard {
+        let patience = self.patience();
+        let Some(source) = &mut self.source else { return Heard::Broke(SendEnd::Lost) };
+        let reading = async {
+            match source.body.frame().await {
+                None => Heard::End,
+                Some(Err(_)) => Heard::Broke(SendEnd::Lost),
+                Some(Ok(frame)) => Heard::Bytes(frame.into_data().unwrap_or_default()),
+            }
+        };
+        let too_long = async {
+            Timer::after(patience).await;
+            Heard::Broke(SendEnd::Silent)
+        };
+        reading.or(too_long).await
+    }
+
+    /// How long the next event is waited for: to the end of the request's time, unless the stream
+    /// can go on elsewhere.
+    fn patience(&self) -> Duration {
+        let left = self.delivery.turn.time_left();
+        match self.delivery.turn.route.target_gap {
+            Some(gap) if self.delivery.course.has_spare_run() => left.min(gap * SILENT_GAPS),
+            _ => left,
+        }
+    }
+
+    fn finish(&mut self) -> Option<io::Result<Bytes>> {
+        self.is_over = true;
+        let rest = self.events.take_rest();
+        if let Some(Source { headers, connection, .. }) = self.source.take() {
+            self.delivery.delivering.return_connection(&headers, connection);
+        }
+        let Delivery { line, delivering, course, .. } = &mut self.delivery;
+        line.ended(&delivering.log, 200, None, course);
+        (!rest.is_empty()).then_some(Ok(rest))
+    }
+
+    /// Goes on behind the last whole event at another upstream; `false` if that cannot be.
+    async fn go_on_elsewhere(&mut self, end: SendEnd) -> bool {
+        // Dropping the connection cancels what is left of the run there.
+        let Some(source) = self.source.take() else { return false };
+        let upstream = source.chosen.entry.hash;
+        let mishap = if end == SendEnd::Silent { Mishap::Silent } else { Mishap::Lost };
+        if self.delivery.delivering.upstreams.failed(upstream, mishap) {
+            self.delivery.delivering.log.upstream_rests(&source.chosen.entry.name, end);
+        }
+        drop(source);
+        self.delivery.line.send_ended(end);
+        self.delivery.tried.push(upstream);
+        let may_go_on = self.delivery.course.ended(end);
+        if !may_go_on || !self.delivery.delivering.retries.second() {
+            return false;
+        }
+        self.events.restart();
+        let last = self.events.last_id().map(str::to_owned);
+        let last = last.or_else(|| self.delivery.turn.call.resume_after.clone());
+        match self.delivery.next_answer(last.as_deref()).await {
+            Ok(Attempt { chosen, head, body: AttemptBody::Stream(body, connection) }) => {
+                self.source = Some(Source { chosen, headers: head.headers, body, connection });
+                true
+            }
+            Ok(_) | Err(_) => false,
+        }
+    }
+
+    fn cut(&mut self) -> io::Error {
+        self.is_over = true;
+        self.source = None;
+        let Delivery { line, delivering, course, .. } = &mut self.delivery;
+        line.ended(&delivering.log, 200, Some(ResultCode::AnswerCutShort), course);
+        io::Error::other("the upstream's stream broke off")
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.is_over {
+            let Delivery { line, delivering, course, .. } = &mut self.delivery;
+            line.caller_left(&delivering.log, course);
+        }
+    }
+}
+
+type Pieces = Pin<Box<dyn Stream<Item = io::Result<Bytes>> + Send>>;
+
+/// A body made of a relay's pieces.
+struct RelayBody {
+    /// The lock is never contended: it only lets the body be shared between threads, which the
+    /// HTTP library's body type asks for.
+    pieces: Mutex<Pieces>,
+    /// An error that waits until the server has flushed what came before it.
+    error: Option<io::Error>,
+}
+
+/// The body of an answer that `relay` passes on.
+pub(super) fn relayed(relay: Relay) -> Body {
+    let pieces = stream::unfold(relay, |mut relay| async move {
+        let piece = relay.next().await?;
+        Some((piece, relay))
+    });
+    RelayBody { pieces: Mutex::new(pieces.boxed()), error: None }.boxed()
+}
+
+impl hyper::body::Body for RelayBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(error) = self.error.take() {
+            return Poll::Ready(Some(Err(error.into())));
+        }
+        let polled = self.pieces.get_mut().unwrap().poll_next(context);
+        match polled {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(None) => Poll::Ready(None),
+            Poll::Ready(Some(Ok(bytes))) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+            Poll::Ready(Some(Err(error))) => {
+                // The server drops what it still buffers when a body fails; let it flush first.
+                self.error = Some(error);
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_gateway/src/dialect.rs
@@ -0,0 +1,156 @@
+//! What an adapter translates: how callers, upstreams and the platform's store spell what this
+//! program decides about. An adapter decides, remembers and recovers nothing.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bendhinge_codes::ResultCode;
+use bendhinge_fleet::{Revision, UpstreamEntry};
+use bendhinge_ids::TenantName;
+use bendhinge_placement::Prompt;
+use bendhinge_routes::ServingRules;
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::header::HeaderValue;
+use hyper::http::{request, response};
+
+/// What a caller's request says.
+#[derive(Debug, Default)]
+pub struct CallFields {
+    /// Its number, as the caller wrote it; every answer carries it back.
+    pub id: Option<HeaderValue>,
+    /// The key that it carries.
+    pub key: Option<String>,
+    /// How long the caller will wait.
+    pub deadline: Option<Duration>,
+    /// The parts of its prompt, where it has one.
+    pub prompt: Option<Prompt>,
+    /// The event after which the caller goes on with a stream that broke off.
+    pub resume_after: Option<String>,
+}
+
+/// What the gateway says to an upstream beside what the caller said.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptFields<'a> {
+    /// The upstream that is meant, and no other at its address.
+    pub upstream: &'a UpstreamEntry,
+    /// How long the answer is waited for.
+    pub time_left: Duration,
+    /// Whose request it is.
+    pub tenant: Option<&'a TenantName>,
+    /// Its rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Where the upstream should fetch what it lacks of the prompt.
+    pub fetch_from: Option<SocketAddr>,
+    /// The last event that the caller has of a stream that broke off.
+    pub resume_after: Option<&'a str>,
+}
+
+/// What an upstream said of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadSaid {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+}
+
+/// What the head of an upstream's answer says.
+#[derive(Debug, Default)]
+pub struct AnswerFields {
+    /// The number of the request that it answers.
+    pub id: Option<HeaderValue>,
+    /// Whether it carries the upstream's signature.
+    pub is_stamped: bool,
+    /// Whether the upstream says that it did not run the request.
+    pub not_run: bool,
+    /// Whether it is not the upstream that was meant.
+    pub is_another: bool,
+    /// What it says of its load.
+    pub load: Option<LoadSaid>,
+}
+
+/// What an answer that the gateway makes itself says.
+#[derive(Clone, Copy, Debug)]
+pub struct RefusalFields<'a> {
+    /// The request's number, if it had one.
+    pub id: Option<&'a HeaderValue>,
+    /// What happened.
+    pub code: ResultCode,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+/// A page of what the store holds.
+#[derive(Debug, Default)]
+pub struct StorePage {
+    /// The store's revision when it was read.
+    pub at: Revision,
+    /// The document of the serving rules, if it is on the page.
+    pub rules: Option<StoredRules>,
+    /// The upstreams on the page.
+    pub upstreams: Vec<UpstreamEntry>,
+    /// The key after which the next page begins, if there is one.
+    pub next_after: Option<String>,
+}
+
+/// The document of the serving rules as stored.
+#[derive(Debug)]
+pub struct StoredRules {
+    /// The revision of its last change.
+    pub revision: Revision,
+    /// The document.
+    pub document: Bytes,
+}
+
+/// Why something could not be translated.
+#[derive(Debug, thiserror::Error)]
+#[error("{what} cannot be read: {why}")]
+pub struct TranslateError {
+    /// What it is.
+    pub what: &'static str,
+    /// What is wrong with it.
+    pub why: String,
+}
+
+impl TranslateError {
+    /// An error about `what`.
+    pub fn new(what: &'static str, why: &(impl ToString + ?Sized)) -> Self {
+        Self { what, why: why.to_string() }
+    }
+}
+
+/// How callers spell their requests, and how they are answered.
+pub trait CallerDialect {
+    /// Reads the head of a request; `Err` says what is wrong with it.
+    fn read_call(&self, head: &request::Parts) -> Result<CallFields, String>;
+    /// Writes the headers and gives the body of an answer that the gateway makes itself.
+    fn write_refusal(&self, headers: &mut HeaderMap, refusal: &RefusalFields<'_>) -> Bytes;
+    /// The path at which a balancer asks whether the gateway is ready.
+    fn ready_path(&self) -> &'static str;
+}
+
+/// How upstreams spell theirs.
+pub trait UpstreamDialect {
+    /// Takes out of a caller's headers what callers may not say, and puts in what the gateway says.
+    fn write_attempt(&self, headers: &mut HeaderMap, fields: &AttemptFields<'_>);
+    /// Reads the head of an answer.
+    fn read_answer(&self, head: &response::Parts) -> AnswerFields;
+}
+
+/// How the platform's store spells what it holds.
+pub trait StoreDialect {
+    /// The paths whose pages together hold everything, each read from its first page on.
+    fn store_paths(&self) -> &'static [&'static str];
+    /// The path of the page of `path` that begins after a key.
+    fn page_path(&self, path: &str, after: Option<&str>) -> String;
+    /// Reads a page. The document of the rules may be left out if its revision is `known`.
+    fn read_page(&self, body: &[u8], known: Option<Revision>) -> Result<StorePage, TranslateError>;
+    /// Reads the document of the serving rules.
+    fn read_rules(&self, document: &[u8]) -> Result<ServingRules, TranslateError>;
+}
+
+/// Everything that an adapter translates.
+pub trait Dialect: CallerDialect + UpstreamDialect + StoreDialect + Send + Sync + 'static {}
+
+impl<T: CallerDialect + UpstreamDialect + StoreDialect + Send + Sync + 'static> Dialect for T {}
--- /dev/null
+++ b/crates/bendhinge_gateway/src/intake/mod.rs
@@ -0,0 +1,198 @@
+//! The duty of intake: callers' requests up to the decision to serve them.
+
+pub(crate) mod headers;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bendhinge_codes::ResultCode;
+use bendhinge_http::{Body, ReadBodyError, full_body, read_body};
+use bendhinge_ids::{Instant, PoolName};
+use bendhinge_routes::{CallerLimits, Route, Tenant};
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, TRANSFER_ENCODING};
+use hyper::http::request;
+use hyper::{Request, Response, StatusCode};
+use rand::Rng;
+use smol::Timer;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::clock;
+use crate::delivery::{Delivering, Turn, deliver};
+use crate::dialect::{CallFields, RefusalFields};
+use crate::knowledge::RulesInForce;
+use crate::lifecycle::Lifecycle;
+
+/// A request that is not served, with what its caller is told.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Refused {
+    pub(crate) code: ResultCode,
+}
+
+impl From<ResultCode> for Refused {
+    fn from(code: ResultCode) -> Self {
+        Self { code }
+    }
+}
+
+/// What intake needs of the other duties.
+pub(crate) struct Intake {
+    pub(crate) delivering: Arc<Delivering>,
+    pub(crate) lifecycle: Arc<Lifecycle>,
+}
+
+/// Answers one request of a caller.
+pub(crate) async fn handle(intake: Arc<Intake>, request: Request<Incoming>) -> Response<Body> {
+    let began = clock::now();
+    let (head, body) = request.into_parts();
+    let call = intake.delivering.dialect.read_call(&head);
+    let id = call.as_ref().ok().and_then(|call| call.id.clone());
+    let served = match call {
+        Ok(call) => intake.serve(head, body, call, began).await,
+        Err(_) => Err(ResultCode::MalformedRequest.into()),
+    };
+    let mut answer = match served {
+        Ok(answer) => answer,
+        Err(refused) => intake.refuse(id.as_ref(), refused),
+    };
+    if intake.lifecycle.is_stopping() {
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
+/// What a request may do, by the rules in force.
+struct Allowed {
+    route: Arc<Route>,
+    pool: PoolName,
+    tenant: Option<Arc<Tenant>>,
+    limits: CallerLimits,
+}
+
+impl Intake {
+    async fn serve(
+        &self,
+        mut head: request::Parts,
+        body: Incoming,
+        call: CallFields,
+        began: Instant,
+    ) -> Result<Response<Body>, Refused> {
+        check_form(&head)?;
+        if !self.lifecycle.takes_requests() {
+            return Err(ResultCode::RouterStopping.into());
+        }
+        let tie_breaker = rand::rng().random();
+        let current = self.delivering.rules.current().ok_or(ResultCode::NoConfiguration)?;
+        let allowed = allow(&current, &head, &call)?;
+        if allowed.tenant.is_some() && !self.delivering.rules.may_be_acted_on() {
+            return Err(ResultCode::ViewNotFresh.into());
+        }
+        drop(current);
+        let in_progress = self.lifecycle.begin();
+        let limit =
+            began + call.deadline.map_or(allowed.route.timeout, |left| left.min(allowed.route.timeout));
+        let body = read(body, &allowed.limits, limit).await?;
+        headers::to_upstream(&mut head.headers);
+        let tenant_priority = allowed.tenant.as_ref().and_then(|tenant| tenant.priority);
+        let turn = Turn {
+            priority: tenant_priority.unwrap_or(allowed.route.priority),
+            call,
+            route: allowed.route,
+            pool: allowed.pool,
+            tenant: allowed.tenant,
+            head,
+            body,
+            began,
+            limit,
+            tie_breaker,
+        };
+        deliver(&self.delivering, turn, in_progress).await
+    }
+
+    fn refuse(&self, id: Option<&HeaderValue>, refused: Refused) -> Response<Body> {
+        let Refused { code } = refused;
+        let delivering = &self.delivering;
+        let age = delivering.rules.age(clock::now());
+        let age = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+        delivering.log.refused(id.and_then(|id| id.to_str().ok()).unwrap_or_default(), code, age);
+        let retry_after = code.invites_retry().then(soon);
+        let mut answer = Response::new(full_body(Bytes::new()));
+        *answer.status_mut() =
+            StatusCode::from_u16(code.http_status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let body =
+            delivering.dialect.write_refusal(answer.headers_mut(), &RefusalFields { id, code, retry_after });
+        *answer.body_mut() = full_body(body);
+        answer
+    }
+}
+
+/// A time to come back after, spread so that the refused do not return together.
+fn soon() -> Duration {
+    Duration::from_millis(rand::rng().random_range(80..250))
+}
+
+fn allow(current: &RulesInForce, head: &request::Parts, call: &CallFields) -> Result<Allowed, Refused> {
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let rules = &current.rules;
+    let route = rules.routes.find(host, head.uri.path()).ok_or(ResultCode::UnknownModel)?;
+    let tenant = authenticate(current, route, call)?;
+    let pool = route.split.pool_at(split_point(call)).ok_or(ResultCode::NoUpstream)?;
+    Ok(Allowed { route: Arc::clone(route), pool: pool.clone(), tenant, limits: rules.limits })
+}
+
+/// Finds whose request it is. A key that nobody holds is refused even where none is needed.
+fn authenticate(
+    current: &RulesInForce,
+    route: &Route,
+    call: &CallFields,
+) -> Result<Option<Arc<Tenant>>, Refused> {
+    let tenants = &current.rules.tenants;
+    match &call.key {
+        Some(key) if tenants.is_in_use() => match tenants.holder(key) {
+            Some(tenant) => Ok(Some(Arc::clone(tenant))),
+            None => Err(ResultCode::NoKey.into()),
+        },
+        None if tenants.is_in_use() && !route.is_open => Err(ResultCode::NoKey.into()),
+        _ => Ok(None),
+    }
+}
+
+/// A point from 0 up to 1 for dividing traffic: the same wherever the same request comes.
+fn split_point(call: &CallFields) -> f64 {
+    match &call.id {
+        Some(id) => (xxh3_64(id.as_bytes()) >> 11) as f64 / (1_u64 << 53) as f64,
+        None => rand::rng().random(),
+    }
+}
+
+/// Refuses requests that two readers could read differently.
+fn check_form(head: &request::Parts) -> Result<(), Refused> {
+    let lengths = head.headers.get_all(CONTENT_LENGTH).iter().count();
+    if lengths > 1 || lengths == 1 && head.headers.contains_key(TRANSFER_ENCODING) {
+        return Err(ResultCode::AmbiguousLength.into());
+    }
+    let hosts = head.headers.get_all(HOST).iter().count();
+    if hosts != 1 || !head.uri.path().starts_with('/') {
+        return Err(ResultCode::MalformedRequest.into());
+    }
+    Ok(())
+}
+
+async fn read(body: Incoming, limits: &CallerLimits, limit: Instant) -> Result<Bytes, Refused> {
+    let reading = async {
+        read_body(body, limits.body_bytes).await.map_err(|error| {
+            Refused::from(match error {
+                ReadBodyError::TooLong(_) => ResultCode::BodyTooLarge,
+                ReadBodyError::Broken(_) => ResultCode::MalformedRequest,
+            })
+        })
+    };
+    let too_long = async {
+        Timer::after(limit.since(clock::now())).await;
+        Err(ResultCode::SlowCaller.into())
+    };
+    reading.or(too_long).await
+}
--- /dev/null
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -0,0 +1,256 @@
+//! Which upstreams there are, what they carry and keep, and which of them a request goes to.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bendhinge_fleet::{
+    Belief, Directory, Judge, Listed, Mishap, Offer, Standing, UpstreamEntry, UpstreamList, Version,
+};
+use bendhinge_ids::{Instant, NameHash, PoolName};
+use bendhinge_peer::{Known, LoadWord};
+use bendhinge_placement::{Candidate, ChoiceReason, CostRules, KeptParts, Prompt, Question, choose};
+use bendhinge_routes::PoolRule;
+
+use super::loads::{Loads, Said};
+use crate::clock;
+use crate::dialect::LoadSaid;
+use crate::settings::UpstreamSettings;
+
+/// How long an upstream is believed to keep what it read.
+const KEPT_FOR: Duration = Duration::from_secs(90);
+/// An upstream that has been listed for this long may have got requests about any subject.
+const SETTLED_AFTER: Duration = Duration::from_secs(8);
+/// What an upstream on trial is expected to fail.
+const SHARE_FAILING_ON_TRIAL: f32 = 0.5;
+/// Words of loads older than this are not passed on.
+const LOADS_TOLD_FOR: Duration = Duration::from_millis(1_500);
+
+/// A request that needs an upstream.
+pub(crate) struct PlacementQuestion<'a> {
+    pub(crate) pool: &'a PoolName,
+    pub(crate) rule: Option<&'a PoolRule>,
+    pub(crate) prompt: Option<&'a Prompt>,
+    /// Upstreams that were tried already.
+    pub(crate) tried: &'a [NameHash],
+    /// Whether the request may be an upstream's trial: it can be sent again if that fails.
+    pub(crate) may_try: bool,
+    /// A number that is another for each request.
+    pub(crate) tie_breaker: u64,
+}
+
+/// An upstream chosen for a request.
+pub(crate) struct Chosen {
+    pub(crate) entry: Arc<UpstreamEntry>,
+    pub(crate) fetch_from: Option<SocketAddr>,
+    pub(crate) reason: ChoiceReason,
+    /// Requests believed to be there.
+    pub(crate) load: f32,
+    /// Its place there, held as long as this is.
+    pub(crate) _place: Place,
+}
+
+struct State {
+    belief: Belief<UpstreamList>,
+    directory: Directory,
+    judge: Judge,
+    loads: Loads,
+    kept: KeptParts,
+}
+
+/// This gateway's view of the upstreams.
+pub(crate) struct UpstreamView {
+    state: Mutex<State>,
+    costs: CostRules,
+}
+
+/// A request's place at an upstream, given back when dropped.
+pub(crate) struct Place {
+    view: Arc<UpstreamView>,
+    upstream: NameHash,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.view.state.lock().unwrap().loads.ended(self.upstream);
+    }
+}
+
+impl UpstreamView {
+    pub(crate) fn new(settings: &UpstreamSettings) -> Self {
+        let state = State {
+            belief: Belief::default(),
+            directory: Directory::new(settings.directory),
+            judge: Judge::new(settings.judge),
+            loads: Loads::default(),
+            kept: KeptParts::new(KEPT_FOR),
+        };
+        let costs = CostRules { bound: settings.load_bound, ..CostRules::default() };
+        Self { state: Mutex::new(state), costs }
+    }
+
+    /// Whether there is a list at all.
+    pub(crate) fn is_known(&self) -> bool {
+        self.state.lock().unwrap().belief.held().is_some()
+    }
+
+    pub(crate) fn age(&self, now: Instant) -> Option<Duration> {
+        self.state.lock().unwrap().belief.age(now)
+    }
+
+    pub(crate) fn known(&self, now: Instant) -> Option<Known> {
+        let state = self.state.lock().unwrap();
+        state.belief.held().map(|held| Known { version: held.version, age: now.since(held.as_of) })
+    }
+
+    pub(crate) fn list(&self) -> Option<Arc<UpstreamList>> {
+        self.state.lock().unwrap().belief.value().cloned()
+    }
+
+    pub(crate) fn lacks(&self, version: Version) -> bool {
+        self.state.lock().unwrap().belief.lacks(version)
+    }
+
+    pub(crate) fn confirm(&self, version: Version, as_of: Instant) -> Offer {
+        let mut state = self.state.lock().unwrap();
+        let offer = state.belief.confirm(version, as_of);
+        if offer == Offer::Confirmed {
+            state.directory.evidence(as_of, clock::now());
+        }
+        offer
+    }
+
+    pub(crate) fn offer(&self, version: Version, as_of: Instant, list: UpstreamList) -> Offer {
+        let mut state = self.state.lock().unwrap();
+        let offer = state.belief.offer(version, as_of, || Arc::new(list));
+        if offer != Offer::Old {
+            state.directory.evidence(as_of, clock::now());
+        }
+        if offer == Offer::New {
+            state.follow_list();
+        }
+        offer
+    }
+
+    /// Chooses an upstream, and takes a place there.
+    pub(crate) fn choose(self: &Arc<Self>, question: &PlacementQuestion<'_>) -> Option<Chosen> {
+        let now = clock::now();
+        let mut state = self.state.lock().unwrap();
+        let (listed, candidates) = state.candidates(question, now);
+        let asked = Question {
+            prompt: question.prompt.filter(|_| question.rule.is_some_and(|rule| rule.keeps_prompts)),
+            can_fetch: question.rule.is_some_and(|rule| rule.moves_prompts),
+            tie_breaker: question.tie_breaker,
+        };
+        let choice = choose(&self.costs, &asked, &candidates, &state.kept, now)?;
+        let entry = Arc::clone(&listed[choice.chosen].entry);
+        let fetch_from = choice.fetch_from.map(|source| listed[source].entry.address);
+        let upstream = entry.hash;
+        state.loads.began(upstream);
+        state.judge.sent(upstream, now);
+        if let Some(prompt) = asked.prompt {
+            state.kept.read(upstream, prompt, now);
+        }
+        drop(state);
+        let place = Place { view: Arc::clone(self), upstream };
+        let load = candidates[choice.chosen].load;
+        Some(Chosen { entry, fetch_from, reason: choice.reason, load, _place: place })
+    }
+
+    /// Notes an upstream's whole answer, or the head of a stream.
+    pub(crate) fn answered(&self, upstream: NameHash) {
+        self.state.lock().unwrap().judge.answered(upstream, clock::now());
+    }
+
+    /// Notes a failure; `true` if the upstream rests because of it.
+    pub(crate) fn failed(&self, upstream: NameHash, mishap: Mishap) -> bool {
+        self.state.lock().unwrap().judge.failed(upstream, mishap, clock::now())
+    }
+
+    /// Notes what an upstream said of its load.
+    pub(crate) fn load_said(&self, upstream: NameHash, load: LoadSaid) {
+        let said = Said { upstream, in_progress: load.running + load.waiting, at: clock::now() };
+        self.state.lock().unwrap().loads.learn(said);
+    }
+
+    /// What to tell others of loads.
+    pub(crate) fn loads_to_tell(&self, now: Instant) -> Vec<LoadWord> {
+        let state = self.state.lock().unwrap();
+        let told = state.loads.said_within(LOADS_TOLD_FOR, now).map(|said| LoadWord {
+            upstream: said.upstream,
+            in_progress: u16::try_from(said.in_progress).unwrap_or(u16::MAX),
+            age: now.since(said.at),
+        });
+        told.collect()
+    }
+
+    /// Takes in what another gateway heard of loads, in an answer to a question asked at `asked`.
+    pub(crate) fn hear_loads(&self, loads: &[LoadWord], asked: Instant) {
+        let mut state = self.state.lock().unwrap();
+        for load in loads {
+            let at = asked - load.age;
+            state.loads.learn(Said { upstream: load.upstream, in_progress: load.in_progress.into(), at });
+        }
+    }
+
+    /// Gives up what is too old.
+    pub(crate) fn prune(&self) {
+        let now = clock::now();
+        let mut state = self.state.lock().unwrap();
+        if state.directory.prune(now) {
+            state.forget_gone();
+        }
+        let State { directory, kept, .. } = &mut *state;
+        kept.prune(|upstream| directory.listed().iter().any(|listed| listed.entry.hash == upstream), now);
+    }
+}
+
+impl State {
+    fn follow_list(&mut self) {
+        if let Some(list) = self.belief.value() {
+            self.directory.take(list, clock::now());
+            self.forget_gone();
+        }
+    }
+
+    fn forget_gone(&mut self) {
+        let Self { directory, judge, loads, .. } = self;
+        let is_listed =
+            |upstream: NameHash| directory.listed().iter().any(|listed| listed.entry.hash == upstream);
+        judge.keep_only(is_listed);
+        loads.keep_only(is_listed);
+    }
+
+    /// The pool's upstreams as candidates. Those that rest are left out unless all do.
+    fn candidates(&self, question: &PlacementQuestion<'_>, now: Instant) -> (Vec<&Listed>, Vec<Candidate>) {
+        let pool = self.directory.listed().iter().filter(|listed| listed.entry.pool == *question.pool);
+        let listed: Vec<&Listed> = pool.collect();
+        let mut candidates: Vec<Candidate> =
+            listed.iter().map(|listed| self.candidate(listed, question, now)).collect();
+        if !candidates.iter().any(|candidate| candidate.takes_work) {
+            // All rest: better one of them than none.
+            for (candidate, listed) in candidates.iter_mut().zip(&listed) {
+                candidate.takes_work = listed.takes_work() && !question.tried.contains(&candidate.upstream);
+            }
+        }
+        (listed, candidates)
+    }
+
+    fn candidate(&self, listed: &Listed, question: &PlacementQuestion<'_>, now: Instant) -> Candidate {
+        let upstream = listed.entry.hash;
+        let standing = self.judge.standing(upstream, now);
+        let failing = match standing {
+            Standing::Good { failing } => failing,
+            Standing::OnTrial if question.may_try => 0.0,
+            Standing::OnTrial | Standing::Resting => SHARE_FAILING_ON_TRIAL,
+        };
+        let is_fit = listed.takes_work() && !question.tried.contains(&upstream);
+        Candidate {
+            upstream,
+            load: self.loads.estimate(upstream, now),
+            failing,
+            takes_work: is_fit && standing != Standing::Resting,
+            is_settled: now.since(listed.since) > SETTLED_AFTER && listed.vanished.is_none(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_gateway/src/lib.rs
@@ -0,0 +1,29 @@
+//! The gateway: takes callers' requests by host and path, decides which upstream serves each, and
+//! passes the whole answer back.
+//!
+//! One module per duty, each with its own state and a narrow interface; [`run`] alone knows all:
+//!
+//! * `intake`: a caller's request up to the decision to serve it,
+//! * `delivery`: sends until there is one answer, and passing it back whole,
+//! * `knowledge`: the rules in force and the upstreams, with the age of what is believed,
+//! * `control`: the other gateways and the platform's store, from which knowledge comes,
+//! * `lifecycle`, `ready`: starting, being ready, stopping.
+//!
+//! How callers, upstreams and the platform spell all this is an adapter's business, see
+//! [`dialect`].
+
+mod args;
+mod clock;
+mod control;
+mod delivery;
+pub mod dialect;
+mod intake;
+mod knowledge;
+mod lifecycle;
+mod log;
+mod ready;
+mod retries;
+mod run;
+pub mod settings;
+
+pub use run::main;
--- /dev/null
+++ b/crates/bendhinge_gateway/src/log.rs
@@ -0,0 +1,199 @@
+//! Structured logs: a line for each decision that touches a request or changes what is believed.
+
+use std::sync::Arc;
+
+use bendhinge_codes::ResultCode;
+use bendhinge_delivery::{Course, SendEnd};
+use bendhinge_fleet::Version;
+use bendhinge_ids::{Instant, UpstreamName};
+use serde::Serialize;
+use spdlog::sink::StdStreamSink;
+
+use crate::clock;
+use crate::delivery::Turn;
+use crate::knowledge::Chosen;
+
+/// Writes lines; cheap to clone.
+#[derive(Clone)]
+pub(crate) struct Log {
+    logger: Arc<spdlog::Logger>,
+}
+
+/// A line, as JSON.
+#[derive(Serialize)]
+struct Line<'a, T> {
+    t: u64,
+    event: &'a str,
+    #[serde(flatten)]
+    fields: T,
+}
+
+impl Log {
+    /// A log to standard output.
+    pub(crate) fn new() -> Result<Self, spdlog::Error> {
+        let formatter =
+            spdlog::formatter::PatternFormatter::new(spdlog::formatter::pattern!("{payload}{eol}"));
+        let sink = StdStreamSink::builder().stdout().formatter(formatter).build_arc()?;
+        let logger = spdlog::Logger::builder().sink(sink).build_arc()?;
+        Ok(Self { logger })
+    }
+
+    fn line(&self, event: &str, fields: impl Serialize) {
+        let line = Line { t: clock::now().0 / 1_000, event, fields };
+        if let Ok(text) = serde_json::to_string(&line) {
+            spdlog::info!(logger: self.logger, "{text}");
+        }
+    }
+
+    /// The process began, ends, or read its settings anew.
+    pub(crate) fn process(&self, event: &str, name: &str, detail: &str) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            name: &'a str,
+            detail: &'a str,
+        }
+        self.line(event, Fields { name, detail });
+    }
+
+    /// A belief changed.
+    pub(crate) fn belief(&self, what: &str, version: Version, from: &str) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            what: &'a str,
+            revision: u64,
+            digest: String,
+            from: &'a str,
+        }
+        let digest = format!("{:016x}", version.digest);
+        self.line("belief", Fields { what, revision: version.revision.0, digest, from });
+    }
+
+    /// Something that the process depends on was lost or found again.
+    pub(crate) fn dependency(&self, what: &str, is_there: bool, detail: &str) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            what: &'a str,
+            there: bool,
+            detail: &'a str,
+        }
+        self.line("dependency", Fields { what, there: is_there, detail });
+    }
+
+    /// An upstream is spared for a while.
+    pub(crate) fn upstream_rests(&self, upstream: &UpstreamName, end: SendEnd) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            upstream: &'a str,
+            end: &'a str,
+        }
+        self.line("upstream_rests", Fields { upstream: upstream.as_str(), end: end.as_str() });
+    }
+
+    /// A request that was answered before it was sent anywhere.
+    pub(crate) fn refused(&self, request: &str, code: ResultCode, rules_age_ms: Option<u64>) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            request: &'a str,
+            code: String,
+            rules_age_ms: Option<u64>,
+        }
+        self.line("refused", Fields { request, code: code.to_string(), rules_age_ms });
+    }
+}
+
+#[derive(Serialize)]
+struct Send {
+    upstream: String,
+    why: &'static str,
+    load: f32,
+    at_ms: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    end: Option<&'static str>,
+    #[serde(skip_serializing_if = "is_false")]
+    fetched: bool,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the form that the library asks for")]
+const fn is_false(flag: &bool) -> bool {
+    !*flag
+}
+
+/// What is gathered of a request until its line is written.
+pub(crate) struct RequestLine {
+    request: String,
+    route: String,
+    began: Instant,
+    sends: Vec<Send>,
+}
+
+impl RequestLine {
+    pub(crate) fn new(turn: &Turn) -> Self {
+        let request = turn.call.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
+        Self {
+            request: request.to_owned(),
+            route: turn.route.name.clone(),
+            began: turn.began,
+            sends: Vec::new(),
+        }
+    }
+
+    fn at_ms(&self) -> u64 {
+        u64::try_from(clock::now().since(self.began).as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// It is sent.
+    pub(crate) fn sent(&mut self, chosen: &Chosen) {
+        let at_ms = self.at_ms();
+        self.sends.push(Send {
+            upstream: chosen.entry.name.to_string(),
+            why: chosen.reason.as_str(),
+            load: chosen.load,
+            at_ms,
+            end: None,
+            fetched: chosen.fetch_from.is_some(),
+        });
+    }
+
+    /// A send ended without an answer that is passed on.
+    pub(crate) fn send_ended(&mut self, end: SendEnd) {
+        if let Some(send) = self.sends.last_mut() {
+            send.end = Some(end.as_str());
+        }
+    }
+
+    fn write(&mut self, log: &Log, outcome: &str, status: u16, code: Option<ResultCode>, course: &Course) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            request: &'a str,
+            route: &'a str,
+            outcome: &'a str,
+            status: u16,
+            #[serde(skip_serializing_if = "Option::is_none")]
+            code: Option<String>,
+            ms: u64,
+            sends: &'a [Send],
+            ran: &'static str,
+        }
+        let fields = Fields {
+            request: &self.request,
+            route: &self.route,
+            outcome,
+            status,
+            code: code.map(|code| code.to_string()),
+            ms: self.at_ms(),
+            sends: &self.sends,
+            ran: if code.is_none() { "yes" } else { course.ran().as_str() },
+        };
+        log.line("request", fields);
+    }
+
+    /// Its answer was passed on, or it was given up.
+    pub(crate) fn ended(&mut self, log: &Log, status: u16, code: Option<ResultCode>, course: &Course) {
+        self.write(log, "answered", status, code, course);
+    }
+
+    /// Its caller left.
+    pub(crate) fn caller_left(&mut self, log: &Log, course: &Course) {
+        self.write(log, "caller_left", 0, None, course);
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_gateway/src/ready.rs
@@ -0,0 +1,44 @@
+//! The address at which a balancer asks whether the gateway is ready.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bendhinge_http::{Body, empty_body};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+
+use crate::clock;
+use crate::delivery::Delivering;
+use crate::lifecycle::Lifecycle;
+
+/// A gateway whose rules are too old to act on for longer than this is not ready.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// What the answer depends on.
+pub(crate) struct Readiness {
+    pub(crate) delivering: Arc<Delivering>,
+    pub(crate) lifecycle: Arc<Lifecycle>,
+    pub(crate) lease: Option<Duration>,
+}
+
+impl Readiness {
+    fn is_ready(&self) -> bool {
+        let age = self.delivering.rules.age(clock::now());
+        let lease = self.lease.map_or(Duration::MAX, |lease| lease + PATIENCE);
+        !self.lifecycle.is_stopping()
+            && age.is_some_and(|age| age <= lease)
+            && self.delivering.upstreams.is_known()
+    }
+
+    pub(crate) fn answer(&self, request: &Request<Incoming>) -> Response<Body> {
+        let is_known = request.uri().path() == self.delivering.dialect.ready_path();
+        let status = match (is_known, self.is_ready()) {
+            (false, _) => StatusCode::NOT_FOUND,
+            (true, true) => StatusCode::OK,
+            (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let mut answer = Response::new(empty_body());
+        *answer.status_mut() = status;
+        answer
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -0,0 +1,283 @@
+//! The settings of one gateway, checked whole.
+
+mod schema;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::str::FromStr;
+use std::time::Duration;
+
+use bendhinge_codes::ResultCode;
+use bendhinge_fleet::{DirectoryLimits, JudgeLimits, ReadingLimits, RosterLimits};
+use bendhinge_ids::{MachineName, ZoneName};
+use bendhinge_ini::{ByteCount, Document, Fault, Faults, Millis, Ratio, Section};
+use bendhinge_peer::PeerKey;
+
+pub use schema::SCHEMA;
+
+/// All settings.
+#[derive(Clone)]
+pub struct Settings {
+    /// The machine's name.
+    pub name: MachineName,
+    /// The machine's zone.
+    pub zone: ZoneName,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where a balancer asks whether the gateway is ready.
+    pub ready: SocketAddr,
+    /// Where other gateways connect.
+    pub peers: SocketAddr,
+    /// How many connections callers may have.
+    pub connections: usize,
+    /// The platform's store.
+    pub store: StoreSettings,
+    /// The other gateways.
+    pub fleet: FleetSettings,
+    /// How long what is believed may be acted on.
+    pub beliefs: BeliefSettings,
+    /// Upstreams.
+    pub upstreams: UpstreamSettings,
+    /// Sending requests again.
+    pub retries: RetrySettings,
+    /// Stopping.
+    pub stop: StopSettings,
+}
+
+/// The platform's store.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreSettings {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Time for an answer.
+    pub call: Duration,
+    /// When it is read.
+    pub reading: ReadingLimits,
+}
+
+/// The other gateways.
+#[derive(Clone)]
+pub struct FleetSettings {
+    /// The key that all share.
+    pub key: PeerKey,
+    /// Gateways to look for.
+    pub seeds: Vec<SocketAddr>,
+    /// The period of exchanges.
+    pub exchange: Duration,
+    /// Time for another gateway to answer.
+    pub call: Duration,
+    /// When a silent one is dead, and when it is forgotten.
+    pub roster: RosterLimits,
+}
+
+/// How long what is believed may be acted on.
+#[derive(Clone, Copy, Debug)]
+pub struct BeliefSettings {
+    /// The age of the rules up to which requests with a key are sent; `None` is no limit.
+    pub rules_lease: Option<Duration>,
+}
+
+/// Connections to upstreams, and judging them.
+#[derive(Clone, Copy, Debug)]
+pub struct UpstreamSettings {
+    /// Time to connect.
+    pub connect: Duration,
+    /// How long a connection is kept idle.
+    pub idle: Duration,
+    /// The largest answer that is not a stream.
+    pub answer_bytes: usize,
+    /// Judging by answers.
+    pub judge: JudgeLimits,
+    /// Entries that vanish.
+    pub directory: DirectoryLimits,
+    /// Load as a multiple of the mean.
+    pub load_bound: f32,
+}
+
+/// This gateway's share of the fleet's budget for sending requests again.
+#[derive(Clone, Copy, Debug)]
+pub struct RetrySettings {
+    /// Second sends for each request.
+    pub ratio: f64,
+    /// Second sends that may be saved up.
+    pub reserve: f64,
+}
+
+/// Stopping after a request to stop.
+#[derive(Clone, Copy, Debug)]
+pub struct StopSettings {
+    /// Time after which the process is killed.
+    pub grace: Duration,
+    /// How long callers that have not noticed are still served.
+    pub accept: Duration,
+}
+
+impl Settings {
+    /// Reads and checks the file at `path`.
+    pub fn read(path: &Path) -> Result<Self, Faults> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| unreadable(&file, &error))?;
+        Self::parse(&file, &text)
+    }
+
+    /// Checks `text`; `file` is named in faults.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Faults> {
+        let document = Document::parse(file, text, &SCHEMA);
+        let settings = Reader(&document).settings();
+        document.finish(settings)
+    }
+}
+
+fn unreadable(file: &str, error: &std::io::Error) -> Faults {
+    let message = format!("{error}; check the path and its permissions");
+    Faults(vec![Fault { file: file.to_owned(), line: 0, code: ResultCode::UnreadableFile, message }])
+}
+
+/// Addresses separated by commas.
+struct Addresses(Vec<SocketAddr>);
+
+impl FromStr for Addresses {
+    type Err = std::net::AddrParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+        parts.map(str::parse).collect::<Result<_, _>>().map(Self)
+    }
+}
+
+/// Takes every value before any may be missing, so that all faults show in one run.
+struct Reader<'a>(&'a Document);
+
+impl Reader<'_> {
+    fn settings(&self) -> Option<Settings> {
+        let gateway = self.0.section("gateway")?;
+        let store = self.0.section("store").map(|section| self.store(section));
+        let fleet = self.0.section("fleet").map(|section| self.fleet(section));
+        let beliefs = self.0.section("beliefs").map(|section| self.beliefs(section));
+        let upstreams = self.0.section("upstreams").map(|section| self.upstreams(section));
+        let retries = self.0.section("retries").map(|section| self.retries(section));
+        let stop = self.0.section("stop").map(|section| self.stop(section));
+        let name = self.0.value(gateway, "name");
+        let zone = self.0.value(gateway, "zone");
+        let callers = self.0.value(gateway, "callers");
+        let ready = self.0.value(gateway, "ready");
+        let peers = self.0.value(gateway, "peers");
+        let connections = self.0.value(gateway, "connections");
+        Some(Settings {
+            name: name?,
+            zone: zone?,
+            callers: callers?,
+            ready: ready?,
+            peers: peers?,
+            connections: connections?,
+            store: store??,
+            fleet: fleet??,
+            beliefs: beliefs??,
+            upstreams: upstreams??,
+            retries: retries??,
+            stop: stop??,
+        })
+    }
+
+    fn millis(&self, section: &Section, key: &str) -> Option<Duration> {
+        self.0.value::<Millis>(section, key).map(|millis| millis.0)
+    }
+
+    fn ratio(&self, section: &Section, key: &str) -> Option<f64> {
+        self.0.value::<Ratio>(section, key).map(|ratio| ratio.0)
+    }
+
+    fn store(&self, section: &Section) -> Option<StoreSettings> {
+        let address = self.0.value(section, "address");
+        let call = self.millis(section, "call_ms");
+        let first = self.millis(section, "first_ms");
+        let step = self.millis(section, "step_ms");
+        let last = self.millis(section, "last_ms");
+        let retry = self.millis(section, "retry_ms");
+        let urgent_retry = self.millis(section, "urgent_retry_ms");
+        Some(StoreSettings {
+            address: address?,
+            call: call?,
+            reading: ReadingLimits {
+                first: first?,
+                step: step?,
+                last: last?,
+                retry: retry?,
+                urgent_retry: urgent_retry?,
+            },
+        })
+    }
+
+    fn fleet(&self, section: &Section) -> Option<FleetSettings> {
+        let key = self.key(section);
+        let seeds = self.0.value::<Addresses>(section, "seeds");
+        let exchange = self.millis(section, "exchange_ms");
+        let call = self.millis(section, "call_ms");
+        let dead_after = self.millis(section, "dead_ms");
+        let forgotten_after = self.millis(section, "forget_ms");
+        Some(FleetSettings {
+            key: key?,
+            seeds: seeds?.0,
+            exchange: exchange?,
+            call: call?,
+            roster: RosterLimits { dead_after: dead_after?, forgotten_after: forgotten_after? },
+        })
+    }
+
+    fn key(&self, section: &Section) -> Option<PeerKey> {
+        const SHORTEST_KEY: usize = 16;
+        let text = self.0.value::<String>(section, "key")?;
+        if text.len() < SHORTEST_KEY {
+            let message =
+                format!("'key' has fewer than {SHORTEST_KEY} characters; write a longer, random one");
+            self.0.fault_at(section, "key", ResultCode::InvalidValue, message);
+            return None;
+        }
+        Some(PeerKey::new(&text))
+    }
+
+    fn beliefs(&self, section: &Section) -> Option<BeliefSettings> {
+        let lease = self.millis(section, "rules_lease_ms");
+        let margin = self.millis(section, "margin_ms");
+        let (lease, margin) = (lease?, margin?);
+        let rules_lease = (!lease.is_zero()).then(|| lease.saturating_sub(margin));
+        Some(BeliefSettings { rules_lease })
+    }
+
+    fn upstreams(&self, section: &Section) -> Option<UpstreamSettings> {
+        /// The time in which a failure loses half its weight.
+        const HALF_LIFE: Duration = Duration::from_secs(3);
+        /// How long upstreams that left are remembered as sources of what they keep.
+        const REMEMBER: Duration = Duration::from_secs(3);
+        /// Evidence older than this means that the store was in trouble.
+        const GAP: Duration = Duration::from_millis(2_500);
+        let connect = self.millis(section, "connect_ms");
+        let idle = self.millis(section, "idle_ms");
+        let answer_bytes = self.0.value::<ByteCount>(section, "answer_bytes");
+        let rest = self.millis(section, "rest_ms");
+        let longest_rest = self.millis(section, "longest_rest_ms");
+        let doubt = self.millis(section, "doubt_ms");
+        let load_bound = self.ratio(section, "load_bound");
+        #[expect(clippy::cast_possible_truncation, reason = "a small number")]
+        Some(UpstreamSettings {
+            connect: connect?,
+            idle: idle?,
+            answer_bytes: answer_bytes?.0,
+            judge: JudgeLimits { rest: rest?, longest_rest: longest_rest?, half_life: HALF_LIFE },
+            directory: DirectoryLimits { gap: GAP, doubt: doubt?, remember: REMEMBER },
+            load_bound: load_bound? as f32,
+        })
+    }
+
+    fn retries(&self, section: &Section) -> Option<RetrySettings> {
+        let ratio = self.ratio(section, "ratio");
+        let reserve = self.ratio(section, "reserve");
+        Some(RetrySettings { ratio: ratio?, reserve: reserve? })
+    }
+
+    fn stop(&self, section: &Section) -> Option<StopSettings> {
+        let grace = self.millis(section, "grace_ms");
+        let accept = self.millis(section, "accept_ms");
+        Some(StopSettings { grace: grace?, accept: accept? })
+    }
+}
--- a/crates/bendhinge_http/src/pool.rs
+++ b/crates/bendhinge_http/src/pool.rs
@@ -62,6 +62,7 @@
 struct Idle {
     sender: SendRequest<Body>,
     since: Instant,
+    keep: Duration,
 }
 
 /// Idle connections by address.
@@ -83,23 +84,48 @@
 
     /// An idle connection to `address`, or a new one.
     pub async fn connection(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
-        match self.take_idle(address) {
+        self.connection_used_within(address, self.idle_time).await
+    }
+
+    /// An idle connection to `address` that was used within `span`, or a new one. The longer one
+    /// stood idle, the likelier is it that the upstream is closing it.
+    pub async fn connection_used_within(
+        &self,
+        address: SocketAddr,
+        span: Duration,
+    ) -> Result<Connection, ConnectError> {
+        match self.take_idle(address, span) {
             Some(sender) => Ok(Connection { sender, address, reused: true }),
             None => self.connect(address).await,
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Body>> {
+    fn take_idle(&self, address: SocketAddr, span: Duration) -> Option<SendRequest<Body>> {
         let mut idle = self.idle.lock().unwrap();
         let connections = idle.get_mut(&address)?;
-        while let Some(candidate) = connections.pop() {
-            if candidate.sender.is_ready() && candidate.since.elapsed() < self.idle_time {
+        // The last one used is tried first; those below it have stood idle for longer.
+        while let Some(candidate) = connections.last() {
+            let age = candidate.since.elapsed();
+            if age >= span && candidate.sender.is_ready() && age < candidate.keep {
+                return None;
+            }
+            let candidate = connections.pop()?;
+            if candidate.sender.is_ready() && age < candidate.keep {
                 return Some(candidate.sender);
             }
         }
         None
     }
 
+    /// Closes connections that have stood idle for too long.
+    pub fn prune(&self) {
+        let mut idle = self.idle.lock().unwrap();
+        idle.retain(|_, connections| {
+            connections.retain(|one| one.sender.is_ready() && one.since.elapsed() < one.keep);
+            !connections.is_empty()
+        });
+    }
+
     /// A new connection to `address`.
     pub async fn connect(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
         let connecting = async { TcpStream::connect(address).await.map_err(ConnectError::from) };
@@ -120,14 +146,20 @@
     }
 
     /// Takes a connection back once the body of its last answer was read to the end.
-    pub async fn give_back(&self, mut connection: Connection) {
+    pub async fn give_back(&self, connection: Connection) {
+        self.give_back_for(connection, self.idle_time).await;
+    }
+
+    /// Takes a connection back and keeps it idle for `keep` at most.
+    pub async fn give_back_for(&self, mut connection: Connection, keep: Duration) {
         if connection.sender.ready().await.is_err() {
             return;
         }
         let mut idle = self.idle.lock().unwrap();
         let connections = idle.entry(connection.address).or_default();
         if connections.len() < self.idle_per_address {
-            connections.push(Idle { sender: connection.sender, since: Instant::now() });
+            let keep = keep.min(self.idle_time);
+            connections.push(Idle { sender: connection.sender, since: Instant::now(), keep });
         }
     }
 }
--- /dev/null
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -0,0 +1,56 @@
+@0xd2b7c1a95e604f38;
+# What gateways say to each other. Regenerate src/fleet_capnp.rs as CONTRIBUTING.md says.
+
+struct Known {
+  revision @0 :UInt64;
+  digest @1 :UInt64;
+  ageMillis @2 :UInt32;
+  held @3 :Bool;
+}
+
+struct Member {
+  address @0 :UInt32;
+  port @1 :UInt16;
+  life @2 :UInt64;
+  ageMillis @3 :UInt32;
+  leaving @4 :Bool;
+  storeFailing @5 :Bool;
+}
+
+struct Load {
+  upstream @0 :UInt64;
+  inProgress @1 :UInt16;
+  ageMillis @2 :UInt16;
+}
+
+struct Read {
+  part @0 :UInt64;
+  upstream @1 :UInt64;
+  ageMillis @2 :UInt32;
+}
+
+struct Word {
+  sender @0 :Member;
+  rules @1 :Known;
+  upstreams @2 :Known;
+  members @3 :List(Member);
+  loads @4 :List(Load);
+  reads @5 :List(Read);
+}
+
+struct Upstream {
+  name @0 :Text;
+  pool @1 :Text;
+  address @2 :UInt32;
+  port @3 :UInt16;
+  zone @4 :Text;
+  slots @5 :UInt32;
+  draining @6 :Bool;
+  made @7 :UInt64;
+}
+
+interface Fleet {
+  exchange @0 (word :Word) -> (word :Word);
+  rules @1 () -> (known :Known, document :Data);
+  upstreams @2 () -> (known :Known, list :List(Upstream));
+}
--- a/crates/bendhinge_peer/src/client.rs
+++ b/crates/bendhinge_peer/src/client.rs
@@ -46,7 +46,10 @@
     time: Duration,
 }
 
-async fn within<T>(time: Duration, call: impl Future<Output = Result<T, CallError>>) -> Result<T, CallError> {
+pub(crate) async fn within<T>(
+    time: Duration,
+    call: impl Future<Output = Result<T, CallError>>,
+) -> Result<T, CallError> {
     let too_long = async {
         Timer::after(time).await;
         Err(CallError::Timeout(time))
--- /dev/null
+++ b/crates/bendhinge_peer/src/fleet/client.rs
@@ -0,0 +1,91 @@
+//! The side that asks.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bendhinge_fleet::UpstreamList;
+use bytes::Bytes;
+use capnp::message::ReaderOptions;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use smol::LocalExecutor;
+use smol::net::TcpStream;
+
+use super::convert::{read_known, read_upstreams, read_word, write_word};
+use super::{Known, Word};
+use crate::client::{CallError, within};
+use crate::fleet_capnp::fleet;
+use crate::secure::{ConnectionSide, PeerKey, SecureError, secure};
+use crate::traffic::Traffic;
+
+/// A connection to one peer; cheap to clone.
+#[derive(Clone)]
+pub struct FleetClient {
+    peer: fleet::Client,
+    time: Duration,
+}
+
+impl FleetClient {
+    /// Connects to the peer at `address`; each call has `time` to be answered.
+    pub async fn connect(
+        address: SocketAddr,
+        key: &PeerKey,
+        time: Duration,
+        traffic: &Arc<Traffic>,
+        executor: &Rc<LocalExecutor<'static>>,
+    ) -> Result<Self, CallError> {
+        let connecting = async {
+            let stream = TcpStream::connect(address).await.map_err(SecureError::from)?;
+            Ok(secure(stream, key, ConnectionSide::Opened, traffic, executor).await?)
+        };
+        let ends = within(time, connecting).await?;
+        let network =
+            twoparty::VatNetwork::new(ends.reader, ends.writer, Side::Client, ReaderOptions::default());
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let peer = system.bootstrap(Side::Server);
+        executor
+            .spawn(async move {
+                // A lost connection shows in the calls that wait for it.
+                let _ = system.await;
+            })
+            .detach();
+        Ok(Self { peer, time })
+    }
+
+    /// Exchanges words.
+    pub async fn exchange(&self, word: &Word) -> Result<Word, CallError> {
+        let mut request = self.peer.exchange_request();
+        write_word(request.get().init_word(), word);
+        within(self.time, async {
+            let answer = request.send().promise.await?;
+            Ok(read_word(answer.get()?.get_word()?)?)
+        })
+        .await
+    }
+
+    /// Fetches the document of the serving rules that the peer holds.
+    pub async fn rules(&self) -> Result<Option<(Known, Bytes)>, CallError> {
+        let request = self.peer.rules_request();
+        within(self.time, async {
+            let answer = request.send().promise.await?;
+            let answer = answer.get()?;
+            let document = Bytes::copy_from_slice(answer.get_document()?);
+            Ok(read_known(answer.get_known()?).map(|known| (known, document)))
+        })
+        .await
+    }
+
+    /// Fetches the list of upstreams that the peer holds.
+    pub async fn upstreams(&self) -> Result<Option<(Known, UpstreamList)>, CallError> {
+        let request = self.peer.upstreams_request();
+        within(self.time, async {
+            let answer = request.send().promise.await?;
+            let answer = answer.get()?;
+            let list = read_upstreams(answer.get_list()?)?;
+            Ok(read_known(answer.get_known()?).map(|known| (known, list)))
+        })
+        .await
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -0,0 +1,155 @@
+//! Between the typed messages and those of the schema.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bendhinge_fleet::{Heard, MemberLife, Revision, UpstreamEntry, UpstreamList, UpstreamState, Version};
+use bendhinge_ids::NameHash;
+use bendhinge_placement::PartId;
+use capnp::Error;
+
+use super::{Known, LoadWord, ReadWord, Word, address_parts};
+use crate::fleet_capnp::{known, load, member, read, upstream, word};
+
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn short_millis(span: Duration) -> u16 {
+    u16::try_from(span.as_millis()).unwrap_or(u16::MAX)
+}
+
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
+
+fn address(bits: u32, port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::from_bits(bits), port))
+}
+
+pub(super) fn write_known(mut to: known::Builder<'_>, known: Option<&Known>) {
+    let Some(known) = known else { return };
+    to.set_held(true);
+    to.set_revision(known.version.revision.0);
+    to.set_digest(known.version.digest);
+    // An age is never stated as less than it is.
+    to.set_age_millis(millis(known.age).saturating_add(1));
+}
+
+pub(super) fn read_known(from: known::Reader<'_>) -> Option<Known> {
+    let version = Version { revision: Revision(from.get_revision()), digest: from.get_digest() };
+    let age = Duration::from_millis(from.get_age_millis().into());
+    from.get_held().then_some(Known { version, age })
+}
+
+fn write_member(mut to: member::Builder<'_>, heard: &Heard) {
+    let Some((bits, port)) = address_parts(heard.address) else { return };
+    to.set_address(bits);
+    to.set_port(port);
+    to.set_life(heard.life.0);
+    to.set_age_millis(millis(heard.age));
+    to.set_leaving(heard.is_leaving);
+    to.set_store_failing(heard.is_store_failing);
+}
+
+fn read_member(from: member::Reader<'_>) -> Heard {
+    Heard {
+        address: address(from.get_address(), from.get_port()),
+        life: MemberLife(from.get_life()),
+        age: Duration::from_millis(from.get_age_millis().into()),
+        is_leaving: from.get_leaving(),
+        is_store_failing: from.get_store_failing(),
+    }
+}
+
+fn write_load(mut to: load::Builder<'_>, load: &LoadWord) {
+    to.set_upstream(load.upstream.0);
+    to.set_in_progress(load.in_progress);
+    to.set_age_millis(short_millis(load.age));
+}
+
+fn read_load(from: load::Reader<'_>) -> LoadWord {
+    LoadWord {
+        upstream: NameHash(from.get_upstream()),
+        in_progress: from.get_in_progress(),
+        age: Duration::from_millis(from.get_age_millis().into()),
+    }
+}
+
+fn write_read(mut to: read::Builder<'_>, read: &ReadWord) {
+    to.set_part(read.part.0);
+    to.set_upstream(read.upstream.0);
+    to.set_age_millis(millis(read.age));
+}
+
+fn read_read(from: read::Reader<'_>) -> ReadWord {
+    ReadWord {
+        part: PartId(from.get_part()),
+        upstream: NameHash(from.get_upstream()),
+        age: Duration::from_millis(from.get_age_millis().into()),
+    }
+}
+
+pub(super) fn write_word(mut to: word::Builder<'_>, word: &Word) {
+    write_member(to.reborrow().init_sender(), &word.sender);
+    write_known(to.reborrow().init_rules(), word.rules.as_ref());
+    write_known(to.reborrow().init_upstreams(), word.upstreams.as_ref());
+    let mut members = to.reborrow().init_members(count(word.members.len()));
+    for (index, heard) in (0..).zip(&word.members) {
+        write_member(members.reborrow().get(index), heard);
+    }
+    let mut loads = to.reborrow().init_loads(count(word.loads.len()));
+    for (index, load) in (0..).zip(&word.loads) {
+        write_load(loads.reborrow().get(index), load);
+    }
+    let mut reads = to.init_reads(count(word.reads.len()));
+    for (index, read) in (0..).zip(&word.reads) {
+        write_read(reads.reborrow().get(index), read);
+    }
+}
+
+pub(super) fn read_word(from: word::Reader<'_>) -> Result<Word, Error> {
+    Ok(Word {
+        sender: read_member(from.get_sender()?),
+        rules: read_known(from.get_rules()?),
+        upstreams: read_known(from.get_upstreams()?),
+        members: from.get_members()?.iter().map(read_member).collect(),
+        loads: from.get_loads()?.iter().map(read_load).collect(),
+        reads: from.get_reads()?.iter().map(read_read).collect(),
+    })
+}
+
+pub(super) fn write_upstream(mut to: upstream::Builder<'_>, entry: &UpstreamEntry) {
+    let Some((bits, port)) = address_parts(entry.address) else { return };
+    to.set_name(entry.name.as_str());
+    to.set_pool(entry.pool.as_str());
+    to.set_address(bits);
+    to.set_port(port);
+    to.set_zone(entry.zone.as_str());
+    to.set_slots(entry.slots);
+    to.set_draining(entry.state == UpstreamState::Draining);
+    to.set_made(entry.made);
+}
+
+fn read_upstream(from: upstream::Reader<'_>) -> Result<UpstreamEntry, Error> {
+    let invalid = |_| Error::failed("an upstream's name is invalid".to_owned());
+    let name: bendhinge_ids::UpstreamName = from.get_name()?.to_str()?.parse().map_err(invalid)?;
+    Ok(UpstreamEntry {
+        hash: NameHash::of(name.as_str()),
+        name,
+        pool: from.get_pool()?.to_str()?.parse().map_err(invalid)?,
+        address: address(from.get_address(), from.get_port()),
+        zone: from.get_zone()?.to_str()?.parse().map_err(invalid)?,
+        slots: from.get_slots(),
+        state: if from.get_draining() { UpstreamState::Draining } else { UpstreamState::Ready },
+        made: from.get_made(),
+    })
+}
+
+pub(super) fn read_upstreams(
+    from: capnp::struct_list::Reader<'_, upstream::Owned>,
+) -> Result<UpstreamList, Error> {
+    let entries = from.iter().map(|entry| read_upstream(entry).map(Arc::new));
+    Ok(UpstreamList { entries: entries.collect::<Result<_, _>>()? })
+}
--- /dev/null
+++ b/crates/bendhinge_peer/src/fleet/mod.rs
@@ -0,0 +1,83 @@
+//! What gateways tell each other: how old their beliefs are, whom they know, and what they saw
+//! of upstreams.
+
+mod client;
+mod convert;
+mod server;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bendhinge_fleet::{Heard, UpstreamList, Version};
+use bendhinge_ids::NameHash;
+use bendhinge_placement::PartId;
+use bytes::Bytes;
+
+pub use client::FleetClient;
+pub use server::serve_fleet;
+
+/// A value that the sender holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Known {
+    /// Which one.
+    pub version: Version,
+    /// How long ago it was known to be current.
+    pub age: Duration,
+}
+
+/// What an upstream said of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadWord {
+    /// The upstream.
+    pub upstream: NameHash,
+    /// Requests there, running and waiting.
+    pub in_progress: u16,
+    /// How long ago it said so.
+    pub age: Duration,
+}
+
+/// A part of a prompt that an upstream read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadWord {
+    /// The part.
+    pub part: PartId,
+    /// The upstream.
+    pub upstream: NameHash,
+    /// How long ago it was last used there.
+    pub age: Duration,
+}
+
+/// What one gateway tells another in an exchange.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Word {
+    /// The sender itself.
+    pub sender: Heard,
+    /// The serving rules that it holds.
+    pub rules: Option<Known>,
+    /// The list of upstreams that it holds.
+    pub upstreams: Option<Known>,
+    /// The members that it knows.
+    pub members: Vec<Heard>,
+    /// What it heard from upstreams of their loads.
+    pub loads: Vec<LoadWord>,
+    /// What it lately had upstreams read.
+    pub reads: Vec<ReadWord>,
+}
+
+/// What a gateway answers to its peers.
+pub trait FleetDuties {
+    /// Takes in a word and gives the own one.
+    fn exchange(&self, word: Word) -> Word;
+    /// The document of the serving rules that are held.
+    fn rules(&self) -> Option<(Known, Bytes)>;
+    /// The list of upstreams that is held.
+    fn upstreams(&self) -> Option<(Known, UpstreamList)>;
+}
+
+/// Where a member is reached, as sent: IPv4 only, which is what gateways listen on.
+const fn address_parts(address: SocketAddr) -> Option<(u32, u16)> {
+    match address {
+        SocketAddr::V4(address) => Some((address.ip().to_bits(), address.port())),
+        SocketAddr::V6(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_peer/src/fleet/server.rs
@@ -0,0 +1,95 @@
+//! The side that is asked.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use capnp::Error;
+use capnp::message::ReaderOptions;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use smol::LocalExecutor;
+use smol::net::{TcpListener, TcpStream};
+
+use super::FleetDuties;
+use super::convert::{read_word, write_known, write_upstream, write_word};
+use crate::fleet_capnp::fleet;
+use crate::secure::{ConnectionSide, PeerKey, secure};
+use crate::traffic::Traffic;
+
+struct Server<D>(Rc<D>);
+
+/// Serves peers on `listener` for ever.
+pub async fn serve_fleet<D: FleetDuties + 'static>(
+    listener: TcpListener,
+    key: PeerKey,
+    duties: Rc<D>,
+    traffic: Arc<Traffic>,
+    executor: Rc<LocalExecutor<'static>>,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let connection = serve_connection(
+            stream,
+            key.clone(),
+            Rc::clone(&duties),
+            Arc::clone(&traffic),
+            Rc::clone(&executor),
+        );
+        executor.spawn(connection).detach();
+    }
+}
+
+async fn serve_connection<D: FleetDuties + 'static>(
+    stream: TcpStream,
+    key: PeerKey,
+    duties: Rc<D>,
+    traffic: Arc<Traffic>,
+    executor: Rc<LocalExecutor<'static>>,
+) {
+    // A foreign connection was counted; its sender learns nothing.
+    let Ok(ends) = secure(stream, &key, ConnectionSide::Accepted, &traffic, &executor).await else { return };
+    let network = twoparty::VatNetwork::new(ends.reader, ends.writer, Side::Server, ReaderOptions::default());
+    let client: fleet::Client = capnp_rpc::new_client(Server(duties));
+    let _ = RpcSystem::new(Box::new(network), Some(client.client)).await;
+}
+
+impl<D: FleetDuties + 'static> fleet::Server for Server<D> {
+    async fn exchange(
+        self: Rc<Self>,
+        params: fleet::ExchangeParams,
+        mut results: fleet::ExchangeResults,
+    ) -> Result<(), Error> {
+        let heard = read_word(params.get()?.get_word()?)?;
+        let answer = self.0.exchange(heard);
+        write_word(results.get().init_word(), &answer);
+        Ok(())
+    }
+
+    async fn rules(
+        self: Rc<Self>,
+        _: fleet::RulesParams,
+        mut results: fleet::RulesResults,
+    ) -> Result<(), Error> {
+        if let Some((known, document)) = self.0.rules() {
+            write_known(results.get().init_known(), Some(&known));
+            results.get().set_document(&document);
+        }
+        Ok(())
+    }
+
+    async fn upstreams(
+        self: Rc<Self>,
+        _: fleet::UpstreamsParams,
+        mut results: fleet::UpstreamsResults,
+    ) -> Result<(), Error> {
+        if let Some((known, upstreams)) = self.0.upstreams() {
+            write_known(results.get().init_known(), Some(&known));
+            let length = u32::try_from(upstreams.entries.len()).unwrap_or(u32::MAX);
+            let mut list = results.get().init_list(length);
+            for (index, entry) in (0..).zip(&upstreams.entries) {
+                write_upstream(list.reborrow().get(index), entry);
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/bendhinge_peer/src/lib.rs
+++ b/crates/bendhinge_peer/src/lib.rs
@@ -7,6 +7,7 @@
 mod client;
 mod convert;
 mod duties;
+mod fleet;
 mod secure;
 mod server;
 mod squeeze;
@@ -15,8 +16,12 @@
 #[expect(warnings, clippy::all, clippy::pedantic, missing_docs, reason = "generated code is taken as it is")]
 mod peer_capnp;
 
+#[expect(warnings, clippy::all, clippy::pedantic, missing_docs, reason = "generated code is taken as it is")]
+mod fleet_capnp;
+
 pub use client::{CallError, PeerClient};
 pub use duties::{ClaimRequest, ConfigAnswer, OnceAnswer, PeerDuties, PermitAnswer, Told};
+pub use fleet::{FleetClient, FleetDuties, Known, LoadWord, ReadWord, Word, serve_fleet};
 pub use secure::{PeerKey, SecureError};
 pub use server::serve;
 pub use squeeze::{Squeeze, UnpackError};
