--- a/crates/bendhinge_fleet/src/reading.rs
+++ b/crates/bendhinge_fleet/src/reading.rs
@@ -29,14 +29,14 @@
 pub struct ReadingPlan {
     limits: ReadingLimits,
     failed_at: Option<Instant>,
-    failures: u32,
+    answered_at: Option<Instant>,
 }
 
 impl ReadingPlan {
     /// A plan before any read.
     #[must_use]
     pub const fn new(limits: ReadingLimits) -> Self {
-        Self { limits, failed_at: None, failures: 0 }
+        Self { limits, failed_at: None, answered_at: None }
     }
 
     /// Whether the last read failed.
@@ -45,16 +45,15 @@
         self.failed_at.is_some()
     }
 
-    /// Notes a read that gave an answer.
-    pub const fn succeeded(&mut self) {
+    /// Notes a read that gave an answer, which may have held nothing yet.
+    pub const fn succeeded(&mut self, now: Instant) {
         self.failed_at = None;
-        self.failures = 0;
+        self.answered_at = Some(now);
     }
 
     /// Notes a read without an answer.
     pub const fn failed(&mut self, now: Instant) {
         self.failed_at = Some(now);
-        self.failures = self.failures.saturating_add(1);
     }
 
     /// The age of the belief at which a router of `rank` reads.
@@ -69,7 +68,9 @@
     #[must_use]
     pub fn wait(&self, age: Option<Duration>, rank: usize, now: Instant) -> Duration {
         let until_due = match age {
-            None => Duration::ZERO,
+            None => self
+                .answered_at
+                .map_or(Duration::ZERO, |at| self.limits.urgent_retry.saturating_sub(now.since(at))),
             Some(age) => self.patience(rank).saturating_sub(age),
         };
         let Some(failed_at) = self.failed_at else { return until_due };
--- a/crates/bendhinge_fleet/src/roster.rs
+++ b/crates/bendhinge_fleet/src/roster.rs
@@ -74,6 +74,9 @@
     }
 }
 
+/// In fleets of this size or smaller all ask the first in rank.
+const ASKING_THE_FIRST: usize = 24;
+
 /// The members as one router knows them.
 #[derive(Debug)]
 pub struct Roster {
@@ -165,8 +168,8 @@
         ranked.iter().position(|address| *address == self.own).unwrap_or(0)
     }
 
-    /// Whom to ask in a round: somebody who hears from the store, and any other; `draw` gives a
-    /// number below its argument.
+    /// Whom to ask in a round: the member from which this one hears of the store, and any other;
+    /// `draw` gives a number below its argument.
     pub fn contacts(
         &self,
         own_reads_fail: bool,
@@ -174,18 +177,34 @@
         draw: &mut impl FnMut(usize) -> usize,
     ) -> Vec<Contact> {
         let ranked = self.ranked(own_reads_fail, now);
-        let others: Vec<SocketAddr> = ranked.iter().copied().filter(|address| *address != self.own).collect();
-        let mut contacts = Vec::new();
-        if let Some(reader) = pick(&others[..others.len().min(readers(others.len()))], draw) {
-            contacts.push(Contact::Reader(reader));
-        }
-        if let Some(any) = pick(&others, draw).filter(|any| contacts.iter().all(|one| one.address() != *any))
-        {
-            contacts.push(Contact::Any(any));
-        }
+        let mut contacts: Vec<Contact> =
+            pick(self.nearer_to_the_store(&ranked), draw).map(Contact::Reader).into_iter().collect();
+        let others: Vec<SocketAddr> = ranked.into_iter().filter(|address| *address != self.own).collect();
+        let any = pick(&others, draw).filter(|any| contacts.iter().all(|one| one.address() != *any));
+        contacts.extend(any.map(Contact::Any));
         contacts
     }
 
+    /// Any live member.
+    pub fn any_contact(&self, now: Instant, draw: &mut impl FnMut(usize) -> usize) -> Option<Contact> {
+        let mut live: Vec<SocketAddr> = self.live(now).map(|(address, _)| address).collect();
+        live.sort_unstable();
+        pick(&live, draw).map(Contact::Any)
+    }
+
+    /// The members of which this one asks one for what it hears of the store: in a small fleet
+    /// the first in rank, in a large one some in between, so that nobody is asked by all.
+    fn nearer_to_the_store<'a>(&self, ranked: &'a [SocketAddr]) -> &'a [SocketAddr] {
+        let own_rank = ranked.iter().position(|address| *address == self.own).unwrap_or(0);
+        let between = ranked.len().isqrt();
+        let is_small = ranked.len() <= ASKING_THE_FIRST;
+        match own_rank {
+            0 => &ranked[1..ranked.len().min(2)],
+            rank if is_small || rank <= between => &ranked[..1],
+            _ => &ranked[1..=between],
+        }
+    }
+
     /// Somebody to look for: a seed that is no live member, or a member that counts as dead.
     pub fn lost_contact(&self, now: Instant, draw: &mut impl FnMut(usize) -> usize) -> Option<Contact> {
         let is_live = |address| self.members.get(&address).is_some_and(|member| self.is_live(member, now));
@@ -197,14 +216,6 @@
     }
 }
 
-/// How many of the first in rank are asked for what they hear from the store: about the square
-/// root of the fleet, so that no one of them is asked by all.
-fn readers(others: usize) -> usize {
-    /// Fleets up to this size ask one of the first two.
-    const FEW: usize = 2;
-    others.isqrt().max(FEW).min(others)
-}
-
 fn pick(among: &[SocketAddr], draw: &mut impl FnMut(usize) -> usize) -> Option<SocketAddr> {
     if among.is_empty() { None } else { among.get(draw(among.len())).copied() }
 }
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{Heard, Offer, UpstreamList};
+use bendhinge_fleet::{Contact, Heard, Offer, UpstreamList};
 use bendhinge_ids::Instant;
 use bendhinge_peer::{FleetDuties, Known, Word};
 use bytes::Bytes;
@@ -37,7 +37,7 @@
         }
         for contact in contacts {
             let asking = Rc::clone(&control);
-            let task = async move { ask(&asking, contact.address()).await };
+            let task = async move { ask_or_another(&asking, contact).await };
             control.executor.spawn(task).detach();
         }
         round = round.wrapping_add(1);
@@ -61,7 +61,9 @@
     let told = others.into_iter().map(|address| {
         let control = Rc::clone(control);
         let executor = Rc::clone(&control.executor);
-        executor.spawn(async move { ask(&control, address).await })
+        executor.spawn(async move {
+            ask(&control, address).await;
+        })
     });
     let told: Vec<_> = told.collect();
     for task in told {
@@ -69,15 +71,27 @@
     }
 }
 
-/// Exchanges words with the gateway at `address` and takes its word in.
-async fn ask(control: &Rc<Control>, address: SocketAddr) {
+/// Asks a contact, and any other if the one that hears of the store does not answer.
+async fn ask_or_another(control: &Rc<Control>, contact: Contact) {
+    if ask(control, contact.address()).await || !matches!(contact, Contact::Reader(_)) {
+        return;
+    }
+    let another = control.roster.borrow().any_contact(clock::now(), &mut draw);
+    if let Some(another) = another {
+        ask(control, another.address()).await;
+    }
+}
+
+/// Exchanges words with the gateway at `address` and takes its word in; `false` if it gave none.
+async fn ask(control: &Rc<Control>, address: SocketAddr) -> bool {
     let asked = clock::now();
     let word = own_word(control, asked);
     let Ok(answer) = control.peers.call(address, async |peer| peer.exchange(&word).await).await else {
-        return;
+        return false;
     };
     take_in(control, &answer, Some(asked));
     fetch_news(control, address, &answer).await;
+    true
 }
 
 /// What this gateway tells at `now`.
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -54,7 +54,7 @@
         let began = clock::now();
         match read(&control).await {
             Ok(contents) => {
-                control.plan.borrow_mut().succeeded();
+                control.plan.borrow_mut().succeeded(clock::now());
                 control.note_store(true, "");
                 control.take_contents(contents, began);
             }
