Subjects that share a first part share a group of homes

Cause: each first part was read by every upstream (40 x 341, 4 x 2,520 tokens on twelve), a third of all that is read again. Ruled out: one home a first part, which loads one upstream with a quarter of the traffic. Change: the home is sought among a quarter of the upstreams, ranked by the first part; a new upstream fetches from where the home was before it came.

--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -19,8 +19,6 @@
 
 /// How long an upstream is believed to keep what it read.
 const KEPT_FOR: Duration = Duration::from_secs(90);
-/// An upstream that has been listed for this long may have got requests about any subject.
-const SETTLED_AFTER: Duration = Duration::from_secs(8);
 /// What an upstream on trial is expected to fail.
 const SHARE_FAILING_ON_TRIAL: f32 = 0.5;
 /// Words of loads older than this are not passed on.
@@ -250,7 +248,7 @@
             load: self.loads.estimate(upstream, now),
             failing,
             takes_work: is_fit && standing != Standing::Resting,
-            is_settled: now.since(listed.since) > SETTLED_AFTER && listed.vanished.is_none(),
+            made: listed.entry.made,
         }
     }
 }
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -1,6 +1,8 @@
 //! The upstream of least cost: what it would have to read, what is ahead there, and how often it
 //! fails, with a limit on its load.
 
+use std::cmp::Reverse;
+
 use bendhinge_ids::{Instant, NameHash};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -17,10 +19,13 @@
     pub failing: f32,
     /// Whether it takes new work; one that does not may still be a source.
     pub takes_work: bool,
-    /// Whether it has been there long enough that requests about any subject may have gone to it.
-    pub is_settled: bool,
+    /// The order in which upstreams came: a later one has a higher number.
+    pub made: u64,
 }
 
+/// One in so many upstreams is in the group of homes of subjects that share a first part.
+const HOMES_PER_GROUP: usize = 4;
+
 /// What things cost, in tokens to read.
 #[derive(Clone, Copy, Debug)]
 pub struct CostRules {
@@ -112,7 +117,8 @@
     now: Instant,
 ) -> Option<Choice> {
     let limit = load_limit(rules, candidates);
-    let chooser = Chooser { rules, question, candidates, kept, now, home: home(question, candidates) };
+    let home = home(question, candidates, |candidate| candidate.takes_work);
+    let chooser = Chooser { rules, question, candidates, kept, now, home };
     let working = || (0..candidates.len()).filter(|index| candidates[*index].takes_work);
     let within = working().filter(|index| candidates[*index].load < limit);
     let best = |among: &mut dyn Iterator<Item = usize>| {
@@ -133,21 +139,22 @@
     rules.bound * total / count.max(1.0) + rules.bound_slack
 }
 
-/// The home of a subject: the candidate with the highest rendezvous score among those that take
-/// work.
-fn home(question: &Question<'_>, candidates: &[Candidate]) -> Option<usize> {
-    let subject = question.prompt?.subject()?;
-    highest(candidates, subject, |candidate| candidate.takes_work)
-}
-
-/// Where the subject's home was before upstreams that came of late, and with those that leave.
-fn former_home(subject: PartId, candidates: &[Candidate]) -> Option<usize> {
-    highest(candidates, subject, |candidate| candidate.is_settled)
-}
-
-fn highest(candidates: &[Candidate], subject: PartId, fits: impl Fn(&Candidate) -> bool) -> Option<usize> {
-    let fitting = candidates.iter().enumerate().filter(|(_, candidate)| fits(candidate));
-    fitting.max_by_key(|(_, candidate)| score(subject, candidate.upstream)).map(|(index, _)| index)
+/// The home of a subject, by rendezvous hashing among the candidates that `fit`. Subjects that
+/// share the first part of their prompts share a group of homes, so that it is read by few.
+fn home(
+    question: &Question<'_>,
+    candidates: &[Candidate],
+    fit: impl Fn(&Candidate) -> bool,
+) -> Option<usize> {
+    let prompt = question.prompt?;
+    let subject = prompt.subject()?;
+    let mut fitting: Vec<usize> = (0..candidates.len()).filter(|index| fit(&candidates[*index])).collect();
+    if let Some(first) = prompt.shared().first().filter(|first| first.id != subject) {
+        let group = fitting.len().div_ceil(HOMES_PER_GROUP);
+        fitting.sort_unstable_by_key(|index| Reverse(score(first.id, candidates[*index].upstream)));
+        fitting.truncate(group);
+    }
+    fitting.into_iter().max_by_key(|index| score(subject, candidates[*index].upstream))
 }
 
 fn score(subject: PartId, upstream: NameHash) -> u64 {
@@ -192,7 +199,7 @@
     }
 
     /// From where the candidate should fetch what it lacks: from the one that is believed to
-    /// keep most, or else from the subject's former home.
+    /// keep most, or else from where the subject's home was before the candidate came.
     fn source(&self, index: usize, prompt: &Prompt, missing: u32) -> Option<usize> {
         if !self.question.can_fetch || missing < self.rules.least_fetched {
             return None;
@@ -202,7 +209,8 @@
         if keeping.0 >= prompt.shared_tokens() - missing + self.rules.least_fetched {
             return Some(keeping.1);
         }
-        former_home(prompt.subject()?, self.candidates).filter(|former| *former != index)
+        let made = self.candidates[index].made;
+        home(self.question, self.candidates, |other| other.made < made).filter(|_| self.home == Some(index))
     }
 
     fn tie(&self, index: usize) -> u64 {
