Gateways tell each other which upstream read which part of a prompt

Cause: each gateway sees a ninth of the traffic, so it meets a subject about once in thirty seconds; after upstreams came or left, gateways that had not met it since sent it to its new home, which read it again. Change: an exchange carries the parts that the sender learned of within the last 1.3 s; a part in use is told of again each 30 s.

--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -110,7 +110,7 @@
         upstreams: upstreams.known(now),
         members: control.roster.borrow().members(now).collect(),
         loads: upstreams.loads_to_tell(now),
-        reads: Vec::new(),
+        reads: upstreams.reads_to_tell(now),
     }
 }
 
@@ -125,6 +125,7 @@
     }
     drop(roster);
     let delivering = &control.delivering;
+    delivering.upstreams.hear_reads(&word.reads, asked.unwrap_or(now));
     let Some(asked) = asked else { return };
     if let Some(known) = word.rules {
         delivering.rules.confirm(known.version, asked - known.age);
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -8,8 +8,10 @@
     Belief, Directory, Judge, Listed, Mishap, Offer, Standing, UpstreamEntry, UpstreamList, Version,
 };
 use bendhinge_ids::{Instant, NameHash, PoolName};
-use bendhinge_peer::{Known, LoadWord};
-use bendhinge_placement::{Candidate, ChoiceReason, CostRules, KeptParts, Prompt, Question, choose};
+use bendhinge_peer::{Known, LoadWord, ReadWord};
+use bendhinge_placement::{
+    Candidate, ChoiceReason, CostRules, KeptPart, KeptParts, Prompt, Question, choose,
+};
 use bendhinge_routes::PoolRule;
 
 use super::loads::{Loads, Said};
@@ -19,6 +21,9 @@
 
 /// How long an upstream is believed to keep what it read.
 const KEPT_FOR: Duration = Duration::from_secs(90);
+/// For how long and how many parts that upstreams read are told of.
+const READS_TOLD_FOR: Duration = Duration::from_millis(1_300);
+const MOST_READS_TOLD: usize = 400;
 /// What an upstream on trial is expected to fail.
 const SHARE_FAILING_ON_TRIAL: f32 = 0.5;
 /// Words of loads older than this are not passed on.
@@ -191,6 +196,27 @@
         }
     }
 
+    /// What to tell others of parts that upstreams lately read.
+    pub(crate) fn reads_to_tell(&self, now: Instant) -> Vec<ReadWord> {
+        let state = self.state.lock().unwrap();
+        let told = state.kept.learned_within(READS_TOLD_FOR, now).map(|kept| ReadWord {
+            part: kept.part,
+            upstream: kept.upstream,
+            age: now.since(kept.used),
+        });
+        told.take(MOST_READS_TOLD).collect()
+    }
+
+    /// Takes in which parts upstreams read for others, told in an exchange that began at `asked`.
+    pub(crate) fn hear_reads(&self, reads: &[ReadWord], asked: Instant) {
+        let now = clock::now();
+        let mut state = self.state.lock().unwrap();
+        for read in reads {
+            let kept = KeptPart { part: read.part, upstream: read.upstream, used: asked - read.age };
+            state.kept.learn(kept, now);
+        }
+    }
+
     /// Gives up what is too old.
     pub(crate) fn prune(&self) {
         let now = clock::now();
--- a/crates/bendhinge_placement/src/lib.rs
+++ b/crates/bendhinge_placement/src/lib.rs
@@ -30,7 +30,7 @@
 pub use knowledge::{Assessment, KnownLoad, assess};
 pub use ledger::{Denied, Granted, LedgerLimits, LoadReport, PermitLedger, PermitRequest};
 pub use owner::{owner_of, rank_owners};
-pub use prompt::{KeptParts, PartId, Prompt, PromptPart};
+pub use prompt::{KeptPart, KeptParts, PartId, Prompt, PromptPart};
 pub use ranking::{Ranked, Ranking, SHORTLIST, Shortlist, UpstreamIndex};
 pub use view::{LoadView, ViewKey};
 pub use walk::{Answer, PlacementReason, Step, Walk, WalkPool};
--- a/crates/bendhinge_placement/src/prompt.rs
+++ b/crates/bendhinge_placement/src/prompt.rs
@@ -57,10 +57,27 @@
     }
 }
 
+/// A part that goes on being used is told of again after this share of the time for which it is
+/// believed to be kept.
+const TELLINGS: u32 = 3;
+
 #[derive(Clone, Copy, Debug)]
 struct Keeper {
     upstream: NameHash,
     used: Instant,
+    /// When this router learned that it keeps the part.
+    learned: Instant,
+}
+
+/// That an upstream read a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeptPart {
+    /// The part.
+    pub part: PartId,
+    /// The upstream.
+    pub upstream: NameHash,
+    /// When it was last used there.
+    pub used: Instant,
 }
 
 /// Which upstreams are believed to keep which parts: those that read them not long ago.
@@ -83,14 +100,34 @@
     /// Notes that an upstream read the shared parts of a prompt.
     pub fn read(&mut self, upstream: NameHash, prompt: &Prompt, now: Instant) {
         for part in prompt.shared() {
-            let keepers = self.keepers.entry(part.id).or_default();
-            match keepers.iter_mut().find(|keeper| keeper.upstream == upstream) {
-                Some(keeper) => keeper.used = now,
-                None => keepers.push(Keeper { upstream, used: now }),
+            self.learn(KeptPart { part: part.id, upstream, used: now }, now);
+        }
+    }
+
+    /// Takes in that an upstream read a part, for this router or another.
+    pub fn learn(&mut self, kept: KeptPart, now: Instant) {
+        let KeptPart { part, upstream, used } = kept;
+        let believed_for = self.believed_for;
+        let keepers = self.keepers.entry(part).or_default();
+        match keepers.iter_mut().find(|keeper| keeper.upstream == upstream) {
+            Some(keeper) => {
+                if used.since(keeper.used) > believed_for / TELLINGS {
+                    keeper.learned = now;
+                }
+                keeper.used = keeper.used.max(used);
             }
+            None => keepers.push(Keeper { upstream, used, learned: now }),
         }
     }
 
+    /// What this router learned within the last `span`, for telling others.
+    pub fn learned_within(&self, span: Duration, now: Instant) -> impl Iterator<Item = KeptPart> {
+        self.keepers.iter().flat_map(move |(part, keepers)| {
+            let lately = keepers.iter().filter(move |keeper| now.since(keeper.learned) < span);
+            lately.map(|keeper| KeptPart { part: *part, upstream: keeper.upstream, used: keeper.used })
+        })
+    }
+
     /// How many tokens of a prompt's shared parts an upstream is believed to keep: those before
     /// the first part that it lacks.
     #[must_use]
