After a start, what upstreams keep is learned from others, or from them

Ruled out: hashing alone, which finds only what never moved; each gateway asking every upstream, which is priced and holds up their work. Change: a gateway that starts asks the others for all they know; if none of them knows enough yet, the first in rank asks each upstream once.

--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -7,12 +7,12 @@
 
 use bendhinge_fleet::{Contact, Heard, Offer, UpstreamList};
 use bendhinge_ids::Instant;
-use bendhinge_peer::{FleetDuties, Known, Word};
+use bendhinge_peer::{FleetDuties, Known, ReadWord, Word};
 use bytes::Bytes;
 use rand::Rng;
 use smol::Timer;
 
-use super::Control;
+use super::{Control, draw};
 use crate::clock;
 use crate::knowledge::RulesInForce;
 
@@ -21,10 +21,6 @@
 /// How many others are told news at once.
 const TOLD_AT_ONCE: usize = 8;
 
-fn draw(below: usize) -> usize {
-    rand::rng().random_range(0..below)
-}
-
 /// Exchanges for ever.
 pub(super) async fn run(control: Rc<Control>) {
     let mut round = 0_u32;
@@ -217,6 +213,10 @@
         Some((known, rules.current()?.document.clone()))
     }
 
+    fn reads(&self) -> Option<Vec<ReadWord>> {
+        self.0.is_informed.get().then(|| self.0.delivering.upstreams.all_reads(clock::now()))
+    }
+
     fn upstreams(&self) -> Option<(Known, UpstreamList)> {
         let upstreams = &self.0.delivering.upstreams;
         let known = upstreams.known(clock::now())?;
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod exchange;
 mod peers;
+mod recovery;
 mod store;
 
 use std::cell::{Cell, RefCell};
@@ -12,6 +13,7 @@
 
 use bendhinge_fleet::{MemberLife, ReadingPlan, Roster};
 use bendhinge_peer::{Traffic, serve_fleet};
+use rand::Rng;
 use smol::net::TcpListener;
 use smol::{LocalExecutor, Timer};
 
@@ -33,6 +35,8 @@
     executor: Rc<LocalExecutor<'static>>,
     /// Whether the store was reachable when it was last looked at.
     store_answers: Cell<Option<bool>>,
+    /// Whether enough is known of what upstreams keep to tell others who have just started.
+    is_informed: Cell<bool>,
 }
 
 impl Control {
@@ -53,6 +57,7 @@
             peers,
             executor: Rc::clone(executor),
             store_answers: Cell::new(None),
+            is_informed: Cell::new(false),
             settings,
             delivering,
             lifecycle,
@@ -71,6 +76,7 @@
         self.executor.spawn(serving).detach();
         self.executor.spawn(store::run(Rc::clone(self))).detach();
         self.executor.spawn(exchange::run(Rc::clone(self))).detach();
+        self.executor.spawn(recovery::run(Rc::clone(self))).detach();
         self.executor.spawn(housekeeping(Rc::clone(self))).detach();
     }
 
@@ -85,6 +91,10 @@
     }
 }
 
+fn draw(below: usize) -> usize {
+    rand::rng().random_range(0..below)
+}
+
 /// Gives up what is too old.
 async fn housekeeping(control: Rc<Control>) {
     const PERIOD: Duration = Duration::from_secs(1);
--- a/crates/bendhinge_gateway/src/dialect.rs
+++ b/crates/bendhinge_gateway/src/dialect.rs
@@ -7,7 +7,7 @@
 use bendhinge_codes::ResultCode;
 use bendhinge_fleet::{Revision, UpstreamEntry};
 use bendhinge_ids::TenantName;
-use bendhinge_placement::Prompt;
+use bendhinge_placement::{Prompt, PromptPart};
 use bendhinge_routes::ServingRules;
 use bytes::Bytes;
 use hyper::HeaderMap;
@@ -136,6 +136,10 @@
     fn write_attempt(&self, headers: &mut HeaderMap, fields: &AttemptFields<'_>);
     /// Reads the head of an answer.
     fn read_answer(&self, head: &response::Parts) -> AnswerFields;
+    /// The path at which an upstream lists the parts of prompts that it keeps.
+    fn kept_path(&self) -> &'static str;
+    /// Reads such a list.
+    fn read_kept(&self, body: &[u8]) -> Result<Vec<PromptPart>, TranslateError>;
 }
 
 /// How the platform's store spells what it holds.
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -207,6 +207,31 @@
         told.take(MOST_READS_TOLD).collect()
     }
 
+    /// All that upstreams are believed to have read.
+    pub(crate) fn all_reads(&self, now: Instant) -> Vec<ReadWord> {
+        let state = self.state.lock().unwrap();
+        let all = state.kept.learned_within(Duration::MAX, now);
+        all.map(|kept| ReadWord { part: kept.part, upstream: kept.upstream, age: now.since(kept.used) })
+            .collect()
+    }
+
+    /// The upstreams that take work, of pools for which `keeps_prompts` holds.
+    pub(crate) fn keeping(&self, keeps_prompts: impl Fn(&PoolName) -> bool) -> Vec<Arc<UpstreamEntry>> {
+        let state = self.state.lock().unwrap();
+        let listed = state.directory.listed().iter().filter(|listed| listed.takes_work());
+        listed.map(|listed| Arc::clone(&listed.entry)).filter(|entry| keeps_prompts(&entry.pool)).collect()
+    }
+
+    /// Takes in what others told at once, or an upstream listed: it is not told of again.
+    pub(crate) fn recover_reads(&self, reads: &[ReadWord]) {
+        let now = clock::now();
+        let mut state = self.state.lock().unwrap();
+        for read in reads {
+            let kept = KeptPart { part: read.part, upstream: read.upstream, used: now - read.age };
+            state.kept.learn(kept, now - READS_TOLD_FOR);
+        }
+    }
+
     /// Takes in which parts upstreams read for others, told in an exchange that began at `asked`.
     pub(crate) fn hear_reads(&self, reads: &[ReadWord], asked: Instant) {
         let now = clock::now();
--- a/crates/bendhinge_gateway/src/log.rs
+++ b/crates/bendhinge_gateway/src/log.rs
@@ -1,5 +1,6 @@
 //! Structured logs: a line for each decision that touches a request or changes what is believed.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bendhinge_codes::ResultCode;
@@ -79,6 +80,17 @@
         self.line("dependency", Fields { what, there: is_there, detail });
     }
 
+    /// It was learned what upstreams keep.
+    pub(crate) fn recovered(&self, from: &str, address: SocketAddr, parts: usize) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            from: &'a str,
+            address: SocketAddr,
+            parts: usize,
+        }
+        self.line("recovered", Fields { from, address, parts });
+    }
+
     /// An upstream is spared for a while.
     pub(crate) fn upstream_rests(&self, upstream: &UpstreamName, end: SendEnd) {
         #[derive(Serialize)]
--- a/crates/bendhinge_http/src/client.rs
+++ b/crates/bendhinge_http/src/client.rs
@@ -95,6 +95,16 @@
     path: &str,
     time: Duration,
 ) -> Result<T, FetchError> {
+    Ok(serde_json::from_slice(&fetch_bytes(pool, address, path, time).await?)?)
+}
+
+/// Gets `path` from `address`, whose answer must be 200.
+pub async fn fetch_bytes(
+    pool: &Pool,
+    address: SocketAddr,
+    path: &str,
+    time: Duration,
+) -> Result<Bytes, FetchError> {
     const LIMIT: usize = 16 << 20;
     let request = Request::get(path).header("host", address.to_string()).body(crate::empty_body());
     let request = request.expect("a path made here is a valid URI");
@@ -102,5 +112,5 @@
     if fetched.status != StatusCode::OK {
         return Err(FetchError::Status(fetched.status));
     }
-    Ok(serde_json::from_slice(&fetched.body)?)
+    Ok(fetched.body)
 }
--- a/crates/bendhinge_http/src/lib.rs
+++ b/crates/bendhinge_http/src/lib.rs
@@ -9,7 +9,7 @@
 mod workers;
 
 pub use body::{Body, BodyError, ReadBodyError, channel_body, empty_body, full_body, read_body};
-pub use client::{FetchError, Fetched, fetch, fetch_json};
+pub use client::{FetchError, Fetched, fetch, fetch_bytes, fetch_json};
 pub use pool::{ConnectError, Connection, Pool, SendFailure};
 pub use serve::{CutConnection, ServeLimits, Server, ServerStop};
 pub use signal::termination;
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -53,4 +53,5 @@
   exchange @0 (word :Word) -> (word :Word);
   rules @1 () -> (known :Known, document :Data);
   upstreams @2 () -> (known :Known, list :List(Upstream));
+  reads @3 () -> (reads :List(Read), informed :Bool);
 }
--- a/crates/bendhinge_peer/src/fleet/client.rs
+++ b/crates/bendhinge_peer/src/fleet/client.rs
@@ -13,8 +13,8 @@
 use smol::LocalExecutor;
 use smol::net::TcpStream;
 
-use super::convert::{read_known, read_upstreams, read_word, write_word};
-use super::{Known, Word};
+use super::convert::{read_known, read_read, read_upstreams, read_word, write_word};
+use super::{Known, ReadWord, Word};
 use crate::client::{CallError, within};
 use crate::fleet_capnp::fleet;
 use crate::secure::{ConnectionSide, PeerKey, SecureError, secure};
@@ -88,4 +88,17 @@
         })
         .await
     }
+
+    /// Fetches all that the peer believes upstreams to have read; `None` if it has just started
+    /// and knows too little itself.
+    pub async fn reads(&self) -> Result<Option<Vec<ReadWord>>, CallError> {
+        let request = self.peer.reads_request();
+        within(self.time, async {
+            let answer = request.send().promise.await?;
+            let answer = answer.get()?;
+            let reads = answer.get_reads()?.iter().map(read_read).collect();
+            Ok(answer.get_informed().then_some(reads))
+        })
+        .await
+    }
 }
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -77,13 +77,13 @@
     }
 }
 
-fn write_read(mut to: read::Builder<'_>, read: &ReadWord) {
+pub(super) fn write_read(mut to: read::Builder<'_>, read: &ReadWord) {
     to.set_part(read.part.0);
     to.set_upstream(read.upstream.0);
     to.set_age_millis(millis(read.age));
 }
 
-fn read_read(from: read::Reader<'_>) -> ReadWord {
+pub(super) fn read_read(from: read::Reader<'_>) -> ReadWord {
     ReadWord {
         part: PartId(from.get_part()),
         upstream: NameHash(from.get_upstream()),
--- a/crates/bendhinge_peer/src/fleet/mod.rs
+++ b/crates/bendhinge_peer/src/fleet/mod.rs
@@ -72,6 +72,8 @@
     fn rules(&self) -> Option<(Known, Bytes)>;
     /// The list of upstreams that is held.
     fn upstreams(&self) -> Option<(Known, UpstreamList)>;
+    /// All that upstreams are believed to have read; `None` just after the start.
+    fn reads(&self) -> Option<Vec<ReadWord>>;
 }
 
 /// Where a member is reached, as sent: IPv4 only, which is what gateways listen on.
--- a/crates/bendhinge_peer/src/fleet/server.rs
+++ b/crates/bendhinge_peer/src/fleet/server.rs
@@ -11,7 +11,7 @@
 use smol::net::{TcpListener, TcpStream};
 
 use super::FleetDuties;
-use super::convert::{read_word, write_known, write_upstream, write_word};
+use super::convert::{read_word, write_known, write_read, write_upstream, write_word};
 use crate::fleet_capnp::fleet;
 use crate::secure::{ConnectionSide, PeerKey, secure};
 use crate::traffic::Traffic;
@@ -92,4 +92,18 @@
         }
         Ok(())
     }
+
+    async fn reads(
+        self: Rc<Self>,
+        _: fleet::ReadsParams,
+        mut results: fleet::ReadsResults,
+    ) -> Result<(), Error> {
+        let Some(reads) = self.0.reads() else { return Ok(()) };
+        results.get().set_informed(true);
+        let mut list = results.get().init_reads(u32::try_from(reads.len()).unwrap_or(u32::MAX));
+        for (index, read) in (0..).zip(&reads) {
+            write_read(list.reborrow().get(index), read);
+        }
+        Ok(())
+    }
 }
--- a/crates/bendhinge_peer/src/fleet_capnp.rs
+++ b/crates/bendhinge_peer/src/fleet_capnp.rs
@@ -2505,6 +2505,8 @@
         ::capnp::capability::Params<crate::fleet_capnp::fleet::upstreams_params::Owned>;
     pub type UpstreamsResults =
         ::capnp::capability::Results<crate::fleet_capnp::fleet::upstreams_results::Owned>;
+    pub type ReadsParams = ::capnp::capability::Params<crate::fleet_capnp::fleet::reads_params::Owned>;
+    pub type ReadsResults = ::capnp::capability::Results<crate::fleet_capnp::fleet::reads_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -2597,6 +2599,14 @@
         > {
             self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
         }
+        pub fn reads_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::fleet_capnp::fleet::reads_params::Owned,
+            crate::fleet_capnp::fleet::reads_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
+        }
     }
     pub trait Server: 'static {
         fn exchange(
@@ -2626,6 +2636,15 @@
                 "method fleet::Server::upstreams not implemented".to_string(),
             )))
         }
+        fn reads(
+            self: ::capnp::capability::Rc<Self>,
+            _: ReadsParams,
+            _: ReadsResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method fleet::Server::reads not implemented".to_string(),
+            )))
+        }
     }
     pub struct ServerDispatch<_T> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -2701,6 +2720,14 @@
                     )),
                     false,
                 ),
+                3 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::reads(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
                 _ => ::capnp::capability::DispatchCallResult::new(
                     ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
                         "Method not implemented.".to_string(),
@@ -4456,4 +4483,568 @@
             pub(crate) const TYPE_ID: u64 = 0x9b1e_146e_9017_9446;
         }
     }
+
+    pub mod reads_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                })
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    }),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    }),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(121, 104, 192, 211, 17, 73, 179, 189),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 70, 108, 101, 101),
+                ::capnp::word(116, 46, 114, 101, 97, 100, 115, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xbdb3_4911_d3c0_6879;
+        }
+    }
+
+    pub mod reads_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                })
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    }),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_reads(
+                self,
+            ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::fleet_capnp::read::Owned>>
+            {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_reads(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_informed(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    }),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_reads(
+                self,
+            ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::fleet_capnp::read::Owned>>
+            {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_reads(
+                &mut self,
+                value: ::capnp::struct_list::Reader<'_, crate::fleet_capnp::read::Owned>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_reads(
+                self,
+                size: u32,
+            ) -> ::capnp::struct_list::Builder<'a, crate::fleet_capnp::read::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_reads(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_informed(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_informed(&mut self, value: bool) {
+                self.builder.set_bool_field(0, value);
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(141, 89, 71, 198, 50, 190, 176, 157),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 70, 108, 101, 101),
+                ::capnp::word(116, 46, 114, 101, 97, 100, 115, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(61, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(60, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 97, 100, 115, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(125, 179, 141, 22, 43, 215, 168, 243),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 110, 102, 111, 114, 109, 101, 100),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::struct_list::Owned<crate::fleet_capnp::read::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) const TYPE_ID: u64 = 0x9db0_be32_c647_598d;
+        }
+    }
 }
