--- /dev/null
+++ b/crates/bendhinge_fleet/tests/directory.rs
@@ -0,0 +1,89 @@
+//! Entries that vanish while the store is in trouble are not upstreams that left.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bendhinge_fleet::{Directory, DirectoryLimits, UpstreamEntry, UpstreamList, UpstreamState};
+use bendhinge_ids::{Instant, NameHash};
+
+const LIMITS: DirectoryLimits = DirectoryLimits {
+    gap: Duration::from_millis(2_500),
+    doubt: Duration::from_millis(4_000),
+    remember: Duration::from_millis(3_000),
+};
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+fn list(entries: &[(&str, UpstreamState)]) -> UpstreamList {
+    let entries = entries.iter().map(|(name, state)| {
+        Arc::new(UpstreamEntry {
+            name: name.parse().unwrap(),
+            hash: NameHash::of(name),
+            pool: "pool".parse().unwrap(),
+            address: "10.0.0.1:80".parse().unwrap(),
+            zone: "zone".parse().unwrap(),
+            slots: 8,
+            state: *state,
+            made: 1,
+        })
+    });
+    UpstreamList { entries: entries.collect() }
+}
+
+fn working(directory: &Directory) -> Vec<String> {
+    let working = directory.listed().iter().filter(|listed| listed.takes_work());
+    working.map(|listed| listed.entry.name.to_string()).collect()
+}
+
+use UpstreamState::{Draining, Ready};
+
+fn read(directory: &mut Directory, entries: &[(&str, UpstreamState)], millis: u64) {
+    directory.evidence(at(millis), at(millis));
+    directory.take(&list(entries), at(millis));
+}
+
+#[test]
+fn an_entry_that_vanishes_in_calm_takes_no_more_work() {
+    let mut directory = Directory::new(LIMITS);
+    read(&mut directory, &[("a", Ready), ("b", Ready)], 1_000);
+    read(&mut directory, &[("a", Ready)], 1_700);
+    assert_eq!(working(&directory), ["a"]);
+    assert_eq!(directory.listed().len(), 2, "it is remembered for what it keeps");
+    assert!(directory.prune(at(5_000)));
+    assert_eq!(directory.listed().len(), 1);
+}
+
+#[test]
+fn entries_that_vanish_after_a_gap_are_kept_for_a_while() {
+    let mut directory = Directory::new(LIMITS);
+    read(&mut directory, &[("a", Ready), ("b", Ready)], 1_000);
+    read(&mut directory, &[], 8_000);
+    assert_eq!(working(&directory), ["a", "b"]);
+    read(&mut directory, &[("a", Ready)], 9_000);
+    assert_eq!(working(&directory), ["a", "b"], "b may still come back");
+    directory.prune(at(12_500));
+    assert_eq!(working(&directory), ["a"], "the doubt is over");
+}
+
+#[test]
+fn an_entry_that_comes_back_is_the_same_as_before() {
+    let mut directory = Directory::new(LIMITS);
+    read(&mut directory, &[("a", Ready)], 1_000);
+    read(&mut directory, &[], 8_000);
+    read(&mut directory, &[("a", Ready)], 9_000);
+    directory.prune(at(20_000));
+    assert_eq!(working(&directory), ["a"]);
+    assert_eq!(directory.listed()[0].since, at(1_000));
+}
+
+#[test]
+fn leaving_wins_over_joining() {
+    let mut directory = Directory::new(LIMITS);
+    read(&mut directory, &[("a", Ready), ("b", Ready)], 1_000);
+    read(&mut directory, &[("a", Draining), ("b", Ready)], 1_700);
+    assert_eq!(working(&directory), ["b"]);
+    read(&mut directory, &[("a", Ready), ("b", Ready)], 2_400);
+    assert_eq!(working(&directory), ["b"]);
+}
--- /dev/null
+++ b/crates/bendhinge_fleet/tests/judge.rs
@@ -0,0 +1,92 @@
+//! Upstreams are judged by their own answers, and tried again gently.
+
+use std::time::Duration;
+
+use bendhinge_fleet::{Judge, JudgeLimits, Mishap, Standing};
+use bendhinge_ids::{Instant, NameHash};
+
+const LIMITS: JudgeLimits = JudgeLimits {
+    rest: Duration::from_millis(500),
+    longest_rest: Duration::from_millis(4_000),
+    half_life: Duration::from_secs(3),
+};
+const UPSTREAM: NameHash = NameHash(1);
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+fn is_good(standing: Standing) -> bool {
+    matches!(standing, Standing::Good { .. })
+}
+
+#[test]
+fn each_mishap_has_its_own_patience() {
+    let cases = [
+        (Mishap::NotConnected, 1),
+        (Mishap::Replaced, 1),
+        (Mishap::Silent, 2),
+        (Mishap::Lost, 3),
+        (Mishap::Shed, 3),
+        (Mishap::Failed, 6),
+    ];
+    for (mishap, allowed) in cases {
+        let mut judge = Judge::new(LIMITS);
+        let rested: Vec<bool> =
+            (0..allowed).map(|number| judge.failed(UPSTREAM, mishap, at(1_000 + number))).collect();
+        let expected: Vec<bool> = (1..=allowed).map(|number| number == allowed).collect();
+        assert_eq!(rested, expected, "{mishap:?}");
+    }
+}
+
+#[test]
+fn after_its_rest_it_gets_one_request_on_trial() {
+    let mut judge = Judge::new(LIMITS);
+    judge.failed(UPSTREAM, Mishap::NotConnected, at(1_000));
+    assert_eq!(judge.standing(UPSTREAM, at(1_400)), Standing::Resting);
+    assert_eq!(judge.standing(UPSTREAM, at(1_600)), Standing::OnTrial);
+    judge.sent(UPSTREAM, at(1_600));
+    assert_eq!(judge.standing(UPSTREAM, at(1_700)), Standing::Resting, "one trial at a time");
+    judge.answered(UPSTREAM, at(1_750));
+    assert!(is_good(judge.standing(UPSTREAM, at(1_750))));
+}
+
+#[test]
+fn a_failed_trial_makes_the_rest_longer_up_to_a_limit() {
+    let mut judge = Judge::new(LIMITS);
+    let mut now = 1_000;
+    let mut rests = Vec::new();
+    for _ in 0..6 {
+        judge.failed(UPSTREAM, Mishap::NotConnected, at(now));
+        let rest = (1..).find(|rest| judge.standing(UPSTREAM, at(now + rest)) != Standing::Resting).unwrap();
+        rests.push(rest);
+        now += rest;
+        judge.sent(UPSTREAM, at(now));
+    }
+    assert_eq!(rests, [500, 1_000, 2_000, 4_000, 4_000, 4_000]);
+}
+
+#[test]
+fn an_upstream_that_nobody_tried_is_forgiven_in_the_end() {
+    let mut judge = Judge::new(LIMITS);
+    judge.failed(UPSTREAM, Mishap::NotConnected, at(1_000));
+    assert_eq!(judge.standing(UPSTREAM, at(5_000)), Standing::OnTrial);
+    assert!(is_good(judge.standing(UPSTREAM, at(6_000))));
+}
+
+#[test]
+fn the_share_of_failures_fades() {
+    let mut judge = Judge::new(LIMITS);
+    for number in 0..10 {
+        judge.failed(UPSTREAM, Mishap::Failed, at(1_000));
+        judge.answered(UPSTREAM, at(1_000 + number));
+    }
+    let failing = |judge: &mut Judge, now| match judge.standing(UPSTREAM, now) {
+        Standing::Good { failing } => failing,
+        other => panic!("{other:?}"),
+    };
+    let early = failing(&mut judge, at(1_010));
+    judge.answered(UPSTREAM, at(31_000));
+    let late = failing(&mut judge, at(31_000));
+    assert!(early > 0.4 && late < 0.01, "{early} {late}");
+}
--- /dev/null
+++ b/crates/bendhinge_fleet/tests/reading.rs
@@ -0,0 +1,59 @@
+//! Who reads the store, and when.
+
+use std::time::Duration;
+
+use bendhinge_fleet::{ReadingLimits, ReadingPlan};
+use bendhinge_ids::Instant;
+
+const LIMITS: ReadingLimits = ReadingLimits {
+    first: Duration::from_millis(700),
+    step: Duration::from_millis(600),
+    last: Duration::from_millis(2_200),
+    retry: Duration::from_millis(2_000),
+    urgent_retry: Duration::from_millis(300),
+};
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+#[test]
+fn patience_grows_with_rank_up_to_a_limit() {
+    let plan = ReadingPlan::new(LIMITS);
+    let patience: Vec<u128> = (0..5).map(|rank| plan.patience(rank).as_millis()).collect();
+    assert_eq!(patience, [700, 1_300, 1_900, 2_200, 2_200]);
+    assert_eq!(plan.patience(usize::MAX), LIMITS.last);
+}
+
+#[test]
+fn a_router_that_believes_nothing_reads_at_once_but_not_in_a_loop() {
+    let mut plan = ReadingPlan::new(LIMITS);
+    assert_eq!(plan.wait(None, 3, at(1_000)), Duration::ZERO);
+    plan.succeeded(at(1_010));
+    assert_eq!(plan.wait(None, 3, at(1_010)), LIMITS.urgent_retry, "the store held nothing yet");
+    assert_eq!(plan.wait(None, 3, at(1_310)), Duration::ZERO);
+}
+
+#[test]
+fn a_router_reads_when_its_belief_is_as_old_as_its_rank_allows() {
+    let plan = ReadingPlan::new(LIMITS);
+    assert_eq!(plan.wait(Some(millis(200)), 0, at(5_000)), millis(500));
+    assert_eq!(plan.wait(Some(millis(900)), 0, at(5_000)), Duration::ZERO);
+    assert_eq!(plan.wait(Some(millis(900)), 1, at(5_000)), millis(400));
+}
+
+#[test]
+fn a_router_that_is_turned_away_is_patient_only_while_it_hears_from_others() {
+    let mut plan = ReadingPlan::new(LIMITS);
+    plan.failed(at(1_000));
+    assert!(plan.is_failing());
+    assert_eq!(plan.wait(Some(millis(800)), 0, at(1_100)), millis(1_900));
+    assert_eq!(plan.wait(Some(millis(2_500)), 0, at(1_100)), millis(200));
+    plan.succeeded(at(1_500));
+    assert!(!plan.is_failing());
+    assert_eq!(plan.wait(Some(millis(800)), 0, at(1_500)), Duration::ZERO);
+}
--- /dev/null
+++ b/crates/bendhinge_fleet/tests/roster.rs
@@ -0,0 +1,199 @@
+//! Routers find each other from a few seeds, and again after cuts, kills and replacements.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bendhinge_fleet::{Heard, MemberLife, Roster, RosterLimits};
+use bendhinge_ids::Instant;
+
+const LIMITS: RosterLimits =
+    RosterLimits { dead_after: Duration::from_secs(3), forgotten_after: Duration::from_secs(60) };
+const ROUND_MS: u64 = 400;
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, u8::try_from(number).unwrap()], 7_000))
+}
+
+/// Routers in virtual time; a router that is down keeps no state.
+struct Fleet {
+    rosters: Vec<Option<Roster>>,
+    side: Vec<usize>,
+    now: u64,
+    draws: u64,
+}
+
+impl Fleet {
+    fn new(size: usize, seeds: &[SocketAddr]) -> Self {
+        let rosters = (0..size).map(|number| Some(Roster::new(address(number), seeds, LIMITS))).collect();
+        Self { rosters, side: vec![0; size], now: 1_000, draws: 1 }
+    }
+
+    fn restart(&mut self, number: usize, seeds: &[SocketAddr]) {
+        self.rosters[number] = Some(Roster::new(address(number), seeds, LIMITS));
+    }
+
+    fn word(&self, number: usize, now: Instant) -> Vec<Heard> {
+        let roster = self.rosters[number].as_ref().unwrap();
+        let own = Heard {
+            address: address(number),
+            life: MemberLife(1),
+            age: Duration::ZERO,
+            is_leaving: false,
+            is_store_failing: false,
+        };
+        std::iter::once(own).chain(roster.members(now)).collect()
+    }
+
+    fn round(&mut self) {
+        self.now += ROUND_MS;
+        let now = Instant::from_millis(self.now);
+        for asking in 0..self.rosters.len() {
+            let draws = &mut self.draws;
+            let mut draw = |below: usize| {
+                *draws =
+                    draws.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+                usize::try_from(*draws >> 33).unwrap() % below
+            };
+            let Some(roster) = &self.rosters[asking] else { continue };
+            let mut contacts = roster.contacts(false, now, &mut draw);
+            contacts.extend(roster.lost_contact(now, &mut draw));
+            for contact in contacts {
+                self.exchange(asking, contact.address(), now);
+            }
+        }
+    }
+
+    fn exchange(&mut self, asking: usize, asked: SocketAddr, now: Instant) {
+        let Some(asked) = (0..self.rosters.len()).find(|number| address(*number) == asked) else { return };
+        if self.rosters[asked].is_none() || self.side[asking] != self.side[asked] {
+            return;
+        }
+        for (from, to) in [(asking, asked), (asked, asking)] {
+            for heard in self.word(from, now) {
+                self.rosters[to].as_mut().unwrap().hear(&heard, now);
+            }
+        }
+    }
+
+    fn rounds(&mut self, count: u64) {
+        (0..count).for_each(|_| self.round());
+    }
+
+    fn live_counts(&self) -> Vec<usize> {
+        let now = Instant::from_millis(self.now);
+        self.rosters.iter().flatten().map(|roster| roster.live_count(now)).collect()
+    }
+
+    /// How many believe to be the first in rank.
+    fn firsts(&self) -> usize {
+        let now = Instant::from_millis(self.now);
+        self.rosters.iter().flatten().filter(|roster| roster.own_rank(false, now) == 0).count()
+    }
+}
+
+#[test]
+fn all_find_each_other_from_one_live_seed_among_stale_ones() {
+    let mut fleet = Fleet::new(9, &[address(200), address(4), address(201)]);
+    fleet.rounds(12);
+    assert_eq!(fleet.live_counts(), vec![9; 9]);
+    assert_eq!(fleet.firsts(), 1);
+}
+
+#[test]
+fn the_killed_are_dead_after_a_while_and_found_again_after_a_restart() {
+    let mut fleet = Fleet::new(6, &[address(0)]);
+    fleet.rounds(10);
+    fleet.rosters[0] = None;
+    fleet.rosters[3] = None;
+    fleet.rounds(20);
+    assert_eq!(fleet.live_counts(), vec![4; 4]);
+    fleet.restart(3, &[address(0), address(5)]);
+    fleet.rounds(10);
+    assert_eq!(fleet.live_counts(), vec![5; 5]);
+}
+
+#[test]
+fn two_parts_that_were_cut_apart_merge_again_without_a_seed() {
+    let mut fleet = Fleet::new(8, &[address(0)]);
+    fleet.rounds(12);
+    for roster in fleet.rosters.iter_mut().flatten() {
+        roster.set_seeds(&[]);
+    }
+    (0..4).for_each(|number| fleet.side[number] = 1);
+    fleet.rounds(40);
+    assert_eq!(fleet.live_counts(), vec![4; 8]);
+    assert_eq!(fleet.firsts(), 2, "each part has one that reads");
+    fleet.side = vec![0; 8];
+    fleet.rounds(20);
+    assert_eq!(fleet.live_counts(), vec![8; 8]);
+    assert_eq!(fleet.firsts(), 1);
+}
+
+#[test]
+fn one_that_leaves_is_live_no_more_at_once() {
+    let mut roster = Roster::new(address(0), &[], LIMITS);
+    let now = Instant::from_millis(10_000);
+    let mut heard = Heard {
+        address: address(1),
+        life: MemberLife(1),
+        age: Duration::from_millis(500),
+        is_leaving: false,
+        is_store_failing: false,
+    };
+    roster.hear(&heard, now);
+    assert_eq!(roster.live_count(now), 2);
+    heard.is_leaving = true;
+    heard.age = Duration::from_millis(100);
+    roster.hear(&heard, now);
+    assert_eq!(roster.live_count(now), 1);
+    heard.is_leaving = false;
+    heard.age = Duration::from_millis(400);
+    roster.hear(&heard, now);
+    assert_eq!(roster.live_count(now), 1, "older word does not undo newer");
+}
+
+#[test]
+fn those_whose_reads_fail_come_last_in_rank() {
+    let now = Instant::from_millis(10_000);
+    let mut roster = Roster::new(address(0), &[], LIMITS);
+    for number in 1..5 {
+        roster.hear(
+            &Heard {
+                address: address(number),
+                life: MemberLife(1),
+                age: Duration::ZERO,
+                is_leaving: false,
+                is_store_failing: true,
+            },
+            now,
+        );
+    }
+    assert_eq!(roster.own_rank(false, now), 0);
+    assert!(roster.own_rank(true, now) <= 4);
+}
+
+/// In a large fleet nobody is asked for what it hears of the store by all others.
+#[test]
+fn nobody_is_asked_by_all_in_a_large_fleet() {
+    let size = 74;
+    let now = Instant::from_millis(10_000);
+    let mut asked = vec![0_usize; size];
+    for own in 0..size {
+        let mut roster = Roster::new(address(own), &[], LIMITS);
+        for other in (0..size).filter(|other| *other != own) {
+            let heard = Heard {
+                address: address(other),
+                life: MemberLife(1),
+                age: Duration::ZERO,
+                is_leaving: false,
+                is_store_failing: false,
+            };
+            roster.hear(&heard, now);
+        }
+        let mut draw = |below: usize| own % below;
+        let reader = roster.contacts(false, now, &mut draw)[0].address();
+        let number = (0..size).find(|number| address(*number) == reader).unwrap();
+        asked[number] += 1;
+    }
+    assert!(*asked.iter().max().unwrap() <= 12, "{asked:?}");
+}
--- /dev/null
+++ b/crates/bendhinge_placement/tests/cost.rs
@@ -0,0 +1,144 @@
+//! The upstream of least cost.
+
+use std::time::Duration;
+
+use bendhinge_ids::{Instant, NameHash};
+use bendhinge_placement::{
+    Candidate, Choice, ChoiceReason, CostRules, KeptParts, PartId, Prompt, PromptPart, Question, choose,
+};
+
+const NOW: Instant = Instant::from_millis(100_000);
+const KEPT_FOR: Duration = Duration::from_secs(60);
+
+fn candidates(count: u64) -> Vec<Candidate> {
+    let candidate = |number| Candidate {
+        upstream: NameHash(number * 7_919 + 1),
+        load: 0.0,
+        failing: 0.0,
+        takes_work: true,
+        made: number,
+    };
+    (0..count).map(candidate).collect()
+}
+
+fn prompt(head: u64, subject: u64) -> Prompt {
+    let part = |id, tokens| PromptPart { id: PartId(id), tokens };
+    Prompt::new(vec![part(head, 2_500), part(subject, 6_000), part(subject * 1_000 + 1, 500)])
+}
+
+struct Placing {
+    candidates: Vec<Candidate>,
+    kept: KeptParts,
+}
+
+impl Placing {
+    fn new(count: u64) -> Self {
+        Self { candidates: candidates(count), kept: KeptParts::new(KEPT_FOR) }
+    }
+
+    fn choose(&self, prompt: Option<&Prompt>) -> Option<Choice> {
+        let question = Question { prompt, can_fetch: true, tie_breaker: 5 };
+        choose(&CostRules::default(), &question, &self.candidates, &self.kept, NOW)
+    }
+
+    fn chosen(&self, prompt: &Prompt) -> usize {
+        self.choose(Some(prompt)).unwrap().chosen
+    }
+
+    fn read(&mut self, index: usize, prompt: &Prompt) {
+        self.kept.read(self.candidates[index].upstream, prompt, NOW);
+    }
+}
+
+#[test]
+fn routers_that_know_nothing_agree_on_homes_of_a_few_upstreams_for_a_first_part() {
+    let placing = Placing::new(12);
+    let homes: Vec<usize> = (100..160).map(|subject| placing.chosen(&prompt(1, subject))).collect();
+    let again: Vec<usize> = (100..160).map(|subject| Placing::new(12).chosen(&prompt(1, subject))).collect();
+    assert_eq!(homes, again);
+    let mut distinct = homes;
+    distinct.sort_unstable();
+    distinct.dedup();
+    assert_eq!(distinct.len(), 3, "a quarter of twelve");
+}
+
+#[test]
+fn a_subject_stays_where_it_is_kept_when_an_upstream_comes() {
+    let mut placing = Placing::new(11);
+    let prompts: Vec<Prompt> = (100..180).map(|subject| prompt(subject % 4, subject)).collect();
+    let before: Vec<usize> = prompts.iter().map(|prompt| placing.chosen(prompt)).collect();
+    for (index, prompt) in before.iter().zip(&prompts) {
+        placing.read(*index, prompt);
+    }
+    placing.candidates = candidates(12);
+    let after: Vec<usize> = prompts.iter().map(|prompt| placing.chosen(prompt)).collect();
+    assert_eq!(before, after);
+}
+
+#[test]
+fn a_subject_whose_home_leaves_is_fetched_from_it() {
+    let mut placing = Placing::new(12);
+    let prompt = prompt(1, 9);
+    let home = placing.chosen(&prompt);
+    placing.read(home, &prompt);
+    placing.candidates[home].takes_work = false;
+    let choice = placing.choose(Some(&prompt)).unwrap();
+    assert_ne!(choice.chosen, home);
+    assert_eq!(choice.fetch_from, Some(home));
+}
+
+#[test]
+fn an_upstream_over_the_bound_gets_no_more_while_others_are_below() {
+    let mut placing = Placing::new(12);
+    let prompt = prompt(1, 9);
+    let home = placing.chosen(&prompt);
+    placing.read(home, &prompt);
+    placing.candidates.iter_mut().for_each(|candidate| candidate.load = 4.0);
+    placing.candidates[home].load = 20.0;
+    let choice = placing.choose(Some(&prompt)).unwrap();
+    assert_ne!(choice.chosen, home);
+    assert_eq!(choice.fetch_from, Some(home));
+    placing.candidates.iter_mut().for_each(|candidate| candidate.load = 20.0);
+    assert_eq!(placing.chosen(&prompt), home, "all carry as much");
+}
+
+#[test]
+fn one_that_fails_is_passed_over_for_small_prompts() {
+    let mut placing = Placing::new(3);
+    placing.candidates[0].failing = 0.6;
+    placing.candidates[1].load = 1.0;
+    placing.candidates[2].load = 3.0;
+    assert_eq!(placing.choose(None).unwrap().chosen, 1);
+}
+
+#[test]
+fn nothing_is_chosen_where_none_takes_work() {
+    let mut placing = Placing::new(3);
+    placing.candidates.iter_mut().for_each(|candidate| candidate.takes_work = false);
+    assert_eq!(placing.choose(None), None);
+    assert_eq!(Placing::new(0).choose(Some(&prompt(1, 1))), None);
+}
+
+#[test]
+fn what_is_kept_ends_at_the_first_part_that_is_lacking() {
+    let mut kept = KeptParts::new(KEPT_FOR);
+    let upstream = NameHash(1);
+    kept.read(upstream, &prompt(1, 9), NOW);
+    assert_eq!(kept.kept_tokens(upstream, &prompt(1, 9), NOW), 8_500);
+    assert_eq!(kept.kept_tokens(upstream, &prompt(1, 8), NOW), 2_500);
+    assert_eq!(kept.kept_tokens(upstream, &prompt(2, 9), NOW), 0, "the part before it is lacking");
+    assert_eq!(kept.kept_tokens(upstream, &prompt(1, 9), NOW + KEPT_FOR), 0);
+}
+
+#[test]
+fn the_reason_names_what_decided() {
+    let mut placing = Placing::new(12);
+    let prompt = prompt(1, 9);
+    let home = placing.chosen(&prompt);
+    assert_eq!(placing.choose(Some(&prompt)).unwrap().reason, ChoiceReason::Home);
+    let other = (home + 1) % 12;
+    placing.read(other, &prompt);
+    let choice = placing.choose(Some(&prompt)).unwrap();
+    assert_eq!((choice.chosen, choice.reason), (other, ChoiceReason::Kept));
+    assert_eq!(placing.choose(None).unwrap().reason, ChoiceReason::LeastCost);
+}
