A seeded fault soak of real gateways, with a store and upstreams of the product's own interface

The product's own interface (headers, rules in INI, pages in JSON) is the second implementation of what an adapter translates, and what tests run on. The soak kills, freezes, stops and reloads gateways, harms their ways by a loopback proxy, and has store and upstreams misbehave, one after the other and at once; callers keep connections open and judge every answer.

--- a/crates/bendhinge_gateway/src/lib.rs
+++ b/crates/bendhinge_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod knowledge;
 mod lifecycle;
 mod log;
+pub mod native;
 mod ready;
 mod retries;
 mod run;
--- a/crates/bendhinge_gateway/src/log.rs
+++ b/crates/bendhinge_gateway/src/log.rs
@@ -56,6 +56,16 @@
         self.line(event, Fields { name, detail });
     }
 
+    /// The process listens.
+    pub(crate) fn listening(&self, what: &str, address: SocketAddr) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            what: &'a str,
+            address: SocketAddr,
+        }
+        self.line("listening", Fields { what, address });
+    }
+
     /// A belief changed.
     pub(crate) fn belief(&self, what: &str, version: Version, from: &str) {
         #[derive(Serialize)]
--- /dev/null
+++ b/crates/bendhinge_gateway/src/native/store.rs
@@ -0,0 +1,84 @@
+//! The store in the product's own interface: pages of JSON at `/v1/fleet`.
+
+use std::net::SocketAddr;
+
+use bendhinge_fleet::{Revision, UpstreamEntry, UpstreamState};
+use bendhinge_ids::{NameHash, PoolName, UpstreamName, ZoneName};
+use bendhinge_routes::ServingRules;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::{Native, rules};
+use crate::dialect::{StoreDialect, StorePage, StoredRules, TranslateError};
+
+/// A page.
+#[derive(Debug, Default, Deserialize, Serialize)]
+pub(super) struct Page {
+    at: u64,
+    #[serde(default)]
+    rules: Option<RulesItem>,
+    #[serde(default)]
+    upstreams: Vec<UpstreamItem>,
+    #[serde(default)]
+    next: Option<String>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct RulesItem {
+    revision: u64,
+    document: String,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct UpstreamItem {
+    name: UpstreamName,
+    pool: PoolName,
+    address: SocketAddr,
+    zone: ZoneName,
+    slots: u32,
+    #[serde(default)]
+    draining: bool,
+    made: u64,
+}
+
+impl StoreDialect for Native {
+    fn store_paths(&self) -> &'static [&'static str] {
+        &["/v1/fleet"]
+    }
+
+    fn page_path(&self, path: &str, after: Option<&str>) -> String {
+        after.map_or_else(|| path.to_owned(), |after| format!("{path}?after={after}"))
+    }
+
+    fn read_page(&self, body: &[u8], _: Option<Revision>) -> Result<StorePage, TranslateError> {
+        let page: Page = serde_json::from_slice(body)
+            .map_err(|error| TranslateError::new("a page of the store", &error))?;
+        let rules = page.rules.map(|item| StoredRules {
+            revision: Revision(item.revision),
+            document: Bytes::from(item.document),
+        });
+        Ok(StorePage {
+            at: Revision(page.at),
+            rules,
+            upstreams: page.upstreams.into_iter().map(entry).collect(),
+            next_after: page.next,
+        })
+    }
+
+    fn read_rules(&self, document: &[u8]) -> Result<ServingRules, TranslateError> {
+        rules::read(document)
+    }
+}
+
+fn entry(item: UpstreamItem) -> UpstreamEntry {
+    UpstreamEntry {
+        hash: NameHash::of(item.name.as_str()),
+        name: item.name,
+        pool: item.pool,
+        address: item.address,
+        zone: item.zone,
+        slots: item.slots,
+        state: if item.draining { UpstreamState::Draining } else { UpstreamState::Ready },
+        made: item.made,
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_gateway/src/native/upstreams.rs
@@ -0,0 +1,74 @@
+//! Upstreams in the product's own interface.
+
+use bendhinge_placement::PromptPart;
+use hyper::StatusCode;
+use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::response;
+use serde::Deserialize;
+
+use super::Native;
+use super::headers::{
+    DEADLINE, FETCH_FROM, LOAD, PRIORITY, RAN, REQUEST, RESUME_AFTER, SIGNATURE, TENANT, UPSTREAM,
+};
+use crate::dialect::{AnswerFields, AttemptFields, LoadSaid, TranslateError, UpstreamDialect};
+
+#[derive(Deserialize)]
+struct Kept {
+    part: u64,
+    tokens: u32,
+}
+
+impl UpstreamDialect for Native {
+    fn write_attempt(&self, headers: &mut HeaderMap, fields: &AttemptFields<'_>) {
+        for name in [AUTHORIZATION, TENANT, UPSTREAM, PRIORITY, FETCH_FROM] {
+            headers.remove(name);
+        }
+        put(headers, DEADLINE, &fields.time_left.as_millis().max(1).to_string());
+        put(headers, UPSTREAM, fields.upstream.name.as_str());
+        put(headers, PRIORITY, &fields.priority.to_string());
+        if let Some(tenant) = fields.tenant {
+            put(headers, TENANT, tenant.as_str());
+        }
+        if let Some(source) = fields.fetch_from {
+            put(headers, FETCH_FROM, &source.to_string());
+        }
+        if let Some(after) = fields.resume_after {
+            put(headers, RESUME_AFTER, after);
+        }
+    }
+
+    fn read_answer(&self, head: &response::Parts) -> AnswerFields {
+        let headers = &head.headers;
+        AnswerFields {
+            id: headers.get(REQUEST).cloned(),
+            is_stamped: headers.contains_key(SIGNATURE),
+            not_run: headers.get(RAN).is_some_and(|value| value == "no"),
+            is_another: head.status == StatusCode::MISDIRECTED_REQUEST,
+            load: headers.get(LOAD).and_then(read_load),
+        }
+    }
+
+    fn kept_path(&self) -> &'static str {
+        "/v1/kept"
+    }
+
+    fn read_kept(&self, body: &[u8]) -> Result<Vec<PromptPart>, TranslateError> {
+        let kept: Vec<Kept> =
+            serde_json::from_slice(body).map_err(|error| TranslateError::new("a list of parts", &error))?;
+        let part =
+            |kept: Kept| PromptPart { id: bendhinge_placement::PartId(kept.part), tokens: kept.tokens };
+        Ok(kept.into_iter().map(part).collect())
+    }
+}
+
+fn put(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    // Names, numbers and addresses are valid values; an event's id came in a header or a line.
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+fn read_load(value: &HeaderValue) -> Option<LoadSaid> {
+    let (running, waiting) = value.to_str().ok()?.split_once(',')?;
+    Some(LoadSaid { running: running.parse().ok()?, waiting: waiting.parse().ok()? })
+}
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -78,7 +78,7 @@
 }
 
 async fn serve(
-    settings: Settings,
+    mut settings: Settings,
     path: &Path,
     dialect: Arc<dyn Dialect>,
     tasks: &Tasks,
@@ -97,10 +97,10 @@
         log: log.clone(),
         answer_bytes: settings.upstreams.answer_bytes,
     });
-    let callers = serve_callers(&settings, &delivering, &lifecycle, tasks).await?;
-    let _ready = serve_readiness(&settings, &delivering, &lifecycle, tasks).await?;
-    let peers = TcpListener::bind(settings.peers).await;
-    let peers = peers.map_err(|error| StartError::Listen { address: settings.peers, error })?;
+    let callers = serve_callers(&settings, &delivering, &lifecycle).await?;
+    let _ready = serve_readiness(&settings, &delivering, &lifecycle).await?;
+    let (peers, address) = listen_to_peers(settings.peers, &log).await?;
+    settings.peers = address;
     let control = Control::new(settings.clone(), Arc::clone(&delivering), Arc::clone(&lifecycle), local);
     control.start(peers);
     log.process("started", settings.name.as_str(), env!("CARGO_PKG_VERSION"));
@@ -132,26 +132,40 @@
     }
 }
 
-async fn bind(address: SocketAddr, limits: ServeLimits, tasks: &Tasks) -> Result<Server, StartError> {
-    let bound = Server::bind(address, limits, Arc::clone(tasks)).await;
-    bound.map_err(|error| StartError::Listen { address, error })
+async fn listen_to_peers(address: SocketAddr, log: &Log) -> Result<(TcpListener, SocketAddr), StartError> {
+    let failed = |error| StartError::Listen { address, error };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    log.listening("peers", bound);
+    Ok((listener, bound))
+}
+
+async fn bind(
+    what: &str,
+    address: SocketAddr,
+    limits: ServeLimits,
+    delivering: &Delivering,
+) -> Result<Server, StartError> {
+    let failed = |error| StartError::Listen { address, error };
+    let server = Server::bind(address, limits, Arc::clone(&delivering.tasks)).await.map_err(failed)?;
+    delivering.log.listening(what, server.local_addr().map_err(failed)?);
+    Ok(server)
 }
 
 async fn serve_callers(
     settings: &Settings,
     delivering: &Arc<Delivering>,
     lifecycle: &Arc<Lifecycle>,
-    tasks: &Tasks,
 ) -> Result<ServerStop, StartError> {
     /// The largest head: more than any configuration allows, since callers keep within that.
     const HEAD_BYTES: usize = 64 << 10;
     let limits =
         ServeLimits { head_bytes: HEAD_BYTES, head_time: CALLER_IDLE, connections: settings.connections };
-    let server = bind(settings.callers, limits, tasks).await?;
+    let server = bind("callers", settings.callers, limits, delivering).await?;
     let stop = server.stopper();
     let intake = Arc::new(Intake { delivering: Arc::clone(delivering), lifecycle: Arc::clone(lifecycle) });
     let serving = server.run(move |request| intake::handle(Arc::clone(&intake), request));
-    tasks.spawn(serving).detach();
+    delivering.tasks.spawn(serving).detach();
     Ok(stop)
 }
 
@@ -159,9 +173,8 @@
     settings: &Settings,
     delivering: &Arc<Delivering>,
     lifecycle: &Arc<Lifecycle>,
-    tasks: &Tasks,
 ) -> Result<ServerStop, StartError> {
-    let server = bind(settings.ready, ServeLimits::default(), tasks).await?;
+    let server = bind("ready", settings.ready, ServeLimits::default(), delivering).await?;
     let stop = server.stopper();
     let readiness = Arc::new(Readiness {
         delivering: Arc::clone(delivering),
@@ -172,6 +185,6 @@
         let readiness = Arc::clone(&readiness);
         async move { readiness.answer(&request) }
     });
-    tasks.spawn(serving).detach();
+    delivering.tasks.spawn(serving).detach();
     Ok(stop)
 }
--- /dev/null
+++ b/crates/bendhinge_lab/src/gateways/mod.rs
@@ -0,0 +1,14 @@
+//! A fleet of gateways as real processes, with a store and upstreams in this process, a loopback
+//! proxy that harms what passes through it, and a caller that judges every answer.
+
+mod caller;
+mod fleet;
+mod process;
+mod proxy;
+mod soak;
+
+pub use caller::{Answer, Call, GatewayCaller, Told};
+pub use fleet::{FleetShape, GatewayFleet, KEY, RULES, StartedUpstream, until};
+pub use process::{GatewayProcess, GatewaySettings};
+pub use proxy::{Harm, Proxy};
+pub use soak::{Findings, soak};
--- a/crates/bendhinge_lab/src/lib.rs
+++ b/crates/bendhinge_lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod demo;
 pub mod deployment;
 pub mod fleet;
+pub mod gateways;
 pub mod load;
 pub mod measure;
 pub mod process;
--- a/crates/bendhinge_lab/src/process.rs
+++ b/crates/bendhinge_lab/src/process.rs
@@ -29,7 +29,7 @@
 }
 
 /// The folder of this program, where its siblings are built too.
-fn programs() -> PathBuf {
+pub(crate) fn programs() -> PathBuf {
     let own = std::env::current_exe().unwrap_or_default();
     let folder = own.parent().unwrap_or(Path::new(".")).to_owned();
     // Tests are built one folder below the programs.
@@ -117,15 +117,7 @@
 
     /// Waits for its end; `None` if it takes longer than `time`.
     pub fn wait(&mut self, time: Duration) -> Option<ExitStatus> {
-        const POLL: Duration = Duration::from_millis(10);
-        let until = Instant::now() + time;
-        while Instant::now() < until {
-            if let Ok(Some(status)) = self.child.try_wait() {
-                return Some(status);
-            }
-            std::thread::sleep(POLL);
-        }
-        None
+        wait_for(&mut self.child, time)
     }
 
     /// Processor time used so far, and memory held now; `None` once it has ended.
@@ -135,6 +127,19 @@
     }
 }
 
+/// Waits for a process's end; `None` if it takes longer than `time`.
+pub(crate) fn wait_for(child: &mut Child, time: Duration) -> Option<ExitStatus> {
+    const POLL: Duration = Duration::from_millis(10);
+    let until = Instant::now() + time;
+    while Instant::now() < until {
+        if let Ok(Some(status)) = child.try_wait() {
+            return Some(status);
+        }
+        std::thread::sleep(POLL);
+    }
+    None
+}
+
 /// What a process uses.
 #[derive(Clone, Copy, Debug)]
 pub struct ProcessUsage {
--- /dev/null
+++ b/crates/bendhinge_standin/src/gateway/store.rs
@@ -0,0 +1,165 @@
+//! The platform's store.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bendhinge_http::{Body, CutConnection, ServeLimits, Server, Tasks, empty_body, full_body};
+use hyper::{Response, StatusCode};
+use serde_json::{Value, json};
+use smol::Timer;
+
+/// How the store misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// It does not.
+    #[default]
+    None,
+    /// It turns everybody away.
+    Busy,
+    /// It cuts connections in place of answers.
+    Reset,
+    /// It gives no answer.
+    Silent,
+    /// Its answers take this long.
+    Slow(Duration),
+}
+
+/// An upstream's entry.
+#[derive(Clone, Debug)]
+pub struct UpstreamRecord {
+    /// Its name.
+    pub name: String,
+    /// Its pool.
+    pub pool: String,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// The revision at which it first appeared.
+    pub made: u64,
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    rules: Option<(u64, String)>,
+    upstreams: Vec<UpstreamRecord>,
+    fault: StoreFault,
+    reads: u64,
+}
+
+impl State {
+    fn page(&self) -> Value {
+        let rules = self.rules.as_ref();
+        let rules = rules.map(|(revision, document)| json!({ "revision": revision, "document": document }));
+        let upstreams = self.upstreams.iter().map(|record| {
+            json!({
+                "name": record.name,
+                "pool": record.pool,
+                "address": record.address,
+                "zone": "zone",
+                "slots": 8,
+                "draining": record.draining,
+                "made": record.made,
+            })
+        });
+        json!({ "at": self.revision, "rules": rules, "upstreams": upstreams.collect::<Vec<_>>() })
+    }
+}
+
+/// A store; cheap to clone.
+#[derive(Clone)]
+pub struct Store {
+    state: Arc<Mutex<State>>,
+    /// Where it is reached.
+    pub address: SocketAddr,
+}
+
+impl Store {
+    /// Starts an empty store on a free port.
+    pub async fn start(tasks: &Tasks) -> std::io::Result<Self> {
+        let state = Arc::new(Mutex::new(State::default()));
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::bind(any, ServeLimits::default(), Arc::clone(tasks)).await?;
+        let address = server.local_addr()?;
+        let served = Arc::clone(&state);
+        let serving = server.run(move |_| answer(Arc::clone(&served)));
+        tasks.spawn(serving).detach();
+        Ok(Self { state, address })
+    }
+
+    /// Puts a document of rules.
+    pub fn put_rules(&self, document: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        state.rules = Some((revision, document.to_owned()));
+    }
+
+    /// Adds an upstream.
+    pub fn add(&self, name: &str, pool: &str, address: SocketAddr) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        let made = state.revision;
+        let record =
+            UpstreamRecord { name: name.to_owned(), pool: pool.to_owned(), address, draining: false, made };
+        state.upstreams.push(record);
+    }
+
+    /// Marks an upstream as leaving.
+    pub fn drain(&self, name: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        state
+            .upstreams
+            .iter_mut()
+            .filter(|record| record.name == name)
+            .for_each(|record| record.draining = true);
+    }
+
+    /// Removes an upstream's entry.
+    pub fn remove(&self, name: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        state.upstreams.retain(|record| record.name != name);
+    }
+
+    /// Switches a fault on, or all off.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.state.lock().unwrap().fault = fault;
+    }
+
+    /// How often it was read.
+    #[must_use]
+    pub fn reads(&self) -> u64 {
+        self.state.lock().unwrap().reads
+    }
+}
+
+async fn answer(state: Arc<Mutex<State>>) -> Response<Body> {
+    let fault = {
+        let mut state = state.lock().unwrap();
+        state.reads += 1;
+        state.fault
+    };
+    match fault {
+        StoreFault::None => {}
+        StoreFault::Slow(time) => drop(Timer::after(time).await),
+        StoreFault::Silent => std::future::pending().await,
+        StoreFault::Busy => return with_status(StatusCode::SERVICE_UNAVAILABLE),
+        StoreFault::Reset => {
+            let mut cut = with_status(StatusCode::OK);
+            cut.extensions_mut().insert(CutConnection);
+            return cut;
+        }
+    }
+    let page = state.lock().unwrap().page();
+    Response::new(full_body(page.to_string()))
+}
+
+fn with_status(status: StatusCode) -> Response<Body> {
+    let mut answer = Response::new(empty_body());
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/bendhinge_standin/src/gateway/upstream.rs
@@ -0,0 +1,287 @@
+//! An upstream behind gateways.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bendhinge_gateway::native::headers::{PROMPT, RAN, REQUEST, RESUME_AFTER, SIGNATURE, TENANT, UPSTREAM};
+use bendhinge_http::{
+    Body, CutConnection, ServeLimits, Server, Tasks, channel_body, empty_body, full_body, read_body,
+};
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use smol::Timer;
+use smol::channel::Sender;
+
+/// How an upstream misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum UpstreamFault {
+    /// It does not.
+    #[default]
+    None,
+    /// It says that it has no room and did not run the request.
+    Full,
+    /// It answers 503 without saying whether it ran the request, which it did.
+    Unclear,
+    /// It runs requests and gives no answer.
+    Silent,
+    /// It runs requests and cuts the connection.
+    Lost,
+    /// It answers with another request's number.
+    Crossed,
+    /// It answers without its signature.
+    Unsigned,
+    /// It answers that it failed.
+    Failed,
+    /// It breaks streams off in the middle of an event, after this many whole ones.
+    BreaksOff(u32),
+    /// It stops sending events after this many, without breaking off.
+    Stalls(u32),
+}
+
+/// A request that an upstream began to work on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// The request's number.
+    pub request: String,
+    /// Its path.
+    pub path: String,
+    /// The tenant that it was said to be of.
+    pub tenant: Option<String>,
+    /// Whether it carried a key.
+    pub carried_key: bool,
+    /// Its body.
+    pub body: Bytes,
+    /// The event after which it went on.
+    pub resumed_after: Option<String>,
+}
+
+struct State {
+    name: String,
+    fault: UpstreamFault,
+    runs: Vec<Run>,
+    working: usize,
+    events: u32,
+    pace: Duration,
+    work: Duration,
+}
+
+/// An upstream; cheap to clone.
+#[derive(Clone)]
+pub struct Upstream {
+    state: Arc<Mutex<State>>,
+    /// Where it is reached.
+    pub address: SocketAddr,
+}
+
+impl Upstream {
+    /// Starts an upstream called `name` on a free port.
+    pub async fn start(tasks: &Tasks, name: &str) -> io::Result<Self> {
+        /// Events in a stream, and the time between them.
+        const EVENTS: u32 = 12;
+        const PACE: Duration = Duration::from_millis(5);
+        const WORK: Duration = Duration::from_millis(3);
+        let state = Arc::new(Mutex::new(State {
+            name: name.to_owned(),
+            fault: UpstreamFault::None,
+            runs: Vec::new(),
+            working: 0,
+            events: EVENTS,
+            pace: PACE,
+            work: WORK,
+        }));
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::bind(any, ServeLimits::default(), Arc::clone(tasks)).await?;
+        let address = server.local_addr()?;
+        let served = Arc::clone(&state);
+        let spawning = Arc::clone(tasks);
+        let serving = server.run(move |request| answer(Arc::clone(&served), Arc::clone(&spawning), request));
+        tasks.spawn(serving).detach();
+        Ok(Self { state, address })
+    }
+
+    /// Its name.
+    #[must_use]
+    pub fn name(&self) -> String {
+        self.state.lock().unwrap().name.clone()
+    }
+
+    /// Gives it another name: what was at its address is gone.
+    pub fn rename(&self, name: &str) {
+        name.clone_into(&mut self.state.lock().unwrap().name);
+    }
+
+    /// Switches a fault on, or all off.
+    pub fn set_fault(&self, fault: UpstreamFault) {
+        self.state.lock().unwrap().fault = fault;
+    }
+
+    /// Sets the time between the events of streams.
+    pub fn set_pace(&self, pace: Duration) {
+        self.state.lock().unwrap().pace = pace;
+    }
+
+    /// Sets how long other requests take.
+    pub fn set_work(&self, work: Duration) {
+        self.state.lock().unwrap().work = work;
+    }
+
+    /// The requests that it began to work on.
+    #[must_use]
+    pub fn runs(&self) -> Vec<Run> {
+        self.state.lock().unwrap().runs.clone()
+    }
+
+    /// How many requests it works on now.
+    #[must_use]
+    pub fn working(&self) -> usize {
+        self.state.lock().unwrap().working
+    }
+
+    /// The whole body of an answer that is no stream.
+    #[must_use]
+    pub fn expected_body(request: &str) -> String {
+        format!("answer to {request}")
+    }
+
+    /// The event of a stream with this id.
+    #[must_use]
+    pub fn expected_event(request: &str, id: u32) -> String {
+        format!("id: {id}\ndata: {request} {id}\n\n")
+    }
+}
+
+struct Working(Arc<Mutex<State>>);
+
+impl Working {
+    fn new(state: &Arc<Mutex<State>>) -> Self {
+        state.lock().unwrap().working += 1;
+        Self(Arc::clone(state))
+    }
+}
+
+impl Drop for Working {
+    fn drop(&mut self) {
+        self.0.lock().unwrap().working -= 1;
+    }
+}
+
+fn text(headers: &HeaderMap, name: &HeaderName) -> Option<String> {
+    headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+}
+
+async fn answer(state: Arc<Mutex<State>>, tasks: Tasks, request: Request<Incoming>) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let Some(id) = text(&head.headers, &REQUEST) else { return with_status(StatusCode::BAD_REQUEST) };
+    let (name, fault) = {
+        let state = state.lock().unwrap();
+        (state.name.clone(), state.fault)
+    };
+    if text(&head.headers, &UPSTREAM).is_some_and(|meant| meant != name) {
+        return signed(with_status(StatusCode::MISDIRECTED_REQUEST), &id);
+    }
+    if fault == UpstreamFault::Full {
+        let mut full = signed(with_status(StatusCode::SERVICE_UNAVAILABLE), &id);
+        full.headers_mut().insert(RAN, HeaderValue::from_static("no"));
+        return full;
+    }
+    let Ok(body) = read_body(body, 16 << 20).await else { return with_status(StatusCode::BAD_REQUEST) };
+    let resumed_after = text(&head.headers, &RESUME_AFTER);
+    let is_stream = head.headers.contains_key(PROMPT);
+    state.lock().unwrap().runs.push(Run {
+        request: id.clone(),
+        path: head.uri.path().to_owned(),
+        tenant: text(&head.headers, &TENANT),
+        carried_key: head.headers.contains_key(AUTHORIZATION),
+        body,
+        resumed_after: resumed_after.clone(),
+    });
+    let working = Working::new(&state);
+    match fault {
+        UpstreamFault::Silent => std::future::pending().await,
+        UpstreamFault::Lost => {
+            let mut cut = with_status(StatusCode::OK);
+            cut.extensions_mut().insert(CutConnection);
+            cut
+        }
+        UpstreamFault::Failed => signed(with_status(StatusCode::INTERNAL_SERVER_ERROR), &id),
+        UpstreamFault::Unclear => signed(with_status(StatusCode::SERVICE_UNAVAILABLE), &id),
+        UpstreamFault::Crossed => signed(whole(&id), "another"),
+        UpstreamFault::Unsigned => {
+            let mut unsigned = signed(whole(&id), &id);
+            unsigned.headers_mut().remove(SIGNATURE);
+            unsigned
+        }
+        _ if is_stream => {
+            let from = resumed_after.and_then(|after| after.parse::<u32>().ok()).map_or(0, |after| after + 1);
+            let (sender, body) = channel_body(1);
+            let sending = send_events(state, working, sender, id.clone(), from);
+            tasks.spawn(sending).detach();
+            let mut stream = signed(Response::new(body), &id);
+            stream.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+            stream
+        }
+        _ => {
+            let work = state.lock().unwrap().work;
+            Timer::after(work).await;
+            signed(whole(&id), &id)
+        }
+    }
+}
+
+async fn send_events(
+    state: Arc<Mutex<State>>,
+    _working: Working,
+    sender: Sender<io::Result<Bytes>>,
+    request: String,
+    from: u32,
+) {
+    let (fault, events) = {
+        let state = state.lock().unwrap();
+        (state.fault, state.events)
+    };
+    for id in from..events {
+        let pace = state.lock().unwrap().pace;
+        Timer::after(pace).await;
+        let event = Upstream::expected_event(&request, id);
+        let sent = match fault {
+            UpstreamFault::BreaksOff(whole) if id - from >= whole => {
+                let part = Bytes::copy_from_slice(&event.as_bytes()[..event.len() / 2]);
+                let _ = sender.send(Ok(part)).await;
+                Timer::after(pace).await;
+                let _ = sender.send(Err(io::Error::other("broken off"))).await;
+                return;
+            }
+            UpstreamFault::Stalls(whole) if id - from >= whole => {
+                while !sender.is_closed() {
+                    Timer::after(pace).await;
+                }
+                return;
+            }
+            _ => sender.send(Ok(Bytes::from(event))).await,
+        };
+        if sent.is_err() {
+            return;
+        }
+    }
+}
+
+fn whole(id: &str) -> Response<Body> {
+    Response::new(full_body(Upstream::expected_body(id)))
+}
+
+fn with_status(status: StatusCode) -> Response<Body> {
+    let mut answer = Response::new(empty_body());
+    *answer.status_mut() = status;
+    answer
+}
+
+fn signed(mut answer: Response<Body>, id: &str) -> Response<Body> {
+    let value = |text: &str| HeaderValue::from_str(text).expect("the request's number was a header");
+    answer.headers_mut().insert(REQUEST, value(id));
+    answer.headers_mut().insert(SIGNATURE, value(&format!("signed-{id}")));
+    answer
+}
--- a/crates/bendhinge_standin/src/lib.rs
+++ b/crates/bendhinge_standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! address, prints `listening NAME ADDRESS` and takes orders on `/control/...`.
 
 pub mod engine;
+pub mod gateway;
 pub mod platform;
 pub mod service;
 
