Fetch only from upstreams that are believed to keep the parts

Ruled out: dropping fetches altogether; what leaves is fetched at a third of the price of reading. Change: the source is the upstream that is believed to keep most, and nothing else, now that gateways tell each other what is kept.

--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -299,7 +299,6 @@
             load: self.loads.estimate(upstream, now),
             failing,
             takes_work: is_fit && standing != Standing::Resting,
-            made: listed.entry.made,
         }
     }
 }
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -19,8 +19,6 @@
     pub failing: f32,
     /// Whether it takes new work; one that does not may still be a source.
     pub takes_work: bool,
-    /// The order in which upstreams came: a later one has a higher number.
-    pub made: u64,
 }
 
 /// One in so many upstreams is in the group of homes of subjects that share a first part.
@@ -117,7 +115,7 @@
     now: Instant,
 ) -> Option<Choice> {
     let limit = load_limit(rules, candidates);
-    let home = home(question, candidates, |candidate| candidate.takes_work);
+    let home = home(question, candidates);
     let chooser = Chooser { rules, question, candidates, kept, now, home };
     let working = || (0..candidates.len()).filter(|index| candidates[*index].takes_work);
     let within = working().filter(|index| candidates[*index].load < limit);
@@ -139,16 +137,13 @@
     rules.bound * total / count.max(1.0) + rules.bound_slack
 }
 
-/// The home of a subject, by rendezvous hashing among the candidates that `fit`. Subjects that
+/// The home of a subject, by rendezvous hashing among the candidates that take work. Subjects that
 /// share the first part of their prompts share a group of homes, so that it is read by few.
-fn home(
-    question: &Question<'_>,
-    candidates: &[Candidate],
-    fit: impl Fn(&Candidate) -> bool,
-) -> Option<usize> {
+fn home(question: &Question<'_>, candidates: &[Candidate]) -> Option<usize> {
     let prompt = question.prompt?;
     let subject = prompt.subject()?;
-    let mut fitting: Vec<usize> = (0..candidates.len()).filter(|index| fit(&candidates[*index])).collect();
+    let mut fitting: Vec<usize> =
+        (0..candidates.len()).filter(|index| candidates[*index].takes_work).collect();
     if let Some(first) = prompt.shared().first().filter(|first| first.id != subject) {
         let group = fitting.len().div_ceil(HOMES_PER_GROUP);
         fitting.sort_unstable_by_key(|index| Reverse(score(first.id, candidates[*index].upstream)));
@@ -199,18 +194,15 @@
     }
 
     /// From where the candidate should fetch what it lacks: from the one that is believed to
-    /// keep most, or else from where the subject's home was before the candidate came.
+    /// keep most.
     fn source(&self, index: usize, prompt: &Prompt, missing: u32) -> Option<usize> {
         if !self.question.can_fetch || missing < self.rules.least_fetched {
             return None;
         }
         let others = (0..self.candidates.len()).filter(|other| *other != index);
-        let keeping = others.map(|other| (self.kept_tokens(other, prompt), other)).max()?;
-        if keeping.0 >= prompt.shared_tokens() - missing + self.rules.least_fetched {
-            return Some(keeping.1);
-        }
-        let made = self.candidates[index].made;
-        home(self.question, self.candidates, |other| other.made < made).filter(|_| self.home == Some(index))
+        let (tokens, source) = others.map(|other| (self.kept_tokens(other, prompt), other)).max()?;
+        let own = prompt.shared_tokens() - missing;
+        (tokens >= own + self.rules.least_fetched).then_some(source)
     }
 
     fn tie(&self, index: usize) -> u64 {
--- a/crates/bendhinge_placement/tests/cost.rs
+++ b/crates/bendhinge_placement/tests/cost.rs
@@ -16,7 +16,6 @@
         load: 0.0,
         failing: 0.0,
         takes_work: true,
-        made: number,
     };
     (0..count).map(candidate).collect()
 }
