Loads decide where nothing is kept; jitter against herds

Cause: (1) the cost of a fetch was taken of all that is missing, not of what the source keeps; (2) upstreams that nobody had heard of counted as idle, and all gateways that heard the same chose the same one (grown deployment: 36 requests at one upstream, mean 3.5, LIMIT broken); (3) while nothing is kept anywhere each request ahead costs a whole prompt, not 60 tokens.

--- a/crates/bendhinge_gateway/src/knowledge/loads.rs
+++ b/crates/bendhinge_gateway/src/knowledge/loads.rs
@@ -50,17 +50,23 @@
         }
     }
 
-    /// Requests believed to be at an upstream now.
-    pub(super) fn estimate(&self, upstream: NameHash, now: Instant) -> f32 {
-        let Some(load) = self.0.get(&upstream) else { return 0.0 };
-        let others = match load.said {
-            Some((_, at)) => {
-                let faded = now.since(at).as_secs_f32() / WORD_FADES_AFTER.as_secs_f32();
-                load.others as f32 * (1.0 - faded).max(0.0)
-            }
-            None => 0.0,
-        };
-        load.own as f32 + others
+    /// Requests believed to be at an upstream now. What it said of others' requests fades into
+    /// `mean`, what the others have at an upstream of its pool on average.
+    pub(super) fn estimate(&self, upstream: NameHash, mean: f32, now: Instant) -> f32 {
+        let load = self.0.get(&upstream).copied().unwrap_or_default();
+        let faded = load
+            .said
+            .map_or(1.0, |(_, at)| (now.since(at).as_secs_f32() / WORD_FADES_AFTER.as_secs_f32()).min(1.0));
+        load.own as f32 + load.others as f32 * (1.0 - faded) + mean * faded
+    }
+
+    /// What the others have at an upstream on average, by what upstreams said lately.
+    pub(super) fn mean_of_others(&self, upstreams: impl Iterator<Item = NameHash>, now: Instant) -> f32 {
+        let loads = upstreams.filter_map(|upstream| self.0.get(&upstream));
+        let lately = loads.filter(|load| load.said.is_some_and(|(_, at)| now.since(at) < WORD_FADES_AFTER));
+        let (count, total) =
+            lately.fold((0_u32, 0_u32), |(count, total), load| (count + 1, total + load.others));
+        total as f32 / count.max(1) as f32
     }
 
     /// What upstreams said within the last `span`.
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -10,7 +10,7 @@
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_peer::{Known, LoadWord, ReadWord};
 use bendhinge_placement::{
-    Candidate, ChoiceReason, CostRules, KeptPart, KeptParts, Prompt, Question, choose,
+    Candidate, ChoiceReason, CostRules, KeptPart, KeptParts, Prompt, Question, ReadingMean, choose,
 };
 use bendhinge_routes::PoolRule;
 
@@ -27,7 +27,7 @@
 /// What an upstream on trial is expected to fail.
 const SHARE_FAILING_ON_TRIAL: f32 = 0.5;
 /// Words of loads older than this are not passed on.
-const LOADS_TOLD_FOR: Duration = Duration::from_millis(1_500);
+const LOADS_TOLD_FOR: Duration = Duration::from_millis(2_500);
 
 /// A request that needs an upstream.
 pub(crate) struct PlacementQuestion<'a> {
@@ -59,6 +59,7 @@
     judge: Judge,
     loads: Loads,
     kept: KeptParts,
+    reading: ReadingMean,
 }
 
 /// This gateway's view of the upstreams.
@@ -87,6 +88,7 @@
             judge: Judge::new(settings.judge),
             loads: Loads::default(),
             kept: KeptParts::new(KEPT_FOR),
+            reading: ReadingMean::default(),
         };
         let costs = CostRules { bound: settings.load_bound, ..CostRules::default() };
         Self { state: Mutex::new(state), costs }
@@ -145,7 +147,8 @@
             can_fetch: question.rule.is_some_and(|rule| rule.moves_prompts),
             tie_breaker: question.tie_breaker,
         };
-        let choice = choose(&self.costs, &asked, &candidates, &state.kept, now)?;
+        let costs = CostRules { per_request: state.reading.per_request(), ..self.costs };
+        let choice = choose(&costs, &asked, &candidates, &state.kept, now)?;
         let entry = Arc::clone(&listed[choice.chosen].entry);
         let fetch_from = choice.fetch_from.map(|source| listed[source].entry.address);
         let upstream = entry.hash;
@@ -153,6 +156,7 @@
         state.judge.sent(upstream, now);
         if let Some(prompt) = asked.prompt {
             state.kept.read(upstream, prompt, now);
+            state.reading.sent(choice.to_read);
         }
         drop(state);
         let place = Place { view: Arc::clone(self), upstream };
@@ -274,8 +278,9 @@
     fn candidates(&self, question: &PlacementQuestion<'_>, now: Instant) -> (Vec<&Listed>, Vec<Candidate>) {
         let pool = self.directory.listed().iter().filter(|listed| listed.entry.pool == *question.pool);
         let listed: Vec<&Listed> = pool.collect();
+        let mean = self.loads.mean_of_others(listed.iter().map(|listed| listed.entry.hash), now);
         let mut candidates: Vec<Candidate> =
-            listed.iter().map(|listed| self.candidate(listed, question, now)).collect();
+            listed.iter().map(|listed| self.candidate(listed, question, mean, now)).collect();
         if !candidates.iter().any(|candidate| candidate.takes_work) {
             // All rest: better one of them than none.
             for (candidate, listed) in candidates.iter_mut().zip(&listed) {
@@ -285,7 +290,13 @@
         (listed, candidates)
     }
 
-    fn candidate(&self, listed: &Listed, question: &PlacementQuestion<'_>, now: Instant) -> Candidate {
+    fn candidate(
+        &self,
+        listed: &Listed,
+        question: &PlacementQuestion<'_>,
+        mean: f32,
+        now: Instant,
+    ) -> Candidate {
         let upstream = listed.entry.hash;
         let standing = self.judge.standing(upstream, now);
         let failing = match standing {
@@ -296,7 +307,7 @@
         let is_fit = listed.takes_work() && !question.tried.contains(&upstream);
         Candidate {
             upstream,
-            load: self.loads.estimate(upstream, now),
+            load: self.loads.estimate(upstream, mean, now),
             failing,
             takes_work: is_fit && standing != Standing::Resting,
         }
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -29,6 +29,9 @@
 pub struct CostRules {
     /// A request that is ahead.
     pub per_request: f32,
+    /// Among upstreams that keep nothing, differences in load of this many times the mean load, and
+    /// one request, do not decide alone: what is known of loads is old, and known to many.
+    pub jitter: f32,
     /// A failure that is certain.
     pub per_failure: f32,
     /// The part of the reading that is left at the subject's home, where other routers send it
@@ -44,10 +47,38 @@
     pub bound_slack: f32,
 }
 
+/// What a request that is ahead costs at least, in tokens.
+const LEAST_PER_REQUEST: f32 = 60.0;
+
+/// How many tokens of shared parts upstreams had to read for each of the last requests: what a
+/// request that is ahead costs depends on it. While nothing is kept anywhere, each keeps the next
+/// one waiting for a whole prompt; later, for hardly anything.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ReadingMean(f32);
+
+impl ReadingMean {
+    /// The weight of one request in the mean.
+    const WEIGHT: f32 = 0.08;
+    /// The part of a request's reading that is still to come when the next one arrives.
+    const STILL_TO_COME: f32 = 0.5;
+
+    /// Takes in what an upstream has to read for a request.
+    pub fn sent(&mut self, tokens: u32) {
+        self.0 += (tokens as f32 - self.0) * Self::WEIGHT;
+    }
+
+    /// What a request that is ahead costs, in tokens.
+    #[must_use]
+    pub fn per_request(self) -> f32 {
+        (self.0 * Self::STILL_TO_COME).max(LEAST_PER_REQUEST)
+    }
+}
+
 impl Default for CostRules {
     fn default() -> Self {
         Self {
-            per_request: 60.0,
+            per_request: LEAST_PER_REQUEST,
+            jitter: 2.0,
             per_failure: 4_000.0,
             unread_at_home: 0.1,
             fetched: 0.3,
@@ -92,6 +123,8 @@
     pub reason: ChoiceReason,
     /// What it costs, in tokens.
     pub cost: f32,
+    /// Tokens of shared parts that it is believed to have to read.
+    pub to_read: u32,
 }
 
 /// A choice to be made.
@@ -114,9 +147,11 @@
     kept: &KeptParts,
     now: Instant,
 ) -> Option<Choice> {
-    let limit = load_limit(rules, candidates);
+    let mean_load = mean_load(candidates);
+    // An upstream gets no more from this load on while others are below it.
+    let limit = rules.bound * mean_load + rules.bound_slack;
     let home = home(question, candidates);
-    let chooser = Chooser { rules, question, candidates, kept, now, home };
+    let chooser = Chooser { rules, question, candidates, kept, now, home, mean_load };
     let working = || (0..candidates.len()).filter(|index| candidates[*index].takes_work);
     let within = working().filter(|index| candidates[*index].load < limit);
     let best = |among: &mut dyn Iterator<Item = usize>| {
@@ -129,12 +164,12 @@
     best(&mut { within }).or_else(|| best(&mut working()))
 }
 
-/// The load from which an upstream gets no more while others are below it.
-fn load_limit(rules: &CostRules, candidates: &[Candidate]) -> f32 {
+/// The mean load of the upstreams that take work.
+fn mean_load(candidates: &[Candidate]) -> f32 {
     let working = candidates.iter().filter(|candidate| candidate.takes_work);
     let (count, total) =
         working.fold((0.0_f32, 0.0_f32), |(count, total), candidate| (count + 1.0, total + candidate.load));
-    rules.bound * total / count.max(1.0) + rules.bound_slack
+    total / count.max(1.0)
 }
 
 /// The home of a subject, by rendezvous hashing among the candidates that take work. Subjects that
@@ -156,6 +191,14 @@
     xxh3_64_with_seed(&subject.0.to_le_bytes(), upstream.0)
 }
 
+/// An upstream from which parts can be fetched.
+#[derive(Clone, Copy)]
+struct Source {
+    index: usize,
+    /// What it is believed to keep of the prompt.
+    tokens: u32,
+}
+
 struct Chooser<'a> {
     rules: &'a CostRules,
     question: &'a Question<'a>,
@@ -163,6 +206,7 @@
     kept: &'a KeptParts,
     now: Instant,
     home: Option<usize>,
+    mean_load: f32,
 }
 
 impl Chooser<'_> {
@@ -170,39 +214,64 @@
         let candidate = &self.candidates[index];
         let ahead = candidate.load * self.rules.per_request + candidate.failing * self.rules.per_failure;
         let Some(prompt) = self.question.prompt else {
-            return Choice { chosen: index, fetch_from: None, reason: ChoiceReason::LeastCost, cost: ahead };
+            let cost = ahead + self.jitter(index, self.rules.jitter);
+            return Choice {
+                chosen: index,
+                fetch_from: None,
+                reason: ChoiceReason::LeastCost,
+                cost,
+                to_read: 0,
+            };
         };
-        let missing = prompt.shared_tokens() - self.kept_tokens(index, prompt);
+        let own = self.kept_tokens(index, prompt);
+        let missing = prompt.shared_tokens() - own;
         let is_home = self.home == Some(index);
-        let source = self.source(index, prompt, missing);
-        let factor = match (missing, source, is_home) {
-            (0, ..) => 0.0,
-            (_, Some(_), _) => self.rules.fetched,
-            (_, None, true) => self.rules.unread_at_home,
-            (_, None, false) => 1.0,
+        let source = self.source(index, prompt, own);
+        let fetched = source.map_or(0, |source| source.tokens - own);
+        let reading = if is_home {
+            missing as f32 * self.rules.unread_at_home
+        } else {
+            fetched as f32 * self.rules.fetched + (missing - fetched) as f32
         };
         let reason = match (is_home, missing) {
             (true, _) => ChoiceReason::Home,
             (false, 0) => ChoiceReason::Kept,
             (false, _) => ChoiceReason::LeastCost,
         };
-        Choice { chosen: index, fetch_from: source, reason, cost: ahead + missing as f32 * factor }
+        // Upstreams that have to read or fetch are many and alike; the home and keepers are few.
+        let is_one_of_many = missing > 0 && !is_home;
+        let spread = if is_one_of_many { self.rules.jitter * self.mean_load + 1.0 } else { 1.0 };
+        let fetch_from = source.map(|source| source.index);
+        Choice {
+            chosen: index,
+            fetch_from,
+            reason,
+            cost: ahead + reading + self.jitter(index, spread),
+            to_read: missing - fetched,
+        }
     }
 
     fn kept_tokens(&self, index: usize, prompt: &Prompt) -> u32 {
         self.kept.kept_tokens(self.candidates[index].upstream, prompt, self.now)
     }
 
-    /// From where the candidate should fetch what it lacks: from the one that is believed to
-    /// keep most.
-    fn source(&self, index: usize, prompt: &Prompt, missing: u32) -> Option<usize> {
-        if !self.question.can_fetch || missing < self.rules.least_fetched {
+    /// From where a candidate that keeps `own` tokens should fetch: from the one that is believed
+    /// to keep most.
+    fn source(&self, index: usize, prompt: &Prompt, own: u32) -> Option<Source> {
+        if !self.question.can_fetch || prompt.shared_tokens() - own < self.rules.least_fetched {
             return None;
         }
         let others = (0..self.candidates.len()).filter(|other| *other != index);
-        let (tokens, source) = others.map(|other| (self.kept_tokens(other, prompt), other)).max()?;
-        let own = prompt.shared_tokens() - missing;
-        (tokens >= own + self.rules.least_fetched).then_some(source)
+        let sources = others.map(|index| Source { index, tokens: self.kept_tokens(index, prompt) });
+        let best = sources.max_by_key(|source| source.tokens)?;
+        (best.tokens >= own + self.rules.least_fetched).then_some(best)
+    }
+
+    /// A part of a request's cost, up to that of `spread` requests ahead, that differs by request
+    /// and upstream, so that routers that know the same do not all choose the same.
+    fn jitter(&self, index: usize, spread: f32) -> f32 {
+        let share = (self.tie(index) >> 40) as f32 / (1_u32 << 24) as f32;
+        share * spread * self.rules.per_request
     }
 
     fn tie(&self, index: usize) -> u64 {
