Homes of a first part are half of the upstreams; requests ahead cost the same always

Change: groups of half the upstreams; 0.3 of a prompt is expected to be unread at its home; a request ahead costs 60 tokens always.

--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -10,7 +10,7 @@
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_peer::{Known, LoadWord, ReadWord};
 use bendhinge_placement::{
-    Candidate, ChoiceReason, CostRules, KeptPart, KeptParts, Prompt, Question, ReadingMean, choose,
+    Candidate, ChoiceReason, CostRules, KeptPart, KeptParts, Prompt, Question, choose,
 };
 use bendhinge_routes::PoolRule;
 
@@ -59,7 +59,6 @@
     judge: Judge,
     loads: Loads,
     kept: KeptParts,
-    reading: ReadingMean,
 }
 
 /// This gateway's view of the upstreams.
@@ -88,7 +87,6 @@
             judge: Judge::new(settings.judge),
             loads: Loads::default(),
             kept: KeptParts::new(KEPT_FOR),
-            reading: ReadingMean::default(),
         };
         let costs = CostRules { bound: settings.load_bound, ..CostRules::default() };
         Self { state: Mutex::new(state), costs }
@@ -147,8 +145,7 @@
             can_fetch: question.rule.is_some_and(|rule| rule.moves_prompts),
             tie_breaker: question.tie_breaker,
         };
-        let costs = CostRules { per_request: state.reading.per_request(), ..self.costs };
-        let choice = choose(&costs, &asked, &candidates, &state.kept, now)?;
+        let choice = choose(&self.costs, &asked, &candidates, &state.kept, now)?;
         let entry = Arc::clone(&listed[choice.chosen].entry);
         let fetch_from = choice.fetch_from.map(|source| listed[source].entry.address);
         let upstream = entry.hash;
@@ -156,7 +153,6 @@
         state.judge.sent(upstream, now);
         if let Some(prompt) = asked.prompt {
             state.kept.read(upstream, prompt, now);
-            state.reading.sent(choice.to_read);
         }
         drop(state);
         let place = Place { view: Arc::clone(self), upstream };
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -22,7 +22,7 @@
 }
 
 /// One in so many upstreams is in the group of homes of subjects that share a first part.
-const HOMES_PER_GROUP: usize = 4;
+const HOMES_PER_GROUP: usize = 2;
 
 /// What things cost, in tokens to read.
 #[derive(Clone, Copy, Debug)]
@@ -47,40 +47,13 @@
     pub bound_slack: f32,
 }
 
-/// What a request that is ahead costs at least, in tokens.
-const LEAST_PER_REQUEST: f32 = 60.0;
-
-/// How many tokens of shared parts upstreams had to read for each of the last requests: what a
-/// request that is ahead costs depends on it. While nothing is kept anywhere, each keeps the next
-/// one waiting for a whole prompt; later, for hardly anything.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct ReadingMean(f32);
-
-impl ReadingMean {
-    /// The weight of one request in the mean.
-    const WEIGHT: f32 = 0.08;
-    /// The part of a request's reading that is still to come when the next one arrives.
-    const STILL_TO_COME: f32 = 0.5;
-
-    /// Takes in what an upstream has to read for a request.
-    pub fn sent(&mut self, tokens: u32) {
-        self.0 += (tokens as f32 - self.0) * Self::WEIGHT;
-    }
-
-    /// What a request that is ahead costs, in tokens.
-    #[must_use]
-    pub fn per_request(self) -> f32 {
-        (self.0 * Self::STILL_TO_COME).max(LEAST_PER_REQUEST)
-    }
-}
-
 impl Default for CostRules {
     fn default() -> Self {
         Self {
-            per_request: LEAST_PER_REQUEST,
+            per_request: 60.0,
             jitter: 2.0,
             per_failure: 4_000.0,
-            unread_at_home: 0.1,
+            unread_at_home: 0.3,
             fetched: 0.3,
             least_fetched: 400,
             bound: 1.5,
@@ -123,8 +96,6 @@
     pub reason: ChoiceReason,
     /// What it costs, in tokens.
     pub cost: f32,
-    /// Tokens of shared parts that it is believed to have to read.
-    pub to_read: u32,
 }
 
 /// A choice to be made.
@@ -215,13 +186,7 @@
         let ahead = candidate.load * self.rules.per_request + candidate.failing * self.rules.per_failure;
         let Some(prompt) = self.question.prompt else {
             let cost = ahead + self.jitter(index, self.rules.jitter);
-            return Choice {
-                chosen: index,
-                fetch_from: None,
-                reason: ChoiceReason::LeastCost,
-                cost,
-                to_read: 0,
-            };
+            return Choice { chosen: index, fetch_from: None, reason: ChoiceReason::LeastCost, cost };
         };
         let own = self.kept_tokens(index, prompt);
         let missing = prompt.shared_tokens() - own;
@@ -242,13 +207,7 @@
         let is_one_of_many = missing > 0 && !is_home;
         let spread = if is_one_of_many { self.rules.jitter * self.mean_load + 1.0 } else { 1.0 };
         let fetch_from = source.map(|source| source.index);
-        Choice {
-            chosen: index,
-            fetch_from,
-            reason,
-            cost: ahead + reading + self.jitter(index, spread),
-            to_read: missing - fetched,
-        }
+        Choice { chosen: index, fetch_from, reason, cost: ahead + reading + self.jitter(index, spread) }
     }
 
     fn kept_tokens(&self, index: usize, prompt: &Prompt) -> u32 {
--- a/crates/bendhinge_placement/src/lib.rs
+++ b/crates/bendhinge_placement/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use bound::{LoadBound, PoolLoad};
 pub use budget::AskBudget;
-pub use cost::{Candidate, Choice, ChoiceReason, CostRules, Question, ReadingMean, choose};
+pub use cost::{Candidate, Choice, ChoiceReason, CostRules, Question, choose};
 pub use displaced::DisplacedChats;
 pub use knowledge::{Assessment, KnownLoad, assess};
 pub use ledger::{Denied, Granted, LedgerLimits, LoadReport, PermitLedger, PermitRequest};
