--- a/crates/bendhinge_gateway/src/intake/mod.rs
+++ b/crates/bendhinge_gateway/src/intake/mod.rs
@@ -31,6 +31,13 @@
     pub(crate) code: ResultCode,
 }
 
+impl Refused {
+    /// Whether nothing that comes behind the request on its connection can be trusted.
+    const fn is_malformed(self) -> bool {
+        matches!(self.code, ResultCode::MalformedRequest | ResultCode::AmbiguousLength)
+    }
+}
+
 impl From<ResultCode> for Refused {
     fn from(code: ResultCode) -> Self {
         Self { code }
@@ -47,17 +54,21 @@
 pub(crate) async fn handle(intake: Arc<Intake>, request: Request<Incoming>) -> Response<Body> {
     let began = clock::now();
     let (head, body) = request.into_parts();
+    // The HTTP library drops a length that stands before a transfer coding; what comes behind
+    // such a request could be part of it to another reader, and is not read (RFC 9112, 6.1).
+    let ends_connection = head.headers.contains_key(TRANSFER_ENCODING);
     let call = intake.delivering.dialect.read_call(&head);
     let id = call.as_ref().ok().and_then(|call| call.id.clone());
     let served = match call {
         Ok(call) => intake.serve(head, body, call, began).await,
         Err(_) => Err(ResultCode::MalformedRequest.into()),
     };
+    let is_malformed = served.as_ref().is_err_and(|refused| refused.is_malformed());
     let mut answer = match served {
         Ok(answer) => answer,
         Err(refused) => intake.refuse(id.as_ref(), refused),
     };
-    if intake.lifecycle.is_stopping() {
+    if is_malformed || ends_connection || intake.lifecycle.is_stopping() {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     answer
--- /dev/null
+++ b/crates/bendhinge_lab/tests/gateway_common/mod.rs
@@ -0,0 +1,155 @@
+//! What the tests over real gateways share.
+
+#![allow(dead_code, unreachable_pub, reason = "each test file uses a part")]
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::num::NonZeroUsize;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bendhinge_http::{Tasks, run_until};
+use bendhinge_lab::gateways::{Answer, Call, FleetShape, GatewayFleet, KEY};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use smol::net::{TcpListener, TcpStream};
+
+/// How long a caller of a test waits.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Runs a test's body.
+pub fn run<F: Future<Output = ()>>(body: impl FnOnce(Tasks) -> F) {
+    let tasks = Tasks::default();
+    run_until(&tasks, NonZeroUsize::MIN, body(tasks.clone()));
+}
+
+/// One gateway before one engine and one service.
+pub async fn smallest(tasks: &Tasks) -> GatewayFleet {
+    start(tasks, FleetShape { gateways: 1, engines: 1, services: 1 }).await
+}
+
+/// Starts a fleet with the usual settings.
+pub async fn start(tasks: &Tasks, shape: FleetShape) -> GatewayFleet {
+    GatewayFleet::start(tasks, shape, "").await
+}
+
+/// Sends a call to the first gateway.
+pub async fn send(fleet: &GatewayFleet, call: &Call) -> Answer {
+    fleet.caller().send(fleet.callers(0), call, PATIENCE).await
+}
+
+/// A call without a prompt, by the usual tenant.
+pub fn call(path: &'static str) -> Call {
+    Call::new(path, KEY)
+}
+
+/// Sends raw bytes to the first gateway and reads until it closes or `enough` is in what it sent.
+pub async fn send_raw(fleet: &GatewayFleet, bytes: &[u8], enough: &str) -> String {
+    let mut stream = TcpStream::connect(fleet.callers(0)).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    let mut read = Vec::new();
+    let mut piece = [0; 4096];
+    loop {
+        match stream.read(&mut piece).await {
+            Ok(0) | Err(_) => break,
+            Ok(length) => read.extend_from_slice(&piece[..length]),
+        }
+        if !enough.is_empty() && String::from_utf8_lossy(&read).contains(enough) {
+            break;
+        }
+    }
+    String::from_utf8_lossy(&read).into_owned()
+}
+
+/// What a raw upstream does once it has read a request.
+#[derive(Clone, Copy)]
+pub enum RawEnd {
+    /// It keeps the connection.
+    Keep,
+    /// It closes it.
+    Close,
+    /// It resets it: bytes are left unread.
+    Reset,
+}
+
+/// An upstream that answers with given bytes, in which `{id}` stands for the request's number.
+pub struct RawUpstream {
+    /// Where it is reached.
+    pub address: SocketAddr,
+    requests: Arc<Mutex<Vec<String>>>,
+}
+
+impl RawUpstream {
+    /// Starts one. It answers once it has read `reads` bytes beyond the head, if that many come.
+    pub async fn start(tasks: &Tasks, answer: &'static str, end: RawEnd, reads: usize) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests = Arc::new(Mutex::new(Vec::new()));
+        let kept = Arc::clone(&requests);
+        let spawning = Arc::clone(tasks);
+        let accepting = async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let kept = Arc::clone(&kept);
+                spawning.spawn(serve_raw(stream, answer, end, reads, kept)).detach();
+            }
+        };
+        tasks.spawn(accepting).detach();
+        Self { address, requests }
+    }
+
+    /// The heads of the requests that it read.
+    pub fn requests(&self) -> Vec<String> {
+        self.requests.lock().unwrap().clone()
+    }
+}
+
+async fn serve_raw(
+    mut stream: TcpStream,
+    answer: &str,
+    end: RawEnd,
+    reads: usize,
+    requests: Arc<Mutex<Vec<String>>>,
+) {
+    loop {
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while !head.ends_with(b"\r\n\r\n") {
+            match stream.read(&mut byte).await {
+                Ok(1) => head.push(byte[0]),
+                _ => return,
+            }
+        }
+        let head = String::from_utf8_lossy(&head).into_owned();
+        let field = |name: &str| {
+            let line = head.lines().find(|line| line.to_lowercase().starts_with(name))?;
+            Some(line.split_once(':')?.1.trim().to_owned())
+        };
+        let length: usize = field("content-length:").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let mut body = vec![0; length.min(reads)];
+        if stream.read_exact(&mut body).await.is_err() {
+            return;
+        }
+        let id = field("x-bendhinge-request:").unwrap_or_default();
+        requests.lock().unwrap().push(head.clone());
+        if stream.write_all(answer.replace("{id}", &id).as_bytes()).await.is_err() {
+            return;
+        }
+        match end {
+            RawEnd::Keep if length <= reads => {}
+            RawEnd::Keep => {
+                // The rest of the body is read slowly, long after the answer.
+                let mut rest = vec![0; length - reads];
+                if stream.read_exact(&mut rest).await.is_err() {
+                    return;
+                }
+                if rest.iter().any(|byte| *byte != b'x') {
+                    requests.lock().unwrap().push("FOREIGN BYTES".to_owned());
+                }
+            }
+            RawEnd::Close => return,
+            RawEnd::Reset => {
+                // Closing with bytes unread resets the connection; the gateway has sent a body.
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_lab/tests/gateway_life.rs
@@ -0,0 +1,155 @@
+//! Gateways that start, stop, are cut off, are frozen, and tell each other what they know.
+
+mod gateway_common;
+
+use std::time::Duration;
+
+use bendhinge_lab::gateways::{Call, FleetShape, GatewayFleet, Harm, KEY, Told, until};
+use bendhinge_standin::gateway::StoreFault;
+use gateway_common::{PATIENCE, call, run, send, smallest, start};
+use rustix::process::Signal;
+
+/// A lease short enough to wait for its end.
+const SHORT_LEASE: &str = "[beliefs]\nrules_lease_ms = 1500\n";
+
+fn has_line(fleet: &GatewayFleet, gateway: usize, parts: &[&str]) -> bool {
+    let lines = fleet.gateway(gateway).lines();
+    lines.iter().any(|line| parts.iter().all(|part| line.contains(part)))
+}
+
+#[test]
+fn a_gateway_that_nobody_tells_anything_acts_on_no_key_but_serves_open_routes() {
+    run(|tasks| async move {
+        let shape = FleetShape { gateways: 1, engines: 0, services: 1 };
+        let fleet = GatewayFleet::start(&tasks, shape, SHORT_LEASE).await;
+        fleet.store_proxy.set(Harm::Silence);
+        let refused = async || send(&fleet, &call("/safe/x")).await.code() == Some("BH0309");
+        until(refused).await;
+        let answer = send(&fleet, &call("/unsafe/x")).await;
+        assert_eq!((answer.told, answer.headers.contains_key("retry-after")), (Told::Status(503), true));
+        let mut open = call("/open/x");
+        open.key = None;
+        assert_eq!(send(&fleet, &open).await.told, Told::Whole);
+        until(async || !fleet.is_ready(0).await).await;
+        fleet.store_proxy.set(Harm::None);
+        until(async || send(&fleet, &call("/safe/x")).await.told == Told::Whole).await;
+        until(async || fleet.is_ready(0).await).await;
+    });
+}
+
+/// Frozen for longer than its lease, with the store down when it wakes: what it believed no
+/// longer counts, whatever it was about to do.
+#[test]
+fn a_gateway_that_was_frozen_does_not_act_on_what_it_believed() {
+    run(|tasks| async move {
+        let shape = FleetShape { gateways: 1, engines: 0, services: 1 };
+        let fleet = GatewayFleet::start(&tasks, shape, SHORT_LEASE).await;
+        assert_eq!(send(&fleet, &call("/safe/x")).await.told, Told::Whole);
+        fleet.gateway(0).signal(Signal::STOP);
+        fleet.store.set_fault(StoreFault::Busy);
+        smol::Timer::after(Duration::from_millis(2_500)).await;
+        fleet.gateway(0).signal(Signal::CONT);
+        let answer = send(&fleet, &call("/unsafe/x")).await;
+        assert_eq!(answer.code(), Some("BH0309"));
+    });
+}
+
+#[test]
+fn a_gateway_that_the_store_turns_away_hears_from_the_others() {
+    run(|tasks| async move {
+        let shape = FleetShape { gateways: 2, engines: 0, services: 1 };
+        let mut fleet = GatewayFleet::start(&tasks, shape, SHORT_LEASE).await;
+        // The second gateway starts anew and cannot reach the store at all.
+        fleet.gateways[1] = None;
+        fleet.settings[1].store = "127.0.0.1:1".parse().unwrap();
+        fleet.restart(1);
+        fleet.until_ready().await;
+        assert!(has_line(&fleet, 1, &["\"belief\"", "\"rules\"", "\"peer\""]));
+        for _ in 0..30 {
+            let answer = fleet.caller().send(fleet.callers(1), &call("/safe/x"), PATIENCE).await;
+            assert_eq!(answer.told, Told::Whole);
+            smol::Timer::after(Duration::from_millis(100)).await;
+        }
+    });
+}
+
+#[test]
+fn the_store_is_read_by_few() {
+    run(|tasks| async move {
+        let alone = start(&tasks, FleetShape { gateways: 1, engines: 0, services: 1 }).await;
+        let many = start(&tasks, FleetShape { gateways: 6, engines: 0, services: 1 }).await;
+        smol::Timer::after(Duration::from_secs(3)).await;
+        let before = (alone.store.reads(), many.store.reads());
+        smol::Timer::after(Duration::from_secs(5)).await;
+        let (alone, many) = (alone.store.reads() - before.0, many.store.reads() - before.1);
+        assert!(many <= 3 * alone, "{many} reads by six gateways, {alone} by one");
+    });
+}
+
+#[test]
+fn a_stop_cuts_nothing_and_refuses_what_comes_late() {
+    run(|tasks| async move {
+        let shape = FleetShape { gateways: 1, engines: 1, services: 1 };
+        let stop = "[stop]\ngrace_ms = 20000\naccept_ms = 1500\n";
+        let mut fleet = GatewayFleet::start(&tasks, shape, stop).await;
+        fleet.upstreams[0].set_pace(Duration::from_millis(250));
+        let stream = Call::stream("/stream/x", KEY);
+        let (caller, address, sent) = (fleet.caller(), fleet.callers(0), stream.clone());
+        let streaming = tasks.spawn(async move { caller.send(address, &sent, PATIENCE).await });
+        until(async || fleet.runs_of(&stream.id) == 1).await;
+        fleet.gateway(0).signal(Signal::TERM);
+        until(async || !fleet.is_ready(0).await).await;
+        let crossing = send(&fleet, &call("/safe/x")).await;
+        assert_eq!(crossing.told, Told::Whole, "requests that cross the stop are served");
+        assert_eq!(crossing.headers["connection"], "close");
+        let late = async || send(&fleet, &call("/unsafe/x")).await.code() == Some("BH0306");
+        until(late).await;
+        assert_eq!(streaming.await.told, Told::Whole);
+        let ended = fleet.gateways[0].as_mut().unwrap().wait(Duration::from_secs(30));
+        assert!(ended.is_some_and(|status| status.success()));
+    });
+}
+
+#[test]
+fn a_gateway_that_starts_learns_what_upstreams_keep_from_the_others() {
+    run(|tasks| async move {
+        let mut fleet = start(&tasks, FleetShape { gateways: 2, engines: 2, services: 0 }).await;
+        // Both must know enough: otherwise the one that is started anew may ask upstreams itself.
+        until(async || [0, 1].iter().all(|gateway| has_line(&fleet, *gateway, &["\"recovered\""]))).await;
+        assert_eq!(send(&fleet, &Call::stream("/stream/x", KEY)).await.told, Told::Whole);
+        fleet.gateways[1] = None;
+        fleet.restart(1);
+        until(async || has_line(&fleet, 1, &["\"recovered\"", "\"peer\"", "\"parts\":2"])).await;
+    });
+}
+
+#[test]
+fn settings_are_read_again_and_faulty_ones_are_not_taken() {
+    run(|tasks| async move {
+        let fleet = smallest(&tasks).await;
+        fleet.gateway(0).signal(Signal::HUP);
+        until(async || has_line(&fleet, 0, &["\"reloaded\""])).await;
+        let mut faulty = fleet.settings[0].clone();
+        faulty.sections.push_str("[nothing]\n");
+        fleet.gateway(0).write_settings(&faulty).unwrap();
+        fleet.gateway(0).signal(Signal::HUP);
+        until(async || has_line(&fleet, 0, &["\"reload_refused\"", "unknown section [nothing]"])).await;
+        assert_eq!(send(&fleet, &call("/safe/x")).await.told, Told::Whole);
+    });
+}
+
+/// The one line of a request names all that decided it.
+#[test]
+fn a_request_is_explained_by_its_line() {
+    run(|tasks| async move {
+        let fleet = smallest(&tasks).await;
+        let mut refused = call("/safe/x");
+        refused.key = Some("key-none".to_owned());
+        let served = call("/safe/x");
+        send(&fleet, &refused).await;
+        send(&fleet, &served).await;
+        until(async || has_line(&fleet, 0, &[&refused.id, "BH0202", "rules_age_ms"])).await;
+        until(async || has_line(&fleet, 0, &[&served.id, "services-0", "\"status\":200", "\"ran\":\"yes\""]))
+            .await;
+    });
+}
