Lines are written on a thread of their own, bounded, and dropped ones counted

Cause: a reader that stalls would have held up serving (standard output is a pipe). Ruled out: a non-blocking pipe, which is shared with others. Change: the library's asynchronous sink, 1,024 lines; what is dropped is told by the next line. A test stops reading, serves 3,000 requests and reads on.

--- a/crates/bendhinge_gateway/src/log.rs
+++ b/crates/bendhinge_gateway/src/log.rs
@@ -1,23 +1,58 @@
 //! Structured logs: a line for each decision that touches a request or changes what is believed.
 
 use std::net::SocketAddr;
+use std::num::NonZeroUsize;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{Course, SendEnd};
 use bendhinge_fleet::Version;
 use bendhinge_ids::{Instant, UpstreamName};
 use serde::Serialize;
-use spdlog::sink::StdStreamSink;
+use spdlog::formatter::{Formatter, FormatterContext};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink};
+use spdlog::{Record, StringBuf, ThreadPool};
 
 use crate::clock;
 use crate::delivery::Turn;
 use crate::knowledge::Chosen;
 
-/// Writes lines; cheap to clone.
+/// Lines that may wait to be written; further ones are dropped and counted.
+const MOST_WAITING: usize = 1_024;
+
+/// How many lines were handed over, written and dropped.
+#[derive(Debug, Default)]
+struct Counts {
+    accepted: AtomicUsize,
+    written: AtomicUsize,
+    dropped: AtomicUsize,
+}
+
+/// Writes lines as they are, and counts them.
+#[derive(Clone)]
+struct LineFormatter(Arc<Counts>);
+
+impl Formatter for LineFormatter {
+    fn format(
+        &self,
+        record: &Record<'_>,
+        text: &mut StringBuf,
+        _: &mut FormatterContext<'_>,
+    ) -> spdlog::Result<()> {
+        self.0.written.fetch_add(1, Ordering::Relaxed);
+        text.push_str(record.payload());
+        text.push('\n');
+        Ok(())
+    }
+}
+
+/// Writes lines on a thread of its own, so that nobody waits for whoever reads them; cheap to
+/// clone.
 #[derive(Clone)]
 pub(crate) struct Log {
     logger: Arc<spdlog::Logger>,
+    counts: Arc<Counts>,
 }
 
 /// A line, as JSON.
@@ -32,20 +67,47 @@
 impl Log {
     /// A log to standard output.
     pub(crate) fn new() -> Result<Self, spdlog::Error> {
-        let formatter =
-            spdlog::formatter::PatternFormatter::new(spdlog::formatter::pattern!("{payload}{eol}"));
-        let sink = StdStreamSink::builder().stdout().formatter(formatter).build_arc()?;
+        let counts = Arc::new(Counts::default());
+        let formatter = LineFormatter(Arc::clone(&counts));
+        let output = StdStreamSink::builder().stdout().formatter(formatter).build_arc()?;
+        let capacity = NonZeroUsize::MIN.saturating_add(2 * MOST_WAITING);
+        let pool = ThreadPool::builder().capacity(capacity).build_arc()?;
+        let sink = AsyncPoolSink::builder()
+            .sink(output)
+            .thread_pool(pool)
+            .overflow_policy(OverflowPolicy::DropIncoming)
+            .build_arc()?;
         let logger = spdlog::Logger::builder().sink(sink).build_arc()?;
-        Ok(Self { logger })
+        Ok(Self { logger, counts })
     }
 
     fn line(&self, event: &str, fields: impl Serialize) {
+        let accepted = self.counts.accepted.load(Ordering::Relaxed);
+        let waiting = accepted.saturating_sub(self.counts.written.load(Ordering::Relaxed));
+        if waiting >= MOST_WAITING {
+            self.counts.dropped.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        let dropped = self.counts.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            self.write("lines_dropped", Dropped { dropped });
+        }
+        self.write(event, fields);
+    }
+
+    fn write(&self, event: &str, fields: impl Serialize) {
         let line = Line { t: clock::now().0 / 1_000, event, fields };
         if let Ok(text) = serde_json::to_string(&line) {
+            self.counts.accepted.fetch_add(1, Ordering::Relaxed);
             spdlog::info!(logger: self.logger, "{text}");
         }
     }
 
+    /// Waits until the lines so far are written, at the end of the process.
+    pub(crate) fn finish(&self) {
+        self.logger.flush();
+    }
+
     /// The process began, ends, or read its settings anew.
     pub(crate) fn process(&self, event: &str, name: &str, detail: &str) {
         #[derive(Serialize)]
@@ -123,6 +185,11 @@
     }
 }
 
+#[derive(Serialize)]
+struct Dropped {
+    dropped: usize,
+}
+
 #[derive(Serialize)]
 struct Send {
     upstream: String,
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -112,6 +112,7 @@
     callers.stop();
     Timer::after(LAST_WORDS).await;
     log.process("stopped", settings.name.as_str(), &lifecycle.in_progress().to_string());
+    log.finish();
     Ok(())
 }
 
--- a/crates/bendhinge_lab/src/gateways/process.rs
+++ b/crates/bendhinge_lab/src/gateways/process.rs
@@ -7,7 +7,7 @@
 use std::path::PathBuf;
 use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -58,6 +58,29 @@
     /// What it listens on, by name.
     pub addresses: HashMap<String, SocketAddr>,
     lines: Arc<Mutex<Vec<String>>>,
+    /// Held while its lines are not to be read.
+    reading: Arc<ReadingGate>,
+}
+
+/// Lets a reader through, or not.
+#[derive(Debug, Default)]
+struct ReadingGate {
+    is_closed: Mutex<bool>,
+    changed: Condvar,
+}
+
+impl ReadingGate {
+    fn set(&self, is_closed: bool) {
+        *self.is_closed.lock().unwrap() = is_closed;
+        self.changed.notify_all();
+    }
+
+    fn pass(&self) {
+        let mut is_closed = self.is_closed.lock().unwrap();
+        while *is_closed {
+            is_closed = self.changed.wait(is_closed).unwrap();
+        }
+    }
 }
 
 impl GatewayProcess {
@@ -75,9 +98,11 @@
         let lines = Arc::new(Mutex::new(Vec::new()));
         let (tell, told) = channel();
         let kept = Arc::clone(&lines);
-        std::thread::spawn(move || keep_lines(stdout, &kept, &tell));
+        let reading = Arc::new(ReadingGate::default());
+        let gate = Arc::clone(&reading);
+        std::thread::spawn(move || keep_lines(stdout, &kept, &tell, &gate));
         let addresses = first_addresses(&told, ADDRESSES);
-        let process = Self { child, file, addresses, lines };
+        let process = Self { child, file, addresses, lines, reading };
         if process.addresses.len() == ADDRESSES { Ok(process) } else { Err(StartError::Ended(path)) }
     }
 
@@ -93,6 +118,16 @@
         self.lines.lock().unwrap().clone()
     }
 
+    /// Stops reading its lines, so that what it writes has nowhere to go.
+    pub fn stop_reading(&self) {
+        self.reading.set(true);
+    }
+
+    /// Reads its lines again.
+    pub fn read_on(&self) {
+        self.reading.set(false);
+    }
+
     /// Writes its settings anew, without telling it.
     pub fn write_settings(&self, settings: &GatewaySettings) -> std::io::Result<()> {
         std::fs::write(&self.file, settings.text())
@@ -121,13 +156,20 @@
 
 impl Drop for GatewayProcess {
     fn drop(&mut self) {
+        self.reading.set(false);
         self.kill();
         let _ = std::fs::remove_file(&self.file);
     }
 }
 
-fn keep_lines(stdout: ChildStdout, lines: &Mutex<Vec<String>>, tell: &Sender<(String, SocketAddr)>) {
+fn keep_lines(
+    stdout: ChildStdout,
+    lines: &Mutex<Vec<String>>,
+    tell: &Sender<(String, SocketAddr)>,
+    gate: &ReadingGate,
+) {
     for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+        gate.pass();
         if let Some(listening) = listening(&line) {
             // Nobody waits any more once all addresses are known.
             let _ = tell.send(listening);
--- a/crates/bendhinge_lab/tests/gateway_life.rs
+++ b/crates/bendhinge_lab/tests/gateway_life.rs
@@ -153,3 +153,24 @@
             .await;
     });
 }
+
+/// Nobody reads what the gateway writes: it serves on, and says later how many lines it dropped.
+#[test]
+fn serving_never_waits_for_the_log() {
+    run(|tasks| async move {
+        let fleet = smallest(&tasks).await;
+        fleet.gateway(0).stop_reading();
+        // More than the pipe and the queue hold; each line has some 250 bytes.
+        for _ in 0..3_000 {
+            assert_eq!(send(&fleet, &call("/open/x")).await.told, Told::Whole);
+        }
+        fleet.gateway(0).read_on();
+        until(async || {
+            has_line(&fleet, 0, &["\"lines_dropped\""]) || {
+                send(&fleet, &call("/open/x")).await;
+                false
+            }
+        })
+        .await;
+    });
+}
