Any upstream may be a subject's home; counters and a histogram at the ready address

Change: no groups; now that gateways know which upstream read which first part, it is fetched where it is lacking.

--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -82,9 +82,9 @@
 async fn ask(control: &Rc<Control>, address: SocketAddr) -> bool {
     let asked = clock::now();
     let word = own_word(control, asked);
-    let Ok(answer) = control.peers.call(address, async |peer| peer.exchange(&word).await).await else {
-        return false;
-    };
+    let answer = control.peers.call(address, async |peer| peer.exchange(&word).await).await;
+    control.delivering.metrics.exchange(answer.is_ok());
+    let Ok(answer) = answer else { return false };
     take_in(control, &answer, Some(asked));
     fetch_news(control, address, &answer).await;
     true
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -52,7 +52,9 @@
             continue;
         }
         let began = clock::now();
-        match read(&control).await {
+        let contents = read(&control).await;
+        control.delivering.metrics.store_read(contents.is_ok());
+        match contents {
             Ok(contents) => {
                 control.plan.borrow_mut().succeeded(clock::now());
                 control.note_store(true, "");
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -25,6 +25,7 @@
 use crate::knowledge::{Chosen, PlacementQuestion, RulesKeeper, UpstreamView};
 use crate::lifecycle::InProgress;
 use crate::log::{Log, RequestLine};
+use crate::metrics::Metrics;
 use crate::retries::Retries;
 
 /// What delivery needs of the other duties.
@@ -36,6 +37,7 @@
     pub(crate) pool: Pool,
     pub(crate) tasks: Tasks,
     pub(crate) log: Log,
+    pub(crate) metrics: Metrics,
     pub(crate) answer_bytes: usize,
 }
 
@@ -78,6 +80,7 @@
     in_progress: InProgress,
 ) -> Result<Response<Body>, Refused> {
     delivering.retries.first();
+    delivering.metrics.request();
     let course = Course::new(bendhinge_delivery::CourseRules {
         repeatable: turn.route.kind.is_repeatable(),
         attempts: turn.route.attempts,
@@ -122,6 +125,7 @@
             match attempt(&self.delivering, &self.turn, chosen, &times, resume_after).await {
                 Ok(attempt) => {
                     self.delivering.upstreams.answered(upstream);
+                    self.delivering.metrics.first_byte(clock::now().since(self.turn.began));
                     return Ok(attempt);
                 }
                 Err((chosen, ended)) => self.after(&chosen, ended)?,
@@ -171,6 +175,7 @@
         let Ended { end, failure } = ended;
         let upstream = chosen.entry.hash;
         self.line.send_ended(end);
+        self.delivering.metrics.send_ended(end);
         if mishap(end).is_some_and(|mishap| self.delivering.upstreams.failed(upstream, mishap)) {
             self.delivering.log.upstream_rests(&chosen.entry.name, end);
         }
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -134,6 +134,7 @@
         }
         drop(source);
         self.delivery.line.send_ended(end);
+        self.delivery.delivering.metrics.send_ended(end);
         self.delivery.tried.push(upstream);
         let may_go_on = self.delivery.course.ended(end);
         if !may_go_on || !self.delivery.delivering.retries.second() {
--- a/crates/bendhinge_gateway/src/intake/mod.rs
+++ b/crates/bendhinge_gateway/src/intake/mod.rs
@@ -125,6 +125,7 @@
     fn refuse(&self, id: Option<&HeaderValue>, refused: Refused) -> Response<Body> {
         let Refused { code } = refused;
         let delivering = &self.delivering;
+        delivering.metrics.result(code);
         let age = delivering.rules.age(clock::now());
         let age = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
         delivering.log.refused(id.and_then(|id| id.to_str().ok()).unwrap_or_default(), code, age);
--- a/crates/bendhinge_gateway/src/lib.rs
+++ b/crates/bendhinge_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod knowledge;
 mod lifecycle;
 mod log;
+mod metrics;
 pub mod native;
 mod ready;
 mod retries;
--- /dev/null
+++ b/crates/bendhinge_gateway/src/metrics.rs
@@ -0,0 +1,116 @@
+//! Counters and a histogram, by the names that `docs/METRICS.md` lists.
+
+use std::time::Duration;
+
+use bendhinge_codes::ResultCode;
+use bendhinge_delivery::SendEnd;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
+use opentelemetry_sdk::Resource;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+/// Bounds of the histogram of first bytes; 1.3 s is what the users ask of 95 in 100.
+const FIRST_BYTE_SECONDS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 1.3, 2.5, 10.0];
+
+/// Why metrics could not be set up.
+#[derive(Debug, thiserror::Error)]
+#[error("cannot set up metrics: {0}")]
+pub(crate) struct MetricsError(String);
+
+/// All instruments of a gateway.
+pub(crate) struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    results: Counter<u64>,
+    sends_ended: Counter<u64>,
+    store_reads: Counter<u64>,
+    exchanges: Counter<u64>,
+    first_byte: Histogram<f64>,
+    in_progress: Gauge<u64>,
+    rules_age: Gauge<f64>,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build();
+        let exporter = exporter.map_err(|error| MetricsError(error.to_string()))?;
+        let resource = Resource::builder_empty().with_service_name("bendhinge-gateway").build();
+        let provider = SdkMeterProvider::builder().with_reader(exporter).with_resource(resource).build();
+        let meter = provider.meter("bendhinge");
+        let counter =
+            |name: &'static str, help: &'static str| meter.u64_counter(name).with_description(help).build();
+        Ok(Self {
+            requests: counter("bendhinge.gateway.requests", "Requests that were sent to an upstream"),
+            results: counter("bendhinge.gateway.results", "Answers made by the gateway itself, by code"),
+            sends_ended: counter(
+                "bendhinge.gateway.sends_ended",
+                "Sends without an answer that was passed on, by end",
+            ),
+            store_reads: counter("bendhinge.gateway.store_reads", "Reads of the store, by result"),
+            exchanges: counter("bendhinge.gateway.exchanges", "Exchanges with other gateways, by result"),
+            first_byte: meter
+                .f64_histogram("bendhinge.gateway.first_byte")
+                .with_unit("s")
+                .with_boundaries(FIRST_BYTE_SECONDS.to_vec())
+                .with_description("Time from a request to the head of its answer")
+                .build(),
+            in_progress: meter
+                .u64_gauge("bendhinge.gateway.requests_in_progress")
+                .with_description("Requests in progress")
+                .build(),
+            rules_age: meter
+                .f64_gauge("bendhinge.gateway.rules_age")
+                .with_unit("s")
+                .with_description("Age of the knowledge that the rules are current")
+                .build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request that is sent.
+    pub(crate) fn request(&self) {
+        self.requests.add(1, &[]);
+    }
+
+    /// Counts an answer that the gateway made itself.
+    pub(crate) fn result(&self, code: ResultCode) {
+        self.results.add(1, &[KeyValue::new("code", code.to_string())]);
+    }
+
+    /// Counts a send without an answer that was passed on.
+    pub(crate) fn send_ended(&self, end: SendEnd) {
+        self.sends_ended.add(1, &[KeyValue::new("end", end.as_str())]);
+    }
+
+    /// Counts a read of the store.
+    pub(crate) fn store_read(&self, answered: bool) {
+        self.store_reads.add(1, &[result_label(answered)]);
+    }
+
+    /// Counts an exchange with another gateway.
+    pub(crate) fn exchange(&self, answered: bool) {
+        self.exchanges.add(1, &[result_label(answered)]);
+    }
+
+    /// Notes how long the head of an answer took.
+    pub(crate) fn first_byte(&self, time: Duration) {
+        self.first_byte.record(time.as_secs_f64(), &[]);
+    }
+
+    /// All metrics in Prometheus' text form.
+    pub(crate) fn text(&self, in_progress: usize, rules_age: Option<Duration>) -> String {
+        self.in_progress.record(in_progress as u64, &[]);
+        if let Some(age) = rules_age {
+            self.rules_age.record(age.as_secs_f64(), &[]);
+        }
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+    }
+}
+
+fn result_label(answered: bool) -> KeyValue {
+    KeyValue::new("result", if answered { "answered" } else { "failed" })
+}
--- a/crates/bendhinge_gateway/src/ready.rs
+++ b/crates/bendhinge_gateway/src/ready.rs
@@ -1,9 +1,9 @@
-//! The address at which a balancer asks whether the gateway is ready.
+//! The address at which a balancer asks whether the gateway is ready, and metrics are read.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_http::{Body, empty_body};
+use bendhinge_http::{Body, empty_body, full_body};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
@@ -14,6 +14,9 @@
 /// A gateway whose rules are too old to act on for longer than this is not ready.
 const PATIENCE: Duration = Duration::from_secs(1);
 
+/// The path of the metrics, in Prometheus' text form.
+const METRICS_PATH: &str = "/metrics";
+
 /// What the answer depends on.
 pub(crate) struct Readiness {
     pub(crate) delivering: Arc<Delivering>,
@@ -31,6 +34,11 @@
     }
 
     pub(crate) fn answer(&self, request: &Request<Incoming>) -> Response<Body> {
+        if request.uri().path() == METRICS_PATH {
+            let age = self.delivering.rules.age(clock::now());
+            let text = self.delivering.metrics.text(self.lifecycle.in_progress(), age);
+            return Response::new(full_body(text));
+        }
         let is_known = request.uri().path() == self.delivering.dialect.ready_path();
         let status = match (is_known, self.is_ready()) {
             (false, _) => StatusCode::NOT_FOUND,
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -21,6 +21,7 @@
 use crate::knowledge::{RulesKeeper, UpstreamView};
 use crate::lifecycle::Lifecycle;
 use crate::log::Log;
+use crate::metrics::{Metrics, MetricsError};
 use crate::ready::Readiness;
 use crate::retries::Retries;
 use crate::settings::{SCHEMA, Settings};
@@ -38,6 +39,8 @@
     Listen { address: SocketAddr, error: std::io::Error },
     #[error("cannot take signals: {0}")]
     Signals(std::io::Error),
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
     #[error("cannot set up logs: {0}")]
     Log(#[from] spdlog::Error),
 }
@@ -95,6 +98,7 @@
         pool: Pool::new(Arc::clone(tasks), settings.upstreams.connect, settings.upstreams.idle),
         tasks: Arc::clone(tasks),
         log: log.clone(),
+        metrics: Metrics::new()?,
         answer_bytes: settings.upstreams.answer_bytes,
     });
     let callers = serve_callers(&settings, &delivering, &lifecycle).await?;
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -1,8 +1,6 @@
 //! The upstream of least cost: what it would have to read, what is ahead there, and how often it
 //! fails, with a limit on its load.
 
-use std::cmp::Reverse;
-
 use bendhinge_ids::{Instant, NameHash};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -21,9 +19,6 @@
     pub takes_work: bool,
 }
 
-/// One in so many upstreams is in the group of homes of subjects that share a first part.
-const HOMES_PER_GROUP: usize = 2;
-
 /// What things cost, in tokens to read.
 #[derive(Clone, Copy, Debug)]
 pub struct CostRules {
@@ -143,19 +138,12 @@
     total / count.max(1.0)
 }
 
-/// The home of a subject, by rendezvous hashing among the candidates that take work. Subjects that
-/// share the first part of their prompts share a group of homes, so that it is read by few.
+/// The home of a subject: by rendezvous hashing among the candidates that take work, which is the
+/// same at all routers that hold the same list.
 fn home(question: &Question<'_>, candidates: &[Candidate]) -> Option<usize> {
-    let prompt = question.prompt?;
-    let subject = prompt.subject()?;
-    let mut fitting: Vec<usize> =
-        (0..candidates.len()).filter(|index| candidates[*index].takes_work).collect();
-    if let Some(first) = prompt.shared().first().filter(|first| first.id != subject) {
-        let group = fitting.len().div_ceil(HOMES_PER_GROUP);
-        fitting.sort_unstable_by_key(|index| Reverse(score(first.id, candidates[*index].upstream)));
-        fitting.truncate(group);
-    }
-    fitting.into_iter().max_by_key(|index| score(subject, candidates[*index].upstream))
+    let subject = question.prompt?.subject()?;
+    let working = (0..candidates.len()).filter(|index| candidates[*index].takes_work);
+    working.max_by_key(|index| score(subject, candidates[*index].upstream))
 }
 
 fn score(subject: PartId, upstream: NameHash) -> u64 {
