The last line of a process is written before its last moments

Change: the line comes before the moment in which last answers leave. The test of a stop now asks for the line.

--- a/crates/bendhinge_gateway/src/log.rs
+++ b/crates/bendhinge_gateway/src/log.rs
@@ -103,11 +103,6 @@
         }
     }
 
-    /// Waits until the lines so far are written, at the end of the process.
-    pub(crate) fn finish(&self) {
-        self.logger.flush();
-    }
-
     /// The process began, ends, or read its settings anew.
     pub(crate) fn process(&self, event: &str, name: &str, detail: &str) {
         #[derive(Serialize)]
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -114,9 +114,9 @@
     local.spawn(async move { control.say_goodbye().await }).detach();
     lifecycle.drained().await;
     callers.stop();
-    Timer::after(LAST_WORDS).await;
     log.process("stopped", settings.name.as_str(), &lifecycle.in_progress().to_string());
-    log.finish();
+    // The last answers and lines get a moment to leave.
+    Timer::after(LAST_WORDS).await;
     Ok(())
 }
 
--- a/crates/bendhinge_lab/tests/gateway_life.rs
+++ b/crates/bendhinge_lab/tests/gateway_life.rs
@@ -107,6 +107,7 @@
         assert_eq!(streaming.await.told, Told::Whole);
         let ended = fleet.gateways[0].as_mut().unwrap().wait(Duration::from_secs(30));
         assert!(ended.is_some_and(|status| status.success()));
+        until(async || has_line(&fleet, 0, &["\"stopped\""])).await;
     });
 }
 
