--- a/crates/bendhinge_gateway/src/lib.rs
+++ b/crates/bendhinge_gateway/src/lib.rs
@@ -28,4 +28,4 @@
 mod run;
 pub mod settings;
 
-pub use run::main;
+pub use run::{main, reference};
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -22,6 +22,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::log::Log;
 use crate::metrics::{Metrics, MetricsError};
+use crate::native::RULES_SCHEMA;
 use crate::ready::Readiness;
 use crate::retries::Retries;
 use crate::settings::{SCHEMA, Settings};
@@ -50,7 +51,7 @@
 pub fn main(dialect: impl Dialect) -> ExitStatus {
     let args = args().run();
     if args.reference {
-        print!("{}", bendhinge_ini::markdown_reference(&SCHEMA));
+        print!("{}", reference());
         return ExitStatus::Success;
     }
     let Some(path) = &args.settings else {
@@ -67,6 +68,14 @@
     }
 }
 
+/// The reference of the settings, and of the rules in the product's own form.
+#[must_use]
+pub fn reference() -> String {
+    let settings = bendhinge_ini::markdown_reference(&SCHEMA);
+    let rules = bendhinge_ini::markdown_reference(&RULES_SCHEMA);
+    format!("{settings}\n{rules}")
+}
+
 fn run(settings: Settings, path: &Path, dialect: Arc<dyn Dialect>) -> ExitStatus {
     let tasks = Tasks::default();
     let local = Rc::new(LocalExecutor::new());
--- a/crates/bendhinge_router/tests/settings.rs
+++ b/crates/bendhinge_router/tests/settings.rs
@@ -27,8 +27,9 @@
     let page = include_str!("../../../docs/SETTINGS.md");
     let router = bendhinge_ini::markdown_reference(&bendhinge_router::settings::SCHEMA);
     let fleet = bendhinge_ini::markdown_reference(&bendhinge_configuration::SCHEMA);
+    let gateway = bendhinge_gateway::reference();
     let expected = format!(
-        "# Settings and configuration\n\nGenerated from the schemas; CI compares the two.\n\n{router}\n{fleet}"
+        "# Settings and configuration\n\nGenerated from the schemas; CI compares the two.\n\n{router}\n{fleet}\n{gateway}"
     );
     assert_eq!(page, expected, "run: scripts/generate-docs");
 }
