--- a/crates/bendhinge_lab/src/gateways/soak.rs
+++ b/crates/bendhinge_lab/src/gateways/soak.rs
@@ -122,7 +122,7 @@
 
     async fn one_strike(&self, random: &mut ChaCha8Rng) {
         let gateway = random.random_range(0..SHAPE.gateways);
-        match random.random_range(0..9) {
+        match random.random_range(0..12) {
             0 => self.kill(gateway, random.random()),
             1 => self.stop(gateway),
             2 => {
@@ -132,8 +132,8 @@
             }
             3 => self.signal(gateway, Signal::HUP),
             4 | 5 => self.harm_upstream(random),
-            6 => self.fault_upstream(random),
-            7 => self.harm_store(random),
+            6..=9 => self.fault_upstream(random),
+            10 => self.harm_store(random),
             _ => self.change_upstreams(random).await,
         }
     }
@@ -185,10 +185,10 @@
     }
 
     fn fault_upstream(&self, random: &mut ChaCha8Rng) {
-        let fault = match random.random_range(0..9) {
+        let fault = match random.random_range(0..10) {
             0 => UpstreamFault::Full,
             1 => UpstreamFault::Unclear,
-            2 => UpstreamFault::Lost,
+            2 | 9 => UpstreamFault::Lost,
             3 => UpstreamFault::Crossed,
             4 => UpstreamFault::Unsigned,
             5 => UpstreamFault::Failed,
