--- a/crates/bendhinge_fleet/tests/judge.rs
+++ b/crates/bendhinge_fleet/tests/judge.rs
@@ -58,7 +58,8 @@
     let mut rests = Vec::new();
     for _ in 0..6 {
         judge.failed(UPSTREAM, Mishap::NotConnected, at(now));
-        let rest = (1..).find(|rest| judge.standing(UPSTREAM, at(now + rest)) != Standing::Resting).unwrap();
+        let rest =
+            (1..60_000).find(|rest| judge.standing(UPSTREAM, at(now + rest)) != Standing::Resting).unwrap();
         rests.push(rest);
         now += rest;
         judge.sent(UPSTREAM, at(now));
