One home for hop-by-hop headers and unreadable files; what is kept is looked up once

Found on reading the whole change: the gateway wrote again what the router has (dropping hop-by-hop headers, the fault of a file that cannot be read), and the choice of an upstream looked for a source once for each candidate, which grew with the square of the pool. Now drop_hop_by_hop stands in bendhinge_http, Faults::unreadable in bendhinge_ini, and the two best sources are found once. Behaviour as before: all tests unchanged.

--- a/crates/bendhinge_gateway/src/intake/headers.rs
+++ b/crates/bendhinge_gateway/src/intake/headers.rs
@@ -1,38 +1,7 @@
 //! Headers on their way through.
 
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
-    TRAILER, TRANSFER_ENCODING, UPGRADE,
-};
-
-const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-
-/// Headers that concern one connection only (RFC 9110, section 7.6.1).
-const HOP_BY_HOP: [HeaderName; 9] = [
-    CONNECTION,
-    KEEP_ALIVE,
-    PROXY_CONNECTION,
-    PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION,
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-];
-
-fn drop_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|list| list.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&HOP_BY_HOP) {
-        headers.remove(name);
-    }
-}
+use bendhinge_http::drop_hop_by_hop;
+use hyper::header::{CONTENT_LENGTH, EXPECT, HeaderMap};
 
 /// Makes a caller's headers fit for an upstream. Length and framing are written anew by the HTTP
 /// library.
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -10,7 +10,7 @@
 use bendhinge_codes::ResultCode;
 use bendhinge_fleet::{DirectoryLimits, JudgeLimits, ReadingLimits, RosterLimits};
 use bendhinge_ids::{MachineName, ZoneName};
-use bendhinge_ini::{ByteCount, Document, Fault, Faults, Millis, Ratio, Section};
+use bendhinge_ini::{ByteCount, Document, Faults, Millis, Ratio, Section};
 use bendhinge_peer::PeerKey;
 
 pub use schema::SCHEMA;
@@ -116,7 +116,7 @@
     /// Reads and checks the file at `path`.
     pub fn read(path: &Path) -> Result<Self, Faults> {
         let file = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|error| unreadable(&file, &error))?;
+        let text = std::fs::read_to_string(path).map_err(|error| Faults::unreadable(&file, &error))?;
         Self::parse(&file, &text)
     }
 
@@ -128,11 +128,6 @@
     }
 }
 
-fn unreadable(file: &str, error: &std::io::Error) -> Faults {
-    let message = format!("{error}; check the path and its permissions");
-    Faults(vec![Fault { file: file.to_owned(), line: 0, code: ResultCode::UnreadableFile, message }])
-}
-
 /// Addresses separated by commas.
 struct Addresses(Vec<SocketAddr>);
 
--- a/crates/bendhinge_http/src/lib.rs
+++ b/crates/bendhinge_http/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod body;
 mod client;
+mod hop_by_hop;
 mod pool;
 mod serve;
 mod signal;
@@ -10,6 +11,7 @@
 
 pub use body::{Body, BodyError, ReadBodyError, channel_body, empty_body, full_body, read_body};
 pub use client::{FetchError, Fetched, fetch, fetch_bytes, fetch_json};
+pub use hop_by_hop::drop_hop_by_hop;
 pub use pool::{ConnectError, Connection, Pool, SendFailure};
 pub use serve::{CutConnection, ServeLimits, Server, ServerStop};
 pub use signal::termination;
--- a/crates/bendhinge_ini/src/fault.rs
+++ b/crates/bendhinge_ini/src/fault.rs
@@ -27,6 +27,15 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, thiserror::Error)]
 pub struct Faults(pub Vec<Fault>);
 
+impl Faults {
+    /// The one fault of a file that cannot be read.
+    #[must_use]
+    pub fn unreadable(file: &str, error: &std::io::Error) -> Self {
+        let message = format!("{error}; check the path and its permissions");
+        Self(vec![Fault { file: file.to_owned(), line: 0, code: ResultCode::UnreadableFile, message }])
+    }
+}
+
 impl fmt::Display for Faults {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (index, fault) in self.0.iter().enumerate() {
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -117,7 +117,9 @@
     // An upstream gets no more from this load on while others are below it.
     let limit = rules.bound * mean_load + rules.bound_slack;
     let home = home(question, candidates);
-    let chooser = Chooser { rules, question, candidates, kept, now, home, mean_load };
+    let kept: Vec<u32> = kept_by_each(question, candidates, kept, now);
+    let chooser =
+        Chooser { rules, question, candidates, sources: Sources::new(&kept), kept, home, mean_load };
     let working = || (0..candidates.len()).filter(|index| candidates[*index].takes_work);
     let within = working().filter(|index| candidates[*index].load < limit);
     let best = |among: &mut dyn Iterator<Item = usize>| {
@@ -158,12 +160,45 @@
     tokens: u32,
 }
 
+/// The two candidates that keep most of a prompt: the second is the source for the first.
+#[derive(Clone, Copy)]
+struct Sources {
+    first: Option<Source>,
+    second: Option<Source>,
+}
+
+impl Sources {
+    fn new(kept: &[u32]) -> Self {
+        let sources = || kept.iter().enumerate().map(|(index, tokens)| Source { index, tokens: *tokens });
+        let first = sources().max_by_key(|source| source.tokens);
+        let is_other = |source: &Source| first.is_none_or(|first| first.index != source.index);
+        let second = sources().filter(is_other).max_by_key(|source| source.tokens);
+        Self { first, second }
+    }
+
+    fn for_candidate(self, index: usize) -> Option<Source> {
+        if self.first.is_some_and(|first| first.index == index) { self.second } else { self.first }
+    }
+}
+
+/// What each candidate is believed to keep of the prompt.
+fn kept_by_each(
+    question: &Question<'_>,
+    candidates: &[Candidate],
+    kept: &KeptParts,
+    now: Instant,
+) -> Vec<u32> {
+    let Some(prompt) = question.prompt else { return Vec::new() };
+    candidates.iter().map(|candidate| kept.kept_tokens(candidate.upstream, prompt, now)).collect()
+}
+
 struct Chooser<'a> {
     rules: &'a CostRules,
     question: &'a Question<'a>,
     candidates: &'a [Candidate],
-    kept: &'a KeptParts,
-    now: Instant,
+    /// What each candidate is believed to keep of the prompt, in tokens.
+    kept: Vec<u32>,
+    sources: Sources,
     home: Option<usize>,
     mean_load: f32,
 }
@@ -176,7 +211,7 @@
             let cost = ahead + self.jitter(index, self.rules.jitter);
             return Choice { chosen: index, fetch_from: None, reason: ChoiceReason::LeastCost, cost };
         };
-        let own = self.kept_tokens(index, prompt);
+        let own = self.kept[index];
         let missing = prompt.shared_tokens() - own;
         let is_home = self.home == Some(index);
         let source = self.source(index, prompt, own);
@@ -198,19 +233,13 @@
         Choice { chosen: index, fetch_from, reason, cost: ahead + reading + self.jitter(index, spread) }
     }
 
-    fn kept_tokens(&self, index: usize, prompt: &Prompt) -> u32 {
-        self.kept.kept_tokens(self.candidates[index].upstream, prompt, self.now)
-    }
-
     /// From where a candidate that keeps `own` tokens should fetch: from the one that is believed
     /// to keep most.
     fn source(&self, index: usize, prompt: &Prompt, own: u32) -> Option<Source> {
         if !self.question.can_fetch || prompt.shared_tokens() - own < self.rules.least_fetched {
             return None;
         }
-        let others = (0..self.candidates.len()).filter(|other| *other != index);
-        let sources = others.map(|index| Source { index, tokens: self.kept_tokens(index, prompt) });
-        let best = sources.max_by_key(|source| source.tokens)?;
+        let best = self.sources.for_candidate(index)?;
         (best.tokens >= own + self.rules.least_fetched).then_some(best)
     }
 
--- a/crates/bendhinge_router/src/intake/headers.rs
+++ b/crates/bendhinge_router/src/intake/headers.rs
@@ -4,10 +4,8 @@
 
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::Repeatable;
-use hyper::header::{
-    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
-};
+use bendhinge_http::drop_hop_by_hop;
+use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, TRANSFER_ENCODING};
 use hyper::{Method, Request};
 
 use super::Refused;
@@ -23,35 +21,6 @@
 /// The key under which a request runs at most once.
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
-const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-
-/// Headers that concern one connection only (RFC 9110, section 7.6.1).
-const HOP_BY_HOP: [HeaderName; 9] = [
-    CONNECTION,
-    KEEP_ALIVE,
-    PROXY_CONNECTION,
-    PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION,
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-];
-
-fn drop_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|list| list.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&HOP_BY_HOP) {
-        headers.remove(name);
-    }
-}
-
 /// Makes a caller's headers fit for an upstream: without what concerns the caller's connection,
 /// its key, and the router's own headers. Length and framing are written anew by hyper.
 pub(super) fn to_upstream(headers: &mut HeaderMap) {
--- a/crates/bendhinge_router/src/settings/mod.rs
+++ b/crates/bendhinge_router/src/settings/mod.rs
@@ -10,7 +10,7 @@
 use bendhinge_codes::ResultCode;
 use bendhinge_configuration::SealKey;
 use bendhinge_ids::{MachineName, ZoneName};
-use bendhinge_ini::{ByteCount, Document, Fault, Faults, Millis, Section};
+use bendhinge_ini::{ByteCount, Document, Faults, Millis, Section};
 use bendhinge_peer::PeerKey;
 
 pub use schema::SCHEMA;
@@ -130,7 +130,7 @@
     /// Reads and checks the file at `path`.
     pub fn read(path: &Path) -> Result<Self, Faults> {
         let file = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|error| unreadable(&file, &error))?;
+        let text = std::fs::read_to_string(path).map_err(|error| Faults::unreadable(&file, &error))?;
         Self::parse(&file, &text)
     }
 
@@ -142,11 +142,6 @@
     }
 }
 
-fn unreadable(file: &str, error: &std::io::Error) -> Faults {
-    let message = format!("{error}; check the path and its permissions");
-    Faults(vec![Fault { file: file.to_owned(), line: 0, code: ResultCode::UnreadableFile, message }])
-}
-
 /// Takes every value before any may be missing, so that all faults show in one run.
 struct Reader<'a>(&'a Document);
 
