--- a/crates/bendhinge_standin/src/gateway/upstream.rs
+++ b/crates/bendhinge_standin/src/gateway/upstream.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bendhinge_gateway::native::headers::{PROMPT, RAN, REQUEST, RESUME_AFTER, SIGNATURE, TENANT, UPSTREAM};
+use bendhinge_gateway::native::headers::{CUSTOMER, PROMPT, RAN, REQUEST, RESUME_AFTER, SIGNATURE, UPSTREAM};
 use bendhinge_http::{
     Body, CutConnection, ServeLimits, Server, Tasks, channel_body, empty_body, full_body, read_body,
 };
@@ -49,8 +49,8 @@
     pub request: String,
     /// Its path.
     pub path: String,
-    /// The tenant that it was said to be of.
-    pub tenant: Option<String>,
+    /// The customer that it was said to be of.
+    pub customer: Option<String>,
     /// Whether it carried a key.
     pub carried_key: bool,
     /// Its body.
@@ -194,7 +194,7 @@
     state.lock().unwrap().runs.push(Run {
         request: id.clone(),
         path: head.uri.path().to_owned(),
-        tenant: text(&head.headers, &TENANT),
+        customer: text(&head.headers, &CUSTOMER),
         carried_key: head.headers.contains_key(AUTHORIZATION),
         body,
         resumed_after: resumed_after.clone(),
--- a/crates/bendhinge_timeline/src/args.rs
+++ b/crates/bendhinge_timeline/src/args.rs
@@ -30,7 +30,7 @@
 /// Merges the events of all routers into one time line.
 ///
 /// Events tied by messages stand in causal order; `~` marks a place that only clocks decide.
-/// What a machine recorded is lost with its process.
+/// What a box recorded is lost with its process.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 pub(crate) struct Args {
--- a/crates/bendhinge_timeline/src/event.rs
+++ b/crates/bendhinge_timeline/src/event.rs
@@ -8,7 +8,7 @@
 /// One life of a process.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ProcessId {
-    /// Its machine.
+    /// Its box.
     pub name: String,
     /// Which life.
     pub incarnation: Incarnation,
@@ -49,7 +49,7 @@
     /// An engine took an order.
     OrderTaken { upstream: String, fence: u64 },
     /// A request came in.
-    Received { tenant: String, pool: String, chat: String },
+    Received { customer: String, pool: String, chat: String },
     /// The request was refused or failed; what the caller was told.
     Told { code: String, ran: String },
     /// A router that counts was asked for a permit.
@@ -83,7 +83,7 @@
 pub struct Event {
     /// Its number in its process.
     pub sequence: EventSequence,
-    /// Microseconds since 1970 by its machine's clock.
+    /// Microseconds since 1970 by its box's clock.
     pub at_micros: u64,
     /// The request concerned, if one is.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/bendhinge_timeline/src/merge.rs
+++ b/crates/bendhinge_timeline/src/merge.rs
@@ -24,7 +24,7 @@
     SameProcess,
     /// A chain of messages leads from one to the other.
     Message,
-    /// Only by the two machines' clocks, which may differ.
+    /// Only by the two boxes' clocks, which may differ.
     Clocks,
 }
 
--- a/crates/bendhinge_timeline/src/picture.rs
+++ b/crates/bendhinge_timeline/src/picture.rs
@@ -58,7 +58,7 @@
         format!(
             "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{width}\" height=\"{height}\" font-family=\"sans-serif\" font-size=\"12\">\n\
              <rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n\
-             <text x=\"10\" y=\"18\">Time by each machine's own clock; red lines are messages, which hold whatever the clocks say.</text>\n"
+             <text x=\"10\" y=\"18\">Time by each box's own clock; red lines are messages, which hold whatever the clocks say.</text>\n"
         )
     }
 
--- a/crates/bendhinge_timeline/src/text.rs
+++ b/crates/bendhinge_timeline/src/text.rs
@@ -2,7 +2,7 @@
 
 use crate::{Order, Placed};
 
-/// One line an event: time by its machine's clock, how its place is known, machine, request, event.
+/// One line an event: time by its box's clock, how its place is known, box, request, event.
 ///
 /// `|` stands for the same process, `>` for a chain of messages, `~` for clocks alone.
 #[must_use]
