One router asks the upstreams what they keep after a loss of all, not each

Cause: a router that has just started and has heard of nobody takes itself for the first in rank. Change: pure Relearning in bendhinge_fleet: wait until the known members stop growing in number, then for one's turn by rank; the first asks eight upstreams at a time, the others learn from it. Test one_of_many_that_start_together_asks (with the wait for growth taken out all of 64 ask).

--- /dev/null
+++ b/crates/bendhinge_fleet/src/relearning.rs
@@ -0,0 +1,63 @@
+//! When a router that has just started asks the upstreams themselves what they keep.
+//!
+//! One router that asks is enough: the others learn from it. But after a loss of many boxes at
+//! once all start together, and a router that has not heard of the others yet would take itself
+//! for the first. It therefore waits until the members that it knows have stopped growing in
+//! number, and then for its turn.
+
+use std::time::Duration;
+
+use bendhinge_ids::Instant;
+
+/// The times that relearning depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct RelearnLimits {
+    /// How long the number of known members must not have grown.
+    pub settled: Duration,
+    /// How much later than the one before it each further router in rank asks.
+    pub step: Duration,
+    /// When nobody needs to ask any more: requests have taught enough.
+    pub given_up: Duration,
+}
+
+/// What a router without knowledge does now, beside asking the other routers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelearnStep {
+    /// It waits.
+    Wait,
+    /// It asks the upstreams.
+    AskUpstreams,
+    /// It goes on without.
+    GiveUp,
+}
+
+/// One router's waiting for its turn.
+#[derive(Debug)]
+pub struct Relearning {
+    limits: RelearnLimits,
+    started: Instant,
+    members: usize,
+    grew: Instant,
+}
+
+impl Relearning {
+    /// A router that started at `now` and knows nobody.
+    #[must_use]
+    pub const fn new(limits: RelearnLimits, now: Instant) -> Self {
+        Self { limits, started: now, members: 0, grew: now }
+    }
+
+    /// What to do at `now`, with `members` live routers known, of which this one is at `rank`.
+    pub fn step(&mut self, members: usize, rank: usize, now: Instant) -> RelearnStep {
+        if members > self.members {
+            self.grew = now;
+        }
+        self.members = members;
+        if now.since(self.started) > self.limits.given_up {
+            return RelearnStep::GiveUp;
+        }
+        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+        let turn = self.limits.settled.saturating_add(self.limits.step.saturating_mul(rank));
+        if now.since(self.grew) < turn { RelearnStep::Wait } else { RelearnStep::AskUpstreams }
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_fleet/tests/relearning.rs
@@ -0,0 +1,66 @@
+//! Which of many routers that start together ask the upstreams what they keep.
+
+use std::time::Duration;
+
+use bendhinge_fleet::{RelearnLimits, RelearnStep, Relearning};
+use bendhinge_ids::Instant;
+
+const LIMITS: RelearnLimits = RelearnLimits {
+    settled: Duration::from_millis(800),
+    step: Duration::from_millis(1_000),
+    given_up: Duration::from_millis(6_000),
+};
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+/// Plays `routers` that start together and hear of each other within `heard_ms`; those in
+/// `dead` never ask. Gives how many asked the upstreams before they learned from one that had.
+fn play(routers: usize, heard_ms: usize, dead: &[usize]) -> usize {
+    const ASKING_TAKES: usize = 500;
+    let mut plans: Vec<Relearning> = (0..routers).map(|_| Relearning::new(LIMITS, at(0))).collect();
+    let mut first_answer: Option<usize> = None;
+    let mut asked = vec![false; routers];
+    for now in (100..7_000).step_by(100) {
+        let is_told = first_answer.is_some_and(|answer| now >= answer);
+        let known = 1 + (routers - 1) * now.min(heard_ms) / heard_ms;
+        for router in (0..routers).filter(|router| !dead.contains(router)) {
+            // A router that knows few others takes itself for one of the first.
+            let rank = if known < routers { router * known / routers } else { router };
+            let step = plans[router].step(known, rank, at(now as u64));
+            if step == RelearnStep::AskUpstreams && !asked[router] && !is_told {
+                asked[router] = true;
+                first_answer.get_or_insert(now + ASKING_TAKES);
+            }
+        }
+    }
+    asked.iter().filter(|asked| **asked).count()
+}
+
+#[test]
+fn one_of_many_that_start_together_asks() {
+    for routers in [2, 9, 64, 460] {
+        assert_eq!(play(routers, 700, &[]), 1, "{routers} routers");
+    }
+}
+
+#[test]
+fn the_next_in_rank_asks_when_the_first_does_not() {
+    assert_eq!(play(64, 700, &[0]), 1);
+    assert_eq!(play(64, 700, &[0, 1]), 1);
+}
+
+#[test]
+fn a_router_alone_asks_soon() {
+    let mut alone = Relearning::new(LIMITS, at(0));
+    assert_eq!(alone.step(1, 0, at(100)), RelearnStep::Wait);
+    assert_eq!(alone.step(1, 0, at(1_000)), RelearnStep::AskUpstreams);
+}
+
+#[test]
+fn it_ends() {
+    let mut last = Relearning::new(LIMITS, at(0));
+    assert_eq!(last.step(64, 63, at(100)), RelearnStep::Wait);
+    assert_eq!(last.step(64, 63, at(6_100)), RelearnStep::GiveUp);
+}
--- a/crates/bendhinge_gateway/src/control/recovery.rs
+++ b/crates/bendhinge_gateway/src/control/recovery.rs
@@ -2,23 +2,29 @@
 //! just started too, from the upstreams themselves.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::UpstreamEntry;
+use bendhinge_fleet::{RelearnLimits, RelearnStep, Relearning, UpstreamEntry};
 use bendhinge_http::fetch_bytes;
 use bendhinge_ids::Instant;
 use bendhinge_peer::ReadWord;
-use smol::Timer;
+use smol::{Task, Timer};
 
 use super::Control;
 use crate::clock;
 
 /// How often it is looked whether something can be learned.
 const LOOK: Duration = Duration::from_millis(100);
-/// How long it is tried; by then own requests have taught enough.
-const TRIED_FOR: Duration = Duration::from_secs(4);
-/// What the others have to be heard of before the first in rank asks the upstreams.
-const OTHERS_GET: Duration = Duration::from_millis(250);
+/// Who asks the upstreams, and when. Asking takes the first about a second in a fleet of 140
+/// upstreams, after which the others learn from it.
+const LIMITS: RelearnLimits = RelearnLimits {
+    settled: Duration::from_millis(800),
+    step: Duration::from_millis(1_500),
+    given_up: Duration::from_secs(6),
+};
+/// How many upstreams are asked at the same time: listing holds up their work.
+const ASKED_AT_ONCE: usize = 8;
 /// Time for an upstream to list what it keeps.
 const LIST_TIME: Duration = Duration::from_millis(500);
 /// Shorter parts are not worth remembering.
@@ -31,16 +37,20 @@
 }
 
 impl Control {
-    async fn learn(&self) {
-        let started = clock::now();
-        while clock::now().since(started) < TRIED_FOR {
+    async fn learn(self: &Rc<Self>) {
+        let mut plan = Relearning::new(LIMITS, clock::now());
+        loop {
             Timer::after(LOOK).await;
             if self.learn_from_another().await {
                 return;
             }
-            let others_had_time = clock::now().since(started) > OTHERS_GET;
-            if others_had_time && self.own_rank(clock::now()) == 0 && self.delivering.upstreams.is_known() {
-                return self.learn_from_upstreams().await;
+            let now = clock::now();
+            let members = self.roster.borrow().live_count(now);
+            match plan.step(members, self.own_rank(now), now) {
+                RelearnStep::Wait => {}
+                RelearnStep::AskUpstreams if !self.delivering.upstreams.is_known() => {}
+                RelearnStep::AskUpstreams => return self.learn_from_upstreams().await,
+                RelearnStep::GiveUp => return,
             }
         }
     }
@@ -65,16 +75,28 @@
         false
     }
 
-    async fn learn_from_upstreams(&self) {
+    async fn learn_from_upstreams(self: &Rc<Self>) {
         let Some(rules) = self.delivering.rules.current() else { return };
         let keeps_prompts = |pool: &_| rules.rules.pools.get(pool).is_some_and(|rule| rule.keeps_prompts);
-        for upstream in self.delivering.upstreams.keeping(keeps_prompts) {
-            let reads = self.listed_by(&upstream).await;
-            self.delivering.upstreams.recover_reads(&reads);
-            self.delivering.log.recovered("upstream", upstream.address, reads.len());
+        for asked in self.delivering.upstreams.keeping(keeps_prompts).chunks(ASKED_AT_ONCE) {
+            let listings: Vec<_> = asked.iter().map(|upstream| self.learn_from_upstream(upstream)).collect();
+            for listing in listings {
+                listing.await;
+            }
         }
     }
 
+    /// Learns from one upstream, in the background.
+    fn learn_from_upstream(self: &Rc<Self>, upstream: &Arc<UpstreamEntry>) -> Task<()> {
+        let control = Rc::clone(self);
+        let upstream = Arc::clone(upstream);
+        self.executor.spawn(async move {
+            let reads = control.listed_by(&upstream).await;
+            control.delivering.upstreams.recover_reads(&reads);
+            control.delivering.log.recovered("upstream", upstream.address, reads.len());
+        })
+    }
+
     async fn listed_by(&self, upstream: &UpstreamEntry) -> Vec<ReadWord> {
         let dialect = &self.delivering.dialect;
         let pool = &self.delivering.pool;
