Connections to peers that nobody uses any more are closed

Cause: the library's end of a connection runs until the peer closes, and the peer waits for it: dropping a client closed nothing. Each connection made to a random peer stayed for ever, in both processes: memory grew by some 250 KB a second with no request in progress (74 boxes), and descriptors with it. Ruled out: what is known of kept parts (1,400 parts, 2,600 keepers), the pool of connections to upstreams (3 to 14). Change: one module opens connections for both kinds of client and keeps the library's end as a task that is cancelled with the last client.

Test a_dropped_client_closes_its_connection: seen failing (20 open). The test of cuts at the same moment has not been seen failing with the disconnector.

--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -44,11 +44,11 @@
         settings: Settings,
         delivering: Arc<Delivering>,
         lifecycle: Arc<Lifecycle>,
+        traffic: Arc<Traffic>,
         executor: &Rc<LocalExecutor<'static>>,
     ) -> Rc<Self> {
         let roster = Roster::new(settings.peers, &settings.fleet.seeds, settings.fleet.roster);
         let plan = ReadingPlan::new(settings.store.reading);
-        let traffic = Arc::new(Traffic::default());
         let peers = Peers::new(&settings.fleet, traffic, Rc::clone(executor));
         Rc::new(Self {
             life: MemberLife(rand::random()),
--- a/crates/bendhinge_gateway/src/metrics.rs
+++ b/crates/bendhinge_gateway/src/metrics.rs
@@ -18,6 +18,14 @@
 #[error("cannot set up metrics: {0}")]
 pub(crate) struct MetricsError(String);
 
+/// What is measured when metrics are asked for.
+pub(crate) struct MeasuredNow {
+    pub(crate) in_progress: usize,
+    pub(crate) rules_age: Option<Duration>,
+    pub(crate) peer_connections: u64,
+    pub(crate) peer_sent_bytes: u64,
+}
+
 /// All instruments of a gateway.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -30,6 +38,8 @@
     first_byte: Histogram<f64>,
     in_progress: Gauge<u64>,
     rules_age: Gauge<f64>,
+    peer_connections: Gauge<u64>,
+    peer_sent_bytes: Gauge<u64>,
 }
 
 impl Metrics {
@@ -66,6 +76,14 @@
                 .with_unit("s")
                 .with_description("Age of the knowledge that the rules are current")
                 .build(),
+            peer_connections: meter
+                .u64_gauge("bendhinge.gateway.peer_connections")
+                .with_description("Open connections with other gateways, in both directions")
+                .build(),
+            peer_sent_bytes: meter
+                .u64_gauge("bendhinge.gateway.peer_sent_bytes")
+                .with_description("Bytes sent to other gateways since the start, without TCP's own")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -102,9 +120,11 @@
     }
 
     /// All metrics in Prometheus' text form.
-    pub(crate) fn text(&self, in_progress: usize, rules_age: Option<Duration>) -> String {
-        self.in_progress.record(in_progress as u64, &[]);
-        if let Some(age) = rules_age {
+    pub(crate) fn text(&self, now: &MeasuredNow) -> String {
+        self.in_progress.record(now.in_progress as u64, &[]);
+        self.peer_connections.record(now.peer_connections, &[]);
+        self.peer_sent_bytes.record(now.peer_sent_bytes, &[]);
+        if let Some(age) = now.rules_age {
             self.rules_age.record(age.as_secs_f64(), &[]);
         }
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
--- a/crates/bendhinge_gateway/src/ready.rs
+++ b/crates/bendhinge_gateway/src/ready.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use bendhinge_http::{Body, empty_body, full_body};
+use bendhinge_peer::Traffic;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
 use crate::clock;
 use crate::delivery::Delivering;
 use crate::lifecycle::Lifecycle;
+use crate::metrics::MeasuredNow;
 
 /// A gateway whose rules are too old to act on for longer than this is not ready.
 const PATIENCE: Duration = Duration::from_secs(1);
@@ -21,6 +23,7 @@
 pub(crate) struct Readiness {
     pub(crate) delivering: Arc<Delivering>,
     pub(crate) lifecycle: Arc<Lifecycle>,
+    pub(crate) traffic: Arc<Traffic>,
     pub(crate) lease: Option<Duration>,
 }
 
@@ -33,11 +36,18 @@
             && self.delivering.upstreams.is_known()
     }
 
+    fn measured_now(&self) -> MeasuredNow {
+        MeasuredNow {
+            in_progress: self.lifecycle.in_progress(),
+            rules_age: self.delivering.rules.age(clock::now()),
+            peer_connections: self.traffic.open_connections(),
+            peer_sent_bytes: self.traffic.sent_bytes(),
+        }
+    }
+
     pub(crate) fn answer(&self, request: &Request<Incoming>) -> Response<Body> {
         if request.uri().path() == METRICS_PATH {
-            let age = self.delivering.rules.age(clock::now());
-            let text = self.delivering.metrics.text(self.lifecycle.in_progress(), age);
-            return Response::new(full_body(text));
+            return Response::new(full_body(self.delivering.metrics.text(&self.measured_now())));
         }
         let is_known = request.uri().path() == self.delivering.dialect.ready_path();
         let status = match (is_known, self.is_ready()) {
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -9,6 +9,7 @@
 use async_signal::{Signal, Signals};
 use bendhinge_codes::ExitStatus;
 use bendhinge_http::{Pool, ServeLimits, Server, ServerStop, Tasks};
+use bendhinge_peer::Traffic;
 use futures_lite::StreamExt;
 use smol::net::TcpListener;
 use smol::{LocalExecutor, Timer};
@@ -111,10 +112,12 @@
         answer_bytes: settings.upstreams.answer_bytes,
     });
     let callers = serve_callers(&settings, &delivering, &lifecycle).await?;
-    let _ready = serve_readiness(&settings, &delivering, &lifecycle).await?;
+    let traffic = Arc::new(Traffic::default());
+    let _ready = serve_readiness(&settings, &delivering, &lifecycle, &traffic).await?;
     let (peers, address) = listen_to_peers(settings.peers, &log).await?;
     settings.peers = address;
-    let control = Control::new(settings.clone(), Arc::clone(&delivering), Arc::clone(&lifecycle), local);
+    let control =
+        Control::new(settings.clone(), Arc::clone(&delivering), Arc::clone(&lifecycle), traffic, local);
     control.start(peers);
     log.process("started", settings.name.as_str(), env!("CARGO_PKG_VERSION"));
     until_told_to_stop(signals, path, &control, &log).await;
@@ -187,12 +190,14 @@
     settings: &Settings,
     delivering: &Arc<Delivering>,
     lifecycle: &Arc<Lifecycle>,
+    traffic: &Arc<Traffic>,
 ) -> Result<ServerStop, StartError> {
     let server = bind("ready", settings.ready, ServeLimits::default(), delivering).await?;
     let stop = server.stopper();
     let readiness = Arc::new(Readiness {
         delivering: Arc::clone(delivering),
         lifecycle: Arc::clone(lifecycle),
+        traffic: Arc::clone(traffic),
         lease: settings.beliefs.rules_lease,
     });
     let serving = server.run(move |request| {
--- a/crates/bendhinge_peer/src/client.rs
+++ b/crates/bendhinge_peer/src/client.rs
@@ -10,16 +10,13 @@
 use bendhinge_ids::{ChatKey, Digest, EventSequence, PermitId, UpstreamName};
 use bendhinge_membership::Summary;
 use bendhinge_placement::{Granted, PermitRequest};
-use capnp::message::ReaderOptions;
-use capnp_rpc::rpc_twoparty_capnp::Side;
-use capnp_rpc::{RpcSystem, twoparty};
 use futures_lite::FutureExt;
-use smol::net::TcpStream;
 use smol::{LocalExecutor, Timer};
 
+use crate::calling::{self, Calling};
 use crate::convert::{read_claim, read_summaries, write_claimant, write_outcome, write_summary, write_told};
 use crate::peer_capnp::{config_answer, peer, permit_answer};
-use crate::secure::{ConnectionSide, PeerKey, SecureError, secure};
+use crate::secure::{PeerKey, SecureError};
 use crate::{ClaimRequest, ConfigAnswer, OnceAnswer, PermitAnswer, Told, Traffic};
 
 /// Why a peer gave no answer. It may have acted on the call all the same.
@@ -44,6 +41,7 @@
 pub struct PeerClient {
     peer: peer::Client,
     time: Duration,
+    _calling: Rc<Calling>,
 }
 
 pub(crate) async fn within<T>(
@@ -66,22 +64,8 @@
         traffic: &Arc<Traffic>,
         executor: &Rc<LocalExecutor<'static>>,
     ) -> Result<Self, CallError> {
-        let connecting = async {
-            let stream = TcpStream::connect(address).await.map_err(SecureError::from)?;
-            Ok(secure(stream, key, ConnectionSide::Opened, traffic, executor).await?)
-        };
-        let ends = within(time, connecting).await?;
-        let network =
-            twoparty::VatNetwork::new(ends.reader, ends.writer, Side::Client, ReaderOptions::default());
-        let mut system = RpcSystem::new(Box::new(network), None);
-        let peer = system.bootstrap(Side::Server);
-        executor
-            .spawn(async move {
-                // A lost connection shows in the calls that wait for it.
-                let _ = system.await;
-            })
-            .detach();
-        Ok(Self { peer, time })
+        let (peer, calling) = calling::open(address, key, time, traffic, executor).await?;
+        Ok(Self { peer, time, _calling: calling })
     }
 
     /// Exchanges summaries.
--- a/crates/bendhinge_peer/src/fleet/client.rs
+++ b/crates/bendhinge_peer/src/fleet/client.rs
@@ -7,17 +7,14 @@
 
 use bendhinge_fleet::UpstreamList;
 use bytes::Bytes;
-use capnp::message::ReaderOptions;
-use capnp_rpc::rpc_twoparty_capnp::Side;
-use capnp_rpc::{RpcSystem, twoparty};
 use smol::LocalExecutor;
-use smol::net::TcpStream;
 
 use super::convert::{read_known, read_read, read_upstreams, read_word, write_word};
 use super::{Known, ReadWord, Word};
+use crate::calling::{self, Calling};
 use crate::client::{CallError, within};
 use crate::fleet_capnp::fleet;
-use crate::secure::{ConnectionSide, PeerKey, SecureError, secure};
+use crate::secure::PeerKey;
 use crate::traffic::Traffic;
 
 /// A connection to one peer; cheap to clone.
@@ -25,6 +22,7 @@
 pub struct FleetClient {
     peer: fleet::Client,
     time: Duration,
+    _calling: Rc<Calling>,
 }
 
 impl FleetClient {
@@ -36,22 +34,8 @@
         traffic: &Arc<Traffic>,
         executor: &Rc<LocalExecutor<'static>>,
     ) -> Result<Self, CallError> {
-        let connecting = async {
-            let stream = TcpStream::connect(address).await.map_err(SecureError::from)?;
-            Ok(secure(stream, key, ConnectionSide::Opened, traffic, executor).await?)
-        };
-        let ends = within(time, connecting).await?;
-        let network =
-            twoparty::VatNetwork::new(ends.reader, ends.writer, Side::Client, ReaderOptions::default());
-        let mut system = RpcSystem::new(Box::new(network), None);
-        let peer = system.bootstrap(Side::Server);
-        executor
-            .spawn(async move {
-                // A lost connection shows in the calls that wait for it.
-                let _ = system.await;
-            })
-            .detach();
-        Ok(Self { peer, time })
+        let (peer, calling) = calling::open(address, key, time, traffic, executor).await?;
+        Ok(Self { peer, time, _calling: calling })
     }
 
     /// Exchanges words.
--- a/crates/bendhinge_peer/src/lib.rs
+++ b/crates/bendhinge_peer/src/lib.rs
@@ -4,6 +4,7 @@
 //! The objects of `capnp-rpc` stay on one thread: everything here runs on one
 //! [`smol::LocalExecutor`].
 
+mod calling;
 mod client;
 mod convert;
 mod duties;
--- a/crates/bendhinge_peer/src/secure.rs
+++ b/crates/bendhinge_peer/src/secure.rs
@@ -14,6 +14,7 @@
 use smol::net::TcpStream;
 use snow::{Builder, HandshakeState, TransportState};
 
+use crate::traffic::OpenConnection;
 use crate::{Squeeze, Traffic};
 
 const PATTERN: &str = "Noise_NNpsk0_25519_ChaChaPoly_BLAKE2s";
@@ -76,6 +77,11 @@
     let (from_writer, writer) = piper::pipe(LARGEST_PIECE);
     let incoming = receive_frames(stream.clone(), Rc::clone(&transport), to_reader, Arc::clone(traffic));
     let outgoing = send_frames(stream, transport, from_writer, Arc::clone(traffic));
+    let open = OpenConnection::counted_in(traffic);
+    let incoming = async move {
+        incoming.await;
+        drop(open);
+    };
     executor.spawn(incoming).detach();
     executor.spawn(outgoing).detach();
     Ok(SecureEnds { reader, writer })
--- a/crates/bendhinge_peer/src/traffic.rs
+++ b/crates/bendhinge_peer/src/traffic.rs
@@ -1,5 +1,6 @@
 //! Counters of what the connections between routers carry.
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Counters, shared by all connections of a process.
@@ -8,6 +9,23 @@
     sent_bytes: AtomicU64,
     received_bytes: AtomicU64,
     foreign: AtomicU64,
+    open: AtomicU64,
+}
+
+/// One open connection, counted as long as this is held.
+pub(crate) struct OpenConnection(Arc<Traffic>);
+
+impl OpenConnection {
+    pub(crate) fn counted_in(traffic: &Arc<Traffic>) -> Self {
+        traffic.open.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(traffic))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Traffic {
@@ -40,4 +58,10 @@
     pub fn foreign_connections(&self) -> u64 {
         self.foreign.load(Ordering::Relaxed)
     }
+
+    /// Connections that are open now, those that peers opened among them.
+    #[must_use]
+    pub fn open_connections(&self) -> u64 {
+        self.open.load(Ordering::Relaxed)
+    }
 }
--- /dev/null
+++ b/crates/bendhinge_peer/tests/connections.rs
@@ -0,0 +1,120 @@
+//! A connection that nobody uses any more is closed at both ends.
+
+use std::net::{Ipv4Addr, Shutdown, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bendhinge_fleet::UpstreamList;
+use bendhinge_peer::{FleetClient, FleetDuties, Known, PeerKey, ReadWord, Traffic, Word, serve_fleet};
+use bytes::Bytes;
+use smol::channel::{Receiver, bounded};
+use smol::net::{TcpListener, TcpStream};
+use smol::{LocalExecutor, Timer};
+
+/// A gateway that knows nothing.
+struct Newcomer;
+
+impl FleetDuties for Newcomer {
+    fn exchange(&self, word: Word) -> Word {
+        word
+    }
+
+    fn rules(&self) -> Option<(Known, Bytes)> {
+        None
+    }
+
+    fn upstreams(&self) -> Option<(Known, UpstreamList)> {
+        None
+    }
+
+    fn reads(&self) -> Option<Vec<ReadWord>> {
+        None
+    }
+}
+
+/// Waits until `traffic` counts `open` connections; a test that waits in vain is ended here.
+async fn until_open(traffic: &Traffic, open: u64) {
+    for _ in 0..2_000 {
+        if traffic.open_connections() == open {
+            return;
+        }
+        Timer::after(Duration::from_millis(5)).await;
+    }
+    panic!("{} connections are open, expected {open}", traffic.open_connections());
+}
+
+#[test]
+fn a_dropped_client_closes_its_connection() {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        let key = PeerKey::new("a key for this test alone");
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (asked, asking) = (Arc::new(Traffic::default()), Arc::new(Traffic::default()));
+        let serving =
+            serve_fleet(listener, key.clone(), Rc::new(Newcomer), Arc::clone(&asked), Rc::clone(&executor));
+        executor.spawn(serving).detach();
+        for _ in 0..20 {
+            let time = Duration::from_secs(20);
+            let client = FleetClient::connect(address, &key, time, &asking, &executor).await.unwrap();
+            assert_eq!(client.rules().await.unwrap(), None);
+            let other = client.clone();
+            drop(client);
+            assert_eq!(other.rules().await.unwrap(), None, "a clone keeps the connection");
+        }
+        until_open(&asking, 0).await;
+        until_open(&asked, 0).await;
+    }));
+}
+
+/// Passes one connection on to `server` until told to cut both ends.
+async fn pass_on(listener: &TcpListener, server: SocketAddr, cut: Receiver<()>) {
+    let (near, _) = listener.accept().await.unwrap();
+    let far = TcpStream::connect(server).await.unwrap();
+    let passing = async {
+        let _ = smol::future::zip(
+            smol::io::copy(near.clone(), far.clone()),
+            smol::io::copy(far.clone(), near.clone()),
+        )
+        .await;
+    };
+    let cutting = async {
+        let _ = cut.recv().await;
+    };
+    smol::future::or(passing, cutting).await;
+    let _ = near.shutdown(Shutdown::Both);
+    let _ = far.shutdown(Shutdown::Both);
+}
+
+#[test]
+fn a_client_may_be_dropped_while_its_connection_is_cut() {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        let key = PeerKey::new("a key for this test alone");
+        let server = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let proxy = Rc::new(TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap());
+        let (server_address, address) = (server.local_addr().unwrap(), proxy.local_addr().unwrap());
+        let (asked, asking) = (Arc::new(Traffic::default()), Arc::new(Traffic::default()));
+        let serving =
+            serve_fleet(server, key.clone(), Rc::new(Newcomer), Arc::clone(&asked), Rc::clone(&executor));
+        executor.spawn(serving).detach();
+        for turns in 0..60 {
+            let (cut, told_to_cut) = bounded(1);
+            let proxy = Rc::clone(&proxy);
+            let passing = async move { pass_on(&proxy, server_address, told_to_cut).await };
+            let passing = executor.spawn(passing);
+            let time = Duration::from_secs(20);
+            let client = FleetClient::connect(address, &key, time, &asking, &executor).await.unwrap();
+            assert_eq!(client.rules().await.unwrap(), None);
+            cut.send(()).await.unwrap();
+            for _ in 0..turns {
+                smol::future::yield_now().await;
+            }
+            drop(client);
+            passing.await;
+        }
+        until_open(&asking, 0).await;
+        until_open(&asked, 0).await;
+    }));
+}
