Few peers are asked, again and again, and each is told each piece of news once

Each box asked any two of all others each round, and told each of them for 1.3 s what it had learned, also those it had it from.

--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`Roster`] is which routers there are, found from a few seeds.
 //! * [`ReadingPlan`] says when a router itself reads the platform's store.
 //! * [`Directory`] is which upstreams there are, over lists that may vanish by mistake.
+//! * [`NewsCursors`] says what each peer was told already.
 //! * [`Relearning`] says when a router that has just started asks the upstreams what they keep.
 //! * [`Judge`] is which upstreams answer, by their own answers.
 //!
@@ -13,6 +14,7 @@
 mod belief;
 mod directory;
 mod judge;
+mod news;
 mod reading;
 mod relearning;
 mod roster;
@@ -20,6 +22,7 @@
 pub use belief::{Belief, Held, Offer, Revision, Version};
 pub use directory::{Directory, DirectoryLimits, Listed, UpstreamEntry, UpstreamList, UpstreamState};
 pub use judge::{Judge, JudgeLimits, Mishap, Standing};
+pub use news::NewsCursors;
 pub use reading::{ReadingLimits, ReadingPlan};
 pub use relearning::{RelearnLimits, RelearnStep, Relearning};
-pub use roster::{Contact, Heard, Member, MemberLife, Roster, RosterLimits};
+pub use roster::{Contact, Heard, Member, Reach, Roster, RosterLimits};
--- a/crates/bendhinge_fleet/src/roster.rs
+++ b/crates/bendhinge_fleet/src/roster.rs
@@ -12,10 +12,6 @@
 use rustc_hash::FxHashMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// A number drawn at each start, which tells a router's lives at one address apart.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-pub struct MemberLife(pub u64);
-
 /// The times that membership depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct RosterLimits {
@@ -28,8 +24,6 @@
 /// What is known of a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Member {
-    /// Its life.
-    pub life: MemberLife,
     /// When anybody last heard from it, by the own clock.
     pub heard: Instant,
     /// Whether it is about to stop.
@@ -43,8 +37,6 @@
 pub struct Heard {
     /// Where it is reached.
     pub address: SocketAddr,
-    /// Its life.
-    pub life: MemberLife,
     /// How long ago it was heard from.
     pub age: Duration,
     /// Whether it is about to stop.
@@ -74,6 +66,18 @@
     }
 }
 
+/// How far a round of exchanges reaches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// To one of those nearer to the store alone.
+    Reader,
+    /// To any member besides.
+    Any,
+}
+
+/// In one round of this many another reader is asked than a router's own.
+const OTHER_READER_EVERY: usize = 4;
+
 /// In fleets of this size or smaller all ask the first in rank.
 const ASKING_THE_FIRST: usize = 24;
 
@@ -106,7 +110,6 @@
             return;
         }
         let member = Member {
-            life: heard.life,
             heard: now - heard.age,
             is_leaving: heard.is_leaving,
             is_store_failing: heard.is_store_failing,
@@ -121,7 +124,6 @@
     pub fn members(&self, now: Instant) -> impl Iterator<Item = Heard> {
         self.members.iter().map(move |(address, member)| Heard {
             address: *address,
-            life: member.life,
             age: now.since(member.heard),
             is_leaving: member.is_leaving,
             is_store_failing: member.is_store_failing,
@@ -168,23 +170,39 @@
         ranked.iter().position(|address| *address == self.own).unwrap_or(0)
     }
 
-    /// Whom to ask in a round: the member from which this one hears of the store, and any other;
-    /// `draw` gives a number below its argument.
+    /// Whom to ask in a round; `draw` gives a number below its argument.
+    ///
+    /// Each router asks the same few members again and again, since every connection costs memory
+    /// at both ends: most of the time one and the same of those nearer to the store, now and then
+    /// another of them, in case that one is cut off without knowing it.
     pub fn contacts(
         &self,
+        reach: Reach,
         own_reads_fail: bool,
         now: Instant,
         draw: &mut impl FnMut(usize) -> usize,
     ) -> Vec<Contact> {
         let ranked = self.ranked(own_reads_fail, now);
-        let mut contacts: Vec<Contact> =
-            pick(self.nearer_to_the_store(&ranked), draw).map(Contact::Reader).into_iter().collect();
-        let others: Vec<SocketAddr> = ranked.into_iter().filter(|address| *address != self.own).collect();
-        let any = pick(&others, draw).filter(|any| contacts.iter().all(|one| one.address() != *any));
-        contacts.extend(any.map(Contact::Any));
+        let nearer = self.nearer_to_the_store(&ranked);
+        let takes_other = draw(OTHER_READER_EVERY) == 0;
+        let reader = if takes_other { pick(nearer, draw) } else { self.own_reader(&ranked, nearer) };
+        let mut contacts: Vec<Contact> = reader.map(Contact::Reader).into_iter().collect();
+        if reach == Reach::Any || contacts.is_empty() {
+            let others: Vec<SocketAddr> = ranked
+                .into_iter()
+                .filter(|address| *address != self.own && reader != Some(*address))
+                .collect();
+            contacts.extend(pick(&others, draw).map(Contact::Any));
+        }
         contacts
     }
 
+    /// The one of `nearer` that this router asks most, by its place among all.
+    fn own_reader(&self, ranked: &[SocketAddr], nearer: &[SocketAddr]) -> Option<SocketAddr> {
+        let own_rank = ranked.iter().position(|address| *address == self.own).unwrap_or(0);
+        nearer.get(own_rank % nearer.len().max(1)).copied()
+    }
+
     /// Any live member.
     pub fn any_contact(&self, now: Instant, draw: &mut impl FnMut(usize) -> usize) -> Option<Contact> {
         let mut live: Vec<SocketAddr> = self.live(now).map(|(address, _)| address).collect();
--- a/crates/bendhinge_fleet/tests/roster.rs
+++ b/crates/bendhinge_fleet/tests/roster.rs
@@ -1,9 +1,10 @@
 //! Routers find each other from a few seeds, and again after cuts, kills and replacements.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bendhinge_fleet::{Heard, MemberLife, Roster, RosterLimits};
+use bendhinge_fleet::{Heard, Reach, Roster, RosterLimits};
 use bendhinge_ids::Instant;
 
 const LIMITS: RosterLimits =
@@ -36,7 +37,6 @@
         let roster = self.rosters[number].as_ref().unwrap();
         let own = Heard {
             address: address(number),
-            life: MemberLife(1),
             age: Duration::ZERO,
             is_leaving: false,
             is_store_failing: false,
@@ -55,7 +55,8 @@
                 usize::try_from(*draws >> 33).unwrap() % below
             };
             let Some(roster) = &self.rosters[asking] else { continue };
-            let mut contacts = roster.contacts(false, now, &mut draw);
+            let reach = if (self.now / ROUND_MS).is_multiple_of(4) { Reach::Any } else { Reach::Reader };
+            let mut contacts = roster.contacts(reach, false, now, &mut draw);
             contacts.extend(roster.lost_contact(now, &mut draw));
             for contact in contacts {
                 self.exchange(asking, contact.address(), now);
@@ -135,7 +136,6 @@
     let now = Instant::from_millis(10_000);
     let mut heard = Heard {
         address: address(1),
-        life: MemberLife(1),
         age: Duration::from_millis(500),
         is_leaving: false,
         is_store_failing: false,
@@ -160,7 +160,6 @@
         roster.hear(
             &Heard {
                 address: address(number),
-                life: MemberLife(1),
                 age: Duration::ZERO,
                 is_leaving: false,
                 is_store_failing: true,
@@ -183,17 +182,52 @@
         for other in (0..size).filter(|other| *other != own) {
             let heard = Heard {
                 address: address(other),
-                life: MemberLife(1),
                 age: Duration::ZERO,
                 is_leaving: false,
                 is_store_failing: false,
             };
             roster.hear(&heard, now);
         }
-        let mut draw = |below: usize| own % below;
-        let reader = roster.contacts(false, now, &mut draw)[0].address();
+        let mut drawn = own as u64;
+        let mut draw = |below: usize| {
+            drawn = drawn.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            usize::try_from(drawn >> 33).unwrap() % below
+        };
+        let reader = roster.contacts(Reach::Reader, false, now, &mut draw)[0].address();
         let number = (0..size).find(|number| address(*number) == reader).unwrap();
         asked[number] += 1;
     }
     assert!(*asked.iter().max().unwrap() <= 12, "{asked:?}");
 }
+
+/// Every connection costs memory at both ends, so a router asks few different members.
+#[test]
+fn a_router_asks_few_different_members() {
+    let size = 74;
+    let now = Instant::from_millis(10_000);
+    let mut asked = vec![HashSet::new(); size];
+    for (own, asked) in asked.iter_mut().enumerate() {
+        let mut roster = Roster::new(address(own), &[], LIMITS);
+        for other in (0..size).filter(|other| *other != own) {
+            let heard = Heard {
+                address: address(other),
+                age: Duration::ZERO,
+                is_leaving: false,
+                is_store_failing: false,
+            };
+            roster.hear(&heard, now);
+        }
+        let mut drawn = own;
+        let mut draw = |below: usize| {
+            drawn = drawn.wrapping_mul(7_919).wrapping_add(17);
+            (drawn >> 5) % below
+        };
+        // Twelve rounds are what a connection is kept for.
+        for round in 0..12 {
+            let reach = if round % 4 == 0 { Reach::Any } else { Reach::Reader };
+            asked.extend(roster.contacts(reach, false, now, &mut draw).iter().map(|one| one.address()));
+        }
+    }
+    let open: usize = asked.iter().map(HashSet::len).sum();
+    assert!(open < 10 * size, "{open} connections of {size} routers");
+}
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{Contact, Heard, Offer, UpstreamList};
+use bendhinge_fleet::{Contact, Heard, Offer, Reach, UpstreamList};
 use bendhinge_ids::Instant;
 use bendhinge_peer::{FleetDuties, Known, ReadWord, Word};
 use bytes::Bytes;
@@ -16,6 +16,8 @@
 use crate::clock;
 use crate::knowledge::RulesInForce;
 
+/// After how many rounds any other is asked, besides the one that hears of the store.
+const ANY_EVERY: u32 = 4;
 /// After how many rounds somebody lost is looked for.
 const LOST_EVERY: u32 = 4;
 /// How many others are told news at once.
@@ -27,7 +29,8 @@
     loop {
         let now = clock::now();
         let failing = control.plan.borrow().is_failing();
-        let mut contacts = control.roster.borrow().contacts(failing, now, &mut draw);
+        let reach = if round.is_multiple_of(ANY_EVERY) { Reach::Any } else { Reach::Reader };
+        let mut contacts = control.roster.borrow().contacts(reach, failing, now, &mut draw);
         if contacts.is_empty() || round.is_multiple_of(LOST_EVERY) {
             contacts.extend(control.roster.borrow().lost_contact(now, &mut draw));
         }
@@ -81,21 +84,21 @@
 /// Exchanges words with the gateway at `address` and takes its word in; `false` if it gave none.
 async fn ask(control: &Rc<Control>, address: SocketAddr) -> bool {
     let asked = clock::now();
-    let word = own_word(control, asked);
+    let word = own_word(control, address, asked);
     let answer = control.peers.call(address, async |peer| peer.exchange(&word).await).await;
     control.delivering.metrics.exchange(answer.is_ok());
     let Ok(answer) = answer else { return false };
+    control.news.borrow_mut().told(address, asked);
     take_in(control, &answer, Some(asked));
     fetch_news(control, address, &answer).await;
     true
 }
 
-/// What this gateway tells at `now`.
-fn own_word(control: &Control, now: Instant) -> Word {
+/// What this gateway tells the one at `listener` at `now`.
+fn own_word(control: &Control, listener: SocketAddr, now: Instant) -> Word {
     let upstreams = &control.delivering.upstreams;
     let sender = Heard {
         address: control.settings.peers,
-        life: control.life,
         age: Duration::ZERO,
         is_leaving: control.lifecycle.is_stopping(),
         is_store_failing: control.plan.borrow().is_failing(),
@@ -106,7 +109,7 @@
         upstreams: upstreams.known(now),
         members: control.roster.borrow().members(now).collect(),
         loads: upstreams.loads_to_tell(now),
-        reads: upstreams.reads_to_tell(now),
+        reads: upstreams.reads_to_tell(listener, control.news.borrow().span(listener, now), now),
     }
 }
 
@@ -121,7 +124,7 @@
     }
     drop(roster);
     let delivering = &control.delivering;
-    delivering.upstreams.hear_reads(&word.reads, asked.unwrap_or(now));
+    delivering.upstreams.hear_reads(&word.reads, word.sender.address, asked.unwrap_or(now));
     let Some(asked) = asked else { return };
     if let Some(known) = word.rules {
         delivering.rules.confirm(known.version, asked - known.age);
@@ -199,7 +202,9 @@
         let delivering = &self.0.delivering;
         let has_news = word.rules.is_some_and(|known| delivering.rules.lacks(known.version))
             || word.upstreams.is_some_and(|known| delivering.upstreams.lacks(known.version));
-        let answer = own_word(&self.0, clock::now());
+        let now = clock::now();
+        let answer = own_word(&self.0, address, now);
+        self.0.news.borrow_mut().told(address, now);
         if has_news {
             let executor = Rc::clone(&control.executor);
             executor.spawn(async move { fetch_news(&control, address, &word).await }).detach();
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{MemberLife, ReadingPlan, Roster};
+use bendhinge_fleet::{NewsCursors, ReadingPlan, Roster};
 use bendhinge_peer::{Traffic, serve_fleet};
 use rand::Rng;
 use smol::net::TcpListener;
@@ -23,15 +23,18 @@
 use crate::lifecycle::Lifecycle;
 use crate::settings::Settings;
 
+/// For how long what was learned is told to a gateway that was told nothing meanwhile.
+const NEWS_TOLD_FOR: Duration = Duration::from_millis(1_300);
+
 /// What runs between gateways and towards the store.
 pub(crate) struct Control {
     settings: Settings,
     delivering: Arc<Delivering>,
     lifecycle: Arc<Lifecycle>,
-    life: MemberLife,
     roster: RefCell<Roster>,
     plan: RefCell<ReadingPlan>,
     peers: Peers,
+    news: RefCell<NewsCursors>,
     executor: Rc<LocalExecutor<'static>>,
     /// Whether the store was reachable when it was last looked at.
     store_answers: Cell<Option<bool>>,
@@ -51,10 +54,10 @@
         let plan = ReadingPlan::new(settings.store.reading);
         let peers = Peers::new(&settings.fleet, traffic, Rc::clone(executor));
         Rc::new(Self {
-            life: MemberLife(rand::random()),
             roster: RefCell::new(roster),
             plan: RefCell::new(plan),
             peers,
+            news: RefCell::new(NewsCursors::new(NEWS_TOLD_FOR)),
             executor: Rc::clone(executor),
             store_answers: Cell::new(None),
             is_informed: Cell::new(false),
@@ -102,6 +105,7 @@
         Timer::after(PERIOD).await;
         let now = crate::clock::now();
         control.roster.borrow_mut().forget(now);
+        control.news.borrow_mut().forget(now);
         control.delivering.upstreams.prune();
         control.delivering.pool.prune();
     }
--- a/crates/bendhinge_gateway/src/control/recovery.rs
+++ b/crates/bendhinge_gateway/src/control/recovery.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{RelearnLimits, RelearnStep, Relearning, UpstreamEntry};
+use bendhinge_fleet::{Reach, RelearnLimits, RelearnStep, Relearning, UpstreamEntry};
 use bendhinge_http::fetch_bytes;
 use bendhinge_ids::Instant;
 use bendhinge_peer::ReadWord;
@@ -63,7 +63,7 @@
     /// Asks the gateway that hears of the store, or any; `false` if neither knew enough.
     async fn learn_from_another(&self) -> bool {
         let failing = self.plan.borrow().is_failing();
-        let contacts = self.roster.borrow().contacts(failing, clock::now(), &mut super::draw);
+        let contacts = self.roster.borrow().contacts(Reach::Any, failing, clock::now(), &mut super::draw);
         for contact in contacts {
             let reads = self.peers.call(contact.address(), async |peer| peer.reads().await).await;
             if let Ok(Some(reads)) = reads {
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -10,7 +10,7 @@
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_peer::{Known, LoadWord, ReadWord};
 use bendhinge_placement::{
-    Candidate, ChoiceReason, CostRules, KeptPart, KeptParts, Prompt, Question, choose,
+    Candidate, ChoiceReason, CostRules, KeptPart, KeptParts, Learned, Prompt, Question, Teller, choose,
 };
 use bendhinge_routes::PoolRule;
 
@@ -21,8 +21,7 @@
 
 /// How long an upstream is believed to keep what it read.
 const KEPT_FOR: Duration = Duration::from_secs(90);
-/// For how long and how many parts that upstreams read are told of.
-const READS_TOLD_FOR: Duration = Duration::from_millis(1_300);
+/// Of how many parts that upstreams read a gateway tells in one exchange.
 const MOST_READS_TOLD: usize = 400;
 /// What an upstream on trial is expected to fail.
 const SHARE_FAILING_ON_TRIAL: f32 = 0.5;
@@ -196,23 +195,18 @@
         }
     }
 
-    /// What to tell others of parts that upstreams lately read.
-    pub(crate) fn reads_to_tell(&self, now: Instant) -> Vec<ReadWord> {
+    /// What to tell the gateway at `listener` of parts that upstreams read: what this one learned
+    /// within `span`, and not from the listener itself.
+    pub(crate) fn reads_to_tell(&self, listener: SocketAddr, span: Duration, now: Instant) -> Vec<ReadWord> {
         let state = self.state.lock().unwrap();
-        let told = state.kept.learned_within(READS_TOLD_FOR, now).map(|kept| ReadWord {
-            part: kept.part,
-            upstream: kept.upstream,
-            age: now.since(kept.used),
-        });
-        told.take(MOST_READS_TOLD).collect()
+        let news = state.kept.news_for(teller(listener), span, now);
+        news.take(MOST_READS_TOLD).map(|kept| read_word(kept, now)).collect()
     }
 
     /// All that upstreams are believed to have read.
     pub(crate) fn all_reads(&self, now: Instant) -> Vec<ReadWord> {
         let state = self.state.lock().unwrap();
-        let all = state.kept.learned_within(Duration::MAX, now);
-        all.map(|kept| ReadWord { part: kept.part, upstream: kept.upstream, age: now.since(kept.used) })
-            .collect()
+        state.kept.all().map(|kept| read_word(kept, now)).collect()
     }
 
     /// The upstreams that take work, of pools for which `keeps_prompts` holds.
@@ -225,20 +219,22 @@
     /// Takes in what others told at once, or an upstream listed: it is not told of again.
     pub(crate) fn recover_reads(&self, reads: &[ReadWord]) {
         let now = clock::now();
-        let mut state = self.state.lock().unwrap();
-        for read in reads {
-            let kept = KeptPart { part: read.part, upstream: read.upstream, used: now - read.age };
-            state.kept.learn(kept, now - READS_TOLD_FOR);
-        }
+        let learned = Learned { at: Instant::default(), from: Teller::Itself };
+        self.learn_reads(reads, now, learned);
     }
 
-    /// Takes in which parts upstreams read for others, told in an exchange that began at `asked`.
-    pub(crate) fn hear_reads(&self, reads: &[ReadWord], asked: Instant) {
-        let now = clock::now();
+    /// Takes in which parts upstreams read, as the gateway at `from` told in an exchange that
+    /// began at `asked`.
+    pub(crate) fn hear_reads(&self, reads: &[ReadWord], from: SocketAddr, asked: Instant) {
+        self.learn_reads(reads, asked, Learned { at: clock::now(), from: teller(from) });
+    }
+
+    /// Takes in reads whose ages count from `as_of`.
+    fn learn_reads(&self, reads: &[ReadWord], as_of: Instant, learned: Learned) {
         let mut state = self.state.lock().unwrap();
         for read in reads {
-            let kept = KeptPart { part: read.part, upstream: read.upstream, used: asked - read.age };
-            state.kept.learn(kept, now);
+            let kept = KeptPart { part: read.part, upstream: read.upstream, used: as_of - read.age };
+            state.kept.learn(kept, learned);
         }
     }
 
@@ -254,6 +250,15 @@
     }
 }
 
+/// The gateway at `address` as one from whom something is learned.
+fn teller(address: SocketAddr) -> Teller {
+    Teller::Router(NameHash::of(&address.to_string()))
+}
+
+fn read_word(kept: KeptPart, now: Instant) -> ReadWord {
+    ReadWord { part: kept.part, upstream: kept.upstream, age: now.since(kept.used) }
+}
+
 impl State {
     fn follow_list(&mut self) {
         if let Some(list) = self.belief.value() {
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -11,7 +11,7 @@
 struct Member {
   address @0 :UInt32;
   port @1 :UInt16;
-  life @2 :UInt64;
+  unused @2 :UInt64;
   ageMillis @3 :UInt32;
   leaving @4 :Bool;
   storeFailing @5 :Bool;
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{Heard, MemberLife, Revision, UpstreamEntry, UpstreamList, UpstreamState, Version};
+use bendhinge_fleet::{Heard, Revision, UpstreamEntry, UpstreamList, UpstreamState, Version};
 use bendhinge_ids::NameHash;
 use bendhinge_placement::PartId;
 use capnp::Error;
@@ -47,7 +47,6 @@
     let Some((bits, port)) = address_parts(heard.address) else { return };
     to.set_address(bits);
     to.set_port(port);
-    to.set_life(heard.life.0);
     to.set_age_millis(millis(heard.age));
     to.set_leaving(heard.is_leaving);
     to.set_store_failing(heard.is_store_failing);
@@ -56,7 +55,6 @@
 fn read_member(from: member::Reader<'_>) -> Heard {
     Heard {
         address: address(from.get_address(), from.get_port()),
-        life: MemberLife(from.get_life()),
         age: Duration::from_millis(from.get_age_millis().into()),
         is_leaving: from.get_leaving(),
         is_store_failing: from.get_store_failing(),
--- a/crates/bendhinge_peer/src/fleet_capnp.rs
+++ b/crates/bendhinge_peer/src/fleet_capnp.rs
@@ -455,7 +455,7 @@
             self.reader.get_data_field::<u16>(2)
         }
         #[inline]
-        pub fn get_life(self) -> u64 {
+        pub fn get_unused(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
         #[inline]
@@ -563,11 +563,11 @@
             self.builder.set_data_field::<u16>(2, value);
         }
         #[inline]
-        pub fn get_life(self) -> u64 {
+        pub fn get_unused(self) -> u64 {
             self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn set_life(&mut self, value: u64) {
+        pub fn set_unused(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
@@ -641,7 +641,7 @@
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
@@ -682,7 +682,7 @@
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 105, 102, 101, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 117, 115, 101, 100, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -745,7 +745,7 @@
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 4, 2, 1, 5];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 4, 1, 5, 2];
         pub(crate) const TYPE_ID: u64 = 0xe9d1_9972_7ff1_e983;
     }
 }
