News runs down from whoever read it, in brief words

Change: a box tells those that would ask it, and the one that it asks, in a word that says only what it holds; the answer is as brief. News that one has reaches all in at most two words a member (test news_reaches_all_in_few_words). Who asks whom is one function now, for asking and for telling.

--- a/crates/bendhinge_fleet/src/roster.rs
+++ b/crates/bendhinge_fleet/src/roster.rs
@@ -166,8 +166,7 @@
     /// This router's place in the order in which members read the store; 0 is the first.
     #[must_use]
     pub fn own_rank(&self, own_reads_fail: bool, now: Instant) -> usize {
-        let ranked = self.ranked(own_reads_fail, now);
-        ranked.iter().position(|address| *address == self.own).unwrap_or(0)
+        self.place(&self.ranked(own_reads_fail, now))
     }
 
     /// Whom to ask in a round; `draw` gives a number below its argument.
@@ -183,9 +182,10 @@
         draw: &mut impl FnMut(usize) -> usize,
     ) -> Vec<Contact> {
         let ranked = self.ranked(own_reads_fail, now);
-        let nearer = self.nearer_to_the_store(&ranked);
+        let place = self.place(&ranked);
         let takes_other = draw(OTHER_READER_EVERY) == 0;
-        let reader = if takes_other { pick(nearer, draw) } else { self.own_reader(&ranked, nearer) };
+        let reader =
+            if takes_other { pick(readers(place, &ranked), draw) } else { own_reader(place, &ranked) };
         let mut contacts: Vec<Contact> = reader.map(Contact::Reader).into_iter().collect();
         if reach == Reach::Any || contacts.is_empty() {
             let others: Vec<SocketAddr> = ranked
@@ -197,10 +197,22 @@
         contacts
     }
 
-    /// The one of `nearer` that this router asks most, by its place among all.
-    fn own_reader(&self, ranked: &[SocketAddr], nearer: &[SocketAddr]) -> Option<SocketAddr> {
-        let own_rank = ranked.iter().position(|address| *address == self.own).unwrap_or(0);
-        nearer.get(own_rank % nearer.len().max(1)).copied()
+    /// Whom to tell news at once: those that would ask this router for it, and the one that it asks
+    /// itself. So news runs down from whoever read it, and nearly nobody is told twice.
+    #[must_use]
+    pub fn listeners(&self, own_reads_fail: bool, now: Instant) -> Vec<SocketAddr> {
+        let ranked = self.ranked(own_reads_fail, now);
+        let others = ranked.iter().enumerate().filter(|(_, address)| **address != self.own);
+        let asks_this = |rank: usize| own_reader(rank, &ranked) == Some(self.own);
+        let askers = others.filter(|(rank, _)| asks_this(*rank)).map(|(_, address)| *address);
+        let mut listeners: Vec<SocketAddr> = askers.collect();
+        listeners.extend(own_reader(self.place(&ranked), &ranked).filter(|own| !listeners.contains(own)));
+        listeners
+    }
+
+    /// This router's place in `ranked`.
+    fn place(&self, ranked: &[SocketAddr]) -> usize {
+        ranked.iter().position(|address| *address == self.own).unwrap_or(0)
     }
 
     /// Any live member.
@@ -210,19 +222,6 @@
         pick(&live, draw).map(Contact::Any)
     }
 
-    /// The members of which this one asks one for what it hears of the store: in a small fleet
-    /// the first in rank, in a large one some in between, so that nobody is asked by all.
-    fn nearer_to_the_store<'a>(&self, ranked: &'a [SocketAddr]) -> &'a [SocketAddr] {
-        let own_rank = ranked.iter().position(|address| *address == self.own).unwrap_or(0);
-        let between = ranked.len().isqrt();
-        let is_small = ranked.len() <= ASKING_THE_FIRST;
-        match own_rank {
-            0 => &ranked[1..ranked.len().min(2)],
-            rank if is_small || rank <= between => &ranked[..1],
-            _ => &ranked[1..=between],
-        }
-    }
-
     /// Somebody to look for: a seed that is no live member, or a member that counts as dead.
     pub fn lost_contact(&self, now: Instant, draw: &mut impl FnMut(usize) -> usize) -> Option<Contact> {
         let is_live = |address| self.members.get(&address).is_some_and(|member| self.is_live(member, now));
@@ -234,6 +233,24 @@
     }
 }
 
+/// Those of `ranked` of which the one at `place` asks one for what it hears of the store: in a
+/// small fleet the first, in a large one some in between, so that nobody is asked by all.
+fn readers(place: usize, ranked: &[SocketAddr]) -> &[SocketAddr] {
+    let between = ranked.len().isqrt();
+    let is_small = ranked.len() <= ASKING_THE_FIRST;
+    match place {
+        0 => &ranked[1..ranked.len().min(2)],
+        place if is_small || place <= between => &ranked[..1],
+        _ => &ranked[1..=between],
+    }
+}
+
+/// The one of them that it asks most.
+fn own_reader(place: usize, ranked: &[SocketAddr]) -> Option<SocketAddr> {
+    let readers = readers(place, ranked);
+    readers.get(place % readers.len().max(1)).copied()
+}
+
 fn pick(among: &[SocketAddr], draw: &mut impl FnMut(usize) -> usize) -> Option<SocketAddr> {
     if among.is_empty() { None } else { among.get(draw(among.len())).copied() }
 }
--- a/crates/bendhinge_fleet/tests/roster.rs
+++ b/crates/bendhinge_fleet/tests/roster.rs
@@ -92,6 +92,21 @@
     }
 }
 
+/// A roster that has heard from all members just now.
+fn knowing_all(own: usize, size: usize, now: Instant) -> Roster {
+    let mut roster = Roster::new(address(own), &[], LIMITS);
+    for other in (0..size).filter(|other| *other != own) {
+        let heard = Heard {
+            address: address(other),
+            age: Duration::ZERO,
+            is_leaving: false,
+            is_store_failing: false,
+        };
+        roster.hear(&heard, now);
+    }
+    roster
+}
+
 #[test]
 fn all_find_each_other_from_one_live_seed_among_stale_ones() {
     let mut fleet = Fleet::new(9, &[address(200), address(4), address(201)]);
@@ -178,16 +193,7 @@
     let now = Instant::from_millis(10_000);
     let mut asked = vec![0_usize; size];
     for own in 0..size {
-        let mut roster = Roster::new(address(own), &[], LIMITS);
-        for other in (0..size).filter(|other| *other != own) {
-            let heard = Heard {
-                address: address(other),
-                age: Duration::ZERO,
-                is_leaving: false,
-                is_store_failing: false,
-            };
-            roster.hear(&heard, now);
-        }
+        let roster = knowing_all(own, size, now);
         let mut drawn = own as u64;
         let mut draw = |below: usize| {
             drawn = drawn.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
@@ -207,16 +213,7 @@
     let now = Instant::from_millis(10_000);
     let mut asked = vec![HashSet::new(); size];
     for (own, asked) in asked.iter_mut().enumerate() {
-        let mut roster = Roster::new(address(own), &[], LIMITS);
-        for other in (0..size).filter(|other| *other != own) {
-            let heard = Heard {
-                address: address(other),
-                age: Duration::ZERO,
-                is_leaving: false,
-                is_store_failing: false,
-            };
-            roster.hear(&heard, now);
-        }
+        let roster = knowing_all(own, size, now);
         let mut drawn = own;
         let mut draw = |below: usize| {
             drawn = drawn.wrapping_mul(7_919).wrapping_add(17);
@@ -231,3 +228,28 @@
     let open: usize = asked.iter().map(HashSet::len).sum();
     assert!(open < 10 * size, "{open} connections of {size} routers");
 }
+
+/// News that one router has reaches all, and nearly nobody is told of it twice.
+#[test]
+fn news_reaches_all_in_few_words() {
+    for size in [2, 6, 24, 25, 74, 200] {
+        let now = Instant::from_millis(10_000);
+        let rosters: Vec<Roster> = (0..size).map(|own| knowing_all(own, size, now)).collect();
+        for reader in [0, size / 2, size - 1] {
+            let mut has_news = vec![false; size];
+            has_news[reader] = true;
+            let (mut telling, mut words) = (vec![reader], 0);
+            while let Some(teller) = telling.pop() {
+                for listener in rosters[teller].listeners(false, now) {
+                    words += 1;
+                    let listener = (0..size).find(|number| address(*number) == listener).unwrap();
+                    if !std::mem::replace(&mut has_news[listener], true) {
+                        telling.push(listener);
+                    }
+                }
+            }
+            assert!(has_news.iter().all(|has| *has), "of {size}, from {reader}");
+            assert!(words <= 2 * size, "{words} words of {size}, from {reader}");
+        }
+    }
+}
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -20,8 +20,6 @@
 const ANY_EVERY: u32 = 4;
 /// After how many rounds somebody lost is looked for.
 const LOST_EVERY: u32 = 4;
-/// How many others are told news at once.
-const TOLD_AT_ONCE: usize = 8;
 
 /// Exchanges for ever.
 pub(super) async fn run(control: Rc<Control>) {
@@ -50,18 +48,15 @@
     control.settings.fleet.exchange.mul_f64(rand::rng().random_range(0.8..1.2))
 }
 
-/// Tells some of the others at once, who then fetch what they lack.
+/// Tells those who hear news from this gateway that there is some; they fetch what they lack.
 pub(super) async fn tell_news(control: &Rc<Control>) {
-    let now = clock::now();
-    let mut others: Vec<SocketAddr> = control.roster.borrow().live(now).map(|(address, _)| address).collect();
-    while others.len() > TOLD_AT_ONCE {
-        others.swap_remove(draw(others.len()));
-    }
-    let told = others.into_iter().map(|address| {
+    let failing = control.plan.borrow().is_failing();
+    let listeners = control.roster.borrow().listeners(failing, clock::now());
+    let told = listeners.into_iter().map(|address| {
         let control = Rc::clone(control);
         let executor = Rc::clone(&control.executor);
         executor.spawn(async move {
-            ask(&control, address).await;
+            ask(&control, address, Content::Brief).await;
         })
     });
     let told: Vec<_> = told.collect();
@@ -72,30 +67,41 @@
 
 /// Asks a contact, and any other if the one that hears of the store does not answer.
 async fn ask_or_another(control: &Rc<Control>, contact: Contact) {
-    if ask(control, contact.address()).await || !matches!(contact, Contact::Reader(_)) {
+    if ask(control, contact.address(), Content::Whole).await || !matches!(contact, Contact::Reader(_)) {
         return;
     }
     let another = control.roster.borrow().any_contact(clock::now(), &mut draw);
     if let Some(another) = another {
-        ask(control, another.address()).await;
+        ask(control, another.address(), Content::Whole).await;
     }
 }
 
 /// Exchanges words with the gateway at `address` and takes its word in; `false` if it gave none.
-async fn ask(control: &Rc<Control>, address: SocketAddr) -> bool {
+async fn ask(control: &Rc<Control>, address: SocketAddr, content: Content) -> bool {
     let asked = clock::now();
-    let word = own_word(control, address, asked);
+    let word = own_word(control, address, content, asked);
     let answer = control.peers.call(address, async |peer| peer.exchange(&word).await).await;
     control.delivering.metrics.exchange(answer.is_ok());
     let Ok(answer) = answer else { return false };
-    control.news.borrow_mut().told(address, asked);
+    if content == Content::Whole {
+        control.news.borrow_mut().told(address, asked);
+    }
     take_in(control, &answer, Some(asked));
     fetch_news(control, address, &answer).await;
     true
 }
 
+/// What a word says.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Content {
+    /// What the sender holds: there is news of it.
+    Brief,
+    /// Whom it knows and what it saw of upstreams besides.
+    Whole,
+}
+
 /// What this gateway tells the one at `listener` at `now`.
-fn own_word(control: &Control, listener: SocketAddr, now: Instant) -> Word {
+fn own_word(control: &Control, listener: SocketAddr, content: Content, now: Instant) -> Word {
     let upstreams = &control.delivering.upstreams;
     let sender = Heard {
         address: control.settings.peers,
@@ -103,13 +109,24 @@
         is_leaving: control.lifecycle.is_stopping(),
         is_store_failing: control.plan.borrow().is_failing(),
     };
-    Word {
+    let brief = Word {
         sender,
+        is_brief: true,
         rules: control.delivering.rules.known(now),
         upstreams: upstreams.known(now),
+        members: Vec::new(),
+        loads: Vec::new(),
+        reads: Vec::new(),
+    };
+    if content == Content::Brief {
+        return brief;
+    }
+    Word {
+        is_brief: false,
         members: control.roster.borrow().members(now).collect(),
         loads: upstreams.loads_to_tell(now),
         reads: upstreams.reads_to_tell(listener, control.news.borrow().span(listener, now), now),
+        ..brief
     }
 }
 
@@ -203,8 +220,11 @@
         let has_news = word.rules.is_some_and(|known| delivering.rules.lacks(known.version))
             || word.upstreams.is_some_and(|known| delivering.upstreams.lacks(known.version));
         let now = clock::now();
-        let answer = own_word(&self.0, address, now);
-        self.0.news.borrow_mut().told(address, now);
+        let content = if word.is_brief { Content::Brief } else { Content::Whole };
+        let answer = own_word(&self.0, address, content, now);
+        if content == Content::Whole {
+            self.0.news.borrow_mut().told(address, now);
+        }
         if has_news {
             let executor = Rc::clone(&control.executor);
             executor.spawn(async move { fetch_news(&control, address, &word).await }).detach();
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -36,6 +36,7 @@
   members @3 :List(Member);
   loads @4 :List(Load);
   reads @5 :List(Read);
+  brief @6 :Bool;
 }
 
 struct Upstream {
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -91,6 +91,7 @@
 
 pub(super) fn write_word(mut to: word::Builder<'_>, word: &Word) {
     write_member(to.reborrow().init_sender(), &word.sender);
+    to.set_brief(word.is_brief);
     write_known(to.reborrow().init_rules(), word.rules.as_ref());
     write_known(to.reborrow().init_upstreams(), word.upstreams.as_ref());
     let mut members = to.reborrow().init_members(count(word.members.len()));
@@ -110,6 +111,7 @@
 pub(super) fn read_word(from: word::Reader<'_>) -> Result<Word, Error> {
     Ok(Word {
         sender: read_member(from.get_sender()?),
+        is_brief: from.get_brief(),
         rules: read_known(from.get_rules()?),
         upstreams: read_known(from.get_upstreams()?),
         members: from.get_members()?.iter().map(read_member).collect(),
--- a/crates/bendhinge_peer/src/fleet/mod.rs
+++ b/crates/bendhinge_peer/src/fleet/mod.rs
@@ -52,6 +52,8 @@
 pub struct Word {
     /// The sender itself.
     pub sender: Heard,
+    /// Whether it says only what the sender holds, and asks for no more: there is news.
+    pub is_brief: bool,
     /// The serving rules that it holds.
     pub rules: Option<Known>,
     /// The list of upstreams that it holds.
--- a/crates/bendhinge_peer/src/fleet_capnp.rs
+++ b/crates/bendhinge_peer/src/fleet_capnp.rs
@@ -1554,6 +1554,10 @@
         pub fn has_reads(&self) -> bool {
             !self.reader.get_pointer_field(5).is_null()
         }
+        #[inline]
+        pub fn get_brief(self) -> bool {
+            self.reader.get_bool_field(0)
+        }
     }
 
     pub struct Builder<'a> {
@@ -1561,7 +1565,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 0, pointers: 6 };
+            ::capnp::private::layout::StructSize { data: 1, pointers: 6 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1792,6 +1796,14 @@
         pub fn has_reads(&self) -> bool {
             !self.builder.is_pointer_field_null(5)
         }
+        #[inline]
+        pub fn get_brief(self) -> bool {
+            self.builder.get_bool_field(0)
+        }
+        #[inline]
+        pub fn set_brief(&mut self, value: bool) {
+            self.builder.set_bool_field(0, value);
+        }
     }
 
     pub struct Pipeline {
@@ -1814,66 +1826,73 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 120] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 135] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(6, 101, 203, 110, 233, 110, 158, 184),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
             ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 87, 111, 114, 100),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(131, 233, 241, 127, 114, 153, 209, 233),
@@ -1935,6 +1954,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 114, 105, 101, 102, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1944,6 +1971,7 @@
                 3 => <::capnp::struct_list::Owned<crate::fleet_capnp::member::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::fleet_capnp::load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::fleet_capnp::read::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1962,9 +1990,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 3, 5, 1, 0, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[6, 4, 3, 5, 1, 0, 2];
         pub(crate) const TYPE_ID: u64 = 0xb89e_6ee9_6ecb_6506;
     }
 }
