Two tests no longer depend on how fast a word between routers is

Cause, from the timelines of a failed run: a_chat_is_known_again sent its third turn while the permit of the second was still on its way back; with one request counted the engine was at its bound, and the turn was rightly displaced. a_race_has_one_winner had a claim unanswered within 150 ms, which is rightly answered with 'not known'. Both once in some ten runs beside load only. Ruled out for the first: time for a call (20 s: still fails). Change: the first waits until no permit is out; the second gives calls 20 s. What is asserted is unchanged.

--- a/crates/bendhinge_lab/tests/intake.rs
+++ b/crates/bendhinge_lab/tests/intake.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use bendhinge_http::full_body;
-use common::{MODEL, caller, run, small, start, start_with, turn};
+use bendhinge_lab::fleet::Fleet;
+use common::{MODEL, caller, eventually, run, small, start, start_with, turn};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use hyper::{Method, Request};
 
@@ -258,6 +259,17 @@
     });
 }
 
+/// Whether no router has given out a permit that has not come back.
+async fn permits_are_back(fleet: &Fleet) -> bool {
+    for router in ["box-1", "box-2", "box-3"] {
+        let status = fleet.status(router).await;
+        if !status.is_ok_and(|status| status["permits_outstanding"] == 0) {
+            return false;
+        }
+    }
+    true
+}
+
 /// A chat finds its context again by any of the ways in which it can be told apart.
 #[test]
 fn a_chat_is_known_again() {
@@ -273,6 +285,9 @@
                 let outcome = caller(&fleet).chat(fleet.callers()[number], &turn).await;
                 assert!(outcome.served(), "{name}: {outcome:?}");
                 served_by.push(outcome.served_by.clone());
+                // A permit on its way back still counts under the bound, and would displace the
+                // next turn.
+                eventually("permits are back", || async { permits_are_back(&fleet).await }).await;
                 turn.messages
                     .push(bendhinge_lab::client::Message { role: "assistant", content: outcome.content });
                 turn.messages
--- a/crates/bendhinge_lab/tests/once.rs
+++ b/crates/bendhinge_lab/tests/once.rs
@@ -32,7 +32,9 @@
 #[test]
 fn a_race_has_one_winner() {
     run(|tasks| async move {
-        let fleet = start(&tasks).await;
+        // A router whose word takes longer than this says honestly that it does not know; a loaded
+        // box can take longer than the 150 ms of the standard settings.
+        let fleet = start_with(&tasks, small().with_setting("control", "call_ms", "20000")).await;
         fleet.upstream_faults("b-portal-1", &Faults { delay_ms: 300, ..Faults::default() }).await.unwrap();
         let fleet = std::sync::Arc::new(fleet);
         let racers = (0..12).map(|number| {
