Second sends: each box takes its share of the fleet's whole budget, for each pool by itself

What the requests to one pool had earned could be spent on another, which the rule counts by itself. Change: settings name the fleet's ratio and slack (the platform's own figures); FleetRetryBudget gives the share of one of as many boxes as are known, for each pool.

--- a/crates/bendhinge_admission/src/lib.rs
+++ b/crates/bendhinge_admission/src/lib.rs
@@ -13,7 +13,7 @@
 mod usage;
 mod water;
 
-pub use budget::RetryBudget;
+pub use budget::{FleetRetryBudget, RetryBudget};
 pub use gate::{Admission, Ask, Refusal, RefusalReason};
 pub use retry_after::retry_after;
 pub use rules::{ClassIndex, ClassRule, CustomerIndex, CustomerRule, PoolIndex, PoolRule, Rules};
--- a/crates/bendhinge_fleet/src/roster.rs
+++ b/crates/bendhinge_fleet/src/roster.rs
@@ -152,6 +152,12 @@
         1 + self.live(now).count()
     }
 
+    /// How many members are known, this router and those that may be dead among them.
+    #[must_use]
+    pub fn known_count(&self) -> usize {
+        1 + self.members.len()
+    }
+
     /// The live members and this router in the order in which they read the store: those whose
     /// reads fail come last.
     fn ranked(&self, own_reads_fail: bool, now: Instant) -> Vec<SocketAddr> {
--- a/crates/bendhinge_fleet/tests/directory.rs
+++ b/crates/bendhinge_fleet/tests/directory.rs
@@ -8,7 +8,7 @@
 
 const LIMITS: DirectoryLimits = DirectoryLimits {
     gap: Duration::from_millis(2_500),
-    doubt: Duration::from_millis(4_000),
+    doubt: Duration::from_millis(3_000),
     remember: Duration::from_millis(3_000),
 };
 
@@ -63,7 +63,9 @@
     assert_eq!(working(&directory), ["a", "b"]);
     read(&mut directory, &[("a", Ready)], 9_000);
     assert_eq!(working(&directory), ["a", "b"], "b may still come back");
-    directory.prune(at(12_500));
+    directory.prune(at(10_900));
+    assert_eq!(working(&directory), ["a", "b"], "the store's return is not three seconds ago");
+    directory.prune(at(11_100));
     assert_eq!(working(&directory), ["a"], "the doubt is over");
 }
 
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -105,6 +105,7 @@
         Timer::after(PERIOD).await;
         let now = crate::clock::now();
         control.roster.borrow_mut().forget(now);
+        control.delivering.retries.divide_among(control.roster.borrow().known_count());
         control.news.borrow_mut().forget(now);
         control.delivering.upstreams.prune();
         control.delivering.pool.prune();
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -79,7 +79,7 @@
     turn: Turn,
     in_progress: InProgress,
 ) -> Result<Response<Body>, Refused> {
-    delivering.retries.first();
+    delivering.retries.first(&turn.pool);
     delivering.metrics.request();
     let course = Course::new(bendhinge_delivery::CourseRules {
         repeatable: turn.route.kind.is_repeatable(),
@@ -182,7 +182,7 @@
         self.tried.push(upstream);
         let may_go_on = self.course.ended(end);
         let time_is_over = self.turn.time_left().is_zero();
-        let affordable = || !self.course.needs_budget() || self.delivering.retries.second();
+        let affordable = || !self.course.needs_budget() || self.takes_second_send();
         if may_go_on && !time_is_over && affordable() {
             return Ok(());
         }
@@ -192,6 +192,11 @@
         })
     }
 
+    /// Takes one further send of this gateway's share; `false` if there is none left.
+    fn takes_second_send(&self) -> bool {
+        self.delivering.retries.second(&self.turn.pool)
+    }
+
     fn pass_failure(&mut self, failure: FailureAnswer) -> Response<Body> {
         let FailureAnswer { mut head, body } = failure;
         self.line.ended(&self.delivering.log, head.status.as_u16(), None, &self.course);
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -137,7 +137,7 @@
         self.delivery.delivering.metrics.send_ended(end);
         self.delivery.tried.push(upstream);
         let may_go_on = self.delivery.course.ended(end);
-        if !may_go_on || !self.delivery.delivering.retries.second() {
+        if !may_go_on || !self.delivery.takes_second_send() {
             return false;
         }
         self.events.restart();
--- a/crates/bendhinge_gateway/src/retries.rs
+++ b/crates/bendhinge_gateway/src/retries.rs
@@ -2,26 +2,48 @@
 
 use std::sync::Mutex;
 
-use bendhinge_admission::RetryBudget;
+use bendhinge_admission::{FleetRetryBudget, RetryBudget};
+use bendhinge_ids::PoolName;
+use rustc_hash::FxHashMap;
 
-use crate::settings::RetrySettings;
+/// The share, of each pool by itself: what the requests to one pool earn is not spent on another.
+pub(crate) struct Retries {
+    fleet: FleetRetryBudget,
+    shares: Mutex<Shares>,
+}
 
-/// The share. Each gateway earns by its own requests alone, so that the shares add up to no more
-/// than the fleet's whatever gateways come and go.
-pub(crate) struct Retries(Mutex<RetryBudget>);
+struct Shares {
+    /// How many gateways share; until any are known, as many as there could be.
+    gateways: usize,
+    by_pool: FxHashMap<PoolName, RetryBudget>,
+}
 
 impl Retries {
-    pub(crate) fn new(settings: &RetrySettings) -> Self {
-        Self(Mutex::new(RetryBudget::new(settings.ratio, settings.reserve)))
+    pub(crate) fn new(fleet: FleetRetryBudget) -> Self {
+        let shares = Shares { gateways: usize::MAX, by_pool: FxHashMap::default() };
+        Self { fleet, shares: Mutex::new(shares) }
     }
 
     /// Notes a request's first send.
-    pub(crate) fn first(&self) {
-        self.0.lock().unwrap().attempt();
+    pub(crate) fn first(&self, pool: &PoolName) {
+        let mut shares = self.shares.lock().unwrap();
+        if let Some(share) = shares.by_pool.get_mut(pool) {
+            return share.attempt();
+        }
+        let share = self.fleet.share(shares.gateways);
+        shares.by_pool.insert(pool.clone(), share);
     }
 
     /// Takes one further send; `false` if there is none left.
-    pub(crate) fn second(&self) -> bool {
-        self.0.lock().unwrap().retry()
+    pub(crate) fn second(&self, pool: &PoolName) -> bool {
+        self.shares.lock().unwrap().by_pool.get_mut(pool).is_some_and(RetryBudget::retry)
+    }
+
+    /// Divides the budget among as many `gateways` as are known.
+    pub(crate) fn divide_among(&self, gateways: usize) {
+        let reserve = self.fleet.reserve(gateways);
+        let mut shares = self.shares.lock().unwrap();
+        shares.gateways = gateways;
+        shares.by_pool.values_mut().for_each(|share| share.set_reserve(reserve));
     }
 }
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -104,7 +104,7 @@
         dialect,
         rules: Arc::new(RulesKeeper::new(settings.beliefs.rules_lease)),
         upstreams: Arc::new(UpstreamView::new(&settings.upstreams)),
-        retries: Retries::new(&settings.retries),
+        retries: Retries::new(settings.retries),
         pool: Pool::new(Arc::clone(tasks), settings.upstreams.connect, settings.upstreams.idle),
         tasks: Arc::clone(tasks),
         log: log.clone(),
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -7,6 +7,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use bendhinge_admission::FleetRetryBudget;
 use bendhinge_codes::ResultCode;
 use bendhinge_fleet::{DirectoryLimits, JudgeLimits, ReadingLimits, RosterLimits};
 use bendhinge_ids::{BoxName, DataCentreName};
@@ -39,7 +40,7 @@
     /// Upstreams.
     pub upstreams: UpstreamSettings,
     /// Sending requests again.
-    pub retries: RetrySettings,
+    pub retries: FleetRetryBudget,
     /// Stopping.
     pub stop: StopSettings,
 }
@@ -94,15 +95,6 @@
     pub load_bound: f32,
 }
 
-/// This gateway's share of the fleet's budget for sending requests again.
-#[derive(Clone, Copy, Debug)]
-pub struct RetrySettings {
-    /// Second sends for each request.
-    pub ratio: f64,
-    /// Second sends that may be saved up.
-    pub reserve: f64,
-}
-
 /// Stopping after a request to stop.
 #[derive(Clone, Copy, Debug)]
 pub struct StopSettings {
@@ -264,10 +256,10 @@
         })
     }
 
-    fn retries(&self, section: &Section) -> Option<RetrySettings> {
+    fn retries(&self, section: &Section) -> Option<FleetRetryBudget> {
         let ratio = self.ratio(section, "ratio");
-        let reserve = self.ratio(section, "reserve");
-        Some(RetrySettings { ratio: ratio?, reserve: reserve? })
+        let slack = self.ratio(section, "slack");
+        Some(FleetRetryBudget { ratio: ratio?, slack: slack? })
     }
 
     fn stop(&self, section: &Section) -> Option<StopSettings> {
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -93,8 +93,8 @@
         key(
             "doubt_ms",
             "milliseconds",
-            Some("4000"),
-            "How long vanished entries are kept after the store was in trouble.",
+            Some("3000"),
+            "How long vanished entries are kept after the store was in trouble: what lives is listed again within two seconds of its return, and read within one more.",
         ),
         key("load_bound", "number", Some("1.5"), "Load of an upstream as a multiple of the mean."),
     ],
@@ -104,10 +104,10 @@
     kind: "retries",
     named: false,
     required: false,
-    help: "This gateway's share of the fleet's budget for sending requests again.",
+    help: "The fleet's budget for sending requests again, of which each gateway takes its share; for each pool by itself.",
     keys: &[
-        key("ratio", "number", Some("0.1"), "Second sends for each request."),
-        key("reserve", "number", Some("4"), "Second sends that may be saved up."),
+        key("ratio", "number", Some("0.2"), "Second sends for each request, within some ten seconds."),
+        key("slack", "number", Some("50"), "Second sends besides, in the same time."),
     ],
 };
 
