A store that is down is asked often by a few only; evidence regained is told at once

Change: the pause after a read that gave nothing grows with rank; whoever reaches the store again after a gap tells its listeners at once, who then ask it themselves, since only an answer to a question of one's own tells an age. A box that knows nobody looks for others for 3 s. First try: any fresher word was enough to ask and tell on. Only word that ends the want counts now.

--- a/crates/bendhinge_fleet/src/reading.rs
+++ b/crates/bendhinge_fleet/src/reading.rs
@@ -20,10 +20,14 @@
     pub last: Duration,
     /// How long after a failed read a router waits whose belief others keep fresh.
     pub retry: Duration,
-    /// How long it waits when nobody does.
+    /// How long the first in rank wait when nobody does; the others wait longer, the later the
+    /// longer, up to `retry`: a store that is down is not asked by all.
     pub urgent_retry: Duration,
 }
 
+/// How many routers in rank wait equally long after a read that gave nothing.
+const EAGER: usize = 4;
+
 /// One router's plan.
 #[derive(Debug)]
 pub struct ReadingPlan {
@@ -63,6 +67,12 @@
         self.limits.first.saturating_add(self.limits.step.saturating_mul(rank)).min(self.limits.last)
     }
 
+    /// How long a router of `rank` waits after a read that gave nothing while nobody has news.
+    fn urgent_pause(&self, rank: usize) -> Duration {
+        let steps = u32::try_from(1 + rank / EAGER).unwrap_or(u32::MAX);
+        self.limits.urgent_retry.saturating_mul(steps).min(self.limits.retry)
+    }
+
     /// How long until the router should read: zero if it is due. `age` is that of its oldest
     /// belief, `None` if it believes nothing yet.
     #[must_use]
@@ -70,12 +80,12 @@
         let until_due = match age {
             None => self
                 .answered_at
-                .map_or(Duration::ZERO, |at| self.limits.urgent_retry.saturating_sub(now.since(at))),
+                .map_or(Duration::ZERO, |at| self.urgent_pause(rank).saturating_sub(now.since(at))),
             Some(age) => self.patience(rank).saturating_sub(age),
         };
         let Some(failed_at) = self.failed_at else { return until_due };
         let is_fresh = age.is_some_and(|age| age < self.limits.last);
-        let pause = if is_fresh { self.limits.retry } else { self.limits.urgent_retry };
+        let pause = if is_fresh { self.limits.retry } else { self.urgent_pause(rank) };
         until_due.max(pause.saturating_sub(now.since(failed_at)))
     }
 }
--- a/crates/bendhinge_fleet/src/relearning.rs
+++ b/crates/bendhinge_fleet/src/relearning.rs
@@ -14,6 +14,8 @@
 pub struct RelearnLimits {
     /// How long the number of known members must not have grown.
     pub settled: Duration,
+    /// The same for a router that knows nobody: it more likely has not found the others yet.
+    pub alone: Duration,
     /// How much later than the one before it each further router in rank asks.
     pub step: Duration,
     /// When nobody needs to ask any more: requests have taught enough.
@@ -57,7 +59,8 @@
             return RelearnStep::GiveUp;
         }
         let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-        let turn = self.limits.settled.saturating_add(self.limits.step.saturating_mul(rank));
+        let settled = if members <= 1 { self.limits.alone } else { self.limits.settled };
+        let turn = settled.saturating_add(self.limits.step.saturating_mul(rank));
         if now.since(self.grew) < turn { RelearnStep::Wait } else { RelearnStep::AskUpstreams }
     }
 }
--- a/crates/bendhinge_fleet/tests/reading.rs
+++ b/crates/bendhinge_fleet/tests/reading.rs
@@ -57,3 +57,25 @@
     assert!(!plan.is_failing());
     assert_eq!(plan.wait(Some(millis(800)), 0, at(1_500)), Duration::ZERO);
 }
+
+/// A store that is down is asked often by a few, and seldom by the others.
+#[test]
+fn a_store_that_is_down_is_not_asked_by_all() {
+    const DOWN_MS: u64 = 4_500;
+    let mut calls = 0;
+    for rank in 0..74 {
+        let mut plan = ReadingPlan::new(LIMITS);
+        let mut own_calls = 0;
+        for now in (10_000..10_000 + DOWN_MS).step_by(50) {
+            let age = millis(now - 7_000);
+            if plan.wait(Some(age), rank, at(now)).is_zero() {
+                plan.failed(at(now));
+                own_calls += 1;
+            }
+        }
+        assert!(own_calls >= 2, "rank {rank} gives up");
+        assert!(rank > 3 || own_calls >= 12, "rank {rank} asks {own_calls} times");
+        calls += own_calls;
+    }
+    assert!(calls <= 350, "{calls} calls");
+}
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -201,8 +201,20 @@
         }
     }
 
+    /// Whether the sender of `word` knows the rules held here to be current, of which this gateway
+    /// has had no evidence for long.
+    fn is_much_fresher(&self, word: &Word) -> bool {
+        let held = self.delivering.rules.known(clock::now());
+        word.rules.zip(held).is_some_and(|(told, held)| {
+            // Only knowledge that ends the want of it counts: were a little fresher enough, word
+            // of it would go round and round while nobody reaches the store.
+            let enough = self.settings.store.reading.last;
+            told.version == held.version && held.age > enough && told.age < enough
+        })
+    }
+
     /// Tells others of news in the background.
-    fn spread(self: &Rc<Self>) {
+    pub(super) fn spread(self: &Rc<Self>) {
         let control = Rc::clone(self);
         self.executor.spawn(async move { tell_news(&control).await }).detach();
     }
@@ -217,6 +229,7 @@
         let control = Rc::clone(&self.0);
         let address = word.sender.address;
         let delivering = &self.0.delivering;
+        let is_fresher = control.is_much_fresher(&word);
         let has_news = word.rules.is_some_and(|known| delivering.rules.lacks(known.version))
             || word.upstreams.is_some_and(|known| delivering.upstreams.lacks(known.version));
         let now = clock::now();
@@ -225,9 +238,17 @@
         if content == Content::Whole {
             self.0.news.borrow_mut().told(address, now);
         }
+        let executor = Rc::clone(&control.executor);
         if has_news {
-            let executor = Rc::clone(&control.executor);
             executor.spawn(async move { fetch_news(&control, address, &word).await }).detach();
+        } else if is_fresher {
+            // Only an answer to a question of its own tells it how old the knowledge is.
+            let asking = async move {
+                if ask(&control, address, Content::Brief).await {
+                    control.spread();
+                }
+            };
+            executor.spawn(asking).detach();
         }
         answer
     }
--- a/crates/bendhinge_gateway/src/control/recovery.rs
+++ b/crates/bendhinge_gateway/src/control/recovery.rs
@@ -20,6 +20,7 @@
 /// upstreams, after which the others learn from it.
 const LIMITS: RelearnLimits = RelearnLimits {
     settled: Duration::from_millis(800),
+    alone: Duration::from_secs(3),
     step: Duration::from_millis(1_500),
     given_up: Duration::from_secs(6),
 };
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -58,7 +58,12 @@
             Ok(contents) => {
                 control.plan.borrow_mut().succeeded(clock::now());
                 control.note_store(true, "");
+                let was_lost = control.evidence_is_lost();
                 control.take_contents(contents, began);
+                if was_lost {
+                    // The others wait for this as for news, though it may be no change.
+                    control.spread();
+                }
             }
             Err(error) => {
                 control.plan.borrow_mut().failed(clock::now());
@@ -112,14 +117,25 @@
     /// How long until this gateway should read the store.
     fn until_due(&self) -> Duration {
         let now = clock::now();
-        let rules = self.delivering.rules.age(now);
-        let upstreams = self.delivering.upstreams.age(now);
-        let oldest = rules.zip(upstreams).map(|(rules, upstreams)| rules.max(upstreams));
+        let oldest = self.evidence_age();
         let failing = self.plan.borrow().is_failing();
         let rank = self.roster.borrow().own_rank(failing, now);
         self.plan.borrow().wait(oldest, rank, now)
     }
 
+    /// Whether what is believed is so old that all would read.
+    fn evidence_is_lost(&self) -> bool {
+        self.evidence_age().is_some_and(|age| age > self.settings.store.reading.last)
+    }
+
+    /// The age of the oldest of what the store tells; `None` before it has told all.
+    fn evidence_age(&self) -> Option<Duration> {
+        let now = clock::now();
+        let rules = self.delivering.rules.age(now);
+        let upstreams = self.delivering.upstreams.age(now);
+        rules.zip(upstreams).map(|(rules, upstreams)| rules.max(upstreams))
+    }
+
     fn note_store(&self, answers: bool, detail: &str) {
         if self.store_answers.replace(Some(answers)) != Some(answers) {
             self.delivering.log.dependency("store", answers, detail);
