Who reads the store itself tells all that the first in rank would tell

Cause, by reasoning on the change before: when the first in rank dies just before a change, the next one reads it after 1.3 s, but its listeners were only the dead one; the others would read for themselves at 2.2 s, later than a change may take (2 s). Change: news that a box read itself goes to all that the first in rank would tell as well; an Origin says which it is, also in the log line (it was text).

--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -25,4 +25,4 @@
 pub use news::NewsCursors;
 pub use reading::{ReadingLimits, ReadingPlan};
 pub use relearning::{RelearnLimits, RelearnStep, Relearning};
-pub use roster::{Contact, Heard, Member, Reach, Roster, RosterLimits};
+pub use roster::{Contact, Heard, Member, Origin, Reach, Roster, RosterLimits};
--- a/crates/bendhinge_fleet/src/roster.rs
+++ b/crates/bendhinge_fleet/src/roster.rs
@@ -66,6 +66,26 @@
     }
 }
 
+/// From where a router has news.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// It read the store.
+    Store,
+    /// Another router told it.
+    Peer,
+}
+
+impl Origin {
+    /// The word for logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 /// How far a round of exchanges reaches.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
@@ -203,17 +223,23 @@
         contacts
     }
 
-    /// Whom to tell news at once: those that would ask this router for it, and the one that it asks
-    /// itself. So news runs down from whoever read it, and nearly nobody is told twice.
+    /// Whom to tell news at once, which this router has from `origin`.
+    ///
+    /// Those that would ask it for news, and the one that it asks itself: so news runs down from
+    /// whoever read it, and nearly nobody is told twice. But whoever read it itself tells all that
+    /// the first in rank would tell: it may have had to read since that one is lost.
     #[must_use]
-    pub fn listeners(&self, own_reads_fail: bool, now: Instant) -> Vec<SocketAddr> {
+    pub fn listeners(&self, origin: Origin, own_reads_fail: bool, now: Instant) -> Vec<SocketAddr> {
         let ranked = self.ranked(own_reads_fail, now);
-        let others = ranked.iter().enumerate().filter(|(_, address)| **address != self.own);
-        let asks_this = |rank: usize| own_reader(rank, &ranked) == Some(self.own);
-        let askers = others.filter(|(rank, _)| asks_this(*rank)).map(|(_, address)| *address);
-        let mut listeners: Vec<SocketAddr> = askers.collect();
-        listeners.extend(own_reader(self.place(&ranked), &ranked).filter(|own| !listeners.contains(own)));
-        listeners
+        let own_place = self.place(&ranked);
+        let own_reader = own_reader(own_place, &ranked);
+        let hears = |place: usize| {
+            let asked = self::own_reader(place, &ranked);
+            asked == Some(self.own) || origin == Origin::Store && asked == Some(ranked[0])
+        };
+        let others = ranked.iter().enumerate().filter(|(place, _)| *place != own_place);
+        let told = others.filter(|(place, address)| hears(*place) || own_reader == Some(**address));
+        told.map(|(_, address)| *address).collect()
     }
 
     /// This router's place in `ranked`.
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{Contact, Heard, Offer, Reach, UpstreamList};
+use bendhinge_fleet::{Contact, Heard, Offer, Origin, Reach, UpstreamList};
 use bendhinge_ids::Instant;
 use bendhinge_peer::{FleetDuties, Known, ReadWord, Word};
 use bytes::Bytes;
@@ -49,9 +49,9 @@
 }
 
 /// Tells those who hear news from this gateway that there is some; they fetch what they lack.
-pub(super) async fn tell_news(control: &Rc<Control>) {
+pub(super) async fn tell_news(control: &Rc<Control>, origin: Origin) {
     let failing = control.plan.borrow().is_failing();
-    let listeners = control.roster.borrow().listeners(failing, clock::now());
+    let listeners = control.roster.borrow().listeners(origin, failing, clock::now());
     let told = listeners.into_iter().map(|address| {
         let control = Rc::clone(control);
         let executor = Rc::clone(&control.executor);
@@ -159,30 +159,32 @@
         let asked = clock::now();
         let fetched = control.peers.call(address, async |peer| peer.rules().await).await;
         if let Ok(Some((known, document))) = fetched {
-            control.take_rules(&known, asked, document, "peer");
+            control.take_rules(&known, asked, document, Origin::Peer);
         }
     }
     if word.upstreams.is_some_and(|known| delivering.upstreams.lacks(known.version)) {
         let asked = clock::now();
         let fetched = control.peers.call(address, async |peer| peer.upstreams().await).await;
         if let Ok(Some((known, list))) = fetched {
-            control.take_upstreams(&known, asked, list, "peer");
+            control.take_upstreams(&known, asked, list, Origin::Peer);
         }
     }
 }
 
 impl Control {
     /// Takes a document of rules that was known to be current `known.age` before `asked`.
-    pub(super) fn take_rules(self: &Rc<Self>, known: &Known, asked: Instant, document: Bytes, from: &str) {
+    pub(super) fn take_rules(self: &Rc<Self>, known: &Known, asked: Instant, document: Bytes, from: Origin) {
         let rules = match self.delivering.dialect.read_rules(&document) {
             Ok(rules) => rules,
-            Err(error) => return self.delivering.log.process("rules_refused", from, &error.to_string()),
+            Err(error) => {
+                return self.delivering.log.process("rules_refused", from.as_str(), &error.to_string());
+            }
         };
         let offered = RulesInForce { rules, document };
         let offer = self.delivering.rules.offer(known.version, asked - known.age, offered);
         if offer == Offer::New {
             self.delivering.log.belief("rules", known.version, from);
-            self.spread();
+            self.spread(from);
         }
     }
 
@@ -192,12 +194,12 @@
         known: &Known,
         asked: Instant,
         list: UpstreamList,
-        from: &str,
+        from: Origin,
     ) {
         let offer = self.delivering.upstreams.offer(known.version, asked - known.age, list);
         if offer == Offer::New {
             self.delivering.log.belief("upstreams", known.version, from);
-            self.spread();
+            self.spread(from);
         }
     }
 
@@ -214,9 +216,9 @@
     }
 
     /// Tells others of news in the background.
-    pub(super) fn spread(self: &Rc<Self>) {
+    pub(super) fn spread(self: &Rc<Self>, origin: Origin) {
         let control = Rc::clone(self);
-        self.executor.spawn(async move { tell_news(&control).await }).detach();
+        self.executor.spawn(async move { tell_news(&control, origin).await }).detach();
     }
 }
 
@@ -245,7 +247,7 @@
             // Only an answer to a question of its own tells it how old the knowledge is.
             let asking = async move {
                 if ask(&control, address, Content::Brief).await {
-                    control.spread();
+                    control.spread(Origin::Peer);
                 }
             };
             executor.spawn(asking).detach();
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{NewsCursors, ReadingPlan, Roster};
+use bendhinge_fleet::{NewsCursors, Origin, ReadingPlan, Roster};
 use bendhinge_peer::{Traffic, serve_fleet};
 use rand::Rng;
 use smol::net::TcpListener;
@@ -90,7 +90,7 @@
 
     /// Tells the others at once that this gateway leaves.
     pub(crate) async fn say_goodbye(self: &Rc<Self>) {
-        exchange::tell_news(self).await;
+        exchange::tell_news(self, Origin::Store).await;
     }
 }
 
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{Revision, UpstreamEntry, UpstreamList, Version};
+use bendhinge_fleet::{Origin, Revision, UpstreamEntry, UpstreamList, Version};
 use bendhinge_http::{FetchError, Fetched, empty_body, fetch};
 use bendhinge_ids::Instant;
 use bendhinge_peer::Known;
@@ -62,7 +62,7 @@
                 control.take_contents(contents, began);
                 if was_lost {
                     // The others wait for this as for news, though it may be no change.
-                    control.spread();
+                    control.spread(Origin::Store);
                 }
             }
             Err(error) => {
@@ -149,7 +149,7 @@
             let version = Version { revision, digest: revision.0 };
             if self.delivering.rules.lacks(version) {
                 let known = Known { version, age: Duration::ZERO };
-                self.take_rules(&known, began, document, "store");
+                self.take_rules(&known, began, document, Origin::Store);
             } else {
                 self.delivering.rules.confirm(version, began);
             }
@@ -158,7 +158,7 @@
         upstreams.dedup_by(|left, right| left.name == right.name);
         let list = UpstreamList { entries: upstreams.into_iter().map(Arc::new).collect() };
         let known = Known { version: Version { revision: at, digest: digest(&list) }, age: Duration::ZERO };
-        self.take_upstreams(&known, began, list, "store");
+        self.take_upstreams(&known, began, list, Origin::Store);
     }
 }
 
--- a/crates/bendhinge_gateway/src/log.rs
+++ b/crates/bendhinge_gateway/src/log.rs
@@ -7,7 +7,7 @@
 
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{Course, SendEnd};
-use bendhinge_fleet::Version;
+use bendhinge_fleet::{Origin, Version};
 use bendhinge_ids::{Instant, UpstreamName};
 use serde::Serialize;
 use spdlog::formatter::{Formatter, FormatterContext};
@@ -124,14 +124,15 @@
     }
 
     /// A belief changed.
-    pub(crate) fn belief(&self, what: &str, version: Version, from: &str) {
+    pub(crate) fn belief(&self, what: &str, version: Version, from: Origin) {
         #[derive(Serialize)]
         struct Fields<'a> {
             what: &'a str,
             revision: u64,
             digest: String,
-            from: &'a str,
+            from: &'static str,
         }
+        let from = from.as_str();
         let digest = format!("{:016x}", version.digest);
         self.line("belief", Fields { what, revision: version.revision.0, digest, from });
     }
