--- a/crates/bendhinge_codes/src/code.rs
+++ b/crates/bendhinge_codes/src/code.rs
@@ -137,7 +137,7 @@
         "This router has as many requests in progress as its limit allows.",
         "Come back after `Retry-After` seconds.";
     ViewNotFresh = 309, 503, NO, true,
-        "This router woke from a pause and has not renewed its view yet.",
+        "What this router believes is too old to act on: it woke from a pause, or nobody could tell it what is current.",
         "Come back after `Retry-After` seconds.";
     UpstreamNotReached = 401, 503, NO, true,
         "No connection to an upstream could be made within the retry budget.",
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -93,7 +93,7 @@
         Err(GivenUp::Failure(failure)) => Ok(delivery.pass_failure(*failure)),
         Err(GivenUp::Code(code)) => {
             delivery.line.ended(&delivering.log, code.http_status(), Some(code), &delivery.course);
-            Err(Refused::from(code))
+            Err(Refused { code, was_sent: true })
         }
     }
 }
--- a/crates/bendhinge_gateway/src/intake/mod.rs
+++ b/crates/bendhinge_gateway/src/intake/mod.rs
@@ -25,10 +25,12 @@
 use crate::knowledge::RulesInForce;
 use crate::lifecycle::Lifecycle;
 
-/// A request that is not served, with what its caller is told.
+/// A request that gets no upstream's answer, with what its caller is told.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Refused {
     pub(crate) code: ResultCode,
+    /// Whether it was sent, so that its line was written by whoever sent it.
+    pub(crate) was_sent: bool,
 }
 
 impl Refused {
@@ -38,9 +40,10 @@
     }
 }
 
+/// A request that was not sent.
 impl From<ResultCode> for Refused {
     fn from(code: ResultCode) -> Self {
-        Self { code }
+        Self { code, was_sent: false }
     }
 }
 
@@ -123,12 +126,14 @@
     }
 
     fn refuse(&self, id: Option<&HeaderValue>, refused: Refused) -> Response<Body> {
-        let Refused { code } = refused;
+        let Refused { code, was_sent } = refused;
         let delivering = &self.delivering;
         delivering.metrics.result(code);
-        let age = delivering.rules.age(clock::now());
-        let age = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
-        delivering.log.refused(id.and_then(|id| id.to_str().ok()).unwrap_or_default(), code, age);
+        if !was_sent {
+            let age = delivering.rules.age(clock::now());
+            let age = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+            delivering.log.refused(id.and_then(|id| id.to_str().ok()).unwrap_or_default(), code, age);
+        }
         let retry_after = code.invites_retry().then(soon);
         let mut answer = Response::new(full_body(Bytes::new()));
         *answer.status_mut() =
--- a/crates/bendhinge_lab/tests/gateway_life.rs
+++ b/crates/bendhinge_lab/tests/gateway_life.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bendhinge_lab::gateways::{Call, FleetShape, GatewayFleet, Harm, KEY, Told, until};
-use bendhinge_standin::gateway::StoreFault;
+use bendhinge_standin::gateway::{StoreFault, UpstreamFault};
 use gateway_common::{PATIENCE, call, run, send, smallest, start};
 use rustix::process::Signal;
 
@@ -155,6 +155,26 @@
     });
 }
 
+/// A request that was sent and got no answer has one line, which does not say that it was not sent.
+#[test]
+fn a_request_without_an_answer_has_one_line() {
+    run(|tasks| async move {
+        let fleet = smallest(&tasks).await;
+        fleet.upstreams[1].set_fault(UpstreamFault::Silent);
+        let mut unanswered = call("/unsafe/x");
+        unanswered.deadline = Duration::from_millis(300);
+        send(&fleet, &unanswered).await;
+        fleet.upstreams[1].set_fault(UpstreamFault::None);
+        let later = call("/safe/x");
+        send(&fleet, &later).await;
+        until(async || has_line(&fleet, 0, &[&later.id])).await;
+        let lines = fleet.gateway(0).lines();
+        let about: Vec<&String> = lines.iter().filter(|line| line.contains(&unanswered.id)).collect();
+        assert_eq!(about.len(), 1, "{about:?}");
+        assert!(about[0].contains("\"end\":\"silent\""), "{about:?}");
+    });
+}
+
 /// Nobody reads what the gateway writes: it serves on, and says later how many lines it dropped.
 #[test]
 fn serving_never_waits_for_the_log() {
