--- a/crates/bendhinge_ids/src/name.rs
+++ b/crates/bendhinge_ids/src/name.rs
@@ -70,7 +70,7 @@
 names! {
     /// A box that runs one router.
     BoxName;
-    /// A data centre: one data centre or fire data centre, the unit in which operators drain.
+    /// A data centre: the unit in which operators drain.
     DataCentreName;
     /// A customer: whoever holds a bearer key.
     CustomerName;
