Settings of router, gateway and rules are taken by the same pieces of bendhinge_ini

Key::new, read_file and Document's millis, ratio, byte_count and secret serve all, the configuration's parser too. Messages and generated pages are the same.

--- a/crates/bendhinge_configuration/src/parse.rs
+++ b/crates/bendhinge_configuration/src/parse.rs
@@ -7,7 +7,7 @@
 use bendhinge_ids::{
     ClassName, ConfigRevision, CustomerName, DataCentreName, Digest, DigestError, ModelName, UpstreamName,
 };
-use bendhinge_ini::{Document, Faults, Millis, Ratio, Section};
+use bendhinge_ini::{Document, Faults, Section};
 use bendhinge_placement::LoadBound;
 
 use crate::SCHEMA;
@@ -92,13 +92,13 @@
 
     fn class(&self, section: &Section) -> Option<Class> {
         const HIGHEST: u8 = 9;
-        let share = self.document.value::<Ratio>(section, "share");
+        let share = self.document.ratio(section, "share");
         let engine_priority = self.document.value::<u8>(section, "engine_priority")?;
         if engine_priority > HIGHEST {
             let message = format!("'engine_priority = {engine_priority}': write 0 to {HIGHEST}");
             self.document.fault_at(section, "engine_priority", ResultCode::InvalidValue, message);
         }
-        Some(Class { share: share?.0, engine_priority })
+        Some(Class { share: share?, engine_priority })
     }
 
     fn customers(&self, classes: &BTreeMap<ClassName, Class>) -> BTreeMap<CustomerName, Customer> {
@@ -112,8 +112,8 @@
             }
             let _key: Option<KeyHash> = document.value(section, "key_sha256");
             let in_progress = document.value(section, "in_progress");
-            let share = document.value::<Ratio>(section, "share");
-            Some(Customer { class: class?, in_progress: in_progress?, share: share?.0 })
+            let share = document.ratio(section, "share");
+            Some(Customer { class: class?, in_progress: in_progress?, share: share? })
         })
     }
 
@@ -132,14 +132,14 @@
 
     fn pool(&self, section: &Section) -> Option<Pool> {
         let kind = self.pool_kind(section);
-        let load_bound = self.document.value::<Ratio>(section, "load_bound")?;
-        if load_bound.0 <= 1.0 {
-            let message = format!("'load_bound = {}': write a number above 1", load_bound.0);
+        let load_bound = self.document.ratio(section, "load_bound")?;
+        if load_bound <= 1.0 {
+            let message = format!("'load_bound = {load_bound}': write a number above 1");
             self.document.fault_at(section, "load_bound", ResultCode::InvalidValue, message);
         }
         let slots = self.document.value::<std::num::NonZeroU32>(section, "slots")?;
-        let turn = self.document.value::<Millis>(section, "turn_ms")?;
-        Some(Pool { kind: kind?, load_bound: LoadBound(load_bound.0), slots: slots.get(), turn: turn.0 })
+        let turn = self.document.millis(section, "turn_ms")?;
+        Some(Pool { kind: kind?, load_bound: LoadBound(load_bound), slots: slots.get(), turn })
     }
 
     fn pool_kind(&self, section: &Section) -> Option<PoolKind> {
--- a/crates/bendhinge_gateway/src/native/rules.rs
+++ b/crates/bendhinge_gateway/src/native/rules.rs
@@ -1,11 +1,10 @@
 //! Serving rules in the product's own form: an INI document.
 
 use std::str::FromStr;
-use std::time::Duration;
 
 use bendhinge_codes::ResultCode;
 use bendhinge_ids::{CustomerName, PoolName};
-use bendhinge_ini::{ByteCount, Document, Key, Millis, Schema, Section, SectionKind};
+use bendhinge_ini::{Document, Key, Millis, Schema, Section, SectionKind};
 use bendhinge_routes::{
     CallerLimits, Customer, CustomerTable, PoolRule, Route, RouteKind, RouteTable, ServingRules, Split,
     SplitPart,
@@ -16,25 +15,16 @@
 /// The schema of the document.
 pub const SCHEMA: Schema = Schema { title: "Serving rules", sections: &[RULES, POOL, ROUTE, CUSTOMER] };
 
-const fn key(
-    name: &'static str,
-    form: &'static str,
-    default: Option<&'static str>,
-    help: &'static str,
-) -> Key {
-    Key { name, form, default, help }
-}
-
 const RULES: SectionKind = SectionKind {
     kind: "rules",
     named: false,
     required: true,
     help: "The document itself, and what callers may send.",
     keys: &[
-        key("version", "whole number", None, "Its number; a later version has a higher one."),
-        key("body_bytes", "bytes", Some("4M"), "The largest request body."),
-        key("arrival_ms", "milliseconds", Some("5000"), "How long a request may take to arrive."),
-        key("idle_ms", "milliseconds", Some("15000"), "How long a connection may stand idle."),
+        Key::new("version", "whole number", None, "Its number; a later version has a higher one."),
+        Key::new("body_bytes", "bytes", Some("4M"), "The largest request body."),
+        Key::new("arrival_ms", "milliseconds", Some("5000"), "How long a request may take to arrive."),
+        Key::new("idle_ms", "milliseconds", Some("15000"), "How long a connection may stand idle."),
     ],
 };
 
@@ -44,8 +34,8 @@
     required: true,
     help: "Upstreams that can stand in for one another.",
     keys: &[
-        key("keeps_prompts", "yes or no", Some("no"), "Whether they keep what they read of prompts."),
-        key("moves_prompts", "yes or no", Some("no"), "Whether one can fetch that from another."),
+        Key::new("keeps_prompts", "yes or no", Some("no"), "Whether they keep what they read of prompts."),
+        Key::new("moves_prompts", "yes or no", Some("no"), "Whether one can fetch that from another."),
     ],
 };
 
@@ -55,16 +45,16 @@
     required: true,
     help: "Where requests go by host and path, and what may be done with them.",
     keys: &[
-        key("host", "name", None, "The host that it answers to."),
-        key("path", "path", None, "What paths begin with; begins and ends with a slash."),
-        key("kind", "safe, unsafe, stream or resumable", None, "What may be done with its requests."),
-        key("pools", "NAME:WEIGHT, ...", None, "Where its traffic goes."),
-        key("timeout_ms", "milliseconds", None, "The longest time for which a request is held."),
-        key("target_ms", "milliseconds", None, "The time within which an answer is on time."),
-        key("gap_ms", "milliseconds", Some(""), "The longest pause within a stream that is on time."),
-        key("priority", "0 to 9", Some("5"), "Its rank; 0 is the most urgent."),
-        key("attempts", "whole number", Some("1"), "To how many upstreams one request may be sent."),
-        key("open", "yes or no", Some("no"), "Whether requests without a key are served."),
+        Key::new("host", "name", None, "The host that it answers to."),
+        Key::new("path", "path", None, "What paths begin with; begins and ends with a slash."),
+        Key::new("kind", "safe, unsafe, stream or resumable", None, "What may be done with its requests."),
+        Key::new("pools", "NAME:WEIGHT, ...", None, "Where its traffic goes."),
+        Key::new("timeout_ms", "milliseconds", None, "The longest time for which a request is held."),
+        Key::new("target_ms", "milliseconds", None, "The time within which an answer is on time."),
+        Key::new("gap_ms", "milliseconds", Some(""), "The longest pause within a stream that is on time."),
+        Key::new("priority", "0 to 9", Some("5"), "Its rank; 0 is the most urgent."),
+        Key::new("attempts", "whole number", Some("1"), "To how many upstreams one request may be sent."),
+        Key::new("open", "yes or no", Some("no"), "Whether requests without a key are served."),
     ],
 };
 
@@ -74,8 +64,8 @@
     required: false,
     help: "Who may call.",
     keys: &[
-        key("keys", "KEY, ...", Some(""), "Its keys."),
-        key("priority", "0 to 9", Some(""), "Its rank, which goes before that of the route."),
+        Key::new("keys", "KEY, ...", Some(""), "Its keys."),
+        Key::new("priority", "0 to 9", Some(""), "Its rank, which goes before that of the route."),
     ],
 };
 
@@ -152,19 +142,15 @@
         })
     }
 
-    fn millis(&self, section: &Section, key: &str) -> Option<Duration> {
-        self.0.value::<Millis>(section, key).map(|millis| millis.0)
-    }
-
     fn flag(&self, section: &Section, key: &str) -> Option<bool> {
         self.0.value::<YesOrNo>(section, key).map(|flag| flag.0)
     }
 
     fn limits(&self, section: &Section) -> Option<CallerLimits> {
-        let body_bytes = self.0.value::<ByteCount>(section, "body_bytes");
-        let arrival = self.millis(section, "arrival_ms");
-        let idle = self.millis(section, "idle_ms");
-        Some(CallerLimits { body_bytes: body_bytes?.0, arrival: arrival?, idle: idle? })
+        let body_bytes = self.0.byte_count(section, "body_bytes");
+        let arrival = self.0.millis(section, "arrival_ms");
+        let idle = self.0.millis(section, "idle_ms");
+        Some(CallerLimits { body_bytes: body_bytes?, arrival: arrival?, idle: idle? })
     }
 
     fn pool(&self, section: &Section) -> Option<(PoolName, PoolRule)> {
@@ -190,8 +176,8 @@
         let path_prefix = self.path(section);
         let kind = self.0.value::<KindName>(section, "kind");
         let split = self.0.value::<WeightedPools>(section, "pools");
-        let timeout = self.millis(section, "timeout_ms");
-        let target = self.millis(section, "target_ms");
+        let timeout = self.0.millis(section, "timeout_ms");
+        let target = self.0.millis(section, "target_ms");
         let target_gap = self.0.optional::<Millis>(section, "gap_ms").map(|gap| gap.0);
         let priority = self.0.value(section, "priority");
         let attempts = self.0.value(section, "attempts");
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -8,10 +8,9 @@
 use std::time::Duration;
 
 use bendhinge_admission::FleetRetryBudget;
-use bendhinge_codes::ResultCode;
 use bendhinge_fleet::{DirectoryLimits, JudgeLimits, ReadingLimits, RosterLimits};
 use bendhinge_ids::{BoxName, DataCentreName};
-use bendhinge_ini::{ByteCount, Document, Faults, Millis, Ratio, Section};
+use bendhinge_ini::{Document, Faults, Section, read_file};
 use bendhinge_peer::PeerKey;
 
 pub use schema::SCHEMA;
@@ -107,9 +106,7 @@
 impl Settings {
     /// Reads and checks the file at `path`.
     pub fn read(path: &Path) -> Result<Self, Faults> {
-        let file = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|error| Faults::unreadable(&file, &error))?;
-        Self::parse(&file, &text)
+        read_file(path, Self::parse)
     }
 
     /// Checks `text`; `file` is named in faults.
@@ -166,22 +163,14 @@
         })
     }
 
-    fn millis(&self, section: &Section, key: &str) -> Option<Duration> {
-        self.0.value::<Millis>(section, key).map(|millis| millis.0)
-    }
-
-    fn ratio(&self, section: &Section, key: &str) -> Option<f64> {
-        self.0.value::<Ratio>(section, key).map(|ratio| ratio.0)
-    }
-
     fn store(&self, section: &Section) -> Option<StoreSettings> {
         let address = self.0.value(section, "address");
-        let call = self.millis(section, "call_ms");
-        let first = self.millis(section, "first_ms");
-        let step = self.millis(section, "step_ms");
-        let last = self.millis(section, "last_ms");
-        let retry = self.millis(section, "retry_ms");
-        let urgent_retry = self.millis(section, "urgent_retry_ms");
+        let call = self.0.millis(section, "call_ms");
+        let first = self.0.millis(section, "first_ms");
+        let step = self.0.millis(section, "step_ms");
+        let last = self.0.millis(section, "last_ms");
+        let retry = self.0.millis(section, "retry_ms");
+        let urgent_retry = self.0.millis(section, "urgent_retry_ms");
         Some(StoreSettings {
             address: address?,
             call: call?,
@@ -196,12 +185,12 @@
     }
 
     fn fleet(&self, section: &Section) -> Option<FleetSettings> {
-        let key = self.key(section);
+        let key = self.0.secret(section, "key").map(PeerKey::new);
         let seeds = self.0.value::<Addresses>(section, "seeds");
-        let exchange = self.millis(section, "exchange_ms");
-        let call = self.millis(section, "call_ms");
-        let dead_after = self.millis(section, "dead_ms");
-        let forgotten_after = self.millis(section, "forget_ms");
+        let exchange = self.0.millis(section, "exchange_ms");
+        let call = self.0.millis(section, "call_ms");
+        let dead_after = self.0.millis(section, "dead_ms");
+        let forgotten_after = self.0.millis(section, "forget_ms");
         Some(FleetSettings {
             key: key?,
             seeds: seeds?.0,
@@ -211,21 +200,9 @@
         })
     }
 
-    fn key(&self, section: &Section) -> Option<PeerKey> {
-        const SHORTEST_KEY: usize = 16;
-        let text = self.0.value::<String>(section, "key")?;
-        if text.len() < SHORTEST_KEY {
-            let message =
-                format!("'key' has fewer than {SHORTEST_KEY} characters; write a longer, random one");
-            self.0.fault_at(section, "key", ResultCode::InvalidValue, message);
-            return None;
-        }
-        Some(PeerKey::new(&text))
-    }
-
     fn beliefs(&self, section: &Section) -> Option<BeliefSettings> {
-        let lease = self.millis(section, "rules_lease_ms");
-        let margin = self.millis(section, "margin_ms");
+        let lease = self.0.millis(section, "rules_lease_ms");
+        let margin = self.0.millis(section, "margin_ms");
         let (lease, margin) = (lease?, margin?);
         let rules_lease = (!lease.is_zero()).then(|| lease.saturating_sub(margin));
         Some(BeliefSettings { rules_lease })
@@ -238,18 +215,18 @@
         const REMEMBER: Duration = Duration::from_secs(3);
         /// Evidence older than this means that the store was in trouble.
         const GAP: Duration = Duration::from_millis(2_500);
-        let connect = self.millis(section, "connect_ms");
-        let idle = self.millis(section, "idle_ms");
-        let answer_bytes = self.0.value::<ByteCount>(section, "answer_bytes");
-        let rest = self.millis(section, "rest_ms");
-        let longest_rest = self.millis(section, "longest_rest_ms");
-        let doubt = self.millis(section, "doubt_ms");
-        let load_bound = self.ratio(section, "load_bound");
+        let connect = self.0.millis(section, "connect_ms");
+        let idle = self.0.millis(section, "idle_ms");
+        let answer_bytes = self.0.byte_count(section, "answer_bytes");
+        let rest = self.0.millis(section, "rest_ms");
+        let longest_rest = self.0.millis(section, "longest_rest_ms");
+        let doubt = self.0.millis(section, "doubt_ms");
+        let load_bound = self.0.ratio(section, "load_bound");
         #[expect(clippy::cast_possible_truncation, reason = "a small number")]
         Some(UpstreamSettings {
             connect: connect?,
             idle: idle?,
-            answer_bytes: answer_bytes?.0,
+            answer_bytes: answer_bytes?,
             judge: JudgeLimits { rest: rest?, longest_rest: longest_rest?, half_life: HALF_LIFE },
             directory: DirectoryLimits { gap: GAP, doubt: doubt?, remember: REMEMBER },
             load_bound: load_bound? as f32,
@@ -257,14 +234,14 @@
     }
 
     fn retries(&self, section: &Section) -> Option<FleetRetryBudget> {
-        let ratio = self.ratio(section, "ratio");
-        let slack = self.ratio(section, "slack");
+        let ratio = self.0.ratio(section, "ratio");
+        let slack = self.0.ratio(section, "slack");
         Some(FleetRetryBudget { ratio: ratio?, slack: slack? })
     }
 
     fn stop(&self, section: &Section) -> Option<StopSettings> {
-        let grace = self.millis(section, "grace_ms");
-        let accept = self.millis(section, "accept_ms");
+        let grace = self.0.millis(section, "grace_ms");
+        let accept = self.0.millis(section, "accept_ms");
         Some(StopSettings { grace: grace?, accept: accept? })
     }
 }
--- a/crates/bendhinge_ini/src/document.rs
+++ b/crates/bendhinge_ini/src/document.rs
@@ -3,13 +3,16 @@
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashSet};
 use std::fmt::{Display, Write as _};
+use std::path::Path;
 use std::str::FromStr;
+use std::time::Duration;
 
 use bendhinge_codes::ResultCode;
 use ini_core::{Item, Parser};
 
 use crate::fault::{Fault, Faults};
 use crate::schema::{Key, Schema, SectionKind, nearest};
+use crate::values::{ByteCount, Millis, Ratio};
 
 #[derive(Debug)]
 struct Entry {
@@ -67,6 +70,14 @@
     }
 }
 
+/// Reads the file at `path` and has `parse` check it, which is given the file's name for faults
+/// and its text.
+pub fn read_file<T>(path: &Path, parse: impl FnOnce(&str, &str) -> Result<T, Faults>) -> Result<T, Faults> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|error| Faults::unreadable(&file, &error))?;
+    parse(&file, &text)
+}
+
 /// A document whose sections and keys are those of its schema.
 ///
 /// Values are checked as they are taken; call [`Document::finish`] when all have been taken.
@@ -242,6 +253,33 @@
         if section.text(key).is_none_or(str::is_empty) { None } else { self.value(section, key) }
     }
 
+    /// The value of a key that holds a span in milliseconds.
+    pub fn millis(&self, section: &Section, key: &str) -> Option<Duration> {
+        self.value::<Millis>(section, key).map(|millis| millis.0)
+    }
+
+    /// The value of a key that holds a positive decimal number.
+    pub fn ratio(&self, section: &Section, key: &str) -> Option<f64> {
+        self.value::<Ratio>(section, key).map(|ratio| ratio.0)
+    }
+
+    /// The value of a key that holds a size.
+    pub fn byte_count(&self, section: &Section, key: &str) -> Option<usize> {
+        self.value::<ByteCount>(section, key).map(|bytes| bytes.0)
+    }
+
+    /// The value of a key that holds a secret; one that is easily guessed is a fault.
+    pub fn secret<'a>(&self, section: &'a Section, key: &str) -> Option<&'a str> {
+        const SHORTEST: usize = 16;
+        let text = section.text(key)?;
+        if text.len() < SHORTEST {
+            let message = format!("'{key}' has fewer than {SHORTEST} characters; write a longer, random one");
+            self.fault_at(section, key, ResultCode::InvalidValue, message);
+            return None;
+        }
+        Some(text)
+    }
+
     /// Sets `key` of the section titled `title`, adding the section if it is not there.
     ///
     /// Unknown titles and keys are noted as faults, with the line 0 of a change that stands in
--- a/crates/bendhinge_ini/src/lib.rs
+++ b/crates/bendhinge_ini/src/lib.rs
@@ -10,7 +10,7 @@
 mod schema;
 mod values;
 
-pub use document::{Document, Section};
+pub use document::{Document, Section, read_file};
 pub use fault::{Fault, Faults};
 pub use reference::markdown_reference;
 pub use schema::{Key, Schema, SectionKind};
--- a/crates/bendhinge_ini/src/schema.rs
+++ b/crates/bendhinge_ini/src/schema.rs
@@ -13,6 +13,19 @@
     pub help: &'static str,
 }
 
+impl Key {
+    /// A key with all that is said of it.
+    #[must_use]
+    pub const fn new(
+        name: &'static str,
+        form: &'static str,
+        default: Option<&'static str>,
+        help: &'static str,
+    ) -> Self {
+        Self { name, form, default, help }
+    }
+}
+
 /// One kind of section: `[kind]`, or `[kind.NAME]` where `named`.
 #[derive(Clone, Copy, Debug)]
 pub struct SectionKind {
--- a/crates/bendhinge_router/src/settings/mod.rs
+++ b/crates/bendhinge_router/src/settings/mod.rs
@@ -10,7 +10,7 @@
 use bendhinge_codes::ResultCode;
 use bendhinge_configuration::SealKey;
 use bendhinge_ids::{BoxName, DataCentreName};
-use bendhinge_ini::{ByteCount, Document, Faults, Millis, Section};
+use bendhinge_ini::{Document, Faults, Section, read_file};
 use bendhinge_peer::PeerKey;
 
 pub use schema::SCHEMA;
@@ -129,9 +129,7 @@
 impl Settings {
     /// Reads and checks the file at `path`.
     pub fn read(path: &Path) -> Result<Self, Faults> {
-        let file = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|error| Faults::unreadable(&file, &error))?;
-        Self::parse(&file, &text)
+        read_file(path, Self::parse)
     }
 
     /// Checks `text`; `file` is named in faults.
@@ -180,59 +178,44 @@
         self.0.section(kind).and_then(|section| read(self, section))
     }
 
-    fn millis(&self, section: &Section, key: &str) -> Option<Duration> {
-        self.0.value::<Millis>(section, key).map(|millis| millis.0)
-    }
-
-    fn bytes(&self, section: &Section, key: &str) -> Option<usize> {
-        self.0.value::<ByteCount>(section, key).map(|bytes| bytes.0)
-    }
-
     fn platform(&self, section: &Section) -> Option<PlatformSettings> {
         let address = self.0.value(section, "address");
-        let wait = self.millis(section, "wait_ms");
-        let retry = self.millis(section, "retry_ms");
+        let wait = self.0.millis(section, "wait_ms");
+        let retry = self.0.millis(section, "retry_ms");
         let readers = self.0.value(section, "readers");
         Some(PlatformSettings { address: address?, wait: wait?, retry: retry?, readers: readers? })
     }
 
     fn keys(&self, section: &Section) -> Option<Keys> {
-        let peers = self.key(section, "peers");
-        let operators = self.key(section, "operators");
-        let seal = self.key(section, "seal");
-        Some(Keys { peers: PeerKey::new(&peers?), operators: operators?, seal: SealKey::new(&seal?) })
-    }
-
-    fn key(&self, section: &Section, key: &str) -> Option<String> {
-        const SHORTEST: usize = 16;
-        let text = section.text(key)?;
-        if text.len() < SHORTEST {
-            let message = format!("'{key}' has fewer than {SHORTEST} characters; write a longer, random one");
-            self.0.fault_at(section, key, ResultCode::InvalidValue, message);
-            return None;
-        }
-        Some(text.to_owned())
+        let peers = self.0.secret(section, "peers");
+        let operators = self.0.secret(section, "operators");
+        let seal = self.0.secret(section, "seal");
+        Some(Keys {
+            peers: PeerKey::new(peers?),
+            operators: operators?.to_owned(),
+            seal: SealKey::new(seal?),
+        })
     }
 
     fn limits(&self, section: &Section) -> Option<Limits> {
         const SMALLEST_HEAD: usize = 8 << 10;
-        let head_bytes = self.bytes(section, "head_bytes");
+        let head_bytes = self.0.byte_count(section, "head_bytes");
         if head_bytes.is_some_and(|bytes| bytes < SMALLEST_HEAD) {
             let message =
                 format!("'head_bytes' is below {SMALLEST_HEAD}, the least that the HTTP library takes");
             self.0.fault_at(section, "head_bytes", ResultCode::InvalidValue, message);
         }
-        let body_bytes = self.bytes(section, "body_bytes");
-        let answer_bytes = self.bytes(section, "answer_bytes");
+        let body_bytes = self.0.byte_count(section, "body_bytes");
+        let answer_bytes = self.0.byte_count(section, "answer_bytes");
         let connections = self.0.value(section, "connections");
         let in_progress = self.0.value(section, "in_progress");
-        let head = self.millis(section, "head_ms");
-        let body = self.millis(section, "body_ms");
-        let idle = self.millis(section, "idle_ms");
-        let connect = self.millis(section, "connect_ms");
-        let first_byte = self.millis(section, "first_byte_ms");
-        let stop = self.millis(section, "stop_ms");
-        let stop_grace = self.millis(section, "stop_grace_ms");
+        let head = self.0.millis(section, "head_ms");
+        let body = self.0.millis(section, "body_ms");
+        let idle = self.0.millis(section, "idle_ms");
+        let connect = self.0.millis(section, "connect_ms");
+        let first_byte = self.0.millis(section, "first_byte_ms");
+        let stop = self.0.millis(section, "stop_ms");
+        let stop_grace = self.0.millis(section, "stop_grace_ms");
         let attempts = self.0.value(section, "attempts");
         Some(Limits {
             head_bytes: head_bytes?,
@@ -252,18 +235,18 @@
     }
 
     fn once(&self, section: &Section) -> Option<OnceSettings> {
-        let window = self.millis(section, "window_ms");
+        let window = self.0.millis(section, "window_ms");
         let keys = self.0.value(section, "keys");
         Some(OnceSettings { window: window?, keys: keys? })
     }
 
     fn control(&self, section: &Section) -> Option<ControlSettings> {
-        let exchange = self.millis(section, "exchange_ms");
-        let call = self.millis(section, "call_ms");
-        let lease = self.millis(section, "lease_ms");
-        let load = self.millis(section, "load_ms");
-        let gap = self.millis(section, "gap_ms");
-        let patience = self.millis(section, "patience_ms");
+        let exchange = self.0.millis(section, "exchange_ms");
+        let call = self.0.millis(section, "call_ms");
+        let lease = self.0.millis(section, "lease_ms");
+        let load = self.0.millis(section, "load_ms");
+        let gap = self.0.millis(section, "gap_ms");
+        let patience = self.0.millis(section, "patience_ms");
         Some(ControlSettings {
             exchange: exchange?,
             call: call?,
--- a/crates/bendhinge_router/src/settings/schema.rs
+++ b/crates/bendhinge_router/src/settings/schema.rs
@@ -6,28 +6,19 @@
 pub const SCHEMA: Schema =
     Schema { title: "Router settings", sections: &[ROUTER, PLATFORM, KEYS, LIMITS, ONCE, CONTROL] };
 
-const fn key(
-    name: &'static str,
-    form: &'static str,
-    default: Option<&'static str>,
-    help: &'static str,
-) -> Key {
-    Key { name, form, default, help }
-}
-
 const ROUTER: SectionKind = SectionKind {
     kind: "router",
     named: false,
     required: true,
     help: "The router itself.",
     keys: &[
-        key("name", "name", None, "The box's name, as in the platform's list."),
-        key("data_centre", "name", None, "The box's data centre."),
-        key("callers", "address:port", None, "Where callers connect; port 0 takes a free one."),
-        key("operators", "address:port", None, "Where operators connect; never reachable for callers."),
-        key("peers", "address:port", None, "Where other routers connect."),
-        key("workers", "whole number", Some("2"), "Threads that serve callers."),
-        key("events", "whole number", Some("8192"), "Events kept in memory for the time line."),
+        Key::new("name", "name", None, "The box's name, as in the platform's list."),
+        Key::new("data_centre", "name", None, "The box's data centre."),
+        Key::new("callers", "address:port", None, "Where callers connect; port 0 takes a free one."),
+        Key::new("operators", "address:port", None, "Where operators connect; never reachable for callers."),
+        Key::new("peers", "address:port", None, "Where other routers connect."),
+        Key::new("workers", "whole number", Some("2"), "Threads that serve callers."),
+        Key::new("events", "whole number", Some("8192"), "Events kept in memory for the time line."),
     ],
 };
 
@@ -37,10 +28,15 @@
     required: true,
     help: "How the platform's configuration service and list are read.",
     keys: &[
-        key("address", "address:port", None, "The platform's address."),
-        key("wait_ms", "milliseconds", Some("20000"), "How long a watch waits; each counts as a call."),
-        key("retry_ms", "milliseconds", Some("1000"), "How long after a failure it is asked again."),
-        key("readers", "whole number", Some("2"), "How many routers read it; the others hear from these."),
+        Key::new("address", "address:port", None, "The platform's address."),
+        Key::new("wait_ms", "milliseconds", Some("20000"), "How long a watch waits; each counts as a call."),
+        Key::new("retry_ms", "milliseconds", Some("1000"), "How long after a failure it is asked again."),
+        Key::new(
+            "readers",
+            "whole number",
+            Some("2"),
+            "How many routers read it; the others hear from these.",
+        ),
     ],
 };
 
@@ -50,14 +46,14 @@
     required: true,
     help: "Keys, the same on all boxes. Keep the file readable for the router alone.",
     keys: &[
-        key(
+        Key::new(
             "peers",
             "16 or more characters",
             None,
             "Shows other routers that this one belongs to the fleet.",
         ),
-        key("operators", "16 or more characters", None, "Lets operators in."),
-        key("seal", "16 or more characters", None, "Shows that a configuration was confirmed."),
+        Key::new("operators", "16 or more characters", None, "Lets operators in."),
+        Key::new("seal", "16 or more characters", None, "Shows that a configuration was confirmed."),
     ],
 };
 
@@ -67,39 +63,49 @@
     required: false,
     help: "Limits on callers and upstreams.",
     keys: &[
-        key("head_bytes", "bytes", Some("64K"), "The largest request head, at least 8K."),
-        key(
+        Key::new("head_bytes", "bytes", Some("64K"), "The largest request head, at least 8K."),
+        Key::new(
             "body_bytes",
             "bytes",
             Some("16M"),
             "The largest chat request body. Bodies to plain services have no limit.",
         ),
-        key("answer_bytes", "bytes", Some("16M"), "The largest chat answer that is not streamed."),
-        key("connections", "whole number", Some("10000"), "Callers' connections; further ones are closed."),
-        key("in_progress", "whole number", Some("4096"), "Requests in progress in this router."),
-        key(
+        Key::new("answer_bytes", "bytes", Some("16M"), "The largest chat answer that is not streamed."),
+        Key::new(
+            "connections",
+            "whole number",
+            Some("10000"),
+            "Callers' connections; further ones are closed.",
+        ),
+        Key::new("in_progress", "whole number", Some("4096"), "Requests in progress in this router."),
+        Key::new(
             "head_ms",
             "milliseconds",
             Some("60000"),
             "Time for a request head to arrive; also how long a connection may stand idle.",
         ),
-        key("body_ms", "milliseconds", Some("30000"), "Time for a chat request body to arrive."),
-        key("idle_ms", "milliseconds", Some("120000"), "Longest pause within an answer."),
-        key("connect_ms", "milliseconds", Some("1000"), "Time to connect to an upstream."),
-        key("first_byte_ms", "milliseconds", Some("120000"), "Time for the head of an upstream's answer."),
-        key(
+        Key::new("body_ms", "milliseconds", Some("30000"), "Time for a chat request body to arrive."),
+        Key::new("idle_ms", "milliseconds", Some("120000"), "Longest pause within an answer."),
+        Key::new("connect_ms", "milliseconds", Some("1000"), "Time to connect to an upstream."),
+        Key::new(
+            "first_byte_ms",
+            "milliseconds",
+            Some("120000"),
+            "Time for the head of an upstream's answer.",
+        ),
+        Key::new(
             "stop_ms",
             "milliseconds",
             Some("600000"),
             "Time for requests in progress when the router stops.",
         ),
-        key(
+        Key::new(
             "stop_grace_ms",
             "milliseconds",
             Some("0"),
             "How long a stopping router still takes connections.",
         ),
-        key("attempts", "whole number", Some("3"), "Attempts per request, the first among them."),
+        Key::new("attempts", "whole number", Some("3"), "Attempts per request, the first among them."),
     ],
 };
 
@@ -109,13 +115,13 @@
     required: false,
     help: "Requests that run at most once.",
     keys: &[
-        key(
+        Key::new(
             "window_ms",
             "milliseconds",
             Some("600000"),
             "How long idempotency keys are kept; callers must not retry for longer.",
         ),
-        key("keys", "whole number", Some("20000"), "How many are kept; further ones are refused."),
+        Key::new("keys", "whole number", Some("20000"), "How many are kept; further ones are refused."),
     ],
 };
 
@@ -125,27 +131,27 @@
     required: false,
     help: "Traffic between routers and towards upstreams' reports.",
     keys: &[
-        key(
+        Key::new(
             "exchange_ms",
             "milliseconds",
             Some("500"),
             "The period of exchanges between routers, and of admission rounds.",
         ),
-        key("call_ms", "milliseconds", Some("150"), "Time for another router to answer."),
-        key(
+        Key::new("call_ms", "milliseconds", Some("150"), "Time for another router to answer."),
+        Key::new(
             "lease_ms",
             "milliseconds",
             Some("10000"),
             "A router that is silent for this long has lost its permits.",
         ),
-        key("load_ms", "milliseconds", Some("500"), "The period of load queries to upstreams."),
-        key(
+        Key::new("load_ms", "milliseconds", Some("500"), "The period of load queries to upstreams."),
+        Key::new(
             "gap_ms",
             "milliseconds",
             Some("2000"),
             "A gap on the own clock longer than this means that the router was frozen.",
         ),
-        key(
+        Key::new(
             "patience_ms",
             "milliseconds",
             Some("3000"),
