--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -13,7 +13,6 @@
 use smol::Timer;
 
 use super::{Control, draw};
-use crate::clock;
 use crate::knowledge::RulesInForce;
 
 /// After how many rounds any other is asked, besides the one that hears of the store.
@@ -25,7 +24,7 @@
 pub(super) async fn run(control: Rc<Control>) {
     let mut round = 0_u32;
     loop {
-        let now = clock::now();
+        let now = bendhinge_clock::now();
         let failing = control.plan.borrow().is_failing();
         let reach = if round.is_multiple_of(ANY_EVERY) { Reach::Any } else { Reach::Reader };
         let mut contacts = control.roster.borrow().contacts(reach, failing, now, &mut draw);
@@ -51,7 +50,7 @@
 /// Tells those who hear news from this gateway that there is some; they fetch what they lack.
 pub(super) async fn tell_news(control: &Rc<Control>, origin: Origin) {
     let failing = control.plan.borrow().is_failing();
-    let listeners = control.roster.borrow().listeners(origin, failing, clock::now());
+    let listeners = control.roster.borrow().listeners(origin, failing, bendhinge_clock::now());
     let told = listeners.into_iter().map(|address| {
         let control = Rc::clone(control);
         let executor = Rc::clone(&control.executor);
@@ -70,7 +69,7 @@
     if ask(control, contact.address(), Content::Whole).await || !matches!(contact, Contact::Reader(_)) {
         return;
     }
-    let another = control.roster.borrow().any_contact(clock::now(), &mut draw);
+    let another = control.roster.borrow().any_contact(bendhinge_clock::now(), &mut draw);
     if let Some(another) = another {
         ask(control, another.address(), Content::Whole).await;
     }
@@ -78,7 +77,7 @@
 
 /// Exchanges words with the gateway at `address` and takes its word in; `false` if it gave none.
 async fn ask(control: &Rc<Control>, address: SocketAddr, content: Content) -> bool {
-    let asked = clock::now();
+    let asked = bendhinge_clock::now();
     let word = own_word(control, address, content, asked);
     let answer = control.peers.call(address, async |peer| peer.exchange(&word).await).await;
     control.delivering.metrics.exchange(answer.is_ok());
@@ -133,7 +132,7 @@
 /// Takes a word in. `asked` is when it was asked for: only then is it known how old it can be at
 /// most, and only then does it count as evidence of what is current.
 fn take_in(control: &Control, word: &Word, asked: Option<Instant>) {
-    let now = clock::now();
+    let now = bendhinge_clock::now();
     let mut roster = control.roster.borrow_mut();
     roster.hear(&word.sender, now);
     for heard in &word.members {
@@ -156,14 +155,14 @@
 async fn fetch_news(control: &Rc<Control>, address: SocketAddr, word: &Word) {
     let delivering = &control.delivering;
     if word.rules.is_some_and(|known| delivering.rules.lacks(known.version)) {
-        let asked = clock::now();
+        let asked = bendhinge_clock::now();
         let fetched = control.peers.call(address, async |peer| peer.rules().await).await;
         if let Ok(Some((known, document))) = fetched {
             control.take_rules(&known, asked, document, Origin::Peer);
         }
     }
     if word.upstreams.is_some_and(|known| delivering.upstreams.lacks(known.version)) {
-        let asked = clock::now();
+        let asked = bendhinge_clock::now();
         let fetched = control.peers.call(address, async |peer| peer.upstreams().await).await;
         if let Ok(Some((known, list))) = fetched {
             control.take_upstreams(&known, asked, list, Origin::Peer);
@@ -206,7 +205,7 @@
     /// Whether the sender of `word` knows the rules held here to be current, of which this gateway
     /// has had no evidence for long.
     fn is_much_fresher(&self, word: &Word) -> bool {
-        let held = self.delivering.rules.known(clock::now());
+        let held = self.delivering.rules.known(bendhinge_clock::now());
         word.rules.zip(held).is_some_and(|(told, held)| {
             // Only knowledge that ends the want of it counts: were a little fresher enough, word
             // of it would go round and round while nobody reaches the store.
@@ -234,7 +233,7 @@
         let is_fresher = control.is_much_fresher(&word);
         let has_news = word.rules.is_some_and(|known| delivering.rules.lacks(known.version))
             || word.upstreams.is_some_and(|known| delivering.upstreams.lacks(known.version));
-        let now = clock::now();
+        let now = bendhinge_clock::now();
         let content = if word.is_brief { Content::Brief } else { Content::Whole };
         let answer = own_word(&self.0, address, content, now);
         if content == Content::Whole {
@@ -257,17 +256,17 @@
 
     fn rules(&self) -> Option<(Known, Bytes)> {
         let rules = &self.0.delivering.rules;
-        let known = rules.known(clock::now())?;
+        let known = rules.known(bendhinge_clock::now())?;
         Some((known, rules.current()?.document.clone()))
     }
 
     fn reads(&self) -> Option<Vec<ReadWord>> {
-        self.0.is_informed.get().then(|| self.0.delivering.upstreams.all_reads(clock::now()))
+        self.0.is_informed.get().then(|| self.0.delivering.upstreams.all_reads(bendhinge_clock::now()))
     }
 
     fn upstreams(&self) -> Option<(Known, UpstreamList)> {
         let upstreams = &self.0.delivering.upstreams;
-        let known = upstreams.known(clock::now())?;
+        let known = upstreams.known(bendhinge_clock::now())?;
         Some((known, Arc::unwrap_or_clone(upstreams.list()?)))
     }
 }
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -103,7 +103,7 @@
     const PERIOD: Duration = Duration::from_secs(1);
     loop {
         Timer::after(PERIOD).await;
-        let now = crate::clock::now();
+        let now = bendhinge_clock::now();
         control.roster.borrow_mut().forget(now);
         control.delivering.retries.divide_among(control.roster.borrow().known_count());
         control.news.borrow_mut().forget(now);
--- a/crates/bendhinge_gateway/src/control/peers.rs
+++ b/crates/bendhinge_gateway/src/control/peers.rs
@@ -12,7 +12,6 @@
 use smol::LocalExecutor;
 use smol::lock::Mutex;
 
-use crate::clock;
 use crate::settings::FleetSettings;
 
 /// How long one that gave no answer is not asked again.
@@ -62,32 +61,32 @@
         if result.is_err() {
             let mut slot = slot.lock().await;
             slot.client = None;
-            slot.paused_until = clock::now() + PAUSE_AFTER_FAILURE;
+            slot.paused_until = bendhinge_clock::now() + PAUSE_AFTER_FAILURE;
         }
         result
     }
 
     async fn client(&self, slot: &Mutex<Slot>, address: SocketAddr) -> Result<FleetClient, CallError> {
         let mut slot = slot.lock().await;
-        slot.used = clock::now();
+        slot.used = bendhinge_clock::now();
         if let Some(client) = &slot.client {
             return Ok(client.clone());
         }
-        if clock::now() < slot.paused_until {
+        if bendhinge_clock::now() < slot.paused_until {
             return Err(CallError::Timeout(self.time));
         }
         let connected =
             FleetClient::connect(address, &self.key, self.time, &self.traffic, &self.executor).await;
         match &connected {
             Ok(client) => slot.client = Some(client.clone()),
-            Err(_) => slot.paused_until = clock::now() + PAUSE_AFTER_FAILURE,
+            Err(_) => slot.paused_until = bendhinge_clock::now() + PAUSE_AFTER_FAILURE,
         }
         connected
     }
 
     /// Drops connections that were not used for long.
     pub(super) fn prune(&self) {
-        let now = clock::now();
+        let now = bendhinge_clock::now();
         self.slots
             .borrow_mut()
             .retain(|_, slot| slot.try_lock().is_none_or(|slot| now.since(slot.used) < KEPT_UNUSED));
--- a/crates/bendhinge_gateway/src/control/recovery.rs
+++ b/crates/bendhinge_gateway/src/control/recovery.rs
@@ -12,7 +12,6 @@
 use smol::{Task, Timer};
 
 use super::Control;
-use crate::clock;
 
 /// How often it is looked whether something can be learned.
 const LOOK: Duration = Duration::from_millis(100);
@@ -39,13 +38,13 @@
 
 impl Control {
     async fn learn(self: &Rc<Self>) {
-        let mut plan = Relearning::new(LIMITS, clock::now());
+        let mut plan = Relearning::new(LIMITS, bendhinge_clock::now());
         loop {
             Timer::after(LOOK).await;
             if self.learn_from_another().await {
                 return;
             }
-            let now = clock::now();
+            let now = bendhinge_clock::now();
             let members = self.roster.borrow().live_count(now);
             match plan.step(members, self.own_rank(now), now) {
                 RelearnStep::Wait => {}
@@ -64,7 +63,8 @@
     /// Asks the gateway that hears of the store, or any; `false` if neither knew enough.
     async fn learn_from_another(&self) -> bool {
         let failing = self.plan.borrow().is_failing();
-        let contacts = self.roster.borrow().contacts(Reach::Any, failing, clock::now(), &mut super::draw);
+        let contacts =
+            self.roster.borrow().contacts(Reach::Any, failing, bendhinge_clock::now(), &mut super::draw);
         for contact in contacts {
             let reads = self.peers.call(contact.address(), async |peer| peer.reads().await).await;
             if let Ok(Some(reads)) = reads {
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -14,7 +14,6 @@
 use smol::Timer;
 
 use super::Control;
-use crate::clock;
 use crate::dialect::{StorePage, StoredRules, TranslateError};
 
 /// The largest page that is read.
@@ -51,12 +50,12 @@
             Timer::after(wait.min(LOOK)).await;
             continue;
         }
-        let began = clock::now();
+        let began = bendhinge_clock::now();
         let contents = read(&control).await;
         control.delivering.metrics.store_read(contents.is_ok());
         match contents {
             Ok(contents) => {
-                control.plan.borrow_mut().succeeded(clock::now());
+                control.plan.borrow_mut().succeeded(bendhinge_clock::now());
                 control.note_store(true, "");
                 let was_lost = control.evidence_is_lost();
                 control.take_contents(contents, began);
@@ -66,7 +65,7 @@
                 }
             }
             Err(error) => {
-                control.plan.borrow_mut().failed(clock::now());
+                control.plan.borrow_mut().failed(bendhinge_clock::now());
                 control.note_store(false, &error.to_string());
             }
         }
@@ -74,7 +73,7 @@
 }
 
 async fn read(control: &Control) -> Result<Contents, ReadError> {
-    let known = control.delivering.rules.known(clock::now()).map(|known| known.version.revision);
+    let known = control.delivering.rules.known(bendhinge_clock::now()).map(|known| known.version.revision);
     let mut contents = Contents::default();
     for path in control.delivering.dialect.store_paths() {
         let mut after: Option<String> = None;
@@ -116,7 +115,7 @@
 impl Control {
     /// How long until this gateway should read the store.
     fn until_due(&self) -> Duration {
-        let now = clock::now();
+        let now = bendhinge_clock::now();
         let oldest = self.evidence_age();
         let failing = self.plan.borrow().is_failing();
         let rank = self.roster.borrow().own_rank(failing, now);
@@ -130,7 +129,7 @@
 
     /// The age of the oldest of what the store tells; `None` before it has told all.
     fn evidence_age(&self) -> Option<Duration> {
-        let now = clock::now();
+        let now = bendhinge_clock::now();
         let rules = self.delivering.rules.age(now);
         let upstreams = self.delivering.upstreams.age(now);
         rules.zip(upstreams).map(|(rules, upstreams)| rules.max(upstreams))
--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -14,7 +14,6 @@
 use smol::Timer;
 
 use super::{Delivering, Turn};
-use crate::clock;
 use crate::dialect::{AnswerFields, AttemptFields};
 use crate::knowledge::Chosen;
 
@@ -277,7 +276,7 @@
 
     /// Whether the turn may be sent now: rules may have changed, or grown too old to act on.
     fn may_still_be_sent(&self, turn: &Turn) -> bool {
-        clock::now() < turn.limit && turn.is_allowed(&self.rules)
+        bendhinge_clock::now() < turn.limit && turn.is_allowed(&self.rules)
     }
 }
 
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -18,7 +18,6 @@
 
 use self::attempt::{Attempt, AttemptBody, Ended, FailureAnswer, SendTimes, attempt, promises_not_run};
 use self::relay::{Relay, relayed};
-use crate::clock;
 use crate::dialect::{CallFields, Dialect};
 use crate::intake::Refused;
 use crate::intake::headers;
@@ -69,7 +68,7 @@
     }
 
     fn time_left(&self) -> Duration {
-        self.limit.since(clock::now())
+        self.limit.since(bendhinge_clock::now())
     }
 }
 
@@ -125,7 +124,7 @@
             match attempt(&self.delivering, &self.turn, chosen, &times, resume_after).await {
                 Ok(attempt) => {
                     self.delivering.upstreams.answered(upstream);
-                    self.delivering.metrics.first_byte(clock::now().since(self.turn.began));
+                    self.delivering.metrics.first_byte(bendhinge_clock::now().since(self.turn.began));
                     return Ok(attempt);
                 }
                 Err((chosen, ended)) => self.after(&chosen, ended)?,
--- a/crates/bendhinge_gateway/src/intake/mod.rs
+++ b/crates/bendhinge_gateway/src/intake/mod.rs
@@ -19,7 +19,6 @@
 use smol::Timer;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::clock;
 use crate::delivery::{Delivering, Turn, deliver};
 use crate::dialect::{CallFields, RefusalFields};
 use crate::knowledge::RulesInForce;
@@ -55,7 +54,7 @@
 
 /// Answers one request of a caller.
 pub(crate) async fn handle(intake: Arc<Intake>, request: Request<Incoming>) -> Response<Body> {
-    let began = clock::now();
+    let began = bendhinge_clock::now();
     let (head, body) = request.into_parts();
     // The HTTP library drops a length that stands before a transfer coding; what comes behind
     // such a request could be part of it to another reader, and is not read (RFC 9112, 6.1).
@@ -130,7 +129,7 @@
         let delivering = &self.delivering;
         delivering.metrics.result(code);
         if !was_sent {
-            let age = delivering.rules.age(clock::now());
+            let age = delivering.rules.age(bendhinge_clock::now());
             let age = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
             delivering.log.refused(id.and_then(|id| id.to_str().ok()).unwrap_or_default(), code, age);
         }
@@ -208,7 +207,7 @@
         })
     };
     let too_long = async {
-        Timer::after(limit.since(clock::now())).await;
+        Timer::after(limit.since(bendhinge_clock::now())).await;
         Err(ResultCode::SlowCaller.into())
     };
     reading.or(too_long).await
--- a/crates/bendhinge_gateway/src/knowledge/rules.rs
+++ b/crates/bendhinge_gateway/src/knowledge/rules.rs
@@ -9,8 +9,6 @@
 use bendhinge_routes::ServingRules;
 use bytes::Bytes;
 
-use crate::clock;
-
 /// A version of the rules with the document it was read from.
 #[derive(Debug)]
 pub(crate) struct RulesInForce {
@@ -40,7 +38,7 @@
     pub(crate) fn may_be_acted_on(&self) -> bool {
         let belief = self.belief.lock().unwrap();
         match self.lease {
-            Some(lease) => belief.is_within(lease, clock::now()),
+            Some(lease) => belief.is_within(lease, bendhinge_clock::now()),
             None => belief.held().is_some(),
         }
     }
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -15,7 +15,6 @@
 use bendhinge_routes::PoolRule;
 
 use super::loads::{Loads, Said};
-use crate::clock;
 use crate::dialect::LoadSaid;
 use crate::settings::UpstreamSettings;
 
@@ -117,7 +116,7 @@
         let mut state = self.state.lock().unwrap();
         let offer = state.belief.confirm(version, as_of);
         if offer == Offer::Confirmed {
-            state.directory.evidence(as_of, clock::now());
+            state.directory.evidence(as_of, bendhinge_clock::now());
         }
         offer
     }
@@ -126,7 +125,7 @@
         let mut state = self.state.lock().unwrap();
         let offer = state.belief.offer(version, as_of, || Arc::new(list));
         if offer != Offer::Old {
-            state.directory.evidence(as_of, clock::now());
+            state.directory.evidence(as_of, bendhinge_clock::now());
         }
         if offer == Offer::New {
             state.follow_list();
@@ -136,7 +135,7 @@
 
     /// Chooses an upstream, and takes a place there.
     pub(crate) fn choose(self: &Arc<Self>, question: &PlacementQuestion<'_>) -> Option<Chosen> {
-        let now = clock::now();
+        let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
         let (listed, candidates) = state.candidates(question, now);
         let asked = Question {
@@ -161,17 +160,17 @@
 
     /// Notes an upstream's whole answer, or the head of a stream.
     pub(crate) fn answered(&self, upstream: NameHash) {
-        self.state.lock().unwrap().judge.answered(upstream, clock::now());
+        self.state.lock().unwrap().judge.answered(upstream, bendhinge_clock::now());
     }
 
     /// Notes a failure; `true` if the upstream rests because of it.
     pub(crate) fn failed(&self, upstream: NameHash, mishap: Mishap) -> bool {
-        self.state.lock().unwrap().judge.failed(upstream, mishap, clock::now())
+        self.state.lock().unwrap().judge.failed(upstream, mishap, bendhinge_clock::now())
     }
 
     /// Notes what an upstream said of its load.
     pub(crate) fn load_said(&self, upstream: NameHash, load: LoadSaid) {
-        let said = Said { upstream, in_progress: load.running + load.waiting, at: clock::now() };
+        let said = Said { upstream, in_progress: load.running + load.waiting, at: bendhinge_clock::now() };
         self.state.lock().unwrap().loads.learn(said);
     }
 
@@ -218,7 +217,7 @@
 
     /// Takes in what others told at once, or an upstream listed: it is not told of again.
     pub(crate) fn recover_reads(&self, reads: &[ReadWord]) {
-        let now = clock::now();
+        let now = bendhinge_clock::now();
         let learned = Learned { at: Instant::default(), from: Teller::Itself };
         self.learn_reads(reads, now, learned);
     }
@@ -226,7 +225,7 @@
     /// Takes in which parts upstreams read, as the gateway at `from` told in an exchange that
     /// began at `asked`.
     pub(crate) fn hear_reads(&self, reads: &[ReadWord], from: SocketAddr, asked: Instant) {
-        self.learn_reads(reads, asked, Learned { at: clock::now(), from: teller(from) });
+        self.learn_reads(reads, asked, Learned { at: bendhinge_clock::now(), from: teller(from) });
     }
 
     /// Takes in reads whose ages count from `as_of`.
@@ -240,7 +239,7 @@
 
     /// Gives up what is too old.
     pub(crate) fn prune(&self) {
-        let now = clock::now();
+        let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
         if state.directory.prune(now) {
             state.forget_gone();
@@ -262,7 +261,7 @@
 impl State {
     fn follow_list(&mut self) {
         if let Some(list) = self.belief.value() {
-            self.directory.take(list, clock::now());
+            self.directory.take(list, bendhinge_clock::now());
             self.forget_gone();
         }
     }
--- a/crates/bendhinge_gateway/src/lib.rs
+++ b/crates/bendhinge_gateway/src/lib.rs
@@ -13,7 +13,6 @@
 //! [`dialect`].
 
 mod args;
-mod clock;
 mod control;
 mod delivery;
 pub mod dialect;
--- a/crates/bendhinge_gateway/src/lifecycle.rs
+++ b/crates/bendhinge_gateway/src/lifecycle.rs
@@ -8,7 +8,6 @@
 use bendhinge_ids::Instant;
 use smol::Timer;
 
-use crate::clock;
 use crate::settings::StopSettings;
 
 /// Where the process stands.
@@ -56,7 +55,7 @@
 
     /// Notes that the process was asked to stop.
     pub(crate) fn stop(&self) {
-        *self.stopping_since.lock().unwrap() = Some(clock::now());
+        *self.stopping_since.lock().unwrap() = Some(bendhinge_clock::now());
         self.stopping.store(true, Ordering::Release);
     }
 
@@ -64,7 +63,7 @@
     /// so that callers and the balancer can notice.
     pub(crate) fn takes_requests(&self) -> bool {
         let since = *self.stopping_since.lock().unwrap();
-        since.is_none_or(|since| clock::now().since(since) < self.settings.accept)
+        since.is_none_or(|since| bendhinge_clock::now().since(since) < self.settings.accept)
     }
 
     /// Waits until callers had time to notice and no request is in progress, or until the time
@@ -75,8 +74,8 @@
         const LAST_MOMENTS: Duration = Duration::from_millis(400);
         Timer::after(self.settings.accept).await;
         let rest = self.settings.grace.saturating_sub(self.settings.accept + LAST_MOMENTS);
-        let until = clock::now() + rest;
-        while self.in_progress() > 0 && clock::now() < until {
+        let until = bendhinge_clock::now() + rest;
+        while self.in_progress() > 0 && bendhinge_clock::now() < until {
             Timer::after(LOOK).await;
         }
     }
--- a/crates/bendhinge_gateway/src/log.rs
+++ b/crates/bendhinge_gateway/src/log.rs
@@ -14,7 +14,6 @@
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink};
 use spdlog::{Record, StringBuf, ThreadPool};
 
-use crate::clock;
 use crate::delivery::Turn;
 use crate::knowledge::Chosen;
 
@@ -96,7 +95,7 @@
     }
 
     fn write(&self, event: &str, fields: impl Serialize) {
-        let line = Line { t: clock::now().0 / 1_000, event, fields };
+        let line = Line { t: bendhinge_clock::now().0 / 1_000, event, fields };
         if let Ok(text) = serde_json::to_string(&line) {
             self.counts.accepted.fetch_add(1, Ordering::Relaxed);
             spdlog::info!(logger: self.logger, "{text}");
@@ -223,7 +222,7 @@
     }
 
     fn at_ms(&self) -> u64 {
-        u64::try_from(clock::now().since(self.began).as_millis()).unwrap_or(u64::MAX)
+        u64::try_from(bendhinge_clock::now().since(self.began).as_millis()).unwrap_or(u64::MAX)
     }
 
     /// It is sent.
--- a/crates/bendhinge_gateway/src/ready.rs
+++ b/crates/bendhinge_gateway/src/ready.rs
@@ -8,7 +8,6 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
-use crate::clock;
 use crate::delivery::Delivering;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::MeasuredNow;
@@ -29,7 +28,7 @@
 
 impl Readiness {
     fn is_ready(&self) -> bool {
-        let age = self.delivering.rules.age(clock::now());
+        let age = self.delivering.rules.age(bendhinge_clock::now());
         let lease = self.lease.map_or(Duration::MAX, |lease| lease + PATIENCE);
         !self.lifecycle.is_stopping()
             && age.is_some_and(|age| age <= lease)
@@ -39,7 +38,7 @@
     fn measured_now(&self) -> MeasuredNow {
         MeasuredNow {
             in_progress: self.lifecycle.in_progress(),
-            rules_age: self.delivering.rules.age(clock::now()),
+            rules_age: self.delivering.rules.age(bendhinge_clock::now()),
             peer_connections: self.traffic.open_connections(),
             peer_sent_bytes: self.traffic.sent_bytes(),
         }
--- a/crates/bendhinge_router/src/admission/mod.rs
+++ b/crates/bendhinge_router/src/admission/mod.rs
@@ -13,7 +13,6 @@
 use bendhinge_membership::{ClassUsage, CustomerUsage, Summary};
 use rand::Rng;
 
-use crate::clock;
 use crate::membership::{Fleet, FleetPool};
 use crate::node::Node;
 
@@ -51,7 +50,7 @@
 
 impl Drop for Admitted {
     fn drop(&mut self) {
-        let took = clock::now().since(self.began);
+        let took = bendhinge_clock::now().since(self.began);
         let fleet = self.node.fleet();
         let mut state = self.node.admission.lock().unwrap();
         let key = (self.pool.clone(), self.customer.clone());
@@ -92,7 +91,7 @@
         budget.attempt();
     }
     drop(state);
-    let began = clock::now();
+    let began = bendhinge_clock::now();
     Ok(Admitted {
         node: Arc::clone(node),
         pool: pool.name.clone(),
@@ -158,7 +157,7 @@
 /// Starts a round of dividing free capacity, with what other routers last told.
 pub(crate) fn begin_round(node: &Node) {
     let fleet = node.fleet();
-    let now = clock::now();
+    let now = bendhinge_clock::now();
     let summaries: Vec<Summary> = {
         let membership = node.membership.lock().unwrap();
         let counting =
--- a/crates/bendhinge_router/src/configuration/mod.rs
+++ b/crates/bendhinge_router/src/configuration/mod.rs
@@ -10,7 +10,6 @@
 use bendhinge_timeline::EventKind;
 use opentelemetry::KeyValue;
 
-use crate::clock;
 use crate::node::Node;
 
 /// Documents kept to answer peers with what differs from theirs.
@@ -50,7 +49,7 @@
     let (revision, digest) = (document.revision, document.digest);
     let offer = {
         let mut state = node.configuration.lock().unwrap();
-        let offer = state.adoption.offer(Arc::clone(document), clock::now());
+        let offer = state.adoption.offer(Arc::clone(document), bendhinge_clock::now());
         if offer == Offer::Accepted {
             state.remember(document);
         }
@@ -102,7 +101,7 @@
             return false;
         }
     }
-    let Some(document) = state.adoption.settle(clock::now()) else { return false };
+    let Some(document) = state.adoption.settle(bendhinge_clock::now()) else { return false };
     drop(state);
     node.metrics.configuration_revision.set(document.revision.0);
     let (revision, digest) = (document.revision.0, document.digest.to_string());
--- a/crates/bendhinge_router/src/control/duties.rs
+++ b/crates/bendhinge_router/src/control/duties.rs
@@ -9,7 +9,7 @@
 use bendhinge_placement::PermitRequest;
 
 use crate::node::Node;
-use crate::{clock, configuration, delivery, membership, placement};
+use crate::{configuration, delivery, membership, placement};
 
 pub(super) struct Duties {
     node: Arc<Node>,
@@ -34,7 +34,7 @@
     fn release(&self, permits: &[PermitId]) {
         let mut ledger = self.node.ledger.lock().unwrap();
         for permit in permits {
-            ledger.release(*permit, clock::now());
+            ledger.release(*permit, bendhinge_clock::now());
         }
     }
 
--- a/crates/bendhinge_router/src/control/exchange.rs
+++ b/crates/bendhinge_router/src/control/exchange.rs
@@ -9,7 +9,7 @@
 
 use super::Control;
 use crate::membership::RouterEntry;
-use crate::{clock, configuration, membership};
+use crate::{configuration, membership};
 
 /// Exchanges made at once after a newer configuration was heard, so that it spreads faster than
 /// one router a period.
@@ -39,7 +39,7 @@
     let others: Vec<&RouterEntry> =
         fleet.routers.iter().filter(|router| router.name != control.node.life.name).collect();
     let Some(other) = others.choose(&mut rand::rng()) else { return };
-    let began = clock::now();
+    let began = bendhinge_clock::now();
     let told = membership::tell(&control.node);
     let answer = control.peers.call(other.address, async |peer| peer.exchange(&told).await).await;
     let result = if answer.is_ok() { "answered" } else { "failed" };
--- a/crates/bendhinge_router/src/control/housekeeping.rs
+++ b/crates/bendhinge_router/src/control/housekeeping.rs
@@ -8,17 +8,17 @@
 
 use super::Control;
 use crate::node::Node;
-use crate::{admission, clock, configuration, membership, placement};
+use crate::{admission, configuration, membership, placement};
 
 const PERIOD: Duration = Duration::from_millis(100);
 /// Routers that are no longer listed are forgotten after this silence.
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 
 pub(super) async fn run(control: Control) {
-    let mut next_round = clock::now();
+    let mut next_round = bendhinge_clock::now();
     loop {
         Timer::after(PERIOD).await;
-        let now = clock::now();
+        let now = bendhinge_clock::now();
         control.node.is_fresh();
         look_after_permits(&control.node, now);
         follow_fleet(&control, now);
--- a/crates/bendhinge_router/src/control/loads.rs
+++ b/crates/bendhinge_router/src/control/loads.rs
@@ -16,9 +16,9 @@
 use smol::Timer;
 
 use super::Control;
+use crate::membership;
 use crate::membership::Target;
 use crate::node::Node;
-use crate::{clock, membership};
 
 /// Time for an upstream to answer a load query or an order.
 const TIME: Duration = Duration::from_secs(1);
@@ -48,7 +48,7 @@
 }
 
 async fn look_after(node: Arc<Node>, target: Arc<Target>, taken: Taken) {
-    let asked_at = clock::now();
+    let asked_at = bendhinge_clock::now();
     let report = fetch_json::<Report>(&node.upstreams, target.address, "/v1/load", TIME).await;
     let answered = report.is_ok();
     if let Ok(report) = report {
--- a/crates/bendhinge_router/src/control/peers.rs
+++ b/crates/bendhinge_router/src/control/peers.rs
@@ -12,7 +12,6 @@
 use smol::LocalExecutor;
 use smol::lock::Mutex;
 
-use crate::clock;
 use crate::node::Node;
 
 /// How long a router that gave no answer is not asked again: requests must not each wait for
@@ -49,7 +48,7 @@
         if result.is_err() {
             let mut slot = slot.lock().await;
             slot.client = None;
-            slot.paused_until = clock::now() + PAUSE_AFTER_FAILURE;
+            slot.paused_until = bendhinge_clock::now() + PAUSE_AFTER_FAILURE;
         }
         result
     }
@@ -60,14 +59,14 @@
             return Ok(client.clone());
         }
         let time = self.node.settings.control.call;
-        if clock::now() < slot.paused_until {
+        if bendhinge_clock::now() < slot.paused_until {
             return Err(CallError::Timeout(time));
         }
         let key = &self.node.settings.keys.peers;
         let connected = PeerClient::connect(address, key, time, &self.node.traffic, &self.executor).await;
         match &connected {
             Ok(client) => slot.client = Some(client.clone()),
-            Err(_) => slot.paused_until = clock::now() + PAUSE_AFTER_FAILURE,
+            Err(_) => slot.paused_until = bendhinge_clock::now() + PAUSE_AFTER_FAILURE,
         }
         connected
     }
--- a/crates/bendhinge_router/src/control/platform.rs
+++ b/crates/bendhinge_router/src/control/platform.rs
@@ -13,7 +13,7 @@
 
 use super::Control;
 use crate::node::Node;
-use crate::{clock, configuration, membership};
+use crate::{configuration, membership};
 
 /// How often a router that does not read looks whether it should.
 const LOOK: Duration = Duration::from_millis(250);
@@ -66,7 +66,7 @@
             Timer::after(LOOK).await;
             return None;
         }
-        let began = clock::now();
+        let began = bendhinge_clock::now();
         let result = self.read(node).await;
         let fails = result.is_err();
         node.platform_fails.store(fails, Ordering::Relaxed);
--- a/crates/bendhinge_router/src/delivery/attempt.rs
+++ b/crates/bendhinge_router/src/delivery/attempt.rs
@@ -14,7 +14,6 @@
 use smol::Timer;
 
 use super::{Turn, TurnKind};
-use crate::clock;
 use crate::membership::Target;
 use crate::node::Node;
 use crate::placement::Chosen;
@@ -77,7 +76,7 @@
     chosen: Chosen,
 ) -> Result<Attempt, AttemptFailure> {
     let Chosen { target, permit } = chosen;
-    let began = clock::now();
+    let began = bendhinge_clock::now();
     let sent = exchange(node, turn, &target).await;
     let result = match sent {
         Ok((answer, connection)) => take_answer(node, turn.kind, answer, connection).await,
@@ -85,12 +84,12 @@
     };
     match result {
         Ok((head, body)) => {
-            node.metrics.first_byte.record(clock::now().since(began).as_secs_f64(), &[]);
+            node.metrics.first_byte.record(bendhinge_clock::now().since(began).as_secs_f64(), &[]);
             Ok(Attempt { target, head, body, permit })
         }
         Err(end) => {
             if end == AttemptEnd::NotConnected {
-                node.loads.lock().unwrap().avoid(target.hash, clock::now());
+                node.loads.lock().unwrap().avoid(target.hash, bendhinge_clock::now());
             }
             Err(AttemptFailure { end, body_is_whole: turn.body.is_whole() })
         }
--- a/crates/bendhinge_router/src/delivery/once.rs
+++ b/crates/bendhinge_router/src/delivery/once.rs
@@ -12,7 +12,6 @@
 use opentelemetry::KeyValue;
 
 use super::{Marking, Turn};
-use crate::clock;
 use crate::control::{self, ControlCall};
 use crate::node::{Node, link};
 
@@ -118,7 +117,7 @@
     if !node.is_fresh() {
         return OnceAnswer::NotOwner;
     }
-    let now = clock::now();
+    let now = bendhinge_clock::now();
     let text = request.key.as_text();
     let owns = |boxes: &[BoxName]| owner_of(&text, boxes) == Some(&node.life.name);
     let (is_owner, owned_for_window) = {
--- a/crates/bendhinge_router/src/lib.rs
+++ b/crates/bendhinge_router/src/lib.rs
@@ -7,7 +7,6 @@
 
 mod admission;
 mod args;
-mod clock;
 mod configuration;
 mod control;
 mod delivery;
--- a/crates/bendhinge_router/src/membership/mod.rs
+++ b/crates/bendhinge_router/src/membership/mod.rs
@@ -15,7 +15,7 @@
 pub(crate) use rebuild::rebuild_fleet;
 
 use crate::node::Node;
-use crate::{admission, clock, placement};
+use crate::{admission, placement};
 
 /// Word of other routers that is older than this is not taken as word of now.
 const RECENT_WORD: Duration = Duration::from_secs(10);
@@ -60,7 +60,7 @@
 
 /// Takes in a list; `true` if it was newer than the known one.
 pub(crate) fn take_list(node: &Node, from: &str, list: MemberList) -> bool {
-    let now = clock::now();
+    let now = bendhinge_clock::now();
     let (newer, revision, routers, upstreams) = {
         let mut membership = node.membership.lock().unwrap();
         let newer = membership.directory.offer(list, now);
@@ -80,7 +80,7 @@
 
 /// Takes in summaries of other routers.
 pub(crate) fn hear(node: &Node, summaries: Vec<Summary>) {
-    let now = clock::now();
+    let now = bendhinge_clock::now();
     let mut membership = node.membership.lock().unwrap();
     membership.exchange.hear(&node.life.name, summaries, now);
 }
@@ -90,7 +90,7 @@
     let upstreams = counted_upstreams(node);
     let usage = admission::usage_to_tell(node);
     let (config_revision, config_digest) = node.configuration.lock().unwrap().latest();
-    let now = clock::now();
+    let now = bendhinge_clock::now();
     let mut membership = node.membership.lock().unwrap();
     membership.sequence += 1;
     let version = SummaryVersion { incarnation: node.life.incarnation, sequence: membership.sequence };
--- a/crates/bendhinge_router/src/membership/rebuild.rs
+++ b/crates/bendhinge_router/src/membership/rebuild.rs
@@ -11,8 +11,8 @@
 use bendhinge_timeline::EventKind;
 
 use super::fleet::{Fleet, FleetPool, Names, Owner, RouterEntry, Target};
+use crate::admission;
 use crate::node::Node;
-use crate::{admission, clock};
 
 /// An upstream as listed, with whether it may take new work.
 struct Listed {
@@ -44,7 +44,7 @@
 }
 
 fn read_membership(node: &Node) -> (Vec<RouterEntry>, Vec<BoxName>, Vec<Listed>) {
-    let now = clock::now();
+    let now = bendhinge_clock::now();
     let own = &node.life.name;
     let membership = node.membership.lock().unwrap();
     let directory = &membership.directory;
--- a/crates/bendhinge_router/src/node.rs
+++ b/crates/bendhinge_router/src/node.rs
@@ -17,7 +17,6 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::admission::AdmissionState;
-use crate::clock;
 use crate::configuration::ConfigurationState;
 use crate::control::ControlCall;
 use crate::membership::{Fleet, Membership};
@@ -67,7 +66,7 @@
 impl Node {
     pub(crate) fn new(parts: NodeParts) -> Self {
         let NodeParts { settings, life, tasks, metrics, traffic, calls } = parts;
-        let now = clock::now();
+        let now = bendhinge_clock::now();
         let process = ProcessId { name: life.name.to_string(), incarnation: life.incarnation };
         let limits = FreshnessLimits { gap: settings.control.gap, patience: settings.control.patience };
         let ledger = LedgerLimits { lease: settings.control.lease, displaced_chats: DISPLACED_CHATS };
@@ -123,7 +122,7 @@
     pub(crate) fn is_fresh(&self) -> bool {
         let mut freshness = self.freshness.lock().unwrap();
         let gaps = freshness.gaps();
-        let fresh = freshness.observe(clock::now());
+        let fresh = freshness.observe(bendhinge_clock::now());
         let woke = freshness.gaps() > gaps;
         drop(freshness);
         if woke {
--- a/crates/bendhinge_router/src/placement/choose.rs
+++ b/crates/bendhinge_router/src/placement/choose.rs
@@ -9,7 +9,6 @@
 use opentelemetry::KeyValue;
 
 use super::permit::{Asked, Permit, Question, ask};
-use crate::clock;
 use crate::control::{self, ControlCall};
 use crate::membership::{FleetPool, Owner, Target};
 use crate::node::Node;
@@ -35,8 +34,9 @@
         bound: pool.rule.load_bound,
     };
     let tried = tried.iter().filter_map(|name| pool.ranking.find(name)).collect();
-    let frugal = !node.asks.lock().unwrap().take(clock::now());
-    let walk = Walk::new(walk_pool, chat, tried, &node.loads.lock().unwrap(), clock::now()).frugal(frugal);
+    let frugal = !node.asks.lock().unwrap().take(bendhinge_clock::now());
+    let walk =
+        Walk::new(walk_pool, chat, tried, &node.loads.lock().unwrap(), bendhinge_clock::now()).frugal(frugal);
     if walk.is_empty() {
         return Err(ResultCode::NoUpstream);
     }
@@ -83,7 +83,7 @@
     fn next(&mut self) -> Step {
         let counts_itself = |index| self.pool.target(index).owner == Owner::Own;
         let loads = self.node.loads.lock().unwrap();
-        self.walk.next(&loads, counts_itself, clock::now())
+        self.walk.next(&loads, counts_itself, bendhinge_clock::now())
     }
 
     async fn ask(&self, upstream: UpstreamIndex, first_choice: bool, limit: u32) -> Asked {
--- a/crates/bendhinge_router/src/placement/knowledge.rs
+++ b/crates/bendhinge_router/src/placement/knowledge.rs
@@ -6,7 +6,6 @@
 use bendhinge_ids::{BoxName, NameHash};
 use bendhinge_placement::ViewKey;
 
-use crate::clock;
 use crate::membership::{Fleet, Owner, Target};
 use crate::node::Node;
 
@@ -64,7 +63,7 @@
 }
 
 fn learn_own_counts(node: &Node, fleet: &Fleet) {
-    let now = clock::now();
+    let now = bendhinge_clock::now();
     let counts = own_counts(node, fleet);
     let mut loads = node.loads.lock().unwrap();
     for (target, count) in &counts {
@@ -74,7 +73,7 @@
 
 /// Only the word of the router that counts for an upstream is taken.
 fn learn_from_others(node: &Node, fleet: &Fleet) -> bool {
-    let now = clock::now();
+    let now = bendhinge_clock::now();
     let counted: HashMap<(&BoxName, NameHash), &Target> = fleet
         .upstreams
         .iter()
--- a/crates/bendhinge_router/src/placement/permit.rs
+++ b/crates/bendhinge_router/src/placement/permit.rs
@@ -10,7 +10,6 @@
 use opentelemetry::KeyValue;
 
 use super::knowledge::view_key;
-use crate::clock;
 use crate::control::{self, ControlCall};
 use crate::membership::{Owner, RouterEntry, Target};
 use crate::node::{Node, link};
@@ -33,7 +32,7 @@
 
 impl Permit {
     fn new(node: &Arc<Node>, target: &Arc<Target>, origin: Origin) -> Self {
-        node.loads.lock().unwrap().sent(view_key(target), clock::now());
+        node.loads.lock().unwrap().sent(view_key(target), bendhinge_clock::now());
         Self { node: Arc::clone(node), target: Arc::clone(target), origin }
     }
 
@@ -45,11 +44,11 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.node.loads.lock().unwrap().ended(view_key(&self.target), clock::now());
+        self.node.loads.lock().unwrap().ended(view_key(&self.target), bendhinge_clock::now());
         match self.origin {
             Origin::None => {}
             Origin::Own(permit) => {
-                self.node.ledger.lock().unwrap().release(permit, clock::now());
+                self.node.ledger.lock().unwrap().release(permit, bendhinge_clock::now());
             }
             Origin::Peer(address, permit) => {
                 control::send(&self.node, ControlCall::Release { address, permit });
@@ -99,7 +98,7 @@
 }
 
 fn ask_own(node: &Arc<Node>, question: &Question<'_>, request: &PermitRequest) -> Asked {
-    let answer = node.ledger.lock().unwrap().acquire(request, clock::now());
+    let answer = node.ledger.lock().unwrap().acquire(request, bendhinge_clock::now());
     match answer {
         Ok(granted) => Asked::Granted(Permit::new(node, question.target, Origin::Own(granted.permit))),
         Err(Denied::AtBound { in_progress }) => {
@@ -146,7 +145,7 @@
 }
 
 fn learn(node: &Node, target: &Target, in_progress: u32) {
-    node.loads.lock().unwrap().learn(view_key(target), in_progress, clock::now());
+    node.loads.lock().unwrap().learn(view_key(target), in_progress, bendhinge_clock::now());
 }
 
 /// Answers a peer's question for a permit.
@@ -177,7 +176,7 @@
 }
 
 fn count(node: &Node, request: &PermitRequest) -> PermitAnswer {
-    match node.ledger.lock().unwrap().acquire(request, clock::now()) {
+    match node.ledger.lock().unwrap().acquire(request, bendhinge_clock::now()) {
         Ok(granted) => PermitAnswer::Granted(granted),
         Err(Denied::AtBound { in_progress }) => PermitAnswer::AtBound { in_progress },
         Err(Denied::Elsewhere(place)) => PermitAnswer::Elsewhere(place),
