Router and gateway share the pool of connections to peers and the loop that accepts them

Read again: the gateway's control/peers.rs was the router's with another client, and both servers accepted connections in the same words. PeerPool and serve_connections in bendhinge_peer serve both; the pauses after a failure (0.5 and 0.3 s) stay. The tests of connections set up in one place, with the same assertions.

--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -20,6 +20,9 @@
 /// After how many rounds somebody lost is looked for.
 const LOST_EVERY: u32 = 4;
 
+/// How long a connection that nothing is asked on is kept.
+const CONNECTIONS_KEPT: Duration = Duration::from_secs(5);
+
 /// Exchanges for ever.
 pub(super) async fn run(control: Rc<Control>) {
     let mut round = 0_u32;
@@ -38,7 +41,7 @@
         }
         round = round.wrapping_add(1);
         Timer::after(period(&control)).await;
-        control.peers.prune();
+        control.peers.drop_unused(CONNECTIONS_KEPT);
     }
 }
 
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -2,7 +2,6 @@
 //! `capnp-rpc` stay on theirs.
 
 mod exchange;
-mod peers;
 mod recovery;
 mod store;
 
@@ -12,17 +11,18 @@
 use std::time::Duration;
 
 use bendhinge_fleet::{NewsCursors, Origin, ReadingPlan, Roster};
-use bendhinge_peer::{Traffic, serve_fleet};
+use bendhinge_peer::{FleetClient, PeerPool, PeerPoolLimits, Traffic, serve_fleet};
 use rand::Rng;
 use smol::net::TcpListener;
 use smol::{LocalExecutor, Timer};
 
 use self::exchange::Duties;
-use self::peers::Peers;
 use crate::delivery::Delivering;
 use crate::lifecycle::Lifecycle;
 use crate::settings::Settings;
 
+/// How long a gateway that gave no answer is not asked again.
+const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(300);
 /// For how long what was learned is told to a gateway that was told nothing meanwhile.
 const NEWS_TOLD_FOR: Duration = Duration::from_millis(1_300);
 
@@ -33,7 +33,7 @@
     lifecycle: Arc<Lifecycle>,
     roster: RefCell<Roster>,
     plan: RefCell<ReadingPlan>,
-    peers: Peers,
+    peers: PeerPool<FleetClient>,
     news: RefCell<NewsCursors>,
     executor: Rc<LocalExecutor<'static>>,
     /// Whether the store was reachable when it was last looked at.
@@ -52,7 +52,8 @@
     ) -> Rc<Self> {
         let roster = Roster::new(settings.peers, &settings.fleet.seeds, settings.fleet.roster);
         let plan = ReadingPlan::new(settings.store.reading);
-        let peers = Peers::new(&settings.fleet, traffic, Rc::clone(executor));
+        let limits = PeerPoolLimits { call: settings.fleet.call, pause: PAUSE_AFTER_FAILURE };
+        let peers = PeerPool::new(settings.fleet.key.clone(), limits, traffic, Rc::clone(executor));
         Rc::new(Self {
             roster: RefCell::new(roster),
             plan: RefCell::new(plan),
--- a/crates/bendhinge_lab/tests/security.rs
+++ b/crates/bendhinge_lab/tests/security.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bendhinge_http::{empty_body, fetch};
-use bendhinge_peer::{PeerClient, PeerKey, Traffic};
+use bendhinge_peer::{PeerClient, PeerConnection, PeerKey, Traffic};
 use common::{eventually, run, start};
 use futures_lite::AsyncWriteExt;
 use hyper::Request;
--- a/crates/bendhinge_peer/src/client.rs
+++ b/crates/bendhinge_peer/src/client.rs
@@ -16,6 +16,7 @@
 use crate::calling::{self, Calling};
 use crate::convert::{read_claim, read_summaries, write_claimant, write_outcome, write_summary, write_told};
 use crate::peer_capnp::{config_answer, peer, permit_answer};
+use crate::pool::PeerConnection;
 use crate::secure::{PeerKey, SecureError};
 use crate::{ClaimRequest, ConfigAnswer, OnceAnswer, PermitAnswer, Told, Traffic};
 
@@ -55,9 +56,8 @@
     call.or(too_long).await
 }
 
-impl PeerClient {
-    /// Connects to the peer at `address`; each call has `time` to be answered.
-    pub async fn connect(
+impl PeerConnection for PeerClient {
+    async fn connect(
         address: SocketAddr,
         key: &PeerKey,
         time: Duration,
@@ -67,7 +67,9 @@
         let (peer, calling) = calling::open(address, key, time, traffic, executor).await?;
         Ok(Self { peer, time, _calling: calling })
     }
+}
 
+impl PeerClient {
     /// Exchanges summaries.
     pub async fn exchange(&self, summaries: &[Summary]) -> Result<Vec<Summary>, CallError> {
         let mut request = self.peer.exchange_request();
--- a/crates/bendhinge_peer/src/fleet/client.rs
+++ b/crates/bendhinge_peer/src/fleet/client.rs
@@ -14,6 +14,7 @@
 use crate::calling::{self, Calling};
 use crate::client::{CallError, within};
 use crate::fleet_capnp::fleet;
+use crate::pool::PeerConnection;
 use crate::secure::PeerKey;
 use crate::traffic::Traffic;
 
@@ -25,9 +26,8 @@
     _calling: Rc<Calling>,
 }
 
-impl FleetClient {
-    /// Connects to the peer at `address`; each call has `time` to be answered.
-    pub async fn connect(
+impl PeerConnection for FleetClient {
+    async fn connect(
         address: SocketAddr,
         key: &PeerKey,
         time: Duration,
@@ -37,7 +37,9 @@
         let (peer, calling) = calling::open(address, key, time, traffic, executor).await?;
         Ok(Self { peer, time, _calling: calling })
     }
+}
 
+impl FleetClient {
     /// Exchanges words.
     pub async fn exchange(&self, word: &Word) -> Result<Word, CallError> {
         let mut request = self.peer.exchange_request();
--- a/crates/bendhinge_peer/src/fleet/server.rs
+++ b/crates/bendhinge_peer/src/fleet/server.rs
@@ -4,16 +4,14 @@
 use std::sync::Arc;
 
 use capnp::Error;
-use capnp::message::ReaderOptions;
-use capnp_rpc::rpc_twoparty_capnp::Side;
-use capnp_rpc::{RpcSystem, twoparty};
 use smol::LocalExecutor;
-use smol::net::{TcpListener, TcpStream};
+use smol::net::TcpListener;
 
 use super::FleetDuties;
 use super::convert::{read_word, write_known, write_read, write_upstream, write_word};
+use crate::answering::serve_connections;
 use crate::fleet_capnp::fleet;
-use crate::secure::{ConnectionSide, PeerKey, secure};
+use crate::secure::PeerKey;
 use crate::traffic::Traffic;
 
 struct Server<D>(Rc<D>);
@@ -26,31 +24,11 @@
     traffic: Arc<Traffic>,
     executor: Rc<LocalExecutor<'static>>,
 ) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
-        let connection = serve_connection(
-            stream,
-            key.clone(),
-            Rc::clone(&duties),
-            Arc::clone(&traffic),
-            Rc::clone(&executor),
-        );
-        executor.spawn(connection).detach();
-    }
-}
-
-async fn serve_connection<D: FleetDuties + 'static>(
-    stream: TcpStream,
-    key: PeerKey,
-    duties: Rc<D>,
-    traffic: Arc<Traffic>,
-    executor: Rc<LocalExecutor<'static>>,
-) {
-    // A foreign connection was counted; its sender learns nothing.
-    let Ok(ends) = secure(stream, &key, ConnectionSide::Accepted, &traffic, &executor).await else { return };
-    let network = twoparty::VatNetwork::new(ends.reader, ends.writer, Side::Server, ReaderOptions::default());
-    let client: fleet::Client = capnp_rpc::new_client(Server(duties));
-    let _ = RpcSystem::new(Box::new(network), Some(client.client)).await;
+    let bootstrap = || {
+        let client: fleet::Client = capnp_rpc::new_client(Server(Rc::clone(&duties)));
+        client.client
+    };
+    serve_connections(listener, key, traffic, executor, bootstrap).await;
 }
 
 impl<D: FleetDuties + 'static> fleet::Server for Server<D> {
--- a/crates/bendhinge_peer/src/lib.rs
+++ b/crates/bendhinge_peer/src/lib.rs
@@ -4,11 +4,13 @@
 //! The objects of `capnp-rpc` stay on one thread: everything here runs on one
 //! [`smol::LocalExecutor`].
 
+mod answering;
 mod calling;
 mod client;
 mod convert;
 mod duties;
 mod fleet;
+mod pool;
 mod secure;
 mod server;
 mod squeeze;
@@ -23,6 +25,7 @@
 pub use client::{CallError, PeerClient};
 pub use duties::{ClaimRequest, ConfigAnswer, OnceAnswer, PeerDuties, PermitAnswer, Told};
 pub use fleet::{FleetClient, FleetDuties, Known, LoadWord, ReadWord, Word, serve_fleet};
+pub use pool::{PeerConnection, PeerPool, PeerPoolLimits};
 pub use secure::{PeerKey, SecureError};
 pub use server::serve;
 pub use squeeze::{Squeeze, UnpackError};
--- a/crates/bendhinge_peer/src/server.rs
+++ b/crates/bendhinge_peer/src/server.rs
@@ -6,17 +6,16 @@
 use bendhinge_ids::{ChatKey, PermitId};
 use bendhinge_placement::PermitRequest;
 use capnp::Error;
-use capnp_rpc::rpc_twoparty_capnp::Side;
-use capnp_rpc::{RpcSystem, twoparty};
 use smol::LocalExecutor;
-use smol::net::{TcpListener, TcpStream};
+use smol::net::TcpListener;
 
+use crate::answering::serve_connections;
 use crate::convert::{
     read_claimant, read_digest, read_holder, read_once_key, read_outcome, read_summaries, read_told,
     write_claim, write_summary,
 };
 use crate::peer_capnp::peer;
-use crate::secure::{ConnectionSide, PeerKey, secure};
+use crate::secure::PeerKey;
 use crate::{ClaimRequest, ConfigAnswer, PeerDuties, PermitAnswer, Traffic};
 
 struct Server<D>(Rc<D>);
@@ -29,36 +28,11 @@
     traffic: Arc<Traffic>,
     executor: Rc<LocalExecutor<'static>>,
 ) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
-        let connection = serve_connection(
-            stream,
-            key.clone(),
-            Rc::clone(&duties),
-            Arc::clone(&traffic),
-            Rc::clone(&executor),
-        );
-        executor.spawn(connection).detach();
-    }
-}
-
-async fn serve_connection<D: PeerDuties + 'static>(
-    stream: TcpStream,
-    key: PeerKey,
-    duties: Rc<D>,
-    traffic: Arc<Traffic>,
-    executor: Rc<LocalExecutor<'static>>,
-) {
-    // A foreign connection was counted; its sender learns nothing.
-    let Ok(ends) = secure(stream, &key, ConnectionSide::Accepted, &traffic, &executor).await else { return };
-    let network = twoparty::VatNetwork::new(
-        ends.reader,
-        ends.writer,
-        Side::Server,
-        capnp::message::ReaderOptions::default(),
-    );
-    let client: peer::Client = capnp_rpc::new_client(Server(duties));
-    let _ = RpcSystem::new(Box::new(network), Some(client.client)).await;
+    let bootstrap = || {
+        let client: peer::Client = capnp_rpc::new_client(Server(Rc::clone(&duties)));
+        client.client
+    };
+    serve_connections(listener, key, traffic, executor, bootstrap).await;
 }
 
 impl<D: PeerDuties + 'static> peer::Server for Server<D> {
--- a/crates/bendhinge_peer/tests/connections.rs
+++ b/crates/bendhinge_peer/tests/connections.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use bendhinge_fleet::UpstreamList;
-use bendhinge_peer::{FleetClient, FleetDuties, Known, PeerKey, ReadWord, Traffic, Word, serve_fleet};
+use bendhinge_peer::{
+    FleetClient, FleetDuties, Known, PeerConnection, PeerKey, ReadWord, Traffic, Word, serve_fleet,
+};
 use bytes::Bytes;
 use smol::channel::{Receiver, bounded};
 use smol::net::{TcpListener, TcpStream};
@@ -44,27 +46,54 @@
     panic!("{} connections are open, expected {open}", traffic.open_connections());
 }
 
-#[test]
-fn a_dropped_client_closes_its_connection() {
-    let executor = Rc::new(LocalExecutor::new());
-    smol::block_on(executor.run(async {
+/// A gateway that is asked, and what asks it.
+struct Pair {
+    key: PeerKey,
+    address: SocketAddr,
+    asked: Arc<Traffic>,
+    asking: Arc<Traffic>,
+    executor: Rc<LocalExecutor<'static>>,
+}
+
+impl Pair {
+    /// A gateway that is asked on `executor`.
+    async fn start(executor: &Rc<LocalExecutor<'static>>) -> Self {
         let key = PeerKey::new("a key for this test alone");
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
         let address = listener.local_addr().unwrap();
-        let (asked, asking) = (Arc::new(Traffic::default()), Arc::new(Traffic::default()));
+        let asked = Arc::new(Traffic::default());
         let serving =
-            serve_fleet(listener, key.clone(), Rc::new(Newcomer), Arc::clone(&asked), Rc::clone(&executor));
+            serve_fleet(listener, key.clone(), Rc::new(Newcomer), Arc::clone(&asked), Rc::clone(executor));
         executor.spawn(serving).detach();
+        Self { key, address, asked, asking: Arc::default(), executor: Rc::clone(executor) }
+    }
+
+    /// A client of what listens at `address`.
+    async fn client(&self, address: SocketAddr) -> FleetClient {
+        let time = Duration::from_secs(20);
+        FleetClient::connect(address, &self.key, time, &self.asking, &self.executor).await.unwrap()
+    }
+
+    /// Waits until no connection is open at either end.
+    async fn until_closed(&self) {
+        until_open(&self.asking, 0).await;
+        until_open(&self.asked, 0).await;
+    }
+}
+
+#[test]
+fn a_dropped_client_closes_its_connection() {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        let pair = Pair::start(&executor).await;
         for _ in 0..20 {
-            let time = Duration::from_secs(20);
-            let client = FleetClient::connect(address, &key, time, &asking, &executor).await.unwrap();
+            let client = pair.client(pair.address).await;
             assert_eq!(client.rules().await.unwrap(), None);
             let other = client.clone();
             drop(client);
             assert_eq!(other.rules().await.unwrap(), None, "a clone keeps the connection");
         }
-        until_open(&asking, 0).await;
-        until_open(&asked, 0).await;
+        pair.until_closed().await;
     }));
 }
 
@@ -91,21 +120,16 @@
 fn a_client_may_be_dropped_while_its_connection_is_cut() {
     let executor = Rc::new(LocalExecutor::new());
     smol::block_on(executor.run(async {
-        let key = PeerKey::new("a key for this test alone");
-        let server = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let pair = Pair::start(&executor).await;
+        let server = pair.address;
         let proxy = Rc::new(TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap());
-        let (server_address, address) = (server.local_addr().unwrap(), proxy.local_addr().unwrap());
-        let (asked, asking) = (Arc::new(Traffic::default()), Arc::new(Traffic::default()));
-        let serving =
-            serve_fleet(server, key.clone(), Rc::new(Newcomer), Arc::clone(&asked), Rc::clone(&executor));
-        executor.spawn(serving).detach();
+        let address = proxy.local_addr().unwrap();
         for turns in 0..60 {
             let (cut, told_to_cut) = bounded(1);
             let proxy = Rc::clone(&proxy);
-            let passing = async move { pass_on(&proxy, server_address, told_to_cut).await };
+            let passing = async move { pass_on(&proxy, server, told_to_cut).await };
             let passing = executor.spawn(passing);
-            let time = Duration::from_secs(20);
-            let client = FleetClient::connect(address, &key, time, &asking, &executor).await.unwrap();
+            let client = pair.client(address).await;
             assert_eq!(client.rules().await.unwrap(), None);
             cut.send(()).await.unwrap();
             for _ in 0..turns {
@@ -114,7 +138,6 @@
             drop(client);
             passing.await;
         }
-        until_open(&asking, 0).await;
-        until_open(&asked, 0).await;
+        pair.until_closed().await;
     }));
 }
--- a/crates/bendhinge_router/src/control/mod.rs
+++ b/crates/bendhinge_router/src/control/mod.rs
@@ -6,27 +6,30 @@
 mod exchange;
 mod housekeeping;
 mod loads;
-mod peers;
 mod platform;
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bendhinge_ids::{BoxName, RouterLife};
+use bendhinge_peer::{PeerClient, PeerPool, PeerPoolLimits};
 use smol::LocalExecutor;
 use smol::channel::Receiver;
 use smol::net::TcpListener;
 
 pub(crate) use calls::{ControlCall, acquire, claim, send};
 
-use self::peers::Peers;
 use crate::node::Node;
 
+/// How long a router that gave no answer is not asked again.
+const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(500);
+
 /// What the tasks of this thread share.
 #[derive(Clone)]
 struct Control {
     node: Arc<Node>,
-    peers: Rc<Peers>,
+    peers: Rc<PeerPool<PeerClient>>,
     executor: Rc<LocalExecutor<'static>>,
 }
 
@@ -38,11 +41,10 @@
     stopped: &Receiver<()>,
 ) {
     let executor = Rc::new(LocalExecutor::new());
-    let control = Control {
-        node: Arc::clone(node),
-        peers: Rc::new(Peers::new(Arc::clone(node), Rc::clone(&executor))),
-        executor: Rc::clone(&executor),
-    };
+    let limits = PeerPoolLimits { call: node.settings.control.call, pause: PAUSE_AFTER_FAILURE };
+    let key = node.settings.keys.peers.clone();
+    let peers = PeerPool::new(key, limits, Arc::clone(&node.traffic), Rc::clone(&executor));
+    let control = Control { node: Arc::clone(node), peers: Rc::new(peers), executor: Rc::clone(&executor) };
     let serving = bendhinge_peer::serve(
         listener,
         node.settings.keys.peers.clone(),
