--- a/crates/bendhinge_gateway/src/dialect.rs
+++ b/crates/bendhinge_gateway/src/dialect.rs
@@ -7,11 +7,11 @@
 use bendhinge_codes::ResultCode;
 use bendhinge_fleet::{Revision, UpstreamEntry};
 use bendhinge_ids::CustomerName;
-use bendhinge_placement::{Prompt, PromptPart};
+use bendhinge_placement::{PartId, Prompt, PromptPart};
 use bendhinge_routes::ServingRules;
 use bytes::Bytes;
 use hyper::HeaderMap;
-use hyper::header::HeaderValue;
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::{request, response};
 
 /// What a caller's request says.
@@ -120,6 +120,31 @@
     }
 }
 
+/// The text of a header, if it is there; `Err` says that it is none.
+pub fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, String> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    value.to_str().map(Some).map_err(|_| format!("{name} is not text"))
+}
+
+/// Sets a header. Names, numbers and addresses are valid values, and an event's id came in a header
+/// or a line; anything else is left out.
+pub fn put_header(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+/// Reads `ID:TOKENS,ID:TOKENS`, the ids in `radix`; `Err` says that it is something else.
+pub fn read_prompt(text: &str, radix: u32) -> Result<Prompt, String> {
+    let parts = text.split(',').map(|part| {
+        let (id, tokens) = part.trim().split_once(':')?;
+        let id = u64::from_str_radix(id, radix).ok()?;
+        Some(PromptPart { id: PartId(id), tokens: tokens.parse().ok()? })
+    });
+    let parts = parts.collect::<Option<Vec<_>>>();
+    parts.map(Prompt::new).ok_or_else(|| format!("'{text}' is not a list of parts"))
+}
+
 /// How callers spell their requests, and how they are answered.
 pub trait CallerDialect {
     /// Reads the head of a request; `Err` says what is wrong with it.
--- a/crates/bendhinge_gateway/src/native/callers.rs
+++ b/crates/bendhinge_gateway/src/native/callers.rs
@@ -2,29 +2,31 @@
 
 use std::time::Duration;
 
-use bendhinge_placement::{PartId, Prompt, PromptPart};
 use bytes::Bytes;
 use hyper::HeaderMap;
-use hyper::header::{AUTHORIZATION, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::header::{AUTHORIZATION, HeaderValue, RETRY_AFTER};
 use hyper::http::request;
 use serde_json::json;
 
 use super::Native;
 use super::headers::{CODE, DEADLINE, PROMPT, RAN, REQUEST, RESUME_AFTER};
-use crate::dialect::{CallFields, CallerDialect, RefusalFields};
+use crate::dialect::{CallFields, CallerDialect, RefusalFields, header_text, read_prompt};
+
+/// How the ids of a prompt's parts are written.
+const ID_RADIX: u32 = 10;
 
 impl CallerDialect for Native {
     fn read_call(&self, head: &request::Parts) -> Result<CallFields, String> {
         let headers = &head.headers;
-        let deadline = text(headers, &DEADLINE)?.map(read_millis).transpose()?;
-        let prompt = text(headers, &PROMPT)?.map(read_prompt).transpose()?;
-        let key = text(headers, &AUTHORIZATION)?;
+        let deadline = header_text(headers, &DEADLINE)?.map(read_millis).transpose()?;
+        let prompt = header_text(headers, &PROMPT)?.map(|text| read_prompt(text, ID_RADIX)).transpose()?;
+        let key = header_text(headers, &AUTHORIZATION)?;
         Ok(CallFields {
             id: headers.get(REQUEST).cloned(),
             key: key.map(|value| value.strip_prefix("Bearer ").unwrap_or_default().to_owned()),
             deadline,
             prompt,
-            resume_after: text(headers, &RESUME_AFTER)?.map(str::to_owned),
+            resume_after: header_text(headers, &RESUME_AFTER)?.map(str::to_owned),
         })
     }
 
@@ -51,21 +53,7 @@
     }
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, String> {
-    let Some(value) = headers.get(name) else { return Ok(None) };
-    value.to_str().map(Some).map_err(|_| format!("{name} is not text"))
-}
-
 fn read_millis(text: &str) -> Result<Duration, String> {
     let millis = text.parse().map_err(|_| format!("'{text}' is not a number of milliseconds"))?;
     Ok(Duration::from_millis(millis))
 }
-
-fn read_prompt(text: &str) -> Result<Prompt, String> {
-    let parts = text.split(',').map(|part| {
-        let (id, tokens) = part.trim().split_once(':')?;
-        Some(PromptPart { id: PartId(id.parse().ok()?), tokens: tokens.parse().ok()? })
-    });
-    let parts = parts.collect::<Option<Vec<_>>>();
-    parts.map(Prompt::new).ok_or_else(|| format!("'{text}' is not a list of parts"))
-}
--- a/crates/bendhinge_gateway/src/native/upstreams.rs
+++ b/crates/bendhinge_gateway/src/native/upstreams.rs
@@ -2,7 +2,7 @@
 
 use bendhinge_placement::PromptPart;
 use hyper::StatusCode;
-use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{AUTHORIZATION, HeaderMap, HeaderValue};
 use hyper::http::response;
 use serde::Deserialize;
 
@@ -10,7 +10,7 @@
 use super::headers::{
     CUSTOMER, DEADLINE, FETCH_FROM, LOAD, PRIORITY, RAN, REQUEST, RESUME_AFTER, SIGNATURE, UPSTREAM,
 };
-use crate::dialect::{AnswerFields, AttemptFields, LoadSaid, TranslateError, UpstreamDialect};
+use crate::dialect::{AnswerFields, AttemptFields, LoadSaid, TranslateError, UpstreamDialect, put_header};
 
 #[derive(Deserialize)]
 struct Kept {
@@ -23,17 +23,17 @@
         for name in [AUTHORIZATION, CUSTOMER, UPSTREAM, PRIORITY, FETCH_FROM] {
             headers.remove(name);
         }
-        put(headers, DEADLINE, &fields.time_left.as_millis().max(1).to_string());
-        put(headers, UPSTREAM, fields.upstream.name.as_str());
-        put(headers, PRIORITY, &fields.priority.to_string());
+        put_header(headers, DEADLINE, &fields.time_left.as_millis().max(1).to_string());
+        put_header(headers, UPSTREAM, fields.upstream.name.as_str());
+        put_header(headers, PRIORITY, &fields.priority.to_string());
         if let Some(customer) = fields.customer {
-            put(headers, CUSTOMER, customer.as_str());
+            put_header(headers, CUSTOMER, customer.as_str());
         }
         if let Some(source) = fields.fetch_from {
-            put(headers, FETCH_FROM, &source.to_string());
+            put_header(headers, FETCH_FROM, &source.to_string());
         }
         if let Some(after) = fields.resume_after {
-            put(headers, RESUME_AFTER, after);
+            put_header(headers, RESUME_AFTER, after);
         }
     }
 
@@ -61,13 +61,6 @@
     }
 }
 
-fn put(headers: &mut HeaderMap, name: HeaderName, value: &str) {
-    // Names, numbers and addresses are valid values; an event's id came in a header or a line.
-    if let Ok(value) = HeaderValue::from_str(value) {
-        headers.insert(name, value);
-    }
-}
-
 fn read_load(value: &HeaderValue) -> Option<LoadSaid> {
     let (running, waiting) = value.to_str().ok()?.split_once(',')?;
     Some(LoadSaid { running: running.parse().ok()?, waiting: waiting.parse().ok()? })
