How a send ended is noted in one place, for requests and for streams that break off

Read again: the relay repeated what delivery does after a send, with its own table from end to mishap. Both ends that a stream knows (lost, silent) map the same in the one table.

--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -8,7 +8,7 @@
 
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{Course, SendEnd};
-use bendhinge_fleet::Mishap;
+use bendhinge_fleet::{Mishap, UpstreamEntry};
 use bendhinge_http::{Body, Pool, Tasks, full_body};
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_routes::{Customer, Route};
@@ -169,17 +169,23 @@
         Ok(SendTimes { head: left.min(self.turn.route.target.mul_f64(FIRST_SHARE)), left })
     }
 
+    /// Notes how a send ended, for the request and for what is known of its upstream; `false` if no
+    /// other may follow.
+    fn note_end(&mut self, upstream: &UpstreamEntry, end: SendEnd) -> bool {
+        let Delivering { upstreams, metrics, log, .. } = &*self.delivering;
+        self.line.send_ended(end);
+        metrics.send_ended(end);
+        if mishap(end).is_some_and(|mishap| upstreams.failed(upstream.hash, mishap)) {
+            log.upstream_rests(&upstream.name, end);
+        }
+        self.tried.push(upstream.hash);
+        self.course.ended(end)
+    }
+
     /// Notes how a send ended; `Err` if it was the last.
     fn after(&mut self, chosen: &Chosen, ended: Ended) -> Result<(), GivenUp> {
         let Ended { end, failure } = ended;
-        let upstream = chosen.entry.hash;
-        self.line.send_ended(end);
-        self.delivering.metrics.send_ended(end);
-        if mishap(end).is_some_and(|mishap| self.delivering.upstreams.failed(upstream, mishap)) {
-            self.delivering.log.upstream_rests(&chosen.entry.name, end);
-        }
-        self.tried.push(upstream);
-        let may_go_on = self.course.ended(end);
+        let may_go_on = self.note_end(&chosen.entry, end);
         let time_is_over = self.turn.time_left().is_zero();
         let affordable = || !self.course.needs_budget() || self.takes_second_send();
         if may_go_on && !time_is_over && affordable() {
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -2,13 +2,12 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{EventSplitter, SendEnd};
-use bendhinge_fleet::Mishap;
 use bendhinge_http::{Body, BodyError, Connection};
 use bytes::Bytes;
 use futures_lite::{FutureExt, Stream, StreamExt, stream};
@@ -127,16 +126,9 @@
     async fn go_on_elsewhere(&mut self, end: SendEnd) -> bool {
         // Dropping the connection cancels what is left of the run there.
         let Some(source) = self.source.take() else { return false };
-        let upstream = source.chosen.entry.hash;
-        let mishap = if end == SendEnd::Silent { Mishap::Silent } else { Mishap::Lost };
-        if self.delivery.delivering.upstreams.failed(upstream, mishap) {
-            self.delivery.delivering.log.upstream_rests(&source.chosen.entry.name, end);
-        }
+        let upstream = Arc::clone(&source.chosen.entry);
         drop(source);
-        self.delivery.line.send_ended(end);
-        self.delivery.delivering.metrics.send_ended(end);
-        self.delivery.tried.push(upstream);
-        let may_go_on = self.delivery.course.ended(end);
+        let may_go_on = self.delivery.note_end(&upstream, end);
         if !may_go_on || !self.delivery.takes_second_send() {
             return false;
         }
