Whether an upstream is listed is looked up, and said once; what is known of a value held, too

Read again: two closures went through the whole list for each part that is kept, each second (some 9,000 parts by 94 upstreams after a loss of all), and two keepers of beliefs made the same Known.

--- a/crates/bendhinge_fleet/src/directory.rs
+++ b/crates/bendhinge_fleet/src/directory.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bendhinge_ids::{DataCentreName, Instant, NameHash, PoolName, UpstreamName};
+use rustc_hash::FxHashSet;
 
 /// Whether an upstream takes new work, as it reports itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -84,6 +85,8 @@
 pub struct Directory {
     limits: DirectoryLimits,
     listed: Vec<Listed>,
+    /// The hashes of the names of those listed.
+    hashes: FxHashSet<NameHash>,
     evidence_seen: Option<Instant>,
     doubt_until: Option<Instant>,
 }
@@ -91,8 +94,9 @@
 impl Directory {
     /// An empty directory.
     #[must_use]
-    pub const fn new(limits: DirectoryLimits) -> Self {
-        Self { limits, listed: Vec::new(), evidence_seen: None, doubt_until: None }
+    pub fn new(limits: DirectoryLimits) -> Self {
+        let hashes = FxHashSet::default();
+        Self { limits, listed: Vec::new(), hashes, evidence_seen: None, doubt_until: None }
     }
 
     /// All upstreams, those that take no new work among them, in the order of names.
@@ -101,6 +105,12 @@
         &self.listed
     }
 
+    /// Whether the upstream is listed, one that takes no new work among them.
+    #[must_use]
+    pub fn lists(&self, upstream: NameHash) -> bool {
+        self.hashes.contains(&upstream)
+    }
+
     /// Notes that the list was known to be current as of `as_of`, heard at `now`; a gap since
     /// the last such word casts doubt on entries that vanish soon after.
     pub fn evidence(&mut self, as_of: Instant, now: Instant) {
@@ -128,6 +138,7 @@
             self.listed.push(listed);
         }
         self.listed.sort_by(|left, right| left.entry.name.cmp(&right.entry.name));
+        self.index();
         self.prune(now);
     }
 
@@ -146,7 +157,15 @@
         self.listed.retain(|listed| {
             listed.vanished.is_none() || listed.left.is_none_or(|left| now.since(left) < limits.remember)
         });
-        changed || self.listed.len() != before
+        let forgot = self.listed.len() != before;
+        if forgot {
+            self.index();
+        }
+        changed || forgot
+    }
+
+    fn index(&mut self) {
+        self.hashes = self.listed.iter().map(|listed| listed.entry.hash).collect();
     }
 }
 
--- a/crates/bendhinge_fleet/tests/directory.rs
+++ b/crates/bendhinge_fleet/tests/directory.rs
@@ -51,8 +51,11 @@
     read(&mut directory, &[("a", Ready)], 1_700);
     assert_eq!(working(&directory), ["a"]);
     assert_eq!(directory.listed().len(), 2, "it is remembered for what it keeps");
+    assert!(directory.lists(NameHash::of("b")));
     assert!(directory.prune(at(5_000)));
     assert_eq!(directory.listed().len(), 1);
+    assert!(directory.lists(NameHash::of("a")));
+    assert!(!directory.lists(NameHash::of("b")));
 }
 
 #[test]
--- a/crates/bendhinge_gateway/src/knowledge/rules.rs
+++ b/crates/bendhinge_gateway/src/knowledge/rules.rs
@@ -50,8 +50,7 @@
 
     /// Which version is held, and how old the knowledge of it is.
     pub(crate) fn known(&self, now: Instant) -> Option<Known> {
-        let belief = self.belief.lock().unwrap();
-        belief.held().map(|held| Known { version: held.version, age: now.since(held.as_of) })
+        self.belief.lock().unwrap().held().map(|held| Known::of(held, now))
     }
 
     pub(crate) fn lacks(&self, version: Version) -> bool {
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -100,8 +100,7 @@
     }
 
     pub(crate) fn known(&self, now: Instant) -> Option<Known> {
-        let state = self.state.lock().unwrap();
-        state.belief.held().map(|held| Known { version: held.version, age: now.since(held.as_of) })
+        self.state.lock().unwrap().belief.held().map(|held| Known::of(held, now))
     }
 
     pub(crate) fn list(&self) -> Option<Arc<UpstreamList>> {
@@ -245,7 +244,7 @@
             state.forget_gone();
         }
         let State { directory, kept, .. } = &mut *state;
-        kept.prune(|upstream| directory.listed().iter().any(|listed| listed.entry.hash == upstream), now);
+        kept.prune(|upstream| directory.lists(upstream), now);
     }
 }
 
@@ -268,10 +267,8 @@
 
     fn forget_gone(&mut self) {
         let Self { directory, judge, loads, .. } = self;
-        let is_listed =
-            |upstream: NameHash| directory.listed().iter().any(|listed| listed.entry.hash == upstream);
-        judge.keep_only(is_listed);
-        loads.keep_only(is_listed);
+        judge.keep_only(|upstream| directory.lists(upstream));
+        loads.keep_only(|upstream| directory.lists(upstream));
     }
 
     /// The pool's upstreams as candidates. Those that rest are left out unless all do.
--- a/crates/bendhinge_peer/src/fleet/mod.rs
+++ b/crates/bendhinge_peer/src/fleet/mod.rs
@@ -8,8 +8,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bendhinge_fleet::{Heard, UpstreamList, Version};
-use bendhinge_ids::NameHash;
+use bendhinge_fleet::{Heard, Held, UpstreamList, Version};
+use bendhinge_ids::{Instant, NameHash};
 use bendhinge_placement::PartId;
 use bytes::Bytes;
 
@@ -25,6 +25,14 @@
     pub age: Duration,
 }
 
+impl Known {
+    /// What is known at `now` of a value that is held.
+    #[must_use]
+    pub fn of<T>(held: &Held<T>, now: Instant) -> Self {
+        Self { version: held.version, age: now.since(held.as_of) }
+    }
+}
+
 /// What an upstream said of its load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadWord {
