--- a/crates/bendhinge_gateway/src/lifecycle.rs
+++ b/crates/bendhinge_gateway/src/lifecycle.rs
@@ -1,8 +1,7 @@
 //! From the start to the end of the process: when it is ready, and when it may stop.
 
-use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bendhinge_ids::Instant;
@@ -13,8 +12,7 @@
 /// Where the process stands.
 pub(crate) struct Lifecycle {
     settings: StopSettings,
-    stopping: AtomicBool,
-    stopping_since: Mutex<Option<Instant>>,
+    stopping_since: OnceLock<Instant>,
     in_progress: AtomicUsize,
 }
 
@@ -29,12 +27,7 @@
 
 impl Lifecycle {
     pub(crate) const fn new(settings: StopSettings) -> Self {
-        Self {
-            settings,
-            stopping: AtomicBool::new(false),
-            stopping_since: Mutex::new(None),
-            in_progress: AtomicUsize::new(0),
-        }
+        Self { settings, stopping_since: OnceLock::new(), in_progress: AtomicUsize::new(0) }
     }
 
     /// Counts a request in.
@@ -50,20 +43,20 @@
 
     /// Whether the process was asked to stop.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Acquire)
+        self.stopping_since.get().is_some()
     }
 
     /// Notes that the process was asked to stop.
     pub(crate) fn stop(&self) {
-        *self.stopping_since.lock().unwrap() = Some(bendhinge_clock::now());
-        self.stopping.store(true, Ordering::Release);
+        // Asked again, it has been stopping since it was first asked.
+        let _ = self.stopping_since.set(bendhinge_clock::now());
     }
 
     /// Whether a request that comes now is still served: for a while after the request to stop,
     /// so that callers and the balancer can notice.
     pub(crate) fn takes_requests(&self) -> bool {
-        let since = *self.stopping_since.lock().unwrap();
-        since.is_none_or(|since| bendhinge_clock::now().since(since) < self.settings.accept)
+        let since = self.stopping_since.get();
+        since.is_none_or(|since| bendhinge_clock::now().since(*since) < self.settings.accept)
     }
 
     /// Waits until callers had time to notice and no request is in progress, or until the time
