A body that breaks off lets the server flush in one place, cut_after_flush

Read again: the gateway's relay had written anew what the router's did with three states. Both bodies fail at once now, and the one wrapper holds the error back for a turn.

--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -8,7 +8,7 @@
 
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{EventSplitter, SendEnd};
-use bendhinge_http::{Body, BodyError, Connection};
+use bendhinge_http::{Body, BodyError, Connection, cut_after_flush};
 use bytes::Bytes;
 use futures_lite::{FutureExt, Stream, StreamExt, stream};
 use http_body_util::BodyExt;
@@ -169,8 +169,6 @@
     /// The lock is never contended: it only lets the body be shared between threads, which the
     /// HTTP library's body type asks for.
     pieces: Mutex<Pieces>,
-    /// An error that waits until the server has flushed what came before it.
-    error: Option<io::Error>,
 }
 
 /// The body of an answer that `relay` passes on.
@@ -179,7 +177,7 @@
         let piece = relay.next().await?;
         Some((piece, relay))
     });
-    RelayBody { pieces: Mutex::new(pieces.boxed()), error: None }.boxed()
+    cut_after_flush(RelayBody { pieces: Mutex::new(pieces.boxed()) })
 }
 
 impl hyper::body::Body for RelayBody {
@@ -190,20 +188,7 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if let Some(error) = self.error.take() {
-            return Poll::Ready(Some(Err(error.into())));
-        }
         let polled = self.pieces.get_mut().unwrap().poll_next(context);
-        match polled {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(None) => Poll::Ready(None),
-            Poll::Ready(Some(Ok(bytes))) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
-            Poll::Ready(Some(Err(error))) => {
-                // The server drops what it still buffers when a body fails; let it flush first.
-                self.error = Some(error);
-                context.waker().wake_by_ref();
-                Poll::Pending
-            }
-        }
+        polled.map(|piece| piece.map(|piece| piece.map(Frame::data).map_err(BodyError::from)))
     }
 }
--- a/crates/bendhinge_http/src/body.rs
+++ b/crates/bendhinge_http/src/body.rs
@@ -9,7 +9,7 @@
 use futures_lite::Stream;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::Frame;
+use hyper::body::{Frame, SizeHint};
 use smol::channel::{Receiver, Sender, bounded};
 
 /// Whatever can go wrong while a body is read.
@@ -29,6 +29,55 @@
     http_body_util::Empty::new().map_err(never).boxed()
 }
 
+/// A body whose error comes one turn late: the server drops what it still buffers when a body
+/// fails, so it is first let flush that.
+struct CutAfterFlush<B> {
+    body: B,
+    error: Option<BodyError>,
+}
+
+/// `body`, of which all that came before an error reaches the other side.
+pub fn cut_after_flush<B>(body: B) -> Body
+where
+    B: hyper::body::Body<Data = Bytes, Error = BodyError> + Unpin + Send + Sync + 'static,
+{
+    CutAfterFlush { body, error: None }.boxed()
+}
+
+impl<B> hyper::body::Body for CutAfterFlush<B>
+where
+    B: hyper::body::Body<Data = Bytes, Error = BodyError> + Unpin,
+{
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(error) = self.error.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
+        match Pin::new(&mut self.body).poll_frame(context) {
+            Poll::Ready(Some(Err(error))) => {
+                self.error = Some(error);
+                // Pending lets the server flush; it is to ask again right after.
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            polled => polled,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.error.is_none() && self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 fn never(error: Infallible) -> BodyError {
     match error {}
 }
--- a/crates/bendhinge_router/src/delivery/relay.rs
+++ b/crates/bendhinge_router/src/delivery/relay.rs
@@ -6,11 +6,10 @@
 use std::time::{Duration, Instant};
 
 use bendhinge_codes::ResultCode;
-use bendhinge_http::{Body, BodyError, Connection, full_body};
+use bendhinge_http::{Body, BodyError, Connection, cut_after_flush, full_body};
 use bendhinge_ids::RequestId;
 use bendhinge_timeline::EventKind;
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use smol::Timer;
@@ -42,7 +41,7 @@
         }
         AttemptBody::Open(body, connection) => {
             let end_mark = is_stream.then(EndMark::default);
-            RelayBody::new(body, connection, held, end_mark).boxed()
+            cut_after_flush(RelayBody::new(body, connection, held, end_mark))
         }
     };
     Response::from_parts(head, body)
@@ -91,19 +90,7 @@
     idle: Duration,
     last_frame: Instant,
     timer: Timer,
-    breaking: Breaking,
-}
-
-/// How far a broken answer is on its way to its end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Breaking {
-    /// It is not broken.
-    No,
-    /// Its last event is sent, and the server must be let flush it: an error right behind it
-    /// would make the server drop what it still buffers.
-    Flushing,
-    /// The connection is cut next.
-    Cut,
+    is_broken: bool,
 }
 
 impl RelayBody {
@@ -117,7 +104,7 @@
             idle,
             last_frame: Instant::now(),
             timer: Timer::after(idle),
-            breaking: Breaking::No,
+            is_broken: false,
         }
     }
 
@@ -149,7 +136,7 @@
     /// caller has does not look whole.
     fn break_off(&mut self) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         self.connection = None;
-        self.breaking = Breaking::Flushing;
+        self.is_broken = true;
         let request = self.held.as_ref().map(|held| held.request);
         if let Some(held) = self.held.take() {
             held.cut_short();
@@ -158,18 +145,10 @@
             Some(request) => {
                 Poll::Ready(Some(Ok(Frame::data(answers::error_event(request, ResultCode::AnswerCutShort)))))
             }
-            None => self.flush_or_cut(),
+            None => cut(),
         }
     }
 
-    fn flush_or_cut(&mut self) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if self.breaking == Breaking::Flushing {
-            self.breaking = Breaking::Cut;
-            return Poll::Pending;
-        }
-        Poll::Ready(Some(Err("the upstream's answer broke off".into())))
-    }
-
     fn is_idle_too_long(&mut self, context: &mut Context<'_>) -> bool {
         while Pin::new(&mut self.timer).poll(context).is_ready() {
             let quiet = self.last_frame.elapsed();
@@ -183,6 +162,10 @@
     }
 }
 
+fn cut() -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    Poll::Ready(Some(Err("the upstream's answer broke off".into())))
+}
+
 impl hyper::body::Body for RelayBody {
     type Data = Bytes;
     type Error = BodyError;
@@ -191,28 +174,8 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let polled = self.poll_next(context);
-        if polled.is_pending() && self.breaking == Breaking::Cut {
-            // Pending lets the server flush; it is to ask again right after.
-            context.waker().wake_by_ref();
-        }
-        polled
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.held.is_none() && self.breaking == Breaking::No
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        // A stream that breaks off carries an event more than the upstream announced.
-        if self.end_mark.is_some() { SizeHint::default() } else { self.body.size_hint() }
-    }
-}
-
-impl RelayBody {
-    fn poll_next(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if self.breaking != Breaking::No {
-            return self.flush_or_cut();
+        if self.is_broken {
+            return cut();
         }
         match Pin::new(&mut self.body).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
@@ -228,6 +191,15 @@
             Poll::Pending => Poll::Pending,
         }
     }
+
+    fn is_end_stream(&self) -> bool {
+        self.held.is_none() && !self.is_broken
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        // A stream that breaks off carries an event more than the upstream announced.
+        if self.end_mark.is_some() { SizeHint::default() } else { self.body.size_hint() }
+    }
 }
 
 impl Drop for RelayBody {
