--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -234,13 +234,13 @@
     }
 
     fn retries(&self, section: &Section) -> Option<FleetRetryBudget> {
-        let ratio = self.0.ratio(section, "ratio");
-        let slack = self.0.ratio(section, "slack");
+        let ratio = self.0.amount(section, "ratio");
+        let slack = self.0.amount(section, "slack");
         Some(FleetRetryBudget { ratio: ratio?, slack: slack? })
     }
 
     fn stop(&self, section: &Section) -> Option<StopSettings> {
-        let grace = self.0.millis(section, "grace_ms");
+        let grace = self.0.ratio(section, "grace_s").map(Duration::from_secs_f64);
         let accept = self.0.millis(section, "accept_ms");
         Some(StopSettings { grace: grace?, accept: accept? })
     }
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -77,14 +77,16 @@
 const BELIEFS: SectionKind = SectionKind {
     kind: "beliefs",
     named: false,
-    required: false,
+    required: true,
     help: "How long what is believed may be acted on.",
     keys: &[
         Key::new(
             "rules_lease_ms",
             "milliseconds",
-            Some("5000"),
-            "No request with a key is sent under rules that were not known to be current within this time; 0 is no limit.",
+            // No default: any limit refuses all requests with a key in an outage of the store that
+            // outlasts it, and no limit serves revoked keys as long. Neither may come by omission.
+            None,
+            "No request with a key is sent under rules that were not known to be current within this time; 0 is no limit. It has to be said.",
         ),
         Key::new(
             "margin_ms",
@@ -133,7 +135,7 @@
     required: false,
     help: "Stopping after SIGTERM.",
     keys: &[
-        Key::new("grace_ms", "milliseconds", Some("8000"), "Time after which the process is killed."),
+        Key::new("grace_s", "number", Some("8"), "Seconds after which the process is killed."),
         Key::new(
             "accept_ms",
             "milliseconds",
--- a/crates/bendhinge_ini/src/document.rs
+++ b/crates/bendhinge_ini/src/document.rs
@@ -12,7 +12,7 @@
 
 use crate::fault::{Fault, Faults};
 use crate::schema::{Key, Schema, SectionKind, nearest};
-use crate::values::{ByteCount, Millis, Ratio};
+use crate::values::{Amount, ByteCount, Millis, Ratio};
 
 #[derive(Debug)]
 struct Entry {
@@ -263,6 +263,11 @@
         self.value::<Ratio>(section, key).map(|ratio| ratio.0)
     }
 
+    /// The value of a key that holds a decimal number that may be zero.
+    pub fn amount(&self, section: &Section, key: &str) -> Option<f64> {
+        self.value::<Amount>(section, key).map(|amount| amount.0)
+    }
+
     /// The value of a key that holds a size.
     pub fn byte_count(&self, section: &Section, key: &str) -> Option<usize> {
         self.value::<ByteCount>(section, key).map(|bytes| bytes.0)
--- a/crates/bendhinge_ini/src/lib.rs
+++ b/crates/bendhinge_ini/src/lib.rs
@@ -14,4 +14,4 @@
 pub use fault::{Fault, Faults};
 pub use reference::markdown_reference;
 pub use schema::{Key, Schema, SectionKind};
-pub use values::{ByteCount, Millis, Ratio};
+pub use values::{Amount, ByteCount, Millis, Ratio};
--- a/crates/bendhinge_ini/src/values.rs
+++ b/crates/bendhinge_ini/src/values.rs
@@ -41,6 +41,21 @@
     }
 }
 
+/// A decimal number that may be zero.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Amount(pub f64);
+
+impl FromStr for Amount {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text.parse::<f64>() {
+            Ok(amount) if (0.0..1e6).contains(&amount) => Ok(Self(amount)),
+            _ => Err("write a decimal number from 0 to below 1000000".to_owned()),
+        }
+    }
+}
+
 /// A positive decimal number.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Ratio(pub f64);
--- a/crates/bendhinge_lab/src/gateways/soak.rs
+++ b/crates/bendhinge_lab/src/gateways/soak.rs
@@ -28,7 +28,7 @@
 [beliefs]
 rules_lease_ms = 2500
 [stop]
-grace_ms = 3000
+grace_s = 3
 accept_ms = 300
 ";
 
--- a/crates/bendhinge_lab/tests/gateway_life.rs
+++ b/crates/bendhinge_lab/tests/gateway_life.rs
@@ -90,7 +90,7 @@
 fn a_stop_cuts_nothing_and_refuses_what_comes_late() {
     run(|tasks| async move {
         let shape = FleetShape { gateways: 1, engines: 1, services: 1 };
-        let stop = "[stop]\ngrace_ms = 20000\naccept_ms = 1500\n";
+        let stop = "[stop]\ngrace_s = 20\naccept_ms = 1500\n";
         let mut fleet = GatewayFleet::start(&tasks, shape, stop).await;
         fleet.upstreams[0].set_pace(Duration::from_millis(250));
         let stream = Call::stream("/stream/x", KEY);
