A gateway's share of second sends counts within the same span as the fleet's budget

A share saved up its part of half the slack alone, four sends a gateway at 7 boxes and one at 87. Ruled out: attempts (2 allowed, 1 used), upstreams (17 were well). Change: RetryShare counts requests and retries of the span itself, so that what was earned can be spent at once; requests of a burst that is over earn only as many as the present rate would. Tests: shares against the rule's own words over random bursts and divisions, all that is lost with a quarter of the upstreams is sent again.

--- a/crates/bendhinge_admission/src/budget.rs
+++ b/crates/bendhinge_admission/src/budget.rs
@@ -35,33 +35,3 @@
         self.tokens = self.tokens.min(reserve);
     }
 }
-
-/// What a whole fleet may send again for one pool: `ratio` of the requests and `slack` besides.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct FleetRetryBudget {
-    /// Retries for each request.
-    pub ratio: f64,
-    /// Retries besides.
-    pub slack: f64,
-}
-
-impl FleetRetryBudget {
-    /// What is kept of the ratio for requests that count in a later span than their retries.
-    const RATIO_USED: f64 = 0.85;
-    /// What is kept of the slack for routers that do not know of each other, or start anew with
-    /// their reserve.
-    const SLACK_USED: f64 = 0.5;
-
-    /// The share of one of `routers`. Each earns by its own requests alone, so that the shares
-    /// add up to the fleet's budget however requests are divided, without a message.
-    #[must_use]
-    pub fn share(self, routers: usize) -> RetryBudget {
-        RetryBudget::new(self.ratio * Self::RATIO_USED, self.reserve(routers))
-    }
-
-    /// What one of `routers` may save up: at least one retry, since less would be none.
-    #[must_use]
-    pub fn reserve(self, routers: usize) -> f64 {
-        (self.slack * Self::SLACK_USED / routers.max(1) as f64).max(1.0)
-    }
-}
--- a/crates/bendhinge_admission/src/lib.rs
+++ b/crates/bendhinge_admission/src/lib.rs
@@ -9,13 +9,15 @@
 mod division;
 mod gate;
 mod retry_after;
+mod retry_share;
 mod rules;
 mod usage;
 mod water;
 
-pub use budget::{FleetRetryBudget, RetryBudget};
+pub use budget::RetryBudget;
 pub use gate::{Admission, Ask, Refusal, RefusalReason};
 pub use retry_after::retry_after;
+pub use retry_share::{FleetRetryBudget, RetryShare};
 pub use rules::{ClassIndex, ClassRule, CustomerIndex, CustomerRule, PoolIndex, PoolRule, Rules};
 pub use usage::{FleetUsage, PoolUsage, Usage};
 pub use water::{Want, fill};
--- a/crates/bendhinge_gateway/src/retries.rs
+++ b/crates/bendhinge_gateway/src/retries.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Mutex;
 
-use bendhinge_admission::{FleetRetryBudget, RetryBudget};
+use bendhinge_admission::{FleetRetryBudget, RetryShare};
 use bendhinge_ids::PoolName;
 use rustc_hash::FxHashMap;
 
@@ -15,7 +15,7 @@
 struct Shares {
     /// How many gateways share; until any are known, as many as there could be.
     gateways: usize,
-    by_pool: FxHashMap<PoolName, RetryBudget>,
+    by_pool: FxHashMap<PoolName, RetryShare>,
 }
 
 impl Retries {
@@ -26,17 +26,20 @@
 
     /// Notes a request's first send.
     pub(crate) fn first(&self, pool: &PoolName) {
+        let now = bendhinge_clock::now();
         let mut shares = self.shares.lock().unwrap();
         if let Some(share) = shares.by_pool.get_mut(pool) {
-            return share.attempt();
+            return share.request(now);
         }
-        let share = self.fleet.share(shares.gateways);
+        let mut share = self.fleet.share(shares.gateways);
+        share.request(now);
         shares.by_pool.insert(pool.clone(), share);
     }
 
     /// Takes one further send; `false` if there is none left.
     pub(crate) fn second(&self, pool: &PoolName) -> bool {
-        self.shares.lock().unwrap().by_pool.get_mut(pool).is_some_and(RetryBudget::retry)
+        let now = bendhinge_clock::now();
+        self.shares.lock().unwrap().by_pool.get_mut(pool).is_some_and(|share| share.retry(now))
     }
 
     /// Divides the budget among as many `gateways` as are known.
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -236,7 +236,8 @@
     fn retries(&self, section: &Section) -> Option<FleetRetryBudget> {
         let ratio = self.0.amount(section, "ratio");
         let slack = self.0.amount(section, "slack");
-        Some(FleetRetryBudget { ratio: ratio?, slack: slack? })
+        let span = self.0.ratio(section, "span_s").map(Duration::from_secs_f64);
+        Some(FleetRetryBudget { ratio: ratio?, slack: slack?, span: span? })
     }
 
     fn stop(&self, section: &Section) -> Option<StopSettings> {
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -124,8 +124,9 @@
     required: false,
     help: "The fleet's budget for sending requests again, of which each gateway takes its share; for each pool by itself.",
     keys: &[
-        Key::new("ratio", "number", Some("0.2"), "Second sends for each request, within some ten seconds."),
-        Key::new("slack", "number", Some("50"), "Second sends besides, in the same time."),
+        Key::new("ratio", "number", Some("0.2"), "Second sends for each request."),
+        Key::new("slack", "number", Some("50"), "Second sends besides."),
+        Key::new("span_s", "number", Some("10"), "Seconds within which both are counted."),
     ],
 };
 
