What an asking gateway tells of loads is taken in, not only what an answer tells

From the lines of all boxes: upstreams that held 10 to 18 requests were believed to hold 2 to 3, nearly always the homes of subjects. Words of loads were taken from answers alone, since only an answer's age is bounded; but most gateways ask few and are asked by nobody, so what they saw went nowhere. For loads, which only guide choices, a word's own age is good enough.

--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -143,7 +143,10 @@
     }
     drop(roster);
     let delivering = &control.delivering;
+    // Of what only guides choices, a word that nobody asked for tells as much: it may be older than
+    // it says by the time that it was on its way.
     delivering.upstreams.hear_reads(&word.reads, word.sender.address, asked.unwrap_or(now));
+    delivering.upstreams.hear_loads(&word.loads, asked.unwrap_or(now));
     let Some(asked) = asked else { return };
     if let Some(known) = word.rules {
         delivering.rules.confirm(known.version, asked - known.age);
@@ -151,7 +154,6 @@
     if let Some(known) = word.upstreams {
         delivering.upstreams.confirm(known.version, asked - known.age);
     }
-    delivering.upstreams.hear_loads(&word.loads, asked);
 }
 
 /// Fetches what the gateway at `address` holds and this one lacks.
--- a/crates/bendhinge_lab/src/gateways/mod.rs
+++ b/crates/bendhinge_lab/src/gateways/mod.rs
@@ -9,6 +9,6 @@
 
 pub use caller::{Answer, Call, GatewayCaller, Told};
 pub use fleet::{FleetShape, GatewayFleet, KEY, RULES, StartedUpstream, until};
-pub use process::{GatewayProcess, GatewaySettings};
+pub use process::{GatewayProcess, GatewaySettings, PEER_KEY};
 pub use proxy::{Harm, Proxy};
 pub use soak::{Findings, soak};
--- a/crates/bendhinge_lab/src/gateways/process.rs
+++ b/crates/bendhinge_lab/src/gateways/process.rs
@@ -15,6 +15,9 @@
 
 use crate::process::{StartError, programs, wait_for};
 
+/// The key that gateways of tests share.
+pub const PEER_KEY: &str = "a-key-for-tests-only";
+
 /// The lease of a test that says nothing of it: longer than any of their outages.
 const USUAL_BELIEFS: &str = "[beliefs]\nrules_lease_ms = 5000\n";
 
@@ -47,7 +50,7 @@
         }
         let seeds: Vec<String> = self.seeds.iter().map(ToString::to_string).collect();
         let _ = writeln!(text, "[store]\naddress = {}", self.store);
-        let _ = writeln!(text, "[fleet]\nkey = a-key-for-tests-only\nseeds = {}", seeds.join(","));
+        let _ = writeln!(text, "[fleet]\nkey = {PEER_KEY}\nseeds = {}", seeds.join(","));
         if !self.sections.contains("[beliefs]") {
             text.push_str(USUAL_BELIEFS);
         }
