A send that is silent is raced by another, not given up for it

Cause: a send that another could follow was given up after 0.7 of the route's target, merely because it queued; then neither budget nor attempts were left, and the request ended in 504 with most of its time unused. Now the second send is made beside the first, if one can be made at all, and the answer that comes first counts; the other's connection is closed, which cancels its run. Requests that must not run twice are sent once, as before.

--- a/crates/bendhinge_delivery/src/course.rs
+++ b/crates/bendhinge_delivery/src/course.rs
@@ -22,6 +22,8 @@
     Spoilt,
     /// The upstream answered that it failed; that answer is kept.
     Failed,
+    /// It was given up before its end, since another send of the request was answered.
+    Overtaken,
 }
 
 impl SendEnd {
@@ -50,6 +52,7 @@
             Self::Silent => "silent",
             Self::Spoilt => "spoilt",
             Self::Failed => "failed",
+            Self::Overtaken => "overtaken",
         }
     }
 }
--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -23,6 +23,8 @@
 
 /// An answer whose head is there.
 pub(super) struct Attempt {
+    /// Its place among the request's sends.
+    pub(super) number: usize,
     pub(super) chosen: Chosen,
     pub(super) head: response::Parts,
     pub(super) body: AttemptBody,
@@ -36,14 +38,6 @@
     Stream(Incoming, Connection),
 }
 
-/// How long a send may take.
-pub(super) struct SendTimes {
-    /// How long its head is waited for.
-    pub(super) head: Duration,
-    /// How long the upstream is told to work.
-    pub(super) left: Duration,
-}
-
 /// A send that ended without an answer that may be passed on, with an answer of the upstream
 /// that it failed.
 pub(super) struct Ended {
@@ -63,34 +57,42 @@
     }
 }
 
+/// A send that is to be made.
+pub(super) struct NewSend {
+    /// Its place among the request's sends.
+    pub(super) number: usize,
+    pub(super) chosen: Chosen,
+    /// How long it may take.
+    pub(super) left: Duration,
+    /// The event after which the upstream is to go on.
+    pub(super) resume_after: Option<String>,
+}
+
 /// Sends the turn to the chosen upstream.
 pub(super) async fn attempt(
-    delivering: &Arc<Delivering>,
-    turn: &Turn,
-    chosen: Chosen,
-    times: &SendTimes,
-    resume_after: Option<&str>,
-) -> Result<Attempt, (Chosen, Ended)> {
+    delivering: Arc<Delivering>,
+    turn: Arc<Turn>,
+    send: NewSend,
+) -> Result<Attempt, Ended> {
+    let NewSend { number, chosen, left, resume_after } = send;
     let sending = async {
-        let request = outgoing(delivering, turn, &chosen, times, resume_after);
-        let (answer, connection) = exchange(delivering, turn, &chosen, request).await?;
-        take_answer(delivering, turn, &chosen, answer, connection).await
+        let request = outgoing(&delivering, &turn, &chosen, left, resume_after.as_deref());
+        let (answer, connection) = exchange(&delivering, &turn, &chosen, request).await?;
+        take_answer(&delivering, &turn, &chosen, answer, connection).await
     };
     let too_long = async {
-        Timer::after(times.head).await;
+        Timer::after(left).await;
         Err(SendEnd::Silent.into())
     };
-    match sending.or(too_long).await {
-        Ok((head, body)) => Ok(Attempt { chosen, head, body }),
-        Err(ended) => Err((chosen, ended)),
-    }
+    let (head, body) = sending.or(too_long).await?;
+    Ok(Attempt { number, chosen, head, body })
 }
 
 fn outgoing(
     delivering: &Delivering,
     turn: &Turn,
     chosen: &Chosen,
-    times: &SendTimes,
+    left: Duration,
     resume_after: Option<&str>,
 ) -> Request<Body> {
     let mut request = Request::new(full_body(turn.body.clone()));
@@ -99,7 +101,7 @@
     *request.headers_mut() = turn.head.headers.clone();
     let fields = AttemptFields {
         upstream: &chosen.entry,
-        time_left: times.left,
+        time_left: left,
         customer: turn.customer.as_ref().map(|customer| &customer.name),
         priority: turn.priority,
         fetch_from: chosen.fetch_from,
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -1,6 +1,7 @@
 //! The duty of delivery: sends until there is one answer, and passing it back whole.
 
 mod attempt;
+mod race;
 mod relay;
 
 use std::sync::Arc;
@@ -16,8 +17,9 @@
 use hyper::Response;
 use hyper::http::request;
 
-use self::attempt::{Attempt, AttemptBody, Ended, FailureAnswer, SendTimes, attempt, promises_not_run};
-use self::relay::{Relay, relayed};
+use self::attempt::{Attempt, AttemptBody, Ended, FailureAnswer, NewSend, attempt, promises_not_run};
+use self::race::{FailedSend, Racer, Sending, race};
+use self::relay::{Relay, Source, relayed};
 use crate::dialect::{CallFields, Dialect};
 use crate::intake::Refused;
 use crate::intake::headers;
@@ -85,6 +87,7 @@
         attempts: turn.route.attempts,
     });
     let line = RequestLine::new(&turn);
+    let turn = Arc::new(turn);
     let mut delivery = Delivery { delivering: Arc::clone(delivering), turn, course, tried: Vec::new(), line };
     let resume_after = delivery.turn.call.resume_after.clone();
     match delivery.next_answer(resume_after.as_deref()).await {
@@ -107,7 +110,7 @@
 /// One request on its way.
 struct Delivery {
     delivering: Arc<Delivering>,
-    turn: Turn,
+    turn: Arc<Turn>,
     course: Course,
     tried: Vec<NameHash>,
     line: RequestLine,
@@ -117,22 +120,85 @@
     /// Sends until an upstream's answer can be passed on.
     async fn next_answer(&mut self, resume_after: Option<&str>) -> Result<Attempt, GivenUp> {
         loop {
-            let times = self.send_times()?;
-            let chosen = self.choose()?;
-            self.line.sent(&chosen);
-            let upstream = chosen.entry.hash;
-            match attempt(&self.delivering, &self.turn, chosen, &times, resume_after).await {
+            let sending = self.send(resume_after, self.course.has_spare_run())?;
+            match self.answer_to(sending, resume_after).await {
                 Ok(attempt) => {
-                    self.delivering.upstreams.answered(upstream);
+                    self.delivering.upstreams.answered(attempt.chosen.entry.hash);
                     self.delivering.metrics.first_byte(bendhinge_clock::now().since(self.turn.began));
                     return Ok(attempt);
                 }
-                Err((chosen, ended)) => self.after(&chosen, ended)?,
+                Err(failed) => self.after(failed)?,
+            }
+        }
+    }
+
+    /// Begins a send to the upstream that is best now. `may_try` says whether it may be an
+    /// upstream's trial.
+    fn send(&mut self, resume_after: Option<&str>, may_try: bool) -> Result<Sending, GivenUp> {
+        let left = self.turn.time_left();
+        if left.is_zero() {
+            return Err(GivenUp::Code(self.course.final_code(true)));
+        }
+        let chosen = self.choose(may_try)?;
+        let upstream = Arc::clone(&chosen.entry);
+        self.tried.push(upstream.hash);
+        let number = self.line.sent(&chosen);
+        let send = NewSend { number, chosen, left, resume_after: resume_after.map(str::to_owned) };
+        let answer = attempt(Arc::clone(&self.delivering), Arc::clone(&self.turn), send);
+        Ok(Sending { upstream, number, answer: Box::pin(answer) })
+    }
+
+    /// Waits for the answer to a send. If it is long in coming and the request may be sent once
+    /// more, that is done beside it, and the answer that comes first is taken: an upstream that is
+    /// silent may be lost, but may as well be about to answer.
+    async fn answer_to(
+        &mut self,
+        mut first: Sending,
+        resume_after: Option<&str>,
+    ) -> Result<Attempt, FailedSend> {
+        if !self.course.has_spare_run() {
+            return first.ended().await;
+        }
+        if let Some(ended) = first.ended_within(self.patience()).await {
+            return ended;
+        }
+        let Some(mut second) = self.send_beside(resume_after) else { return first.ended().await };
+        match race(&mut first, &mut second).await {
+            (Racer::First, Ok(attempt)) => {
+                self.note_overtaken(&second);
+                Ok(attempt)
+            }
+            (Racer::Second, Ok(attempt)) => {
+                self.note_end(first.number, &first.upstream, SendEnd::Silent);
+                Ok(attempt)
+            }
+            (Racer::First, Err(failed)) => {
+                self.note_end(failed.number, &failed.upstream, failed.ended.end);
+                second.ended().await
+            }
+            (Racer::Second, Err(failed)) => {
+                self.note_end(failed.number, &failed.upstream, failed.ended.end);
+                first.ended().await
             }
         }
     }
 
-    fn choose(&self) -> Result<Chosen, GivenUp> {
+    /// How long a send may be silent before another is made beside it.
+    fn patience(&self) -> Duration {
+        /// The part of the route's target: what is left of it must do for the other's answer.
+        const SHARE_OF_TARGET: f64 = 0.7;
+        self.turn.route.target.mul_f64(SHARE_OF_TARGET)
+    }
+
+    /// A send beside one that is silent; `None` if it cannot be made.
+    fn send_beside(&mut self, resume_after: Option<&str>) -> Option<Sending> {
+        if !self.takes_second_send() {
+            return None;
+        }
+        self.send(resume_after, false).ok()
+    }
+
+    fn choose(&self, may_try: bool) -> Result<Chosen, GivenUp> {
         if !self.turn.is_allowed(&self.delivering.rules) {
             return Err(GivenUp::Code(self.unless_uncertain(ResultCode::ViewNotFresh)));
         }
@@ -142,7 +208,7 @@
             rule: rules.as_ref().and_then(|current| current.rules.pools.get(&self.turn.pool)),
             prompt: self.turn.call.prompt.as_ref(),
             tried: &self.tried,
-            may_try: self.course.has_spare_run(),
+            may_try,
             tie_breaker: self.turn.tie_breaker,
         };
         let chosen = self.delivering.upstreams.choose(&question);
@@ -154,38 +220,30 @@
         if self.course.ran() == bendhinge_codes::Ran::No { code } else { self.course.final_code(false) }
     }
 
-    /// How long the next send may take; one that can be followed by another is not waited for
-    /// until nothing is left of the time in which an answer is worth most.
-    fn send_times(&self) -> Result<SendTimes, GivenUp> {
-        /// The part of the route's target that a send gets which another can follow.
-        const FIRST_SHARE: f64 = 0.7;
-        let left = self.turn.time_left();
-        if left.is_zero() {
-            return Err(GivenUp::Code(self.course.final_code(true)));
-        }
-        if !self.course.has_spare_run() {
-            return Ok(SendTimes { head: left, left });
-        }
-        Ok(SendTimes { head: left.min(self.turn.route.target.mul_f64(FIRST_SHARE)), left })
-    }
-
     /// Notes how a send ended, for the request and for what is known of its upstream; `false` if no
     /// other may follow.
-    fn note_end(&mut self, upstream: &UpstreamEntry, end: SendEnd) -> bool {
+    fn note_end(&mut self, number: usize, upstream: &UpstreamEntry, end: SendEnd) -> bool {
         let Delivering { upstreams, metrics, log, .. } = &*self.delivering;
-        self.line.send_ended(end);
+        self.line.send_ended(number, end);
         metrics.send_ended(end);
         if mishap(end).is_some_and(|mishap| upstreams.failed(upstream.hash, mishap)) {
             log.upstream_rests(&upstream.name, end);
         }
-        self.tried.push(upstream.hash);
         self.course.ended(end)
     }
 
+    /// Notes that a send was given up since another was answered first, which says nothing of its
+    /// upstream.
+    fn note_overtaken(&mut self, sending: &Sending) {
+        self.line.send_ended(sending.number, SendEnd::Overtaken);
+        self.delivering.metrics.send_ended(SendEnd::Overtaken);
+        self.course.ended(SendEnd::Overtaken);
+    }
+
     /// Notes how a send ended; `Err` if it was the last.
-    fn after(&mut self, chosen: &Chosen, ended: Ended) -> Result<(), GivenUp> {
-        let Ended { end, failure } = ended;
-        let may_go_on = self.note_end(&chosen.entry, end);
+    fn after(&mut self, failed: FailedSend) -> Result<(), GivenUp> {
+        let FailedSend { number, upstream, ended: Ended { end, failure } } = failed;
+        let may_go_on = self.note_end(number, &upstream, end);
         let time_is_over = self.turn.time_left().is_zero();
         let affordable = || !self.course.needs_budget() || self.takes_second_send();
         if may_go_on && !time_is_over && affordable() {
@@ -210,7 +268,7 @@
     }
 
     fn pass_back(mut self, attempt: Attempt, in_progress: InProgress) -> Response<Body> {
-        let Attempt { chosen, mut head, body } = attempt;
+        let Attempt { number, chosen, mut head, body } = attempt;
         let upstream_headers = head.headers.clone();
         headers::to_caller(&mut head.headers);
         match body {
@@ -219,8 +277,8 @@
                 Response::from_parts(head, full_body(bytes))
             }
             AttemptBody::Stream(body, connection) => {
-                let relay = Relay::new(self, chosen, upstream_headers, body, connection, in_progress);
-                Response::from_parts(head, relayed(relay))
+                let source = Source { number, chosen, headers: upstream_headers, body, connection };
+                Response::from_parts(head, relayed(Relay::new(self, source, in_progress)))
             }
         }
     }
@@ -230,7 +288,7 @@
 const fn mishap(end: SendEnd) -> Option<Mishap> {
     match end {
         SendEnd::NotConnected => Some(Mishap::NotConnected),
-        SendEnd::NotSent => None,
+        SendEnd::NotSent | SendEnd::Overtaken => None,
         SendEnd::Rejected => Some(Mishap::Shed),
         SendEnd::Replaced => Some(Mishap::Replaced),
         SendEnd::Lost | SendEnd::Spoilt => Some(Mishap::Lost),
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -36,11 +36,13 @@
 }
 
 /// The upstream that the stream comes from now.
-struct Source {
-    chosen: Chosen,
-    headers: HeaderMap,
-    body: Incoming,
-    connection: Connection,
+pub(super) struct Source {
+    /// The place of the send among the request's.
+    pub(super) number: usize,
+    pub(super) chosen: Chosen,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Incoming,
+    pub(super) connection: Connection,
 }
 
 /// What the upstream's side of the stream came to.
@@ -51,15 +53,7 @@
 }
 
 impl Relay {
-    pub(super) fn new(
-        delivery: Delivery,
-        chosen: Chosen,
-        headers: HeaderMap,
-        body: Incoming,
-        connection: Connection,
-        in_progress: InProgress,
-    ) -> Self {
-        let source = Source { chosen, headers, body, connection };
+    pub(super) fn new(delivery: Delivery, source: Source, in_progress: InProgress) -> Self {
         let events = EventSplitter::default();
         Self { delivery, events, source: Some(source), is_over: false, _in_progress: in_progress }
     }
@@ -126,9 +120,9 @@
     async fn go_on_elsewhere(&mut self, end: SendEnd) -> bool {
         // Dropping the connection cancels what is left of the run there.
         let Some(source) = self.source.take() else { return false };
-        let upstream = Arc::clone(&source.chosen.entry);
+        let (number, upstream) = (source.number, Arc::clone(&source.chosen.entry));
         drop(source);
-        let may_go_on = self.delivery.note_end(&upstream, end);
+        let may_go_on = self.delivery.note_end(number, &upstream, end);
         if !may_go_on || !self.delivery.takes_second_send() {
             return false;
         }
@@ -136,8 +130,8 @@
         let last = self.events.last_id().map(str::to_owned);
         let last = last.or_else(|| self.delivery.turn.call.resume_after.clone());
         match self.delivery.next_answer(last.as_deref()).await {
-            Ok(Attempt { chosen, head, body: AttemptBody::Stream(body, connection) }) => {
-                self.source = Some(Source { chosen, headers: head.headers, body, connection });
+            Ok(Attempt { number, chosen, head, body: AttemptBody::Stream(body, connection) }) => {
+                self.source = Some(Source { number, chosen, headers: head.headers, body, connection });
                 true
             }
             Ok(_) | Err(_) => false,
--- a/crates/bendhinge_gateway/src/log.rs
+++ b/crates/bendhinge_gateway/src/log.rs
@@ -225,8 +225,8 @@
         u64::try_from(bendhinge_clock::now().since(self.began).as_millis()).unwrap_or(u64::MAX)
     }
 
-    /// It is sent.
-    pub(crate) fn sent(&mut self, chosen: &Chosen) {
+    /// It is sent; gives the number of the send.
+    pub(crate) fn sent(&mut self, chosen: &Chosen) -> usize {
         let at_ms = self.at_ms();
         self.sends.push(Send {
             upstream: chosen.entry.name.to_string(),
@@ -236,11 +236,12 @@
             end: None,
             fetched: chosen.fetch_from.is_some(),
         });
+        self.sends.len() - 1
     }
 
-    /// A send ended without an answer that is passed on.
-    pub(crate) fn send_ended(&mut self, end: SendEnd) {
-        if let Some(send) = self.sends.last_mut() {
+    /// The send of that number ended without an answer that is passed on.
+    pub(crate) fn send_ended(&mut self, number: usize, end: SendEnd) {
+        if let Some(send) = self.sends.get_mut(number) {
             send.end = Some(end.as_str());
         }
     }
