--- a/crates/bendhinge_fleet/src/relearning.rs
+++ b/crates/bendhinge_fleet/src/relearning.rs
@@ -2,8 +2,8 @@
 //!
 //! One router that asks is enough: the others learn from it. But after a loss of many boxes at
 //! once all start together, and a router that has not heard of the others yet would take itself
-//! for the first. It therefore waits until the members that it knows have stopped growing in
-//! number, and then for its turn.
+//! for the first. It therefore waits for a while after its own start, and then for its turn. What
+//! it waits is read again at upstreams that keep it, so it does not wait for others to start too.
 
 use std::time::Duration;
 
@@ -12,8 +12,8 @@
 /// The times that relearning depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct RelearnLimits {
-    /// How long the number of known members must not have grown.
-    pub settled: Duration,
+    /// How long after its start the first in rank asks: the time in which it hears of the others.
+    pub first: Duration,
     /// The same for a router that knows nobody: it more likely has not found the others yet.
     pub alone: Duration,
     /// How much later than the one before it each further router in rank asks.
@@ -38,29 +38,25 @@
 pub struct Relearning {
     limits: RelearnLimits,
     started: Instant,
-    members: usize,
-    grew: Instant,
 }
 
 impl Relearning {
-    /// A router that started at `now` and knows nobody.
+    /// A router that started at `now`.
     #[must_use]
     pub const fn new(limits: RelearnLimits, now: Instant) -> Self {
-        Self { limits, started: now, members: 0, grew: now }
+        Self { limits, started: now }
     }
 
     /// What to do at `now`, with `members` live routers known, of which this one is at `rank`.
-    pub fn step(&mut self, members: usize, rank: usize, now: Instant) -> RelearnStep {
-        if members > self.members {
-            self.grew = now;
-        }
-        self.members = members;
-        if now.since(self.started) > self.limits.given_up {
+    #[must_use]
+    pub fn step(&self, members: usize, rank: usize, now: Instant) -> RelearnStep {
+        let waited = now.since(self.started);
+        if waited > self.limits.given_up {
             return RelearnStep::GiveUp;
         }
         let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-        let settled = if members <= 1 { self.limits.alone } else { self.limits.settled };
-        let turn = settled.saturating_add(self.limits.step.saturating_mul(rank));
-        if now.since(self.grew) < turn { RelearnStep::Wait } else { RelearnStep::AskUpstreams }
+        let first = if members <= 1 { self.limits.alone } else { self.limits.first };
+        let turn = first.saturating_add(self.limits.step.saturating_mul(rank));
+        if waited < turn { RelearnStep::Wait } else { RelearnStep::AskUpstreams }
     }
 }
--- a/crates/bendhinge_fleet/tests/relearning.rs
+++ b/crates/bendhinge_fleet/tests/relearning.rs
@@ -6,7 +6,7 @@
 use bendhinge_ids::Instant;
 
 const LIMITS: RelearnLimits = RelearnLimits {
-    settled: Duration::from_millis(800),
+    first: Duration::from_millis(800),
     alone: Duration::from_millis(3_000),
     step: Duration::from_millis(1_000),
     given_up: Duration::from_millis(6_000),
@@ -20,7 +20,7 @@
 /// `dead` never ask. Gives how many asked the upstreams before they learned from one that had.
 fn play(routers: usize, heard_ms: usize, dead: &[usize]) -> usize {
     const ASKING_TAKES: usize = 500;
-    let mut plans: Vec<Relearning> = (0..routers).map(|_| Relearning::new(LIMITS, at(0))).collect();
+    let plans: Vec<Relearning> = (0..routers).map(|_| Relearning::new(LIMITS, at(0))).collect();
     let mut first_answer: Option<usize> = None;
     let mut asked = vec![false; routers];
     for now in (100..7_000).step_by(100) {
@@ -54,15 +54,23 @@
 
 #[test]
 fn a_router_alone_looks_for_others_first() {
-    let mut alone = Relearning::new(LIMITS, at(0));
+    let alone = Relearning::new(LIMITS, at(0));
     assert_eq!(alone.step(1, 0, at(100)), RelearnStep::Wait);
     assert_eq!(alone.step(1, 0, at(2_900)), RelearnStep::Wait, "its seeds may be starting, too");
     assert_eq!(alone.step(1, 0, at(3_200)), RelearnStep::AskUpstreams);
 }
 
+/// Each newly heard member put the question off before, for four seconds in a fleet of 64.
+#[test]
+fn members_that_are_heard_of_later_put_nothing_off() {
+    let first = Relearning::new(LIMITS, at(0));
+    assert_eq!(first.step(40, 0, at(700)), RelearnStep::Wait);
+    assert_eq!(first.step(60, 0, at(850)), RelearnStep::AskUpstreams);
+}
+
 #[test]
 fn it_ends() {
-    let mut last = Relearning::new(LIMITS, at(0));
+    let last = Relearning::new(LIMITS, at(0));
     assert_eq!(last.step(64, 63, at(100)), RelearnStep::Wait);
     assert_eq!(last.step(64, 63, at(6_100)), RelearnStep::GiveUp);
 }
--- a/crates/bendhinge_gateway/src/control/recovery.rs
+++ b/crates/bendhinge_gateway/src/control/recovery.rs
@@ -18,9 +18,9 @@
 /// Who asks the upstreams, and when. Asking takes the first about a second in a fleet of 140
 /// upstreams, after which the others learn from it.
 const LIMITS: RelearnLimits = RelearnLimits {
-    settled: Duration::from_millis(800),
-    alone: Duration::from_secs(3),
-    step: Duration::from_millis(1_500),
+    first: Duration::from_millis(700),
+    alone: Duration::from_millis(1_500),
+    step: Duration::from_secs(1),
     given_up: Duration::from_secs(6),
 };
 /// How many upstreams are asked at the same time: listing holds up their work.
@@ -38,7 +38,7 @@
 
 impl Control {
     async fn learn(self: &Rc<Self>) {
-        let mut plan = Relearning::new(LIMITS, bendhinge_clock::now());
+        let plan = Relearning::new(LIMITS, bendhinge_clock::now());
         loop {
             Timer::after(LOOK).await;
             if self.learn_from_another().await {
