--- a/crates/bendhinge_gateway/src/knowledge/rules.rs
+++ b/crates/bendhinge_gateway/src/knowledge/rules.rs
@@ -1,5 +1,6 @@
 //! The serving rules in force, and how old the knowledge is that they are.
 
+use std::convert::Infallible;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -8,6 +9,11 @@
 use bendhinge_peer::Known;
 use bendhinge_routes::ServingRules;
 use bytes::Bytes;
+use futures_lite::FutureExt;
+use smol::Timer;
+use smol::channel::{Receiver, Sender, bounded};
+
+use crate::settings::BeliefSettings;
 
 /// A version of the rules with the document it was read from.
 #[derive(Debug)]
@@ -19,13 +25,32 @@
 /// Keeps the rules in force.
 pub(crate) struct RulesKeeper {
     belief: Mutex<Belief<RulesInForce>>,
-    lease: Option<Duration>,
+    limits: BeliefSettings,
+    started: Instant,
+    /// Closed when the first rules are there; nothing is ever sent.
+    first: (Sender<Infallible>, Receiver<Infallible>),
 }
 
 impl RulesKeeper {
-    /// Rules may be acted on for `lease` after they were known to be current; `None` is no limit.
-    pub(crate) fn new(lease: Option<Duration>) -> Self {
-        Self { belief: Mutex::default(), lease }
+    /// No rules yet.
+    pub(crate) fn new(limits: BeliefSettings) -> Self {
+        Self { belief: Mutex::default(), limits, started: bendhinge_clock::now(), first: bounded(1) }
+    }
+
+    /// The rules in force. Those who ask while the process starts wait for them for a moment.
+    pub(crate) async fn current_or_first(&self) -> Option<Arc<RulesInForce>> {
+        let left = self.limits.first_rules.saturating_sub(bendhinge_clock::now().since(self.started));
+        if self.current().is_none() && !left.is_zero() {
+            let arrived = async {
+                // It ends when the channel is closed.
+                let _ = self.first.1.recv().await;
+            };
+            let too_late = async {
+                Timer::after(left).await;
+            };
+            arrived.or(too_late).await;
+        }
+        self.current()
     }
 
     /// The rules in force.
@@ -37,7 +62,7 @@
     /// Asked right before each send: the process may have been frozen since it was last asked.
     pub(crate) fn may_be_acted_on(&self) -> bool {
         let belief = self.belief.lock().unwrap();
-        match self.lease {
+        match self.limits.rules_lease {
             Some(lease) => belief.is_within(lease, bendhinge_clock::now()),
             None => belief.held().is_some(),
         }
@@ -62,6 +87,8 @@
     }
 
     pub(crate) fn offer(&self, version: Version, as_of: Instant, rules: RulesInForce) -> Offer {
-        self.belief.lock().unwrap().offer(version, as_of, || Arc::new(rules))
+        let offer = self.belief.lock().unwrap().offer(version, as_of, || Arc::new(rules));
+        self.first.0.close();
+        offer
     }
 }
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -102,7 +102,7 @@
     let lifecycle = Arc::new(Lifecycle::new(settings.stop));
     let delivering = Arc::new(Delivering {
         dialect,
-        rules: Arc::new(RulesKeeper::new(settings.beliefs.rules_lease)),
+        rules: Arc::new(RulesKeeper::new(settings.beliefs)),
         upstreams: Arc::new(UpstreamView::new(&settings.upstreams)),
         retries: Retries::new(settings.retries),
         pool: Pool::new(Arc::clone(tasks), settings.upstreams.connect, settings.upstreams.idle),
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -75,6 +75,8 @@
 pub struct BeliefSettings {
     /// The age of the rules up to which requests with a key are sent; `None` is no limit.
     pub rules_lease: Option<Duration>,
+    /// How long after the start of the process requests wait for the first rules.
+    pub first_rules: Duration,
 }
 
 /// Connections to upstreams, and judging them.
@@ -203,9 +205,10 @@
     fn beliefs(&self, section: &Section) -> Option<BeliefSettings> {
         let lease = self.0.millis(section, "rules_lease_ms");
         let margin = self.0.millis(section, "margin_ms");
+        let first_rules = self.0.millis(section, "first_rules_ms");
         let (lease, margin) = (lease?, margin?);
         let rules_lease = (!lease.is_zero()).then(|| lease.saturating_sub(margin));
-        Some(BeliefSettings { rules_lease })
+        Some(BeliefSettings { rules_lease, first_rules: first_rules? })
     }
 
     fn upstreams(&self, section: &Section) -> Option<UpstreamSettings> {
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -94,6 +94,14 @@
             Some("300"),
             "What is kept of that for the way to the upstream.",
         ),
+        Key::new(
+            "first_rules_ms",
+            "milliseconds",
+            // A store answers in milliseconds, and a box with an eighth of a core had its first
+            // rules within a tenth of a second of its start (bench, 2026-12-02).
+            Some("200"),
+            "How long after the start of the process requests wait for the first rules; a caller that is refused instead loses one of its few tries.",
+        ),
     ],
 };
 
--- a/crates/bendhinge_lab/tests/gateway_life.rs
+++ b/crates/bendhinge_lab/tests/gateway_life.rs
@@ -73,6 +73,24 @@
     });
 }
 
+/// Before, whoever came in the first milliseconds of a process was refused.
+#[test]
+fn who_comes_before_the_first_rules_waits_for_them() {
+    run(|tasks| async move {
+        let patient = "[beliefs]\nrules_lease_ms = 0\nfirst_rules_ms = 20000\n";
+        let shape = FleetShape { gateways: 1, engines: 0, services: 1 };
+        let mut fleet = GatewayFleet::start(&tasks, shape, patient).await;
+        fleet.gateways[0] = None;
+        fleet.store_proxy.set(Harm::Silence);
+        fleet.restart(0);
+        let (caller, address) = (fleet.caller(), fleet.callers(0));
+        let early = tasks.spawn(async move { caller.send(address, &call("/safe/x"), PATIENCE).await });
+        smol::Timer::after(Duration::from_millis(300)).await;
+        fleet.store_proxy.set(Harm::None);
+        assert_eq!(early.await.told, Told::Whole);
+    });
+}
+
 #[test]
 fn the_store_is_read_by_few() {
     run(|tasks| async move {
