--- a/crates/bendhinge_admission/tests/budget.rs
+++ b/crates/bendhinge_admission/tests/budget.rs
@@ -26,9 +26,10 @@
 }
 
 impl Played {
-    fn requests_within(&self, from: isize) -> u32 {
-        let step = |index: isize| usize::try_from(index).ok().and_then(|index| self.requests.get(index));
-        (from..from + STEPS_OF_SPAN as isize).filter_map(step).sum()
+    /// The requests of the span that begins `earlier` steps before the step `from`.
+    fn requests_within(&self, from: usize, earlier: usize) -> u32 {
+        let until = (from + STEPS_OF_SPAN).saturating_sub(earlier).min(self.requests.len());
+        self.requests[from.saturating_sub(earlier)..until].iter().sum()
     }
 
     /// The rule: what was sent again within a span is within the ratio of the requests of that
@@ -37,9 +38,8 @@
         for from in 0..self.retries.len() {
             let until = (from + STEPS_OF_SPAN).min(self.retries.len());
             let retries: u32 = self.retries[from..until].iter().sum();
-            let from = from as isize;
-            let half = STEPS_OF_SPAN as isize / 2;
-            let most = [from, from - half, from - 2 * half].map(|from| self.requests_within(from));
+            let most =
+                [0, STEPS_OF_SPAN / 2, STEPS_OF_SPAN].map(|earlier| self.requests_within(from, earlier));
             let requests = most.into_iter().max().unwrap();
             let allowed = budget.ratio * f64::from(requests) + budget.slack;
             assert!(f64::from(retries) <= allowed, "{retries} of {requests} from step {from}");
