--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -47,6 +47,8 @@
     pub(crate) reason: ChoiceReason,
     /// Requests believed to be there.
     pub(crate) load: f32,
+    /// Tokens of the prompt's shared parts that it is believed to lack.
+    pub(crate) missing: u32,
     /// Its place there, held as long as this is.
     pub(crate) _place: Place,
 }
@@ -154,7 +156,14 @@
         drop(state);
         let place = Place { view: Arc::clone(self), upstream };
         let load = candidates[choice.chosen].load;
-        Some(Chosen { entry, fetch_from, reason: choice.reason, load, _place: place })
+        Some(Chosen {
+            entry,
+            fetch_from,
+            reason: choice.reason,
+            load,
+            missing: choice.missing,
+            _place: place,
+        })
     }
 
     /// Notes an upstream's whole answer, or the head of a stream.
--- a/crates/bendhinge_gateway/src/log.rs
+++ b/crates/bendhinge_gateway/src/log.rs
@@ -190,6 +190,8 @@
     upstream: String,
     why: &'static str,
     load: f32,
+    #[serde(skip_serializing_if = "is_zero")]
+    missing: u32,
     at_ms: u64,
     #[serde(skip_serializing_if = "Option::is_none")]
     end: Option<&'static str>,
@@ -202,6 +204,11 @@
     !*flag
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the form that the library asks for")]
+const fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
 /// What is gathered of a request until its line is written.
 pub(crate) struct RequestLine {
     request: String,
@@ -232,6 +239,7 @@
             upstream: chosen.entry.name.to_string(),
             why: chosen.reason.as_str(),
             load: chosen.load,
+            missing: chosen.missing,
             at_ms,
             end: None,
             fetched: chosen.fetch_from.is_some(),
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -91,6 +91,8 @@
     pub reason: ChoiceReason,
     /// What it costs, in tokens.
     pub cost: f32,
+    /// Tokens of the shared parts that it is believed to lack.
+    pub missing: u32,
 }
 
 /// A choice to be made.
@@ -209,7 +211,13 @@
         let ahead = candidate.load * self.rules.per_request + candidate.failing * self.rules.per_failure;
         let Some(prompt) = self.question.prompt else {
             let cost = ahead + self.jitter(index, self.rules.jitter);
-            return Choice { chosen: index, fetch_from: None, reason: ChoiceReason::LeastCost, cost };
+            return Choice {
+                chosen: index,
+                fetch_from: None,
+                reason: ChoiceReason::LeastCost,
+                cost,
+                missing: 0,
+            };
         };
         let own = self.kept[index];
         let missing = prompt.shared_tokens() - own;
@@ -230,7 +238,8 @@
         let is_one_of_many = missing > 0 && !is_home;
         let spread = if is_one_of_many { self.rules.jitter * self.mean_load + 1.0 } else { 1.0 };
         let fetch_from = source.map(|source| source.index);
-        Choice { chosen: index, fetch_from, reason, cost: ahead + reading + self.jitter(index, spread) }
+        let cost = ahead + reading + self.jitter(index, spread);
+        Choice { chosen: index, fetch_from, reason, cost, missing }
     }
 
     /// From where a candidate that keeps `own` tokens should fetch: from the one that is believed
