Standard names between gateways: PeerMessage, ObservedLoad, ObservedRead, UpstreamFailure, LearnedFrom

Word, LoadWord, ReadWord, Mishap and Teller were words of our own for a message, what it carries, a failure and a source.

--- a/crates/bendhinge_fleet/src/judge.rs
+++ b/crates/bendhinge_fleet/src/judge.rs
@@ -22,7 +22,7 @@
 
 /// How a request failed at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mishap {
+pub enum UpstreamFailure {
     /// No connection could be made.
     NotConnected,
     /// It gave no answer in time.
@@ -37,7 +37,7 @@
     Replaced,
 }
 
-impl Mishap {
+impl UpstreamFailure {
     /// Failures in a row from which the upstream rests.
     const fn allowed(self) -> u32 {
         match self {
@@ -130,17 +130,17 @@
     }
 
     /// Notes a failure; `true` if the upstream rests because of it.
-    pub fn failed(&mut self, upstream: NameHash, mishap: Mishap, now: Instant) -> bool {
+    pub fn failed(&mut self, upstream: NameHash, failure: UpstreamFailure, now: Instant) -> bool {
         let limits = self.limits;
         let record = self.record(upstream, now);
         record.requests += 1.0;
-        record.failures += mishap.weight();
+        record.failures += failure.weight();
         record.in_a_row = record.in_a_row.saturating_add(1);
         let on_trial = record.trial_began.take().is_some();
-        if record.in_a_row < mishap.allowed() && !on_trial {
+        if record.in_a_row < failure.allowed() && !on_trial {
             return false;
         }
-        let doublings = record.in_a_row.saturating_sub(mishap.allowed()).min(8);
+        let doublings = record.in_a_row.saturating_sub(failure.allowed()).min(8);
         let rest = limits.rest.saturating_mul(1 << doublings).min(limits.longest_rest);
         record.rests_until = Some(now + rest);
         true
--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use belief::{Belief, Held, Offer, Revision, Version};
 pub use directory::{Directory, DirectoryLimits, Listed, UpstreamEntry, UpstreamList, UpstreamState};
-pub use judge::{Judge, JudgeLimits, Mishap, Standing};
+pub use judge::{Judge, JudgeLimits, Standing, UpstreamFailure};
 pub use news::NewsCursors;
 pub use reading::{ReadingLimits, ReadingPlan};
 pub use relearning::{RelearnLimits, RelearnStep, Relearning};
--- a/crates/bendhinge_fleet/tests/judge.rs
+++ b/crates/bendhinge_fleet/tests/judge.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bendhinge_fleet::{Judge, JudgeLimits, Mishap, Standing};
+use bendhinge_fleet::{Judge, JudgeLimits, Standing, UpstreamFailure};
 use bendhinge_ids::{Instant, NameHash};
 
 const LIMITS: JudgeLimits = JudgeLimits {
@@ -23,26 +23,26 @@
 #[test]
 fn each_mishap_has_its_own_patience() {
     let cases = [
-        (Mishap::NotConnected, 1),
-        (Mishap::Replaced, 1),
-        (Mishap::Silent, 2),
-        (Mishap::Lost, 3),
-        (Mishap::Shed, 3),
-        (Mishap::Failed, 6),
+        (UpstreamFailure::NotConnected, 1),
+        (UpstreamFailure::Replaced, 1),
+        (UpstreamFailure::Silent, 2),
+        (UpstreamFailure::Lost, 3),
+        (UpstreamFailure::Shed, 3),
+        (UpstreamFailure::Failed, 6),
     ];
-    for (mishap, allowed) in cases {
+    for (failure, allowed) in cases {
         let mut judge = Judge::new(LIMITS);
         let rested: Vec<bool> =
-            (0..allowed).map(|number| judge.failed(UPSTREAM, mishap, at(1_000 + number))).collect();
+            (0..allowed).map(|number| judge.failed(UPSTREAM, failure, at(1_000 + number))).collect();
         let expected: Vec<bool> = (1..=allowed).map(|number| number == allowed).collect();
-        assert_eq!(rested, expected, "{mishap:?}");
+        assert_eq!(rested, expected, "{failure:?}");
     }
 }
 
 #[test]
 fn after_its_rest_it_gets_one_request_on_trial() {
     let mut judge = Judge::new(LIMITS);
-    judge.failed(UPSTREAM, Mishap::NotConnected, at(1_000));
+    judge.failed(UPSTREAM, UpstreamFailure::NotConnected, at(1_000));
     assert_eq!(judge.standing(UPSTREAM, at(1_400)), Standing::Resting);
     assert_eq!(judge.standing(UPSTREAM, at(1_600)), Standing::OnTrial);
     judge.sent(UPSTREAM, at(1_600));
@@ -57,7 +57,7 @@
     let mut now = 1_000;
     let mut rests = Vec::new();
     for _ in 0..6 {
-        judge.failed(UPSTREAM, Mishap::NotConnected, at(now));
+        judge.failed(UPSTREAM, UpstreamFailure::NotConnected, at(now));
         let rest =
             (1..60_000).find(|rest| judge.standing(UPSTREAM, at(now + rest)) != Standing::Resting).unwrap();
         rests.push(rest);
@@ -70,7 +70,7 @@
 #[test]
 fn an_upstream_that_nobody_tried_is_forgiven_in_the_end() {
     let mut judge = Judge::new(LIMITS);
-    judge.failed(UPSTREAM, Mishap::NotConnected, at(1_000));
+    judge.failed(UPSTREAM, UpstreamFailure::NotConnected, at(1_000));
     assert_eq!(judge.standing(UPSTREAM, at(5_000)), Standing::OnTrial);
     assert!(is_good(judge.standing(UPSTREAM, at(6_000))));
 }
@@ -79,7 +79,7 @@
 fn the_share_of_failures_fades() {
     let mut judge = Judge::new(LIMITS);
     for number in 0..10 {
-        judge.failed(UPSTREAM, Mishap::Failed, at(1_000));
+        judge.failed(UPSTREAM, UpstreamFailure::Failed, at(1_000));
         judge.answered(UPSTREAM, at(1_000 + number));
     }
     let failing = |judge: &mut Judge, now| match judge.standing(UPSTREAM, now) {
--- a/crates/bendhinge_fleet/tests/roster.rs
+++ b/crates/bendhinge_fleet/tests/roster.rs
@@ -33,7 +33,7 @@
         self.rosters[number] = Some(Roster::new(address(number), seeds, LIMITS));
     }
 
-    fn word(&self, number: usize, now: Instant) -> Vec<Heard> {
+    fn message(&self, number: usize, now: Instant) -> Vec<Heard> {
         let roster = self.rosters[number].as_ref().unwrap();
         let own = Heard {
             address: address(number),
@@ -70,7 +70,7 @@
             return;
         }
         for (from, to) in [(asking, asked), (asked, asking)] {
-            for heard in self.word(from, now) {
+            for heard in self.message(from, now) {
                 self.rosters[to].as_mut().unwrap().hear(&heard, now);
             }
         }
@@ -164,7 +164,7 @@
     heard.is_leaving = false;
     heard.age = Duration::from_millis(400);
     roster.hear(&heard, now);
-    assert_eq!(roster.live_count(now), 1, "older word does not undo newer");
+    assert_eq!(roster.live_count(now), 1, "older message does not undo newer");
 }
 
 #[test]
@@ -238,10 +238,10 @@
         for reader in [0, size / 2, size - 1] {
             let mut has_news = vec![false; size];
             has_news[reader] = true;
-            let (mut telling, mut words) = (vec![(reader, Origin::Store)], 0);
+            let (mut telling, mut messages) = (vec![(reader, Origin::Store)], 0);
             while let Some((teller, origin)) = telling.pop() {
                 for listener in rosters[teller].listeners(origin, false, now) {
-                    words += 1;
+                    messages += 1;
                     let listener = (0..size).find(|number| address(*number) == listener).unwrap();
                     if !std::mem::replace(&mut has_news[listener], true) {
                         telling.push((listener, Origin::Peer));
@@ -251,7 +251,7 @@
             assert!(has_news.iter().all(|has| *has), "of {size}, from {reader}");
             // Who reads without being the first makes sure that all hear.
             let most = if rosters[reader].own_rank(false, now) == 0 { 2 * size } else { 3 * size };
-            assert!(words <= most, "{words} words of {size}, from {reader}");
+            assert!(messages <= most, "{messages} messages of {size}, from {reader}");
         }
     }
 }
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -7,7 +7,7 @@
 
 use bendhinge_fleet::{Contact, Heard, Offer, Origin, Reach, UpstreamList};
 use bendhinge_ids::Instant;
-use bendhinge_peer::{FleetDuties, Known, ReadWord, Word};
+use bendhinge_peer::{FleetDuties, Known, ObservedRead, PeerMessage};
 use bytes::Bytes;
 use rand::Rng;
 use smol::Timer;
@@ -78,11 +78,11 @@
     }
 }
 
-/// Exchanges words with the gateway at `address` and takes its word in; `false` if it gave none.
+/// Exchanges messages with the gateway at `address` and takes its message in; `false` if it gave none.
 async fn ask(control: &Rc<Control>, address: SocketAddr, content: Content) -> bool {
     let asked = bendhinge_clock::now();
-    let word = own_word(control, address, content, asked);
-    let answer = control.peers.call(address, async |peer| peer.exchange(&word).await).await;
+    let message = own_message(control, address, content, asked);
+    let answer = control.peers.call(address, async |peer| peer.exchange(&message).await).await;
     control.delivering.metrics.exchange(answer.is_ok());
     let Ok(answer) = answer else { return false };
     if content == Content::Whole {
@@ -93,7 +93,7 @@
     true
 }
 
-/// What a word says.
+/// What a message says.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Content {
     /// What the sender holds: there is news of it.
@@ -103,7 +103,7 @@
 }
 
 /// What this gateway tells the one at `listener` at `now`.
-fn own_word(control: &Control, listener: SocketAddr, content: Content, now: Instant) -> Word {
+fn own_message(control: &Control, listener: SocketAddr, content: Content, now: Instant) -> PeerMessage {
     let upstreams = &control.delivering.upstreams;
     let sender = Heard {
         address: control.settings.peers,
@@ -111,7 +111,7 @@
         is_leaving: control.lifecycle.is_stopping(),
         is_store_failing: control.plan.borrow().is_failing(),
     };
-    let brief = Word {
+    let brief = PeerMessage {
         sender,
         is_brief: true,
         rules: control.delivering.rules.known(now),
@@ -123,7 +123,7 @@
     if content == Content::Brief {
         return brief;
     }
-    Word {
+    PeerMessage {
         is_brief: false,
         members: control.roster.borrow().members(now).collect(),
         loads: upstreams.loads_to_tell(now),
@@ -132,41 +132,41 @@
     }
 }
 
-/// Takes a word in. `asked` is when it was asked for: only then is it known how old it can be at
+/// Takes a message in. `asked` is when it was asked for: only then is it known how old it can be at
 /// most, and only then does it count as evidence of what is current.
-fn take_in(control: &Control, word: &Word, asked: Option<Instant>) {
+fn take_in(control: &Control, message: &PeerMessage, asked: Option<Instant>) {
     let now = bendhinge_clock::now();
     let mut roster = control.roster.borrow_mut();
-    roster.hear(&word.sender, now);
-    for heard in &word.members {
+    roster.hear(&message.sender, now);
+    for heard in &message.members {
         roster.hear(heard, now);
     }
     drop(roster);
     let delivering = &control.delivering;
-    // Of what only guides choices, a word that nobody asked for tells as much: it may be older than
+    // Of what only guides choices, a message that nobody asked for tells as much: it may be older than
     // it says by the time that it was on its way.
-    delivering.upstreams.hear_reads(&word.reads, word.sender.address, asked.unwrap_or(now));
-    delivering.upstreams.hear_loads(&word.loads, asked.unwrap_or(now));
+    delivering.upstreams.hear_reads(&message.reads, message.sender.address, asked.unwrap_or(now));
+    delivering.upstreams.hear_loads(&message.loads, asked.unwrap_or(now));
     let Some(asked) = asked else { return };
-    if let Some(known) = word.rules {
+    if let Some(known) = message.rules {
         delivering.rules.confirm(known.version, asked - known.age);
     }
-    if let Some(known) = word.upstreams {
+    if let Some(known) = message.upstreams {
         delivering.upstreams.confirm(known.version, asked - known.age);
     }
 }
 
 /// Fetches what the gateway at `address` holds and this one lacks.
-async fn fetch_news(control: &Rc<Control>, address: SocketAddr, word: &Word) {
+async fn fetch_news(control: &Rc<Control>, address: SocketAddr, message: &PeerMessage) {
     let delivering = &control.delivering;
-    if word.rules.is_some_and(|known| delivering.rules.lacks(known.version)) {
+    if message.rules.is_some_and(|known| delivering.rules.lacks(known.version)) {
         let asked = bendhinge_clock::now();
         let fetched = control.peers.call(address, async |peer| peer.rules().await).await;
         if let Ok(Some((known, document))) = fetched {
             control.take_rules(&known, asked, document, Origin::Peer);
         }
     }
-    if word.upstreams.is_some_and(|known| delivering.upstreams.lacks(known.version)) {
+    if message.upstreams.is_some_and(|known| delivering.upstreams.lacks(known.version)) {
         let asked = bendhinge_clock::now();
         let fetched = control.peers.call(address, async |peer| peer.upstreams().await).await;
         if let Ok(Some((known, list))) = fetched {
@@ -207,12 +207,12 @@
         }
     }
 
-    /// Whether the sender of `word` knows the rules held here to be current, of which this gateway
+    /// Whether the sender of `message` knows the rules held here to be current, of which this gateway
     /// has had no evidence for long.
-    fn is_much_fresher(&self, word: &Word) -> bool {
+    fn is_much_fresher(&self, message: &PeerMessage) -> bool {
         let held = self.delivering.rules.known(bendhinge_clock::now());
-        word.rules.zip(held).is_some_and(|(told, held)| {
-            // Only knowledge that ends the want of it counts: were a little fresher enough, word
+        message.rules.zip(held).is_some_and(|(told, held)| {
+            // Only knowledge that ends the want of it counts: were a little fresher enough, news
             // of it would go round and round while nobody reaches the store.
             let enough = self.settings.store.reading.last;
             told.version == held.version && held.age > enough && told.age < enough
@@ -230,23 +230,23 @@
 pub(super) struct Duties(pub(super) Rc<Control>);
 
 impl FleetDuties for Duties {
-    fn exchange(&self, word: Word) -> Word {
-        take_in(&self.0, &word, None);
+    fn exchange(&self, message: PeerMessage) -> PeerMessage {
+        take_in(&self.0, &message, None);
         let control = Rc::clone(&self.0);
-        let address = word.sender.address;
+        let address = message.sender.address;
         let delivering = &self.0.delivering;
-        let is_fresher = control.is_much_fresher(&word);
-        let has_news = word.rules.is_some_and(|known| delivering.rules.lacks(known.version))
-            || word.upstreams.is_some_and(|known| delivering.upstreams.lacks(known.version));
+        let is_fresher = control.is_much_fresher(&message);
+        let has_news = message.rules.is_some_and(|known| delivering.rules.lacks(known.version))
+            || message.upstreams.is_some_and(|known| delivering.upstreams.lacks(known.version));
         let now = bendhinge_clock::now();
-        let content = if word.is_brief { Content::Brief } else { Content::Whole };
-        let answer = own_word(&self.0, address, content, now);
+        let content = if message.is_brief { Content::Brief } else { Content::Whole };
+        let answer = own_message(&self.0, address, content, now);
         if content == Content::Whole {
             self.0.news.borrow_mut().told(address, now);
         }
         let executor = Rc::clone(&control.executor);
         if has_news {
-            executor.spawn(async move { fetch_news(&control, address, &word).await }).detach();
+            executor.spawn(async move { fetch_news(&control, address, &message).await }).detach();
         } else if is_fresher {
             // Only an answer to a question of its own tells it how old the knowledge is.
             let asking = async move {
@@ -265,7 +265,7 @@
         Some((known, rules.current()?.document.clone()))
     }
 
-    fn reads(&self) -> Option<Vec<ReadWord>> {
+    fn reads(&self) -> Option<Vec<ObservedRead>> {
         self.0.is_informed.get().then(|| self.0.delivering.upstreams.all_reads(bendhinge_clock::now()))
     }
 
--- a/crates/bendhinge_gateway/src/control/recovery.rs
+++ b/crates/bendhinge_gateway/src/control/recovery.rs
@@ -8,7 +8,7 @@
 use bendhinge_fleet::{Reach, RelearnLimits, RelearnStep, Relearning, UpstreamEntry};
 use bendhinge_http::fetch_bytes;
 use bendhinge_ids::Instant;
-use bendhinge_peer::ReadWord;
+use bendhinge_peer::ObservedRead;
 use smol::{Task, Timer};
 
 use super::Control;
@@ -98,14 +98,14 @@
         })
     }
 
-    async fn listed_by(&self, upstream: &UpstreamEntry) -> Vec<ReadWord> {
+    async fn listed_by(&self, upstream: &UpstreamEntry) -> Vec<ObservedRead> {
         let dialect = &self.delivering.dialect;
         let pool = &self.delivering.pool;
         let fetched = fetch_bytes(pool, upstream.address, dialect.kept_path(), LIST_TIME).await;
         let parts = fetched.ok().and_then(|body| dialect.read_kept(&body).ok()).unwrap_or_default();
         let worth_it = parts.into_iter().filter(|part| part.tokens >= LEAST_TOKENS);
         worth_it
-            .map(|part| ReadWord { part: part.id, upstream: upstream.hash, age: Duration::ZERO })
+            .map(|part| ObservedRead { part: part.id, upstream: upstream.hash, age: Duration::ZERO })
             .collect()
     }
 }
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -9,7 +9,7 @@
 
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{Course, SendEnd};
-use bendhinge_fleet::{Mishap, UpstreamEntry};
+use bendhinge_fleet::{UpstreamEntry, UpstreamFailure};
 use bendhinge_http::{Body, Pool, Tasks, full_body};
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_routes::{Customer, Route};
@@ -226,7 +226,7 @@
         let Delivering { upstreams, metrics, log, .. } = &*self.delivering;
         self.line.send_ended(number, end);
         metrics.send_ended(end);
-        if mishap(end).is_some_and(|mishap| upstreams.failed(upstream.hash, mishap)) {
+        if upstream_failure(end).is_some_and(|failure| upstreams.failed(upstream.hash, failure)) {
             log.upstream_rests(&upstream.name, end);
         }
         self.course.ended(end)
@@ -285,14 +285,14 @@
 }
 
 /// What the end of a send says about the upstream.
-const fn mishap(end: SendEnd) -> Option<Mishap> {
+const fn upstream_failure(end: SendEnd) -> Option<UpstreamFailure> {
     match end {
-        SendEnd::NotConnected => Some(Mishap::NotConnected),
+        SendEnd::NotConnected => Some(UpstreamFailure::NotConnected),
         SendEnd::NotSent | SendEnd::Overtaken => None,
-        SendEnd::Rejected => Some(Mishap::Shed),
-        SendEnd::Replaced => Some(Mishap::Replaced),
-        SendEnd::Lost | SendEnd::Spoilt => Some(Mishap::Lost),
-        SendEnd::Silent => Some(Mishap::Silent),
-        SendEnd::Failed => Some(Mishap::Failed),
+        SendEnd::Rejected => Some(UpstreamFailure::Shed),
+        SendEnd::Replaced => Some(UpstreamFailure::Replaced),
+        SendEnd::Lost | SendEnd::Spoilt => Some(UpstreamFailure::Lost),
+        SendEnd::Silent => Some(UpstreamFailure::Silent),
+        SendEnd::Failed => Some(UpstreamFailure::Failed),
     }
 }
--- a/crates/bendhinge_gateway/src/knowledge/loads.rs
+++ b/crates/bendhinge_gateway/src/knowledge/loads.rs
@@ -6,7 +6,7 @@
 use rustc_hash::FxHashMap;
 
 /// After this time what an upstream said of others' requests counts for nothing.
-const WORD_FADES_AFTER: Duration = Duration::from_secs(4);
+const REPORT_FADES_AFTER: Duration = Duration::from_secs(4);
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Load {
@@ -14,7 +14,7 @@
     own: u32,
     /// All requests there as it said, and when.
     said: Option<(u32, Instant)>,
-    /// Others' requests there, by that word.
+    /// Others' requests there, as it said then.
     others: u32,
 }
 
@@ -56,14 +56,14 @@
         let load = self.0.get(&upstream).copied().unwrap_or_default();
         let faded = load
             .said
-            .map_or(1.0, |(_, at)| (now.since(at).as_secs_f32() / WORD_FADES_AFTER.as_secs_f32()).min(1.0));
+            .map_or(1.0, |(_, at)| (now.since(at).as_secs_f32() / REPORT_FADES_AFTER.as_secs_f32()).min(1.0));
         load.own as f32 + load.others as f32 * (1.0 - faded) + mean * faded
     }
 
     /// What the others have at an upstream on average, by what upstreams said lately.
     pub(super) fn mean_of_others(&self, upstreams: impl Iterator<Item = NameHash>, now: Instant) -> f32 {
         let loads = upstreams.filter_map(|upstream| self.0.get(&upstream));
-        let lately = loads.filter(|load| load.said.is_some_and(|(_, at)| now.since(at) < WORD_FADES_AFTER));
+        let lately = loads.filter(|load| load.said.is_some_and(|(_, at)| now.since(at) < REPORT_FADES_AFTER));
         let (count, total) =
             lately.fold((0_u32, 0_u32), |(count, total), load| (count + 1, total + load.others));
         total as f32 / count.max(1) as f32
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use bendhinge_fleet::{
-    Belief, Directory, Judge, Listed, Mishap, Offer, Standing, UpstreamEntry, UpstreamList, Version,
+    Belief, Directory, Judge, Listed, Offer, Standing, UpstreamEntry, UpstreamFailure, UpstreamList, Version,
 };
 use bendhinge_ids::{Instant, NameHash, PoolName};
-use bendhinge_peer::{Known, LoadWord, ReadWord};
+use bendhinge_peer::{Known, ObservedLoad, ObservedRead};
 use bendhinge_placement::{
-    Candidate, ChoiceReason, CostRules, KeptPart, KeptParts, Learned, Prompt, Question, Teller, choose,
+    Candidate, ChoiceReason, CostRules, KeptPart, KeptParts, Learned, LearnedFrom, Prompt, Question, choose,
 };
 use bendhinge_routes::PoolRule;
 
@@ -24,7 +24,7 @@
 const MOST_READS_TOLD: usize = 400;
 /// What an upstream on trial is expected to fail.
 const SHARE_FAILING_ON_TRIAL: f32 = 0.5;
-/// Words of loads older than this are not passed on.
+/// Reports of loads older than this are not passed on.
 const LOADS_TOLD_FOR: Duration = Duration::from_millis(2_500);
 
 /// A request that needs an upstream.
@@ -172,8 +172,8 @@
     }
 
     /// Notes a failure; `true` if the upstream rests because of it.
-    pub(crate) fn failed(&self, upstream: NameHash, mishap: Mishap) -> bool {
-        self.state.lock().unwrap().judge.failed(upstream, mishap, bendhinge_clock::now())
+    pub(crate) fn failed(&self, upstream: NameHash, failure: UpstreamFailure) -> bool {
+        self.state.lock().unwrap().judge.failed(upstream, failure, bendhinge_clock::now())
     }
 
     /// Notes what an upstream said of its load.
@@ -183,9 +183,9 @@
     }
 
     /// What to tell others of loads.
-    pub(crate) fn loads_to_tell(&self, now: Instant) -> Vec<LoadWord> {
+    pub(crate) fn loads_to_tell(&self, now: Instant) -> Vec<ObservedLoad> {
         let state = self.state.lock().unwrap();
-        let told = state.loads.said_within(LOADS_TOLD_FOR, now).map(|said| LoadWord {
+        let told = state.loads.said_within(LOADS_TOLD_FOR, now).map(|said| ObservedLoad {
             upstream: said.upstream,
             in_progress: u16::try_from(said.in_progress).unwrap_or(u16::MAX),
             age: now.since(said.at),
@@ -194,7 +194,7 @@
     }
 
     /// Takes in what another gateway heard of loads, in an answer to a question asked at `asked`.
-    pub(crate) fn hear_loads(&self, loads: &[LoadWord], asked: Instant) {
+    pub(crate) fn hear_loads(&self, loads: &[ObservedLoad], asked: Instant) {
         let mut state = self.state.lock().unwrap();
         for load in loads {
             let at = asked - load.age;
@@ -204,16 +204,21 @@
 
     /// What to tell the gateway at `listener` of parts that upstreams read: what this one learned
     /// within `span`, and not from the listener itself.
-    pub(crate) fn reads_to_tell(&self, listener: SocketAddr, span: Duration, now: Instant) -> Vec<ReadWord> {
+    pub(crate) fn reads_to_tell(
+        &self,
+        listener: SocketAddr,
+        span: Duration,
+        now: Instant,
+    ) -> Vec<ObservedRead> {
         let state = self.state.lock().unwrap();
-        let news = state.kept.news_for(teller(listener), span, now);
-        news.take(MOST_READS_TOLD).map(|kept| read_word(kept, now)).collect()
+        let news = state.kept.news_for(learned_from(listener), span, now);
+        news.take(MOST_READS_TOLD).map(|kept| observed_read(kept, now)).collect()
     }
 
     /// All that upstreams are believed to have read.
-    pub(crate) fn all_reads(&self, now: Instant) -> Vec<ReadWord> {
+    pub(crate) fn all_reads(&self, now: Instant) -> Vec<ObservedRead> {
         let state = self.state.lock().unwrap();
-        state.kept.all().map(|kept| read_word(kept, now)).collect()
+        state.kept.all().map(|kept| observed_read(kept, now)).collect()
     }
 
     /// The upstreams that take work, of pools for which `keeps_prompts` holds.
@@ -224,20 +229,20 @@
     }
 
     /// Takes in what others told at once, or an upstream listed: it is not told of again.
-    pub(crate) fn recover_reads(&self, reads: &[ReadWord]) {
+    pub(crate) fn recover_reads(&self, reads: &[ObservedRead]) {
         let now = bendhinge_clock::now();
-        let learned = Learned { at: Instant::default(), from: Teller::Itself };
+        let learned = Learned { at: Instant::default(), from: LearnedFrom::Itself };
         self.learn_reads(reads, now, learned);
     }
 
     /// Takes in which parts upstreams read, as the gateway at `from` told in an exchange that
     /// began at `asked`.
-    pub(crate) fn hear_reads(&self, reads: &[ReadWord], from: SocketAddr, asked: Instant) {
-        self.learn_reads(reads, asked, Learned { at: bendhinge_clock::now(), from: teller(from) });
+    pub(crate) fn hear_reads(&self, reads: &[ObservedRead], from: SocketAddr, asked: Instant) {
+        self.learn_reads(reads, asked, Learned { at: bendhinge_clock::now(), from: learned_from(from) });
     }
 
     /// Takes in reads whose ages count from `as_of`.
-    fn learn_reads(&self, reads: &[ReadWord], as_of: Instant, learned: Learned) {
+    fn learn_reads(&self, reads: &[ObservedRead], as_of: Instant, learned: Learned) {
         let mut state = self.state.lock().unwrap();
         for read in reads {
             let kept = KeptPart { part: read.part, upstream: read.upstream, used: as_of - read.age };
@@ -258,12 +263,12 @@
 }
 
 /// The gateway at `address` as one from whom something is learned.
-fn teller(address: SocketAddr) -> Teller {
-    Teller::Router(NameHash::of(&address.to_string()))
+fn learned_from(address: SocketAddr) -> LearnedFrom {
+    LearnedFrom::Router(NameHash::of(&address.to_string()))
 }
 
-fn read_word(kept: KeptPart, now: Instant) -> ReadWord {
-    ReadWord { part: kept.part, upstream: kept.upstream, age: now.since(kept.used) }
+fn observed_read(kept: KeptPart, now: Instant) -> ObservedRead {
+    ObservedRead { part: kept.part, upstream: kept.upstream, age: now.since(kept.used) }
 }
 
 impl State {
--- a/crates/bendhinge_lab/tests/gateway_exchange.rs
+++ b/crates/bendhinge_lab/tests/gateway_exchange.rs
@@ -10,17 +10,17 @@
 use bendhinge_fleet::Heard;
 use bendhinge_ids::NameHash;
 use bendhinge_lab::gateways::{FleetShape, PEER_KEY};
-use bendhinge_peer::{FleetClient, LoadWord, PeerConnection, PeerKey, Traffic, Word};
+use bendhinge_peer::{FleetClient, ObservedLoad, PeerConnection, PeerKey, PeerMessage, Traffic};
 use gateway_common::{run, start};
 use smol::LocalExecutor;
 
 /// Where the test's own peer would be reached: it asks, and answers nobody.
 const OWN: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 9);
 
-/// A whole word that says nothing.
-fn word() -> Word {
+/// A whole message that says nothing.
+fn message() -> PeerMessage {
     let sender = Heard { address: OWN, age: Duration::ZERO, is_leaving: false, is_store_failing: false };
-    Word {
+    PeerMessage {
         sender,
         is_brief: false,
         rules: None,
@@ -46,12 +46,15 @@
         let executor = Rc::new(LocalExecutor::new());
         let fleet = start(&tasks, FleetShape { gateways: 1, engines: 1, services: 0 }).await;
         let asked = fleet.settings[0].addresses["peers"];
-        let load =
-            LoadWord { upstream: NameHash::of("engines-0"), in_progress: 17, age: Duration::from_millis(5) };
+        let load = ObservedLoad {
+            upstream: NameHash::of("engines-0"),
+            in_progress: 17,
+            age: Duration::from_millis(5),
+        };
         let telling = async {
-            let teller = peer(&executor, asked).await;
-            teller.exchange(&Word { loads: vec![load], ..word() }).await.unwrap();
-            teller.exchange(&word()).await.unwrap().loads
+            let learned_from = peer(&executor, asked).await;
+            learned_from.exchange(&PeerMessage { loads: vec![load], ..message() }).await.unwrap();
+            learned_from.exchange(&message()).await.unwrap().loads
         };
         let loads = executor.run(telling).await;
         assert!(
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -29,7 +29,7 @@
   ageMillis @2 :UInt32;
 }
 
-struct Word {
+struct PeerMessage {
   sender @0 :Member;
   rules @1 :Known;
   upstreams @2 :Known;
@@ -51,7 +51,7 @@
 }
 
 interface Fleet {
-  exchange @0 (word :Word) -> (word :Word);
+  exchange @0 (message :PeerMessage) -> (message :PeerMessage);
   rules @1 () -> (known :Known, document :Data);
   upstreams @2 () -> (known :Known, list :List(Upstream));
   reads @3 () -> (reads :List(Read), informed :Bool);
--- a/crates/bendhinge_peer/src/fleet/client.rs
+++ b/crates/bendhinge_peer/src/fleet/client.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use smol::LocalExecutor;
 
-use super::convert::{read_known, read_read, read_upstreams, read_word, write_word};
-use super::{Known, ReadWord, Word};
+use super::convert::{read_known, read_message, read_read, read_upstreams, write_message};
+use super::{Known, ObservedRead, PeerMessage};
 use crate::calling::{self, Calling};
 use crate::client::{CallError, within};
 use crate::fleet_capnp::fleet;
@@ -40,13 +40,13 @@
 }
 
 impl FleetClient {
-    /// Exchanges words.
-    pub async fn exchange(&self, word: &Word) -> Result<Word, CallError> {
+    /// Exchanges messages.
+    pub async fn exchange(&self, message: &PeerMessage) -> Result<PeerMessage, CallError> {
         let mut request = self.peer.exchange_request();
-        write_word(request.get().init_word(), word);
+        write_message(request.get().init_message(), message);
         within(self.time, async {
             let answer = request.send().promise.await?;
-            Ok(read_word(answer.get()?.get_word()?)?)
+            Ok(read_message(answer.get()?.get_message()?)?)
         })
         .await
     }
@@ -77,7 +77,7 @@
 
     /// Fetches all that the peer believes upstreams to have read; `None` if it has just started
     /// and knows too little itself.
-    pub async fn reads(&self) -> Result<Option<Vec<ReadWord>>, CallError> {
+    pub async fn reads(&self) -> Result<Option<Vec<ObservedRead>>, CallError> {
         let request = self.peer.reads_request();
         within(self.time, async {
             let answer = request.send().promise.await?;
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -9,8 +9,8 @@
 use bendhinge_placement::PartId;
 use capnp::Error;
 
-use super::{Known, LoadWord, ReadWord, Word, address_parts};
-use crate::fleet_capnp::{known, load, member, read, upstream, word};
+use super::{Known, ObservedLoad, ObservedRead, PeerMessage, address_parts};
+use crate::fleet_capnp::{known, load, member, peer_message, read, upstream};
 
 fn millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
@@ -61,55 +61,55 @@
     }
 }
 
-fn write_load(mut to: load::Builder<'_>, load: &LoadWord) {
+fn write_load(mut to: load::Builder<'_>, load: &ObservedLoad) {
     to.set_upstream(load.upstream.0);
     to.set_in_progress(load.in_progress);
     to.set_age_millis(short_millis(load.age));
 }
 
-fn read_load(from: load::Reader<'_>) -> LoadWord {
-    LoadWord {
+fn read_load(from: load::Reader<'_>) -> ObservedLoad {
+    ObservedLoad {
         upstream: NameHash(from.get_upstream()),
         in_progress: from.get_in_progress(),
         age: Duration::from_millis(from.get_age_millis().into()),
     }
 }
 
-pub(super) fn write_read(mut to: read::Builder<'_>, read: &ReadWord) {
+pub(super) fn write_read(mut to: read::Builder<'_>, read: &ObservedRead) {
     to.set_part(read.part.0);
     to.set_upstream(read.upstream.0);
     to.set_age_millis(millis(read.age));
 }
 
-pub(super) fn read_read(from: read::Reader<'_>) -> ReadWord {
-    ReadWord {
+pub(super) fn read_read(from: read::Reader<'_>) -> ObservedRead {
+    ObservedRead {
         part: PartId(from.get_part()),
         upstream: NameHash(from.get_upstream()),
         age: Duration::from_millis(from.get_age_millis().into()),
     }
 }
 
-pub(super) fn write_word(mut to: word::Builder<'_>, word: &Word) {
-    write_member(to.reborrow().init_sender(), &word.sender);
-    to.set_brief(word.is_brief);
-    write_known(to.reborrow().init_rules(), word.rules.as_ref());
-    write_known(to.reborrow().init_upstreams(), word.upstreams.as_ref());
-    let mut members = to.reborrow().init_members(count(word.members.len()));
-    for (index, heard) in (0..).zip(&word.members) {
+pub(super) fn write_message(mut to: peer_message::Builder<'_>, message: &PeerMessage) {
+    write_member(to.reborrow().init_sender(), &message.sender);
+    to.set_brief(message.is_brief);
+    write_known(to.reborrow().init_rules(), message.rules.as_ref());
+    write_known(to.reborrow().init_upstreams(), message.upstreams.as_ref());
+    let mut members = to.reborrow().init_members(count(message.members.len()));
+    for (index, heard) in (0..).zip(&message.members) {
         write_member(members.reborrow().get(index), heard);
     }
-    let mut loads = to.reborrow().init_loads(count(word.loads.len()));
-    for (index, load) in (0..).zip(&word.loads) {
+    let mut loads = to.reborrow().init_loads(count(message.loads.len()));
+    for (index, load) in (0..).zip(&message.loads) {
         write_load(loads.reborrow().get(index), load);
     }
-    let mut reads = to.init_reads(count(word.reads.len()));
-    for (index, read) in (0..).zip(&word.reads) {
+    let mut reads = to.init_reads(count(message.reads.len()));
+    for (index, read) in (0..).zip(&message.reads) {
         write_read(reads.reborrow().get(index), read);
     }
 }
 
-pub(super) fn read_word(from: word::Reader<'_>) -> Result<Word, Error> {
-    Ok(Word {
+pub(super) fn read_message(from: peer_message::Reader<'_>) -> Result<PeerMessage, Error> {
+    Ok(PeerMessage {
         sender: read_member(from.get_sender()?),
         is_brief: from.get_brief(),
         rules: read_known(from.get_rules()?),
--- a/crates/bendhinge_peer/src/fleet/mod.rs
+++ b/crates/bendhinge_peer/src/fleet/mod.rs
@@ -35,7 +35,7 @@
 
 /// What an upstream said of its load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LoadWord {
+pub struct ObservedLoad {
     /// The upstream.
     pub upstream: NameHash,
     /// Requests there, running and waiting.
@@ -46,7 +46,7 @@
 
 /// A part of a prompt that an upstream read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ReadWord {
+pub struct ObservedRead {
     /// The part.
     pub part: PartId,
     /// The upstream.
@@ -57,7 +57,7 @@
 
 /// What one gateway tells another in an exchange.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Word {
+pub struct PeerMessage {
     /// The sender itself.
     pub sender: Heard,
     /// Whether it says only what the sender holds, and asks for no more: there is news.
@@ -69,21 +69,21 @@
     /// The members that it knows.
     pub members: Vec<Heard>,
     /// What it heard from upstreams of their loads.
-    pub loads: Vec<LoadWord>,
+    pub loads: Vec<ObservedLoad>,
     /// What it lately had upstreams read.
-    pub reads: Vec<ReadWord>,
+    pub reads: Vec<ObservedRead>,
 }
 
 /// What a gateway answers to its peers.
 pub trait FleetDuties {
-    /// Takes in a word and gives the own one.
-    fn exchange(&self, word: Word) -> Word;
+    /// Takes in a message and gives the own one.
+    fn exchange(&self, message: PeerMessage) -> PeerMessage;
     /// The document of the serving rules that are held.
     fn rules(&self) -> Option<(Known, Bytes)>;
     /// The list of upstreams that is held.
     fn upstreams(&self) -> Option<(Known, UpstreamList)>;
     /// All that upstreams are believed to have read; `None` just after the start.
-    fn reads(&self) -> Option<Vec<ReadWord>>;
+    fn reads(&self) -> Option<Vec<ObservedRead>>;
 }
 
 /// Where a member is reached, as sent: IPv4 only, which is what gateways listen on.
--- a/crates/bendhinge_peer/src/fleet/server.rs
+++ b/crates/bendhinge_peer/src/fleet/server.rs
@@ -8,7 +8,7 @@
 use smol::net::TcpListener;
 
 use super::FleetDuties;
-use super::convert::{read_word, write_known, write_read, write_upstream, write_word};
+use super::convert::{read_message, write_known, write_message, write_read, write_upstream};
 use crate::answering::serve_connections;
 use crate::fleet_capnp::fleet;
 use crate::secure::PeerKey;
@@ -37,9 +37,9 @@
         params: fleet::ExchangeParams,
         mut results: fleet::ExchangeResults,
     ) -> Result<(), Error> {
-        let heard = read_word(params.get()?.get_word()?)?;
+        let heard = read_message(params.get()?.get_message()?)?;
         let answer = self.0.exchange(heard);
-        write_word(results.get().init_word(), &answer);
+        write_message(results.get().init_message(), &answer);
         Ok(())
     }
 
--- a/crates/bendhinge_peer/src/fleet_capnp.rs
+++ b/crates/bendhinge_peer/src/fleet_capnp.rs
@@ -1385,7 +1385,7 @@
     }
 }
 
-pub mod word {
+pub mod peer_message {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -1828,20 +1828,20 @@
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 135] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(6, 101, 203, 110, 233, 110, 158, 184),
+            ::capnp::word(50, 195, 17, 35, 89, 221, 79, 151),
             ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
             ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 87, 111, 114, 100),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
+            ::capnp::word(77, 101, 115, 115, 97, 103, 101, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1993,7 +1993,7 @@
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME: &[u16] = &[6, 4, 3, 5, 1, 0, 2];
-        pub(crate) const TYPE_ID: u64 = 0xb89e_6ee9_6ecb_6506;
+        pub(crate) const TYPE_ID: u64 = 0x974f_dd59_2311_c332;
     }
 }
 
@@ -2871,14 +2871,14 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_word(self) -> ::capnp::Result<crate::fleet_capnp::word::Reader<'a>> {
+            pub fn get_message(self) -> ::capnp::Result<crate::fleet_capnp::peer_message::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_word(&self) -> bool {
+            pub fn has_message(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -2960,14 +2960,17 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_word(self) -> ::capnp::Result<crate::fleet_capnp::word::Builder<'a>> {
+            pub fn get_message(self) -> ::capnp::Result<crate::fleet_capnp::peer_message::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_word(&mut self, value: crate::fleet_capnp::word::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_message(
+                &mut self,
+                value: crate::fleet_capnp::peer_message::Reader<'_>,
+            ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(0),
                     value,
@@ -2975,11 +2978,11 @@
                 )
             }
             #[inline]
-            pub fn init_word(self) -> crate::fleet_capnp::word::Builder<'a> {
+            pub fn init_message(self) -> crate::fleet_capnp::peer_message::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_word(&self) -> bool {
+            pub fn has_message(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -2993,7 +2996,7 @@
             }
         }
         impl Pipeline {
-            pub fn get_word(&self) -> crate::fleet_capnp::word::Pipeline {
+            pub fn get_message(&self) -> crate::fleet_capnp::peer_message::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
@@ -3020,13 +3023,13 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(119, 111, 114, 100, 0, 0, 0, 0),
+                ::capnp::word(109, 101, 115, 115, 97, 103, 101, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(6, 101, 203, 110, 233, 110, 158, 184),
+                ::capnp::word(50, 195, 17, 35, 89, 221, 79, 151),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -3035,7 +3038,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::fleet_capnp::word::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::fleet_capnp::peer_message::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3162,14 +3165,14 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_word(self) -> ::capnp::Result<crate::fleet_capnp::word::Reader<'a>> {
+            pub fn get_message(self) -> ::capnp::Result<crate::fleet_capnp::peer_message::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_word(&self) -> bool {
+            pub fn has_message(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -3251,14 +3254,17 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_word(self) -> ::capnp::Result<crate::fleet_capnp::word::Builder<'a>> {
+            pub fn get_message(self) -> ::capnp::Result<crate::fleet_capnp::peer_message::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_word(&mut self, value: crate::fleet_capnp::word::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_message(
+                &mut self,
+                value: crate::fleet_capnp::peer_message::Reader<'_>,
+            ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(0),
                     value,
@@ -3266,11 +3272,11 @@
                 )
             }
             #[inline]
-            pub fn init_word(self) -> crate::fleet_capnp::word::Builder<'a> {
+            pub fn init_message(self) -> crate::fleet_capnp::peer_message::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_word(&self) -> bool {
+            pub fn has_message(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -3284,7 +3290,7 @@
             }
         }
         impl Pipeline {
-            pub fn get_word(&self) -> crate::fleet_capnp::word::Pipeline {
+            pub fn get_message(&self) -> crate::fleet_capnp::peer_message::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
@@ -3311,13 +3317,13 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(119, 111, 114, 100, 0, 0, 0, 0),
+                ::capnp::word(109, 101, 115, 115, 97, 103, 101, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(6, 101, 203, 110, 233, 110, 158, 184),
+                ::capnp::word(50, 195, 17, 35, 89, 221, 79, 151),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -3326,7 +3332,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::fleet_capnp::word::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::fleet_capnp::peer_message::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
--- a/crates/bendhinge_peer/tests/connections.rs
+++ b/crates/bendhinge_peer/tests/connections.rs
@@ -7,7 +7,7 @@
 
 use bendhinge_fleet::UpstreamList;
 use bendhinge_peer::{
-    FleetClient, FleetDuties, Known, PeerConnection, PeerKey, ReadWord, Traffic, Word, serve_fleet,
+    FleetClient, FleetDuties, Known, ObservedRead, PeerConnection, PeerKey, PeerMessage, Traffic, serve_fleet,
 };
 use bytes::Bytes;
 use smol::channel::{Receiver, bounded};
@@ -18,8 +18,8 @@
 struct Newcomer;
 
 impl FleetDuties for Newcomer {
-    fn exchange(&self, word: Word) -> Word {
-        word
+    fn exchange(&self, message: PeerMessage) -> PeerMessage {
+        message
     }
 
     fn rules(&self) -> Option<(Known, Bytes)> {
@@ -30,7 +30,7 @@
         None
     }
 
-    fn reads(&self) -> Option<Vec<ReadWord>> {
+    fn reads(&self) -> Option<Vec<ObservedRead>> {
         None
     }
 }
--- a/crates/bendhinge_placement/src/kept.rs
+++ b/crates/bendhinge_placement/src/kept.rs
@@ -9,11 +9,11 @@
 
 /// A part that goes on being used is told of again after this share of the time for which it is
 /// believed to be kept.
-const TELLINGS: u32 = 3;
+const REPEATS: u32 = 3;
 
 /// From whom a router learned something.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Teller {
+pub enum LearnedFrom {
     /// By its own requests.
     Itself,
     /// From another router, named by a hash of its address.
@@ -26,7 +26,7 @@
     /// When.
     pub at: Instant,
     /// From whom.
-    pub from: Teller,
+    pub from: LearnedFrom,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -67,7 +67,7 @@
     /// Notes that an upstream read the shared parts of a prompt.
     pub fn read(&mut self, upstream: NameHash, prompt: &Prompt, now: Instant) {
         for part in prompt.shared() {
-            let learned = Learned { at: now, from: Teller::Itself };
+            let learned = Learned { at: now, from: LearnedFrom::Itself };
             self.learn(KeptPart { part: part.id, upstream, used: now }, learned);
         }
     }
@@ -79,7 +79,7 @@
         let keepers = self.keepers.entry(part).or_default();
         match keepers.iter_mut().find(|keeper| keeper.upstream == upstream) {
             Some(keeper) => {
-                if used.since(keeper.used) > believed_for / TELLINGS {
+                if used.since(keeper.used) > believed_for / REPEATS {
                     keeper.learned = learned;
                 }
                 keeper.used = keeper.used.max(used);
@@ -94,7 +94,12 @@
     }
 
     /// What this router learned within the last `span` from anybody but `listener`, to tell it.
-    pub fn news_for(&self, listener: Teller, span: Duration, now: Instant) -> impl Iterator<Item = KeptPart> {
+    pub fn news_for(
+        &self,
+        listener: LearnedFrom,
+        span: Duration,
+        now: Instant,
+    ) -> impl Iterator<Item = KeptPart> {
         self.matching(move |learned| learned.from != listener && now.since(learned.at) < span)
     }
 
