--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -24,5 +24,5 @@
 pub use judge::{Judge, JudgeLimits, Standing, UpstreamFailure};
 pub use news::NewsCursors;
 pub use reading::{ReadingLimits, ReadingPlan};
-pub use relearning::{RelearnLimits, RelearnStep, Relearning};
+pub use relearning::{RelearnLimits, RelearnStep, RelearnView, Relearning};
 pub use roster::{Contact, Heard, Member, Origin, Reach, Roster, RosterLimits};
--- a/crates/bendhinge_fleet/src/relearning.rs
+++ b/crates/bendhinge_fleet/src/relearning.rs
@@ -13,9 +13,12 @@
 /// The times that relearning depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct RelearnLimits {
-    /// How long after its start the first in rank asks: the time in which it hears of the others.
+    /// How long after its start the first in rank asks at the earliest.
     pub first: Duration,
-    /// The same for a router that knows nobody: it more likely has not found the others yet.
+    /// How much later for each upstream that there is: the more there are to be asked, the surer
+    /// it should be of being the first, and so the more of the others it should have heard of.
+    pub per_upstream: Duration,
+    /// How much later a router that knows nobody: it more likely has not found the others yet.
     pub alone: Duration,
     /// How much later than the one before it each further router in rank asks.
     pub step: Duration,
@@ -34,6 +37,17 @@
     GiveUp,
 }
 
+/// What a router that has just started sees of the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct RelearnView {
+    /// Live routers that it knows, itself among them.
+    pub members: usize,
+    /// Its own place among them; 0 is the first.
+    pub rank: usize,
+    /// Upstreams that there are.
+    pub upstreams: usize,
+}
+
 /// One router's waiting for its turn.
 #[derive(Debug)]
 pub struct Relearning {
@@ -48,16 +62,22 @@
         Self { limits, started: now }
     }
 
-    /// What to do at `now`, with `members` live routers known, of which this one is at `rank`.
+    /// What to do at `now`.
     #[must_use]
-    pub fn step(&self, members: usize, rank: usize, now: Instant) -> RelearnStep {
+    pub fn step(&self, seen: RelearnView, now: Instant) -> RelearnStep {
         let waited = now.since(self.started);
         if waited > self.limits.given_up {
             return RelearnStep::GiveUp;
         }
-        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-        let first = if members <= 1 { self.limits.alone } else { self.limits.first };
-        let turn = first.saturating_add(self.limits.step.saturating_mul(rank));
-        if waited < turn { RelearnStep::Wait } else { RelearnStep::AskUpstreams }
+        if waited < self.turn(seen) { RelearnStep::Wait } else { RelearnStep::AskUpstreams }
+    }
+
+    /// How long after its start it is the router's turn.
+    fn turn(&self, seen: RelearnView) -> Duration {
+        let times =
+            |span: Duration, count: usize| span.saturating_mul(u32::try_from(count).unwrap_or(u32::MAX));
+        let alone = if seen.members <= 1 { self.limits.alone } else { Duration::ZERO };
+        let first = self.limits.first + times(self.limits.per_upstream, seen.upstreams);
+        first.saturating_add(alone).saturating_add(times(self.limits.step, seen.rank))
     }
 }
--- a/crates/bendhinge_gateway/src/control/recovery.rs
+++ b/crates/bendhinge_gateway/src/control/recovery.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{Reach, RelearnLimits, RelearnStep, Relearning, UpstreamEntry};
+use bendhinge_fleet::{Reach, RelearnLimits, RelearnStep, RelearnView, Relearning, UpstreamEntry};
 use bendhinge_http::fetch_bytes;
 use bendhinge_ids::Instant;
 use bendhinge_peer::{ObservedRead, ReadsPage};
@@ -19,8 +19,9 @@
 /// Who asks the upstreams, and when. Asking takes the first some 0.1 s in a fleet of 22
 /// upstreams, after which the others learn from it.
 const LIMITS: RelearnLimits = RelearnLimits {
-    first: Duration::from_millis(500),
-    alone: Duration::from_millis(700),
+    first: Duration::from_millis(100),
+    per_upstream: Duration::from_millis(4),
+    alone: Duration::from_millis(400),
     step: Duration::from_secs(1),
     given_up: Duration::from_secs(6),
 };
@@ -48,11 +49,15 @@
             if self.learn_from_another().await {
                 return;
             }
+            let Some(upstreams) = self.delivering.upstreams.list() else { continue };
             let now = bendhinge_clock::now();
-            let members = self.roster.borrow().live_count(now);
-            match plan.step(members, self.own_rank(now), now) {
+            let seen = RelearnView {
+                members: self.roster.borrow().live_count(now),
+                rank: self.own_rank(now),
+                upstreams: upstreams.entries.len(),
+            };
+            match plan.step(seen, now) {
                 RelearnStep::Wait => {}
-                RelearnStep::AskUpstreams if !self.delivering.upstreams.is_known() => {}
                 RelearnStep::AskUpstreams => return self.learn_from_upstreams().await,
                 RelearnStep::GiveUp => return,
             }
