A subject that can be fetched goes to its home, where whoever knows nothing looks for it

Hypothesis: after a loss of all, boxes that know nothing send each prompt home, and read it again where it was kept elsewhere since its home is new (scale-out and release move a fifth to a third of the homes). The test that a subject stays where it is kept holds where it cannot be fetched; where it can, it moves home once and nothing is read again for it.

--- a/crates/bendhinge_gateway/src/control/recovery.rs
+++ b/crates/bendhinge_gateway/src/control/recovery.rs
@@ -20,7 +20,7 @@
 /// upstreams, after which the others learn from it.
 const LIMITS: RelearnLimits = RelearnLimits {
     first: Duration::from_millis(100),
-    per_upstream: Duration::from_millis(4),
+    per_upstream: Duration::from_millis(6),
     alone: Duration::from_millis(400),
     step: Duration::from_secs(1),
     given_up: Duration::from_secs(6),
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -34,6 +34,11 @@
     pub unread_at_home: f32,
     /// The part of the reading that fetching costs instead.
     pub fetched: f32,
+    /// The same at the subject's home, which is worth having it: routers that know nothing of what
+    /// is kept, since they have just started or are cut off, send it there.
+    pub fetched_home: f32,
+    /// The part of the reading that it costs to leave a subject where it is kept away from home.
+    pub away: f32,
     /// Fetching fewer tokens than this is not worth it.
     pub least_fetched: u32,
     /// The load that an upstream may have as a multiple of the mean.
@@ -50,6 +55,8 @@
             per_failure: 4_000.0,
             unread_at_home: 0.3,
             fetched: 0.3,
+            fetched_home: 0.02,
+            away: 0.05,
             least_fetched: 400,
             bound: 1.5,
             bound_slack: 2.0,
@@ -224,10 +231,12 @@
         let is_home = self.home == Some(index);
         let source = self.source(index, prompt, own);
         let fetched = source.map_or(0, |source| source.tokens - own);
+        let away = prompt.shared_tokens() as f32 * self.rules.away;
+        let (read, fetched) = ((missing - fetched) as f32, fetched as f32);
         let reading = if is_home {
-            missing as f32 * self.rules.unread_at_home
+            fetched * self.rules.fetched_home + read * self.rules.unread_at_home
         } else {
-            fetched as f32 * self.rules.fetched + (missing - fetched) as f32
+            fetched * self.rules.fetched + read + away
         };
         let reason = match (is_home, missing) {
             (true, _) => ChoiceReason::Home,
