Bodies are written from where they lie: no copy of each is kept with its connection

hyper copies a body into the connection's own buffer unless vectored writes are switched on, and the buffer stays.

--- a/crates/bendhinge_http/src/pool.rs
+++ b/crates/bendhinge_http/src/pool.rs
@@ -135,7 +135,9 @@
         };
         let stream = connecting.or(too_long).await?;
         stream.set_nodelay(true)?;
-        let (sender, connection) = http1::handshake(FuturesIo::new(stream)).await?;
+        // Else a copy of each request's body is kept as long as its connection stands.
+        let mut builder = http1::Builder::new();
+        let (sender, connection) = builder.writev(true).handshake(FuturesIo::new(stream)).await?;
         self.tasks
             .spawn(async move {
                 // Its error reaches whoever waits for the answer.
--- a/crates/bendhinge_http/src/serve.rs
+++ b/crates/bendhinge_http/src/serve.rs
@@ -132,6 +132,7 @@
             let serving = http1::Builder::new()
                 .timer(SmolTimer::new())
                 .max_buf_size(limits.head_bytes)
+                .writev(true)
                 .header_read_timeout(limits.head_time)
                 .serve_connection(FuturesIo::new(stream), service);
             let mut serving = std::pin::pin!(serving);
