--- a/crates/bendhinge_fleet/src/judge.rs
+++ b/crates/bendhinge_fleet/src/judge.rs
@@ -77,6 +77,8 @@
     in_a_row: u32,
     rests_until: Option<Instant>,
     trial_began: Option<Instant>,
+    /// Whether it rests because of what others saw alone: then their answers end the rest.
+    rests_by_hearsay: bool,
     failures: f32,
     requests: f32,
     at: Instant,
@@ -84,7 +86,15 @@
 
 impl Record {
     const fn new(now: Instant) -> Self {
-        Self { in_a_row: 0, rests_until: None, trial_began: None, failures: 0.0, requests: 0.0, at: now }
+        Self {
+            in_a_row: 0,
+            rests_until: None,
+            trial_began: None,
+            rests_by_hearsay: false,
+            failures: 0.0,
+            requests: 0.0,
+            at: now,
+        }
     }
 
     fn fade(&mut self, half_life: Duration, now: Instant) {
@@ -143,9 +153,33 @@
         let doublings = record.in_a_row.saturating_sub(failure.allowed()).min(8);
         let rest = limits.rest.saturating_mul(1 << doublings).min(limits.longest_rest);
         record.rests_until = Some(now + rest);
+        record.rests_by_hearsay = false;
         true
     }
 
+    /// Others found that an upstream answers nobody; `true` if it rests because of that. Then it gets
+    /// single requests on trial, as after own failures.
+    pub fn suspected(&mut self, upstream: NameHash, now: Instant) -> bool {
+        let rest = self.limits.rest;
+        let record = self.record(upstream, now);
+        if record.rests_until.is_some_and(|until| now < until) {
+            return false;
+        }
+        record.rests_until = Some(now + rest);
+        record.rests_by_hearsay = true;
+        true
+    }
+
+    /// Others had an answer of an upstream that was suspected.
+    pub fn cleared(&mut self, upstream: NameHash) {
+        if let Some(record) = self.records.get_mut(&upstream)
+            && record.rests_by_hearsay
+        {
+            record.rests_until = None;
+            record.trial_began = None;
+        }
+    }
+
     /// Notes that a request is sent to an upstream, which may be its trial.
     pub fn sent(&mut self, upstream: NameHash, now: Instant) {
         if let Some(record) = self.records.get_mut(&upstream)
--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -7,12 +7,14 @@
 //! * [`NewsCursors`] says what each peer was told already.
 //! * [`Relearning`] says when a router that has just started asks the upstreams what they keep.
 //! * [`Judge`] is which upstreams answer, by their own answers.
+//! * [`Evidence`] is which upstreams answer nobody, by what all routers saw.
 //!
 //! All of it is pure: explicit state, an explicit clock, no input or output.
 //! `docs/design/PLATFORM.md` says what was weighed.
 
 mod belief;
 mod directory;
+mod evidence;
 mod judge;
 mod news;
 mod reading;
@@ -21,6 +23,7 @@
 
 pub use belief::{Belief, Held, Offer, Revision, Version};
 pub use directory::{Directory, DirectoryLimits, Listed, UpstreamEntry, UpstreamList, UpstreamState};
+pub use evidence::{Doubt, Evidence, Verdict, Witness};
 pub use judge::{Judge, JudgeLimits, Standing, UpstreamFailure};
 pub use news::NewsCursors;
 pub use reading::{ReadingLimits, ReadingPlan};
--- /dev/null
+++ b/crates/bendhinge_fleet/tests/evidence.rs
@@ -0,0 +1,84 @@
+//! When upstreams are suspected on what other routers saw.
+
+use bendhinge_fleet::{Doubt, Evidence, Verdict, Witness};
+use bendhinge_ids::{Instant, NameHash};
+
+const UPSTREAM: NameHash = NameHash(7);
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(10_000 + millis)
+}
+
+fn witness(router: u64, millis: u64) -> Witness {
+    Witness { router: NameHash(router), at: at(millis) }
+}
+
+fn doubt(witnesses: &[Witness]) -> Doubt {
+    Doubt { answered: None, witnesses: witnesses.to_vec() }
+}
+
+#[test]
+fn one_routers_failures_make_no_suspect() {
+    let mut evidence = Evidence::default();
+    for millis in [0, 100, 200] {
+        let heard = doubt(&[witness(1, millis)]);
+        assert_eq!(evidence.hear(UPSTREAM, &heard, at(millis)), Verdict::Unchanged);
+    }
+}
+
+#[test]
+fn failures_of_two_routers_do() {
+    let mut evidence = Evidence::default();
+    evidence.failed(UPSTREAM, witness(1, 0));
+    let heard = doubt(&[witness(2, 50)]);
+    assert_eq!(evidence.hear(UPSTREAM, &heard, at(100)), Verdict::Suspect);
+    assert_eq!(evidence.hear(UPSTREAM, &heard, at(200)), Verdict::Unchanged, "it is told once");
+}
+
+/// Routers whose own links fail, or that meet a full queue, are outvoted by any answer.
+#[test]
+fn a_later_answer_outweighs_all_failures() {
+    let mut evidence = Evidence::default();
+    evidence.failed(UPSTREAM, witness(1, 0));
+    evidence.answered(UPSTREAM, at(80));
+    let failures = doubt(&[witness(2, 50), witness(3, 60), witness(4, 70)]);
+    assert_eq!(evidence.hear(UPSTREAM, &failures, at(100)), Verdict::Unchanged);
+    let later = doubt(&[witness(2, 90), witness(3, 95)]);
+    assert_eq!(evidence.hear(UPSTREAM, &later, at(100)), Verdict::Suspect);
+    let answered = Doubt { answered: Some(at(96)), ..Doubt::default() };
+    assert_eq!(evidence.hear(UPSTREAM, &answered, at(150)), Verdict::Cleared);
+}
+
+#[test]
+fn old_failures_count_for_nothing_and_are_not_told() {
+    let mut evidence = Evidence::default();
+    evidence.failed(UPSTREAM, witness(1, 0));
+    assert_eq!(evidence.doubts(at(100)).count(), 1);
+    assert_eq!(evidence.doubts(at(3_100)).count(), 0);
+    assert_eq!(evidence.hear(UPSTREAM, &doubt(&[witness(2, 3_050)]), at(3_100)), Verdict::Unchanged);
+    evidence.prune(|_| true, at(7_000));
+    assert_eq!(evidence.hear(UPSTREAM, &doubt(&[witness(2, 6_900)]), at(7_000)), Verdict::Unchanged);
+}
+
+/// Many routers together find an upstream that answers nobody, each of which sent it one request;
+/// before, each had to fail there twice.
+#[test]
+fn each_of_many_routers_learns_from_the_first_two() {
+    const ROUTERS: u64 = 87;
+    let mut routers: Vec<Evidence> = (0..ROUTERS).map(|_| Evidence::default()).collect();
+    routers[3].failed(UPSTREAM, witness(3, 0));
+    routers[70].failed(UPSTREAM, witness(70, 20));
+    let mut suspecting = 0;
+    // All hear of both through a few in between.
+    for round in 1..=3 {
+        let now = at(round * 400);
+        let told: Vec<Doubt> =
+            routers.iter().flat_map(|one| one.doubts(now).map(|(_, doubt)| doubt.clone())).collect();
+        for router in &mut routers {
+            for doubt in &told {
+                suspecting += u64::from(router.hear(UPSTREAM, doubt, now) == Verdict::Suspect);
+            }
+        }
+    }
+    assert_eq!(suspecting, ROUTERS);
+}
--- a/crates/bendhinge_fleet/tests/judge.rs
+++ b/crates/bendhinge_fleet/tests/judge.rs
@@ -21,7 +21,7 @@
 }
 
 #[test]
-fn each_mishap_has_its_own_patience() {
+fn each_kind_of_failure_has_its_own_patience() {
     let cases = [
         (UpstreamFailure::NotConnected, 1),
         (UpstreamFailure::Replaced, 1),
@@ -91,3 +91,26 @@
     let late = failing(&mut judge, at(31_000));
     assert!(early > 0.4 && late < 0.01, "{early} {late}");
 }
+
+#[test]
+fn one_that_others_found_lost_rests_and_gets_a_trial() {
+    let mut judge = Judge::new(LIMITS);
+    assert!(judge.suspected(UPSTREAM, at(1_000)));
+    assert!(!judge.suspected(UPSTREAM, at(1_100)), "it rests already");
+    assert_eq!(judge.standing(UPSTREAM, at(1_400)), Standing::Resting);
+    assert_eq!(judge.standing(UPSTREAM, at(1_600)), Standing::OnTrial);
+    judge.answered(UPSTREAM, at(1_700));
+    assert!(is_good(judge.standing(UPSTREAM, at(1_700))));
+}
+
+/// What a router saw itself holds against others' answers: its own link may be what fails.
+#[test]
+fn others_answers_end_a_rest_that_others_began_and_no_other() {
+    let mut judge = Judge::new(LIMITS);
+    judge.suspected(UPSTREAM, at(1_000));
+    judge.cleared(UPSTREAM);
+    assert!(is_good(judge.standing(UPSTREAM, at(1_100))));
+    judge.failed(UPSTREAM, UpstreamFailure::NotConnected, at(2_000));
+    judge.cleared(UPSTREAM);
+    assert_eq!(judge.standing(UPSTREAM, at(2_100)), Standing::Resting);
+}
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -119,6 +119,7 @@
         members: Vec::new(),
         loads: Vec::new(),
         reads: Vec::new(),
+        doubts: Vec::new(),
     };
     if content == Content::Brief {
         return brief;
@@ -127,6 +128,7 @@
         is_brief: false,
         members: control.roster.borrow().members(now).collect(),
         loads: upstreams.loads_to_tell(now),
+        doubts: upstreams.doubts_to_tell(now),
         reads: upstreams.reads_to_tell(listener, control.news.borrow().span(listener, now), now),
         ..brief
     }
@@ -147,6 +149,10 @@
     // it says by the time that it was on its way.
     delivering.upstreams.hear_reads(&message.reads, message.sender.address, asked.unwrap_or(now));
     delivering.upstreams.hear_loads(&message.loads, asked.unwrap_or(now));
+    for upstream in delivering.upstreams.hear_doubts(&message.doubts, asked.unwrap_or(now)) {
+        delivering.log.upstream_suspected(&upstream.name, message.sender.address);
+        delivering.metrics.upstream_suspected();
+    }
     let Some(asked) = asked else { return };
     if let Some(known) = message.rules {
         delivering.rules.confirm(known.version, asked - known.age);
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -140,12 +140,12 @@
             return Err(GivenUp::Code(self.course.final_code(true)));
         }
         let chosen = self.choose(may_try)?;
-        let upstream = Arc::clone(&chosen.entry);
+        let (upstream, sent) = (Arc::clone(&chosen.entry), chosen.at);
         self.tried.push(upstream.hash);
         let number = self.line.sent(&chosen);
         let send = NewSend { number, chosen, left, resume_after: resume_after.map(str::to_owned) };
         let answer = attempt(Arc::clone(&self.delivering), Arc::clone(&self.turn), send);
-        Ok(Sending { upstream, number, answer: Box::pin(answer) })
+        Ok(Sending { upstream, sent, number, answer: Box::pin(answer) })
     }
 
     /// Waits for the answer to a send. If it is long in coming and the request may be sent once
@@ -169,15 +169,15 @@
                 Ok(attempt)
             }
             (Racer::Second, Ok(attempt)) => {
-                self.note_end(first.number, &first.upstream, SendEnd::Silent);
+                self.note_end(first.number, &first.upstream, first.sent, SendEnd::Silent);
                 Ok(attempt)
             }
             (Racer::First, Err(failed)) => {
-                self.note_end(failed.number, &failed.upstream, failed.ended.end);
+                self.note_end(failed.number, &failed.upstream, failed.sent, failed.ended.end);
                 second.ended().await
             }
             (Racer::Second, Err(failed)) => {
-                self.note_end(failed.number, &failed.upstream, failed.ended.end);
+                self.note_end(failed.number, &failed.upstream, failed.sent, failed.ended.end);
                 first.ended().await
             }
         }
@@ -222,11 +222,11 @@
 
     /// Notes how a send ended, for the request and for what is known of its upstream; `false` if no
     /// other may follow.
-    fn note_end(&mut self, number: usize, upstream: &UpstreamEntry, end: SendEnd) -> bool {
+    fn note_end(&mut self, number: usize, upstream: &UpstreamEntry, sent: Instant, end: SendEnd) -> bool {
         let Delivering { upstreams, metrics, log, .. } = &*self.delivering;
         self.line.send_ended(number, end);
         metrics.send_ended(end);
-        if upstream_failure(end).is_some_and(|failure| upstreams.failed(upstream.hash, failure)) {
+        if upstream_failure(end).is_some_and(|failure| upstreams.failed(upstream.hash, failure, sent)) {
             log.upstream_rests(&upstream.name, end);
         }
         self.course.ended(end)
@@ -242,8 +242,8 @@
 
     /// Notes how a send ended; `Err` if it was the last.
     fn after(&mut self, failed: FailedSend) -> Result<(), GivenUp> {
-        let FailedSend { number, upstream, ended: Ended { end, failure } } = failed;
-        let may_go_on = self.note_end(number, &upstream, end);
+        let FailedSend { number, upstream, sent, ended: Ended { end, failure } } = failed;
+        let may_go_on = self.note_end(number, &upstream, sent, end);
         let time_is_over = self.turn.time_left().is_zero();
         let affordable = || !self.course.needs_budget() || self.takes_second_send();
         if may_go_on && !time_is_over && affordable() {
--- a/crates/bendhinge_gateway/src/delivery/race.rs
+++ b/crates/bendhinge_gateway/src/delivery/race.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bendhinge_fleet::UpstreamEntry;
+use bendhinge_ids::Instant;
 use futures_lite::FutureExt;
 use smol::Timer;
 
@@ -17,6 +18,8 @@
 /// upstream.
 pub(super) struct Sending {
     pub(super) upstream: Arc<UpstreamEntry>,
+    /// When its upstream was chosen.
+    pub(super) sent: Instant,
     /// Its place among the request's sends.
     pub(super) number: usize,
     pub(super) answer: Answer,
@@ -25,6 +28,8 @@
 /// A send that ended without an answer that can be passed on.
 pub(super) struct FailedSend {
     pub(super) upstream: Arc<UpstreamEntry>,
+    /// When its upstream was chosen.
+    pub(super) sent: Instant,
     /// Its place among the request's sends.
     pub(super) number: usize,
     pub(super) ended: Ended,
@@ -35,7 +40,8 @@
     pub(super) async fn ended(&mut self) -> Result<Attempt, FailedSend> {
         let answer = (&mut self.answer).await;
         let upstream = Arc::clone(&self.upstream);
-        answer.map_err(|ended| FailedSend { upstream, number: self.number, ended })
+        let (sent, number) = (self.sent, self.number);
+        answer.map_err(|ended| FailedSend { upstream, sent, number, ended })
     }
 
     /// Waits for its end, but no longer than `patience`.
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -120,9 +120,9 @@
     async fn go_on_elsewhere(&mut self, end: SendEnd) -> bool {
         // Dropping the connection cancels what is left of the run there.
         let Some(source) = self.source.take() else { return false };
-        let (number, upstream) = (source.number, Arc::clone(&source.chosen.entry));
+        let (number, upstream, sent) = (source.number, Arc::clone(&source.chosen.entry), source.chosen.at);
         drop(source);
-        let may_go_on = self.delivery.note_end(number, &upstream, end);
+        let may_go_on = self.delivery.note_end(number, &upstream, sent, end);
         if !may_go_on || !self.delivery.takes_second_send() {
             return false;
         }
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use bendhinge_fleet::{
-    Belief, Directory, Judge, Listed, Offer, Standing, UpstreamEntry, UpstreamFailure, UpstreamList, Version,
+    Belief, Directory, Doubt, Evidence, Judge, Listed, Offer, Standing, UpstreamEntry, UpstreamFailure,
+    UpstreamList, Verdict, Version, Witness,
 };
 use bendhinge_ids::{Instant, NameHash, PoolName};
-use bendhinge_peer::{Known, ObservedLoad, ObservedRead, ReadsPage};
+use bendhinge_peer::{Known, ObservedDoubt, ObservedFailure, ObservedLoad, ObservedRead, ReadsPage};
 use bendhinge_placement::{
     Candidate, ChoiceReason, CostRules, KeptPart, KeptParts, Learned, LearnedFrom, Prompt, Question, choose,
 };
@@ -47,6 +48,8 @@
     pub(crate) reason: ChoiceReason,
     /// Requests believed to be there.
     pub(crate) load: f32,
+    /// When it was chosen.
+    pub(crate) at: Instant,
     /// Tokens of the prompt's shared parts that it is believed to lack.
     pub(crate) missing: u32,
     /// Its place there, held as long as this is.
@@ -57,12 +60,15 @@
     belief: Belief<UpstreamList>,
     directory: Directory,
     judge: Judge,
+    evidence: Evidence,
     loads: Loads,
     kept: KeptParts,
 }
 
 /// This gateway's view of the upstreams.
 pub(crate) struct UpstreamView {
+    /// This gateway, as others know it.
+    own: NameHash,
     state: Mutex<State>,
     costs: CostRules,
 }
@@ -80,16 +86,18 @@
 }
 
 impl UpstreamView {
-    pub(crate) fn new(settings: &UpstreamSettings) -> Self {
+    /// No upstreams yet; `own` is where peers reach this gateway.
+    pub(crate) fn new(own: SocketAddr, settings: &UpstreamSettings) -> Self {
         let state = State {
             belief: Belief::default(),
             directory: Directory::new(settings.directory),
             judge: Judge::new(settings.judge),
+            evidence: Evidence::default(),
             loads: Loads::default(),
             kept: KeptParts::new(KEPT_FOR),
         };
         let costs = CostRules { bound: settings.load_bound, ..CostRules::default() };
-        Self { state: Mutex::new(state), costs }
+        Self { own: router_hash(own), state: Mutex::new(state), costs }
     }
 
     /// Whether there is a list at all.
@@ -162,18 +170,63 @@
             reason: choice.reason,
             load,
             missing: choice.missing,
+            at: now,
             _place: place,
         })
     }
 
     /// Notes an upstream's whole answer, or the head of a stream.
     pub(crate) fn answered(&self, upstream: NameHash) {
-        self.state.lock().unwrap().judge.answered(upstream, bendhinge_clock::now());
+        let now = bendhinge_clock::now();
+        let mut state = self.state.lock().unwrap();
+        state.judge.answered(upstream, now);
+        state.evidence.answered(upstream, now);
+    }
+
+    /// Notes a failure of a request that was sent at `sent`; `true` if the upstream rests because
+    /// of it.
+    pub(crate) fn failed(&self, upstream: NameHash, failure: UpstreamFailure, sent: Instant) -> bool {
+        let now = bendhinge_clock::now();
+        let mut state = self.state.lock().unwrap();
+        match failure {
+            UpstreamFailure::Silent => {
+                state.evidence.failed(upstream, Witness { router: self.own, at: sent });
+            }
+            UpstreamFailure::NotConnected | UpstreamFailure::Lost => {
+                state.evidence.failed(upstream, Witness { router: self.own, at: now });
+            }
+            // It answered.
+            UpstreamFailure::Shed | UpstreamFailure::Failed => state.evidence.answered(upstream, now),
+            // Another did.
+            UpstreamFailure::Replaced => {}
+        }
+        state.judge.failed(upstream, failure, now)
+    }
+
+    /// What to tell others of upstreams that failed lately.
+    pub(crate) fn doubts_to_tell(&self, now: Instant) -> Vec<ObservedDoubt> {
+        let state = self.state.lock().unwrap();
+        state.evidence.doubts(now).map(|(upstream, doubt)| observed_doubt(upstream, doubt, now)).collect()
     }
 
-    /// Notes a failure; `true` if the upstream rests because of it.
-    pub(crate) fn failed(&self, upstream: NameHash, failure: UpstreamFailure) -> bool {
-        self.state.lock().unwrap().judge.failed(upstream, failure, bendhinge_clock::now())
+    /// Takes in what another gateway knows of upstreams that failed, as of `as_of`; gives those that
+    /// rest because of it.
+    pub(crate) fn hear_doubts(&self, doubts: &[ObservedDoubt], as_of: Instant) -> Vec<Arc<UpstreamEntry>> {
+        let now = bendhinge_clock::now();
+        let mut state = self.state.lock().unwrap();
+        let State { directory, judge, evidence, .. } = &mut *state;
+        let mut resting = Vec::new();
+        for heard in doubts.iter().filter(|heard| directory.lists(heard.upstream)) {
+            match evidence.hear(heard.upstream, &doubt_as_of(heard, as_of), now) {
+                Verdict::Cleared => judge.cleared(heard.upstream),
+                Verdict::Suspect if judge.suspected(heard.upstream, now) => {
+                    let listed = directory.listed().iter().find(|listed| listed.entry.hash == heard.upstream);
+                    resting.extend(listed.map(|listed| Arc::clone(&listed.entry)));
+                }
+                Verdict::Unchanged | Verdict::Suspect => {}
+            }
+        }
+        resting
     }
 
     /// Notes what an upstream said of its load.
@@ -258,14 +311,36 @@
         if state.directory.prune(now) {
             state.forget_gone();
         }
-        let State { directory, kept, .. } = &mut *state;
+        let State { directory, evidence, kept, .. } = &mut *state;
+        evidence.prune(|upstream| directory.lists(upstream), now);
         kept.prune(|upstream| directory.lists(upstream), now);
     }
 }
 
 /// The gateway at `address` as one from whom something is learned.
 fn learned_from(address: SocketAddr) -> LearnedFrom {
-    LearnedFrom::Router(NameHash::of(&address.to_string()))
+    LearnedFrom::Router(router_hash(address))
+}
+
+fn router_hash(address: SocketAddr) -> NameHash {
+    NameHash::of(&address.to_string())
+}
+
+fn observed_doubt(upstream: NameHash, doubt: &Doubt, now: Instant) -> ObservedDoubt {
+    let failure = |witness: &Witness| ObservedFailure { router: witness.router, age: now.since(witness.at) };
+    ObservedDoubt {
+        upstream,
+        answered: doubt.answered.map(|answered| now.since(answered)),
+        witnesses: doubt.witnesses.iter().map(failure).collect(),
+    }
+}
+
+fn doubt_as_of(heard: &ObservedDoubt, as_of: Instant) -> Doubt {
+    let witness = |failure: &ObservedFailure| Witness { router: failure.router, at: as_of - failure.age };
+    Doubt {
+        answered: heard.answered.map(|age| as_of - age),
+        witnesses: heard.witnesses.iter().map(witness).collect(),
+    }
 }
 
 fn observed_read(kept: KeptPart, now: Instant) -> ObservedRead {
--- a/crates/bendhinge_gateway/src/log.rs
+++ b/crates/bendhinge_gateway/src/log.rs
@@ -168,6 +168,16 @@
         self.line("upstream_rests", Fields { upstream: upstream.as_str(), end: end.as_str() });
     }
 
+    /// An upstream is spared for a while, since others found that it answers nobody.
+    pub(crate) fn upstream_suspected(&self, upstream: &UpstreamName, told_by: SocketAddr) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            upstream: &'a str,
+            told_by: SocketAddr,
+        }
+        self.line("upstream_suspected", Fields { upstream: upstream.as_str(), told_by });
+    }
+
     /// A request that was answered before it was sent anywhere.
     pub(crate) fn refused(&self, request: &str, code: ResultCode, rules_age_ms: Option<u64>) {
         #[derive(Serialize)]
--- a/crates/bendhinge_gateway/src/metrics.rs
+++ b/crates/bendhinge_gateway/src/metrics.rs
@@ -35,6 +35,7 @@
     sends_ended: Counter<u64>,
     store_reads: Counter<u64>,
     exchanges: Counter<u64>,
+    upstreams_suspected: Counter<u64>,
     first_byte: Histogram<f64>,
     in_progress: Gauge<u64>,
     rules_age: Gauge<f64>,
@@ -61,6 +62,10 @@
             ),
             store_reads: counter("bendhinge.gateway.store_reads", "Reads of the store, by result"),
             exchanges: counter("bendhinge.gateway.exchanges", "Exchanges with other gateways, by result"),
+            upstreams_suspected: counter(
+                "bendhinge.gateway.upstreams_suspected",
+                "Times that an upstream was spared since other gateways found that it answers nobody",
+            ),
             first_byte: meter
                 .f64_histogram("bendhinge.gateway.first_byte")
                 .with_unit("s")
@@ -114,6 +119,11 @@
         self.exchanges.add(1, &[result_label(answered)]);
     }
 
+    /// Counts an upstream that is spared since others found that it answers nobody.
+    pub(crate) fn upstream_suspected(&self) {
+        self.upstreams_suspected.add(1, &[]);
+    }
+
     /// Notes how long the head of an answer took.
     pub(crate) fn first_byte(&self, time: Duration) {
         self.first_byte.record(time.as_secs_f64(), &[]);
--- a/crates/bendhinge_lab/tests/gateway_exchange.rs
+++ b/crates/bendhinge_lab/tests/gateway_exchange.rs
@@ -9,9 +9,11 @@
 
 use bendhinge_fleet::Heard;
 use bendhinge_ids::NameHash;
-use bendhinge_lab::gateways::{FleetShape, PEER_KEY};
-use bendhinge_peer::{FleetClient, ObservedLoad, PeerConnection, PeerKey, PeerMessage, Traffic};
-use gateway_common::{run, start};
+use bendhinge_lab::gateways::{FleetShape, GatewayFleet, PEER_KEY, Told, until};
+use bendhinge_peer::{
+    FleetClient, ObservedDoubt, ObservedFailure, ObservedLoad, PeerConnection, PeerKey, PeerMessage, Traffic,
+};
+use gateway_common::{call, run, send, start};
 use smol::LocalExecutor;
 
 /// Where the test's own peer would be reached: it asks, and answers nobody.
@@ -28,6 +30,7 @@
         members: Vec::new(),
         loads: Vec::new(),
         reads: Vec::new(),
+        doubts: Vec::new(),
     }
 }
 
@@ -64,3 +67,36 @@
         assert!(loads.iter().all(|told| told.age >= load.age), "it ages on its way: {loads:?}");
     });
 }
+
+/// Of an upstream that two others had a failure at, and nobody an answer since, nothing is expected.
+#[test]
+fn an_upstream_that_answers_nobody_is_spared_by_those_that_are_told() {
+    run(|tasks| async move {
+        let executor = Rc::new(LocalExecutor::new());
+        let shape = FleetShape { gateways: 1, engines: 0, services: 2 };
+        // It is not tried again without a trial while the test lasts.
+        let fleet = GatewayFleet::start(&tasks, shape, "[upstreams]\nlongest_rest_ms = 600000\n").await;
+        let asked = fleet.settings[0].addresses["peers"];
+        let failure = |router| ObservedFailure { router: NameHash(router), age: Duration::from_millis(20) };
+        let doubt = ObservedDoubt {
+            upstream: NameHash::of("services-0"),
+            answered: Some(Duration::from_millis(100)),
+            witnesses: vec![failure(1), failure(2)],
+        };
+        let telling = async {
+            let peer = peer(&executor, asked).await;
+            let told = PeerMessage { doubts: vec![doubt.clone()], ..message() };
+            peer.exchange(&told).await.unwrap().doubts
+        };
+        let doubts = executor.run(telling).await;
+        assert_eq!(doubts.len(), 1, "it is told on: {doubts:?}");
+        assert_eq!(doubts[0].witnesses.len(), 2);
+        let lines = || fleet.gateway(0).lines();
+        until(async || lines().iter().any(|line| line.contains("upstream_suspected"))).await;
+        // A request that must not be repeated is no trial.
+        for _ in 0..4 {
+            assert_eq!(send(&fleet, &call("/unsafe/x")).await.told, Told::Whole);
+        }
+        assert!(fleet.upstreams[0].runs().is_empty());
+    });
+}
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -29,6 +29,18 @@
   ageMillis @2 :UInt32;
 }
 
+struct Witness {
+  router @0 :UInt64;
+  ageMillis @1 :UInt32;
+}
+
+struct Doubt {
+  upstream @0 :UInt64;
+  answered @1 :Bool;
+  answeredAgeMillis @2 :UInt32;
+  witnesses @3 :List(Witness);
+}
+
 struct PeerMessage {
   sender @0 :Member;
   rules @1 :Known;
@@ -37,6 +49,7 @@
   loads @4 :List(Load);
   reads @5 :List(Read);
   brief @6 :Bool;
+  doubts @7 :List(Doubt);
 }
 
 struct Upstream {
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -9,8 +9,8 @@
 use bendhinge_placement::PartId;
 use capnp::Error;
 
-use super::{Known, ObservedLoad, ObservedRead, PeerMessage, address_parts};
-use crate::fleet_capnp::{known, load, member, peer_message, read, upstream};
+use super::{Known, ObservedDoubt, ObservedFailure, ObservedLoad, ObservedRead, PeerMessage, address_parts};
+use crate::fleet_capnp::{doubt, known, load, member, peer_message, read, upstream};
 
 fn millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
@@ -102,10 +102,39 @@
     for (index, load) in (0..).zip(&message.loads) {
         write_load(loads.reborrow().get(index), load);
     }
-    let mut reads = to.init_reads(count(message.reads.len()));
+    let mut reads = to.reborrow().init_reads(count(message.reads.len()));
     for (index, read) in (0..).zip(&message.reads) {
         write_read(reads.reborrow().get(index), read);
     }
+    let mut doubts = to.init_doubts(count(message.doubts.len()));
+    for (index, doubt) in (0..).zip(&message.doubts) {
+        write_doubt(doubts.reborrow().get(index), doubt);
+    }
+}
+
+fn write_doubt(mut to: doubt::Builder<'_>, doubt: &ObservedDoubt) {
+    to.set_upstream(doubt.upstream.0);
+    to.set_answered(doubt.answered.is_some());
+    to.set_answered_age_millis(millis(doubt.answered.unwrap_or_default()));
+    let mut witnesses = to.init_witnesses(count(doubt.witnesses.len()));
+    for (index, failure) in (0..).zip(&doubt.witnesses) {
+        let mut witness = witnesses.reborrow().get(index);
+        witness.set_router(failure.router.0);
+        witness.set_age_millis(millis(failure.age));
+    }
+}
+
+fn read_doubt(from: doubt::Reader<'_>) -> Result<ObservedDoubt, Error> {
+    let age = |age: u32| Duration::from_millis(age.into());
+    let witnesses = from.get_witnesses()?.iter().map(|witness| ObservedFailure {
+        router: NameHash(witness.get_router()),
+        age: age(witness.get_age_millis()),
+    });
+    Ok(ObservedDoubt {
+        upstream: NameHash(from.get_upstream()),
+        answered: from.get_answered().then(|| age(from.get_answered_age_millis())),
+        witnesses: witnesses.collect(),
+    })
 }
 
 pub(super) fn read_message(from: peer_message::Reader<'_>) -> Result<PeerMessage, Error> {
@@ -117,6 +146,7 @@
         members: from.get_members()?.iter().map(read_member).collect(),
         loads: from.get_loads()?.iter().map(read_load).collect(),
         reads: from.get_reads()?.iter().map(read_read).collect(),
+        doubts: from.get_doubts()?.iter().map(read_doubt).collect::<Result<_, _>>()?,
     })
 }
 
--- a/crates/bendhinge_peer/src/fleet/mod.rs
+++ b/crates/bendhinge_peer/src/fleet/mod.rs
@@ -55,6 +55,26 @@
     pub age: Duration,
 }
 
+/// What is known of an upstream that failed lately.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ObservedDoubt {
+    /// The upstream.
+    pub upstream: NameHash,
+    /// How long ago anybody had an answer of it.
+    pub answered: Option<Duration>,
+    /// Who had failures, and how long ago.
+    pub witnesses: Vec<ObservedFailure>,
+}
+
+/// A gateway's last failure at an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ObservedFailure {
+    /// Which gateway, by a hash of its address.
+    pub router: NameHash,
+    /// How long ago.
+    pub age: Duration,
+}
+
 /// What one gateway tells another in an exchange.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerMessage {
@@ -72,6 +92,8 @@
     pub loads: Vec<ObservedLoad>,
     /// What it lately had upstreams read.
     pub reads: Vec<ObservedRead>,
+    /// What it knows of upstreams that failed lately.
+    pub doubts: Vec<ObservedDoubt>,
 }
 
 /// A part of all that a gateway believes upstreams to have read: of the parts of prompts whose
--- a/crates/bendhinge_peer/src/fleet_capnp.rs
+++ b/crates/bendhinge_peer/src/fleet_capnp.rs
@@ -1385,6 +1385,678 @@
     }
 }
 
+pub mod witness {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_router(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_age_millis(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_router(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_router(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_age_millis(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_age_millis(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(68, 144, 95, 150, 173, 234, 239, 134),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 87, 105, 116, 110),
+            ::capnp::word(101, 115, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(114, 111, 117, 116, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 105, 108, 108, 105),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+        pub(crate) const TYPE_ID: u64 = 0x86ef_eaad_965f_9044;
+    }
+}
+
+pub mod doubt {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_upstream(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_answered(self) -> bool {
+            self.reader.get_bool_field(64)
+        }
+        #[inline]
+        pub fn get_answered_age_millis(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn get_witnesses(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::fleet_capnp::witness::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_witnesses(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_upstream(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_upstream(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_answered(self) -> bool {
+            self.builder.get_bool_field(64)
+        }
+        #[inline]
+        pub fn set_answered(&mut self, value: bool) {
+            self.builder.set_bool_field(64, value);
+        }
+        #[inline]
+        pub fn get_answered_age_millis(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_answered_age_millis(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
+        pub fn get_witnesses(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::fleet_capnp::witness::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_witnesses(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::fleet_capnp::witness::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_witnesses(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::fleet_capnp::witness::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_witnesses(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 86] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(106, 23, 123, 7, 199, 179, 232, 189),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 68, 111, 117, 98),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(65, 103, 101, 77, 105, 108, 108, 105),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 105, 116, 110, 101, 115, 115, 101),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 144, 95, 150, 173, 234, 239, 134),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::struct_list::Owned<crate::fleet_capnp::witness::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0, 3];
+        pub(crate) const TYPE_ID: u64 = 0xbde8_b3c7_077b_176a;
+    }
+}
+
 pub mod peer_message {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -1558,6 +2230,19 @@
         pub fn get_brief(self) -> bool {
             self.reader.get_bool_field(0)
         }
+        #[inline]
+        pub fn get_doubts(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::fleet_capnp::doubt::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(6),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_doubts(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -1565,7 +2250,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 1, pointers: 6 };
+            ::capnp::private::layout::StructSize { data: 1, pointers: 7 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1804,6 +2489,37 @@
         pub fn set_brief(&mut self, value: bool) {
             self.builder.set_bool_field(0, value);
         }
+        #[inline]
+        pub fn get_doubts(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::fleet_capnp::doubt::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(6),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_doubts(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::fleet_capnp::doubt::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(6),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_doubts(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::fleet_capnp::doubt::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), size)
+        }
+        #[inline]
+        pub fn has_doubts(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
     }
 
     pub struct Pipeline {
@@ -1826,73 +2542,80 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 135] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 154] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(50, 195, 17, 35, 89, 221, 79, 151),
             ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
-            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
             ::capnp::word(77, 101, 115, 115, 97, 103, 101, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(131, 233, 241, 127, 114, 153, 209, 233),
@@ -1962,6 +2685,18 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 111, 117, 98, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(106, 23, 123, 7, 199, 179, 232, 189),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1972,6 +2707,7 @@
                 4 => <::capnp::struct_list::Owned<crate::fleet_capnp::load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::fleet_capnp::read::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::struct_list::Owned<crate::fleet_capnp::doubt::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1990,9 +2726,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[6, 4, 3, 5, 1, 0, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[6, 7, 4, 3, 5, 1, 0, 2];
         pub(crate) const TYPE_ID: u64 = 0x974f_dd59_2311_c332;
     }
 }
