Upstreams that were lost or full come back as soon as they are well

Ruled out: stale loads, homes. Causes, all in who is spared: (1) each failure of a request that was under way when a rest began doubled the rest, so that a hundred made it the longest; (2) one that waits for its trial was charged half a certain failure and never chosen; (3) the share of failures stood still where nothing was sent any more, half a minute after 300 refusals; (4) a refusal for want of room was half a failure and doubled rests. Now what fails during a rest says nothing new, rests double only without an answer between, the next small request that may be repeated is the trial, shares fade by themselves, and refusals make no rest longer.

--- a/crates/bendhinge_fleet/src/judge.rs
+++ b/crates/bendhinge_fleet/src/judge.rs
@@ -12,7 +12,7 @@
 /// The times that judging depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct JudgeLimits {
-    /// The first rest; each further failure in a row doubles it.
+    /// The first rest; each further rest without an answer between doubles it.
     pub rest: Duration,
     /// The longest rest.
     pub longest_rest: Duration,
@@ -52,7 +52,9 @@
     /// What it adds to the share of failures.
     const fn weight(self) -> f32 {
         match self {
-            Self::Shed => 0.5,
+            // It is well and full, which its load says better; but one that refuses while it has room
+            // is to be passed over, too.
+            Self::Shed => 0.25,
             _ => 1.0,
         }
     }
@@ -75,6 +77,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Record {
     in_a_row: u32,
+    /// Rests in a row.
+    rests: u32,
     rests_until: Option<Instant>,
     trial_began: Option<Instant>,
     /// Whether it rests because of what others saw alone: then their answers end the rest.
@@ -88,6 +92,7 @@
     const fn new(now: Instant) -> Self {
         Self {
             in_a_row: 0,
+            rests: 0,
             rests_until: None,
             trial_began: None,
             rests_by_hearsay: false,
@@ -97,9 +102,20 @@
         }
     }
 
-    fn fade(&mut self, half_life: Duration, now: Instant) {
+    /// What is left of something that was seen when the record last changed.
+    fn left(&self, half_life: Duration, now: Instant) -> f32 {
         let halves = now.since(self.at).as_secs_f32() / half_life.as_secs_f32();
-        let factor = 0.5_f32.powf(halves);
+        0.5_f32.powf(halves)
+    }
+
+    /// The share of failures. It fades by itself: an upstream that is passed over since it failed
+    /// has no answers that could outweigh its failures, however many they were.
+    fn failing(&self, half_life: Duration, now: Instant) -> f32 {
+        self.failures / (self.requests + BENEFIT) * self.left(half_life, now)
+    }
+
+    fn fade(&mut self, half_life: Duration, now: Instant) {
+        let factor = self.left(half_life, now);
         self.failures *= factor;
         self.requests *= factor;
         self.at = now;
@@ -135,6 +151,7 @@
         let record = self.record(upstream, now);
         record.requests += 1.0;
         record.in_a_row = 0;
+        record.rests = 0;
         record.rests_until = None;
         record.trial_began = None;
     }
@@ -146,12 +163,18 @@
         record.requests += 1.0;
         record.failures += failure.weight();
         record.in_a_row = record.in_a_row.saturating_add(1);
+        // What was under way when the rest began fails with it, and says nothing new.
+        if record.rests_until.is_some_and(|until| now < until) {
+            return false;
+        }
         let on_trial = record.trial_began.take().is_some();
         if record.in_a_row < failure.allowed() && !on_trial {
             return false;
         }
-        let doublings = record.in_a_row.saturating_sub(failure.allowed()).min(8);
+        // Room that was wanting comes back within one request's time.
+        let doublings = if failure == UpstreamFailure::Shed { 0 } else { record.rests.min(8) };
         let rest = limits.rest.saturating_mul(1 << doublings).min(limits.longest_rest);
+        record.rests = record.rests.saturating_add(1);
         record.rests_until = Some(now + rest);
         record.rests_by_hearsay = false;
         true
@@ -204,7 +227,7 @@
                 return Standing::OnTrial;
             }
         }
-        Standing::Good { failing: record.failures / (record.requests + BENEFIT) }
+        Standing::Good { failing: record.failing(self.limits.half_life, now) }
     }
 
     /// Forgets upstreams that are gone.
--- a/crates/bendhinge_fleet/tests/judge.rs
+++ b/crates/bendhinge_fleet/tests/judge.rs
@@ -67,6 +67,30 @@
     assert_eq!(rests, [500, 1_000, 2_000, 4_000, 4_000, 4_000]);
 }
 
+/// A hundred requests that were under way when an upstream was lost, or full, are one failure: with
+/// each of them the rest grew to its longest, and an upstream that was well again stood idle for
+/// eight seconds while the others carried its part.
+#[test]
+fn what_fails_during_a_rest_makes_it_no_longer() {
+    let mut judge = Judge::new(LIMITS);
+    for number in 0..100 {
+        judge.failed(UPSTREAM, UpstreamFailure::NotConnected, at(1_000 + number));
+    }
+    assert_eq!(judge.standing(UPSTREAM, at(1_450)), Standing::Resting);
+    assert_eq!(judge.standing(UPSTREAM, at(1_550)), Standing::OnTrial);
+}
+
+/// After an overload, in which all refuse, all would rest for long while nothing is wrong with them.
+#[test]
+fn want_of_room_makes_no_rest_longer() {
+    let mut judge = Judge::new(LIMITS);
+    for number in 0..20 {
+        judge.failed(UPSTREAM, UpstreamFailure::Shed, at(1_000 + number));
+    }
+    assert_eq!(judge.standing(UPSTREAM, at(1_500)), Standing::Resting);
+    assert_eq!(judge.standing(UPSTREAM, at(1_600)), Standing::OnTrial);
+}
+
 #[test]
 fn an_upstream_that_nobody_tried_is_forgiven_in_the_end() {
     let mut judge = Judge::new(LIMITS);
@@ -92,6 +116,18 @@
     assert!(early > 0.4 && late < 0.01, "{early} {late}");
 }
 
+/// Three hundred failures of an overload kept their share for half a minute: nothing was sent there
+/// that could have been answered.
+#[test]
+fn the_share_of_failures_fades_where_nothing_is_sent_any_more() {
+    let mut judge = Judge::new(LIMITS);
+    for number in 0..300 {
+        judge.failed(UPSTREAM, UpstreamFailure::Shed, at(1_000 + number));
+    }
+    let Standing::Good { failing } = judge.standing(UPSTREAM, at(11_300)) else { panic!("it was forgiven") };
+    assert!(failing < 0.06, "{failing} ten seconds later");
+}
+
 #[test]
 fn one_that_others_found_lost_rests_and_gets_a_trial() {
     let mut judge = Judge::new(LIMITS);
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -17,6 +17,8 @@
     pub failing: f32,
     /// Whether it takes new work; one that does not may still be a source.
     pub takes_work: bool,
+    /// Whether it failed, has rested since, and waits for one request to show that it is well.
+    pub on_trial: bool,
 }
 
 /// What things cost, in tokens to read.
@@ -41,6 +43,9 @@
     pub away: f32,
     /// Fetching fewer tokens than this is not worth it.
     pub least_fetched: u32,
+    /// A request is an upstream's trial if it would have to read no more than this there: what is
+    /// lost if it fails is small, and until somebody tries it, the others carry its part.
+    pub most_read_on_trial: u32,
     /// The load that an upstream may have as a multiple of the mean.
     pub bound: f32,
     /// Requests that it may have above that.
@@ -58,6 +63,7 @@
             fetched_home: 0.02,
             away: 0.05,
             least_fetched: 400,
+            most_read_on_trial: 2_000,
             bound: 1.5,
             bound_slack: 2.0,
         }
@@ -73,6 +79,8 @@
     Kept,
     /// It costs least although it keeps nothing.
     LeastCost,
+    /// It failed and has rested, and the request shows whether it is well again.
+    Trial,
 }
 
 impl ChoiceReason {
@@ -83,6 +91,7 @@
             Self::Home => "home",
             Self::Kept => "kept",
             Self::LeastCost => "least_cost",
+            Self::Trial => "trial",
         }
     }
 }
@@ -138,7 +147,7 @@
                 .then_with(|| chooser.tie(left.chosen).cmp(&chooser.tie(right.chosen)))
         })
     };
-    best(&mut { within }).or_else(|| best(&mut working()))
+    chooser.trial(limit).or_else(|| best(&mut { within })).or_else(|| best(&mut working()))
 }
 
 /// The mean load of the upstreams that take work.
@@ -251,6 +260,18 @@
         Choice { chosen: index, fetch_from, reason, cost, missing }
     }
 
+    /// An upstream that waits for its trial, if the request is a small one for it.
+    fn trial(&self, limit: f32) -> Option<Choice> {
+        let waits =
+            |candidate: &Candidate| candidate.takes_work && candidate.on_trial && candidate.load < limit;
+        let waiting = (0..self.candidates.len()).filter(|index| waits(&self.candidates[*index]));
+        let small = waiting
+            .map(|index| self.weigh(index))
+            .filter(|choice| choice.fetch_from.is_some() || choice.missing <= self.rules.most_read_on_trial);
+        let chosen = small.min_by(|left, right| left.cost.total_cmp(&right.cost))?;
+        Some(Choice { reason: ChoiceReason::Trial, ..chosen })
+    }
+
     /// From where a candidate that keeps `own` tokens should fetch: from the one that is believed
     /// to keep most.
     fn source(&self, index: usize, prompt: &Prompt, own: u32) -> Option<Source> {
