A gateway's own answers outweigh what it is told of failures, also where it had no doubt

Two other boxes had requests of a route with a short time limit end in silence; a box that is answered by that upstream sixty times a second kept no answer of an upstream that it did not doubt, and took their word. Test: evidence, failing before.

--- a/crates/bendhinge_fleet/src/evidence.rs
+++ b/crates/bendhinge_fleet/src/evidence.rs
@@ -72,11 +72,15 @@
 #[derive(Debug, Default)]
 pub struct Evidence {
     doubts: FxHashMap<NameHash, Doubt>,
+    /// This router's own last answers, also of upstreams that nobody doubts: they outweigh what it
+    /// is told.
+    own_answers: FxHashMap<NameHash, Instant>,
 }
 
 impl Evidence {
-    /// Notes this router's own answer. Of upstreams that nobody doubts nothing is kept.
+    /// Notes this router's own answer.
     pub fn answered(&mut self, upstream: NameHash, now: Instant) {
+        self.own_answers.insert(upstream, now);
         if let Some(doubt) = self.doubts.get_mut(&upstream) {
             doubt.answered = doubt.answered.max(Some(now));
         }
@@ -84,12 +88,17 @@
 
     /// Notes a failure that this router had.
     pub fn failed(&mut self, upstream: NameHash, witness: Witness) {
-        self.doubts.entry(upstream).or_default().add(witness);
+        self.doubt(upstream).add(witness);
+    }
+
+    fn doubt(&mut self, upstream: NameHash) -> &mut Doubt {
+        let answered = self.own_answers.get(&upstream).copied();
+        self.doubts.entry(upstream).or_insert_with(|| Doubt { answered, witnesses: Vec::new() })
     }
 
     /// Takes in what another router knows of an upstream.
     pub fn hear(&mut self, upstream: NameHash, heard: &Doubt, now: Instant) -> Verdict {
-        let doubt = self.doubts.entry(upstream).or_default();
+        let doubt = self.doubt(upstream);
         let was_suspect = doubt.is_suspect(now);
         doubt.answered = doubt.answered.max(heard.answered);
         heard.witnesses.iter().for_each(|witness| doubt.add(*witness));
@@ -108,6 +117,7 @@
 
     /// Forgets failures that count no more, and upstreams that are gone.
     pub fn prune(&mut self, listed: impl Fn(NameHash) -> bool, now: Instant) {
+        self.own_answers.retain(|upstream, _| listed(*upstream));
         self.doubts.retain(|upstream, doubt| {
             doubt.witnesses.retain(|witness| now.since(witness.at) < COUNTS_FOR);
             listed(*upstream) && !doubt.witnesses.is_empty()
--- a/crates/bendhinge_fleet/tests/evidence.rs
+++ b/crates/bendhinge_fleet/tests/evidence.rs
@@ -49,6 +49,18 @@
     assert_eq!(evidence.hear(UPSTREAM, &answered, at(150)), Verdict::Cleared);
 }
 
+/// Who is answered all the time has no doubt of its own that an answer could end. Before, it took
+/// what two others told of requests with short time limits for the loss of the upstream.
+#[test]
+fn a_router_that_is_answered_does_not_suspect_on_what_it_is_told() {
+    let mut evidence = Evidence::default();
+    evidence.answered(UPSTREAM, at(80));
+    let failures = doubt(&[witness(2, 50), witness(3, 60)]);
+    assert_eq!(evidence.hear(UPSTREAM, &failures, at(100)), Verdict::Unchanged);
+    let told: Vec<_> = evidence.doubts(at(100)).map(|(_, doubt)| doubt.answered).collect();
+    assert_eq!(told, [Some(at(80))], "and it tells the others so");
+}
+
 #[test]
 fn old_failures_count_for_nothing_and_are_not_told() {
     let mut evidence = Evidence::default();
