--- a/crates/bendhinge_delivery/src/course.rs
+++ b/crates/bendhinge_delivery/src/course.rs
@@ -106,8 +106,8 @@
         harmless && self.possible_runs < self.rules.attempts && self.sends < self.rules.attempts + SPARE_SENDS
     }
 
-    /// Whether a further send could follow if the next one ends without an answer: then it need
-    /// not be waited for to the end.
+    /// Whether a further send could follow if the next one ends without an answer: then, if that is
+    /// long in coming, one may be made beside it.
     #[must_use]
     pub const fn has_spare_run(&self) -> bool {
         self.rules.repeatable && self.possible_runs + 1 < self.rules.attempts
--- a/crates/bendhinge_fleet/src/belief.rs
+++ b/crates/bendhinge_fleet/src/belief.rs
@@ -94,7 +94,7 @@
         }
     }
 
-    /// Takes word that the value of `version` was current as of `as_of`. Only the value that is
+    /// Takes evidence that the value of `version` was current as of `as_of`. Only the value that is
     /// held can be confirmed, and only by a revision that is not older.
     pub fn confirm(&mut self, version: Version, as_of: Instant) -> Offer {
         let Some(held) = &mut self.0 else { return Offer::Old };
--- a/crates/bendhinge_fleet/src/directory.rs
+++ b/crates/bendhinge_fleet/src/directory.rs
@@ -112,7 +112,7 @@
     }
 
     /// Notes that the list was known to be current as of `as_of`, heard at `now`; a gap since
-    /// the last such word casts doubt on entries that vanish soon after.
+    /// the last such evidence casts doubt on entries that vanish soon after.
     pub fn evidence(&mut self, as_of: Instant, now: Instant) {
         let gap = self.evidence_seen.is_some_and(|seen| as_of.since(seen) > self.limits.gap);
         if gap {
--- a/crates/bendhinge_fleet/src/evidence.rs
+++ b/crates/bendhinge_fleet/src/evidence.rs
@@ -1,8 +1,8 @@
 //! What the fleet together saw of upstreams that fail.
 //!
 //! In a large fleet each router sends an upstream a request every few seconds, and all would learn
-//! one by one that it is lost. So routers tell each other of failures. One router's word is not
-//! enough, since its own links may be what fails: an upstream is suspected when several had a
+//! one by one that it is lost. So routers tell each other of failures. One router's report is
+//! not enough, since its own links may be what fails: an upstream is suspected when several had a
 //! failure there and nobody is known to have had an answer since.
 
 use std::time::Duration;
