No request is made a trial: reverted

From the lines: sends of one request ended four times 'replaced' or 'not_connected': with 28 of 116 upstreams lost, nearly each request that may be repeated became the trial of a lost upstream, and so did its further sends. One that waits for its trial was in truth never charged for it where the request may be repeated; what mended LIMIT after the overload was the fading share of failures.

--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -386,10 +386,9 @@
     ) -> Candidate {
         let upstream = listed.entry.hash;
         let standing = self.judge.standing(upstream, now);
-        let on_trial = standing == Standing::OnTrial && question.may_try;
         let failing = match standing {
             Standing::Good { failing } => failing,
-            Standing::OnTrial if on_trial => 0.0,
+            Standing::OnTrial if question.may_try => 0.0,
             Standing::OnTrial | Standing::Resting => SHARE_FAILING_ON_TRIAL,
         };
         let is_fit = listed.takes_work() && !question.tried.contains(&upstream);
@@ -398,7 +397,6 @@
             load: self.loads.estimate(upstream, mean, now),
             failing,
             takes_work: is_fit && standing != Standing::Resting,
-            on_trial,
         }
     }
 }
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -17,8 +17,6 @@
     pub failing: f32,
     /// Whether it takes new work; one that does not may still be a source.
     pub takes_work: bool,
-    /// Whether it failed, has rested since, and waits for one request to show that it is well.
-    pub on_trial: bool,
 }
 
 /// What things cost, in tokens to read.
@@ -43,9 +41,6 @@
     pub away: f32,
     /// Fetching fewer tokens than this is not worth it.
     pub least_fetched: u32,
-    /// A request is an upstream's trial if it would have to read no more than this there: what is
-    /// lost if it fails is small, and until somebody tries it, the others carry its part.
-    pub most_read_on_trial: u32,
     /// The load that an upstream may have as a multiple of the mean.
     pub bound: f32,
     /// Requests that it may have above that.
@@ -63,7 +58,6 @@
             fetched_home: 0.02,
             away: 0.05,
             least_fetched: 400,
-            most_read_on_trial: 2_000,
             bound: 1.5,
             bound_slack: 2.0,
         }
@@ -79,8 +73,6 @@
     Kept,
     /// It costs least although it keeps nothing.
     LeastCost,
-    /// It failed and has rested, and the request shows whether it is well again.
-    Trial,
 }
 
 impl ChoiceReason {
@@ -91,7 +83,6 @@
             Self::Home => "home",
             Self::Kept => "kept",
             Self::LeastCost => "least_cost",
-            Self::Trial => "trial",
         }
     }
 }
@@ -147,7 +138,7 @@
                 .then_with(|| chooser.tie(left.chosen).cmp(&chooser.tie(right.chosen)))
         })
     };
-    chooser.trial(limit).or_else(|| best(&mut { within })).or_else(|| best(&mut working()))
+    best(&mut { within }).or_else(|| best(&mut working()))
 }
 
 /// The mean load of the upstreams that take work.
@@ -260,18 +251,6 @@
         Choice { chosen: index, fetch_from, reason, cost, missing }
     }
 
-    /// An upstream that waits for its trial, if the request is a small one for it.
-    fn trial(&self, limit: f32) -> Option<Choice> {
-        let waits =
-            |candidate: &Candidate| candidate.takes_work && candidate.on_trial && candidate.load < limit;
-        let waiting = (0..self.candidates.len()).filter(|index| waits(&self.candidates[*index]));
-        let small = waiting
-            .map(|index| self.weigh(index))
-            .filter(|choice| choice.fetch_from.is_some() || choice.missing <= self.rules.most_read_on_trial);
-        let chosen = small.min_by(|left, right| left.cost.total_cmp(&right.cost))?;
-        Some(Choice { reason: ChoiceReason::Trial, ..chosen })
-    }
-
     /// From where a candidate that keeps `own` tokens should fetch: from the one that is believed
     /// to keep most.
     fn source(&self, index: usize, prompt: &Prompt, own: u32) -> Option<Source> {
