A race of two sends gives how one ended and the other one; a send that was beaten is noted as any other

Simpler, the same behaviour: note_overtaken did what note_end does with an end that says nothing of an upstream; the four arms of the match were two, written twice; and number, upstream and time of a send stood in three places (Sent). Tests of sends, contract and soak pass unchanged.

--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -9,7 +9,7 @@
 
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{Course, SendEnd};
-use bendhinge_fleet::{UpstreamEntry, UpstreamFailure};
+use bendhinge_fleet::UpstreamFailure;
 use bendhinge_http::{Body, Pool, Tasks, full_body};
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_routes::{Customer, Route};
@@ -18,7 +18,7 @@
 use hyper::http::request;
 
 use self::attempt::{Attempt, AttemptBody, Ended, FailureAnswer, NewSend, attempt, promises_not_run};
-use self::race::{FailedSend, Racer, Sending, race};
+use self::race::{FailedSend, Sending, Sent, race};
 use self::relay::{Relay, Source, relayed};
 use crate::dialect::{CallFields, Dialect};
 use crate::intake::Refused;
@@ -140,12 +140,12 @@
             return Err(GivenUp::Code(self.course.final_code(true)));
         }
         let chosen = self.choose(may_try)?;
-        let (upstream, sent) = (Arc::clone(&chosen.entry), chosen.at);
-        self.tried.push(upstream.hash);
+        self.tried.push(chosen.entry.hash);
         let number = self.line.sent(&chosen);
+        let sent = Sent::new(number, &chosen);
         let send = NewSend { number, chosen, left, resume_after: resume_after.map(str::to_owned) };
         let answer = attempt(Arc::clone(&self.delivering), Arc::clone(&self.turn), send);
-        Ok(Sending { upstream, sent, number, answer: Box::pin(answer) })
+        Ok(Sending { sent, answer: Box::pin(answer) })
     }
 
     /// Waits for the answer to a send. If it is long in coming and the request may be sent once
@@ -162,23 +162,19 @@
         if let Some(ended) = first.ended_within(self.patience()).await {
             return ended;
         }
-        let Some(mut second) = self.send_beside(resume_after) else { return first.ended().await };
-        match race(&mut first, &mut second).await {
-            (Racer::First, Ok(attempt)) => {
-                self.note_overtaken(&second);
+        let Some(second) = self.send_beside(resume_after) else { return first.ended().await };
+        let (ended, mut other) = race(first, second).await;
+        match ended {
+            Ok(attempt) => {
+                // Of a later send it says nothing that an earlier one was answered before it.
+                let is_later = other.sent.number > attempt.number;
+                let end = if is_later { SendEnd::Overtaken } else { SendEnd::Silent };
+                self.note_end(&other.sent, end);
                 Ok(attempt)
             }
-            (Racer::Second, Ok(attempt)) => {
-                self.note_end(first.number, &first.upstream, first.sent, SendEnd::Silent);
-                Ok(attempt)
-            }
-            (Racer::First, Err(failed)) => {
-                self.note_end(failed.number, &failed.upstream, failed.sent, failed.ended.end);
-                second.ended().await
-            }
-            (Racer::Second, Err(failed)) => {
-                self.note_end(failed.number, &failed.upstream, failed.sent, failed.ended.end);
-                first.ended().await
+            Err(failed) => {
+                self.note_end(&failed.sent, failed.ended.end);
+                other.ended().await
             }
         }
     }
@@ -222,28 +218,21 @@
 
     /// Notes how a send ended, for the request and for what is known of its upstream; `false` if no
     /// other may follow.
-    fn note_end(&mut self, number: usize, upstream: &UpstreamEntry, sent: Instant, end: SendEnd) -> bool {
+    fn note_end(&mut self, sent: &Sent, end: SendEnd) -> bool {
         let Delivering { upstreams, metrics, log, .. } = &*self.delivering;
-        self.line.send_ended(number, end);
+        let Sent { number, upstream, at } = sent;
+        self.line.send_ended(*number, end);
         metrics.send_ended(end);
-        if upstream_failure(end).is_some_and(|failure| upstreams.failed(upstream.hash, failure, sent)) {
+        if upstream_failure(end).is_some_and(|failure| upstreams.failed(upstream.hash, failure, *at)) {
             log.upstream_rests(&upstream.name, end);
         }
         self.course.ended(end)
     }
 
-    /// Notes that a send was given up since another was answered first, which says nothing of its
-    /// upstream.
-    fn note_overtaken(&mut self, sending: &Sending) {
-        self.line.send_ended(sending.number, SendEnd::Overtaken);
-        self.delivering.metrics.send_ended(SendEnd::Overtaken);
-        self.course.ended(SendEnd::Overtaken);
-    }
-
     /// Notes how a send ended; `Err` if it was the last.
     fn after(&mut self, failed: FailedSend) -> Result<(), GivenUp> {
-        let FailedSend { number, upstream, sent, ended: Ended { end, failure } } = failed;
-        let may_go_on = self.note_end(number, &upstream, sent, end);
+        let FailedSend { sent, ended: Ended { end, failure } } = failed;
+        let may_go_on = self.note_end(&sent, end);
         let time_is_over = self.turn.time_left().is_zero();
         let affordable = || !self.course.needs_budget() || self.takes_second_send();
         if may_go_on && !time_is_over && affordable() {
--- a/crates/bendhinge_gateway/src/delivery/race.rs
+++ b/crates/bendhinge_gateway/src/delivery/race.rs
@@ -11,27 +11,36 @@
 use smol::Timer;
 
 use super::attempt::{Attempt, Ended};
+use crate::knowledge::Chosen;
 
 type Answer = Pin<Box<dyn Future<Output = Result<Attempt, Ended>> + Send>>;
 
+/// A send, as its request and what is believed of its upstream know it.
+#[derive(Clone)]
+pub(super) struct Sent {
+    /// Its place among the request's sends.
+    pub(super) number: usize,
+    pub(super) upstream: Arc<UpstreamEntry>,
+    /// When its upstream was chosen.
+    pub(super) at: Instant,
+}
+
+impl Sent {
+    pub(super) fn new(number: usize, chosen: &Chosen) -> Self {
+        Self { number, upstream: Arc::clone(&chosen.entry), at: chosen.at }
+    }
+}
+
 /// A send under way. Dropped, it is given up: its connection closes, which cancels the work at the
 /// upstream.
 pub(super) struct Sending {
-    pub(super) upstream: Arc<UpstreamEntry>,
-    /// When its upstream was chosen.
-    pub(super) sent: Instant,
-    /// Its place among the request's sends.
-    pub(super) number: usize,
+    pub(super) sent: Sent,
     pub(super) answer: Answer,
 }
 
 /// A send that ended without an answer that can be passed on.
 pub(super) struct FailedSend {
-    pub(super) upstream: Arc<UpstreamEntry>,
-    /// When its upstream was chosen.
-    pub(super) sent: Instant,
-    /// Its place among the request's sends.
-    pub(super) number: usize,
+    pub(super) sent: Sent,
     pub(super) ended: Ended,
 }
 
@@ -39,9 +48,7 @@
     /// Waits for its end.
     pub(super) async fn ended(&mut self) -> Result<Attempt, FailedSend> {
         let answer = (&mut self.answer).await;
-        let upstream = Arc::clone(&self.upstream);
-        let (sent, number) = (self.sent, self.number);
-        answer.map_err(|ended| FailedSend { upstream, sent, number, ended })
+        answer.map_err(|ended| FailedSend { sent: self.sent.clone(), ended })
     }
 
     /// Waits for its end, but no longer than `patience`.
@@ -55,16 +62,10 @@
     }
 }
 
-/// Which of two sends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Racer {
-    First,
-    Second,
-}
-
-/// Waits until one of two sends ends.
-pub(super) async fn race(first: &mut Sending, second: &mut Sending) -> (Racer, Result<Attempt, FailedSend>) {
-    let first = async { (Racer::First, first.ended().await) };
-    let second = async { (Racer::Second, second.ended().await) };
-    first.or(second).await
+/// Waits until one of two sends ends; gives how it ended, and the other one.
+pub(super) async fn race(mut first: Sending, mut second: Sending) -> (Result<Attempt, FailedSend>, Sending) {
+    let first_ended = async { (first.ended().await, true) };
+    let second_ended = async { (second.ended().await, false) };
+    let (ended, is_first) = first_ended.or(second_ended).await;
+    (ended, if is_first { second } else { first })
 }
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -18,6 +18,7 @@
 
 use super::Delivery;
 use super::attempt::{Attempt, AttemptBody};
+use super::race::Sent;
 use crate::knowledge::Chosen;
 use crate::lifecycle::InProgress;
 
@@ -120,9 +121,9 @@
     async fn go_on_elsewhere(&mut self, end: SendEnd) -> bool {
         // Dropping the connection cancels what is left of the run there.
         let Some(source) = self.source.take() else { return false };
-        let (number, upstream, sent) = (source.number, Arc::clone(&source.chosen.entry), source.chosen.at);
+        let sent = Sent::new(source.number, &source.chosen);
         drop(source);
-        let may_go_on = self.delivery.note_end(number, &upstream, sent, end);
+        let may_go_on = self.delivery.note_end(&sent, end);
         if !may_go_on || !self.delivery.takes_second_send() {
             return false;
         }
