What a failure proves is decided in Evidence, and a doubt's ages are counted beside Known's

Whether an upstream rests was asked three ways. Assertions are unchanged; one test more, of what each kind of failure proves. Comments that said that upstreams are judged by own answers alone, and loads heard from answers alone, say what is.

--- a/crates/bendhinge_fleet/src/evidence.rs
+++ b/crates/bendhinge_fleet/src/evidence.rs
@@ -10,6 +10,8 @@
 use bendhinge_ids::{Instant, NameHash};
 use rustc_hash::FxHashMap;
 
+use crate::UpstreamFailure;
+
 /// How long a failure counts: some rounds of exchanges, so that it reaches everybody.
 const COUNTS_FOR: Duration = Duration::from_secs(3);
 /// Routers that must have had a failure. Two can both be at fault, but then others have answers.
@@ -69,8 +71,10 @@
 }
 
 /// The fleet's evidence as one router knows it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Evidence {
+    /// This router, as others know it.
+    own: NameHash,
     doubts: FxHashMap<NameHash, Doubt>,
     /// This router's own last answers, also of upstreams that nobody doubts: they outweigh what it
     /// is told.
@@ -78,6 +82,12 @@
 }
 
 impl Evidence {
+    /// No evidence yet, of the router that others know as `own`.
+    #[must_use]
+    pub fn new(own: NameHash) -> Self {
+        Self { own, doubts: FxHashMap::default(), own_answers: FxHashMap::default() }
+    }
+
     /// Notes this router's own answer.
     pub fn answered(&mut self, upstream: NameHash, now: Instant) {
         self.own_answers.insert(upstream, now);
@@ -86,8 +96,17 @@
         }
     }
 
-    /// Notes a failure that this router had.
-    pub fn failed(&mut self, upstream: NameHash, witness: Witness) {
+    /// Notes a failure that this router had with a request that was sent at `sent`.
+    pub fn failed(&mut self, upstream: NameHash, failure: UpstreamFailure, sent: Instant, now: Instant) {
+        let at = match failure {
+            UpstreamFailure::Silent => sent,
+            UpstreamFailure::NotConnected | UpstreamFailure::Lost => now,
+            // It answered.
+            UpstreamFailure::Shed | UpstreamFailure::Failed => return self.answered(upstream, now),
+            // Another did.
+            UpstreamFailure::Replaced => return,
+        };
+        let witness = Witness { router: self.own, at };
         self.doubt(upstream).add(witness);
     }
 
--- a/crates/bendhinge_fleet/src/judge.rs
+++ b/crates/bendhinge_fleet/src/judge.rs
@@ -1,4 +1,4 @@
-//! Which upstreams answer, judged by their own answers and nothing else.
+//! Which upstreams answer, judged by their own answers, and by what several routers saw together.
 //!
 //! A health check can be good while an upstream fails its requests, and bad while it is well, so
 //! it is not asked. An upstream that fails rests for a while and then gets single requests on
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Whether its rest is not over.
+    fn is_resting(&self, now: Instant) -> bool {
+        self.rests_until.is_some_and(|until| now < until)
+    }
+
     /// What is left of something that was seen when the record last changed.
     fn left(&self, half_life: Duration, now: Instant) -> f32 {
         let halves = now.since(self.at).as_secs_f32() / half_life.as_secs_f32();
@@ -164,7 +169,7 @@
         record.failures += failure.weight();
         record.in_a_row = record.in_a_row.saturating_add(1);
         // What was under way when the rest began fails with it, and says nothing new.
-        if record.rests_until.is_some_and(|until| now < until) {
+        if record.is_resting(now) {
             return false;
         }
         let on_trial = record.trial_began.take().is_some();
@@ -185,7 +190,7 @@
     pub fn suspected(&mut self, upstream: NameHash, now: Instant) -> bool {
         let rest = self.limits.rest;
         let record = self.record(upstream, now);
-        if record.rests_until.is_some_and(|until| now < until) {
+        if record.is_resting(now) {
             return false;
         }
         record.rests_until = Some(now + rest);
--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -6,7 +6,7 @@
 //! * [`Directory`] is which upstreams there are, over lists that may vanish by mistake.
 //! * [`NewsCursors`] says what each peer was told already.
 //! * [`Relearning`] says when a router that has just started asks the upstreams what they keep.
-//! * [`Judge`] is which upstreams answer, by their own answers.
+//! * [`Judge`] is which upstreams answer, by their own answers and what others saw.
 //! * [`Evidence`] is which upstreams answer nobody, by what all routers saw.
 //!
 //! All of it is pure: explicit state, an explicit clock, no input or output.
--- a/crates/bendhinge_fleet/tests/evidence.rs
+++ b/crates/bendhinge_fleet/tests/evidence.rs
@@ -1,9 +1,11 @@
 //! When upstreams are suspected on what other routers saw.
 
-use bendhinge_fleet::{Doubt, Evidence, Verdict, Witness};
+use bendhinge_fleet::{Doubt, Evidence, UpstreamFailure, Verdict, Witness};
 use bendhinge_ids::{Instant, NameHash};
 
 const UPSTREAM: NameHash = NameHash(7);
+/// The router whose evidence it is.
+const OWN: NameHash = NameHash(1);
 
 fn at(millis: u64) -> Instant {
     Instant::from_millis(10_000 + millis)
@@ -19,7 +21,7 @@
 
 #[test]
 fn one_routers_failures_make_no_suspect() {
-    let mut evidence = Evidence::default();
+    let mut evidence = Evidence::new(OWN);
     for millis in [0, 100, 200] {
         let heard = doubt(&[witness(1, millis)]);
         assert_eq!(evidence.hear(UPSTREAM, &heard, at(millis)), Verdict::Unchanged);
@@ -28,8 +30,8 @@
 
 #[test]
 fn failures_of_two_routers_do() {
-    let mut evidence = Evidence::default();
-    evidence.failed(UPSTREAM, witness(1, 0));
+    let mut evidence = Evidence::new(OWN);
+    evidence.failed(UPSTREAM, UpstreamFailure::Lost, at(0), at(0));
     let heard = doubt(&[witness(2, 50)]);
     assert_eq!(evidence.hear(UPSTREAM, &heard, at(100)), Verdict::Suspect);
     assert_eq!(evidence.hear(UPSTREAM, &heard, at(200)), Verdict::Unchanged, "it is told once");
@@ -38,8 +40,8 @@
 /// Routers whose own links fail, or that meet a full queue, are outvoted by any answer.
 #[test]
 fn a_later_answer_outweighs_all_failures() {
-    let mut evidence = Evidence::default();
-    evidence.failed(UPSTREAM, witness(1, 0));
+    let mut evidence = Evidence::new(OWN);
+    evidence.failed(UPSTREAM, UpstreamFailure::Lost, at(0), at(0));
     evidence.answered(UPSTREAM, at(80));
     let failures = doubt(&[witness(2, 50), witness(3, 60), witness(4, 70)]);
     assert_eq!(evidence.hear(UPSTREAM, &failures, at(100)), Verdict::Unchanged);
@@ -49,11 +51,27 @@
     assert_eq!(evidence.hear(UPSTREAM, &answered, at(150)), Verdict::Cleared);
 }
 
+#[test]
+fn silence_counts_from_when_the_request_was_sent_and_a_refusal_not_at_all() {
+    let other = doubt(&[witness(2, 550)]);
+    let verdict = |failure, answered| {
+        let mut evidence = Evidence::new(OWN);
+        evidence.answered(UPSTREAM, at(answered));
+        evidence.failed(UPSTREAM, failure, at(500), at(600));
+        evidence.hear(UPSTREAM, &other, at(600))
+    };
+    assert_eq!(verdict(UpstreamFailure::Silent, 400), Verdict::Suspect);
+    assert_eq!(verdict(UpstreamFailure::Silent, 520), Verdict::Unchanged, "it answers from behind a queue");
+    assert_eq!(verdict(UpstreamFailure::NotConnected, 520), Verdict::Suspect);
+    assert_eq!(verdict(UpstreamFailure::Shed, 400), Verdict::Unchanged, "a refusal is an answer");
+    assert_eq!(verdict(UpstreamFailure::Replaced, 400), Verdict::Unchanged, "it is another that answered");
+}
+
 /// Who is answered all the time has no doubt of its own that an answer could end. Before, it took
 /// what two others told of requests with short time limits for the loss of the upstream.
 #[test]
 fn a_router_that_is_answered_does_not_suspect_on_what_it_is_told() {
-    let mut evidence = Evidence::default();
+    let mut evidence = Evidence::new(OWN);
     evidence.answered(UPSTREAM, at(80));
     let failures = doubt(&[witness(2, 50), witness(3, 60)]);
     assert_eq!(evidence.hear(UPSTREAM, &failures, at(100)), Verdict::Unchanged);
@@ -63,8 +81,8 @@
 
 #[test]
 fn old_failures_count_for_nothing_and_are_not_told() {
-    let mut evidence = Evidence::default();
-    evidence.failed(UPSTREAM, witness(1, 0));
+    let mut evidence = Evidence::new(OWN);
+    evidence.failed(UPSTREAM, UpstreamFailure::Lost, at(0), at(0));
     assert_eq!(evidence.doubts(at(100)).count(), 1);
     assert_eq!(evidence.doubts(at(3_100)).count(), 0);
     assert_eq!(evidence.hear(UPSTREAM, &doubt(&[witness(2, 3_050)]), at(3_100)), Verdict::Unchanged);
@@ -77,9 +95,9 @@
 #[test]
 fn each_of_many_routers_learns_from_the_first_two() {
     const ROUTERS: u64 = 87;
-    let mut routers: Vec<Evidence> = (0..ROUTERS).map(|_| Evidence::default()).collect();
-    routers[3].failed(UPSTREAM, witness(3, 0));
-    routers[70].failed(UPSTREAM, witness(70, 20));
+    let mut routers: Vec<Evidence> = (0..ROUTERS).map(|number| Evidence::new(NameHash(number))).collect();
+    routers[3].failed(UPSTREAM, UpstreamFailure::Lost, at(0), at(0));
+    routers[70].failed(UPSTREAM, UpstreamFailure::Lost, at(20), at(20));
     let mut suspecting = 0;
     // All hear of both through a few in between.
     for round in 1..=3 {
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use bendhinge_fleet::{
-    Belief, Directory, Doubt, Evidence, Judge, Listed, Offer, Standing, UpstreamEntry, UpstreamFailure,
-    UpstreamList, Verdict, Version, Witness,
+    Belief, Directory, Evidence, Judge, Listed, Offer, Standing, UpstreamEntry, UpstreamFailure,
+    UpstreamList, Verdict, Version,
 };
 use bendhinge_ids::{Instant, NameHash, PoolName};
-use bendhinge_peer::{Known, ObservedDoubt, ObservedFailure, ObservedLoad, ObservedRead, ReadsPage};
+use bendhinge_peer::{Known, ObservedDoubt, ObservedLoad, ObservedRead, ReadsPage};
 use bendhinge_placement::{
     Candidate, ChoiceReason, CostRules, KeptPart, KeptParts, Learned, LearnedFrom, Prompt, Question, choose,
 };
@@ -67,8 +67,6 @@
 
 /// This gateway's view of the upstreams.
 pub(crate) struct UpstreamView {
-    /// This gateway, as others know it.
-    own: NameHash,
     state: Mutex<State>,
     costs: CostRules,
 }
@@ -92,12 +90,12 @@
             belief: Belief::default(),
             directory: Directory::new(settings.directory),
             judge: Judge::new(settings.judge),
-            evidence: Evidence::default(),
+            evidence: Evidence::new(router_hash(own)),
             loads: Loads::default(),
             kept: KeptParts::new(KEPT_FOR),
         };
         let costs = CostRules { bound: settings.load_bound, ..CostRules::default() };
-        Self { own: router_hash(own), state: Mutex::new(state), costs }
+        Self { state: Mutex::new(state), costs }
     }
 
     /// Whether there is a list at all.
@@ -188,25 +186,14 @@
     pub(crate) fn failed(&self, upstream: NameHash, failure: UpstreamFailure, sent: Instant) -> bool {
         let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
-        match failure {
-            UpstreamFailure::Silent => {
-                state.evidence.failed(upstream, Witness { router: self.own, at: sent });
-            }
-            UpstreamFailure::NotConnected | UpstreamFailure::Lost => {
-                state.evidence.failed(upstream, Witness { router: self.own, at: now });
-            }
-            // It answered.
-            UpstreamFailure::Shed | UpstreamFailure::Failed => state.evidence.answered(upstream, now),
-            // Another did.
-            UpstreamFailure::Replaced => {}
-        }
+        state.evidence.failed(upstream, failure, sent, now);
         state.judge.failed(upstream, failure, now)
     }
 
     /// What to tell others of upstreams that failed lately.
     pub(crate) fn doubts_to_tell(&self, now: Instant) -> Vec<ObservedDoubt> {
         let state = self.state.lock().unwrap();
-        state.evidence.doubts(now).map(|(upstream, doubt)| observed_doubt(upstream, doubt, now)).collect()
+        state.evidence.doubts(now).map(|(upstream, doubt)| ObservedDoubt::of(upstream, doubt, now)).collect()
     }
 
     /// Takes in what another gateway knows of upstreams that failed, as of `as_of`; gives those that
@@ -217,7 +204,7 @@
         let State { directory, judge, evidence, .. } = &mut *state;
         let mut resting = Vec::new();
         for heard in doubts.iter().filter(|heard| directory.lists(heard.upstream)) {
-            match evidence.hear(heard.upstream, &doubt_as_of(heard, as_of), now) {
+            match evidence.hear(heard.upstream, &heard.as_of(as_of), now) {
                 Verdict::Cleared => judge.cleared(heard.upstream),
                 Verdict::Suspect if judge.suspected(heard.upstream, now) => {
                     let listed = directory.listed().iter().find(|listed| listed.entry.hash == heard.upstream);
@@ -246,11 +233,11 @@
         told.collect()
     }
 
-    /// Takes in what another gateway heard of loads, in an answer to a question asked at `asked`.
-    pub(crate) fn hear_loads(&self, loads: &[ObservedLoad], asked: Instant) {
+    /// Takes in what another gateway heard of loads, its ages counted from `as_of`.
+    pub(crate) fn hear_loads(&self, loads: &[ObservedLoad], as_of: Instant) {
         let mut state = self.state.lock().unwrap();
         for load in loads {
-            let at = asked - load.age;
+            let at = as_of - load.age;
             state.loads.learn(Said { upstream: load.upstream, in_progress: load.in_progress.into(), at });
         }
     }
@@ -326,23 +313,6 @@
     NameHash::of(&address.to_string())
 }
 
-fn observed_doubt(upstream: NameHash, doubt: &Doubt, now: Instant) -> ObservedDoubt {
-    let failure = |witness: &Witness| ObservedFailure { router: witness.router, age: now.since(witness.at) };
-    ObservedDoubt {
-        upstream,
-        answered: doubt.answered.map(|answered| now.since(answered)),
-        witnesses: doubt.witnesses.iter().map(failure).collect(),
-    }
-}
-
-fn doubt_as_of(heard: &ObservedDoubt, as_of: Instant) -> Doubt {
-    let witness = |failure: &ObservedFailure| Witness { router: failure.router, at: as_of - failure.age };
-    Doubt {
-        answered: heard.answered.map(|age| as_of - age),
-        witnesses: heard.witnesses.iter().map(witness).collect(),
-    }
-}
-
 fn observed_read(kept: KeptPart, now: Instant) -> ObservedRead {
     ObservedRead { part: kept.part, upstream: kept.upstream, age: now.since(kept.used) }
 }
--- a/crates/bendhinge_peer/src/fleet/mod.rs
+++ b/crates/bendhinge_peer/src/fleet/mod.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bendhinge_fleet::{Heard, Held, UpstreamList, Version};
+use bendhinge_fleet::{Doubt, Heard, Held, UpstreamList, Version, Witness};
 use bendhinge_ids::{Instant, NameHash};
 use bendhinge_placement::PartId;
 use bytes::Bytes;
@@ -66,6 +66,30 @@
     pub witnesses: Vec<ObservedFailure>,
 }
 
+impl ObservedDoubt {
+    /// What is known at `now` of an upstream.
+    #[must_use]
+    pub fn of(upstream: NameHash, doubt: &Doubt, now: Instant) -> Self {
+        let failure =
+            |witness: &Witness| ObservedFailure { router: witness.router, age: now.since(witness.at) };
+        Self {
+            upstream,
+            answered: doubt.answered.map(|answered| now.since(answered)),
+            witnesses: doubt.witnesses.iter().map(failure).collect(),
+        }
+    }
+
+    /// The same, its ages counted from `as_of`.
+    #[must_use]
+    pub fn as_of(&self, as_of: Instant) -> Doubt {
+        let witness = |failure: &ObservedFailure| Witness { router: failure.router, at: as_of - failure.age };
+        Doubt {
+            answered: self.answered.map(|age| as_of - age),
+            witnesses: self.witnesses.iter().map(witness).collect(),
+        }
+    }
+}
+
 /// A gateway's last failure at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ObservedFailure {
@@ -103,7 +127,7 @@
 pub struct ReadsPage {
     /// Which one, from 0.
     pub index: u32,
-    /// How many there are, at least 1.
+    /// How many there are; 0 are one.
     pub count: u32,
 }
 
--- a/crates/bendhinge_peer/src/fleet/server.rs
+++ b/crates/bendhinge_peer/src/fleet/server.rs
@@ -77,7 +77,7 @@
         mut results: fleet::ReadsResults,
     ) -> Result<(), Error> {
         let params = params.get()?;
-        let page = ReadsPage { index: params.get_page(), count: params.get_pages().max(1) };
+        let page = ReadsPage { index: params.get_page(), count: params.get_pages() };
         let Some(reads) = self.0.reads(page) else { return Ok(()) };
         results.get().set_informed(true);
         let mut list = results.get().init_reads(u32::try_from(reads.len()).unwrap_or(u32::MAX));
