--- a/crates/bendhinge_gateway/src/knowledge/rules.rs
+++ b/crates/bendhinge_gateway/src/knowledge/rules.rs
@@ -25,31 +25,36 @@
 /// Keeps the rules in force.
 pub(crate) struct RulesKeeper {
     belief: Mutex<Belief<RulesInForce>>,
-    limits: BeliefSettings,
-    started: Instant,
+    lease: Option<Duration>,
+    /// Until when requests wait for the first rules.
+    first_until: Instant,
     /// Closed when the first rules are there; nothing is ever sent.
-    first: (Sender<Infallible>, Receiver<Infallible>),
+    first: Sender<Infallible>,
+    first_arrived: Receiver<Infallible>,
 }
 
 impl RulesKeeper {
     /// No rules yet.
     pub(crate) fn new(limits: BeliefSettings) -> Self {
-        Self { belief: Mutex::default(), limits, started: bendhinge_clock::now(), first: bounded(1) }
+        let first_until = bendhinge_clock::now() + limits.first_rules;
+        let (first, first_arrived) = bounded(1);
+        Self { belief: Mutex::default(), lease: limits.rules_lease, first_until, first, first_arrived }
     }
 
     /// The rules in force. Those who ask while the process starts wait for them for a moment.
     pub(crate) async fn current_or_first(&self) -> Option<Arc<RulesInForce>> {
-        let left = self.limits.first_rules.saturating_sub(bendhinge_clock::now().since(self.started));
-        if self.current().is_none() && !left.is_zero() {
-            let arrived = async {
-                // It ends when the channel is closed.
-                let _ = self.first.1.recv().await;
-            };
-            let too_late = async {
-                Timer::after(left).await;
-            };
-            arrived.or(too_late).await;
+        if let Some(current) = self.current() {
+            return Some(current);
         }
+        let left = self.first_until.since(bendhinge_clock::now());
+        let arrived = async {
+            // It ends when the channel is closed.
+            let _ = self.first_arrived.recv().await;
+        };
+        let too_late = async {
+            Timer::after(left).await;
+        };
+        arrived.or(too_late).await;
         self.current()
     }
 
@@ -62,7 +67,7 @@
     /// Asked right before each send: the process may have been frozen since it was last asked.
     pub(crate) fn may_be_acted_on(&self) -> bool {
         let belief = self.belief.lock().unwrap();
-        match self.limits.rules_lease {
+        match self.lease {
             Some(lease) => belief.is_within(lease, bendhinge_clock::now()),
             None => belief.held().is_some(),
         }
@@ -88,7 +93,7 @@
 
     pub(crate) fn offer(&self, version: Version, as_of: Instant, rules: RulesInForce) -> Offer {
         let offer = self.belief.lock().unwrap().offer(version, as_of, || Arc::new(rules));
-        self.first.0.close();
+        self.first.close();
         offer
     }
 }
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -239,12 +239,12 @@
     fn retries(&self, section: &Section) -> Option<FleetRetryBudget> {
         let ratio = self.0.amount(section, "ratio");
         let slack = self.0.amount(section, "slack");
-        let span = self.0.ratio(section, "span_s").map(Duration::from_secs_f64);
+        let span = self.0.seconds(section, "span_s");
         Some(FleetRetryBudget { ratio: ratio?, slack: slack?, span: span? })
     }
 
     fn stop(&self, section: &Section) -> Option<StopSettings> {
-        let grace = self.0.ratio(section, "grace_s").map(Duration::from_secs_f64);
+        let grace = self.0.seconds(section, "grace_s");
         let accept = self.0.millis(section, "accept_ms");
         Some(StopSettings { grace: grace?, accept: accept? })
     }
--- a/crates/bendhinge_ini/src/document.rs
+++ b/crates/bendhinge_ini/src/document.rs
@@ -258,6 +258,11 @@
         self.value::<Millis>(section, key).map(|millis| millis.0)
     }
 
+    /// The value of a key that holds a span in seconds, as a positive decimal number.
+    pub fn seconds(&self, section: &Section, key: &str) -> Option<Duration> {
+        self.ratio(section, key).map(Duration::from_secs_f64)
+    }
+
     /// The value of a key that holds a positive decimal number.
     pub fn ratio(&self, section: &Section, key: &str) -> Option<f64> {
         self.value::<Ratio>(section, key).map(|ratio| ratio.0)
--- a/crates/bendhinge_ini/src/values.rs
+++ b/crates/bendhinge_ini/src/values.rs
@@ -41,6 +41,12 @@
     }
 }
 
+/// A decimal number in the range that settings have.
+fn decimal(text: &str) -> Option<f64> {
+    const BELOW: f64 = 1e6;
+    text.parse::<f64>().ok().filter(|number| (0.0..BELOW).contains(number))
+}
+
 /// A decimal number that may be zero.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Amount(pub f64);
@@ -49,10 +55,7 @@
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, String> {
-        match text.parse::<f64>() {
-            Ok(amount) if (0.0..1e6).contains(&amount) => Ok(Self(amount)),
-            _ => Err("write a decimal number from 0 to below 1000000".to_owned()),
-        }
+        decimal(text).map(Self).ok_or_else(|| "write a decimal number from 0 to below 1000000".to_owned())
     }
 }
 
@@ -64,9 +67,7 @@
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, String> {
-        match text.parse::<f64>() {
-            Ok(ratio) if ratio > 0.0 && ratio < 1e6 => Ok(Self(ratio)),
-            _ => Err("write a decimal number above 0 and below 1000000".to_owned()),
-        }
+        let positive = decimal(text).filter(|ratio| *ratio > 0.0);
+        positive.map(Self).ok_or_else(|| "write a decimal number above 0 and below 1000000".to_owned())
     }
 }
