RetryBudget::set_reserve is gone: since gateways use RetryShare, only its own test called it

The test went with the method; its two assertions stand, word for word, on what took its place (a_smaller_part_of_the_slack_holds_at_once). The rest of RetryBudget is the router's, with its test in gate.rs.

--- a/crates/bendhinge_admission/src/budget.rs
+++ b/crates/bendhinge_admission/src/budget.rs
@@ -28,10 +28,4 @@
         }
         allowed
     }
-
-    /// Changes how many retries may be saved up.
-    pub fn set_reserve(&mut self, reserve: f64) {
-        self.reserve = reserve;
-        self.tokens = self.tokens.min(reserve);
-    }
 }
--- a/crates/bendhinge_admission/tests/budget.rs
+++ b/crates/bendhinge_admission/tests/budget.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use arbtest::arbtest;
-use bendhinge_admission::{FleetRetryBudget, RetryBudget, RetryShare};
+use bendhinge_admission::{FleetRetryBudget, RetryShare};
 use bendhinge_ids::Instant;
 
 const SPAN: Duration = Duration::from_secs(10);
@@ -141,11 +141,3 @@
     assert!(share.retry(at(0)));
     assert!(!share.retry(at(0)));
 }
-
-#[test]
-fn a_smaller_reserve_takes_what_was_saved_up() {
-    let mut budget = RetryBudget::new(0.1, 5.0);
-    budget.set_reserve(1.0);
-    assert!(budget.retry());
-    assert!(!budget.retry());
-}
