Sight: how old the list of upstreams was at each send, and what became of fetches between gateways

Each send's line has list_age_ms, a belief says as of how long ago it holds, fetch_failed tells what another gateway did not hand over; histograms of list ages, reads of the store and fetches.

--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -7,13 +7,15 @@
 
 use bendhinge_fleet::{Contact, Heard, Offer, Origin, Reach, UpstreamList};
 use bendhinge_ids::Instant;
-use bendhinge_peer::{FleetDuties, Known, ObservedRead, PeerMessage, ReadsPage};
+use bendhinge_peer::{CallError, FleetDuties, Known, ObservedRead, PeerMessage, ReadsPage};
 use bytes::Bytes;
 use rand::Rng;
 use smol::Timer;
 
 use super::{Control, draw};
+use crate::delivery::Delivering;
 use crate::knowledge::RulesInForce;
+use crate::metrics::Told;
 
 /// After how many rounds any other is asked, besides the one that hears of the store.
 const ANY_EVERY: u32 = 4;
@@ -168,20 +170,34 @@
     if message.rules.is_some_and(|known| delivering.rules.lacks(known.version)) {
         let asked = bendhinge_clock::now();
         let fetched = control.peers.call(address, async |peer| peer.rules().await).await;
-        if let Ok(Some((known, document))) = fetched {
+        if let Some((known, document)) = control.note_fetch(Told::Rules, address, asked, fetched) {
             control.take_rules(&known, asked, document, Origin::Peer);
         }
     }
     if message.upstreams.is_some_and(|known| delivering.upstreams.lacks(known.version)) {
         let asked = bendhinge_clock::now();
         let fetched = control.peers.call(address, async |peer| peer.upstreams().await).await;
-        if let Ok(Some((known, list))) = fetched {
+        if let Some((known, list)) = control.note_fetch(Told::Upstreams, address, asked, fetched) {
             control.take_upstreams(&known, asked, list, Origin::Peer);
         }
     }
 }
 
 impl Control {
+    /// Notes what came of asking the gateway at `from` for `what`; gives what it handed over.
+    fn note_fetch<T>(
+        &self,
+        what: Told,
+        from: SocketAddr,
+        asked: Instant,
+        fetched: Result<Option<T>, CallError>,
+    ) -> Option<T> {
+        let took = bendhinge_clock::now().since(asked);
+        let Delivering { metrics, log, .. } = &*self.delivering;
+        metrics.peer_fetch(what, took, fetched.is_ok());
+        fetched.inspect_err(|error| log.fetch_failed(what, from, took, error)).ok().flatten()
+    }
+
     /// Takes a document of rules that was known to be current `known.age` before `asked`.
     pub(super) fn take_rules(self: &Rc<Self>, known: &Known, asked: Instant, document: Bytes, from: Origin) {
         let rules = match self.delivering.dialect.read_rules(&document) {
@@ -193,7 +209,8 @@
         let offered = RulesInForce { rules, document };
         let offer = self.delivering.rules.offer(known.version, asked - known.age, offered);
         if offer == Offer::New {
-            self.delivering.log.belief("rules", known.version, from);
+            let age = bendhinge_clock::now().since(asked - known.age);
+            self.delivering.log.belief(Told::Rules, known.version, from, age);
             self.spread(from);
         }
     }
@@ -208,7 +225,8 @@
     ) {
         let offer = self.delivering.upstreams.offer(known.version, asked - known.age, list);
         if offer == Offer::New {
-            self.delivering.log.belief("upstreams", known.version, from);
+            let age = bendhinge_clock::now().since(asked - known.age);
+            self.delivering.log.belief(Told::Upstreams, known.version, from, age);
             self.spread(from);
         }
     }
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -52,7 +52,8 @@
         }
         let began = bendhinge_clock::now();
         let contents = read(&control).await;
-        control.delivering.metrics.store_read(contents.is_ok());
+        let took = bendhinge_clock::now().since(began);
+        control.delivering.metrics.store_read(took, contents.is_ok());
         match contents {
             Ok(contents) => {
                 control.plan.borrow_mut().succeeded(bendhinge_clock::now());
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -142,6 +142,7 @@
         let chosen = self.choose(may_try)?;
         self.tried.push(chosen.entry.hash);
         let number = self.line.sent(&chosen);
+        self.delivering.metrics.list_age(chosen.list_age);
         let sent = Sent::new(number, &chosen);
         let send = NewSend { number, chosen, left, resume_after: resume_after.map(str::to_owned) };
         let answer = attempt(Arc::clone(&self.delivering), Arc::clone(&self.turn), send);
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -50,6 +50,8 @@
     pub(crate) load: f32,
     /// When it was chosen.
     pub(crate) at: Instant,
+    /// How old the knowledge was that the list it was chosen from is current.
+    pub(crate) list_age: Duration,
     /// Tokens of the prompt's shared parts that it is believed to lack.
     pub(crate) missing: u32,
     /// Its place there, held as long as this is.
@@ -145,6 +147,7 @@
         let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
         let (listed, candidates) = state.candidates(question, now);
+        let list_age = state.belief.age(now).unwrap_or_default();
         let asked = Question {
             prompt: question.prompt.filter(|_| question.rule.is_some_and(|rule| rule.keeps_prompts)),
             can_fetch: question.rule.is_some_and(|rule| rule.moves_prompts),
@@ -168,6 +171,7 @@
             reason: choice.reason,
             load,
             missing: choice.missing,
+            list_age,
             at: now,
             _place: place,
         })
--- a/crates/bendhinge_gateway/src/log.rs
+++ b/crates/bendhinge_gateway/src/log.rs
@@ -4,11 +4,13 @@
 use std::num::NonZeroUsize;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{Course, SendEnd};
 use bendhinge_fleet::{Origin, Version};
 use bendhinge_ids::{Instant, UpstreamName};
+use bendhinge_peer::CallError;
 use serde::Serialize;
 use spdlog::formatter::{Formatter, FormatterContext};
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink};
@@ -16,6 +18,7 @@
 
 use crate::delivery::Turn;
 use crate::knowledge::Chosen;
+use crate::metrics::Told;
 
 /// Lines that may wait to be written; further ones are dropped and counted.
 const MOST_WAITING: usize = 1_024;
@@ -122,18 +125,32 @@
         self.line("listening", Fields { what, address });
     }
 
-    /// A belief changed.
-    pub(crate) fn belief(&self, what: &str, version: Version, from: Origin) {
+    /// A belief changed: which version is held now, from where, as of how long ago.
+    pub(crate) fn belief(&self, what: Told, version: Version, from: Origin, age: Duration) {
         #[derive(Serialize)]
-        struct Fields<'a> {
-            what: &'a str,
+        struct Fields {
+            what: &'static str,
             revision: u64,
             digest: String,
             from: &'static str,
+            age_ms: u64,
         }
-        let from = from.as_str();
         let digest = format!("{:016x}", version.digest);
-        self.line("belief", Fields { what, revision: version.revision.0, digest, from });
+        let (what, from, age_ms) = (what.as_str(), from.as_str(), millis(age));
+        self.line("belief", Fields { what, revision: version.revision.0, digest, from, age_ms });
+    }
+
+    /// Another gateway holds something newer and did not hand it over.
+    pub(crate) fn fetch_failed(&self, what: Told, from: SocketAddr, took: Duration, error: &CallError) {
+        #[derive(Serialize)]
+        struct Fields {
+            what: &'static str,
+            from: SocketAddr,
+            ms: u64,
+            error: String,
+        }
+        let fields = Fields { what: what.as_str(), from, ms: millis(took), error: error.to_string() };
+        self.line("fetch_failed", fields);
     }
 
     /// Something that the process depends on was lost or found again.
@@ -203,6 +220,7 @@
     #[serde(skip_serializing_if = "is_zero")]
     missing: u32,
     at_ms: u64,
+    list_age_ms: u64,
     #[serde(skip_serializing_if = "Option::is_none")]
     end: Option<&'static str>,
     #[serde(skip_serializing_if = "is_false")]
@@ -219,6 +237,10 @@
     *number == 0
 }
 
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// What is gathered of a request until its line is written.
 pub(crate) struct RequestLine {
     request: String,
@@ -239,7 +261,7 @@
     }
 
     fn at_ms(&self) -> u64 {
-        u64::try_from(bendhinge_clock::now().since(self.began).as_millis()).unwrap_or(u64::MAX)
+        millis(bendhinge_clock::now().since(self.began))
     }
 
     /// It is sent; gives the number of the send.
@@ -251,6 +273,7 @@
             load: chosen.load,
             missing: chosen.missing,
             at_ms,
+            list_age_ms: millis(chosen.list_age),
             end: None,
             fetched: chosen.fetch_from.is_some(),
         });
--- a/crates/bendhinge_gateway/src/metrics.rs
+++ b/crates/bendhinge_gateway/src/metrics.rs
@@ -13,6 +13,30 @@
 /// Bounds of the histogram of first bytes; 1.3 s is what the users ask of 95 in 100.
 const FIRST_BYTE_SECONDS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 1.3, 2.5, 10.0];
 
+/// Bounds of the histograms of how long reads and fetches take.
+const FETCH_SECONDS: [f64; 8] = [0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0];
+/// Bounds of the histogram of ages; platforms want upstreams that leave spared within two or three seconds.
+const LIST_AGE_SECONDS: [f64; 8] = [0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 5.0, 10.0];
+
+/// What the store tells, and gateways fetch from each other.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Told {
+    /// The serving rules.
+    Rules,
+    /// The list of upstreams.
+    Upstreams,
+}
+
+impl Told {
+    /// The word for logs and labels.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Rules => "rules",
+            Self::Upstreams => "upstreams",
+        }
+    }
+}
+
 /// Why metrics could not be set up.
 #[derive(Debug, thiserror::Error)]
 #[error("cannot set up metrics: {0}")]
@@ -33,7 +57,9 @@
     requests: Counter<u64>,
     results: Counter<u64>,
     sends_ended: Counter<u64>,
-    store_reads: Counter<u64>,
+    store_reads: Histogram<f64>,
+    peer_fetches: Histogram<f64>,
+    list_age: Histogram<f64>,
     exchanges: Counter<u64>,
     upstreams_suspected: Counter<u64>,
     first_byte: Histogram<f64>,
@@ -53,6 +79,10 @@
         let meter = provider.meter("bendhinge");
         let counter =
             |name: &'static str, help: &'static str| meter.u64_counter(name).with_description(help).build();
+        let seconds = |name: &'static str, help: &'static str, bounds: &[f64]| {
+            let histogram = meter.f64_histogram(name).with_unit("s").with_boundaries(bounds.to_vec());
+            histogram.with_description(help).build()
+        };
         Ok(Self {
             requests: counter("bendhinge.gateway.requests", "Requests that were sent to an upstream"),
             results: counter("bendhinge.gateway.results", "Answers made by the gateway itself, by code"),
@@ -60,18 +90,31 @@
                 "bendhinge.gateway.sends_ended",
                 "Sends without an answer that was passed on, by end",
             ),
-            store_reads: counter("bendhinge.gateway.store_reads", "Reads of the store, by result"),
+            store_reads: seconds(
+                "bendhinge.gateway.store_read",
+                "How long reads of the store took, by result",
+                &FETCH_SECONDS,
+            ),
+            peer_fetches: seconds(
+                "bendhinge.gateway.peer_fetch",
+                "How long it took to fetch rules or lists from other gateways, by result",
+                &FETCH_SECONDS,
+            ),
+            list_age: seconds(
+                "bendhinge.gateway.list_age",
+                "How old the knowledge of the list of upstreams was at each send",
+                &LIST_AGE_SECONDS,
+            ),
             exchanges: counter("bendhinge.gateway.exchanges", "Exchanges with other gateways, by result"),
             upstreams_suspected: counter(
                 "bendhinge.gateway.upstreams_suspected",
                 "Times that an upstream was spared since other gateways found that it answers nobody",
             ),
-            first_byte: meter
-                .f64_histogram("bendhinge.gateway.first_byte")
-                .with_unit("s")
-                .with_boundaries(FIRST_BYTE_SECONDS.to_vec())
-                .with_description("Time from a request to the head of its answer")
-                .build(),
+            first_byte: seconds(
+                "bendhinge.gateway.first_byte",
+                "Time from a request to the head of its answer",
+                &FIRST_BYTE_SECONDS,
+            ),
             in_progress: meter
                 .u64_gauge("bendhinge.gateway.requests_in_progress")
                 .with_description("Requests in progress")
@@ -109,9 +152,20 @@
         self.sends_ended.add(1, &[KeyValue::new("end", end.as_str())]);
     }
 
-    /// Counts a read of the store.
-    pub(crate) fn store_read(&self, answered: bool) {
-        self.store_reads.add(1, &[result_label(answered)]);
+    /// Notes how long a read of the store took.
+    pub(crate) fn store_read(&self, time: Duration, answered: bool) {
+        self.store_reads.record(time.as_secs_f64(), &[result_label(answered)]);
+    }
+
+    /// Notes how long another gateway was asked for what the store told it.
+    pub(crate) fn peer_fetch(&self, what: Told, time: Duration, answered: bool) {
+        let labels = [KeyValue::new("what", what.as_str()), result_label(answered)];
+        self.peer_fetches.record(time.as_secs_f64(), &labels);
+    }
+
+    /// Notes how old the list of upstreams was at a send.
+    pub(crate) fn list_age(&self, age: Duration) {
+        self.list_age.record(age.as_secs_f64(), &[]);
     }
 
     /// Counts an exchange with another gateway.
