--- a/crates/bendhinge_standin/src/gateway/store.rs
+++ b/crates/bendhinge_standin/src/gateway/store.rs
@@ -125,6 +125,12 @@
         state.upstreams.retain(|record| record.name != name);
     }
 
+    /// Its revision, which rises with each change.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.state.lock().unwrap().revision
+    }
+
     /// Switches a fault on, or all off.
     pub fn set_fault(&self, fault: StoreFault) {
         self.state.lock().unwrap().fault = fault;
