The list of upstreams and large rules are read apart from the store, each in its own time

Rules up to 128 KiB are still read along with the list (one call); a read of everything that takes too long is followed by reads of the parts. Large rules are read the more seldom the longer they take on the box's own link (link_mbps, from the platform). A pause after a failed read ends at the age at which all read; that age follows the platform's time for leaving upstreams (leaving_ms: 1.2 s where 2 s are allowed, where it was 2.2 s before).

--- a/crates/bendhinge_fleet/src/reading.rs
+++ b/crates/bendhinge_fleet/src/reading.rs
@@ -60,11 +60,19 @@
         self.failed_at = Some(now);
     }
 
-    /// The age of the belief at which a router of `rank` reads.
+    /// The age of the belief at which a router of `rank` reads, to whom a read takes `cost`.
     #[must_use]
-    pub fn patience(&self, rank: usize) -> Duration {
+    pub fn patience(&self, rank: usize, cost: Duration) -> Duration {
         let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-        self.limits.first.saturating_add(self.limits.step.saturating_mul(rank)).min(self.limits.last)
+        let first = self.limits.first.saturating_add(cost);
+        first.saturating_add(self.limits.step.saturating_mul(rank)).min(self.last(cost))
+    }
+
+    /// The age at which every router reads. What takes long to read is that old when it is there, and
+    /// as old again before the next read is through: nobody else is to read for that alone.
+    #[must_use]
+    pub const fn last(&self, cost: Duration) -> Duration {
+        self.limits.last.saturating_add(cost.saturating_mul(2))
     }
 
     /// How long a router of `rank` waits after a read that gave nothing while nobody has news.
@@ -74,18 +82,24 @@
     }
 
     /// How long until the router should read: zero if it is due. `age` is that of its oldest
-    /// belief, `None` if it believes nothing yet.
+    /// belief, `None` if it believes nothing yet; a read takes `cost`.
     #[must_use]
-    pub fn wait(&self, age: Option<Duration>, rank: usize, now: Instant) -> Duration {
+    pub fn wait(&self, age: Option<Duration>, rank: usize, cost: Duration, now: Instant) -> Duration {
         let until_due = match age {
             None => self
                 .answered_at
                 .map_or(Duration::ZERO, |at| self.urgent_pause(rank).saturating_sub(now.since(at))),
-            Some(age) => self.patience(rank).saturating_sub(age),
+            Some(age) => self.patience(rank, cost).saturating_sub(age),
         };
         let Some(failed_at) = self.failed_at else { return until_due };
-        let is_fresh = age.is_some_and(|age| age < self.limits.last);
-        let pause = if is_fresh { self.limits.retry } else { self.urgent_pause(rank) };
-        until_due.max(pause.saturating_sub(now.since(failed_at)))
+        let paused = now.since(failed_at);
+        let until_last = age.map_or(Duration::ZERO, |age| self.last(cost).saturating_sub(age));
+        let pause = if until_last.is_zero() {
+            self.urgent_pause(rank).saturating_sub(paused)
+        } else {
+            // Others are heard, but by the age at which all read nobody counts on that any more.
+            self.limits.retry.saturating_sub(paused).min(until_last)
+        };
+        until_due.max(pause)
     }
 }
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -13,6 +13,7 @@
 use smol::Timer;
 
 use super::{Control, draw};
+use crate::delivery::Delivering;
 
 /// After how many rounds any other is asked, besides the one that hears of the store.
 const ANY_EVERY: u32 = 4;
@@ -27,7 +28,7 @@
     let mut round = 0_u32;
     loop {
         let now = bendhinge_clock::now();
-        let failing = control.plan.borrow().is_failing();
+        let failing = control.is_store_failing();
         let reach = if round.is_multiple_of(ANY_EVERY) { Reach::Any } else { Reach::Reader };
         let mut contacts = control.roster.borrow().contacts(reach, failing, now, &mut draw);
         if contacts.is_empty() || round.is_multiple_of(LOST_EVERY) {
@@ -51,7 +52,7 @@
 
 /// Tells those who hear news from this gateway that there is some; they fetch what they lack.
 pub(super) async fn tell_news(control: &Rc<Control>, origin: Origin) {
-    let failing = control.plan.borrow().is_failing();
+    let failing = control.is_store_failing();
     let listeners = control.roster.borrow().listeners(origin, failing, bendhinge_clock::now());
     let told = listeners.into_iter().map(|address| {
         let control = Rc::clone(control);
@@ -108,7 +109,7 @@
         address: control.settings.peers,
         age: Duration::ZERO,
         is_leaving: control.lifecycle.is_stopping(),
-        is_store_failing: control.plan.borrow().is_failing(),
+        is_store_failing: control.is_store_failing(),
     };
     let brief = PeerMessage {
         sender,
@@ -162,16 +163,21 @@
 }
 
 impl Control {
-    /// Whether the sender of `message` knows the rules held here to be current, of which this gateway
+    /// Whether the sender of `message` knows something held here to be current, of which this gateway
     /// has had no evidence for long.
     fn is_much_fresher(&self, message: &PeerMessage) -> bool {
-        let held = self.delivering.rules.known(bendhinge_clock::now());
-        message.rules.zip(held).is_some_and(|(told, held)| {
-            // Only knowledge that ends the want of it counts: were a little fresher enough, news
-            // of it would go round and round while nobody reaches the store.
-            let enough = self.settings.store.reading.last;
-            told.version == held.version && held.age > enough && told.age < enough
-        })
+        // Only knowledge that ends the want of it counts: were a little fresher enough, news
+        // of it would go round and round while nobody reaches the store.
+        let is_fresher = |told: Option<Known>, held: Option<Known>, lost: Duration| {
+            told.zip(held).is_some_and(|(told, held)| {
+                told.version == held.version && held.age > lost && told.age < lost
+            })
+        };
+        let now = bendhinge_clock::now();
+        let lost = self.lost_ages();
+        let Delivering { rules, upstreams, .. } = &*self.delivering;
+        is_fresher(message.rules, rules.known(now), lost.rules)
+            || is_fresher(message.upstreams, upstreams.known(now), lost.upstreams)
     }
 
     /// Tells others of news in the background.
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{NewsCursors, Origin, ReadingPlan, Roster};
+use bendhinge_fleet::{NewsCursors, Origin, Roster};
 use bendhinge_peer::{FleetClient, PeerPool, PeerPoolLimits, Traffic, serve_fleet};
 use rand::Rng;
 use smol::net::TcpListener;
@@ -19,6 +19,7 @@
 
 use self::exchange::Duties;
 use self::fetching::Fetching;
+use self::store::Reading;
 use crate::delivery::Delivering;
 use crate::lifecycle::Lifecycle;
 use crate::settings::Settings;
@@ -34,14 +35,15 @@
     delivering: Arc<Delivering>,
     lifecycle: Arc<Lifecycle>,
     roster: RefCell<Roster>,
-    plan: RefCell<ReadingPlan>,
+    upstreams_reading: Reading,
+    rules_reading: Reading,
+    /// Whether a read of everything took too long, and the rules were not read by themselves since.
+    is_read_along_slow: Cell<bool>,
     peers: PeerPool<FleetClient>,
     news: RefCell<NewsCursors>,
     fetching_rules: Fetching,
     fetching_upstreams: Fetching,
     executor: Rc<LocalExecutor<'static>>,
-    /// Whether the store was reachable when it was last looked at.
-    store_answers: Cell<Option<bool>>,
     /// Whether enough is known of what upstreams keep to tell others who have just started.
     is_informed: Cell<bool>,
 }
@@ -55,18 +57,18 @@
         executor: &Rc<LocalExecutor<'static>>,
     ) -> Rc<Self> {
         let roster = Roster::new(settings.peers, &settings.fleet.seeds, settings.fleet.roster);
-        let plan = ReadingPlan::new(settings.store.reading);
         let limits = PeerPoolLimits { call: settings.fleet.call, pause: PAUSE_AFTER_FAILURE };
         let peers = PeerPool::new(settings.fleet.key.clone(), limits, traffic, Rc::clone(executor));
         Rc::new(Self {
             roster: RefCell::new(roster),
-            plan: RefCell::new(plan),
+            upstreams_reading: Reading::new("store", settings.list_reading()),
+            rules_reading: Reading::new("store_rules", settings.store.reading),
+            is_read_along_slow: Cell::new(false),
             peers,
             news: RefCell::new(NewsCursors::new(NEWS_TOLD_FOR)),
             fetching_rules: Fetching::default(),
             fetching_upstreams: Fetching::default(),
             executor: Rc::clone(executor),
-            store_answers: Cell::new(None),
             is_informed: Cell::new(false),
             settings,
             delivering,
@@ -84,7 +86,8 @@
             Rc::clone(&self.executor),
         );
         self.executor.spawn(serving).detach();
-        self.executor.spawn(store::run(Rc::clone(self))).detach();
+        self.executor.spawn(store::read_upstreams(Rc::clone(self))).detach();
+        self.executor.spawn(store::read_rules(Rc::clone(self))).detach();
         self.executor.spawn(exchange::run(Rc::clone(self))).detach();
         self.executor.spawn(recovery::run(Rc::clone(self))).detach();
         self.executor.spawn(housekeeping(Rc::clone(self))).detach();
--- a/crates/bendhinge_gateway/src/control/recovery.rs
+++ b/crates/bendhinge_gateway/src/control/recovery.rs
@@ -64,14 +64,14 @@
         }
     }
 
-    fn own_rank(&self, now: Instant) -> usize {
-        let failing = self.plan.borrow().is_failing();
-        self.roster.borrow().own_rank(failing, now)
+    /// This gateway's place among those that read the store.
+    pub(super) fn own_rank(&self, now: Instant) -> usize {
+        self.roster.borrow().own_rank(self.is_store_failing(), now)
     }
 
     /// Asks the gateway that hears of the store, or any; `false` if neither knew enough.
     async fn learn_from_another(&self) -> bool {
-        let failing = self.plan.borrow().is_failing();
+        let failing = self.is_store_failing();
         let contacts =
             self.roster.borrow().contacts(Reach::Any, failing, bendhinge_clock::now(), &mut super::draw);
         for contact in contacts {
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -1,11 +1,12 @@
 //! Reading the platform's store.
 
+use std::cell::{Cell, RefCell};
 use std::hash::{Hash, Hasher};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{Origin, Revision, UpstreamEntry, UpstreamList, Version};
+use bendhinge_fleet::{Origin, ReadingLimits, ReadingPlan, Revision, UpstreamEntry, UpstreamList, Version};
 use bendhinge_http::{FetchError, Fetched, empty_body, fetch};
 use bendhinge_ids::Instant;
 use bendhinge_peer::Known;
@@ -14,14 +15,23 @@
 use smol::Timer;
 
 use super::Control;
-use crate::dialect::{StorePage, StoredRules, TranslateError};
+use crate::delivery::Delivering;
+use crate::dialect::{StorePage, StorePart, StoredRules, TranslateError};
 
 /// The largest page that is read.
 const LARGEST_PAGE: usize = 8 << 20;
 /// How often a gateway whose turn it is not looks whether it has become so.
 const LOOK: Duration = Duration::from_millis(200);
-/// Pages of one path after which a read is given up.
+/// How often a gateway that lost the store looks whether it is back: rules that were not known to be
+/// current for long are wanted at once.
+const LOOK_WHILE_LOST: Duration = Duration::from_millis(50);
+/// Pages after which a read is given up.
 const MOST_PAGES: usize = 200;
+/// Rules up to this size are read along with the list, since the platform prices each call; on the
+/// narrowest link of the sites, 10 Mbit/s, they delay it by 0.14 s.
+const SMALL_RULES: usize = 128 << 10;
+/// Time to read large rules. The largest take 1.1 s on that link when nothing else is on it.
+const RULES_TIME: Duration = Duration::from_secs(4);
 
 /// Why a read of the store gave nothing.
 #[derive(Debug, thiserror::Error)]
@@ -42,54 +52,73 @@
     upstreams: Vec<UpstreamEntry>,
 }
 
-/// Reads the store whenever it is due, for ever.
-pub(super) async fn run(control: Rc<Control>) {
+/// One of the two things that are read, each in its own time: a list of upstreams must not be as
+/// old as it takes to read a megabyte of rules, nor be lost with them.
+pub(super) struct Reading {
+    dependency: &'static str,
+    plan: RefCell<ReadingPlan>,
+    /// Whether the store answered the last read.
+    answers: Cell<Option<bool>>,
+}
+
+impl Reading {
+    /// Nothing was read yet; `dependency` is the name for logs.
+    pub(super) const fn new(dependency: &'static str, limits: ReadingLimits) -> Self {
+        Self { dependency, plan: RefCell::new(ReadingPlan::new(limits)), answers: Cell::new(None) }
+    }
+
+    fn is_failing(&self) -> bool {
+        self.plan.borrow().is_failing()
+    }
+}
+
+/// Reads the list of upstreams whenever it is due, for ever, and small rules with it.
+pub(super) async fn read_upstreams(control: Rc<Control>) {
     loop {
-        let wait = control.until_due();
+        let wait = control.until_upstreams_due();
         if !wait.is_zero() {
             Timer::after(wait.min(LOOK)).await;
             continue;
         }
-        let began = bendhinge_clock::now();
-        let contents = read(&control).await;
-        let took = bendhinge_clock::now().since(began);
-        control.delivering.metrics.store_read(took, contents.is_ok());
-        match contents {
-            Ok(contents) => {
-                control.plan.borrow_mut().succeeded(bendhinge_clock::now());
-                control.note_store(true, "");
-                let was_lost = control.evidence_is_lost();
-                control.take_contents(contents, began);
-                if was_lost {
-                    // The others wait for this as for news, though it may be no change.
-                    control.spread(Origin::Store);
-                }
-            }
-            Err(error) => {
-                control.plan.borrow_mut().failed(bendhinge_clock::now());
-                control.note_store(false, &error.to_string());
-            }
+        let part = if control.reads_rules_along() { StorePart::All } else { StorePart::Upstreams };
+        control.read(part, &control.upstreams_reading).await;
+    }
+}
+
+/// Reads rules that are not read along with the list whenever it is due, for ever.
+pub(super) async fn read_rules(control: Rc<Control>) {
+    loop {
+        let wait = if control.reads_rules_along() {
+            LOOK
+        } else if control.upstreams_reading.is_failing() {
+            // Whether the store is back is found out with the list, which is small.
+            LOOK_WHILE_LOST
+        } else {
+            control.until_rules_due()
+        };
+        if !wait.is_zero() {
+            Timer::after(wait.min(LOOK)).await;
+            continue;
         }
+        control.read(StorePart::Rules, &control.rules_reading).await;
     }
 }
 
-async fn read(control: &Control) -> Result<Contents, ReadError> {
+async fn read_pages(control: &Control, part: StorePart) -> Result<Contents, ReadError> {
     let known = control.delivering.rules.known(bendhinge_clock::now()).map(|known| known.version.revision);
     let mut contents = Contents::default();
-    for path in control.delivering.dialect.store_paths() {
-        let mut after: Option<String> = None;
-        for page_number in 0.. {
-            if page_number == MOST_PAGES {
-                return Err(ReadError::Endless);
-            }
-            let page = read_page(control, path, after.as_deref(), known).await?;
-            contents.at = if contents.at == Revision::default() { page.at } else { contents.at.min(page.at) };
-            contents.rules = page.rules.or(contents.rules);
-            contents.upstreams.extend(page.upstreams);
-            after = page.next_after;
-            if after.is_none() {
-                break;
-            }
+    let mut after: Option<String> = None;
+    for page_number in 0.. {
+        if page_number == MOST_PAGES {
+            return Err(ReadError::Endless);
+        }
+        let page = read_page(control, part, after.as_deref(), known).await?;
+        contents.at = if contents.at == Revision::default() { page.at } else { contents.at.min(page.at) };
+        contents.rules = page.rules.or(contents.rules);
+        contents.upstreams.extend(page.upstreams);
+        after = page.next_after;
+        if after.is_none() {
+            break;
         }
     }
     Ok(contents)
@@ -97,16 +126,17 @@
 
 async fn read_page(
     control: &Control,
-    path: &str,
+    part: StorePart,
     after: Option<&str>,
     known: Option<Revision>,
 ) -> Result<StorePage, ReadError> {
     let dialect = &control.delivering.dialect;
     let store = &control.settings.store;
-    let request = Request::get(dialect.page_path(path, after)).header("host", store.address.to_string());
+    let request = Request::get(dialect.page_path(part, after)).header("host", store.address.to_string());
     let request = request.body(empty_body()).map_err(|error| TranslateError::new("the path", &error))?;
+    let time = if part == StorePart::Rules { RULES_TIME } else { store.call };
     let fetched: Fetched =
-        fetch(&control.delivering.pool, store.address, request, LARGEST_PAGE, store.call).await?;
+        fetch(&control.delivering.pool, store.address, request, LARGEST_PAGE, time).await?;
     if fetched.status != StatusCode::OK {
         return Err(FetchError::Status(fetched.status).into());
     }
@@ -114,35 +144,104 @@
 }
 
 impl Control {
-    /// How long until this gateway should read the store.
-    fn until_due(&self) -> Duration {
+    /// Reads a part of the store and takes in what it held.
+    async fn read(self: &Rc<Self>, part: StorePart, reading: &Reading) {
+        let began = bendhinge_clock::now();
+        let contents = read_pages(self, part).await;
         let now = bendhinge_clock::now();
-        let oldest = self.evidence_age();
-        let failing = self.plan.borrow().is_failing();
-        let rank = self.roster.borrow().own_rank(failing, now);
-        self.plan.borrow().wait(oldest, rank, now)
+        self.delivering.metrics.store_read(now.since(began), contents.is_ok());
+        match contents {
+            Ok(contents) => {
+                reading.plan.borrow_mut().succeeded(now);
+                if part == StorePart::Rules {
+                    self.is_read_along_slow.set(false);
+                }
+                self.note_store(reading, true, "");
+                let was_lost = self.evidence_is_lost();
+                self.take_contents(part, contents, began);
+                if was_lost {
+                    // The others wait for this as for news, though it may be no change.
+                    self.spread(Origin::Store);
+                }
+            }
+            Err(error) => {
+                reading.plan.borrow_mut().failed(now);
+                let is_slow = matches!(error, ReadError::Fetch(FetchError::Timeout(_)));
+                if part == StorePart::All && is_slow {
+                    // Rules may have come that are not small any more.
+                    self.is_read_along_slow.set(true);
+                }
+                self.note_store(reading, false, &error.to_string());
+            }
+        }
     }
 
-    /// Whether what is believed is so old that all would read.
-    fn evidence_is_lost(&self) -> bool {
-        self.evidence_age().is_some_and(|age| age > self.settings.store.reading.last)
+    /// Whether reads of the store failed last.
+    pub(super) fn is_store_failing(&self) -> bool {
+        self.upstreams_reading.is_failing() || !self.reads_rules_along() && self.rules_reading.is_failing()
+    }
+
+    /// Whether the rules are so small, as far as is known, that they are read along with the list.
+    fn reads_rules_along(&self) -> bool {
+        let held = self.delivering.rules.current();
+        let is_small = held.is_some_and(|held| held.document.len() <= SMALL_RULES);
+        is_small && !self.is_read_along_slow.get()
+    }
+
+    /// How long it takes to read large rules on this box's link.
+    fn rules_cost(&self) -> Duration {
+        /// The store hands out a value as base64.
+        const ENCODED: f64 = 4.0 / 3.0;
+        if self.reads_rules_along() {
+            return Duration::ZERO;
+        }
+        let length = self.delivering.rules.current().map_or(0, |current| current.document.len());
+        Duration::from_secs_f64(length as f64 * ENCODED / self.settings.link_bytes_per_s)
     }
 
-    /// The age of the oldest of what the store tells; `None` before it has told all.
-    fn evidence_age(&self) -> Option<Duration> {
+    /// How long until this gateway should read the list of upstreams.
+    fn until_upstreams_due(&self) -> Duration {
         let now = bendhinge_clock::now();
-        let rules = self.delivering.rules.age(now);
         let upstreams = self.delivering.upstreams.age(now);
-        rules.zip(upstreams).map(|(rules, upstreams)| rules.max(upstreams))
+        let age = if self.reads_rules_along() {
+            upstreams.max(self.delivering.rules.age(now)).filter(|_| upstreams.is_some())
+        } else {
+            upstreams
+        };
+        self.upstreams_reading.plan.borrow().wait(age, self.own_rank(now), Duration::ZERO, now)
     }
 
-    fn note_store(&self, answers: bool, detail: &str) {
-        if self.store_answers.replace(Some(answers)) != Some(answers) {
-            self.delivering.log.dependency("store", answers, detail);
+    /// How long until this gateway should read the rules by themselves.
+    fn until_rules_due(&self) -> Duration {
+        let now = bendhinge_clock::now();
+        let age = self.delivering.rules.age(now);
+        self.rules_reading.plan.borrow().wait(age, self.own_rank(now), self.rules_cost(), now)
+    }
+
+    /// The ages of what is believed from which all would read: of the rules, and of the list.
+    pub(super) fn lost_ages(&self) -> LostAges {
+        LostAges {
+            rules: self.rules_reading.plan.borrow().last(self.rules_cost()),
+            upstreams: self.upstreams_reading.plan.borrow().last(Duration::ZERO),
+        }
+    }
+
+    /// Whether what is believed is so old that all would read.
+    fn evidence_is_lost(&self) -> bool {
+        let now = bendhinge_clock::now();
+        let lost = self.lost_ages();
+        let Delivering { rules, upstreams, .. } = &*self.delivering;
+        rules.age(now).is_some_and(|age| age > lost.rules)
+            || upstreams.age(now).is_some_and(|age| age > lost.upstreams)
+    }
+
+    fn note_store(&self, reading: &Reading, answers: bool, detail: &str) {
+        if reading.answers.replace(Some(answers)) != Some(answers) {
+            self.delivering.log.dependency(reading.dependency, answers, detail);
         }
     }
 
-    fn take_contents(self: &Rc<Self>, contents: Contents, began: Instant) {
+    fn take_contents(self: &Rc<Self>, part: StorePart, contents: Contents, began: Instant) {
         let Contents { at, rules, mut upstreams } = contents;
         if let Some(StoredRules { revision, document }) = rules {
             // A document has one revision: its number tells it from all others.
@@ -154,6 +253,9 @@
                 self.delivering.rules.confirm(version, began);
             }
         }
+        if !part.has_upstreams() {
+            return;
+        }
         upstreams.sort_by(|left, right| left.name.cmp(&right.name));
         upstreams.dedup_by(|left, right| left.name == right.name);
         let list = UpstreamList { entries: upstreams.into_iter().map(Arc::new).collect() };
@@ -162,6 +264,13 @@
     }
 }
 
+/// From which age on a belief counts as lost.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LostAges {
+    pub(super) rules: Duration,
+    pub(super) upstreams: Duration,
+}
+
 /// The hash of a list's content, the same at all gateways of one build.
 fn digest(list: &UpstreamList) -> u64 {
     let mut hasher = FxHasher::default();
--- a/crates/bendhinge_gateway/src/dialect.rs
+++ b/crates/bendhinge_gateway/src/dialect.rs
@@ -81,6 +81,25 @@
     pub retry_after: Option<Duration>,
 }
 
+/// What is asked of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StorePart {
+    /// Everything.
+    All,
+    /// The list of upstreams.
+    Upstreams,
+    /// The serving rules.
+    Rules,
+}
+
+impl StorePart {
+    /// Whether the list of upstreams is part of it.
+    #[must_use]
+    pub const fn has_upstreams(self) -> bool {
+        matches!(self, Self::All | Self::Upstreams)
+    }
+}
+
 /// A page of what the store holds.
 #[derive(Debug, Default)]
 pub struct StorePage {
@@ -169,10 +188,8 @@
 
 /// How the platform's store spells what it holds.
 pub trait StoreDialect {
-    /// The paths whose pages together hold everything, each read from its first page on.
-    fn store_paths(&self) -> &'static [&'static str];
-    /// The path of the page of `path` that begins after a key.
-    fn page_path(&self, path: &str, after: Option<&str>) -> String;
+    /// The path of the first page of `part`, or of the one that begins after a key.
+    fn page_path(&self, part: StorePart, after: Option<&str>) -> String;
     /// Reads a page. The document of the rules may be left out if its revision is `known`.
     fn read_page(&self, body: &[u8], known: Option<Revision>) -> Result<StorePage, TranslateError>;
     /// Reads the document of the serving rules.
--- a/crates/bendhinge_gateway/src/native/store.rs
+++ b/crates/bendhinge_gateway/src/native/store.rs
@@ -1,4 +1,4 @@
-//! The store in the product's own interface: pages of JSON at `/v1/fleet`.
+//! The store in the product's own interface: pages of JSON at `/v1/fleet`, and of its parts below.
 
 use std::net::SocketAddr;
 
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Native, rules};
-use crate::dialect::{StoreDialect, StorePage, StoredRules, TranslateError};
+use crate::dialect::{StoreDialect, StorePage, StorePart, StoredRules, TranslateError};
 
 /// A page.
 #[derive(Debug, Default, Deserialize, Serialize)]
@@ -42,11 +42,12 @@
 }
 
 impl StoreDialect for Native {
-    fn store_paths(&self) -> &'static [&'static str] {
-        &["/v1/fleet"]
-    }
-
-    fn page_path(&self, path: &str, after: Option<&str>) -> String {
+    fn page_path(&self, part: StorePart, after: Option<&str>) -> String {
+        let path = match part {
+            StorePart::All => "/v1/fleet",
+            StorePart::Upstreams => "/v1/fleet/upstreams",
+            StorePart::Rules => "/v1/fleet/rules",
+        };
         after.map_or_else(|| path.to_owned(), |after| format!("{path}?after={after}"))
     }
 
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -15,6 +15,8 @@
 
 pub use schema::SCHEMA;
 
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
+
 /// All settings.
 #[derive(Clone)]
 pub struct Settings {
@@ -30,6 +32,8 @@
     pub peers: SocketAddr,
     /// How many connections callers may have.
     pub connections: usize,
+    /// What the box's link carries in a second.
+    pub link_bytes_per_s: f64,
     /// The platform's store.
     pub store: StoreSettings,
     /// The other gateways.
@@ -94,6 +98,8 @@
     pub directory: DirectoryLimits,
     /// Load as a multiple of the mean.
     pub load_bound: f32,
+    /// Within which one that leaves is to get no more requests.
+    pub leaving: Duration,
 }
 
 /// Stopping after a request to stop.
@@ -119,6 +125,18 @@
     }
 }
 
+impl Settings {
+    /// When the list of upstreams is read. All read it so early that each still spares an upstream in
+    /// time that began to leave right after the last read.
+    pub(crate) fn list_reading(&self) -> ReadingLimits {
+        /// For the read, which is given up after longer only if the store is silent, and for a request's way.
+        const MARGIN: Duration = Duration::from_millis(800);
+        let reading = self.store.reading;
+        let last = self.upstreams.leaving.saturating_sub(MARGIN).max(reading.first);
+        ReadingLimits { last: reading.last.min(last), ..reading }
+    }
+}
+
 /// Addresses separated by commas.
 struct Addresses(Vec<SocketAddr>);
 
@@ -149,6 +167,7 @@
         let ready = self.0.value(gateway, "ready");
         let peers = self.0.value(gateway, "peers");
         let connections = self.0.value(gateway, "connections");
+        let link = self.0.amount(gateway, "link_mbps");
         Some(Settings {
             name: name?,
             data_centre: data_centre?,
@@ -156,6 +175,7 @@
             ready: ready?,
             peers: peers?,
             connections: connections?,
+            link_bytes_per_s: link? * BYTES_PER_MEGABIT,
             store: store??,
             fleet: fleet??,
             beliefs: beliefs??,
@@ -225,6 +245,7 @@
         let longest_rest = self.0.millis(section, "longest_rest_ms");
         let doubt = self.0.millis(section, "doubt_ms");
         let load_bound = self.0.ratio(section, "load_bound");
+        let leaving = self.0.millis(section, "leaving_ms");
         #[expect(clippy::cast_possible_truncation, reason = "a small number")]
         Some(UpstreamSettings {
             connect: connect?,
@@ -233,6 +254,7 @@
             judge: JudgeLimits { rest: rest?, longest_rest: longest_rest?, half_life: HALF_LIFE },
             directory: DirectoryLimits { gap: GAP, doubt: doubt?, remember: REMEMBER },
             load_bound: load_bound? as f32,
+            leaving: leaving?,
         })
     }
 
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -25,6 +25,12 @@
             Some("3000"),
             "Callers' connections; further ones are closed.",
         ),
+        Key::new(
+            "link_mbps",
+            "number",
+            Some("1000"),
+            "Megabits a second that the box's link carries: rules that take long on it are read the more seldom.",
+        ),
     ],
 };
 
@@ -123,6 +129,12 @@
             "How long vanished entries are kept after the store was in trouble: what lives is listed again within two seconds of its return, and read within one more.",
         ),
         Key::new("load_bound", "number", Some("1.5"), "Load of an upstream as a multiple of the mean."),
+        Key::new(
+            "leaving_ms",
+            "milliseconds",
+            Some("3000"),
+            "Time after which an upstream that said it leaves is to get no more requests; the list is read often enough for that.",
+        ),
     ],
 };
 
--- a/crates/bendhinge_standin/src/gateway/store.rs
+++ b/crates/bendhinge_standin/src/gateway/store.rs
@@ -50,10 +50,13 @@
 }
 
 impl State {
-    fn page(&self) -> Value {
-        let rules = self.rules.as_ref();
+    /// What is answered at `path`: everything, or a part.
+    fn page(&self, path: &str) -> Value {
+        let has_rules = !path.ends_with("/upstreams");
+        let has_upstreams = !path.ends_with("/rules");
+        let rules = self.rules.as_ref().filter(|_| has_rules);
         let rules = rules.map(|(revision, document)| json!({ "revision": revision, "document": document }));
-        let upstreams = self.upstreams.iter().map(|record| {
+        let upstreams = self.upstreams.iter().filter(|_| has_upstreams).map(|record| {
             json!({
                 "name": record.name,
                 "pool": record.pool,
@@ -84,7 +87,7 @@
         let server = Server::bind(any, ServeLimits::default(), Arc::clone(tasks)).await?;
         let address = server.local_addr()?;
         let served = Arc::clone(&state);
-        let serving = server.run(move |_| answer(Arc::clone(&served)));
+        let serving = server.run(move |request| answer(Arc::clone(&served), request.uri().path().to_owned()));
         tasks.spawn(serving).detach();
         Ok(Self { state, address })
     }
@@ -143,7 +146,7 @@
     }
 }
 
-async fn answer(state: Arc<Mutex<State>>) -> Response<Body> {
+async fn answer(state: Arc<Mutex<State>>, path: String) -> Response<Body> {
     let fault = {
         let mut state = state.lock().unwrap();
         state.reads += 1;
@@ -160,7 +163,7 @@
             return cut;
         }
     }
-    let page = state.lock().unwrap().page();
+    let page = state.lock().unwrap().page(&path);
     Response::new(full_body(page.to_string()))
 }
 
