Wide links come first among those that read the store; who falls silent in a long answer is not waited for

(1) Whoever is first in rank reads large rules again and again and hands them on: with 10 Mbit/s that fills its link, and eight of 74 boxes have 200. A member tells what its link carries (0 from older peers counts as narrow).

--- a/crates/bendhinge_fleet/src/roster.rs
+++ b/crates/bendhinge_fleet/src/roster.rs
@@ -5,6 +5,7 @@
 //! anybody heard from it directly; members that nobody heard from are kept for a while as
 //! contacts, so that two parts of a fleet that were cut apart find each other again.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -30,6 +31,8 @@
     pub is_leaving: bool,
     /// Whether its reads of the store fail.
     pub is_store_failing: bool,
+    /// What its link carries, in megabits a second; 0 if that is not known.
+    pub link_mbps: u32,
 }
 
 /// A member as another router tells of it.
@@ -43,6 +46,8 @@
     pub is_leaving: bool,
     /// Whether its reads of the store fail.
     pub is_store_failing: bool,
+    /// What its link carries, in megabits a second; 0 if that is not known.
+    pub link_mbps: u32,
 }
 
 /// Whom to talk to next.
@@ -105,6 +110,7 @@
 #[derive(Debug)]
 pub struct Roster {
     own: SocketAddr,
+    own_link_mbps: u32,
     limits: RosterLimits,
     seeds: Vec<SocketAddr>,
     members: FxHashMap<SocketAddr, Member>,
@@ -113,8 +119,9 @@
 impl Roster {
     /// A roster of a router reached at `own` that knows only its seeds.
     #[must_use]
-    pub fn new(own: SocketAddr, seeds: &[SocketAddr], limits: RosterLimits) -> Self {
-        let mut roster = Self { own, limits, seeds: Vec::new(), members: FxHashMap::default() };
+    pub fn new(own: SocketAddr, own_link_mbps: u32, seeds: &[SocketAddr], limits: RosterLimits) -> Self {
+        let mut roster =
+            Self { own, own_link_mbps, limits, seeds: Vec::new(), members: FxHashMap::default() };
         roster.set_seeds(seeds);
         roster
     }
@@ -133,6 +140,7 @@
             heard: now - heard.age,
             is_leaving: heard.is_leaving,
             is_store_failing: heard.is_store_failing,
+            link_mbps: heard.link_mbps,
         };
         let known = self.members.entry(heard.address).or_insert(member);
         if member.heard > known.heard {
@@ -147,6 +155,7 @@
             age: now.since(member.heard),
             is_leaving: member.is_leaving,
             is_store_failing: member.is_store_failing,
+            link_mbps: member.link_mbps,
         })
     }
 
@@ -179,11 +188,16 @@
     }
 
     /// The live members and this router in the order in which they read the store: those whose
-    /// reads fail come last.
+    /// reads fail come last, and wide links before narrow ones. Whoever is first reads the rules
+    /// again and again and hands them to several others: with a megabyte of rules that alone fills a
+    /// link of 10 Mbit/s.
     fn ranked(&self, own_reads_fail: bool, now: Instant) -> Vec<SocketAddr> {
-        let own = (own_reads_fail, rank_score(self.own), self.own);
+        let place = |fails: bool, link_mbps: u32, address: SocketAddr| {
+            (fails, Reverse(link_mbps), rank_score(address), address)
+        };
+        let own = place(own_reads_fail, self.own_link_mbps, self.own);
         let others =
-            self.live(now).map(|(address, member)| (member.is_store_failing, rank_score(address), address));
+            self.live(now).map(|(address, member)| place(member.is_store_failing, member.link_mbps, address));
         let mut ranked: Vec<_> = others.chain([own]).collect();
         ranked.sort_unstable();
         ranked.into_iter().map(|(.., address)| address).collect()
--- a/crates/bendhinge_fleet/tests/roster.rs
+++ b/crates/bendhinge_fleet/tests/roster.rs
@@ -9,6 +9,8 @@
 
 const LIMITS: RosterLimits =
     RosterLimits { dead_after: Duration::from_secs(3), forgotten_after: Duration::from_secs(60) };
+/// All links are alike, but where a test says otherwise.
+const LINK_MBPS: u32 = 1_000;
 const ROUND_MS: u64 = 400;
 
 fn address(number: usize) -> SocketAddr {
@@ -25,12 +27,13 @@
 
 impl Fleet {
     fn new(size: usize, seeds: &[SocketAddr]) -> Self {
-        let rosters = (0..size).map(|number| Some(Roster::new(address(number), seeds, LIMITS))).collect();
+        let rosters =
+            (0..size).map(|number| Some(Roster::new(address(number), LINK_MBPS, seeds, LIMITS))).collect();
         Self { rosters, side: vec![0; size], now: 1_000, draws: 1 }
     }
 
     fn restart(&mut self, number: usize, seeds: &[SocketAddr]) {
-        self.rosters[number] = Some(Roster::new(address(number), seeds, LIMITS));
+        self.rosters[number] = Some(Roster::new(address(number), LINK_MBPS, seeds, LIMITS));
     }
 
     fn message(&self, number: usize, now: Instant) -> Vec<Heard> {
@@ -40,6 +43,7 @@
             age: Duration::ZERO,
             is_leaving: false,
             is_store_failing: false,
+            link_mbps: LINK_MBPS,
         };
         std::iter::once(own).chain(roster.members(now)).collect()
     }
@@ -94,13 +98,14 @@
 
 /// A roster that has heard from all members just now.
 fn knowing_all(own: usize, size: usize, now: Instant) -> Roster {
-    let mut roster = Roster::new(address(own), &[], LIMITS);
+    let mut roster = Roster::new(address(own), LINK_MBPS, &[], LIMITS);
     for other in (0..size).filter(|other| *other != own) {
         let heard = Heard {
             address: address(other),
             age: Duration::ZERO,
             is_leaving: false,
             is_store_failing: false,
+            link_mbps: LINK_MBPS,
         };
         roster.hear(&heard, now);
     }
@@ -147,13 +152,14 @@
 
 #[test]
 fn one_that_leaves_is_live_no_more_at_once() {
-    let mut roster = Roster::new(address(0), &[], LIMITS);
+    let mut roster = Roster::new(address(0), LINK_MBPS, &[], LIMITS);
     let now = Instant::from_millis(10_000);
     let mut heard = Heard {
         address: address(1),
         age: Duration::from_millis(500),
         is_leaving: false,
         is_store_failing: false,
+        link_mbps: LINK_MBPS,
     };
     roster.hear(&heard, now);
     assert_eq!(roster.live_count(now), 2);
@@ -170,7 +176,7 @@
 #[test]
 fn those_whose_reads_fail_come_last_in_rank() {
     let now = Instant::from_millis(10_000);
-    let mut roster = Roster::new(address(0), &[], LIMITS);
+    let mut roster = Roster::new(address(0), LINK_MBPS, &[], LIMITS);
     for number in 1..5 {
         roster.hear(
             &Heard {
@@ -178,6 +184,7 @@
                 age: Duration::ZERO,
                 is_leaving: false,
                 is_store_failing: true,
+                link_mbps: LINK_MBPS,
             },
             now,
         );
@@ -280,3 +287,27 @@
         assert_eq!(without, 0, "of {size}");
     }
 }
+
+#[test]
+fn wide_links_come_before_narrow_ones_and_reads_that_fail_after_both() {
+    const WIDE: u32 = 200;
+    let now = Instant::from_millis(10_000);
+    let rank = |own: u32, own_reads_fail: bool, others: [u32; 3]| {
+        let mut roster = Roster::new(address(0), own, &[], LIMITS);
+        for (number, link_mbps) in (1..).zip(others) {
+            let heard = Heard {
+                address: address(number),
+                age: Duration::ZERO,
+                is_leaving: false,
+                is_store_failing: false,
+                link_mbps,
+            };
+            roster.hear(&heard, now);
+        }
+        roster.own_rank(own_reads_fail, now)
+    };
+    assert_eq!(rank(WIDE, false, [10, 10, 0]), 0);
+    assert_eq!(rank(10, false, [WIDE, WIDE, WIDE]), 3);
+    assert_eq!(rank(10, false, [0, 0, 0]), 0, "what is not known counts as narrow");
+    assert_eq!(rank(WIDE, true, [10, 10, 10]), 3);
+}
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -110,6 +110,7 @@
         age: Duration::ZERO,
         is_leaving: control.lifecycle.is_stopping(),
         is_store_failing: control.is_store_failing(),
+        link_mbps: control.settings.link.mbps(),
     };
     let brief = PeerMessage {
         sender,
--- a/crates/bendhinge_gateway/src/control/fetching.rs
+++ b/crates/bendhinge_gateway/src/control/fetching.rs
@@ -18,7 +18,7 @@
 use super::Control;
 use crate::delivery::Delivering;
 use crate::knowledge::RulesInForce;
-use crate::metrics::Told;
+use crate::metrics::Believed;
 
 /// Somebody who holds a version that was lacking when it told of it.
 #[derive(Clone, Copy)]
@@ -86,7 +86,7 @@
     async fn fetch_rules(self: &Rc<Self>, address: SocketAddr) {
         let asked = bendhinge_clock::now();
         let fetched = self.peers.call(address, async |peer| peer.rules().await).await;
-        if let Some((known, document)) = self.note_fetch(Told::Rules, address, asked, fetched) {
+        if let Some((known, document)) = self.note_fetch(Believed::Rules, address, asked, fetched) {
             self.take_rules(&known, asked, document, Origin::Peer);
         }
     }
@@ -94,7 +94,7 @@
     async fn fetch_upstreams(self: &Rc<Self>, address: SocketAddr) {
         let asked = bendhinge_clock::now();
         let fetched = self.peers.call(address, async |peer| peer.upstreams().await).await;
-        if let Some((known, list)) = self.note_fetch(Told::Upstreams, address, asked, fetched) {
+        if let Some((known, list)) = self.note_fetch(Believed::Upstreams, address, asked, fetched) {
             self.take_upstreams(&known, asked, list, Origin::Peer);
         }
     }
@@ -102,7 +102,7 @@
     /// Notes what came of asking the gateway at `from` for `what`; gives what it handed over.
     fn note_fetch<T>(
         &self,
-        what: Told,
+        what: Believed,
         from: SocketAddr,
         asked: Instant,
         fetched: Result<Option<T>, CallError>,
@@ -125,7 +125,7 @@
         let offer = self.delivering.rules.offer(known.version, asked - known.age, offered);
         if offer == Offer::New {
             let age = bendhinge_clock::now().since(asked - known.age);
-            self.delivering.log.belief(Told::Rules, known.version, from, age);
+            self.delivering.log.belief(Believed::Rules, known.version, from, age);
             self.spread(from);
         }
     }
@@ -141,7 +141,7 @@
         let offer = self.delivering.upstreams.offer(known.version, asked - known.age, list);
         if offer == Offer::New {
             let age = bendhinge_clock::now().since(asked - known.age);
-            self.delivering.log.belief(Told::Upstreams, known.version, from, age);
+            self.delivering.log.belief(Believed::Upstreams, known.version, from, age);
             self.spread(from);
         }
     }
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -56,7 +56,8 @@
         traffic: Arc<Traffic>,
         executor: &Rc<LocalExecutor<'static>>,
     ) -> Rc<Self> {
-        let roster = Roster::new(settings.peers, &settings.fleet.seeds, settings.fleet.roster);
+        let roster =
+            Roster::new(settings.peers, settings.link.mbps(), &settings.fleet.seeds, settings.fleet.roster);
         let limits = PeerPoolLimits { call: settings.fleet.call, pause: PAUSE_AFTER_FAILURE };
         let peers = PeerPool::new(settings.fleet.key.clone(), limits, traffic, Rc::clone(executor));
         Rc::new(Self {
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bendhinge_fleet::{Origin, ReadingLimits, ReadingPlan, Revision, UpstreamEntry, UpstreamList, Version};
-use bendhinge_http::{FetchError, Fetched, empty_body, fetch};
+use bendhinge_http::{FetchError, FetchTime, Fetched, empty_body, fetch};
 use bendhinge_ids::Instant;
 use bendhinge_peer::Known;
 use hyper::{Request, StatusCode};
@@ -134,7 +134,8 @@
     let store = &control.settings.store;
     let request = Request::get(dialect.page_path(part, after)).header("host", store.address.to_string());
     let request = request.body(empty_body()).map_err(|error| TranslateError::new("the path", &error))?;
-    let time = if part == StorePart::Rules { RULES_TIME } else { store.call };
+    let whole = if part == StorePart::Rules { RULES_TIME } else { store.call };
+    let time = FetchTime { silence: store.call, whole };
     let fetched: Fetched =
         fetch(&control.delivering.pool, store.address, request, LARGEST_PAGE, time).await?;
     if fetched.status != StatusCode::OK {
@@ -196,7 +197,7 @@
             return Duration::ZERO;
         }
         let length = self.delivering.rules.current().map_or(0, |current| current.document.len());
-        Duration::from_secs_f64(length as f64 * ENCODED / self.settings.link_bytes_per_s)
+        self.settings.link.time_for(length as f64 * ENCODED)
     }
 
     /// How long until this gateway should read the list of upstreams.
--- a/crates/bendhinge_gateway/src/log.rs
+++ b/crates/bendhinge_gateway/src/log.rs
@@ -18,7 +18,7 @@
 
 use crate::delivery::Turn;
 use crate::knowledge::Chosen;
-use crate::metrics::Told;
+use crate::metrics::Believed;
 
 /// Lines that may wait to be written; further ones are dropped and counted.
 const MOST_WAITING: usize = 1_024;
@@ -126,7 +126,7 @@
     }
 
     /// A belief changed: which version is held now, from where, as of how long ago.
-    pub(crate) fn belief(&self, what: Told, version: Version, from: Origin, age: Duration) {
+    pub(crate) fn belief(&self, what: Believed, version: Version, from: Origin, age: Duration) {
         #[derive(Serialize)]
         struct Fields {
             what: &'static str,
@@ -141,7 +141,7 @@
     }
 
     /// Another gateway holds something newer and did not hand it over.
-    pub(crate) fn fetch_failed(&self, what: Told, from: SocketAddr, took: Duration, error: &CallError) {
+    pub(crate) fn fetch_failed(&self, what: Believed, from: SocketAddr, took: Duration, error: &CallError) {
         #[derive(Serialize)]
         struct Fields {
             what: &'static str,
--- a/crates/bendhinge_gateway/src/metrics.rs
+++ b/crates/bendhinge_gateway/src/metrics.rs
@@ -18,16 +18,16 @@
 /// Bounds of the histogram of ages; platforms want upstreams that leave spared within two or three seconds.
 const LIST_AGE_SECONDS: [f64; 8] = [0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 5.0, 10.0];
 
-/// What the store tells, and gateways fetch from each other.
+/// What a gateway believes of the store, and fetches from others.
 #[derive(Clone, Copy, Debug)]
-pub(crate) enum Told {
+pub(crate) enum Believed {
     /// The serving rules.
     Rules,
     /// The list of upstreams.
     Upstreams,
 }
 
-impl Told {
+impl Believed {
     /// The word for logs and labels.
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
@@ -158,7 +158,7 @@
     }
 
     /// Notes how long another gateway was asked for what the store told it.
-    pub(crate) fn peer_fetch(&self, what: Told, time: Duration, answered: bool) {
+    pub(crate) fn peer_fetch(&self, what: Believed, time: Duration, answered: bool) {
         let labels = [KeyValue::new("what", what.as_str()), result_label(answered)];
         self.peer_fetches.record(time.as_secs_f64(), &labels);
     }
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -15,8 +15,6 @@
 
 pub use schema::SCHEMA;
 
-const BYTES_PER_MEGABIT: f64 = 125_000.0;
-
 /// All settings.
 #[derive(Clone)]
 pub struct Settings {
@@ -32,8 +30,8 @@
     pub peers: SocketAddr,
     /// How many connections callers may have.
     pub connections: usize,
-    /// What the box's link carries in a second.
-    pub link_bytes_per_s: f64,
+    /// The box's network link.
+    pub link: Link,
     /// The platform's store.
     pub store: StoreSettings,
     /// The other gateways.
@@ -48,6 +46,29 @@
     pub stop: StopSettings,
 }
 
+/// A network link.
+#[derive(Clone, Copy, Debug)]
+pub struct Link {
+    /// Megabits a second.
+    mbps: f64,
+}
+
+impl Link {
+    /// Whole megabits a second.
+    #[must_use]
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a cast stays within bounds")]
+    pub const fn mbps(self) -> u32 {
+        self.mbps as u32
+    }
+
+    /// How long it takes to carry so many bytes.
+    #[must_use]
+    pub fn time_for(self, bytes: f64) -> Duration {
+        const BYTES_PER_MEGABIT: f64 = 125_000.0;
+        Duration::try_from_secs_f64(bytes / (self.mbps * BYTES_PER_MEGABIT)).unwrap_or(Duration::MAX)
+    }
+}
+
 /// The platform's store.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreSettings {
@@ -175,7 +196,7 @@
             ready: ready?,
             peers: peers?,
             connections: connections?,
-            link_bytes_per_s: link? * BYTES_PER_MEGABIT,
+            link: Link { mbps: link? },
             store: store??,
             fleet: fleet??,
             beliefs: beliefs??,
--- a/crates/bendhinge_http/src/body.rs
+++ b/crates/bendhinge_http/src/body.rs
@@ -4,12 +4,14 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_lite::Stream;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, SizeHint};
+use smol::Timer;
 use smol::channel::{Receiver, Sender, bounded};
 
 /// Whatever can go wrong while a body is read.
@@ -102,6 +104,47 @@
     (sender, BodyExt::boxed(body))
 }
 
+/// Nothing more of a body came for so long.
+#[derive(Debug, thiserror::Error)]
+#[error("nothing more of it within {0:?}")]
+struct SilentBody(Duration);
+
+/// A body that fails if nothing of it comes for a while.
+pub(crate) struct Impatient<B> {
+    body: B,
+    silence: Duration,
+    next: Timer,
+}
+
+impl<B> Impatient<B> {
+    /// `body`, of which each piece is to come within `silence` after the one before.
+    pub(crate) fn new(body: B, silence: Duration) -> Self {
+        Self { body, silence, next: Timer::after(silence) }
+    }
+}
+
+impl<B> hyper::body::Body for Impatient<B>
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+    B::Error: Into<BodyError>,
+{
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let silence = self.silence;
+        if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(context) {
+            self.next.set_after(silence);
+            return Poll::Ready(frame.map(|frame| frame.map_err(Into::into)));
+        }
+        let is_silent = Pin::new(&mut self.next).poll(context).is_ready();
+        if is_silent { Poll::Ready(Some(Err(SilentBody(silence).into()))) } else { Poll::Pending }
+    }
+}
+
 /// Why a body could not be gathered.
 #[derive(Debug, thiserror::Error)]
 pub enum ReadBodyError {
--- a/crates/bendhinge_http/src/client.rs
+++ b/crates/bendhinge_http/src/client.rs
@@ -5,12 +5,13 @@
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use hyper::{HeaderMap, Request, StatusCode};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use serde::de::DeserializeOwned;
 use smol::Timer;
 
-use crate::body::ReadBodyError;
-use crate::pool::{ConnectError, SendFailure};
+use crate::body::{Impatient, ReadBodyError};
+use crate::pool::{ConnectError, Connection, SendFailure};
 use crate::{Body, Pool, read_body};
 
 /// Why a small request got no whole answer.
@@ -50,35 +51,70 @@
     pub body: Bytes,
 }
 
+/// How long an answer is waited for.
+#[derive(Clone, Copy, Debug)]
+pub struct FetchTime {
+    /// For its head, and for each piece after the one before: who is silent for longer is not waited for,
+    /// however long an answer may take.
+    pub silence: Duration,
+    /// For all of it.
+    pub whole: Duration,
+}
+
+impl From<Duration> for FetchTime {
+    fn from(whole: Duration) -> Self {
+        Self { silence: whole, whole }
+    }
+}
+
 /// Sends `request` to `address` and gathers an answer of at most `limit` bytes within `time`.
 pub async fn fetch(
     pool: &Pool,
     address: SocketAddr,
     request: Request<Body>,
     limit: usize,
-    time: Duration,
+    time: impl Into<FetchTime>,
 ) -> Result<Fetched, FetchError> {
+    let FetchTime { silence, whole } = time.into();
     let exchange = async {
-        let mut connection = pool.connection(address).await?;
-        let answer = match connection.send(request).await {
-            Ok(answer) => answer,
-            Err(SendFailure::NotSent(request)) => {
-                // An idle connection had gone; one fresh connection settles it.
-                connection = pool.connect(address).await?;
-                connection.send(*request).await.map_err(send_error)?
-            }
-            Err(failure) => return Err(send_error(failure)),
-        };
+        let (answer, connection) = within(silence, begin(pool, address, request)).await?;
         let (head, body) = answer.into_parts();
-        let body = read_body(body, limit).await?;
+        let body = read_body(Impatient::new(body, silence), limit).await?;
         pool.give_back(connection).await;
         Ok(Fetched { status: head.status, headers: head.headers, body })
     };
+    // Boxed: it holds a whole exchange, and so would everything that waits for it.
+    within(whole, Box::pin(exchange)).await
+}
+
+/// Sends `request`; gives the head of the answer, with the connection that its body comes on.
+async fn begin(
+    pool: &Pool,
+    address: SocketAddr,
+    request: Request<Body>,
+) -> Result<(Response<Incoming>, Connection), FetchError> {
+    let mut connection = pool.connection(address).await?;
+    let answer = match connection.send(request).await {
+        Ok(answer) => answer,
+        Err(SendFailure::NotSent(request)) => {
+            // An idle connection had gone; one fresh connection settles it.
+            connection = pool.connect(address).await?;
+            connection.send(*request).await.map_err(send_error)?
+        }
+        Err(failure) => return Err(send_error(failure)),
+    };
+    Ok((answer, connection))
+}
+
+async fn within<T>(
+    time: Duration,
+    doing: impl Future<Output = Result<T, FetchError>>,
+) -> Result<T, FetchError> {
     let too_long = async {
         Timer::after(time).await;
         Err(FetchError::Timeout(time))
     };
-    exchange.or(too_long).await
+    doing.or(too_long).await
 }
 
 fn send_error(failure: SendFailure) -> FetchError {
--- a/crates/bendhinge_lab/tests/gateway_exchange.rs
+++ b/crates/bendhinge_lab/tests/gateway_exchange.rs
@@ -21,7 +21,13 @@
 
 /// A whole message that says nothing.
 fn message() -> PeerMessage {
-    let sender = Heard { address: OWN, age: Duration::ZERO, is_leaving: false, is_store_failing: false };
+    let sender = Heard {
+        address: OWN,
+        age: Duration::ZERO,
+        is_leaving: false,
+        is_store_failing: false,
+        link_mbps: 1_000,
+    };
     PeerMessage {
         sender,
         is_brief: false,
--- a/crates/bendhinge_lab/tests/gateway_large_rules.rs
+++ b/crates/bendhinge_lab/tests/gateway_large_rules.rs
@@ -66,8 +66,13 @@
     }
 
     fn message(&self) -> PeerMessage {
-        let sender =
-            Heard { address: self.address, age: Duration::ZERO, is_leaving: false, is_store_failing: false };
+        let sender = Heard {
+            address: self.address,
+            age: Duration::ZERO,
+            is_leaving: false,
+            is_store_failing: false,
+            link_mbps: 1_000,
+        };
         PeerMessage {
             sender,
             is_brief: true,
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -15,6 +15,7 @@
   ageMillis @3 :UInt32;
   leaving @4 :Bool;
   storeFailing @5 :Bool;
+  linkMbps @6 :UInt32;
 }
 
 struct Load {
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -50,6 +50,7 @@
     to.set_age_millis(millis(heard.age));
     to.set_leaving(heard.is_leaving);
     to.set_store_failing(heard.is_store_failing);
+    to.set_link_mbps(heard.link_mbps);
 }
 
 fn read_member(from: member::Reader<'_>) -> Heard {
@@ -58,6 +59,7 @@
         age: Duration::from_millis(from.get_age_millis().into()),
         is_leaving: from.get_leaving(),
         is_store_failing: from.get_store_failing(),
+        link_mbps: from.get_link_mbps(),
     }
 }
 
--- a/crates/bendhinge_peer/src/fleet_capnp.rs
+++ b/crates/bendhinge_peer/src/fleet_capnp.rs
@@ -470,6 +470,10 @@
         pub fn get_store_failing(self) -> bool {
             self.reader.get_bool_field(49)
         }
+        #[inline]
+        pub fn get_link_mbps(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
+        }
     }
 
     pub struct Builder<'a> {
@@ -594,6 +598,14 @@
         pub fn set_store_failing(&mut self, value: bool) {
             self.builder.set_bool_field(49, value);
         }
+        #[inline]
+        pub fn get_link_mbps(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn set_link_mbps(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(5, value);
+        }
     }
 
     pub struct Pipeline {
@@ -606,7 +618,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 125] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(131, 233, 241, 127, 114, 153, 209, 233),
             ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
@@ -616,56 +628,63 @@
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 77, 101, 109, 98),
             ::capnp::word(101, 114, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 48, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 49, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -716,6 +735,15 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 110, 107, 77, 98, 112, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -725,6 +753,7 @@
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -743,9 +772,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 4, 1, 5, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 4, 6, 1, 5, 2];
         pub(crate) const TYPE_ID: u64 = 0xe9d1_9972_7ff1_e983;
     }
 }
