--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -104,7 +104,7 @@
             "first_rules_ms",
             "milliseconds",
             // A store answers in milliseconds, and a box with an eighth of a core had its first
-            // rules within a tenth of a second of its start (bench, 2026-12-02).
+            // rules within a tenth of a second of its start.
             Some("200"),
             "How long after the start of the process requests wait for the first rules; a caller that is refused instead loses one of its few tries.",
         ),
--- a/crates/bendhinge_lab/tests/gateway_common/mod.rs
+++ b/crates/bendhinge_lab/tests/gateway_common/mod.rs
@@ -8,8 +8,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use bendhinge_fleet::Heard;
 use bendhinge_http::{Tasks, run_until};
 use bendhinge_lab::gateways::{Answer, Call, FleetShape, GatewayFleet, KEY};
+use bendhinge_peer::PeerMessage;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 
@@ -60,6 +62,22 @@
     String::from_utf8_lossy(&read).into_owned()
 }
 
+/// A whole message of the gateway at `address` that says nothing.
+pub fn message_from(address: SocketAddr) -> PeerMessage {
+    let sender =
+        Heard { address, age: Duration::ZERO, is_leaving: false, is_store_failing: false, link_mbps: 1_000 };
+    PeerMessage {
+        sender,
+        is_brief: false,
+        rules: None,
+        upstreams: None,
+        members: Vec::new(),
+        loads: Vec::new(),
+        reads: Vec::new(),
+        doubts: Vec::new(),
+    }
+}
+
 /// What a raw upstream does once it has read a request.
 #[derive(Clone, Copy)]
 pub enum RawEnd {
--- a/crates/bendhinge_lab/tests/gateway_exchange.rs
+++ b/crates/bendhinge_lab/tests/gateway_exchange.rs
@@ -7,13 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::Heard;
 use bendhinge_ids::NameHash;
 use bendhinge_lab::gateways::{FleetShape, GatewayFleet, PEER_KEY, Told, until};
 use bendhinge_peer::{
     FleetClient, ObservedDoubt, ObservedFailure, ObservedLoad, PeerConnection, PeerKey, PeerMessage, Traffic,
 };
-use gateway_common::{call, run, send, start};
+use gateway_common::{call, message_from, run, send, start};
 use smol::LocalExecutor;
 
 /// Where the test's own peer would be reached: it asks, and answers nobody.
@@ -21,23 +20,7 @@
 
 /// A whole message that says nothing.
 fn message() -> PeerMessage {
-    let sender = Heard {
-        address: OWN,
-        age: Duration::ZERO,
-        is_leaving: false,
-        is_store_failing: false,
-        link_mbps: 1_000,
-    };
-    PeerMessage {
-        sender,
-        is_brief: false,
-        rules: None,
-        upstreams: None,
-        members: Vec::new(),
-        loads: Vec::new(),
-        reads: Vec::new(),
-        doubts: Vec::new(),
-    }
+    message_from(OWN)
 }
 
 async fn peer(executor: &Rc<LocalExecutor<'static>>, address: SocketAddr) -> FleetClient {
--- a/crates/bendhinge_lab/tests/gateway_large_rules.rs
+++ b/crates/bendhinge_lab/tests/gateway_large_rules.rs
@@ -19,14 +19,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{Heard, Revision, UpstreamList, Version};
+use bendhinge_fleet::{Revision, UpstreamList, Version};
 use bendhinge_lab::gateways::{FleetShape, GatewayFleet, Harm, PEER_KEY, Proxy, RULES, until};
 use bendhinge_peer::{
     FleetClient, FleetDuties, Known, ObservedRead, PeerConnection, PeerKey, PeerMessage, ReadsPage, Traffic,
     serve_fleet,
 };
 use bytes::Bytes;
-use gateway_common::{run, start};
+use gateway_common::{message_from, run, start};
 use smol::LocalExecutor;
 use smol::net::TcpListener;
 
@@ -72,22 +72,11 @@
     }
 
     fn message(&self) -> PeerMessage {
-        let sender = Heard {
-            address: self.address,
-            age: Duration::ZERO,
-            is_leaving: false,
-            is_store_failing: false,
-            link_mbps: 1_000,
-        };
         PeerMessage {
-            sender,
             is_brief: true,
             rules: Some(Self::known()),
             upstreams: Some(Self::known()),
-            members: Vec::new(),
-            loads: Vec::new(),
-            reads: Vec::new(),
-            doubts: Vec::new(),
+            ..message_from(self.address)
         }
     }
 }
--- a/crates/bendhinge_peer/src/calling.rs
+++ b/crates/bendhinge_peer/src/calling.rs
@@ -19,7 +19,7 @@
 /// What keeps a connection open: the library's own end of it. Left alone it would stay for ever,
 /// since it runs until the peer closes, and the peer waits for it. Dropped, it is cancelled with
 /// all its tasks. The library's own way of closing is not used: when the peer closes at the same
-/// moment, it panics ("message loop outlived connection state", seen on the bench).
+/// moment, it panics ("message loop outlived connection state").
 pub(crate) struct Calling {
     _system: Task<()>,
 }
