--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -4,7 +4,9 @@
 //! * [`Roster`] is which routers there are, found from a few seeds.
 //! * [`ReadingPlan`] says when a router itself reads the platform's store.
 //! * [`Directory`] is which upstreams there are, over lists that may vanish by mistake.
-//! * [`NewsCursors`] says what each peer was told already.
+//! * [`NewsLog`] is what was learned lately, of which each peer is told what it lacks ([`PeerStates`]).
+//! * [`Loads`] is how many requests are at each upstream.
+//! * [`ListHistory`] tells a list of upstreams as changes, [`FetchPlan`] from whom it is fetched.
 //! * [`Relearning`] says when a router that has just started asks the upstreams what they keep.
 //! * [`Judge`] is which upstreams answer, by their own answers and what others saw.
 //! * [`Evidence`] is which upstreams answer nobody, by what all routers saw.
@@ -15,8 +17,12 @@
 mod belief;
 mod directory;
 mod evidence;
+mod fetch;
 mod judge;
+mod lists;
+mod loads;
 mod news;
+mod peers;
 mod reading;
 mod relearning;
 mod roster;
@@ -24,8 +30,12 @@
 pub use belief::{Belief, Held, Offer, Revision, Version};
 pub use directory::{Directory, DirectoryLimits, Listed, UpstreamEntry, UpstreamList, UpstreamState};
 pub use evidence::{Doubt, Evidence, Verdict, Witness};
+pub use fetch::{FetchPlan, Holder};
 pub use judge::{Judge, JudgeLimits, Standing, UpstreamFailure};
-pub use news::NewsCursors;
+pub use lists::{ListChanges, ListHistory, ListTold};
+pub use loads::{LoadSaid, LoadStates, Loads};
+pub use news::{LearnedFrom, NewsLife, NewsLimits, NewsLog, NewsPosition, NewsTold};
+pub use peers::{PeerSaid, PeerState, PeerStates};
 pub use reading::{ReadingLimits, ReadingPlan};
 pub use relearning::{RelearnLimits, RelearnStep, RelearnView, Relearning};
-pub use roster::{Contact, Heard, Member, Origin, Reach, Roster, RosterLimits};
+pub use roster::{Contact, Heard, Member, MemberStates, Origin, Reach, Roster, RosterDigest, RosterLimits};
--- /dev/null
+++ b/crates/bendhinge_fleet/src/lists.rs
@@ -0,0 +1,112 @@
+//! Lists of upstreams as changes against one that a peer holds already.
+//!
+//! A list is some 100 bytes an upstream, and a deployment's releases, crashes and returns change one or two of
+//! them at a time, tens of times a minute: told whole to 295 boxes, each change of 250 upstreams is
+//! some 4 MB, and 0.1 MB as a change.
+
+use std::collections::VecDeque;
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+
+use bendhinge_ids::{NameHash, UpstreamName};
+use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
+
+use crate::directory::{UpstreamEntry, UpstreamList};
+
+/// Lists that are remembered for peers that hold an older one. A peer that missed more changes than that fetches the
+/// list whole.
+const REMEMBERED: usize = 12;
+
+/// What differs between two lists.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ListChanges {
+    /// Upstreams that are not listed any more, by the hashes of their names.
+    pub gone: Vec<NameHash>,
+    /// Entries that are new or differ.
+    pub came: Vec<Arc<UpstreamEntry>>,
+}
+
+/// A list as it is told to a peer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ListTold {
+    /// All of it.
+    Whole(UpstreamList),
+    /// What changed since the list whose digest is `base`.
+    Changes {
+        /// The digest of the list that the peer holds.
+        base: u64,
+        /// What changed.
+        changes: ListChanges,
+    },
+}
+
+impl UpstreamList {
+    /// The hash of the content, the same at all routers of one build.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let mut hasher = FxHasher::default();
+        self.hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// What has to change in `base` to become this list.
+    #[must_use]
+    pub fn changes_since(&self, base: &Self) -> ListChanges {
+        let listed: FxHashSet<NameHash> = self.entries.iter().map(|entry| entry.hash).collect();
+        let before = by_name(base);
+        let gone = base.entries.iter().map(|entry| entry.hash).filter(|hash| !listed.contains(hash));
+        let is_same = |entry: &&Arc<UpstreamEntry>| before.get(&entry.name).is_some_and(|old| old == entry);
+        let came = self.entries.iter().filter(|entry| !is_same(entry)).cloned();
+        ListChanges { gone: gone.collect(), came: came.collect() }
+    }
+
+    /// This list with `changes` made.
+    #[must_use]
+    pub fn with(&self, changes: &ListChanges) -> Self {
+        let came = changes.came.iter().map(|entry| entry.hash);
+        let replaced: FxHashSet<NameHash> = changes.gone.iter().copied().chain(came).collect();
+        let stays = self.entries.iter().filter(|entry| !replaced.contains(&entry.hash));
+        let mut entries: Vec<_> = stays.chain(&changes.came).cloned().collect();
+        entries.sort_by(|left, right| left.name.cmp(&right.name));
+        Self { entries }
+    }
+
+    /// The same list, whose entries are shared with `other` where they are equal: lists that follow each
+    /// other are mostly alike, and several are held at a time.
+    #[must_use]
+    pub fn sharing(self, other: &Self) -> Self {
+        let before = by_name(other);
+        let shared = self.entries.into_iter().map(|entry| match before.get(&entry.name) {
+            Some(old) if **old == entry => Arc::clone(old),
+            _ => entry,
+        });
+        Self { entries: shared.collect() }
+    }
+}
+
+fn by_name(list: &UpstreamList) -> FxHashMap<&UpstreamName, &Arc<UpstreamEntry>> {
+    list.entries.iter().map(|entry| (&entry.name, entry)).collect()
+}
+
+/// The lists that were held lately.
+#[derive(Debug, Default)]
+pub struct ListHistory(VecDeque<(u64, Arc<UpstreamList>)>);
+
+impl ListHistory {
+    /// Remembers a list that is held.
+    pub fn remember(&mut self, digest: u64, list: &Arc<UpstreamList>) {
+        self.0.retain(|(known, _)| *known != digest);
+        if self.0.len() == REMEMBERED {
+            self.0.pop_front();
+        }
+        self.0.push_back((digest, Arc::clone(list)));
+    }
+
+    /// `list` as it is told to a peer that holds the one whose digest is `base`.
+    #[must_use]
+    pub fn tell(&self, list: &UpstreamList, base: Option<u64>) -> ListTold {
+        let known = base.and_then(|base| self.0.iter().find(|(digest, _)| *digest == base));
+        let Some((base, known)) = known else { return ListTold::Whole(list.clone()) };
+        ListTold::Changes { base: *base, changes: list.changes_since(known) }
+    }
+}
--- /dev/null
+++ b/crates/bendhinge_fleet/src/loads.rs
@@ -0,0 +1,163 @@
+//! How many requests are believed to be at each upstream.
+
+use std::time::Duration;
+
+use bendhinge_ids::{Instant, NameHash};
+use rustc_hash::FxHashMap;
+
+use crate::news::LearnedFrom;
+
+/// After this time what an upstream said of others' requests counts for nothing.
+const REPORT_FADES_AFTER: Duration = Duration::from_secs(4);
+/// Reports older than this are not passed on.
+const TOLD_FOR: Duration = Duration::from_millis(2_500);
+/// The unit of an age among [`LoadStates`]: the oldest that is passed on takes 250 of them.
+const STATE_AGE: Duration = Duration::from_millis(10);
+/// A load among [`LoadStates`] of which there is nothing to tell.
+const NOTHING: u8 = u8::MAX;
+
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    in_progress: u32,
+    at: Instant,
+    from: LearnedFrom,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    /// This router's requests there.
+    own: u32,
+    /// All requests there as it said last.
+    said: Option<Report>,
+    /// Others' requests there, as it said then.
+    others: u32,
+}
+
+/// What an upstream said of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadSaid {
+    /// The upstream.
+    pub upstream: NameHash,
+    /// Requests there, running and waiting.
+    pub in_progress: u32,
+    /// When it said so.
+    pub at: Instant,
+}
+
+/// The loads of all upstreams of a list that both ends hold, in its order: first the requests at each in a
+/// byte, at most 254, then how old each is. A load takes two bytes so; with the upstream's hash it takes
+/// some ten, of which hardly any can be compressed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LoadStates(pub Vec<u8>);
+
+/// The loads of all upstreams.
+#[derive(Debug, Default)]
+pub struct Loads(FxHashMap<NameHash, Load>);
+
+impl Loads {
+    /// Notes that a request of this router goes to an upstream.
+    pub fn began(&mut self, upstream: NameHash) {
+        self.0.entry(upstream).or_default().own += 1;
+    }
+
+    /// Notes that a request of this router has ended there.
+    pub fn ended(&mut self, upstream: NameHash) {
+        if let Some(load) = self.0.get_mut(&upstream) {
+            load.own = load.own.saturating_sub(1);
+        }
+    }
+
+    /// Takes in what an upstream said, to this router or to another.
+    pub fn learn(&mut self, said: LoadSaid, from: LearnedFrom) {
+        let load = self.0.entry(said.upstream).or_default();
+        if load.said.is_none_or(|before| said.at > before.at) {
+            load.said = Some(Report { in_progress: said.in_progress, at: said.at, from });
+            load.others = said.in_progress.saturating_sub(load.own);
+        }
+    }
+
+    /// Requests believed to be at an upstream now. What it said of others' requests fades into
+    /// `mean`, what the others have at an upstream of its pool on average.
+    #[must_use]
+    pub fn estimate(&self, upstream: NameHash, mean: f32, now: Instant) -> f32 {
+        let load = self.0.get(&upstream).copied().unwrap_or_default();
+        let fading = |report: Report| now.since(report.at).as_secs_f32() / REPORT_FADES_AFTER.as_secs_f32();
+        let faded = load.said.map_or(1.0, |report| fading(report).min(1.0));
+        load.own as f32 + load.others as f32 * (1.0 - faded) + mean * faded
+    }
+
+    /// What the others have at an upstream on average, by what upstreams said lately.
+    pub fn mean_of_others(&self, upstreams: impl Iterator<Item = NameHash>, now: Instant) -> f32 {
+        let loads = upstreams.filter_map(|upstream| self.0.get(&upstream));
+        let lately =
+            loads.filter(|load| load.said.is_some_and(|said| now.since(said.at) < REPORT_FADES_AFTER));
+        let (count, total) =
+            lately.fold((0_u32, 0_u32), |(count, total), load| (count + 1, total + load.others));
+        total as f32 / count.max(1) as f32
+    }
+
+    /// What upstreams said lately, for telling others.
+    pub fn to_tell(&self, now: Instant) -> impl Iterator<Item = LoadSaid> {
+        self.0.iter().filter_map(move |(upstream, load)| {
+            let Report { in_progress, at, .. } = load.said?;
+            (now.since(at) < TOLD_FOR).then_some(LoadSaid { upstream: *upstream, in_progress, at })
+        })
+    }
+
+    /// What upstreams said lately, for telling `listener`, who holds the same list of `upstreams`: of each
+    /// but what it told itself.
+    pub fn states_for(
+        &self,
+        listener: LearnedFrom,
+        upstreams: impl Iterator<Item = NameHash>,
+        now: Instant,
+    ) -> LoadStates {
+        let reports = upstreams.map(|upstream| {
+            let report = self.0.get(&upstream)?.said?;
+            let is_news = report.from != listener && now.since(report.at) < TOLD_FOR;
+            is_news.then_some(report)
+        });
+        let (mut loads, mut ages) = (Vec::new(), Vec::new());
+        for report in reports {
+            loads.push(report.map_or(NOTHING, |report| load_state(report.in_progress)));
+            ages.push(report.map_or(NOTHING, |report| age_state(now.since(report.at))));
+        }
+        loads.append(&mut ages);
+        LoadStates(loads)
+    }
+
+    /// Takes in what a router that holds the same list of `upstreams` told, its ages counted from `as_of`.
+    /// States of another length are of another list: nothing is taken of them.
+    pub fn hear_states(
+        &mut self,
+        states: &LoadStates,
+        upstreams: impl ExactSizeIterator<Item = NameHash>,
+        from: LearnedFrom,
+        as_of: Instant,
+    ) {
+        let (loads, ages) = states.0.split_at(states.0.len() / 2);
+        if loads.len() != upstreams.len() || ages.len() != upstreams.len() {
+            return;
+        }
+        let told = upstreams.zip(loads.iter().zip(ages)).filter(|(_, (load, _))| **load != NOTHING);
+        for (upstream, (load, age)) in told {
+            let at = as_of - STATE_AGE * u32::from(*age);
+            self.learn(LoadSaid { upstream, in_progress: u32::from(*load), at }, from);
+        }
+    }
+
+    /// Forgets upstreams that are not listed and have no request of this router.
+    pub fn keep_only(&mut self, listed: impl Fn(NameHash) -> bool) {
+        self.0.retain(|upstream, load| load.own > 0 || listed(*upstream));
+    }
+}
+
+fn load_state(in_progress: u32) -> u8 {
+    u8::try_from(in_progress).unwrap_or(NOTHING).min(NOTHING - 1)
+}
+
+/// An age is never stated as less than it is.
+fn age_state(age: Duration) -> u8 {
+    let units = age.as_millis().div_ceil(STATE_AGE.as_millis());
+    u8::try_from(units).unwrap_or(u8::MAX)
+}
--- a/crates/bendhinge_fleet/src/roster.rs
+++ b/crates/bendhinge_fleet/src/roster.rs
@@ -5,13 +5,18 @@
 //! anybody heard from it directly; members that nobody heard from are kept for a while as
 //! contacts, so that two parts of a fleet that were cut apart find each other again.
 
+mod ranks;
+mod states;
+
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bendhinge_ids::Instant;
-use rustc_hash::FxHashMap;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use self::ranks::{own_reader, pick, rank_score, readers};
+pub use self::states::{MemberStates, RosterDigest};
 
 /// The times that membership depends on.
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +38,8 @@
     pub is_store_failing: bool,
     /// What its link carries, in megabits a second; 0 if that is not known.
     pub link_mbps: u32,
+    /// Who told of it last; the member itself, if it was heard directly.
+    told_by: SocketAddr,
 }
 
 /// A member as another router tells of it.
@@ -103,9 +110,6 @@
 /// In one round of this many another reader is asked than a router's own.
 const OTHER_READER_EVERY: usize = 4;
 
-/// In fleets of this size or smaller all ask the first in rank.
-const ASKING_THE_FIRST: usize = 24;
-
 /// The members as one router knows them.
 #[derive(Debug)]
 pub struct Roster {
@@ -113,15 +117,18 @@
     own_link_mbps: u32,
     limits: RosterLimits,
     seeds: Vec<SocketAddr>,
-    members: FxHashMap<SocketAddr, Member>,
+    /// In the order of addresses, which is the same at all routers that know the same members.
+    members: BTreeMap<SocketAddr, Member>,
+    digest: RosterDigest,
 }
 
 impl Roster {
     /// A roster of a router reached at `own` that knows only its seeds.
     #[must_use]
     pub fn new(own: SocketAddr, own_link_mbps: u32, seeds: &[SocketAddr], limits: RosterLimits) -> Self {
+        let digest = RosterDigest::of(own, own_link_mbps);
         let mut roster =
-            Self { own, own_link_mbps, limits, seeds: Vec::new(), members: FxHashMap::default() };
+            Self { own, own_link_mbps, limits, seeds: Vec::new(), members: BTreeMap::new(), digest };
         roster.set_seeds(seeds);
         roster
     }
@@ -131,8 +138,13 @@
         self.seeds = seeds.iter().copied().filter(|seed| *seed != self.own).collect();
     }
 
-    /// Takes in what another router tells, received at `now`.
+    /// Takes in what a member tells of itself, received at `now`.
     pub fn hear(&mut self, heard: &Heard, now: Instant) {
+        self.hear_told(heard, heard.address, now);
+    }
+
+    /// Takes in what the router at `told_by` tells of a member, received at `now`.
+    pub fn hear_told(&mut self, heard: &Heard, told_by: SocketAddr, now: Instant) {
         if heard.address == self.own || heard.age >= self.limits.forgotten_after {
             return;
         }
@@ -141,11 +153,17 @@
             is_leaving: heard.is_leaving,
             is_store_failing: heard.is_store_failing,
             link_mbps: heard.link_mbps,
+            told_by,
         };
-        let known = self.members.entry(heard.address).or_insert(member);
-        if member.heard > known.heard {
-            *known = member;
+        let before = self.members.get(&heard.address);
+        if before.is_some_and(|before| before.heard >= member.heard) {
+            return;
+        }
+        if let Some(before) = before {
+            self.digest.toggle(RosterDigest::of(heard.address, before.link_mbps));
         }
+        self.digest.toggle(RosterDigest::of(heard.address, member.link_mbps));
+        self.members.insert(heard.address, member);
     }
 
     /// The known members, for telling others.
@@ -162,7 +180,14 @@
     /// Forgets members that nobody heard from for long.
     pub fn forget(&mut self, now: Instant) {
         let after = self.limits.forgotten_after;
-        self.members.retain(|_, member| now.since(member.heard) < after);
+        let Self { members, digest, .. } = self;
+        members.retain(|address, member| {
+            let is_kept = now.since(member.heard) < after;
+            if !is_kept {
+                digest.toggle(RosterDigest::of(*address, member.link_mbps));
+            }
+            is_kept
+        });
     }
 
     /// The members that were heard from lately and are not about to stop.
@@ -248,7 +273,7 @@
         let own_place = self.place(&ranked);
         let own_reader = own_reader(own_place, &ranked);
         let hears = |place: usize| {
-            let asked = self::own_reader(place, &ranked);
+            let asked = ranks::own_reader(place, &ranked);
             asked == Some(self.own) || origin == Origin::Store && asked == Some(ranked[0])
         };
         let others = ranked.iter().enumerate().filter(|(place, _)| *place != own_place);
@@ -278,40 +303,3 @@
         pick(&lost, draw).map(Contact::Lost)
     }
 }
-
-/// Those of `ranked` of which the one at `place` asks one for what it hears of the store: in a
-/// small fleet the first, in a large one some in between, so that nobody is asked by all.
-fn readers(place: usize, ranked: &[SocketAddr]) -> &[SocketAddr] {
-    let between = ranked.len().isqrt();
-    let is_small = ranked.len() <= ASKING_THE_FIRST;
-    match place {
-        0 => &ranked[1..ranked.len().min(2)],
-        place if is_small || place <= between => &ranked[..1],
-        _ => &ranked[1..=between],
-    }
-}
-
-/// The one of them that it asks most.
-fn own_reader(place: usize, ranked: &[SocketAddr]) -> Option<SocketAddr> {
-    let readers = readers(place, ranked);
-    readers.get(place % readers.len().max(1)).copied()
-}
-
-fn pick(among: &[SocketAddr], draw: &mut impl FnMut(usize) -> usize) -> Option<SocketAddr> {
-    if among.is_empty() { None } else { among.get(draw(among.len())).copied() }
-}
-
-/// A member's place among the others: the same at all routers, and no data centre's boxes first.
-fn rank_score(address: SocketAddr) -> u64 {
-    /// Any number; it sets this order apart from other uses of the hash.
-    const SEED: u64 = 0x5eed;
-    match address {
-        SocketAddr::V4(address) => {
-            let mut bytes = [0; 6];
-            bytes[..4].copy_from_slice(&address.ip().octets());
-            bytes[4..].copy_from_slice(&address.port().to_be_bytes());
-            xxh3_64_with_seed(&bytes, SEED)
-        }
-        SocketAddr::V6(address) => xxh3_64_with_seed(&address.ip().octets(), SEED),
-    }
-}
--- /dev/null
+++ b/crates/bendhinge_fleet/tests/fetch.rs
@@ -0,0 +1,58 @@
+//! Who holds what is lacking is asked, one after the other, and nobody else.
+
+use std::net::SocketAddr;
+
+use bendhinge_fleet::{FetchPlan, Holder, Revision, Version};
+
+fn holder(number: u8, revision: u64) -> Holder {
+    let version = Version { revision: Revision(revision), digest: revision };
+    Holder { address: SocketAddr::from(([10, 0, 0, number], 7_000)), version }
+}
+
+/// What lacks to somebody who holds `revision`.
+fn lacks(revision: u64) -> impl Fn(Version) -> bool {
+    move |version| version.revision > Revision(revision)
+}
+
+#[test]
+fn one_copy_is_on_its_way_at_a_time() {
+    let mut plan = FetchPlan::default();
+    assert!(plan.told(holder(1, 5), lacks(4)));
+    assert_eq!(plan.next(lacks(4)), Some(holder(1, 5)));
+    assert!(!plan.told(holder(2, 5), lacks(4)));
+    assert_eq!(plan.next(lacks(5)), None, "it came");
+    assert!(plan.told(holder(3, 6), lacks(5)), "what is newer is fetched again");
+}
+
+#[test]
+fn whoever_told_meanwhile_is_asked_if_nothing_came() {
+    let mut plan = FetchPlan::default();
+    assert!(plan.told(holder(1, 5), lacks(4)));
+    assert_eq!(plan.next(lacks(4)), Some(holder(1, 5)));
+    assert!(!plan.told(holder(2, 5), lacks(4)));
+    assert_eq!(plan.next(lacks(4)), Some(holder(2, 5)));
+    assert_eq!(plan.next(lacks(4)), None);
+}
+
+/// While a copy is on its way, most that tell hold nothing newer: they must not make one forgotten who does.
+#[test]
+fn who_has_nothing_new_is_not_remembered_in_the_place_of_one_that_has() {
+    let mut plan = FetchPlan::default();
+    assert!(plan.told(holder(1, 5), lacks(4)));
+    assert_eq!(plan.next(lacks(4)), Some(holder(1, 5)));
+    assert!(!plan.told(holder(2, 7), lacks(4)));
+    assert!(!plan.told(holder(3, 4), lacks(4)), "it has nothing");
+    assert!(!plan.told(holder(4, 6), lacks(4)), "it has something older");
+    assert_eq!(plan.next(lacks(5)), Some(holder(2, 7)));
+}
+
+#[test]
+fn a_fetch_that_is_given_up_keeps_nobody_from_the_next() {
+    let mut plan = FetchPlan::default();
+    assert!(plan.told(holder(1, 5), lacks(4)));
+    assert_eq!(plan.next(lacks(4)), Some(holder(1, 5)));
+    assert!(!plan.told(holder(2, 7), lacks(4)));
+    plan.given_up();
+    assert!(plan.told(holder(3, 6), lacks(4)));
+    assert_eq!(plan.next(lacks(4)), Some(holder(3, 6)));
+}
--- /dev/null
+++ b/crates/bendhinge_fleet/tests/lists.rs
@@ -0,0 +1,117 @@
+//! A list told as changes is the list that was meant.
+
+use std::sync::Arc;
+
+use bendhinge_fleet::{ListHistory, ListTold, UpstreamEntry, UpstreamList, UpstreamState};
+use bendhinge_ids::NameHash;
+
+fn entry(number: u32, port: u16, state: UpstreamState) -> Arc<UpstreamEntry> {
+    let name = format!("upstream-{number:04}");
+    Arc::new(UpstreamEntry {
+        hash: NameHash::of(&name),
+        name: name.parse().unwrap(),
+        pool: "engines".parse().unwrap(),
+        address: ([10, 0, 0, 1], port).into(),
+        data_centre: "hall-1".parse().unwrap(),
+        slots: 32,
+        state,
+        made: u64::from(number),
+    })
+}
+
+fn ready(number: u32) -> Arc<UpstreamEntry> {
+    entry(number, 9_000, UpstreamState::Ready)
+}
+
+fn list(numbers: std::ops::Range<u32>) -> UpstreamList {
+    UpstreamList { entries: numbers.map(ready).collect() }
+}
+
+/// The list that a peer which holds `held` has after it was told `told`.
+fn after(held: &UpstreamList, told: &ListTold) -> UpstreamList {
+    match told {
+        ListTold::Whole(list) => list.clone(),
+        ListTold::Changes { base, changes } => {
+            assert_eq!(*base, held.digest());
+            held.with(changes)
+        }
+    }
+}
+
+fn remembering(lists: &[&UpstreamList]) -> ListHistory {
+    let mut history = ListHistory::default();
+    for list in lists {
+        history.remember(list.digest(), &Arc::new((*list).clone()));
+    }
+    history
+}
+
+/// A release of one of 250 upstreams is told in two entries, not in 250.
+#[test]
+fn a_small_change_is_told_in_few_entries() {
+    let before = list(0..250);
+    let mut now = list(1..251);
+    now.entries[6] = entry(7, 9_000, UpstreamState::Draining);
+    let history = remembering(&[&before, &now]);
+    let told = history.tell(&now, Some(before.digest()));
+    let ListTold::Changes { changes, .. } = &told else { panic!("it is told whole") };
+    assert_eq!((changes.gone.len(), changes.came.len()), (1, 2));
+    assert_eq!(after(&before, &told), now);
+    assert_eq!(after(&before, &told).digest(), now.digest());
+}
+
+#[test]
+fn who_holds_an_unknown_list_or_none_is_told_all() {
+    let (before, now) = (list(0..5), list(1..6));
+    let history = remembering(&[&now]);
+    for base in [None, Some(before.digest())] {
+        assert_eq!(history.tell(&now, base), ListTold::Whole(now.clone()));
+    }
+}
+
+#[test]
+fn old_lists_are_forgotten_and_those_held_again_are_not() {
+    let lists: Vec<UpstreamList> = (0..40).map(|first| list(first..first + 3)).collect();
+    let mut history = ListHistory::default();
+    for held in &lists {
+        history.remember(held.digest(), &Arc::new(held.clone()));
+        // It flaps back each time.
+        history.remember(lists[0].digest(), &Arc::new(lists[0].clone()));
+    }
+    let is_whole =
+        |base: &UpstreamList| matches!(history.tell(&lists[39], Some(base.digest())), ListTold::Whole(_));
+    assert!(!is_whole(&lists[0]));
+    assert!(is_whole(&lists[1]));
+    assert!(!is_whole(&lists[38]));
+}
+
+#[test]
+fn lists_that_follow_each_other_share_what_is_equal() {
+    let before = list(0..5);
+    let now = list(1..6).sharing(&before);
+    assert_eq!(now, list(1..6));
+    assert!(Arc::ptr_eq(&now.entries[0], &before.entries[1]));
+}
+
+/// Whatever comes, goes or changes.
+#[test]
+fn changes_lead_to_the_list_that_was_meant() {
+    arbtest::arbtest(|random| {
+        let mut some = || {
+            let mut entries = Vec::new();
+            for number in 0..12 {
+                match random.int_in_range(0..=3)? {
+                    0 => {}
+                    1 => entries.push(ready(number)),
+                    2 => entries.push(entry(number, 9_000, UpstreamState::Draining)),
+                    _ => entries.push(entry(number, 9_001, UpstreamState::Ready)),
+                }
+            }
+            Ok(UpstreamList { entries })
+        };
+        let (before, now) = (some()?, some()?);
+        let history = remembering(&[&before]);
+        assert_eq!(after(&before, &history.tell(&now, Some(before.digest()))), now);
+        Ok(())
+    });
+}
--- /dev/null
+++ b/crates/bendhinge_fleet/tests/loads.rs
@@ -0,0 +1,97 @@
+//! Loads are told in two bytes each, never younger than they are.
+
+use std::time::Duration;
+
+use bendhinge_fleet::{LearnedFrom, LoadSaid, LoadStates, Loads};
+use bendhinge_ids::{Instant, NameHash};
+
+const NOW: Instant = Instant::from_millis(10_000);
+const TELLER: LearnedFrom = LearnedFrom::Router(NameHash(1));
+const LISTENER: LearnedFrom = LearnedFrom::Router(NameHash(2));
+
+fn listed(count: u64) -> impl ExactSizeIterator<Item = NameHash> {
+    (0..usize::try_from(count).unwrap()).map(|number| NameHash(100 + number as u64))
+}
+
+fn said(upstream: u64, in_progress: u32, age_ms: u64) -> LoadSaid {
+    let at = NOW - Duration::from_millis(age_ms);
+    LoadSaid { upstream: NameHash(100 + upstream), in_progress, at }
+}
+
+/// What the listener estimates of an upstream while others have nothing on average.
+fn estimate(loads: &Loads, upstream: u64) -> f32 {
+    loads.estimate(NameHash(100 + upstream), 0.0, NOW)
+}
+
+#[test]
+fn who_holds_the_same_list_estimates_the_same() {
+    let (mut loads, mut heard) = (Loads::default(), Loads::default());
+    for (upstream, in_progress) in [(0, 3), (2, 17), (3, 0)] {
+        loads.learn(said(upstream, in_progress, 120), LearnedFrom::Itself);
+    }
+    let states = loads.states_for(LISTENER, listed(4), NOW);
+    assert_eq!(states.0.len(), 2 * 4);
+    heard.hear_states(&states, listed(4), TELLER, NOW);
+    for upstream in 0..4 {
+        assert!((estimate(&heard, upstream) - estimate(&loads, upstream)).abs() < 0.01, "{upstream}");
+    }
+}
+
+#[test]
+fn nobody_is_told_what_it_told_itself_nor_what_is_old() {
+    let mut loads = Loads::default();
+    loads.learn(said(0, 5, 10), LISTENER);
+    loads.learn(said(1, 6, 10), TELLER);
+    loads.learn(said(2, 7, 2_600), TELLER);
+    let mut heard = Loads::default();
+    heard.hear_states(&loads.states_for(LISTENER, listed(3), NOW), listed(3), TELLER, NOW);
+    let told: Vec<NameHash> = heard.to_tell(NOW).map(|said| said.upstream).collect();
+    assert_eq!(told, [NameHash(101)]);
+}
+
+#[test]
+fn loads_that_do_not_fit_into_a_byte_are_told_as_the_largest() {
+    let (mut loads, mut heard) = (Loads::default(), Loads::default());
+    loads.learn(said(0, 3_000, 0), LearnedFrom::Itself);
+    heard.hear_states(&loads.states_for(LISTENER, listed(1), NOW), listed(1), TELLER, NOW);
+    assert!((estimate(&heard, 0) - 254.0).abs() < 0.01);
+}
+
+#[test]
+fn states_of_another_list_are_not_taken() {
+    let mut loads = Loads::default();
+    loads.learn(said(0, 5, 10), LearnedFrom::Itself);
+    let mut states = loads.states_for(LISTENER, listed(3), NOW);
+    for count in [2, 4] {
+        let mut heard = Loads::default();
+        heard.hear_states(&states, listed(count), TELLER, NOW);
+        assert_eq!(heard.to_tell(NOW).count(), 0);
+    }
+    states.0.pop();
+    let mut heard = Loads::default();
+    heard.hear_states(&states, listed(3), TELLER, NOW);
+    heard.hear_states(&LoadStates::default(), listed(3), TELLER, NOW);
+    assert_eq!(heard.to_tell(NOW).count(), 0);
+}
+
+/// On its way over many routers a report never looks younger than it is.
+#[test]
+fn a_report_never_looks_younger_on_its_way() {
+    arbtest::arbtest(|random| {
+        let (mut elapsed, age) = (random.int_in_range(0..=500)?, 40);
+        let mut loads = Loads::default();
+        loads.learn(said(0, 9, age), LearnedFrom::Itself);
+        for _ in 0..random.int_in_range(1..=6)? {
+            let now = NOW + Duration::from_millis(elapsed);
+            let states = loads.states_for(LISTENER, listed(1), now);
+            let arrives = random.int_in_range(0..=300)?;
+            loads = Loads::default();
+            // Counted from when it was asked for: that is before the states were made.
+            loads.hear_states(&states, listed(1), TELLER, now);
+            elapsed += arrives;
+            let truth = NOW - Duration::from_millis(age);
+            assert!(loads.to_tell(now).all(|said| said.at <= truth), "{elapsed} ms later");
+        }
+        Ok(())
+    });
+}
--- a/crates/bendhinge_fleet/tests/news.rs
+++ b/crates/bendhinge_fleet/tests/news.rs
@@ -1,45 +1,130 @@
-//! Each peer is told each piece of news once.
+//! Each peer is told each piece of news once, however many come at a time.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use bendhinge_fleet::NewsCursors;
-use bendhinge_ids::Instant;
+use bendhinge_fleet::{LearnedFrom, NewsLimits, NewsLog};
+use bendhinge_ids::{Instant, NameHash};
 
-const LONGEST: Duration = Duration::from_millis(1_300);
+const LIMITS: NewsLimits = NewsLimits {
+    most_kept: 2_000,
+    most_told: 100,
+    told_for: Duration::from_secs(5),
+    told_first_for: Duration::from_millis(1_300),
+};
+
+const PEER: LearnedFrom = LearnedFrom::Router(NameHash(1));
+const OTHER: LearnedFrom = LearnedFrom::Router(NameHash(2));
 
 fn at(millis: u64) -> Instant {
     Instant::from_millis(millis)
 }
 
-fn peer(number: u8) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, number], 7_000))
+#[test]
+fn a_peer_is_told_what_came_since_it_was_told() {
+    let mut log = NewsLog::new(LIMITS);
+    log.push("first", LearnedFrom::Itself, at(10_000));
+    let told = log.since(None, PEER, at(10_000));
+    assert_eq!(told.pieces, ["first"]);
+    log.push("second", OTHER, at(10_400));
+    let told_next = log.since(Some(told.up_to), PEER, at(10_400));
+    assert_eq!(told_next.pieces, ["second"]);
+    assert!(log.since(Some(told_next.up_to), PEER, at(10_800)).pieces.is_empty());
+    assert_eq!(log.since(None, OTHER, at(10_800)).pieces, ["first"], "another was told nothing");
 }
 
 #[test]
-fn a_peer_is_told_what_came_since_it_was_told() {
-    let mut cursors = NewsCursors::new(LONGEST);
-    assert_eq!(cursors.span(peer(1), at(10_000)), LONGEST);
-    cursors.told(peer(1), at(10_000));
-    assert_eq!(cursors.span(peer(1), at(10_400)), Duration::from_millis(400));
-    assert_eq!(cursors.span(peer(2), at(10_400)), LONGEST, "another was told nothing");
-    assert_eq!(cursors.span(peer(1), at(19_000)), LONGEST, "old news are not told");
+fn nobody_is_told_what_it_told_itself() {
+    let mut log = NewsLog::new(LIMITS);
+    log.push("its own", PEER, at(10_000));
+    log.push("another's", OTHER, at(10_000));
+    let told = log.since(None, PEER, at(10_000));
+    assert_eq!(told.pieces, ["another's"]);
+    assert_eq!(told.up_to, 2);
+}
+
+#[test]
+fn a_peer_that_was_told_nothing_is_spared_old_news() {
+    let mut log = NewsLog::new(LIMITS);
+    log.push("old", OTHER, at(10_000));
+    log.push("new", OTHER, at(12_000));
+    assert_eq!(log.since(None, PEER, at(12_100)).pieces, ["new"]);
+    assert_eq!(log.since(Some(0), PEER, at(12_100)).pieces, ["old", "new"]);
+}
+
+/// A fleet that starts reads all prompts for the first time. What does not fit into a message goes with the
+/// next; before, all above 400 pieces was left out, and who was not told had prompts read again elsewhere.
+#[test]
+fn a_burst_is_told_in_several_messages_and_whole() {
+    const BURST: u32 = 1_000;
+    let mut log = NewsLog::new(LIMITS);
+    (0..BURST).for_each(|piece| log.push(piece, OTHER, at(10_000)));
+    let (mut heard, mut told, mut now) = (Vec::new(), None, 10_000);
+    while heard.len() < BURST as usize {
+        let news = log.since(told, PEER, at(now));
+        assert!(news.pieces.len() <= LIMITS.most_told);
+        assert!(!news.pieces.is_empty(), "{} of them are lost", BURST as usize - heard.len());
+        assert_eq!(news.dropped, 0);
+        heard.extend(news.pieces);
+        told = Some(news.up_to);
+        now += 400;
+    }
+    assert_eq!(heard, (0..BURST).collect::<Vec<_>>());
+}
+
+#[test]
+fn what_is_not_told_any_more_is_counted() {
+    let mut log = NewsLog::new(LIMITS);
+    (0..10).for_each(|piece| log.push(piece, OTHER, at(10_000)));
+    log.push(10, OTHER, at(16_000));
+    let late = log.since(Some(4), PEER, at(16_000));
+    assert_eq!((late.pieces, late.dropped), (vec![10], 6), "too old");
+    log.forget(at(16_000));
+    let later = log.since(Some(4), PEER, at(16_000));
+    assert_eq!((later.pieces, later.dropped), (vec![10], 6), "not kept");
+    for piece in 0..LIMITS.most_kept {
+        log.push(piece, OTHER, at(16_000));
+    }
+    let last = log.since(Some(10), PEER, at(16_000));
+    assert_eq!(last.dropped, 1, "pushed out by later ones");
 }
 
 #[test]
-fn word_that_arrives_late_does_not_bring_news_back() {
-    let mut cursors = NewsCursors::new(LONGEST);
-    cursors.told(peer(1), at(10_400));
-    cursors.told(peer(1), at(10_000));
-    assert_eq!(cursors.span(peer(1), at(10_500)), Duration::from_millis(100));
+fn a_number_of_a_life_before_is_no_number() {
+    let mut log = NewsLog::new(LIMITS);
+    log.push("of this life", OTHER, at(10_000));
+    assert_eq!(log.since(Some(5_000), PEER, at(10_000)).pieces, ["of this life"]);
 }
 
+/// Whatever is lost, delayed or told twice: who goes on asking hears everything in order, as long as it
+/// is kept.
 #[test]
-fn forgetting_changes_nothing_that_is_told() {
-    let mut cursors = NewsCursors::new(LONGEST);
-    cursors.told(peer(1), at(10_000));
-    cursors.told(peer(2), at(11_200));
-    cursors.forget(at(11_400));
-    assert_eq!(cursors.span(peer(1), at(11_400)), LONGEST);
-    assert_eq!(cursors.span(peer(2), at(11_400)), Duration::from_millis(200));
+fn whoever_goes_on_asking_hears_all() {
+    arbtest::arbtest(|random| {
+        let mut log = NewsLog::new(LIMITS);
+        let (mut pushed, mut heard, mut told) = (0_u32, Vec::new(), 0);
+        for _ in 0..random.int_in_range(1..=60)? {
+            let now = at(10_000 + u64::from(pushed));
+            for _ in 0..random.int_in_range(0..=60)? {
+                log.push(pushed, if random.ratio(1, 3)? { PEER } else { OTHER }, now);
+                pushed += 1;
+            }
+            let news = log.since(Some(told), PEER, now);
+            // An answer that is lost moves nothing.
+            if random.ratio(2, 3)? {
+                heard.extend(news.pieces);
+                told = news.up_to;
+            }
+            if random.ratio(1, 5)? {
+                log.forget(now);
+            }
+        }
+        for _ in 0..60 {
+            let news = log.since(Some(told), PEER, at(14_000));
+            heard.extend(news.pieces);
+            told = news.up_to;
+        }
+        assert!(heard.is_sorted(), "in order, and none twice");
+        assert_eq!(told, u64::from(pushed));
+        Ok(())
+    });
 }
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -2,16 +2,15 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{Contact, Heard, Origin, Reach, UpstreamList};
-use bendhinge_ids::Instant;
+use bendhinge_fleet::{Contact, ListTold, Origin, Reach};
 use bendhinge_peer::{FleetDuties, Known, ObservedRead, PeerMessage, ReadsPage};
 use bytes::Bytes;
 use rand::Rng;
 use smol::Timer;
 
+use super::message::{Content, own_message, take_in};
 use super::{Control, draw};
 use crate::delivery::Delivering;
 
@@ -69,7 +68,12 @@
 
 /// Asks a contact, and any other if the one that hears of the store does not answer.
 async fn ask_or_another(control: &Rc<Control>, contact: Contact) {
-    if ask(control, contact.address(), Content::Whole).await || !matches!(contact, Contact::Reader(_)) {
+    let content = match contact {
+        // It hears from others what this one knows.
+        Contact::Any(_) => Content::Probe,
+        Contact::Reader(_) | Contact::Lost(_) => Content::Whole,
+    };
+    if ask(control, contact.address(), content).await || !matches!(contact, Contact::Reader(_)) {
         return;
     }
     let another = control.roster.borrow().any_contact(bendhinge_clock::now(), &mut draw);
@@ -81,88 +85,16 @@
 /// Exchanges messages with the gateway at `address` and takes its message in; `false` if it gave none.
 async fn ask(control: &Rc<Control>, address: SocketAddr, content: Content) -> bool {
     let asked = bendhinge_clock::now();
-    let message = own_message(control, address, content, asked);
+    let message = own_message(control, address, content, None, asked);
     let answer = control.peers.call(address, async |peer| peer.exchange(&message).await).await;
     control.delivering.metrics.exchange(answer.is_ok());
     let Ok(answer) = answer else { return false };
-    if content == Content::Whole {
-        control.news.borrow_mut().told(address, asked);
-    }
     take_in(control, &answer, Some(asked));
+    control.note_answer(address, &message, &answer);
     control.fetch_news(address, &answer).await;
     true
 }
 
-/// What a message says.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Content {
-    /// What the sender holds: there is news of it.
-    Brief,
-    /// Whom it knows and what it saw of upstreams besides.
-    Whole,
-}
-
-/// What this gateway tells the one at `listener` at `now`.
-fn own_message(control: &Control, listener: SocketAddr, content: Content, now: Instant) -> PeerMessage {
-    let upstreams = &control.delivering.upstreams;
-    let sender = Heard {
-        address: control.settings.peers,
-        age: Duration::ZERO,
-        is_leaving: control.lifecycle.is_stopping(),
-        is_store_failing: control.is_store_failing(),
-        link_mbps: control.settings.link.mbps(),
-    };
-    let brief = PeerMessage {
-        sender,
-        is_brief: true,
-        rules: control.delivering.rules.known(now),
-        upstreams: upstreams.known(now),
-        members: Vec::new(),
-        loads: Vec::new(),
-        reads: Vec::new(),
-        doubts: Vec::new(),
-    };
-    if content == Content::Brief {
-        return brief;
-    }
-    PeerMessage {
-        is_brief: false,
-        members: control.roster.borrow().members(now).collect(),
-        loads: upstreams.loads_to_tell(now),
-        doubts: upstreams.doubts_to_tell(now),
-        reads: upstreams.reads_to_tell(listener, control.news.borrow().span(listener, now), now),
-        ..brief
-    }
-}
-
-/// Takes a message in. `asked` is when it was asked for: only then is it known how old it can be at
-/// most, and only then does it count as evidence of what is current.
-fn take_in(control: &Control, message: &PeerMessage, asked: Option<Instant>) {
-    let now = bendhinge_clock::now();
-    let mut roster = control.roster.borrow_mut();
-    roster.hear(&message.sender, now);
-    for heard in &message.members {
-        roster.hear(heard, now);
-    }
-    drop(roster);
-    let delivering = &control.delivering;
-    // Of what only guides choices, a message that nobody asked for tells as much: it may be older than
-    // it says by the time that it was on its way.
-    delivering.upstreams.hear_reads(&message.reads, message.sender.address, asked.unwrap_or(now));
-    delivering.upstreams.hear_loads(&message.loads, asked.unwrap_or(now));
-    for upstream in delivering.upstreams.hear_doubts(&message.doubts, asked.unwrap_or(now)) {
-        delivering.log.upstream_suspected(&upstream.name, message.sender.address);
-        delivering.metrics.upstream_suspected();
-    }
-    let Some(asked) = asked else { return };
-    if let Some(known) = message.rules {
-        delivering.rules.confirm(known.version, asked - known.age);
-    }
-    if let Some(known) = message.upstreams {
-        delivering.upstreams.confirm(known.version, asked - known.age);
-    }
-}
-
 impl Control {
     /// Whether the sender of `message` knows something held here to be current, of which this gateway
     /// has had no evidence for long.
@@ -181,6 +113,17 @@
             || is_fresher(message.upstreams, upstreams.known(now), lost.upstreams)
     }
 
+    /// Notes what the gateway at `address` was told by `message`, and up to where it was heard by `answer`.
+    fn note_answer(&self, address: SocketAddr, message: &PeerMessage, answer: &PeerMessage) {
+        let mut peers = self.peer_states.borrow_mut();
+        if let Some(told) = message.told {
+            peers.told(address, answer.told.map(|position| position.life), told.number);
+        }
+        if let Some(told) = answer.told {
+            peers.heard(address, told);
+        }
+    }
+
     /// Tells others of news in the background.
     pub(super) fn spread(self: &Rc<Self>, origin: Origin) {
         let control = Rc::clone(self);
@@ -201,11 +144,12 @@
         let has_news = message.rules.is_some_and(|known| delivering.rules.lacks(known.version))
             || message.upstreams.is_some_and(|known| delivering.upstreams.lacks(known.version));
         let now = bendhinge_clock::now();
-        let content = if message.is_brief { Content::Brief } else { Content::Whole };
-        let answer = own_message(&self.0, address, content, now);
-        if content == Content::Whole {
-            self.0.news.borrow_mut().told(address, now);
-        }
+        let content = match &message {
+            message if message.is_brief => Content::Brief,
+            message if message.is_probe => Content::Members,
+            _ => Content::Whole,
+        };
+        let answer = own_message(&self.0, address, content, Some(&message), now);
         let executor = Rc::clone(&control.executor);
         if has_news {
             executor.spawn(async move { control.fetch_news(address, &message).await }).detach();
@@ -231,9 +175,9 @@
         self.0.is_informed.get().then(|| self.0.delivering.upstreams.all_reads(page, bendhinge_clock::now()))
     }
 
-    fn upstreams(&self) -> Option<(Known, UpstreamList)> {
+    fn upstreams(&self, base: Option<u64>) -> Option<(Known, ListTold)> {
         let upstreams = &self.0.delivering.upstreams;
         let known = upstreams.known(bendhinge_clock::now())?;
-        Some((known, Arc::unwrap_or_clone(upstreams.list()?)))
+        Some((known, upstreams.list_to_tell(base)?))
     }
 }
--- a/crates/bendhinge_gateway/src/control/fetching.rs
+++ b/crates/bendhinge_gateway/src/control/fetching.rs
@@ -5,11 +5,11 @@
 //! other, nor for its failure. Several others tell of the same change; of each thing one copy is on its
 //! way at a time, since a second one delays both.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bendhinge_fleet::{Offer, Origin, UpstreamList, Version};
+use bendhinge_fleet::{FetchPlan, Holder, ListTold, Offer, Origin, UpstreamList, Version};
 use bendhinge_ids::Instant;
 use bendhinge_peer::{CallError, Known, PeerMessage};
 use bytes::Bytes;
@@ -20,44 +20,33 @@
 use crate::knowledge::RulesInForce;
 use crate::metrics::Believed;
 
-/// Somebody who holds a version that was lacking when it told of it.
-#[derive(Clone, Copy)]
-struct Holder {
-    address: SocketAddr,
-    version: Version,
-}
-
 /// What is on its way of one thing.
 #[derive(Default)]
-pub(super) struct Fetching {
-    is_under_way: Cell<bool>,
-    /// Who told of it last meanwhile: is asked next, if what comes is older or nothing does.
-    next: Cell<Option<Holder>>,
-}
+pub(super) struct Fetching(RefCell<FetchPlan>);
 
 impl Fetching {
     /// Fetches from `holder` by `fetch`, then from whoever told of something meanwhile that still
     /// `lacks`. Does nothing but remember the holder while a fetch is under way.
     async fn run(&self, holder: Holder, lacks: impl Fn(Version) -> bool, fetch: impl AsyncFn(SocketAddr)) {
-        self.next.set(Some(holder));
-        if self.is_under_way.replace(true) {
+        if !self.0.borrow_mut().told(holder, &lacks) {
             return;
         }
-        let _ended = Ended(&self.is_under_way);
-        while let Some(holder) = self.next.take() {
-            if lacks(holder.version) {
-                fetch(holder.address).await;
-            }
+        let _ended = Ended(self);
+        loop {
+            // The plan is free while the fetch is under way: others tell of news meanwhile.
+            let next = self.0.borrow_mut().next(&lacks);
+            let Some(holder) = next else { return };
+            fetch(holder.address).await;
         }
     }
 }
 
 /// Says that nothing is on its way any more, also if the fetch was dropped.
-struct Ended<'a>(&'a Cell<bool>);
+struct Ended<'a>(&'a Fetching);
 
 impl Drop for Ended<'_> {
     fn drop(&mut self) {
-        self.0.set(false);
+        self.0.0.borrow_mut().given_up();
     }
 }
 
@@ -92,13 +81,31 @@
     }
 
     async fn fetch_upstreams(self: &Rc<Self>, address: SocketAddr) {
-        let asked = bendhinge_clock::now();
-        let fetched = self.peers.call(address, async |peer| peer.upstreams().await).await;
-        if let Some((known, list)) = self.note_fetch(Believed::Upstreams, address, asked, fetched) {
-            self.take_upstreams(&known, asked, list, Origin::Peer);
+        let base = self.delivering.upstreams.known(bendhinge_clock::now()).map(|known| known.version.digest);
+        if !self.fetch_list(address, base).await && base.is_some() {
+            self.fetch_list(address, None).await;
         }
     }
 
+    /// Fetches the list of the gateway at `address`, as changes of the one whose digest is `base`; `false`
+    /// if they lead to another list than that gateway holds.
+    async fn fetch_list(self: &Rc<Self>, address: SocketAddr, base: Option<u64>) -> bool {
+        let asked = bendhinge_clock::now();
+        let fetched = self.peers.call(address, async |peer| peer.upstreams(base).await).await;
+        let fetched = self.note_fetch(Believed::Upstreams, address, asked, fetched);
+        let Some((known, told)) = fetched else { return true };
+        let list = match told {
+            ListTold::Whole(list) => Some(list),
+            ListTold::Changes { base, changes } => {
+                let list = self.delivering.upstreams.list_with(base, &changes);
+                list.filter(|list| list.digest() == known.version.digest)
+            }
+        };
+        let Some(list) = list else { return false };
+        self.take_upstreams(&known, asked, list, Origin::Peer);
+        true
+    }
+
     /// Notes what came of asking the gateway at `from` for `what`; gives what it handed over.
     fn note_fetch<T>(
         &self,
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod exchange;
 mod fetching;
+mod message;
 mod recovery;
 mod store;
 
@@ -11,7 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{NewsCursors, Origin, Roster};
+use bendhinge_fleet::{NewsLife, Origin, PeerStates, Roster};
 use bendhinge_peer::{FleetClient, PeerPool, PeerPoolLimits, Traffic, serve_fleet};
 use rand::Rng;
 use smol::net::TcpListener;
@@ -26,8 +27,8 @@
 
 /// How long a gateway that gave no answer is not asked again.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(300);
-/// For how long what was learned is told to a gateway that was told nothing meanwhile.
-const NEWS_TOLD_FOR: Duration = Duration::from_millis(1_300);
+/// How long what a gateway said of itself is remembered, after which it is told everything again.
+const PEERS_KEPT: Duration = Duration::from_secs(20);
 
 /// What runs between gateways and towards the store.
 pub(crate) struct Control {
@@ -40,7 +41,9 @@
     /// Whether a read of everything took too long, and the rules were not read by themselves since.
     is_read_along_slow: Cell<bool>,
     peers: PeerPool<FleetClient>,
-    news: RefCell<NewsCursors>,
+    /// This life of the gateway, as others tell it from the one before.
+    life: NewsLife,
+    peer_states: RefCell<PeerStates>,
     fetching_rules: Fetching,
     fetching_upstreams: Fetching,
     executor: Rc<LocalExecutor<'static>>,
@@ -66,7 +69,8 @@
             rules_reading: Reading::new("store_rules", settings.store.reading),
             is_read_along_slow: Cell::new(false),
             peers,
-            news: RefCell::new(NewsCursors::new(NEWS_TOLD_FOR)),
+            life: NewsLife(rand::rng().random_range(1..=u64::MAX)),
+            peer_states: RefCell::new(PeerStates::new(PEERS_KEPT)),
             fetching_rules: Fetching::default(),
             fetching_upstreams: Fetching::default(),
             executor: Rc::clone(executor),
@@ -117,7 +121,7 @@
         let now = bendhinge_clock::now();
         control.roster.borrow_mut().forget(now);
         control.delivering.retries.divide_among(control.roster.borrow().known_count());
-        control.news.borrow_mut().forget(now);
+        control.peer_states.borrow_mut().forget(now);
         control.delivering.upstreams.prune();
         control.delivering.pool.prune();
     }
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -1,7 +1,6 @@
 //! Reading the platform's store.
 
 use std::cell::{Cell, RefCell};
-use std::hash::{Hash, Hasher};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,7 +10,6 @@
 use bendhinge_ids::Instant;
 use bendhinge_peer::Known;
 use hyper::{Request, StatusCode};
-use rustc_hash::FxHasher;
 use smol::Timer;
 
 use super::Control;
@@ -260,7 +258,7 @@
         upstreams.sort_by(|left, right| left.name.cmp(&right.name));
         upstreams.dedup_by(|left, right| left.name == right.name);
         let list = UpstreamList { entries: upstreams.into_iter().map(Arc::new).collect() };
-        let known = Known { version: Version { revision: at, digest: digest(&list) }, age: Duration::ZERO };
+        let known = Known { version: Version { revision: at, digest: list.digest() }, age: Duration::ZERO };
         self.take_upstreams(&known, began, list, Origin::Store);
     }
 }
@@ -271,10 +269,3 @@
     pub(super) rules: Duration,
     pub(super) upstreams: Duration,
 }
-
-/// The hash of a list's content, the same at all gateways of one build.
-fn digest(list: &UpstreamList) -> u64 {
-    let mut hasher = FxHasher::default();
-    list.hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/bendhinge_gateway/src/knowledge/mod.rs
+++ b/crates/bendhinge_gateway/src/knowledge/mod.rs
@@ -1,8 +1,7 @@
 //! What this gateway believes, each belief with its own narrow interface.
 
-mod loads;
 mod rules;
 mod upstreams;
 
 pub(crate) use rules::{RulesInForce, RulesKeeper};
-pub(crate) use upstreams::{Chosen, PlacementQuestion, UpstreamView};
+pub(crate) use upstreams::{Chosen, PlacementQuestion, UpstreamView, observed_read};
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -5,28 +5,34 @@
 use std::time::Duration;
 
 use bendhinge_fleet::{
-    Belief, Directory, Evidence, Judge, Listed, Offer, Standing, UpstreamEntry, UpstreamFailure,
+    Belief, Directory, Evidence, Judge, LearnedFrom, ListChanges, ListHistory, ListTold, Listed, LoadSaid,
+    LoadStates, Loads, NewsLimits, NewsLog, NewsTold, Offer, Standing, UpstreamEntry, UpstreamFailure,
     UpstreamList, Verdict, Version,
 };
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_peer::{Known, ObservedDoubt, ObservedLoad, ObservedRead, ReadsPage};
 use bendhinge_placement::{
-    Candidate, ChoiceReason, CostRules, KeptPart, KeptParts, Learned, LearnedFrom, Prompt, Question, choose,
+    Candidate, ChoiceReason, CostRules, KeptPart, KeptParts, Prompt, Question, choose,
 };
 use bendhinge_routes::PoolRule;
 
-use super::loads::{Loads, Said};
-use crate::dialect::LoadSaid;
+use crate::dialect;
 use crate::settings::UpstreamSettings;
 
 /// How long an upstream is believed to keep what it read.
 const KEPT_FOR: Duration = Duration::from_secs(90);
-/// Of how many parts that upstreams read a gateway tells in one exchange.
-const MOST_READS_TOLD: usize = 400;
+/// How much is told of what upstreams read. An entry takes 24 bytes before compression, so a message holds
+/// 24 KB of them at most: at an exchange each 0.4 s, half a megabit a second. What is learned while a fleet starts is
+/// some 2,000 a second with 1,200 prompts a second, and is told to the last one within the time for which
+/// it is told.
+const READS_TOLD: NewsLimits = NewsLimits {
+    most_kept: 8_192,
+    most_told: 1_000,
+    told_for: Duration::from_secs(5),
+    told_first_for: Duration::from_millis(1_300),
+};
 /// What an upstream on trial is expected to fail.
 const SHARE_FAILING_ON_TRIAL: f32 = 0.5;
-/// Reports of loads older than this are not passed on.
-const LOADS_TOLD_FOR: Duration = Duration::from_millis(2_500);
 
 /// A request that needs an upstream.
 pub(crate) struct PlacementQuestion<'a> {
@@ -65,6 +71,10 @@
     evidence: Evidence,
     loads: Loads,
     kept: KeptParts,
+    /// What was learned lately of what upstreams keep.
+    news: NewsLog<KeptPart>,
+    /// The lists that were held lately.
+    history: ListHistory,
 }
 
 /// This gateway's view of the upstreams.
@@ -95,6 +105,8 @@
             evidence: Evidence::new(router_hash(own)),
             loads: Loads::default(),
             kept: KeptParts::new(KEPT_FOR),
+            news: NewsLog::new(READS_TOLD),
+            history: ListHistory::default(),
         };
         let costs = CostRules { bound: settings.load_bound, ..CostRules::default() };
         Self { state: Mutex::new(state), costs }
@@ -117,6 +129,20 @@
         self.state.lock().unwrap().belief.value().cloned()
     }
 
+    /// The list that is held, as it is told to a peer that holds the one whose digest is `base`.
+    pub(crate) fn list_to_tell(&self, base: Option<u64>) -> Option<ListTold> {
+        let state = self.state.lock().unwrap();
+        let list = state.belief.value()?;
+        Some(state.history.tell(list, base))
+    }
+
+    /// The list that is held with `changes` made, if it is the one whose digest is `base`.
+    pub(crate) fn list_with(&self, base: u64, changes: &ListChanges) -> Option<UpstreamList> {
+        let state = self.state.lock().unwrap();
+        let held = state.belief.held().filter(|held| held.version.digest == base)?;
+        Some(held.value.with(changes))
+    }
+
     pub(crate) fn lacks(&self, version: Version) -> bool {
         self.state.lock().unwrap().belief.lacks(version)
     }
@@ -132,7 +158,17 @@
 
     pub(crate) fn offer(&self, version: Version, as_of: Instant, list: UpstreamList) -> Offer {
         let mut state = self.state.lock().unwrap();
-        let offer = state.belief.offer(version, as_of, || Arc::new(list));
+        let State { belief, history, .. } = &mut *state;
+        let held = belief.value().cloned();
+        let offer = belief.offer(version, as_of, || {
+            Arc::new(match &held {
+                Some(held) => list.sharing(held),
+                None => list,
+            })
+        });
+        if let (Offer::New, Some(held)) = (offer, belief.held()) {
+            history.remember(held.version.digest, &held.value);
+        }
         if offer != Offer::Old {
             state.directory.evidence(as_of, bendhinge_clock::now());
         }
@@ -160,7 +196,9 @@
         state.loads.began(upstream);
         state.judge.sent(upstream, now);
         if let Some(prompt) = asked.prompt {
-            state.kept.read(upstream, prompt, now);
+            for read in state.kept.read(upstream, prompt, now) {
+                state.news.push(read, LearnedFrom::Itself, now);
+            }
         }
         drop(state);
         let place = Place { view: Arc::clone(self), upstream };
@@ -221,15 +259,16 @@
     }
 
     /// Notes what an upstream said of its load.
-    pub(crate) fn load_said(&self, upstream: NameHash, load: LoadSaid) {
-        let said = Said { upstream, in_progress: load.running + load.waiting, at: bendhinge_clock::now() };
-        self.state.lock().unwrap().loads.learn(said);
+    pub(crate) fn load_said(&self, upstream: NameHash, load: dialect::LoadSaid) {
+        let in_progress = load.running + load.waiting;
+        let said = LoadSaid { upstream, in_progress, at: bendhinge_clock::now() };
+        self.state.lock().unwrap().loads.learn(said, LearnedFrom::Itself);
     }
 
-    /// What to tell others of loads.
+    /// What to tell others of loads, whatever list they hold.
     pub(crate) fn loads_to_tell(&self, now: Instant) -> Vec<ObservedLoad> {
         let state = self.state.lock().unwrap();
-        let told = state.loads.said_within(LOADS_TOLD_FOR, now).map(|said| ObservedLoad {
+        let told = state.loads.to_tell(now).map(|said| ObservedLoad {
             upstream: said.upstream,
             in_progress: u16::try_from(said.in_progress).unwrap_or(u16::MAX),
             age: now.since(said.at),
@@ -237,26 +276,48 @@
         told.collect()
     }
 
-    /// Takes in what another gateway heard of loads, its ages counted from `as_of`.
-    pub(crate) fn hear_loads(&self, loads: &[ObservedLoad], as_of: Instant) {
+    /// What to tell the gateway at `listener` of loads, which holds the same list.
+    pub(crate) fn load_states_to_tell(&self, listener: SocketAddr, now: Instant) -> Option<LoadStates> {
+        let state = self.state.lock().unwrap();
+        let list = state.belief.value()?;
+        let listed = list.entries.iter().map(|entry| entry.hash);
+        Some(state.loads.states_for(learned_from(listener), listed, now))
+    }
+
+    /// Takes in what the gateway at `from` heard of loads, its ages counted from `as_of`.
+    pub(crate) fn hear_loads(&self, loads: &[ObservedLoad], from: SocketAddr, as_of: Instant) {
         let mut state = self.state.lock().unwrap();
         for load in loads {
             let at = as_of - load.age;
-            state.loads.learn(Said { upstream: load.upstream, in_progress: load.in_progress.into(), at });
+            let said = LoadSaid { upstream: load.upstream, in_progress: load.in_progress.into(), at };
+            state.loads.learn(said, learned_from(from));
         }
     }
 
-    /// What to tell the gateway at `listener` of parts that upstreams read: what this one learned
-    /// within `span`, and not from the listener itself.
+    /// The same, of the upstreams of the list that is held as `version`; nothing is taken if it is not.
+    pub(crate) fn hear_load_states(
+        &self,
+        states: &LoadStates,
+        version: Version,
+        from: SocketAddr,
+        as_of: Instant,
+    ) {
+        let mut state = self.state.lock().unwrap();
+        let State { belief, loads, .. } = &mut *state;
+        let Some(held) = belief.held().filter(|held| held.version.digest == version.digest) else { return };
+        let listed = held.value.entries.iter().map(|entry| entry.hash);
+        loads.hear_states(states, listed, learned_from(from), as_of);
+    }
+
+    /// What to tell the gateway at `listener` of parts that upstreams read, which was told up to the number
+    /// `told`.
     pub(crate) fn reads_to_tell(
         &self,
         listener: SocketAddr,
-        span: Duration,
+        told: Option<u64>,
         now: Instant,
-    ) -> Vec<ObservedRead> {
-        let state = self.state.lock().unwrap();
-        let news = state.kept.news_for(learned_from(listener), span, now);
-        news.take(MOST_READS_TOLD).map(|kept| observed_read(kept, now)).collect()
+    ) -> NewsTold<KeptPart> {
+        self.state.lock().unwrap().news.since(told, learned_from(listener), now)
     }
 
     /// A part of all that upstreams are believed to have read.
@@ -276,22 +337,22 @@
     /// Takes in what others told at once, or an upstream listed: it is not told of again.
     pub(crate) fn recover_reads(&self, reads: &[ObservedRead]) {
         let now = bendhinge_clock::now();
-        let learned = Learned { at: Instant::default(), from: LearnedFrom::Itself };
-        self.learn_reads(reads, now, learned);
+        let mut state = self.state.lock().unwrap();
+        for read in reads {
+            state.kept.learn(kept_part(read, now));
+        }
     }
 
     /// Takes in which parts upstreams read, as the gateway at `from` told in an exchange that
     /// began at `asked`.
     pub(crate) fn hear_reads(&self, reads: &[ObservedRead], from: SocketAddr, asked: Instant) {
-        self.learn_reads(reads, asked, Learned { at: bendhinge_clock::now(), from: learned_from(from) });
-    }
-
-    /// Takes in reads whose ages count from `as_of`.
-    fn learn_reads(&self, reads: &[ObservedRead], as_of: Instant, learned: Learned) {
+        let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
         for read in reads {
-            let kept = KeptPart { part: read.part, upstream: read.upstream, used: as_of - read.age };
-            state.kept.learn(kept, learned);
+            let kept = kept_part(read, asked);
+            if state.kept.learn(kept) {
+                state.news.push(kept, learned_from(from), now);
+            }
         }
     }
 
@@ -302,7 +363,8 @@
         if state.directory.prune(now) {
             state.forget_gone();
         }
-        let State { directory, evidence, kept, .. } = &mut *state;
+        let State { directory, evidence, kept, news, .. } = &mut *state;
+        news.forget(now);
         evidence.prune(|upstream| directory.lists(upstream), now);
         kept.prune(|upstream| directory.lists(upstream), now);
     }
@@ -317,7 +379,12 @@
     NameHash::of(&address.to_string())
 }
 
-fn observed_read(kept: KeptPart, now: Instant) -> ObservedRead {
+/// What a read whose age counts from `as_of` says.
+fn kept_part(read: &ObservedRead, as_of: Instant) -> KeptPart {
+    KeptPart { part: read.part, upstream: read.upstream, used: as_of - read.age }
+}
+
+pub(crate) fn observed_read(kept: KeptPart, now: Instant) -> ObservedRead {
     ObservedRead { part: kept.part, upstream: kept.upstream, age: now.since(kept.used) }
 }
 
--- a/crates/bendhinge_gateway/src/metrics.rs
+++ b/crates/bendhinge_gateway/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::SendEnd;
+use bendhinge_peer::PeerMessage;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
 use opentelemetry_sdk::Resource;
@@ -61,6 +62,8 @@
     peer_fetches: Histogram<f64>,
     list_age: Histogram<f64>,
     exchanges: Counter<u64>,
+    told: Counter<u64>,
+    reads_not_told: Counter<u64>,
     upstreams_suspected: Counter<u64>,
     first_byte: Histogram<f64>,
     in_progress: Gauge<u64>,
@@ -105,6 +108,14 @@
                 "How old the knowledge of the list of upstreams was at each send",
                 &LIST_AGE_SECONDS,
             ),
+            told: counter(
+                "bendhinge.gateway.peer_told",
+                "Entries of messages to other gateways, by kind: what a message is made of",
+            ),
+            reads_not_told: counter(
+                "bendhinge.gateway.reads_not_told",
+                "Reads of which another gateway was not told in time",
+            ),
             exchanges: counter("bendhinge.gateway.exchanges", "Exchanges with other gateways, by result"),
             upstreams_suspected: counter(
                 "bendhinge.gateway.upstreams_suspected",
@@ -173,6 +184,28 @@
         self.exchanges.add(1, &[result_label(answered)]);
     }
 
+    /// Counts what a message to another gateway holds.
+    pub(crate) fn told(&self, message: &PeerMessage) {
+        let entries = [
+            ("members", message.members.len()),
+            ("member_states", message.member_states.as_ref().map_or(0, |states| states.0.len())),
+            ("loads", message.loads.len()),
+            ("load_states", message.load_states.as_ref().map_or(0, |states| states.0.len() / 2)),
+            ("reads", message.reads.len()),
+            ("doubts", message.doubts.len()),
+        ];
+        for (kind, count) in entries.into_iter().filter(|(_, count)| *count > 0) {
+            self.told.add(count as u64, &[KeyValue::new("kind", kind)]);
+        }
+    }
+
+    /// Counts reads of which another gateway is not told any more.
+    pub(crate) fn reads_not_told(&self, count: u64) {
+        if count > 0 {
+            self.reads_not_told.add(count, &[]);
+        }
+    }
+
     /// Counts an upstream that is spared since others found that it answers nobody.
     pub(crate) fn upstream_suspected(&self) {
         self.upstreams_suspected.add(1, &[]);
--- a/crates/bendhinge_lab/tests/gateway_common/mod.rs
+++ b/crates/bendhinge_lab/tests/gateway_common/mod.rs
@@ -66,16 +66,7 @@
 pub fn message_from(address: SocketAddr) -> PeerMessage {
     let sender =
         Heard { address, age: Duration::ZERO, is_leaving: false, is_store_failing: false, link_mbps: 1_000 };
-    PeerMessage {
-        sender,
-        is_brief: false,
-        rules: None,
-        upstreams: None,
-        members: Vec::new(),
-        loads: Vec::new(),
-        reads: Vec::new(),
-        doubts: Vec::new(),
-    }
+    PeerMessage::from_sender(sender)
 }
 
 /// What a raw upstream does once it has read a request.
--- a/crates/bendhinge_lab/tests/gateway_large_rules.rs
+++ b/crates/bendhinge_lab/tests/gateway_large_rules.rs
@@ -19,7 +19,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{Revision, UpstreamList, Version};
+use bendhinge_fleet::{ListTold, Revision, UpstreamList, Version};
 use bendhinge_lab::gateways::{FleetShape, GatewayFleet, Harm, PEER_KEY, Proxy, RULES, until};
 use bendhinge_peer::{
     FleetClient, FleetDuties, Known, ObservedRead, PeerConnection, PeerKey, PeerMessage, ReadsPage, Traffic,
@@ -91,8 +91,8 @@
         Some((Self::known(), self.rules.clone()))
     }
 
-    fn upstreams(&self) -> Option<(Known, UpstreamList)> {
-        Some((Self::known(), UpstreamList::default()))
+    fn upstreams(&self, _: Option<u64>) -> Option<(Known, ListTold)> {
+        Some((Self::known(), ListTold::Whole(UpstreamList::default())))
     }
 
     fn reads(&self, _: ReadsPage) -> Option<Vec<ObservedRead>> {
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -42,6 +42,12 @@
   witnesses @3 :List(Witness);
 }
 
+# Up to where the news of one life of a gateway were told; a life of 0 is none.
+struct NewsPosition {
+  life @0 :UInt64;
+  number @1 :UInt64;
+}
+
 struct PeerMessage {
   sender @0 :Member;
   rules @1 :Known;
@@ -51,6 +57,18 @@
   reads @5 :List(Read);
   brief @6 :Bool;
   doubts @7 :List(Doubt);
+  # Up to where this message tells of the sender's reads.
+  told @8 :NewsPosition;
+  # Up to where the sender was told of the receiver's.
+  heard @9 :NewsPosition;
+  # Which members the sender knows; 0 from one that knows no states.
+  roster @10 :UInt64;
+  # In place of members and loads, where both ends know the same members, or hold the same list: what
+  # bendhinge_fleet calls MemberStates and LoadStates.
+  memberStates @11 :Data;
+  loadStates @12 :Data;
+  # Whether the sender wants to know of members alone.
+  probe @13 :Bool;
 }
 
 struct Upstream {
@@ -74,7 +92,10 @@
   # In pieces: `document` is the first of `length` bytes, the others are read from `rest`. A length of
   # 0 says that the document is whole.
   rules @1 (inPieces :Bool) -> (known :Known, document :Data, length :UInt32, rest :Document);
-  upstreams @2 () -> (known :Known, list :List(Upstream));
+  # Against the list of which the asker gives the digest, if it is remembered: `list` holds what is new or
+  # differs and `gone` the hashes of names that are not listed any more, and `base` is that digest. Else `base` is 0
+  # and the list is whole.
+  upstreams @2 (base :UInt64) -> (known :Known, list :List(Upstream), base :UInt64, gone :List(UInt64));
   # Of the parts whose number leaves `page` when divided by `pages`; 0 pages are one.
   reads @3 (page :UInt32, pages :UInt32) -> (reads :List(Read), informed :Bool);
 }
--- a/crates/bendhinge_peer/src/fleet/client.rs
+++ b/crates/bendhinge_peer/src/fleet/client.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::UpstreamList;
+use bendhinge_fleet::ListTold;
 use bytes::{Bytes, BytesMut};
 use smol::LocalExecutor;
 
-use super::convert::{read_known, read_message, read_read, read_upstreams, write_message};
+use super::convert::{read_known, read_list, read_message, read_read, write_message};
 use super::{Known, ObservedRead, PeerMessage, ReadsPage};
 use crate::calling::{self, Calling};
 use crate::client::{CallError, within};
@@ -105,14 +105,16 @@
         .await
     }
 
-    /// Fetches the list of upstreams that the peer holds.
-    pub async fn upstreams(&self) -> Result<Option<(Known, UpstreamList)>, CallError> {
-        let request = self.peer.upstreams_request();
+    /// Fetches the list of upstreams that the peer holds, as changes if it remembers the one whose digest
+    /// is `base`.
+    pub async fn upstreams(&self, base: Option<u64>) -> Result<Option<(Known, ListTold)>, CallError> {
+        let mut request = self.peer.upstreams_request();
+        request.get().set_base(base.unwrap_or_default());
         within(self.time, async {
             let answer = request.send().promise.await?;
             let answer = answer.get()?;
-            let list = read_upstreams(answer.get_list()?)?;
-            Ok(read_known(answer.get_known()?).map(|known| (known, list)))
+            let told = read_list(answer)?;
+            Ok(read_known(answer.get_known()?).map(|known| (known, told)))
         })
         .await
     }
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -4,13 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{Heard, Revision, UpstreamEntry, UpstreamList, UpstreamState, Version};
+use bendhinge_fleet::{
+    Heard, ListChanges, ListTold, LoadStates, MemberStates, NewsLife, NewsPosition, Revision, RosterDigest,
+    UpstreamEntry, UpstreamList, UpstreamState, Version,
+};
 use bendhinge_ids::NameHash;
 use bendhinge_placement::PartId;
 use capnp::Error;
 
 use super::{Known, ObservedDoubt, ObservedFailure, ObservedLoad, ObservedRead, PeerMessage, address_parts};
-use crate::fleet_capnp::{doubt, known, load, member, peer_message, read, upstream};
+use crate::fleet_capnp::{doubt, fleet, known, load, member, news_position, peer_message, read, upstream};
 
 fn millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
@@ -91,26 +94,63 @@
     }
 }
 
+fn write_position(mut to: news_position::Builder<'_>, position: NewsPosition) {
+    to.set_life(position.life.0);
+    to.set_number(position.number);
+}
+
+fn read_position(from: news_position::Reader<'_>) -> Option<NewsPosition> {
+    let position = NewsPosition { life: NewsLife(from.get_life()), number: from.get_number() };
+    (position.life.0 != 0).then_some(position)
+}
+
 pub(super) fn write_message(mut to: peer_message::Builder<'_>, message: &PeerMessage) {
     write_member(to.reborrow().init_sender(), &message.sender);
     to.set_brief(message.is_brief);
+    to.set_probe(message.is_probe);
     write_known(to.reborrow().init_rules(), message.rules.as_ref());
     write_known(to.reborrow().init_upstreams(), message.upstreams.as_ref());
-    let mut members = to.reborrow().init_members(count(message.members.len()));
-    for (index, heard) in (0..).zip(&message.members) {
-        write_member(members.reborrow().get(index), heard);
+    to.set_roster(message.roster.0);
+    write_lists(to.reborrow(), message);
+    if let Some(MemberStates(states)) = &message.member_states {
+        to.set_member_states(states);
     }
-    let mut loads = to.reborrow().init_loads(count(message.loads.len()));
-    for (index, load) in (0..).zip(&message.loads) {
-        write_load(loads.reborrow().get(index), load);
+    if let Some(LoadStates(states)) = &message.load_states {
+        to.set_load_states(states);
     }
-    let mut reads = to.reborrow().init_reads(count(message.reads.len()));
-    for (index, read) in (0..).zip(&message.reads) {
-        write_read(reads.reborrow().get(index), read);
+    if let Some(told) = message.told {
+        write_position(to.reborrow().init_told(), told);
     }
-    let mut doubts = to.init_doubts(count(message.doubts.len()));
-    for (index, doubt) in (0..).zip(&message.doubts) {
-        write_doubt(doubts.reborrow().get(index), doubt);
+    if let Some(heard) = message.heard {
+        write_position(to.init_heard(), heard);
+    }
+}
+
+/// Writes the lists of a message; one without entries takes no room.
+fn write_lists(mut to: peer_message::Builder<'_>, message: &PeerMessage) {
+    if !message.members.is_empty() {
+        let mut members = to.reborrow().init_members(count(message.members.len()));
+        for (index, heard) in (0..).zip(&message.members) {
+            write_member(members.reborrow().get(index), heard);
+        }
+    }
+    if !message.loads.is_empty() {
+        let mut loads = to.reborrow().init_loads(count(message.loads.len()));
+        for (index, load) in (0..).zip(&message.loads) {
+            write_load(loads.reborrow().get(index), load);
+        }
+    }
+    if !message.reads.is_empty() {
+        let mut reads = to.reborrow().init_reads(count(message.reads.len()));
+        for (index, read) in (0..).zip(&message.reads) {
+            write_read(reads.reborrow().get(index), read);
+        }
+    }
+    if !message.doubts.is_empty() {
+        let mut doubts = to.init_doubts(count(message.doubts.len()));
+        for (index, doubt) in (0..).zip(&message.doubts) {
+            write_doubt(doubts.reborrow().get(index), doubt);
+        }
     }
 }
 
@@ -140,19 +180,27 @@
 }
 
 pub(super) fn read_message(from: peer_message::Reader<'_>) -> Result<PeerMessage, Error> {
+    let member_states = from.get_member_states()?;
+    let load_states = from.get_load_states()?;
     Ok(PeerMessage {
         sender: read_member(from.get_sender()?),
         is_brief: from.get_brief(),
+        is_probe: from.get_probe(),
         rules: read_known(from.get_rules()?),
         upstreams: read_known(from.get_upstreams()?),
+        roster: RosterDigest(from.get_roster()),
         members: from.get_members()?.iter().map(read_member).collect(),
+        member_states: (!member_states.is_empty()).then(|| MemberStates(member_states.to_vec())),
         loads: from.get_loads()?.iter().map(read_load).collect(),
+        load_states: (!load_states.is_empty()).then(|| LoadStates(load_states.to_vec())),
         reads: from.get_reads()?.iter().map(read_read).collect(),
+        told: read_position(from.get_told()?),
+        heard: read_position(from.get_heard()?),
         doubts: from.get_doubts()?.iter().map(read_doubt).collect::<Result<_, _>>()?,
     })
 }
 
-pub(super) fn write_upstream(mut to: upstream::Builder<'_>, entry: &UpstreamEntry) {
+fn write_upstream(mut to: upstream::Builder<'_>, entry: &UpstreamEntry) {
     let Some((bits, port)) = address_parts(entry.address) else { return };
     to.set_name(entry.name.as_str());
     to.set_pool(entry.pool.as_str());
@@ -179,9 +227,36 @@
     })
 }
 
-pub(super) fn read_upstreams(
-    from: capnp::struct_list::Reader<'_, upstream::Owned>,
-) -> Result<UpstreamList, Error> {
-    let entries = from.iter().map(|entry| read_upstream(entry).map(Arc::new));
-    Ok(UpstreamList { entries: entries.collect::<Result<_, _>>()? })
+fn read_upstreams(from: capnp::struct_list::Reader<'_, upstream::Owned>) -> Result<Entries, Error> {
+    from.iter().map(|entry| read_upstream(entry).map(Arc::new)).collect()
+}
+
+type Entries = Vec<Arc<UpstreamEntry>>;
+
+pub(super) fn write_list(mut to: fleet::upstreams_results::Builder<'_>, told: &ListTold) {
+    let entries = match told {
+        ListTold::Whole(list) => &list.entries,
+        ListTold::Changes { base, changes } => {
+            to.set_base(*base);
+            let mut gone = to.reborrow().init_gone(count(changes.gone.len()));
+            for (index, hash) in (0..).zip(&changes.gone) {
+                gone.set(index, hash.0);
+            }
+            &changes.came
+        }
+    };
+    let mut list = to.init_list(count(entries.len()));
+    for (index, entry) in (0..).zip(entries) {
+        write_upstream(list.reborrow().get(index), entry);
+    }
+}
+
+pub(super) fn read_list(from: fleet::upstreams_results::Reader<'_>) -> Result<ListTold, Error> {
+    let entries = read_upstreams(from.get_list()?)?;
+    let base = from.get_base();
+    if base == 0 {
+        return Ok(ListTold::Whole(UpstreamList { entries }));
+    }
+    let gone = from.get_gone()?.iter().map(NameHash).collect();
+    Ok(ListTold::Changes { base, changes: ListChanges { gone, came: entries } })
 }
--- a/crates/bendhinge_peer/src/fleet/mod.rs
+++ b/crates/bendhinge_peer/src/fleet/mod.rs
@@ -8,7 +8,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bendhinge_fleet::{Doubt, Heard, Held, UpstreamList, Version, Witness};
+use bendhinge_fleet::{
+    Doubt, Heard, Held, ListTold, LoadStates, MemberStates, NewsPosition, RosterDigest, Version, Witness,
+};
 use bendhinge_ids::{Instant, NameHash};
 use bendhinge_placement::PartId;
 use bytes::Bytes;
@@ -100,26 +102,64 @@
 }
 
 /// What one gateway tells another in an exchange.
+///
+/// It says no more than the receiver lacks, as far as the sender knows: what both list is told in a few
+/// bytes each, and reads once.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerMessage {
     /// The sender itself.
     pub sender: Heard,
     /// Whether it says only what the sender holds, and asks for no more: there is news.
     pub is_brief: bool,
+    /// Whether it asks for members alone.
+    pub is_probe: bool,
     /// The serving rules that it holds.
     pub rules: Option<Known>,
     /// The list of upstreams that it holds.
     pub upstreams: Option<Known>,
-    /// The members that it knows.
+    /// Which members it knows.
+    pub roster: RosterDigest,
+    /// The members that it knows, if the receiver may know others.
     pub members: Vec<Heard>,
-    /// What it heard from upstreams of their loads.
+    /// Their states, if the receiver knows the same ones.
+    pub member_states: Option<MemberStates>,
+    /// What it heard from upstreams of their loads, if the receiver may hold another list of them.
     pub loads: Vec<ObservedLoad>,
-    /// What it lately had upstreams read.
+    /// Their loads, if the receiver holds the same list.
+    pub load_states: Option<LoadStates>,
+    /// What upstreams read, as the sender learned lately.
     pub reads: Vec<ObservedRead>,
+    /// Up to where this message tells of the sender's reads.
+    pub told: Option<NewsPosition>,
+    /// Up to where the sender was told of the receiver's.
+    pub heard: Option<NewsPosition>,
     /// What it knows of upstreams that failed lately.
     pub doubts: Vec<ObservedDoubt>,
 }
 
+impl PeerMessage {
+    /// A message that says nothing but who sends it.
+    #[must_use]
+    pub const fn from_sender(sender: Heard) -> Self {
+        Self {
+            sender,
+            is_brief: false,
+            is_probe: false,
+            rules: None,
+            upstreams: None,
+            roster: RosterDigest(0),
+            members: Vec::new(),
+            member_states: None,
+            loads: Vec::new(),
+            load_states: None,
+            reads: Vec::new(),
+            told: None,
+            heard: None,
+            doubts: Vec::new(),
+        }
+    }
+}
+
 /// A part of all that a gateway believes upstreams to have read: of the parts of prompts whose
 /// number leaves `index` when divided by `count`. Asked for one by one, they never take much
 /// memory at either end, however many ask at once.
@@ -145,8 +185,8 @@
     fn exchange(&self, message: PeerMessage) -> PeerMessage;
     /// The document of the serving rules that are held.
     fn rules(&self) -> Option<(Known, Bytes)>;
-    /// The list of upstreams that is held.
-    fn upstreams(&self) -> Option<(Known, UpstreamList)>;
+    /// The list of upstreams that is held, for a peer that holds the one whose digest is `base`.
+    fn upstreams(&self, base: Option<u64>) -> Option<(Known, ListTold)>;
     /// All that upstreams are believed to have read; `None` just after the start.
     fn reads(&self, page: ReadsPage) -> Option<Vec<ObservedRead>>;
 }
--- a/crates/bendhinge_peer/src/fleet/server.rs
+++ b/crates/bendhinge_peer/src/fleet/server.rs
@@ -8,7 +8,7 @@
 use smol::LocalExecutor;
 use smol::net::TcpListener;
 
-use super::convert::{read_message, write_known, write_message, write_read, write_upstream};
+use super::convert::{read_message, write_known, write_list, write_message, write_read};
 use super::{FleetDuties, ReadsPage};
 use crate::answering::serve_connections;
 use crate::fleet_capnp::{document, fleet};
@@ -83,16 +83,14 @@
 
     async fn upstreams(
         self: Rc<Self>,
-        _: fleet::UpstreamsParams,
+        params: fleet::UpstreamsParams,
         mut results: fleet::UpstreamsResults,
     ) -> Result<(), Error> {
-        if let Some((known, upstreams)) = self.0.upstreams() {
+        // No list has the digest 0: it stands for none.
+        let base = params.get()?.get_base();
+        if let Some((known, told)) = self.0.upstreams((base != 0).then_some(base)) {
             write_known(results.get().init_known(), Some(&known));
-            let length = u32::try_from(upstreams.entries.len()).unwrap_or(u32::MAX);
-            let mut list = results.get().init_list(length);
-            for (index, entry) in (0..).zip(&upstreams.entries) {
-                write_upstream(list.reborrow().get(index), entry);
-            }
+            write_list(results.get(), &told);
         }
         Ok(())
     }
--- a/crates/bendhinge_peer/src/fleet_capnp.rs
+++ b/crates/bendhinge_peer/src/fleet_capnp.rs
@@ -2086,6 +2086,294 @@
     }
 }
 
+pub mod news_position {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_life(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_life(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_life(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(145, 223, 170, 238, 53, 33, 126, 213),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 78, 101, 119, 115),
+            ::capnp::word(80, 111, 115, 105, 116, 105, 111, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 105, 102, 101, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+        pub(crate) const TYPE_ID: u64 = 0xd57e_2135_eeaa_df91;
+    }
+}
+
 pub mod peer_message {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -2234,43 +2522,95 @@
             self,
         ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::fleet_capnp::load::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(4),
+                &self.reader.get_pointer_field(4),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_loads(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_reads(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::fleet_capnp::read::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(5),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_reads(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
+        #[inline]
+        pub fn get_brief(self) -> bool {
+            self.reader.get_bool_field(0)
+        }
+        #[inline]
+        pub fn get_doubts(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::fleet_capnp::doubt::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(6),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_doubts(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
+        #[inline]
+        pub fn get_told(self) -> ::capnp::Result<crate::fleet_capnp::news_position::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(7),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_loads(&self) -> bool {
-            !self.reader.get_pointer_field(4).is_null()
+        pub fn has_told(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
         }
         #[inline]
-        pub fn get_reads(
-            self,
-        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::fleet_capnp::read::Owned>> {
+        pub fn get_heard(self) -> ::capnp::Result<crate::fleet_capnp::news_position::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(5),
+                &self.reader.get_pointer_field(8),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_reads(&self) -> bool {
-            !self.reader.get_pointer_field(5).is_null()
+        pub fn has_heard(&self) -> bool {
+            !self.reader.get_pointer_field(8).is_null()
         }
         #[inline]
-        pub fn get_brief(self) -> bool {
-            self.reader.get_bool_field(0)
+        pub fn get_roster(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_doubts(
-            self,
-        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::fleet_capnp::doubt::Owned>> {
+        pub fn get_member_states(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(6),
+                &self.reader.get_pointer_field(9),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_doubts(&self) -> bool {
-            !self.reader.get_pointer_field(6).is_null()
+        pub fn has_member_states(&self) -> bool {
+            !self.reader.get_pointer_field(9).is_null()
+        }
+        #[inline]
+        pub fn get_load_states(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(10),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_load_states(&self) -> bool {
+            !self.reader.get_pointer_field(10).is_null()
+        }
+        #[inline]
+        pub fn get_probe(self) -> bool {
+            self.reader.get_bool_field(1)
         }
     }
 
@@ -2279,7 +2619,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 1, pointers: 7 };
+            ::capnp::private::layout::StructSize { data: 2, pointers: 11 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2549,6 +2889,112 @@
         pub fn has_doubts(&self) -> bool {
             !self.builder.is_pointer_field_null(6)
         }
+        #[inline]
+        pub fn get_told(self) -> ::capnp::Result<crate::fleet_capnp::news_position::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(7),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_told(
+            &mut self,
+            value: crate::fleet_capnp::news_position::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(7),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_told(self) -> crate::fleet_capnp::news_position::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), 0)
+        }
+        #[inline]
+        pub fn has_told(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
+        #[inline]
+        pub fn get_heard(self) -> ::capnp::Result<crate::fleet_capnp::news_position::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(8),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_heard(
+            &mut self,
+            value: crate::fleet_capnp::news_position::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(8),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_heard(self) -> crate::fleet_capnp::news_position::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(8), 0)
+        }
+        #[inline]
+        pub fn has_heard(&self) -> bool {
+            !self.builder.is_pointer_field_null(8)
+        }
+        #[inline]
+        pub fn get_roster(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_roster(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_member_states(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(9),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_member_states(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.reborrow().get_pointer_field(9).set_data(value);
+        }
+        #[inline]
+        pub fn init_member_states(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(9).init_data(size)
+        }
+        #[inline]
+        pub fn has_member_states(&self) -> bool {
+            !self.builder.is_pointer_field_null(9)
+        }
+        #[inline]
+        pub fn get_load_states(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(10),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_load_states(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.reborrow().get_pointer_field(10).set_data(value);
+        }
+        #[inline]
+        pub fn init_load_states(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(10).init_data(size)
+        }
+        #[inline]
+        pub fn has_load_states(&self) -> bool {
+            !self.builder.is_pointer_field_null(10)
+        }
+        #[inline]
+        pub fn get_probe(self) -> bool {
+            self.builder.get_bool_field(1)
+        }
+        #[inline]
+        pub fn set_probe(&mut self, value: bool) {
+            self.builder.set_bool_field(1, value);
+        }
     }
 
     pub struct Pipeline {
@@ -2569,82 +3015,130 @@
         pub fn get_upstreams(&self) -> crate::fleet_capnp::known::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
         }
+        pub fn get_told(&self) -> crate::fleet_capnp::news_position::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(7))
+        }
+        pub fn get_heard(&self) -> crate::fleet_capnp::news_position::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(8))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 154] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 246] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(50, 195, 17, 35, 89, 221, 79, 151),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
-            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
             ::capnp::word(77, 101, 115, 115, 97, 103, 101, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(131, 233, 241, 127, 114, 153, 209, 233),
@@ -2726,6 +3220,56 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 111, 108, 100, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 223, 170, 238, 53, 33, 126, 213),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 97, 114, 100, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 223, 170, 238, 53, 33, 126, 213),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 115, 116, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 109, 98, 101, 114, 83, 116),
+            ::capnp::word(97, 116, 101, 115, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 83, 116, 97, 116),
+            ::capnp::word(101, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 111, 98, 101, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2737,6 +3281,12 @@
                 5 => <::capnp::struct_list::Owned<crate::fleet_capnp::read::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::struct_list::Owned<crate::fleet_capnp::doubt::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                8 => <crate::fleet_capnp::news_position::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <crate::fleet_capnp::news_position::Owned as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                11 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                12 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                13 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2755,9 +3305,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[6, 7, 4, 3, 5, 1, 0, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[6, 7, 9, 12, 4, 11, 3, 13, 5, 10, 1, 0, 8, 2];
         pub(crate) const TYPE_ID: u64 = 0x974f_dd59_2311_c332;
     }
 }
@@ -5616,6 +6166,10 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_base(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
         }
 
         pub struct Builder<'a> {
@@ -5623,7 +6177,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+                ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5694,6 +6248,14 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_base(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_base(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
         }
 
         pub struct Pipeline {
@@ -5706,17 +6268,17 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(33, 152, 21, 51, 215, 181, 240, 137),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
@@ -5724,9 +6286,28 @@
                 ::capnp::word(116, 46, 117, 112, 115, 116, 114, 101),
                 ::capnp::word(97, 109, 115, 36, 80, 97, 114, 97),
                 ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(98, 97, 115, 101, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(
                 child_index: Option<u16>,
@@ -5743,9 +6324,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0x89f0_b5d7_3315_9821;
         }
     }
@@ -5875,6 +6456,21 @@
             pub fn has_list(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
+            #[inline]
+            pub fn get_base(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_gone(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u64>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(2),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_gone(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
         }
 
         pub struct Builder<'a> {
@@ -5882,7 +6478,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+                ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6008,6 +6604,40 @@
             pub fn has_list(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
+            #[inline]
+            pub fn get_base(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_base(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_gone(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u64>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(2),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_gone(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(2),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_gone(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u64> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+            }
+            #[inline]
+            pub fn has_gone(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
         }
 
         pub struct Pipeline {
@@ -6024,17 +6654,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 86] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(70, 148, 23, 144, 110, 20, 30, 155),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
@@ -6042,21 +6672,35 @@
                 ::capnp::word(116, 46, 117, 112, 115, 116, 114, 101),
                 ::capnp::word(97, 109, 115, 36, 82, 101, 115, 117),
                 ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(121, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(107, 110, 111, 119, 110, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(243, 246, 182, 43, 231, 153, 162, 219),
@@ -6077,11 +6721,33 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 97, 115, 101, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 111, 110, 101, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::fleet_capnp::known::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::struct_list::Owned<crate::fleet_capnp::upstream::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6100,9 +6766,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 0, 1];
             pub(crate) const TYPE_ID: u64 = 0x9b1e_146e_9017_9446;
         }
     }
--- a/crates/bendhinge_peer/tests/connections.rs
+++ b/crates/bendhinge_peer/tests/connections.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::UpstreamList;
+use bendhinge_fleet::ListTold;
 use bendhinge_peer::{
     FleetClient, FleetDuties, Known, ObservedRead, PeerConnection, PeerKey, PeerMessage, ReadsPage, Traffic,
     serve_fleet,
@@ -27,7 +27,7 @@
         None
     }
 
-    fn upstreams(&self) -> Option<(Known, UpstreamList)> {
+    fn upstreams(&self, _: Option<u64>) -> Option<(Known, ListTold)> {
         None
     }
 
--- a/crates/bendhinge_placement/src/kept.rs
+++ b/crates/bendhinge_placement/src/kept.rs
@@ -7,33 +7,14 @@
 
 use crate::{PartId, Prompt, PromptPart};
 
-/// A part that goes on being used is told of again after this share of the time for which it is
-/// believed to be kept.
+/// That a part goes on being used is news after this share of the time for which it is believed to be
+/// kept.
 const REPEATS: u32 = 3;
 
-/// From whom a router learned something.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LearnedFrom {
-    /// By its own requests.
-    Itself,
-    /// From another router, named by a hash of its address.
-    Router(NameHash),
-}
-
-/// When a router learned something, and from whom.
-#[derive(Clone, Copy, Debug)]
-pub struct Learned {
-    /// When.
-    pub at: Instant,
-    /// From whom.
-    pub from: LearnedFrom,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Keeper {
     upstream: NameHash,
     used: Instant,
-    learned: Learned,
 }
 
 /// That an upstream read a part.
@@ -64,50 +45,34 @@
         Self { keepers: FxHashMap::default(), believed_for }
     }
 
-    /// Notes that an upstream read the shared parts of a prompt.
-    pub fn read(&mut self, upstream: NameHash, prompt: &Prompt, now: Instant) {
-        for part in prompt.shared() {
-            let learned = Learned { at: now, from: LearnedFrom::Itself };
-            self.learn(KeptPart { part: part.id, upstream, used: now }, learned);
-        }
+    /// Notes that an upstream read the shared parts of a prompt; gives what of it is news.
+    pub fn read(&mut self, upstream: NameHash, prompt: &Prompt, now: Instant) -> Vec<KeptPart> {
+        let read = prompt.shared().iter().map(|part| KeptPart { part: part.id, upstream, used: now });
+        read.filter(|kept| self.learn(*kept)).collect()
     }
 
-    /// Takes in that an upstream read a part, for this router or another.
-    pub fn learn(&mut self, kept: KeptPart, learned: Learned) {
+    /// Takes in that an upstream read a part, for this router or another; `true` if it is news.
+    pub fn learn(&mut self, kept: KeptPart) -> bool {
         let KeptPart { part, upstream, used } = kept;
-        let believed_for = self.believed_for;
         // Most parts have one keeper, and a list that grows by itself begins with room for four.
         let keepers = self.keepers.entry(part).or_insert_with(|| Vec::with_capacity(1));
-        match keepers.iter_mut().find(|keeper| keeper.upstream == upstream) {
-            Some(keeper) => {
-                if used.since(keeper.used) > believed_for / REPEATS {
-                    keeper.learned = learned;
-                }
-                keeper.used = keeper.used.max(used);
-            }
-            None => keepers.push(Keeper { upstream, used, learned }),
-        }
+        let Some(keeper) = keepers.iter_mut().find(|keeper| keeper.upstream == upstream) else {
+            keepers.push(Keeper { upstream, used });
+            return true;
+        };
+        let is_news = used.since(keeper.used) > self.believed_for / REPEATS;
+        keeper.used = keeper.used.max(used);
+        is_news
     }
 
     /// All that is believed.
     pub fn all(&self) -> impl Iterator<Item = KeptPart> {
-        self.matching(|_| true)
-    }
-
-    /// What this router learned within the last `span` from anybody but `listener`, to tell it.
-    pub fn news_for(
-        &self,
-        listener: LearnedFrom,
-        span: Duration,
-        now: Instant,
-    ) -> impl Iterator<Item = KeptPart> {
-        self.matching(move |learned| learned.from != listener && now.since(learned.at) < span)
-    }
-
-    fn matching(&self, is_wanted: impl Fn(&Learned) -> bool + Copy) -> impl Iterator<Item = KeptPart> {
         self.keepers.iter().flat_map(move |(part, keepers)| {
-            let wanted = keepers.iter().filter(move |keeper| is_wanted(&keeper.learned));
-            wanted.map(|keeper| KeptPart { part: *part, upstream: keeper.upstream, used: keeper.used })
+            keepers.iter().map(|keeper| KeptPart {
+                part: *part,
+                upstream: keeper.upstream,
+                used: keeper.used,
+            })
         })
     }
 
--- a/crates/bendhinge_placement/src/lib.rs
+++ b/crates/bendhinge_placement/src/lib.rs
@@ -28,7 +28,7 @@
 pub use budget::AskBudget;
 pub use cost::{Candidate, Choice, ChoiceReason, CostRules, Question, choose};
 pub use displaced::DisplacedChats;
-pub use kept::{KeptPart, KeptParts, Learned, LearnedFrom};
+pub use kept::{KeptPart, KeptParts};
 pub use knowledge::{Assessment, KnownLoad, assess};
 pub use ledger::{Denied, Granted, LedgerLimits, LoadReport, PermitLedger, PermitRequest};
 pub use owner::{owner_of, rank_owners};
