--- a/crates/bendhinge_fleet/src/roster.rs
+++ b/crates/bendhinge_fleet/src/roster.rs
@@ -40,6 +40,8 @@
     pub link_mbps: u32,
     /// Who told of it last; the member itself, if it was heard directly.
     told_by: SocketAddr,
+    /// Its place among members that are alike.
+    rank_score: u64,
 }
 
 /// A member as another router tells of it.
@@ -154,6 +156,7 @@
             is_store_failing: heard.is_store_failing,
             link_mbps: heard.link_mbps,
             told_by,
+            rank_score: rank_score(heard.address),
         };
         let before = self.members.get(&heard.address);
         if before.is_some_and(|before| before.heard >= member.heard) {
@@ -217,12 +220,10 @@
     /// again and again and hands them to several others: with a megabyte of rules that alone fills a
     /// link of 10 Mbit/s.
     fn ranked(&self, own_reads_fail: bool, now: Instant) -> Vec<SocketAddr> {
-        let place = |fails: bool, link_mbps: u32, address: SocketAddr| {
-            (fails, Reverse(link_mbps), rank_score(address), address)
-        };
-        let own = place(own_reads_fail, self.own_link_mbps, self.own);
-        let others =
-            self.live(now).map(|(address, member)| place(member.is_store_failing, member.link_mbps, address));
+        let own = (own_reads_fail, Reverse(self.own_link_mbps), rank_score(self.own), self.own);
+        let others = self.live(now).map(|(address, member)| {
+            (member.is_store_failing, Reverse(member.link_mbps), member.rank_score, address)
+        });
         let mut ranked: Vec<_> = others.chain([own]).collect();
         ranked.sort_unstable();
         ranked.into_iter().map(|(.., address)| address).collect()
--- a/crates/bendhinge_lab/tests/gateway_exchange.rs
+++ b/crates/bendhinge_lab/tests/gateway_exchange.rs
@@ -7,17 +7,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bendhinge_fleet::{ListTold, NewsLife, NewsPosition};
 use bendhinge_ids::NameHash;
 use bendhinge_lab::gateways::{FleetShape, GatewayFleet, PEER_KEY, Told, until};
 use bendhinge_peer::{
-    FleetClient, ObservedDoubt, ObservedFailure, ObservedLoad, PeerConnection, PeerKey, PeerMessage, Traffic,
+    FleetClient, ObservedDoubt, ObservedFailure, ObservedLoad, ObservedRead, PeerConnection, PeerKey,
+    PeerMessage, Traffic,
 };
+use bendhinge_placement::PartId;
 use gateway_common::{call, message_from, run, send, start};
 use smol::LocalExecutor;
 
 /// Where the test's own peer would be reached: it asks, and answers nobody.
 const OWN: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 9);
 
+/// Where another of the test's peers would be.
+const OTHER: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 10);
+
 /// A whole message that says nothing.
 fn message() -> PeerMessage {
     message_from(OWN)
@@ -89,3 +95,90 @@
         assert!(fleet.upstreams[0].runs().is_empty());
     });
 }
+
+/// Both ends know the same members and hold the same list: a message then names neither.
+#[test]
+fn who_knows_the_same_is_told_states_and_an_older_gateway_everything() {
+    run(|tasks| async move {
+        let executor = Rc::new(LocalExecutor::new());
+        let fleet = start(&tasks, FleetShape { gateways: 1, engines: 2, services: 1 }).await;
+        let asked = fleet.settings[0].addresses["peers"];
+        let load = ObservedLoad {
+            upstream: NameHash::of("engines-1"),
+            in_progress: 6,
+            age: Duration::from_millis(5),
+        };
+        let asking = async {
+            let peer = peer(&executor, asked).await;
+            let told = PeerMessage { loads: vec![load], ..message() };
+            let in_full = peer.exchange(&told).await.unwrap();
+            let same = PeerMessage { roster: in_full.roster, upstreams: in_full.upstreams, ..message() };
+            (in_full, peer.exchange(&same).await.unwrap())
+        };
+        let (in_full, in_states) = executor.run(asking).await;
+        // The first question says nothing of what its sender knows, as an older gateway's would.
+        assert!(in_full.members.iter().any(|member| member.address == OWN));
+        assert!(!in_full.loads.is_empty());
+        assert_eq!((&in_full.member_states, &in_full.load_states), (&None, &None));
+        assert!(in_states.members.is_empty() && in_states.loads.is_empty());
+        assert_eq!(in_states.member_states.unwrap().0.len(), 2, "itself and its peer");
+        let loads = in_states.load_states.unwrap().0;
+        assert_eq!(loads.len(), 2 * 3, "of three upstreams");
+        assert!(
+            loads[..3].iter().all(|load| *load == u8::MAX),
+            "nothing that the peer told itself: {loads:?}"
+        );
+    });
+}
+
+/// Who holds a list that is remembered is told what changed since.
+#[test]
+fn a_list_is_told_as_changes_to_who_holds_one_before() {
+    run(|tasks| async move {
+        let executor = Rc::new(LocalExecutor::new());
+        let fleet = start(&tasks, FleetShape { gateways: 1, engines: 2, services: 0 }).await;
+        let asked = fleet.settings[0].addresses["peers"];
+        let asking = async {
+            let peer = peer(&executor, asked).await;
+            let (known, whole) = peer.upstreams(None).await.unwrap().unwrap();
+            let (_, since) = peer.upstreams(Some(known.version.digest)).await.unwrap().unwrap();
+            let (_, since_unknown) = peer.upstreams(Some(known.version.digest + 1)).await.unwrap().unwrap();
+            (known, whole, since, since_unknown)
+        };
+        let (known, whole, since, since_unknown) = executor.run(asking).await;
+        let ListTold::Whole(list) = &whole else { panic!("{whole:?}") };
+        assert_eq!((list.entries.len(), list.digest()), (2, known.version.digest));
+        let ListTold::Changes { base, changes } = since else { panic!("{since:?}") };
+        assert_eq!(base, known.version.digest);
+        assert!(changes.gone.is_empty() && changes.came.is_empty());
+        assert_eq!(since_unknown, whole);
+    });
+}
+
+/// What upstreams read is told once to whoever says up to where it heard.
+#[test]
+fn reads_are_told_once_and_again_to_a_new_life() {
+    run(|tasks| async move {
+        let executor = Rc::new(LocalExecutor::new());
+        let fleet = start(&tasks, FleetShape { gateways: 1, engines: 1, services: 0 }).await;
+        let asked = fleet.settings[0].addresses["peers"];
+        let read = ObservedRead {
+            part: PartId(7),
+            upstream: NameHash::of("engines-0"),
+            age: Duration::from_millis(3),
+        };
+        let asking = async {
+            let peer = peer(&executor, asked).await;
+            let telling = PeerMessage { reads: vec![read], ..message_from(OTHER) };
+            peer.exchange(&telling).await.unwrap();
+            let first = peer.exchange(&message()).await.unwrap();
+            let heard = PeerMessage { heard: first.told, ..message() };
+            let second = peer.exchange(&heard).await.unwrap();
+            let other_life = first.told.map(|told| NewsPosition { life: NewsLife(told.life.0 ^ 1), ..told });
+            let third = peer.exchange(&PeerMessage { heard: other_life, ..message() }).await.unwrap();
+            [first, second, third].map(|answer| answer.reads.iter().map(|read| read.part).collect::<Vec<_>>())
+        };
+        let told = executor.run(asking).await;
+        assert_eq!(told, [vec![PartId(7)], vec![], vec![PartId(7)]]);
+    });
+}
