Nobody is told a doubt that it told; a start reads list and rules in one call

Change: who holds neither reads both in one call, which may take as long as large rules need. Two witnesses of a doubt are kept: if an answer is later than all but one of them, so is it of any others. The test of a doubt that is told on asked as the one that told it; it now asks as another, and sees that the first is told nothing.

--- a/crates/bendhinge_fleet/src/evidence.rs
+++ b/crates/bendhinge_fleet/src/evidence.rs
@@ -10,14 +10,12 @@
 use bendhinge_ids::{Instant, NameHash};
 use rustc_hash::FxHashMap;
 
-use crate::UpstreamFailure;
+use crate::{LearnedFrom, UpstreamFailure};
 
 /// How long a failure counts: some rounds of exchanges, so that it reaches everybody.
 const COUNTS_FOR: Duration = Duration::from_secs(3);
 /// Routers that must have had a failure. Two can both be at fault, but then others have answers.
 const WITNESSES: usize = 2;
-/// Of so many routers the last failure is remembered, beyond which more prove nothing.
-const WITNESSES_KEPT: usize = 4;
 /// For how long a doubt is told after it changed: two rounds of exchanges, so that one that fails costs
 /// nothing. When many upstreams fail a part of their requests, as many doubts are held for seconds: told in
 /// each message they were nine tenths of what 295 routers told each other.
@@ -72,9 +70,10 @@
             Some(known) => known.at = known.at.max(heard.at),
             None => self.witnesses.push(heard),
         }
-        if self.witnesses.len() > WITNESSES_KEPT {
+        // If an answer is later than all but one of the last ones, it is later than all others too.
+        if self.witnesses.len() > WITNESSES {
             self.witnesses.sort_unstable_by_key(|witness| std::cmp::Reverse(witness.at));
-            self.witnesses.truncate(WITNESSES_KEPT);
+            self.witnesses.truncate(WITNESSES);
         }
     }
 }
@@ -84,20 +83,28 @@
 struct Held {
     doubt: Doubt,
     told: Doubt,
-    changed: Option<Instant>,
+    changed: Option<Change>,
+}
+
+/// When a doubt last changed, and by whom.
+#[derive(Clone, Copy, Debug)]
+struct Change {
+    at: Instant,
+    /// Who told of it, unless that one has to learn how the doubt stands.
+    by: LearnedFrom,
 }
 
 impl Held {
-    /// Notes whether others have to know how the doubt stands now.
-    fn note_change(&mut self, now: Instant) {
+    /// Notes whether others have to know how the doubt stands now, as `by` has it.
+    fn note_change(&mut self, by: LearnedFrom, now: Instant) {
         if self.doubt.differs(&self.told, now) {
             self.told.clone_from(&self.doubt);
-            self.changed = Some(now);
+            self.changed = Some(Change { at: now, by });
         }
     }
 
-    fn is_told(&self, now: Instant) -> bool {
-        self.changed.is_some_and(|changed| now.since(changed) < TOLD_FOR)
+    fn is_told(&self, listener: LearnedFrom, now: Instant) -> bool {
+        self.changed.is_some_and(|change| change.by != listener && now.since(change.at) < TOLD_FOR)
     }
 }
 
@@ -135,7 +142,7 @@
         self.own_answers.insert(upstream, now);
         if let Some(held) = self.doubts.get_mut(&upstream) {
             held.doubt.answered = held.doubt.answered.max(Some(now));
-            held.note_change(now);
+            held.note_change(LearnedFrom::Itself, now);
         }
     }
 
@@ -152,7 +159,7 @@
         let witness = Witness { router: self.own, at };
         let held = self.held(upstream);
         held.doubt.add(witness);
-        held.note_change(now);
+        held.note_change(LearnedFrom::Itself, now);
     }
 
     fn held(&mut self, upstream: NameHash) -> &mut Held {
@@ -161,8 +168,8 @@
         self.doubts.entry(upstream).or_insert_with(|| Held { doubt: none(), told: none(), changed: None })
     }
 
-    /// Takes in what another router knows of an upstream.
-    pub fn hear(&mut self, upstream: NameHash, heard: &Doubt, now: Instant) -> Verdict {
+    /// Takes in what another router, `from`, knows of an upstream.
+    pub fn hear(&mut self, upstream: NameHash, heard: &Doubt, from: LearnedFrom, now: Instant) -> Verdict {
         let held = self.held(upstream);
         let doubt = &mut held.doubt;
         let was_suspect = doubt.is_suspect(now);
@@ -170,9 +177,9 @@
         heard.witnesses.iter().for_each(|witness| doubt.add(*witness));
         let is_suspect = doubt.is_suspect(now);
         let is_news_to_teller = doubt.strength(now) != heard.strength(now);
-        held.note_change(now);
+        held.note_change(from, now);
         if is_news_to_teller {
-            held.changed = Some(now);
+            held.changed = Some(Change { at: now, by: LearnedFrom::Itself });
         }
         match (was_suspect, is_suspect) {
             (false, true) => Verdict::Suspect,
@@ -181,9 +188,13 @@
         }
     }
 
-    /// What changed lately of upstreams that fail, to tell others.
-    pub fn doubts(&self, now: Instant) -> impl Iterator<Item = (NameHash, &Doubt)> {
-        let told = self.doubts.iter().filter(move |(_, held)| held.is_told(now));
+    /// What changed lately of upstreams that fail, to tell `listener`.
+    pub fn doubts_for(
+        &self,
+        listener: LearnedFrom,
+        now: Instant,
+    ) -> impl Iterator<Item = (NameHash, &Doubt)> {
+        let told = self.doubts.iter().filter(move |(_, held)| held.is_told(listener, now));
         told.map(|(upstream, held)| (*upstream, &held.doubt))
     }
 
--- a/crates/bendhinge_gateway/src/control/message.rs
+++ b/crates/bendhinge_gateway/src/control/message.rs
@@ -52,7 +52,7 @@
         tell_members(control, listener, &mut message, now);
     }
     if content == Content::Whole {
-        message.doubts = upstreams.doubts_to_tell(now);
+        message.doubts = upstreams.doubts_to_tell(listener, now);
         tell_loads(control, listener, &mut message, now);
         tell_reads(control, listener, question, &mut message, now);
     }
@@ -115,7 +115,7 @@
     if let (Some(states), Some(known)) = (&message.load_states, message.upstreams) {
         upstreams.hear_load_states(states, known.version, from, as_of);
     }
-    for upstream in upstreams.hear_doubts(&message.doubts, as_of) {
+    for upstream in upstreams.hear_doubts(&message.doubts, from, as_of) {
         control.delivering.log.upstream_suspected(&upstream.name, from);
         control.delivering.metrics.upstream_suspected();
     }
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -78,7 +78,8 @@
             Timer::after(wait.min(LOOK)).await;
             continue;
         }
-        let part = if control.reads_rules_along() { StorePart::All } else { StorePart::Upstreams };
+        let reads_all = control.reads_rules_along() || control.knows_nothing();
+        let part = if reads_all { StorePart::All } else { StorePart::Upstreams };
         control.read(part, &control.upstreams_reading).await;
     }
 }
@@ -86,7 +87,7 @@
 /// Reads rules that are not read along with the list whenever it is due, for ever.
 pub(super) async fn read_rules(control: Rc<Control>) {
     loop {
-        let wait = if control.reads_rules_along() {
+        let wait = if control.reads_rules_along() || control.knows_nothing() {
             LOOK
         } else if control.upstreams_reading.is_failing() {
             // Whether the store is back is found out with the list, which is small.
@@ -132,7 +133,8 @@
     let store = &control.settings.store;
     let request = Request::get(dialect.page_path(part, after)).header("host", store.address.to_string());
     let request = request.body(empty_body()).map_err(|error| TranslateError::new("the path", &error))?;
-    let whole = if part == StorePart::Rules { RULES_TIME } else { store.call };
+    let may_be_large = part == StorePart::Rules || control.knows_nothing();
+    let whole = if may_be_large { RULES_TIME } else { store.call };
     let time = FetchTime { silence: store.call, whole };
     let fetched: Fetched =
         fetch(&control.delivering.pool, store.address, request, LARGEST_PAGE, time).await?;
@@ -187,6 +189,14 @@
         is_small && !self.is_read_along_slow.get()
     }
 
+    /// Whether the process has just started, as far as the store is concerned: it can serve nothing before it has both
+    /// the list and the rules, so both are read in one call. 295 boxes that start together make as many calls
+    /// and not twice as many. It is over with the first list, which may come without rules, and with a read that took too long.
+    fn knows_nothing(&self) -> bool {
+        let is_empty = self.delivering.rules.current().is_none() && !self.delivering.upstreams.is_known();
+        is_empty && !self.is_read_along_slow.get()
+    }
+
     /// How long it takes to read large rules on this box's link.
     fn rules_cost(&self) -> Duration {
         /// The store hands out a value as base64.
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -232,21 +232,27 @@
         state.judge.failed(upstream, failure, now)
     }
 
-    /// What to tell others of upstreams that failed lately.
-    pub(crate) fn doubts_to_tell(&self, now: Instant) -> Vec<ObservedDoubt> {
+    /// What to tell the gateway at `listener` of upstreams that failed lately.
+    pub(crate) fn doubts_to_tell(&self, listener: SocketAddr, now: Instant) -> Vec<ObservedDoubt> {
         let state = self.state.lock().unwrap();
-        state.evidence.doubts(now).map(|(upstream, doubt)| ObservedDoubt::of(upstream, doubt, now)).collect()
+        let doubts = state.evidence.doubts_for(learned_from(listener), now);
+        doubts.map(|(upstream, doubt)| ObservedDoubt::of(upstream, doubt, now)).collect()
     }
 
-    /// Takes in what another gateway knows of upstreams that failed, as of `as_of`; gives those that
+    /// Takes in what the gateway at `from` knows of upstreams that failed, as of `as_of`; gives those that
     /// rest because of it.
-    pub(crate) fn hear_doubts(&self, doubts: &[ObservedDoubt], as_of: Instant) -> Vec<Arc<UpstreamEntry>> {
+    pub(crate) fn hear_doubts(
+        &self,
+        doubts: &[ObservedDoubt],
+        from: SocketAddr,
+        as_of: Instant,
+    ) -> Vec<Arc<UpstreamEntry>> {
         let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
         let State { directory, judge, evidence, .. } = &mut *state;
         let mut resting = Vec::new();
         for heard in doubts.iter().filter(|heard| directory.lists(heard.upstream)) {
-            match evidence.hear(heard.upstream, &heard.as_of(as_of), now) {
+            match evidence.hear(heard.upstream, &heard.as_of(as_of), learned_from(from), now) {
                 Verdict::Cleared => judge.cleared(heard.upstream),
                 Verdict::Suspect if judge.suspected(heard.upstream, now) => {
                     let listed = directory.listed().iter().find(|listed| listed.entry.hash == heard.upstream);
--- a/crates/bendhinge_lab/tests/gateway_exchange.rs
+++ b/crates/bendhinge_lab/tests/gateway_exchange.rs
@@ -81,7 +81,9 @@
         let telling = async {
             let peer = peer(&executor, asked).await;
             let told = PeerMessage { doubts: vec![doubt.clone()], ..message() };
-            peer.exchange(&told).await.unwrap().doubts
+            let told_back = peer.exchange(&told).await.unwrap().doubts;
+            assert_eq!(told_back, [], "who told of it knows it");
+            peer.exchange(&message_from(OTHER)).await.unwrap().doubts
         };
         let doubts = executor.run(telling).await;
         assert_eq!(doubts.len(), 1, "it is told on: {doubts:?}");
@@ -178,7 +180,7 @@
             let third = peer.exchange(&PeerMessage { heard: other_life, ..message() }).await.unwrap();
             [first, second, third].map(|answer| answer.reads.iter().map(|read| read.part).collect::<Vec<_>>())
         };
-        let told = executor.run(asking).await;
+        let told = Box::pin(executor.run(asking)).await;
         assert_eq!(told, [vec![PartId(7)], vec![], vec![PartId(7)]]);
     });
 }
