--- a/crates/bendhinge_fleet/src/reading.rs
+++ b/crates/bendhinge_fleet/src/reading.rs
@@ -38,6 +38,11 @@
 /// reaches nobody has the first rank as soon as it counts the others as dead, and that rank's pause.
 const LONGEST_URGENT_PAUSE: Duration = Duration::from_secs(30);
 
+/// The shortest pause after a read that found the store empty. Nobody can be served before it holds
+/// something, and a fleet that has just started needs about as long to know its ranks: before that, each of
+/// its routers takes itself for one of the first.
+const EMPTY_PAUSE: Duration = Duration::from_secs(1);
+
 /// One router's plan.
 #[derive(Debug)]
 pub struct ReadingPlan {
@@ -97,9 +102,10 @@
     #[must_use]
     pub fn wait(&self, age: Option<Duration>, rank: usize, cost: Duration, now: Instant) -> Duration {
         let until_due = match age {
-            None => self
-                .answered_at
-                .map_or(Duration::ZERO, |at| self.urgent_pause(rank).saturating_sub(now.since(at))),
+            None => self.answered_at.map_or(Duration::ZERO, |at| {
+                let pause = self.urgent_pause(rank).max(EMPTY_PAUSE);
+                pause.saturating_sub(now.since(at))
+            }),
             Some(age) => self.patience(rank, cost).saturating_sub(age),
         };
         let Some(failed_at) = self.failed_at else { return until_due };
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -154,6 +154,10 @@
         match contents {
             Ok(contents) => {
                 reading.plan.borrow_mut().succeeded(now);
+                if part == StorePart::All {
+                    // Rules that it did not hold are not asked for again at once.
+                    self.rules_reading.plan.borrow_mut().succeeded(now);
+                }
                 if part == StorePart::Rules {
                     self.is_read_along_slow.set(false);
                 }
