--- /dev/null
+++ b/crates/bendhinge_gateway/src/knowledge/telling.rs
@@ -0,0 +1,164 @@
+//! What this gateway tells others of upstreams, and what it takes from what they tell.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bendhinge_fleet::{
+    LearnedFrom, ListChanges, ListTold, LoadSaid, LoadStates, NewsTold, UpstreamEntry, UpstreamList, Verdict,
+    Version,
+};
+use bendhinge_ids::{Instant, NameHash};
+use bendhinge_peer::{ObservedDoubt, ObservedLoad, ObservedRead, ReadsPage};
+use bendhinge_placement::KeptPart;
+
+use super::upstreams::{State, UpstreamView};
+
+impl UpstreamView {
+    /// What to tell the gateway at `listener` of upstreams that failed lately.
+    pub(crate) fn doubts_to_tell(&self, listener: SocketAddr, now: Instant) -> Vec<ObservedDoubt> {
+        let state = self.state.lock().unwrap();
+        let doubts = state.evidence.doubts_for(learned_from(listener), now);
+        doubts.map(|(upstream, doubt)| ObservedDoubt::of(upstream, doubt, now)).collect()
+    }
+
+    /// Takes in what the gateway at `from` knows of upstreams that failed, as of `as_of`; gives those that
+    /// rest because of it.
+    pub(crate) fn hear_doubts(
+        &self,
+        doubts: &[ObservedDoubt],
+        from: SocketAddr,
+        as_of: Instant,
+    ) -> Vec<Arc<UpstreamEntry>> {
+        let now = bendhinge_clock::now();
+        let mut state = self.state.lock().unwrap();
+        let State { directory, judge, evidence, .. } = &mut *state;
+        let mut resting = Vec::new();
+        for heard in doubts.iter().filter(|heard| directory.lists(heard.upstream)) {
+            match evidence.hear(heard.upstream, &heard.as_of(as_of), learned_from(from), now) {
+                Verdict::Cleared => judge.cleared(heard.upstream),
+                Verdict::Suspect if judge.suspected(heard.upstream, now) => {
+                    let listed = directory.listed().iter().find(|listed| listed.entry.hash == heard.upstream);
+                    resting.extend(listed.map(|listed| Arc::clone(&listed.entry)));
+                }
+                Verdict::Unchanged | Verdict::Suspect => {}
+            }
+        }
+        resting
+    }
+
+    /// What to tell others of loads, whatever list they hold.
+    pub(crate) fn loads_to_tell(&self, now: Instant) -> Vec<ObservedLoad> {
+        let state = self.state.lock().unwrap();
+        let told = state.loads.to_tell(now).map(|said| ObservedLoad {
+            upstream: said.upstream,
+            in_progress: u16::try_from(said.in_progress).unwrap_or(u16::MAX),
+            age: now.since(said.at),
+        });
+        told.collect()
+    }
+
+    /// What to tell the gateway at `listener` of loads, which holds the same list.
+    pub(crate) fn load_states_to_tell(&self, listener: SocketAddr, now: Instant) -> Option<LoadStates> {
+        let state = self.state.lock().unwrap();
+        let list = state.belief.value()?;
+        let listed = list.entries.iter().map(|entry| entry.hash);
+        Some(state.loads.states_for(learned_from(listener), listed, now))
+    }
+
+    /// Takes in what the gateway at `from` heard of loads, its ages counted from `as_of`.
+    pub(crate) fn hear_loads(&self, loads: &[ObservedLoad], from: SocketAddr, as_of: Instant) {
+        let mut state = self.state.lock().unwrap();
+        for load in loads {
+            let at = as_of - load.age;
+            let said = LoadSaid { upstream: load.upstream, in_progress: load.in_progress.into(), at };
+            state.loads.learn(said, learned_from(from));
+        }
+    }
+
+    /// The same, of the upstreams of the list that is held as `version`; nothing is taken if it is not.
+    pub(crate) fn hear_load_states(
+        &self,
+        states: &LoadStates,
+        version: Version,
+        from: SocketAddr,
+        as_of: Instant,
+    ) {
+        let mut state = self.state.lock().unwrap();
+        let State { belief, loads, .. } = &mut *state;
+        let Some(held) = belief.held().filter(|held| held.version.digest == version.digest) else { return };
+        let listed = held.value.entries.iter().map(|entry| entry.hash);
+        loads.hear_states(states, listed, learned_from(from), as_of);
+    }
+
+    /// What to tell the gateway at `listener` of parts that upstreams read, which was told up to the number
+    /// `told`.
+    pub(crate) fn reads_to_tell(
+        &self,
+        listener: SocketAddr,
+        told: Option<u64>,
+        now: Instant,
+    ) -> NewsTold<KeptPart> {
+        self.state.lock().unwrap().news.since(told, learned_from(listener), now)
+    }
+
+    /// A part of all that upstreams are believed to have read.
+    pub(crate) fn all_reads(&self, page: ReadsPage, now: Instant) -> Vec<ObservedRead> {
+        let state = self.state.lock().unwrap();
+        let on_page = state.kept.all().filter(|kept| page.holds(kept.part));
+        on_page.map(|kept| observed_read(kept, now)).collect()
+    }
+
+    /// Takes in what others told at once, or an upstream listed: it is not told of again.
+    pub(crate) fn recover_reads(&self, reads: &[ObservedRead]) {
+        let now = bendhinge_clock::now();
+        let mut state = self.state.lock().unwrap();
+        for read in reads {
+            state.kept.learn(kept_part(read, now));
+        }
+    }
+
+    /// Takes in which parts upstreams read, as the gateway at `from` told in an exchange that
+    /// began at `asked`.
+    pub(crate) fn hear_reads(&self, reads: &[ObservedRead], from: SocketAddr, asked: Instant) {
+        let now = bendhinge_clock::now();
+        let mut state = self.state.lock().unwrap();
+        for read in reads {
+            let kept = kept_part(read, asked);
+            if state.kept.learn(kept) {
+                state.news.push(kept, learned_from(from), now);
+            }
+        }
+    }
+
+    /// The list that is held, as it is told to a peer that holds the one whose digest is `base`.
+    pub(crate) fn list_to_tell(&self, base: Option<u64>) -> Option<ListTold> {
+        let state = self.state.lock().unwrap();
+        let list = state.belief.value()?;
+        Some(state.history.tell(list, base))
+    }
+
+    /// The list that is held with `changes` made, if it is the one whose digest is `base`.
+    pub(crate) fn list_with(&self, base: u64, changes: &ListChanges) -> Option<UpstreamList> {
+        let state = self.state.lock().unwrap();
+        let held = state.belief.held().filter(|held| held.version.digest == base)?;
+        Some(held.value.with(changes))
+    }
+}
+
+/// The gateway at `address` as one from whom something is learned.
+fn learned_from(address: SocketAddr) -> LearnedFrom {
+    LearnedFrom::Router(router_hash(address))
+}
+
+pub(super) fn router_hash(address: SocketAddr) -> NameHash {
+    NameHash::of(&address.to_string())
+}
+
+/// What a read whose age counts from `as_of` says.
+fn kept_part(read: &ObservedRead, as_of: Instant) -> KeptPart {
+    KeptPart { part: read.part, upstream: read.upstream, used: as_of - read.age }
+}
+
+pub(crate) fn observed_read(kept: KeptPart, now: Instant) -> ObservedRead {
+    ObservedRead { part: kept.part, upstream: kept.upstream, age: now.since(kept.used) }
+}
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -5,17 +5,17 @@
 use std::time::Duration;
 
 use bendhinge_fleet::{
-    Belief, Directory, Evidence, Judge, LearnedFrom, ListChanges, ListHistory, ListTold, Listed, LoadSaid,
-    LoadStates, Loads, NewsLimits, NewsLog, NewsTold, Offer, Standing, UpstreamEntry, UpstreamFailure,
-    UpstreamList, Verdict, Version,
+    Belief, Directory, Evidence, Judge, LearnedFrom, ListHistory, Listed, LoadSaid, Loads, NewsLimits,
+    NewsLog, Offer, Standing, UpstreamEntry, UpstreamFailure, UpstreamList, Version,
 };
 use bendhinge_ids::{Instant, NameHash, PoolName};
-use bendhinge_peer::{Known, ObservedDoubt, ObservedLoad, ObservedRead, ReadsPage};
+use bendhinge_peer::Known;
 use bendhinge_placement::{
     Candidate, ChoiceReason, CostRules, KeptPart, KeptParts, Prompt, Question, choose,
 };
 use bendhinge_routes::PoolRule;
 
+use super::telling::router_hash;
 use crate::dialect;
 use crate::settings::UpstreamSettings;
 
@@ -64,22 +64,22 @@
     pub(crate) _place: Place,
 }
 
-struct State {
-    belief: Belief<UpstreamList>,
-    directory: Directory,
-    judge: Judge,
-    evidence: Evidence,
-    loads: Loads,
-    kept: KeptParts,
+pub(super) struct State {
+    pub(super) belief: Belief<UpstreamList>,
+    pub(super) directory: Directory,
+    pub(super) judge: Judge,
+    pub(super) evidence: Evidence,
+    pub(super) loads: Loads,
+    pub(super) kept: KeptParts,
     /// What was learned lately of what upstreams keep.
-    news: NewsLog<KeptPart>,
+    pub(super) news: NewsLog<KeptPart>,
     /// The lists that were held lately.
-    history: ListHistory,
+    pub(super) history: ListHistory,
 }
 
 /// This gateway's view of the upstreams.
 pub(crate) struct UpstreamView {
-    state: Mutex<State>,
+    pub(super) state: Mutex<State>,
     costs: CostRules,
 }
 
@@ -129,20 +129,6 @@
         self.state.lock().unwrap().belief.value().cloned()
     }
 
-    /// The list that is held, as it is told to a peer that holds the one whose digest is `base`.
-    pub(crate) fn list_to_tell(&self, base: Option<u64>) -> Option<ListTold> {
-        let state = self.state.lock().unwrap();
-        let list = state.belief.value()?;
-        Some(state.history.tell(list, base))
-    }
-
-    /// The list that is held with `changes` made, if it is the one whose digest is `base`.
-    pub(crate) fn list_with(&self, base: u64, changes: &ListChanges) -> Option<UpstreamList> {
-        let state = self.state.lock().unwrap();
-        let held = state.belief.held().filter(|held| held.version.digest == base)?;
-        Some(held.value.with(changes))
-    }
-
     pub(crate) fn lacks(&self, version: Version) -> bool {
         self.state.lock().unwrap().belief.lacks(version)
     }
@@ -233,38 +219,6 @@
         state.judge.failed(upstream, failure, now)
     }
 
-    /// What to tell the gateway at `listener` of upstreams that failed lately.
-    pub(crate) fn doubts_to_tell(&self, listener: SocketAddr, now: Instant) -> Vec<ObservedDoubt> {
-        let state = self.state.lock().unwrap();
-        let doubts = state.evidence.doubts_for(learned_from(listener), now);
-        doubts.map(|(upstream, doubt)| ObservedDoubt::of(upstream, doubt, now)).collect()
-    }
-
-    /// Takes in what the gateway at `from` knows of upstreams that failed, as of `as_of`; gives those that
-    /// rest because of it.
-    pub(crate) fn hear_doubts(
-        &self,
-        doubts: &[ObservedDoubt],
-        from: SocketAddr,
-        as_of: Instant,
-    ) -> Vec<Arc<UpstreamEntry>> {
-        let now = bendhinge_clock::now();
-        let mut state = self.state.lock().unwrap();
-        let State { directory, judge, evidence, .. } = &mut *state;
-        let mut resting = Vec::new();
-        for heard in doubts.iter().filter(|heard| directory.lists(heard.upstream)) {
-            match evidence.hear(heard.upstream, &heard.as_of(as_of), learned_from(from), now) {
-                Verdict::Cleared => judge.cleared(heard.upstream),
-                Verdict::Suspect if judge.suspected(heard.upstream, now) => {
-                    let listed = directory.listed().iter().find(|listed| listed.entry.hash == heard.upstream);
-                    resting.extend(listed.map(|listed| Arc::clone(&listed.entry)));
-                }
-                Verdict::Unchanged | Verdict::Suspect => {}
-            }
-        }
-        resting
-    }
-
     /// Notes what an upstream said of its load.
     pub(crate) fn load_said(&self, upstream: NameHash, load: dialect::LoadSaid) {
         let in_progress = load.running + load.waiting;
@@ -272,68 +226,6 @@
         self.state.lock().unwrap().loads.learn(said, LearnedFrom::Itself);
     }
 
-    /// What to tell others of loads, whatever list they hold.
-    pub(crate) fn loads_to_tell(&self, now: Instant) -> Vec<ObservedLoad> {
-        let state = self.state.lock().unwrap();
-        let told = state.loads.to_tell(now).map(|said| ObservedLoad {
-            upstream: said.upstream,
-            in_progress: u16::try_from(said.in_progress).unwrap_or(u16::MAX),
-            age: now.since(said.at),
-        });
-        told.collect()
-    }
-
-    /// What to tell the gateway at `listener` of loads, which holds the same list.
-    pub(crate) fn load_states_to_tell(&self, listener: SocketAddr, now: Instant) -> Option<LoadStates> {
-        let state = self.state.lock().unwrap();
-        let list = state.belief.value()?;
-        let listed = list.entries.iter().map(|entry| entry.hash);
-        Some(state.loads.states_for(learned_from(listener), listed, now))
-    }
-
-    /// Takes in what the gateway at `from` heard of loads, its ages counted from `as_of`.
-    pub(crate) fn hear_loads(&self, loads: &[ObservedLoad], from: SocketAddr, as_of: Instant) {
-        let mut state = self.state.lock().unwrap();
-        for load in loads {
-            let at = as_of - load.age;
-            let said = LoadSaid { upstream: load.upstream, in_progress: load.in_progress.into(), at };
-            state.loads.learn(said, learned_from(from));
-        }
-    }
-
-    /// The same, of the upstreams of the list that is held as `version`; nothing is taken if it is not.
-    pub(crate) fn hear_load_states(
-        &self,
-        states: &LoadStates,
-        version: Version,
-        from: SocketAddr,
-        as_of: Instant,
-    ) {
-        let mut state = self.state.lock().unwrap();
-        let State { belief, loads, .. } = &mut *state;
-        let Some(held) = belief.held().filter(|held| held.version.digest == version.digest) else { return };
-        let listed = held.value.entries.iter().map(|entry| entry.hash);
-        loads.hear_states(states, listed, learned_from(from), as_of);
-    }
-
-    /// What to tell the gateway at `listener` of parts that upstreams read, which was told up to the number
-    /// `told`.
-    pub(crate) fn reads_to_tell(
-        &self,
-        listener: SocketAddr,
-        told: Option<u64>,
-        now: Instant,
-    ) -> NewsTold<KeptPart> {
-        self.state.lock().unwrap().news.since(told, learned_from(listener), now)
-    }
-
-    /// A part of all that upstreams are believed to have read.
-    pub(crate) fn all_reads(&self, page: ReadsPage, now: Instant) -> Vec<ObservedRead> {
-        let state = self.state.lock().unwrap();
-        let on_page = state.kept.all().filter(|kept| page.holds(kept.part));
-        on_page.map(|kept| observed_read(kept, now)).collect()
-    }
-
     /// The upstreams that take work, of pools for which `keeps_prompts` holds.
     pub(crate) fn keeping(&self, keeps_prompts: impl Fn(&PoolName) -> bool) -> Vec<Arc<UpstreamEntry>> {
         let state = self.state.lock().unwrap();
@@ -341,28 +233,6 @@
         listed.map(|listed| Arc::clone(&listed.entry)).filter(|entry| keeps_prompts(&entry.pool)).collect()
     }
 
-    /// Takes in what others told at once, or an upstream listed: it is not told of again.
-    pub(crate) fn recover_reads(&self, reads: &[ObservedRead]) {
-        let now = bendhinge_clock::now();
-        let mut state = self.state.lock().unwrap();
-        for read in reads {
-            state.kept.learn(kept_part(read, now));
-        }
-    }
-
-    /// Takes in which parts upstreams read, as the gateway at `from` told in an exchange that
-    /// began at `asked`.
-    pub(crate) fn hear_reads(&self, reads: &[ObservedRead], from: SocketAddr, asked: Instant) {
-        let now = bendhinge_clock::now();
-        let mut state = self.state.lock().unwrap();
-        for read in reads {
-            let kept = kept_part(read, asked);
-            if state.kept.learn(kept) {
-                state.news.push(kept, learned_from(from), now);
-            }
-        }
-    }
-
     /// Gives up what is too old.
     pub(crate) fn prune(&self) {
         let now = bendhinge_clock::now();
@@ -385,24 +255,6 @@
     rule.token_move.as_secs_f32() * READ_IN_A_SECOND
 }
 
-/// The gateway at `address` as one from whom something is learned.
-fn learned_from(address: SocketAddr) -> LearnedFrom {
-    LearnedFrom::Router(router_hash(address))
-}
-
-fn router_hash(address: SocketAddr) -> NameHash {
-    NameHash::of(&address.to_string())
-}
-
-/// What a read whose age counts from `as_of` says.
-fn kept_part(read: &ObservedRead, as_of: Instant) -> KeptPart {
-    KeptPart { part: read.part, upstream: read.upstream, used: as_of - read.age }
-}
-
-pub(crate) fn observed_read(kept: KeptPart, now: Instant) -> ObservedRead {
-    ObservedRead { part: kept.part, upstream: kept.upstream, age: now.since(kept.used) }
-}
-
 impl State {
     fn follow_list(&mut self) {
         if let Some(list) = self.belief.value() {
