--- a/crates/bendhinge_fleet/tests/fetch.rs
+++ b/crates/bendhinge_fleet/tests/fetch.rs
@@ -46,6 +46,19 @@
     assert_eq!(plan.next(lacks(5)), Some(holder(2, 7)));
 }
 
+/// A later revision can have the same content as what is held: there is nothing to fetch.
+#[test]
+fn who_holds_the_same_at_a_later_revision_is_not_remembered_either() {
+    let lacks = |version: Version| version.revision > Revision(4) && version.digest != 9;
+    let mut plan = FetchPlan::default();
+    assert!(!plan.told(holder(1, 9), lacks), "nothing begins");
+    assert!(plan.told(holder(2, 5), lacks));
+    assert_eq!(plan.next(lacks), Some(holder(2, 5)));
+    assert!(!plan.told(holder(3, 7), lacks));
+    assert!(!plan.told(holder(4, 9), lacks));
+    assert_eq!(plan.next(lacks), Some(holder(3, 7)));
+}
+
 #[test]
 fn a_fetch_that_is_given_up_keeps_nobody_from_the_next() {
     let mut plan = FetchPlan::default();
--- a/crates/bendhinge_fleet/tests/roster_states.rs
+++ b/crates/bendhinge_fleet/tests/roster_states.rs
@@ -255,3 +255,33 @@
     let told: Vec<u8> = states.iter().copied().filter(|state| *state == 0).collect();
     assert_eq!(told, [0], "only of the third: {states:?}");
 }
+
+/// Over any number of routers a member never looks as if it had been heard from later than it was.
+#[test]
+fn nobody_looks_younger_on_the_way() {
+    arbtest::arbtest(|random| {
+        let began = 10_000;
+        let mut elapsed: u64 = random.int_in_range(0..=300)?;
+        let mut telling = Roster::new(address(0), link_mbps(0), &[], LIMITS);
+        telling.hear(&heard(9, 0), Instant::from_millis(began));
+        for next in 1..=random.int_in_range(1..=6)? {
+            let now = Instant::from_millis(began + elapsed);
+            let mut listening = Roster::new(address(next), link_mbps(next), &[], LIMITS);
+            // It knows the same members, of one of them from long ago.
+            listening.hear(&heard(next - 1, 0), now);
+            listening.hear(&heard(9, 9_000), now);
+            telling.hear(&heard(next, 0), now);
+            for forgotten in 0..next.saturating_sub(1) {
+                listening.hear(&heard(forgotten, 5_000), now);
+            }
+            assert_eq!(telling.digest(), listening.digest());
+            listening.hear_states(&telling.states_for(address(next), now), address(next - 1), now);
+            let age = listening.members(now).find(|heard| heard.address == address(9)).unwrap().age;
+            assert!(age >= Duration::from_millis(elapsed), "{age:?} after {elapsed} ms");
+            assert!(elapsed > 2_500 || age < Duration::from_secs(9), "it is told");
+            elapsed += random.int_in_range(0..=400)?;
+            telling = listening;
+        }
+        Ok(())
+    });
+}
