--- a/crates/bendhinge_fleet/src/evidence.rs
+++ b/crates/bendhinge_fleet/src/evidence.rs
@@ -177,9 +177,9 @@
         doubt.answered = doubt.answered.max(heard.answered);
         heard.witnesses.iter().for_each(|witness| doubt.add(*witness));
         let is_suspect = doubt.is_suspect(now);
-        let is_news_to_teller = doubt.strength(now) != heard.strength(now);
+        let is_news_to_sender = doubt.strength(now) != heard.strength(now);
         held.note_change(from, now);
-        if is_news_to_teller {
+        if is_news_to_sender {
             held.changed = Some(Change { at: now, by: LearnedFrom::Itself });
         }
         match (was_suspect, is_suspect) {
--- a/crates/bendhinge_fleet/tests/evidence.rs
+++ b/crates/bendhinge_fleet/tests/evidence.rs
@@ -8,7 +8,7 @@
 const OWN: NameHash = NameHash(1);
 
 /// Who tells it of doubts, and whom it tells.
-const TELLER: LearnedFrom = LearnedFrom::Router(NameHash(200));
+const SENDER: LearnedFrom = LearnedFrom::Router(NameHash(200));
 const LISTENER: LearnedFrom = LearnedFrom::Router(NameHash(201));
 
 fn at(millis: u64) -> Instant {
@@ -28,7 +28,7 @@
     let mut evidence = Evidence::new(OWN);
     for millis in [0, 100, 200] {
         let heard = doubt(&[witness(1, millis)]);
-        assert_eq!(evidence.hear(UPSTREAM, &heard, TELLER, at(millis)), Verdict::Unchanged);
+        assert_eq!(evidence.hear(UPSTREAM, &heard, SENDER, at(millis)), Verdict::Unchanged);
     }
 }
 
@@ -37,8 +37,8 @@
     let mut evidence = Evidence::new(OWN);
     evidence.failed(UPSTREAM, UpstreamFailure::Lost, at(0), at(0));
     let heard = doubt(&[witness(2, 50)]);
-    assert_eq!(evidence.hear(UPSTREAM, &heard, TELLER, at(100)), Verdict::Suspect);
-    assert_eq!(evidence.hear(UPSTREAM, &heard, TELLER, at(200)), Verdict::Unchanged, "it is told once");
+    assert_eq!(evidence.hear(UPSTREAM, &heard, SENDER, at(100)), Verdict::Suspect);
+    assert_eq!(evidence.hear(UPSTREAM, &heard, SENDER, at(200)), Verdict::Unchanged, "it is told once");
 }
 
 /// Routers whose own links fail, or that meet a full queue, are outvoted by any answer.
@@ -48,11 +48,11 @@
     evidence.failed(UPSTREAM, UpstreamFailure::Lost, at(0), at(0));
     evidence.answered(UPSTREAM, at(80));
     let failures = doubt(&[witness(2, 50), witness(3, 60), witness(4, 70)]);
-    assert_eq!(evidence.hear(UPSTREAM, &failures, TELLER, at(100)), Verdict::Unchanged);
+    assert_eq!(evidence.hear(UPSTREAM, &failures, SENDER, at(100)), Verdict::Unchanged);
     let later = doubt(&[witness(2, 90), witness(3, 95)]);
-    assert_eq!(evidence.hear(UPSTREAM, &later, TELLER, at(100)), Verdict::Suspect);
+    assert_eq!(evidence.hear(UPSTREAM, &later, SENDER, at(100)), Verdict::Suspect);
     let answered = Doubt { answered: Some(at(96)), ..Doubt::default() };
-    assert_eq!(evidence.hear(UPSTREAM, &answered, TELLER, at(150)), Verdict::Cleared);
+    assert_eq!(evidence.hear(UPSTREAM, &answered, SENDER, at(150)), Verdict::Cleared);
 }
 
 #[test]
@@ -62,7 +62,7 @@
         let mut evidence = Evidence::new(OWN);
         evidence.answered(UPSTREAM, at(answered));
         evidence.failed(UPSTREAM, failure, at(500), at(600));
-        evidence.hear(UPSTREAM, &other, TELLER, at(600))
+        evidence.hear(UPSTREAM, &other, SENDER, at(600))
     };
     assert_eq!(verdict(UpstreamFailure::Silent, 400), Verdict::Suspect);
     assert_eq!(verdict(UpstreamFailure::Silent, 520), Verdict::Unchanged, "it answers from behind a queue");
@@ -78,7 +78,7 @@
     let mut evidence = Evidence::new(OWN);
     evidence.answered(UPSTREAM, at(80));
     let failures = doubt(&[witness(2, 50), witness(3, 60)]);
-    assert_eq!(evidence.hear(UPSTREAM, &failures, TELLER, at(100)), Verdict::Unchanged);
+    assert_eq!(evidence.hear(UPSTREAM, &failures, SENDER, at(100)), Verdict::Unchanged);
     let told: Vec<_> = evidence.doubts_for(LISTENER, at(100)).map(|(_, doubt)| doubt.answered).collect();
     assert_eq!(told, [Some(at(80))], "and it tells the others so");
 }
@@ -89,9 +89,9 @@
     evidence.failed(UPSTREAM, UpstreamFailure::Lost, at(0), at(0));
     assert_eq!(evidence.doubts_for(LISTENER, at(100)).count(), 1);
     assert_eq!(evidence.doubts_for(LISTENER, at(3_100)).count(), 0);
-    assert_eq!(evidence.hear(UPSTREAM, &doubt(&[witness(2, 3_050)]), TELLER, at(3_100)), Verdict::Unchanged);
+    assert_eq!(evidence.hear(UPSTREAM, &doubt(&[witness(2, 3_050)]), SENDER, at(3_100)), Verdict::Unchanged);
     evidence.prune(|_| true, at(7_000));
-    assert_eq!(evidence.hear(UPSTREAM, &doubt(&[witness(2, 6_900)]), TELLER, at(7_000)), Verdict::Unchanged);
+    assert_eq!(evidence.hear(UPSTREAM, &doubt(&[witness(2, 6_900)]), SENDER, at(7_000)), Verdict::Unchanged);
 }
 
 /// Many routers together find an upstream that answers nobody, each of which sent it one request;
@@ -112,7 +112,7 @@
             .collect();
         for router in &mut routers {
             for doubt in &told {
-                suspecting += u64::from(router.hear(UPSTREAM, doubt, TELLER, now) == Verdict::Suspect);
+                suspecting += u64::from(router.hear(UPSTREAM, doubt, SENDER, now) == Verdict::Suspect);
             }
         }
     }
@@ -131,9 +131,9 @@
     assert!(!told_at(&evidence, 1_000), "the same router's next failure is no change");
     evidence.failed(UPSTREAM, UpstreamFailure::Lost, at(1_200), at(1_200));
     assert!(told_at(&evidence, 1_300), "it goes on for more than a second");
-    evidence.hear(UPSTREAM, &doubt(&[witness(2, 2_200)]), TELLER, at(2_200));
+    evidence.hear(UPSTREAM, &doubt(&[witness(2, 2_200)]), SENDER, at(2_200));
     assert!(told_at(&evidence, 2_300), "a second router's");
-    evidence.hear(UPSTREAM, &doubt(&[witness(2, 2_200), witness(3, 2_250)]), TELLER, at(3_000));
+    evidence.hear(UPSTREAM, &doubt(&[witness(2, 2_200), witness(3, 2_250)]), SENDER, at(3_000));
     assert!(!told_at(&evidence, 3_150), "a third one's proves nothing more");
     evidence.answered(UPSTREAM, at(3_200));
     assert!(told_at(&evidence, 3_300), "an answer");
@@ -151,7 +151,7 @@
         evidence.answered(upstream, at(millis));
         // Each eighth request fails, at one router or another.
         if millis / 10 % 8 == 0 {
-            evidence.hear(upstream, &doubt(&[witness(millis % 7, millis + 1)]), TELLER, at(millis + 1));
+            evidence.hear(upstream, &doubt(&[witness(millis % 7, millis + 1)]), SENDER, at(millis + 1));
         }
         if millis % 400 == 0 {
             rounds += 1;
@@ -165,11 +165,11 @@
 #[test]
 fn who_told_of_a_doubt_is_told_only_what_it_does_not_know() {
     let mut evidence = Evidence::new(OWN);
-    evidence.hear(UPSTREAM, &doubt(&[witness(2, 50)]), TELLER, at(100));
-    assert_eq!(evidence.doubts_for(TELLER, at(100)).count(), 0);
+    evidence.hear(UPSTREAM, &doubt(&[witness(2, 50)]), SENDER, at(100));
+    assert_eq!(evidence.doubts_for(SENDER, at(100)).count(), 0);
     assert_eq!(evidence.doubts_for(LISTENER, at(100)).count(), 1);
     evidence.answered(UPSTREAM, at(150));
-    assert_eq!(evidence.doubts_for(TELLER, at(150)).count(), 1);
-    evidence.hear(UPSTREAM, &doubt(&[witness(3, 120)]), TELLER, at(1_100));
-    assert_eq!(evidence.doubts_for(TELLER, at(1_100)).count(), 1, "it does not know of the answer");
+    assert_eq!(evidence.doubts_for(SENDER, at(150)).count(), 1);
+    evidence.hear(UPSTREAM, &doubt(&[witness(3, 120)]), SENDER, at(1_100));
+    assert_eq!(evidence.doubts_for(SENDER, at(1_100)).count(), 1, "it does not know of the answer");
 }
--- a/crates/bendhinge_fleet/tests/loads.rs
+++ b/crates/bendhinge_fleet/tests/loads.rs
@@ -6,7 +6,7 @@
 use bendhinge_ids::{Instant, NameHash};
 
 const NOW: Instant = Instant::from_millis(10_000);
-const TELLER: LearnedFrom = LearnedFrom::Router(NameHash(1));
+const SENDER: LearnedFrom = LearnedFrom::Router(NameHash(1));
 const LISTENER: LearnedFrom = LearnedFrom::Router(NameHash(2));
 
 fn listed(count: u64) -> impl ExactSizeIterator<Item = NameHash> {
@@ -31,7 +31,7 @@
     }
     let states = loads.states_for(LISTENER, listed(4), NOW);
     assert_eq!(states.0.len(), 2 * 4);
-    heard.hear_states(&states, listed(4), TELLER, NOW);
+    heard.hear_states(&states, listed(4), SENDER, NOW);
     for upstream in 0..4 {
         assert!((estimate(&heard, upstream) - estimate(&loads, upstream)).abs() < 0.01, "{upstream}");
     }
@@ -41,10 +41,10 @@
 fn nobody_is_told_what_it_told_itself_nor_what_is_old() {
     let mut loads = Loads::default();
     loads.learn(said(0, 5, 10), LISTENER);
-    loads.learn(said(1, 6, 10), TELLER);
-    loads.learn(said(2, 7, 2_600), TELLER);
+    loads.learn(said(1, 6, 10), SENDER);
+    loads.learn(said(2, 7, 2_600), SENDER);
     let mut heard = Loads::default();
-    heard.hear_states(&loads.states_for(LISTENER, listed(3), NOW), listed(3), TELLER, NOW);
+    heard.hear_states(&loads.states_for(LISTENER, listed(3), NOW), listed(3), SENDER, NOW);
     let told: Vec<NameHash> = heard.to_tell(NOW).map(|said| said.upstream).collect();
     assert_eq!(told, [NameHash(101)]);
 }
@@ -53,7 +53,7 @@
 fn loads_that_do_not_fit_into_a_byte_are_told_as_the_largest() {
     let (mut loads, mut heard) = (Loads::default(), Loads::default());
     loads.learn(said(0, 3_000, 0), LearnedFrom::Itself);
-    heard.hear_states(&loads.states_for(LISTENER, listed(1), NOW), listed(1), TELLER, NOW);
+    heard.hear_states(&loads.states_for(LISTENER, listed(1), NOW), listed(1), SENDER, NOW);
     assert!((estimate(&heard, 0) - 254.0).abs() < 0.01);
 }
 
@@ -64,13 +64,13 @@
     let mut states = loads.states_for(LISTENER, listed(3), NOW);
     for count in [2, 4] {
         let mut heard = Loads::default();
-        heard.hear_states(&states, listed(count), TELLER, NOW);
+        heard.hear_states(&states, listed(count), SENDER, NOW);
         assert_eq!(heard.to_tell(NOW).count(), 0);
     }
     states.0.pop();
     let mut heard = Loads::default();
-    heard.hear_states(&states, listed(3), TELLER, NOW);
-    heard.hear_states(&LoadStates::default(), listed(3), TELLER, NOW);
+    heard.hear_states(&states, listed(3), SENDER, NOW);
+    heard.hear_states(&LoadStates::default(), listed(3), SENDER, NOW);
     assert_eq!(heard.to_tell(NOW).count(), 0);
 }
 
@@ -87,7 +87,7 @@
             let arrives = random.int_in_range(0..=300)?;
             loads = Loads::default();
             // Counted from when it was asked for: that is before the states were made.
-            loads.hear_states(&states, listed(1), TELLER, now);
+            loads.hear_states(&states, listed(1), SENDER, now);
             elapsed += arrives;
             let truth = NOW - Duration::from_millis(age);
             assert!(loads.to_tell(now).all(|said| said.at <= truth), "{elapsed} ms later");
--- a/crates/bendhinge_fleet/tests/roster.rs
+++ b/crates/bendhinge_fleet/tests/roster.rs
@@ -246,8 +246,8 @@
             let mut has_news = vec![false; size];
             has_news[reader] = true;
             let (mut telling, mut messages) = (vec![(reader, Origin::Store)], 0);
-            while let Some((teller, origin)) = telling.pop() {
-                for listener in rosters[teller].listeners(origin, false, now) {
+            while let Some((sender, origin)) = telling.pop() {
+                for listener in rosters[sender].listeners(origin, false, now) {
                     messages += 1;
                     let listener = (0..size).find(|number| address(*number) == listener).unwrap();
                     if !std::mem::replace(&mut has_news[listener], true) {
@@ -275,8 +275,8 @@
         let mut has_news = vec![false; size];
         has_news[reader] = true;
         let mut telling = vec![(reader, Origin::Store)];
-        while let Some((teller, origin)) = telling.pop() {
-            for listener in rosters[teller].listeners(origin, false, now) {
+        while let Some((sender, origin)) = telling.pop() {
+            for listener in rosters[sender].listeners(origin, false, now) {
                 let listener = (0..size).find(|number| address(*number) == listener).unwrap();
                 if listener != dead && !std::mem::replace(&mut has_news[listener], true) {
                     telling.push((listener, Origin::Peer));
--- a/crates/bendhinge_fleet/tests/roster_explored.rs
+++ b/crates/bendhinge_fleet/tests/roster_explored.rs
@@ -21,6 +21,17 @@
     SocketAddr::from(([10, 0, 0, u8::try_from(number).unwrap()], 7_000))
 }
 
+/// What a router tells of itself.
+fn heard(number: usize) -> Heard {
+    Heard {
+        address: address(number),
+        age: Duration::ZERO,
+        is_leaving: false,
+        is_store_failing: false,
+        link_mbps: LINK_MBPS,
+    }
+}
+
 /// What may happen to a router in a round.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Fate {
@@ -135,11 +146,11 @@
         }
     }
 
-    fn tell(&mut self, teller: usize, listener: usize, tells_members: bool) {
+    fn tell(&mut self, sender: usize, listener: usize, tells_members: bool) {
         let now = Instant::from_millis(self.now);
-        let own = self.heard(teller);
-        let (is_old, from) = (self.routers[teller].is_old || self.routers[listener].is_old, address(teller));
-        let telling = self.routers[teller].roster.as_ref().unwrap();
+        let own = heard(sender);
+        let (is_old, from) = (self.routers[sender].is_old || self.routers[listener].is_old, address(sender));
+        let telling = self.routers[sender].roster.as_ref().unwrap();
         let digest = telling.digest();
         let states = telling.states_for(address(listener), now);
         let members: Vec<Heard> = telling.members(now).collect();
@@ -151,17 +162,9 @@
         if !is_old && listening.digest() == digest {
             listening.hear_states(&states, from, now);
         } else {
-            members.iter().for_each(|heard| listening.hear_told(heard, from, now));
-        }
-    }
-
-    fn heard(&self, number: usize) -> Heard {
-        Heard {
-            address: address(number),
-            age: Duration::ZERO,
-            is_leaving: false,
-            is_store_failing: false,
-            link_mbps: LINK_MBPS,
+            for heard in &members {
+                listening.hear_told(heard, from, now);
+            }
         }
     }
 
--- a/crates/bendhinge_fleet/tests/roster_states.rs
+++ b/crates/bendhinge_fleet/tests/roster_states.rs
@@ -109,27 +109,27 @@
         self.hear(asking, asked, now);
     }
 
-    fn hear(&mut self, listener: usize, teller: usize, now: Instant) {
-        self.rosters[listener].as_mut().unwrap().hear(&heard(teller, 0), now);
+    fn hear(&mut self, listener: usize, sender: usize, now: Instant) {
+        self.rosters[listener].as_mut().unwrap().hear(&heard(sender, 0), now);
     }
 
-    fn tell(&mut self, teller: usize, listener: usize, now: Instant) {
+    fn tell(&mut self, sender: usize, listener: usize, now: Instant) {
         let known = self.rosters[listener].as_ref().unwrap().digest();
-        let told = self.told(teller, listener, known, now);
+        let told = self.told(sender, listener, known, now);
         self.most_bytes = self.most_bytes.max(told.bytes());
         let roster = self.rosters[listener].as_mut().unwrap();
         match told {
             Told::Listed(members) => {
                 for heard in &members {
-                    roster.hear_told(heard, address(teller), now);
+                    roster.hear_told(heard, address(sender), now);
                 }
             }
-            Told::States(states) => roster.hear_states(&states, address(teller), now),
+            Told::States(states) => roster.hear_states(&states, address(sender), now),
         }
     }
 
-    fn told(&self, teller: usize, listener: usize, known: RosterDigest, now: Instant) -> Told {
-        let roster = self.rosters[teller].as_ref().unwrap();
+    fn told(&self, sender: usize, listener: usize, known: RosterDigest, now: Instant) -> Told {
+        let roster = self.rosters[sender].as_ref().unwrap();
         if roster.digest() == known {
             Told::States(roster.states_for(address(listener), now))
         } else {
--- a/crates/bendhinge_gateway/src/knowledge/telling.rs
+++ b/crates/bendhinge_gateway/src/knowledge/peers.rs
@@ -1,4 +1,4 @@
-//! What this gateway tells others of upstreams, and what it takes from what they tell.
+//! What this gateway tells its peers of upstreams, and what it takes from what they tell.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -15,7 +15,7 @@
 };
 use bendhinge_routes::PoolRule;
 
-use super::telling::router_hash;
+use super::peers::router_hash;
 use crate::dialect;
 use crate::settings::UpstreamSettings;
 
