--- a/crates/bendhinge_fleet/src/evidence.rs
+++ b/crates/bendhinge_fleet/src/evidence.rs
@@ -18,8 +18,8 @@
 const WITNESSES: usize = 2;
 /// For how long a doubt is told after it changed: two rounds of exchanges, so that one that fails costs
 /// nothing. When half of 250 upstreams fail a part of their requests, as many doubts are held for seconds:
-/// told in each message, the first of 295 routers in rank told 5,300 a second, 0.4 MB of the 0.5 that it
-/// sent.
+/// told in each message they were 5,300 a second by the first of 295 routers in rank, which sent 0.5 MB a
+/// second then.
 const TOLD_FOR: Duration = Duration::from_millis(900);
 /// A failure that is so much later than the one known of the same router is a change.
 const RENEWED_AFTER: Duration = Duration::from_secs(1);
@@ -83,6 +83,7 @@
 #[derive(Debug)]
 struct Held {
     doubt: Doubt,
+    /// How it stood when it last changed, which is what others were told.
     told: Doubt,
     changed: Option<Change>,
 }
--- a/crates/bendhinge_fleet/src/lists.rs
+++ b/crates/bendhinge_fleet/src/lists.rs
@@ -1,8 +1,9 @@
 //! Lists of upstreams as changes against one that a peer holds already.
 //!
-//! A list is some 100 bytes an upstream, and a deployment's releases, crashes and returns change one or two of
-//! them at a time, tens of times a minute: told whole, each change of one among 250 upstreams costs each box of a
-//! fleet 25 KB, and some 200 bytes as a change (reckoned from the schema, before compression).
+//! A list is some 100 bytes an upstream, and a deployment's releases, crashes and returns change one or
+//! two of them at a time, tens of times a minute: told whole, each change of one among 250 upstreams costs
+//! each box of a fleet 25 KB, and some 200 bytes as a change (reckoned from the schema, before
+//! compression).
 
 use std::collections::VecDeque;
 use std::hash::{Hash, Hasher};
@@ -13,8 +14,8 @@
 
 use crate::directory::{UpstreamEntry, UpstreamList};
 
-/// Lists that are remembered for peers that hold an older one. A peer that missed more changes than that fetches the
-/// list whole.
+/// Lists that are remembered for peers that hold an older one. A peer that missed more changes than that
+/// fetches the list whole.
 const REMEMBERED: usize = 12;
 
 /// What differs between two lists.
--- a/crates/bendhinge_fleet/src/roster/states.rs
+++ b/crates/bendhinge_fleet/src/roster/states.rs
@@ -66,8 +66,8 @@
         MemberStates(before.chain([AGE_BITS]).chain(after).collect())
     }
 
-    /// Takes in the states that the router at `told_by` tells, received at `now`. Call it only if that one knows
-    /// the same members.
+    /// Takes in the states that the router at `told_by` tells, received at `now`. Call it only if that one
+    /// knows the same members.
     pub fn hear_states(&mut self, states: &MemberStates, told_by: SocketAddr, now: Instant) {
         let own = self.own;
         let place = self.members.range(..own).count();
