Reverted: a subject is moved home only where the links are fast against reading

From the logs of all boxes: 48 empty upstreams come at 15.7 s and subjects stay where they are kept; 252 of 261 sends over the limit were kept or home. Going home also shares a pool's load out anew.

--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -173,7 +173,6 @@
         let asked = Question {
             prompt: question.prompt.filter(|_| question.rule.is_some_and(|rule| rule.keeps_prompts)),
             can_fetch: question.rule.is_some_and(|rule| rule.moves_prompts),
-            moving: question.rule.map_or(0.0, moving),
             tie_breaker: question.tie_breaker,
         };
         let choice = choose(&self.costs, &asked, &candidates, &state.kept, now)?;
@@ -247,14 +246,6 @@
     }
 }
 
-/// The time in which an upstream takes a token from another, as a part of that in which it reads one.
-fn moving(rule: &PoolRule) -> f32 {
-    /// Tokens of prompts that an upstream reads in a second: no platform says it. The users' engines read 38,700 to
-    /// 112,000; the slower one is the less in a hurry to move.
-    const READ_IN_A_SECOND: f32 = 40_000.0;
-    rule.token_move.as_secs_f32() * READ_IN_A_SECOND
-}
-
 impl State {
     fn follow_list(&mut self) {
         if let Some(list) = self.belief.value() {
--- a/crates/bendhinge_gateway/src/native/rules.rs
+++ b/crates/bendhinge_gateway/src/native/rules.rs
@@ -1,7 +1,6 @@
 //! Serving rules in the product's own form: an INI document.
 
 use std::str::FromStr;
-use std::time::Duration;
 
 use bendhinge_codes::ResultCode;
 use bendhinge_ids::{CustomerName, PoolName};
@@ -37,12 +36,6 @@
     keys: &[
         Key::new("keeps_prompts", "yes or no", Some("no"), "Whether they keep what they read of prompts."),
         Key::new("moves_prompts", "yes or no", Some("no"), "Whether one can fetch that from another."),
-        Key::new(
-            "token_move_ns",
-            "nanoseconds",
-            Some("0"),
-            "Time in which one takes what another keeps of a token: its bytes over the links between them. Where that is long against reading, prompts stay where they are kept; 0 is not worth counting.",
-        ),
     ],
 };
 
@@ -164,13 +157,8 @@
         let name = self.0.name(section);
         let keeps_prompts = self.flag(section, "keeps_prompts");
         let moves_prompts = self.flag(section, "moves_prompts");
-        let token_move = self.0.value(section, "token_move_ns").map(Duration::from_nanos);
-        let rule = PoolRule {
-            keeps_prompts: keeps_prompts?,
-            moves_prompts: moves_prompts?,
-            token_move: token_move?,
-            ..PoolRule::default()
-        };
+        let rule =
+            PoolRule { keeps_prompts: keeps_prompts?, moves_prompts: moves_prompts?, ..PoolRule::default() };
         Some((name?, rule))
     }
 
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -34,9 +34,8 @@
     pub unread_at_home: f32,
     /// The part of the reading that fetching costs instead.
     pub fetched: f32,
-    /// The least that it costs at the subject's home, which is worth having it: routers that know nothing of
-    /// what is kept, since they have just started or are cut off, send it there. It costs the time that
-    /// the links need for it, if that is more ([`Question::moving`]).
+    /// The same at the subject's home, which is worth having it: routers that know nothing of what
+    /// is kept, since they have just started or are cut off, send it there.
     pub fetched_home: f32,
     /// The part of the reading that it costs to leave a subject where it is kept away from home.
     pub away: f32,
@@ -110,14 +109,6 @@
     pub prompt: Option<&'a Prompt>,
     /// Whether an upstream can fetch from another.
     pub can_fetch: bool,
-    /// The time in which it fetches a token as a part of that in which it would read it.
-    ///
-    /// Above [`CostRules::away`] a subject stays where it is kept, while little is ahead there. With 0.28
-    /// (327,680 bytes a token over 370 Gbit/s) that nearly halves what is moved, 311 to 178 GB a day, and adds
-    /// a twentieth to what is read again, 158 to 167 thousand tokens; as many requests are answered in time.
-    /// (24 routers before 25 upstreams, mean of 15 days with releases, crashes and losses.) With 0.01
-    /// (35,136 bytes over 1,100 Gbit/s) subjects go home.
-    pub moving: f32,
     /// A number that is another for each request, for breaking ties.
     pub tie_breaker: u64,
 }
@@ -243,7 +234,7 @@
         let away = prompt.shared_tokens() as f32 * self.rules.away;
         let (read, fetched) = ((missing - fetched) as f32, fetched as f32);
         let reading = if is_home {
-            fetched * self.rules.fetched_home.max(self.question.moving) + read * self.rules.unread_at_home
+            fetched * self.rules.fetched_home + read * self.rules.unread_at_home
         } else {
             fetched * self.rules.fetched + read + away
         };
--- a/crates/bendhinge_placement/tests/cost.rs
+++ b/crates/bendhinge_placement/tests/cost.rs
@@ -29,18 +29,15 @@
     candidates: Vec<Candidate>,
     kept: KeptParts,
     can_fetch: bool,
-    moving: f32,
 }
 
 impl Placing {
     fn new(count: u64) -> Self {
-        let kept = KeptParts::new(KEPT_FOR);
-        Self { candidates: candidates(count), kept, can_fetch: true, moving: 0.0 }
+        Self { candidates: candidates(count), kept: KeptParts::new(KEPT_FOR), can_fetch: true }
     }
 
     fn choose(&self, prompt: Option<&Prompt>) -> Option<Choice> {
-        let Self { can_fetch, moving, .. } = *self;
-        let question = Question { prompt, can_fetch, moving, tie_breaker: 5 };
+        let question = Question { prompt, can_fetch: self.can_fetch, tie_breaker: 5 };
         choose(&CostRules::default(), &question, &self.candidates, &self.kept, NOW)
     }
 
@@ -67,8 +64,8 @@
 }
 
 /// What 80 subjects are sent to, before and after an upstream comes.
-fn when_an_upstream_comes(can_fetch: bool, moving: f32) -> Vec<(usize, Choice)> {
-    let mut placing = Placing { can_fetch, moving, ..Placing::new(11) };
+fn when_an_upstream_comes(can_fetch: bool) -> Vec<(usize, Choice)> {
+    let mut placing = Placing { can_fetch, ..Placing::new(11) };
     let prompts: Vec<Prompt> = (100..180).map(|subject| prompt(subject % 4, subject)).collect();
     let before: Vec<usize> = prompts.iter().map(|prompt| placing.chosen(prompt)).collect();
     for (index, prompt) in before.iter().zip(&prompts) {
@@ -81,7 +78,7 @@
 
 #[test]
 fn a_subject_that_cannot_be_fetched_stays_where_it_is_kept_when_an_upstream_comes() {
-    for (before, after) in when_an_upstream_comes(false, 0.0) {
+    for (before, after) in when_an_upstream_comes(false) {
         assert_eq!(before, after.chosen);
     }
 }
@@ -89,7 +86,7 @@
 /// A router that knows nothing of what is kept looks for it at home: nothing is read again for it.
 #[test]
 fn a_subject_that_can_be_fetched_goes_home_when_an_upstream_comes() {
-    let chosen = when_an_upstream_comes(true, 0.01);
+    let chosen = when_an_upstream_comes(true);
     let newcomer = 11;
     let moved: Vec<_> = chosen.iter().filter(|(before, after)| *before != after.chosen).collect();
     assert!((2..=16).contains(&moved.len()), "{} of 80 have their home at one of twelve", moved.len());
@@ -99,30 +96,6 @@
     }
 }
 
-/// A release or a growth of the pool moves the homes of many subjects. Where the links need a quarter of the
-/// time of reading, they are not all sent after them.
-#[test]
-fn a_subject_that_is_slow_to_move_stays_where_it_is_kept_when_an_upstream_comes() {
-    for (before, after) in when_an_upstream_comes(true, 0.28) {
-        assert_eq!((after.chosen, after.fetch_from), (before, None));
-    }
-}
-
-/// But from where much is ahead it goes, and is moved and not read.
-#[test]
-fn a_subject_that_is_slow_to_move_leaves_where_much_is_ahead() {
-    let mut placing = Placing { moving: 0.28, ..Placing::new(12) };
-    let prompt = prompt(1, 9);
-    let home = placing.chosen(&prompt);
-    let keeper = (home + 1) % 12;
-    placing.read(keeper, &prompt);
-    placing.candidates.iter_mut().for_each(|candidate| candidate.load = 50.0);
-    assert_eq!(placing.chosen(&prompt), keeper);
-    placing.candidates[keeper].load = 90.0;
-    let choice = placing.choose(Some(&prompt)).unwrap();
-    assert_eq!((choice.chosen, choice.fetch_from), (home, Some(keeper)));
-}
-
 /// Six requests more at home than where it is kept, and it is left there.
 #[test]
 fn a_subject_goes_home_only_where_there_is_little_ahead() {
--- a/crates/bendhinge_routes/src/rules.rs
+++ b/crates/bendhinge_routes/src/rules.rs
@@ -18,8 +18,6 @@
     pub keeps_prompts: bool,
     /// Whether one member can take what it keeps from another.
     pub moves_prompts: bool,
-    /// The time in which a member takes what another keeps of one token; zero if it is not known.
-    pub token_move: Duration,
     /// Tokens that one member can keep.
     pub kept_tokens: u64,
 }
