--- a/crates/bendhinge_fleet/src/lists.rs
+++ b/crates/bendhinge_fleet/src/lists.rs
@@ -9,7 +9,7 @@
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
-use bendhinge_ids::{NameHash, UpstreamName};
+use bendhinge_ids::NameHash;
 use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
 
 use crate::directory::{UpstreamEntry, UpstreamList};
@@ -53,10 +53,9 @@
     /// What has to change in `base` to become this list.
     #[must_use]
     pub fn changes_since(&self, base: &Self) -> ListChanges {
-        let listed: FxHashSet<NameHash> = self.entries.iter().map(|entry| entry.hash).collect();
-        let before = by_name(base);
-        let gone = base.entries.iter().map(|entry| entry.hash).filter(|hash| !listed.contains(hash));
-        let is_same = |entry: &&Arc<UpstreamEntry>| before.get(&entry.name).is_some_and(|old| old == entry);
+        let (now, before) = (by_hash(self), by_hash(base));
+        let gone = base.entries.iter().map(|entry| entry.hash).filter(|hash| !now.contains_key(hash));
+        let is_same = |entry: &&Arc<UpstreamEntry>| before.get(&entry.hash).is_some_and(|old| old == entry);
         let came = self.entries.iter().filter(|entry| !is_same(entry)).cloned();
         ListChanges { gone: gone.collect(), came: came.collect() }
     }
@@ -76,8 +75,8 @@
     /// other are mostly alike, and several are held at a time.
     #[must_use]
     pub fn sharing(self, other: &Self) -> Self {
-        let before = by_name(other);
-        let shared = self.entries.into_iter().map(|entry| match before.get(&entry.name) {
+        let before = by_hash(other);
+        let shared = self.entries.into_iter().map(|entry| match before.get(&entry.hash) {
             Some(old) if **old == entry => Arc::clone(old),
             _ => entry,
         });
@@ -85,8 +84,8 @@
     }
 }
 
-fn by_name(list: &UpstreamList) -> FxHashMap<&UpstreamName, &Arc<UpstreamEntry>> {
-    list.entries.iter().map(|entry| (&entry.name, entry)).collect()
+fn by_hash(list: &UpstreamList) -> FxHashMap<NameHash, &Arc<UpstreamEntry>> {
+    list.entries.iter().map(|entry| (entry.hash, entry)).collect()
 }
 
 /// The lists that were held lately.
--- a/crates/bendhinge_fleet/src/roster.rs
+++ b/crates/bendhinge_fleet/src/roster.rs
@@ -132,7 +132,7 @@
     /// A roster of a router reached at `own` that knows only its seeds.
     #[must_use]
     pub fn new(own: SocketAddr, own_link_mbps: u32, seeds: &[SocketAddr], limits: RosterLimits) -> Self {
-        let digest = RosterDigest::of(own, own_link_mbps);
+        let digest = RosterDigest::of(rank_score(own), own_link_mbps);
         let mut roster =
             Self { own, own_link_mbps, limits, seeds: Vec::new(), members: BTreeMap::new(), digest };
         roster.set_seeds(seeds);
@@ -154,22 +154,26 @@
         if heard.address == self.own || heard.age >= self.limits.forgotten_after {
             return;
         }
+        let heard_at = now - heard.age;
+        let (rank_score, known_link) = match self.members.get(&heard.address) {
+            Some(known) if known.heard >= heard_at => return,
+            Some(known) => (known.rank_score, Some(known.link_mbps)),
+            None => (rank_score(heard.address), None),
+        };
+        if known_link != Some(heard.link_mbps) {
+            if let Some(link_mbps) = known_link {
+                self.digest.toggle(RosterDigest::of(rank_score, link_mbps));
+            }
+            self.digest.toggle(RosterDigest::of(rank_score, heard.link_mbps));
+        }
         let member = Member {
-            heard: now - heard.age,
+            heard: heard_at,
             is_leaving: heard.is_leaving,
             is_store_failing: heard.is_store_failing,
             link_mbps: heard.link_mbps,
             told_by,
-            rank_score: rank_score(heard.address),
+            rank_score,
         };
-        let before = self.members.get(&heard.address);
-        if before.is_some_and(|before| before.heard >= member.heard) {
-            return;
-        }
-        if let Some(before) = before {
-            self.digest.toggle(RosterDigest::of(heard.address, before.link_mbps));
-        }
-        self.digest.toggle(RosterDigest::of(heard.address, member.link_mbps));
         self.members.insert(heard.address, member);
     }
 
@@ -188,10 +192,10 @@
     pub fn forget(&mut self, now: Instant) {
         let after = self.limits.forgotten_after;
         let Self { members, digest, .. } = self;
-        members.retain(|address, member| {
+        members.retain(|_, member| {
             let is_kept = now.since(member.heard) < after;
             if !is_kept {
-                digest.toggle(RosterDigest::of(*address, member.link_mbps));
+                digest.toggle(RosterDigest::of(member.rank_score, member.link_mbps));
             }
             is_kept
         });
--- a/crates/bendhinge_fleet/src/roster/states.rs
+++ b/crates/bendhinge_fleet/src/roster/states.rs
@@ -16,18 +16,9 @@
 pub struct RosterDigest(pub u64);
 
 impl RosterDigest {
-    /// Of one member.
-    pub(super) fn of(address: SocketAddr, link_mbps: u32) -> Self {
-        /// Any number; it sets this use of the hash apart from others.
-        const SEED: u64 = 0x0d1e;
-        let mut bytes = [0; 22];
-        match address {
-            SocketAddr::V4(address) => bytes[..4].copy_from_slice(&address.ip().octets()),
-            SocketAddr::V6(address) => bytes[..16].copy_from_slice(&address.ip().octets()),
-        }
-        bytes[16..18].copy_from_slice(&address.port().to_be_bytes());
-        bytes[18..].copy_from_slice(&link_mbps.to_be_bytes());
-        Self(xxh3_64_with_seed(&bytes, SEED))
+    /// Of the member whose address gives `rank_score`.
+    pub(super) fn of(rank_score: u64, link_mbps: u32) -> Self {
+        Self(xxh3_64_with_seed(&link_mbps.to_be_bytes(), rank_score))
     }
 
     /// Adds a member, or takes it out.
--- a/crates/bendhinge_gateway/src/control/message.rs
+++ b/crates/bendhinge_gateway/src/control/message.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bendhinge_fleet::{Heard, NewsPosition, PeerSaid};
+use bendhinge_fleet::{Heard, NewsPosition, PeerSaid, PeerState};
 use bendhinge_ids::Instant;
 use bendhinge_peer::PeerMessage;
 
@@ -34,69 +34,74 @@
     question: Option<&PeerMessage>,
     now: Instant,
 ) -> PeerMessage {
-    let upstreams = &control.delivering.upstreams;
+    let peer = control.peer_states.borrow().get(listener).copied();
     let mut message = PeerMessage {
         is_brief: content == Content::Brief,
         is_probe: content == Content::Probe,
         rules: control.delivering.rules.known(now),
-        upstreams: upstreams.known(now),
+        upstreams: control.delivering.upstreams.known(now),
         roster: control.roster.borrow().digest(),
         told: Some(NewsPosition { life: control.life, number: 0 }),
-        heard: control.peer_states.borrow().get(listener).and_then(|state| state.heard),
+        heard: peer.and_then(|peer| peer.heard),
         ..PeerMessage::from_sender(control.sender())
     };
     if content == Content::Brief {
         return message;
     }
+    let telling = Telling { control, listener, peer, now };
     if matches!(content, Content::Members | Content::Whole) {
-        tell_members(control, listener, &mut message, now);
+        telling.members(&mut message);
     }
     if content == Content::Whole {
-        message.doubts = upstreams.doubts_to_tell(listener, now);
-        tell_loads(control, listener, &mut message, now);
-        tell_reads(control, listener, question, &mut message, now);
+        message.doubts = control.delivering.upstreams.doubts_to_tell(listener, now);
+        telling.loads(&mut message);
+        telling.reads(question, &mut message);
     }
     control.delivering.metrics.told(&message);
     message
 }
 
-fn tell_members(control: &Control, listener: SocketAddr, message: &mut PeerMessage, now: Instant) {
-    let said = control.said(listener);
-    let roster = control.roster.borrow();
-    if said.is_some_and(|said| said.roster == roster.digest()) {
-        message.member_states = Some(roster.states_for(listener, now));
-    } else {
-        message.members = roster.members(now).collect();
-    }
+/// What is told beyond who holds what, to whom, and what is known of that one.
+struct Telling<'a> {
+    control: &'a Control,
+    listener: SocketAddr,
+    peer: Option<PeerState>,
+    now: Instant,
 }
 
-fn tell_loads(control: &Control, listener: SocketAddr, message: &mut PeerMessage, now: Instant) {
-    let upstreams = &control.delivering.upstreams;
-    let held = message.upstreams.map(|known| known.version.digest);
-    let is_same = held.is_some() && control.said(listener).is_some_and(|said| said.upstreams == held);
-    if is_same {
-        message.load_states = upstreams.load_states_to_tell(listener, now);
-    } else {
-        message.loads = upstreams.loads_to_tell(now);
+impl Telling<'_> {
+    fn members(&self, message: &mut PeerMessage) {
+        let roster = self.control.roster.borrow();
+        if self.peer.is_some_and(|peer| peer.said.roster == message.roster) {
+            message.member_states = Some(roster.states_for(self.listener, self.now));
+        } else {
+            message.members = roster.members(self.now).collect();
+        }
     }
-}
 
-fn tell_reads(
-    control: &Control,
-    listener: SocketAddr,
-    question: Option<&PeerMessage>,
-    message: &mut PeerMessage,
-    now: Instant,
-) {
-    let told = match question {
-        // Who asks knows best what reached it.
-        Some(question) => question.heard.filter(|heard| heard.life == control.life).map(|heard| heard.number),
-        None => control.peer_states.borrow().get(listener).and_then(|state| state.told),
-    };
-    let news = control.delivering.upstreams.reads_to_tell(listener, told, now);
-    control.delivering.metrics.reads_not_told(news.dropped);
-    message.reads = news.pieces.into_iter().map(|kept| observed_read(kept, now)).collect();
-    message.told = Some(NewsPosition { life: control.life, number: news.up_to });
+    fn loads(&self, message: &mut PeerMessage) {
+        let upstreams = &self.control.delivering.upstreams;
+        let held = message.upstreams.map(|known| known.version.digest);
+        let is_same = held.is_some() && self.peer.is_some_and(|peer| peer.said.upstreams == held);
+        if is_same {
+            message.load_states = upstreams.load_states_to_tell(self.listener, self.now);
+        } else {
+            message.loads = upstreams.loads_to_tell(self.now);
+        }
+    }
+
+    fn reads(&self, question: Option<&PeerMessage>, message: &mut PeerMessage) {
+        let Control { delivering, life, .. } = self.control;
+        let told = match question {
+            // Who asks knows best what reached it.
+            Some(question) => question.heard.filter(|heard| heard.life == *life).map(|heard| heard.number),
+            None => self.peer.and_then(|peer| peer.told),
+        };
+        let news = delivering.upstreams.reads_to_tell(self.listener, told, self.now);
+        delivering.metrics.reads_not_told(news.dropped);
+        message.reads = news.pieces.into_iter().map(|kept| observed_read(kept, self.now)).collect();
+        message.told = Some(NewsPosition { life: *life, number: news.up_to });
+    }
 }
 
 /// Takes a message in. `asked` is when it was asked for: only then is it known how old it can be at
@@ -159,9 +164,4 @@
             link_mbps: self.settings.link.mbps(),
         }
     }
-
-    /// What the gateway at `peer` said last of itself.
-    fn said(&self, peer: SocketAddr) -> Option<PeerSaid> {
-        self.peer_states.borrow().get(peer).map(|state| state.said)
-    }
 }
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -78,8 +78,7 @@
             Timer::after(wait.min(LOOK)).await;
             continue;
         }
-        let reads_all = control.reads_rules_along() || control.knows_nothing();
-        let part = if reads_all { StorePart::All } else { StorePart::Upstreams };
+        let part = if control.reads_all() { StorePart::All } else { StorePart::Upstreams };
         control.read(part, &control.upstreams_reading).await;
     }
 }
@@ -87,7 +86,7 @@
 /// Reads rules that are not read along with the list whenever it is due, for ever.
 pub(super) async fn read_rules(control: Rc<Control>) {
     loop {
-        let wait = if control.reads_rules_along() || control.knows_nothing() {
+        let wait = if control.reads_all() {
             LOOK
         } else if control.upstreams_reading.is_failing() {
             // Whether the store is back is found out with the list, which is small.
@@ -186,6 +185,11 @@
         self.upstreams_reading.is_failing() || !self.reads_rules_along() && self.rules_reading.is_failing()
     }
 
+    /// Whether the list and the rules are read in one call.
+    fn reads_all(&self) -> bool {
+        self.reads_rules_along() || self.knows_nothing()
+    }
+
     /// Whether the rules are so small, as far as is known, that they are read along with the list.
     fn reads_rules_along(&self) -> bool {
         let held = self.delivering.rules.current();
--- a/crates/bendhinge_gateway/src/knowledge/peers.rs
+++ b/crates/bendhinge_gateway/src/knowledge/peers.rs
@@ -29,12 +29,12 @@
         from: SocketAddr,
         as_of: Instant,
     ) -> Vec<Arc<UpstreamEntry>> {
-        let now = bendhinge_clock::now();
+        let (now, from) = (bendhinge_clock::now(), learned_from(from));
         let mut state = self.state.lock().unwrap();
         let State { directory, judge, evidence, .. } = &mut *state;
         let mut resting = Vec::new();
         for heard in doubts.iter().filter(|heard| directory.lists(heard.upstream)) {
-            match evidence.hear(heard.upstream, &heard.as_of(as_of), learned_from(from), now) {
+            match evidence.hear(heard.upstream, &heard.as_of(as_of), from, now) {
                 Verdict::Cleared => judge.cleared(heard.upstream),
                 Verdict::Suspect if judge.suspected(heard.upstream, now) => {
                     let listed = directory.listed().iter().find(|listed| listed.entry.hash == heard.upstream);
@@ -67,11 +67,12 @@
 
     /// Takes in what the gateway at `from` heard of loads, its ages counted from `as_of`.
     pub(crate) fn hear_loads(&self, loads: &[ObservedLoad], from: SocketAddr, as_of: Instant) {
+        let from = learned_from(from);
         let mut state = self.state.lock().unwrap();
         for load in loads {
             let at = as_of - load.age;
             let said = LoadSaid { upstream: load.upstream, in_progress: load.in_progress.into(), at };
-            state.loads.learn(said, learned_from(from));
+            state.loads.learn(said, from);
         }
     }
 
@@ -120,12 +121,12 @@
     /// Takes in which parts upstreams read, as the gateway at `from` told in an exchange that
     /// began at `asked`.
     pub(crate) fn hear_reads(&self, reads: &[ObservedRead], from: SocketAddr, asked: Instant) {
-        let now = bendhinge_clock::now();
+        let (now, from) = (bendhinge_clock::now(), learned_from(from));
         let mut state = self.state.lock().unwrap();
         for read in reads {
             let kept = kept_part(read, asked);
             if state.kept.learn(kept) {
-                state.news.push(kept, learned_from(from), now);
+                state.news.push(kept, from, now);
             }
         }
     }
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -10,10 +10,13 @@
 };
 use bendhinge_ids::NameHash;
 use bendhinge_placement::PartId;
-use capnp::Error;
+use capnp::traits::OwnedStruct;
+use capnp::{Error, struct_list};
 
 use super::{Known, ObservedDoubt, ObservedFailure, ObservedLoad, ObservedRead, PeerMessage, address_parts};
-use crate::fleet_capnp::{doubt, fleet, known, load, member, news_position, peer_message, read, upstream};
+use crate::fleet_capnp::{
+    doubt, fleet, known, load, member, news_position, peer_message, read, upstream, witness,
+};
 
 fn millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
@@ -23,7 +26,7 @@
     u16::try_from(span.as_millis()).unwrap_or(u16::MAX)
 }
 
-fn count(length: usize) -> u32 {
+pub(super) fn count(length: usize) -> u32 {
     u32::try_from(length).unwrap_or(u32::MAX)
 }
 
@@ -126,31 +129,31 @@
     }
 }
 
+/// Writes each item into its place in a list.
+pub(super) fn write_all<Owned: OwnedStruct, T>(
+    mut to: struct_list::Builder<'_, Owned>,
+    items: &[T],
+    write: impl Fn(Owned::Builder<'_>, &T),
+) {
+    for (index, item) in (0..).zip(items) {
+        write(to.reborrow().get(index), item);
+    }
+}
+
 /// Writes the lists of a message; one without entries takes no room.
 fn write_lists(mut to: peer_message::Builder<'_>, message: &PeerMessage) {
-    if !message.members.is_empty() {
-        let mut members = to.reborrow().init_members(count(message.members.len()));
-        for (index, heard) in (0..).zip(&message.members) {
-            write_member(members.reborrow().get(index), heard);
-        }
+    let PeerMessage { members, loads, reads, doubts, .. } = message;
+    if !members.is_empty() {
+        write_all(to.reborrow().init_members(count(members.len())), members, write_member);
     }
-    if !message.loads.is_empty() {
-        let mut loads = to.reborrow().init_loads(count(message.loads.len()));
-        for (index, load) in (0..).zip(&message.loads) {
-            write_load(loads.reborrow().get(index), load);
-        }
+    if !loads.is_empty() {
+        write_all(to.reborrow().init_loads(count(loads.len())), loads, write_load);
     }
-    if !message.reads.is_empty() {
-        let mut reads = to.reborrow().init_reads(count(message.reads.len()));
-        for (index, read) in (0..).zip(&message.reads) {
-            write_read(reads.reborrow().get(index), read);
-        }
+    if !reads.is_empty() {
+        write_all(to.reborrow().init_reads(count(reads.len())), reads, write_read);
     }
-    if !message.doubts.is_empty() {
-        let mut doubts = to.init_doubts(count(message.doubts.len()));
-        for (index, doubt) in (0..).zip(&message.doubts) {
-            write_doubt(doubts.reborrow().get(index), doubt);
-        }
+    if !doubts.is_empty() {
+        write_all(to.init_doubts(count(doubts.len())), doubts, write_doubt);
     }
 }
 
@@ -158,12 +161,12 @@
     to.set_upstream(doubt.upstream.0);
     to.set_answered(doubt.answered.is_some());
     to.set_answered_age_millis(millis(doubt.answered.unwrap_or_default()));
-    let mut witnesses = to.init_witnesses(count(doubt.witnesses.len()));
-    for (index, failure) in (0..).zip(&doubt.witnesses) {
-        let mut witness = witnesses.reborrow().get(index);
-        witness.set_router(failure.router.0);
-        witness.set_age_millis(millis(failure.age));
-    }
+    write_all(to.init_witnesses(count(doubt.witnesses.len())), &doubt.witnesses, write_failure);
+}
+
+fn write_failure(mut to: witness::Builder<'_>, failure: &ObservedFailure) {
+    to.set_router(failure.router.0);
+    to.set_age_millis(millis(failure.age));
 }
 
 fn read_doubt(from: doubt::Reader<'_>) -> Result<ObservedDoubt, Error> {
@@ -227,7 +230,7 @@
     })
 }
 
-fn read_upstreams(from: capnp::struct_list::Reader<'_, upstream::Owned>) -> Result<Entries, Error> {
+fn read_upstreams(from: struct_list::Reader<'_, upstream::Owned>) -> Result<Entries, Error> {
     from.iter().map(|entry| read_upstream(entry).map(Arc::new)).collect()
 }
 
@@ -245,10 +248,7 @@
             &changes.came
         }
     };
-    let mut list = to.init_list(count(entries.len()));
-    for (index, entry) in (0..).zip(entries) {
-        write_upstream(list.reborrow().get(index), entry);
-    }
+    write_all(to.init_list(count(entries.len())), entries, |to, entry| write_upstream(to, entry));
 }
 
 pub(super) fn read_list(from: fleet::upstreams_results::Reader<'_>) -> Result<ListTold, Error> {
--- a/crates/bendhinge_peer/src/fleet/server.rs
+++ b/crates/bendhinge_peer/src/fleet/server.rs
@@ -8,7 +8,7 @@
 use smol::LocalExecutor;
 use smol::net::TcpListener;
 
-use super::convert::{read_message, write_known, write_list, write_message, write_read};
+use super::convert::{count, read_message, write_all, write_known, write_list, write_message, write_read};
 use super::{FleetDuties, ReadsPage};
 use crate::answering::serve_connections;
 use crate::fleet_capnp::{document, fleet};
@@ -104,10 +104,7 @@
         let page = ReadsPage { index: params.get_page(), count: params.get_pages() };
         let Some(reads) = self.0.reads(page) else { return Ok(()) };
         results.get().set_informed(true);
-        let mut list = results.get().init_reads(u32::try_from(reads.len()).unwrap_or(u32::MAX));
-        for (index, read) in (0..).zip(&reads) {
-            write_read(list.reborrow().get(index), read);
-        }
+        write_all(results.get().init_reads(count(reads.len())), &reads, write_read);
         Ok(())
     }
 }
