Upstreams that warm up are sent what they bear, by a draw and a share

Ruled out: shares by the boxes' own count alone (who knows few boxes sends too much), a few named boxes (they differ by view).

--- a/crates/bendhinge_fleet/src/directory.rs
+++ b/crates/bendhinge_fleet/src/directory.rs
@@ -11,6 +11,8 @@
 use bendhinge_ids::{DataCentreName, Instant, NameHash, PoolName, UpstreamName};
 use rustc_hash::FxHashSet;
 
+use crate::Revision;
+
 /// Whether an upstream takes new work, as it reports itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum UpstreamState {
@@ -20,6 +22,23 @@
     Draining,
 }
 
+/// That an upstream warms up: until then it bears a few requests a second only.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct WarmUp {
+    /// How long it still took when the upstream said so.
+    pub left: Duration,
+    /// The store's revision at which it said so, which tells one warm-up from the next.
+    pub said: Revision,
+}
+
+impl WarmUp {
+    /// A warm-up of which `left` was left at the revision `said`; `None` if nothing was left.
+    #[must_use]
+    pub fn of(left: Duration, said: Revision) -> Option<Self> {
+        (!left.is_zero()).then_some(Self { left, said })
+    }
+}
+
 /// An upstream as listed.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct UpstreamEntry {
@@ -39,6 +58,8 @@
     pub state: UpstreamState,
     /// The store's revision at which it first appeared.
     pub made: u64,
+    /// That it warms up, if it does.
+    pub warm_up: Option<WarmUp>,
 }
 
 /// A whole list, in the order of names.
@@ -59,6 +80,9 @@
     pub vanished: Option<Instant>,
     /// When it stopped taking new work, if it did.
     pub left: Option<Instant>,
+    /// When it is warm at the latest, if it was said to warm up: what was left then, counted from
+    /// when this router heard of it.
+    pub warm: Option<Instant>,
 }
 
 impl Listed {
@@ -67,6 +91,12 @@
     pub fn takes_work(&self) -> bool {
         self.left.is_none()
     }
+
+    /// Whether it may still be warming up.
+    #[must_use]
+    pub fn is_warming(&self, now: Instant) -> bool {
+        self.warm.is_some_and(|warm| now < warm)
+    }
 }
 
 /// The times that the directory depends on.
@@ -171,6 +201,11 @@
 
 fn renewed(known: Option<&Listed>, entry: &Arc<UpstreamEntry>, now: Instant) -> Listed {
     let left = known.and_then(|known| known.left);
+    let is_said_before = |known: &&Listed| known.entry.warm_up == entry.warm_up;
+    let warm = match known.filter(is_said_before) {
+        Some(known) => known.warm,
+        None => entry.warm_up.map(|warm_up| now + warm_up.left),
+    };
     let was_draining = known.is_some_and(|known| known.entry.state == UpstreamState::Draining);
     Listed {
         entry: Arc::clone(entry),
@@ -181,5 +216,6 @@
             // Leaving wins over joining: an upstream that said it leaves does not come back.
             UpstreamState::Ready => left.filter(|_| was_draining),
         },
+        warm,
     }
 }
--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -28,7 +28,7 @@
 mod roster;
 
 pub use belief::{Belief, Held, Offer, Revision, Version};
-pub use directory::{Directory, DirectoryLimits, Listed, UpstreamEntry, UpstreamList, UpstreamState};
+pub use directory::{Directory, DirectoryLimits, Listed, UpstreamEntry, UpstreamList, UpstreamState, WarmUp};
 pub use evidence::{Doubt, Evidence, Verdict, Witness};
 pub use fetch::{FetchPlan, Holder};
 pub use judge::{Judge, JudgeLimits, Standing, UpstreamFailure};
--- a/crates/bendhinge_fleet/tests/directory.rs
+++ b/crates/bendhinge_fleet/tests/directory.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{Directory, DirectoryLimits, UpstreamEntry, UpstreamList, UpstreamState};
+use bendhinge_fleet::{
+    Directory, DirectoryLimits, Revision, UpstreamEntry, UpstreamList, UpstreamState, WarmUp,
+};
 use bendhinge_ids::{Instant, NameHash};
 
 const LIMITS: DirectoryLimits = DirectoryLimits {
@@ -27,6 +29,7 @@
             slots: 8,
             state: *state,
             made: 1,
+            warm_up: None,
         })
     });
     UpstreamList { entries: entries.collect() }
@@ -92,3 +95,36 @@
     read(&mut directory, &[("a", Ready), ("b", Ready)], 2_400);
     assert_eq!(working(&directory), ["b"]);
 }
+
+/// A list of one upstream that says that it warms up.
+fn warming(left_millis: u64, said: u64) -> UpstreamList {
+    let mut warming = list(&[("a", Ready)]);
+    let entry = Arc::make_mut(&mut warming.entries[0]);
+    entry.warm_up = WarmUp::of(Duration::from_millis(left_millis), Revision(said));
+    warming
+}
+
+fn is_warming(directory: &Directory, millis: u64) -> bool {
+    directory.listed()[0].is_warming(at(millis))
+}
+
+#[test]
+fn a_warm_up_ends_when_what_was_left_of_it_is_over_however_often_it_is_read() {
+    let mut directory = Directory::new(LIMITS);
+    directory.take(&warming(3_000, 7), at(1_000));
+    directory.take(&warming(3_000, 7), at(2_500));
+    assert!(is_warming(&directory, 3_900));
+    assert!(!is_warming(&directory, 4_000));
+}
+
+#[test]
+fn an_upstream_may_warm_up_again_under_the_same_name() {
+    let mut directory = Directory::new(LIMITS);
+    directory.take(&warming(3_000, 7), at(1_000));
+    directory.take(&warming(1_200, 9), at(2_500));
+    assert!(!is_warming(&directory, 3_700), "what is said last counts");
+    directory.take(&list(&[("a", Ready)]), at(5_000));
+    assert!(!is_warming(&directory, 5_000));
+    directory.take(&warming(3_000, 30), at(6_000));
+    assert!(is_warming(&directory, 8_900));
+}
--- a/crates/bendhinge_fleet/tests/lists.rs
+++ b/crates/bendhinge_fleet/tests/lists.rs
@@ -16,6 +16,7 @@
         slots: 32,
         state,
         made: u64::from(number),
+        warm_up: None,
     })
 }
 
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -120,7 +120,9 @@
         Timer::after(PERIOD).await;
         let now = bendhinge_clock::now();
         control.roster.borrow_mut().forget(now);
-        control.delivering.retries.divide_among(control.roster.borrow().known_count());
+        let gateways = control.roster.borrow().known_count();
+        control.delivering.retries.divide_among(gateways);
+        control.delivering.upstreams.divide_among(gateways);
         control.peer_states.borrow_mut().forget(now);
         control.delivering.upstreams.prune();
         control.delivering.pool.prune();
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -11,9 +11,10 @@
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_peer::Known;
 use bendhinge_placement::{
-    Candidate, ChoiceReason, CostRules, KeptPart, KeptParts, Prompt, Question, choose,
+    Candidate, ChoiceReason, CostRules, Demand, KeptPart, KeptParts, Prompt, Question, WarmingShare, choose,
 };
 use bendhinge_routes::PoolRule;
+use rustc_hash::FxHashMap;
 
 use super::peers::router_hash;
 use crate::dialect;
@@ -75,6 +76,10 @@
     pub(super) news: NewsLog<KeptPart>,
     /// The lists that were held lately.
     pub(super) history: ListHistory,
+    /// Sends to each pool.
+    demand: FxHashMap<PoolName, Demand>,
+    /// How many gateways there are, this one among them; `None` as long as it knows of no other.
+    gateways: Option<usize>,
 }
 
 /// This gateway's view of the upstreams.
@@ -107,6 +112,8 @@
             kept: KeptParts::new(KEPT_FOR),
             news: NewsLog::new(READS_TOLD),
             history: ListHistory::default(),
+            demand: FxHashMap::default(),
+            gateways: None,
         };
         let costs = CostRules { bound: settings.load_bound, ..CostRules::default() };
         Self { state: Mutex::new(state), costs }
@@ -168,6 +175,7 @@
     pub(crate) fn choose(self: &Arc<Self>, question: &PlacementQuestion<'_>) -> Option<Chosen> {
         let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
+        state.note_demand(question.pool, now);
         let (listed, candidates) = state.candidates(question, now);
         let list_age = state.belief.age(now).unwrap_or_default();
         let asked = Question {
@@ -232,6 +240,11 @@
         listed.map(|listed| Arc::clone(&listed.entry)).filter(|entry| keeps_prompts(&entry.pool)).collect()
     }
 
+    /// Notes how many gateways are known, this one among them.
+    pub(crate) fn divide_among(&self, gateways: usize) {
+        self.state.lock().unwrap().gateways = (gateways > 1).then_some(gateways);
+    }
+
     /// Gives up what is too old.
     pub(crate) fn prune(&self) {
         let now = bendhinge_clock::now();
@@ -273,9 +286,21 @@
                 candidate.takes_work = listed.takes_work() && !question.tried.contains(&candidate.upstream);
             }
         }
+        if let Some(rate) = question.rule.and_then(|rule| rule.warming_rate) {
+            let demand = self.demand.get(question.pool).map_or(0.0, |demand| demand.per_second(now));
+            let share = WarmingShare { rate, demand, routers: self.gateways };
+            share.spare(&mut candidates, question.tie_breaker);
+        }
         (listed, candidates)
     }
 
+    fn note_demand(&mut self, pool: &PoolName, now: Instant) {
+        match self.demand.get_mut(pool) {
+            Some(demand) => demand.note(now),
+            None => self.demand.entry(pool.clone()).or_default().note(now),
+        }
+    }
+
     fn candidate(
         &self,
         listed: &Listed,
@@ -296,6 +321,7 @@
             load: self.loads.estimate(upstream, mean, now),
             failing,
             takes_work: is_fit && standing != Standing::Resting,
+            is_warming: is_fit && listed.is_warming(now),
         }
     }
 }
--- a/crates/bendhinge_gateway/src/native/rules.rs
+++ b/crates/bendhinge_gateway/src/native/rules.rs
@@ -36,6 +36,12 @@
     keys: &[
         Key::new("keeps_prompts", "yes or no", Some("no"), "Whether they keep what they read of prompts."),
         Key::new("moves_prompts", "yes or no", Some("no"), "Whether one can fetch that from another."),
+        Key::new(
+            "warming_rate",
+            "number",
+            Some(""),
+            "Requests a second that one upstream bears while it warms up; none is no limit.",
+        ),
     ],
 };
 
@@ -157,8 +163,13 @@
         let name = self.0.name(section);
         let keeps_prompts = self.flag(section, "keeps_prompts");
         let moves_prompts = self.flag(section, "moves_prompts");
-        let rule =
-            PoolRule { keeps_prompts: keeps_prompts?, moves_prompts: moves_prompts?, ..PoolRule::default() };
+        let warming_rate = self.0.optional(section, "warming_rate");
+        let rule = PoolRule {
+            keeps_prompts: keeps_prompts?,
+            moves_prompts: moves_prompts?,
+            warming_rate,
+            ..PoolRule::default()
+        };
         Some((name?, rule))
     }
 
--- a/crates/bendhinge_gateway/src/native/store.rs
+++ b/crates/bendhinge_gateway/src/native/store.rs
@@ -1,8 +1,9 @@
 //! The store in the product's own interface: pages of JSON at `/v1/fleet`, and of its parts below.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use bendhinge_fleet::{Revision, UpstreamEntry, UpstreamState};
+use bendhinge_fleet::{Revision, UpstreamEntry, UpstreamState, WarmUp};
 use bendhinge_ids::{DataCentreName, NameHash, PoolName, UpstreamName};
 use bendhinge_routes::ServingRules;
 use bytes::Bytes;
@@ -39,6 +40,12 @@
     #[serde(default)]
     draining: bool,
     made: u64,
+    /// What was left of its warm-up when it said so, in milliseconds.
+    #[serde(default)]
+    warm_up_ms: u32,
+    /// The store's revision at which it said so.
+    #[serde(default)]
+    warm_up_said: u64,
 }
 
 impl StoreDialect for Native {
@@ -81,5 +88,6 @@
         slots: item.slots,
         state: if item.draining { UpstreamState::Draining } else { UpstreamState::Ready },
         made: item.made,
+        warm_up: WarmUp::of(Duration::from_millis(item.warm_up_ms.into()), Revision(item.warm_up_said)),
     }
 }
--- a/crates/bendhinge_lab/src/bench/mod.rs
+++ b/crates/bendhinge_lab/src/bench/mod.rs
@@ -7,6 +7,7 @@
 pub mod decision;
 pub mod placement;
 mod policy;
+pub mod warming;
 mod workload;
 
 pub use policy::PolicyKind;
--- a/crates/bendhinge_lab/src/measure/decisions.rs
+++ b/crates/bendhinge_lab/src/measure/decisions.rs
@@ -2,7 +2,8 @@
 
 use super::figure;
 use crate::bench::placement::PlacementFigures;
-use crate::bench::{PolicyKind, Scenario, admission, decision, placement};
+use crate::bench::warming::{ROUTERS, Way};
+use crate::bench::{PolicyKind, Scenario, admission, decision, placement, warming};
 
 /// Runs of a scenario; figures are their means, worst cases their worst.
 const SEEDS: [u64; 3] = [20_261_202, 20_261_203, 20_261_204];
@@ -105,3 +106,24 @@
         figure(&format!("admission.utilization.{name}"), worst(|run| run.utilization), "ratio");
     }
 }
+
+/// Sparing upstreams that warm up, by each way, with what the routers know of each other.
+pub(super) fn warming() {
+    const WARMING: usize = 30;
+    let ways = [
+        ("unspared", Way::Unspared),
+        ("three_named_routers", Way::NamedRouters(3)),
+        ("eight_named_routers", Way::NamedRouters(8)),
+        ("equal_shares", Way::EqualShares),
+        ("drawn", Way::Drawn),
+    ];
+    for (name, way) in ways {
+        let all = warming::run(way, WARMING, |_| Some(ROUTERS), 1);
+        let two_thirds = warming::run(way, WARMING, |_| Some(ROUTERS * 2 / 3), 2);
+        let few = warming::run(way, WARMING, |router| if router % 4 == 0 { None } else { Some(ROUTERS) }, 3);
+        figure(&format!("warming.{name}.mean"), all.usual_mean, "1/s");
+        figure(&format!("warming.{name}.most"), all.most as f64, "in 1 s");
+        figure(&format!("warming.{name}.most.third_unknown"), two_thirds.most as f64, "in 1 s");
+        figure(&format!("warming.{name}.most.quarter_alone"), few.most as f64, "in 1 s");
+    }
+}
--- a/crates/bendhinge_lab/src/measure/mod.rs
+++ b/crates/bendhinge_lab/src/measure/mod.rs
@@ -36,6 +36,7 @@
     ("placement.planned", Group::Bench(decisions::planned)),
     ("share", Group::Bench(decisions::shares)),
     ("decision", Group::Bench(decisions::costs)),
+    ("warming", Group::Bench(decisions::warming)),
 ];
 
 /// Runs all measurements whose group's name contains `only`.
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -80,6 +80,9 @@
   slots @5 :UInt32;
   draining @6 :Bool;
   made @7 :UInt64;
+  # What was left of its warm-up when it said so, and the revision at which it did; 0 is no warm-up.
+  warmUpLeftMillis @8 :UInt32;
+  warmUpSaid @9 :UInt64;
 }
 
 # A document as it was when it was asked for.
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -6,7 +6,7 @@
 
 use bendhinge_fleet::{
     Heard, ListChanges, ListTold, LoadStates, MemberStates, NewsLife, NewsPosition, Revision, RosterDigest,
-    UpstreamEntry, UpstreamList, UpstreamState, Version,
+    UpstreamEntry, UpstreamList, UpstreamState, Version, WarmUp,
 };
 use bendhinge_ids::NameHash;
 use bendhinge_placement::PartId;
@@ -213,6 +213,15 @@
     to.set_slots(entry.slots);
     to.set_draining(entry.state == UpstreamState::Draining);
     to.set_made(entry.made);
+    if let Some(warm_up) = entry.warm_up {
+        to.set_warm_up_left_millis(millis(warm_up.left));
+        to.set_warm_up_said(warm_up.said.0);
+    }
+}
+
+fn read_warm_up(from: upstream::Reader<'_>) -> Option<WarmUp> {
+    let left = Duration::from_millis(from.get_warm_up_left_millis().into());
+    WarmUp::of(left, Revision(from.get_warm_up_said()))
 }
 
 fn read_upstream(from: upstream::Reader<'_>) -> Result<UpstreamEntry, Error> {
@@ -227,6 +236,7 @@
         slots: from.get_slots(),
         state: if from.get_draining() { UpstreamState::Draining } else { UpstreamState::Ready },
         made: from.get_made(),
+        warm_up: read_warm_up(from),
     })
 }
 
--- a/crates/bendhinge_peer/src/fleet_capnp.rs
+++ b/crates/bendhinge_peer/src/fleet_capnp.rs
@@ -3462,6 +3462,14 @@
         pub fn get_made(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
+        #[inline]
+        pub fn get_warm_up_left_millis(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn get_warm_up_said(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> {
@@ -3469,7 +3477,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+            ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3650,6 +3658,22 @@
         pub fn set_made(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(2, value);
         }
+        #[inline]
+        pub fn get_warm_up_left_millis(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_warm_up_left_millis(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
+        pub fn get_warm_up_said(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_warm_up_said(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline {
@@ -3662,80 +3686,94 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 139] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 172] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(116, 6, 164, 125, 250, 82, 44, 184),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 85, 112, 115, 116),
             ::capnp::word(114, 101, 97, 109, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 48, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3802,6 +3840,25 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 114, 109, 85, 112, 76, 101),
+            ::capnp::word(102, 116, 77, 105, 108, 108, 105, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 114, 109, 85, 112, 83, 97),
+            ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3813,6 +3870,8 @@
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3831,9 +3890,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 4, 6, 7, 0, 1, 3, 5];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 4, 6, 7, 0, 1, 3, 5, 8, 9];
         pub(crate) const TYPE_ID: u64 = 0xb82c_52fa_7da4_0674;
     }
 }
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -17,6 +17,8 @@
     pub failing: f32,
     /// Whether it takes new work; one that does not may still be a source.
     pub takes_work: bool,
+    /// Whether it is warming up.
+    pub is_warming: bool,
 }
 
 /// What things cost, in tokens to read.
@@ -141,9 +143,10 @@
     best(&mut { within }).or_else(|| best(&mut working()))
 }
 
-/// The mean load of the upstreams that take work.
+/// The mean load of the upstreams that take work, of any request if not of this one: were those that warm
+/// up left out, which have little, the others would be given more above the pool's mean.
 fn mean_load(candidates: &[Candidate]) -> f32 {
-    let working = candidates.iter().filter(|candidate| candidate.takes_work);
+    let working = candidates.iter().filter(|candidate| candidate.takes_work || candidate.is_warming);
     let (count, total) =
         working.fold((0.0_f32, 0.0_f32), |(count, total), candidate| (count + 1.0, total + candidate.load));
     total / count.max(1.0)
--- a/crates/bendhinge_placement/tests/cost.rs
+++ b/crates/bendhinge_placement/tests/cost.rs
@@ -16,6 +16,7 @@
         load: 0.0,
         failing: 0.0,
         takes_work: true,
+        is_warming: false,
     };
     (0..count).map(candidate).collect()
 }
--- a/crates/bendhinge_routes/src/rules.rs
+++ b/crates/bendhinge_routes/src/rules.rs
@@ -20,6 +20,8 @@
     pub moves_prompts: bool,
     /// Tokens that one member can keep.
     pub kept_tokens: u64,
+    /// Requests a second that one member bears while it warms up, where there is such a limit.
+    pub warming_rate: Option<f32>,
 }
 
 /// What callers may send, and how long they may take.
