A drained data centre's upstreams get nothing, from any box, until it is given back

Cause: the operators' order was never read. It is read in the one page that holds the list (also where large rules are read apart: the page begins after them), is a part of the list's digest, so that it travels between boxes as an upstream's leaving does, and is looked at again right before a send. Streams run on; memory is still fetched from there; what comes back counts as warming up for 2.5 s. Ruled out: the order as a belief of its own (a second age, and a box that holds a list without it).

--- a/crates/bendhinge_fleet/src/directory.rs
+++ b/crates/bendhinge_fleet/src/directory.rs
@@ -67,6 +67,10 @@
 pub struct UpstreamList {
     /// The entries.
     pub entries: Vec<Arc<UpstreamEntry>>,
+    /// Data centres whose upstreams are to get no new work until the operators take that back, in the order of
+    /// names. They are part of the list so that they travel as surely and as fast as an upstream's leaving, and
+    /// are never seen apart from it.
+    pub drained: Vec<DataCentreName>,
 }
 
 /// An upstream as this router sees it.
@@ -80,6 +84,8 @@
     pub vanished: Option<Instant>,
     /// When it stopped taking new work, if it did.
     pub left: Option<Instant>,
+    /// Whether its data centre is drained.
+    pub is_drained: bool,
     /// When it is warm at the latest, if it was said to warm up: what was left then, counted from
     /// when this router heard of it.
     pub warm: Option<Instant>,
@@ -89,7 +95,7 @@
     /// Whether it takes new work.
     #[must_use]
     pub fn takes_work(&self) -> bool {
-        self.left.is_none()
+        self.left.is_none() && !self.is_drained
     }
 
     /// Whether it may still be warming up.
@@ -99,6 +105,10 @@
     }
 }
 
+/// How long an upstream counts as warming up after its data centre was drained: it may have been restarted
+/// meanwhile, and what it says of its warm-up is up to two seconds old when it is read.
+const DOUBTED_AFTER_DRAIN: Duration = Duration::from_millis(2_500);
+
 /// The times that the directory depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct DirectoryLimits {
@@ -158,9 +168,11 @@
         for entry in &list.entries {
             let known = before.iter().position(|listed| listed.entry.name == entry.name);
             let known = known.map(|position| before.swap_remove(position));
-            self.listed.push(renewed(known.as_ref(), entry, now));
+            let is_drained = list.drained.contains(&entry.data_centre);
+            self.listed.push(renewed(known.as_ref(), entry, is_drained, now));
         }
         for mut listed in before {
+            listed.is_drained = list.drained.contains(&listed.entry.data_centre);
             listed.vanished.get_or_insert(now);
             if listed.left.is_none() && !doubted {
                 listed.left = Some(now);
@@ -199,13 +211,15 @@
     }
 }
 
-fn renewed(known: Option<&Listed>, entry: &Arc<UpstreamEntry>, now: Instant) -> Listed {
+fn renewed(known: Option<&Listed>, entry: &Arc<UpstreamEntry>, is_drained: bool, now: Instant) -> Listed {
     let left = known.and_then(|known| known.left);
     let is_said_before = |known: &&Listed| known.entry.warm_up == entry.warm_up;
     let warm = match known.filter(is_said_before) {
         Some(known) => known.warm,
         None => entry.warm_up.map(|warm_up| now + warm_up.left),
     };
+    let is_given_back = known.is_some_and(|known| known.is_drained) && !is_drained;
+    let warm = if is_given_back { warm.max(Some(now + DOUBTED_AFTER_DRAIN)) } else { warm };
     let was_draining = known.is_some_and(|known| known.entry.state == UpstreamState::Draining);
     Listed {
         entry: Arc::clone(entry),
@@ -216,6 +230,7 @@
             // Leaving wins over joining: an upstream that said it leaves does not come back.
             UpstreamState::Ready => left.filter(|_| was_draining),
         },
+        is_drained,
         warm,
     }
 }
--- a/crates/bendhinge_fleet/src/lists.rs
+++ b/crates/bendhinge_fleet/src/lists.rs
@@ -9,7 +9,7 @@
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
-use bendhinge_ids::NameHash;
+use bendhinge_ids::{DataCentreName, NameHash};
 use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
 
 use crate::directory::{UpstreamEntry, UpstreamList};
@@ -25,6 +25,8 @@
     pub gone: Vec<NameHash>,
     /// Entries that are new or differ.
     pub came: Vec<Arc<UpstreamEntry>>,
+    /// The data centres that are drained now, all of them.
+    pub drained: Vec<DataCentreName>,
 }
 
 /// A list as it is told to a peer.
@@ -57,7 +59,7 @@
         let gone = base.entries.iter().map(|entry| entry.hash).filter(|hash| !now.contains_key(hash));
         let is_same = |entry: &&Arc<UpstreamEntry>| before.get(&entry.hash).is_some_and(|old| old == entry);
         let came = self.entries.iter().filter(|entry| !is_same(entry)).cloned();
-        ListChanges { gone: gone.collect(), came: came.collect() }
+        ListChanges { gone: gone.collect(), came: came.collect(), drained: self.drained.clone() }
     }
 
     /// This list with `changes` made.
@@ -68,7 +70,7 @@
         let stays = self.entries.iter().filter(|entry| !replaced.contains(&entry.hash));
         let mut entries: Vec<_> = stays.chain(&changes.came).cloned().collect();
         entries.sort_by(|left, right| left.name.cmp(&right.name));
-        Self { entries }
+        Self { entries, drained: changes.drained.clone() }
     }
 
     /// The same list, whose entries are shared with `other` where they are equal: lists that follow each
@@ -80,7 +82,7 @@
             Some(old) if **old == entry => Arc::clone(old),
             _ => entry,
         });
-        Self { entries: shared.collect() }
+        Self { entries: shared.collect(), drained: self.drained }
     }
 }
 
--- a/crates/bendhinge_fleet/tests/directory.rs
+++ b/crates/bendhinge_fleet/tests/directory.rs
@@ -32,7 +32,7 @@
             warm_up: None,
         })
     });
-    UpstreamList { entries: entries.collect() }
+    UpstreamList { entries: entries.collect(), drained: Vec::new() }
 }
 
 fn working(directory: &Directory) -> Vec<String> {
@@ -128,3 +128,47 @@
     directory.take(&warming(3_000, 30), at(6_000));
     assert!(is_warming(&directory, 8_900));
 }
+
+/// The upstreams "a" and "b", with their data centre drained or not.
+fn drained(is_drained: bool) -> UpstreamList {
+    let mut list = list(&[("a", Ready), ("b", Ready)]);
+    list.drained = if is_drained { vec!["south".parse().unwrap()] } else { Vec::new() };
+    list
+}
+
+#[test]
+fn an_upstream_of_a_drained_data_centre_takes_no_work_until_that_is_taken_back() {
+    let mut directory = Directory::new(LIMITS);
+    for begin in [1_000, 20_000] {
+        directory.take(&drained(false), at(begin));
+        assert_eq!(working(&directory), ["a", "b"]);
+        directory.take(&drained(true), at(begin + 1_000));
+        assert_eq!(working(&directory), [""; 0]);
+        directory.prune(at(begin + 9_000));
+        assert_eq!(directory.listed().len(), 2, "they are still there, for what they keep");
+        directory.take(&drained(false), at(begin + 9_500));
+        assert_eq!(working(&directory), ["a", "b"]);
+    }
+}
+
+#[test]
+fn upstreams_come_back_from_a_drained_data_centre_as_if_they_were_warming_up() {
+    let mut directory = Directory::new(LIMITS);
+    directory.take(&drained(true), at(1_000));
+    assert!(!is_warming(&directory, 1_000), "who starts amid it knows no more than that");
+    directory.take(&drained(false), at(9_000));
+    assert!(is_warming(&directory, 11_400));
+    assert!(!is_warming(&directory, 11_500));
+}
+
+#[test]
+fn an_entry_that_lapses_while_its_data_centre_is_drained_takes_no_work_either() {
+    let mut directory = Directory::new(LIMITS);
+    directory.evidence(at(1_000), at(1_000));
+    directory.take(&drained(true), at(1_000));
+    let mut lapsed = drained(true);
+    lapsed.entries.remove(0);
+    directory.evidence(at(5_000), at(5_000));
+    directory.take(&lapsed, at(5_000));
+    assert_eq!(working(&directory), [""; 0]);
+}
--- a/crates/bendhinge_fleet/tests/lists.rs
+++ b/crates/bendhinge_fleet/tests/lists.rs
@@ -25,7 +25,7 @@
 }
 
 fn list(numbers: std::ops::Range<u32>) -> UpstreamList {
-    UpstreamList { entries: numbers.map(ready).collect() }
+    UpstreamList { entries: numbers.map(ready).collect(), drained: Vec::new() }
 }
 
 /// The list that a peer which holds `held` has after it was told `told`.
@@ -108,7 +108,7 @@
                     _ => entries.push(entry(number, 9_001, UpstreamState::Ready)),
                 }
             }
-            Ok(UpstreamList { entries })
+            Ok(UpstreamList { entries, drained: Vec::new() })
         };
         let (before, now) = (some()?, some()?);
         let history = remembering(&[&before]);
@@ -116,3 +116,19 @@
         Ok(())
     });
 }
+
+#[test]
+fn a_drained_data_centre_is_told_with_the_list_and_so_is_that_it_is_given_back() {
+    let usual = list(0..20);
+    let drained = UpstreamList { drained: vec!["hall-1".parse().unwrap()], ..usual.clone() };
+    assert_ne!(usual.digest(), drained.digest(), "who holds the one lacks the other");
+    let mut history = ListHistory::default();
+    for list in [&usual, &drained] {
+        history.remember(list.digest(), &Arc::new(list.clone()));
+    }
+    for (held, current) in [(&usual, &drained), (&drained, &usual)] {
+        let told = history.tell(current, Some(held.digest()));
+        assert!(matches!(&told, ListTold::Changes { changes, .. } if changes.came.is_empty()));
+        assert_eq!(after(held, &told), *current);
+    }
+}
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -7,7 +7,7 @@
 
 use bendhinge_fleet::{Origin, ReadingLimits, ReadingPlan, Revision, UpstreamEntry, UpstreamList, Version};
 use bendhinge_http::{FetchError, FetchTime, Fetched, empty_body, fetch};
-use bendhinge_ids::Instant;
+use bendhinge_ids::{DataCentreName, Instant};
 use bendhinge_peer::Known;
 use hyper::{Request, StatusCode};
 use smol::Timer;
@@ -48,6 +48,7 @@
     at: Revision,
     rules: Option<StoredRules>,
     upstreams: Vec<UpstreamEntry>,
+    drained: Vec<DataCentreName>,
 }
 
 /// One of the two things that are read, each in its own time: a list of upstreams must not be as
@@ -114,6 +115,7 @@
         contents.at = if contents.at == Revision::default() { page.at } else { contents.at.min(page.at) };
         contents.rules = page.rules.or(contents.rules);
         contents.upstreams.extend(page.upstreams);
+        contents.drained.extend(page.drained);
         after = page.next_after;
         if after.is_none() {
             break;
@@ -260,7 +262,7 @@
     }
 
     fn take_contents(self: &Rc<Self>, part: StorePart, contents: Contents, began: Instant) {
-        let Contents { at, rules, mut upstreams } = contents;
+        let Contents { at, rules, mut upstreams, mut drained } = contents;
         if let Some(StoredRules { revision, document }) = rules {
             // A document has one revision: its number tells it from all others.
             let version = Version { revision, digest: revision.0 };
@@ -276,7 +278,9 @@
         }
         upstreams.sort_by(|left, right| left.name.cmp(&right.name));
         upstreams.dedup_by(|left, right| left.name == right.name);
-        let list = UpstreamList { entries: upstreams.into_iter().map(Arc::new).collect() };
+        drained.sort_unstable();
+        drained.dedup();
+        let list = UpstreamList { entries: upstreams.into_iter().map(Arc::new).collect(), drained };
         let known = Known { version: Version { revision: at, digest: list.digest() }, age: Duration::ZERO };
         self.take_upstreams(&known, began, list, Origin::Store);
     }
--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -125,7 +125,7 @@
     };
     let mut connection = connecting.map_err(|_| SendEnd::NotConnected)?;
     // Connecting may have taken long, or the process may have been frozen meanwhile.
-    if !delivering.may_still_be_sent(turn) {
+    if !delivering.may_still_be_sent(turn, chosen) {
         return Err(SendEnd::NotSent.into());
     }
     match send(&mut connection, request).await {
@@ -133,7 +133,7 @@
         Err(NotAnswered::Unsent(request)) if connection.reused => {
             // An idle connection that the upstream had closed says nothing about the upstream.
             connection = delivering.pool.connect(address).await.map_err(|_| SendEnd::NotConnected)?;
-            if !delivering.may_still_be_sent(turn) {
+            if !delivering.may_still_be_sent(turn, chosen) {
                 return Err(SendEnd::NotSent.into());
             }
             let answer = send(&mut connection, *request).await.map_err(|failure| failure.end())?;
@@ -276,9 +276,11 @@
             .detach();
     }
 
-    /// Whether the turn may be sent now: rules may have changed, or grown too old to act on.
-    fn may_still_be_sent(&self, turn: &Turn) -> bool {
-        bendhinge_clock::now() < turn.limit && turn.is_allowed(&self.rules)
+    /// Whether the turn may be sent now: rules may have changed, or grown too old to act on, and so may the
+    /// list of upstreams.
+    fn may_still_be_sent(&self, turn: &Turn, chosen: &Chosen) -> bool {
+        let is_in_time = bendhinge_clock::now() < turn.limit;
+        is_in_time && turn.is_allowed(&self.rules) && self.upstreams.takes_work(chosen.entry.hash)
     }
 }
 
--- a/crates/bendhinge_gateway/src/dialect.rs
+++ b/crates/bendhinge_gateway/src/dialect.rs
@@ -6,7 +6,7 @@
 
 use bendhinge_codes::ResultCode;
 use bendhinge_fleet::{Revision, UpstreamEntry};
-use bendhinge_ids::CustomerName;
+use bendhinge_ids::{CustomerName, DataCentreName};
 use bendhinge_placement::{PartId, Prompt, PromptPart};
 use bendhinge_routes::ServingRules;
 use bytes::Bytes;
@@ -86,7 +86,7 @@
 pub enum StorePart {
     /// Everything.
     All,
-    /// The list of upstreams.
+    /// The list of upstreams, and which data centres are drained.
     Upstreams,
     /// The serving rules.
     Rules,
@@ -109,6 +109,8 @@
     pub rules: Option<StoredRules>,
     /// The upstreams on the page.
     pub upstreams: Vec<UpstreamEntry>,
+    /// The drained data centres on the page.
+    pub drained: Vec<DataCentreName>,
     /// The key after which the next page begins, if there is one.
     pub next_after: Option<String>,
 }
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -209,6 +209,14 @@
         })
     }
 
+    /// Whether an upstream that was chosen still takes new work: it may have begun to leave, or its data
+    /// centre may have been drained, while a connection was made or the process was frozen.
+    pub(crate) fn takes_work(&self, upstream: NameHash) -> bool {
+        let state = self.state.lock().unwrap();
+        let mut listed = state.directory.listed().iter();
+        listed.any(|listed| listed.entry.hash == upstream && listed.takes_work())
+    }
+
     /// Notes an upstream's whole answer, or the head of a stream.
     pub(crate) fn answered(&self, upstream: NameHash) {
         let now = bendhinge_clock::now();
--- a/crates/bendhinge_gateway/src/native/store.rs
+++ b/crates/bendhinge_gateway/src/native/store.rs
@@ -20,6 +20,9 @@
     rules: Option<RulesItem>,
     #[serde(default)]
     upstreams: Vec<UpstreamItem>,
+    /// Data centres that are to get no new work.
+    #[serde(default)]
+    drained: Vec<DataCentreName>,
     #[serde(default)]
     next: Option<String>,
 }
@@ -69,6 +72,7 @@
             at: Revision(page.at),
             rules,
             upstreams: page.upstreams.into_iter().map(entry).collect(),
+            drained: page.drained,
             next_after: page.next,
         })
     }
--- a/crates/bendhinge_lab/tests/gateway_life.rs
+++ b/crates/bendhinge_lab/tests/gateway_life.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bendhinge_lab::gateways::{Call, FleetShape, GatewayFleet, Harm, KEY, Told, until};
-use bendhinge_standin::gateway::{StoreFault, UpstreamFault};
+use bendhinge_standin::gateway::{DATA_CENTRE, StoreFault, UpstreamFault};
 use gateway_common::{PATIENCE, call, run, send, smallest, start};
 use rustix::process::Signal;
 
@@ -213,3 +213,57 @@
         .await;
     });
 }
+
+/// One of two gateways hears of it from the other alone; requests go elsewhere, and come back.
+#[test]
+fn upstreams_of_a_drained_data_centre_get_nothing_from_any_gateway_until_it_is_given_back() {
+    run(|tasks| async move {
+        let shape = FleetShape { gateways: 2, engines: 0, services: 2 };
+        let mut fleet = GatewayFleet::start(&tasks, shape, "").await;
+        fleet.gateways[1] = None;
+        fleet.settings[1].store = "127.0.0.1:1".parse().unwrap();
+        fleet.restart(1);
+        fleet.until_ready().await;
+        fleet.store.place("services-0", "north");
+        let reaches_first = async |gateway: usize| {
+            let first = async || {
+                let call = call("/safe/x");
+                let answer = fleet.caller().send(fleet.callers(gateway), &call, PATIENCE).await;
+                assert_eq!(answer.told, Told::Whole);
+                fleet.upstreams[0].runs().iter().any(|run| run.request == call.id)
+            };
+            for _ in 0..20 {
+                if first().await {
+                    return true;
+                }
+            }
+            false
+        };
+        for _ in 0..2 {
+            fleet.store.drain_data_centre("north");
+            for gateway in 0..2 {
+                until(async || !reaches_first(gateway).await).await;
+            }
+            fleet.store.give_back_data_centre("north");
+            for gateway in 0..2 {
+                until(async || reaches_first(gateway).await).await;
+            }
+        }
+    });
+}
+
+#[test]
+fn a_pool_whose_data_centres_are_all_drained_refuses_at_once_and_says_when_to_come_back() {
+    run(|tasks| async move {
+        let shape = FleetShape { gateways: 1, engines: 0, services: 1 };
+        let fleet = GatewayFleet::start(&tasks, shape, "").await;
+        fleet.store.drain_data_centre(DATA_CENTRE);
+        until(async || send(&fleet, &call("/unsafe/x")).await.code() == Some("BH0304")).await;
+        let refused = call("/unsafe/x");
+        let answer = send(&fleet, &refused).await;
+        assert_eq!((answer.told, answer.headers.contains_key("retry-after")), (Told::Status(503), true));
+        assert_eq!(fleet.runs_of(&refused.id), 0);
+        fleet.store.give_back_data_centre(DATA_CENTRE);
+        until(async || send(&fleet, &call("/unsafe/x")).await.told == Told::Whole).await;
+    });
+}
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -97,8 +97,8 @@
   rules @1 (inPieces :Bool) -> (known :Known, document :Data, length :UInt32, rest :Document);
   # Against the list of which the asker gives the digest, if it is remembered: `list` holds what is new or
   # differs and `gone` the hashes of names that are not listed any more, and `base` is that digest. Else `base` is 0
-  # and the list is whole.
-  upstreams @2 (base :UInt64) -> (known :Known, list :List(Upstream), base :UInt64, gone :List(UInt64));
+  # and the list is whole. `drained` names all data centres that are drained, in both cases.
+  upstreams @2 (base :UInt64) -> (known :Known, list :List(Upstream), base :UInt64, gone :List(UInt64), drained :List(Text));
   # Of the parts whose number leaves `page` when divided by `pages`; 0 pages are one.
   reads @3 (page :UInt32, pages :UInt32) -> (reads :List(Read), informed :Bool);
 }
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -8,7 +8,7 @@
     Heard, ListChanges, ListTold, LoadStates, MemberStates, NewsLife, NewsPosition, Revision, RosterDigest,
     UpstreamEntry, UpstreamList, UpstreamState, Version, WarmUp,
 };
-use bendhinge_ids::NameHash;
+use bendhinge_ids::{DataCentreName, NameHash};
 use bendhinge_placement::PartId;
 use capnp::traits::OwnedStruct;
 use capnp::{Error, struct_list};
@@ -224,6 +224,10 @@
     WarmUp::of(left, Revision(from.get_warm_up_said()))
 }
 
+fn read_data_centre(name: capnp::text::Reader<'_>) -> Result<DataCentreName, Error> {
+    name.to_str()?.parse().map_err(|_| Error::failed("a data centre's name is invalid".to_owned()))
+}
+
 fn read_upstream(from: upstream::Reader<'_>) -> Result<UpstreamEntry, Error> {
     let invalid = |_| Error::failed("an upstream's name is invalid".to_owned());
     let name: bendhinge_ids::UpstreamName = from.get_name()?.to_str()?.parse().map_err(invalid)?;
@@ -232,7 +236,7 @@
         name,
         pool: from.get_pool()?.to_str()?.parse().map_err(invalid)?,
         address: address(from.get_address(), from.get_port()),
-        data_centre: from.get_data_centre()?.to_str()?.parse().map_err(invalid)?,
+        data_centre: read_data_centre(from.get_data_centre()?)?,
         slots: from.get_slots(),
         state: if from.get_draining() { UpstreamState::Draining } else { UpstreamState::Ready },
         made: from.get_made(),
@@ -247,26 +251,31 @@
 type Entries = Vec<Arc<UpstreamEntry>>;
 
 pub(super) fn write_list(mut to: fleet::upstreams_results::Builder<'_>, told: &ListTold) {
-    let entries = match told {
-        ListTold::Whole(list) => &list.entries,
+    let (entries, drained) = match told {
+        ListTold::Whole(list) => (&list.entries, &list.drained),
         ListTold::Changes { base, changes } => {
             to.set_base(*base);
             let mut gone = to.reborrow().init_gone(count(changes.gone.len()));
             for (index, hash) in (0..).zip(&changes.gone) {
                 gone.set(index, hash.0);
             }
-            &changes.came
+            (&changes.came, &changes.drained)
         }
     };
+    let mut names = to.reborrow().init_drained(count(drained.len()));
+    for (index, name) in (0..).zip(drained) {
+        names.set(index, name.as_str());
+    }
     write_all(to.init_list(count(entries.len())), entries, |to, entry| write_upstream(to, entry));
 }
 
 pub(super) fn read_list(from: fleet::upstreams_results::Reader<'_>) -> Result<ListTold, Error> {
     let entries = read_upstreams(from.get_list()?)?;
+    let drained = from.get_drained()?.iter().map(|name| read_data_centre(name?)).collect::<Result<_, _>>()?;
     let base = from.get_base();
     if base == 0 {
-        return Ok(ListTold::Whole(UpstreamList { entries }));
+        return Ok(ListTold::Whole(UpstreamList { entries, drained }));
     }
     let gone = from.get_gone()?.iter().map(NameHash).collect();
-    Ok(ListTold::Changes { base, changes: ListChanges { gone, came: entries } })
+    Ok(ListTold::Changes { base, changes: ListChanges { gone, came: entries, drained } })
 }
--- a/crates/bendhinge_peer/src/fleet_capnp.rs
+++ b/crates/bendhinge_peer/src/fleet_capnp.rs
@@ -6530,6 +6530,17 @@
             pub fn has_gone(&self) -> bool {
                 !self.reader.get_pointer_field(2).is_null()
             }
+            #[inline]
+            pub fn get_drained(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(3),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_drained(&self) -> bool {
+                !self.reader.get_pointer_field(3).is_null()
+            }
         }
 
         pub struct Builder<'a> {
@@ -6537,7 +6548,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
+                ::capnp::private::layout::StructSize { data: 1, pointers: 4 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6697,6 +6708,32 @@
             pub fn has_gone(&self) -> bool {
                 !self.builder.is_pointer_field_null(2)
             }
+            #[inline]
+            pub fn get_drained(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(3),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_drained(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(3),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_drained(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+            }
+            #[inline]
+            pub fn has_drained(&self) -> bool {
+                !self.builder.is_pointer_field_null(3)
+            }
         }
 
         pub struct Pipeline {
@@ -6713,17 +6750,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 86] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 105] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(70, 148, 23, 144, 110, 20, 30, 155),
                 ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
@@ -6731,35 +6768,42 @@
                 ::capnp::word(116, 46, 117, 112, 115, 116, 114, 101),
                 ::capnp::word(97, 109, 115, 36, 82, 101, 115, 117),
                 ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(121, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(149, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(107, 110, 111, 119, 110, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(243, 246, 182, 43, 231, 153, 162, 219),
@@ -6800,6 +6844,18 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 114, 97, 105, 110, 101, 100, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -6807,6 +6863,7 @@
                     1 => <::capnp::struct_list::Owned<crate::fleet_capnp::upstream::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6825,9 +6882,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 0, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 4, 3, 0, 1];
             pub(crate) const TYPE_ID: u64 = 0x9b1e_146e_9017_9446;
         }
     }
--- a/crates/bendhinge_standin/src/gateway/mod.rs
+++ b/crates/bendhinge_standin/src/gateway/mod.rs
@@ -4,5 +4,5 @@
 mod store;
 mod upstream;
 
-pub use store::{Store, StoreFault, UpstreamRecord};
+pub use store::{DATA_CENTRE, Store, StoreFault, UpstreamRecord};
 pub use upstream::{Run, Upstream, UpstreamFault};
--- a/crates/bendhinge_standin/src/gateway/store.rs
+++ b/crates/bendhinge_standin/src/gateway/store.rs
@@ -9,6 +9,9 @@
 use serde_json::{Value, json};
 use smol::Timer;
 
+/// Where upstreams are unless they are placed elsewhere.
+pub const DATA_CENTRE: &str = "data_centre";
+
 /// How the store misbehaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreFault {
@@ -34,6 +37,8 @@
     pub pool: String,
     /// Where it is reached.
     pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: String,
     /// Whether it is about to leave.
     pub draining: bool,
     /// The revision at which it first appeared.
@@ -45,6 +50,7 @@
     revision: u64,
     rules: Option<(u64, String)>,
     upstreams: Vec<UpstreamRecord>,
+    drained: Vec<String>,
     fault: StoreFault,
     reads: u64,
 }
@@ -61,13 +67,19 @@
                 "name": record.name,
                 "pool": record.pool,
                 "address": record.address,
-                "data_centre": "data_centre",
+                "data_centre": record.data_centre,
                 "slots": 8,
                 "draining": record.draining,
                 "made": record.made,
             })
         });
-        json!({ "at": self.revision, "rules": rules, "upstreams": upstreams.collect::<Vec<_>>() })
+        let drained: &[String] = if has_upstreams { &self.drained } else { &[] };
+        json!({
+            "at": self.revision,
+            "rules": rules,
+            "upstreams": upstreams.collect::<Vec<_>>(),
+            "drained": drained,
+        })
     }
 }
 
@@ -105,11 +117,39 @@
         let mut state = self.state.lock().unwrap();
         state.revision += 1;
         let made = state.revision;
-        let record =
-            UpstreamRecord { name: name.to_owned(), pool: pool.to_owned(), address, draining: false, made };
+        let record = UpstreamRecord {
+            name: name.to_owned(),
+            pool: pool.to_owned(),
+            address,
+            data_centre: DATA_CENTRE.to_owned(),
+            draining: false,
+            made,
+        };
         state.upstreams.push(record);
     }
 
+    /// Says that an upstream is in another data centre than the usual one.
+    pub fn place(&self, name: &str, data_centre: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        let named = state.upstreams.iter_mut().filter(|record| record.name == name);
+        named.for_each(|record| data_centre.clone_into(&mut record.data_centre));
+    }
+
+    /// Says that the upstreams of a data centre are to get nothing.
+    pub fn drain_data_centre(&self, data_centre: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        state.drained.push(data_centre.to_owned());
+    }
+
+    /// Takes that back.
+    pub fn give_back_data_centre(&self, data_centre: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        state.drained.retain(|drained| drained != data_centre);
+    }
+
     /// Marks an upstream as leaving.
     pub fn drain(&self, name: &str) {
         let mut state = self.state.lock().unwrap();
