Requests whose route or customer names regions run in them or nowhere

Both lists bind; an upstream whose region nobody named is in none. Sources of memory are restricted alike. Regions of data centres are a setting. No request body goes to another box, so that nothing else has to be held back.

--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -12,7 +12,7 @@
 use bendhinge_fleet::UpstreamFailure;
 use bendhinge_http::{Body, Pool, Tasks, full_body};
 use bendhinge_ids::{Instant, NameHash, PoolName};
-use bendhinge_routes::{Customer, Route};
+use bendhinge_routes::{Customer, Regions, Route};
 use bytes::Bytes;
 use hyper::Response;
 use hyper::http::request;
@@ -69,6 +69,12 @@
         current.rules.customers.holder(key).is_some_and(|holder| holder.name == customer.name)
     }
 
+    /// Where it may run, by its route and by its customer.
+    fn regions(&self) -> [&Regions; 2] {
+        let route = &self.route.regions;
+        [route, self.customer.as_ref().map_or(route, |customer| &customer.regions)]
+    }
+
     fn time_left(&self) -> Duration {
         self.limit.since(bendhinge_clock::now())
     }
@@ -204,6 +210,7 @@
             pool: &self.turn.pool,
             rule: rules.as_ref().and_then(|current| current.rules.pools.get(&self.turn.pool)),
             prompt: self.turn.call.prompt.as_ref(),
+            regions: self.turn.regions(),
             tried: &self.tried,
             may_try,
             tie_breaker: self.turn.tie_breaker,
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -13,12 +13,12 @@
 use bendhinge_placement::{
     Candidate, ChoiceReason, CostRules, Demand, KeptPart, KeptParts, Prompt, Question, WarmingShare, choose,
 };
-use bendhinge_routes::PoolRule;
+use bendhinge_routes::{PoolRule, Regions};
 use rustc_hash::FxHashMap;
 
 use super::peers::router_hash;
 use crate::dialect;
-use crate::settings::UpstreamSettings;
+use crate::settings::{RegionMap, UpstreamSettings};
 
 /// How long an upstream is believed to keep what it read.
 const KEPT_FOR: Duration = Duration::from_secs(90);
@@ -40,6 +40,8 @@
     pub(crate) pool: &'a PoolName,
     pub(crate) rule: Option<&'a PoolRule>,
     pub(crate) prompt: Option<&'a Prompt>,
+    /// Where it may run, by its route and by its customer: each binds.
+    pub(crate) regions: [&'a Regions; 2],
     /// Upstreams that were tried already.
     pub(crate) tried: &'a [NameHash],
     /// Whether the request may be an upstream's trial: it can be sent again if that fails.
@@ -86,6 +88,7 @@
 pub(crate) struct UpstreamView {
     pub(super) state: Mutex<State>,
     costs: CostRules,
+    regions: RegionMap,
 }
 
 /// A request's place at an upstream, given back when dropped.
@@ -102,7 +105,7 @@
 
 impl UpstreamView {
     /// No upstreams yet; `own` is where peers reach this gateway.
-    pub(crate) fn new(own: SocketAddr, settings: &UpstreamSettings) -> Self {
+    pub(crate) fn new(own: SocketAddr, regions: RegionMap, settings: &UpstreamSettings) -> Self {
         let state = State {
             belief: Belief::default(),
             directory: Directory::new(settings.directory),
@@ -116,7 +119,7 @@
             gateways: None,
         };
         let costs = CostRules { bound: settings.load_bound, ..CostRules::default() };
-        Self { state: Mutex::new(state), costs }
+        Self { state: Mutex::new(state), costs, regions }
     }
 
     /// Whether there is a list at all.
@@ -176,7 +179,7 @@
         let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
         state.note_demand(question.pool, now);
-        let (listed, candidates) = state.candidates(question, now);
+        let (listed, candidates) = state.candidates(question, &self.regions, now);
         let list_age = state.belief.age(now).unwrap_or_default();
         let asked = Question {
             prompt: question.prompt.filter(|_| question.rule.is_some_and(|rule| rule.keeps_prompts)),
@@ -281,10 +284,20 @@
         loads.keep_only(|upstream| directory.lists(upstream));
     }
 
-    /// The pool's upstreams as candidates. Those that rest are left out unless all do.
-    fn candidates(&self, question: &PlacementQuestion<'_>, now: Instant) -> (Vec<&Listed>, Vec<Candidate>) {
+    /// The pool's upstreams as candidates, and as sources of what they keep: none of a region that the request
+    /// must not reach. Those that rest take no work unless all do.
+    fn candidates(
+        &self,
+        question: &PlacementQuestion<'_>,
+        regions: &RegionMap,
+        now: Instant,
+    ) -> (Vec<&Listed>, Vec<Candidate>) {
+        let is_allowed = |listed: &&Listed| {
+            let region = regions.get(&listed.entry.data_centre);
+            question.regions.iter().all(|allowed| allowed.allow(region))
+        };
         let pool = self.directory.listed().iter().filter(|listed| listed.entry.pool == *question.pool);
-        let listed: Vec<&Listed> = pool.collect();
+        let listed: Vec<&Listed> = pool.filter(is_allowed).collect();
         let mean = self.loads.mean_of_others(listed.iter().map(|listed| listed.entry.hash), now);
         let mut candidates: Vec<Candidate> =
             listed.iter().map(|listed| self.candidate(listed, question, mean, now)).collect();
--- a/crates/bendhinge_gateway/src/native/rules.rs
+++ b/crates/bendhinge_gateway/src/native/rules.rs
@@ -3,11 +3,11 @@
 use std::str::FromStr;
 
 use bendhinge_codes::ResultCode;
-use bendhinge_ids::{CustomerName, PoolName};
+use bendhinge_ids::{CustomerName, NameError, PoolName};
 use bendhinge_ini::{Document, Key, Millis, Schema, Section, SectionKind};
 use bendhinge_routes::{
-    CallerLimits, Customer, CustomerTable, PoolRule, Route, RouteKind, RouteTable, ServingRules, Split,
-    SplitPart,
+    CallerLimits, Customer, CustomerTable, PoolRule, Regions, Route, RouteKind, RouteTable, ServingRules,
+    Split, SplitPart,
 };
 
 use crate::dialect::TranslateError;
@@ -61,6 +61,7 @@
         Key::new("priority", "0 to 9", Some("5"), "Its rank; 0 is the most urgent."),
         Key::new("attempts", "whole number", Some("1"), "To how many upstreams one request may be sent."),
         Key::new("open", "yes or no", Some("no"), "Whether requests without a key are served."),
+        Key::new("regions", "NAME, ...", Some(""), "The regions whose upstreams may run them; none is all."),
     ],
 };
 
@@ -72,6 +73,7 @@
     keys: &[
         Key::new("keys", "KEY, ...", Some(""), "Its keys."),
         Key::new("priority", "0 to 9", Some(""), "Its rank, which goes before that of the route."),
+        Key::new("regions", "NAME, ...", Some(""), "The regions whose upstreams may run its requests."),
     ],
 };
 
@@ -89,6 +91,17 @@
     }
 }
 
+struct RegionList(Regions);
+
+impl FromStr for RegionList {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let names = text.split(',').map(str::trim).filter(|name| !name.is_empty());
+        names.map(str::parse).collect::<Result<_, _>>().map(|names| Self(Regions::new(names)))
+    }
+}
+
 struct KindName(RouteKind);
 
 impl FromStr for KindName {
@@ -178,7 +191,8 @@
         let priority = self.0.optional(section, "priority");
         let keys = self.0.value::<String>(section, "keys")?;
         let keys = keys.split(',').map(|key| key.trim().to_owned()).filter(|key| !key.is_empty());
-        Some((Customer { name: name?, priority }, keys.collect()))
+        let regions = self.regions(section);
+        Some((Customer { name: name?, priority, regions: regions? }, keys.collect()))
     }
 
     fn route(&self, section: &Section) -> Option<Route> {
@@ -193,6 +207,7 @@
         let priority = self.0.value(section, "priority");
         let attempts = self.0.value(section, "attempts");
         let is_open = self.flag(section, "open");
+        let regions = self.regions(section);
         Some(Route {
             name: name?.to_string(),
             host: host?.to_ascii_lowercase(),
@@ -204,10 +219,15 @@
             priority: priority?,
             attempts: attempts?,
             is_open: is_open?,
+            regions: regions?,
             split: split?.0,
         })
     }
 
+    fn regions(&self, section: &Section) -> Option<Regions> {
+        self.0.value::<RegionList>(section, "regions").map(|list| list.0)
+    }
+
     fn path(&self, section: &Section) -> Option<String> {
         let path = self.0.value::<String>(section, "path")?;
         if path.starts_with('/') && path.ends_with('/') {
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -103,7 +103,7 @@
     let delivering = Arc::new(Delivering {
         dialect,
         rules: Arc::new(RulesKeeper::new(settings.beliefs)),
-        upstreams: Arc::new(UpstreamView::new(settings.peers, &settings.upstreams)),
+        upstreams: Arc::new(UpstreamView::new(settings.peers, settings.regions.clone(), &settings.upstreams)),
         retries: Retries::new(settings.retries),
         pool: Pool::new(Arc::clone(tasks), settings.upstreams.connect, settings.upstreams.idle),
         tasks: Arc::clone(tasks),
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -9,9 +9,10 @@
 
 use bendhinge_admission::FleetRetryBudget;
 use bendhinge_fleet::{DirectoryLimits, JudgeLimits, ReadingLimits, RosterLimits};
-use bendhinge_ids::{BoxName, DataCentreName};
+use bendhinge_ids::{BoxName, DataCentreName, RegionName};
 use bendhinge_ini::{Document, Faults, Section, read_file};
 use bendhinge_peer::PeerKey;
+use rustc_hash::FxHashMap;
 
 pub use schema::SCHEMA;
 
@@ -22,6 +23,8 @@
     pub name: BoxName,
     /// The box's data centre.
     pub data_centre: DataCentreName,
+    /// The regions of data centres.
+    pub regions: RegionMap,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where a balancer asks whether the gateway is ready.
@@ -46,6 +49,9 @@
     pub stop: StopSettings,
 }
 
+/// The region of each data centre, as far as the operators say it.
+pub type RegionMap = FxHashMap<DataCentreName, RegionName>;
+
 /// A network link.
 #[derive(Clone, Copy, Debug)]
 pub struct Link {
@@ -184,6 +190,7 @@
         let stop = self.0.section("stop").map(|section| self.stop(section));
         let name = self.0.value(gateway, "name");
         let data_centre = self.0.value(gateway, "data_centre");
+        let regions: Vec<_> = self.0.sections("data_centre").map(|section| self.region(section)).collect();
         let callers = self.0.value(gateway, "callers");
         let ready = self.0.value(gateway, "ready");
         let peers = self.0.value(gateway, "peers");
@@ -192,6 +199,7 @@
         Some(Settings {
             name: name?,
             data_centre: data_centre?,
+            regions: regions.into_iter().collect::<Option<_>>()?,
             callers: callers?,
             ready: ready?,
             peers: peers?,
@@ -206,6 +214,12 @@
         })
     }
 
+    fn region(&self, section: &Section) -> Option<(DataCentreName, RegionName)> {
+        let data_centre = self.0.name(section);
+        let region = self.0.value(section, "region");
+        Some((data_centre?, region?))
+    }
+
     fn store(&self, section: &Section) -> Option<StoreSettings> {
         let address = self.0.value(section, "address");
         let call = self.0.millis(section, "call_ms");
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -5,7 +5,7 @@
 /// The schema of a gateway's settings.
 pub const SCHEMA: Schema = Schema {
     title: "Gateway settings",
-    sections: &[GATEWAY, STORE, FLEET, BELIEFS, UPSTREAMS, RETRIES, STOP],
+    sections: &[GATEWAY, DATA_CENTRE, STORE, FLEET, BELIEFS, UPSTREAMS, RETRIES, STOP],
 };
 
 const GATEWAY: SectionKind = SectionKind {
@@ -34,6 +34,19 @@
     ],
 };
 
+const DATA_CENTRE: SectionKind = SectionKind {
+    kind: "data_centre",
+    named: true,
+    required: false,
+    help: "A data centre of upstreams.",
+    keys: &[Key::new(
+        "region",
+        "name",
+        None,
+        "Its region. Requests that must stay in named regions go to no upstream whose region is not said here.",
+    )],
+};
+
 const STORE: SectionKind = SectionKind {
     kind: "store",
     named: false,
--- a/crates/bendhinge_ids/src/lib.rs
+++ b/crates/bendhinge_ids/src/lib.rs
@@ -7,7 +7,8 @@
 
 pub use chat::{ChatKey, RequestId};
 pub use name::{
-    BoxName, ClassName, CustomerName, DataCentreName, ModelName, NameError, NameHash, PoolName, UpstreamName,
+    BoxName, ClassName, CustomerName, DataCentreName, ModelName, NameError, NameHash, PoolName, RegionName,
+    UpstreamName,
 };
 pub use number::{ConfigRevision, Digest, DigestError, EventSequence, Incarnation, PermitId, RouterLife};
 pub use time::Instant;
--- a/crates/bendhinge_ids/src/name.rs
+++ b/crates/bendhinge_ids/src/name.rs
@@ -72,6 +72,8 @@
     BoxName;
     /// A data centre: the unit in which operators drain.
     DataCentreName;
+    /// A region: data centres near each other.
+    RegionName;
     /// A customer: whoever holds a bearer key.
     CustomerName;
     /// An upstream: one model engine's runner or one instance of a plain service.
--- a/crates/bendhinge_lab/tests/gateway_life.rs
+++ b/crates/bendhinge_lab/tests/gateway_life.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use bendhinge_lab::gateways::{Call, FleetShape, GatewayFleet, Harm, KEY, Told, until};
+use bendhinge_lab::gateways::{Call, FleetShape, GatewayFleet, Harm, KEY, RULES, Told, until};
 use bendhinge_standin::gateway::{DATA_CENTRE, StoreFault, UpstreamFault};
 use gateway_common::{PATIENCE, call, run, send, smallest, start};
 use rustix::process::Signal;
@@ -267,3 +267,32 @@
         until(async || send(&fleet, &call("/unsafe/x")).await.told == Told::Whole).await;
     });
 }
+
+#[test]
+fn a_request_that_must_stay_in_a_region_runs_there_or_nowhere() {
+    run(|tasks| async move {
+        let sections =
+            format!("[data_centre.{DATA_CENTRE}]\nregion = coast\n[data_centre.north]\nregion = inland\n");
+        let shape = FleetShape { gateways: 1, engines: 0, services: 2 };
+        let fleet = GatewayFleet::start(&tasks, shape, &sections).await;
+        fleet.store.place("services-0", "north");
+        let home = RULES.replace("path = /safe/\n", "path = /safe/\nregions = inland\n");
+        fleet.store.put_rules(&home.replace("version = 1", "version = 2"));
+        let stays = async || {
+            for _ in 0..20 {
+                let call = call("/safe/x");
+                let told = send(&fleet, &call).await.told;
+                let ran_elsewhere = fleet.upstreams[1].runs().iter().any(|run| run.request == call.id);
+                if told != Told::Whole || ran_elsewhere {
+                    return false;
+                }
+            }
+            true
+        };
+        until(stays).await;
+        fleet.store.remove("services-0");
+        until(async || send(&fleet, &call("/safe/x")).await.code() == Some("BH0304")).await;
+        let other = call("/unsafe/x");
+        assert_eq!(send(&fleet, &other).await.told, Told::Whole, "others run where there is room");
+    });
+}
--- a/crates/bendhinge_routes/src/customer.rs
+++ b/crates/bendhinge_routes/src/customer.rs
@@ -5,6 +5,8 @@
 use bendhinge_ids::CustomerName;
 use rustc_hash::FxHashMap;
 
+use crate::Regions;
+
 /// A customer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Customer {
@@ -12,6 +14,8 @@
     pub name: CustomerName,
     /// Its rank, which goes before that of the route; 0 is the most urgent.
     pub priority: Option<u8>,
+    /// Where its requests may run, beside what their routes allow.
+    pub regions: Regions,
 }
 
 /// Customers by key.
--- a/crates/bendhinge_routes/src/lib.rs
+++ b/crates/bendhinge_routes/src/lib.rs
@@ -8,11 +8,13 @@
 //! All of it is pure; a document in any form is read into these types by whoever knows the form.
 
 mod customer;
+mod regions;
 mod route;
 mod rules;
 mod table;
 
 pub use customer::{Customer, CustomerTable};
+pub use regions::Regions;
 pub use route::{Route, RouteKind, Split, SplitPart};
 pub use rules::{CallerLimits, PoolRule, ServingRules};
 pub use table::{RouteTable, host_without_port};
--- a/crates/bendhinge_routes/src/route.rs
+++ b/crates/bendhinge_routes/src/route.rs
@@ -4,6 +4,8 @@
 
 use bendhinge_ids::PoolName;
 
+use crate::Regions;
+
 /// What may be done with a route's requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -97,6 +99,8 @@
     pub attempts: u32,
     /// Whether requests without a key are served.
     pub is_open: bool,
+    /// Where its requests may run.
+    pub regions: Regions,
     /// Where its traffic goes.
     pub split: Split,
 }
--- a/crates/bendhinge_routes/tests/routes.rs
+++ b/crates/bendhinge_routes/tests/routes.rs
@@ -4,7 +4,7 @@
 
 use bendhinge_ids::PoolName;
 use bendhinge_routes::{
-    Customer, CustomerTable, Route, RouteKind, RouteTable, Split, SplitPart, host_without_port,
+    Customer, CustomerTable, Regions, Route, RouteKind, RouteTable, Split, SplitPart, host_without_port,
 };
 
 fn pool(name: &str) -> PoolName {
@@ -23,6 +23,7 @@
         priority: 1,
         attempts: 2,
         is_open: false,
+        regions: Regions::default(),
         split: Split::whole(pool("pool")),
     }
 }
@@ -75,7 +76,8 @@
 
 #[test]
 fn every_key_of_a_customer_finds_it_and_no_other_does() {
-    let customer = |name: &str| Customer { name: name.parse().unwrap(), priority: None };
+    let customer =
+        |name: &str| Customer { name: name.parse().unwrap(), priority: None, regions: Regions::default() };
     let table = CustomerTable::new([
         (customer("one"), vec!["k1".to_owned(), "k2".to_owned()]),
         (customer("two"), vec!["k3".to_owned()]),
@@ -89,7 +91,17 @@
 
 #[test]
 fn a_customer_without_keys_still_closes_routes() {
-    let customer = Customer { name: "one".parse().unwrap(), priority: None };
+    let customer = Customer { name: "one".parse().unwrap(), priority: None, regions: Regions::default() };
     assert!(CustomerTable::new([(customer, Vec::new())]).is_in_use());
     assert!(!CustomerTable::default().is_in_use());
 }
+
+#[test]
+fn regions_that_are_named_allow_only_upstreams_that_are_known_to_be_there() {
+    let (north, south) = ("north".parse().unwrap(), "south".parse().unwrap());
+    let home = Regions::new(vec![north]);
+    assert!(home.allow(Some(&"north".parse().unwrap())));
+    assert!(!home.allow(Some(&south)));
+    assert!(!home.allow(None));
+    assert!(Regions::default().allow(Some(&south)) && Regions::default().allow(None));
+}
