Requests to plain pools are let in at the pace of their answers, by rank and customers' parts

Cause: 78 boxes that know nothing of three upstreams' 18 places threw 2,029 of 13,111 arrivals at full ones while a customer sent 20 times its usual; rejected work went straight to the next one, and queues stood full for all.

--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -125,6 +125,7 @@
         control.delivering.upstreams.divide_among(gateways);
         control.peer_states.borrow_mut().forget(now);
         control.delivering.upstreams.prune();
+        control.delivering.pacing.prune();
         control.delivering.pool.prune();
     }
 }
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bendhinge_admission::{Asker, Paced};
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{Course, SendEnd};
 use bendhinge_fleet::UpstreamFailure;
@@ -27,6 +28,7 @@
 use crate::lifecycle::InProgress;
 use crate::log::{Log, RequestLine};
 use crate::metrics::Metrics;
+use crate::pacing::Pacing;
 use crate::retries::Retries;
 
 /// What delivery needs of the other duties.
@@ -35,6 +37,7 @@
     pub(crate) rules: Arc<RulesKeeper>,
     pub(crate) upstreams: Arc<UpstreamView>,
     pub(crate) retries: Retries,
+    pub(crate) pacing: Pacing,
     pub(crate) pool: Pool,
     pub(crate) tasks: Tasks,
     pub(crate) log: Log,
@@ -58,7 +61,21 @@
     pub(crate) tie_breaker: u64,
 }
 
+impl Delivering {
+    /// Whether requests to a pool are paced by what its upstreams answer: so they are where these say nothing
+    /// of their load. Engines that keep prompts say it, and an answer of theirs is late for other reasons, too.
+    fn is_paced(&self, pool: &PoolName) -> bool {
+        let rules = self.rules.current();
+        rules.is_some_and(|current| current.rules.pools.get(pool).is_none_or(|rule| !rule.keeps_prompts))
+    }
+}
+
 impl Turn {
+    fn asker(&self) -> Asker {
+        let customer = self.customer.as_ref().map_or("", |customer| customer.name.as_str());
+        Asker { priority: self.priority, customer: NameHash::of(customer) }
+    }
+
     /// Whether its key is still held by its customer, by rules that may be acted on.
     pub(crate) fn is_allowed(&self, rules: &RulesKeeper) -> bool {
         let (Some(key), Some(customer)) = (&self.call.key, &self.customer) else { return true };
@@ -87,6 +104,11 @@
     in_progress: InProgress,
 ) -> Result<Response<Body>, Refused> {
     delivering.retries.first(&turn.pool);
+    if delivering.is_paced(&turn.pool)
+        && let Paced::Refused(after) = delivering.pacing.decide(&turn.pool, turn.asker())
+    {
+        return Err(Refused::until(ResultCode::AllUpstreamsAtBound, after));
+    }
     delivering.metrics.request();
     let course = Course::new(bendhinge_delivery::CourseRules {
         repeatable: turn.route.kind.is_repeatable(),
@@ -101,7 +123,7 @@
         Err(GivenUp::Failure(failure)) => Ok(delivery.pass_failure(*failure)),
         Err(GivenUp::Code(code)) => {
             delivery.line.ended(&delivering.log, code.http_status(), Some(code), &delivery.course);
-            Err(Refused { code, was_sent: true })
+            Err(Refused { code, was_sent: true, retry_after: None })
         }
     }
 }
@@ -130,6 +152,7 @@
             match self.answer_to(sending, resume_after).await {
                 Ok(attempt) => {
                     self.delivering.upstreams.answered(attempt.chosen.entry.hash);
+                    self.note_answer();
                     self.delivering.metrics.first_byte(bendhinge_clock::now().since(self.turn.began));
                     return Ok(attempt);
                 }
@@ -231,12 +254,26 @@
         let Sent { number, upstream, at } = sent;
         self.line.send_ended(*number, end);
         metrics.send_ended(end);
+        match end {
+            SendEnd::Rejected => {
+                let upstreams = upstreams.working_in(&self.turn.pool);
+                self.delivering.pacing.turned_away(&self.turn.pool, upstream.hash, upstreams);
+            }
+            SendEnd::Failed => self.note_answer(),
+            _ => {}
+        }
         if upstream_failure(end).is_some_and(|failure| upstreams.failed(upstream.hash, failure, *at)) {
             log.upstream_rests(&upstream.name, end);
         }
         self.course.ended(end)
     }
 
+    /// Notes, for the pace towards the pool, that an upstream answered.
+    fn note_answer(&self) {
+        let Turn { pool, began, route, .. } = &*self.turn;
+        self.delivering.pacing.answered(pool, *began, route.target);
+    }
+
     /// Notes how a send ended; `Err` if it was the last.
     fn after(&mut self, failed: FailedSend) -> Result<(), GivenUp> {
         let FailedSend { sent, ended: Ended { end, failure } } = failed;
--- a/crates/bendhinge_gateway/src/intake/mod.rs
+++ b/crates/bendhinge_gateway/src/intake/mod.rs
@@ -30,9 +30,16 @@
     pub(crate) code: ResultCode,
     /// Whether it was sent, so that its line was written by whoever sent it.
     pub(crate) was_sent: bool,
+    /// When to come back, where that is known better than soon.
+    pub(crate) retry_after: Option<Duration>,
 }
 
 impl Refused {
+    /// A request that was not sent, whose caller is told when to come back.
+    pub(crate) const fn until(code: ResultCode, retry_after: Duration) -> Self {
+        Self { code, was_sent: false, retry_after: Some(retry_after) }
+    }
+
     /// Whether nothing that comes behind the request on its connection can be trusted.
     const fn is_malformed(self) -> bool {
         matches!(self.code, ResultCode::MalformedRequest | ResultCode::AmbiguousLength)
@@ -42,7 +49,7 @@
 /// A request that was not sent.
 impl From<ResultCode> for Refused {
     fn from(code: ResultCode) -> Self {
-        Self { code, was_sent: false }
+        Self { code, was_sent: false, retry_after: None }
     }
 }
 
@@ -126,15 +133,15 @@
     }
 
     fn refuse(&self, id: Option<&HeaderValue>, refused: Refused) -> Response<Body> {
-        let Refused { code, was_sent } = refused;
+        let Refused { code, was_sent, retry_after } = refused;
         let delivering = &self.delivering;
         delivering.metrics.result(code);
+        let retry_after = retry_after.or_else(|| code.invites_retry().then(soon));
         if !was_sent {
-            let age = delivering.rules.age(bendhinge_clock::now());
-            let age = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
-            delivering.log.refused(id.and_then(|id| id.to_str().ok()).unwrap_or_default(), code, age);
+            let rules_age = delivering.rules.age(bendhinge_clock::now());
+            let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+            delivering.log.refused(id, code, rules_age, retry_after);
         }
-        let retry_after = code.invites_retry().then(soon);
         let mut answer = Response::new(full_body(Bytes::new()));
         *answer.status_mut() =
             StatusCode::from_u16(code.http_status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use bendhinge_admission::Demand;
 use bendhinge_fleet::{
     Belief, Directory, Evidence, Judge, LearnedFrom, ListHistory, Listed, LoadSaid, Loads, NewsLimits,
     NewsLog, Offer, Standing, UpstreamEntry, UpstreamFailure, UpstreamList, Version,
@@ -11,7 +12,7 @@
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_peer::Known;
 use bendhinge_placement::{
-    Candidate, ChoiceReason, CostRules, Demand, KeptPart, KeptParts, Prompt, Question, WarmingShare, choose,
+    Candidate, ChoiceReason, CostRules, KeptPart, KeptParts, Prompt, Question, WarmingShare, choose,
 };
 use bendhinge_routes::{PoolRule, Regions};
 use rustc_hash::FxHashMap;
@@ -222,6 +223,13 @@
         listed.any(|listed| listed.entry.hash == upstream && listed.takes_work())
     }
 
+    /// How many of a pool's upstreams take new work.
+    pub(crate) fn working_in(&self, pool: &PoolName) -> usize {
+        let state = self.state.lock().unwrap();
+        let listed = state.directory.listed().iter();
+        listed.filter(|listed| listed.entry.pool == *pool && listed.takes_work()).count()
+    }
+
     /// Notes an upstream's whole answer, or the head of a stream.
     pub(crate) fn answered(&self, upstream: NameHash) {
         let now = bendhinge_clock::now();
--- a/crates/bendhinge_gateway/src/lib.rs
+++ b/crates/bendhinge_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod log;
 mod metrics;
 pub mod native;
+mod pacing;
 mod ready;
 mod retries;
 mod run;
--- a/crates/bendhinge_gateway/src/log/mod.rs
+++ b/crates/bendhinge_gateway/src/log/mod.rs
@@ -197,14 +197,28 @@
     }
 
     /// A request that was answered before it was sent anywhere.
-    pub(crate) fn refused(&self, request: &str, code: ResultCode, rules_age_ms: Option<u64>) {
+    pub(crate) fn refused(
+        &self,
+        request: &str,
+        code: ResultCode,
+        rules_age: Option<Duration>,
+        retry_after: Option<Duration>,
+    ) {
         #[derive(Serialize)]
         struct Fields<'a> {
             request: &'a str,
             code: String,
             rules_age_ms: Option<u64>,
+            #[serde(skip_serializing_if = "Option::is_none")]
+            retry_after_ms: Option<u64>,
         }
-        self.line("refused", Fields { request, code: code.to_string(), rules_age_ms });
+        let fields = Fields {
+            request,
+            code: code.to_string(),
+            rules_age_ms: rules_age.map(millis),
+            retry_after_ms: retry_after.map(millis),
+        };
+        self.line("refused", fields);
     }
 }
 
--- /dev/null
+++ b/crates/bendhinge_gateway/src/pacing.rs
@@ -0,0 +1,47 @@
+//! This gateway's pace towards pools of plain upstreams, which say nothing of their load.
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bendhinge_admission::{Asker, Paced, Pacer};
+use bendhinge_ids::{Instant, NameHash, PoolName};
+use rand::Rng;
+use rustc_hash::FxHashMap;
+
+/// The pace towards each pool.
+#[derive(Default)]
+pub(crate) struct Pacing(Mutex<FxHashMap<PoolName, Pacer>>);
+
+impl Pacing {
+    /// Decides on a request before it is sent anywhere.
+    pub(crate) fn decide(&self, pool: &PoolName, asker: Asker) -> Paced {
+        let now = bendhinge_clock::now();
+        let spread = rand::rng().random();
+        self.with(pool, |pacer| pacer.decide(asker, spread, now))
+    }
+
+    /// Notes an answer to a request that came at `began`.
+    pub(crate) fn answered(&self, pool: &PoolName, began: Instant, target: Duration) {
+        let now = bendhinge_clock::now();
+        self.with(pool, |pacer| pacer.answered(now.since(began), target, now));
+    }
+
+    /// Notes that one of the pool's `upstreams` that take work turned a request away.
+    pub(crate) fn turned_away(&self, pool: &PoolName, by: NameHash, upstreams: usize) {
+        self.with(pool, |pacer| pacer.turned_away(by, upstreams, bendhinge_clock::now()));
+    }
+
+    /// Forgets customers that ask for nothing.
+    pub(crate) fn prune(&self) {
+        let now = bendhinge_clock::now();
+        self.0.lock().unwrap().values_mut().for_each(|pacer| pacer.prune(now));
+    }
+
+    fn with<T>(&self, pool: &PoolName, act: impl FnOnce(&mut Pacer) -> T) -> T {
+        let mut pacers = self.0.lock().unwrap();
+        match pacers.get_mut(pool) {
+            Some(pacer) => act(pacer),
+            None => act(pacers.entry(pool.clone()).or_default()),
+        }
+    }
+}
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -24,6 +24,7 @@
 use crate::log::Log;
 use crate::metrics::{Metrics, MetricsError};
 use crate::native::RULES_SCHEMA;
+use crate::pacing::Pacing;
 use crate::ready::Readiness;
 use crate::retries::Retries;
 use crate::settings::{SCHEMA, Settings};
@@ -105,6 +106,7 @@
         rules: Arc::new(RulesKeeper::new(settings.beliefs)),
         upstreams: Arc::new(UpstreamView::new(settings.peers, settings.regions.clone(), &settings.upstreams)),
         retries: Retries::new(settings.retries),
+        pacing: Pacing::default(),
         pool: Pool::new(Arc::clone(tasks), settings.upstreams.connect, settings.upstreams.idle),
         tasks: Arc::clone(tasks),
         log: log.clone(),
--- a/crates/bendhinge_lab/src/bench/mod.rs
+++ b/crates/bendhinge_lab/src/bench/mod.rs
@@ -6,6 +6,7 @@
 mod cache;
 pub mod decision;
 pub mod placement;
+pub mod plain_pool;
 mod policy;
 pub mod warming;
 mod workload;
--- a/crates/bendhinge_lab/src/bench/warming.rs
+++ b/crates/bendhinge_lab/src/bench/warming.rs
@@ -6,8 +6,9 @@
 
 use std::hash::BuildHasher;
 
+use bendhinge_admission::Demand;
 use bendhinge_ids::{Instant, NameHash};
-use bendhinge_placement::{Candidate, Demand, WarmingShare};
+use bendhinge_placement::{Candidate, WarmingShare};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxBuildHasher;
@@ -157,6 +158,7 @@
         failing: 0.0,
         takes_work: true,
         is_warming: number < warming,
+        counts: true,
     };
     (0..UPSTREAMS).map(candidate).collect()
 }
--- a/crates/bendhinge_lab/src/measure/decisions.rs
+++ b/crates/bendhinge_lab/src/measure/decisions.rs
@@ -3,7 +3,7 @@
 use super::figure;
 use crate::bench::placement::PlacementFigures;
 use crate::bench::warming::{ROUTERS, Way};
-use crate::bench::{PolicyKind, Scenario, admission, decision, placement, warming};
+use crate::bench::{PolicyKind, Scenario, admission, decision, placement, plain_pool, warming};
 
 /// Runs of a scenario; figures are their means, worst cases their worst.
 const SEEDS: [u64; 3] = [20_261_202, 20_261_203, 20_261_204];
@@ -127,3 +127,17 @@
         figure(&format!("warming.{name}.most.quarter_alone"), few.most as f64, "in 1 s");
     }
 }
+
+/// Letting requests in before a small pool of plain upstreams, by each way.
+pub(super) fn pacing() {
+    use plain_pool::Way;
+    for (name, way) in [("all", Way::All), ("paced", Way::Paced), ("counted", Way::Counted)] {
+        let seen = plain_pool::run(way, 1);
+        figure(&format!("pacing.{name}.in_time"), seen.in_time_per_second, "1/s");
+        figure(&format!("pacing.{name}.others_in_time"), seen.others_in_time, "ratio");
+        figure(&format!("pacing.{name}.others_answered"), seen.others_answered, "ratio");
+        figure(&format!("pacing.{name}.large_in_time"), seen.large_in_time, "ratio");
+        figure(&format!("pacing.{name}.second_sends"), seen.second_sends, "for each request");
+        figure(&format!("pacing.{name}.refused_in_calm"), f64::from(seen.refused_in_calm), "requests");
+    }
+}
--- a/crates/bendhinge_lab/src/measure/mod.rs
+++ b/crates/bendhinge_lab/src/measure/mod.rs
@@ -37,6 +37,7 @@
     ("share", Group::Bench(decisions::shares)),
     ("decision", Group::Bench(decisions::costs)),
     ("warming", Group::Bench(decisions::warming)),
+    ("pacing", Group::Bench(decisions::pacing)),
 ];
 
 /// Runs all measurements whose group's name contains `only`.
--- a/crates/bendhinge_placement/src/lib.rs
+++ b/crates/bendhinge_placement/src/lib.rs
@@ -7,7 +7,7 @@
 //! * [`LoadView`] is what one router believes of loads, and [`Walk`] how it goes through them.
 //! * [`choose`] finds the upstream of least cost for a prompt whose parts are named, over what
 //!   is believed to be kept where ([`KeptParts`]).
-//! * [`WarmingShare`] says which upstreams that are warming up a request may go to, by its [`Demand`].
+//! * [`WarmingShare`] says which upstreams that are warming up a request may go to.
 //! * [`assess`] tells a router, from lagged knowledge alone, whether asking is needed at all.
 //!
 //! `docs/design/PLACEMENT.md` says what was weighed and which measurement decided.
@@ -15,7 +15,6 @@
 mod bound;
 mod budget;
 mod cost;
-mod demand;
 mod displaced;
 mod kept;
 mod knowledge;
@@ -30,7 +29,6 @@
 pub use bound::{LoadBound, PoolLoad};
 pub use budget::AskBudget;
 pub use cost::{Candidate, Choice, ChoiceReason, CostRules, Question, choose};
-pub use demand::Demand;
 pub use displaced::DisplacedChats;
 pub use kept::{KeptPart, KeptParts};
 pub use knowledge::{Assessment, KnownLoad, assess};
