--- a/crates/bendhinge_gateway/src/control/fetching.rs
+++ b/crates/bendhinge_gateway/src/control/fetching.rs
@@ -145,10 +145,16 @@
         list: UpstreamList,
         from: Origin,
     ) {
-        let offer = self.delivering.upstreams.offer(known.version, asked - known.age, list);
+        let Delivering { upstreams, log, .. } = &*self.delivering;
+        let drained = list.drained.clone();
+        let were_drained = upstreams.list().map(|held| held.drained.clone()).unwrap_or_default();
+        let offer = upstreams.offer(known.version, asked - known.age, list);
+        if offer == Offer::New && drained != were_drained {
+            log.drained(&drained, from);
+        }
         if offer == Offer::New {
             let age = bendhinge_clock::now().since(asked - known.age);
-            self.delivering.log.belief(Believed::Upstreams, known.version, from, age);
+            log.belief(Believed::Upstreams, known.version, from, age);
             self.spread(from);
         }
     }
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -17,6 +17,7 @@
 use bytes::Bytes;
 use hyper::Response;
 use hyper::http::request;
+use rand::Rng;
 
 use self::attempt::{Attempt, AttemptBody, Ended, FailureAnswer, NewSend, attempt, promises_not_run};
 use self::race::{FailedSend, Sending, Sent, race};
@@ -123,11 +124,21 @@
         Err(GivenUp::Failure(failure)) => Ok(delivery.pass_failure(*failure)),
         Err(GivenUp::Code(code)) => {
             delivery.line.ended(&delivering.log, code.http_status(), Some(code), &delivery.course);
-            Err(Refused { code, was_sent: true, retry_after: None })
+            // Right after the start the first list is a moment away.
+            let needs_another_list = code == ResultCode::NoUpstream && delivering.upstreams.is_known();
+            let retry_after = needs_another_list.then(with_the_next_list);
+            Err(Refused { code, was_sent: true, retry_after })
         }
     }
 }
 
+/// When a request should come back for which no upstream takes work: not before there can be another list.
+fn with_the_next_list() -> Duration {
+    /// Lists are read each 0.7 s and are known to all within as much again.
+    const MILLIS: std::ops::Range<u64> = 700..1_400;
+    Duration::from_millis(rand::rng().random_range(MILLIS))
+}
+
 /// Why there is no answer to pass on.
 enum GivenUp {
     /// The upstream answered that it failed.
--- a/crates/bendhinge_gateway/src/log/mod.rs
+++ b/crates/bendhinge_gateway/src/log/mod.rs
@@ -11,7 +11,7 @@
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::SendEnd;
 use bendhinge_fleet::{Origin, Version};
-use bendhinge_ids::UpstreamName;
+use bendhinge_ids::{DataCentreName, PoolName, UpstreamName};
 use bendhinge_peer::CallError;
 use serde::Serialize;
 use spdlog::formatter::{Formatter, FormatterContext};
@@ -196,6 +196,26 @@
         self.line("upstream_suspected", Fields { upstream: upstream.as_str(), told_by });
     }
 
+    /// Requests to a pool are paced from now on, at so many a second, or no more.
+    pub(crate) fn pace(&self, pool: &PoolName, per_second: Option<f64>) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            pool: &'a str,
+            per_second: Option<f64>,
+        }
+        self.line("pace", Fields { pool: pool.as_str(), per_second });
+    }
+
+    /// These data centres are drained now, and no others.
+    pub(crate) fn drained(&self, drained: &[DataCentreName], from: Origin) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            data_centres: &'a [DataCentreName],
+            from: &'static str,
+        }
+        self.line("drained", Fields { data_centres: drained, from: from.as_str() });
+    }
+
     /// A request that was answered before it was sent anywhere.
     pub(crate) fn refused(
         &self,
--- a/crates/bendhinge_gateway/src/pacing.rs
+++ b/crates/bendhinge_gateway/src/pacing.rs
@@ -8,11 +8,19 @@
 use rand::Rng;
 use rustc_hash::FxHashMap;
 
+use crate::log::Log;
+
 /// The pace towards each pool.
-#[derive(Default)]
-pub(crate) struct Pacing(Mutex<FxHashMap<PoolName, Pacer>>);
+pub(crate) struct Pacing {
+    pacers: Mutex<FxHashMap<PoolName, Pacer>>,
+    log: Log,
+}
 
 impl Pacing {
+    pub(crate) fn new(log: Log) -> Self {
+        Self { pacers: Mutex::default(), log }
+    }
+
     /// Decides on a request before it is sent anywhere.
     pub(crate) fn decide(&self, pool: &PoolName, asker: Asker) -> Paced {
         let now = bendhinge_clock::now();
@@ -34,14 +42,22 @@
     /// Forgets customers that ask for nothing.
     pub(crate) fn prune(&self) {
         let now = bendhinge_clock::now();
-        self.0.lock().unwrap().values_mut().for_each(|pacer| pacer.prune(now));
+        self.pacers.lock().unwrap().values_mut().for_each(|pacer| pacer.prune(now));
     }
 
     fn with<T>(&self, pool: &PoolName, act: impl FnOnce(&mut Pacer) -> T) -> T {
-        let mut pacers = self.0.lock().unwrap();
-        match pacers.get_mut(pool) {
-            Some(pacer) => act(pacer),
-            None => act(pacers.entry(pool.clone()).or_default()),
+        let mut pacers = self.pacers.lock().unwrap();
+        let pacer = match pacers.get_mut(pool) {
+            Some(pacer) => pacer,
+            None => pacers.entry(pool.clone()).or_default(),
+        };
+        let was_paced = pacer.pace().is_some();
+        let result = act(pacer);
+        let pace = pacer.pace();
+        drop(pacers);
+        if pace.is_some() != was_paced {
+            self.log.pace(pool, pace);
         }
+        result
     }
 }
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -106,7 +106,7 @@
         rules: Arc::new(RulesKeeper::new(settings.beliefs)),
         upstreams: Arc::new(UpstreamView::new(settings.peers, settings.regions.clone(), &settings.upstreams)),
         retries: Retries::new(settings.retries),
-        pacing: Pacing::default(),
+        pacing: Pacing::new(log.clone()),
         pool: Pool::new(Arc::clone(tasks), settings.upstreams.connect, settings.upstreams.idle),
         tasks: Arc::clone(tasks),
         log: log.clone(),
