--- a/crates/bendhinge_fleet/src/loads.rs
+++ b/crates/bendhinge_fleet/src/loads.rs
@@ -129,8 +129,8 @@
     /// Requests believed to be at an upstream now. What it said of others' requests fades into
     /// `mean`, what the others have at an upstream of its pool on average, as fast as requests come and go.
     /// Were it believed for longer, all routers would send to the one that had little a second ago: with a
-    /// third of a pool drained, 91 of 3,650 requests came to upstreams at over twice the mean, and 116 to 147
-    /// when reports faded evenly within four seconds; a fifth less memory was moved.
+    /// third of a pool drained, 91 of 3,650 requests came to upstreams at over twice the mean, and 147 when
+    /// reports faded evenly within four seconds; a sixth less memory was moved.
     #[must_use]
     pub fn estimate(&self, upstream: NameHash, mean: f32, now: Instant) -> f32 {
         let load = self.upstreams.get(&upstream).copied().unwrap_or_default();
