--- a/crates/bendhinge_lab/src/bench/mod.rs
+++ b/crates/bendhinge_lab/src/bench/mod.rs
@@ -13,3 +13,9 @@
 
 pub use policy::PolicyKind;
 pub use workload::Scenario;
+
+/// A positive number without its fraction.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a small positive number")]
+const fn whole(number: f64) -> u64 {
+    number as u64
+}
--- a/crates/bendhinge_lab/src/bench/plain_pool.rs
+++ b/crates/bendhinge_lab/src/bench/plain_pool.rs
@@ -5,7 +5,7 @@
 //! which take 30 ms for a request, let 24 wait and turn the others away.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::time::Duration;
 
 use bendhinge_admission::{Asker, FleetRetryBudget, Paced, Pacer, RetryShare};
@@ -13,6 +13,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::whole;
+
 const ROUTERS: usize = 78;
 const UPSTREAMS: usize = 3;
 const PLACES: usize = 6;
@@ -75,7 +77,14 @@
 #[derive(Default)]
 struct Upstream {
     working: usize,
-    waiting: std::collections::VecDeque<Request>,
+    waiting: VecDeque<Request>,
+}
+
+impl Upstream {
+    /// Requests that are there.
+    fn there(&self) -> usize {
+        self.working + self.waiting.len()
+    }
 }
 
 struct Router {
@@ -92,7 +101,7 @@
     way: Way,
     random: ChaCha8Rng,
     events: BinaryHeap<Reverse<(u64, u64)>>,
-    pending: std::collections::HashMap<u64, Event>,
+    pending: HashMap<u64, Event>,
     next: u64,
     upstreams: Vec<Upstream>,
     routers: Vec<Router>,
@@ -117,7 +126,7 @@
         way,
         random: ChaCha8Rng::seed_from_u64(seed),
         events: BinaryHeap::new(),
-        pending: std::collections::HashMap::new(),
+        pending: HashMap::new(),
         next: 0,
         upstreams: (0..UPSTREAMS).map(|_| Upstream::default()).collect(),
         routers: (0..ROUTERS).map(|_| router()).collect(),
@@ -211,8 +220,7 @@
     /// target, or a customer has more than a fair part of what is there.
     fn counted(&self, request: &Request) -> bool {
         const WAITING: usize = 12;
-        let there: usize =
-            self.upstreams.iter().map(|upstream| upstream.working + upstream.waiting.len()).sum();
+        let there: usize = self.upstreams.iter().map(Upstream::there).sum();
         let limit = UPSTREAMS * (PLACES + WAITING);
         there >= limit || request.customer == 0 && there * 2 >= limit
     }
@@ -223,9 +231,7 @@
             return self.comes_back(&request, SOON, at);
         }
         let chosen = if self.way == Way::Counted {
-            let there =
-                |upstream: usize| self.upstreams[upstream].working + self.upstreams[upstream].waiting.len();
-            left.iter().copied().min_by_key(|upstream| there(*upstream)).unwrap_or(0)
+            left.iter().copied().min_by_key(|upstream| self.upstreams[*upstream].there()).unwrap_or(0)
         } else {
             left[self.random.random_range(0..left.len())]
         };
@@ -287,8 +293,3 @@
 const fn instant(micros: u64) -> Instant {
     Instant::from_millis(1_000 + micros / 1_000)
 }
-
-#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a small positive number")]
-const fn whole(number: f64) -> u64 {
-    number as u64
-}
--- a/crates/bendhinge_lab/src/bench/warming.rs
+++ b/crates/bendhinge_lab/src/bench/warming.rs
@@ -13,6 +13,8 @@
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxBuildHasher;
 
+use super::whole;
+
 /// Routers of the fleet.
 pub const ROUTERS: usize = 78;
 /// Upstreams of the pool.
@@ -82,7 +84,7 @@
     let mut arrived: Vec<Vec<u64>> = vec![Vec::new(); warming];
     let mut millis = 0.0;
     while millis < MILLIS as f64 {
-        let is_burst = BURST_MILLIS.contains(&(whole(millis)));
+        let is_burst = BURST_MILLIS.contains(&whole(millis));
         let per_second = USUAL_PER_SECOND * if is_burst { BURST } else { 1.0 };
         millis -= random.random::<f64>().ln() * 1_000.0 * CLUMP as f64 / per_second;
         let number = random.random_range(0..ROUTERS);
@@ -139,11 +141,6 @@
     }
 }
 
-#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a small positive number")]
-const fn whole(millis: f64) -> u64 {
-    millis as u64
-}
-
 /// A router's place among those that the hash of an upstream names: the highest are named.
 fn score(upstream: usize, router: usize) -> u64 {
     FxBuildHasher.hash_one((upstream, router)).wrapping_mul(0x9E37_79B9_7F4A_7C15)
--- a/crates/bendhinge_lab/tests/pacing.rs
+++ b/crates/bendhinge_lab/tests/pacing.rs
@@ -1,5 +1,5 @@
-//! Letting requests in before a small pool of plain upstreams: `bench::plain_pool` names the pattern, and where its
-//! figures come from.
+//! Letting requests in before a small pool of plain upstreams. The pattern, and where its figures come from, are told
+//! in `plain_pool`.
 
 use std::time::Duration;
 
--- a/crates/bendhinge_lab/tests/warming.rs
+++ b/crates/bendhinge_lab/tests/warming.rs
@@ -1,4 +1,4 @@
-//! The load that upstreams which warm up get from a whole fleet: `bench::warming` names the pattern.
+//! The load that upstreams which warm up get from a whole fleet. The pattern is told in the module that plays it.
 //!
 //! An upstream bears 9.6 requests a second while it warms up, and a second with more than 19.4 is too many.
 
--- a/crates/bendhinge_standin/src/gateway/store.rs
+++ b/crates/bendhinge_standin/src/gateway/store.rs
@@ -110,80 +110,73 @@
         Ok(Self { state, address })
     }
 
-    /// Puts a document of rules.
-    pub fn put_rules(&self, document: &str) {
+    /// Makes a change, under a new revision.
+    fn change(&self, change: impl FnOnce(&mut State)) {
         let mut state = self.state.lock().unwrap();
         state.revision += 1;
-        let revision = state.revision;
-        state.rules = Some((revision, document.to_owned()));
+        change(&mut state);
+    }
+
+    /// Changes an upstream's entry, under a new revision, which `change` is given.
+    fn change_entry(&self, name: &str, change: impl Fn(&mut UpstreamRecord, u64)) {
+        self.change(|state| {
+            let named = state.upstreams.iter_mut().filter(|record| record.name == name);
+            named.for_each(|record| change(record, state.revision));
+        });
+    }
+
+    /// Puts a document of rules.
+    pub fn put_rules(&self, document: &str) {
+        self.change(|state| state.rules = Some((state.revision, document.to_owned())));
     }
 
     /// Adds an upstream.
     pub fn add(&self, name: &str, pool: &str, address: SocketAddr) {
-        let mut state = self.state.lock().unwrap();
-        state.revision += 1;
-        let made = state.revision;
-        let record = UpstreamRecord {
-            name: name.to_owned(),
-            pool: pool.to_owned(),
-            address,
-            data_centre: DATA_CENTRE.to_owned(),
-            draining: false,
-            warm_up: Duration::ZERO,
-            warm_up_said: made,
-            made,
-        };
-        state.upstreams.push(record);
+        self.change(|state| {
+            state.upstreams.push(UpstreamRecord {
+                name: name.to_owned(),
+                pool: pool.to_owned(),
+                address,
+                data_centre: DATA_CENTRE.to_owned(),
+                draining: false,
+                warm_up: Duration::ZERO,
+                warm_up_said: state.revision,
+                made: state.revision,
+            });
+        });
     }
 
     /// Says that an upstream is in another data centre than the usual one.
     pub fn place(&self, name: &str, data_centre: &str) {
-        let mut state = self.state.lock().unwrap();
-        state.revision += 1;
-        let named = state.upstreams.iter_mut().filter(|record| record.name == name);
-        named.for_each(|record| data_centre.clone_into(&mut record.data_centre));
+        self.change_entry(name, |record, _| data_centre.clone_into(&mut record.data_centre));
     }
 
     /// Says that an upstream warms up for so long; zero, that it is warm.
     pub fn warm_up(&self, name: &str, left: Duration) {
-        let mut state = self.state.lock().unwrap();
-        state.revision += 1;
-        let said = state.revision;
-        for record in state.upstreams.iter_mut().filter(|record| record.name == name) {
-            (record.warm_up, record.warm_up_said) = (left, said);
-        }
+        self.change_entry(name, |record, revision| {
+            record.warm_up = left;
+            record.warm_up_said = revision;
+        });
     }
 
     /// Says that the upstreams of a data centre are to get nothing.
     pub fn drain_data_centre(&self, data_centre: &str) {
-        let mut state = self.state.lock().unwrap();
-        state.revision += 1;
-        state.drained.push(data_centre.to_owned());
+        self.change(|state| state.drained.push(data_centre.to_owned()));
     }
 
     /// Takes that back.
     pub fn give_back_data_centre(&self, data_centre: &str) {
-        let mut state = self.state.lock().unwrap();
-        state.revision += 1;
-        state.drained.retain(|drained| drained != data_centre);
+        self.change(|state| state.drained.retain(|drained| drained != data_centre));
     }
 
     /// Marks an upstream as leaving.
     pub fn drain(&self, name: &str) {
-        let mut state = self.state.lock().unwrap();
-        state.revision += 1;
-        state
-            .upstreams
-            .iter_mut()
-            .filter(|record| record.name == name)
-            .for_each(|record| record.draining = true);
+        self.change_entry(name, |record, _| record.draining = true);
     }
 
     /// Removes an upstream's entry.
     pub fn remove(&self, name: &str) {
-        let mut state = self.state.lock().unwrap();
-        state.revision += 1;
-        state.upstreams.retain(|record| record.name != name);
+        self.change(|state| state.upstreams.retain(|record| record.name != name));
     }
 
     /// Its revision, which rises with each change.
