Sight: the line of a request under which an upstream's connection was lost says which requests are the same

The lines could not tell a request that comes again from many requests: each try has a number of its own. The digest is keyed, so nothing of a body can be read from it, and the same at all boxes.

--- a/crates/bendhinge_delivery/src/lib.rs
+++ b/crates/bendhinge_delivery/src/lib.rs
@@ -6,11 +6,13 @@
 mod attempt;
 mod course;
 mod events;
+mod identity;
 mod once;
 mod vouch;
 
 pub use attempt::{AttemptEnd, NextStep, Repeatable, next_step};
 pub use course::{Course, CourseRules, SendEnd};
 pub use events::EventSplitter;
+pub use identity::{IdentityKey, RequestIdentity};
 pub use once::{Claim, Claimant, OnceKey, OnceLedger, OnceLimits, OnceOutcome};
 pub use vouch::OwnershipHistory;
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -9,10 +9,10 @@
 
 use bendhinge_admission::{Asker, Paced};
 use bendhinge_codes::ResultCode;
-use bendhinge_delivery::{Course, SendEnd};
+use bendhinge_delivery::{Course, IdentityKey, RequestIdentity, SendEnd};
 use bendhinge_fleet::UpstreamFailure;
 use bendhinge_http::{Body, Pool, Tasks, full_body};
-use bendhinge_ids::{Instant, NameHash, PoolName};
+use bendhinge_ids::{Instant, NameHash, PoolName, RequestDigest};
 use bendhinge_routes::{Customer, Regions, Route};
 use bytes::Bytes;
 use hyper::Response;
@@ -39,6 +39,7 @@
     pub(crate) upstreams: Arc<UpstreamView>,
     pub(crate) retries: Retries,
     pub(crate) pacing: Pacing,
+    pub(crate) identities: IdentityKey,
     pub(crate) pool: Pool,
     pub(crate) tasks: Tasks,
     pub(crate) log: Log,
@@ -93,6 +94,17 @@
         [route, self.customer.as_ref().map_or(route, |customer| &customer.regions)]
     }
 
+    /// What tells it from all requests that are not the same.
+    fn digest(&self, key: &IdentityKey) -> RequestDigest {
+        let identity = RequestIdentity {
+            customer: self.customer.as_ref().map_or("", |customer| customer.name.as_str()),
+            method: self.head.method.as_str(),
+            target: self.head.uri.path_and_query().map_or("", |target| target.as_str()),
+            body: &self.body,
+        };
+        identity.digest(key)
+    }
+
     fn time_left(&self) -> Duration {
         self.limit.since(bendhinge_clock::now())
     }
@@ -271,6 +283,7 @@
                 self.delivering.pacing.turned_away(&self.turn.pool, upstream.hash, upstreams);
             }
             SendEnd::Failed => self.note_answer(),
+            SendEnd::Lost => self.line.same_as(self.turn.digest(&self.delivering.identities)),
             _ => {}
         }
         if upstream_failure(end).is_some_and(|failure| upstreams.failed(upstream.hash, failure, *at)) {
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -2,7 +2,7 @@
 
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{Course, SendEnd};
-use bendhinge_ids::Instant;
+use bendhinge_ids::{Instant, RequestDigest};
 use serde::Serialize;
 
 use super::{Log, millis};
@@ -40,6 +40,7 @@
     route: String,
     began: Instant,
     sends: Vec<Send>,
+    digest: Option<RequestDigest>,
 }
 
 impl RequestLine {
@@ -50,6 +51,7 @@
             route: turn.route.name.clone(),
             began: turn.began,
             sends: Vec::new(),
+            digest: None,
         }
     }
 
@@ -73,6 +75,11 @@
         self.sends.len() - 1
     }
 
+    /// It is the request that others of this digest are, too.
+    pub(crate) const fn same_as(&mut self, digest: RequestDigest) {
+        self.digest = Some(digest);
+    }
+
     /// The send of that number ended without an answer that is passed on.
     pub(crate) fn send_ended(&mut self, number: usize, end: SendEnd) {
         if let Some(send) = self.sends.get_mut(number) {
@@ -90,6 +97,8 @@
             #[serde(skip_serializing_if = "Option::is_none")]
             code: Option<String>,
             ms: u64,
+            #[serde(skip_serializing_if = "Option::is_none")]
+            digest: Option<String>,
             sends: &'a [Send],
             ran: &'static str,
         }
@@ -100,6 +109,7 @@
             status,
             code: code.map(|code| code.to_string()),
             ms: self.at_ms(),
+            digest: self.digest.map(|digest| digest.to_string()),
             sends: &self.sends,
             ran: if code.is_none() { "yes" } else { course.ran().as_str() },
         };
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -8,6 +8,7 @@
 
 use async_signal::{Signal, Signals};
 use bendhinge_codes::ExitStatus;
+use bendhinge_delivery::IdentityKey;
 use bendhinge_http::{Pool, ServeLimits, Server, ServerStop, Tasks};
 use bendhinge_peer::Traffic;
 use futures_lite::StreamExt;
@@ -107,6 +108,7 @@
         upstreams: Arc::new(UpstreamView::new(settings.peers, settings.regions.clone(), &settings.upstreams)),
         retries: Retries::new(settings.retries),
         pacing: Pacing::new(log.clone()),
+        identities: IdentityKey(settings.fleet.key.derived("requests")),
         pool: Pool::new(Arc::clone(tasks), settings.upstreams.connect, settings.upstreams.idle),
         tasks: Arc::clone(tasks),
         log: log.clone(),
--- a/crates/bendhinge_ids/src/lib.rs
+++ b/crates/bendhinge_ids/src/lib.rs
@@ -10,5 +10,7 @@
     BoxName, ClassName, CustomerName, DataCentreName, ModelName, NameError, NameHash, PoolName, RegionName,
     UpstreamName,
 };
-pub use number::{ConfigRevision, Digest, DigestError, EventSequence, Incarnation, PermitId, RouterLife};
+pub use number::{
+    ConfigRevision, Digest, DigestError, EventSequence, Incarnation, PermitId, RequestDigest, RouterLife,
+};
 pub use time::Instant;
--- a/crates/bendhinge_ids/src/number.rs
+++ b/crates/bendhinge_ids/src/number.rs
@@ -50,6 +50,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct PermitId(pub u64);
 
+/// What tells a request that comes again from all others, under a key of the fleet: whose it is, where it goes
+/// and what it says, none of which can be read from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RequestDigest(pub u128);
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
+
 /// The first 16 bytes of a document's SHA-256.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
--- a/crates/bendhinge_peer/src/secure.rs
+++ b/crates/bendhinge_peer/src/secure.rs
@@ -36,6 +36,12 @@
     pub fn new(text: &str) -> Self {
         Self(sha2::Sha256::digest(text.as_bytes()).into())
     }
+
+    /// A key for another `purpose`, the same at all routers of the fleet. It tells nothing of this one.
+    #[must_use]
+    pub fn derived(&self, purpose: &str) -> [u8; 32] {
+        sha2::Sha256::new_with_prefix(self.0).chain_update(purpose.as_bytes()).finalize().into()
+    }
 }
 
 /// Why a connection could not be secured.
