--- a/crates/bendhinge_lab/src/gateways/fleet.rs
+++ b/crates/bendhinge_lab/src/gateways/fleet.rs
@@ -217,6 +217,20 @@
         GatewayCaller::new(Arc::clone(&self.pool))
     }
 
+    /// The processes of all upstreams end when they work on a request with this body.
+    pub fn upstreams_end_under(&self, body: &'static str) {
+        for (upstream, proxy) in self.upstreams.iter().zip(&self.proxies) {
+            let proxy = proxy.clone();
+            upstream.ends_under(body, move || proxy.end());
+        }
+    }
+
+    /// How many upstreams' processes have ended.
+    #[must_use]
+    pub fn ended_upstreams(&self) -> usize {
+        self.upstreams.iter().filter(|upstream| upstream.has_ended()).count()
+    }
+
     /// How often a request ran, at all upstreams together.
     #[must_use]
     pub fn runs_of(&self, request: &str) -> usize {
--- a/crates/bendhinge_lab/src/gateways/proxy.rs
+++ b/crates/bendhinge_lab/src/gateways/proxy.rs
@@ -7,8 +7,8 @@
 
 use bendhinge_http::Tasks;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
+use smol::{Task, Timer};
 
 /// What happens to bytes on their way.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -47,6 +47,8 @@
 #[derive(Clone)]
 pub struct Proxy {
     harm: Arc<Mutex<Harm>>,
+    accepting: Arc<Mutex<Option<Task<()>>>>,
+    accepted: Arc<Mutex<Vec<TcpStream>>>,
     /// Where it is reached.
     pub address: SocketAddr,
 }
@@ -57,9 +59,18 @@
         let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
         let harm = Arc::new(Mutex::new(Harm::None));
-        let accepting = accept(listener, target, Arc::clone(&harm), Arc::clone(tasks));
-        tasks.spawn(accepting).detach();
-        Ok(Self { harm, address })
+        let accepted = Arc::default();
+        let accepting = accept(listener, target, Arc::clone(&harm), Arc::clone(&accepted), Arc::clone(tasks));
+        let accepting = Arc::new(Mutex::new(Some(tasks.spawn(accepting))));
+        Ok(Self { harm, accepting, accepted, address })
+    }
+
+    /// What it stands for has ended: its connections are closed, and further ones refused.
+    pub fn end(&self) {
+        drop(self.accepting.lock().unwrap().take());
+        for connection in self.accepted.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
     }
 
     /// Sets what happens from now on.
@@ -68,8 +79,15 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, harm: Arc<Mutex<Harm>>, tasks: Tasks) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    harm: Arc<Mutex<Harm>>,
+    accepted: Arc<Mutex<Vec<TcpStream>>>,
+    tasks: Tasks,
+) {
     while let Ok((near, _)) = listener.accept().await {
+        accepted.lock().unwrap().push(near.clone());
         let Ok(far) = TcpStream::connect(target).await else { continue };
         let there = pass(near.clone(), far.clone(), Direction::There, Arc::clone(&harm));
         let back = pass(far, near, Direction::Back, Arc::clone(&harm));
--- a/crates/bendhinge_standin/src/gateway/upstream.rs
+++ b/crates/bendhinge_standin/src/gateway/upstream.rs
@@ -59,9 +59,15 @@
     pub resumed_after: Option<String>,
 }
 
+/// What happens when an upstream's process ends.
+type OnEnd = Arc<dyn Fn() + Send + Sync>;
+
 struct State {
     name: String,
     fault: UpstreamFault,
+    /// The body of the request under which its process ends, and what ends with it.
+    fatal: Option<(Bytes, OnEnd)>,
+    has_ended: bool,
     runs: Vec<Run>,
     working: usize,
     events: u32,
@@ -87,6 +93,8 @@
         let state = Arc::new(Mutex::new(State {
             name: name.to_owned(),
             fault: UpstreamFault::None,
+            fatal: None,
+            has_ended: false,
             runs: Vec::new(),
             working: 0,
             events: EVENTS,
@@ -119,6 +127,18 @@
         self.state.lock().unwrap().fault = fault;
     }
 
+    /// Its process ends while it works on a request with this body: then `on_end` is called, and it works on
+    /// nothing more.
+    pub fn ends_under(&self, body: &'static str, on_end: impl Fn() + Send + Sync + 'static) {
+        self.state.lock().unwrap().fatal = Some((Bytes::from_static(body.as_bytes()), Arc::new(on_end)));
+    }
+
+    /// Whether its process has ended.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.state.lock().unwrap().has_ended
+    }
+
     /// Sets the time between the events of streams.
     pub fn set_pace(&self, pace: Duration) {
         self.state.lock().unwrap().pace = pace;
@@ -173,6 +193,9 @@
     headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
 }
 
+/// How long a process works on the request under which it ends.
+const TO_ITS_END: Duration = Duration::from_millis(30);
+
 async fn answer(state: Arc<Mutex<State>>, tasks: Tasks, request: Request<Incoming>) -> Response<Body> {
     let (head, body) = request.into_parts();
     let Some(id) = text(&head.headers, &REQUEST) else { return with_status(StatusCode::BAD_REQUEST) };
@@ -191,6 +214,7 @@
     let Ok(body) = read_body(body, 16 << 20).await else { return with_status(StatusCode::BAD_REQUEST) };
     let resumed_after = text(&head.headers, &RESUME_AFTER);
     let is_stream = head.headers.contains_key(PROMPT);
+    let on_end = state.lock().unwrap().fatal.clone().filter(|(fatal, _)| *fatal == body).map(|(_, end)| end);
     state.lock().unwrap().runs.push(Run {
         request: id.clone(),
         path: head.uri.path().to_owned(),
@@ -200,6 +224,12 @@
         resumed_after: resumed_after.clone(),
     });
     let working = Working::new(&state);
+    if let Some(on_end) = on_end {
+        Timer::after(TO_ITS_END).await;
+        state.lock().unwrap().has_ended = true;
+        on_end();
+        return std::future::pending().await;
+    }
     match fault {
         UpstreamFault::Silent => std::future::pending().await,
         UpstreamFault::Lost => {
