--- a/crates/bendhinge_fleet/src/directory.rs
+++ b/crates/bendhinge_fleet/src/directory.rs
@@ -42,10 +42,14 @@
 /// An upstream as listed.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct UpstreamEntry {
-    /// Its name, a new one for each of its lives.
+    /// Its name, which it may keep when its process starts again.
     pub name: UpstreamName,
-    /// The hash of its name.
+    /// Which life of it this is, see [`UpstreamEntry::life`].
     pub hash: NameHash,
+    /// When its process started, in milliseconds since 1970 by its own clock; 0 if it does not say.
+    pub born: u64,
+    /// A hash of the software that it runs; that of nothing if it does not say.
+    pub software: NameHash,
     /// Its pool.
     pub pool: PoolName,
     /// Where it is reached.
@@ -62,6 +66,20 @@
     pub warm_up: Option<WarmUp>,
 }
 
+impl UpstreamEntry {
+    /// The hash that tells a life of an upstream from its others and from all other upstreams. A process that
+    /// starts again under its name holds and knows nothing of before: with a hash of its own, nothing that is
+    /// believed of the one before is believed of it.
+    #[must_use]
+    pub fn life(name: &UpstreamName, born: u64) -> NameHash {
+        match born {
+            0 => NameHash::of(name.as_str()),
+            // No name has this sign.
+            born => NameHash::of(&format!("{name}@{born}")),
+        }
+    }
+}
+
 /// A whole list, in the order of names.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct UpstreamList {
@@ -125,7 +143,7 @@
 pub struct Directory {
     limits: DirectoryLimits,
     listed: Vec<Listed>,
-    /// The hashes of the names of those listed.
+    /// The hashes of those listed.
     hashes: FxHashSet<NameHash>,
     evidence_seen: Option<Instant>,
     doubt_until: Option<Instant>,
@@ -168,11 +186,13 @@
         let kept_until = self.doubt_until.unwrap_or(now).max(now);
         let mut before = std::mem::take(&mut self.listed);
         for entry in &list.entries {
-            let known = before.iter().position(|listed| listed.entry.name == entry.name);
+            let known = before.iter().position(|listed| listed.entry.hash == entry.hash);
             let known = known.map(|position| before.swap_remove(position));
             let is_drained = list.drained.contains(&entry.data_centre);
             self.listed.push(renewed(known.as_ref(), entry, is_drained, now));
         }
+        // What is kept of an upstream that vanished is over once it is listed in another life.
+        before.retain(|listed| !list.entries.iter().any(|entry| entry.name == listed.entry.name));
         for mut listed in before {
             listed.is_drained = list.drained.contains(&listed.entry.data_centre);
             listed.vanished.get_or_insert(now);
--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`Relearning`] says when a router that has just started asks the upstreams what they keep.
 //! * [`Judge`] is which upstreams answer, by their own answers and what others saw.
 //! * [`Evidence`] is which upstreams answer nobody, by what all routers saw.
+//! * [`Quarantine`] is which requests crash the upstreams that run them.
 //!
 //! All of it is pure: explicit state, an explicit clock, no input or output.
 //! `docs/design/PLATFORM.md` says what was weighed.
@@ -23,6 +24,7 @@
 mod loads;
 mod news;
 mod peers;
+mod quarantine;
 mod reading;
 mod relearning;
 mod roster;
@@ -36,6 +38,7 @@
 pub use loads::{LoadSaid, LoadStates, Loads};
 pub use news::{LearnedFrom, NewsLife, NewsLimits, NewsLog, NewsPosition, NewsTold};
 pub use peers::{PeerSaid, PeerState, PeerStates};
+pub use quarantine::{Crash, MOST_CRASHES, Permission, Quarantine, Suspicion, UnderWay};
 pub use reading::{ReadingLimits, ReadingPlan};
 pub use relearning::{RelearnLimits, RelearnStep, RelearnView, Relearning};
 pub use roster::{Contact, Heard, Member, MemberStates, Origin, Reach, Roster, RosterDigest, RosterLimits};
--- a/crates/bendhinge_fleet/src/lists.rs
+++ b/crates/bendhinge_fleet/src/lists.rs
@@ -21,7 +21,7 @@
 /// What differs between two lists.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ListChanges {
-    /// Upstreams that are not listed any more, by the hashes of their names.
+    /// Upstreams that are not listed any more, by their hashes.
     pub gone: Vec<NameHash>,
     /// Entries that are new or differ.
     pub came: Vec<Arc<UpstreamEntry>>,
--- /dev/null
+++ b/crates/bendhinge_fleet/src/quarantine.rs
@@ -0,0 +1,379 @@
+//! Requests under which upstreams crash, and when one is sent no more.
+//!
+//! Such a request comes again, as a new try at any router, and would end one upstream after the other, with all that
+//! they run. So each router tells the others under which requests an upstream crashed, and, as long as one is
+//! suspected, that it sends it: crashes and sends under way together are never more than [`MOST_CRASHES`]. What the
+//! others know is a moment old, so sends that begin within that moment come on top.
+//!
+//! Whatever ran beside such a request is lost with it and is suspected, too. A whole answer ends a suspicion, and a
+//! crash that a request under quarantine was in counts against no other that was in fewer.
+
+use std::time::Duration;
+
+use bendhinge_ids::{Instant, NameHash, RequestDigest};
+use rustc_hash::{FxHashMap, FxHashSet};
+
+use crate::LearnedFrom;
+
+/// Upstreams that may crash under one request. One crash is chance: all that ran there was lost with it. After the
+/// third in a row without an answer, another upstream is more than its answer is worth.
+pub const MOST_CRASHES: usize = 3;
+/// How long a request is kept from upstreams after the third crash; each further one doubles it. A request that
+/// comes each second then ends one upstream in so long, not one a second.
+const STANDS_FOR: Duration = Duration::from_mins(10);
+/// The longest, doubled or not.
+const STANDS_AT_MOST: Duration = Duration::from_hours(24);
+/// How long one or two crashes are held against a request that does not come again.
+const SUSPECTED_FOR: Duration = Duration::from_mins(10);
+/// How long a send of a suspected request counts as under way without word of its end: its router may have
+/// crashed or be cut off. Longer than nearly all requests take.
+const UNDER_WAY_FOR: Duration = Duration::from_secs(10);
+/// How long a change is told in each message: two rounds of exchanges, so that one that fails costs nothing.
+const TOLD_FOR: Duration = Duration::from_millis(900);
+/// Crashes of one request that are remembered: the quarantine grows no longer by more.
+const MOST_REMEMBERED: usize = 12;
+/// Suspected requests that are remembered. When a seventh of 250 upstreams crashes with six requests each, 216 are
+/// suspected; an entry takes some 250 bytes.
+const MOST_SUSPECTED: usize = 256;
+/// Crashes from which on a request is told of to a router whose knowledge differs, however old they are: of one
+/// alone, a router that missed it does not send more often than it may after the next.
+const ALWAYS_TOLD_FROM: usize = 2;
+
+/// The end of an upstream's process under a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// The upstream, in the life that ended.
+    pub upstream: NameHash,
+    /// The software that it ran.
+    pub software: NameHash,
+    /// When it was noticed.
+    pub at: Instant,
+}
+
+/// A router's sends of a suspected request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnderWay {
+    /// Which router, by a hash of its address.
+    pub router: NameHash,
+    /// How many; 0 says that all have ended.
+    pub sends: u8,
+    /// When the last of them began or ended.
+    pub at: Instant,
+}
+
+/// What is known of a suspected request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Suspicion {
+    /// The crashes under it, in the order in which they were heard of.
+    pub crashes: Vec<Crash>,
+    /// When an upstream last gave a whole answer to it, which ends what was held against it until then.
+    pub answered: Option<Instant>,
+    /// Who sends it.
+    pub under_way: Vec<UnderWay>,
+}
+
+impl Suspicion {
+    /// The crashes since the last answer.
+    fn unanswered(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.iter().filter(|crash| self.answered.is_none_or(|answered| crash.at > answered))
+    }
+
+    /// How many they are.
+    fn strength(&self) -> usize {
+        self.unanswered().count()
+    }
+
+    fn last_crash(&self) -> Option<Instant> {
+        self.unanswered().map(|crash| crash.at).max()
+    }
+
+    fn is_crashed_by(&self, upstream: NameHash) -> bool {
+        self.unanswered().any(|crash| crash.upstream == upstream)
+    }
+
+    fn sends_under_way(&self, now: Instant) -> usize {
+        let fresh = self.under_way.iter().filter(|sending| now.since(sending.at) < UNDER_WAY_FOR);
+        fresh.map(|sending| usize::from(sending.sends)).sum()
+    }
+
+    /// Adds a crash; `false` if that upstream's is known.
+    fn add(&mut self, crash: Crash) -> bool {
+        if self.crashes.iter().any(|known| known.upstream == crash.upstream) {
+            return false;
+        }
+        if self.crashes.len() == MOST_REMEMBERED {
+            self.crashes.remove(0);
+        }
+        self.crashes.push(crash);
+        true
+    }
+
+    /// Takes in what a router said of its sends; `true` if that changes their number.
+    fn note_sends(&mut self, said: UnderWay) -> bool {
+        match self.under_way.iter_mut().find(|known| known.router == said.router) {
+            Some(known) if known.at >= said.at => false,
+            Some(known) => {
+                let changes = known.sends != said.sends;
+                *known = said;
+                changes
+            }
+            None => {
+                self.under_way.push(said);
+                said.sends > 0
+            }
+        }
+    }
+
+    /// What is left at `now` of the time for which it is kept from upstreams.
+    fn stands_for(&self, strength: usize, now: Instant) -> Option<Duration> {
+        let further = strength.checked_sub(MOST_CRASHES)?;
+        let doublings = u32::try_from(further).unwrap_or(u32::MAX).min(16);
+        let whole = STANDS_FOR.saturating_mul(1 << doublings).min(STANDS_AT_MOST);
+        let passed = now.since(self.last_crash()?);
+        whole.checked_sub(passed).filter(|left| !left.is_zero())
+    }
+
+    /// Whether it need not be remembered any more. A quarantine is, for as long again as it stood: what it is
+    /// tried on then is held against it with all before.
+    fn is_over(&self, now: Instant) -> bool {
+        let Some(last) = self.last_crash() else {
+            // What others may still tell of it is known to be over.
+            return self.answered.is_none_or(|answered| now.since(answered) > SUSPECTED_FOR);
+        };
+        let is_old = now.since(last) > SUSPECTED_FOR;
+        is_old && (self.strength() < MOST_CRASHES || now.since(last) > 2 * STANDS_AT_MOST)
+    }
+}
+
+/// Whether a request may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Permission {
+    /// Nothing is held against it.
+    Free,
+    /// It is suspected: it may be, and others are to be told.
+    Watched,
+    /// As many sends of it are under way as there may be. They end within a request's time.
+    Later,
+    /// It is kept from upstreams, for that long.
+    Quarantined(Duration),
+}
+
+/// A suspicion with how it changed last.
+#[derive(Debug, Default)]
+struct Held {
+    suspicion: Suspicion,
+    changed: Option<Change>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Change {
+    at: Instant,
+    /// Who told of it.
+    by: LearnedFrom,
+}
+
+/// The suspected requests as one router knows them.
+#[derive(Debug)]
+pub struct Quarantine {
+    /// This router, as others know it.
+    own: NameHash,
+    held: FxHashMap<RequestDigest, Held>,
+    /// Software that no upstream runs any more: what crashed it is not held against other software.
+    retired: FxHashSet<NameHash>,
+}
+
+impl Quarantine {
+    /// No suspicions yet, of the router that others know as `own`.
+    #[must_use]
+    pub fn new(own: NameHash) -> Self {
+        Self { own, held: FxHashMap::default(), retired: FxHashSet::default() }
+    }
+
+    /// Whether nothing is known of any request.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// Whether a request may be sent now.
+    #[must_use]
+    pub fn permission(&self, request: RequestDigest, now: Instant) -> Permission {
+        let Some(Held { suspicion, .. }) = self.held.get(&request) else { return Permission::Free };
+        let counted = self.counted(suspicion);
+        let under_way = suspicion.sends_under_way(now);
+        if counted == 0 {
+            return Permission::Free;
+        }
+        if let Some(left) = suspicion.stands_for(counted, now) {
+            return Permission::Quarantined(left);
+        }
+        // After a quarantine it may be tried once at a time.
+        let crashes = counted.min(MOST_CRASHES - 1);
+        if crashes + under_way < MOST_CRASHES { Permission::Watched } else { Permission::Later }
+    }
+
+    /// How many crashes are held against a request.
+    #[must_use]
+    pub fn crashes_of(&self, request: RequestDigest) -> usize {
+        self.held.get(&request).map_or(0, |held| self.counted(&held.suspicion))
+    }
+
+    fn counted(&self, suspicion: &Suspicion) -> usize {
+        let strength = suspicion.strength();
+        let counts = |crash: &&Crash| {
+            !self.retired.contains(&crash.software) && !self.is_explained(crash.upstream, strength)
+        };
+        suspicion.unanswered().filter(counts).count()
+    }
+
+    /// Whether an upstream crashed under a request that is under quarantine and was in more crashes than
+    /// `strength`, that of another request that it ran.
+    fn is_explained(&self, upstream: NameHash, strength: usize) -> bool {
+        self.held.values().any(|Held { suspicion, .. }| {
+            let other = suspicion.strength();
+            other >= MOST_CRASHES && other > strength && suspicion.is_crashed_by(upstream)
+        })
+    }
+
+    /// Notes that this router begins a send of a suspected request.
+    pub fn begins(&mut self, request: RequestDigest, now: Instant) {
+        self.change_own_sends(request, now, |sends| sends.saturating_add(1));
+    }
+
+    /// Notes that such a send has ended, whatever came of it.
+    pub fn ends(&mut self, request: RequestDigest, now: Instant) {
+        self.change_own_sends(request, now, |sends| sends.saturating_sub(1));
+    }
+
+    fn change_own_sends(&mut self, request: RequestDigest, now: Instant, change: impl Fn(u8) -> u8) {
+        let router = self.own;
+        let Some(held) = self.held.get_mut(&request) else { return };
+        let own = held.suspicion.under_way.iter().find(|known| known.router == router);
+        let sends = change(own.map_or(0, |own| own.sends));
+        // Two changes within one tick of the clock are in their order.
+        let at = own.map_or(now, |own| now.max(own.at + Duration::from_micros(1)));
+        held.suspicion.note_sends(UnderWay { router, sends, at });
+        held.changed = Some(Change { at: now, by: LearnedFrom::Itself });
+    }
+
+    /// Notes that an upstream crashed under a request that this router had sent; `false` if it was known.
+    pub fn crashed(&mut self, request: RequestDigest, crash: Crash, now: Instant) -> bool {
+        let held = self.held.entry(request).or_default();
+        let is_new = held.suspicion.add(crash);
+        if is_new {
+            held.changed = Some(Change { at: now, by: LearnedFrom::Itself });
+            self.make_room();
+        }
+        is_new
+    }
+
+    /// Notes that an upstream gave a whole answer to a request; `true` if that ends a suspicion.
+    pub fn answered(&mut self, request: RequestDigest, now: Instant) -> bool {
+        let Some(held) = self.held.get_mut(&request) else { return false };
+        let was_suspected = held.suspicion.strength() > 0;
+        held.suspicion.answered = Some(now);
+        if was_suspected {
+            held.changed = Some(Change { at: now, by: LearnedFrom::Itself });
+        }
+        was_suspected
+    }
+
+    /// Takes in what another router, `from`, knows of a request; `true` if that changes what is held against it.
+    pub fn hear(
+        &mut self,
+        request: RequestDigest,
+        heard: &Suspicion,
+        from: LearnedFrom,
+        now: Instant,
+    ) -> bool {
+        if heard.is_over(now) && !self.held.contains_key(&request) {
+            return false;
+        }
+        let held = self.held.entry(request).or_default();
+        let before = held.suspicion.strength();
+        held.suspicion.answered = held.suspicion.answered.max(heard.answered);
+        let mut changes = false;
+        for crash in heard.unanswered() {
+            changes |= held.suspicion.add(*crash);
+        }
+        for said in &heard.under_way {
+            changes |= said.router != self.own && held.suspicion.note_sends(*said);
+        }
+        changes |= held.suspicion.strength() != before;
+        if changes {
+            held.changed = Some(Change { at: now, by: from });
+            self.make_room();
+        }
+        changes
+    }
+
+    /// What to tell `listener`: what changed lately, and, if it `differs` in what it knows, all that matters.
+    pub fn to_tell(
+        &self,
+        listener: LearnedFrom,
+        differs: bool,
+        now: Instant,
+    ) -> impl Iterator<Item = (RequestDigest, &Suspicion)> {
+        let is_told = move |held: &&Held| {
+            let is_news =
+                held.changed.is_some_and(|change| change.by != listener && now.since(change.at) < TOLD_FOR);
+            is_news || differs && held.suspicion.strength() >= ALWAYS_TOLD_FROM
+        };
+        self.held
+            .iter()
+            .filter(move |(_, held)| is_told(held))
+            .map(|(request, held)| (*request, &held.suspicion))
+    }
+
+    /// All that is known.
+    pub fn held(&self) -> impl Iterator<Item = (RequestDigest, &Suspicion)> {
+        self.held.iter().map(|(request, held)| (*request, &held.suspicion))
+    }
+
+    /// What all routers that know the same of what is always told have alike; 0 of nothing.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let matters = self.held.iter().filter(|(_, held)| held.suspicion.strength() >= ALWAYS_TOLD_FROM);
+        matters.fold(0, |digest, (request, held)| {
+            let crashes = held.suspicion.unanswered();
+            crashes.fold(digest, |digest, crash| digest ^ mixed(*request, crash.upstream))
+        })
+    }
+
+    /// The requests that are kept from upstreams, with how long they still are.
+    pub fn quarantined(&self, now: Instant) -> impl Iterator<Item = (RequestDigest, &Suspicion, Duration)> {
+        self.held.iter().filter_map(move |(request, held)| match self.permission(*request, now) {
+            Permission::Quarantined(left) => Some((*request, &held.suspicion, left)),
+            _ => None,
+        })
+    }
+
+    /// Notes which software upstreams run now.
+    pub fn follow_software(&mut self, runs: impl Fn(NameHash) -> bool) {
+        let crashes = self.held.values().flat_map(|held| &held.suspicion.crashes);
+        self.retired = crashes.map(|crash| crash.software).filter(|software| !runs(*software)).collect();
+    }
+
+    /// Forgets what is over.
+    pub fn prune(&mut self, now: Instant) {
+        self.held.retain(|_, held| !held.suspicion.is_over(now));
+    }
+
+    /// Forgets the weakest suspicion, and of those the oldest, when there are too many.
+    fn make_room(&mut self) {
+        while self.held.len() > MOST_SUSPECTED {
+            let weight = |held: &Held| (held.suspicion.strength(), held.suspicion.last_crash());
+            let weakest = self.held.iter().min_by_key(|(_, held)| weight(held));
+            let Some(request) = weakest.map(|(request, _)| *request) else { return };
+            self.held.remove(&request);
+        }
+    }
+}
+
+/// A number for a crash, the same at all routers of one build.
+fn mixed(request: RequestDigest, upstream: NameHash) -> u64 {
+    let mut bytes = [0; 24];
+    bytes[..16].copy_from_slice(&request.0.to_le_bytes());
+    bytes[16..].copy_from_slice(&upstream.0.to_le_bytes());
+    xxhash_rust::xxh3::xxh3_64(&bytes)
+}
--- a/crates/bendhinge_fleet/tests/directory.rs
+++ b/crates/bendhinge_fleet/tests/directory.rs
@@ -23,6 +23,8 @@
         Arc::new(UpstreamEntry {
             name: name.parse().unwrap(),
             hash: NameHash::of(name),
+            born: 0,
+            software: NameHash::of(""),
             pool: "pool".parse().unwrap(),
             address: "10.0.0.1:80".parse().unwrap(),
             data_centre: "south".parse().unwrap(),
--- a/crates/bendhinge_fleet/tests/lists.rs
+++ b/crates/bendhinge_fleet/tests/lists.rs
@@ -9,6 +9,8 @@
     let name = format!("upstream-{number:04}");
     Arc::new(UpstreamEntry {
         hash: NameHash::of(&name),
+        born: 0,
+        software: NameHash::of(""),
         name: name.parse().unwrap(),
         pool: "engines".parse().unwrap(),
         address: ([10, 0, 0, 1], port).into(),
--- /dev/null
+++ b/crates/bendhinge_fleet/tests/quarantine.rs
@@ -0,0 +1,247 @@
+//! Requests under which upstreams crash: when one is sent no more, and which are not held back.
+
+use std::time::Duration;
+
+use bendhinge_fleet::{Crash, LearnedFrom, MOST_CRASHES, Permission, Quarantine, Suspicion};
+use bendhinge_ids::{Instant, NameHash, RequestDigest};
+
+const FATAL: RequestDigest = RequestDigest(1);
+const SOUND: RequestDigest = RequestDigest(2);
+const OWN: NameHash = NameHash(100);
+const OTHER: NameHash = NameHash(101);
+const SOFTWARE: NameHash = NameHash(7);
+
+fn at(seconds: u64) -> Instant {
+    Instant::from_millis(1_000_000 + seconds * 1_000)
+}
+
+fn crash(upstream: u64, seconds: u64) -> Crash {
+    Crash { upstream: NameHash(upstream), software: SOFTWARE, at: at(seconds) }
+}
+
+/// A router at which a request crashed these upstreams, one a second.
+fn crashed(request: RequestDigest, upstreams: impl IntoIterator<Item = u64>) -> Quarantine {
+    let mut quarantine = Quarantine::new(OWN);
+    for (seconds, upstream) in (0..).zip(upstreams) {
+        assert!(quarantine.crashed(request, crash(upstream, seconds), at(seconds)));
+    }
+    quarantine
+}
+
+fn told(by: &Quarantine, differs: bool, now: Instant) -> Vec<(RequestDigest, Suspicion)> {
+    let told = by.to_tell(LearnedFrom::Router(NameHash(999)), differs, now);
+    told.map(|(request, suspicion)| (request, suspicion.clone())).collect()
+}
+
+fn tell(from: &Quarantine, name: NameHash, to: &mut Quarantine, now: Instant) -> bool {
+    let told = told(from, true, now);
+    let mut changes = false;
+    for (request, suspicion) in &told {
+        changes |= to.hear(*request, suspicion, LearnedFrom::Router(name), now);
+    }
+    changes
+}
+
+fn is_quarantined(quarantine: &Quarantine, request: RequestDigest, now: Instant) -> bool {
+    matches!(quarantine.permission(request, now), Permission::Quarantined(_))
+}
+
+#[test]
+fn after_three_crashes_a_request_is_sent_no_more() {
+    assert_eq!(Quarantine::new(OWN).permission(FATAL, at(0)), Permission::Free);
+    assert_eq!(crashed(FATAL, [1]).permission(FATAL, at(1)), Permission::Watched);
+    assert_eq!(crashed(FATAL, [1, 2]).permission(FATAL, at(2)), Permission::Watched);
+    assert!(is_quarantined(&crashed(FATAL, [1, 2, 3]), FATAL, at(3)));
+    assert_eq!(crashed(FATAL, [1, 2, 3]).permission(SOUND, at(3)), Permission::Free);
+}
+
+#[test]
+fn an_upstream_that_is_told_of_twice_counts_once() {
+    let mut quarantine = crashed(FATAL, [1, 2]);
+    assert!(!quarantine.crashed(FATAL, crash(2, 3), at(3)));
+    assert_eq!(quarantine.crashes_of(FATAL), 2);
+}
+
+#[test]
+fn crashes_that_three_routers_saw_one_each_count_together() {
+    let mut seen = [crashed(FATAL, [1]), crashed(FATAL, [2]), crashed(FATAL, [3])];
+    let [first, second, third] = &mut seen;
+    assert!(tell(first, OWN, second, at(0)));
+    assert!(tell(second, OTHER, third, at(1)));
+    assert!(is_quarantined(third, FATAL, at(1)));
+    // Heard again, it is no news.
+    assert!(!tell(second, OTHER, third, at(1)));
+}
+
+#[test]
+fn crashes_and_sends_under_way_are_never_more_than_three() {
+    for crashes in 1..MOST_CRASHES as u64 {
+        let mut quarantine = crashed(FATAL, 1..=crashes);
+        let mut sent = 0;
+        while quarantine.permission(FATAL, at(2)) == Permission::Watched {
+            quarantine.begins(FATAL, at(2));
+            sent += 1;
+        }
+        assert_eq!(quarantine.permission(FATAL, at(2)), Permission::Later);
+        assert_eq!(crashes + sent, MOST_CRASHES as u64);
+        quarantine.ends(FATAL, at(2));
+        assert_eq!(quarantine.permission(FATAL, at(2)), Permission::Watched);
+    }
+}
+
+#[test]
+fn sends_of_another_router_count_until_it_says_that_they_ended_or_is_silent_for_long() {
+    let mut other = crashed(FATAL, [1, 2]);
+    let mut quarantine = Quarantine::new(OTHER);
+    other.begins(FATAL, at(2));
+    tell(&other, OWN, &mut quarantine, at(2));
+    assert_eq!(quarantine.permission(FATAL, at(2)), Permission::Later);
+    assert_eq!(quarantine.permission(FATAL, at(13)), Permission::Watched);
+    other.ends(FATAL, at(3));
+    tell(&other, OWN, &mut quarantine, at(3));
+    assert_eq!(quarantine.permission(FATAL, at(3)), Permission::Watched);
+}
+
+/// Whatever others say of its own sends, a router knows better.
+#[test]
+fn what_others_tell_of_own_sends_is_not_taken() {
+    let mut own = crashed(FATAL, [1, 2]);
+    own.begins(FATAL, at(2));
+    let mut other = Quarantine::new(OTHER);
+    tell(&own, OWN, &mut other, at(2));
+    own.ends(FATAL, at(3));
+    tell(&other, OTHER, &mut own, at(4));
+    assert_eq!(own.permission(FATAL, at(4)), Permission::Watched);
+}
+
+#[test]
+fn a_whole_answer_ends_a_suspicion_everywhere() {
+    let mut quarantine = crashed(SOUND, [1, 2]);
+    let mut other = Quarantine::new(OTHER);
+    tell(&quarantine, OWN, &mut other, at(2));
+    assert!(quarantine.answered(SOUND, at(3)));
+    assert_eq!(quarantine.permission(SOUND, at(3)), Permission::Free);
+    let told = told(&quarantine, false, at(3));
+    let (request, suspicion) = told.first().expect("its end is told");
+    assert!(other.hear(*request, suspicion, LearnedFrom::Router(OWN), at(3)));
+    assert_eq!(other.permission(SOUND, at(3)), Permission::Free);
+    // A third router that still tells of the crashes changes nothing.
+    let late = crashed(SOUND, [1, 2]);
+    tell(&late, NameHash(102), &mut other, at(4));
+    assert_eq!(other.permission(SOUND, at(4)), Permission::Free);
+}
+
+#[test]
+fn what_ran_beside_a_request_under_quarantine_is_not_held_back_for_that() {
+    let mut quarantine = crashed(FATAL, [1, 2, 3]);
+    quarantine.crashed(SOUND, crash(1, 0), at(3));
+    quarantine.crashed(SOUND, crash(2, 1), at(3));
+    assert_eq!(quarantine.permission(SOUND, at(3)), Permission::Free);
+    // A crash of its own counts.
+    quarantine.crashed(SOUND, crash(9, 3), at(3));
+    assert_eq!(quarantine.crashes_of(SOUND), 3, "as many as the other: neither explains the other's");
+}
+
+#[test]
+fn a_quarantine_ends_after_its_time_with_one_try_at_a_time_and_doubles_with_the_next_crash() {
+    let mut quarantine = crashed(FATAL, [1, 2, 3]);
+    let minute = 60;
+    assert!(is_quarantined(&quarantine, FATAL, at(10 * minute)));
+    quarantine.prune(at(11 * minute));
+    assert_eq!(quarantine.permission(FATAL, at(11 * minute)), Permission::Watched);
+    quarantine.begins(FATAL, at(11 * minute));
+    assert_eq!(quarantine.permission(FATAL, at(11 * minute)), Permission::Later);
+    quarantine.ends(FATAL, at(11 * minute));
+    quarantine.crashed(FATAL, crash(4, 11 * minute), at(11 * minute));
+    assert!(is_quarantined(&quarantine, FATAL, at(30 * minute)));
+    assert_eq!(quarantine.permission(FATAL, at(32 * minute)), Permission::Watched);
+}
+
+#[test]
+fn a_suspicion_of_a_request_that_does_not_come_again_is_forgotten() {
+    let mut quarantine = crashed(SOUND, [1, 2]);
+    quarantine.prune(at(60));
+    assert!(!quarantine.is_empty());
+    quarantine.prune(at(700));
+    assert!(quarantine.is_empty());
+}
+
+#[test]
+fn what_crashed_software_that_nobody_runs_any_more_is_tried_on_the_other() {
+    let mut quarantine = crashed(FATAL, [1, 2, 3]);
+    quarantine.follow_software(|software| software == SOFTWARE);
+    assert!(is_quarantined(&quarantine, FATAL, at(3)));
+    quarantine.follow_software(|software| software == NameHash(8));
+    assert_eq!(quarantine.permission(FATAL, at(3)), Permission::Free);
+    // Rolled back, it counts again.
+    quarantine.follow_software(|software| software == SOFTWARE);
+    assert!(is_quarantined(&quarantine, FATAL, at(3)));
+}
+
+#[test]
+fn a_router_that_knows_something_else_is_told_all_that_matters_however_old() {
+    let quarantine = crashed(FATAL, [1, 2, 3]);
+    let mut started = Quarantine::new(OTHER);
+    let later = at(120);
+    assert!(told(&quarantine, false, later).is_empty());
+    assert_ne!(quarantine.digest(), started.digest());
+    tell(&quarantine, OWN, &mut started, later);
+    assert_eq!(quarantine.digest(), started.digest());
+    assert!(is_quarantined(&started, FATAL, later));
+}
+
+#[test]
+fn a_wave_of_crashes_takes_bounded_room_and_drops_the_weakest() {
+    let mut quarantine = crashed(FATAL, [1, 2, 3]);
+    for request in 0..2_000 {
+        quarantine.crashed(RequestDigest(1_000 + request), crash(50, 10), at(10));
+    }
+    assert!(is_quarantined(&quarantine, FATAL, at(10)));
+    assert!(told(&quarantine, true, at(10)).len() <= 256);
+}
+
+/// Whatever routers do and in whichever order they hear of it: none sends a request of which it knows three
+/// crashes, and once all have told each other all, all know the same.
+#[test]
+fn routers_that_told_each_other_everything_agree() {
+    const ROUTERS: usize = 4;
+    arbtest::arbtest(|choices| {
+        let names: [NameHash; ROUTERS] = std::array::from_fn(|number| NameHash(100 + number as u64));
+        let mut routers = names.map(Quarantine::new);
+        let mut second = 0;
+        for step in 0..choices.int_in_range(0..=40_u64)? {
+            let router = choices.choose_index(ROUTERS)?;
+            let now = at(second);
+            match choices.int_in_range(0..=5_u8)? {
+                0 | 1 if routers[router].permission(FATAL, now) != Permission::Later
+                    && !is_quarantined(&routers[router], FATAL, now) =>
+                {
+                    routers[router].crashed(FATAL, crash(step, second), now);
+                }
+                2 => drop(routers[router].answered(FATAL, now)),
+                _ => {
+                    let to = choices.choose_index(ROUTERS)?;
+                    let all = told(&routers[router], true, now);
+                    for (request, suspicion) in all {
+                        routers[to].hear(request, &suspicion, LearnedFrom::Router(names[router]), now);
+                    }
+                }
+            }
+            second += u64::from(choices.ratio(1, 2)?);
+        }
+        let now = at(second);
+        for _ in 0..2 {
+            for from in 0..ROUTERS {
+                for to in 0..ROUTERS {
+                    let all: Vec<_> = routers[from].held().map(|(r, s)| (r, s.clone())).collect();
+                    for (request, suspicion) in all {
+                        routers[to].hear(request, &suspicion, LearnedFrom::Router(names[from]), now);
+                    }
+                }
+            }
+        }
+        let crashes: Vec<usize> = routers.iter().map(|router| router.crashes_of(FATAL)).collect();
+        assert!(crashes.iter().all(|known| *known == crashes[0]), "{crashes:?}");
+        Ok(())
+    });
+}
--- a/crates/bendhinge_gateway/src/native/store.rs
+++ b/crates/bendhinge_gateway/src/native/store.rs
@@ -49,6 +49,12 @@
     /// The store's revision at which it said so.
     #[serde(default)]
     warm_up_said: u64,
+    /// When its process started, in milliseconds since 1970.
+    #[serde(default)]
+    born: u64,
+    /// What it runs.
+    #[serde(default)]
+    software: String,
 }
 
 impl StoreDialect for Native {
@@ -84,8 +90,10 @@
 
 fn entry(item: UpstreamItem) -> UpstreamEntry {
     UpstreamEntry {
-        hash: NameHash::of(item.name.as_str()),
+        hash: UpstreamEntry::life(&item.name, item.born),
         name: item.name,
+        born: item.born,
+        software: NameHash::of(&item.software),
         pool: item.pool,
         address: item.address,
         data_centre: item.data_centre,
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -42,6 +42,30 @@
   witnesses @3 :List(Witness);
 }
 
+# The end of an upstream's process under a request.
+struct Crash {
+  upstream @0 :UInt64;
+  software @1 :UInt64;
+  ageMillis @2 :UInt32;
+}
+
+# A gateway's sends of a suspected request.
+struct UnderWay {
+  router @0 :UInt64;
+  sends @1 :UInt8;
+  ageMillis @2 :UInt32;
+}
+
+# A request under which upstreams crashed, by its digest.
+struct Suspicion {
+  requestHigh @0 :UInt64;
+  requestLow @1 :UInt64;
+  crashes @2 :List(Crash);
+  answered @3 :Bool;
+  answeredAgeMillis @4 :UInt32;
+  underWay @5 :List(UnderWay);
+}
+
 # Up to where the news of one life of a gateway were told; a life of 0 is none.
 struct NewsPosition {
   life @0 :UInt64;
@@ -69,6 +93,9 @@
   loadStates @12 :Data;
   # Whether the sender wants to know of members alone.
   probe @13 :Bool;
+  # What changed lately of suspected requests, or all that matters of them, and a digest of all that matters.
+  suspicions @14 :List(Suspicion);
+  quarantine @15 :UInt64;
 }
 
 struct Upstream {
@@ -83,6 +110,9 @@
   # What was left of its warm-up when it said so, and the revision at which it did; 0 is no warm-up.
   warmUpLeftMillis @8 :UInt32;
   warmUpSaid @9 :UInt64;
+  # When its process started, in milliseconds since 1970, and a hash of what it runs; 0 if it does not say.
+  born @10 :UInt64;
+  software @11 :UInt64;
 }
 
 # A document as it was when it was asked for.
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -13,12 +13,13 @@
 use capnp::traits::OwnedStruct;
 use capnp::{Error, struct_list};
 
+use super::suspicion::{read_suspicion, write_suspicion};
 use super::{Known, ObservedDoubt, ObservedFailure, ObservedLoad, ObservedRead, PeerMessage, address_parts};
 use crate::fleet_capnp::{
     doubt, fleet, known, load, member, news_position, peer_message, read, upstream, witness,
 };
 
-fn millis(span: Duration) -> u32 {
+pub(super) fn millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
 
@@ -114,6 +115,7 @@
     write_known(to.reborrow().init_rules(), message.rules.as_ref());
     write_known(to.reborrow().init_upstreams(), message.upstreams.as_ref());
     to.set_roster(message.roster.0);
+    to.set_quarantine(message.quarantine);
     write_lists(to.reborrow(), message);
     if let Some(MemberStates(states)) = &message.member_states {
         to.set_member_states(states);
@@ -142,7 +144,7 @@
 
 /// Writes the lists of a message; one without entries takes no room.
 fn write_lists(mut to: peer_message::Builder<'_>, message: &PeerMessage) {
-    let PeerMessage { members, loads, reads, doubts, .. } = message;
+    let PeerMessage { members, loads, reads, doubts, suspicions, .. } = message;
     if !members.is_empty() {
         write_all(to.reborrow().init_members(count(members.len())), members, write_member);
     }
@@ -153,7 +155,10 @@
         write_all(to.reborrow().init_reads(count(reads.len())), reads, write_read);
     }
     if !doubts.is_empty() {
-        write_all(to.init_doubts(count(doubts.len())), doubts, write_doubt);
+        write_all(to.reborrow().init_doubts(count(doubts.len())), doubts, write_doubt);
+    }
+    if !suspicions.is_empty() {
+        write_all(to.init_suspicions(count(suspicions.len())), suspicions, write_suspicion);
     }
 }
 
@@ -200,6 +205,8 @@
         told: read_position(from.get_told()?),
         heard: read_position(from.get_heard()?),
         doubts: from.get_doubts()?.iter().map(read_doubt).collect::<Result<_, _>>()?,
+        suspicions: from.get_suspicions()?.iter().map(read_suspicion).collect::<Result<_, _>>()?,
+        quarantine: from.get_quarantine(),
     })
 }
 
@@ -213,6 +220,8 @@
     to.set_slots(entry.slots);
     to.set_draining(entry.state == UpstreamState::Draining);
     to.set_made(entry.made);
+    to.set_born(entry.born);
+    to.set_software(entry.software.0);
     if let Some(warm_up) = entry.warm_up {
         to.set_warm_up_left_millis(millis(warm_up.left));
         to.set_warm_up_said(warm_up.said.0);
@@ -232,8 +241,10 @@
     let invalid = |_| Error::failed("an upstream's name is invalid".to_owned());
     let name: bendhinge_ids::UpstreamName = from.get_name()?.to_str()?.parse().map_err(invalid)?;
     Ok(UpstreamEntry {
-        hash: NameHash::of(name.as_str()),
+        hash: UpstreamEntry::life(&name, from.get_born()),
         name,
+        born: from.get_born(),
+        software: NameHash(from.get_software()),
         pool: from.get_pool()?.to_str()?.parse().map_err(invalid)?,
         address: address(from.get_address(), from.get_port()),
         data_centre: read_data_centre(from.get_data_centre()?)?,
--- a/crates/bendhinge_peer/src/fleet/mod.rs
+++ b/crates/bendhinge_peer/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod convert;
 mod server;
+mod suspicion;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 
 pub use client::FleetClient;
 pub use server::serve_fleet;
+pub use suspicion::{ObservedCrash, ObservedSends, ObservedSuspicion};
 
 /// A value that the sender holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -135,6 +137,11 @@
     pub heard: Option<NewsPosition>,
     /// What it knows of upstreams that failed lately.
     pub doubts: Vec<ObservedDoubt>,
+    /// Requests under which upstreams crash: what changed lately, or all that matters if the receiver knows
+    /// something else.
+    pub suspicions: Vec<ObservedSuspicion>,
+    /// A digest of all that matters of them.
+    pub quarantine: u64,
 }
 
 impl PeerMessage {
@@ -156,6 +163,8 @@
             told: None,
             heard: None,
             doubts: Vec::new(),
+            suspicions: Vec::new(),
+            quarantine: 0,
         }
     }
 }
--- a/crates/bendhinge_peer/src/fleet_capnp.rs
+++ b/crates/bendhinge_peer/src/fleet_capnp.rs
@@ -2086,6 +2086,1118 @@
     }
 }
 
+pub mod crash {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_upstream(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_software(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_age_millis(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_upstream(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_upstream(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_software(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_software(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_age_millis(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_age_millis(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(4, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(175, 149, 37, 246, 137, 36, 53, 185),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 67, 114, 97, 115),
+            ::capnp::word(104, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(85, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 111, 102, 116, 119, 97, 114, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 105, 108, 108, 105),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xb935_2489_f625_95af;
+    }
+}
+
+pub mod under_way {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_router(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_sends(self) -> u8 {
+            self.reader.get_data_field::<u8>(8)
+        }
+        #[inline]
+        pub fn get_age_millis(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_router(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_router(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_sends(self) -> u8 {
+            self.builder.get_data_field::<u8>(8)
+        }
+        #[inline]
+        pub fn set_sends(&mut self, value: u8) {
+            self.builder.set_data_field::<u8>(8, value);
+        }
+        #[inline]
+        pub fn get_age_millis(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_age_millis(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(227, 65, 176, 140, 27, 79, 28, 152),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 85, 110, 100, 101),
+            ::capnp::word(114, 87, 97, 121, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(114, 111, 117, 116, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 110, 100, 115, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 105, 108, 108, 105),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 1];
+        pub(crate) const TYPE_ID: u64 = 0x981c_4f1b_8cb0_41e3;
+    }
+}
+
+pub mod suspicion {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_request_high(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_request_low(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_crashes(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::fleet_capnp::crash::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_answered(self) -> bool {
+            self.reader.get_bool_field(128)
+        }
+        #[inline]
+        pub fn get_answered_age_millis(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn get_under_way(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::fleet_capnp::under_way::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_under_way(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_request_high(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_request_high(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_request_low(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_request_low(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_crashes(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::fleet_capnp::crash::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_crashes(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::fleet_capnp::crash::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_crashes(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::fleet_capnp::crash::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_answered(self) -> bool {
+            self.builder.get_bool_field(128)
+        }
+        #[inline]
+        pub fn set_answered(&mut self, value: bool) {
+            self.builder.set_bool_field(128, value);
+        }
+        #[inline]
+        pub fn get_answered_age_millis(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn set_answered_age_millis(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(5, value);
+        }
+        #[inline]
+        pub fn get_under_way(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::fleet_capnp::under_way::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_under_way(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::fleet_capnp::under_way::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_under_way(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::fleet_capnp::under_way::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_under_way(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 121] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(33, 233, 1, 205, 190, 244, 28, 199),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 83, 117, 115, 112),
+            ::capnp::word(105, 99, 105, 111, 110, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 72),
+            ::capnp::word(105, 103, 104, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 76),
+            ::capnp::word(111, 119, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(175, 149, 37, 246, 137, 36, 53, 185),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(65, 103, 101, 77, 105, 108, 108, 105),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 100, 101, 114, 87, 97, 121),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(227, 65, 176, 140, 27, 79, 28, 152),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::fleet_capnp::crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::fleet_capnp::under_way::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 4, 2, 0, 1, 5];
+        pub(crate) const TYPE_ID: u64 = 0xc71c_f4be_cd01_e921;
+    }
+}
+
 pub mod news_position {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -2612,6 +3724,23 @@
         pub fn get_probe(self) -> bool {
             self.reader.get_bool_field(1)
         }
+        #[inline]
+        pub fn get_suspicions(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::fleet_capnp::suspicion::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(11),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_suspicions(&self) -> bool {
+            !self.reader.get_pointer_field(11).is_null()
+        }
+        #[inline]
+        pub fn get_quarantine(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> {
@@ -2619,7 +3748,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 2, pointers: 11 };
+            ::capnp::private::layout::StructSize { data: 3, pointers: 12 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2995,6 +4124,46 @@
         pub fn set_probe(&mut self, value: bool) {
             self.builder.set_bool_field(1, value);
         }
+        #[inline]
+        pub fn get_suspicions(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::fleet_capnp::suspicion::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(11),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_suspicions(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::fleet_capnp::suspicion::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(11),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_suspicions(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::fleet_capnp::suspicion::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(11), size)
+        }
+        #[inline]
+        pub fn has_suspicions(&self) -> bool {
+            !self.builder.is_pointer_field_null(11)
+        }
+        #[inline]
+        pub fn get_quarantine(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_quarantine(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline {
@@ -3023,122 +4192,136 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 246] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 282] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(50, 195, 17, 35, 89, 221, 79, 151),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
-            ::capnp::word(11, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
             ::capnp::word(77, 101, 115, 115, 97, 103, 101, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(49, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(131, 233, 241, 127, 114, 153, 209, 233),
@@ -3270,6 +4453,28 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 117, 115, 112, 105, 99, 105, 111),
+            ::capnp::word(110, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 233, 1, 205, 190, 244, 28, 199),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 117, 97, 114, 97, 110, 116, 105),
+            ::capnp::word(110, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3287,6 +4492,8 @@
                 11 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 12 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 13 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                14 => <::capnp::struct_list::Owned<crate::fleet_capnp::suspicion::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3305,9 +4512,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[6, 7, 9, 12, 4, 11, 3, 13, 5, 10, 1, 0, 8, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[6, 7, 9, 12, 4, 11, 3, 13, 15, 5, 10, 1, 0, 14, 8, 2];
         pub(crate) const TYPE_ID: u64 = 0x974f_dd59_2311_c332;
     }
 }
@@ -3470,6 +4677,14 @@
         pub fn get_warm_up_said(self) -> u64 {
             self.reader.get_data_field::<u64>(3)
         }
+        #[inline]
+        pub fn get_born(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn get_software(self) -> u64 {
+            self.reader.get_data_field::<u64>(5)
+        }
     }
 
     pub struct Builder<'a> {
@@ -3477,7 +4692,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
+            ::capnp::private::layout::StructSize { data: 6, pointers: 3 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3674,6 +4889,22 @@
         pub fn set_warm_up_said(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(3, value);
         }
+        #[inline]
+        pub fn get_born(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_born(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(4, value);
+        }
+        #[inline]
+        pub fn get_software(self) -> u64 {
+            self.builder.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn set_software(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(5, value);
+        }
     }
 
     pub struct Pipeline {
@@ -3686,94 +4917,108 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 172] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 203] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(116, 6, 164, 125, 250, 82, 44, 184),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 85, 112, 115, 116),
             ::capnp::word(114, 101, 97, 109, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 48, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3859,6 +5104,23 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 111, 114, 110, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 111, 102, 116, 119, 97, 114, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3872,6 +5134,8 @@
                 7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3890,9 +5154,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 4, 6, 7, 0, 1, 3, 5, 8, 9];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 10, 4, 6, 7, 0, 1, 3, 5, 11, 8, 9];
         pub(crate) const TYPE_ID: u64 = 0xb82c_52fa_7da4_0674;
     }
 }
--- a/crates/bendhinge_peer/src/lib.rs
+++ b/crates/bendhinge_peer/src/lib.rs
@@ -25,8 +25,8 @@
 pub use client::{CallError, PeerClient};
 pub use duties::{ClaimRequest, ConfigAnswer, OnceAnswer, PeerDuties, PermitAnswer, Told};
 pub use fleet::{
-    FleetClient, FleetDuties, Known, ObservedDoubt, ObservedFailure, ObservedLoad, ObservedRead, PeerMessage,
-    ReadsPage, serve_fleet,
+    FleetClient, FleetDuties, Known, ObservedCrash, ObservedDoubt, ObservedFailure, ObservedLoad,
+    ObservedRead, ObservedSends, ObservedSuspicion, PeerMessage, ReadsPage, serve_fleet,
 };
 pub use pool::{PeerConnection, PeerPool, PeerPoolLimits};
 pub use secure::{PeerKey, SecureError};
