--- a/crates/bendhinge_lab/tests/gateway_crashes.rs
+++ b/crates/bendhinge_lab/tests/gateway_crashes.rs
@@ -14,7 +14,7 @@
 use bendhinge_lab::gateways::{
     Answer, Call, FleetShape, GatewayFleet, GatewaySettings, KEY, Proxy, Told, until,
 };
-use bendhinge_standin::gateway::UpstreamFault;
+use bendhinge_standin::gateway::{Upstream, UpstreamFault};
 use futures_lite::future::zip;
 use gateway_common::{PATIENCE, run, start};
 use rustix::process::Signal;
@@ -121,8 +121,7 @@
         let (first, second) = (attempt("sound"), attempt("also sound"));
         let sending = zip(send_to(&fleet, 0, &first), send_to(&fleet, 0, &second));
         let leaving = async {
-            until(async || fleet.upstreams.iter().map(|upstream| upstream.working()).sum::<usize>() == 2)
-                .await;
+            until(async || fleet.upstreams.iter().map(Upstream::working).sum::<usize>() == 2).await;
             fleet.upstreams.iter().for_each(|upstream| fleet.store.drain(&upstream.name()));
             Timer::after(CONTACT / 2).await;
             fleet.proxies.iter().for_each(Proxy::end);
