--- a/crates/bendhinge_lab/src/bench/decision.rs
+++ b/crates/bendhinge_lab/src/bench/decision.rs
@@ -8,6 +8,7 @@
     Admission, Ask, ClassIndex, ClassRule, CustomerIndex, CustomerRule, PoolIndex, PoolRule, Rules,
 };
 use bendhinge_configuration::{SealKey, canonical_document};
+use bendhinge_delivery::{IdentityKey, RequestIdentity};
 use bendhinge_ids::{ChatKey, Incarnation, Instant, NameHash, PoolName, RouterLife};
 use bendhinge_placement::{
     LedgerLimits, LoadBound, LoadView, PermitLedger, PermitRequest, Ranked, Ranking, Step, ViewKey, Walk,
@@ -36,6 +37,21 @@
     began.elapsed().as_secs_f64() * 1_000.0 / f64::from(TIMES)
 }
 
+/// Nanoseconds for the digest that tells a request with a body of `bytes` from all others.
+#[must_use]
+pub fn digest_ns(bytes: usize) -> f64 {
+    const TIMES: u32 = 2_000;
+    let body = vec![b'x'; bytes];
+    let key = IdentityKey([7; 32]);
+    let identity =
+        RequestIdentity { customer: "readers", method: "POST", target: "/minutes/council", body: &body };
+    let began = Clock::now();
+    for _ in 0..TIMES {
+        black_box(black_box(identity).digest(&key));
+    }
+    began.elapsed().as_secs_f64() * 1e9 / f64::from(TIMES)
+}
+
 /// Nanoseconds for placing a turn, counting it and returning its permit, with `upstreams`
 /// upstreams in one pool.
 #[must_use]
--- a/crates/bendhinge_lab/src/bench/mod.rs
+++ b/crates/bendhinge_lab/src/bench/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 mod cache;
+pub mod crashing;
 pub mod decision;
 pub mod placement;
 pub mod plain_pool;
--- a/crates/bendhinge_lab/src/measure/decisions.rs
+++ b/crates/bendhinge_lab/src/measure/decisions.rs
@@ -3,7 +3,7 @@
 use super::figure;
 use crate::bench::placement::PlacementFigures;
 use crate::bench::warming::{ROUTERS, Way};
-use crate::bench::{PolicyKind, Scenario, admission, decision, placement, plain_pool, warming};
+use crate::bench::{PolicyKind, Scenario, admission, crashing, decision, placement, plain_pool, warming};
 
 /// Runs of a scenario; figures are their means, worst cases their worst.
 const SEEDS: [u64; 3] = [20_261_202, 20_261_203, 20_261_204];
@@ -76,6 +76,9 @@
     for upstreams in [40, 350, 1_400] {
         figure(&format!("decision.place_ns.{upstreams}_upstreams"), decision::place_ns(upstreams), "ns");
     }
+    for bytes in [0, 1_000, 18_000, 110_000] {
+        figure(&format!("decision.digest_ns.{bytes}_bytes"), decision::digest_ns(bytes), "ns");
+    }
     for customers in [10, 500, 4_500] {
         let open = decision::open_configuration_ms(customers);
         figure(&format!("decision.open_configuration_ms.{customers}_customers"), open, "ms");
@@ -141,3 +144,44 @@
         figure(&format!("pacing.{name}.refused_in_calm"), f64::from(seen.refused_in_calm), "requests");
     }
 }
+
+/// Counting the crashes under one request, by each way, with what befalls the routers.
+pub(super) fn crashing() {
+    use crashing::{Scene, Seen, Trouble, Way};
+    let ways = [
+        ("uncounted", Way::Uncounted),
+        ("alone", Way::Alone),
+        ("exchanged", Way::Exchanged),
+        ("second_told", Way::SecondTold),
+        ("told", Way::Told),
+        ("named", Way::Named),
+        ("with_sends", Way::WithSends),
+    ];
+    let troubles = [
+        ("calm", Trouble::None),
+        ("cut_off", Trouble::CutOff),
+        ("frozen", Trouble::Frozen),
+        ("killed", Trouble::Killed),
+    ];
+    for (routers, upstreams, seeds) in [(9, 12, 200), (295, 250, 4)] {
+        for (trouble_name, trouble) in troubles {
+            for (name, way) in ways {
+                let scene = Scene { routers, upstreams, trouble };
+                let seen: Vec<Seen> = (0..seeds).map(|seed| crashing::run(way, scene, seed)).collect();
+                let mean = |of: fn(&Seen) -> f64| seen.iter().map(of).sum::<f64>() / seen.len() as f64;
+                let most = |of: fn(&Seen) -> usize| seen.iter().map(of).max().unwrap_or(0) as f64;
+                let sound: usize = seen.iter().map(|seen| seen.sound).sum();
+                let refused: usize = seen.iter().map(|seen| seen.sound_quarantined).sum();
+                let later: usize = seen.iter().map(|seen| seen.sound_later).sum();
+                let name = format!("crashing.{routers}.{trouble_name}.{name}");
+                figure(&format!("{name}.mean"), mean(|seen| seen.crashed as f64), "upstreams");
+                figure(&format!("{name}.most"), most(|seen| seen.crashed), "upstreams");
+                figure(&format!("{name}.late_most"), most(|seen| seen.late), "sends");
+                figure(&format!("{name}.sound_lost"), mean(|seen| seen.sound_lost as f64), "requests");
+                figure(&format!("{name}.sound_refused"), refused as f64, &format!("of {sound}"));
+                figure(&format!("{name}.sound_later"), later as f64, &format!("of {sound}"));
+                figure(&format!("{name}.messages"), mean(|seen| seen.messages), "for each router");
+            }
+        }
+    }
+}
--- a/crates/bendhinge_lab/src/measure/mod.rs
+++ b/crates/bendhinge_lab/src/measure/mod.rs
@@ -38,6 +38,7 @@
     ("decision", Group::Bench(decisions::costs)),
     ("warming", Group::Bench(decisions::warming)),
     ("pacing", Group::Bench(decisions::pacing)),
+    ("crashing", Group::Bench(decisions::crashing)),
 ];
 
 /// Runs all measurements whose group's name contains `only`.
