--- a/crates/bendhinge_explain/src/lib.rs
+++ b/crates/bendhinge_explain/src/lib.rs
@@ -9,5 +9,5 @@
 mod tell;
 
 pub use line::{Entry, Event, Send, read_log};
-pub use story::{Backdrop, Story, UpstreamRecord, stories};
+pub use story::{Backdrop, CrashRecord, SameRequest, Story, UpstreamRecord, stories};
 pub use tell::tell;
--- a/crates/bendhinge_explain/src/line.rs
+++ b/crates/bendhinge_explain/src/line.rs
@@ -39,6 +39,8 @@
         sends: Vec<Send>,
         /// Whether it ran.
         ran: String,
+        /// What all tries of the same request have alike, if a connection was lost under this one.
+        digest: Option<String>,
     },
     /// A request that was not sent.
     Refused {
@@ -48,6 +50,17 @@
         code: String,
         /// How old the knowledge was that the rules are current, in milliseconds.
         rules_age_ms: Option<u64>,
+        /// What all tries of the same request have alike, if it is for those that this one was refused.
+        digest: Option<String>,
+    },
+    /// An upstream crashed under a request.
+    Crash {
+        /// Its number.
+        request: String,
+        /// What all tries of it have alike.
+        digest: String,
+        /// The upstream.
+        upstream: String,
     },
     /// Rules or upstreams changed.
     Belief {
--- a/crates/bendhinge_explain/src/story.rs
+++ b/crates/bendhinge_explain/src/story.rs
@@ -28,6 +28,28 @@
     pub event: Event,
 }
 
+/// An upstream that crashed under the same request, in this try or in another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashRecord {
+    /// The gateway that noticed it.
+    pub gateway: String,
+    /// The number of the request in that try.
+    pub request: String,
+    /// The upstream.
+    pub upstream: String,
+}
+
+/// What the logs tell of all tries of the same request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SameRequest {
+    /// What they have alike.
+    pub digest: String,
+    /// The crashes under them, in the order of the logs.
+    pub crashes: Vec<CrashRecord>,
+    /// How many were refused for it.
+    pub refused: usize,
+}
+
 /// One line about a request, with its surroundings.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Story {
@@ -37,6 +59,8 @@
     pub backdrop: Vec<Backdrop>,
     /// The upstreams that it met.
     pub upstreams: Vec<UpstreamRecord>,
+    /// The other tries of the same request, if upstreams crashed under one.
+    pub same: Option<SameRequest>,
 }
 
 /// All that the logs tell of the request numbered `request`.
@@ -46,6 +70,27 @@
     about.map(|entry| story(entries, entry)).collect()
 }
 
+/// What the logs tell of the request of which `event` is a try.
+fn same_request(entries: &[Entry], event: &Event) -> Option<SameRequest> {
+    let (Event::Request { digest, .. } | Event::Refused { digest, .. }) = event else { return None };
+    let digest = digest.as_ref()?;
+    let mut same = SameRequest { digest: digest.clone(), ..SameRequest::default() };
+    for entry in entries {
+        match &entry.event {
+            Event::Crash { request, digest: of, upstream } if of == digest => {
+                same.crashes.push(CrashRecord {
+                    gateway: entry.gateway.clone(),
+                    request: request.clone(),
+                    upstream: upstream.clone(),
+                });
+            }
+            Event::Refused { digest: Some(of), .. } if of == digest => same.refused += 1,
+            _ => {}
+        }
+    }
+    (!same.crashes.is_empty()).then_some(same)
+}
+
 fn number(event: &Event) -> Option<&str> {
     match event {
         Event::Request { request, .. } | Event::Refused { request, .. } => Some(request),
@@ -70,7 +115,12 @@
         }
     }
     let upstreams = met.into_iter().map(|upstream| record(entries, upstream)).collect();
-    Story { entry: entry.clone(), backdrop: backdrop.collect(), upstreams }
+    Story {
+        entry: entry.clone(),
+        backdrop: backdrop.collect(),
+        upstreams,
+        same: same_request(entries, &entry.event),
+    }
 }
 
 /// When the request of a line arrived: lines are written when it is over.
--- a/crates/bendhinge_explain/src/tell.rs
+++ b/crates/bendhinge_explain/src/tell.rs
@@ -4,7 +4,7 @@
 
 use bendhinge_codes::ResultCode;
 
-use crate::{Backdrop, Event, Send, Story, UpstreamRecord};
+use crate::{Backdrop, CrashRecord, Event, SameRequest, Send, Story, UpstreamRecord};
 
 /// The story as text of several lines.
 #[must_use]
@@ -18,7 +18,7 @@
 fn write_story(text: &mut String, story: &Story) -> std::fmt::Result {
     let gateway = &story.entry.gateway;
     match &story.entry.event {
-        Event::Request { request, route, outcome, status, code, ms, sends, ran } => {
+        Event::Request { request, route, outcome, status, code, ms, sends, ran, .. } => {
             writeln!(
                 text,
                 "{request} at {gateway}, route {route}: {outcome} with {status} after {ms} ms; ran: {ran}"
@@ -26,7 +26,7 @@
             sends.iter().try_for_each(|send| write_send(text, send))?;
             write_code(text, code.as_deref())?;
         }
-        Event::Refused { request, code, rules_age_ms } => {
+        Event::Refused { request, code, rules_age_ms, .. } => {
             writeln!(text, "{request} at {gateway}: not sent to any upstream")?;
             match rules_age_ms {
                 Some(age) => writeln!(text, "  the rules were known to be current {age} ms before")?,
@@ -37,7 +37,21 @@
         _ => {}
     }
     story.backdrop.iter().try_for_each(|backdrop| write_backdrop(text, backdrop))?;
-    story.upstreams.iter().try_for_each(|record| write_record(text, record))
+    story.upstreams.iter().try_for_each(|record| write_record(text, record))?;
+    story.same.iter().try_for_each(|same| write_same(text, same))
+}
+
+fn write_same(text: &mut String, same: &SameRequest) -> std::fmt::Result {
+    let SameRequest { digest, crashes, refused } = same;
+    writeln!(
+        text,
+        "  the same request, {digest}: {} upstreams crashed, {refused} tries refused",
+        crashes.len()
+    )?;
+    crashes.iter().try_for_each(|crash| {
+        let CrashRecord { gateway, request, upstream } = crash;
+        writeln!(text, "    {upstream} under {request} at {gateway}")
+    })
 }
 
 fn write_send(text: &mut String, send: &Send) -> std::fmt::Result {
--- a/crates/bendhinge_explain/tests/story.rs
+++ b/crates/bendhinge_explain/tests/story.rs
@@ -60,3 +60,25 @@
         }
     }
 }
+
+/// Each try has a number of its own: from any of them one is led to what crashed under the others, at whichever gateways.
+#[test]
+fn a_request_under_which_upstreams_crashed() {
+    let digest = "0f1e2d3c4b5a69788796a5b4c3d2e1f0";
+    let crash = |t: u64, request: &str, upstream: &str| {
+        format!(
+            r#"{{"t":{t},"event":"crash","request":"{request}","digest":"{digest}","upstream":"{upstream}","crashes":1}}"#
+        )
+    };
+    let refused = format!(
+        r#"{{"t":9000,"event":"refused","request":"d4","code":"BH0310","digest":"{digest}","rules_age_ms":12,"retry_after_ms":599000}}"#
+    );
+    let entries = [
+        read_log("box-1", &[crash(1_000, "a1", "i-1"), crash(5_000, "c3", "i-3")].join("\n")),
+        read_log("box-2", &[crash(3_000, "b2", "i-2"), refused].join("\n")),
+    ]
+    .concat();
+    let found = stories(&entries, "d4");
+    assert_eq!(found.len(), 1);
+    insta::assert_snapshot!(tell(&found[0]));
+}
--- a/crates/bendhinge_fleet/src/quarantine.rs
+++ b/crates/bendhinge_fleet/src/quarantine.rs
@@ -108,6 +108,16 @@
         true
     }
 
+    /// The life in which an upstream was to which it was sent at `sent`. One that had crashed by then was in
+    /// another, though it may keep its name and the list may not tell of that yet.
+    fn life_at(&self, upstream: NameHash, sent: Instant) -> NameHash {
+        let mut life = upstream;
+        while self.crashes.iter().any(|known| known.upstream == life && known.at < sent) {
+            life = NameHash(xxhash_rust::xxh3::xxh3_64(&life.0.to_le_bytes()));
+        }
+        life
+    }
+
     /// Takes in what a router said of its sends; `true` if that changes their number.
     fn note_sends(&mut self, said: UnderWay) -> bool {
         match self.under_way.iter_mut().find(|known| known.router == said.router) {
@@ -257,10 +267,12 @@
         held.changed = Some(Change { at: now, by: LearnedFrom::Itself });
     }
 
-    /// Notes that an upstream crashed under a request that this router had sent; `false` if it was known.
-    pub fn crashed(&mut self, request: RequestDigest, crash: Crash, now: Instant) -> bool {
+    /// Notes that an upstream crashed under a request that this router had sent at `sent`; `false` if it was
+    /// known.
+    pub fn crashed(&mut self, request: RequestDigest, crash: Crash, sent: Instant, now: Instant) -> bool {
         let held = self.held.entry(request).or_default();
-        let is_new = held.suspicion.add(crash);
+        let upstream = held.suspicion.life_at(crash.upstream, sent);
+        let is_new = held.suspicion.add(Crash { upstream, ..crash });
         if is_new {
             held.changed = Some(Change { at: now, by: LearnedFrom::Itself });
             self.make_room();
--- a/crates/bendhinge_gateway/src/delivery/crash.rs
+++ b/crates/bendhinge_gateway/src/delivery/crash.rs
@@ -26,7 +26,7 @@
             if has_crashed(&delivering, &sent.upstream).await {
                 let number = turn.call.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
                 let digest = turn.digest(&delivering.identities);
-                delivering.quarantine.crashed(digest, number, &sent.upstream, lost_at);
+                delivering.quarantine.crashed(digest, number, &sent.upstream, sent.at, lost_at);
             }
             // Until now it counts as under way.
             drop(sent);
--- a/crates/bendhinge_gateway/src/quarantine.rs
+++ b/crates/bendhinge_gateway/src/quarantine.rs
@@ -105,17 +105,19 @@
         Ok(Some(WatchedSend { keeper: Arc::clone(self), request }))
     }
 
-    /// Notes that an upstream crashed at `at` under a request, numbered `number` in this try.
+    /// Notes that an upstream crashed under a request, numbered `number` in this try, that was sent at `sent` and
+    /// lost at `lost`.
     pub(crate) fn crashed(
         &self,
         request: RequestDigest,
         number: &str,
         upstream: &UpstreamEntry,
-        at: Instant,
+        sent: Instant,
+        lost: Instant,
     ) {
-        let crash = Crash { upstream: upstream.hash, software: upstream.software, at };
+        let crash = Crash { upstream: upstream.hash, software: upstream.software, at: lost };
         let mut state = self.state.lock().unwrap();
-        let is_new = state.crashed(request, crash, bendhinge_clock::now());
+        let is_new = state.crashed(request, crash, sent, bendhinge_clock::now());
         let crashes = state.crashes_of(request);
         drop(state);
         if is_new {
--- a/crates/bendhinge_lab/src/bench/crashing.rs
+++ b/crates/bendhinge_lab/src/bench/crashing.rs
@@ -119,6 +119,7 @@
     number: u64,
     request: RequestDigest,
     router: usize,
+    sent: Instant,
     again: bool,
     is_watched: bool,
 }
@@ -287,7 +288,7 @@
         }
         let number = self.next;
         self.next += 1;
-        self.upstreams[upstream].runs.push(Run { number, request, router, again, is_watched });
+        self.upstreams[upstream].runs.push(Run { number, request, router, sent: now, again, is_watched });
         let micros = if is_sound { SOUND_MICROS } else { TO_CRASH_MICROS };
         let lasts = Duration::from_micros(self.random.random_range(micros));
         self.schedule(now + lasts, Event::Ends { upstream, run: number });
@@ -347,7 +348,7 @@
         crashed.life = life;
         crashed.back_at = now + BACK_AFTER;
         for run in std::mem::take(&mut crashed.runs) {
-            self.routers[run.router].crashed(run.request, crash, now);
+            self.routers[run.router].crashed(run.request, crash, run.sent, now);
             self.end_watch(run);
             self.tell(run.router, run.request);
             if run.request != FATAL {
