--- a/crates/bendhinge_gateway/src/delivery/crash.rs
+++ b/crates/bendhinge_gateway/src/delivery/crash.rs
@@ -100,10 +100,11 @@
 }
 
 /// Whether nothing listens where the upstream was: its process has ended. One that lives has other connections that
-/// stand, or takes another, which is kept for use. A box that is gone, or the way to it, gives no answer instead.
+/// stand, in use or idle, or takes another, which is kept for use: one that is busy is not to be asked for a connection
+/// that it may not have to give. A box that is gone, or the way to it, gives no answer instead.
 async fn is_refused_by(delivering: &Delivering, upstream: &UpstreamEntry) -> bool {
     Timer::after(ENDING).await;
-    if delivering.pool.has_idle(upstream.address) {
+    if delivering.upstreams.has_own(upstream.hash) || delivering.pool.has_idle(upstream.address) {
         return false;
     }
     match delivering.pool.connect(upstream.address).await {
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -263,6 +263,11 @@
         listed.map(|listed| Arc::clone(&listed.entry)).filter(|entry| keeps_prompts(&entry.pool)).collect()
     }
 
+    /// Whether requests of this gateway are in progress at an upstream.
+    pub(crate) fn has_own(&self, upstream: NameHash) -> bool {
+        self.state.lock().unwrap().loads.own(upstream) > 0.0
+    }
+
     /// Whether an upstream is listed, or vanished lately.
     pub(crate) fn lists(&self, upstream: NameHash) -> bool {
         self.state.lock().unwrap().directory.lists(upstream)
