--- a/crates/bendhinge_delivery/tests/identity.rs
+++ b/crates/bendhinge_delivery/tests/identity.rs
@@ -27,6 +27,17 @@
     }
 }
 
+#[test]
+fn the_hint_is_a_part_of_the_digest_that_needs_no_look_at_the_body() {
+    assert_eq!(REQUEST.digest(&KEY).hint(), REQUEST.hint(&KEY));
+    let alike = RequestIdentity { body: b"summarize", ..REQUEST };
+    assert_eq!(alike.hint(&KEY), REQUEST.hint(&KEY));
+    let longer = RequestIdentity { body: b"summarise all", ..REQUEST };
+    assert_ne!(longer.hint(&KEY), REQUEST.hint(&KEY));
+    assert_ne!(RequestIdentity { customer: "two", ..REQUEST }.hint(&KEY), REQUEST.hint(&KEY));
+    assert_ne!(REQUEST.hint(&IdentityKey([8; 32])), REQUEST.hint(&KEY));
+}
+
 #[test]
 fn another_fleet_has_other_digests() {
     assert_ne!(REQUEST.digest(&KEY), REQUEST.digest(&IdentityKey([8; 32])));
--- a/crates/bendhinge_fleet/src/quarantine.rs
+++ b/crates/bendhinge_fleet/src/quarantine.rs
@@ -9,9 +9,10 @@
 //! crash that a request under quarantine was in counts against no other that was in fewer. When a busy upstream
 //! crashes, a hundred requests are suspected at once: of a single crash no more is told than once that it was.
 
+use std::collections::hash_map::Entry;
 use std::time::Duration;
 
-use bendhinge_ids::{Instant, NameHash, RequestDigest};
+use bendhinge_ids::{Instant, NameHash, RequestDigest, RequestHint};
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::LearnedFrom;
@@ -199,6 +200,8 @@
     /// This router, as others know it.
     own: NameHash,
     held: FxHashMap<RequestDigest, Held>,
+    /// How many of them have each hint.
+    hints: FxHashMap<RequestHint, u32>,
     /// Of all that is always told.
     digest: u64,
     /// The software that upstreams run, once that is known: what crashed another is not held against it.
@@ -209,7 +212,13 @@
     /// No suspicions yet, of the router that others know as `own`.
     #[must_use]
     pub fn new(own: NameHash) -> Self {
-        Self { own, held: FxHashMap::default(), digest: 0, running: None }
+        Self { own, held: FxHashMap::default(), hints: FxHashMap::default(), digest: 0, running: None }
+    }
+
+    /// Whether something may be known of a request: of another it is not worth to look at its body.
+    #[must_use]
+    pub fn may_know(&self, hint: RequestHint) -> bool {
+        self.hints.contains_key(&hint)
     }
 
     /// Whether nothing is known of any request.
@@ -367,6 +376,7 @@
         }
         self.digest ^= suspicion.digest(request);
         self.held.insert(request, Held { suspicion, changed: Change { at: now, by } });
+        *self.hints.entry(request.hint()).or_default() += 1;
         true
     }
 
@@ -388,8 +398,13 @@
     }
 
     fn forget(&mut self, request: RequestDigest) {
-        if let Some(held) = self.held.remove(&request) {
-            self.digest ^= held.suspicion.digest(request);
+        let Some(held) = self.held.remove(&request) else { return };
+        self.digest ^= held.suspicion.digest(request);
+        if let Entry::Occupied(mut hint) = self.hints.entry(request.hint()) {
+            *hint.get_mut() -= 1;
+            if *hint.get() == 0 {
+                hint.remove();
+            }
         }
     }
 
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -7,6 +7,7 @@
 use bendhinge_fleet::{Contact, ListTold, Origin, Reach};
 use bendhinge_peer::{FleetDuties, Known, ObservedRead, PeerMessage, ReadsPage};
 use bytes::Bytes;
+use futures_lite::FutureExt;
 use rand::Rng;
 use smol::Timer;
 use smol::channel::Receiver;
@@ -14,6 +15,7 @@
 use super::message::{Content, own_message, take_in};
 use super::{Control, draw};
 use crate::delivery::Delivering;
+use crate::quarantine::SuspicionChange;
 
 /// After how many rounds any other is asked, besides the one that hears of the store.
 const ANY_EVERY: u32 = 4;
@@ -67,16 +69,13 @@
     }
 }
 
-/// Tells others at once of what changed of suspected requests, for ever: the next may come at any of them.
-pub(super) async fn tell_suspicions(control: Rc<Control>, changes: Receiver<Origin>) {
-    /// The least time between two messages of this to the same gateway. When seven upstreams crash with a hundred
-    /// requests each, nine gateways notice 800 suspicions within a second.
+/// Tells others of what changed of suspected requests, for ever: at once where the next send of one may depend on
+/// it, since that may come at any of them.
+pub(super) async fn tell_suspicions(control: Rc<Control>, changes: Receiver<SuspicionChange>) {
+    /// The least time between two messages of this to the same gateway.
     const PAUSE: Duration = Duration::from_millis(100);
     let mut since = bendhinge_clock::now();
-    while let Ok(first) = changes.recv().await {
-        let more = std::iter::from_fn(|| changes.try_recv().ok());
-        let is_own = more.chain([first]).any(|origin| origin == Origin::Store);
-        let origin = if is_own { Origin::Store } else { Origin::Peer };
+    while let Some(origin) = next_change(&changes).await {
         let now = bendhinge_clock::now();
         let failing = control.is_store_failing();
         let tells_on = !control.roster.borrow().is_small();
@@ -90,6 +89,28 @@
     }
 }
 
+/// Waits for a change that is to be told, and takes those that come until then along; gives by whom they were
+/// noticed, this gateway if one was. `None` if there will be none.
+async fn next_change(changes: &Receiver<SuspicionChange>) -> Option<Origin> {
+    /// How long single crashes wait. When seven busy upstreams crash with a hundred requests each, nine gateways notice
+    /// 800 within some seconds; told each 0.1 s they took a tenth of what an overloaded fleet served.
+    const WAIT: Duration = Duration::from_millis(400);
+    let SuspicionChange { mut origin, mut is_urgent } = changes.recv().await.ok()?;
+    let until = bendhinge_clock::now() + WAIT;
+    while !is_urgent {
+        let too_long = async {
+            Timer::after(until.since(bendhinge_clock::now())).await;
+            None
+        };
+        let Some(next) = async { changes.recv().await.ok() }.or(too_long).await else { break };
+        is_urgent = next.is_urgent;
+        if next.origin == Origin::Store {
+            origin = Origin::Store;
+        }
+    }
+    Some(origin)
+}
+
 /// Asks a contact, and any other if the one that hears of the store does not answer.
 async fn ask_or_another(control: &Rc<Control>, contact: Contact) {
     let content = match contact {
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -24,6 +24,7 @@
 use self::store::Reading;
 use crate::delivery::Delivering;
 use crate::lifecycle::Lifecycle;
+use crate::quarantine::SuspicionChange;
 use crate::settings::Settings;
 
 /// How long a gateway that gave no answer is not asked again.
@@ -83,7 +84,7 @@
     }
 
     /// Starts everything on the executor.
-    pub(crate) fn start(self: &Rc<Self>, listener: TcpListener, suspicions: Receiver<Origin>) {
+    pub(crate) fn start(self: &Rc<Self>, listener: TcpListener, suspicions: Receiver<SuspicionChange>) {
         let serving = serve_fleet(
             listener,
             self.settings.fleet.key.clone(),
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -72,9 +72,11 @@
 }
 
 impl Delivering {
-    /// The digest of a request, if any request is suspected: else it is not worth its time, some 10 µs with 18 KB.
+    /// The digest of a request that may be suspected. Of others it is not worth its time, 13 us with 18 KB.
     pub(crate) fn suspect(&self, turn: &Turn) -> Option<RequestDigest> {
-        (!self.quarantine.is_empty()).then(|| turn.digest(&self.identities))
+        let keeper = &self.quarantine;
+        let may_be = !keeper.is_empty() && keeper.may_know(turn.identity().hint(&self.identities));
+        may_be.then(|| turn.digest(&self.identities))
     }
 
     /// Whether requests to a pool are paced by what its upstreams answer: so they are where these say nothing
@@ -109,17 +111,16 @@
 
     /// What tells it from all requests that are not the same.
     fn digest(&self, key: &IdentityKey) -> RequestDigest {
-        *self.digest.get_or_init(|| self.new_digest(key))
+        *self.digest.get_or_init(|| self.identity().digest(key))
     }
 
-    fn new_digest(&self, key: &IdentityKey) -> RequestDigest {
-        let identity = RequestIdentity {
+    fn identity(&self) -> RequestIdentity<'_> {
+        RequestIdentity {
             customer: self.customer.as_ref().map_or("", |customer| customer.name.as_str()),
             method: self.head.method.as_str(),
             target: self.head.uri.path_and_query().map_or("", |target| target.as_str()),
             body: &self.body,
-        };
-        identity.digest(key)
+        }
     }
 
     fn time_left(&self) -> Duration {
--- a/crates/bendhinge_gateway/src/log/mod.rs
+++ b/crates/bendhinge_gateway/src/log/mod.rs
@@ -226,14 +226,15 @@
         self.line("suspicion_heard", Fields { digest: digest.to_string(), crashes, told_by: from });
     }
 
-    /// Nothing is held against a request any more.
-    pub(crate) fn suspicion_over(&self, digest: RequestDigest, why: &str) {
+    /// Nothing is held against a request any more; before, so many crashes were.
+    pub(crate) fn suspicion_over(&self, digest: RequestDigest, why: &str, crashes: usize) {
         #[derive(Serialize)]
         struct Fields<'a> {
             digest: String,
             why: &'a str,
+            crashes: usize,
         }
-        self.line("suspicion_over", Fields { digest: digest.to_string(), why });
+        self.line("suspicion_over", Fields { digest: digest.to_string(), why, crashes });
     }
 
     /// Requests to a pool are paced from now on, at so many a second, or no more.
--- a/crates/bendhinge_gateway/src/quarantine.rs
+++ b/crates/bendhinge_gateway/src/quarantine.rs
@@ -6,7 +6,7 @@
 
 use bendhinge_codes::ResultCode;
 use bendhinge_fleet::{Crash, Origin, Permission, Quarantine, UpstreamEntry};
-use bendhinge_ids::{Instant, NameHash, RequestDigest};
+use bendhinge_ids::{Instant, NameHash, RequestDigest, RequestHint};
 use bendhinge_peer::ObservedSuspicion;
 use rand::Rng;
 use serde_json::json;
@@ -18,13 +18,23 @@
 /// Changes that wait to be told. They are told together, so that more of them say nothing more.
 const MOST_CHANGES: usize = 8;
 
-/// Crashes from which on it is worth a line what others tell of a request.
-const WORTH_A_LINE: usize = 2;
+/// Crashes from which on what is known of a request is worth a line, and a message at once. A first one is in the
+/// lines of whoever saw it, and of hundreds of requests when a pool is lost.
+const OF_NOTE: usize = 2;
+
+/// A change that others are to be told of.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SuspicionChange {
+    /// By whom it was noticed: this gateway, as the store's news are, or another.
+    pub(crate) origin: Origin,
+    /// Whether the next send of the request may depend on it: single crashes may wait for a moment.
+    pub(crate) is_urgent: bool,
+}
 
 /// What this gateway knows of suspected requests.
 pub(crate) struct QuarantineKeeper {
     state: Mutex<Quarantine>,
-    changes: Sender<Origin>,
+    changes: Sender<SuspicionChange>,
     log: Log,
 }
 
@@ -62,19 +72,23 @@
 impl Drop for WatchedSend {
     fn drop(&mut self) {
         self.keeper.state.lock().unwrap().ends(self.request, bendhinge_clock::now());
-        self.keeper.changed(Origin::Store);
+        self.keeper.changed(Origin::Store, OF_NOTE);
     }
 }
 
 impl QuarantineKeeper {
-    /// Nothing is known yet; `own` is where peers reach this gateway. What changes goes to the receiver: by
-    /// whom it was noticed, this gateway (as the store's news are) or another.
-    pub(crate) fn new(own: SocketAddr, log: Log) -> (Self, Receiver<Origin>) {
+    /// Nothing is known yet; `own` is where peers reach this gateway. What changes goes to the receiver.
+    pub(crate) fn new(own: SocketAddr, log: Log) -> (Self, Receiver<SuspicionChange>) {
         let (changes, told) = bounded(MOST_CHANGES);
         (Self { state: Mutex::new(Quarantine::new(router_hash(own))), changes, log }, told)
     }
 
-    /// Whether nothing is known of any request: then no digests are needed.
+    /// Whether something may be known of a request.
+    pub(crate) fn may_know(&self, hint: RequestHint) -> bool {
+        self.state.lock().unwrap().may_know(hint)
+    }
+
+    /// Whether nothing is known of any request.
     pub(crate) fn is_empty(&self) -> bool {
         self.state.lock().unwrap().is_empty()
     }
@@ -104,7 +118,7 @@
         }
         state.begins(request, now);
         drop(state);
-        self.changed(Origin::Store);
+        self.changed(Origin::Store, OF_NOTE);
         Ok(Some(WatchedSend { keeper: Arc::clone(self), request }))
     }
 
@@ -125,47 +139,52 @@
         drop(state);
         if is_new {
             self.log.crash(number, request, &upstream.name, crashes);
-            self.changed(Origin::Store);
+            self.changed(Origin::Store, crashes);
         }
     }
 
     /// Notes that an upstream gave a whole answer to a request.
     pub(crate) fn answered(&self, request: RequestDigest) {
-        let ends_suspicion = self.state.lock().unwrap().answered(request, bendhinge_clock::now());
-        if ends_suspicion {
-            self.log.suspicion_over(request, "answered");
-            self.changed(Origin::Store);
-        }
+        self.end_suspicion(request, "answered");
     }
 
     /// Notes that operators hold nothing against these requests any more.
     pub(crate) fn release(&self, requests: &[RequestDigest]) {
-        let now = bendhinge_clock::now();
         for request in requests {
-            if self.state.lock().unwrap().answered(*request, now) {
-                self.log.suspicion_over(*request, "released");
-                self.changed(Origin::Store);
-            }
+            self.end_suspicion(*request, "released");
+        }
+    }
+
+    fn end_suspicion(&self, request: RequestDigest, why: &str) {
+        let mut state = self.state.lock().unwrap();
+        let crashes = state.crashes_of(request);
+        let is_over = state.answered(request, bendhinge_clock::now());
+        drop(state);
+        if is_over {
+            self.log.suspicion_over(request, why, crashes);
+            self.changed(Origin::Store, crashes);
         }
     }
 
     /// Takes in what the gateway at `from` knows, its ages counted from `as_of`.
     pub(crate) fn hear(&self, suspicions: &[ObservedSuspicion], from: SocketAddr, as_of: Instant) {
         let now = bendhinge_clock::now();
-        let mut changes = false;
+        let mut changed = None;
         for heard in suspicions {
             let mut state = self.state.lock().unwrap();
             let before = state.crashes_of(heard.request);
-            changes |= state.hear(heard.request, &heard.as_of(as_of), learned_from(from), now);
+            let changes = state.hear(heard.request, &heard.as_of(as_of), learned_from(from), now);
             let crashes = state.crashes_of(heard.request);
             drop(state);
-            // A first crash is in the lines of whoever saw it, and of hundreds of requests when a pool is lost.
-            if crashes != before && crashes.max(before) >= WORTH_A_LINE {
+            if changes {
+                changed = changed.max(Some(crashes.max(before)));
+            }
+            if crashes != before && crashes.max(before) >= OF_NOTE {
                 self.log.suspicion_heard(heard.request, crashes, from);
             }
         }
-        if changes {
-            self.changed(Origin::Peer);
+        if let Some(crashes) = changed {
+            self.changed(Origin::Peer, crashes);
         }
     }
 
@@ -226,9 +245,10 @@
         json!({ "quarantined": requests.collect::<Vec<_>>() }).to_string()
     }
 
-    /// Has the others told of a change.
-    fn changed(&self, by: Origin) {
+    /// Has the others told of a change to what is known of a request with so many crashes.
+    fn changed(&self, origin: Origin, crashes: usize) {
+        let change = SuspicionChange { origin, is_urgent: crashes >= OF_NOTE };
         // A full channel is one that will be read.
-        let _ = self.changes.try_send(by);
+        let _ = self.changes.try_send(change);
     }
 }
--- a/crates/bendhinge_ids/src/lib.rs
+++ b/crates/bendhinge_ids/src/lib.rs
@@ -11,6 +11,7 @@
     UpstreamName,
 };
 pub use number::{
-    ConfigRevision, Digest, DigestError, EventSequence, Incarnation, PermitId, RequestDigest, RouterLife,
+    ConfigRevision, Digest, DigestError, EventSequence, Incarnation, PermitId, RequestDigest, RequestHint,
+    RouterLife,
 };
 pub use time::Instant;
--- a/crates/bendhinge_ids/src/number.rs
+++ b/crates/bendhinge_ids/src/number.rs
@@ -51,10 +51,37 @@
 pub struct PermitId(pub u64);
 
 /// What tells a request that comes again from all others, under a key of the fleet: whose it is, where it goes
-/// and what it says, none of which can be read from it.
+/// and what it says, none of which can be read from it. Its upper half is a [`RequestHint`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestDigest(pub u128);
 
+/// What tells a request from nearly all others, without a look at its body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct RequestHint(pub u64);
+
+impl RequestDigest {
+    const HALF: u32 = 64;
+
+    /// The digest with these halves.
+    #[must_use]
+    pub fn new(hint: RequestHint, rest: u64) -> Self {
+        Self(u128::from(hint.0) << Self::HALF | u128::from(rest))
+    }
+
+    /// Its upper half.
+    #[must_use]
+    pub const fn hint(self) -> RequestHint {
+        RequestHint((self.0 >> Self::HALF) as u64)
+    }
+
+    /// Its lower half.
+    #[must_use]
+    #[expect(clippy::cast_possible_truncation, reason = "a half is cut out")]
+    pub const fn rest(self) -> u64 {
+        self.0 as u64
+    }
+}
+
 impl fmt::Display for RequestDigest {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:032x}", self.0)
--- a/crates/bendhinge_peer/src/fleet/suspicion.rs
+++ b/crates/bendhinge_peer/src/fleet/suspicion.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bendhinge_fleet::{Crash, Suspicion, UnderWay};
-use bendhinge_ids::{Instant, NameHash, RequestDigest};
+use bendhinge_ids::{Instant, NameHash, RequestDigest, RequestHint};
 use capnp::Error;
 
 use super::convert::{count, millis, write_all};
@@ -84,13 +84,9 @@
     }
 }
 
-const HALF: u32 = 64;
-
-#[expect(clippy::cast_possible_truncation, reason = "a half is cut out")]
 pub(super) fn write_suspicion(mut to: suspicion::Builder<'_>, suspicion: &ObservedSuspicion) {
-    let RequestDigest(request) = suspicion.request;
-    to.set_request_high((request >> HALF) as u64);
-    to.set_request_low(request as u64);
+    to.set_request_high(suspicion.request.hint().0);
+    to.set_request_low(suspicion.request.rest());
     to.set_answered(suspicion.answered.is_some());
     to.set_answered_age_millis(millis(suspicion.answered.unwrap_or_default()));
     let crashes = to.reborrow().init_crashes(count(suspicion.crashes.len()));
@@ -122,9 +118,9 @@
         sends: said.get_sends(),
         age: age(said.get_age_millis()),
     });
-    let request = u128::from(from.get_request_high()) << HALF | u128::from(from.get_request_low());
+    let hint = RequestHint(from.get_request_high());
     Ok(ObservedSuspicion {
-        request: RequestDigest(request),
+        request: RequestDigest::new(hint, from.get_request_low()),
         crashes: crashes.collect(),
         answered: from.get_answered().then(|| age(from.get_answered_age_millis())),
         under_way: under_way.collect(),
