--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -73,7 +73,7 @@
 /// it, since that may come at any of them.
 pub(super) async fn tell_suspicions(control: Rc<Control>, changes: Receiver<SuspicionChange>) {
     /// The least time between two messages of this to the same gateway.
-    const PAUSE: Duration = Duration::from_millis(100);
+    const PAUSE: Duration = Duration::from_millis(200);
     let mut since = bendhinge_clock::now();
     while let Some(origin) = next_change(&changes).await {
         let now = bendhinge_clock::now();
