Entries of other writers in the store name no upstream and hide nothing else

Each item is read by itself now; a page of which no key can be read stays an error. Lives of one upstream: tests of the directory.

--- a/crates/bendhinge_fleet/tests/directory.rs
+++ b/crates/bendhinge_fleet/tests/directory.rs
@@ -187,3 +187,49 @@
     directory.take(&lapsed, at(5_000));
     assert_eq!(working(&directory, 5_000), [""; 0]);
 }
+
+fn in_life(list: &UpstreamList, name: &str, born: u64) -> UpstreamList {
+    let entries = list.entries.iter().map(|entry| {
+        let mut entry = UpstreamEntry::clone(entry);
+        if entry.name.as_str() == name {
+            entry.born = born;
+            entry.hash = UpstreamEntry::life(&entry.name, born);
+        }
+        Arc::new(entry)
+    });
+    UpstreamList { entries: entries.collect(), drained: Vec::new() }
+}
+
+/// What was believed of the life before goes by its hash, which is listed no more.
+#[test]
+fn an_upstream_that_starts_again_under_its_name_is_another_one() {
+    let both = list(&[("a", Ready), ("b", Draining)]);
+    let mut directory = Directory::new(LIMITS);
+    let take = |directory: &mut Directory, list: &UpstreamList, millis| {
+        directory.evidence(at(millis));
+        directory.take(list, at(millis));
+    };
+    take(&mut directory, &in_life(&both, "a", 1_000), 1_000);
+    let before = directory.listed()[0].entry.hash;
+    take(&mut directory, &in_life(&both, "a", 2_000), 2_000);
+    let names: Vec<_> = directory.listed().iter().map(|listed| listed.entry.name.as_str()).collect();
+    assert_eq!(names, ["a", "b"], "the life before holds nothing any more");
+    assert!(!directory.lists(before));
+    assert_eq!(directory.listed()[0].since, at(2_000));
+    // One that said that it leaves and starts again takes work: that was the other's word.
+    let returned = in_life(&list(&[("a", Ready), ("b", Ready)]), "b", 3_000);
+    take(&mut directory, &returned, 3_000);
+    assert!(working(&directory, 3_000).contains(&"b".to_owned()));
+}
+
+/// Its clock may have been set back: any other start is another life.
+#[test]
+fn a_life_with_an_earlier_start_is_another_one_too() {
+    let name = "a".parse().unwrap();
+    assert_ne!(UpstreamEntry::life(&name, 2_000), UpstreamEntry::life(&name, 1_000));
+    assert_eq!(
+        UpstreamEntry::life(&name, 0),
+        NameHash::of("a"),
+        "of one that does not say it, the name must do"
+    );
+}
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod store;
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,6 +24,7 @@
 use self::fetching::Fetching;
 use self::store::Reading;
 use crate::delivery::Delivering;
+use crate::dialect::ForeignEntry;
 use crate::lifecycle::Lifecycle;
 use crate::quarantine::SuspicionChange;
 use crate::settings::Settings;
@@ -40,6 +42,8 @@
     roster: RefCell<Roster>,
     upstreams_reading: Reading,
     rules_reading: Reading,
+    /// Entries of other writers that the store held last.
+    foreign: RefCell<BTreeSet<ForeignEntry>>,
     /// Whether a read of everything took too long, and the rules were not read by themselves since.
     is_read_along_slow: Cell<bool>,
     peers: PeerPool<FleetClient>,
@@ -69,6 +73,7 @@
             roster: RefCell::new(roster),
             upstreams_reading: Reading::new("store", settings.list_reading()),
             rules_reading: Reading::new("store_rules", settings.store.reading),
+            foreign: RefCell::default(),
             is_read_along_slow: Cell::new(false),
             peers,
             life: NewsLife(rand::rng().random_range(1..=u64::MAX)),
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -1,6 +1,7 @@
 //! Reading the platform's store.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +15,7 @@
 
 use super::Control;
 use crate::delivery::Delivering;
-use crate::dialect::{StorePage, StorePart, StoredRules, TranslateError};
+use crate::dialect::{ForeignEntry, StorePage, StorePart, StoredRules, TranslateError};
 
 /// The largest page that is read.
 const LARGEST_PAGE: usize = 8 << 20;
@@ -49,6 +50,7 @@
     rules: Option<StoredRules>,
     upstreams: Vec<UpstreamEntry>,
     drained: Vec<DataCentreName>,
+    foreign: Vec<ForeignEntry>,
 }
 
 /// One of the two things that are read, each in its own time: a list of upstreams must not be as
@@ -116,6 +118,7 @@
         contents.rules = page.rules.or(contents.rules);
         contents.upstreams.extend(page.upstreams);
         contents.drained.extend(page.drained);
+        contents.foreign.extend(page.foreign);
         after = page.next_after;
         if after.is_none() {
             break;
@@ -261,8 +264,25 @@
         }
     }
 
+    /// Notes which entries are of other writers now; what changed of them is worth a line.
+    fn note_foreign(&self, foreign: Vec<ForeignEntry>) {
+        /// Lines for one read, whatever was written there.
+        const MOST_LINES: usize = 16;
+        let foreign: BTreeSet<ForeignEntry> = foreign.into_iter().collect();
+        let Delivering { log, metrics, .. } = &*self.delivering;
+        metrics.foreign_entries(foreign.len());
+        let before = self.foreign.replace(foreign.clone());
+        for came in foreign.difference(&before).take(MOST_LINES) {
+            log.foreign_entry(&came.key, Some(&came.why));
+        }
+        let is_gone = |gone: &&ForeignEntry| !foreign.iter().any(|entry| entry.key == gone.key);
+        for gone in before.iter().filter(is_gone).take(MOST_LINES) {
+            log.foreign_entry(&gone.key, None);
+        }
+    }
+
     fn take_contents(self: &Rc<Self>, part: StorePart, contents: Contents, began: Instant) {
-        let Contents { at, rules, mut upstreams, mut drained } = contents;
+        let Contents { at, rules, mut upstreams, mut drained, foreign } = contents;
         if let Some(StoredRules { revision, document }) = rules {
             // A document has one revision: its number tells it from all others.
             let version = Version { revision, digest: revision.0 };
@@ -276,6 +296,7 @@
         if !part.has_upstreams() {
             return;
         }
+        self.note_foreign(foreign);
         upstreams.sort_by(|left, right| left.name.cmp(&right.name));
         upstreams.dedup_by(|left, right| left.name == right.name);
         drained.sort_unstable();
--- a/crates/bendhinge_gateway/src/dialect.rs
+++ b/crates/bendhinge_gateway/src/dialect.rs
@@ -111,10 +111,34 @@
     pub upstreams: Vec<UpstreamEntry>,
     /// The drained data centres on the page.
     pub drained: Vec<DataCentreName>,
+    /// What stands where upstreams or drained data centres do, and is none.
+    pub foreign: Vec<ForeignEntry>,
     /// The key after which the next page begins, if there is one.
     pub next_after: Option<String>,
 }
 
+/// An entry of another writer: it names nothing that could be used, and hides nothing else.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ForeignEntry {
+    /// Its key, as far as it can be read.
+    pub key: String,
+    /// What is wrong with it.
+    pub why: String,
+}
+
+impl ForeignEntry {
+    /// An entry with what is `why` wrong with it; both are cut to the length of a line.
+    pub fn new(mut key: String, why: &impl ToString) -> Self {
+        /// Keys can be some 200 bytes, and an error can hold a part of the value.
+        const LONGEST: usize = 160;
+        let mut why = why.to_string();
+        for text in [&mut key, &mut why] {
+            text.truncate(text.floor_char_boundary(LONGEST));
+        }
+        Self { key, why }
+    }
+}
+
 /// The document of the serving rules as stored.
 #[derive(Debug)]
 pub struct StoredRules {
--- a/crates/bendhinge_gateway/src/log/mod.rs
+++ b/crates/bendhinge_gateway/src/log/mod.rs
@@ -176,6 +176,16 @@
         self.line("recovered", Fields { from, address, parts });
     }
 
+    /// An entry of the store names no upstream, since something is wrong with it, or it is there no more.
+    pub(crate) fn foreign_entry(&self, key: &str, why: Option<&str>) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            key: &'a str,
+            why: Option<&'a str>,
+        }
+        self.line("foreign_entry", Fields { key, why });
+    }
+
     /// An upstream is spared for a while.
     pub(crate) fn upstream_rests(&self, upstream: &UpstreamName, end: SendEnd) {
         #[derive(Serialize)]
--- a/crates/bendhinge_gateway/src/metrics.rs
+++ b/crates/bendhinge_gateway/src/metrics.rs
@@ -72,6 +72,7 @@
     peer_connections: Gauge<u64>,
     peer_sent_bytes: Gauge<u64>,
     quarantined: Gauge<u64>,
+    foreign_entries: Gauge<u64>,
 }
 
 impl Metrics {
@@ -137,6 +138,10 @@
                 .with_unit("s")
                 .with_description("Age of the knowledge that the rules are current")
                 .build(),
+            foreign_entries: meter
+                .u64_gauge("bendhinge.gateway.foreign_entries")
+                .with_description("Entries of the store that name no upstream, as of the last read")
+                .build(),
             quarantined: meter
                 .u64_gauge("bendhinge.gateway.quarantined")
                 .with_description("Requests that are kept from upstreams since these crashed under them")
@@ -217,6 +222,11 @@
         self.upstreams_suspected.add(1, &[]);
     }
 
+    /// Notes how many entries of the store were of other writers.
+    pub(crate) fn foreign_entries(&self, count: usize) {
+        self.foreign_entries.record(count as u64, &[]);
+    }
+
     /// Notes how long the head of an answer took.
     pub(crate) fn first_byte(&self, time: Duration) {
         self.first_byte.record(time.as_secs_f64(), &[]);
--- a/crates/bendhinge_gateway/src/native/store.rs
+++ b/crates/bendhinge_gateway/src/native/store.rs
@@ -8,9 +8,10 @@
 use bendhinge_routes::ServingRules;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use super::{Native, rules};
-use crate::dialect::{StoreDialect, StorePage, StorePart, StoredRules, TranslateError};
+use crate::dialect::{ForeignEntry, StoreDialect, StorePage, StorePart, StoredRules, TranslateError};
 
 /// A page.
 #[derive(Debug, Default, Deserialize, Serialize)]
@@ -18,8 +19,9 @@
     at: u64,
     #[serde(default)]
     rules: Option<RulesItem>,
+    /// Each is read by itself: one that cannot be read must not hide the others.
     #[serde(default)]
-    upstreams: Vec<UpstreamItem>,
+    upstreams: Vec<Box<RawValue>>,
     /// Data centres that are to get no new work.
     #[serde(default)]
     drained: Vec<DataCentreName>,
@@ -74,11 +76,19 @@
             revision: Revision(item.revision),
             document: Bytes::from(item.document),
         });
+        let (mut upstreams, mut foreign) = (Vec::new(), Vec::new());
+        for raw in page.upstreams {
+            match serde_json::from_str::<UpstreamItem>(raw.get()) {
+                Ok(item) => upstreams.push(entry(item)),
+                Err(error) => foreign.push(ForeignEntry::new(name_of(&raw), &error)),
+            }
+        }
         Ok(StorePage {
             at: Revision(page.at),
             rules,
-            upstreams: page.upstreams.into_iter().map(entry).collect(),
+            upstreams,
             drained: page.drained,
+            foreign,
             next_after: page.next,
         })
     }
@@ -88,6 +98,15 @@
     }
 }
 
+/// The name of an entry of which other things cannot be read; empty if it is not either.
+fn name_of(raw: &RawValue) -> String {
+    #[derive(Deserialize)]
+    struct Named {
+        name: String,
+    }
+    serde_json::from_str::<Named>(raw.get()).map(|named| named.name).unwrap_or_default()
+}
+
 fn entry(item: UpstreamItem) -> UpstreamEntry {
     UpstreamEntry {
         hash: UpstreamEntry::life(&item.name, item.born),
--- a/crates/bendhinge_ids/src/time.rs
+++ b/crates/bendhinge_ids/src/time.rs
@@ -5,8 +5,8 @@
 
 /// A point on a process's own monotonic clock, in microseconds since an arbitrary start.
 ///
-/// In production it comes from `CLOCK_MONOTONIC`, which goes on while a process is stopped but
-/// not while its box sleeps. In tests and benches it is virtual.
+/// In production it comes from `CLOCK_BOOTTIME`, which goes on while a process is stopped and while its
+/// box sleeps. In tests and benches it is virtual.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Instant(pub u64);
 
