--- a/crates/bendhinge_fleet/src/quarantine.rs
+++ b/crates/bendhinge_fleet/src/quarantine.rs
@@ -132,6 +132,8 @@
 
     /// Takes in what a router said of its sends; `true` if that changes their number.
     fn note_sends(&mut self, said: UnderWay) -> bool {
+        // What counts no more is not told on for ever.
+        self.under_way.retain(|known| said.at.since(known.at) < UNDER_WAY_FOR);
         match self.under_way.iter_mut().find(|known| known.router == said.router) {
             Some(known) if known.at >= said.at => false,
             Some(known) => {
@@ -155,8 +157,8 @@
         whole.checked_sub(passed).filter(|left| !left.is_zero())
     }
 
-    /// Whether it need not be remembered any more. A quarantine is, for as long again as it stood: what it is
-    /// tried on then is held against it with all before.
+    /// Whether it need not be remembered any more. A quarantine that has ended is, for days: the next crash is held
+    /// against the request with all before.
     fn is_over(&self, now: Instant) -> bool {
         let Some(last) = self.last_crash() else {
             // What others may still tell of it is known to be over.
--- a/crates/bendhinge_fleet/tests/quarantine.rs
+++ b/crates/bendhinge_fleet/tests/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bendhinge_fleet::{Crash, LearnedFrom, MOST_CRASHES, Permission, Quarantine, Suspicion};
+use bendhinge_fleet::{Crash, LearnedFrom, MOST_CRASHES, Permission, Quarantine, Suspicion, UnderWay};
 use bendhinge_ids::{Instant, NameHash, RequestDigest};
 
 const FATAL: RequestDigest = RequestDigest(1);
@@ -225,6 +225,18 @@
     assert_eq!(quarantine.changes(third, at(1), false).count(), 1);
 }
 
+#[test]
+fn sends_that_count_no_more_are_not_told_on_for_ever() {
+    let mut quarantine = crashed(FATAL, [1, 2]);
+    for router in 0..300 {
+        let said = UnderWay { router: NameHash(1_000 + router), sends: 1, at: at(3 + router) };
+        let heard = Suspicion { under_way: vec![said], ..Suspicion::default() };
+        quarantine.hear(FATAL, &heard, LearnedFrom::Router(NameHash(1_000 + router)), at(3 + router));
+    }
+    let (_, suspicion) = &told(&quarantine)[0];
+    assert!(suspicion.under_way.len() <= 10, "{}", suspicion.under_way.len());
+}
+
 #[test]
 fn the_digest_follows_whatever_happens() {
     let empty = Quarantine::new(OWN).digest();
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -79,7 +79,12 @@
         let now = bendhinge_clock::now();
         let failing = control.is_store_failing();
         let tells_on = !control.roster.borrow().is_small();
-        for address in control.roster.borrow().suspicion_listeners(origin, failing, now) {
+        let quarantine = &control.delivering.quarantine;
+        let listeners = control.roster.borrow().suspicion_listeners(origin, failing, now);
+        for address in listeners {
+            if quarantine.changes(address, since, tells_on, now).is_empty() {
+                continue;
+            }
             let telling = Rc::clone(&control);
             let told = async move { ask(&telling, address, Content::Urgent { since, tells_on }).await };
             control.executor.spawn(told).detach();
@@ -95,20 +100,20 @@
     /// How long single crashes wait. When seven busy upstreams crash with a hundred requests each, nine gateways notice
     /// 800 within some seconds; told each 0.1 s they took a tenth of what an overloaded fleet served.
     const WAIT: Duration = Duration::from_millis(400);
-    let SuspicionChange { mut origin, mut is_urgent } = changes.recv().await.ok()?;
+    let mut taken = changes.recv().await.ok()?;
     let until = bendhinge_clock::now() + WAIT;
-    while !is_urgent {
+    while !taken.is_urgent {
         let too_long = async {
             Timer::after(until.since(bendhinge_clock::now())).await;
             None
         };
         let Some(next) = async { changes.recv().await.ok() }.or(too_long).await else { break };
-        is_urgent = next.is_urgent;
-        if next.origin == Origin::Store {
-            origin = Origin::Store;
-        }
+        taken = taken.with(next);
+    }
+    while let Ok(next) = changes.try_recv() {
+        taken = taken.with(next);
     }
-    Some(origin)
+    Some(taken.origin)
 }
 
 /// Asks a contact, and any other if the one that hears of the store does not answer.
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -286,13 +286,18 @@
     }
 
     /// Begins a send as far as it is suspected; `Err` if it must not be sent.
-    fn watch(&self) -> Result<Option<Arc<WatchedSend>>, GivenUp> {
+    fn watch(&mut self) -> Result<Option<Arc<WatchedSend>>, GivenUp> {
         let Some(digest) = self.delivering.suspect(&self.turn) else { return Ok(None) };
-        let begun = self.delivering.quarantine.begin(digest).map_err(|kept| match self.course.ran() {
-            bendhinge_codes::Ran::No => GivenUp::Kept(kept),
-            _ => GivenUp::Code(self.course.final_code(false)),
-        });
-        Ok(begun?.map(Arc::new))
+        match self.delivering.quarantine.begin(digest) {
+            Ok(watched) => Ok(watched.map(Arc::new)),
+            Err(kept) => {
+                self.line.same_as(digest);
+                Err(match self.course.ran() {
+                    bendhinge_codes::Ran::No => GivenUp::Kept(kept),
+                    _ => GivenUp::Code(self.course.final_code(false)),
+                })
+            }
+        }
     }
 
     fn choose(&self, may_try: bool) -> Result<Chosen, GivenUp> {
--- a/crates/bendhinge_gateway/src/quarantine.rs
+++ b/crates/bendhinge_gateway/src/quarantine.rs
@@ -15,8 +15,9 @@
 use crate::knowledge::{learned_from, router_hash};
 use crate::log::Log;
 
-/// Changes that wait to be told. They are told together, so that more of them say nothing more.
-const MOST_CHANGES: usize = 8;
+/// Changes that wait to be told, in the time between two messages: more than as many upstreams' crashes make. A
+/// further one goes with the message that the others cause.
+const MOST_CHANGES: usize = 4_096;
 
 /// Crashes from which on what is known of a request is worth a line, and a message at once. A first one is in the
 /// lines of whoever saw it, and of hundreds of requests when a pool is lost.
@@ -31,6 +32,14 @@
     pub(crate) is_urgent: bool,
 }
 
+impl SuspicionChange {
+    /// This one and `other`, told together.
+    pub(crate) fn with(self, other: Self) -> Self {
+        let origin = if other.origin == Origin::Store { other.origin } else { self.origin };
+        Self { origin, is_urgent: self.is_urgent || other.is_urgent }
+    }
+}
+
 /// What this gateway knows of suspected requests.
 pub(crate) struct QuarantineKeeper {
     state: Mutex<Quarantine>,
@@ -248,7 +257,7 @@
     /// Has the others told of a change to what is known of a request with so many crashes.
     fn changed(&self, origin: Origin, crashes: usize) {
         let change = SuspicionChange { origin, is_urgent: crashes >= OF_NOTE };
-        // A full channel is one that will be read.
+        // A full channel is one that will be read, and what changed is told from the state.
         let _ = self.changes.try_send(change);
     }
 }
--- a/crates/bendhinge_lab/src/bench/crashing.rs
+++ b/crates/bendhinge_lab/src/bench/crashing.rs
@@ -53,7 +53,8 @@
     /// By two routers that the request's hash names, who hear of crashes and tell all; whoever sends a request that
     /// is known to be suspected asks one of them first.
     Named,
-    /// By all, who hear of each at once, and of sends of suspected requests under way.
+    /// By all, who hear of first crashes within a moment, of further ones at once, and from the second on of sends
+    /// under way.
     WithSends,
 }
 
@@ -374,7 +375,7 @@
             if self.is_cut_off(other) {
                 continue;
             }
-            let micros = self.way_micros(other == self.named(request));
+            let micros = self.way_micros(other == self.named(request), is_first);
             let mut at = self.now + Duration::from_micros(micros);
             if self.is_frozen(other) {
                 at = at + Duration::from_secs(2);
@@ -386,10 +387,14 @@
     }
 
     /// How long what a router tells is on its way to another.
-    fn way_micros(&mut self, is_named: bool) -> u64 {
+    fn way_micros(&mut self, is_named: bool, is_first: bool) -> u64 {
         let hops = if self.way == Way::Named && is_named { 1 } else { HOPS };
         let hops: u64 = (0..hops).map(|_| self.random.random_range(HOP_MICROS)).sum();
-        let waits = if self.way == Way::Exchanged { HOPS } else { 0 };
+        let waits = match self.way {
+            Way::Exchanged => HOPS,
+            Way::WithSends if is_first => 1,
+            _ => 0,
+        };
         hops + (0..waits).map(|_| self.random.random_range(0..EXCHANGE_MICROS)).sum::<u64>()
     }
 }
