--- a/crates/bendhinge_gateway/src/delivery/crash.rs
+++ b/crates/bendhinge_gateway/src/delivery/crash.rs
@@ -62,6 +62,8 @@
             let digest = turn.digest(&delivering.identities);
             delivering.quarantine.crashed(digest, number, &sent.upstream, sent.at, lost);
         }
+        // The whole of it is held until here: what is dropped with it says that the send has ended.
+        drop(sent);
     };
     tasks.spawn(noting).detach();
 }
