--- a/crates/bendhinge_lab/src/bench/crashing.rs
+++ b/crates/bendhinge_lab/src/bench/crashing.rs
@@ -345,11 +345,12 @@
         let life = self.next;
         self.next += 1;
         let crashed = &mut self.upstreams[upstream];
-        let crash = Crash { upstream: NameHash(crashed.life), software: NameHash(1), at: now };
+        let of = NameHash(crashed.life);
         crashed.life = life;
         crashed.back_at = now + BACK_AFTER;
         for run in std::mem::take(&mut crashed.runs) {
-            self.routers[run.router].crashed(run.request, crash, run.sent, now);
+            let crash = Crash { upstream: of, software: NameHash(1), sent: run.sent, at: now };
+            self.routers[run.router].crashed(run.request, crash, now);
             self.end_watch(run);
             self.tell(run.router, run.request);
             if run.request != FATAL {
