--- a/crates/bendhinge_lab/tests/gateway_life.rs
+++ b/crates/bendhinge_lab/tests/gateway_life.rs
@@ -64,7 +64,8 @@
         fleet.settings[1].store = "127.0.0.1:1".parse().unwrap();
         fleet.restart(1);
         fleet.until_ready().await;
-        assert!(has_line(&fleet, 1, &["\"belief\"", "\"rules\"", "\"peer\""]));
+        // Lines are written apart from what they tell of: it is ready a moment before.
+        until(async || has_line(&fleet, 1, &["\"belief\"", "\"rules\"", "\"peer\""])).await;
         for _ in 0..30 {
             let answer = fleet.caller().send(fleet.callers(1), &call("/safe/x"), PATIENCE).await;
             assert_eq!(answer.told, Told::Whole);
