Sight: what an upstream asks for when it turns a request away, and that it leaves, are read and told in the log

A 503 or 429 with `Retry-After` is a `rest_asked` line now, an answer that says that its upstream leaves a `leaving_said` line; a counter each. Nothing acts on them yet. Values that are no number, dates among them, ask for nothing; of several the longest counts; an answer of another upstream at the address says nothing of the one that was meant.

--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bendhinge_delivery::SendEnd;
+use bendhinge_fleet::UpstreamEntry;
 use bendhinge_http::{Body, Connection, SendFailure, full_body, read_body};
 use bytes::Bytes;
 use futures_lite::FutureExt;
@@ -15,7 +16,7 @@
 
 use super::race::Sent;
 use super::{Delivering, Turn};
-use crate::dialect::{AnswerFields, AttemptFields};
+use crate::dialect::{AnswerFields, AttemptFields, Availability};
 use crate::knowledge::Chosen;
 
 /// A request that must not run twice goes on a connection that was used this lately, or on a new
@@ -184,6 +185,7 @@
         // A late answer to an earlier request: nothing on this connection can be trusted.
         return Err(SendEnd::Spoilt.into());
     }
+    delivering.note_availability(turn, &chosen.entry, &fields);
     if let Some(end) = not_run(&fields) {
         gather_and_return(delivering, &head, body, connection).await;
         return Err(end.into());
@@ -275,6 +277,24 @@
             .detach();
     }
 
+    /// Notes what an answer to the turn says of whether its upstream wants further requests.
+    fn note_availability(&self, turn: &Turn, upstream: &UpstreamEntry, fields: &AnswerFields) {
+        if fields.is_another {
+            // It says so of itself, not of the one that was meant.
+            return;
+        }
+        let request = turn.call.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let Availability { rest, is_leaving } = fields.availability;
+        if let Some(rest) = rest {
+            self.metrics.rest_asked();
+            self.log.rest_asked(request, &upstream.name, rest);
+        }
+        if is_leaving {
+            self.metrics.leaving_said();
+            self.log.leaving_said(request, &upstream.name);
+        }
+    }
+
     /// Whether the turn may be sent now: rules may have changed, or grown too old to act on, and so may the
     /// list of upstreams, or it may have been put under quarantine.
     fn may_still_be_sent(&self, turn: &Turn, chosen: &Chosen) -> bool {
--- a/crates/bendhinge_gateway/src/dialect.rs
+++ b/crates/bendhinge_gateway/src/dialect.rs
@@ -10,9 +10,9 @@
 use bendhinge_placement::{PartId, Prompt, PromptPart};
 use bendhinge_routes::ServingRules;
 use bytes::Bytes;
-use hyper::HeaderMap;
-use hyper::header::{HeaderName, HeaderValue};
+use hyper::header::{HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::http::{request, response};
+use hyper::{HeaderMap, StatusCode};
 
 /// What a caller's request says.
 #[derive(Debug, Default)]
@@ -68,6 +68,17 @@
     pub is_another: bool,
     /// What it says of its load.
     pub load: Option<LoadSaid>,
+    /// Whether it wants further requests.
+    pub availability: Availability,
+}
+
+/// What an upstream said of whether it wants further requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Availability {
+    /// For how long it wants none from this gateway.
+    pub rest: Option<Duration>,
+    /// Whether it leaves.
+    pub is_leaving: bool,
 }
 
 /// What an answer that the gateway makes itself says.
@@ -179,6 +190,29 @@
     }
 }
 
+/// The rest that an upstream asks for when it turns a request away: `Retry-After` of a 503 or 429, in seconds, whole or
+/// with a fraction. Of several the longest counts. A date is not read, since it says nothing without the time of day,
+/// which boxes do not agree on; what is no number asks for nothing.
+#[must_use]
+pub fn read_rest(head: &response::Parts) -> Option<Duration> {
+    if !matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
+        return None;
+    }
+    let asked =
+        head.headers.get_all(RETRY_AFTER).iter().filter_map(|value| read_seconds(value.to_str().ok()?));
+    asked.max().filter(|rest| !rest.is_zero())
+}
+
+/// Reads digits with at most one point among them.
+fn read_seconds(text: &str) -> Option<Duration> {
+    let text = text.trim();
+    if !text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.') {
+        return None;
+    }
+    // What is too long for its type is as long as can be.
+    Some(Duration::try_from_secs_f64(text.parse().ok()?).unwrap_or(Duration::MAX))
+}
+
 /// Reads `ID:TOKENS,ID:TOKENS`, the ids in `radix`; `Err` says that it is something else.
 pub fn read_prompt(text: &str, radix: u32) -> Result<Prompt, String> {
     let parts = text.split(',').map(|part| {
@@ -206,6 +240,8 @@
     fn write_attempt(&self, headers: &mut HeaderMap, fields: &AttemptFields<'_>);
     /// Reads the head of an answer.
     fn read_answer(&self, head: &response::Parts) -> AnswerFields;
+    /// Reads what the head of any answer says of whether the upstream wants further requests.
+    fn read_availability(&self, head: &response::Parts) -> Availability;
     /// The path at which an upstream lists the parts of prompts that it keeps.
     fn kept_path(&self) -> &'static str;
     /// Reads such a list.
--- a/crates/bendhinge_gateway/src/log/mod.rs
+++ b/crates/bendhinge_gateway/src/log/mod.rs
@@ -196,6 +196,27 @@
         self.line("upstream_rests", Fields { upstream: upstream.as_str(), end: end.as_str() });
     }
 
+    /// An upstream that turned a request away asked for so long a rest.
+    pub(crate) fn rest_asked(&self, request: &str, upstream: &UpstreamName, rest: Duration) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            request: &'a str,
+            upstream: &'a str,
+            rest_ms: u64,
+        }
+        self.line("rest_asked", Fields { request, upstream: upstream.as_str(), rest_ms: millis(rest) });
+    }
+
+    /// An upstream said in an answer that it leaves.
+    pub(crate) fn leaving_said(&self, request: &str, upstream: &UpstreamName) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            request: &'a str,
+            upstream: &'a str,
+        }
+        self.line("leaving_said", Fields { request, upstream: upstream.as_str() });
+    }
+
     /// An upstream is spared for a while, since others found that it answers nobody.
     pub(crate) fn upstream_suspected(&self, upstream: &UpstreamName, told_by: SocketAddr) {
         #[derive(Serialize)]
--- a/crates/bendhinge_gateway/src/metrics.rs
+++ b/crates/bendhinge_gateway/src/metrics.rs
@@ -66,6 +66,8 @@
     told: Counter<u64>,
     reads_not_told: Counter<u64>,
     upstreams_suspected: Counter<u64>,
+    rests_asked: Counter<u64>,
+    leavings_said: Counter<u64>,
     first_byte: Histogram<f64>,
     in_progress: Gauge<u64>,
     rules_age: Gauge<f64>,
@@ -124,6 +126,14 @@
                 "bendhinge.gateway.upstreams_suspected",
                 "Times that an upstream was spared since other gateways found that it answers nobody",
             ),
+            rests_asked: counter(
+                "bendhinge.gateway.rests_asked",
+                "Answers in which an upstream asked for a rest",
+            ),
+            leavings_said: counter(
+                "bendhinge.gateway.leavings_said",
+                "Answers in which an upstream said that it leaves",
+            ),
             first_byte: seconds(
                 "bendhinge.gateway.first_byte",
                 "Time from a request to the head of its answer",
@@ -222,6 +232,16 @@
         self.upstreams_suspected.add(1, &[]);
     }
 
+    /// Counts an answer in which an upstream asked for a rest.
+    pub(crate) fn rest_asked(&self) {
+        self.rests_asked.add(1, &[]);
+    }
+
+    /// Counts an answer in which an upstream said that it leaves.
+    pub(crate) fn leaving_said(&self) {
+        self.leavings_said.add(1, &[]);
+    }
+
     /// Notes how many entries of the store were of other writers.
     pub(crate) fn foreign_entries(&self, count: usize) {
         self.foreign_entries.record(count as u64, &[]);
--- a/crates/bendhinge_gateway/src/native/mod.rs
+++ b/crates/bendhinge_gateway/src/native/mod.rs
@@ -39,6 +39,8 @@
     pub const RAN: HeaderName = HeaderName::from_static("x-bendhinge-ran");
     /// An upstream's load, `RUNNING,WAITING`.
     pub const LOAD: HeaderName = HeaderName::from_static("x-bendhinge-load");
+    /// That the upstream leaves: `yes`.
+    pub const LEAVING: HeaderName = HeaderName::from_static("x-bendhinge-leaving");
     /// The result code of an answer that the gateway makes itself.
     pub const CODE: HeaderName = HeaderName::from_static("x-bendhinge-code");
 }
--- a/crates/bendhinge_gateway/src/native/upstreams.rs
+++ b/crates/bendhinge_gateway/src/native/upstreams.rs
@@ -8,9 +8,12 @@
 
 use super::Native;
 use super::headers::{
-    CUSTOMER, DEADLINE, FETCH_FROM, LOAD, PRIORITY, RAN, REQUEST, RESUME_AFTER, SIGNATURE, UPSTREAM,
+    CUSTOMER, DEADLINE, FETCH_FROM, LEAVING, LOAD, PRIORITY, RAN, REQUEST, RESUME_AFTER, SIGNATURE, UPSTREAM,
+};
+use crate::dialect::{
+    AnswerFields, AttemptFields, Availability, LoadSaid, TranslateError, UpstreamDialect, put_header,
+    read_rest,
 };
-use crate::dialect::{AnswerFields, AttemptFields, LoadSaid, TranslateError, UpstreamDialect, put_header};
 
 #[derive(Deserialize)]
 struct Kept {
@@ -45,9 +48,15 @@
             not_run: headers.get(RAN).is_some_and(|value| value == "no"),
             is_another: head.status == StatusCode::MISDIRECTED_REQUEST,
             load: headers.get(LOAD).and_then(read_load),
+            availability: self.read_availability(head),
         }
     }
 
+    fn read_availability(&self, head: &response::Parts) -> Availability {
+        let is_leaving = head.headers.get(LEAVING).is_some_and(|value| value == "yes");
+        Availability { rest: read_rest(head), is_leaving }
+    }
+
     fn kept_path(&self) -> &'static str {
         "/v1/kept"
     }
