Tests of the incident, failing: upstreams that ask for rest, and that say that they leave

Over real processes: a home that asks for a minute of rest gets requests again (its callers are told 503 once the share of second sends is gone); where both of a pool ask, callers are told to come back after a second and both are asked again; one that says in each answer that it leaves gets 30 further requests while its entry says that it is ready.

--- /dev/null
+++ b/crates/bendhinge_lab/tests/gateway_rests.rs
@@ -0,0 +1,92 @@
+//! Upstreams that ask for rest, and that say in their answers that they leave.
+//!
+//! What was seen: an upstream turned a request of a gateway away and asked for three seconds of rest, and got three more from
+//! it in that time. How it came about: four upstreams of twelve turned everything away for some seconds, though they had room,
+//! and the gateways came back to each of them after a few hundredths of a second to two seconds. The cause: what an upstream
+//! says of itself in its answers was not read. A rejection was taken for a failure like others, and the gateway judged by
+//! itself how many it bears and how long a rest is. The proof: the lines that tell what was asked, and one upstream that asks
+//! for a minute, as below, beside one that serves.
+
+mod gateway_common;
+
+use std::time::Duration;
+
+use bendhinge_lab::gateways::{Answer, Call, FleetShape, KEY, Told, until};
+use bendhinge_standin::gateway::{Upstream, UpstreamFault};
+use gateway_common::{call, run, send, start};
+use smol::Timer;
+
+/// Requests enough that each upstream of a few would get several.
+const MANY: usize = 30;
+
+const fn services(services: usize) -> FleetShape {
+    FleetShape { gateways: 1, engines: 0, services }
+}
+
+/// After how many seconds the caller may come back.
+fn retry_after(answer: &Answer) -> Option<f64> {
+    answer.headers.get("retry-after")?.to_str().ok()?.parse().ok()
+}
+
+#[test]
+fn an_upstream_that_asks_for_rest_gets_none_beyond_the_request_that_it_turned_away() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, FleetShape { gateways: 1, engines: 2, services: 0 }).await;
+        let stream = async || send(&fleet, &Call::stream("/stream/x", KEY)).await.told;
+        assert_eq!(stream().await, Told::Whole);
+        let is_home = |upstream: &&Upstream| !upstream.runs().is_empty();
+        let home = fleet.upstreams.iter().find(is_home).expect("one of them ran it");
+        home.set_fault(UpstreamFault::AsksForRest("60"));
+        for _ in 0..MANY {
+            assert_eq!(stream().await, Told::Whole);
+            // Longer than the gateway spares one that it judges to be full.
+            Timer::after(Duration::from_millis(100)).await;
+        }
+        assert_eq!(home.turned_away(), 1);
+    });
+}
+
+#[test]
+fn where_all_ask_for_rest_callers_are_refused_at_once_and_told_when_the_first_rest_ends() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, services(2)).await;
+        fleet.upstreams[0].set_fault(UpstreamFault::AsksForRest("60"));
+        fleet.upstreams[1].set_fault(UpstreamFault::AsksForRest("40"));
+        for _ in 0..MANY {
+            let answer = send(&fleet, &call("/unsafe/x")).await;
+            assert_eq!(answer.told, Told::Status(503));
+            assert_eq!(answer.ran(), Some("no"));
+            let seconds = retry_after(&answer);
+            assert!(seconds.is_some_and(|seconds| (30.0..=60.0).contains(&seconds)), "{seconds:?}");
+        }
+        assert_eq!(fleet.upstreams.iter().map(Upstream::turned_away).sum::<usize>(), 2);
+    });
+}
+
+/// Its entry in the list goes on saying that it is ready, as it does where it never says otherwise there.
+#[test]
+fn an_upstream_that_says_that_it_leaves_gets_nothing_more_whatever_the_lists_say() {
+    run(|tasks| async move {
+        let mut fleet = start(&tasks, services(2)).await;
+        fleet.upstreams[0].says_that_it_leaves();
+        until(async || {
+            send(&fleet, &call("/safe/x")).await;
+            !fleet.upstreams[0].runs().is_empty()
+        })
+        .await;
+        let runs = fleet.upstreams[0].runs().len();
+        for _ in 0..MANY {
+            assert_eq!(send(&fleet, &call("/safe/x")).await.told, Told::Whole);
+        }
+        fleet.add_upstream("services-2", "services").await;
+        until(async || {
+            assert_eq!(send(&fleet, &call("/safe/x")).await.told, Told::Whole);
+            !fleet.upstreams[2].runs().is_empty()
+        })
+        .await;
+        for _ in 0..MANY {
+            assert_eq!(send(&fleet, &call("/safe/x")).await.told, Told::Whole);
+        }
+        assert_eq!(fleet.upstreams[0].runs().len(), runs);
+    });
+}
--- a/crates/bendhinge_standin/src/gateway/upstream.rs
+++ b/crates/bendhinge_standin/src/gateway/upstream.rs
@@ -7,13 +7,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bendhinge_gateway::native::headers::{CUSTOMER, PROMPT, RAN, REQUEST, RESUME_AFTER, SIGNATURE, UPSTREAM};
+use bendhinge_gateway::native::headers::{
+    CUSTOMER, LEAVING, PROMPT, RAN, REQUEST, RESUME_AFTER, SIGNATURE, UPSTREAM,
+};
 use bendhinge_http::{
     Body, CutConnection, ServeLimits, Server, Tasks, channel_body, empty_body, full_body, read_body,
 };
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderName, HeaderValue};
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use smol::Timer;
 use smol::channel::Sender;
@@ -26,6 +28,8 @@
     None,
     /// It says that it has no room and did not run the request.
     Full,
+    /// It says that it has no room, and asks for a rest of so many seconds.
+    AsksForRest(&'static str),
     /// It answers 503 without saying whether it ran the request, which it did.
     Unclear,
     /// It runs requests and gives no answer.
@@ -70,6 +74,8 @@
     /// The body of the request under which its process ends, and what ends with it.
     fatal: Option<(Bytes, OnEnd)>,
     has_ended: bool,
+    is_leaving: bool,
+    turned_away: usize,
     runs: Vec<Run>,
     working: usize,
     events: u32,
@@ -97,6 +103,8 @@
             fault: UpstreamFault::None,
             fatal: None,
             has_ended: false,
+            is_leaving: false,
+            turned_away: 0,
             runs: Vec::new(),
             working: 0,
             events: EVENTS,
@@ -145,6 +153,17 @@
         self.state.lock().unwrap().has_ended
     }
 
+    /// From now on it says in all its answers that it leaves.
+    pub fn says_that_it_leaves(&self) {
+        self.state.lock().unwrap().is_leaving = true;
+    }
+
+    /// How many requests it turned away for want of room.
+    #[must_use]
+    pub fn turned_away(&self) -> usize {
+        self.state.lock().unwrap().turned_away
+    }
+
     /// Sets the time between the events of streams.
     pub fn set_pace(&self, pace: Duration) {
         self.state.lock().unwrap().pace = pace;
@@ -203,6 +222,29 @@
 const TO_ITS_END: Duration = Duration::from_millis(30);
 
 async fn answer(state: Arc<Mutex<State>>, tasks: Tasks, request: Request<Incoming>) -> Response<Body> {
+    let mut answer = answer_by_state(Arc::clone(&state), tasks, request).await;
+    if state.lock().unwrap().is_leaving {
+        answer.headers_mut().insert(LEAVING, HeaderValue::from_static("yes"));
+    }
+    answer
+}
+
+/// Turns the request `id` away for want of room, with the seconds of rest that are asked for.
+fn turn_away(state: &Mutex<State>, id: &str, rest: Option<&'static str>) -> Response<Body> {
+    state.lock().unwrap().turned_away += 1;
+    let mut full = signed(with_status(StatusCode::SERVICE_UNAVAILABLE), id);
+    full.headers_mut().insert(RAN, HeaderValue::from_static("no"));
+    if let Some(seconds) = rest {
+        full.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(seconds));
+    }
+    full
+}
+
+async fn answer_by_state(
+    state: Arc<Mutex<State>>,
+    tasks: Tasks,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let (head, body) = request.into_parts();
     let Some(id) = text(&head.headers, &REQUEST) else { return with_status(StatusCode::BAD_REQUEST) };
     let (name, fault) = {
@@ -212,10 +254,10 @@
     if text(&head.headers, &UPSTREAM).is_some_and(|meant| meant != name) {
         return signed(with_status(StatusCode::MISDIRECTED_REQUEST), &id);
     }
-    if fault == UpstreamFault::Full {
-        let mut full = signed(with_status(StatusCode::SERVICE_UNAVAILABLE), &id);
-        full.headers_mut().insert(RAN, HeaderValue::from_static("no"));
-        return full;
+    match fault {
+        UpstreamFault::Full => return turn_away(&state, &id, None),
+        UpstreamFault::AsksForRest(seconds) => return turn_away(&state, &id, Some(seconds)),
+        _ => {}
     }
     let Ok(body) = read_body(body, 16 << 20).await else { return with_status(StatusCode::BAD_REQUEST) };
     let resumed_after = text(&head.headers, &RESUME_AFTER);
