What an upstream says of itself in its answers is believed: that it wants rest, and that it leaves

Cause: a rejection was taken for a failure like others, and the gateway judged by itself how many it bears (three in a row) and how long a rest is (half a second and a trial); what the upstream asked for was not read.

Change: a rest that was asked for is a fact with an end, apart from the judge's conclusions: no answer of before, report of others or new list ends it, only its time or another life. One place (`State::is_open`) says whether requests may be sent to an upstream; choosing, the choice where all rest, the check right before bytes are written and questions for what is kept lead through it. Where all of a pool asked, callers are refused at once (BH0312) and told when the first rest ends, before the pace is asked. After a rest an upstream is tried with single requests. Ten minutes at most are kept. That an upstream leaves stands for its life, also where lists, peers or late pages say otherwise. Loads are no more read from answers with another request's number or of another upstream at the address.

The test of callers where all rest asks until both upstreams have turned one away, since the share of second sends may be gone within the first try, and is as strict from then on: none of 30 reaches them, all are told the right time.

--- a/crates/bendhinge_codes/src/code.rs
+++ b/crates/bendhinge_codes/src/code.rs
@@ -145,6 +145,9 @@
     SuspectUnderWay = 311, 503, NO, true,
         "An upstream crashed under this very request lately, and as many sends of it as are risked are under way.",
         "Come back after `Retry-After` seconds.";
+    AllUpstreamsRest = 312, 503, NO, true,
+        "Every upstream of the pool that takes new work asked this router for a rest that is not over.",
+        "Come back after `Retry-After` seconds, when the first rest is over; operators: look for `rest_asked` in the logs.";
     UpstreamNotReached = 401, 503, NO, true,
         "No connection to an upstream could be made within the retry budget.",
         "Come back after `Retry-After` seconds.";
--- a/crates/bendhinge_fleet/src/directory.rs
+++ b/crates/bendhinge_fleet/src/directory.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bendhinge_ids::{DataCentreName, Instant, NameHash, PoolName, UpstreamName};
-use rustc_hash::FxHashSet;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::Revision;
 
@@ -116,6 +116,11 @@
         self.left.is_none_or(|left| now < left) && !self.is_drained
     }
 
+    /// It takes no new work from then on, if not from earlier on.
+    fn leaves_at(&mut self, at: Instant) {
+        self.left = Some(self.left.map_or(at, |left| left.min(at)));
+    }
+
     /// Whether it may still be warming up.
     #[must_use]
     pub fn is_warming(&self, now: Instant) -> bool {
@@ -127,6 +132,10 @@
 /// meanwhile, and what it says of its warm-up is up to two seconds old when it is read.
 const DOUBTED_AFTER_DRAIN: Duration = Duration::from_millis(2_500);
 
+/// How long after an upstream said that it leaves that is remembered though it is not listed: a page that is read late, or that
+/// another router read, may still have it. Those that leave end within seconds, and pages are read each second.
+const LEAVING_REMEMBERED: Duration = Duration::from_mins(10);
+
 /// The times that the directory depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct DirectoryLimits {
@@ -145,6 +154,8 @@
     listed: Vec<Listed>,
     /// The hashes of those listed.
     hashes: FxHashSet<NameHash>,
+    /// When upstreams said to this router that they leave.
+    leaving: FxHashMap<NameHash, Instant>,
     evidence_seen: Option<Instant>,
     doubt_until: Option<Instant>,
 }
@@ -153,8 +164,27 @@
     /// An empty directory.
     #[must_use]
     pub fn new(limits: DirectoryLimits) -> Self {
-        let hashes = FxHashSet::default();
-        Self { limits, listed: Vec::new(), hashes, evidence_seen: None, doubt_until: None }
+        Self {
+            limits,
+            listed: Vec::new(),
+            hashes: FxHashSet::default(),
+            leaving: FxHashMap::default(),
+            evidence_seen: None,
+            doubt_until: None,
+        }
+    }
+
+    /// Notes that an upstream said itself that it leaves; `true` if that is news. It stands for as long as the upstream
+    /// lives: its own word is newer than any list, whoever read that.
+    pub fn leaves(&mut self, upstream: NameHash, now: Instant) -> bool {
+        if self.leaving.contains_key(&upstream) {
+            return false;
+        }
+        self.leaving.insert(upstream, now);
+        if let Some(listed) = self.listed.iter_mut().find(|listed| listed.entry.hash == upstream) {
+            listed.leaves_at(now);
+        }
+        true
     }
 
     /// All upstreams, those that take no new work among them, in the order of names.
@@ -189,14 +219,18 @@
             let known = before.iter().position(|listed| listed.entry.hash == entry.hash);
             let known = known.map(|position| before.swap_remove(position));
             let is_drained = list.drained.contains(&entry.data_centre);
-            self.listed.push(renewed(known.as_ref(), entry, is_drained, now));
+            let mut listed = renewed(known.as_ref(), entry, is_drained, now);
+            if let Some(said) = self.leaving.get(&entry.hash) {
+                listed.leaves_at(*said);
+            }
+            self.listed.push(listed);
         }
         // What is kept of an upstream that vanished is over once it is listed in another life.
         before.retain(|listed| !list.entries.iter().any(|entry| entry.name == listed.entry.name));
         for mut listed in before {
             listed.is_drained = list.drained.contains(&listed.entry.data_centre);
             listed.vanished.get_or_insert(now);
-            listed.left = Some(listed.left.map_or(kept_until, |left| left.min(kept_until)));
+            listed.leaves_at(kept_until);
             self.listed.push(listed);
         }
         self.listed.sort_by(|left, right| left.entry.name.cmp(&right.entry.name));
@@ -215,6 +249,8 @@
         if forgot {
             self.index();
         }
+        let Self { hashes, leaving, .. } = self;
+        leaving.retain(|upstream, said| hashes.contains(upstream) || now.since(*said) < LEAVING_REMEMBERED);
         forgot
     }
 
--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`ListHistory`] tells a list of upstreams as changes, [`FetchPlan`] from whom it is fetched.
 //! * [`Relearning`] says when a router that has just started asks the upstreams what they keep.
 //! * [`Judge`] is which upstreams answer, by their own answers and what others saw.
+//! * [`Rests`] is which upstreams asked to be spared, and until when.
 //! * [`Evidence`] is which upstreams answer nobody, by what all routers saw.
 //! * [`Quarantine`] is which requests crash the upstreams that run them.
 //!
@@ -27,6 +28,7 @@
 mod quarantine;
 mod reading;
 mod relearning;
+mod rests;
 mod roster;
 
 pub use belief::{Belief, Held, Offer, Revision, Version};
@@ -41,4 +43,5 @@
 pub use quarantine::{Crash, MOST_CRASHES, Permission, Quarantine, Suspicion, UnderWay};
 pub use reading::{ReadingLimits, ReadingPlan};
 pub use relearning::{RelearnLimits, RelearnStep, RelearnView, Relearning};
+pub use rests::{LONGEST_REST, Rests};
 pub use roster::{Contact, Heard, Member, MemberStates, Origin, Reach, Roster, RosterDigest, RosterLimits};
--- a/crates/bendhinge_fleet/tests/directory.rs
+++ b/crates/bendhinge_fleet/tests/directory.rs
@@ -233,3 +233,52 @@
         "of one that does not say it, the name must do"
     );
 }
+
+#[test]
+fn an_upstream_that_said_itself_that_it_leaves_takes_no_work_whatever_lists_say() {
+    let mut directory = Directory::new(LIMITS);
+    read(&mut directory, &[("a", Ready), ("b", Ready)], 1_000);
+    assert!(directory.leaves(NameHash::of("a"), at(1_500)));
+    assert!(!directory.leaves(NameHash::of("a"), at(1_600)), "it is no news any more");
+    assert_eq!(working(&directory, 1_500), ["b"]);
+    read(&mut directory, &[("a", Ready), ("b", Ready)], 1_700);
+    assert_eq!(working(&directory, 1_700), ["b"]);
+    // Its entry goes, is forgotten, and is on a page that was read late.
+    read(&mut directory, &[("b", Ready)], 2_000);
+    directory.prune(at(9_000));
+    assert!(!directory.lists(NameHash::of("a")));
+    read(&mut directory, &[("a", Ready), ("b", Ready)], 9_100);
+    assert_eq!(working(&directory, 9_100), ["b"]);
+}
+
+/// Nor where the store lost the entry in trouble, so that it is kept for a while.
+#[test]
+fn an_upstream_that_said_that_it_leaves_is_not_kept_in_doubt() {
+    let mut directory = Directory::new(LIMITS);
+    read(&mut directory, &[("a", Ready), ("b", Ready)], 1_000);
+    directory.leaves(NameHash::of("a"), at(2_000));
+    read(&mut directory, &[], 6_000);
+    assert_eq!(working(&directory, 6_000), ["b"]);
+}
+
+#[test]
+fn an_upstream_may_say_that_it_leaves_before_it_is_listed() {
+    let mut directory = Directory::new(LIMITS);
+    directory.leaves(NameHash::of("a"), at(500));
+    read(&mut directory, &[("a", Ready), ("b", Ready)], 1_000);
+    assert_eq!(working(&directory, 1_000), ["b"]);
+}
+
+#[test]
+fn another_life_of_an_upstream_that_left_takes_work() {
+    let mut directory = Directory::new(LIMITS);
+    read(&mut directory, &[("a", Ready)], 1_000);
+    directory.leaves(NameHash::of("a"), at(1_500));
+    let mut list = list(&[("a", Ready)]);
+    let entry = Arc::make_mut(&mut list.entries[0]);
+    entry.born = 7;
+    entry.hash = UpstreamEntry::life(&entry.name, 7);
+    directory.evidence(at(2_000));
+    directory.take(&list, at(2_000));
+    assert_eq!(working(&directory, 2_000), ["a"]);
+}
--- a/crates/bendhinge_gateway/src/control/recovery.rs
+++ b/crates/bendhinge_gateway/src/control/recovery.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use bendhinge_fleet::{Reach, RelearnLimits, RelearnStep, RelearnView, Relearning, UpstreamEntry};
-use bendhinge_http::fetch_bytes;
+use bendhinge_http::{Fetched, fetch_path};
 use bendhinge_ids::Instant;
 use bendhinge_peer::{ObservedRead, ReadsPage};
+use hyper::StatusCode;
 use smol::{Task, Timer};
 
 use super::Control;
@@ -122,8 +123,14 @@
     async fn listed_by(&self, upstream: &UpstreamEntry) -> Vec<ObservedRead> {
         let dialect = &self.delivering.dialect;
         let pool = &self.delivering.pool;
-        let fetched = fetch_bytes(pool, upstream.address, dialect.kept_path(), LIST_TIME).await;
-        let parts = fetched.ok().and_then(|body| dialect.read_kept(&body).ok()).unwrap_or_default();
+        let fetched = fetch_path(pool, upstream.address, dialect.kept_path(), LIST_TIME).await;
+        let Ok(Fetched { status, headers, body }) = fetched else { return Vec::new() };
+        // Were another at the address by now, the one that is meant would be gone: what is kept from it is no loss.
+        self.delivering.note_availability(None, upstream, dialect.read_availability(status, &headers));
+        if status != StatusCode::OK {
+            return Vec::new();
+        }
+        let parts = dialect.read_kept(&body).unwrap_or_default();
         let worth_it = parts.into_iter().filter(|part| part.tokens >= LEAST_TOKENS);
         worth_it
             .map(|part| ObservedRead { part: part.id, upstream: upstream.hash, age: Duration::ZERO })
--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -178,14 +178,13 @@
 ) -> Result<(response::Parts, AttemptBody), Ended> {
     let (head, body) = answer.into_parts();
     let fields = delivering.dialect.read_answer(&head);
-    if let Some(load) = fields.load {
-        delivering.upstreams.load_said(chosen.entry.hash, load);
-    }
     if fields.id != turn.call.id {
         // A late answer to an earlier request: nothing on this connection can be trusted.
         return Err(SendEnd::Spoilt.into());
     }
-    delivering.note_availability(turn, &chosen.entry, &fields);
+    if !fields.is_another {
+        delivering.note_said(turn, &chosen.entry, &fields);
+    }
     if let Some(end) = not_run(&fields) {
         gather_and_return(delivering, &head, body, connection).await;
         return Err(end.into());
@@ -277,19 +276,29 @@
             .detach();
     }
 
-    /// Notes what an answer to the turn says of whether its upstream wants further requests.
-    fn note_availability(&self, turn: &Turn, upstream: &UpstreamEntry, fields: &AnswerFields) {
-        if fields.is_another {
-            // It says so of itself, not of the one that was meant.
-            return;
+    /// Notes what an upstream says of itself in an answer to the turn.
+    fn note_said(&self, turn: &Turn, upstream: &UpstreamEntry, fields: &AnswerFields) {
+        if let Some(load) = fields.load {
+            self.upstreams.load_said(upstream.hash, load);
         }
-        let request = turn.call.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
-        let Availability { rest, is_leaving } = fields.availability;
-        if let Some(rest) = rest {
+        let request = turn.call.id.as_ref().and_then(|id| id.to_str().ok());
+        self.note_availability(request, upstream, fields.availability);
+    }
+
+    /// Notes what an upstream said of whether it wants further requests, in answer to a request if not to a question
+    /// of this gateway's own.
+    pub(crate) fn note_availability(
+        &self,
+        request: Option<&str>,
+        upstream: &UpstreamEntry,
+        said: Availability,
+    ) {
+        if let Some(rest) = said.rest {
+            let spared = self.upstreams.asked_to_rest(upstream.hash, rest);
             self.metrics.rest_asked();
-            self.log.rest_asked(request, &upstream.name, rest);
+            self.log.rest_asked(request, &upstream.name, rest, spared);
         }
-        if is_leaving {
+        if said.is_leaving && self.upstreams.leaves(upstream.hash) {
             self.metrics.leaving_said();
             self.log.leaving_said(request, &upstream.name);
         }
@@ -304,7 +313,7 @@
         is_in_time
             && !is_quarantined()
             && turn.is_allowed(&self.rules)
-            && self.upstreams.takes_work(chosen.entry.hash)
+            && self.upstreams.may_be_sent_to(chosen.entry.hash)
     }
 }
 
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -79,6 +79,17 @@
         may_be.then(|| turn.digest(&self.identities))
     }
 
+    /// When a turn should come back if all upstreams that could take it asked for a rest.
+    fn all_rest_for(&self, turn: &Turn) -> Option<Duration> {
+        /// Those that are refused together come back over this part of the rest that is left, or over this time if that
+        /// is longer: at its end each gateway tries an upstream with single requests.
+        const SPREAD: f64 = 0.25;
+        const LEAST_SPREAD: Duration = Duration::from_millis(200);
+        let end = self.upstreams.first_rest_end(&turn.pool, turn.regions())?;
+        let left = end.since(bendhinge_clock::now());
+        Some(left + left.mul_f64(SPREAD).max(LEAST_SPREAD).mul_f64(rand::rng().random()))
+    }
+
     /// Whether requests to a pool are paced by what its upstreams answer: so they are where these say nothing
     /// of their load. Engines that keep prompts say it, and an answer of theirs is late for other reasons, too.
     fn is_paced(&self, pool: &PoolName) -> bool {
@@ -140,6 +151,10 @@
         delivering.quarantine.check(digest).map_err(refused)?;
     }
     delivering.retries.first(&turn.pool);
+    // Before the pace: that would say to come back sooner than the first rest is over.
+    if let Some(rest) = delivering.all_rest_for(&turn) {
+        return Err(Refused::until(ResultCode::AllUpstreamsRest, rest));
+    }
     if delivering.is_paced(&turn.pool)
         && let Paced::Refused(after) = delivering.pacing.decide(&turn.pool, turn.asker())
     {
@@ -157,7 +172,7 @@
     match delivery.next_answer(resume_after.as_deref()).await {
         Ok(attempt) => Ok(delivery.pass_back(attempt, in_progress)),
         Err(GivenUp::Failure(failure)) => Ok(delivery.pass_failure(*failure)),
-        Err(GivenUp::Kept(Kept { code, retry_after })) => {
+        Err(GivenUp::NotNow { code, retry_after }) => {
             delivery.line.ended(&delivering.log, code.http_status(), Some(code), &delivery.course);
             Err(Refused { was_sent: true, ..Refused::until(code, retry_after) })
         }
@@ -182,8 +197,11 @@
 enum GivenUp {
     /// The upstream answered that it failed.
     Failure(Box<FailureAnswer>),
-    /// Upstreams crash under it.
-    Kept(Kept),
+    /// It did not run, and would not before so long a time.
+    NotNow {
+        code: ResultCode,
+        retry_after: Duration,
+    },
     Code(ResultCode),
 }
 
@@ -285,10 +303,7 @@
             Ok(watched) => Ok(watched.map(Arc::new)),
             Err(kept) => {
                 self.line.same_as(digest);
-                Err(match self.course.ran() {
-                    bendhinge_codes::Ran::No => GivenUp::Kept(kept),
-                    _ => GivenUp::Code(self.course.final_code(false)),
-                })
+                Err(self.not_now(kept.code, kept.retry_after))
             }
         }
     }
@@ -307,8 +322,23 @@
             may_try,
             tie_breaker: self.turn.tie_breaker,
         };
-        let chosen = self.delivering.upstreams.choose(&question);
-        chosen.ok_or_else(|| GivenUp::Code(self.course.final_code(false)))
+        self.delivering.upstreams.choose(&question).ok_or_else(|| self.untaken())
+    }
+
+    /// Why there is no answer, in time, if no upstream takes the request or it may not be sent again.
+    fn untaken(&self) -> GivenUp {
+        match self.delivering.all_rest_for(&self.turn) {
+            Some(rest) => self.not_now(ResultCode::AllUpstreamsRest, rest),
+            None => GivenUp::Code(self.course.final_code(false)),
+        }
+    }
+
+    /// That the request is to come back later, unless it may have run.
+    fn not_now(&self, code: ResultCode, retry_after: Duration) -> GivenUp {
+        match self.course.ran() {
+            bendhinge_codes::Ran::No => GivenUp::NotNow { code, retry_after },
+            _ => GivenUp::Code(self.course.final_code(false)),
+        }
     }
 
     /// A code that says "not run" may only be used while no attempt may have run.
@@ -368,7 +398,8 @@
         }
         Err(match failure {
             Some(failure) if !promises_not_run(failure.head.status) => GivenUp::Failure(failure),
-            _ => GivenUp::Code(self.course.final_code(time_is_over)),
+            _ if time_is_over => GivenUp::Code(self.course.final_code(true)),
+            _ => self.untaken(),
         })
     }
 
--- a/crates/bendhinge_gateway/src/dialect.rs
+++ b/crates/bendhinge_gateway/src/dialect.rs
@@ -194,12 +194,11 @@
 /// with a fraction. Of several the longest counts. A date is not read, since it says nothing without the time of day,
 /// which boxes do not agree on; what is no number asks for nothing.
 #[must_use]
-pub fn read_rest(head: &response::Parts) -> Option<Duration> {
-    if !matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
+pub fn read_rest(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+    if !matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
         return None;
     }
-    let asked =
-        head.headers.get_all(RETRY_AFTER).iter().filter_map(|value| read_seconds(value.to_str().ok()?));
+    let asked = headers.get_all(RETRY_AFTER).iter().filter_map(|value| read_seconds(value.to_str().ok()?));
     asked.max().filter(|rest| !rest.is_zero())
 }
 
@@ -241,7 +240,7 @@
     /// Reads the head of an answer.
     fn read_answer(&self, head: &response::Parts) -> AnswerFields;
     /// Reads what the head of any answer says of whether the upstream wants further requests.
-    fn read_availability(&self, head: &response::Parts) -> Availability;
+    fn read_availability(&self, status: StatusCode, headers: &HeaderMap) -> Availability;
     /// The path at which an upstream lists the parts of prompts that it keeps.
     fn kept_path(&self) -> &'static str;
     /// Reads such a list.
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -7,7 +7,7 @@
 use bendhinge_admission::Demand;
 use bendhinge_fleet::{
     Belief, Directory, Evidence, Judge, LearnedFrom, ListHistory, Listed, LoadSaid, Loads, NewsLimits,
-    NewsLog, Offer, Standing, UpstreamEntry, UpstreamFailure, UpstreamList, Version,
+    NewsLog, Offer, Rests, Standing, UpstreamEntry, UpstreamFailure, UpstreamList, Version,
 };
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_peer::Known;
@@ -72,6 +72,8 @@
     pub(super) belief: Belief<UpstreamList>,
     pub(super) directory: Directory,
     pub(super) judge: Judge,
+    /// The rests that upstreams asked this gateway for.
+    rests: Rests,
     pub(super) evidence: Evidence,
     pub(super) loads: Loads,
     pub(super) kept: KeptParts,
@@ -113,6 +115,7 @@
             belief: Belief::default(),
             directory: Directory::new(settings.directory),
             judge: Judge::new(settings.judge),
+            rests: Rests::default(),
             evidence: Evidence::new(router_hash(own)),
             loads: Loads::default(),
             kept: KeptParts::new(KEPT_FOR),
@@ -215,15 +218,36 @@
         })
     }
 
-    /// Whether an upstream that was chosen still takes new work: it may have begun to leave, or its data
-    /// centre may have been drained, while a connection was made or the process was frozen.
+    /// When the first of the pool's upstreams that take work in regions that a request may reach ends its rest, if all
+    /// of them asked for one.
+    pub(crate) fn first_rest_end(&self, pool: &PoolName, allowed: [&Regions; 2]) -> Option<Instant> {
+        let now = bendhinge_clock::now();
+        let state = self.state.lock().unwrap();
+        if state.rests.count(now) == 0 {
+            return None;
+        }
+        let listed = state.allowed(pool, allowed, &self.regions);
+        let working = listed.into_iter().filter(|listed| listed.takes_work(now));
+        // `None`, as one that does not rest has it, comes before any end.
+        working.map(|listed| state.rests.end(listed.entry.hash, now)).min().flatten()
+    }
+
+    /// Whether an upstream takes new work, as far as lists and it itself say: one that rests does.
     pub(crate) fn takes_work(&self, upstream: NameHash) -> bool {
         let state = self.state.lock().unwrap();
-        let mut listed = state.directory.listed().iter();
-        listed.any(|listed| listed.entry.hash == upstream && listed.takes_work(bendhinge_clock::now()))
+        state.listed(upstream).is_some_and(|listed| listed.takes_work(bendhinge_clock::now()))
     }
 
-    /// How many of a pool's upstreams take new work.
+    /// Whether a request may be sent to an upstream that was chosen: it may have begun to leave or to rest, or its
+    /// data centre may have been drained, while a connection was made or the process was frozen.
+    pub(crate) fn may_be_sent_to(&self, upstream: NameHash) -> bool {
+        let state = self.state.lock().unwrap();
+        let now = bendhinge_clock::now();
+        state.listed(upstream).is_some_and(|listed| state.is_open(listed, now))
+    }
+
+    /// How many of a pool's upstreams take new work, those that rest among them: one that turned a request away
+    /// and asked for a rest is one of those that say whether the pool is full.
     pub(crate) fn working_in(&self, pool: &PoolName) -> usize {
         let now = bendhinge_clock::now();
         let state = self.state.lock().unwrap();
@@ -231,6 +255,25 @@
         listed.filter(|listed| listed.entry.pool == *pool && listed.takes_work(now)).count()
     }
 
+    /// Notes that an upstream asked for a rest; gives how long it is spared from now on.
+    pub(crate) fn asked_to_rest(&self, upstream: NameHash, rest: Duration) -> Duration {
+        let now = bendhinge_clock::now();
+        let mut state = self.state.lock().unwrap();
+        let end = state.rests.asked(upstream, rest, now);
+        state.judge.asked_to_rest(upstream, end, now);
+        end.since(now)
+    }
+
+    /// Notes that an upstream said itself that it leaves; `true` if that is news.
+    pub(crate) fn leaves(&self, upstream: NameHash) -> bool {
+        self.state.lock().unwrap().directory.leaves(upstream, bendhinge_clock::now())
+    }
+
+    /// How many upstreams rest since they asked for it.
+    pub(crate) fn resting(&self) -> usize {
+        self.state.lock().unwrap().rests.count(bendhinge_clock::now())
+    }
+
     /// Notes an upstream's whole answer, or the head of a stream.
     pub(crate) fn answered(&self, upstream: NameHash) {
         let now = bendhinge_clock::now();
@@ -255,11 +298,11 @@
         self.state.lock().unwrap().loads.learn(said, LearnedFrom::Itself);
     }
 
-    /// The upstreams that take work, of pools for which `keeps_prompts` holds.
+    /// The upstreams that may be asked something, of pools for which `keeps_prompts` holds.
     pub(crate) fn keeping(&self, keeps_prompts: impl Fn(&PoolName) -> bool) -> Vec<Arc<UpstreamEntry>> {
         let state = self.state.lock().unwrap();
         let now = bendhinge_clock::now();
-        let listed = state.directory.listed().iter().filter(|listed| listed.takes_work(now));
+        let listed = state.directory.listed().iter().filter(|listed| state.is_open(listed, now));
         listed.map(|listed| Arc::clone(&listed.entry)).filter(|entry| keeps_prompts(&entry.pool)).collect()
     }
 
@@ -290,7 +333,8 @@
         if state.directory.prune(now) {
             state.forget_gone();
         }
-        let State { directory, evidence, kept, news, .. } = &mut *state;
+        let State { directory, evidence, kept, news, rests, .. } = &mut *state;
+        rests.prune(now);
         news.forget(now);
         evidence.prune(|upstream| directory.lists(upstream), now);
         kept.prune(|upstream| directory.lists(upstream), now);
@@ -311,28 +355,44 @@
         loads.keep_only(|upstream| directory.lists(upstream));
     }
 
+    fn listed(&self, upstream: NameHash) -> Option<&Listed> {
+        self.directory.listed().iter().find(|listed| listed.entry.hash == upstream)
+    }
+
+    /// Whether requests may be sent to an upstream. The one place that knows of the rests that upstreams ask for:
+    /// each way to an upstream leads through it, right before bytes are written, too.
+    fn is_open(&self, listed: &Listed, now: Instant) -> bool {
+        listed.takes_work(now) && self.rests.end(listed.entry.hash, now).is_none()
+    }
+
+    /// The pool's upstreams that are in a region which a request may reach.
+    fn allowed(&self, pool: &PoolName, allowed: [&Regions; 2], regions: &RegionMap) -> Vec<&Listed> {
+        let is_allowed = |listed: &&Listed| {
+            let region = regions.get(&listed.entry.data_centre);
+            allowed.iter().all(|allowed| allowed.allow(region))
+        };
+        let pool = self.directory.listed().iter().filter(|listed| listed.entry.pool == *pool);
+        pool.filter(is_allowed).collect()
+    }
+
     /// The pool's upstreams as candidates, and as sources of what they keep: none of a region that the request
-    /// must not reach. Those that rest take no work unless all do.
+    /// must not reach. Those that rest by this gateway's own judgement take no work unless all do; those that asked
+    /// for their rest take none in any case, or all would be sent to just then when a pool is overrun.
     fn candidates(
         &self,
         question: &PlacementQuestion<'_>,
         regions: &RegionMap,
         now: Instant,
     ) -> (Vec<&Listed>, Vec<Candidate>) {
-        let is_allowed = |listed: &&Listed| {
-            let region = regions.get(&listed.entry.data_centre);
-            question.regions.iter().all(|allowed| allowed.allow(region))
-        };
-        let pool = self.directory.listed().iter().filter(|listed| listed.entry.pool == *question.pool);
-        let listed: Vec<&Listed> = pool.filter(is_allowed).collect();
+        let listed = self.allowed(question.pool, question.regions, regions);
         let mean = self.loads.mean_of_others(listed.iter().map(|listed| listed.entry.hash), now);
         let mut candidates: Vec<Candidate> =
             listed.iter().map(|listed| self.candidate(listed, question, mean, now)).collect();
         if !candidates.iter().any(|candidate| candidate.takes_work) {
-            // All rest: better one of them than none.
+            // All rest by judgement: better one of them than none.
             for (candidate, listed) in candidates.iter_mut().zip(&listed) {
                 candidate.takes_work =
-                    listed.takes_work(now) && !question.tried.contains(&candidate.upstream);
+                    self.is_open(listed, now) && !question.tried.contains(&candidate.upstream);
             }
         }
         if let Some(rate) = question.rule.and_then(|rule| rule.warming_rate) {
@@ -364,7 +424,7 @@
             Standing::OnTrial if question.may_try => 0.0,
             Standing::OnTrial | Standing::Resting => SHARE_FAILING_ON_TRIAL,
         };
-        let is_fit = listed.takes_work(now) && !question.tried.contains(&upstream);
+        let is_fit = self.is_open(listed, now) && !question.tried.contains(&upstream);
         // Nobody hears from an upstream to which nobody sends: what the others have there is nothing.
         let load = if listed.is_drained {
             self.loads.own(upstream)
@@ -377,7 +437,9 @@
             failing,
             takes_work: is_fit && standing != Standing::Resting,
             is_warming: is_fit && listed.is_warming(now),
-            counts: listed.left.is_none_or(|left| now < left) && standing != Standing::Resting,
+            counts: listed.left.is_none_or(|left| now < left)
+                && self.rests.end(upstream, now).is_none()
+                && standing != Standing::Resting,
         }
     }
 }
--- a/crates/bendhinge_gateway/src/log/mod.rs
+++ b/crates/bendhinge_gateway/src/log/mod.rs
@@ -196,22 +196,30 @@
         self.line("upstream_rests", Fields { upstream: upstream.as_str(), end: end.as_str() });
     }
 
-    /// An upstream that turned a request away asked for so long a rest.
-    pub(crate) fn rest_asked(&self, request: &str, upstream: &UpstreamName, rest: Duration) {
+    /// An upstream asked for so long a `rest`, and is `spared` for so long.
+    pub(crate) fn rest_asked(
+        &self,
+        request: Option<&str>,
+        upstream: &UpstreamName,
+        rest: Duration,
+        spared: Duration,
+    ) {
         #[derive(Serialize)]
         struct Fields<'a> {
-            request: &'a str,
+            request: Option<&'a str>,
             upstream: &'a str,
             rest_ms: u64,
+            spared_ms: u64,
         }
-        self.line("rest_asked", Fields { request, upstream: upstream.as_str(), rest_ms: millis(rest) });
+        let (rest_ms, spared_ms) = (millis(rest), millis(spared));
+        self.line("rest_asked", Fields { request, upstream: upstream.as_str(), rest_ms, spared_ms });
     }
 
-    /// An upstream said in an answer that it leaves.
-    pub(crate) fn leaving_said(&self, request: &str, upstream: &UpstreamName) {
+    /// An upstream said in an answer that it leaves, for the first time.
+    pub(crate) fn leaving_said(&self, request: Option<&str>, upstream: &UpstreamName) {
         #[derive(Serialize)]
         struct Fields<'a> {
-            request: &'a str,
+            request: Option<&'a str>,
             upstream: &'a str,
         }
         self.line("leaving_said", Fields { request, upstream: upstream.as_str() });
--- a/crates/bendhinge_gateway/src/metrics.rs
+++ b/crates/bendhinge_gateway/src/metrics.rs
@@ -50,6 +50,7 @@
     pub(crate) peer_connections: u64,
     pub(crate) peer_sent_bytes: u64,
     pub(crate) quarantined: usize,
+    pub(crate) upstreams_resting: usize,
 }
 
 /// All instruments of a gateway.
@@ -74,6 +75,7 @@
     peer_connections: Gauge<u64>,
     peer_sent_bytes: Gauge<u64>,
     quarantined: Gauge<u64>,
+    upstreams_resting: Gauge<u64>,
     foreign_entries: Gauge<u64>,
 }
 
@@ -132,7 +134,7 @@
             ),
             leavings_said: counter(
                 "bendhinge.gateway.leavings_said",
-                "Answers in which an upstream said that it leaves",
+                "Upstreams that said in an answer that they leave",
             ),
             first_byte: seconds(
                 "bendhinge.gateway.first_byte",
@@ -156,6 +158,10 @@
                 .u64_gauge("bendhinge.gateway.quarantined")
                 .with_description("Requests that are kept from upstreams since these crashed under them")
                 .build(),
+            upstreams_resting: meter
+                .u64_gauge("bendhinge.gateway.upstreams_resting")
+                .with_description("Upstreams that are spared since they asked for a rest")
+                .build(),
             peer_connections: meter
                 .u64_gauge("bendhinge.gateway.peer_connections")
                 .with_description("Open connections with other gateways, in both directions")
@@ -237,7 +243,7 @@
         self.rests_asked.add(1, &[]);
     }
 
-    /// Counts an answer in which an upstream said that it leaves.
+    /// Counts an upstream that said in an answer that it leaves.
     pub(crate) fn leaving_said(&self) {
         self.leavings_said.add(1, &[]);
     }
@@ -258,6 +264,7 @@
         self.peer_connections.record(now.peer_connections, &[]);
         self.peer_sent_bytes.record(now.peer_sent_bytes, &[]);
         self.quarantined.record(now.quarantined as u64, &[]);
+        self.upstreams_resting.record(now.upstreams_resting as u64, &[]);
         if let Some(age) = now.rules_age {
             self.rules_age.record(age.as_secs_f64(), &[]);
         }
--- a/crates/bendhinge_gateway/src/native/upstreams.rs
+++ b/crates/bendhinge_gateway/src/native/upstreams.rs
@@ -48,13 +48,13 @@
             not_run: headers.get(RAN).is_some_and(|value| value == "no"),
             is_another: head.status == StatusCode::MISDIRECTED_REQUEST,
             load: headers.get(LOAD).and_then(read_load),
-            availability: self.read_availability(head),
+            availability: self.read_availability(head.status, headers),
         }
     }
 
-    fn read_availability(&self, head: &response::Parts) -> Availability {
-        let is_leaving = head.headers.get(LEAVING).is_some_and(|value| value == "yes");
-        Availability { rest: read_rest(head), is_leaving }
+    fn read_availability(&self, status: StatusCode, headers: &HeaderMap) -> Availability {
+        let is_leaving = headers.get(LEAVING).is_some_and(|value| value == "yes");
+        Availability { rest: read_rest(status, headers), is_leaving }
     }
 
     fn kept_path(&self) -> &'static str {
--- a/crates/bendhinge_gateway/src/ready.rs
+++ b/crates/bendhinge_gateway/src/ready.rs
@@ -44,6 +44,7 @@
             peer_connections: self.traffic.open_connections(),
             peer_sent_bytes: self.traffic.sent_bytes(),
             quarantined: self.delivering.quarantine.quarantined(),
+            upstreams_resting: self.delivering.upstreams.resting(),
         }
     }
 
--- a/crates/bendhinge_http/src/client.rs
+++ b/crates/bendhinge_http/src/client.rs
@@ -134,17 +134,27 @@
     Ok(serde_json::from_slice(&fetch_bytes(pool, address, path, time).await?)?)
 }
 
-/// Gets `path` from `address`, whose answer must be 200.
-pub async fn fetch_bytes(
+/// Gets `path` from `address`, whatever its answer's status.
+pub async fn fetch_path(
     pool: &Pool,
     address: SocketAddr,
     path: &str,
     time: Duration,
-) -> Result<Bytes, FetchError> {
+) -> Result<Fetched, FetchError> {
     const LIMIT: usize = 16 << 20;
     let request = Request::get(path).header("host", address.to_string()).body(crate::empty_body());
     let request = request.expect("a path made here is a valid URI");
-    let fetched = fetch(pool, address, request, LIMIT, time).await?;
+    fetch(pool, address, request, LIMIT, time).await
+}
+
+/// Gets `path` from `address`, whose answer must be 200.
+pub async fn fetch_bytes(
+    pool: &Pool,
+    address: SocketAddr,
+    path: &str,
+    time: Duration,
+) -> Result<Bytes, FetchError> {
+    let fetched = fetch_path(pool, address, path, time).await?;
     if fetched.status != StatusCode::OK {
         return Err(FetchError::Status(fetched.status));
     }
--- a/crates/bendhinge_http/src/lib.rs
+++ b/crates/bendhinge_http/src/lib.rs
@@ -12,7 +12,7 @@
 pub use body::{
     Body, BodyError, ReadBodyError, channel_body, cut_after_flush, empty_body, full_body, read_body,
 };
-pub use client::{FetchError, FetchTime, Fetched, fetch, fetch_bytes, fetch_json};
+pub use client::{FetchError, FetchTime, Fetched, fetch, fetch_bytes, fetch_json, fetch_path};
 pub use hop_by_hop::drop_hop_by_hop;
 pub use pool::{ConnectError, Connection, Pool, SendFailure};
 pub use serve::{CutConnection, ServeLimits, Server, ServerStop};
--- a/crates/bendhinge_lab/tests/gateway_rests.rs
+++ b/crates/bendhinge_lab/tests/gateway_rests.rs
@@ -13,6 +13,7 @@
 
 use bendhinge_lab::gateways::{Answer, Call, FleetShape, KEY, Told, until};
 use bendhinge_standin::gateway::{Upstream, UpstreamFault};
+use futures_lite::future::zip;
 use gateway_common::{call, run, send, start};
 use smol::Timer;
 
@@ -52,14 +53,26 @@
         let fleet = start(&tasks, services(2)).await;
         fleet.upstreams[0].set_fault(UpstreamFault::AsksForRest("60"));
         fleet.upstreams[1].set_fault(UpstreamFault::AsksForRest("40"));
+        let turned_away = || fleet.upstreams.iter().map(Upstream::turned_away).sum::<usize>();
+        // The share of second sends may not be enough to ask the other one within the first try.
+        until(async || {
+            let answer = send(&fleet, &call("/unsafe/x")).await;
+            assert_eq!(answer.told, Told::Status(503), "{:?}", answer.code());
+            turned_away() == 2
+        })
+        .await;
         for _ in 0..MANY {
             let answer = send(&fleet, &call("/unsafe/x")).await;
-            assert_eq!(answer.told, Told::Status(503));
+            assert_eq!(answer.told, Told::Status(503), "{:?}", answer.code());
             assert_eq!(answer.ran(), Some("no"));
             let seconds = retry_after(&answer);
-            assert!(seconds.is_some_and(|seconds| (30.0..=60.0).contains(&seconds)), "{seconds:?}");
+            assert!(
+                seconds.is_some_and(|seconds| (30.0..=60.0).contains(&seconds)),
+                "{seconds:?} {:?}",
+                answer.code()
+            );
         }
-        assert_eq!(fleet.upstreams.iter().map(Upstream::turned_away).sum::<usize>(), 2);
+        assert_eq!(turned_away(), 2);
     });
 }
 
@@ -90,3 +103,70 @@
         assert_eq!(fleet.upstreams[0].runs().len(), runs);
     });
 }
+
+/// What it turned away after the rest began would be counted against it, had the earlier answer ended the rest.
+#[test]
+fn an_answer_to_a_request_of_before_does_not_end_a_rest() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, services(1)).await;
+        let upstream = &fleet.upstreams[0];
+        upstream.set_work(Duration::from_millis(600));
+        let slow = call("/unsafe/x");
+        let asked = async {
+            until(async || upstream.working() == 1).await;
+            upstream.set_fault(UpstreamFault::AsksForRest("60"));
+            assert_eq!(send(&fleet, &call("/unsafe/x")).await.told, Told::Status(503));
+        };
+        let (answer, ()) = zip(send(&fleet, &slow), asked).await;
+        assert_eq!(answer.told, Told::Whole);
+        upstream.set_fault(UpstreamFault::None);
+        for _ in 0..MANY {
+            assert_eq!(send(&fleet, &call("/unsafe/x")).await.code(), Some("BH0312"));
+        }
+        assert_eq!((upstream.turned_away(), upstream.runs().len()), (1, 1));
+    });
+}
+
+#[test]
+fn an_upstream_serves_again_once_its_rest_is_over() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, services(1)).await;
+        fleet.upstreams[0].set_fault(UpstreamFault::AsksForRest("0.4"));
+        assert_eq!(send(&fleet, &call("/safe/x")).await.told, Told::Status(503));
+        fleet.upstreams[0].set_fault(UpstreamFault::None);
+        until(async || send(&fleet, &call("/safe/x")).await.told == Told::Whole).await;
+        assert_eq!(fleet.upstreams[0].turned_away(), 1);
+    });
+}
+
+/// A number that cannot be read asks for nothing, and the upstream is judged by its answers as before.
+#[test]
+fn a_rest_that_is_no_number_keeps_nobody_away() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, services(1)).await;
+        for nonsense in ["", "-5", "1e18", "Wed, 02 Dec 2026 10:00:00 GMT"] {
+            fleet.upstreams[0].set_fault(UpstreamFault::AsksForRest(nonsense));
+            send(&fleet, &call("/safe/x")).await;
+        }
+        fleet.upstreams[0].set_fault(UpstreamFault::None);
+        until(async || send(&fleet, &call("/safe/x")).await.told == Told::Whole).await;
+    });
+}
+
+/// The gateway that asks upstreams what they keep, after a loss of all, learns from those answers, too.
+#[test]
+fn a_list_of_kept_parts_that_says_that_its_upstream_leaves_is_believed() {
+    run(|tasks| async move {
+        let mut fleet = start(&tasks, FleetShape { gateways: 1, engines: 2, services: 0 }).await;
+        fleet.upstreams[0].says_that_it_leaves();
+        fleet.gateways[0].as_mut().expect("it runs").kill();
+        fleet.restart(0);
+        fleet.until_ready().await;
+        let says_so = |line: &String| line.contains("\"event\":\"leaving_said\"");
+        until(async || fleet.gateway(0).lines().iter().any(says_so)).await;
+        for _ in 0..MANY {
+            assert_eq!(send(&fleet, &Call::stream("/stream/x", KEY)).await.told, Told::Whole);
+        }
+        assert_eq!(fleet.upstreams[0].runs().len(), 0);
+    });
+}
