A model of upstreams that ask for rest, with five ways of heeding it, at 9, 78 and 295 routers

`./scripts/measure resting`: a third of a pool turns all away for 8 s, or all of it does, or twice as many come as it holds; each rejection asks for 3 s.

--- a/crates/bendhinge_lab/src/bench/mod.rs
+++ b/crates/bendhinge_lab/src/bench/mod.rs
@@ -9,6 +9,7 @@
 pub mod placement;
 pub mod plain_pool;
 mod policy;
+pub mod resting;
 pub mod warming;
 mod workload;
 
--- a/crates/bendhinge_lab/src/measure/decisions.rs
+++ b/crates/bendhinge_lab/src/measure/decisions.rs
@@ -3,7 +3,9 @@
 use super::figure;
 use crate::bench::placement::PlacementFigures;
 use crate::bench::warming::{ROUTERS, Way};
-use crate::bench::{PolicyKind, Scenario, admission, crashing, decision, placement, plain_pool, warming};
+use crate::bench::{
+    PolicyKind, Scenario, admission, crashing, decision, placement, plain_pool, resting, warming,
+};
 
 /// Runs of a scenario; figures are their means, worst cases their worst.
 const SEEDS: [u64; 3] = [20_261_202, 20_261_203, 20_261_204];
@@ -186,3 +188,31 @@
         }
     }
 }
+
+pub(super) fn resting() {
+    use resting::{Scene, Seen, Trouble, Way};
+    let ways = [
+        ("unread", Way::Unread),
+        ("own_at_once", Way::OwnAtOnce),
+        ("own", Way::Own),
+        ("told_all", Way::ToldAll),
+        ("told_as_hint", Way::ToldAsHint),
+    ];
+    let troubles = [("odd", Trouble::Odd), ("all_odd", Trouble::AllOdd), ("full", Trouble::Full)];
+    for (routers, upstreams, seeds) in [(9, 12, 20), (78, 60, 4), (295, 250, 1)] {
+        for (trouble_name, trouble) in troubles {
+            for (name, way) in ways {
+                let scene = Scene { routers, upstreams, trouble };
+                let seen: Vec<Seen> = (0..seeds).map(|seed| resting::run(way, scene, seed)).collect();
+                let sum = |of: fn(&Seen) -> usize| seen.iter().map(of).sum::<usize>() as f64;
+                let requests = sum(|seen| seen.requests);
+                let name = format!("resting.{routers}.{trouble_name}.{name}");
+                figure(&format!("{name}.broken"), sum(|seen| seen.broken) / seeds as f64, "rests a run");
+                let share = |of: fn(&Seen) -> usize| 100.0 * sum(of) / requests;
+                figure(&format!("{name}.answered"), share(|seen| seen.answered), "in 100");
+                figure(&format!("{name}.turned_away"), share(|seen| seen.turned_away), "in 100");
+                figure(&format!("{name}.with_room"), share(|seen| seen.refused_with_room), "in 100");
+            }
+        }
+    }
+}
--- a/crates/bendhinge_lab/src/measure/mod.rs
+++ b/crates/bendhinge_lab/src/measure/mod.rs
@@ -39,6 +39,7 @@
     ("warming", Group::Bench(decisions::warming)),
     ("pacing", Group::Bench(decisions::pacing)),
     ("crashing", Group::Bench(decisions::crashing)),
+    ("resting", Group::Bench(decisions::resting)),
 ];
 
 /// Runs all measurements whose group's name contains `only`.
