--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -82,7 +82,7 @@
     /// When a turn should come back if all upstreams that could take it asked for a rest.
     fn all_rest_for(&self, turn: &Turn) -> Option<Duration> {
         /// Those that are refused together come back over this part of the rest that is left, or over this time if that
-        /// is longer: at its end each gateway tries an upstream with single requests.
+        /// is longer: the first upstream to end its rest is not to get all of them at once.
         const SPREAD: f64 = 0.25;
         const LEAST_SPREAD: Duration = Duration::from_millis(200);
         let end = self.upstreams.first_rest_end(&turn.pool, turn.regions())?;
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -258,10 +258,7 @@
     /// Notes that an upstream asked for a rest; gives how long it is spared from now on.
     pub(crate) fn asked_to_rest(&self, upstream: NameHash, rest: Duration) -> Duration {
         let now = bendhinge_clock::now();
-        let mut state = self.state.lock().unwrap();
-        let end = state.rests.asked(upstream, rest, now);
-        state.judge.asked_to_rest(upstream, end, now);
-        end.since(now)
+        self.state.lock().unwrap().rests.asked(upstream, rest, now).since(now)
     }
 
     /// Notes that an upstream said itself that it leaves; `true` if that is news.
