An upstream's answer is listened for a moment after a request's time is over: it may ask for rest just then

An upstream that lets requests wait turns them away when their time is over, a way later than the gateway sees that: each of these answers was lost with its connection, and what it asked for with it. Now the send is kept for 100 ms in the background; the caller's answer does not wait for it. Test red before (the rest was never heard), green now. Loads are added without overflow, whatever numbers an upstream says.

--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -68,23 +68,48 @@
     pub(super) resume_after: Option<String>,
 }
 
-/// Sends the turn to the chosen upstream.
+/// How long after a request's time is over its upstream's answer is still listened for. One that lets requests wait for
+/// a place turns them away just then, and may ask for rest: its answer is a way, some milliseconds, behind. Above that it
+/// is what a box with an eighth of a core needs to come to it.
+const LISTENED_AFTER: Duration = Duration::from_millis(100);
+
+/// Sends the turn to the chosen upstream. When its time is over, that is its end; what the upstream says right after is
+/// heard in the background.
 pub(super) async fn attempt(
     delivering: Arc<Delivering>,
     turn: Arc<Turn>,
     send: NewSend,
 ) -> Result<Attempt, Ended> {
-    let NewSend { sent, chosen, left, resume_after } = send;
-    let sending = async {
-        let request = outgoing(&delivering, &turn, &chosen, left, resume_after.as_deref());
-        let (answer, connection) = exchange(&delivering, &turn, &chosen, request).await?;
-        take_answer(&delivering, &turn, &chosen, answer, connection).await
-    };
-    let too_long = async {
-        Timer::after(left).await;
-        Err(SendEnd::Silent.into())
+    let tasks = Arc::clone(&delivering.tasks);
+    let left = send.left;
+    let mut sending = Box::pin(send_and_take(delivering, turn, send));
+    let in_time = async { Some((&mut sending).await) };
+    if let Some(ended) = in_time.or(after(left)).await {
+        return ended;
+    }
+    let listening = async move {
+        let heard = async { Some(sending.await) };
+        // Nobody waits for it: what it says of its upstream was noted as it came.
+        drop(heard.or(after(LISTENED_AFTER)).await);
     };
-    let (head, body) = sending.or(too_long).await?;
+    tasks.spawn(listening).detach();
+    Err(SendEnd::Silent.into())
+}
+
+async fn after<T>(time: Duration) -> Option<T> {
+    Timer::after(time).await;
+    None
+}
+
+async fn send_and_take(
+    delivering: Arc<Delivering>,
+    turn: Arc<Turn>,
+    send: NewSend,
+) -> Result<Attempt, Ended> {
+    let NewSend { sent, chosen, left, resume_after } = send;
+    let request = outgoing(&delivering, &turn, &chosen, left, resume_after.as_deref());
+    let (answer, connection) = exchange(&delivering, &turn, &chosen, request).await?;
+    let (head, body) = take_answer(&delivering, &turn, &chosen, answer, connection).await?;
     Ok(Attempt { sent, chosen, head, body })
 }
 
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -290,7 +290,7 @@
 
     /// Notes what an upstream said of its load.
     pub(crate) fn load_said(&self, upstream: NameHash, load: dialect::LoadSaid) {
-        let in_progress = load.running + load.waiting;
+        let in_progress = load.running.saturating_add(load.waiting);
         let said = LoadSaid { upstream, in_progress, at: bendhinge_clock::now() };
         self.state.lock().unwrap().loads.learn(said, LearnedFrom::Itself);
     }
--- a/crates/bendhinge_lab/tests/gateway_rests.rs
+++ b/crates/bendhinge_lab/tests/gateway_rests.rs
@@ -170,3 +170,19 @@
         assert_eq!(fleet.upstreams[0].runs().len(), 0);
     });
 }
+
+/// An upstream that is full lets requests wait, and turns them away when their time is over: a moment after the gateway
+/// saw that, and answered its caller.
+#[test]
+fn a_rest_that_is_asked_for_when_a_requests_time_is_over_is_heard() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, services(1)).await;
+        fleet.upstreams[0].set_fault(UpstreamFault::AsksForRestLate("60"));
+        let waiting = Call { deadline: Duration::from_millis(300), ..call("/unsafe/x") };
+        assert_eq!(send(&fleet, &waiting).await.told, Told::Status(504));
+        let says_so = |line: &String| line.contains("\"event\":\"rest_asked\"");
+        until(async || fleet.gateway(0).lines().iter().any(says_so)).await;
+        assert_eq!(send(&fleet, &call("/unsafe/x")).await.code(), Some("BH0312"));
+        assert_eq!(fleet.upstreams[0].turned_away(), 1);
+    });
+}
--- a/crates/bendhinge_standin/src/gateway/upstream.rs
+++ b/crates/bendhinge_standin/src/gateway/upstream.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bendhinge_gateway::native::headers::{
-    CUSTOMER, LEAVING, PROMPT, RAN, REQUEST, RESUME_AFTER, SIGNATURE, UPSTREAM,
+    CUSTOMER, DEADLINE, LEAVING, PROMPT, RAN, REQUEST, RESUME_AFTER, SIGNATURE, UPSTREAM,
 };
 use bendhinge_http::{
     Body, CutConnection, ServeLimits, Server, Tasks, channel_body, empty_body, full_body, read_body,
@@ -30,6 +30,8 @@
     Full,
     /// It says that it has no room, and asks for a rest of so many seconds.
     AsksForRest(&'static str),
+    /// It keeps requests waiting until their time is over, and then does the same.
+    AsksForRestLate(&'static str),
     /// It answers 503 without saying whether it ran the request, which it did.
     Unclear,
     /// It runs requests and gives no answer.
@@ -218,6 +220,15 @@
     headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
 }
 
+/// How much later than its caller an upstream sees that a request's time is over.
+const ON_ITS_WAY: Duration = Duration::from_millis(5);
+
+/// How long the caller waits, as it says.
+fn deadline(headers: &HeaderMap) -> Duration {
+    let millis = text(headers, &DEADLINE).and_then(|millis| millis.parse().ok());
+    Duration::from_millis(millis.unwrap_or(0))
+}
+
 /// How long a process works on the request under which it ends.
 const TO_ITS_END: Duration = Duration::from_millis(30);
 
@@ -257,6 +268,10 @@
     match fault {
         UpstreamFault::Full => return turn_away(&state, &id, None),
         UpstreamFault::AsksForRest(seconds) => return turn_away(&state, &id, Some(seconds)),
+        UpstreamFault::AsksForRestLate(seconds) => {
+            Timer::after(deadline(&head.headers) + ON_ITS_WAY).await;
+            return turn_away(&state, &id, Some(seconds));
+        }
         _ => {}
     }
     let Ok(body) = read_body(body, 16 << 20).await else { return with_status(StatusCode::BAD_REQUEST) };
