Upstreams are looked up by their hash, not searched for

Each send went through the whole list under the lock that choosing needs (twice since may_be_sent_to came), a list that was taken in through all for each of its entries. Taking in a list, release build, mean of many: 15 upstreams 1.5 us before, 2.2 after; 250: 51, 46; 1,000: 506, 229; 6,000: 14.9 ms, 2.4 ms.

--- a/crates/bendhinge_fleet/src/directory.rs
+++ b/crates/bendhinge_fleet/src/directory.rs
@@ -152,8 +152,9 @@
 pub struct Directory {
     limits: DirectoryLimits,
     listed: Vec<Listed>,
-    /// The hashes of those listed.
-    hashes: FxHashSet<NameHash>,
+    /// The positions of those listed. Each send looks one up, and a list that is taken in all of them: 2.4 ms for 6,000
+    /// upstreams, where looking for each among all took 15 ms, with everybody who chooses waiting.
+    positions: FxHashMap<NameHash, usize>,
     /// When upstreams said to this router that they leave.
     leaving: FxHashMap<NameHash, Instant>,
     evidence_seen: Option<Instant>,
@@ -167,7 +168,7 @@
         Self {
             limits,
             listed: Vec::new(),
-            hashes: FxHashSet::default(),
+            positions: FxHashMap::default(),
             leaving: FxHashMap::default(),
             evidence_seen: None,
             doubt_until: None,
@@ -181,8 +182,8 @@
             return false;
         }
         self.leaving.insert(upstream, now);
-        if let Some(listed) = self.listed.iter_mut().find(|listed| listed.entry.hash == upstream) {
-            listed.leaves_at(now);
+        if let Some(position) = self.positions.get(&upstream) {
+            self.listed[*position].leaves_at(now);
         }
         true
     }
@@ -196,7 +197,13 @@
     /// Whether the upstream is listed, one that takes no new work among them.
     #[must_use]
     pub fn lists(&self, upstream: NameHash) -> bool {
-        self.hashes.contains(&upstream)
+        self.positions.contains_key(&upstream)
+    }
+
+    /// The upstream as it is listed, one that takes no new work too.
+    #[must_use]
+    pub fn get(&self, upstream: NameHash) -> Option<&Listed> {
+        self.positions.get(&upstream).map(|position| &self.listed[*position])
     }
 
     /// Notes that the list was known to be current as of `as_of`; a gap since the last such evidence
@@ -214,10 +221,11 @@
     /// Takes in a list; call [`Directory::evidence`] first.
     pub fn take(&mut self, list: &UpstreamList, now: Instant) {
         let kept_until = self.doubt_until.unwrap_or(now).max(now);
-        let mut before = std::mem::take(&mut self.listed);
+        let before = std::mem::take(&mut self.listed).into_iter();
+        let mut before: FxHashMap<NameHash, Listed> =
+            before.map(|listed| (listed.entry.hash, listed)).collect();
         for entry in &list.entries {
-            let known = before.iter().position(|listed| listed.entry.hash == entry.hash);
-            let known = known.map(|position| before.swap_remove(position));
+            let known = before.remove(&entry.hash);
             let is_drained = list.drained.contains(&entry.data_centre);
             let mut listed = renewed(known.as_ref(), entry, is_drained, now);
             if let Some(said) = self.leaving.get(&entry.hash) {
@@ -226,8 +234,8 @@
             self.listed.push(listed);
         }
         // What is kept of an upstream that vanished is over once it is listed in another life.
-        before.retain(|listed| !list.entries.iter().any(|entry| entry.name == listed.entry.name));
-        for mut listed in before {
+        let names: FxHashSet<&UpstreamName> = list.entries.iter().map(|entry| &entry.name).collect();
+        for mut listed in before.into_values().filter(|listed| !names.contains(&listed.entry.name)) {
             listed.is_drained = list.drained.contains(&listed.entry.data_centre);
             listed.vanished.get_or_insert(now);
             listed.leaves_at(kept_until);
@@ -249,13 +257,16 @@
         if forgot {
             self.index();
         }
-        let Self { hashes, leaving, .. } = self;
-        leaving.retain(|upstream, said| hashes.contains(upstream) || now.since(*said) < LEAVING_REMEMBERED);
+        let Self { positions, leaving, .. } = self;
+        leaving.retain(|upstream, said| {
+            positions.contains_key(upstream) || now.since(*said) < LEAVING_REMEMBERED
+        });
         forgot
     }
 
     fn index(&mut self) {
-        self.hashes = self.listed.iter().map(|listed| listed.entry.hash).collect();
+        let hashes = self.listed.iter().map(|listed| listed.entry.hash);
+        self.positions = hashes.enumerate().map(|(position, hash)| (hash, position)).collect();
     }
 }
 
--- a/crates/bendhinge_gateway/src/knowledge/peers.rs
+++ b/crates/bendhinge_gateway/src/knowledge/peers.rs
@@ -37,7 +37,7 @@
             match evidence.hear(heard.upstream, &heard.as_of(as_of), from, now) {
                 Verdict::Cleared => judge.cleared(heard.upstream),
                 Verdict::Suspect if judge.suspected(heard.upstream, now) => {
-                    let listed = directory.listed().iter().find(|listed| listed.entry.hash == heard.upstream);
+                    let listed = directory.get(heard.upstream);
                     resting.extend(listed.map(|listed| Arc::clone(&listed.entry)));
                 }
                 Verdict::Unchanged | Verdict::Suspect => {}
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -235,7 +235,7 @@
     /// Whether an upstream takes new work, as far as lists and it itself say: one that rests does.
     pub(crate) fn takes_work(&self, upstream: NameHash) -> bool {
         let state = self.state.lock().unwrap();
-        state.listed(upstream).is_some_and(|listed| listed.takes_work(bendhinge_clock::now()))
+        state.directory.get(upstream).is_some_and(|listed| listed.takes_work(bendhinge_clock::now()))
     }
 
     /// Whether a request may be sent to an upstream that was chosen: it may have begun to leave or to rest, or its
@@ -243,7 +243,7 @@
     pub(crate) fn may_be_sent_to(&self, upstream: NameHash) -> bool {
         let state = self.state.lock().unwrap();
         let now = bendhinge_clock::now();
-        state.listed(upstream).is_some_and(|listed| state.is_open(listed, now))
+        state.directory.get(upstream).is_some_and(|listed| state.is_open(listed, now))
     }
 
     /// How many of a pool's upstreams take new work, those that rest among them: one that turned a request away
@@ -352,10 +352,6 @@
         loads.keep_only(|upstream| directory.lists(upstream));
     }
 
-    fn listed(&self, upstream: NameHash) -> Option<&Listed> {
-        self.directory.listed().iter().find(|listed| listed.entry.hash == upstream)
-    }
-
     /// Whether requests may be sent to an upstream. The one place that knows of the rests that upstreams ask for:
     /// each way to an upstream leads through it, right before bytes are written, too.
     fn is_open(&self, listed: &Listed, now: Instant) -> bool {
