Sight: a send's line says the mean load that was believed of its pool

The loads of those upstreams are believed at 20 to 25 where 25 to 29 are, the mean at 15 to 20 where 10.5 to 12.4 is: the limit of 1.5 times the mean lets them through.

--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -58,6 +58,8 @@
     pub(crate) reason: ChoiceReason,
     /// Requests believed to be there.
     pub(crate) load: f32,
+    /// Requests believed to be at each upstream of the pool on average.
+    pub(crate) mean_load: f32,
     /// When it was chosen.
     pub(crate) at: Instant,
     /// How old the knowledge was that the list it was chosen from is current.
@@ -211,6 +213,7 @@
             fetch_from,
             reason: choice.reason,
             load,
+            mean_load: choice.mean_load,
             missing: choice.missing,
             list_age,
             at: now,
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -14,6 +14,7 @@
     upstream: String,
     why: &'static str,
     load: f32,
+    mean_load: f32,
     #[serde(skip_serializing_if = "is_zero")]
     missing: u32,
     at_ms: u64,
@@ -66,6 +67,7 @@
             upstream: chosen.entry.name.to_string(),
             why: chosen.reason.as_str(),
             load: chosen.load,
+            mean_load: chosen.mean_load,
             missing: chosen.missing,
             at_ms,
             list_age_ms: millis(chosen.list_age),
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -104,6 +104,8 @@
     pub cost: f32,
     /// Tokens of the shared parts that it is believed to lack.
     pub missing: u32,
+    /// The mean load of the pool, as it is believed.
+    pub mean_load: f32,
 }
 
 /// A choice to be made.
@@ -230,6 +232,7 @@
                 reason: ChoiceReason::LeastCost,
                 cost,
                 missing: 0,
+                mean_load: self.mean_load,
             };
         };
         let own = self.kept[index];
@@ -254,7 +257,7 @@
         let spread = if is_one_of_many { self.rules.jitter * self.mean_load + 1.0 } else { 1.0 };
         let fetch_from = source.map(|source| source.index);
         let cost = ahead + reading + self.jitter(index, spread);
-        Choice { chosen: index, fetch_from, reason, cost, missing }
+        Choice { chosen: index, fetch_from, reason, cost, missing, mean_load: self.mean_load }
     }
 
     /// From where a candidate that keeps `own` tokens should fetch: from the one that is believed
