Only pools that are paced have a pace: engines that turn requests away begin none, and nobody is told of one

The lines of the incident told of a pace towards a pool of engines, to which requests are never paced, and each answer of an engine took the lock and the hash of the pool's name for it. Whether a pool is paced is asked once a request and kept with it. Test red before: two engines that turn requests away made a `pace` line.

--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -155,9 +155,8 @@
     if let Some(rest) = delivering.all_rest_for(&turn) {
         return Err(Refused::until(ResultCode::AllUpstreamsRest, rest));
     }
-    if delivering.is_paced(&turn.pool)
-        && let Paced::Refused(after) = delivering.pacing.decide(&turn.pool, turn.asker())
-    {
+    let is_paced = delivering.is_paced(&turn.pool);
+    if is_paced && let Paced::Refused(after) = delivering.pacing.decide(&turn.pool, turn.asker()) {
         return Err(Refused::until(ResultCode::AllUpstreamsAtBound, after));
     }
     delivering.metrics.request();
@@ -167,7 +166,8 @@
     });
     let line = RequestLine::new(&turn);
     let turn = Arc::new(turn);
-    let mut delivery = Delivery { delivering: Arc::clone(delivering), turn, course, tried: Vec::new(), line };
+    let mut delivery =
+        Delivery { delivering: Arc::clone(delivering), turn, course, is_paced, tried: Vec::new(), line };
     let resume_after = delivery.turn.call.resume_after.clone();
     match delivery.next_answer(resume_after.as_deref()).await {
         Ok(attempt) => Ok(delivery.pass_back(attempt, in_progress)),
@@ -210,6 +210,8 @@
     delivering: Arc<Delivering>,
     turn: Arc<Turn>,
     course: Course,
+    /// Whether requests to its pool are paced.
+    is_paced: bool,
     tried: Vec<NameHash>,
     line: RequestLine,
 }
@@ -354,7 +356,7 @@
         self.line.send_ended(*number, end);
         metrics.send_ended(end);
         match end {
-            SendEnd::Rejected => {
+            SendEnd::Rejected if self.is_paced => {
                 let upstreams = upstreams.working_in(&self.turn.pool);
                 self.delivering.pacing.turned_away(&self.turn.pool, upstream.hash, upstreams);
             }
@@ -376,6 +378,9 @@
 
     /// Notes, for the pace towards the pool, that an upstream answered.
     fn note_answer(&self) {
+        if !self.is_paced {
+            return;
+        }
         let Turn { pool, began, route, .. } = &*self.turn;
         self.delivering.pacing.answered(pool, *began, route.target);
     }
--- a/crates/bendhinge_lab/tests/gateway_rests.rs
+++ b/crates/bendhinge_lab/tests/gateway_rests.rs
@@ -186,3 +186,21 @@
         assert_eq!(fleet.upstreams[0].turned_away(), 1);
     });
 }
+
+/// Engines say what they have, and requests to them are not paced: nor is that told.
+#[test]
+fn no_pace_is_told_of_engines_that_turn_requests_away() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, FleetShape { gateways: 1, engines: 2, services: 0 }).await;
+        fleet.upstreams.iter().for_each(|upstream| upstream.set_fault(UpstreamFault::Full));
+        let turned_away = |upstream: &Upstream| upstream.turned_away() > 0;
+        until(async || {
+            send(&fleet, &Call::stream("/stream/x", KEY)).await;
+            fleet.upstreams.iter().all(turned_away)
+        })
+        .await;
+        assert_eq!(send(&fleet, &Call::stream("/stream/x", KEY)).await.told, Told::Status(503));
+        let is_pace = |line: &String| line.contains("\"event\":\"pace\"");
+        assert!(!fleet.gateway(0).lines().iter().any(is_pace));
+    });
+}
