Tests: a send that waits for its connection, and the choice where all rest, heed a rest that was asked for

Two mechanisms were taken out without a test noticing: the look right before bytes are written (connections over loopback are made at once: a listener with room for one makes the next wait), and the choice where all rest by judgement (held back by that look, at the cost of one of the request's sends). Both are noticed now.

--- a/crates/bendhinge_lab/tests/gateway_rests.rs
+++ b/crates/bendhinge_lab/tests/gateway_rests.rs
@@ -9,13 +9,17 @@
 
 mod gateway_common;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use bendhinge_lab::gateways::{Answer, Call, FleetShape, KEY, Told, until};
+use bendhinge_http::Tasks;
+use bendhinge_lab::gateways::{Answer, Call, FleetShape, GatewayFleet, KEY, Told, until};
 use bendhinge_standin::gateway::{Upstream, UpstreamFault};
 use futures_lite::future::zip;
+use futures_lite::io::copy;
 use gateway_common::{call, run, send, start};
 use smol::Timer;
+use smol::net::{TcpListener, TcpStream};
 
 /// Requests enough that each upstream of a few would get several.
 const MANY: usize = 30;
@@ -76,6 +80,28 @@
     });
 }
 
+/// The other one is spared by the gateway's own judgement, and sent to all the same when there is no better.
+#[test]
+fn where_the_other_is_full_one_that_asked_for_rest_is_not_sent_to_instead() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, FleetShape { gateways: 1, engines: 2, services: 0 }).await;
+        let stream = async || send(&fleet, &Call::stream("/stream/x", KEY)).await.told;
+        assert_eq!(stream().await, Told::Whole);
+        let (home, other): (Vec<_>, Vec<_>) =
+            fleet.upstreams.iter().partition(|upstream| !upstream.runs().is_empty());
+        home[0].set_fault(UpstreamFault::AsksForRest("60"));
+        other[0].set_fault(UpstreamFault::Full);
+        for _ in 0..MANY {
+            assert_eq!(stream().await, Told::Status(503));
+        }
+        assert!(other[0].turned_away() >= MANY - 1);
+        assert_eq!(home[0].turned_away(), 1);
+        // It is not even chosen, which would cost the request one of its sends.
+        let is_chosen_in_vain = |line: &String| line.contains("\"end\":\"not_sent\"");
+        assert!(!fleet.gateway(0).lines().iter().any(is_chosen_in_vain));
+    });
+}
+
 /// Its entry in the list goes on saying that it is ready, as it does where it never says otherwise there.
 #[test]
 fn an_upstream_that_says_that_it_leaves_gets_nothing_more_whatever_the_lists_say() {
@@ -204,3 +230,65 @@
         assert!(!fleet.gateway(0).lines().iter().any(is_pace));
     });
 }
+
+/// Where connections are made one at a time: while one is not let in, the next has to wait.
+struct NarrowDoor {
+    listener: TcpListener,
+    address: SocketAddr,
+    upstream: SocketAddr,
+    tasks: Tasks,
+}
+
+impl NarrowDoor {
+    fn before(upstream: &Upstream, tasks: &Tasks) -> Self {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        rustix::net::listen(&listener, 0).unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let address = listener.local_addr().unwrap();
+        let listener = TcpListener::try_from(listener).unwrap();
+        Self { listener, address, upstream: upstream.address, tasks: tasks.clone() }
+    }
+
+    async fn let_in_one(&self) {
+        let (near, _) = self.listener.accept().await.unwrap();
+        let far = TcpStream::connect(self.upstream).await.unwrap();
+        for (from, to) in [(near.clone(), far.clone()), (far, near)] {
+            let passing = async move {
+                // Whoever closes ends it.
+                let _ = copy(from, to).await;
+            };
+            self.tasks.spawn(passing).detach();
+        }
+    }
+}
+
+/// It was chosen before the upstream asked for rest, and its connection is made after that.
+#[test]
+fn a_send_that_waits_for_its_connection_is_not_sent_into_a_rest() {
+    run(|tasks| async move {
+        let none = FleetShape { gateways: 1, engines: 0, services: 0 };
+        let fleet = GatewayFleet::start(&tasks, none, "[upstreams]\nconnect_ms = 10000\n").await;
+        let upstream = Upstream::start(&tasks, "narrow").await.unwrap();
+        let door = NarrowDoor::before(&upstream, &tasks);
+        fleet.store.add("narrow", "services", door.address);
+        let serves = async || send(&fleet, &call("/unsafe/x")).await.told == Told::Whole;
+        zip(until(serves), door.let_in_one()).await;
+        upstream.set_fault(UpstreamFault::AsksForRestLate("60"));
+        let asks = Call { deadline: Duration::from_millis(600), ..call("/unsafe/x") };
+        let waits = call("/unsafe/x");
+        let blocking = async {
+            until(async || upstream.holds() == 1).await;
+            let _blocks = TcpStream::connect(door.address).await.unwrap();
+            let letting_in = async {
+                let says_so = |line: &String| line.contains("\"event\":\"rest_asked\"");
+                until(async || fleet.gateway(0).lines().iter().any(says_so)).await;
+                door.let_in_one().await;
+                door.let_in_one().await;
+            };
+            zip(send(&fleet, &waits), letting_in).await.0
+        };
+        let (_, answer) = zip(send(&fleet, &asks), blocking).await;
+        assert_eq!(answer.code(), Some("BH0312"));
+        assert_eq!(upstream.turned_away(), 1);
+    });
+}
--- a/crates/bendhinge_standin/src/gateway/upstream.rs
+++ b/crates/bendhinge_standin/src/gateway/upstream.rs
@@ -77,6 +77,7 @@
     fatal: Option<(Bytes, OnEnd)>,
     has_ended: bool,
     is_leaving: bool,
+    holding: usize,
     turned_away: usize,
     runs: Vec<Run>,
     working: usize,
@@ -106,6 +107,7 @@
             fatal: None,
             has_ended: false,
             is_leaving: false,
+            holding: 0,
             turned_away: 0,
             runs: Vec::new(),
             working: 0,
@@ -160,6 +162,12 @@
         self.state.lock().unwrap().is_leaving = true;
     }
 
+    /// How many requests it lets wait until it turns them away.
+    #[must_use]
+    pub fn holds(&self) -> usize {
+        self.state.lock().unwrap().holding
+    }
+
     /// How many requests it turned away for want of room.
     #[must_use]
     pub fn turned_away(&self) -> usize {
@@ -269,7 +277,9 @@
         UpstreamFault::Full => return turn_away(&state, &id, None),
         UpstreamFault::AsksForRest(seconds) => return turn_away(&state, &id, Some(seconds)),
         UpstreamFault::AsksForRestLate(seconds) => {
+            state.lock().unwrap().holding += 1;
             Timer::after(deadline(&head.headers) + ON_ITS_WAY).await;
+            state.lock().unwrap().holding -= 1;
             return turn_away(&state, &id, Some(seconds));
         }
         _ => {}
