--- a/crates/bendhinge_lab/tests/gateway_rests.rs
+++ b/crates/bendhinge_lab/tests/gateway_rests.rs
@@ -231,6 +231,24 @@
     });
 }
 
+/// Its address went to another one, which leaves: that says nothing of the one that was meant.
+#[test]
+fn what_another_upstream_at_the_address_says_is_not_believed_of_the_one_that_was_meant() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, services(2)).await;
+        fleet.upstreams[0].rename("another");
+        fleet.upstreams[0].says_that_it_leaves();
+        let is_replaced = |line: &String| line.contains("\"end\":\"replaced\"");
+        until(async || {
+            send(&fleet, &call("/safe/x")).await;
+            fleet.gateway(0).lines().iter().any(is_replaced)
+        })
+        .await;
+        let says_so = |line: &String| line.contains("\"event\":\"leaving_said\"");
+        assert!(!fleet.gateway(0).lines().iter().any(says_so));
+    });
+}
+
 /// Where connections are made one at a time: while one is not let in, the next has to wait.
 struct NarrowDoor {
     listener: TcpListener,
