Tests: each gateway keeps the rest that it was asked for; the soak's upstreams ask for rest, too, also late

Three gateways before a home that asks for a minute of rest send it one request each, of 30. The soak has two faults more, so that its seeds mean other strikes from here on.

--- a/crates/bendhinge_lab/src/gateways/soak.rs
+++ b/crates/bendhinge_lab/src/gateways/soak.rs
@@ -185,7 +185,7 @@
     }
 
     fn fault_upstream(&self, random: &mut ChaCha8Rng) {
-        let fault = match random.random_range(0..10) {
+        let fault = match random.random_range(0..12) {
             0 => UpstreamFault::Full,
             1 => UpstreamFault::Unclear,
             2 | 9 => UpstreamFault::Lost,
@@ -194,6 +194,8 @@
             5 => UpstreamFault::Failed,
             6 => UpstreamFault::BreaksOff(random.random_range(0..8)),
             7 => UpstreamFault::Stalls(random.random_range(0..8)),
+            10 => UpstreamFault::AsksForRest("1.5"),
+            11 => UpstreamFault::AsksForRestLate("60"),
             _ => UpstreamFault::None,
         };
         let fleet = self.fleet.borrow();
--- a/crates/bendhinge_lab/tests/gateway_rests.rs
+++ b/crates/bendhinge_lab/tests/gateway_rests.rs
@@ -17,7 +17,7 @@
 use bendhinge_standin::gateway::{Upstream, UpstreamFault};
 use futures_lite::future::zip;
 use futures_lite::io::copy;
-use gateway_common::{call, run, send, start};
+use gateway_common::{PATIENCE, call, run, send, start};
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 
@@ -80,6 +80,26 @@
     });
 }
 
+/// What it asks of one it may not mean for the others.
+#[test]
+fn each_gateway_keeps_the_rest_that_it_was_asked_for() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, FleetShape { gateways: 3, engines: 2, services: 0 }).await;
+        let stream_by = async |gateway: usize| {
+            let call = Call::stream("/stream/x", KEY);
+            fleet.caller().send(fleet.callers(gateway), &call, PATIENCE).await.told
+        };
+        assert_eq!(stream_by(0).await, Told::Whole);
+        let is_home = |upstream: &&Upstream| !upstream.runs().is_empty();
+        let home = fleet.upstreams.iter().find(is_home).expect("one of them ran it");
+        home.set_fault(UpstreamFault::AsksForRest("60"));
+        for turn in 0..MANY {
+            assert_eq!(stream_by(turn % 3).await, Told::Whole);
+        }
+        assert_eq!(home.turned_away(), 3);
+    });
+}
+
 /// The other one is spared by the gateway's own judgement, and sent to all the same when there is no better.
 #[test]
 fn where_the_other_is_full_one_that_asked_for_rest_is_not_sent_to_instead() {
