--- a/crates/bendhinge_lab/src/bench/resting.rs
+++ b/crates/bendhinge_lab/src/bench/resting.rs
@@ -1,6 +1,6 @@
 //! Upstreams that turn requests away and ask for rest, with the ways of heeding it that were weighed.
 //!
-//! The pattern: a pool that holds a few requests at each upstream, before 9 or 295 routers. Either a third of it turns
+//! The pattern: a pool that holds a few requests at each upstream, before 9, 78 or 295 routers. Either a third of it turns
 //! everything away for eight seconds although it has room, as was seen, or for as long twice as many requests come as the pool
 //! can hold, and upstreams that are full turn away. Each rejection asks the router for three seconds of rest. Requests
 //! belong to subjects, each with a home; routers choose, judge, count loads and send again with their own functions.
