Heads of prompts are fetched from all that keep them, not all from the same one

Cause: of the upstreams that keep most of a prompt the last in the order of names was always the source. The head of a thousand subjects is kept by hundreds of upstreams; each subject's home fetched it from that one, which sends one after the other. Ruled out: reading (that is 216 ms and did not grow), requests ahead (1 in 24 engines busy). Change: one of those that keep most is drawn for each request. What upstreams keep is looked up once a request by those that keep the first part, not for each upstream of the pool: that was upstreams times keepers. Test: a head that 200 keep, fetched a thousand times; on the code before all were fetched from one.

--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -169,32 +169,18 @@
     xxh3_64_with_seed(&subject.0.to_le_bytes(), upstream.0)
 }
 
-/// An upstream from which parts can be fetched.
-#[derive(Clone, Copy)]
-struct Source {
-    index: usize,
-    /// What it is believed to keep of the prompt.
-    tokens: u32,
-}
-
-/// The two candidates that keep most of a prompt: the second is the source for the first.
-#[derive(Clone, Copy)]
+/// The candidates that keep most of a prompt: from one of them the others can fetch it.
 struct Sources {
-    first: Option<Source>,
-    second: Option<Source>,
+    /// What each of them is believed to keep of the prompt, in tokens.
+    tokens: u32,
+    indices: Vec<usize>,
 }
 
 impl Sources {
     fn new(kept: &[u32]) -> Self {
-        let sources = || kept.iter().enumerate().map(|(index, tokens)| Source { index, tokens: *tokens });
-        let first = sources().max_by_key(|source| source.tokens);
-        let is_other = |source: &Source| first.is_none_or(|first| first.index != source.index);
-        let second = sources().filter(is_other).max_by_key(|source| source.tokens);
-        Self { first, second }
-    }
-
-    fn for_candidate(self, index: usize) -> Option<Source> {
-        if self.first.is_some_and(|first| first.index == index) { self.second } else { self.first }
+        let tokens = kept.iter().copied().max().unwrap_or_default();
+        let indices = (0..kept.len()).filter(|index| kept[*index] == tokens).collect();
+        Self { tokens, indices }
     }
 }
 
@@ -206,7 +192,9 @@
     now: Instant,
 ) -> Vec<u32> {
     let Some(prompt) = question.prompt else { return Vec::new() };
-    candidates.iter().map(|candidate| kept.kept_tokens(candidate.upstream, prompt, now)).collect()
+    let keepers = kept.keepers_of(prompt, now);
+    let tokens = |candidate: &Candidate| keepers.get(&candidate.upstream).copied().unwrap_or_default();
+    candidates.iter().map(tokens).collect()
 }
 
 struct Chooser<'a> {
@@ -238,8 +226,7 @@
         let own = self.kept[index];
         let missing = prompt.shared_tokens() - own;
         let is_home = self.home == Some(index);
-        let source = self.source(index, prompt, own);
-        let fetched = source.map_or(0, |source| source.tokens - own);
+        let fetched = self.fetched(prompt, own);
         let away = prompt.shared_tokens() as f32 * self.rules.away;
         let (read, fetched) = ((missing - fetched) as f32, fetched as f32);
         let reading = if is_home {
@@ -255,19 +242,26 @@
         // Upstreams that have to read or fetch are many and alike; the home and keepers are few.
         let is_one_of_many = missing > 0 && !is_home;
         let spread = if is_one_of_many { self.rules.jitter * self.mean_load + 1.0 } else { 1.0 };
-        let fetch_from = source.map(|source| source.index);
         let cost = ahead + reading + self.jitter(index, spread);
+        let fetch_from = (fetched > 0.0).then(|| self.source(index)).flatten();
         Choice { chosen: index, fetch_from, reason, cost, missing, mean_load: self.mean_load }
     }
 
-    /// From where a candidate that keeps `own` tokens should fetch: from the one that is believed
-    /// to keep most.
-    fn source(&self, index: usize, prompt: &Prompt, own: u32) -> Option<Source> {
+    /// How many tokens a candidate that keeps `own` would fetch from one of those that keep most.
+    fn fetched(&self, prompt: &Prompt, own: u32) -> u32 {
         if !self.question.can_fetch || prompt.shared_tokens() - own < self.rules.least_fetched {
-            return None;
+            return 0;
         }
-        let best = self.sources.for_candidate(index)?;
-        (best.tokens >= own + self.rules.least_fetched).then_some(best)
+        let more = self.sources.tokens.saturating_sub(own);
+        if more < self.rules.least_fetched { 0 } else { more }
+    }
+
+    /// From where a candidate should fetch. An upstream sends one prompt after the other: the head of a thousand
+    /// subjects is kept by hundreds, and if all fetched it from the same one, they would wait there for seconds.
+    fn source(&self, index: usize) -> Option<usize> {
+        let draw = self.tie(index) as usize;
+        let indices = &self.sources.indices;
+        indices.get(draw % indices.len().max(1)).copied()
     }
 
     /// A part of a request's cost, up to that of `spread` requests ahead, that differs by request
--- a/crates/bendhinge_placement/src/kept.rs
+++ b/crates/bendhinge_placement/src/kept.rs
@@ -5,7 +5,7 @@
 use bendhinge_ids::{Instant, NameHash};
 use rustc_hash::FxHashMap;
 
-use crate::{PartId, Prompt, PromptPart};
+use crate::{PartId, Prompt};
 
 /// That a part goes on being used is news after this share of the time for which it is believed to be
 /// kept.
@@ -76,21 +76,30 @@
         })
     }
 
-    /// How many tokens of a prompt's shared parts an upstream is believed to keep: those before
-    /// the first part that it lacks.
+    /// Which upstreams are believed to keep how many tokens of a prompt's shared parts: those before the first part
+    /// that each lacks. It takes time for each keeper of the first part, not for each upstream.
     #[must_use]
-    pub fn kept_tokens(&self, upstream: NameHash, prompt: &Prompt, now: Instant) -> u32 {
-        let keeps = |part: &&PromptPart| self.keeps(upstream, part.id, now);
-        prompt.shared().iter().take_while(keeps).map(|part| part.tokens).sum()
+    pub fn keepers_of(&self, prompt: &Prompt, now: Instant) -> FxHashMap<NameHash, u32> {
+        let mut tokens = FxHashMap::default();
+        let mut before = 0;
+        for (index, part) in prompt.shared().iter().enumerate() {
+            let together = before + part.tokens;
+            for upstream in self.keeping(part.id, now) {
+                if index == 0 {
+                    tokens.insert(upstream, together);
+                } else if let Some(kept) = tokens.get_mut(&upstream).filter(|kept| **kept == before) {
+                    *kept = together;
+                }
+            }
+            before = together;
+        }
+        tokens
     }
 
-    fn keeps(&self, upstream: NameHash, part: PartId, now: Instant) -> bool {
-        let keepers = self.keepers.get(&part);
-        keepers.is_some_and(|keepers| {
-            let is_it =
-                |keeper: &Keeper| keeper.upstream == upstream && now.since(keeper.used) < self.believed_for;
-            keepers.iter().any(is_it)
-        })
+    fn keeping(&self, part: PartId, now: Instant) -> impl Iterator<Item = NameHash> {
+        let keepers = self.keepers.get(&part).into_iter().flatten();
+        let believed = keepers.filter(move |keeper| now.since(keeper.used) < self.believed_for);
+        believed.map(|keeper| keeper.upstream)
     }
 
     /// Forgets beliefs that are too old, and upstreams that are gone.
--- a/crates/bendhinge_placement/tests/cost.rs
+++ b/crates/bendhinge_placement/tests/cost.rs
@@ -160,10 +160,11 @@
     let mut kept = KeptParts::new(KEPT_FOR);
     let upstream = NameHash(1);
     kept.read(upstream, &prompt(1, 9), NOW);
-    assert_eq!(kept.kept_tokens(upstream, &prompt(1, 9), NOW), 8_500);
-    assert_eq!(kept.kept_tokens(upstream, &prompt(1, 8), NOW), 2_500);
-    assert_eq!(kept.kept_tokens(upstream, &prompt(2, 9), NOW), 0, "the part before it is lacking");
-    assert_eq!(kept.kept_tokens(upstream, &prompt(1, 9), NOW + KEPT_FOR), 0);
+    let tokens = |prompt: &Prompt, now| kept.keepers_of(prompt, now).get(&upstream).copied();
+    assert_eq!(tokens(&prompt(1, 9), NOW), Some(8_500));
+    assert_eq!(tokens(&prompt(1, 8), NOW), Some(2_500));
+    assert_eq!(tokens(&prompt(2, 9), NOW), None, "the part before it is lacking");
+    assert_eq!(tokens(&prompt(1, 9), NOW + KEPT_FOR), None);
 }
 
 #[test]
@@ -201,3 +202,33 @@
         .for_each(|spared| spared.counts = false);
     assert_eq!(placing.chosen(&prompt(1, 100)), busy, "its home, and within the limit if they do not count");
 }
+
+/// Many subjects with few heads, before many upstreams: each subject's home fetches the head from one of the hundreds
+/// that keep it. Seen: all fetched it from the same one, which sends one after the other, and half of the prompts that
+/// were fetched took two seconds.
+#[test]
+fn a_head_that_many_keep_is_fetched_from_all_of_them() {
+    const UPSTREAMS: u64 = 600;
+    const KEEPERS: usize = 200;
+    const FETCHES: u64 = 1_000;
+    let mut placing = Placing::new(UPSTREAMS);
+    for index in 0..KEEPERS {
+        placing.read(index, &prompt(1, 10_000 + index as u64));
+    }
+    let mut sources = vec![0_usize; UPSTREAMS as usize];
+    for subject in 0..FETCHES {
+        let prompt = prompt(1, 50_000 + subject);
+        let question = Question { prompt: Some(&prompt), can_fetch: true, tie_breaker: subject };
+        let choice =
+            choose(&CostRules::default(), &question, &placing.candidates, &placing.kept, NOW).unwrap();
+        if let Some(source) = choice.fetch_from {
+            assert!(source < KEEPERS, "it keeps the head");
+            sources[source] += 1;
+        }
+    }
+    let fetched: usize = sources.iter().sum();
+    assert!(fetched > KEEPERS, "{fetched} fetched");
+    let even = fetched / KEEPERS;
+    let busiest = sources.iter().max().unwrap();
+    assert!(*busiest <= 4 * even, "{busiest} of {fetched} from one of {KEEPERS}");
+}
