--- a/crates/bendhinge_fleet/src/belief.rs
+++ b/crates/bendhinge_fleet/src/belief.rs
@@ -18,6 +18,21 @@
     pub digest: u64,
 }
 
+impl Version {
+    /// Of a document with a revision of its own, that of its last change, which tells it from all others; it was read
+    /// when the store was at `read_at`.
+    #[must_use]
+    pub const fn of_document(document: Revision, read_at: Revision) -> Self {
+        Self { revision: read_at, digest: document.0 }
+    }
+
+    /// The document's own revision.
+    #[must_use]
+    pub const fn document(self) -> Revision {
+        Revision(self.digest)
+    }
+}
+
 /// A value that is held.
 #[derive(Clone, Debug)]
 pub struct Held<T> {
--- a/crates/bendhinge_fleet/src/lists.rs
+++ b/crates/bendhinge_fleet/src/lists.rs
@@ -9,7 +9,7 @@
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
-use bendhinge_ids::{DataCentreName, NameHash};
+use bendhinge_ids::{DataCentreName, NameHash, UpstreamName};
 use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
 
 use crate::directory::{UpstreamEntry, UpstreamList};
@@ -73,6 +73,24 @@
         Self { entries, drained: changes.drained.clone() }
     }
 
+    /// This list after the store wrote the entries that `came` and removed those that are `gone`, with these data
+    /// centres `drained`. An entry replaces all lives of the upstream that it names.
+    #[must_use]
+    pub fn updated(
+        &self,
+        came: Vec<UpstreamEntry>,
+        gone: &[UpstreamName],
+        drained: Vec<DataCentreName>,
+    ) -> Self {
+        let names = came.iter().map(|entry| &entry.name).chain(gone);
+        let replaced: FxHashSet<&UpstreamName> = names.collect();
+        let stays = self.entries.iter().filter(|entry| !replaced.contains(&entry.name)).cloned();
+        let mut entries: Vec<_> = stays.collect();
+        entries.extend(came.into_iter().map(Arc::new));
+        entries.sort_by(|left, right| left.name.cmp(&right.name));
+        Self { entries, drained }
+    }
+
     /// The same list, whose entries are shared with `other` where they are equal: lists that follow each
     /// other are mostly alike, and several are held at a time.
     #[must_use]
@@ -104,6 +122,12 @@
         self.0.push_back((digest, Arc::clone(list)));
     }
 
+    /// A list that was held lately.
+    #[must_use]
+    pub fn get(&self, digest: u64) -> Option<&Arc<UpstreamList>> {
+        self.0.iter().find(|(known, _)| *known == digest).map(|(_, list)| list)
+    }
+
     /// `list` as it is told to a peer that holds the one whose digest is `base`.
     #[must_use]
     pub fn tell(&self, list: &UpstreamList, base: Option<u64>) -> ListTold {
--- a/crates/bendhinge_fleet/src/reading.rs
+++ b/crates/bendhinge_fleet/src/reading.rs
@@ -34,6 +34,10 @@
 /// routers would make some 170.
 const EVEN_GROUPS: u32 = 4;
 
+/// How long a router that holds no list waits before it reads a long one by itself: within two exchanges it hears of
+/// most others, and knows its rank.
+const SETTLING: Duration = Duration::from_millis(600);
+
 /// The longest such pause. It is for those whom others tell that the store is back: a router that
 /// reaches nobody has the first rank as soon as it counts the others as dead, and that rank's pause.
 const LONGEST_URGENT_PAUSE: Duration = Duration::from_secs(30);
@@ -90,6 +94,17 @@
         self.limits.last.saturating_add(cost.saturating_mul(2))
     }
 
+    /// How long a router of `rank` waits before it reads a list of many pages to its end, which others may tell it
+    /// meanwhile. The store hands out each such list at the cost of many calls, and all of them through one link: 585
+    /// routers that read one of 6,000 upstreams at the same time would wait for it for seconds, and none would have it
+    /// earlier than the others.
+    #[must_use]
+    pub fn turn(&self, rank: usize, holds_list: bool) -> Duration {
+        let settling = if holds_list { Duration::ZERO } else { SETTLING };
+        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+        settling.saturating_add(self.limits.step.saturating_mul(rank))
+    }
+
     /// How long a router of `rank` waits after a read that gave nothing while nobody has news.
     fn urgent_pause(&self, rank: usize) -> Duration {
         let group = u32::try_from(1 + rank / EAGER).unwrap_or(u32::MAX);
--- a/crates/bendhinge_fleet/tests/lists.rs
+++ b/crates/bendhinge_fleet/tests/lists.rs
@@ -134,3 +134,19 @@
         assert_eq!(after(held, &told), *current);
     }
 }
+
+/// What the store wrote and removed is made in the list that is held; a new life takes the place of the one before.
+#[test]
+fn a_list_follows_what_the_store_wrote_and_removed() {
+    let before = list(0..250);
+    let name = |number: u32| ready(number).name.clone();
+    let again = UpstreamEntry { born: 7, hash: UpstreamEntry::life(&name(9), 7), ..(*ready(9)).clone() };
+    let came = vec![(*ready(300)).clone(), again.clone()];
+    let drained = vec!["hall-2".parse().unwrap()];
+    let after = before.updated(came, &[name(4), name(777)], drained.clone());
+    let mut expected: Vec<_> = (0..250).filter(|number| ![4, 9].contains(number)).map(ready).collect();
+    expected.push(ready(300));
+    expected.push(Arc::new(again));
+    expected.sort_by(|left, right| left.name.cmp(&right.name));
+    assert_eq!(after, UpstreamList { entries: expected, drained });
+}
--- a/crates/bendhinge_fleet/tests/reading.rs
+++ b/crates/bendhinge_fleet/tests/reading.rs
@@ -120,3 +120,14 @@
     assert!(later(295) <= later(74) + later(74) / 4, "{} against {}", later(295), later(74));
     assert!(later(3_705) <= later(74) + later(74) / 2, "{}", later(3_705));
 }
+
+/// A router that has just started waits until it has heard of the others; one that holds a list knows its rank.
+#[test]
+fn a_long_list_is_read_to_its_end_by_rank() {
+    let plan = ReadingPlan::new(LIMITS);
+    assert_eq!(plan.turn(0, true), Duration::ZERO);
+    assert_eq!(plan.turn(3, true), LIMITS.step * 3);
+    assert!(plan.turn(0, false) > Duration::ZERO);
+    assert_eq!(plan.turn(3, false), plan.turn(0, false) + LIMITS.step * 3);
+    assert!(plan.turn(usize::MAX, false) > Duration::from_hours(1));
+}
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -2,9 +2,10 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{Contact, ListTold, Origin, Reach};
+use bendhinge_fleet::{Contact, ListTold, Origin, Reach, UpstreamList};
 use bendhinge_peer::{FleetDuties, Known, ObservedRead, PeerMessage, ReadsPage};
 use bytes::Bytes;
 use futures_lite::FutureExt;
@@ -228,6 +229,10 @@
         self.0.is_informed.get().then(|| self.0.delivering.upstreams.all_reads(page, bendhinge_clock::now()))
     }
 
+    fn list(&self, digest: u64) -> Option<Arc<UpstreamList>> {
+        self.0.delivering.upstreams.held_lately(digest)
+    }
+
     fn upstreams(&self, base: Option<u64>) -> Option<(Known, ListTold)> {
         let upstreams = &self.0.delivering.upstreams;
         let known = upstreams.known(bendhinge_clock::now())?;
--- a/crates/bendhinge_gateway/src/control/fetching.rs
+++ b/crates/bendhinge_gateway/src/control/fetching.rs
@@ -122,19 +122,29 @@
 
     /// Takes a document of rules that was known to be current `known.age` before `asked`.
     pub(super) fn take_rules(self: &Rc<Self>, known: &Known, asked: Instant, document: Bytes, from: Origin) {
+        if self.hold_rules(known, asked, document, from) == Offer::New {
+            self.spread(from);
+        }
+    }
+
+    /// The same, without telling others.
+    pub(super) fn hold_rules(&self, known: &Known, asked: Instant, document: Bytes, from: Origin) -> Offer {
         let rules = match self.delivering.dialect.read_rules(&document) {
             Ok(rules) => rules,
             Err(error) => {
-                return self.delivering.log.process("rules_refused", from.as_str(), &error.to_string());
+                self.delivering.log.process("rules_refused", from.as_str(), &error.to_string());
+                return Offer::Old;
             }
         };
         let offered = RulesInForce { rules, document };
         let offer = self.delivering.rules.offer(known.version, asked - known.age, offered);
         if offer == Offer::New {
             let age = bendhinge_clock::now().since(asked - known.age);
-            self.delivering.log.belief(Believed::Rules, known.version, from, age);
-            self.spread(from);
+            // Operators know the rules by the revision of the document.
+            let shown = Version { revision: known.version.document(), ..known.version };
+            self.delivering.log.belief(Believed::Rules, shown, from, age);
         }
+        offer
     }
 
     /// Takes a list of upstreams that was known to be current `known.age` before `asked`.
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod exchange;
 mod fetching;
 mod message;
+mod pages;
 mod recovery;
 mod store;
 
@@ -46,6 +47,8 @@
     foreign: RefCell<BTreeSet<ForeignEntry>>,
     /// Whether a read of everything took too long, and the rules were not read by themselves since.
     is_read_along_slow: Cell<bool>,
+    /// Whether the store could not tell what changed, so that it is read whole.
+    lost_track: Cell<bool>,
     peers: PeerPool<FleetClient>,
     /// This life of the gateway, as others tell it from the one before.
     life: NewsLife,
@@ -75,6 +78,7 @@
             rules_reading: Reading::new("store_rules", settings.store.reading),
             foreign: RefCell::default(),
             is_read_along_slow: Cell::new(false),
+            lost_track: Cell::new(false),
             peers,
             life: NewsLife(rand::rng().random_range(1..=u64::MAX)),
             peer_states: RefCell::new(PeerStates::new(PEERS_KEPT)),
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -6,52 +6,26 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{Origin, ReadingLimits, ReadingPlan, Revision, UpstreamEntry, UpstreamList, Version};
-use bendhinge_http::{FetchError, FetchTime, Fetched, empty_body, fetch};
+use bendhinge_fleet::{Origin, ReadingLimits, ReadingPlan, Revision, UpstreamList, Version};
 use bendhinge_ids::{DataCentreName, Instant};
 use bendhinge_peer::Known;
-use hyper::{Request, StatusCode};
 use smol::Timer;
 
 use super::Control;
+use super::pages::{Contents, Found};
 use crate::delivery::Delivering;
-use crate::dialect::{ForeignEntry, StorePage, StorePart, StoredRules, TranslateError};
+use crate::dialect::{ForeignEntry, StoreChanges, StorePart, StoredRules};
 
-/// The largest page that is read.
-const LARGEST_PAGE: usize = 8 << 20;
 /// How often a gateway whose turn it is not looks whether it has become so.
 const LOOK: Duration = Duration::from_millis(200);
 /// How often a gateway that lost the store looks whether it is back: rules that were not known to be
 /// current for long are wanted at once.
 const LOOK_WHILE_LOST: Duration = Duration::from_millis(50);
-/// Pages after which a read is given up.
-const MOST_PAGES: usize = 200;
 /// Rules up to this size are read along with the list, since the platform prices each call; on the
 /// narrowest link of the sites, 10 Mbit/s, they delay it by 0.14 s.
 const SMALL_RULES: usize = 128 << 10;
-/// Time to read large rules. The largest take 1.1 s on that link when nothing else is on it.
-const RULES_TIME: Duration = Duration::from_secs(4);
-
-/// Why a read of the store gave nothing.
-#[derive(Debug, thiserror::Error)]
-enum ReadError {
-    #[error(transparent)]
-    Fetch(#[from] FetchError),
-    #[error(transparent)]
-    Form(#[from] TranslateError),
-    #[error("the store has more pages than {MOST_PAGES}")]
-    Endless,
-}
-
-/// What the store held.
-#[derive(Default)]
-struct Contents {
-    at: Revision,
-    rules: Option<StoredRules>,
-    upstreams: Vec<UpstreamEntry>,
-    drained: Vec<DataCentreName>,
-    foreign: Vec<ForeignEntry>,
-}
+/// A list of so many upstreams is read whole, on one page or two: to ask first whether it has changed spares nothing.
+const SHORT_LIST: usize = 200;
 
 /// One of the two things that are read, each in its own time: a list of upstreams must not be as
 /// old as it takes to read a megabyte of rules, nor be lost with them.
@@ -105,58 +79,19 @@
     }
 }
 
-async fn read_pages(control: &Control, part: StorePart) -> Result<Contents, ReadError> {
-    let known = control.delivering.rules.known(bendhinge_clock::now()).map(|known| known.version.revision);
-    let mut contents = Contents::default();
-    let mut after: Option<String> = None;
-    for page_number in 0.. {
-        if page_number == MOST_PAGES {
-            return Err(ReadError::Endless);
-        }
-        let page = read_page(control, part, after.as_deref(), known).await?;
-        contents.at = if contents.at == Revision::default() { page.at } else { contents.at.min(page.at) };
-        contents.rules = page.rules.or(contents.rules);
-        contents.upstreams.extend(page.upstreams);
-        contents.drained.extend(page.drained);
-        contents.foreign.extend(page.foreign);
-        after = page.next_after;
-        if after.is_none() {
-            break;
-        }
-    }
-    Ok(contents)
-}
-
-async fn read_page(
-    control: &Control,
-    part: StorePart,
-    after: Option<&str>,
-    known: Option<Revision>,
-) -> Result<StorePage, ReadError> {
-    let dialect = &control.delivering.dialect;
-    let store = &control.settings.store;
-    let request = Request::get(dialect.page_path(part, after)).header("host", store.address.to_string());
-    let request = request.body(empty_body()).map_err(|error| TranslateError::new("the path", &error))?;
-    let may_be_large = part == StorePart::Rules || control.knows_nothing();
-    let whole = if may_be_large { RULES_TIME } else { store.call };
-    let time = FetchTime { silence: store.call, whole };
-    let fetched: Fetched =
-        fetch(&control.delivering.pool, store.address, request, LARGEST_PAGE, time).await?;
-    if fetched.status != StatusCode::OK {
-        return Err(FetchError::Status(fetched.status).into());
-    }
-    Ok(dialect.read_page(&fetched.body, known)?)
-}
-
 impl Control {
-    /// Reads a part of the store and takes in what it held.
+    /// Reads a part of the store, or what changed of all that is held, and takes in what it held.
     async fn read(self: &Rc<Self>, part: StorePart, reading: &Reading) {
         let began = bendhinge_clock::now();
-        let contents = read_pages(self, part).await;
+        let held_up_to = self.held_up_to().filter(|_| self.reads_changes());
+        let found = match held_up_to {
+            Some(since) => self.read_changes(since).await,
+            None => self.read_whole(part).await,
+        };
         let now = bendhinge_clock::now();
-        self.delivering.metrics.store_read(now.since(began), contents.is_ok());
-        match contents {
-            Ok(contents) => {
+        self.delivering.metrics.store_read(now.since(began), found.is_ok());
+        match found {
+            Ok(found) => {
                 reading.plan.borrow_mut().succeeded(now);
                 if part == StorePart::All {
                     // Rules that it did not hold are not asked for again at once.
@@ -165,18 +100,19 @@
                 if part == StorePart::Rules {
                     self.is_read_along_slow.set(false);
                 }
+                self.lost_track.set(false);
                 self.note_store(reading, true, "");
                 let was_lost = self.evidence_is_lost();
-                self.take_contents(part, contents, began);
+                self.take_found(part, found);
                 if was_lost {
                     // The others wait for this as for news, though it may be no change.
                     self.spread(Origin::Store);
                 }
             }
+            Err(error) if held_up_to.is_some() && error.is_history_lost() => self.lost_track.set(true),
             Err(error) => {
                 reading.plan.borrow_mut().failed(now);
-                let is_slow = matches!(error, ReadError::Fetch(FetchError::Timeout(_)));
-                if part == StorePart::All && is_slow {
+                if part == StorePart::All && error.is_slow() {
                     // Rules may have come that are not small any more.
                     self.is_read_along_slow.set(true);
                 }
@@ -185,6 +121,34 @@
         }
     }
 
+    fn take_found(self: &Rc<Self>, part: StorePart, found: Found) {
+        match found {
+            Found::Whole(contents) => self.take_contents(part, contents),
+            Found::Changes { began, drained, changes } => self.take_changes(began, drained, changes),
+            Found::Told => {}
+        }
+    }
+
+    /// The store's revision up to which all that it holds is known here.
+    fn held_up_to(&self) -> Option<Revision> {
+        let now = bendhinge_clock::now();
+        let rules = self.delivering.rules.known(now)?;
+        let upstreams = self.delivering.upstreams.known(now)?;
+        Some(rules.version.revision.min(upstreams.version.revision))
+    }
+
+    /// Whether the list is so long that only its changes are read.
+    fn reads_changes(&self) -> bool {
+        let is_long = |list: Arc<UpstreamList>| list.entries.len() > SHORT_LIST;
+        self.delivering.upstreams.list().is_some_and(is_long) && !self.lost_track.get()
+    }
+
+    /// How long this gateway waits before it reads a long list to its end.
+    pub(super) fn turn_to_read_on(&self, now: Instant) -> Duration {
+        let holds_list = self.delivering.upstreams.is_known();
+        self.upstreams_reading.plan.borrow().turn(self.own_rank(now), holds_list)
+    }
+
     /// Whether reads of the store failed last.
     pub(super) fn is_store_failing(&self) -> bool {
         self.upstreams_reading.is_failing() || !self.reads_rules_along() && self.rules_reading.is_failing()
@@ -195,8 +159,12 @@
         self.reads_rules_along() || self.knows_nothing()
     }
 
-    /// Whether the rules are so small, as far as is known, that they are read along with the list.
+    /// Whether the rules are so small, as far as is known, that they are read along with the list, or are among what
+    /// is read of it if they change.
     fn reads_rules_along(&self) -> bool {
+        if self.reads_changes() && self.delivering.rules.current().is_some() {
+            return true;
+        }
         let held = self.delivering.rules.current();
         let is_small = held.is_some_and(|held| held.document.len() <= SMALL_RULES);
         is_small && !self.is_read_along_slow.get()
@@ -206,7 +174,7 @@
     /// has both the list and the rules, so both are read in one call: on a day with two starts of 295 boxes
     /// the fleet made 1,136 calls in place of 1,702. That is over with the first list, which may come without
     /// rules, and with a read that took too long.
-    fn knows_nothing(&self) -> bool {
+    pub(super) fn knows_nothing(&self) -> bool {
         let is_empty = self.delivering.rules.current().is_none() && !self.delivering.upstreams.is_known();
         is_empty && !self.is_read_along_slow.get()
     }
@@ -265,10 +233,9 @@
     }
 
     /// Notes which entries are of other writers now; what changed of them is worth a line.
-    fn note_foreign(&self, foreign: Vec<ForeignEntry>) {
+    fn note_foreign(&self, foreign: BTreeSet<ForeignEntry>) {
         /// Lines for one read, whatever was written there.
         const MOST_LINES: usize = 16;
-        let foreign: BTreeSet<ForeignEntry> = foreign.into_iter().collect();
         let Delivering { log, metrics, .. } = &*self.delivering;
         metrics.foreign_entries(foreign.len());
         let before = self.foreign.replace(foreign.clone());
@@ -281,30 +248,73 @@
         }
     }
 
-    fn take_contents(self: &Rc<Self>, part: StorePart, contents: Contents, began: Instant) {
-        let Contents { at, rules, mut upstreams, mut drained, foreign } = contents;
-        if let Some(StoredRules { revision, document }) = rules {
-            // A document has one revision: its number tells it from all others.
-            let version = Version { revision, digest: revision.0 };
-            if self.delivering.rules.lacks(version) {
-                let known = Known { version, age: Duration::ZERO };
-                self.take_rules(&known, began, document, Origin::Store);
-            } else {
-                self.delivering.rules.confirm(version, began);
-            }
+    /// Begins to serve with the first page of a list that takes long to read whole: its rules, and the upstreams on it.
+    pub(super) fn begin_with(self: &Rc<Self>, mut contents: Contents) {
+        let (began, at) = (contents.began, contents.at);
+        if let Some(StoredRules { revision, document }) = contents.rules.take() {
+            let version = Version::of_document(revision, at);
+            // All that start read this page, so it is no news to any.
+            self.hold_rules(&Known { version, age: Duration::ZERO }, began, document, Origin::Store);
+        }
+        self.delivering.upstreams.begin_with(&contents.into_list());
+    }
+
+    fn take_contents(self: &Rc<Self>, part: StorePart, mut contents: Contents) {
+        let (began, at) = (contents.began, contents.at);
+        if let Some(rules) = contents.rules.take() {
+            self.take_stored_rules(rules, at, began);
         }
         if !part.has_upstreams() {
             return;
         }
-        self.note_foreign(foreign);
-        upstreams.sort_by(|left, right| left.name.cmp(&right.name));
-        upstreams.dedup_by(|left, right| left.name == right.name);
+        self.note_foreign(contents.foreign.drain(..).collect());
+        let list = contents.into_list();
+        let known = Known { version: Version { revision: at, digest: list.digest() }, age: Duration::ZERO };
+        self.take_upstreams(&known, began, list, Origin::Store);
+    }
+
+    fn take_changes(
+        self: &Rc<Self>,
+        began: Instant,
+        mut drained: Vec<DataCentreName>,
+        changes: StoreChanges,
+    ) {
+        let StoreChanges { at, rules, came, gone, foreign, keys } = changes;
         drained.sort_unstable();
         drained.dedup();
-        let list = UpstreamList { entries: upstreams.into_iter().map(Arc::new).collect(), drained };
+        let now = bendhinge_clock::now();
+        let Delivering { rules: held_rules, upstreams, .. } = &*self.delivering;
+        match (rules, held_rules.known(now)) {
+            (Some(rules), _) => self.take_stored_rules(rules, at, began),
+            (None, Some(held)) => {
+                held_rules.confirm(Version { revision: at, ..held.version }, began);
+            }
+            (None, None) => {}
+        }
+        let was_touched = |entry: &ForeignEntry| keys.contains(&entry.key);
+        let mut all_foreign = self.foreign.borrow().clone();
+        all_foreign.retain(|entry| !was_touched(entry));
+        all_foreign.extend(foreign);
+        self.note_foreign(all_foreign);
+        let (Some(list), Some(held)) = (upstreams.list(), upstreams.known(now)) else { return };
+        if came.is_empty() && gone.is_empty() && drained == list.drained {
+            upstreams.confirm(Version { revision: at, ..held.version }, began);
+            return;
+        }
+        let list = list.updated(came, &gone, drained);
         let known = Known { version: Version { revision: at, digest: list.digest() }, age: Duration::ZERO };
         self.take_upstreams(&known, began, list, Origin::Store);
     }
+
+    /// Takes the rules that the store held at the revision `at`, by a read that began at `began`.
+    fn take_stored_rules(self: &Rc<Self>, rules: StoredRules, at: Revision, began: Instant) {
+        let version = Version::of_document(rules.revision, at);
+        if self.delivering.rules.lacks(version) {
+            self.take_rules(&Known { version, age: Duration::ZERO }, began, rules.document, Origin::Store);
+        } else {
+            self.delivering.rules.confirm(version, began);
+        }
+    }
 }
 
 /// From which age on a belief counts as lost.
--- a/crates/bendhinge_gateway/src/dialect.rs
+++ b/crates/bendhinge_gateway/src/dialect.rs
@@ -6,7 +6,7 @@
 
 use bendhinge_codes::ResultCode;
 use bendhinge_fleet::{Revision, UpstreamEntry};
-use bendhinge_ids::{CustomerName, DataCentreName};
+use bendhinge_ids::{CustomerName, DataCentreName, UpstreamName};
 use bendhinge_placement::{PartId, Prompt, PromptPart};
 use bendhinge_routes::ServingRules;
 use bytes::Bytes;
@@ -101,6 +101,8 @@
     Upstreams,
     /// The serving rules.
     Rules,
+    /// Which data centres are drained: little, read for the store's revision.
+    Drained,
 }
 
 impl StorePart {
@@ -128,6 +130,41 @@
     pub next_after: Option<String>,
 }
 
+/// What changed in the store since a revision.
+#[derive(Debug, Default)]
+pub struct StoreChanges {
+    /// The revision up to which all changes are there.
+    pub at: Revision,
+    /// The document of the serving rules, if it changed.
+    pub rules: Option<StoredRules>,
+    /// Upstreams that are new or differ.
+    pub came: Vec<UpstreamEntry>,
+    /// Upstreams whose entries are gone, or name no upstream any more.
+    pub gone: Vec<UpstreamName>,
+    /// Entries that name no upstream.
+    pub foreign: Vec<ForeignEntry>,
+    /// The keys of all entries that changed.
+    pub keys: Vec<String>,
+}
+
+impl StoreChanges {
+    /// These changes and then those that are `later`.
+    #[must_use]
+    pub fn followed_by(mut self, later: Self) -> Self {
+        let is_replaced = |name: &UpstreamName| {
+            later.gone.contains(name) || later.came.iter().any(|entry| entry.name == *name)
+        };
+        self.came.retain(|entry| !is_replaced(&entry.name));
+        self.gone.retain(|name| !is_replaced(name));
+        self.foreign.retain(|entry| !later.keys.contains(&entry.key));
+        self.came.extend(later.came);
+        self.gone.extend(later.gone);
+        self.foreign.extend(later.foreign);
+        self.keys.extend(later.keys);
+        Self { at: later.at, rules: later.rules.or(self.rules), ..self }
+    }
+}
+
 /// An entry of another writer: it names nothing that could be used, and hides nothing else.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ForeignEntry {
@@ -253,6 +290,10 @@
     fn page_path(&self, part: StorePart, after: Option<&str>) -> String;
     /// Reads a page. The document of the rules may be left out if its revision is `known`.
     fn read_page(&self, body: &[u8], known: Option<Revision>) -> Result<StorePage, TranslateError>;
+    /// The path of all that changed since a revision.
+    fn changes_path(&self, since: Revision) -> String;
+    /// Reads such an answer.
+    fn read_changes(&self, body: &[u8]) -> Result<StoreChanges, TranslateError>;
     /// Reads the document of the serving rules.
     fn read_rules(&self, document: &[u8]) -> Result<ServingRules, TranslateError>;
 }
--- a/crates/bendhinge_gateway/src/knowledge/peers.rs
+++ b/crates/bendhinge_gateway/src/knowledge/peers.rs
@@ -138,6 +138,11 @@
         Some(state.history.tell(list, base))
     }
 
+    /// A list that was held lately, by its digest.
+    pub(crate) fn held_lately(&self, digest: u64) -> Option<Arc<UpstreamList>> {
+        self.state.lock().unwrap().history.get(digest).cloned()
+    }
+
     /// The list that is held with `changes` made, if it is the one whose digest is `base`.
     pub(crate) fn list_with(&self, base: u64, changes: &ListChanges) -> Option<UpstreamList> {
         let state = self.state.lock().unwrap();
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -135,6 +135,19 @@
         self.state.lock().unwrap().belief.held().is_some()
     }
 
+    /// Whether there are upstreams to send to, though not all may be known.
+    pub(crate) fn is_begun(&self) -> bool {
+        !self.state.lock().unwrap().directory.listed().is_empty()
+    }
+
+    /// Begins with a part of the list, which others are not told of, until all of it is there.
+    pub(crate) fn begin_with(&self, part: &UpstreamList) {
+        let mut state = self.state.lock().unwrap();
+        if state.belief.held().is_none() {
+            state.directory.take(part, bendhinge_clock::now());
+        }
+    }
+
     pub(crate) fn age(&self, now: Instant) -> Option<Duration> {
         self.state.lock().unwrap().belief.age(now)
     }
--- a/crates/bendhinge_gateway/src/native/store.rs
+++ b/crates/bendhinge_gateway/src/native/store.rs
@@ -11,7 +11,9 @@
 use serde_json::value::RawValue;
 
 use super::{Native, rules};
-use crate::dialect::{ForeignEntry, StoreDialect, StorePage, StorePart, StoredRules, TranslateError};
+use crate::dialect::{
+    ForeignEntry, StoreChanges, StoreDialect, StorePage, StorePart, StoredRules, TranslateError,
+};
 
 /// A page.
 #[derive(Debug, Default, Deserialize, Serialize)]
@@ -27,6 +29,9 @@
     drained: Vec<DataCentreName>,
     #[serde(default)]
     next: Option<String>,
+    /// Among changes, the upstreams that are listed no more.
+    #[serde(default)]
+    gone: Vec<UpstreamName>,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -65,27 +70,17 @@
             StorePart::All => "/v1/fleet",
             StorePart::Upstreams => "/v1/fleet/upstreams",
             StorePart::Rules => "/v1/fleet/rules",
+            StorePart::Drained => "/v1/fleet/drained",
         };
         after.map_or_else(|| path.to_owned(), |after| format!("{path}?after={after}"))
     }
 
     fn read_page(&self, body: &[u8], _: Option<Revision>) -> Result<StorePage, TranslateError> {
-        let page: Page = serde_json::from_slice(body)
-            .map_err(|error| TranslateError::new("a page of the store", &error))?;
-        let rules = page.rules.map(|item| StoredRules {
-            revision: Revision(item.revision),
-            document: Bytes::from(item.document),
-        });
-        let (mut upstreams, mut foreign) = (Vec::new(), Vec::new());
-        for raw in page.upstreams {
-            match serde_json::from_str::<UpstreamItem>(raw.get()) {
-                Ok(item) => upstreams.push(entry(item)),
-                Err(error) => foreign.push(ForeignEntry::new(name_of(&raw), &error)),
-            }
-        }
+        let page = read(body)?;
+        let (upstreams, foreign) = entries(&page.upstreams);
         Ok(StorePage {
             at: Revision(page.at),
-            rules,
+            rules: page.rules.map(stored_rules),
             upstreams,
             drained: page.drained,
             foreign,
@@ -93,11 +88,51 @@
         })
     }
 
+    fn changes_path(&self, since: Revision) -> String {
+        format!("/v1/fleet/changes?since={}", since.0)
+    }
+
+    fn read_changes(&self, body: &[u8]) -> Result<StoreChanges, TranslateError> {
+        let page = read(body)?;
+        let (came, foreign) = entries(&page.upstreams);
+        let mut gone = page.gone;
+        gone.extend(foreign.iter().filter_map(|entry| entry.key.parse().ok()));
+        let names = came.iter().map(|entry| &entry.name).chain(&gone);
+        Ok(StoreChanges {
+            at: Revision(page.at),
+            rules: page.rules.map(stored_rules),
+            keys: names.map(|name| name.as_str().to_owned()).collect(),
+            came,
+            gone,
+            foreign,
+        })
+    }
+
     fn read_rules(&self, document: &[u8]) -> Result<ServingRules, TranslateError> {
         rules::read(document)
     }
 }
 
+fn read(body: &[u8]) -> Result<Page, TranslateError> {
+    serde_json::from_slice(body).map_err(|error| TranslateError::new("a page of the store", &error))
+}
+
+fn stored_rules(item: RulesItem) -> StoredRules {
+    StoredRules { revision: Revision(item.revision), document: Bytes::from(item.document) }
+}
+
+/// The entries that name upstreams, and those that do not.
+fn entries(items: &[Box<RawValue>]) -> (Vec<UpstreamEntry>, Vec<ForeignEntry>) {
+    let (mut upstreams, mut foreign) = (Vec::new(), Vec::new());
+    for raw in items {
+        match serde_json::from_str::<UpstreamItem>(raw.get()) {
+            Ok(item) => upstreams.push(entry(item)),
+            Err(error) => foreign.push(ForeignEntry::new(name_of(raw), &error)),
+        }
+    }
+    (upstreams, foreign)
+}
+
 /// The name of an entry of which other things cannot be read; empty if it is not either.
 fn name_of(raw: &RawValue) -> String {
     #[derive(Deserialize)]
--- a/crates/bendhinge_lab/tests/gateway_large_rules.rs
+++ b/crates/bendhinge_lab/tests/gateway_large_rules.rs
@@ -91,6 +91,10 @@
         Some((Self::known(), self.rules.clone()))
     }
 
+    fn list(&self, _: u64) -> Option<Arc<UpstreamList>> {
+        None
+    }
+
     fn upstreams(&self, _: Option<u64>) -> Option<(Known, ListTold)> {
         Some((Self::known(), ListTold::Whole(UpstreamList::default())))
     }
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -128,7 +128,11 @@
   # Against the list of which the asker gives the digest, if it is remembered: `list` holds what is new or
   # differs and `gone` the hashes of names that are not listed any more, and `base` is that digest. Else `base` is 0
   # and the list is whole. `drained` names all data centres that are drained, in both cases.
-  upstreams @2 (base :UInt64) -> (known :Known, list :List(Upstream), base :UInt64, gone :List(UInt64), drained :List(Text));
+  # A whole list comes in pieces if `inPieces`: this is the first of `length` entries, the others are read by `listPiece`.
+  # A length of 0 says that the list is whole.
+  upstreams @2 (base :UInt64, inPieces :Bool) -> (known :Known, list :List(Upstream), base :UInt64, gone :List(UInt64), drained :List(Text), length :UInt32);
   # Of the parts whose number leaves `page` when divided by `pages`; 0 pages are one.
   reads @3 (page :UInt32, pages :UInt32) -> (reads :List(Read), informed :Bool);
+  # Entries of the list with this digest from the one at `from` on; none if the list is not remembered any more.
+  listPiece @4 (digest :UInt64, from :UInt32) -> (list :List(Upstream));
 }
--- a/crates/bendhinge_peer/src/fleet/client.rs
+++ b/crates/bendhinge_peer/src/fleet/client.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::ListTold;
+use bendhinge_fleet::{ListTold, UpstreamEntry};
 use bytes::{Bytes, BytesMut};
 use smol::LocalExecutor;
 
-use super::convert::{read_known, read_list, read_message, read_read, write_message};
+use super::convert::{count, read_known, read_list, read_message, read_read, read_upstreams, write_message};
 use super::{Known, ObservedRead, PeerMessage, ReadsPage};
 use crate::calling::{self, Calling};
 use crate::client::{CallError, within};
@@ -48,6 +48,14 @@
     rest: Option<document::Client>,
 }
 
+/// A list of which the first piece is there.
+struct ListBegun {
+    known: Known,
+    told: ListTold,
+    /// Entries of the whole list; 0 if it is whole.
+    length: usize,
+}
+
 impl FleetClient {
     /// Exchanges messages.
     pub async fn exchange(&self, message: &PeerMessage) -> Result<PeerMessage, CallError> {
@@ -106,15 +114,44 @@
     }
 
     /// Fetches the list of upstreams that the peer holds, as changes if it remembers the one whose digest
-    /// is `base`.
+    /// is `base`. A long list comes in pieces, each of which has the time of a call.
     pub async fn upstreams(&self, base: Option<u64>) -> Result<Option<(Known, ListTold)>, CallError> {
+        let Some(ListBegun { known, mut told, length }) = self.begin_list(base).await? else {
+            return Ok(None);
+        };
+        if let ListTold::Whole(list) = &mut told {
+            while list.entries.len() < length {
+                let piece = self.list_piece(known.version.digest, list.entries.len()).await?;
+                if piece.is_empty() {
+                    return Err(capnp::Error::failed("a list ended early".to_owned()).into());
+                }
+                list.entries.extend(piece);
+            }
+        }
+        Ok(Some((known, told)))
+    }
+
+    async fn begin_list(&self, base: Option<u64>) -> Result<Option<ListBegun>, CallError> {
         let mut request = self.peer.upstreams_request();
         request.get().set_base(base.unwrap_or_default());
+        request.get().set_in_pieces(true);
         within(self.time, async {
             let answer = request.send().promise.await?;
             let answer = answer.get()?;
             let told = read_list(answer)?;
-            Ok(read_known(answer.get_known()?).map(|known| (known, told)))
+            let length = answer.get_length() as usize;
+            Ok(read_known(answer.get_known()?).map(|known| ListBegun { known, told, length }))
+        })
+        .await
+    }
+
+    async fn list_piece(&self, digest: u64, from: usize) -> Result<Vec<Arc<UpstreamEntry>>, CallError> {
+        let mut request = self.peer.list_piece_request();
+        request.get().set_digest(digest);
+        request.get().set_from(count(from));
+        within(self.time, async {
+            let answer = request.send().promise.await?;
+            Ok(read_upstreams(answer.get()?.get_list()?)?)
         })
         .await
     }
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -255,7 +255,7 @@
     })
 }
 
-fn read_upstreams(from: struct_list::Reader<'_, upstream::Owned>) -> Result<Entries, Error> {
+pub(super) fn read_upstreams(from: struct_list::Reader<'_, upstream::Owned>) -> Result<Entries, Error> {
     from.iter().map(|entry| read_upstream(entry).map(Arc::new)).collect()
 }
 
@@ -277,7 +277,11 @@
     for (index, name) in (0..).zip(drained) {
         names.set(index, name.as_str());
     }
-    write_all(to.init_list(count(entries.len())), entries, |to, entry| write_upstream(to, entry));
+    write_entries(to.init_list(count(entries.len())), entries);
+}
+
+pub(super) fn write_entries(to: struct_list::Builder<'_, upstream::Owned>, entries: &[Arc<UpstreamEntry>]) {
+    write_all(to, entries, |to, entry| write_upstream(to, entry));
 }
 
 pub(super) fn read_list(from: fleet::upstreams_results::Reader<'_>) -> Result<ListTold, Error> {
--- a/crates/bendhinge_peer/src/fleet/mod.rs
+++ b/crates/bendhinge_peer/src/fleet/mod.rs
@@ -7,10 +7,12 @@
 mod suspicion;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bendhinge_fleet::{
-    Doubt, Heard, Held, ListTold, LoadStates, MemberStates, NewsPosition, RosterDigest, Version, Witness,
+    Doubt, Heard, Held, ListTold, LoadStates, MemberStates, NewsPosition, RosterDigest, UpstreamList,
+    Version, Witness,
 };
 use bendhinge_ids::{Instant, NameHash};
 use bendhinge_placement::PartId;
@@ -196,6 +198,8 @@
     fn rules(&self) -> Option<(Known, Bytes)>;
     /// The list of upstreams that is held, for a peer that holds the one whose digest is `base`.
     fn upstreams(&self, base: Option<u64>) -> Option<(Known, ListTold)>;
+    /// A list of upstreams that was held lately, by its digest.
+    fn list(&self, digest: u64) -> Option<Arc<UpstreamList>>;
     /// All that upstreams are believed to have read; `None` just after the start.
     fn reads(&self, page: ReadsPage) -> Option<Vec<ObservedRead>>;
 }
--- a/crates/bendhinge_peer/src/fleet/server.rs
+++ b/crates/bendhinge_peer/src/fleet/server.rs
@@ -3,12 +3,15 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use bendhinge_fleet::ListTold;
 use bytes::Bytes;
 use capnp::Error;
 use smol::LocalExecutor;
 use smol::net::TcpListener;
 
-use super::convert::{count, read_message, write_all, write_known, write_list, write_message, write_read};
+use super::convert::{
+    count, read_message, write_all, write_entries, write_known, write_list, write_message, write_read,
+};
 use super::{FleetDuties, ReadsPage};
 use crate::answering::serve_connections;
 use crate::fleet_capnp::{document, fleet};
@@ -19,6 +22,9 @@
 /// fetch at the same time 0.2 s: well within the 0.5 s of a call, and no list waits longer behind one.
 const PIECE: usize = 32 << 10;
 
+/// Entries of a list in one answer, some 100 bytes each.
+const PIECE_ENTRIES: usize = 256;
+
 struct Server<D>(Rc<D>);
 
 /// A document that is read piece by piece.
@@ -88,10 +94,30 @@
     ) -> Result<(), Error> {
         // No list has the digest 0: it stands for none.
         let base = params.get()?.get_base();
-        if let Some((known, told)) = self.0.upstreams((base != 0).then_some(base)) {
-            write_known(results.get().init_known(), Some(&known));
-            write_list(results.get(), &told);
+        let in_pieces = params.get()?.get_in_pieces();
+        let Some((known, mut told)) = self.0.upstreams((base != 0).then_some(base)) else { return Ok(()) };
+        write_known(results.get().init_known(), Some(&known));
+        if let ListTold::Whole(list) = &mut told
+            && in_pieces
+            && list.entries.len() > PIECE_ENTRIES
+        {
+            results.get().set_length(count(list.entries.len()));
+            list.entries.truncate(PIECE_ENTRIES);
         }
+        write_list(results.get(), &told);
+        Ok(())
+    }
+
+    async fn list_piece(
+        self: Rc<Self>,
+        params: fleet::ListPieceParams,
+        mut results: fleet::ListPieceResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let Some(list) = self.0.list(params.get_digest()) else { return Ok(()) };
+        let from = (params.get_from() as usize).min(list.entries.len());
+        let to = (from + PIECE_ENTRIES).min(list.entries.len());
+        write_entries(results.get().init_list(count(to - from)), &list.entries[from..to]);
         Ok(())
     }
 
--- a/crates/bendhinge_peer/src/fleet_capnp.rs
+++ b/crates/bendhinge_peer/src/fleet_capnp.rs
@@ -5886,6 +5886,10 @@
         ::capnp::capability::Results<crate::fleet_capnp::fleet::upstreams_results::Owned>;
     pub type ReadsParams = ::capnp::capability::Params<crate::fleet_capnp::fleet::reads_params::Owned>;
     pub type ReadsResults = ::capnp::capability::Results<crate::fleet_capnp::fleet::reads_results::Owned>;
+    pub type ListPieceParams =
+        ::capnp::capability::Params<crate::fleet_capnp::fleet::list_piece_params::Owned>;
+    pub type ListPieceResults =
+        ::capnp::capability::Results<crate::fleet_capnp::fleet::list_piece_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -5986,6 +5990,14 @@
         > {
             self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
         }
+        pub fn list_piece_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::fleet_capnp::fleet::list_piece_params::Owned,
+            crate::fleet_capnp::fleet::list_piece_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
+        }
     }
     pub trait Server: 'static {
         fn exchange(
@@ -6024,6 +6036,15 @@
                 "method fleet::Server::reads not implemented".to_string(),
             )))
         }
+        fn list_piece(
+            self: ::capnp::capability::Rc<Self>,
+            _: ListPieceParams,
+            _: ListPieceResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method fleet::Server::list_piece not implemented".to_string(),
+            )))
+        }
     }
     pub struct ServerDispatch<_T> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -6107,6 +6128,14 @@
                     )),
                     false,
                 ),
+                4 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::list_piece(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
                 _ => ::capnp::capability::DispatchCallResult::new(
                     ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
                         "Method not implemented.".to_string(),
@@ -7493,6 +7522,10 @@
             pub fn get_base(self) -> u64 {
                 self.reader.get_data_field::<u64>(0)
             }
+            #[inline]
+            pub fn get_in_pieces(self) -> bool {
+                self.reader.get_bool_field(64)
+            }
         }
 
         pub struct Builder<'a> {
@@ -7500,7 +7533,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+                ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7579,6 +7612,14 @@
             pub fn set_base(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(0, value);
             }
+            #[inline]
+            pub fn get_in_pieces(self) -> bool {
+                self.builder.get_bool_field(64)
+            }
+            #[inline]
+            pub fn set_in_pieces(&mut self, value: bool) {
+                self.builder.set_bool_field(64, value);
+            }
         }
 
         pub struct Pipeline {
@@ -7591,17 +7632,17 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(33, 152, 21, 51, 215, 181, 240, 137),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
@@ -7609,14 +7650,21 @@
                 ::capnp::word(116, 46, 117, 112, 115, 116, 114, 101),
                 ::capnp::word(97, 109, 115, 36, 80, 97, 114, 97),
                 ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(98, 97, 115, 101, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7625,10 +7673,20 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 110, 80, 105, 101, 99, 101, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7647,9 +7705,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
             pub(crate) const TYPE_ID: u64 = 0x89f0_b5d7_3315_9821;
         }
     }
@@ -7805,6 +7863,10 @@
             pub fn has_drained(&self) -> bool {
                 !self.reader.get_pointer_field(3).is_null()
             }
+            #[inline]
+            pub fn get_length(self) -> u32 {
+                self.reader.get_data_field::<u32>(2)
+            }
         }
 
         pub struct Builder<'a> {
@@ -7812,7 +7874,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 1, pointers: 4 };
+                ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7998,6 +8060,14 @@
             pub fn has_drained(&self) -> bool {
                 !self.builder.is_pointer_field_null(3)
             }
+            #[inline]
+            pub fn get_length(self) -> u32 {
+                self.builder.get_data_field::<u32>(2)
+            }
+            #[inline]
+            pub fn set_length(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(2, value);
+            }
         }
 
         pub struct Pipeline {
@@ -8014,17 +8084,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 105] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 120] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(70, 148, 23, 144, 110, 20, 30, 155),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
@@ -8032,42 +8102,49 @@
                 ::capnp::word(116, 46, 117, 112, 115, 116, 114, 101),
                 ::capnp::word(97, 109, 115, 36, 82, 101, 115, 117),
                 ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(149, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(177, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(221, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(107, 110, 111, 119, 110, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(243, 246, 182, 43, 231, 153, 162, 219),
@@ -8120,6 +8197,14 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 101, 110, 103, 116, 104, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -8128,6 +8213,7 @@
                     2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                     4 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8146,9 +8232,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 4, 3, 0, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 4, 3, 0, 5, 1];
             pub(crate) const TYPE_ID: u64 = 0x9b1e_146e_9017_9446;
         }
     }
@@ -8775,4 +8861,600 @@
             pub(crate) const TYPE_ID: u64 = 0x9db0_be32_c647_598d;
         }
     }
+
+    pub mod list_piece_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                })
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    }),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_digest(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_from(self) -> u32 {
+                self.reader.get_data_field::<u32>(2)
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    }),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_digest(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_digest(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_from(self) -> u32 {
+                self.builder.get_data_field::<u32>(2)
+            }
+            #[inline]
+            pub fn set_from(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(2, value);
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(159, 88, 210, 224, 245, 230, 103, 215),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 70, 108, 101, 101),
+                ::capnp::word(116, 46, 108, 105, 115, 116, 80, 105),
+                ::capnp::word(101, 99, 101, 36, 80, 97, 114, 97),
+                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) const TYPE_ID: u64 = 0xd767_e6f5_e0d2_589f;
+        }
+    }
+
+    pub mod list_piece_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                })
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    }),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_list(
+                self,
+            ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::fleet_capnp::upstream::Owned>>
+            {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_list(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    }),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_list(
+                self,
+            ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::fleet_capnp::upstream::Owned>>
+            {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_list(
+                &mut self,
+                value: ::capnp::struct_list::Reader<'_, crate::fleet_capnp::upstream::Owned>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_list(
+                self,
+                size: u32,
+            ) -> ::capnp::struct_list::Builder<'a, crate::fleet_capnp::upstream::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_list(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(126, 138, 200, 188, 142, 243, 222, 155),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 70, 108, 101, 101),
+                ::capnp::word(116, 46, 108, 105, 115, 116, 80, 105),
+                ::capnp::word(101, 99, 101, 36, 82, 101, 115, 117),
+                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(108, 105, 115, 116, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 6, 164, 125, 250, 82, 44, 184),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::struct_list::Owned<crate::fleet_capnp::upstream::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x9bde_f38e_bcc8_8a7e;
+        }
+    }
 }
--- a/crates/bendhinge_peer/tests/connections.rs
+++ b/crates/bendhinge_peer/tests/connections.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::ListTold;
+use bendhinge_fleet::{ListTold, UpstreamList};
 use bendhinge_peer::{
     FleetClient, FleetDuties, Known, ObservedRead, PeerConnection, PeerKey, PeerMessage, ReadsPage, Traffic,
     serve_fleet,
@@ -27,6 +27,10 @@
         None
     }
 
+    fn list(&self, _: u64) -> Option<Arc<UpstreamList>> {
+        None
+    }
+
     fn upstreams(&self, _: Option<u64>) -> Option<(Known, ListTold)> {
         None
     }
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -259,9 +259,9 @@
     /// From where a candidate should fetch. An upstream sends one prompt after the other: the head of a thousand
     /// subjects is kept by hundreds, and if all fetched it from the same one, they would wait there for seconds.
     fn source(&self, index: usize) -> Option<usize> {
-        let draw = self.tie(index) as usize;
         let indices = &self.sources.indices;
-        indices.get(draw % indices.len().max(1)).copied()
+        let draw = self.tie(index) % indices.len().max(1) as u64;
+        indices.get(usize::try_from(draw).unwrap_or_default()).copied()
     }
 
     /// A part of a request's cost, up to that of `spread` requests ahead, that differs by request
--- a/crates/bendhinge_placement/tests/cost.rs
+++ b/crates/bendhinge_placement/tests/cost.rs
@@ -208,14 +208,14 @@
 /// were fetched took two seconds.
 #[test]
 fn a_head_that_many_keep_is_fetched_from_all_of_them() {
-    const UPSTREAMS: u64 = 600;
+    const UPSTREAMS: usize = 600;
     const KEEPERS: usize = 200;
     const FETCHES: u64 = 1_000;
-    let mut placing = Placing::new(UPSTREAMS);
+    let mut placing = Placing::new(UPSTREAMS as u64);
     for index in 0..KEEPERS {
         placing.read(index, &prompt(1, 10_000 + index as u64));
     }
-    let mut sources = vec![0_usize; UPSTREAMS as usize];
+    let mut sources = vec![0_usize; UPSTREAMS];
     for subject in 0..FETCHES {
         let prompt = prompt(1, 50_000 + subject);
         let question = Question { prompt: Some(&prompt), can_fetch: true, tie_breaker: subject };
--- a/crates/bendhinge_standin/src/gateway/store.rs
+++ b/crates/bendhinge_standin/src/gateway/store.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bendhinge_http::{Body, CutConnection, ServeLimits, Server, Tasks, empty_body, full_body};
-use hyper::{Response, StatusCode};
+use hyper::{Response, StatusCode, Uri};
 use serde_json::{Value, json};
 use smol::Timer;
 
@@ -26,6 +26,8 @@
     Silent,
     /// Its answers take this long.
     Slow(Duration),
+    /// It gives no answer but the first page of what it is asked for.
+    FirstPageOnly,
 }
 
 /// An upstream's entry.
@@ -57,36 +59,70 @@
     drained: Vec<String>,
     fault: StoreFault,
     reads: u64,
+    /// Which entries were written or removed, at which revision.
+    history: Vec<(u64, String)>,
+    /// Of earlier changes nothing is known.
+    forgotten_up_to: u64,
+    /// Entries on a page; 0 are all.
+    page_entries: usize,
+    /// What was asked for.
+    paths: Vec<String>,
 }
 
 impl State {
-    /// What is answered at `path`: everything, or a part.
-    fn page(&self, path: &str) -> Value {
-        let has_rules = !path.ends_with("/upstreams");
-        let has_upstreams = !path.ends_with("/rules");
-        let rules = self.rules.as_ref().filter(|_| has_rules);
-        let rules = rules.map(|(revision, document)| json!({ "revision": revision, "document": document }));
-        let upstreams = self.upstreams.iter().filter(|_| has_upstreams).map(|record| {
-            json!({
-                "name": record.name,
-                "pool": record.pool,
-                "address": record.address,
-                "data_centre": record.data_centre,
-                "slots": 8,
-                "draining": record.draining,
-                "made": record.made,
-                "warm_up_ms": u64::try_from(record.warm_up.as_millis()).unwrap_or(u64::MAX),
-                "warm_up_said": record.warm_up_said,
-            })
-        });
-        let drained: &[String] = if has_upstreams { &self.drained } else { &[] };
+    /// Notes that an entry was written or removed.
+    fn note(&mut self, name: &str) {
+        self.history.push((self.revision, name.to_owned()));
+    }
+
+    /// What is answered at `path`: everything, or a part, from the entry behind `after` on.
+    fn page(&self, path: &str, after: Option<&str>) -> Value {
+        let has_rules = matches!(path, "/v1/fleet" | "/v1/fleet/rules") && after.is_none();
+        let has_upstreams = matches!(path, "/v1/fleet" | "/v1/fleet/upstreams");
+        let is_behind = |record: &&UpstreamRecord| after.is_none_or(|after| record.name.as_str() > after);
+        let mut listed: Vec<_> = self.upstreams.iter().filter(|_| has_upstreams).filter(is_behind).collect();
+        listed.sort_by(|left, right| left.name.cmp(&right.name));
+        let is_cut = self.page_entries > 0 && listed.len() > self.page_entries;
+        if is_cut {
+            listed.truncate(self.page_entries);
+        }
+        let next = listed.last().filter(|_| is_cut).map(|record| &record.name);
         json!({
             "at": self.revision,
-            "rules": rules,
-            "upstreams": upstreams.collect::<Vec<_>>(),
-            "drained": drained,
+            "rules": self.rules.as_ref().filter(|_| has_rules).map(rules_item),
+            "upstreams": listed.iter().copied().map(entry_item).collect::<Vec<_>>(),
+            "drained": if path == "/v1/fleet/rules" || after.is_some() { &[] } else { &*self.drained },
+            "next": next,
         })
     }
+
+    /// What changed after the revision `since`.
+    fn changes(&self, since: u64) -> Value {
+        let named = |name: &str| self.upstreams.iter().find(|record| record.name == name);
+        let later = || self.history.iter().filter(|(revision, _)| *revision > since).map(|(_, name)| name);
+        let came: Vec<_> = later().filter_map(|name| named(name)).map(entry_item).collect();
+        let gone: Vec<_> = later().filter(|name| named(name).is_none()).collect();
+        let rules = self.rules.as_ref().filter(|(revision, _)| *revision > since).map(rules_item);
+        json!({ "at": self.revision, "rules": rules, "upstreams": came, "gone": gone })
+    }
+}
+
+fn rules_item((revision, document): &(u64, String)) -> Value {
+    json!({ "revision": revision, "document": document })
+}
+
+fn entry_item(record: &UpstreamRecord) -> Value {
+    json!({
+        "name": record.name,
+        "pool": record.pool,
+        "address": record.address,
+        "data_centre": record.data_centre,
+        "slots": 8,
+        "draining": record.draining,
+        "made": record.made,
+        "warm_up_ms": u64::try_from(record.warm_up.as_millis()).unwrap_or(u64::MAX),
+        "warm_up_said": record.warm_up_said,
+    })
 }
 
 /// A store; cheap to clone.
@@ -105,7 +141,7 @@
         let server = Server::bind(any, ServeLimits::default(), Arc::clone(tasks)).await?;
         let address = server.local_addr()?;
         let served = Arc::clone(&state);
-        let serving = server.run(move |request| answer(Arc::clone(&served), request.uri().path().to_owned()));
+        let serving = server.run(move |request| answer(Arc::clone(&served), request.uri().clone()));
         tasks.spawn(serving).detach();
         Ok(Self { state, address })
     }
@@ -122,6 +158,7 @@
         self.change(|state| {
             let named = state.upstreams.iter_mut().filter(|record| record.name == name);
             named.for_each(|record| change(record, state.revision));
+            state.note(name);
         });
     }
 
@@ -143,6 +180,7 @@
                 warm_up_said: state.revision,
                 made: state.revision,
             });
+            state.note(name);
         });
     }
 
@@ -176,7 +214,10 @@
 
     /// Removes an upstream's entry.
     pub fn remove(&self, name: &str) {
-        self.change(|state| state.upstreams.retain(|record| record.name != name));
+        self.change(|state| {
+            state.upstreams.retain(|record| record.name != name);
+            state.note(name);
+        });
     }
 
     /// Its revision, which rises with each change.
@@ -190,6 +231,25 @@
         self.state.lock().unwrap().fault = fault;
     }
 
+    /// Hands out so many entries on a page from now on.
+    pub fn set_page_entries(&self, entries: usize) {
+        self.state.lock().unwrap().page_entries = entries;
+    }
+
+    /// Forgets what changed before now: it tells no changes from before any more.
+    pub fn forget_history(&self) {
+        self.change(|state| {
+            state.history.clear();
+            state.forgotten_up_to = state.revision;
+        });
+    }
+
+    /// How often it was asked at paths that begin so.
+    #[must_use]
+    pub fn reads_at(&self, path: &str) -> usize {
+        self.state.lock().unwrap().paths.iter().filter(|asked| asked.starts_with(path)).count()
+    }
+
     /// How often it was read.
     #[must_use]
     pub fn reads(&self) -> u64 {
@@ -197,16 +257,18 @@
     }
 }
 
-async fn answer(state: Arc<Mutex<State>>, path: String) -> Response<Body> {
+async fn answer(state: Arc<Mutex<State>>, asked: Uri) -> Response<Body> {
     let fault = {
         let mut state = state.lock().unwrap();
         state.reads += 1;
+        state.paths.push(asked.to_string());
         state.fault
     };
     match fault {
         StoreFault::None => {}
         StoreFault::Slow(time) => drop(Timer::after(time).await),
-        StoreFault::Silent => std::future::pending().await,
+        StoreFault::FirstPageOnly if asked.query().is_none() => {}
+        StoreFault::Silent | StoreFault::FirstPageOnly => std::future::pending().await,
         StoreFault::Busy => return with_status(StatusCode::SERVICE_UNAVAILABLE),
         StoreFault::Reset => {
             let mut cut = with_status(StatusCode::OK);
@@ -214,7 +276,13 @@
             return cut;
         }
     }
-    let page = state.lock().unwrap().page(&path);
+    let query = asked.query().unwrap_or_default();
+    let state = state.lock().unwrap();
+    let page = match query.strip_prefix("since=").and_then(|since| since.parse().ok()) {
+        Some(since) if since < state.forgotten_up_to => return with_status(StatusCode::GONE),
+        Some(since) => state.changes(since),
+        None => state.page(asked.path(), query.strip_prefix("after=")),
+    };
     Response::new(full_body(page.to_string()))
 }
 
