Shares of the budget for second sends of less than one are drawn, not rounded up

Holds only while the fleet is small: a router's part of the slack was at least one retry, so that 1,200 routers before a pool whose requests all fail sent 1,200 requests again within ten seconds where 880 are allowed (virtual time, the code before); fractions of what it had earned were lost. Ways weighed: as before; rounding down (none are sent again); a lot for each router, changed each minute at different times.

--- a/crates/bendhinge_admission/src/retry_share.rs
+++ b/crates/bendhinge_admission/src/retry_share.rs
@@ -4,11 +4,16 @@
 //! span can spend at once what its requests of that span have earned, as when an upstream that
 //! served a fifth of them is lost; one that saves up tokens cannot, since what it may save up is
 //! its part of the slack alone.
+//!
+//! In a large fleet a share is less than one retry. Were it rounded up, a thousand routers would send a thousand requests
+//! again whatever the budget; rounded down, none. So each router draws a lot, which rounds its share up
+//! as often as it comes to.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use bendhinge_ids::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// What a whole fleet may send again for one pool: `ratio` of the requests and `slack` besides,
 /// counted within any `span`.
@@ -28,22 +33,44 @@
     /// What is kept of the slack, for routers that do not know of each other or that start anew.
     const SLACK_USED: f64 = 0.5;
 
-    /// The share of one of `routers`. Each earns by its own requests alone, so that the shares
-    /// add up to the fleet's budget however requests are divided, without a message.
+    /// The share of one of `routers`, which has drawn `seed` at its start. Each earns by its own requests alone, so that
+    /// the shares add up to the fleet's budget however requests are divided, without a message.
     #[must_use]
-    pub fn share(self, routers: usize) -> RetryShare {
+    pub fn share(self, routers: usize, seed: u64) -> RetryShare {
         RetryShare {
             ratio: self.ratio * Self::RATIO_USED,
             reserve: self.reserve(routers),
+            lots: Lots { seed, period: self.span * SPANS_A_LOT },
             slot: self.span / SLOTS,
             slots: VecDeque::new(),
         }
     }
 
-    /// The part of one of `routers` in the slack: at least one retry, since less would be none.
+    /// The part of one of `routers` in the slack.
     #[must_use]
     pub fn reserve(self, routers: usize) -> f64 {
-        (self.slack * Self::SLACK_USED / routers.max(1) as f64).max(1.0)
+        self.slack * Self::SLACK_USED / routers.max(1) as f64
+    }
+}
+
+/// How many spans a lot is kept. Where it changes within a span, a router may have sent again by the one and by the
+/// other; of the routers, whose lots change at different times, one in so many has that.
+const SPANS_A_LOT: u32 = 6;
+
+/// A router's lots, one after the other.
+#[derive(Clone, Copy, Debug)]
+struct Lots {
+    seed: u64,
+    period: Duration,
+}
+
+impl Lots {
+    /// The lot of `now`, from 0 up to 1.
+    fn at(self, now: Instant) -> f64 {
+        let period = u64::try_from(self.period.as_micros()).unwrap_or(u64::MAX).max(1);
+        let number = (now.0 + self.seed % period) / period;
+        let lot = xxh3_64_with_seed(&number.to_le_bytes(), self.seed);
+        (lot >> 11) as f64 / (1_u64 << 53) as f64
     }
 }
 
@@ -66,6 +93,7 @@
 pub struct RetryShare {
     ratio: f64,
     reserve: f64,
+    lots: Lots,
     slot: Duration,
     /// The oldest first; slots in which nothing happened are absent.
     slots: VecDeque<Slot>,
@@ -81,7 +109,8 @@
     pub fn retry(&mut self, now: Instant) -> bool {
         self.current(now);
         let spent: u32 = self.slots.iter().map(|slot| slot.retries).sum();
-        let is_allowed = f64::from(spent) + 1.0 <= self.reserve + self.ratio * self.requests_earning(now);
+        let share = self.reserve + self.ratio * self.requests_earning(now);
+        let is_allowed = f64::from(spent) + 1.0 <= share + self.lots.at(now);
         if is_allowed {
             self.current(now).retries += 1;
         }
--- a/crates/bendhinge_gateway/src/retries.rs
+++ b/crates/bendhinge_gateway/src/retries.rs
@@ -4,11 +4,14 @@
 
 use bendhinge_admission::{FleetRetryBudget, RetryShare};
 use bendhinge_ids::PoolName;
+use rand::Rng;
 use rustc_hash::FxHashMap;
 
 /// The share, of each pool by itself: what the requests to one pool earn is not spent on another.
 pub(crate) struct Retries {
     fleet: FleetRetryBudget,
+    /// Drawn at the start: it tells this gateway's share from those of the others.
+    seed: u64,
     shares: Mutex<Shares>,
 }
 
@@ -21,7 +24,7 @@
 impl Retries {
     pub(crate) fn new(fleet: FleetRetryBudget) -> Self {
         let shares = Shares { gateways: usize::MAX, by_pool: FxHashMap::default() };
-        Self { fleet, shares: Mutex::new(shares) }
+        Self { fleet, seed: rand::rng().random(), shares: Mutex::new(shares) }
     }
 
     /// Notes a request's first send.
@@ -31,7 +34,7 @@
         if let Some(share) = shares.by_pool.get_mut(pool) {
             return share.request(now);
         }
-        let mut share = self.fleet.share(shares.gateways);
+        let mut share = self.fleet.share(shares.gateways, self.seed);
         share.request(now);
         shares.by_pool.insert(pool.clone(), share);
     }
