Callers that leave their answers unread are cut after ten seconds

What is kept for a caller was bounded (a piece, or 64 KB of writing), but not for how long: a caller that reads nothing and keeps its connection held its answer, its stream's connection to the upstream and its place there until the upstream gave up. Now writing fails once the other side has taken nothing for ten seconds; the connection ends, so that the answer looks cut, and the stream's upstream is left. A line and a counter. Not done: a real-process test with thousands of callers, since answers of up to 4 MB fit into the system's own buffers.

--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -233,7 +233,7 @@
     }
 
     /// Notes which entries are of other writers now; what changed of them is worth a line.
-    fn note_foreign(&self, foreign: BTreeSet<ForeignEntry>) {
+    fn note_foreign(&self, foreign: &BTreeSet<ForeignEntry>) {
         /// Lines for one read, whatever was written there.
         const MOST_LINES: usize = 16;
         let Delivering { log, metrics, .. } = &*self.delivering;
@@ -267,7 +267,7 @@
         if !part.has_upstreams() {
             return;
         }
-        self.note_foreign(contents.foreign.drain(..).collect());
+        self.note_foreign(&contents.foreign.drain(..).collect());
         let list = contents.into_list();
         let known = Known { version: Version { revision: at, digest: list.digest() }, age: Duration::ZERO };
         self.take_upstreams(&known, began, list, Origin::Store);
@@ -295,7 +295,7 @@
         let mut all_foreign = self.foreign.borrow().clone();
         all_foreign.retain(|entry| !was_touched(entry));
         all_foreign.extend(foreign);
-        self.note_foreign(all_foreign);
+        self.note_foreign(&all_foreign);
         let (Some(list), Some(held)) = (upstreams.list(), upstreams.known(now)) else { return };
         if came.is_empty() && gone.is_empty() && drained == list.drained {
             upstreams.confirm(Version { revision: at, ..held.version }, began);
--- a/crates/bendhinge_gateway/src/log/mod.rs
+++ b/crates/bendhinge_gateway/src/log/mod.rs
@@ -276,6 +276,15 @@
         self.line("suspicion_over", Fields { digest: digest.to_string(), why, crashes });
     }
 
+    /// A caller's connection was cut since it left its answer unread.
+    pub(crate) fn answer_unread(&self, caller: SocketAddr) {
+        #[derive(Serialize)]
+        struct Fields {
+            caller: SocketAddr,
+        }
+        self.line("answer_unread", Fields { caller });
+    }
+
     /// Requests to a pool are paced from now on, at so many a second, or no more.
     pub(crate) fn pace(&self, pool: &PoolName, per_second: Option<f64>) {
         #[derive(Serialize)]
--- a/crates/bendhinge_gateway/src/metrics.rs
+++ b/crates/bendhinge_gateway/src/metrics.rs
@@ -69,6 +69,7 @@
     upstreams_suspected: Counter<u64>,
     rests_asked: Counter<u64>,
     leavings_said: Counter<u64>,
+    answers_unread: Counter<u64>,
     first_byte: Histogram<f64>,
     in_progress: Gauge<u64>,
     rules_age: Gauge<f64>,
@@ -132,6 +133,10 @@
                 "bendhinge.gateway.rests_asked",
                 "Answers in which an upstream asked for a rest",
             ),
+            answers_unread: counter(
+                "bendhinge.gateway.answers_unread",
+                "Connections of callers that were cut since these left their answers unread",
+            ),
             leavings_said: counter(
                 "bendhinge.gateway.leavings_said",
                 "Upstreams that said in an answer that they leave",
@@ -244,6 +249,10 @@
     }
 
     /// Counts an upstream that said in an answer that it leaves.
+    pub(crate) fn answer_unread(&self) {
+        self.answers_unread.add(1, &[]);
+    }
+
     pub(crate) fn leaving_said(&self) {
         self.leavings_said.add(1, &[]);
     }
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -184,9 +184,18 @@
 ) -> Result<ServerStop, StartError> {
     /// The largest head: more than any configuration allows, since callers keep within that.
     const HEAD_BYTES: usize = 64 << 10;
-    let limits =
-        ServeLimits { head_bytes: HEAD_BYTES, head_time: CALLER_IDLE, connections: settings.connections };
-    let server = bind("callers", settings.callers, limits, delivering).await?;
+    let limits = ServeLimits {
+        head_bytes: HEAD_BYTES,
+        head_time: CALLER_IDLE,
+        connections: settings.connections,
+        ..ServeLimits::default()
+    };
+    let noting = Arc::clone(delivering);
+    let unread = Arc::new(move |caller| {
+        noting.metrics.answer_unread();
+        noting.log.answer_unread(caller);
+    });
+    let server = bind("callers", settings.callers, limits, delivering).await?.noting_unread(unread);
     let stop = server.stopper();
     let intake = Arc::new(Intake { delivering: Arc::clone(delivering), lifecycle: Arc::clone(lifecycle) });
     let serving = server.run(move |request| intake::handle(Arc::clone(&intake), request));
--- a/crates/bendhinge_http/src/lib.rs
+++ b/crates/bendhinge_http/src/lib.rs
@@ -7,6 +7,7 @@
 mod pool;
 mod serve;
 mod signal;
+mod unread;
 mod workers;
 
 pub use body::{
@@ -15,6 +16,6 @@
 pub use client::{FetchError, FetchTime, Fetched, fetch, fetch_bytes, fetch_json, fetch_path};
 pub use hop_by_hop::drop_hop_by_hop;
 pub use pool::{ConnectError, Connection, Pool, SendFailure};
-pub use serve::{CutConnection, ServeLimits, Server, ServerStop};
+pub use serve::{CutConnection, ServeLimits, Server, ServerStop, Unread};
 pub use signal::termination;
 pub use workers::{Tasks, run_until};
--- a/crates/bendhinge_http/src/serve.rs
+++ b/crates/bendhinge_http/src/serve.rs
@@ -1,6 +1,7 @@
 //! The server loop.
 
 use std::future::Future;
+use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -16,6 +17,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
+use crate::unread::CutIfUnread;
 use crate::{Body, Tasks};
 
 /// What one listening address allows its callers.
@@ -25,13 +27,20 @@
     pub head_bytes: usize,
     /// How long a request head may take to arrive, which also bounds idle connections.
     pub head_time: Duration,
+    /// How long a caller may leave an answer unread before its connection is cut.
+    pub unread_for: Duration,
     /// How many connections may be open; further ones are closed at once.
     pub connections: usize,
 }
 
 impl Default for ServeLimits {
     fn default() -> Self {
-        Self { head_bytes: 64 << 10, head_time: Duration::from_mins(1), connections: 10_000 }
+        Self {
+            head_bytes: 64 << 10,
+            head_time: Duration::from_mins(1),
+            unread_for: Duration::from_secs(10),
+            connections: 10_000,
+        }
     }
 }
 
@@ -46,6 +55,9 @@
     }
 }
 
+/// What is done when a caller is cut since it left its answer unread.
+pub type Unread = Arc<dyn Fn(SocketAddr) + Send + Sync>;
+
 /// A listening address with its limits.
 pub struct Server {
     listener: TcpListener,
@@ -54,6 +66,7 @@
     stop: Sender<()>,
     stopped: Receiver<()>,
     open: Arc<AtomicUsize>,
+    unread: Unread,
 }
 
 impl Server {
@@ -61,7 +74,13 @@
     pub async fn bind(address: SocketAddr, limits: ServeLimits, tasks: Tasks) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let (stop, stopped) = bounded(1);
-        Ok(Self { listener, limits, tasks, stop, stopped, open: Arc::default() })
+        Ok(Self { listener, limits, tasks, stop, stopped, open: Arc::default(), unread: Arc::new(|_| ()) })
+    }
+
+    /// The same server, which calls `unread` for each caller that it cuts since it left its answer unread.
+    #[must_use]
+    pub fn noting_unread(self, unread: Unread) -> Self {
+        Self { unread, ..self }
     }
 
     /// The address with the port that was taken.
@@ -82,12 +101,12 @@
         R: Future<Output = Response<Body>> + Send + 'static,
     {
         const POLL: Duration = Duration::from_millis(10);
-        while let Some(stream) = self.next_connection().await {
+        while let Some((stream, caller)) = self.next_connection().await {
             if self.open.load(Ordering::Relaxed) >= self.limits.connections {
                 let _ = stream.shutdown(Shutdown::Both);
                 continue;
             }
-            self.spawn_connection(stream, handler.clone());
+            self.spawn_connection(stream, caller, handler.clone());
         }
         drop(self.listener);
         while self.open.load(Ordering::Acquire) > 0 {
@@ -95,12 +114,12 @@
         }
     }
 
-    async fn next_connection(&self) -> Option<TcpStream> {
+    async fn next_connection(&self) -> Option<(TcpStream, SocketAddr)> {
         const PAUSE_AFTER_ERROR: Duration = Duration::from_millis(50);
         let accept = async {
             loop {
                 match self.listener.accept().await {
-                    Ok((stream, _)) => return Some(stream),
+                    Ok(accepted) => return Some(accepted),
                     Err(_) => Timer::after(PAUSE_AFTER_ERROR).await,
                 };
             }
@@ -112,7 +131,7 @@
         stop.or(accept).await
     }
 
-    fn spawn_connection<F, R>(&self, stream: TcpStream, handler: F)
+    fn spawn_connection<F, R>(&self, stream: TcpStream, caller: SocketAddr, handler: F)
     where
         F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
         R: Future<Output = Response<Body>> + Send + 'static,
@@ -120,6 +139,7 @@
         let limits = self.limits;
         let stopped = self.stopped.clone();
         let open = OpenConnection::new(&self.open);
+        let unread = Arc::clone(&self.unread);
         let connection = async move {
             let _open = open;
             let _ = stream.set_nodelay(true);
@@ -134,11 +154,13 @@
                 .max_buf_size(limits.head_bytes)
                 .writev(true)
                 .header_read_timeout(limits.head_time)
-                .serve_connection(FuturesIo::new(stream), service);
+                .serve_connection(FuturesIo::new(CutIfUnread::new(stream, limits.unread_for)), service);
             let mut serving = std::pin::pin!(serving);
             let ended = async {
                 // A broken connection is the caller's to notice; its request was dropped with it.
-                let _ = serving.as_mut().await;
+                if serving.as_mut().await.is_err_and(|error| is_unread(&error)) {
+                    unread(caller);
+                }
                 true
             };
             let stop = async {
@@ -154,6 +176,13 @@
     }
 }
 
+/// Whether a connection ended since its caller took nothing of what was written.
+fn is_unread(error: &hyper::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let source = source.and_then(|source| source.downcast_ref::<io::Error>());
+    source.is_some_and(|source| source.kind() == io::ErrorKind::TimedOut)
+}
+
 /// Put into an answer's extensions, cuts the connection in place of sending the answer.
 #[derive(Clone, Copy, Debug, thiserror::Error)]
 #[error("the connection is cut in place of an answer")]
--- a/crates/bendhinge_router/src/run.rs
+++ b/crates/bendhinge_router/src/run.rs
@@ -130,6 +130,7 @@
         head_bytes: limits.head_bytes,
         head_time: limits.head,
         connections: limits.connections,
+        ..ServeLimits::default()
     };
     let operators = bind(node.settings.operators, ServeLimits::default(), node, "operators").await?;
     let callers = bind(node.settings.callers, for_callers, node, "callers").await?;
