Before long lists of upstreams the highest loads are told, not that of each

Ways weighed: a sample of the reports (hides the high ones); those that differ from the mean (the mean that hearers work out would be wrong); the highest 256 in four bytes each. Lists of up to 512 are told as before. A message of loads is at most a kilobyte at 2,000, 6,000 and 12,000 upstreams. Test: of a long list the highest loads are told, never younger than they are.

--- a/crates/bendhinge_fleet/src/loads.rs
+++ b/crates/bendhinge_fleet/src/loads.rs
@@ -1,10 +1,14 @@
 //! How many requests are believed to be at each upstream.
 
+mod high;
+
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use bendhinge_ids::{Instant, NameHash};
 use rustc_hash::FxHashMap;
 
+pub use self::high::{HighLoads, MOST_TOLD_EACH};
 use crate::news::LearnedFrom;
 
 /// After this time what an upstream said of others' requests counts for nothing in the mean.
@@ -149,12 +153,19 @@
         total as f32 / count.max(1) as f32
     }
 
-    /// What upstreams said lately, for telling others.
-    pub fn to_tell(&self, now: Instant) -> impl Iterator<Item = LoadSaid> {
-        self.upstreams.iter().filter_map(move |(upstream, load)| {
+    /// What upstreams said lately, for telling others; of many the highest.
+    #[must_use]
+    pub fn to_tell(&self, now: Instant) -> Vec<LoadSaid> {
+        let said = self.upstreams.iter().filter_map(|(upstream, load)| {
             let Report { in_progress, at, .. } = load.said?;
             (now.since(at) < TOLD_FOR).then_some(LoadSaid { upstream: *upstream, in_progress, at })
-        })
+        });
+        let mut told: Vec<LoadSaid> = said.collect();
+        if told.len() > MOST_TOLD_EACH {
+            told.sort_unstable_by_key(|said| Reverse((said.in_progress, said.at)));
+            told.truncate(MOST_TOLD_EACH);
+        }
+        told
     }
 
     /// What upstreams said lately, for telling `listener`, who holds the same list of `upstreams`: of each
--- /dev/null
+++ b/crates/bendhinge_fleet/src/loads/high.rs
@@ -0,0 +1,74 @@
+//! The highest loads alone, where there are so many upstreams that most have nothing to tell.
+//!
+//! With two bytes for each, a message grows with the upstreams; before 6,000 of them these bytes were most of what
+//! routers told each other, and of a pool that large a request never meets most. What a router has to know is
+//! where there is much.
+
+use std::cmp::Reverse;
+
+use bendhinge_ids::{Instant, NameHash};
+
+use super::{LoadSaid, Loads, NOTHING, Report, STATE_AGE, TOLD_FOR, age_state, load_state};
+use crate::news::LearnedFrom;
+
+/// Lists of more upstreams are told by their highest loads.
+pub const MOST_TOLD_EACH: usize = 512;
+/// So many of them are told: a kilobyte a message.
+const MOST_TOLD: usize = 256;
+/// The bytes of one: its place in the list, its load and its age.
+const BYTES: usize = 4;
+
+/// The highest loads of the upstreams of a list that both ends hold, by their places in it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HighLoads(pub Vec<u8>);
+
+impl HighLoads {
+    /// How many are told.
+    #[must_use]
+    pub const fn count(&self) -> usize {
+        self.0.len() / BYTES
+    }
+}
+
+impl Loads {
+    /// The highest loads that upstreams said lately, for telling `listener`, who holds the same list of `upstreams`:
+    /// of those but what it told itself.
+    pub fn highest_for(
+        &self,
+        listener: LearnedFrom,
+        upstreams: impl Iterator<Item = NameHash>,
+        now: Instant,
+    ) -> HighLoads {
+        let is_news = |report: &Report| report.from != listener && now.since(report.at) < TOLD_FOR;
+        let reports = (0_u16..).zip(upstreams).filter_map(|(place, upstream)| {
+            let report = self.upstreams.get(&upstream)?.said.filter(is_news)?;
+            Some((place, report))
+        });
+        let mut highest: Vec<(u16, Report)> = reports.collect();
+        highest.sort_unstable_by_key(|(_, report)| Reverse((report.in_progress, report.at)));
+        highest.truncate(MOST_TOLD);
+        highest.sort_unstable_by_key(|(place, _)| *place);
+        let told = highest.iter().flat_map(|(place, report)| {
+            let [high, low] = place.to_be_bytes();
+            [high, low, load_state(report.in_progress), age_state(now.since(report.at))]
+        });
+        HighLoads(told.collect())
+    }
+
+    /// Takes in what a router that holds the same list of `upstreams` told, its ages counted from `as_of`.
+    pub fn hear_highest(
+        &mut self,
+        told: &HighLoads,
+        upstreams: impl Fn(usize) -> Option<NameHash>,
+        from: LearnedFrom,
+        as_of: Instant,
+    ) {
+        let (entries, _) = told.0.as_chunks::<BYTES>();
+        for [high, low, load, age] in entries {
+            let place = u16::from_be_bytes([*high, *low]);
+            let Some(upstream) = upstreams(place.into()).filter(|_| *load != NOTHING) else { continue };
+            let at = as_of - STATE_AGE * u32::from(*age);
+            self.learn(LoadSaid { upstream, in_progress: u32::from(*load), at }, from);
+        }
+    }
+}
--- a/crates/bendhinge_fleet/tests/loads.rs
+++ b/crates/bendhinge_fleet/tests/loads.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bendhinge_fleet::{LearnedFrom, LoadSaid, LoadStates, Loads};
+use bendhinge_fleet::{HighLoads, LearnedFrom, LoadSaid, LoadStates, Loads};
 use bendhinge_ids::{Instant, NameHash};
 
 const NOW: Instant = Instant::from_millis(10_000);
@@ -45,7 +45,7 @@
     loads.learn(said(2, 7, 2_600), SENDER);
     let mut heard = Loads::default();
     heard.hear_states(&loads.states_for(LISTENER, listed(3), NOW), listed(3), SENDER, NOW);
-    let told: Vec<NameHash> = heard.to_tell(NOW).map(|said| said.upstream).collect();
+    let told: Vec<NameHash> = heard.to_tell(NOW).iter().map(|said| said.upstream).collect();
     assert_eq!(told, [NameHash(101)]);
 }
 
@@ -65,13 +65,13 @@
     for count in [2, 4] {
         let mut heard = Loads::default();
         heard.hear_states(&states, listed(count), SENDER, NOW);
-        assert_eq!(heard.to_tell(NOW).count(), 0);
+        assert_eq!(heard.to_tell(NOW).len(), 0);
     }
     states.0.pop();
     let mut heard = Loads::default();
     heard.hear_states(&states, listed(3), SENDER, NOW);
     heard.hear_states(&LoadStates::default(), listed(3), SENDER, NOW);
-    assert_eq!(heard.to_tell(NOW).count(), 0);
+    assert_eq!(heard.to_tell(NOW).len(), 0);
 }
 
 /// On its way over many routers a report never looks younger than it is.
@@ -90,7 +90,7 @@
             loads.hear_states(&states, listed(1), SENDER, now);
             elapsed += arrives;
             let truth = NOW - Duration::from_millis(age);
-            assert!(loads.to_tell(now).all(|said| said.at <= truth), "{elapsed} ms later");
+            assert!(loads.to_tell(now).iter().all(|said| said.at <= truth), "{elapsed} ms later");
         }
         Ok(())
     });
@@ -128,3 +128,35 @@
     }
     assert!((estimate(&loads, 0) - before).abs() < 0.01);
 }
+
+/// Pattern: thousands of upstreams, most of which have one request or none. What is told of them does not grow with
+/// their number, and the highest loads are told.
+#[test]
+fn of_a_long_list_the_highest_loads_are_told() {
+    const HIGH: u64 = 40;
+    let bytes = [2_000, 6_000, 12_000].map(|count| {
+        let (mut loads, mut heard) = (Loads::default(), Loads::default());
+        for upstream in 0..count {
+            let in_progress = if upstream % (count / HIGH) == 7 { 9 } else { 1 };
+            loads.learn(said(upstream, in_progress, 120), LearnedFrom::Itself);
+        }
+        let told = loads.highest_for(LISTENER, listed(count), NOW);
+        let hash = |place: usize| listed(count).nth(place);
+        heard.hear_highest(&told, hash, SENDER, NOW);
+        let high = heard.to_tell(NOW).iter().filter(|said| said.in_progress == 9).count();
+        assert_eq!(high as u64, HIGH, "of {count}");
+        assert!(heard.to_tell(NOW).iter().all(|said| NOW.since(said.at) >= Duration::from_millis(120)));
+        told.0.len()
+    });
+    assert_eq!(bytes[0], bytes[2]);
+    assert!(bytes[2] <= 1_024, "{bytes:?}");
+}
+
+#[test]
+fn high_loads_of_places_that_are_not_listed_are_not_taken() {
+    let mut heard = Loads::default();
+    let told = HighLoads(vec![0, 1, 5, 0, 0, 9, 5, 0, 0, 0]);
+    heard.hear_highest(&told, |place| listed(3).nth(place), SENDER, NOW);
+    let upstreams: Vec<NameHash> = heard.to_tell(NOW).iter().map(|said| said.upstream).collect();
+    assert_eq!(upstreams, [NameHash(101)]);
+}
--- a/crates/bendhinge_gateway/src/knowledge/peers.rs
+++ b/crates/bendhinge_gateway/src/knowledge/peers.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use bendhinge_fleet::{
-    LearnedFrom, ListChanges, ListTold, LoadSaid, LoadStates, NewsTold, UpstreamEntry, UpstreamList, Verdict,
-    Version,
+    HighLoads, LearnedFrom, ListChanges, ListTold, LoadSaid, LoadStates, MOST_TOLD_EACH, NewsTold,
+    UpstreamEntry, UpstreamList, Verdict, Version,
 };
 use bendhinge_ids::{Instant, NameHash};
 use bendhinge_peer::{ObservedDoubt, ObservedLoad, ObservedRead, ReadsPage};
@@ -13,6 +13,14 @@
 
 use super::upstreams::{State, UpstreamView};
 
+/// What is told of loads to one that holds the same list of upstreams.
+pub(crate) enum HeldLoads {
+    /// That of each.
+    Each(LoadStates),
+    /// The highest, of a long list.
+    Highest(HighLoads),
+}
+
 impl UpstreamView {
     /// What to tell the gateway at `listener` of upstreams that failed lately.
     pub(crate) fn doubts_to_tell(&self, listener: SocketAddr, now: Instant) -> Vec<ObservedDoubt> {
@@ -49,7 +57,7 @@
     /// What to tell others of loads, whatever list they hold.
     pub(crate) fn loads_to_tell(&self, now: Instant) -> Vec<ObservedLoad> {
         let state = self.state.lock().unwrap();
-        let told = state.loads.to_tell(now).map(|said| ObservedLoad {
+        let told = state.loads.to_tell(now).into_iter().map(|said| ObservedLoad {
             upstream: said.upstream,
             in_progress: u16::try_from(said.in_progress).unwrap_or(u16::MAX),
             age: now.since(said.at),
@@ -58,11 +66,32 @@
     }
 
     /// What to tell the gateway at `listener` of loads, which holds the same list.
-    pub(crate) fn load_states_to_tell(&self, listener: SocketAddr, now: Instant) -> Option<LoadStates> {
+    pub(crate) fn held_loads_to_tell(&self, listener: SocketAddr, now: Instant) -> HeldLoads {
         let state = self.state.lock().unwrap();
-        let list = state.belief.value()?;
-        let listed = list.entries.iter().map(|entry| entry.hash);
-        Some(state.loads.states_for(learned_from(listener), listed, now))
+        let entries = state.belief.value().map_or(&[][..], |list| &list.entries);
+        let listed = entries.iter().map(|entry| entry.hash);
+        let listener = learned_from(listener);
+        if entries.len() > MOST_TOLD_EACH {
+            HeldLoads::Highest(state.loads.highest_for(listener, listed, now))
+        } else {
+            HeldLoads::Each(state.loads.states_for(listener, listed, now))
+        }
+    }
+
+    /// Takes in the highest loads of the upstreams of the list that is held as `version`; nothing is taken if it is
+    /// not.
+    pub(crate) fn hear_high_loads(
+        &self,
+        told: &HighLoads,
+        version: Version,
+        from: SocketAddr,
+        as_of: Instant,
+    ) {
+        let mut state = self.state.lock().unwrap();
+        let State { belief, loads, .. } = &mut *state;
+        let Some(held) = belief.held().filter(|held| held.version.digest == version.digest) else { return };
+        let listed = |place: usize| held.value.entries.get(place).map(|entry| entry.hash);
+        loads.hear_highest(told, listed, learned_from(from), as_of);
     }
 
     /// Takes in what the gateway at `from` heard of loads, its ages counted from `as_of`.
--- a/crates/bendhinge_http/tests/unread.rs
+++ b/crates/bendhinge_http/tests/unread.rs
@@ -19,6 +19,7 @@
 
 const CALLERS: usize = 50;
 const PIECE: usize = 64 << 10;
+static FILLED: [u8; PIECE] = [b'x'; PIECE];
 /// More than the system's own buffers take in.
 const PIECES: usize = 1_000;
 const UNREAD_FOR: Duration = Duration::from_millis(200);
@@ -29,7 +30,7 @@
     let asked_for = Arc::clone(asked_for);
     let sending = async move {
         for _ in 0..PIECES {
-            let piece: io::Result<Bytes> = Ok(Bytes::from_static(&[b'x'; PIECE]));
+            let piece: io::Result<Bytes> = Ok(Bytes::from_static(&FILLED));
             if sender.send(piece).await.is_err() {
                 return;
             }
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -96,6 +96,8 @@
   # What changed lately of suspected requests, or all that matters of them, and a digest of all that matters.
   suspicions @14 :List(Suspicion);
   quarantine @15 :UInt64;
+  # In place of loadStates where the list is long: what bendhinge_fleet calls HighLoads.
+  highLoads @16 :Data;
 }
 
 struct Upstream {
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use bendhinge_fleet::{
-    Heard, ListChanges, ListTold, LoadStates, MemberStates, NewsLife, NewsPosition, Revision, RosterDigest,
-    UpstreamEntry, UpstreamList, UpstreamState, Version, WarmUp,
+    Heard, HighLoads, ListChanges, ListTold, LoadStates, MemberStates, NewsLife, NewsPosition, Revision,
+    RosterDigest, UpstreamEntry, UpstreamList, UpstreamState, Version, WarmUp,
 };
 use bendhinge_ids::{DataCentreName, NameHash};
 use bendhinge_placement::PartId;
@@ -120,6 +120,9 @@
     if let Some(MemberStates(states)) = &message.member_states {
         to.set_member_states(states);
     }
+    if let Some(HighLoads(loads)) = &message.high_loads {
+        to.set_high_loads(loads);
+    }
     if let Some(LoadStates(states)) = &message.load_states {
         to.set_load_states(states);
     }
@@ -190,6 +193,7 @@
 pub(super) fn read_message(from: peer_message::Reader<'_>) -> Result<PeerMessage, Error> {
     let member_states = from.get_member_states()?;
     let load_states = from.get_load_states()?;
+    let high_loads = from.get_high_loads()?;
     Ok(PeerMessage {
         sender: read_member(from.get_sender()?),
         is_brief: from.get_brief(),
@@ -200,6 +204,7 @@
         members: from.get_members()?.iter().map(read_member).collect(),
         member_states: (!member_states.is_empty()).then(|| MemberStates(member_states.to_vec())),
         loads: from.get_loads()?.iter().map(read_load).collect(),
+        high_loads: (!high_loads.is_empty()).then(|| HighLoads(high_loads.to_vec())),
         load_states: (!load_states.is_empty()).then(|| LoadStates(load_states.to_vec())),
         reads: from.get_reads()?.iter().map(read_read).collect(),
         told: read_position(from.get_told()?),
--- a/crates/bendhinge_peer/src/fleet/mod.rs
+++ b/crates/bendhinge_peer/src/fleet/mod.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use bendhinge_fleet::{
-    Doubt, Heard, Held, ListTold, LoadStates, MemberStates, NewsPosition, RosterDigest, UpstreamList,
-    Version, Witness,
+    Doubt, Heard, Held, HighLoads, ListTold, LoadStates, MemberStates, NewsPosition, RosterDigest,
+    UpstreamList, Version, Witness,
 };
 use bendhinge_ids::{Instant, NameHash};
 use bendhinge_placement::PartId;
@@ -131,6 +131,8 @@
     pub loads: Vec<ObservedLoad>,
     /// Their loads, if the receiver holds the same list.
     pub load_states: Option<LoadStates>,
+    /// The highest of them, if the list is long.
+    pub high_loads: Option<HighLoads>,
     /// What upstreams read, as the sender learned lately.
     pub reads: Vec<ObservedRead>,
     /// Up to where this message tells of the sender's reads.
@@ -161,6 +163,7 @@
             member_states: None,
             loads: Vec::new(),
             load_states: None,
+            high_loads: None,
             reads: Vec::new(),
             told: None,
             heard: None,
--- a/crates/bendhinge_peer/src/fleet_capnp.rs
+++ b/crates/bendhinge_peer/src/fleet_capnp.rs
@@ -3741,6 +3741,17 @@
         pub fn get_quarantine(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
+        #[inline]
+        pub fn get_high_loads(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(12),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_high_loads(&self) -> bool {
+            !self.reader.get_pointer_field(12).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -3748,7 +3759,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 3, pointers: 12 };
+            ::capnp::private::layout::StructSize { data: 3, pointers: 13 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4164,6 +4175,25 @@
         pub fn set_quarantine(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(2, value);
         }
+        #[inline]
+        pub fn get_high_loads(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(12),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_high_loads(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.reborrow().get_pointer_field(12).set_data(value);
+        }
+        #[inline]
+        pub fn init_high_loads(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(12).init_data(size)
+        }
+        #[inline]
+        pub fn has_high_loads(&self) -> bool {
+            !self.builder.is_pointer_field_null(12)
+        }
     }
 
     pub struct Pipeline {
@@ -4192,136 +4222,143 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 282] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 298] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(50, 195, 17, 35, 89, 221, 79, 151),
             ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
-            ::capnp::word(12, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
             ::capnp::word(77, 101, 115, 115, 97, 103, 101, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(49, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(57, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(69, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(81, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(105, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(113, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(131, 233, 241, 127, 114, 153, 209, 233),
@@ -4475,6 +4512,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 105, 103, 104, 76, 111, 97, 100),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4494,6 +4540,7 @@
                 13 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 14 => <::capnp::struct_list::Owned<crate::fleet_capnp::suspicion::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                16 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4512,9 +4559,11 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15];
+        pub(crate) static NONUNION_MEMBERS: &[u16] =
+            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[6, 7, 9, 12, 4, 11, 3, 13, 15, 5, 10, 1, 0, 14, 8, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] =
+            &[6, 7, 9, 16, 12, 4, 11, 3, 13, 15, 5, 10, 1, 0, 14, 8, 2];
         pub(crate) const TYPE_ID: u64 = 0x974f_dd59_2311_c332;
     }
 }
