--- a/crates/bendhinge_gateway/src/metrics.rs
+++ b/crates/bendhinge_gateway/src/metrics.rs
@@ -223,7 +223,7 @@
             ("member_states", message.member_states.as_ref().map_or(0, |states| states.0.len())),
             ("loads", message.loads.len()),
             ("load_states", message.load_states.as_ref().map_or(0, |states| states.0.len() / 2)),
-            ("high_loads", message.high_loads.as_ref().map_or(0, |loads| loads.count())),
+            ("high_loads", message.high_loads.as_ref().map_or(0, bendhinge_fleet::HighLoads::count)),
             ("reads", message.reads.len()),
             ("doubts", message.doubts.len()),
         ];
