After a start rules are looked for at any that is known, and callers wait a little longer for them

Change: a gateway without rules asks any that it has heard of each 100 ms, not the first in rank; requests wait for the first rules up to 0.6 s after the start, but no longer than an eighth of their caller's time.

--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -33,7 +33,11 @@
         let now = bendhinge_clock::now();
         let failing = control.is_store_failing();
         let reach = if round.is_multiple_of(ANY_EVERY) { Reach::Any } else { Reach::Reader };
-        let mut contacts = control.roster.borrow().contacts(reach, failing, now, &mut draw);
+        let mut contacts: Vec<Contact> = if is_seeking(&control) {
+            control.roster.borrow().any_contact(now, &mut draw).into_iter().collect()
+        } else {
+            control.roster.borrow().contacts(reach, failing, now, &mut draw)
+        };
         if contacts.is_empty() || round.is_multiple_of(LOST_EVERY) {
             contacts.extend(control.roster.borrow().lost_contact(now, &mut draw));
         }
@@ -50,7 +54,17 @@
 
 /// The period, spread so that gateways started together do not stay in step.
 fn period(control: &Control) -> Duration {
-    control.settings.fleet.exchange.mul_f64(rand::rng().random_range(0.8..1.2))
+    /// The period before there are rules: callers wait for them, or are turned away.
+    const SEEKING: Duration = Duration::from_millis(100);
+    let usual = control.settings.fleet.exchange;
+    let period = if is_seeking(control) { usual.min(SEEKING) } else { usual };
+    period.mul_f64(rand::rng().random_range(0.8..1.2))
+}
+
+/// Whether this gateway has no rules yet. It then asks any that it has heard of, since where all have just started the
+/// first in rank would be asked by all.
+fn is_seeking(control: &Control) -> bool {
+    control.delivering.rules.current().is_none()
 }
 
 /// Tells those who hear news from this gateway that there is some; they fetch what they lack.
--- a/crates/bendhinge_gateway/src/intake/mod.rs
+++ b/crates/bendhinge_gateway/src/intake/mod.rs
@@ -106,7 +106,7 @@
             return Err(ResultCode::RouterStopping.into());
         }
         let tie_breaker = rand::rng().random();
-        let current = self.delivering.rules.current_or_first().await;
+        let current = self.delivering.rules.current_or_first(call.deadline).await;
         let current = current.ok_or(ResultCode::NoConfiguration)?;
         let allowed = allow(&current, &head, &call)?;
         if allowed.customer.is_some() && !self.delivering.rules.may_be_acted_on() {
--- a/crates/bendhinge_gateway/src/knowledge/rules.rs
+++ b/crates/bendhinge_gateway/src/knowledge/rules.rs
@@ -41,12 +41,16 @@
         Self { belief: Mutex::default(), lease: limits.rules_lease, first_until, first, first_arrived }
     }
 
-    /// The rules in force. Those who ask while the process starts wait for them for a moment.
-    pub(crate) async fn current_or_first(&self) -> Option<Arc<RulesInForce>> {
+    /// The rules in force. Those who ask while the process starts wait for them for a moment, which is a small part of
+    /// the time for which their caller waits.
+    pub(crate) async fn current_or_first(&self, caller_waits: Option<Duration>) -> Option<Arc<RulesInForce>> {
+        /// What is left of its time must do for the answer.
+        const PART_OF_TIME: u32 = 8;
         if let Some(current) = self.current() {
             return Some(current);
         }
         let left = self.first_until.since(bendhinge_clock::now());
+        let left = caller_waits.map_or(left, |waits| left.min(waits / PART_OF_TIME));
         let arrived = async {
             // It ends when the channel is closed.
             let _ = self.first_arrived.recv().await;
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -116,10 +116,9 @@
         Key::new(
             "first_rules_ms",
             "milliseconds",
-            // A store answers in milliseconds, and a box with an eighth of a core had its first
-            // rules within a tenth of a second of its start.
-            Some("200"),
-            "How long after the start of the process requests wait for the first rules; a caller that is refused instead loses one of its few tries.",
+            // Where all start at once, a few read them and the others hear of them within some exchanges.
+            Some("600"),
+            "How long after the start of the process requests wait for the first rules, but no longer than an eighth of their time; a caller that is refused instead loses one of its few tries.",
         ),
     ],
 };
