--- a/crates/bendhinge_admission/src/retry_share.rs
+++ b/crates/bendhinge_admission/src/retry_share.rs
@@ -33,13 +33,14 @@
     /// What is kept of the slack, for routers that do not know of each other or that start anew.
     const SLACK_USED: f64 = 0.5;
 
-    /// The share of one of `routers`, which has drawn `seed` at its start. Each earns by its own requests alone, so that
-    /// the shares add up to the fleet's budget however requests are divided, without a message.
+    /// The share of a router whose part of the slack is `reserve`, and which has drawn `seed` at its start. Each earns by
+    /// its own requests alone, so that the shares add up to the fleet's budget however requests are divided, without
+    /// a message.
     #[must_use]
-    pub fn share(self, routers: usize, seed: u64) -> RetryShare {
+    pub fn share(self, reserve: f64, seed: u64) -> RetryShare {
         RetryShare {
             ratio: self.ratio * Self::RATIO_USED,
-            reserve: self.reserve(routers),
+            reserve,
             lots: Lots { seed, period: self.span * SPANS_A_LOT },
             slot: self.span / SLOTS,
             slots: VecDeque::new(),
--- a/crates/bendhinge_admission/tests/budget.rs
+++ b/crates/bendhinge_admission/tests/budget.rs
@@ -72,7 +72,7 @@
         let routers = u.int_in_range(1..=40)?;
         let budget = budget(f64::from(u.int_in_range(40..=200)?));
         let mut shares: Vec<RetryShare> =
-            (0..routers).map(|router| budget.share(routers, router as u64)).collect();
+            (0..routers).map(|router| budget.share(budget.reserve(routers), router as u64)).collect();
         let usual: u32 = u.int_in_range(2..=20)?;
         let mut rates = vec![usual; 4 * STEPS_OF_SPAN];
         for _ in 0..u.int_in_range(0..=3)? {
@@ -94,7 +94,7 @@
 
 #[test]
 fn a_lost_upstream_costs_few_requests() {
-    let mut share = budget(60.0).share(6, 1);
+    let mut share = budget(60.0).share(budget(60.0).reserve(6), 1);
     // One of twelve upstreams fails all that it gets.
     let given_up = (0..600).filter(|number| {
         let now = at(*number);
@@ -109,7 +109,7 @@
 /// send four of them again.
 #[test]
 fn all_that_is_lost_at_once_with_some_upstreams_is_sent_again() {
-    let mut share = budget(54.0).share(7, 1);
+    let mut share = budget(54.0).share(budget(54.0).reserve(7), 1);
     for step in 0..100 {
         for _ in 0..5 {
             share.request(at(step) + STEP / 2);
@@ -122,7 +122,7 @@
 /// A burst that is over earns nothing more: within the spans to come there are fewer requests.
 #[test]
 fn retries_follow_the_present_rate() {
-    let mut share = budget(0.0).share(1, 1);
+    let mut share = budget(0.0).share(budget(0.0).reserve(1), 1);
     for step in 0..50 {
         for _ in 0..100 {
             share.request(at(step));
@@ -137,7 +137,7 @@
 
 #[test]
 fn a_smaller_part_of_the_slack_holds_at_once() {
-    let mut share = budget(60.0).share(2, 1);
+    let mut share = budget(60.0).share(budget(60.0).reserve(2), 1);
     share.set_reserve(1.0);
     assert!(share.retry(at(0)));
     assert!(!share.retry(at(0)));
@@ -150,7 +150,7 @@
     for routers in [600, 1_200, 3_700] {
         let budget = budget(640.0);
         let mut shares: Vec<RetryShare> =
-            (0..routers).map(|router| budget.share(routers, router as u64)).collect();
+            (0..routers).map(|router| budget.share(budget.reserve(routers), router as u64)).collect();
         let mut next = 0;
         let rate = u32::try_from(routers / 100).unwrap();
         let played = play(&mut shares, &vec![rate; 3 * STEPS_OF_SPAN], || {
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -158,6 +158,7 @@
     control.delivering.metrics.exchange(answer.is_ok());
     let Ok(answer) = answer else { return false };
     take_in(control, &answer, Some(asked));
+    control.divide();
     control.note_answer(address, &message, &answer);
     control.fetch_news(address, &answer).await;
     true
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -116,6 +116,13 @@
         self.delivering.quarantine.release(&settings.released);
     }
 
+    /// Takes this gateway's part of what all share, by how many are known.
+    fn divide(&self) {
+        let gateways = self.roster.borrow().known_count();
+        self.delivering.retries.divide_among(gateways);
+        self.delivering.upstreams.divide_among(gateways);
+    }
+
     /// Tells the others at once that this gateway leaves.
     pub(crate) async fn say_goodbye(self: &Rc<Self>) {
         exchange::tell_news(self, Origin::Store).await;
@@ -133,9 +140,7 @@
         Timer::after(PERIOD).await;
         let now = bendhinge_clock::now();
         control.roster.borrow_mut().forget(now);
-        let gateways = control.roster.borrow().known_count();
-        control.delivering.retries.divide_among(gateways);
-        control.delivering.upstreams.divide_among(gateways);
+        control.divide();
         control.peer_states.borrow_mut().forget(now);
         control.delivering.upstreams.prune();
         control.delivering.quarantine.prune();
--- a/crates/bendhinge_gateway/src/retries.rs
+++ b/crates/bendhinge_gateway/src/retries.rs
@@ -16,14 +16,16 @@
 }
 
 struct Shares {
-    /// How many gateways share; until any are known, as many as there could be.
-    gateways: usize,
+    /// The part of the slack that is this gateway's.
+    reserve: f64,
     by_pool: FxHashMap<PoolName, RetryShare>,
 }
 
 impl Retries {
     pub(crate) fn new(fleet: FleetRetryBudget) -> Self {
-        let shares = Shares { gateways: usize::MAX, by_pool: FxHashMap::default() };
+        /// Until it is known how many share: the gateways are known before there are rules by which to send.
+        const AT_FIRST: f64 = 1.0;
+        let shares = Shares { reserve: AT_FIRST, by_pool: FxHashMap::default() };
         Self { fleet, seed: rand::rng().random(), shares: Mutex::new(shares) }
     }
 
@@ -34,7 +36,7 @@
         if let Some(share) = shares.by_pool.get_mut(pool) {
             return share.request(now);
         }
-        let mut share = self.fleet.share(shares.gateways, self.seed);
+        let mut share = self.fleet.share(shares.reserve, self.seed);
         share.request(now);
         shares.by_pool.insert(pool.clone(), share);
     }
@@ -49,7 +51,7 @@
     pub(crate) fn divide_among(&self, gateways: usize) {
         let reserve = self.fleet.reserve(gateways);
         let mut shares = self.shares.lock().unwrap();
-        shares.gateways = gateways;
+        shares.reserve = reserve;
         shares.by_pool.values_mut().for_each(|share| share.set_reserve(reserve));
     }
 }
--- a/crates/bendhinge_lab/src/bench/plain_pool.rs
+++ b/crates/bendhinge_lab/src/bench/plain_pool.rs
@@ -121,7 +121,7 @@
 /// Plays the load.
 #[must_use]
 pub fn run(way: Way, seed: u64) -> Seen {
-    let router = || Router { pacer: Pacer::default(), budget: BUDGET.share(ROUTERS, 0) };
+    let router = || Router { pacer: Pacer::default(), budget: BUDGET.share(BUDGET.reserve(ROUTERS), 0) };
     let mut model = Model {
         way,
         random: ChaCha8Rng::seed_from_u64(seed),
--- a/crates/bendhinge_lab/src/bench/resting.rs
+++ b/crates/bendhinge_lab/src/bench/resting.rs
@@ -158,7 +158,7 @@
         told: Rests::default(),
         loads: Loads::default(),
         kept: KeptParts::new(Duration::from_mins(1)),
-        share: BUDGET.share(scene.routers, 0),
+        share: BUDGET.share(BUDGET.reserve(scene.routers), 0),
     };
     let mut fleet = Fleet {
         way,
