In large pools subjects of one head are at home in one group of upstreams

Ways weighed: the whole pool (as before); a working set by told demand (routers that see 1.6 requests a second each would not agree on it); groups whose size follows the subjects that are known (homes move each time that it grows); a fixed group for each head, and the next ones while its homes are over the bound. Tests: copies do not grow with the pool; heads in demand use further groups; few homes move when an upstream comes.

--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -4,7 +4,8 @@
 use bendhinge_ids::{Instant, NameHash};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{KeptParts, PartId, Prompt};
+use crate::homes::home;
+use crate::{KeptParts, Prompt};
 
 /// An upstream that may be chosen.
 #[derive(Clone, Copy, Debug)]
@@ -131,7 +132,7 @@
     let mean_load = mean_load(candidates);
     // An upstream gets no more from this load on while others are below it.
     let limit = rules.bound * mean_load + rules.bound_slack;
-    let home = home(question, candidates);
+    let home = question.prompt.and_then(|prompt| home(prompt, candidates, limit));
     let kept: Vec<u32> = kept_by_each(question, candidates, kept, now);
     let chooser =
         Chooser { rules, question, candidates, sources: Sources::new(&kept), kept, home, mean_load };
@@ -157,18 +158,6 @@
     total / count.max(1.0)
 }
 
-/// The home of a subject: by rendezvous hashing among the candidates that take work, which is the
-/// same at all routers that hold the same list.
-fn home(question: &Question<'_>, candidates: &[Candidate]) -> Option<usize> {
-    let subject = question.prompt?.subject()?;
-    let working = (0..candidates.len()).filter(|index| candidates[*index].takes_work);
-    working.max_by_key(|index| score(subject, candidates[*index].upstream))
-}
-
-fn score(subject: PartId, upstream: NameHash) -> u64 {
-    xxh3_64_with_seed(&subject.0.to_le_bytes(), upstream.0)
-}
-
 /// The candidates that keep most of a prompt: from one of them the others can fetch it.
 struct Sources {
     /// What each of them is believed to keep of the prompt, in tokens.
--- a/crates/bendhinge_placement/src/lib.rs
+++ b/crates/bendhinge_placement/src/lib.rs
@@ -16,6 +16,7 @@
 mod budget;
 mod cost;
 mod displaced;
+mod homes;
 mod kept;
 mod knowledge;
 mod ledger;
--- a/crates/bendhinge_placement/tests/cost.rs
+++ b/crates/bendhinge_placement/tests/cost.rs
@@ -232,3 +232,55 @@
     let busiest = sources.iter().max().unwrap();
     assert!(*busiest <= 4 * even, "{busiest} of {fetched} from one of {KEEPERS}");
 }
+
+/// Requests for 900 subjects with four heads before `count` upstreams; gives how many upstreams have to read some
+/// head, counted for each head by itself.
+fn copies_of_heads(count: u64) -> usize {
+    let placing = Placing::new(count);
+    let homes: std::collections::BTreeSet<(u64, usize)> = (0..1_800)
+        .map(|subject| (subject % 4, placing.chosen(&prompt(subject % 4, 10_000 + subject))))
+        .collect();
+    homes.len()
+}
+
+/// Pattern: a pool of thousands, each of which is the home of a subject or none. Each read the head of its subject's
+/// prompts for that subject alone.
+#[test]
+fn the_heads_that_a_large_pool_reads_do_not_grow_with_the_pool() {
+    const HEADS: usize = 4;
+    /// Upstreams of a group.
+    const LARGEST_GROUP: usize = 128;
+    for count in [600, 6_000] {
+        let copies = copies_of_heads(count);
+        assert!(copies <= HEADS * LARGEST_GROUP, "{copies} copies before {count} upstreams");
+    }
+}
+
+/// A head in demand is not held to one group: a home that has too much to do gives way to that of the next.
+#[test]
+fn subjects_of_a_head_in_demand_have_homes_in_further_groups() {
+    let mut placing = Placing::new(6_000);
+    let prompts: Vec<Prompt> = (0..200).map(|subject| prompt(1, 10_000 + subject)).collect();
+    let first: Vec<usize> = prompts.iter().map(|prompt| placing.chosen(prompt)).collect();
+    for index in &first {
+        placing.candidates[*index].load = 9.0;
+    }
+    let second: Vec<Choice> = prompts.iter().map(|prompt| placing.choose(Some(prompt)).unwrap()).collect();
+    let again = second.iter().filter(|choice| choice.reason == ChoiceReason::Home).count();
+    assert!(again > 190, "{again} of 200 have another home");
+    let elsewhere: std::collections::BTreeSet<usize> = second.iter().map(|choice| choice.chosen).collect();
+    assert!(elsewhere.iter().all(|index| !first.contains(index)));
+    assert!(elsewhere.len() <= 128, "and these are one group: {}", elsewhere.len());
+}
+
+/// An upstream that comes or goes changes the homes of few subjects.
+#[test]
+fn homes_in_a_large_pool_stay_when_an_upstream_comes() {
+    let (before, mut after) = (Placing::new(3_000), Placing::new(3_001));
+    after.candidates[17].takes_work = false;
+    let moved = (0..300).filter(|subject| {
+        let prompt = prompt(subject % 4, 10_000 + subject);
+        before.chosen(&prompt) != after.chosen(&prompt)
+    });
+    assert!(moved.count() < 18);
+}
