--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -54,17 +54,18 @@
 
 /// The period, spread so that gateways started together do not stay in step.
 fn period(control: &Control) -> Duration {
-    /// The period before there are rules: callers wait for them, or are turned away.
+    /// The period before there is what serving takes: callers wait for it, or are turned away.
     const SEEKING: Duration = Duration::from_millis(100);
     let usual = control.settings.fleet.exchange;
     let period = if is_seeking(control) { usual.min(SEEKING) } else { usual };
     period.mul_f64(rand::rng().random_range(0.8..1.2))
 }
 
-/// Whether this gateway has no rules yet. It then asks any that it has heard of, since where all have just started the
-/// first in rank would be asked by all.
+/// Whether this gateway has no rules yet, or no upstreams to begin with. It then asks any that it has heard of, since
+/// where all have just started the first in rank would be asked by all.
 fn is_seeking(control: &Control) -> bool {
-    control.delivering.rules.current().is_none()
+    let Delivering { rules, upstreams, .. } = &*control.delivering;
+    rules.current().is_none() || !upstreams.is_known() && !upstreams.is_begun()
 }
 
 /// Tells those who hear news from this gateway that there is some; they fetch what they lack.
@@ -210,7 +211,8 @@
         let address = message.sender.address;
         let delivering = &self.0.delivering;
         let is_fresher = control.is_much_fresher(&message);
-        let has_news = message.rules.is_some_and(|known| delivering.rules.lacks(known.version))
+        let has_news = message.is_begun && !delivering.upstreams.is_begun()
+            || message.rules.is_some_and(|known| delivering.rules.lacks(known.version))
             || message.upstreams.is_some_and(|known| delivering.upstreams.lacks(known.version));
         let now = bendhinge_clock::now();
         let content = match &message {
@@ -248,6 +250,10 @@
         self.0.delivering.upstreams.held_lately(digest)
     }
 
+    fn list_part(&self) -> Option<Arc<UpstreamList>> {
+        self.0.delivering.upstreams.part()
+    }
+
     fn upstreams(&self, base: Option<u64>) -> Option<(Known, ListTold)> {
         let upstreams = &self.0.delivering.upstreams;
         let known = upstreams.known(bendhinge_clock::now())?;
--- a/crates/bendhinge_gateway/src/control/fetching.rs
+++ b/crates/bendhinge_gateway/src/control/fetching.rs
@@ -8,6 +8,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use bendhinge_fleet::{FetchPlan, Holder, ListTold, Offer, Origin, UpstreamList, Version};
 use bendhinge_ids::Instant;
@@ -69,7 +70,27 @@
                 self.fetching_rules.run(holder, lacks, fetch).await;
             }
         };
-        zip(list, document).await;
+        let part = async {
+            if message.is_begun {
+                self.fetch_part(address).await;
+            }
+        };
+        zip(zip(list, document), part).await;
+    }
+
+    /// Begins with the part of a list with which the gateway at `address` has begun, if there is nothing yet.
+    async fn fetch_part(self: &Rc<Self>, address: SocketAddr) {
+        let upstreams = &self.delivering.upstreams;
+        if upstreams.is_begun() || self.is_fetching_part.replace(true) {
+            return;
+        }
+        let asked = bendhinge_clock::now();
+        let fetched = self.peers.call(address, async |peer| peer.list_part().await).await;
+        self.is_fetching_part.set(false);
+        let part = self.note_fetch(Believed::Upstreams, address, asked, fetched.map(Some));
+        if let Some(part) = part.filter(|part| !part.entries.is_empty()) {
+            upstreams.begin_with(Arc::new(part));
+        }
     }
 
     async fn fetch_rules(self: &Rc<Self>, address: SocketAddr) {
--- a/crates/bendhinge_gateway/src/control/message.rs
+++ b/crates/bendhinge_gateway/src/control/message.rs
@@ -47,6 +47,7 @@
         is_probe: content == Content::Probe,
         rules: control.delivering.rules.known(now),
         upstreams: control.delivering.upstreams.known(now),
+        is_begun: control.delivering.upstreams.part().is_some(),
         roster: control.roster.borrow().digest(),
         told: Some(NewsPosition { life: control.life, number: 0 }),
         heard: peer.and_then(|peer| peer.heard),
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -256,7 +256,7 @@
             // All that start read this page, so it is no news to any.
             self.hold_rules(&Known { version, age: Duration::ZERO }, began, document, Origin::Store);
         }
-        self.delivering.upstreams.begin_with(&contents.into_list());
+        self.delivering.upstreams.begin_with(Arc::new(contents.into_list()));
     }
 
     fn take_contents(self: &Rc<Self>, part: StorePart, mut contents: Contents) {
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -72,6 +72,8 @@
 
 pub(super) struct State {
     pub(super) belief: Belief<UpstreamList>,
+    /// What there is to begin with before a list is there.
+    part: Option<Arc<UpstreamList>>,
     pub(super) directory: Directory,
     pub(super) judge: Judge,
     /// The rests that upstreams asked this gateway for.
@@ -115,6 +117,7 @@
     pub(crate) fn new(own: SocketAddr, regions: RegionMap, settings: &UpstreamSettings) -> Self {
         let state = State {
             belief: Belief::default(),
+            part: None,
             directory: Directory::new(settings.directory),
             judge: Judge::new(settings.judge),
             rests: Rests::default(),
@@ -140,14 +143,20 @@
         !self.state.lock().unwrap().directory.listed().is_empty()
     }
 
-    /// Begins with a part of the list, which others are not told of, until all of it is there.
-    pub(crate) fn begin_with(&self, part: &UpstreamList) {
+    /// Begins with a part of the list, until all of it is there.
+    pub(crate) fn begin_with(&self, part: Arc<UpstreamList>) {
         let mut state = self.state.lock().unwrap();
         if state.belief.held().is_none() {
-            state.directory.take(part, bendhinge_clock::now());
+            state.directory.take(&part, bendhinge_clock::now());
+            state.part = Some(part);
         }
     }
 
+    /// The part with which it has begun, if it holds no list yet.
+    pub(crate) fn part(&self) -> Option<Arc<UpstreamList>> {
+        self.state.lock().unwrap().part.clone()
+    }
+
     pub(crate) fn age(&self, now: Instant) -> Option<Duration> {
         self.state.lock().unwrap().belief.age(now)
     }
@@ -190,6 +199,7 @@
             state.directory.evidence(as_of);
         }
         if offer == Offer::New {
+            state.part = None;
             state.follow_list();
         }
         offer
--- a/crates/bendhinge_lab/tests/gateway_large_rules.rs
+++ b/crates/bendhinge_lab/tests/gateway_large_rules.rs
@@ -95,6 +95,10 @@
         None
     }
 
+    fn list_part(&self) -> Option<Arc<UpstreamList>> {
+        None
+    }
+
     fn upstreams(&self, _: Option<u64>) -> Option<(Known, ListTold)> {
         Some((Self::known(), ListTold::Whole(UpstreamList::default())))
     }
--- a/crates/bendhinge_lab/tests/gateway_long_lists.rs
+++ b/crates/bendhinge_lab/tests/gateway_long_lists.rs
@@ -12,7 +12,7 @@
 use bendhinge_http::Tasks;
 use bendhinge_lab::gateways::{FleetShape, GatewayFleet, RULES, Told, until};
 use bendhinge_standin::gateway::StoreFault;
-use gateway_common::{call, run, send, start};
+use gateway_common::{PATIENCE, call, run, send, start};
 
 /// Upstreams that get no requests, and make the list long.
 const SPARES: u32 = 300;
@@ -21,9 +21,9 @@
 const LATER_PAGES: &str = "/v1/fleet?after=";
 const CHANGES: &str = "/v1/fleet/changes";
 
-/// A gateway that holds a list of four pages.
-async fn with_a_long_list(tasks: &Tasks) -> GatewayFleet {
-    let fleet = start(tasks, FleetShape { gateways: 1, engines: 0, services: 1 }).await;
+/// Gateways of which the first holds a list of four pages.
+async fn with_a_long_list(tasks: &Tasks, gateways: usize) -> GatewayFleet {
+    let fleet = start(tasks, FleetShape { gateways, engines: 0, services: 1 }).await;
     fleet.store.set_page_entries(ON_A_PAGE);
     for number in 0..SPARES {
         fleet.store.add(&format!("spare-{number:03}"), "spares", ([127, 0, 0, 1], 9).into());
@@ -42,7 +42,7 @@
 #[test]
 fn a_gateway_that_holds_a_long_list_reads_only_what_changes() {
     run(|tasks| async move {
-        let fleet = with_a_long_list(&tasks).await;
+        let fleet = with_a_long_list(&tasks, 1).await;
         let pages = fleet.store.reads_at(LATER_PAGES);
         let reads = fleet.store.reads();
         until(async || fleet.store.reads() > reads + 3).await;
@@ -66,7 +66,7 @@
 #[test]
 fn changes_that_the_store_has_forgotten_are_found_in_the_whole_list() {
     run(|tasks| async move {
-        let fleet = with_a_long_list(&tasks).await;
+        let fleet = with_a_long_list(&tasks, 1).await;
         let pages = fleet.store.reads_at(LATER_PAGES);
         fleet.store.remove("spare-008");
         fleet.store.forget_history();
@@ -82,7 +82,7 @@
 #[test]
 fn a_gateway_that_starts_serves_with_the_first_page() {
     run(|tasks| async move {
-        let mut fleet = with_a_long_list(&tasks).await;
+        let mut fleet = with_a_long_list(&tasks, 1).await;
         fleet.gateways[0] = None;
         fleet.store.set_fault(StoreFault::FirstPageOnly);
         fleet.restart(0);
@@ -95,3 +95,20 @@
         until_list(&fleet).await;
     });
 }
+
+/// Where all start at once, a few get the first page from the store long before the others.
+#[test]
+fn a_gateway_that_the_store_does_not_answer_begins_with_what_another_has_begun_with() {
+    run(|tasks| async move {
+        let mut fleet = with_a_long_list(&tasks, 2).await;
+        fleet.gateways = vec![None, None];
+        fleet.store.set_fault(StoreFault::FirstPageOnly);
+        fleet.restart(0);
+        fleet.until_ready().await;
+        fleet.store.set_fault(StoreFault::Silent);
+        fleet.restart(1);
+        fleet.until_ready().await;
+        let answer = fleet.caller().send(fleet.callers(1), &call("/safe/x"), PATIENCE).await;
+        assert_eq!(answer.told, Told::Whole);
+    });
+}
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -98,6 +98,8 @@
   quarantine @15 :UInt64;
   # In place of loadStates where the list is long: what bendhinge_fleet calls HighLoads.
   highLoads @16 :Data;
+  # Whether the sender holds a part of a list of upstreams, and no whole one yet.
+  begun @17 :Bool;
 }
 
 struct Upstream {
@@ -137,4 +139,6 @@
   reads @3 (page :UInt32, pages :UInt32) -> (reads :List(Read), informed :Bool);
   # Entries of the list with this digest from the one at `from` on; none if the list is not remembered any more.
   listPiece @4 (digest :UInt64, from :UInt32) -> (list :List(Upstream));
+  # The part of a list with which one that has just started begins; `drained` as above.
+  listPart @5 () -> (list :List(Upstream), drained :List(Text));
 }
--- a/crates/bendhinge_peer/src/fleet/client.rs
+++ b/crates/bendhinge_peer/src/fleet/client.rs
@@ -5,11 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{ListTold, UpstreamEntry};
+use bendhinge_fleet::{ListTold, UpstreamEntry, UpstreamList};
 use bytes::{Bytes, BytesMut};
 use smol::LocalExecutor;
 
-use super::convert::{count, read_known, read_list, read_message, read_read, read_upstreams, write_message};
+use super::convert::{
+    count, read_drained, read_known, read_list, read_message, read_read, read_upstreams, write_message,
+};
 use super::{Known, ObservedRead, PeerMessage, ReadsPage};
 use crate::calling::{self, Calling};
 use crate::client::{CallError, within};
@@ -156,6 +158,18 @@
         .await
     }
 
+    /// Fetches the part of a list with which the peer has begun; it is empty if the peer holds a whole one, or none.
+    pub async fn list_part(&self) -> Result<UpstreamList, CallError> {
+        let request = self.peer.list_part_request();
+        within(self.time, async {
+            let answer = request.send().promise.await?;
+            let answer = answer.get()?;
+            let entries = read_upstreams(answer.get_list()?)?;
+            Ok(UpstreamList { entries, drained: read_drained(answer.get_drained()?)? })
+        })
+        .await
+    }
+
     /// Fetches a part of all that the peer believes upstreams to have read; `None` if it has just
     /// started and knows too little itself.
     pub async fn reads(&self, page: ReadsPage) -> Result<Option<Vec<ObservedRead>>, CallError> {
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -11,7 +11,7 @@
 use bendhinge_ids::{DataCentreName, NameHash};
 use bendhinge_placement::PartId;
 use capnp::traits::OwnedStruct;
-use capnp::{Error, struct_list};
+use capnp::{Error, struct_list, text_list};
 
 use super::suspicion::{read_suspicion, write_suspicion};
 use super::{Known, ObservedDoubt, ObservedFailure, ObservedLoad, ObservedRead, PeerMessage, address_parts};
@@ -120,6 +120,7 @@
     if let Some(MemberStates(states)) = &message.member_states {
         to.set_member_states(states);
     }
+    to.set_begun(message.is_begun);
     if let Some(HighLoads(loads)) = &message.high_loads {
         to.set_high_loads(loads);
     }
@@ -204,6 +205,7 @@
         members: from.get_members()?.iter().map(read_member).collect(),
         member_states: (!member_states.is_empty()).then(|| MemberStates(member_states.to_vec())),
         loads: from.get_loads()?.iter().map(read_load).collect(),
+        is_begun: from.get_begun(),
         high_loads: (!high_loads.is_empty()).then(|| HighLoads(high_loads.to_vec())),
         load_states: (!load_states.is_empty()).then(|| LoadStates(load_states.to_vec())),
         reads: from.get_reads()?.iter().map(read_read).collect(),
@@ -278,11 +280,18 @@
             (&changes.came, &changes.drained)
         }
     };
-    let mut names = to.reborrow().init_drained(count(drained.len()));
+    write_drained(to.reborrow().init_drained(count(drained.len())), drained);
+    write_entries(to.init_list(count(entries.len())), entries);
+}
+
+pub(super) fn write_drained(mut to: text_list::Builder<'_>, drained: &[DataCentreName]) {
     for (index, name) in (0..).zip(drained) {
-        names.set(index, name.as_str());
+        to.set(index, name.as_str());
     }
-    write_entries(to.init_list(count(entries.len())), entries);
+}
+
+pub(super) fn read_drained(from: text_list::Reader<'_>) -> Result<Vec<DataCentreName>, Error> {
+    from.iter().map(|name| read_data_centre(name?)).collect()
 }
 
 pub(super) fn write_entries(to: struct_list::Builder<'_, upstream::Owned>, entries: &[Arc<UpstreamEntry>]) {
@@ -291,7 +300,7 @@
 
 pub(super) fn read_list(from: fleet::upstreams_results::Reader<'_>) -> Result<ListTold, Error> {
     let entries = read_upstreams(from.get_list()?)?;
-    let drained = from.get_drained()?.iter().map(|name| read_data_centre(name?)).collect::<Result<_, _>>()?;
+    let drained = read_drained(from.get_drained()?)?;
     let base = from.get_base();
     if base == 0 {
         return Ok(ListTold::Whole(UpstreamList { entries, drained }));
--- a/crates/bendhinge_peer/src/fleet/mod.rs
+++ b/crates/bendhinge_peer/src/fleet/mod.rs
@@ -121,6 +121,8 @@
     pub rules: Option<Known>,
     /// The list of upstreams that it holds.
     pub upstreams: Option<Known>,
+    /// Whether it holds a part of a list, and no whole one yet.
+    pub is_begun: bool,
     /// Which members it knows.
     pub roster: RosterDigest,
     /// The members that it knows, if the receiver may know others.
@@ -158,6 +160,7 @@
             is_probe: false,
             rules: None,
             upstreams: None,
+            is_begun: false,
             roster: RosterDigest(0),
             members: Vec::new(),
             member_states: None,
@@ -203,6 +206,8 @@
     fn upstreams(&self, base: Option<u64>) -> Option<(Known, ListTold)>;
     /// A list of upstreams that was held lately, by its digest.
     fn list(&self, digest: u64) -> Option<Arc<UpstreamList>>;
+    /// The part of a list with which this gateway has begun, if it holds no whole one.
+    fn list_part(&self) -> Option<Arc<UpstreamList>>;
     /// All that upstreams are believed to have read; `None` just after the start.
     fn reads(&self, page: ReadsPage) -> Option<Vec<ObservedRead>>;
 }
--- a/crates/bendhinge_peer/src/fleet/server.rs
+++ b/crates/bendhinge_peer/src/fleet/server.rs
@@ -10,7 +10,8 @@
 use smol::net::TcpListener;
 
 use super::convert::{
-    count, read_message, write_all, write_entries, write_known, write_list, write_message, write_read,
+    count, read_message, write_all, write_drained, write_entries, write_known, write_list, write_message,
+    write_read,
 };
 use super::{FleetDuties, ReadsPage};
 use crate::answering::serve_connections;
@@ -121,6 +122,17 @@
         Ok(())
     }
 
+    async fn list_part(
+        self: Rc<Self>,
+        _: fleet::ListPartParams,
+        mut results: fleet::ListPartResults,
+    ) -> Result<(), Error> {
+        let Some(part) = self.0.list_part() else { return Ok(()) };
+        write_drained(results.get().init_drained(count(part.drained.len())), &part.drained);
+        write_entries(results.get().init_list(count(part.entries.len())), &part.entries);
+        Ok(())
+    }
+
     async fn reads(
         self: Rc<Self>,
         params: fleet::ReadsParams,
--- a/crates/bendhinge_peer/src/fleet_capnp.rs
+++ b/crates/bendhinge_peer/src/fleet_capnp.rs
@@ -3752,6 +3752,10 @@
         pub fn has_high_loads(&self) -> bool {
             !self.reader.get_pointer_field(12).is_null()
         }
+        #[inline]
+        pub fn get_begun(self) -> bool {
+            self.reader.get_bool_field(2)
+        }
     }
 
     pub struct Builder<'a> {
@@ -4194,6 +4198,14 @@
         pub fn has_high_loads(&self) -> bool {
             !self.builder.is_pointer_field_null(12)
         }
+        #[inline]
+        pub fn get_begun(self) -> bool {
+            self.builder.get_bool_field(2)
+        }
+        #[inline]
+        pub fn set_begun(&mut self, value: bool) {
+            self.builder.set_bool_field(2, value);
+        }
     }
 
     pub struct Pipeline {
@@ -4222,7 +4234,7 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 298] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 313] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(50, 195, 17, 35, 89, 221, 79, 151),
             ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
@@ -4232,133 +4244,140 @@
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 247, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
             ::capnp::word(77, 101, 115, 115, 97, 103, 101, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(57, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(81, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(85, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(97, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(105, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(109, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(133, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(141, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(17, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(131, 233, 241, 127, 114, 153, 209, 233),
@@ -4521,6 +4540,14 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 101, 103, 117, 110, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4541,6 +4568,7 @@
                 14 => <::capnp::struct_list::Owned<crate::fleet_capnp::suspicion::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 16 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                17 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4560,10 +4588,10 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] =
-            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16];
+            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME: &[u16] =
-            &[6, 7, 9, 16, 12, 4, 11, 3, 13, 15, 5, 10, 1, 0, 14, 8, 2];
+            &[17, 6, 7, 9, 16, 12, 4, 11, 3, 13, 15, 5, 10, 1, 0, 14, 8, 2];
         pub(crate) const TYPE_ID: u64 = 0x974f_dd59_2311_c332;
     }
 }
@@ -5939,6 +5967,9 @@
         ::capnp::capability::Params<crate::fleet_capnp::fleet::list_piece_params::Owned>;
     pub type ListPieceResults =
         ::capnp::capability::Results<crate::fleet_capnp::fleet::list_piece_results::Owned>;
+    pub type ListPartParams = ::capnp::capability::Params<crate::fleet_capnp::fleet::list_part_params::Owned>;
+    pub type ListPartResults =
+        ::capnp::capability::Results<crate::fleet_capnp::fleet::list_part_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -6047,6 +6078,14 @@
         > {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
+        pub fn list_part_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::fleet_capnp::fleet::list_part_params::Owned,
+            crate::fleet_capnp::fleet::list_part_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
     }
     pub trait Server: 'static {
         fn exchange(
@@ -6094,6 +6133,15 @@
                 "method fleet::Server::list_piece not implemented".to_string(),
             )))
         }
+        fn list_part(
+            self: ::capnp::capability::Rc<Self>,
+            _: ListPartParams,
+            _: ListPartResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method fleet::Server::list_part not implemented".to_string(),
+            )))
+        }
     }
     pub struct ServerDispatch<_T> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -6185,6 +6233,14 @@
                     )),
                     false,
                 ),
+                5 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::list_part(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
                 _ => ::capnp::capability::DispatchCallResult::new(
                     ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
                         "Method not implemented.".to_string(),
@@ -9506,4 +9562,598 @@
             pub(crate) const TYPE_ID: u64 = 0x9bde_f38e_bcc8_8a7e;
         }
     }
+
+    pub mod list_part_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                })
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    }),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    }),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(245, 44, 136, 182, 172, 29, 185, 154),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 70, 108, 101, 101),
+                ::capnp::word(116, 46, 108, 105, 115, 116, 80, 97),
+                ::capnp::word(114, 116, 36, 80, 97, 114, 97, 109),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0x9ab9_1dac_b688_2cf5;
+        }
+    }
+
+    pub mod list_part_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                })
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    }),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_list(
+                self,
+            ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::fleet_capnp::upstream::Owned>>
+            {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_list(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_drained(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_drained(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    }),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_list(
+                self,
+            ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::fleet_capnp::upstream::Owned>>
+            {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_list(
+                &mut self,
+                value: ::capnp::struct_list::Reader<'_, crate::fleet_capnp::upstream::Owned>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_list(
+                self,
+                size: u32,
+            ) -> ::capnp::struct_list::Builder<'a, crate::fleet_capnp::upstream::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_list(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_drained(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_drained(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(1),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_drained(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+            }
+            #[inline]
+            pub fn has_drained(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 56] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(121, 11, 161, 42, 21, 124, 117, 142),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 70, 108, 101, 101),
+                ::capnp::word(116, 46, 108, 105, 115, 116, 80, 97),
+                ::capnp::word(114, 116, 36, 82, 101, 115, 117, 108),
+                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(61, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(108, 105, 115, 116, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 6, 164, 125, 250, 82, 44, 184),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 114, 97, 105, 110, 101, 100, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::struct_list::Owned<crate::fleet_capnp::upstream::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) const TYPE_ID: u64 = 0x8e75_7c15_2aa1_0b79;
+        }
+    }
 }
--- a/crates/bendhinge_peer/tests/connections.rs
+++ b/crates/bendhinge_peer/tests/connections.rs
@@ -31,6 +31,10 @@
         None
     }
 
+    fn list_part(&self) -> Option<Arc<UpstreamList>> {
+        None
+    }
+
     fn upstreams(&self, _: Option<u64>) -> Option<(Known, ListTold)> {
         None
     }
--- a/crates/bendhinge_peer/tests/list_pieces.rs
+++ b/crates/bendhinge_peer/tests/list_pieces.rs
@@ -38,6 +38,10 @@
         (self.remembers && digest == DIGEST).then(|| Arc::clone(&self.list))
     }
 
+    fn list_part(&self) -> Option<Arc<UpstreamList>> {
+        None
+    }
+
     fn upstreams(&self, _: Option<u64>) -> Option<(Known, ListTold)> {
         let version = Version { revision: Revision(1), digest: DIGEST };
         let known = Known { version, age: Duration::ZERO };
