A model of upstreams whose speed jumps, with three ways of heeding what they say of it

What an upstream says of how long work takes there just then is a figure of a tenth of a second; boxes hear of it in answers, some seconds apart, or from each other some tenths of a second later. A box of 88 meets an upstream of 60 each ten seconds, and loads are told without it: so nothing that fades within 0.1 s would be seen.

--- a/crates/bendhinge_lab/src/measure/decisions.rs
+++ b/crates/bendhinge_lab/src/measure/decisions.rs
@@ -4,7 +4,7 @@
 use crate::bench::placement::PlacementFigures;
 use crate::bench::warming::{ROUTERS, Way};
 use crate::bench::{
-    PolicyKind, Scenario, admission, crashing, decision, placement, plain_pool, resting, warming,
+    PolicyKind, Scenario, admission, crashing, decision, placement, plain_pool, resting, slowed, warming,
 };
 
 /// Runs of a scenario; figures are their means, worst cases their worst.
@@ -134,6 +134,27 @@
     }
 }
 
+/// Heeding how slow upstreams say they are, by each way and size.
+pub(super) fn slowed() {
+    use slowed::Way;
+    let ways = [
+        ("unheeded", Way::Unheeded),
+        ("factor_0.1_s", Way::Factor(100.0)),
+        ("factor_4_s", Way::Factor(4_000.0)),
+        ("share_0.3_s", Way::Share(300.0)),
+    ];
+    for (routers, upstreams) in slowed::SIZES {
+        for news_ms in slowed::AGES_MS {
+            for (name, way) in ways {
+                let seen = slowed::run(way, slowed::Scene { routers, upstreams, news_ms }, 1);
+                let name = format!("slowed.{name}.{routers}_routers.news_{news_ms}_ms");
+                figure(&format!("{name}.mean"), seen.mean_ms, "ms");
+                figure(&format!("{name}.over_bound"), seen.over_bound, "in 1000");
+            }
+        }
+    }
+}
+
 /// Letting requests in before a small pool of plain upstreams, by each way.
 pub(super) fn pacing() {
     use plain_pool::Way;
