Names and comments: rounding at random, no figures of one size

Only names and words, and a range of places that ends at its type's last number (a list of more than 65,536 upstreams stopped a debug build).

--- a/crates/bendhinge_admission/src/retry_share.rs
+++ b/crates/bendhinge_admission/src/retry_share.rs
@@ -6,8 +6,7 @@
 //! its part of the slack alone.
 //!
 //! In a large fleet a share is less than one retry. Were it rounded up, a thousand routers would send a thousand requests
-//! again whatever the budget; rounded down, none. So each router draws a lot, which rounds its share up
-//! as often as it comes to.
+//! again whatever the budget; rounded down, none. So each rounds at random: up as often as its share comes to.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -41,7 +40,7 @@
         RetryShare {
             ratio: self.ratio * Self::RATIO_USED,
             reserve,
-            lots: Lots { seed, period: self.span * SPANS_A_LOT },
+            rounding: Rounding { seed, period: self.span * SPANS_A_DRAW },
             slot: self.span / SLOTS,
             slots: VecDeque::new(),
         }
@@ -54,24 +53,24 @@
     }
 }
 
-/// How many spans a lot is kept. Where it changes within a span, a router may have sent again by the one and by the
-/// other; of the routers, whose lots change at different times, one in so many has that.
-const SPANS_A_LOT: u32 = 6;
+/// For how many spans a draw holds. Where it changes within a span, a router may have sent again by the one and by the
+/// other; of the routers, whose draws change at different times, one in so many does.
+const SPANS_A_DRAW: u32 = 6;
 
-/// A router's lots, one after the other.
+/// How a router rounds its share, by one draw after the other.
 #[derive(Clone, Copy, Debug)]
-struct Lots {
+struct Rounding {
     seed: u64,
     period: Duration,
 }
 
-impl Lots {
-    /// The lot of `now`, from 0 up to 1.
-    fn at(self, now: Instant) -> f64 {
+impl Rounding {
+    /// What is added to the share at `now` before it is rounded down: from 0 up to 1.
+    fn draw(self, now: Instant) -> f64 {
         let period = u64::try_from(self.period.as_micros()).unwrap_or(u64::MAX).max(1);
         let number = (now.0 + self.seed % period) / period;
-        let lot = xxh3_64_with_seed(&number.to_le_bytes(), self.seed);
-        (lot >> 11) as f64 / (1_u64 << 53) as f64
+        let drawn = xxh3_64_with_seed(&number.to_le_bytes(), self.seed);
+        (drawn >> 11) as f64 / (1_u64 << 53) as f64
     }
 }
 
@@ -94,7 +93,7 @@
 pub struct RetryShare {
     ratio: f64,
     reserve: f64,
-    lots: Lots,
+    rounding: Rounding,
     slot: Duration,
     /// The oldest first; slots in which nothing happened are absent.
     slots: VecDeque<Slot>,
@@ -111,7 +110,7 @@
         self.current(now);
         let spent: u32 = self.slots.iter().map(|slot| slot.retries).sum();
         let share = self.reserve + self.ratio * self.requests_earning(now);
-        let is_allowed = f64::from(spent) + 1.0 <= share + self.lots.at(now);
+        let is_allowed = f64::from(spent) + 1.0 <= share + self.rounding.draw(now);
         if is_allowed {
             self.current(now).retries += 1;
         }
--- a/crates/bendhinge_fleet/src/loads/high.rs
+++ b/crates/bendhinge_fleet/src/loads/high.rs
@@ -1,8 +1,7 @@
 //! The highest loads alone, where there are so many upstreams that most have nothing to tell.
 //!
-//! With two bytes for each, a message grows with the upstreams; before 6,000 of them these bytes were most of what
-//! routers told each other, and of a pool that large a request never meets most. What a router has to know is
-//! where there is much.
+//! With two bytes for each, a message grows with the upstreams. Of thousands, a router meets few; what it has to know is
+//! which have much.
 
 use std::cmp::Reverse;
 
@@ -40,7 +39,7 @@
         now: Instant,
     ) -> HighLoads {
         let is_news = |report: &Report| report.from != listener && now.since(report.at) < TOLD_FOR;
-        let reports = (0_u16..).zip(upstreams).filter_map(|(place, upstream)| {
+        let reports = (0..=u16::MAX).zip(upstreams).filter_map(|(place, upstream)| {
             let report = self.upstreams.get(&upstream)?.said.filter(is_news)?;
             Some((place, report))
         });
--- a/crates/bendhinge_fleet/src/reading.rs
+++ b/crates/bendhinge_fleet/src/reading.rs
@@ -95,9 +95,8 @@
     }
 
     /// How long a router of `rank` waits before it reads a list of many pages to its end, which others may tell it
-    /// meanwhile. The store hands out each such list at the cost of many calls, and all of them through one link: 585
-    /// routers that read one of 6,000 upstreams at the same time would wait for it for seconds, and none would have it
-    /// earlier than the others.
+    /// meanwhile. The store hands all such lists out through one link: were hundreds of routers to read one of thousands
+    /// of upstreams at the same time, all would wait for seconds, and the first would have it as late as the last.
     #[must_use]
     pub fn turn(&self, rank: usize, holds_list: bool) -> Duration {
         let settling = if holds_list { Duration::ZERO } else { SETTLING };
