Shares of one second send and more are rounded down as before

Only shares of less than one are rounded at random: above that rounding at random let small fleets send a third more again, for nothing that was asked.

--- a/crates/bendhinge_admission/src/retry_share.rs
+++ b/crates/bendhinge_admission/src/retry_share.rs
@@ -6,7 +6,7 @@
 //! its part of the slack alone.
 //!
 //! In a large fleet a share is less than one retry. Were it rounded up, a thousand routers would send a thousand requests
-//! again whatever the budget; rounded down, none. So each rounds at random: up as often as its share comes to.
+//! again whatever the budget; rounded down, none. So less than one is rounded at random: up as often as the share comes to.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -65,7 +65,7 @@
 }
 
 impl Rounding {
-    /// What is added to the share at `now` before it is rounded down: from 0 up to 1.
+    /// A number from 0 up to 1 that holds at `now`: shares above it are rounded up.
     fn draw(self, now: Instant) -> f64 {
         let period = u64::try_from(self.period.as_micros()).unwrap_or(u64::MAX).max(1);
         let number = (now.0 + self.seed % period) / period;
@@ -110,7 +110,8 @@
         self.current(now);
         let spent: u32 = self.slots.iter().map(|slot| slot.retries).sum();
         let share = self.reserve + self.ratio * self.requests_earning(now);
-        let is_allowed = f64::from(spent) + 1.0 <= share + self.rounding.draw(now);
+        let is_rounded_up = share < 1.0 && self.rounding.draw(now) < share;
+        let is_allowed = f64::from(spent) + 1.0 <= if is_rounded_up { 1.0 } else { share };
         if is_allowed {
             self.current(now).retries += 1;
         }
