--- a/crates/bendhinge_placement/src/homes.rs
+++ b/crates/bendhinge_placement/src/homes.rs
@@ -13,8 +13,9 @@
 
 /// Pools of up to so many upstreams are one group.
 const LARGEST_GROUP: usize = 512;
-/// Upstreams in a group of a larger pool: at least so many, and less than twice that.
-const GROUP: usize = 64;
+/// Upstreams in a group of a larger pool: at least so many, and less than twice that. In smaller groups the subjects that are
+/// asked for most meet at the same upstreams while all are read for the first time.
+const GROUP: usize = 128;
 /// Groups in which a home is looked for.
 const GROUPS_TRIED: usize = 3;
 
