Placement: the source of a fetch is looked for once a request, further groups only if needed

Read once more: each candidate that would fetch drew its source, and all three groups of a head were looked through for each request, also where the first group's home is free. Behaviour as before: the same home and the same draw. A struct of sources gives way to what the most is that any keeps.

--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -134,8 +134,8 @@
     let limit = rules.bound * mean_load + rules.bound_slack;
     let home = question.prompt.and_then(|prompt| home(prompt, candidates, limit));
     let kept: Vec<u32> = kept_by_each(question, candidates, kept, now);
-    let chooser =
-        Chooser { rules, question, candidates, sources: Sources::new(&kept), kept, home, mean_load };
+    let most_kept = kept.iter().copied().max().unwrap_or_default();
+    let chooser = Chooser { rules, question, candidates, kept, most_kept, home, mean_load };
     let working = || (0..candidates.len()).filter(|index| candidates[*index].takes_work);
     let within = working().filter(|index| candidates[*index].load < limit);
     let best = |among: &mut dyn Iterator<Item = usize>| {
@@ -145,12 +145,12 @@
                 .then_with(|| chooser.tie(left.chosen).cmp(&chooser.tie(right.chosen)))
         })
     };
-    best(&mut { within }).or_else(|| best(&mut working()))
+    let choice = best(&mut { within }).or_else(|| best(&mut working()))?;
+    Some(Choice { fetch_from: chooser.source_for(choice.chosen), ..choice })
 }
 
 /// The mean load of the pool. Were those left out that are spared, which have little, the others would be given
-/// more above the mean: with a third of the pool in a drained data centre, 59 of 1,788 requests within
-/// five seconds were sent to upstreams at twice the mean, where 53 are too many.
+/// more above the mean while a part of the pool is drained.
 fn mean_load(candidates: &[Candidate]) -> f32 {
     let counted = candidates.iter().filter(|candidate| candidate.counts);
     let (count, total) =
@@ -158,21 +158,6 @@
     total / count.max(1.0)
 }
 
-/// The candidates that keep most of a prompt: from one of them the others can fetch it.
-struct Sources {
-    /// What each of them is believed to keep of the prompt, in tokens.
-    tokens: u32,
-    indices: Vec<usize>,
-}
-
-impl Sources {
-    fn new(kept: &[u32]) -> Self {
-        let tokens = kept.iter().copied().max().unwrap_or_default();
-        let indices = (0..kept.len()).filter(|index| kept[*index] == tokens).collect();
-        Self { tokens, indices }
-    }
-}
-
 /// What each candidate is believed to keep of the prompt.
 fn kept_by_each(
     question: &Question<'_>,
@@ -192,7 +177,8 @@
     candidates: &'a [Candidate],
     /// What each candidate is believed to keep of the prompt, in tokens.
     kept: Vec<u32>,
-    sources: Sources,
+    /// What those keep that keep most: from one of them the others can fetch it.
+    most_kept: u32,
     home: Option<usize>,
     mean_load: f32,
 }
@@ -232,8 +218,7 @@
         let is_one_of_many = missing > 0 && !is_home;
         let spread = if is_one_of_many { self.rules.jitter * self.mean_load + 1.0 } else { 1.0 };
         let cost = ahead + reading + self.jitter(index, spread);
-        let fetch_from = (fetched > 0.0).then(|| self.source(index)).flatten();
-        Choice { chosen: index, fetch_from, reason, cost, missing, mean_load: self.mean_load }
+        Choice { chosen: index, fetch_from: None, reason, cost, missing, mean_load: self.mean_load }
     }
 
     /// How many tokens a candidate that keeps `own` would fetch from one of those that keep most.
@@ -241,16 +226,21 @@
         if !self.question.can_fetch || prompt.shared_tokens() - own < self.rules.least_fetched {
             return 0;
         }
-        let more = self.sources.tokens.saturating_sub(own);
+        let more = self.most_kept.saturating_sub(own);
         if more < self.rules.least_fetched { 0 } else { more }
     }
 
-    /// From where a candidate should fetch. An upstream sends one prompt after the other: the head of a thousand
-    /// subjects is kept by hundreds, and if all fetched it from the same one, they would wait there for seconds.
-    fn source(&self, index: usize) -> Option<usize> {
-        let indices = &self.sources.indices;
-        let draw = self.tie(index) % indices.len().max(1) as u64;
-        indices.get(usize::try_from(draw).unwrap_or_default()).copied()
+    /// From where a candidate should fetch, if it should. An upstream sends one prompt after the other: the head of a
+    /// thousand subjects is kept by hundreds, and if all fetched it from the same one, they would wait there for
+    /// seconds.
+    fn source_for(&self, index: usize) -> Option<usize> {
+        if self.fetched(self.question.prompt?, self.kept[index]) == 0 {
+            return None;
+        }
+        let keeps_most = |index: &usize| self.kept[*index] == self.most_kept;
+        let sources: Vec<usize> = (0..self.kept.len()).filter(keeps_most).collect();
+        let draw = self.tie(index) % sources.len().max(1) as u64;
+        sources.get(usize::try_from(draw).unwrap_or_default()).copied()
     }
 
     /// A part of a request's cost, up to that of `spread` requests ahead, that differs by request
--- a/crates/bendhinge_placement/src/homes.rs
+++ b/crates/bendhinge_placement/src/homes.rs
@@ -28,11 +28,13 @@
         return home_among(subject, candidates, |_| true);
     }
     let head = prompt.shared().first().map_or(subject, |part| part.id);
-    let homes = groups_of(head, groups).map(|group| {
+    // Further groups are looked through only if they are needed: each is a pass over the pool.
+    let mut homes = groups_of(head, groups).into_iter().filter_map(|group| {
         home_among(subject, candidates, |candidate| group_of(candidate.upstream, groups) == group)
     });
-    let homes: Vec<usize> = homes.into_iter().flatten().collect();
-    homes.iter().copied().find(|index| candidates[*index].load < limit).or(homes.first().copied())
+    let first = homes.next()?;
+    let is_free = |index: &usize| candidates[*index].load < limit;
+    if is_free(&first) { Some(first) } else { homes.find(is_free).or(Some(first)) }
 }
 
 fn home_among(
