Loads of a list are one thing in a message, told and heard in one place

Read once more: a message had two fields of which one at most was set, and what is told of loads was chosen, heard and cut to the highest in two places each. Now one type says which form it has, and the loads decide it; what is told to whom and which are kept of many are one function each. The wire, the labels of the counter and what is told stay as they are. The test of the exchange looks into the new field; its assertions stand.

--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -37,7 +37,7 @@
 pub use fetch::{FetchPlan, Holder};
 pub use judge::{Judge, JudgeLimits, Standing, UpstreamFailure};
 pub use lists::{ListChanges, ListHistory, ListTold};
-pub use loads::{HighLoads, LoadSaid, LoadStates, Loads, MOST_TOLD_EACH};
+pub use loads::{HighLoads, ListLoads, LoadSaid, LoadStates, Loads};
 pub use news::{LearnedFrom, NewsLife, NewsLimits, NewsLog, NewsPosition, NewsTold};
 pub use peers::{PeerSaid, PeerState, PeerStates};
 pub use quarantine::{Crash, MOST_CRASHES, Permission, Quarantine, Suspicion, UnderWay};
--- a/crates/bendhinge_fleet/src/loads.rs
+++ b/crates/bendhinge_fleet/src/loads.rs
@@ -8,7 +8,8 @@
 use bendhinge_ids::{Instant, NameHash};
 use rustc_hash::FxHashMap;
 
-pub use self::high::{HighLoads, MOST_TOLD_EACH};
+pub use self::high::HighLoads;
+use crate::directory::UpstreamList;
 use crate::news::LearnedFrom;
 
 /// After this time what an upstream said of others' requests counts for nothing in the mean.
@@ -33,6 +34,13 @@
     from: LearnedFrom,
 }
 
+impl Report {
+    /// Whether it is told to `listener`: not what it told itself, nor what is old.
+    fn is_told_to(&self, listener: LearnedFrom, now: Instant) -> bool {
+        self.from != listener && now.since(self.at) < TOLD_FOR
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Load {
     /// This router's requests there.
@@ -60,6 +68,18 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LoadStates(pub Vec<u8>);
 
+/// Loads as they are told to one that holds the same list of upstreams.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ListLoads {
+    /// That of each.
+    Each(LoadStates),
+    /// The highest, of a long list.
+    Highest(HighLoads),
+}
+
+/// Lists of more upstreams are told by their highest loads.
+const MOST_TOLD_EACH: usize = 512;
+
 /// How long requests last, in seconds, with those of the past fading by each new one.
 #[derive(Clone, Copy, Debug)]
 struct Lasting {
@@ -132,9 +152,7 @@
 
     /// Requests believed to be at an upstream now. What it said of others' requests fades into
     /// `mean`, what the others have at an upstream of its pool on average, as fast as requests come and go.
-    /// Were it believed for longer, all routers would send to the one that had little a second ago: with a
-    /// third of a pool drained, 91 of 3,650 requests came to upstreams at over twice the mean, and 147 when
-    /// reports faded evenly within four seconds; a sixth less memory was moved.
+    /// Were it believed for longer, all routers would send to the one that had little a second ago.
     #[must_use]
     pub fn estimate(&self, upstream: NameHash, mean: f32, now: Instant) -> f32 {
         let load = self.upstreams.get(&upstream).copied().unwrap_or_default();
@@ -161,13 +179,38 @@
             (now.since(at) < TOLD_FOR).then_some(LoadSaid { upstream: *upstream, in_progress, at })
         });
         let mut told: Vec<LoadSaid> = said.collect();
-        if told.len() > MOST_TOLD_EACH {
-            told.sort_unstable_by_key(|said| Reverse((said.in_progress, said.at)));
-            told.truncate(MOST_TOLD_EACH);
-        }
+        keep_highest(&mut told, MOST_TOLD_EACH, |said| (said.in_progress, said.at));
         told
     }
 
+    /// What upstreams said lately, for telling `listener`, who holds the same `list` of them.
+    #[must_use]
+    pub fn told_to(&self, listener: LearnedFrom, list: &UpstreamList, now: Instant) -> ListLoads {
+        let upstreams = list.entries.iter().map(|entry| entry.hash);
+        if upstreams.len() > MOST_TOLD_EACH {
+            ListLoads::Highest(self.highest_for(listener, upstreams, now))
+        } else {
+            ListLoads::Each(self.states_for(listener, upstreams, now))
+        }
+    }
+
+    /// Takes in what a router that holds the same `list` told, its ages counted from `as_of`.
+    pub fn hear(&mut self, told: &ListLoads, list: &UpstreamList, from: LearnedFrom, as_of: Instant) {
+        match told {
+            ListLoads::Each(states) => {
+                self.hear_states(states, list.entries.iter().map(|entry| entry.hash), from, as_of);
+            }
+            ListLoads::Highest(loads) => {
+                self.hear_highest(
+                    loads,
+                    |place| list.entries.get(place).map(|entry| entry.hash),
+                    from,
+                    as_of,
+                );
+            }
+        }
+    }
+
     /// What upstreams said lately, for telling `listener`, who holds the same list of `upstreams`: of each
     /// but what it told itself.
     pub fn states_for(
@@ -177,9 +220,7 @@
         now: Instant,
     ) -> LoadStates {
         let reports = upstreams.map(|upstream| {
-            let report = self.upstreams.get(&upstream)?.said?;
-            let is_news = report.from != listener && now.since(report.at) < TOLD_FOR;
-            is_news.then_some(report)
+            self.upstreams.get(&upstream)?.said.filter(|report| report.is_told_to(listener, now))
         });
         let (mut loads, mut ages) = (Vec::new(), Vec::new());
         for report in reports {
@@ -216,6 +257,14 @@
     }
 }
 
+/// Keeps the highest `most` of what was said, of equal ones the latest.
+fn keep_highest<T>(told: &mut Vec<T>, most: usize, load: impl Fn(&T) -> (u32, Instant)) {
+    if told.len() > most {
+        told.sort_unstable_by_key(|said| Reverse(load(said)));
+        told.truncate(most);
+    }
+}
+
 fn load_state(in_progress: u32) -> u8 {
     u8::try_from(in_progress).unwrap_or(NOTHING).min(NOTHING - 1)
 }
--- a/crates/bendhinge_fleet/src/loads/high.rs
+++ b/crates/bendhinge_fleet/src/loads/high.rs
@@ -3,16 +3,12 @@
 //! With two bytes for each, a message grows with the upstreams. Of thousands, a router meets few; what it has to know is
 //! which have much.
 
-use std::cmp::Reverse;
-
 use bendhinge_ids::{Instant, NameHash};
 
-use super::{LoadSaid, Loads, NOTHING, Report, STATE_AGE, TOLD_FOR, age_state, load_state};
+use super::{LoadSaid, Loads, NOTHING, Report, STATE_AGE, age_state, keep_highest, load_state};
 use crate::news::LearnedFrom;
 
-/// Lists of more upstreams are told by their highest loads.
-pub const MOST_TOLD_EACH: usize = 512;
-/// So many of them are told: a kilobyte a message.
+/// So many are told: a kilobyte a message.
 const MOST_TOLD: usize = 256;
 /// The bytes of one: its place in the list, its load and its age.
 const BYTES: usize = 4;
@@ -38,14 +34,12 @@
         upstreams: impl Iterator<Item = NameHash>,
         now: Instant,
     ) -> HighLoads {
-        let is_news = |report: &Report| report.from != listener && now.since(report.at) < TOLD_FOR;
         let reports = (0..=u16::MAX).zip(upstreams).filter_map(|(place, upstream)| {
-            let report = self.upstreams.get(&upstream)?.said.filter(is_news)?;
-            Some((place, report))
+            let report = self.upstreams.get(&upstream)?.said?;
+            report.is_told_to(listener, now).then_some((place, report))
         });
         let mut highest: Vec<(u16, Report)> = reports.collect();
-        highest.sort_unstable_by_key(|(_, report)| Reverse((report.in_progress, report.at)));
-        highest.truncate(MOST_TOLD);
+        keep_highest(&mut highest, MOST_TOLD, |(_, report)| (report.in_progress, report.at));
         highest.sort_unstable_by_key(|(place, _)| *place);
         let told = highest.iter().flat_map(|(place, report)| {
             let [high, low] = place.to_be_bytes();
--- a/crates/bendhinge_gateway/src/control/message.rs
+++ b/crates/bendhinge_gateway/src/control/message.rs
@@ -11,7 +11,7 @@
 use bendhinge_peer::PeerMessage;
 
 use super::Control;
-use crate::knowledge::{HeldLoads, observed_read};
+use crate::knowledge::observed_read;
 
 /// What a message says.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -99,10 +99,7 @@
         let held = message.upstreams.map(|known| known.version.digest);
         let is_same = held.is_some() && self.peer.is_some_and(|peer| peer.said.upstreams == held);
         if is_same {
-            match upstreams.held_loads_to_tell(self.listener, self.now) {
-                HeldLoads::Each(states) => message.load_states = Some(states),
-                HeldLoads::Highest(loads) => message.high_loads = Some(loads),
-            }
+            message.list_loads = upstreams.list_loads_to_tell(self.listener, self.now);
         } else {
             message.loads = upstreams.loads_to_tell(self.now);
         }
@@ -135,11 +132,8 @@
     let as_of = asked.unwrap_or(now);
     upstreams.hear_reads(&message.reads, from, as_of);
     upstreams.hear_loads(&message.loads, from, as_of);
-    if let (Some(loads), Some(known)) = (&message.high_loads, message.upstreams) {
-        upstreams.hear_high_loads(loads, known.version, from, as_of);
-    }
-    if let (Some(states), Some(known)) = (&message.load_states, message.upstreams) {
-        upstreams.hear_load_states(states, known.version, from, as_of);
+    if let (Some(told), Some(known)) = (&message.list_loads, message.upstreams) {
+        upstreams.hear_list_loads(told, known.version, from, as_of);
     }
     control.delivering.quarantine.hear(&message.suspicions, from, as_of);
     for upstream in upstreams.hear_doubts(&message.doubts, from, as_of) {
--- a/crates/bendhinge_gateway/src/knowledge/mod.rs
+++ b/crates/bendhinge_gateway/src/knowledge/mod.rs
@@ -4,6 +4,6 @@
 mod rules;
 mod upstreams;
 
-pub(crate) use peers::{HeldLoads, learned_from, observed_read, router_hash};
+pub(crate) use peers::{learned_from, observed_read, router_hash};
 pub(crate) use rules::{RulesInForce, RulesKeeper};
 pub(crate) use upstreams::{Chosen, PlacementQuestion, UpstreamView};
--- a/crates/bendhinge_gateway/src/knowledge/peers.rs
+++ b/crates/bendhinge_gateway/src/knowledge/peers.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use bendhinge_fleet::{
-    HighLoads, LearnedFrom, ListChanges, ListTold, LoadSaid, LoadStates, MOST_TOLD_EACH, NewsTold,
-    UpstreamEntry, UpstreamList, Verdict, Version,
+    LearnedFrom, ListChanges, ListLoads, ListTold, LoadSaid, NewsTold, UpstreamEntry, UpstreamList, Verdict,
+    Version,
 };
 use bendhinge_ids::{Instant, NameHash};
 use bendhinge_peer::{ObservedDoubt, ObservedLoad, ObservedRead, ReadsPage};
@@ -13,14 +13,6 @@
 
 use super::upstreams::{State, UpstreamView};
 
-/// What is told of loads to one that holds the same list of upstreams.
-pub(crate) enum HeldLoads {
-    /// That of each.
-    Each(LoadStates),
-    /// The highest, of a long list.
-    Highest(HighLoads),
-}
-
 impl UpstreamView {
     /// What to tell the gateway at `listener` of upstreams that failed lately.
     pub(crate) fn doubts_to_tell(&self, listener: SocketAddr, now: Instant) -> Vec<ObservedDoubt> {
@@ -66,32 +58,10 @@
     }
 
     /// What to tell the gateway at `listener` of loads, which holds the same list.
-    pub(crate) fn held_loads_to_tell(&self, listener: SocketAddr, now: Instant) -> HeldLoads {
+    pub(crate) fn list_loads_to_tell(&self, listener: SocketAddr, now: Instant) -> Option<ListLoads> {
         let state = self.state.lock().unwrap();
-        let entries = state.belief.value().map_or(&[][..], |list| &list.entries);
-        let listed = entries.iter().map(|entry| entry.hash);
-        let listener = learned_from(listener);
-        if entries.len() > MOST_TOLD_EACH {
-            HeldLoads::Highest(state.loads.highest_for(listener, listed, now))
-        } else {
-            HeldLoads::Each(state.loads.states_for(listener, listed, now))
-        }
-    }
-
-    /// Takes in the highest loads of the upstreams of the list that is held as `version`; nothing is taken if it is
-    /// not.
-    pub(crate) fn hear_high_loads(
-        &self,
-        told: &HighLoads,
-        version: Version,
-        from: SocketAddr,
-        as_of: Instant,
-    ) {
-        let mut state = self.state.lock().unwrap();
-        let State { belief, loads, .. } = &mut *state;
-        let Some(held) = belief.held().filter(|held| held.version.digest == version.digest) else { return };
-        let listed = |place: usize| held.value.entries.get(place).map(|entry| entry.hash);
-        loads.hear_highest(told, listed, learned_from(from), as_of);
+        let list = state.belief.value()?;
+        Some(state.loads.told_to(learned_from(listener), list, now))
     }
 
     /// Takes in what the gateway at `from` heard of loads, its ages counted from `as_of`.
@@ -106,9 +76,9 @@
     }
 
     /// The same, of the upstreams of the list that is held as `version`; nothing is taken if it is not.
-    pub(crate) fn hear_load_states(
+    pub(crate) fn hear_list_loads(
         &self,
-        states: &LoadStates,
+        told: &ListLoads,
         version: Version,
         from: SocketAddr,
         as_of: Instant,
@@ -116,8 +86,7 @@
         let mut state = self.state.lock().unwrap();
         let State { belief, loads, .. } = &mut *state;
         let Some(held) = belief.held().filter(|held| held.version.digest == version.digest) else { return };
-        let listed = held.value.entries.iter().map(|entry| entry.hash);
-        loads.hear_states(states, listed, learned_from(from), as_of);
+        loads.hear(told, &held.value, learned_from(from), as_of);
     }
 
     /// What to tell the gateway at `listener` of parts that upstreams read, which was told up to the number
--- a/crates/bendhinge_gateway/src/metrics.rs
+++ b/crates/bendhinge_gateway/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::SendEnd;
+use bendhinge_fleet::ListLoads;
 use bendhinge_peer::PeerMessage;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
@@ -218,12 +219,16 @@
 
     /// Counts what a message to another gateway holds.
     pub(crate) fn told(&self, message: &PeerMessage) {
+        let list_loads = match &message.list_loads {
+            Some(ListLoads::Highest(loads)) => ("high_loads", loads.count()),
+            Some(ListLoads::Each(states)) => ("load_states", states.0.len() / 2),
+            None => ("load_states", 0),
+        };
         let entries = [
             ("members", message.members.len()),
             ("member_states", message.member_states.as_ref().map_or(0, |states| states.0.len())),
             ("loads", message.loads.len()),
-            ("load_states", message.load_states.as_ref().map_or(0, |states| states.0.len() / 2)),
-            ("high_loads", message.high_loads.as_ref().map_or(0, bendhinge_fleet::HighLoads::count)),
+            list_loads,
             ("reads", message.reads.len()),
             ("doubts", message.doubts.len()),
         ];
--- a/crates/bendhinge_lab/tests/gateway_exchange.rs
+++ b/crates/bendhinge_lab/tests/gateway_exchange.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{ListTold, NewsLife, NewsPosition};
+use bendhinge_fleet::{ListLoads, ListTold, LoadStates, NewsLife, NewsPosition};
 use bendhinge_ids::NameHash;
 use bendhinge_lab::gateways::{FleetShape, GatewayFleet, PEER_KEY, Told, until};
 use bendhinge_peer::{
@@ -121,10 +121,12 @@
         // The first question says nothing of what its sender knows, as an older gateway's would.
         assert!(in_full.members.iter().any(|member| member.address == OWN));
         assert!(!in_full.loads.is_empty());
-        assert_eq!((&in_full.member_states, &in_full.load_states), (&None, &None));
+        assert_eq!((&in_full.member_states, &in_full.list_loads), (&None, &None));
         assert!(in_states.members.is_empty() && in_states.loads.is_empty());
         assert_eq!(in_states.member_states.unwrap().0.len(), 2, "itself and its peer");
-        let loads = in_states.load_states.unwrap().0;
+        let Some(ListLoads::Each(LoadStates(loads))) = in_states.list_loads else {
+            panic!("no states of loads: {:?}", in_states.list_loads);
+        };
         assert_eq!(loads.len(), 2 * 3, "of three upstreams");
         assert!(
             loads[..3].iter().all(|load| *load == u8::MAX),
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use bendhinge_fleet::{
-    Heard, HighLoads, ListChanges, ListTold, LoadStates, MemberStates, NewsLife, NewsPosition, Revision,
-    RosterDigest, UpstreamEntry, UpstreamList, UpstreamState, Version, WarmUp,
+    Heard, HighLoads, ListChanges, ListLoads, ListTold, LoadStates, MemberStates, NewsLife, NewsPosition,
+    Revision, RosterDigest, UpstreamEntry, UpstreamList, UpstreamState, Version, WarmUp,
 };
 use bendhinge_ids::{DataCentreName, NameHash};
 use bendhinge_placement::PartId;
@@ -121,11 +121,10 @@
         to.set_member_states(states);
     }
     to.set_begun(message.is_begun);
-    if let Some(HighLoads(loads)) = &message.high_loads {
-        to.set_high_loads(loads);
-    }
-    if let Some(LoadStates(states)) = &message.load_states {
-        to.set_load_states(states);
+    match &message.list_loads {
+        Some(ListLoads::Each(LoadStates(states))) => to.set_load_states(states),
+        Some(ListLoads::Highest(HighLoads(loads))) => to.set_high_loads(loads),
+        None => {}
     }
     if let Some(told) = message.told {
         write_position(to.reborrow().init_told(), told);
@@ -147,6 +146,13 @@
 }
 
 /// Writes the lists of a message; one without entries takes no room.
+fn read_list_loads(states: &[u8], highest: &[u8]) -> Option<ListLoads> {
+    if !states.is_empty() {
+        return Some(ListLoads::Each(LoadStates(states.to_vec())));
+    }
+    (!highest.is_empty()).then(|| ListLoads::Highest(HighLoads(highest.to_vec())))
+}
+
 fn write_lists(mut to: peer_message::Builder<'_>, message: &PeerMessage) {
     let PeerMessage { members, loads, reads, doubts, suspicions, .. } = message;
     if !members.is_empty() {
@@ -206,8 +212,7 @@
         member_states: (!member_states.is_empty()).then(|| MemberStates(member_states.to_vec())),
         loads: from.get_loads()?.iter().map(read_load).collect(),
         is_begun: from.get_begun(),
-        high_loads: (!high_loads.is_empty()).then(|| HighLoads(high_loads.to_vec())),
-        load_states: (!load_states.is_empty()).then(|| LoadStates(load_states.to_vec())),
+        list_loads: read_list_loads(load_states, high_loads),
         reads: from.get_reads()?.iter().map(read_read).collect(),
         told: read_position(from.get_told()?),
         heard: read_position(from.get_heard()?),
--- a/crates/bendhinge_peer/src/fleet/mod.rs
+++ b/crates/bendhinge_peer/src/fleet/mod.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use bendhinge_fleet::{
-    Doubt, Heard, Held, HighLoads, ListTold, LoadStates, MemberStates, NewsPosition, RosterDigest,
-    UpstreamList, Version, Witness,
+    Doubt, Heard, Held, ListLoads, ListTold, MemberStates, NewsPosition, RosterDigest, UpstreamList, Version,
+    Witness,
 };
 use bendhinge_ids::{Instant, NameHash};
 use bendhinge_placement::PartId;
@@ -132,9 +132,7 @@
     /// What it heard from upstreams of their loads, if the receiver may hold another list of them.
     pub loads: Vec<ObservedLoad>,
     /// Their loads, if the receiver holds the same list.
-    pub load_states: Option<LoadStates>,
-    /// The highest of them, if the list is long.
-    pub high_loads: Option<HighLoads>,
+    pub list_loads: Option<ListLoads>,
     /// What upstreams read, as the sender learned lately.
     pub reads: Vec<ObservedRead>,
     /// Up to where this message tells of the sender's reads.
@@ -165,8 +163,7 @@
             members: Vec::new(),
             member_states: None,
             loads: Vec::new(),
-            load_states: None,
-            high_loads: None,
+            list_loads: None,
             reads: Vec::new(),
             told: None,
             heard: None,
