--- a/crates/bendhinge_admission/src/retry_share.rs
+++ b/crates/bendhinge_admission/src/retry_share.rs
@@ -11,7 +11,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use bendhinge_ids::Instant;
+use bendhinge_ids::{Instant, share_of};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// What a whole fleet may send again for one pool: `ratio` of the requests and `slack` besides,
@@ -69,8 +69,7 @@
     fn draw(self, now: Instant) -> f64 {
         let period = u64::try_from(self.period.as_micros()).unwrap_or(u64::MAX).max(1);
         let number = (now.0 + self.seed % period) / period;
-        let drawn = xxh3_64_with_seed(&number.to_le_bytes(), self.seed);
-        (drawn >> 11) as f64 / (1_u64 << 53) as f64
+        share_of(xxh3_64_with_seed(&number.to_le_bytes(), self.seed))
     }
 }
 
--- a/crates/bendhinge_fleet/src/directory.rs
+++ b/crates/bendhinge_fleet/src/directory.rs
@@ -152,8 +152,8 @@
 pub struct Directory {
     limits: DirectoryLimits,
     listed: Vec<Listed>,
-    /// The positions of those listed. Each send looks one up, and a list that is taken in all of them: 2.4 ms for 6,000
-    /// upstreams, where looking for each among all took 15 ms, with everybody who chooses waiting.
+    /// The positions of those listed: each send looks one up, and a list that is taken in all of them, with everybody who
+    /// chooses waiting.
     positions: FxHashMap<NameHash, usize>,
     /// When upstreams said to this router that they leave.
     leaving: FxHashMap<NameHash, Instant>,
--- a/crates/bendhinge_fleet/src/lists.rs
+++ b/crates/bendhinge_fleet/src/lists.rs
@@ -67,10 +67,8 @@
     pub fn with(&self, changes: &ListChanges) -> Self {
         let came = changes.came.iter().map(|entry| entry.hash);
         let replaced: FxHashSet<NameHash> = changes.gone.iter().copied().chain(came).collect();
-        let stays = self.entries.iter().filter(|entry| !replaced.contains(&entry.hash));
-        let mut entries: Vec<_> = stays.chain(&changes.came).cloned().collect();
-        entries.sort_by(|left, right| left.name.cmp(&right.name));
-        Self { entries, drained: changes.drained.clone() }
+        let is_replaced = |entry: &UpstreamEntry| replaced.contains(&entry.hash);
+        self.replacing(is_replaced, changes.came.iter().cloned(), changes.drained.clone())
     }
 
     /// This list after the store wrote the entries that `came` and removed those that are `gone`, with these data
@@ -83,10 +81,19 @@
         drained: Vec<DataCentreName>,
     ) -> Self {
         let names = came.iter().map(|entry| &entry.name).chain(gone);
-        let replaced: FxHashSet<&UpstreamName> = names.collect();
-        let stays = self.entries.iter().filter(|entry| !replaced.contains(&entry.name)).cloned();
-        let mut entries: Vec<_> = stays.collect();
-        entries.extend(came.into_iter().map(Arc::new));
+        let replaced: FxHashSet<UpstreamName> = names.cloned().collect();
+        self.replacing(|entry| replaced.contains(&entry.name), came.into_iter().map(Arc::new), drained)
+    }
+
+    /// This list without the entries that are replaced, and with those that `came`.
+    fn replacing(
+        &self,
+        is_replaced: impl Fn(&UpstreamEntry) -> bool,
+        came: impl Iterator<Item = Arc<UpstreamEntry>>,
+        drained: Vec<DataCentreName>,
+    ) -> Self {
+        let stays = self.entries.iter().filter(|entry| !is_replaced(entry)).cloned();
+        let mut entries: Vec<_> = stays.chain(came).collect();
         entries.sort_by(|left, right| left.name.cmp(&right.name));
         Self { entries, drained }
     }
@@ -131,8 +138,8 @@
     /// `list` as it is told to a peer that holds the one whose digest is `base`.
     #[must_use]
     pub fn tell(&self, list: &UpstreamList, base: Option<u64>) -> ListTold {
-        let known = base.and_then(|base| self.0.iter().find(|(digest, _)| *digest == base));
+        let known = base.and_then(|base| Some((base, self.get(base)?)));
         let Some((base, known)) = known else { return ListTold::Whole(list.clone()) };
-        ListTold::Changes { base: *base, changes: list.changes_since(known) }
+        ListTold::Changes { base, changes: list.changes_since(known) }
     }
 }
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -65,7 +65,7 @@
 /// where all have just started the first in rank would be asked by all.
 fn is_seeking(control: &Control) -> bool {
     let Delivering { rules, upstreams, .. } = &*control.delivering;
-    rules.current().is_none() || !upstreams.is_known() && !upstreams.is_begun()
+    rules.current().is_none() || !upstreams.is_begun()
 }
 
 /// Tells those who hear news from this gateway that there is some; they fetch what they lack.
@@ -113,8 +113,8 @@
 /// Waits for a change that is to be told, and takes those that come until then along; gives by whom they were
 /// noticed, this gateway if one was. `None` if there will be none.
 async fn next_change(changes: &Receiver<SuspicionChange>) -> Option<Origin> {
-    /// How long single crashes wait. When seven busy upstreams crash with a hundred requests each, the gateways notice 800
-    /// within two seconds, and have no time to spare then.
+    /// How long single crashes wait: when busy upstreams crash, hundreds are noticed at once, and there is no time to
+    /// spare then.
     const WAIT: Duration = Duration::from_millis(400);
     let mut taken = changes.recv().await.ok()?;
     let until = bendhinge_clock::now() + WAIT;
@@ -136,8 +136,7 @@
 async fn ask_or_another(control: &Rc<Control>, contact: Contact) {
     let content = match contact {
         // It hears of reads and loads from others as this one does. Of what both were told a part would arrive
-        // earlier this way, and go on as news: one of 295 gateways that nobody asks told 560 reads a second
-        // so, and tells 2.
+        // earlier this way, and go on as news.
         Contact::OtherReader(_) | Contact::Any(_) => Content::Probe,
         Contact::Reader(_) | Contact::Lost(_) => Content::Whole,
     };
--- a/crates/bendhinge_gateway/src/control/fetching.rs
+++ b/crates/bendhinge_gateway/src/control/fetching.rs
@@ -72,24 +72,23 @@
         };
         let part = async {
             if message.is_begun {
-                self.fetch_part(address).await;
+                // Any part will do: they have no versions.
+                let holder = Holder { address, version: Version::default() };
+                let lacks = |_| !upstreams.is_begun();
+                let fetch = async |address| self.fetch_part(address).await;
+                self.fetching_part.run(holder, lacks, fetch).await;
             }
         };
         zip(zip(list, document), part).await;
     }
 
-    /// Begins with the part of a list with which the gateway at `address` has begun, if there is nothing yet.
-    async fn fetch_part(self: &Rc<Self>, address: SocketAddr) {
-        let upstreams = &self.delivering.upstreams;
-        if upstreams.is_begun() || self.is_fetching_part.replace(true) {
-            return;
-        }
+    /// Begins with the part of a list with which the gateway at `address` has begun.
+    async fn fetch_part(&self, address: SocketAddr) {
         let asked = bendhinge_clock::now();
         let fetched = self.peers.call(address, async |peer| peer.list_part().await).await;
-        self.is_fetching_part.set(false);
         let part = self.note_fetch(Believed::Upstreams, address, asked, fetched.map(Some));
-        if let Some(part) = part.filter(|part| !part.entries.is_empty()) {
-            upstreams.begin_with(Arc::new(part));
+        if let Some(part) = part {
+            self.delivering.upstreams.begin_with(Arc::new(part));
         }
     }
 
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -55,7 +55,7 @@
     peer_states: RefCell<PeerStates>,
     fetching_rules: Fetching,
     fetching_upstreams: Fetching,
-    is_fetching_part: Cell<bool>,
+    fetching_part: Fetching,
     executor: Rc<LocalExecutor<'static>>,
     /// Whether enough is known of what upstreams keep to tell others who have just started.
     is_informed: Cell<bool>,
@@ -85,7 +85,7 @@
             peer_states: RefCell::new(PeerStates::new(PEERS_KEPT)),
             fetching_rules: Fetching::default(),
             fetching_upstreams: Fetching::default(),
-            is_fetching_part: Cell::new(false),
+            fetching_part: Fetching::default(),
             executor: Rc::clone(executor),
             is_informed: Cell::new(false),
             settings,
--- a/crates/bendhinge_gateway/src/control/pages.rs
+++ b/crates/bendhinge_gateway/src/control/pages.rs
@@ -104,30 +104,42 @@
 impl Control {
     /// Reads all of a part.
     pub(super) async fn read_whole(self: &Rc<Self>, part: StorePart) -> Result<Found, ReadError> {
-        let mut contents = Contents { began: bendhinge_clock::now(), ..Contents::default() };
-        let known = self.known_document();
-        let mut page = self.read_page(part, None, known).await?;
-        if page.next_after.is_some() && part.has_upstreams() {
-            if !self.delivering.upstreams.is_known() {
-                contents.take(page);
-                self.begin_with(contents);
-            }
-            if !self.comes_to_its_turn().await {
-                return Ok(Found::Told);
-            }
-            contents = Contents { began: bendhinge_clock::now(), ..Contents::default() };
-            page = self.read_page(part, None, self.known_document()).await?;
+        let began = bendhinge_clock::now();
+        let page = self.read_page(part, None).await?;
+        if page.next_after.is_none() || !part.has_upstreams() {
+            return self.read_on(part, page, began).await;
         }
+        if !self.delivering.upstreams.is_known() {
+            let mut contents = Contents { began, ..Contents::default() };
+            contents.take(page);
+            self.begin_with(contents);
+        }
+        if !self.comes_to_its_turn().await {
+            return Ok(Found::Told);
+        }
+        let began = bendhinge_clock::now();
+        let page = self.read_page(part, None).await?;
+        self.read_on(part, page, began).await
+    }
+
+    /// Reads what comes after the first page, unless others tell the list meanwhile; the read began at `began`.
+    async fn read_on(
+        &self,
+        part: StorePart,
+        mut page: StorePage,
+        began: Instant,
+    ) -> Result<Found, ReadError> {
+        let mut contents = Contents { began, ..Contents::default() };
         for _ in 0..MOST_PAGES {
             let after = page.next_after.take();
             contents.take(page);
             if after.is_none() {
                 return Ok(Found::Whole(contents));
             }
-            if self.is_list_known_since(contents.began) {
+            if self.is_list_known_since(began) {
                 return Ok(Found::Told);
             }
-            page = self.read_page(part, after.as_deref(), known).await?;
+            page = self.read_page(part, after.as_deref()).await?;
         }
         Err(ReadError::Endless)
     }
@@ -152,7 +164,7 @@
     /// Reads what changed since what is held. Whether anything did is said by the revision of a page that holds little.
     pub(super) async fn read_changes(&self, since: Revision) -> Result<Found, ReadError> {
         let began = bendhinge_clock::now();
-        let StorePage { at, drained, foreign, .. } = self.read_page(StorePart::Drained, None, None).await?;
+        let StorePage { at, drained, foreign, .. } = self.read_page(StorePart::Drained, None).await?;
         let mut changes = StoreChanges { at: since, foreign, ..StoreChanges::default() };
         while changes.at < at {
             let told = self.changes_since(changes.at).await?;
@@ -171,12 +183,8 @@
         Ok(dialect.read_changes(&body)?)
     }
 
-    async fn read_page(
-        &self,
-        part: StorePart,
-        after: Option<&str>,
-        known: Option<Revision>,
-    ) -> Result<StorePage, ReadError> {
+    async fn read_page(&self, part: StorePart, after: Option<&str>) -> Result<StorePage, ReadError> {
+        let known = self.known_document();
         let dialect = &self.delivering.dialect;
         let may_be_large = part == StorePart::Rules || self.knows_nothing();
         let whole = if may_be_large { RULES_TIME } else { self.settings.store.call };
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -21,8 +21,8 @@
 /// How often a gateway that lost the store looks whether it is back: rules that were not known to be
 /// current for long are wanted at once.
 const LOOK_WHILE_LOST: Duration = Duration::from_millis(50);
-/// Rules up to this size are read along with the list, since the platform prices each call; on the
-/// narrowest link of the sites, 10 Mbit/s, they delay it by 0.14 s.
+/// Rules up to this size, in bytes, are read along with the list, which spares a call; on a link of 10 Mbit/s they delay
+/// it by 0.14 s.
 const SMALL_RULES: usize = 128 << 10;
 /// A list of so many upstreams is read whole, on one page or two: to ask first whether it has changed spares nothing.
 const SHORT_LIST: usize = 200;
@@ -171,9 +171,8 @@
     }
 
     /// Whether the process has just started, as far as the store is concerned. It can serve nothing before it
-    /// has both the list and the rules, so both are read in one call: on a day with two starts of 295 boxes
-    /// the fleet made 1,136 calls in place of 1,702. That is over with the first list, which may come without
-    /// rules, and with a read that took too long.
+    /// has both the list and the rules, so both are read in one call. That is over with the first list, which may come
+    /// without rules, and with a read that took too long.
     pub(super) fn knows_nothing(&self) -> bool {
         let is_empty = self.delivering.rules.current().is_none() && !self.delivering.upstreams.is_known();
         is_empty && !self.is_read_along_slow.get()
@@ -254,7 +253,7 @@
         if let Some(StoredRules { revision, document }) = contents.rules.take() {
             let version = Version::of_document(revision, at);
             // All that start read this page, so it is no news to any.
-            self.hold_rules(&Known { version, age: Duration::ZERO }, began, document, Origin::Store);
+            self.hold_rules(&just_read(version), began, document, Origin::Store);
         }
         self.delivering.upstreams.begin_with(Arc::new(contents.into_list()));
     }
@@ -268,9 +267,7 @@
             return;
         }
         self.note_foreign(&contents.foreign.drain(..).collect());
-        let list = contents.into_list();
-        let known = Known { version: Version { revision: at, digest: list.digest() }, age: Duration::ZERO };
-        self.take_upstreams(&known, began, list, Origin::Store);
+        self.take_stored_list(contents.into_list(), at, began);
     }
 
     fn take_changes(
@@ -301,22 +298,31 @@
             upstreams.confirm(Version { revision: at, ..held.version }, began);
             return;
         }
-        let list = list.updated(came, &gone, drained);
-        let known = Known { version: Version { revision: at, digest: list.digest() }, age: Duration::ZERO };
-        self.take_upstreams(&known, began, list, Origin::Store);
+        self.take_stored_list(list.updated(came, &gone, drained), at, began);
+    }
+
+    /// Takes the list that the store held at the revision `at`, by a read that began at `began`.
+    fn take_stored_list(self: &Rc<Self>, list: UpstreamList, at: Revision, began: Instant) {
+        let version = Version { revision: at, digest: list.digest() };
+        self.take_upstreams(&just_read(version), began, list, Origin::Store);
     }
 
     /// Takes the rules that the store held at the revision `at`, by a read that began at `began`.
     fn take_stored_rules(self: &Rc<Self>, rules: StoredRules, at: Revision, began: Instant) {
         let version = Version::of_document(rules.revision, at);
         if self.delivering.rules.lacks(version) {
-            self.take_rules(&Known { version, age: Duration::ZERO }, began, rules.document, Origin::Store);
+            self.take_rules(&just_read(version), began, rules.document, Origin::Store);
         } else {
             self.delivering.rules.confirm(version, began);
         }
     }
 }
 
+/// A version that was current when the read of it began.
+const fn just_read(version: Version) -> Known {
+    Known { version, age: Duration::ZERO }
+}
+
 /// From which age on a belief counts as lost.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LostAges {
--- a/crates/bendhinge_gateway/src/knowledge/upstreams.rs
+++ b/crates/bendhinge_gateway/src/knowledge/upstreams.rs
@@ -24,9 +24,8 @@
 /// How long an upstream is believed to keep what it read.
 const KEPT_FOR: Duration = Duration::from_secs(90);
 /// How much is told of what upstreams read. An entry takes 24 bytes before compression, so a message holds
-/// 24 KB of them at most: at an exchange each 0.4 s, half a megabit a second. What is learned while a fleet starts is
-/// some 2,000 a second with 1,200 prompts a second, and is told to the last one within the time for which
-/// it is told.
+/// 24 KB of them at most: at an exchange each 0.4 s, half a megabit a second. What is learned while a fleet starts
+/// comes faster, and is kept until it is told.
 const READS_TOLD: NewsLimits = NewsLimits {
     most_kept: 8_192,
     most_told: 1_000,
@@ -138,15 +137,16 @@
         self.state.lock().unwrap().belief.held().is_some()
     }
 
-    /// Whether there are upstreams to send to, though not all may be known.
+    /// Whether there is a list, or a part of one to begin with.
     pub(crate) fn is_begun(&self) -> bool {
-        !self.state.lock().unwrap().directory.listed().is_empty()
+        let state = self.state.lock().unwrap();
+        state.belief.held().is_some() || state.part.is_some()
     }
 
     /// Begins with a part of the list, until all of it is there.
     pub(crate) fn begin_with(&self, part: Arc<UpstreamList>) {
         let mut state = self.state.lock().unwrap();
-        if state.belief.held().is_none() {
+        if state.belief.held().is_none() && !part.entries.is_empty() {
             state.directory.take(&part, bendhinge_clock::now());
             state.part = Some(part);
         }
--- a/crates/bendhinge_gateway/src/ready.rs
+++ b/crates/bendhinge_gateway/src/ready.rs
@@ -34,7 +34,7 @@
         let lease = self.lease.map_or(Duration::MAX, |lease| lease + PATIENCE);
         !self.lifecycle.is_stopping()
             && age.is_some_and(|age| age <= lease)
-            && (self.delivering.upstreams.is_known() || self.delivering.upstreams.is_begun())
+            && self.delivering.upstreams.is_begun()
     }
 
     fn measured_now(&self) -> MeasuredNow {
--- a/crates/bendhinge_ids/src/lib.rs
+++ b/crates/bendhinge_ids/src/lib.rs
@@ -12,6 +12,6 @@
 };
 pub use number::{
     ConfigRevision, Digest, DigestError, EventSequence, Incarnation, PermitId, RequestDigest, RequestHint,
-    RouterLife,
+    RouterLife, share_of,
 };
 pub use time::Instant;
--- a/crates/bendhinge_ids/src/number.rs
+++ b/crates/bendhinge_ids/src/number.rs
@@ -8,6 +8,12 @@
 
 use crate::BoxName;
 
+/// A hash as a number from 0 up to 1.
+#[must_use]
+pub const fn share_of(hash: u64) -> f64 {
+    (hash >> 11) as f64 / (1_u64 << 53) as f64
+}
+
 /// The revision of a confirmed configuration; only ever grows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ConfigRevision(pub u64);
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -2,8 +2,8 @@
 //! fails, with a limit on its load.
 
 use bendhinge_ids::{Instant, NameHash};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::draw::{draw, draw_share};
 use crate::homes::home;
 use crate::{KeptParts, Prompt};
 
@@ -246,11 +246,11 @@
     /// A part of a request's cost, up to that of `spread` requests ahead, that differs by request
     /// and upstream, so that routers that know the same do not all choose the same.
     fn jitter(&self, index: usize, spread: f32) -> f32 {
-        let share = (self.tie(index) >> 40) as f32 / (1_u32 << 24) as f32;
+        let share = draw_share(self.question.tie_breaker, self.candidates[index].upstream.0);
         share * spread * self.rules.per_request
     }
 
     fn tie(&self, index: usize) -> u64 {
-        xxh3_64_with_seed(&self.question.tie_breaker.to_le_bytes(), self.candidates[index].upstream.0)
+        draw(self.question.tie_breaker, self.candidates[index].upstream.0)
     }
 }
--- a/crates/bendhinge_placement/src/homes.rs
+++ b/crates/bendhinge_placement/src/homes.rs
@@ -7,8 +7,9 @@
 use std::cmp::Reverse;
 
 use bendhinge_ids::NameHash;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64;
 
+use crate::draw::draw;
 use crate::{Candidate, PartId, Prompt};
 
 /// Pools of up to so many upstreams are one group.
@@ -44,7 +45,7 @@
 ) -> Option<usize> {
     let working = candidates.iter().enumerate();
     let working = working.filter(|(_, candidate)| candidate.takes_work && is_in_group(candidate));
-    working.max_by_key(|(_, candidate)| score(subject, candidate.upstream)).map(|(index, _)| index)
+    working.max_by_key(|(_, candidate)| draw(subject.0, candidate.upstream.0)).map(|(index, _)| index)
 }
 
 /// A power of two, so that a pool that grows splits groups and leaves half of each in place.
@@ -60,10 +61,6 @@
 /// The groups of a head, in the order in which they are used.
 fn groups_of(head: PartId, groups: usize) -> [usize; GROUPS_TRIED] {
     let mut ranked: Vec<usize> = (0..groups).collect();
-    ranked.sort_unstable_by_key(|group| Reverse(xxh3_64_with_seed(&head.0.to_le_bytes(), *group as u64)));
+    ranked.sort_unstable_by_key(|group| Reverse(draw(head.0, *group as u64)));
     std::array::from_fn(|rank| ranked[rank % groups])
 }
-
-fn score(subject: PartId, upstream: NameHash) -> u64 {
-    xxh3_64_with_seed(&subject.0.to_le_bytes(), upstream.0)
-}
--- a/crates/bendhinge_placement/src/lib.rs
+++ b/crates/bendhinge_placement/src/lib.rs
@@ -16,6 +16,7 @@
 mod budget;
 mod cost;
 mod displaced;
+mod draw;
 mod homes;
 mod kept;
 mod knowledge;
--- a/crates/bendhinge_placement/src/warming.rs
+++ b/crates/bendhinge_placement/src/warming.rs
@@ -12,9 +12,8 @@
 //!
 //! `docs/design/SHIFTED-WORK.md` has the ways that were weighed, with their figures.
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use crate::Candidate;
+use crate::draw::draw_share;
 
 /// The part of what an upstream bears that is sent to it, since the requests of a second scatter around their
 /// mean. With 0.6 of 9.6 a second, 22 came in one of 1,800 seconds at which a third of the routers was not
@@ -45,9 +44,9 @@
         if warming == 0 {
             return;
         }
-        let drawn = working[position(random(tie_breaker, DRAW_SEED), working.len())];
+        let drawn = working[position(draw_share(tie_breaker, DRAW_SEED), working.len())];
         let is_let_through =
-            random(tie_breaker, SHARE_SEED) < self.passing(working.len(), warming == working.len());
+            draw_share(tie_breaker, SHARE_SEED) < self.passing(working.len(), warming == working.len());
         for at in working {
             let may_go = !candidates[at].is_warming || at == drawn && is_let_through;
             candidates[at].takes_work = may_go;
@@ -66,12 +65,6 @@
     }
 }
 
-/// A number from 0 up to 1.
-fn random(tie_breaker: u64, seed: u64) -> f32 {
-    let number = xxh3_64_with_seed(&tie_breaker.to_le_bytes(), seed);
-    (number >> 40) as f32 / (1_u32 << 24) as f32
-}
-
 #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "below the count")]
 fn position(random: f32, count: usize) -> usize {
     ((random * count as f32) as usize).min(count - 1)
--- a/crates/bendhinge_standin/src/gateway/store.rs
+++ b/crates/bendhinge_standin/src/gateway/store.rs
@@ -58,7 +58,6 @@
     upstreams: Vec<UpstreamRecord>,
     drained: Vec<String>,
     fault: StoreFault,
-    reads: u64,
     /// Which entries were written or removed, at which revision.
     history: Vec<(u64, String)>,
     /// Of earlier changes nothing is known.
@@ -253,14 +252,13 @@
     /// How often it was read.
     #[must_use]
     pub fn reads(&self) -> u64 {
-        self.state.lock().unwrap().reads
+        self.state.lock().unwrap().paths.len() as u64
     }
 }
 
 async fn answer(state: Arc<Mutex<State>>, asked: Uri) -> Response<Body> {
     let fault = {
         let mut state = state.lock().unwrap();
-        state.reads += 1;
         state.paths.push(asked.to_string());
         state.fault
     };
