Changes of the store are translated one by one, and the last of each entry is found in the product, in linear time

Read once more: the adapter decided which change of an entry counts, and looked through all changes before for each, as did the joining of two answers: after an outage before thousands of upstreams that is their square. Now it only translates; what is latest is worked out once, by keys.

--- a/crates/bendhinge_gateway/src/control/pages.rs
+++ b/crates/bendhinge_gateway/src/control/pages.rs
@@ -15,7 +15,9 @@
 use smol::Timer;
 
 use super::Control;
-use crate::dialect::{ForeignEntry, StoreChanges, StorePage, StorePart, StoredRules, TranslateError};
+use crate::dialect::{
+    ForeignEntry, LatestChanges, StoreChanges, StorePage, StorePart, StoredRules, TranslateError,
+};
 
 /// The largest page that is read.
 const LARGEST_PAGE: usize = 8 << 20;
@@ -95,7 +97,7 @@
         began: Instant,
         /// Which data centres are drained, all of them.
         drained: Vec<DataCentreName>,
-        changes: StoreChanges,
+        changes: LatestChanges,
     },
     /// What others told while it was waited for.
     Told,
@@ -165,14 +167,17 @@
     pub(super) async fn read_changes(&self, since: Revision) -> Result<Found, ReadError> {
         let began = bendhinge_clock::now();
         let StorePage { at, drained, foreign, .. } = self.read_page(StorePart::Drained, None).await?;
-        let mut changes = StoreChanges { at: since, foreign, ..StoreChanges::default() };
-        while changes.at < at {
-            let told = self.changes_since(changes.at).await?;
-            if told.at <= changes.at {
-                return Err(ReadError::NoChanges(changes.at));
+        let mut read = StoreChanges { at: since, ..StoreChanges::default() };
+        while read.at < at {
+            let told = self.changes_since(read.at).await?;
+            if told.at <= read.at {
+                return Err(ReadError::NoChanges(read.at));
             }
-            changes = changes.followed_by(told);
+            read.at = told.at;
+            read.changes.extend(told.changes);
         }
+        let mut changes = read.latest();
+        changes.foreign.extend(foreign);
         Ok(Found::Changes { began, drained, changes })
     }
 
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -14,7 +14,7 @@
 use super::Control;
 use super::pages::{Contents, Found};
 use crate::delivery::Delivering;
-use crate::dialect::{ForeignEntry, StoreChanges, StorePart, StoredRules};
+use crate::dialect::{ForeignEntry, LatestChanges, StorePart, StoredRules};
 
 /// How often a gateway whose turn it is not looks whether it has become so.
 const LOOK: Duration = Duration::from_millis(200);
@@ -274,9 +274,9 @@
         self: &Rc<Self>,
         began: Instant,
         mut drained: Vec<DataCentreName>,
-        changes: StoreChanges,
+        changes: LatestChanges,
     ) {
-        let StoreChanges { at, rules, came, gone, foreign, keys } = changes;
+        let LatestChanges { at, rules, came, gone, foreign, keys } = changes;
         drained.sort_unstable();
         drained.dedup();
         let now = bendhinge_clock::now();
--- a/crates/bendhinge_gateway/src/dialect.rs
+++ b/crates/bendhinge_gateway/src/dialect.rs
@@ -13,6 +13,7 @@
 use hyper::header::{HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::http::{request, response};
 use hyper::{HeaderMap, StatusCode};
+use rustc_hash::FxHashSet;
 
 /// What a caller's request says.
 #[derive(Debug, Default)]
@@ -133,6 +134,42 @@
 /// What changed in the store since a revision.
 #[derive(Debug, Default)]
 pub struct StoreChanges {
+    /// The revision up to which all changes are there.
+    pub at: Revision,
+    /// The changes in their order; an entry may have changed more than once.
+    pub changes: Vec<StoreChange>,
+}
+
+/// A change of an entry of the store.
+#[derive(Debug)]
+pub struct StoreChange {
+    /// The entry's key.
+    pub key: String,
+    /// What the entry is since then.
+    pub entry: ChangedEntry,
+}
+
+/// What an entry of the store became.
+#[derive(Debug)]
+pub enum ChangedEntry {
+    /// The document of the serving rules.
+    Rules(StoredRules),
+    /// An upstream.
+    Upstream(UpstreamEntry),
+    /// No upstream any more, or none at all: it is gone, or of another writer.
+    NoUpstream {
+        /// The upstream for which it stood, if its key names one.
+        name: Option<UpstreamName>,
+        /// What stands there now, if another writer wrote it.
+        foreign: Option<ForeignEntry>,
+    },
+    /// Nothing that is read by its changes.
+    Other,
+}
+
+/// What entries of the store became by the last change of each.
+#[derive(Debug, Default)]
+pub struct LatestChanges {
     /// The revision up to which all changes are there.
     pub at: Revision,
     /// The document of the serving rules, if it changed.
@@ -144,24 +181,32 @@
     /// Entries that name no upstream.
     pub foreign: Vec<ForeignEntry>,
     /// The keys of all entries that changed.
-    pub keys: Vec<String>,
+    pub keys: FxHashSet<String>,
 }
 
 impl StoreChanges {
-    /// These changes and then those that are `later`.
+    /// The last change of each entry, in their order.
     #[must_use]
-    pub fn followed_by(mut self, later: Self) -> Self {
-        let is_replaced = |name: &UpstreamName| {
-            later.gone.contains(name) || later.came.iter().any(|entry| entry.name == *name)
-        };
-        self.came.retain(|entry| !is_replaced(&entry.name));
-        self.gone.retain(|name| !is_replaced(name));
-        self.foreign.retain(|entry| !later.keys.contains(&entry.key));
-        self.came.extend(later.came);
-        self.gone.extend(later.gone);
-        self.foreign.extend(later.foreign);
-        self.keys.extend(later.keys);
-        Self { at: later.at, rules: later.rules.or(self.rules), ..self }
+    pub fn latest(self) -> LatestChanges {
+        let mut latest = LatestChanges { at: self.at, ..LatestChanges::default() };
+        let mut changes: Vec<ChangedEntry> = Vec::new();
+        for change in self.changes.into_iter().rev() {
+            if latest.keys.insert(change.key) {
+                changes.push(change.entry);
+            }
+        }
+        for entry in changes.into_iter().rev() {
+            match entry {
+                ChangedEntry::Rules(rules) => latest.rules = Some(rules),
+                ChangedEntry::Upstream(upstream) => latest.came.push(upstream),
+                ChangedEntry::NoUpstream { name, foreign } => {
+                    latest.gone.extend(name);
+                    latest.foreign.extend(foreign);
+                }
+                ChangedEntry::Other => {}
+            }
+        }
+        latest
     }
 }
 
--- a/crates/bendhinge_gateway/src/native/store.rs
+++ b/crates/bendhinge_gateway/src/native/store.rs
@@ -12,9 +12,13 @@
 
 use super::{Native, rules};
 use crate::dialect::{
-    ForeignEntry, StoreChanges, StoreDialect, StorePage, StorePart, StoredRules, TranslateError,
+    ChangedEntry, ForeignEntry, StoreChange, StoreChanges, StoreDialect, StorePage, StorePart, StoredRules,
+    TranslateError,
 };
 
+/// What stands for the key of the rules among changes: no upstream's name has this sign.
+const RULES_KEY: &str = "/rules";
+
 /// A page.
 #[derive(Debug, Default, Deserialize, Serialize)]
 pub(super) struct Page {
@@ -95,16 +99,26 @@
     fn read_changes(&self, body: &[u8]) -> Result<StoreChanges, TranslateError> {
         let page = read(body)?;
         let (came, foreign) = entries(&page.upstreams);
-        let mut gone = page.gone;
-        gone.extend(foreign.iter().filter_map(|entry| entry.key.parse().ok()));
-        let names = came.iter().map(|entry| &entry.name).chain(&gone);
+        let came = came.into_iter().map(|upstream| {
+            let key = upstream.name.as_str().to_owned();
+            StoreChange { key, entry: ChangedEntry::Upstream(upstream) }
+        });
+        let gone = page.gone.into_iter().map(|name| {
+            let key = name.as_str().to_owned();
+            StoreChange { key, entry: ChangedEntry::NoUpstream { name: Some(name), foreign: None } }
+        });
+        let foreign = foreign.into_iter().map(|foreign| {
+            let key = foreign.key.clone();
+            StoreChange {
+                entry: ChangedEntry::NoUpstream { name: key.parse().ok(), foreign: Some(foreign) },
+                key,
+            }
+        });
+        let rules = page.rules.map(stored_rules).map(ChangedEntry::Rules);
+        let rules = rules.map(|entry| StoreChange { key: RULES_KEY.to_owned(), entry });
         Ok(StoreChanges {
             at: Revision(page.at),
-            rules: page.rules.map(stored_rules),
-            keys: names.map(|name| name.as_str().to_owned()).collect(),
-            came,
-            gone,
-            foreign,
+            changes: came.chain(gone).chain(foreign).chain(rules).collect(),
         })
     }
 
