--- /dev/null
+++ b/crates/bendhinge_gateway/src/delivery/context.rs
@@ -0,0 +1,64 @@
+//! The shared state that delivery uses.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bendhinge_delivery::IdentityKey;
+use bendhinge_http::{Pool, Tasks};
+use bendhinge_ids::{PoolName, RequestDigest};
+use rand::Rng;
+
+use super::{CrashProbes, InboundRequest};
+use crate::dialect::Dialect;
+use crate::log::Log;
+use crate::metrics::Metrics;
+use crate::pacing::Pacing;
+use crate::quarantine::SharedQuarantine;
+use crate::retries::RetryBudgets;
+use crate::state::{RulesReplica, UpstreamView};
+
+/// The shared state that delivery uses.
+pub(crate) struct DeliveryContext {
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) rules: Arc<RulesReplica>,
+    pub(crate) upstreams: Arc<UpstreamView>,
+    pub(crate) retry_budgets: RetryBudgets,
+    pub(crate) pacing: Pacing,
+    pub(crate) identity_key: IdentityKey,
+    pub(crate) quarantine: Arc<SharedQuarantine>,
+    pub(crate) crash_probes: CrashProbes,
+    pub(crate) connection_pool: Pool,
+    pub(crate) tasks: Tasks,
+    pub(crate) log: Log,
+    pub(crate) metrics: Metrics,
+    pub(crate) max_response_bytes: usize,
+}
+
+impl DeliveryContext {
+    /// Returns the digest of a request that may be tracked by the quarantine. Other requests are not hashed.
+    pub(crate) fn tracked_digest(&self, inbound: &InboundRequest) -> Option<RequestDigest> {
+        let quarantine = &self.quarantine;
+        let may_be_tracked =
+            !quarantine.is_empty() && quarantine.may_contain(inbound.identity().hint(&self.identity_key));
+        may_be_tracked.then(|| inbound.digest(&self.identity_key))
+    }
+
+    /// Returns after which time the caller should retry if all upstreams that could serve the request have
+    /// requested a backoff.
+    pub(super) fn remaining_backoff(&self, inbound: &InboundRequest) -> Option<Duration> {
+        /// Jitter as a fraction of the remaining backoff, but no less than the minimum, so that callers
+        /// refused together do not all return to the first upstream that is available again.
+        const JITTER_FRACTION: f64 = 0.25;
+        const MIN_JITTER: Duration = Duration::from_millis(200);
+        let end = self.upstreams.earliest_backoff_end(&inbound.pool, inbound.allowed_regions())?;
+        let remaining = end.since(bendhinge_clock::now());
+        Some(remaining + remaining.mul_f64(JITTER_FRACTION).max(MIN_JITTER).mul_f64(rand::rng().random()))
+    }
+
+    /// Whether requests to a pool are paced by the responses of its upstreams. Upstreams that cache prompts
+    /// report their load instead, and their responses may be late for other reasons.
+    pub(super) fn is_paced(&self, pool: &PoolName) -> bool {
+        let rules = self.rules.current();
+        rules.is_some_and(|current| current.rules.pools.get(pool).is_none_or(|rule| !rule.caches_prompts))
+    }
+}
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -2,148 +2,40 @@
 //! caller.
 
 mod attempt;
+mod context;
 mod crash;
+mod inbound;
 mod race;
 mod relay;
 
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_admission::{PacingDecision, Requester};
+use bendhinge_admission::PacingDecision;
 use bendhinge_codes::ResultCode;
-use bendhinge_delivery::{IdentityKey, RequestIdentity, RetryState, SendOutcome};
+use bendhinge_delivery::{RetryState, SendOutcome};
 use bendhinge_fleet::UpstreamFailure;
-use bendhinge_http::{Body, Pool, Tasks, full_body};
-use bendhinge_ids::{Instant, NameHash, PoolName, RequestDigest};
-use bendhinge_routes::{Customer, RegionFilter, Route};
-use bytes::Bytes;
+use bendhinge_http::{Body, full_body};
+use bendhinge_ids::NameHash;
 use hyper::Response;
-use hyper::http::request;
 use rand::Rng;
 
 use self::attempt::{
     AttemptParams, ErrorResponse, SendError, UpstreamBody, UpstreamResponse, implies_not_run,
     send_to_upstream,
 };
+pub(crate) use self::context::DeliveryContext;
 pub(crate) use self::crash::CrashProbes;
 use self::crash::detect_crash;
+pub(crate) use self::inbound::InboundRequest;
 use self::race::{FailedSend, PendingSend, SendRecord, race};
 use self::relay::{Relay, StreamSource, relay_body};
-use crate::dialect::{Dialect, RequestFields};
 use crate::intake::Refusal;
 use crate::intake::headers;
 use crate::lifecycle::InProgress;
-use crate::log::{Log, RequestLogEntry};
-use crate::metrics::Metrics;
-use crate::pacing::Pacing;
-use crate::quarantine::{SendRefusal, SharedQuarantine, TrackedSend};
-use crate::retries::RetryBudgets;
-use crate::state::{ChosenUpstream, PlacementRequest, RulesReplica, UpstreamView};
-
-/// The shared state that delivery uses.
-pub(crate) struct DeliveryContext {
-    pub(crate) dialect: Arc<dyn Dialect>,
-    pub(crate) rules: Arc<RulesReplica>,
-    pub(crate) upstreams: Arc<UpstreamView>,
-    pub(crate) retry_budgets: RetryBudgets,
-    pub(crate) pacing: Pacing,
-    pub(crate) identity_key: IdentityKey,
-    pub(crate) quarantine: Arc<SharedQuarantine>,
-    pub(crate) crash_probes: CrashProbes,
-    pub(crate) connection_pool: Pool,
-    pub(crate) tasks: Tasks,
-    pub(crate) log: Log,
-    pub(crate) metrics: Metrics,
-    pub(crate) max_response_bytes: usize,
-}
-
-/// A request that was authorized and is to be sent to an upstream.
-pub(crate) struct InboundRequest {
-    pub(crate) fields: RequestFields,
-    pub(crate) route: Arc<Route>,
-    pub(crate) pool: PoolName,
-    pub(crate) customer: Option<Arc<Customer>>,
-    pub(crate) priority: u8,
-    /// The head that is sent upstream, without the headers that each attempt adds.
-    pub(crate) head: request::Parts,
-    pub(crate) body: Bytes,
-    pub(crate) received_at: Instant,
-    /// The time by which the final response is due.
-    pub(crate) deadline: Instant,
-    pub(crate) tie_breaker: u64,
-    /// The digest that identifies equal requests, computed on first use.
-    pub(crate) digest: OnceLock<RequestDigest>,
-}
-
-impl DeliveryContext {
-    /// Returns the digest of a request that may be tracked by the quarantine. Other requests are not hashed.
-    pub(crate) fn tracked_digest(&self, inbound: &InboundRequest) -> Option<RequestDigest> {
-        let quarantine = &self.quarantine;
-        let may_be_tracked =
-            !quarantine.is_empty() && quarantine.may_contain(inbound.identity().hint(&self.identity_key));
-        may_be_tracked.then(|| inbound.digest(&self.identity_key))
-    }
-
-    /// Returns after which time the caller should retry if all upstreams that could serve the request have
-    /// requested a backoff.
-    fn remaining_backoff(&self, inbound: &InboundRequest) -> Option<Duration> {
-        /// Jitter as a fraction of the remaining backoff, but no less than the minimum, so that callers
-        /// refused together do not all return to the first upstream that is available again.
-        const JITTER_FRACTION: f64 = 0.25;
-        const MIN_JITTER: Duration = Duration::from_millis(200);
-        let end = self.upstreams.earliest_backoff_end(&inbound.pool, inbound.allowed_regions())?;
-        let remaining = end.since(bendhinge_clock::now());
-        Some(remaining + remaining.mul_f64(JITTER_FRACTION).max(MIN_JITTER).mul_f64(rand::rng().random()))
-    }
-
-    /// Whether requests to a pool are paced by the responses of its upstreams. Upstreams that cache prompts
-    /// report their load instead, and their responses may be late for other reasons.
-    fn is_paced(&self, pool: &PoolName) -> bool {
-        let rules = self.rules.current();
-        rules.is_some_and(|current| current.rules.pools.get(pool).is_none_or(|rule| !rule.caches_prompts))
-    }
-}
-
-impl InboundRequest {
-    fn requester(&self) -> Requester {
-        let customer = self.customer.as_ref().map_or("", |customer| customer.name.as_str());
-        Requester { priority: self.priority, customer: NameHash::of(customer) }
-    }
-
-    /// Whether the customer still holds the key of the request, according to rules that have not expired.
-    pub(crate) fn is_authorized(&self, rules: &RulesReplica) -> bool {
-        let (Some(key), Some(customer)) = (&self.fields.key, &self.customer) else { return true };
-        if !rules.is_within_lease() {
-            return false;
-        }
-        let Some(current) = rules.current() else { return false };
-        current.rules.customers.find_by_key(key).is_some_and(|holder| holder.name == customer.name)
-    }
-
-    /// Returns the regions that the route and the customer allow; both apply.
-    fn allowed_regions(&self) -> [&RegionFilter; 2] {
-        let route = &self.route.regions;
-        [route, self.customer.as_ref().map_or(route, |customer| &customer.regions)]
-    }
-
-    /// Returns the digest that identifies equal requests.
-    fn digest(&self, key: &IdentityKey) -> RequestDigest {
-        *self.digest.get_or_init(|| self.identity().digest(key))
-    }
-
-    fn identity(&self) -> RequestIdentity<'_> {
-        RequestIdentity {
-            customer: self.customer.as_ref().map_or("", |customer| customer.name.as_str()),
-            method: self.head.method.as_str(),
-            target: self.head.uri.path_and_query().map_or("", |target| target.as_str()),
-            body: &self.body,
-        }
-    }
-
-    fn time_left(&self) -> Duration {
-        self.deadline.since(bendhinge_clock::now())
-    }
-}
+use crate::log::RequestLogEntry;
+use crate::quarantine::{SendRefusal, TrackedSend};
+use crate::state::{ChosenUpstream, PlacementRequest};
 
 /// Sends a request and returns the final response.
 pub(crate) async fn deliver(
--- a/crates/bendhinge_gateway/src/dialect.rs
+++ b/crates/bendhinge_gateway/src/dialect.rs
@@ -54,6 +54,11 @@
     pub running: u32,
     /// The number of queued requests.
     pub waiting: u32,
+    /// The number of requests that can run at once.
+    pub slots: Option<u32>,
+    /// How long work takes at present, in percent of the usual. Only upstreams that share their box with
+    /// other work report it.
+    pub pace_percent: Option<u32>,
 }
 
 /// The fields in the head of an upstream's response.
--- a/crates/bendhinge_gateway/src/native/upstreams.rs
+++ b/crates/bendhinge_gateway/src/native/upstreams.rs
@@ -73,6 +73,12 @@
 }
 
 fn parse_load(value: &HeaderValue) -> Option<ReportedLoad> {
-    let (running, waiting) = value.to_str().ok()?.split_once(',')?;
-    Some(ReportedLoad { running: running.parse().ok()?, waiting: waiting.parse().ok()? })
+    let mut figures = value.to_str().ok()?.split(',').map(|figure| figure.parse().ok());
+    let (running, waiting) = (figures.next()??, figures.next()??);
+    Some(ReportedLoad {
+        running,
+        waiting,
+        slots: figures.next().flatten(),
+        pace_percent: figures.next().flatten(),
+    })
 }
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -109,7 +109,7 @@
         rules: Arc::new(RulesReplica::new(settings.rules)),
         upstreams: Arc::new(UpstreamView::new(
             settings.peer_address,
-            settings.regions.clone(),
+            settings.location(),
             &settings.upstreams,
         )),
         retry_budgets: RetryBudgets::new(settings.retry_budget),
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! Parses and validates the settings of a gateway.
 
+mod load;
 mod schema;
 
 use std::net::SocketAddr;
@@ -12,8 +13,10 @@
 use bendhinge_ids::{BoxName, DataCentreName, RegionName, RequestDigest};
 use bendhinge_ini::{Document, Faults, Section, read_file};
 use bendhinge_peer::PeerKey;
+use bendhinge_placement::Distance;
 use rustc_hash::FxHashMap;
 
+pub use load::{Activation, LoadSettings};
 pub use schema::SCHEMA;
 
 /// All settings of a gateway.
@@ -43,6 +46,8 @@
     pub rules: RulesSettings,
     /// Connections to upstreams and failure detection.
     pub upstreams: UpstreamSettings,
+    /// Decisions that depend on the load of upstreams.
+    pub load: LoadSettings,
     /// The fleet's retry budget.
     pub retry_budget: FleetRetryBudget,
     /// Graceful shutdown.
@@ -54,6 +59,22 @@
 /// The region of each data centre for which the operators name one.
 pub type RegionMap = FxHashMap<DataCentreName, RegionName>;
 
+/// The place of the gateway among the data centres.
+#[derive(Clone, Debug)]
+pub struct Location {
+    /// The box's data centre.
+    pub data_centre: DataCentreName,
+    /// The regions of data centres.
+    pub regions: RegionMap,
+}
+
+impl Location {
+    /// Returns whether a data centre is the gateway's own.
+    pub(crate) fn distance_to(&self, data_centre: &DataCentreName) -> Distance {
+        if *data_centre == self.data_centre { Distance::Local } else { Distance::Remote }
+    }
+}
+
 /// The capacity of a network link.
 #[derive(Clone, Copy, Debug)]
 pub struct Link {
@@ -155,6 +176,11 @@
 }
 
 impl Settings {
+    /// Returns the place of the gateway among the data centres.
+    pub(crate) fn location(&self) -> Location {
+        Location { data_centre: self.data_centre.clone(), regions: self.regions.clone() }
+    }
+
     /// Returns when the list of upstreams is read: often enough that an upstream that starts draining right
     /// after a read gets no more requests after the drain deadline.
     pub(crate) fn list_read_timings(&self) -> StoreReadTimings {
@@ -189,6 +215,7 @@
         let fleet = self.0.section("fleet").map(|section| self.fleet(section));
         let rules = self.0.section("beliefs").map(|section| self.rules(section));
         let upstreams = self.0.section("upstreams").map(|section| self.upstreams(section));
+        let load = self.0.section("load").map(|section| self.load(section));
         let retry_budget = self.0.section("retries").map(|section| self.retry_budget(section));
         let stop = self.0.section("stop").map(|section| self.stop(section));
         let released_requests = self
@@ -216,6 +243,7 @@
             fleet: fleet??,
             rules: rules??,
             upstreams: upstreams??,
+            load: load??,
             retry_budget: retry_budget??,
             stop: stop??,
             released_requests: released_requests??.0,
@@ -309,6 +337,19 @@
         })
     }
 
+    fn load(&self, section: &Section) -> Option<LoadSettings> {
+        let work = self.0.value(section, "work");
+        let local_first = self.0.value(section, "local_first");
+        let shared_response_times = self.0.value(section, "shared_response_times");
+        let admission = self.0.value(section, "admission");
+        Some(LoadSettings {
+            work: work?,
+            local_first: local_first?,
+            shared_response_times: shared_response_times?,
+            admission: admission?,
+        })
+    }
+
     fn retry_budget(&self, section: &Section) -> Option<FleetRetryBudget> {
         let ratio = self.0.non_negative_number(section, "ratio");
         let base_retries = self.0.non_negative_number(section, "slack");
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -5,7 +5,7 @@
 /// The sections and keys of a gateway's settings.
 pub const SCHEMA: Schema = Schema {
     title: "Gateway settings",
-    sections: &[GATEWAY, DATA_CENTRE, STORE, FLEET, BELIEFS, UPSTREAMS, RETRIES, QUARANTINE, STOP],
+    sections: &[GATEWAY, DATA_CENTRE, STORE, FLEET, BELIEFS, UPSTREAMS, LOAD, RETRIES, QUARANTINE, STOP],
 };
 
 const GATEWAY: SectionKind = SectionKind {
@@ -185,6 +185,39 @@
     ],
 };
 
+const LOAD: SectionKind = SectionKind {
+    kind: "load",
+    named: false,
+    required: false,
+    help: "Decisions that depend on the load of upstreams. `reported` takes effect when an upstream reports how long its work takes at present, as upstreams do that share their box with other work.",
+    keys: &[
+        Key::new(
+            "work",
+            "no, yes or reported",
+            Some("no"),
+            "Whether an engine is chosen by the work that waits there and not by its number of requests.",
+        ),
+        Key::new(
+            "local_first",
+            "no, yes or reported",
+            Some("no"),
+            "Whether upstreams of the own data centre are preferred as long as they bear its demand.",
+        ),
+        Key::new(
+            "shared_response_times",
+            "no, yes or reported",
+            Some("no"),
+            "Whether gateways share how long the responses of upstreams take that do not report their load.",
+        ),
+        Key::new(
+            "admission",
+            "no, yes or reported",
+            Some("no"),
+            "Whether requests to engines are admitted by priority and customer when the pool is nearly full.",
+        ),
+    ],
+};
+
 const RETRIES: SectionKind = SectionKind {
     kind: "retries",
     named: false,
--- /dev/null
+++ b/crates/bendhinge_gateway/src/state/candidates.rs
@@ -0,0 +1,109 @@
+//! Candidates for a request: the upstreams of a pool with their health and estimated load.
+
+use bendhinge_fleet::{ListedUpstream, UpstreamHealth};
+use bendhinge_ids::{Instant, PoolName};
+use bendhinge_placement::{Candidate, WarmupLimit};
+use bendhinge_routes::RegionFilter;
+
+use super::upstreams::{PlacementRequest, State};
+use crate::settings::{Location, RegionMap};
+
+/// The failure rate assumed for an upstream that is ejected or may only be probed.
+const UNHEALTHY_FAILURE_RATE: f32 = 0.5;
+
+impl State {
+    /// Whether requests may be sent to an upstream: it accepts work and has no active backoff.
+    pub(super) fn is_available(&self, listed: &ListedUpstream, now: Instant) -> bool {
+        listed.accepts_work(now) && self.backoffs.ends_at(listed.entry.hash, now).is_none()
+    }
+
+    /// Returns the pool's upstreams in regions that both `allowed` lists permit.
+    pub(super) fn upstreams_in_regions(
+        &self,
+        pool: &PoolName,
+        allowed: [&RegionFilter; 2],
+        regions: &RegionMap,
+    ) -> Vec<&ListedUpstream> {
+        let is_allowed = |listed: &&ListedUpstream| {
+            let region = regions.get(&listed.entry.data_centre);
+            allowed.iter().all(|allowed| allowed.allows(region))
+        };
+        let in_pool = self.directory.upstreams().iter().filter(|listed| listed.entry.pool == *pool);
+        in_pool.filter(is_allowed).collect()
+    }
+
+    /// Returns the pool's upstreams in the allowed regions and the matching candidates, which also serve as sources of
+    /// cached prompt parts. Ejected upstreams take work only if no other candidate does. Upstreams in a requested
+    /// backoff never take work, since sending to them would defeat the backoff when the whole pool is overloaded.
+    pub(super) fn candidates(
+        &self,
+        request: &PlacementRequest<'_>,
+        location: &Location,
+        now: Instant,
+    ) -> (Vec<&ListedUpstream>, Vec<Candidate>) {
+        let listed = self.upstreams_in_regions(request.pool, request.regions, &location.regions);
+        let mean_load = self.loads.mean_other_requests(listed.iter().map(|listed| listed.entry.hash), now);
+        let mut candidates: Vec<Candidate> =
+            listed.iter().map(|listed| self.candidate(listed, request, location, mean_load, now)).collect();
+        if !candidates.iter().any(|candidate| candidate.takes_work) {
+            // Without any healthy candidate, ejected upstreams are better than none.
+            for (candidate, listed) in candidates.iter_mut().zip(&listed) {
+                candidate.takes_work =
+                    self.is_available(listed, now) && !request.tried.contains(&candidate.upstream);
+            }
+        }
+        if let Some(rate) = request.rule.and_then(|rule| rule.warmup_requests_per_second) {
+            let demand = self.demand.get(request.pool).map_or(0.0, |demand| demand.per_second(now));
+            let warmup_limit = WarmupLimit {
+                requests_per_second: rate,
+                demand_per_second: demand,
+                router_count: self.gateway_count,
+            };
+            warmup_limit.exclude_warming(&mut candidates, request.tie_breaker);
+        }
+        (listed, candidates)
+    }
+
+    pub(super) fn record_demand(&mut self, pool: &PoolName, now: Instant) {
+        match self.demand.get_mut(pool) {
+            Some(demand) => demand.record(now),
+            None => self.demand.entry(pool.clone()).or_default().record(now),
+        }
+    }
+
+    fn candidate(
+        &self,
+        listed: &ListedUpstream,
+        request: &PlacementRequest<'_>,
+        location: &Location,
+        mean_load: f32,
+        now: Instant,
+    ) -> Candidate {
+        let upstream = listed.entry.hash;
+        let health = self.outlier_detector.health(upstream, now);
+        let expected_failure_rate = match health {
+            UpstreamHealth::Healthy { failure_rate } => failure_rate,
+            UpstreamHealth::ProbeAllowed if request.may_probe => 0.0,
+            UpstreamHealth::ProbeAllowed | UpstreamHealth::Ejected => UNHEALTHY_FAILURE_RATE,
+        };
+        let is_eligible = self.is_available(listed, now) && !request.tried.contains(&upstream);
+        // No gateway sends to a drained upstream, so its load has no requests of other gateways.
+        let load = if listed.is_drained {
+            self.loads.own_requests(upstream)
+        } else {
+            self.loads.estimate(upstream, mean_load, now)
+        };
+        Candidate {
+            upstream,
+            load,
+            failure_rate: expected_failure_rate,
+            takes_work: is_eligible && health != UpstreamHealth::Ejected,
+            is_warming: is_eligible && listed.is_warming_up(now),
+            counts_in_mean: listed.stops_at.is_none_or(|stops_at| now < stops_at)
+                && self.backoffs.ends_at(upstream, now).is_none()
+                && health != UpstreamHealth::Ejected,
+            distance: location.distance_to(&listed.entry.data_centre),
+            work: None,
+        }
+    }
+}
--- a/crates/bendhinge_gateway/src/state/mod.rs
+++ b/crates/bendhinge_gateway/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! The state that this gateway decides by: its replicas of the serving rules and the upstream list, and its
 //! records of upstream health, load and cached prompt parts.
 
+mod candidates;
 mod peers;
 mod rules;
 mod upstreams;
--- a/crates/bendhinge_gateway/src/state/upstreams.rs
+++ b/crates/bendhinge_gateway/src/state/upstreams.rs
@@ -6,21 +6,19 @@
 
 use bendhinge_admission::Demand;
 use bendhinge_fleet::{
-    Directory, FailureDetector, ListHistory, ListedUpstream, Loads, OutlierDetector, Replica,
-    RequestedBackoffs, UpdateLog, UpdateLogLimits, UpdateOutcome, UpdateSource, UpstreamEntry,
-    UpstreamFailure, UpstreamHealth, UpstreamList, UpstreamLoad, Version,
+    Directory, FailureDetector, ListHistory, Loads, OutlierDetector, Replica, RequestedBackoffs, UpdateLog,
+    UpdateLogLimits, UpdateOutcome, UpdateSource, UpstreamEntry, UpstreamFailure, UpstreamList, UpstreamLoad,
+    Version,
 };
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_peer::HeldVersion;
-use bendhinge_placement::{
-    CachedPart, CachedParts, Candidate, ChoiceReason, CostModel, CostQuery, Prompt, WarmupLimit, choose,
-};
+use bendhinge_placement::{CachedPart, CachedParts, ChoiceReason, CostModel, CostQuery, Prompt, choose};
 use bendhinge_routes::{PoolRule, RegionFilter};
 use rustc_hash::FxHashMap;
 
 use super::peers::address_hash;
 use crate::dialect;
-use crate::settings::{RegionMap, UpstreamSettings};
+use crate::settings::{Location, UpstreamSettings};
 
 /// How long an upstream is expected to keep a prompt part in its cache.
 const CACHE_RETENTION: Duration = Duration::from_secs(90);
@@ -32,9 +30,6 @@
     max_age: Duration::from_secs(5),
     max_age_for_new_peer: Duration::from_millis(1_300),
 };
-/// The failure rate assumed for an upstream that is ejected or may only be probed.
-const UNHEALTHY_FAILURE_RATE: f32 = 0.5;
-
 /// The properties of a request that determine its upstream.
 pub(crate) struct PlacementRequest<'a> {
     pub(crate) pool: &'a PoolName,
@@ -75,7 +70,7 @@
     pub(super) directory: Directory,
     pub(super) outlier_detector: OutlierDetector,
     /// Backoffs that upstreams requested from this gateway.
-    backoffs: RequestedBackoffs,
+    pub(super) backoffs: RequestedBackoffs,
     pub(super) failure_detector: FailureDetector,
     pub(super) loads: Loads,
     pub(super) cached_parts: CachedParts,
@@ -84,16 +79,16 @@
     /// Recently held lists, as bases for deltas.
     pub(super) list_history: ListHistory,
     /// Request rate of each pool.
-    demand: FxHashMap<PoolName, Demand>,
+    pub(super) demand: FxHashMap<PoolName, Demand>,
     /// Number of gateways including this one, or `None` if no other is known.
-    gateway_count: Option<usize>,
+    pub(super) gateway_count: Option<usize>,
 }
 
 /// This gateway's view of the upstreams.
 pub(crate) struct UpstreamView {
     pub(super) state: Mutex<State>,
     costs: CostModel,
-    regions: RegionMap,
+    location: Location,
 }
 
 /// Counts a request toward the load of its upstream until dropped.
@@ -112,7 +107,7 @@
 
 impl UpstreamView {
     /// Creates a view without upstreams. `own_address` is the address at which peers reach this gateway.
-    pub(crate) fn new(own_address: SocketAddr, regions: RegionMap, settings: &UpstreamSettings) -> Self {
+    pub(crate) fn new(own_address: SocketAddr, location: Location, settings: &UpstreamSettings) -> Self {
         let state = State {
             replica: Replica::default(),
             partial_list: None,
@@ -128,7 +123,7 @@
             gateway_count: None,
         };
         let costs = CostModel { load_bound_factor: settings.load_bound_factor, ..CostModel::default() };
-        Self { state: Mutex::new(state), costs, regions }
+        Self { state: Mutex::new(state), costs, location }
     }
 
     /// Whether a complete list is held.
@@ -215,12 +210,13 @@
         let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
         state.record_demand(request.pool, now);
-        let (listed, candidates) = state.candidates(request, &self.regions, now);
+        let (listed, candidates) = state.candidates(request, &self.location, now);
         let list_age = state.replica.age(now).unwrap_or_default();
         let query = CostQuery {
             prompt: request.prompt.filter(|_| request.rule.is_some_and(|rule| rule.caches_prompts)),
             can_fetch: request.rule.is_some_and(|rule| rule.transfers_cached_prompts),
             tie_breaker: request.tie_breaker,
+            locality: None,
         };
         let choice = choose(&self.costs, &query, &candidates, &state.cached_parts, now)?;
         let entry = Arc::clone(&listed[choice.candidate].entry);
@@ -261,7 +257,7 @@
         if state.backoffs.active_count(now) == 0 {
             return None;
         }
-        let listed = state.upstreams_in_regions(pool, allowed, &self.regions);
+        let listed = state.upstreams_in_regions(pool, allowed, &self.location.regions);
         let accepting = listed.into_iter().filter(|listed| listed.accepts_work(now));
         // `None` stands for no backoff and orders before any end.
         accepting.map(|listed| state.backoffs.ends_at(listed.entry.hash, now)).min().flatten()
@@ -394,96 +390,4 @@
         outlier_detector.retain_listed(|upstream| directory.contains(upstream));
         loads.retain_listed(|upstream| directory.contains(upstream));
     }
-
-    /// Whether requests may be sent to an upstream: it accepts work and has no active backoff.
-    fn is_available(&self, listed: &ListedUpstream, now: Instant) -> bool {
-        listed.accepts_work(now) && self.backoffs.ends_at(listed.entry.hash, now).is_none()
-    }
-
-    /// Returns the pool's upstreams in regions that both `allowed` lists permit.
-    fn upstreams_in_regions(
-        &self,
-        pool: &PoolName,
-        allowed: [&RegionFilter; 2],
-        regions: &RegionMap,
-    ) -> Vec<&ListedUpstream> {
-        let is_allowed = |listed: &&ListedUpstream| {
-            let region = regions.get(&listed.entry.data_centre);
-            allowed.iter().all(|allowed| allowed.allows(region))
-        };
-        let in_pool = self.directory.upstreams().iter().filter(|listed| listed.entry.pool == *pool);
-        in_pool.filter(is_allowed).collect()
-    }
-
-    /// Returns the pool's upstreams in the allowed regions and the matching candidates, which also serve as sources of
-    /// cached prompt parts. Ejected upstreams take work only if no other candidate does. Upstreams in a requested
-    /// backoff never take work, since sending to them would defeat the backoff when the whole pool is overloaded.
-    fn candidates(
-        &self,
-        request: &PlacementRequest<'_>,
-        regions: &RegionMap,
-        now: Instant,
-    ) -> (Vec<&ListedUpstream>, Vec<Candidate>) {
-        let listed = self.upstreams_in_regions(request.pool, request.regions, regions);
-        let mean_load = self.loads.mean_other_requests(listed.iter().map(|listed| listed.entry.hash), now);
-        let mut candidates: Vec<Candidate> =
-            listed.iter().map(|listed| self.candidate(listed, request, mean_load, now)).collect();
-        if !candidates.iter().any(|candidate| candidate.takes_work) {
-            // Without any healthy candidate, ejected upstreams are better than none.
-            for (candidate, listed) in candidates.iter_mut().zip(&listed) {
-                candidate.takes_work =
-                    self.is_available(listed, now) && !request.tried.contains(&candidate.upstream);
-            }
-        }
-        if let Some(rate) = request.rule.and_then(|rule| rule.warmup_requests_per_second) {
-            let demand = self.demand.get(request.pool).map_or(0.0, |demand| demand.per_second(now));
-            let warmup_limit = WarmupLimit {
-                requests_per_second: rate,
-                demand_per_second: demand,
-                router_count: self.gateway_count,
-            };
-            warmup_limit.exclude_warming(&mut candidates, request.tie_breaker);
-        }
-        (listed, candidates)
-    }
-
-    fn record_demand(&mut self, pool: &PoolName, now: Instant) {
-        match self.demand.get_mut(pool) {
-            Some(demand) => demand.record(now),
-            None => self.demand.entry(pool.clone()).or_default().record(now),
-        }
-    }
-
-    fn candidate(
-        &self,
-        listed: &ListedUpstream,
-        request: &PlacementRequest<'_>,
-        mean_load: f32,
-        now: Instant,
-    ) -> Candidate {
-        let upstream = listed.entry.hash;
-        let health = self.outlier_detector.health(upstream, now);
-        let expected_failure_rate = match health {
-            UpstreamHealth::Healthy { failure_rate } => failure_rate,
-            UpstreamHealth::ProbeAllowed if request.may_probe => 0.0,
-            UpstreamHealth::ProbeAllowed | UpstreamHealth::Ejected => UNHEALTHY_FAILURE_RATE,
-        };
-        let is_eligible = self.is_available(listed, now) && !request.tried.contains(&upstream);
-        // No gateway sends to a drained upstream, so its load has no requests of other gateways.
-        let load = if listed.is_drained {
-            self.loads.own_requests(upstream)
-        } else {
-            self.loads.estimate(upstream, mean_load, now)
-        };
-        Candidate {
-            upstream,
-            load,
-            failure_rate: expected_failure_rate,
-            takes_work: is_eligible && health != UpstreamHealth::Ejected,
-            is_warming: is_eligible && listed.is_warming_up(now),
-            counts_in_mean: listed.stops_at.is_none_or(|stops_at| now < stops_at)
-                && self.backoffs.ends_at(upstream, now).is_none()
-                && health != UpstreamHealth::Ejected,
-        }
-    }
 }
--- a/crates/bendhinge_lab/src/bench/resting.rs
+++ b/crates/bendhinge_lab/src/bench/resting.rs
@@ -15,7 +15,9 @@
     UpstreamLoad,
 };
 use bendhinge_ids::{Instant, NameHash};
-use bendhinge_placement::{CachedParts, Candidate, CostModel, CostQuery, PartId, Prompt, PromptPart, choose};
+use bendhinge_placement::{
+    CachedParts, Candidate, CostModel, CostQuery, Distance, PartId, Prompt, PromptPart, choose,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
@@ -267,6 +269,8 @@
             takes_work,
             is_warming: false,
             counts_in_mean: takes_work,
+            distance: Distance::Local,
+            work: None,
         }
     }
 
@@ -294,7 +298,7 @@
             PromptPart { id: PartId(self.next << 20), tokens: 100 },
         ]);
         let tie_breaker = self.random.random();
-        let question = CostQuery { prompt: Some(&prompt), can_fetch: true, tie_breaker };
+        let question = CostQuery { prompt: Some(&prompt), can_fetch: true, tie_breaker, locality: None };
         let chooser = &self.routers[router];
         let candidates = self.candidates(chooser, &tried);
         let choice = choose(&CostModel::default(), &question, &candidates, &chooser.kept, self.now);
--- a/crates/bendhinge_lab/src/bench/warming.rs
+++ b/crates/bendhinge_lab/src/bench/warming.rs
@@ -8,7 +8,7 @@
 
 use bendhinge_admission::Demand;
 use bendhinge_ids::{Instant, NameHash};
-use bendhinge_placement::{Candidate, WarmupLimit};
+use bendhinge_placement::{Candidate, Distance, WarmupLimit};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxBuildHasher;
@@ -157,6 +157,8 @@
         takes_work: true,
         is_warming: number < warming,
         counts_in_mean: true,
+        distance: Distance::Local,
+        work: None,
     };
     (0..UPSTREAMS).map(candidate).collect()
 }
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -100,6 +100,9 @@
   highLoads @16 :Data;
   # Whether the sender holds a part of an upstream list but no complete one.
   begun @17 :Bool;
+  # In a request to the preferred relay, the subtotal of the figures of the sender and of the gateways that use it as
+  # their relay; in the response, the totals of the fleet. Encoded as PackedTotals of bendhinge_fleet.
+  totals @18 :Data;
 }
 
 struct Upstream {
--- a/crates/bendhinge_peer/src/fleet_capnp.rs
+++ b/crates/bendhinge_peer/src/fleet_capnp.rs
@@ -3756,6 +3756,17 @@
         pub fn get_begun(self) -> bool {
             self.reader.get_bool_field(2)
         }
+        #[inline]
+        pub fn get_totals(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(13),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_totals(&self) -> bool {
+            !self.reader.get_pointer_field(13).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -3763,7 +3774,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 3, pointers: 13 };
+            ::capnp::private::layout::StructSize { data: 3, pointers: 14 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4206,6 +4217,25 @@
         pub fn set_begun(&mut self, value: bool) {
             self.builder.set_bool_field(2, value);
         }
+        #[inline]
+        pub fn get_totals(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(13),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_totals(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.reborrow().get_pointer_field(13).set_data(value);
+        }
+        #[inline]
+        pub fn init_totals(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(13).init_data(size)
+        }
+        #[inline]
+        pub fn has_totals(&self) -> bool {
+            !self.builder.is_pointer_field_null(13)
+        }
     }
 
     pub struct Pipeline {
@@ -4234,150 +4264,157 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 313] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 328] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(50, 195, 17, 35, 89, 221, 79, 151),
             ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
-            ::capnp::word(13, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 247, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 47, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
             ::capnp::word(77, 101, 115, 115, 97, 103, 101, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(81, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(85, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(105, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(109, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(113, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(125, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(133, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(137, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(161, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(169, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(177, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(18, 0, 0, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(131, 233, 241, 127, 114, 153, 209, 233),
@@ -4548,6 +4585,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 111, 116, 97, 108, 115, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4569,6 +4614,7 @@
                 15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 16 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 17 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                18 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4588,10 +4634,10 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] =
-            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17];
+            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME: &[u16] =
-            &[17, 6, 7, 9, 16, 12, 4, 11, 3, 13, 15, 5, 10, 1, 0, 14, 8, 2];
+            &[17, 6, 7, 9, 16, 12, 4, 11, 3, 13, 15, 5, 10, 1, 0, 14, 8, 18, 2];
         pub(crate) const TYPE_ID: u64 = 0x974f_dd59_2311_c332;
     }
 }
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -23,6 +23,32 @@
     /// Whether its load counts in the pool's mean load. True for every healthy upstream,
     /// including those that are drained.
     pub counts_in_mean: bool,
+    /// Where it is relative to the router.
+    pub distance: Distance,
+    /// Estimated work there; `None` if the cost depends on the number of requests only.
+    pub work: Option<CandidateWork>,
+}
+
+/// Where an upstream is relative to the router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Distance {
+    /// In the router's own data centre.
+    Local,
+    /// In another data centre.
+    Remote,
+}
+
+/// Estimated work at an upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CandidateWork {
+    /// Prompt tokens that wait to be processed or are being processed.
+    pub pending_tokens: f32,
+    /// Requests that wait for a slot.
+    pub waiting: f32,
+    /// Requests that run.
+    pub running: f32,
+    /// How long work takes at present relative to the usual; 1 is usual.
+    pub pace: f32,
 }
 
 /// Weights of the cost estimate. Costs are measured in prompt tokens to process.
@@ -120,6 +146,15 @@
     pub can_fetch: bool,
     /// A random number per request that breaks ties.
     pub tie_breaker: u64,
+    /// Preference for the router's own data centre; `None` if data centres do not matter.
+    pub locality: Option<Locality>,
+}
+
+/// Preference for the router's own data centre.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Locality {
+    /// Fraction of the data centre's own demand that is sent to other data centres, from 0 to 1.
+    pub spill: f32,
 }
 
 /// Returns the candidate with the lowest cost, or `None` if no candidate accepts requests.
--- a/crates/bendhinge_placement/src/lib.rs
+++ b/crates/bendhinge_placement/src/lib.rs
@@ -33,7 +33,9 @@
 pub use assessment::{Assessment, KnownLoad, assess};
 pub use bound::{LoadBound, PoolLoad};
 pub use cached::{CachedPart, CachedParts};
-pub use cost::{Candidate, Choice, ChoiceReason, CostModel, CostQuery, choose};
+pub use cost::{
+    Candidate, CandidateWork, Choice, ChoiceReason, CostModel, CostQuery, Distance, Locality, choose,
+};
 pub use displaced::DisplacedChats;
 pub use ledger::{LedgerLimits, LoadReport, PermitDenied, PermitGrant, PermitLedger, PermitRequest};
 pub use owner::{owner_of, rank_owners};
--- a/crates/bendhinge_placement/tests/cost.rs
+++ b/crates/bendhinge_placement/tests/cost.rs
@@ -4,7 +4,8 @@
 
 use bendhinge_ids::{Instant, NameHash};
 use bendhinge_placement::{
-    CachedParts, Candidate, Choice, ChoiceReason, CostModel, CostQuery, PartId, Prompt, PromptPart, choose,
+    CachedParts, Candidate, Choice, ChoiceReason, CostModel, CostQuery, Distance, PartId, Prompt, PromptPart,
+    choose,
 };
 
 const NOW: Instant = Instant::from_millis(100_000);
@@ -18,6 +19,8 @@
         takes_work: true,
         is_warming: false,
         counts_in_mean: true,
+        distance: Distance::Local,
+        work: None,
     };
     (0..count).map(candidate).collect()
 }
@@ -39,7 +42,7 @@
     }
 
     fn choose(&self, prompt: Option<&Prompt>) -> Option<Choice> {
-        let query = CostQuery { prompt, can_fetch: self.can_fetch, tie_breaker: 5 };
+        let query = CostQuery { prompt, can_fetch: self.can_fetch, tie_breaker: 5, locality: None };
         choose(&CostModel::default(), &query, &self.candidates, &self.cached, NOW)
     }
 
@@ -230,7 +233,7 @@
     let mut sources = vec![0_usize; UPSTREAMS];
     for key in 0..FETCHES {
         let prompt = prompt(1, 50_000 + key);
-        let query = CostQuery { prompt: Some(&prompt), can_fetch: true, tie_breaker: key };
+        let query = CostQuery { prompt: Some(&prompt), can_fetch: true, tie_breaker: key, locality: None };
         let choice =
             choose(&CostModel::default(), &query, &fixture.candidates, &fixture.cached, NOW).unwrap();
         if let Some(source) = choice.fetch_source {
