Estimate the work at engines and use it in the cost of a choice

A load in requests weighs one that prefills 30,000 tokens like one that generates a single word, so long prompts meet at one engine while others are idle.

PoolWork (bendhinge_fleet) learns the prefill speed, the usual time to the first event and the time for which a request holds a slot from this router's own requests, and estimates pending tokens, waiting and running requests, the pace and the wait for a pool. Candidates with work have it in their cost, and an uncached prompt is sent to the next upstream in its home order if the home has many pending tokens. Without work, choices are as before.

--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`OutlierDetector`] tracks which upstreams are available, by their responses and by reports of peers.
 //! * [`RequestedBackoffs`] tracks the upstreams that asked for a pause, and until when.
 //! * [`FailureDetector`] tracks the upstreams that respond to no router, by the reports of all routers.
+//! * [`PoolWork`] estimates the work at the upstreams of an engine pool.
 //! * [`Quarantine`] tracks the requests that crash the upstreams running them.
 //!
 //! All types are pure state machines: the clock is passed in, and there is no I/O.
@@ -31,6 +32,7 @@
 mod roster;
 mod store_reads;
 mod update_log;
+mod work;
 
 pub use backoff::{MAX_BACKOFF, RequestedBackoffs};
 pub use cache_recovery::{CacheRecovery, CacheRecoveryStep, CacheRecoveryTimings, FleetView};
@@ -50,3 +52,4 @@
 };
 pub use store_reads::{StoreReadSchedule, StoreReadTimings};
 pub use update_log::{LogPosition, RouterIncarnation, UpdateBatch, UpdateLog, UpdateLogLimits, UpdateSource};
+pub use work::{PoolWork, SendId, SendWork, UpstreamWork, WorkReport};
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -4,7 +4,8 @@
 use bendhinge_ids::{Instant, NameHash};
 
 use crate::hash::{hash_pair, hash_pair_unit};
-use crate::homes::home;
+use crate::homes::{HomeLimits, home};
+use crate::work::work_cost;
 use crate::{CachedParts, Prompt};
 
 /// An upstream considered for a request.
@@ -78,6 +79,13 @@
     pub load_bound_factor: f32,
     /// Number of requests allowed in addition to that multiple.
     pub load_bound_slack: f32,
+    /// Cost of a token to process for each request that runs on the upstream, which it delays. Applies
+    /// to candidates whose work is known.
+    pub slowdown_factor: f32,
+    /// Maximum number of pending prompt tokens of a home that is to process a prompt which no upstream has
+    /// cached. Above it, the next upstream in the home order is the home. Applies to candidates whose work
+    /// is known.
+    pub home_pending_tokens: f32,
 }
 
 impl Default for CostModel {
@@ -93,6 +101,8 @@
             min_fetch_tokens: 400,
             load_bound_factor: 1.5,
             load_bound_slack: 2.0,
+            slowdown_factor: 0.02,
+            home_pending_tokens: 6_000.0,
         }
     }
 }
@@ -169,9 +179,13 @@
     let mean_load = mean_load(candidates);
     // Candidates at or above the limit are chosen only if no candidate is below it.
     let limit = model.load_bound_factor * mean_load + model.load_bound_slack;
-    let home = query.prompt.and_then(|prompt| home(prompt, candidates, limit));
     let cached_tokens: Vec<u32> = cached_tokens_by_candidate(query, candidates, cached_parts, now);
     let max_cached_tokens = cached_tokens.iter().copied().max().unwrap_or_default();
+    let home = query.prompt.and_then(|prompt| {
+        let is_cached = max_cached_tokens >= prompt.shared_tokens();
+        let pending_tokens = if is_cached { f32::INFINITY } else { model.home_pending_tokens };
+        home(prompt, candidates, HomeLimits { load: limit, pending_tokens })
+    });
     let evaluator =
         CostEvaluator { model, query, candidates, cached_tokens, max_cached_tokens, home, mean_load };
     let accepting = || (0..candidates.len()).filter(|index| candidates[*index].takes_work);
@@ -258,7 +272,9 @@
         // more jitter than the home and the candidates that have the prompt cached.
         let is_interchangeable = missing_tokens > 0 && !is_home;
         let spread = if is_interchangeable { self.model.jitter_factor * self.mean_load + 1.0 } else { 1.0 };
-        let cost = load_cost + prompt_cost + self.jitter(index, spread);
+        let unread_tokens = (prompt.tokens() - prompt.shared_tokens()) as f32 + read;
+        let work_cost = candidate.work.map_or(0.0, |work| work_cost(self.model, &work, unread_tokens));
+        let cost = load_cost + prompt_cost + work_cost + self.jitter(index, spread);
         Choice {
             candidate: index,
             fetch_source: None,
--- a/crates/bendhinge_placement/src/homes.rs
+++ b/crates/bendhinge_placement/src/homes.rs
@@ -5,6 +5,10 @@
 //! home process and cache the first part of the prompt (the prefix) for a few keys only. Large
 //! pools are therefore divided into groups: keys with the same prefix have their homes in one
 //! group, and in further groups while the first one is busy.
+//!
+//! A prompt that no upstream has cached is not sent to a home that has many prompt tokens to process
+//! already, but to the next upstream in the key's order. Routers that know of the same pending tokens
+//! agree on it.
 
 use std::cmp::Reverse;
 
@@ -22,36 +26,59 @@
 const MIN_GROUP_SIZE: usize = 128;
 /// Number of groups that are searched for a home below the load limit.
 const GROUPS_PER_PREFIX: usize = 3;
+/// Number of upstreams in a key's home order that can be its home. With fewer, several busy ones in
+/// sequence are likely after a start; with more, routers agree less on the home.
+const HOMES_PER_KEY: usize = 4;
+
+/// Limits above which the next home is considered.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HomeLimits {
+    /// Load from which the next group is considered, in requests.
+    pub(crate) load: f32,
+    /// Pending prompt tokens above which the next upstream in the home order is considered.
+    pub(crate) pending_tokens: f32,
+}
 
 /// Returns the home of a prompt's affinity key among the candidates that accept requests: the one
-/// in the first group of its prefix in which the home is below `load_limit`, or else the one in the
+/// in the first group of its prefix in which the home is below the load limit, or else the one in the
 /// first group.
-pub(crate) fn home(prompt: &Prompt, candidates: &[Candidate], load_limit: f32) -> Option<usize> {
+pub(crate) fn home(prompt: &Prompt, candidates: &[Candidate], limits: HomeLimits) -> Option<usize> {
     let affinity_key = prompt.affinity_key()?;
     let groups = group_count(candidates.len());
     if groups == 1 {
-        return home_in_group(affinity_key, candidates, |_| true);
+        return home_in_group(affinity_key, candidates, limits, |_| true);
     }
     let prefix = prompt.shared().first().map_or(affinity_key, |part| part.id);
     // Evaluated lazily, since each group takes a pass over the pool.
     let mut homes = groups_for_prefix(prefix, groups).into_iter().filter_map(|group| {
-        home_in_group(affinity_key, candidates, |candidate| group_of(candidate.upstream, groups) == group)
+        let is_in_group = |candidate: &Candidate| group_of(candidate.upstream, groups) == group;
+        home_in_group(affinity_key, candidates, limits, is_in_group)
     });
     let first = homes.next()?;
-    let is_below_limit = |index: &usize| candidates[*index].load < load_limit;
+    let is_below_limit = |index: &usize| candidates[*index].load < limits.load;
     if is_below_limit(&first) { Some(first) } else { homes.find(is_below_limit).or(Some(first)) }
 }
 
+/// Returns the first upstream in the key's order that is within the limit of pending tokens, among the
+/// first few, or else the first one.
 fn home_in_group(
     affinity_key: PartId,
     candidates: &[Candidate],
+    limits: HomeLimits,
     is_in_group: impl Fn(&Candidate) -> bool,
 ) -> Option<usize> {
     let accepting = candidates.iter().enumerate();
     let accepting = accepting.filter(|(_, candidate)| candidate.takes_work && is_in_group(candidate));
-    accepting
-        .max_by_key(|(_, candidate)| hash_pair(affinity_key.0, candidate.upstream.0))
-        .map(|(index, _)| index)
+    let scores = accepting.map(|(index, candidate)| (hash_pair(affinity_key.0, candidate.upstream.0), index));
+    let first = scores.clone().max()?;
+    let is_within_limit = |home: &(u64, usize)| pending_tokens(&candidates[home.1]) <= limits.pending_tokens;
+    let next = |home: &(u64, usize)| scores.clone().filter(|score| score < home).max();
+    let homes = std::iter::successors(Some(first), next).take(HOMES_PER_KEY);
+    homes.into_iter().find(is_within_limit).or(Some(first)).map(|(_, index)| index)
+}
+
+fn pending_tokens(candidate: &Candidate) -> f32 {
+    candidate.work.map_or(0.0, |work| work.pending_tokens * work.pace)
 }
 
 /// Returns a power of two, so that a growing pool splits each group in two and half of its
--- a/crates/bendhinge_placement/src/lib.rs
+++ b/crates/bendhinge_placement/src/lib.rs
@@ -29,6 +29,7 @@
 mod search;
 mod view;
 mod warmup;
+mod work;
 
 pub use assessment::{Assessment, KnownLoad, assess};
 pub use bound::{LoadBound, PoolLoad};
