Admission to engine pools: capacity divided among the fleet's demands

Cause: with half of the engines lost and four times the demand, requests fill the engines' queues and wait there until their callers give up, whatever their priority.

Change: `bendhinge_admission::engine` decides on each request before an engine is chosen. Demands are in slot-seconds per second, learned by priority and prompt size; the pool's slots are divided among the fleet's demands, the most urgent priority first and fairly among the customers of a priority. Not yet called by the gateway.

--- a/crates/bendhinge_admission/src/demand.rs
+++ b/crates/bendhinge_admission/src/demand.rs
@@ -21,11 +21,16 @@
 
     /// Records one event.
     pub fn record(&mut self, now: Instant) {
-        self.per_second = self.per_second(now) + 1.0 / self.time_constant.as_secs_f32();
+        self.record_amount(1.0, now);
+    }
+
+    /// Records `amount` at once, in the unit whose rate is estimated.
+    pub fn record_amount(&mut self, amount: f32, now: Instant) {
+        self.per_second = self.per_second(now) + amount / self.time_constant.as_secs_f32();
         self.updated_at = Some(now);
     }
 
-    /// Returns the rate in events per second.
+    /// Returns the rate per second of events or of recorded amounts.
     #[must_use]
     pub fn per_second(&self, now: Instant) -> f32 {
         let decay_exponent =
--- a/crates/bendhinge_admission/src/lib.rs
+++ b/crates/bendhinge_admission/src/lib.rs
@@ -5,13 +5,15 @@
 //! the numbers of requests that they have in progress and have refused. In each round, every router claims a part of
 //! the free capacity in proportion to its part of the demand.
 //!
-//! For pools of plain upstreams that do not report their load, [`Pacer`] adapts the admitted rate to the responses.
+//! For pools of engines, [`engine::EngineAdmission`] divides the slots among the fleet's demands. For pools of plain
+//! upstreams that do not report their load, [`Pacer`] adapts the admitted rate to the responses.
 //! `docs/design/ADMISSION.md` describes the alternatives that were considered.
 
 mod allocation;
 mod budget;
 mod controller;
 mod demand;
+pub mod engine;
 mod fair_share;
 mod pacing;
 mod retry_after;
