Wire admission at engine pools, work of engines and fleet totals into the gateway

The pure modules decide; the gateway feeds them with reported loads, sends and first events, and exchanges subtotals with its relay. Off unless the settings of section [load] say otherwise.

--- a/crates/bendhinge_admission/src/engine/request.rs
+++ b/crates/bendhinge_admission/src/engine/request.rs
@@ -30,9 +30,8 @@
 
     /// Returns whether the caller was probably told to retry this request earlier.
     pub(crate) fn is_retry(&self) -> bool {
-        /// Fraction of the full time that a new request has left at least. The shortest useful delay before a retry
-        /// takes more than the rest; clocks and the way to the gateway take less.
-        const NEW_FRACTION: f64 = 0.97;
+        /// Fraction of the full time that a new request has left at least: callers state between 0.8 and 1 of it.
+        const NEW_FRACTION: f64 = 0.8;
         self.time_left < self.full_time.mul_f64(NEW_FRACTION)
     }
 }
--- a/crates/bendhinge_codes/src/code.rs
+++ b/crates/bendhinge_codes/src/code.rs
@@ -148,6 +148,9 @@
     AllUpstreamsRest = 312, 503, NOT_RUN, true,
         "Every upstream of the pool that takes new work asked this router for a rest that is not over.",
         "Come back after `Retry-After` seconds, when the first rest is over; operators: look for `rest_asked` in the logs.";
+    CustomerOverShare = 313, 429, NOT_RUN, true,
+        "The engines are nearly full, and the customer demands more than its fair share of them.",
+        "Come back after `Retry-After` seconds, or send fewer requests at once.";
     UpstreamNotReached = 401, 503, NOT_RUN, true,
         "No connection to an upstream could be made within the retry budget.",
         "Come back after `Retry-After` seconds.";
--- a/crates/bendhinge_fleet/src/totals.rs
+++ b/crates/bendhinge_fleet/src/totals.rs
@@ -14,6 +14,7 @@
 
 use bendhinge_ids::{Instant, NameHash};
 use rustc_hash::FxHashMap;
+use xxhash_rust::xxh3::xxh3_64;
 
 pub use self::codec::PackedTotals;
 use self::codec::TotalsMessage;
@@ -35,6 +36,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct TotalKey(pub u32);
 
+impl TotalKey {
+    /// Returns the key of a value that the `parts` identify.
+    #[must_use]
+    pub fn of(parts: &[NameHash]) -> Self {
+        let bytes: Vec<u8> = parts.iter().flat_map(|part| part.0.to_le_bytes()).collect();
+        #[expect(clippy::cast_possible_truncation, reason = "a part of the hash")]
+        Self(xxh3_64(&bytes) as u32)
+    }
+}
+
 /// A router's own contribution to a total. Negative and non-finite values count as 0.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Figure {
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -157,7 +157,8 @@
         // These members receive cached parts and loads from the same peers as this gateway. Sending them
         // here as well would forward some of them as new updates.
         Contact::AlternateRelay(_) | Contact::Random(_) => MessageContent::Probe,
-        Contact::Relay(_) | Contact::Reconnect(_) => MessageContent::Full,
+        Contact::Relay(_) => MessageContent::FullToRelay,
+        Contact::Reconnect(_) => MessageContent::Full,
     };
     let is_relay = matches!(contact, Contact::Relay(_) | Contact::AlternateRelay(_));
     if exchange_with(control, contact.address(), content).await || !is_relay {
--- a/crates/bendhinge_gateway/src/control/message.rs
+++ b/crates/bendhinge_gateway/src/control/message.rs
@@ -32,6 +32,8 @@
     Members,
     /// Everything that the receiver may lack.
     Full,
+    /// Everything that the preferred relay may lack, with the subtotal for the totals of the fleet.
+    FullToRelay,
 }
 
 /// Composes a message to the gateway at `receiver`, in response to `request` if there is one.
@@ -63,16 +65,22 @@
         return message;
     }
     let builder = MessageBuilder { control, receiver, peer, now };
-    if matches!(content, MessageContent::Members | MessageContent::Full) {
+    let is_full = matches!(content, MessageContent::Full | MessageContent::FullToRelay);
+    if is_full || content == MessageContent::Members {
         builder.add_members(&mut message);
     }
-    if content == MessageContent::Full {
+    if is_full {
         let peer_digest = peer.map_or(0, |peer| peer.summary.quarantine_digest);
         message.crash_histories = quarantine.histories_to_sync(peer_digest, now);
         message.failure_evidence = control.context.upstreams.suspicions_for(receiver, now);
         builder.add_loads(&mut message);
         builder.add_cached_parts(request, &mut message);
     }
+    if content == MessageContent::FullToRelay {
+        message.totals = control.subtotal_for(receiver, now);
+    } else if let Some(request) = request {
+        message.totals = control.totals_for(receiver, request, now);
+    }
     control.context.metrics.count_sent_entries(&message);
     message
 }
@@ -150,6 +158,9 @@
         control.context.metrics.count_suspected_upstream();
     }
     let Some(requested_at) = requested_at else { return };
+    if let Some(totals) = &message.totals {
+        control.context.totals.record_totals(sender_address, totals, requested_at);
+    }
     if let Some(held) = message.rules {
         control.context.rules.confirm(held.version, requested_at - held.age);
     }
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod pages;
 mod recovery;
 mod store;
+mod totals;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -130,6 +131,7 @@
         let gateways = self.roster.borrow().known_count();
         self.context.retry_budgets.set_gateway_count(gateways);
         self.context.upstreams.set_gateway_count(gateways);
+        self.context.totals.set_gateway_count(gateways);
     }
 
     /// Notifies peers that this gateway is shutting down.
@@ -155,6 +157,7 @@
         control.context.quarantine.prune();
         control.context.crash_probes.retain(|upstream| control.context.upstreams.contains(upstream));
         control.context.pacing.prune();
+        control.context.admission.prune();
         control.context.connection_pool.prune();
     }
 }
--- a/crates/bendhinge_gateway/src/delivery/context.rs
+++ b/crates/bendhinge_gateway/src/delivery/context.rs
@@ -9,13 +9,16 @@
 use rand::Rng;
 
 use super::{CrashProbes, InboundRequest};
+use crate::admission::Admission;
 use crate::dialect::Dialect;
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::pacing::Pacing;
 use crate::quarantine::SharedQuarantine;
 use crate::retries::RetryBudgets;
+use crate::settings::LoadSettings;
 use crate::state::{RulesReplica, UpstreamView};
+use crate::totals::SharedTotals;
 
 /// The shared state that delivery uses.
 pub(crate) struct DeliveryContext {
@@ -24,6 +27,9 @@
     pub(crate) upstreams: Arc<UpstreamView>,
     pub(crate) retry_budgets: RetryBudgets,
     pub(crate) pacing: Pacing,
+    pub(crate) admission: Admission,
+    pub(crate) totals: Arc<SharedTotals>,
+    pub(crate) load_settings: LoadSettings,
     pub(crate) identity_key: IdentityKey,
     pub(crate) quarantine: Arc<SharedQuarantine>,
     pub(crate) crash_probes: CrashProbes,
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod context;
 mod crash;
+mod engine_admission;
 mod inbound;
 mod race;
 mod relay;
@@ -62,6 +63,7 @@
     {
         return Err(Refusal::with_retry_after(ResultCode::AllUpstreamsAtBound, retry_after));
     }
+    context.admit_to_engines(&inbound)?;
     context.metrics.count_request();
     let retry_state = RetryState::new(bendhinge_delivery::RetryPolicy {
         repeatable: inbound.route.kind.is_retryable(),
@@ -289,7 +291,10 @@
         self.log_line.record_send_end(*number, end);
         metrics.count_send_end(end);
         match end {
-            SendOutcome::Rejected if self.is_paced => {
+            SendOutcome::Rejected if !self.is_paced => {
+                self.context.admission.record_rejection(&self.inbound.pool)
+            }
+            SendOutcome::Rejected => {
                 let upstream_count = upstreams.count_accepting_work(&self.inbound.pool);
                 self.context.pacing.record_rejection(&self.inbound.pool, upstream.hash, upstream_count);
             }
@@ -371,8 +376,14 @@
                 Response::from_parts(head, full_body(bytes))
             }
             UpstreamBody::Stream(body, connection) => {
-                let source =
-                    StreamSource { record, _chosen: chosen, headers: upstream_headers, body, connection };
+                let source = StreamSource {
+                    record,
+                    chosen,
+                    first_event_after: None,
+                    headers: upstream_headers,
+                    body,
+                    connection,
+                };
                 Response::from_parts(head, relay_body(Relay::new(self, source, in_progress)))
             }
         }
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -40,7 +40,9 @@
 pub(super) struct StreamSource {
     pub(super) record: SendRecord,
     /// Counts the request towards the upstream's load until dropped.
-    pub(super) _chosen: ChosenUpstream,
+    pub(super) chosen: ChosenUpstream,
+    /// Time from the choice of the upstream to its first event.
+    pub(super) first_event_after: Option<Duration>,
     pub(super) headers: HeaderMap,
     pub(super) body: Incoming,
     pub(super) connection: Connection,
@@ -65,6 +67,7 @@
             match self.read().await {
                 ReadOutcome::Bytes(bytes) => {
                     if let Some(events) = self.events.feed(&bytes) {
+                        self.record_progress();
                         return Some(Ok(events));
                     }
                 }
@@ -106,8 +109,30 @@
         }
     }
 
+    /// Records the first event of the current source, after which its prompt is processed.
+    fn record_progress(&mut self) {
+        let Some(source) = self.source.as_mut().filter(|source| source.first_event_after.is_none()) else {
+            return;
+        };
+        let wait = bendhinge_clock::now().since(source.chosen.chosen_at);
+        source.first_event_after = Some(wait);
+        source.chosen.guard.record_first_event();
+        let Delivery { context, inbound, .. } = &self.delivery;
+        context.admission.record_first_event(&inbound.pool, inbound.request_kind(), wait);
+    }
+
+    /// Records how long the complete response took, from which the time that a request holds a slot is learned.
+    fn record_slot_time(&self) {
+        let Some(source) = &self.source else { return };
+        let Some(first_event) = source.first_event_after else { return };
+        let duration = bendhinge_clock::now().since(source.chosen.chosen_at);
+        let Delivery { context, inbound, .. } = &self.delivery;
+        context.admission.record_end(&inbound.pool, inbound.request_kind(), first_event, duration);
+    }
+
     fn finish(&mut self) -> Option<io::Result<Bytes>> {
         self.is_finished = true;
+        self.record_slot_time();
         let rest = self.events.take_partial();
         if let Some(StreamSource { headers, connection, .. }) = self.source.take() {
             self.delivery.context.release_connection(&headers, connection);
@@ -134,8 +159,14 @@
         let last_event_id = last_event_id.or_else(|| self.delivery.inbound.fields.resume_after.clone());
         match self.delivery.next_response(last_event_id.as_deref()).await {
             Ok(UpstreamResponse { record, chosen, head, body: UpstreamBody::Stream(body, connection) }) => {
-                self.source =
-                    Some(StreamSource { record, _chosen: chosen, headers: head.headers, body, connection });
+                self.source = Some(StreamSource {
+                    record,
+                    chosen,
+                    first_event_after: None,
+                    headers: head.headers,
+                    body,
+                    connection,
+                });
                 true
             }
             Ok(_) | Err(_) => false,
--- a/crates/bendhinge_gateway/src/lib.rs
+++ b/crates/bendhinge_gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //!
 //! Adapters translate the protocols of callers, upstreams and the platform's store, see [`dialect`].
 
+mod admission;
 mod args;
 mod control;
 mod delivery;
@@ -27,5 +28,6 @@
 mod run;
 pub mod settings;
 mod state;
+mod totals;
 
 pub use run::{main, reference};
--- a/crates/bendhinge_gateway/src/log/mod.rs
+++ b/crates/bendhinge_gateway/src/log/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use bendhinge_admission::engine::EnginePoolLoad;
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::SendOutcome;
 use bendhinge_fleet::{Origin, Version};
@@ -20,6 +21,7 @@
 use spdlog::{Record, StringBuf, ThreadPool};
 
 pub(crate) use self::request::RequestLogEntry;
+use crate::admission::RefusalCounts;
 use crate::metrics::ReplicaKind;
 
 /// The number of lines queued for writing above which further lines are dropped and counted.
@@ -303,6 +305,44 @@
         self.log_event("pace", Fields { pool: pool.as_str(), per_second });
     }
 
+    /// Logs that admission to a pool of engines refuses requests because the pool is nearly full.
+    pub(crate) fn admission_limited(&self, pool: &PoolName, load: &EnginePoolLoad) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            pool: &'a str,
+            limited: bool,
+            upstreams: u32,
+            slots: u32,
+            in_progress: u32,
+            wait_ms: Option<u64>,
+        }
+        let EnginePoolLoad { upstreams, slots, in_progress, predicted_wait, .. } = *load;
+        let fields = Fields {
+            pool: pool.as_str(),
+            limited: true,
+            upstreams,
+            slots,
+            in_progress,
+            wait_ms: predicted_wait.map(whole_millis),
+        };
+        self.log_event("admission", fields);
+    }
+
+    /// Logs that admission to a pool of engines has refused no request for some seconds, and the refusals before.
+    pub(crate) fn admission_unlimited(&self, pool: &PoolName, refused: RefusalCounts) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            pool: &'a str,
+            limited: bool,
+            no_room: u32,
+            over_share: u32,
+            deadline: u32,
+        }
+        let RefusalCounts { no_room, over_share, deadline } = refused;
+        let fields = Fields { pool: pool.as_str(), limited: false, no_room, over_share, deadline };
+        self.log_event("admission", fields);
+    }
+
     /// Logs the full set of drained data centres after a change.
     pub(crate) fn drained_data_centres_changed(&self, drained: &[DataCentreName], from: Origin) {
         #[derive(Serialize)]
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -15,6 +15,7 @@
 use smol::net::TcpListener;
 use smol::{LocalExecutor, Timer};
 
+use crate::admission::Admission;
 use crate::args::args;
 use crate::control::ControlPlane;
 use crate::delivery::{CrashProbes, DeliveryContext};
@@ -30,6 +31,7 @@
 use crate::retries::RetryBudgets;
 use crate::settings::{SCHEMA, Settings};
 use crate::state::{RulesReplica, UpstreamView};
+use crate::totals::SharedTotals;
 
 /// How long an idle connection of a caller stays open. Longer than any idle timeout of callers, so that the
 /// gateway does not close a connection on which a request is in transit.
@@ -104,6 +106,7 @@
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(StartError::Signals)?;
     let lifecycle = Arc::new(Lifecycle::new(settings.stop));
     let (quarantine, suspicions) = SharedQuarantine::new(settings.peer_address, log.clone());
+    let totals = Arc::new(SharedTotals::default());
     let context = Arc::new(DeliveryContext {
         dialect,
         rules: Arc::new(RulesReplica::new(settings.rules)),
@@ -111,9 +114,13 @@
             settings.peer_address,
             settings.location(),
             &settings.upstreams,
+            settings.load,
         )),
         retry_budgets: RetryBudgets::new(settings.retry_budget),
         pacing: Pacing::new(log.clone()),
+        admission: Admission::new(Arc::clone(&totals), log.clone()),
+        totals,
+        load_settings: settings.load,
         identity_key: IdentityKey(settings.fleet.shared_key.derive("requests")),
         quarantine: Arc::new(quarantine),
         crash_probes: CrashProbes::default(),
--- a/crates/bendhinge_gateway/src/state/candidates.rs
+++ b/crates/bendhinge_gateway/src/state/candidates.rs
@@ -39,12 +39,18 @@
         &self,
         request: &PlacementRequest<'_>,
         location: &Location,
+        uses_work: bool,
         now: Instant,
     ) -> (Vec<&ListedUpstream>, Vec<Candidate>) {
         let listed = self.upstreams_in_regions(request.pool, request.regions, &location.regions);
         let mean_load = self.loads.mean_other_requests(listed.iter().map(|listed| listed.entry.hash), now);
         let mut candidates: Vec<Candidate> =
             listed.iter().map(|listed| self.candidate(listed, request, location, mean_load, now)).collect();
+        if uses_work && request.prompt.is_some() {
+            for candidate in &mut candidates {
+                candidate.work = self.candidate_work(request.pool, candidate.upstream, candidate.load, now);
+            }
+        }
         if !candidates.iter().any(|candidate| candidate.takes_work) {
             // Without any healthy candidate, ejected upstreams are better than none.
             for (candidate, listed) in candidates.iter_mut().zip(&listed) {
--- a/crates/bendhinge_gateway/src/state/mod.rs
+++ b/crates/bendhinge_gateway/src/state/mod.rs
@@ -2,6 +2,7 @@
 //! records of upstream health, load and cached prompt parts.
 
 mod candidates;
+mod engines;
 mod peers;
 mod rules;
 mod upstreams;
--- a/crates/bendhinge_gateway/src/state/upstreams.rs
+++ b/crates/bendhinge_gateway/src/state/upstreams.rs
@@ -16,9 +16,10 @@
 use bendhinge_routes::{PoolRule, RegionFilter};
 use rustc_hash::FxHashMap;
 
+use super::engines::{EnginePools, TrackedWork};
 use super::peers::address_hash;
 use crate::dialect;
-use crate::settings::{Location, UpstreamSettings};
+use crate::settings::{LoadSettings, Location, UpstreamSettings};
 
 /// How long an upstream is expected to keep a prompt part in its cache.
 const CACHE_RETENTION: Duration = Duration::from_secs(90);
@@ -60,7 +61,7 @@
     /// The number of tokens in shared prompt parts that the upstream is not expected to have cached.
     pub(crate) missing_tokens: u32,
     /// Counts the request toward the upstream's load until dropped.
-    pub(crate) _guard: RequestGuard,
+    pub(crate) guard: RequestGuard,
 }
 
 pub(super) struct State {
@@ -82,13 +83,16 @@
     pub(super) demand: FxHashMap<PoolName, Demand>,
     /// Number of gateways including this one, or `None` if no other is known.
     pub(super) gateway_count: Option<usize>,
+    /// Work and load of the engine pools.
+    pub(super) engines: EnginePools,
 }
 
 /// This gateway's view of the upstreams.
 pub(crate) struct UpstreamView {
     pub(super) state: Mutex<State>,
-    costs: CostModel,
-    location: Location,
+    pub(super) costs: CostModel,
+    pub(super) location: Location,
+    pub(super) load_settings: LoadSettings,
 }
 
 /// Counts a request toward the load of its upstream until dropped.
@@ -96,18 +100,37 @@
     view: Arc<UpstreamView>,
     upstream: NameHash,
     started_at: Instant,
+    work: Option<TrackedWork>,
+}
+
+impl RequestGuard {
+    /// Records the first event of the response.
+    pub(crate) fn record_first_event(&self) {
+        if let Some(work) = &self.work {
+            self.view.state.lock().unwrap().record_first_event(work, bendhinge_clock::now());
+        }
+    }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        let duration = bendhinge_clock::now().since(self.started_at);
-        self.view.state.lock().unwrap().loads.end_request(self.upstream, duration);
+        let now = bendhinge_clock::now();
+        let mut state = self.view.state.lock().unwrap();
+        state.loads.end_request(self.upstream, now.since(self.started_at));
+        if let Some(work) = &self.work {
+            state.end_work(work, now);
+        }
     }
 }
 
 impl UpstreamView {
     /// Creates a view without upstreams. `own_address` is the address at which peers reach this gateway.
-    pub(crate) fn new(own_address: SocketAddr, location: Location, settings: &UpstreamSettings) -> Self {
+    pub(crate) fn new(
+        own_address: SocketAddr,
+        location: Location,
+        settings: &UpstreamSettings,
+        load_settings: LoadSettings,
+    ) -> Self {
         let state = State {
             replica: Replica::default(),
             partial_list: None,
@@ -121,9 +144,10 @@
             list_history: ListHistory::default(),
             demand: FxHashMap::default(),
             gateway_count: None,
+            engines: EnginePools::default(),
         };
         let costs = CostModel { load_bound_factor: settings.load_bound_factor, ..CostModel::default() };
-        Self { state: Mutex::new(state), costs, location }
+        Self { state: Mutex::new(state), costs, location, load_settings }
     }
 
     /// Whether a complete list is held.
@@ -210,7 +234,8 @@
         let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
         state.record_demand(request.pool, now);
-        let (listed, candidates) = state.candidates(request, &self.location, now);
+        let uses_work = self.load_settings.work.is_active(state.engines.is_pace_reported);
+        let (listed, candidates) = state.candidates(request, &self.location, uses_work, now);
         let list_age = state.replica.age(now).unwrap_or_default();
         let query = CostQuery {
             prompt: request.prompt.filter(|_| request.rule.is_some_and(|rule| rule.caches_prompts)),
@@ -229,8 +254,12 @@
                 state.cache_updates.push(cached_part, UpdateSource::Local, now);
             }
         }
+        let read_tokens = if fetch_from.is_some() { 0 } else { choice.missing_tokens };
+        let work = query
+            .prompt
+            .and_then(|prompt| state.start_work(request.pool, upstream, prompt, read_tokens, now));
         drop(state);
-        let guard = RequestGuard { view: Arc::clone(self), upstream, started_at: now };
+        let guard = RequestGuard { view: Arc::clone(self), upstream, started_at: now, work };
         let load = candidates[choice.candidate].load;
         Some(ChosenUpstream {
             entry,
@@ -241,7 +270,7 @@
             missing_tokens: choice.missing_tokens,
             list_age,
             chosen_at: now,
-            _guard: guard,
+            guard,
         })
     }
 
@@ -327,8 +356,11 @@
     /// Records the load that an upstream reported.
     pub(crate) fn record_load(&self, upstream: NameHash, load: dialect::ReportedLoad) {
         let in_progress = load.running.saturating_add(load.waiting);
-        let report = UpstreamLoad { upstream, in_progress, reported_at: bendhinge_clock::now() };
-        self.state.lock().unwrap().loads.record(report, UpdateSource::Local);
+        let now = bendhinge_clock::now();
+        let report = UpstreamLoad { upstream, in_progress, reported_at: now };
+        let mut state = self.state.lock().unwrap();
+        state.loads.record(report, UpdateSource::Local);
+        state.record_work_report(upstream, load, now);
     }
 
     /// Returns the available upstreams of the pools for which `pool_matches` returns `true`.
@@ -366,6 +398,7 @@
     pub(crate) fn prune(&self) {
         let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
+        state.prune_engines(now);
         if state.directory.prune(now) {
             state.drop_removed();
         }
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -6,7 +6,8 @@
 
 use bendhinge_fleet::{
     ListDelta, ListLoads, ListUpdate, LogPosition, MemberReport, MemberStates, PackedHighLoads, PackedLoads,
-    Revision, RosterDigest, RouterIncarnation, UpstreamEntry, UpstreamList, UpstreamState, Version, WarmUp,
+    PackedTotals, Revision, RosterDigest, RouterIncarnation, UpstreamEntry, UpstreamList, UpstreamState,
+    Version, WarmUp,
 };
 use bendhinge_ids::{DataCentreName, NameHash};
 use bendhinge_placement::PartId;
@@ -130,6 +131,9 @@
         Some(ListLoads::Highest(PackedHighLoads(loads))) => builder.set_high_loads(loads),
         None => {}
     }
+    if let Some(PackedTotals(totals)) = &message.totals {
+        builder.set_totals(totals);
+    }
     if let Some(position) = message.sent_position {
         write_position(builder.reborrow().init_told(), position);
     }
@@ -221,6 +225,7 @@
     let member_states = reader.get_member_states()?;
     let load_states = reader.get_load_states()?;
     let high_loads = reader.get_high_loads()?;
+    let totals = reader.get_totals()?;
     Ok(PeerMessage {
         sender: read_member(reader.get_sender()?),
         is_announcement: reader.get_brief(),
@@ -239,6 +244,7 @@
         failure_evidence: reader.get_doubts()?.iter().map(read_failure_evidence).collect::<Result<_, _>>()?,
         crash_histories: reader.get_suspicions()?.iter().map(read_crash_history).collect::<Result<_, _>>()?,
         quarantine_digest: reader.get_quarantine(),
+        totals: reader.has_totals().then(|| PackedTotals(totals.to_vec())),
     })
 }
 
--- a/crates/bendhinge_peer/src/fleet/mod.rs
+++ b/crates/bendhinge_peer/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 
 use bendhinge_fleet::{
     FailureEvidence, FailureReport, ListLoads, ListUpdate, LogPosition, MemberReport, MemberStates,
-    RosterDigest, UpstreamList, Version, VersionedValue,
+    PackedTotals, RosterDigest, UpstreamList, Version, VersionedValue,
 };
 use bendhinge_ids::{Instant, NameHash};
 use bendhinge_placement::PartId;
@@ -149,6 +149,9 @@
     pub crash_histories: Vec<ObservedCrashHistory>,
     /// The digest of all relevant crash histories.
     pub quarantine_digest: u64,
+    /// In a request to the preferred relay, the subtotal of the sender and of the gateways that use it as their
+    /// relay; in the response, the totals of the fleet.
+    pub totals: Option<PackedTotals>,
 }
 
 impl PeerMessage {
@@ -173,6 +176,7 @@
             failure_evidence: Vec::new(),
             crash_histories: Vec::new(),
             quarantine_digest: 0,
+            totals: None,
         }
     }
 }
