Timing of streams and registry of sends without a first event

Cause: nothing tells how long a stream's caller waited for the first event, how long its longest pause was, or whether this gateway sent other prompts to the same upstream meanwhile, so a late stream cannot be traced. Change: `StreamTiming` keeps the time to the first event and the longest pause of one stream, across interruptions. `OutstandingSends` keeps two totals for each upstream with a send in progress; the difference of two readings is what had no first event during a pause. Both are pure and not wired yet.

--- a/crates/bendhinge_delivery/src/lib.rs
+++ b/crates/bendhinge_delivery/src/lib.rs
@@ -7,12 +7,16 @@
 mod events;
 mod identity;
 mod once;
+mod outstanding;
 mod ownership;
 mod retry;
+mod stream_timing;
 
 pub use attempt::{AttemptEnd, NextStep, Repeatable, next_step};
 pub use events::EventSplitter;
 pub use identity::{IdentityKey, RequestIdentity};
 pub use once::{Claim, Claimant, OnceKey, OnceLedger, OnceLimits, OnceOutcome};
+pub use outstanding::{OutstandingSends, PromptWork, SendTotals};
 pub use ownership::OwnershipHistory;
 pub use retry::{RetryPolicy, RetryState, SendOutcome};
+pub use stream_timing::{Pause, StreamTiming};
