Gateway: time to the first event and longest pause of each stream

Cause: a caller that counts a stream as late finds no trace of it in the gateway's log or metrics, which end with the head of the response. Change: the relay measures each stream; the request's line has first_event_ms, pause_ms, pause_at_ms, beside_requests and beside_tokens where there is something to report, and two histograms take one value for each stream. A guard registers each send from its start to its first event. The sum of a prompt's tokens is clamped, since the registry now computes it from callers' headers.

--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -14,6 +14,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use smol::Timer;
 
+use super::measured_send::MeasuredSend;
 use super::race::SendRecord;
 use super::{DeliveryContext, InboundRequest};
 use crate::dialect::{Availability, ResponseFields, UpstreamRequestFields};
@@ -26,6 +27,7 @@
 /// The response of an upstream, after its head has been received.
 pub(super) struct UpstreamResponse {
     pub(super) record: SendRecord,
+    pub(super) measured: MeasuredSend,
     pub(super) chosen: ChosenUpstream,
     pub(super) head: response::Parts,
     pub(super) body: UpstreamBody,
@@ -60,6 +62,7 @@
 /// The parameters of an attempt.
 pub(super) struct AttemptParams {
     pub(super) record: SendRecord,
+    pub(super) measured: MeasuredSend,
     pub(super) chosen: ChosenUpstream,
     /// The time left until the request's deadline.
     pub(super) timeout: Duration,
@@ -104,11 +107,11 @@
     inbound: Arc<InboundRequest>,
     params: AttemptParams,
 ) -> Result<UpstreamResponse, SendError> {
-    let AttemptParams { record, chosen, timeout, resume_after } = params;
+    let AttemptParams { record, measured, chosen, timeout, resume_after } = params;
     let request = build_request(&context, &inbound, &chosen, timeout, resume_after.as_deref());
     let (response, connection) = send_with_reconnect(&context, &inbound, &chosen, request).await?;
     let (head, body) = receive_response(&context, &inbound, &chosen, response, connection).await?;
-    Ok(UpstreamResponse { record, chosen, head, body })
+    Ok(UpstreamResponse { record, measured, chosen, head, body })
 }
 
 fn build_request(
--- a/crates/bendhinge_gateway/src/delivery/context.rs
+++ b/crates/bendhinge_gateway/src/delivery/context.rs
@@ -8,7 +8,7 @@
 use bendhinge_ids::{PoolName, RequestDigest};
 use rand::Rng;
 
-use super::{CrashProbes, InboundRequest};
+use super::{CrashProbes, InboundRequest, SendRegistry};
 use crate::dialect::Dialect;
 use crate::log::Log;
 use crate::metrics::Metrics;
@@ -27,6 +27,7 @@
     pub(crate) identity_key: IdentityKey,
     pub(crate) quarantine: Arc<SharedQuarantine>,
     pub(crate) crash_probes: CrashProbes,
+    pub(crate) sends: Arc<SendRegistry>,
     pub(crate) connection_pool: Pool,
     pub(crate) tasks: Tasks,
     pub(crate) log: Log,
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -5,6 +5,7 @@
 mod context;
 mod crash;
 mod inbound;
+mod measured_send;
 mod race;
 mod relay;
 
@@ -28,6 +29,8 @@
 pub(crate) use self::crash::CrashProbes;
 use self::crash::detect_crash;
 pub(crate) use self::inbound::InboundRequest;
+use self::measured_send::MeasuredSend;
+pub(crate) use self::measured_send::SendRegistry;
 use self::race::{FailedSend, PendingSend, SendRecord, race};
 use self::relay::{Relay, StreamSource, relay_body};
 use crate::intake::Refusal;
@@ -174,6 +177,7 @@
         let record = SendRecord::new(number, &chosen, tracked);
         let params = AttemptParams {
             record: record.clone(),
+            measured: MeasuredSend::start(&self.context.sends, chosen.entry.hash, &self.inbound),
             chosen,
             timeout,
             resume_after: resume_after.map(str::to_owned),
@@ -356,7 +360,7 @@
     }
 
     fn into_response(mut self, response: UpstreamResponse, in_progress: InProgress) -> Response<Body> {
-        let UpstreamResponse { record, chosen, mut head, body } = response;
+        let UpstreamResponse { record, measured, chosen, mut head, body } = response;
         let upstream_headers = head.headers.clone();
         headers::prepare_for_caller(&mut head.headers);
         match body {
@@ -371,8 +375,8 @@
                 Response::from_parts(head, full_body(bytes))
             }
             UpstreamBody::Stream(body, connection) => {
-                let source =
-                    StreamSource { record, _chosen: chosen, headers: upstream_headers, body, connection };
+                let headers = upstream_headers;
+                let source = StreamSource { record, measured, _chosen: chosen, headers, body, connection };
                 Response::from_parts(head, relay_body(Relay::new(self, source, in_progress)))
             }
         }
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bendhinge_codes::ResultCode;
-use bendhinge_delivery::{EventSplitter, SendOutcome};
+use bendhinge_delivery::{EventSplitter, SendOutcome, StreamTiming};
 use bendhinge_http::{Body, BodyError, Connection, flush_before_error};
 use bytes::Bytes;
 use futures_lite::{FutureExt, Stream, StreamExt, stream};
@@ -19,6 +19,7 @@
 
 use super::Delivery;
 use super::attempt::{UpstreamBody, UpstreamResponse};
+use super::measured_send::MeasuredSend;
 use super::race::SendRecord;
 use crate::lifecycle::InProgress;
 use crate::state::ChosenUpstream;
@@ -31,7 +32,10 @@
 pub(super) struct Relay {
     delivery: Delivery,
     events: EventSplitter,
+    timing: StreamTiming,
     source: Option<StreamSource>,
+    /// Whether the next event is awaited; if not, the caller has not taken the last ones yet.
+    is_awaiting_event: bool,
     is_finished: bool,
     _in_progress: InProgress,
 }
@@ -39,6 +43,7 @@
 /// The upstream that currently sends the stream.
 pub(super) struct StreamSource {
     pub(super) record: SendRecord,
+    pub(super) measured: MeasuredSend,
     /// Counts the request towards the upstream's load until dropped.
     pub(super) _chosen: ChosenUpstream,
     pub(super) headers: HeaderMap,
@@ -56,15 +61,26 @@
 impl Relay {
     pub(super) fn new(delivery: Delivery, source: StreamSource, in_progress: InProgress) -> Self {
         let events = EventSplitter::default();
-        Self { delivery, events, source: Some(source), is_finished: false, _in_progress: in_progress }
+        let timing = StreamTiming::new(delivery.inbound.received_at);
+        Self {
+            delivery,
+            events,
+            timing,
+            source: Some(source),
+            is_awaiting_event: false,
+            is_finished: false,
+            _in_progress: in_progress,
+        }
     }
 
     /// Returns the next complete events, `None` at the end, or `Err` to truncate the response visibly.
     async fn next_events(&mut self) -> Option<io::Result<Bytes>> {
+        self.is_awaiting_event = true;
         while !self.is_finished {
             match self.read().await {
                 ReadOutcome::Bytes(bytes) => {
                     if let Some(events) = self.events.feed(&bytes) {
+                        self.record_event();
                         return Some(Ok(events));
                     }
                 }
@@ -106,8 +122,39 @@
         }
     }
 
+    /// Records that events arrived.
+    fn record_event(&mut self) {
+        self.is_awaiting_event = false;
+        let Some(source) = &mut self.source else { return };
+        let now = bendhinge_clock::now();
+        if self.timing.record_event(now, source.measured.record_event()) {
+            self.delivery.context.metrics.record_first_event(now.since(self.delivery.inbound.received_at));
+        }
+    }
+
+    /// Records that the stream is given up before its end. The silence until then is the upstream's only if an
+    /// event was awaited.
+    fn record_abandonment(&mut self) {
+        if !self.is_awaiting_event {
+            return;
+        }
+        if let Some(source) = &self.source {
+            self.timing.record_interruption(source.measured.totals());
+        }
+        self.timing.record_abandonment(bendhinge_clock::now());
+    }
+
+    /// Reports what was measured of the stream, before its log line is written.
+    fn report_timing(&mut self) {
+        if let Some(pause) = self.timing.longest_pause() {
+            self.delivery.context.metrics.record_longest_pause(pause.length);
+        }
+        self.delivery.log_line.set_stream_timing(&self.timing);
+    }
+
     fn finish(&mut self) -> Option<io::Result<Bytes>> {
         self.is_finished = true;
+        self.report_timing();
         let rest = self.events.take_partial();
         if let Some(StreamSource { headers, connection, .. }) = self.source.take() {
             self.delivery.context.release_connection(&headers, connection);
@@ -123,6 +170,7 @@
     async fn resume_elsewhere(&mut self, end: SendOutcome) -> bool {
         // Closes the connection, which cancels the request at the upstream.
         let Some(source) = self.source.take() else { return false };
+        self.timing.record_interruption(source.measured.totals());
         let record = source.record.clone();
         drop(source);
         let may_retry = self.delivery.record_send_end(&record, end);
@@ -133,9 +181,16 @@
         let last_event_id = self.events.last_id().map(str::to_owned);
         let last_event_id = last_event_id.or_else(|| self.delivery.inbound.fields.resume_after.clone());
         match self.delivery.next_response(last_event_id.as_deref()).await {
-            Ok(UpstreamResponse { record, chosen, head, body: UpstreamBody::Stream(body, connection) }) => {
-                self.source =
-                    Some(StreamSource { record, _chosen: chosen, headers: head.headers, body, connection });
+            Ok(UpstreamResponse {
+                record,
+                measured,
+                chosen,
+                head,
+                body: UpstreamBody::Stream(body, connection),
+            }) => {
+                let headers = head.headers;
+                let source = StreamSource { record, measured, _chosen: chosen, headers, body, connection };
+                self.source = Some(source);
                 true
             }
             Ok(_) | Err(_) => false,
@@ -144,7 +199,9 @@
 
     fn truncate(&mut self) -> io::Error {
         self.is_finished = true;
+        self.record_abandonment();
         self.source = None;
+        self.report_timing();
         let Delivery { log_line, context, retry_state, .. } = &mut self.delivery;
         log_line.write_answered(&context.log, 200, Some(ResultCode::AnswerCutShort), retry_state);
         io::Error::other("the upstream's event stream was interrupted")
@@ -154,6 +211,8 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if !self.is_finished {
+            self.record_abandonment();
+            self.report_timing();
             let Delivery { log_line, context, retry_state, .. } = &mut self.delivery;
             log_line.write_caller_left(&context.log, retry_state);
         }
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -1,7 +1,7 @@
 //! The log line of an admitted request, with its sends and its outcome.
 
 use bendhinge_codes::ResultCode;
-use bendhinge_delivery::{RetryState, SendOutcome};
+use bendhinge_delivery::{Pause, RetryState, SendOutcome, StreamTiming};
 use bendhinge_ids::{Instant, RequestDigest};
 use serde::Serialize;
 
@@ -36,6 +36,39 @@
     *number == 0
 }
 
+/// What is logged of a relayed stream. Values of zero are omitted, other than those of a pause.
+#[derive(Default, Serialize)]
+struct StreamFields {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    first_event_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pause_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pause_at_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    beside_requests: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    beside_tokens: Option<u64>,
+}
+
+impl StreamFields {
+    fn new(timing: &StreamTiming) -> Self {
+        let first_event_ms = timing.first_event().map(whole_millis);
+        let pause = timing.longest_pause().filter(|pause| whole_millis(pause.length) > 0);
+        let Some(Pause { offset, length, concurrent }) = pause else {
+            return Self { first_event_ms, ..Self::default() };
+        };
+        let non_zero = |count: u64| Some(count).filter(|count| *count > 0);
+        Self {
+            first_event_ms,
+            pause_ms: Some(whole_millis(length)),
+            pause_at_ms: Some(whole_millis(offset)),
+            beside_requests: non_zero(concurrent.requests),
+            beside_tokens: non_zero(concurrent.tokens),
+        }
+    }
+}
+
 /// Collects what is logged of a request until its line is written.
 pub(crate) struct RequestLogEntry {
     request: String,
@@ -43,6 +76,7 @@
     started_at: Instant,
     sends: Vec<SendRecord>,
     digest: Option<RequestDigest>,
+    stream: StreamFields,
 }
 
 impl RequestLogEntry {
@@ -54,6 +88,7 @@
             started_at: inbound.received_at,
             sends: Vec::new(),
             digest: None,
+            stream: StreamFields::default(),
         }
     }
 
@@ -83,6 +118,11 @@
         self.digest = Some(digest);
     }
 
+    /// Sets what was measured of the relayed stream.
+    pub(crate) fn set_stream_timing(&mut self, timing: &StreamTiming) {
+        self.stream = StreamFields::new(timing);
+    }
+
     /// Records how a send ended whose response is not passed on.
     pub(crate) fn record_send_end(&mut self, index: usize, end: SendOutcome) {
         if let Some(send) = self.sends.get_mut(index) {
@@ -111,6 +151,8 @@
             digest: Option<String>,
             sends: &'a [SendRecord],
             ran: &'static str,
+            #[serde(flatten)]
+            stream: &'a StreamFields,
         }
         let fields = Fields {
             request: &self.request,
@@ -122,6 +164,7 @@
             digest: self.digest.map(|digest| digest.to_string()),
             sends: &self.sends,
             ran: if code.is_none() { "yes" } else { retry_state.ran().as_str() },
+            stream: &self.stream,
         };
         log.log_event("request", fields);
     }
--- a/crates/bendhinge_gateway/src/metrics.rs
+++ b/crates/bendhinge_gateway/src/metrics.rs
@@ -15,6 +15,15 @@
 /// Bucket bounds of the time to first byte. They include 1.3 s, the target of its 95th percentile.
 const FIRST_BYTE_BUCKETS_SECONDS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 1.3, 2.5, 10.0];
 
+/// Bucket bounds of the time to the first event of a stream.
+const FIRST_EVENT_BUCKETS_SECONDS: [f64; 13] =
+    [0.02, 0.05, 0.1, 0.15, 0.2, 0.225, 0.25, 0.5, 1.0, 1.5, 2.0, 5.0, 10.0];
+
+/// Bucket bounds of the longest pause of a stream. They are dense from 0.2 to 0.25 s: a lost packet is sent again
+/// after 0.2 s, and routes allow pauses of 0.25 s.
+const LONGEST_PAUSE_BUCKETS_SECONDS: [f64; 13] =
+    [0.02, 0.05, 0.1, 0.15, 0.2, 0.21, 0.22, 0.23, 0.24, 0.25, 0.5, 1.0, 2.0];
+
 /// Bucket bounds of the durations of store reads and peer fetches.
 const FETCH_BUCKETS_SECONDS: [f64; 8] = [0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0];
 /// Bucket bounds of the age of the list of upstreams. They are dense around two to three seconds,
@@ -55,6 +64,30 @@
     pub(crate) upstreams_in_backoff: usize,
 }
 
+/// What is measured of relayed streams, once for each.
+struct StreamHistograms {
+    first_event: Histogram<f64>,
+    longest_pause: Histogram<f64>,
+}
+
+impl StreamHistograms {
+    /// Builds them with `seconds`, which takes a name, a description and bucket bounds.
+    fn new(seconds: impl Fn(&'static str, &'static str, &[f64]) -> Histogram<f64>) -> Self {
+        Self {
+            first_event: seconds(
+                "bendhinge.gateway.first_event",
+                "Time from a request to the first event of its stream",
+                &FIRST_EVENT_BUCKETS_SECONDS,
+            ),
+            longest_pause: seconds(
+                "bendhinge.gateway.longest_pause",
+                "Longest pause between two events of each stream",
+                &LONGEST_PAUSE_BUCKETS_SECONDS,
+            ),
+        }
+    }
+}
+
 /// All metrics of a gateway.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -73,6 +106,7 @@
     drain_announcements: Counter<u64>,
     slow_caller_disconnects: Counter<u64>,
     first_byte: Histogram<f64>,
+    streams: StreamHistograms,
     in_progress: Gauge<u64>,
     rules_age: Gauge<f64>,
     peer_connections: Gauge<u64>,
@@ -148,6 +182,7 @@
                 "Time from a request to the head of its answer",
                 &FIRST_BYTE_BUCKETS_SECONDS,
             ),
+            streams: StreamHistograms::new(seconds),
             in_progress: meter
                 .u64_gauge("bendhinge.gateway.requests_in_progress")
                 .with_description("Requests in progress")
@@ -277,6 +312,16 @@
         self.first_byte.record(time.as_secs_f64(), &[]);
     }
 
+    /// Records the time to the first event of a stream.
+    pub(crate) fn record_first_event(&self, time: Duration) {
+        self.streams.first_event.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Records the longest pause of a stream.
+    pub(crate) fn record_longest_pause(&self, time: Duration) {
+        self.streams.longest_pause.record(time.as_secs_f64(), &[]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode_text(&self, gauges: &GaugeValues) -> String {
         self.in_progress.record(gauges.in_progress as u64, &[]);
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -17,7 +17,7 @@
 
 use crate::args::args;
 use crate::control::ControlPlane;
-use crate::delivery::{CrashProbes, DeliveryContext};
+use crate::delivery::{CrashProbes, DeliveryContext, SendRegistry};
 use crate::dialect::Dialect;
 use crate::intake::{self, Intake};
 use crate::lifecycle::Lifecycle;
@@ -117,6 +117,7 @@
         identity_key: IdentityKey(settings.fleet.shared_key.derive("requests")),
         quarantine: Arc::new(quarantine),
         crash_probes: CrashProbes::default(),
+        sends: Arc::new(SendRegistry::default()),
         connection_pool: Pool::new(
             Arc::clone(tasks),
             settings.upstreams.connect_timeout,
--- /dev/null
+++ b/crates/bendhinge_lab/tests/gateway_streams.rs
@@ -0,0 +1,172 @@
+//! What the gateway reports of relayed streams, over real connections.
+
+mod gateway_common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bendhinge_gateway::native::headers::{DEADLINE, PROMPT, REQUEST};
+use bendhinge_http::{Tasks, fetch_bytes};
+use bendhinge_lab::gateways::{Call, FleetShape, GatewayFleet, KEY, Told, until};
+use bendhinge_standin::gateway::{Upstream, UpstreamFault};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use gateway_common::{PATIENCE, call, run, send, smallest, start};
+use serde_json::Value;
+use smol::net::TcpStream;
+
+/// All keys of a request's line that concern streams.
+const STREAM_KEYS: [&str; 5] =
+    ["first_event_ms", "pause_ms", "pause_at_ms", "beside_requests", "beside_tokens"];
+
+/// Waits for the line of a request.
+async fn line_of(fleet: &GatewayFleet, call: &Call) -> Value {
+    let find = || {
+        let lines = fleet.gateway(0).lines();
+        let mut values = lines.iter().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        values.find(|line| line["event"] == "request" && line["request"] == call.id.as_str())
+    };
+    until(async || find().is_some()).await;
+    find().unwrap()
+}
+
+fn has_key(line: &Value, key: &str) -> bool {
+    line.get(key).is_some()
+}
+
+/// The value of a metric of the first gateway.
+async fn metric(fleet: &GatewayFleet, name: &str) -> Option<u64> {
+    const TIME: Duration = Duration::from_secs(5);
+    let page = fetch_bytes(&fleet.pool, fleet.settings[0].addresses["ready"], "/metrics", TIME).await.ok()?;
+    let page = String::from_utf8_lossy(&page).into_owned();
+    let line = page.lines().find(|line| line.starts_with(name))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
+/// Sends a call and reads until the first event of its stream is complete. Dropping the connection disconnects the
+/// caller.
+async fn read_first_event(address: SocketAddr, call: &Call) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = format!(
+        "POST {} HTTP/1.1\r\nhost: {}\r\nauthorization: Bearer {KEY}\r\n{REQUEST}: {}\r\n{PROMPT}: {}\r\n\
+         {DEADLINE}: {}\r\ncontent-length: 0\r\n\r\n",
+        call.path,
+        call.host,
+        call.id,
+        call.prompt.as_deref().unwrap_or_default(),
+        call.deadline.as_millis(),
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut read = Vec::new();
+    let mut piece = [0; 4096];
+    while !String::from_utf8_lossy(&read).contains(&Upstream::expected_event(&call.id, 0)) {
+        let length = stream.read(&mut piece).await.unwrap();
+        assert!(length > 0, "the stream ended before its first event");
+        read.extend_from_slice(&piece[..length]);
+    }
+    stream
+}
+
+async fn engines(tasks: &Tasks, engines: usize) -> GatewayFleet {
+    start(tasks, FleetShape { gateways: 1, engines, services: 0 }).await
+}
+
+#[test]
+fn line_and_histograms_of_a_whole_stream() {
+    run(|tasks| async move {
+        let fleet = engines(&tasks, 1).await;
+        fleet.upstreams[0].set_pace(Duration::from_millis(20));
+        let call = Call::stream("/stream/x", KEY);
+        assert_eq!(send(&fleet, &call).await.told, Told::Whole);
+        let line = line_of(&fleet, &call).await;
+        let millis = |key: &str| line[key].as_u64().unwrap();
+        assert!(millis("first_event_ms") <= millis("pause_at_ms"), "{line}");
+        assert!(millis("pause_at_ms") + millis("pause_ms") <= millis("ms"), "{line}");
+        assert!(!has_key(&line, "beside_requests") && !has_key(&line, "beside_tokens"), "{line}");
+        for name in ["first_event", "longest_pause"] {
+            let name = format!("bendhinge_gateway_{name}_seconds_count");
+            assert_eq!(metric(&fleet, &name).await, Some(1), "{name}");
+        }
+    });
+}
+
+/// Guards against a changed form of the lines of requests that are no streams.
+#[test]
+fn line_of_another_request_has_no_keys_of_streams() {
+    run(|tasks| async move {
+        let fleet = smallest(&tasks).await;
+        let call = call("/safe/x");
+        assert_eq!(send(&fleet, &call).await.told, Told::Whole);
+        let line = line_of(&fleet, &call).await;
+        assert!(STREAM_KEYS.iter().all(|key| !has_key(&line, key)), "{line}");
+    });
+}
+
+/// Guards against losing the pause in which a stream moves to another upstream. Either upstream sends half of the
+/// events and stalls, so that the other one sends the rest.
+#[test]
+fn pause_of_a_resumed_stream_spans_the_second_send() {
+    run(|tasks| async move {
+        let fleet = engines(&tasks, 2).await;
+        fleet.upstreams.iter().for_each(|upstream| upstream.set_fault(UpstreamFault::Stalls(6)));
+        let call = Call::stream("/resumable/x", KEY);
+        assert_eq!(send(&fleet, &call).await.told, Told::Whole);
+        let line = line_of(&fleet, &call).await;
+        let second_send = line["sends"][1]["at_ms"].as_u64().unwrap();
+        let begin = line["pause_at_ms"].as_u64().unwrap();
+        let end = begin + line["pause_ms"].as_u64().unwrap();
+        assert!((begin..=end).contains(&second_send), "{line}");
+        assert!(line["first_event_ms"].as_u64().unwrap() <= begin, "{line}");
+    });
+}
+
+/// Guards against the time until a stream is given up being taken for the time to its first event.
+#[test]
+fn stream_without_events_has_no_first_event() {
+    run(|tasks| async move {
+        let fleet = engines(&tasks, 1).await;
+        fleet.upstreams[0].set_fault(UpstreamFault::Stalls(0));
+        let call = Call { deadline: Duration::from_millis(300), ..Call::stream("/stream/x", KEY) };
+        assert_eq!(send(&fleet, &call).await.told, Told::Broken);
+        let line = line_of(&fleet, &call).await;
+        assert!(STREAM_KEYS.iter().all(|key| !has_key(&line, key)), "{line}");
+        assert_eq!(metric(&fleet, "bendhinge_gateway_first_event_seconds_count").await.unwrap_or(0), 0);
+    });
+}
+
+#[test]
+fn interrupted_stream_reports_what_was_seen() {
+    run(|tasks| async move {
+        let fleet = engines(&tasks, 1).await;
+        fleet.upstreams[0].set_pace(Duration::from_millis(20));
+        fleet.upstreams[0].set_fault(UpstreamFault::BreaksOff(3));
+        let call = Call::stream("/stream/x", KEY);
+        assert_eq!(send(&fleet, &call).await.told, Told::Broken);
+        let line = line_of(&fleet, &call).await;
+        assert_eq!(line["sends"][0]["end"], "lost", "{line}");
+        assert!(has_key(&line, "first_event_ms") && has_key(&line, "pause_ms"), "{line}");
+    });
+}
+
+/// Guards against a registry that is not told of sends, or takes a stream's own send for another. The stream has
+/// one event, so that its only pause is the one in which the other request waits for its first event.
+#[test]
+fn pause_counts_other_sends_to_the_same_upstream() {
+    run(|tasks| async move {
+        let fleet = engines(&tasks, 1).await;
+        fleet.upstreams[0].set_fault(UpstreamFault::Stalls(1));
+        let first = Call { prompt: Some("1:100,11:50".to_owned()), ..Call::stream("/stream/x", KEY) };
+        let caller = read_first_event(fleet.callers(0), &first).await;
+
+        fleet.upstreams[0].set_fault(UpstreamFault::Stalls(0));
+        let second = Call { prompt: Some("2:7000,12:300".to_owned()), ..Call::stream("/stream/x", KEY) };
+        let (sender, address, sent) = (fleet.caller(), fleet.callers(0), second.clone());
+        tasks.spawn(async move { sender.send(address, &sent, PATIENCE).await }).detach();
+        until(async || fleet.runs_of(&second.id) == 1).await;
+
+        drop(caller);
+        let line = line_of(&fleet, &first).await;
+        assert_eq!(line["outcome"], "caller_left", "{line}");
+        assert_eq!(line["beside_requests"], 1, "{line}");
+        assert_eq!(line["beside_tokens"], 7_300, "{line}");
+    });
+}
--- a/crates/bendhinge_placement/src/prompt.rs
+++ b/crates/bendhinge_placement/src/prompt.rs
@@ -49,6 +49,6 @@
     /// Returns the number of tokens in all parts.
     #[must_use]
     pub fn tokens(&self) -> u32 {
-        self.parts.iter().map(|part| part.tokens).sum()
+        self.parts.iter().fold(0, |sum, part| sum.saturating_add(part.tokens))
     }
 }
--- /dev/null
+++ b/crates/bendhinge_placement/tests/prompt.rs
@@ -0,0 +1,11 @@
+//! Prompts as callers state them.
+
+use bendhinge_placement::{PartId, Prompt, PromptPart};
+
+/// Guards against an overflow where a caller states more tokens than any prompt has.
+#[test]
+fn sum_of_tokens_is_clamped() {
+    let part = |id| PromptPart { id: PartId(id), tokens: u32::MAX };
+    assert_eq!(Prompt::new(vec![part(1), part(2)]).tokens(), u32::MAX);
+    assert_eq!(Prompt::default().tokens(), 0);
+}
