bendhinge-explain: first event and likely cause of a stream's longest pause

Cause: the measurements in a request's line do not say by themselves what they mean for a caller that counted the stream as late. Result: cargo test -p bendhinge_explain passes; reports of lines without the keys are unchanged.

--- a/crates/bendhinge_explain/src/log_entry.rs
+++ b/crates/bendhinge_explain/src/log_entry.rs
@@ -2,6 +2,8 @@
 
 use serde::Deserialize;
 
+use crate::StreamMeasurements;
+
 /// An attempt to send a request to an upstream.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct SendAttempt {
@@ -42,6 +44,9 @@
         /// Digest shared by all attempts of the same request; set if a connection was lost while
         /// this attempt was in progress.
         digest: Option<String>,
+        /// Measurements of the relayed stream.
+        #[serde(flatten)]
+        stream: StreamMeasurements,
     },
     /// A request that was rejected without being sent.
     Refused {
--- a/crates/bendhinge_explain/src/render.rs
+++ b/crates/bendhinge_explain/src/render.rs
@@ -4,7 +4,10 @@
 
 use bendhinge_codes::ResultCode;
 
-use crate::{CrashRecord, Event, NearbyEvent, RelatedAttempts, RequestReport, SendAttempt, UpstreamSummary};
+use crate::{
+    CrashRecord, Event, NearbyEvent, PauseCause, RelatedAttempts, RequestReport, SendAttempt,
+    StreamMeasurements, UpstreamSummary, pause_cause,
+};
 
 /// Formats a report as multi-line text.
 #[must_use]
@@ -18,12 +21,13 @@
 fn write_report(text: &mut String, report: &RequestReport) -> std::fmt::Result {
     let gateway = &report.entry.gateway;
     match &report.entry.event {
-        Event::Request { request, route, outcome, status, code, ms, sends, ran, .. } => {
+        Event::Request { request, route, outcome, status, code, ms, sends, ran, stream, .. } => {
             writeln!(
                 text,
                 "{request} at {gateway}, route {route}: {outcome} with {status} after {ms} ms; ran: {ran}"
             )?;
             sends.iter().try_for_each(|send| write_send(text, send))?;
+            write_stream(text, stream, sends)?;
             write_code(text, code.as_deref())?;
         }
         Event::Refused { request, code, rules_age_ms, .. } => {
@@ -60,6 +64,30 @@
     writeln!(text, "  {at_ms:>6} ms  sent to {upstream} ({why}, {load:.1} requests believed there): {end}")
 }
 
+fn write_stream(text: &mut String, stream: &StreamMeasurements, sends: &[SendAttempt]) -> std::fmt::Result {
+    if let Some(at_ms) = stream.first_event_ms {
+        writeln!(text, "  {at_ms:>6} ms  first event of the stream")?;
+    }
+    let (Some(at_ms), Some(length_ms)) = (stream.pause_at_ms, stream.pause_ms) else { return Ok(()) };
+    let Some(cause) = pause_cause(stream, sends) else { return Ok(()) };
+    write!(text, "  {at_ms:>6} ms  longest pause, {length_ms} ms: ")?;
+    match cause {
+        PauseCause::Resumption => writeln!(text, "the stream was resumed at another upstream"),
+        PauseCause::OtherWork { requests, tokens } => {
+            writeln!(
+                text,
+                "{requests} other sends of this box there had no first event yet, {tokens} prompt tokens"
+            )
+        }
+        PauseCause::Retransmission => {
+            writeln!(text, "no other work of this box there; as long as one lost packet takes")
+        }
+        PauseCause::Unknown => {
+            writeln!(text, "no other work of this box there, and not as long as one lost packet takes")
+        }
+    }
+}
+
 fn write_code(text: &mut String, code: Option<&str>) -> std::fmt::Result {
     let Some(code) = code else { return writeln!(text, "  the answer is the upstream's own") };
     match ResultCode::ALL.iter().find(|known| known.to_string() == code) {
--- a/crates/bendhinge_explain/tests/report.rs
+++ b/crates/bendhinge_explain/tests/report.rs
@@ -5,14 +5,14 @@
 
 use bendhinge_explain::{Entry, Event, read_log, render, request_reports};
 
-/// Reads one log with the gateway's name before each line and one that is named after its gateway.
+/// Reads one log with the gateway's name before each line and two that are named after their gateways.
 fn log_entries() -> Vec<Entry> {
     let fixtures = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures");
     let read = |name: &str| {
         let text = fs::read_to_string(fixtures.join(format!("{name}.jsonl"))).unwrap();
         read_log(name, &text)
     };
-    [read("all-boxes"), read("front-oslo-d-14")].concat()
+    [read("all-boxes"), read("front-oslo-d-14"), read("gateway-0")].concat()
 }
 
 /// Renders the report of a request that has exactly one log entry.
@@ -37,6 +37,11 @@
     insta::assert_snapshot!(rendered_report("00461f9e07aec994"));
 }
 
+#[test]
+fn stream_with_a_pause_beside_other_work() {
+    insta::assert_snapshot!(rendered_report("6f9f9e0b1549622d"));
+}
+
 #[test]
 fn unknown_request_has_no_report() {
     assert!(request_reports(&log_entries(), "0000000000000000").is_empty());
@@ -54,7 +59,7 @@
 fn operations_page_shows_rendered_reports() {
     let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATIONS.md");
     let page = fs::read_to_string(page).unwrap();
-    for request in ["2706d6216c6c45d5", "0b5270e9f7615fe3", "00461f9e07aec994"] {
+    for request in ["2706d6216c6c45d5", "0b5270e9f7615fe3", "00461f9e07aec994", "6f9f9e0b1549622d"] {
         for line in rendered_report(request).lines() {
             assert!(page.contains(&format!("    {line}\n")), "docs/OPERATIONS.md does not contain: {line}");
         }
