Placement prefers the own data centre when asked to

Cause: the choice takes no account of data centres, so that two thirds of the requests cross between three of them.

Change: `CostQuery::locality` restricts the choice to the upstreams of the own data centre within the load limit, or to the others for affinity keys whose hash is below the spillover share. Prompts have a home on that side, up to a length that differs with and without fetches; longer ones keep one home for all data centres. `LocalityState` computes the share from the loads that all routers receive. Without a preference, choices are as before.

--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -5,6 +5,7 @@
 
 use crate::hash::{hash_pair, hash_pair_unit};
 use crate::homes::home;
+use crate::locality::{is_extra_copy_worthwhile, is_preferred, preferred_distance};
 use crate::{CachedParts, Prompt};
 
 /// An upstream considered for a request.
@@ -78,6 +79,13 @@
     pub load_bound_factor: f32,
     /// Number of requests allowed in addition to that multiple.
     pub load_bound_slack: f32,
+    /// Maximum number of shared tokens of a prompt that has a home in each data centre, if upstreams
+    /// can fetch. With some 60 requests for a copy in its time in the cache, fetching one token costs
+    /// as much as one two-hundredth of a request and its response between data centres.
+    pub max_local_tokens_fetched: u32,
+    /// The same if upstreams cannot fetch, so that each data centre processes the prompt itself.
+    /// Processing a token costs five to ten times as much as fetching it.
+    pub max_local_tokens_read: u32,
 }
 
 impl Default for CostModel {
@@ -93,6 +101,8 @@
             min_fetch_tokens: 400,
             load_bound_factor: 1.5,
             load_bound_slack: 2.0,
+            max_local_tokens_fetched: 12_000,
+            max_local_tokens_read: 2_000,
         }
     }
 }
@@ -137,6 +147,13 @@
     pub mean_load: f32,
 }
 
+impl Choice {
+    /// Whether the chosen upstream has to process or fetch shared parts without being their home.
+    fn needs_extra_copy(&self) -> bool {
+        self.missing_tokens > 0 && self.reason != ChoiceReason::Home
+    }
+}
+
 /// The properties of a request that determine its cost on each candidate.
 #[derive(Clone, Copy, Debug)]
 pub struct CostQuery<'a> {
@@ -169,13 +186,14 @@
     let mean_load = mean_load(candidates);
     // Candidates at or above the limit are chosen only if no candidate is below it.
     let limit = model.load_bound_factor * mean_load + model.load_bound_slack;
-    let home = query.prompt.and_then(|prompt| home(prompt, candidates, limit));
+    let side = preferred_distance(model, query, candidates);
+    let home = query.prompt.and_then(|prompt| home(prompt, candidates, limit, side));
     let cached_tokens: Vec<u32> = cached_tokens_by_candidate(query, candidates, cached_parts, now);
     let max_cached_tokens = cached_tokens.iter().copied().max().unwrap_or_default();
     let evaluator =
         CostEvaluator { model, query, candidates, cached_tokens, max_cached_tokens, home, mean_load };
     let accepting = || (0..candidates.len()).filter(|index| candidates[*index].takes_work);
-    let within_limit = accepting().filter(|index| candidates[*index].load < limit);
+    let within_limit = || accepting().filter(|index| candidates[*index].load < limit);
     let best = |indices: &mut dyn Iterator<Item = usize>| {
         indices.map(|index| evaluator.evaluate(index)).min_by(|left, right| {
             left.cost
@@ -183,7 +201,19 @@
                 .then_with(|| evaluator.tie_hash(left.candidate).cmp(&evaluator.tie_hash(right.candidate)))
         })
     };
-    let choice = best(&mut { within_limit }).or_else(|| best(&mut accepting()))?;
+    let preferred = side
+        .and_then(|side| best(&mut within_limit().filter(|index| is_preferred(&candidates[*index], side))));
+    let best_within_limit = || best(&mut within_limit());
+    let choice = match preferred {
+        Some(choice)
+            if choice.needs_extra_copy()
+                && !is_extra_copy_worthwhile(model, query, choice.missing_tokens) =>
+        {
+            best_within_limit().filter(|other| !other.needs_extra_copy()).or(preferred)
+        }
+        Some(_) => preferred,
+        None => best_within_limit().or_else(|| best(&mut accepting())),
+    }?;
     Some(Choice { fetch_source: evaluator.fetch_source_for(choice.candidate), ..choice })
 }
 
@@ -283,13 +313,19 @@
     /// any.
     ///
     /// The source is picked pseudo-randomly among all candidates with the most cached tokens:
-    /// each source serves its fetches one at a time, so a fixed choice would queue them.
+    /// each source serves its fetches one at a time, so a fixed choice would queue them. With a
+    /// preference for the own data centre, sources there are used first by its upstreams.
     fn fetch_source_for(&self, index: usize) -> Option<usize> {
         if self.fetched_tokens(self.query.prompt?, self.cached_tokens[index]) == 0 {
             return None;
         }
         let has_max_cached_tokens = |index: &usize| self.cached_tokens[*index] == self.max_cached_tokens;
-        let sources: Vec<usize> = (0..self.cached_tokens.len()).filter(has_max_cached_tokens).collect();
+        let mut sources: Vec<usize> = (0..self.cached_tokens.len()).filter(has_max_cached_tokens).collect();
+        let is_local = |index: usize| self.candidates[index].distance == Distance::Local;
+        let prefers_local = self.query.locality.is_some() && is_local(index);
+        if prefers_local && sources.iter().any(|source| is_local(*source)) {
+            sources.retain(|source| is_local(*source));
+        }
         let choice = self.tie_hash(index) % sources.len().max(1) as u64;
         sources.get(usize::try_from(choice).unwrap_or_default()).copied()
     }
--- a/crates/bendhinge_placement/src/homes.rs
+++ b/crates/bendhinge_placement/src/homes.rs
@@ -12,7 +12,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::hash::hash_pair;
-use crate::{Candidate, PartId, Prompt};
+use crate::{Candidate, Distance, PartId, Prompt};
 
 /// Maximum number of upstreams in a pool that is not divided into groups.
 const MAX_SINGLE_GROUP_SIZE: usize = 512;
@@ -26,18 +26,33 @@
 /// Returns the home of a prompt's affinity key among the candidates that accept requests: the one
 /// in the first group of its prefix in which the home is below `load_limit`, or else the one in the
 /// first group.
-pub(crate) fn home(prompt: &Prompt, candidates: &[Candidate], load_limit: f32) -> Option<usize> {
+///
+/// With a `side`, only its upstreams are considered. The groups remain those of the whole pool, so that a
+/// prefix has no more copies than with one home for all data centres, and the home of the whole pool is
+/// one of the homes of its sides.
+pub(crate) fn home(
+    prompt: &Prompt,
+    candidates: &[Candidate],
+    load_limit: f32,
+    side: Option<Distance>,
+) -> Option<usize> {
     let affinity_key = prompt.affinity_key()?;
+    let is_on_side = |candidate: &Candidate| side.is_none_or(|side| candidate.distance == side);
     let groups = group_count(candidates.len());
     if groups == 1 {
-        return home_in_group(affinity_key, candidates, |_| true);
+        return home_in_group(affinity_key, candidates, is_on_side);
     }
     let prefix = prompt.shared().first().map_or(affinity_key, |part| part.id);
     // Evaluated lazily, since each group takes a pass over the pool.
     let mut homes = groups_for_prefix(prefix, groups).into_iter().filter_map(|group| {
-        home_in_group(affinity_key, candidates, |candidate| group_of(candidate.upstream, groups) == group)
+        home_in_group(affinity_key, candidates, |candidate| {
+            is_on_side(candidate) && group_of(candidate.upstream, groups) == group
+        })
     });
-    let first = homes.next()?;
+    let Some(first) = homes.next() else {
+        // A small side may have no upstream in any of the groups.
+        return side.and_then(|_| home_in_group(affinity_key, candidates, is_on_side));
+    };
     let is_below_limit = |index: &usize| candidates[*index].load < load_limit;
     if is_below_limit(&first) { Some(first) } else { homes.find(is_below_limit).or(Some(first)) }
 }
--- a/crates/bendhinge_placement/src/lib.rs
+++ b/crates/bendhinge_placement/src/lib.rs
@@ -9,6 +9,7 @@
 //!   upstream from the ranking by these loads and by permits.
 //! * [`choose`] selects the upstream with the lowest cost for a prompt, based on the index of
 //!   cached prompt parts ([`CachedParts`]).
+//! * [`LocalityState`] computes which share of a data centre's requests goes to others.
 //! * [`WarmupLimit`] limits the requests sent to upstreams that are warming up.
 //! * [`assess`] decides from possibly stale load data whether a permit must be requested.
 //!
@@ -22,6 +23,7 @@
 mod hash;
 mod homes;
 mod ledger;
+mod locality;
 mod owner;
 mod permit_budget;
 mod prompt;
@@ -38,6 +40,7 @@
 };
 pub use displaced::DisplacedChats;
 pub use ledger::{LedgerLimits, LoadReport, PermitDenied, PermitGrant, PermitLedger, PermitRequest};
+pub use locality::{LocalUpstream, LocalityState};
 pub use owner::{owner_of, rank_owners};
 pub use permit_budget::PermitRequestBudget;
 pub use prompt::{PartId, Prompt, PromptPart};
