Merge: own data centre first; requests in progress as fleet totals

The choice prefers the own data centre where the settings say so. Admission counts the requests that all gateways have in progress, since upstreams report their load at the head of a response and a long queue reports nothing: with half of the engines lost beside four times the demand, 12 requests were believed at each while some 190 were there.

--- a/crates/bendhinge_fleet/src/work.rs
+++ b/crates/bendhinge_fleet/src/work.rs
@@ -249,6 +249,12 @@
         Some(secs(shorter.iter().sum::<f32>() / shorter.len() as f32))
     }
 
+    /// Returns the number of sends of this router that have not ended.
+    #[must_use]
+    pub fn own_sends(&self) -> usize {
+        self.sends.len()
+    }
+
     /// Removes upstreams that are not listed, and sends whose end was never recorded.
     pub fn prune(&mut self, listed: impl Fn(NameHash) -> bool, now: Instant) {
         self.sends.retain(|_, send| now.since(send.started_at) < MAX_SEND_AGE);
--- a/crates/bendhinge_gateway/src/control/totals.rs
+++ b/crates/bendhinge_gateway/src/control/totals.rs
@@ -7,6 +7,7 @@
 use bendhinge_peer::PeerMessage;
 
 use super::ControlPlane;
+use crate::totals::engine_requests_key;
 
 impl ControlPlane {
     /// Returns the subtotal for the preferred relay. The top-ranked gateway sends none: its relay is a member that
@@ -40,6 +41,10 @@
     }
 
     fn own_figures(&self, now: Instant) -> Vec<Figure> {
-        self.context.admission.own_figures(now)
+        let engine_requests = self.context.upstreams.own_engine_requests().into_iter();
+        let mut figures: Vec<Figure> =
+            engine_requests.map(|(pool, value)| Figure { key: engine_requests_key(&pool), value }).collect();
+        figures.extend(self.context.admission.own_figures(now));
+        figures
     }
 }
--- a/crates/bendhinge_gateway/src/delivery/engine_admission.rs
+++ b/crates/bendhinge_gateway/src/delivery/engine_admission.rs
@@ -22,7 +22,9 @@
         }
         let rules = self.rules.current();
         let rule = rules.as_ref().and_then(|current| current.rules.pools.get(&inbound.pool));
-        let load = self.upstreams.engine_pool_load(&inbound.pool, rule, inbound.allowed_regions());
+        let in_progress = self.totals.engine_requests(&inbound.pool, bendhinge_clock::now());
+        let load =
+            self.upstreams.engine_pool_load(&inbound.pool, rule, inbound.allowed_regions(), in_progress);
         match self.admission.decide(&inbound.pool, &inbound.engine_request(), &load) {
             EngineDecision::Admitted => Ok(()),
             EngineDecision::Refused { retry_after, reason } => {
--- a/crates/bendhinge_gateway/src/state/candidates.rs
+++ b/crates/bendhinge_gateway/src/state/candidates.rs
@@ -5,7 +5,8 @@
 use bendhinge_placement::{Candidate, WarmupLimit};
 use bendhinge_routes::RegionFilter;
 
-use super::upstreams::{PlacementRequest, State};
+use super::choice::PlacementRequest;
+use super::upstreams::State;
 use crate::settings::{Location, RegionMap};
 
 /// The failure rate assumed for an upstream that is ejected or may only be probed.
--- /dev/null
+++ b/crates/bendhinge_gateway/src/state/choice.rs
@@ -0,0 +1,136 @@
+//! Choice of the upstream for a request, and the record of the send.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bendhinge_fleet::{UpdateSource, UpstreamEntry};
+use bendhinge_ids::{Instant, NameHash, PoolName};
+use bendhinge_placement::{ChoiceReason, CostQuery, Prompt, choose};
+use bendhinge_routes::{PoolRule, RegionFilter};
+
+use super::engines::TrackedWork;
+use super::upstreams::{State, UpstreamView};
+
+/// The properties of a request that determine its upstream.
+pub(crate) struct PlacementRequest<'a> {
+    pub(crate) pool: &'a PoolName,
+    pub(crate) rule: Option<&'a PoolRule>,
+    pub(crate) prompt: Option<&'a Prompt>,
+    /// The regions allowed by the route and by the customer. The request may only run in regions that both allow.
+    pub(crate) regions: [&'a RegionFilter; 2],
+    /// Upstreams that previous attempts were sent to.
+    pub(crate) tried: &'a [NameHash],
+    /// Whether the request may probe an ejected upstream, because it can be retried if that fails.
+    pub(crate) may_probe: bool,
+    /// A number that differs between requests, to break ties.
+    pub(crate) tie_breaker: u64,
+}
+
+/// An upstream chosen for a request.
+pub(crate) struct ChosenUpstream {
+    pub(crate) entry: Arc<UpstreamEntry>,
+    pub(crate) fetch_from: Option<SocketAddr>,
+    pub(crate) reason: ChoiceReason,
+    /// The estimated number of requests at the upstream.
+    pub(crate) load: f32,
+    /// The estimated average number of requests per upstream of the pool.
+    pub(crate) mean_load: f32,
+    pub(crate) chosen_at: Instant,
+    /// The age of the upstream list at the time of the choice.
+    pub(crate) list_age: Duration,
+    /// The number of tokens in shared prompt parts that the upstream is not expected to have cached.
+    pub(crate) missing_tokens: u32,
+    /// Counts the request toward the upstream's load until dropped.
+    pub(crate) guard: RequestGuard,
+}
+
+/// Counts a request toward the load of its upstream until dropped.
+pub(crate) struct RequestGuard {
+    view: Arc<UpstreamView>,
+    upstream: NameHash,
+    started_at: Instant,
+    work: Option<TrackedWork>,
+}
+
+impl RequestGuard {
+    /// Records the first event of the response.
+    pub(crate) fn record_first_event(&self) {
+        if let Some(work) = &self.work {
+            self.view.state.lock().unwrap().record_first_event(work, bendhinge_clock::now());
+        }
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        let now = bendhinge_clock::now();
+        let mut state = self.view.state.lock().unwrap();
+        state.loads.end_request(self.upstream, now.since(self.started_at));
+        if let Some(work) = &self.work {
+            state.end_work(work, now);
+        }
+    }
+}
+
+impl UpstreamView {
+    /// Chooses an upstream for a request and counts the request toward its load.
+    pub(crate) fn choose(self: &Arc<Self>, request: &PlacementRequest<'_>) -> Option<ChosenUpstream> {
+        let now = bendhinge_clock::now();
+        let mut state = self.state.lock().unwrap();
+        state.record_demand(request.pool, now);
+        let is_pace_reported = state.engines.is_pace_reported;
+        let uses_work = self.load_settings.work.is_active(is_pace_reported);
+        let (listed, candidates) = state.candidates(request, &self.location, uses_work, now);
+        let list_age = state.replica.age(now).unwrap_or_default();
+        let locality = self
+            .load_settings
+            .local_first
+            .is_active(is_pace_reported)
+            .then(|| self.localities.lock().unwrap().locality(request.pool, &listed, &candidates, now));
+        let query = CostQuery {
+            prompt: request.prompt.filter(|_| request.rule.is_some_and(|rule| rule.caches_prompts)),
+            can_fetch: request.rule.is_some_and(|rule| rule.transfers_cached_prompts),
+            tie_breaker: request.tie_breaker,
+            locality,
+        };
+        let choice = choose(&self.costs, &query, &candidates, &state.cached_parts, now)?;
+        let entry = Arc::clone(&listed[choice.candidate].entry);
+        let fetch_from = choice.fetch_source.map(|source| listed[source].entry.address);
+        let read_tokens = if fetch_from.is_some() { 0 } else { choice.missing_tokens };
+        let work = state.start_send(request.pool, entry.hash, query.prompt, read_tokens, now);
+        drop(state);
+        let guard = RequestGuard { view: Arc::clone(self), upstream: entry.hash, started_at: now, work };
+        Some(ChosenUpstream {
+            entry,
+            fetch_from,
+            reason: choice.reason,
+            load: candidates[choice.candidate].load,
+            mean_load: choice.mean_load,
+            missing_tokens: choice.missing_tokens,
+            list_age,
+            chosen_at: now,
+            guard,
+        })
+    }
+}
+
+impl State {
+    /// Records a send to `upstream`, which has to process `read_tokens` of the shared part of the prompt.
+    fn start_send(
+        &mut self,
+        pool: &PoolName,
+        upstream: NameHash,
+        prompt: Option<&Prompt>,
+        read_tokens: u32,
+        now: Instant,
+    ) -> Option<TrackedWork> {
+        self.loads.start_request(upstream);
+        self.outlier_detector.record_send(upstream, now);
+        let prompt = prompt?;
+        for cached_part in self.cached_parts.record_prompt(upstream, prompt, now) {
+            self.cache_updates.push(cached_part, UpdateSource::Local, now);
+        }
+        self.start_work(pool, upstream, prompt, read_tokens, now)
+    }
+}
--- a/crates/bendhinge_gateway/src/state/engines.rs
+++ b/crates/bendhinge_gateway/src/state/engines.rs
@@ -39,12 +39,22 @@
             && activation.is_active(self.state.lock().unwrap().engines.is_pace_reported)
     }
 
+    /// Returns this gateway's number of requests in progress at each pool whose work is tracked.
+    pub(crate) fn own_engine_requests(&self) -> Vec<(PoolName, f32)> {
+        let state = self.state.lock().unwrap();
+        let own = |pool: &PoolName| state.engines.work.get(pool).map_or(0.0, |work| work.own_sends() as f32);
+        state.engines.work.keys().map(|pool| (pool.clone(), own(pool))).collect()
+    }
+
     /// Returns the load of an engine pool, as far as its upstreams take work in the allowed regions.
+    /// `in_progress` is the number of requests that all gateways together have in progress there, if known: upstreams
+    /// report their load at the head of a response, so requests that still wait are missing from reports.
     pub(crate) fn engine_pool_load(
         &self,
         pool: &PoolName,
         rule: Option<&PoolRule>,
         allowed: [&RegionFilter; 2],
+        in_progress: Option<f32>,
     ) -> EnginePoolLoad {
         let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
@@ -53,7 +63,7 @@
         {
             return *load;
         }
-        let load = state.calculate_pool_load(pool, rule, allowed, &self.location.regions, now);
+        let load = state.calculate_pool_load(pool, rule, allowed, &self.location.regions, in_progress, now);
         state.engines.loads.insert(pool.clone(), (now, load));
         load
     }
@@ -66,6 +76,7 @@
         rule: Option<&PoolRule>,
         allowed: [&RegionFilter; 2],
         regions: &crate::settings::RegionMap,
+        in_progress: Option<f32>,
         now: Instant,
     ) -> EnginePoolLoad {
         let listed = self.upstreams_in_regions(pool, allowed, regions);
@@ -77,7 +88,8 @@
             .collect();
         let configured_slots = rule.and_then(|rule| rule.slots);
         let slots = accepting.map(|listed| configured_slots.unwrap_or(listed.entry.slots)).sum();
-        let in_progress: f32 = loads.iter().map(|(_, load)| load).sum();
+        let estimated: f32 = loads.iter().map(|(_, load)| load).sum();
+        let in_progress = estimated.max(in_progress.unwrap_or_default());
         let work = self.engines.work.get(pool);
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "float casts saturate")]
         EnginePoolLoad {
--- a/crates/bendhinge_gateway/src/state/mod.rs
+++ b/crates/bendhinge_gateway/src/state/mod.rs
@@ -2,11 +2,14 @@
 //! records of upstream health, load and cached prompt parts.
 
 mod candidates;
+mod choice;
 mod engines;
+mod locality;
 mod peers;
 mod rules;
 mod upstreams;
 
+pub(crate) use choice::{ChosenUpstream, PlacementRequest};
 pub(crate) use peers::{address_hash, observed_cached_part, update_source};
 pub(crate) use rules::{ActiveRules, RulesReplica};
-pub(crate) use upstreams::{ChosenUpstream, PlacementRequest, UpstreamView};
+pub(crate) use upstreams::UpstreamView;
--- a/crates/bendhinge_gateway/src/state/upstreams.rs
+++ b/crates/bendhinge_gateway/src/state/upstreams.rs
@@ -12,11 +12,12 @@
 };
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_peer::HeldVersion;
-use bendhinge_placement::{CachedPart, CachedParts, ChoiceReason, CostModel, CostQuery, Prompt, choose};
-use bendhinge_routes::{PoolRule, RegionFilter};
+use bendhinge_placement::{CachedPart, CachedParts, CostModel};
+use bendhinge_routes::RegionFilter;
 use rustc_hash::FxHashMap;
 
-use super::engines::{EnginePools, TrackedWork};
+use super::engines::EnginePools;
+use super::locality::PoolLocalities;
 use super::peers::address_hash;
 use crate::dialect;
 use crate::settings::{LoadSettings, Location, UpstreamSettings};
@@ -31,39 +32,6 @@
     max_age: Duration::from_secs(5),
     max_age_for_new_peer: Duration::from_millis(1_300),
 };
-/// The properties of a request that determine its upstream.
-pub(crate) struct PlacementRequest<'a> {
-    pub(crate) pool: &'a PoolName,
-    pub(crate) rule: Option<&'a PoolRule>,
-    pub(crate) prompt: Option<&'a Prompt>,
-    /// The regions allowed by the route and by the customer. The request may only run in regions that both allow.
-    pub(crate) regions: [&'a RegionFilter; 2],
-    /// Upstreams that previous attempts were sent to.
-    pub(crate) tried: &'a [NameHash],
-    /// Whether the request may probe an ejected upstream, because it can be retried if that fails.
-    pub(crate) may_probe: bool,
-    /// A number that differs between requests, to break ties.
-    pub(crate) tie_breaker: u64,
-}
-
-/// An upstream chosen for a request.
-pub(crate) struct ChosenUpstream {
-    pub(crate) entry: Arc<UpstreamEntry>,
-    pub(crate) fetch_from: Option<SocketAddr>,
-    pub(crate) reason: ChoiceReason,
-    /// The estimated number of requests at the upstream.
-    pub(crate) load: f32,
-    /// The estimated average number of requests per upstream of the pool.
-    pub(crate) mean_load: f32,
-    pub(crate) chosen_at: Instant,
-    /// The age of the upstream list at the time of the choice.
-    pub(crate) list_age: Duration,
-    /// The number of tokens in shared prompt parts that the upstream is not expected to have cached.
-    pub(crate) missing_tokens: u32,
-    /// Counts the request toward the upstream's load until dropped.
-    pub(crate) guard: RequestGuard,
-}
-
 pub(super) struct State {
     pub(super) replica: Replica<UpstreamList>,
     /// Incomplete list that is used until the first complete list arrives.
@@ -93,34 +61,7 @@
     pub(super) costs: CostModel,
     pub(super) location: Location,
     pub(super) load_settings: LoadSettings,
-}
-
-/// Counts a request toward the load of its upstream until dropped.
-pub(crate) struct RequestGuard {
-    view: Arc<UpstreamView>,
-    upstream: NameHash,
-    started_at: Instant,
-    work: Option<TrackedWork>,
-}
-
-impl RequestGuard {
-    /// Records the first event of the response.
-    pub(crate) fn record_first_event(&self) {
-        if let Some(work) = &self.work {
-            self.view.state.lock().unwrap().record_first_event(work, bendhinge_clock::now());
-        }
-    }
-}
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        let now = bendhinge_clock::now();
-        let mut state = self.view.state.lock().unwrap();
-        state.loads.end_request(self.upstream, now.since(self.started_at));
-        if let Some(work) = &self.work {
-            state.end_work(work, now);
-        }
-    }
+    pub(super) localities: Mutex<PoolLocalities>,
 }
 
 impl UpstreamView {
@@ -147,7 +88,7 @@
             engines: EnginePools::default(),
         };
         let costs = CostModel { load_bound_factor: settings.load_bound_factor, ..CostModel::default() };
-        Self { state: Mutex::new(state), costs, location, load_settings }
+        Self { state: Mutex::new(state), costs, location, load_settings, localities: Mutex::default() }
     }
 
     /// Whether a complete list is held.
@@ -229,51 +170,6 @@
         outcome
     }
 
-    /// Chooses an upstream for a request and counts the request toward its load.
-    pub(crate) fn choose(self: &Arc<Self>, request: &PlacementRequest<'_>) -> Option<ChosenUpstream> {
-        let now = bendhinge_clock::now();
-        let mut state = self.state.lock().unwrap();
-        state.record_demand(request.pool, now);
-        let uses_work = self.load_settings.work.is_active(state.engines.is_pace_reported);
-        let (listed, candidates) = state.candidates(request, &self.location, uses_work, now);
-        let list_age = state.replica.age(now).unwrap_or_default();
-        let query = CostQuery {
-            prompt: request.prompt.filter(|_| request.rule.is_some_and(|rule| rule.caches_prompts)),
-            can_fetch: request.rule.is_some_and(|rule| rule.transfers_cached_prompts),
-            tie_breaker: request.tie_breaker,
-            locality: None,
-        };
-        let choice = choose(&self.costs, &query, &candidates, &state.cached_parts, now)?;
-        let entry = Arc::clone(&listed[choice.candidate].entry);
-        let fetch_from = choice.fetch_source.map(|source| listed[source].entry.address);
-        let upstream = entry.hash;
-        state.loads.start_request(upstream);
-        state.outlier_detector.record_send(upstream, now);
-        if let Some(prompt) = query.prompt {
-            for cached_part in state.cached_parts.record_prompt(upstream, prompt, now) {
-                state.cache_updates.push(cached_part, UpdateSource::Local, now);
-            }
-        }
-        let read_tokens = if fetch_from.is_some() { 0 } else { choice.missing_tokens };
-        let work = query
-            .prompt
-            .and_then(|prompt| state.start_work(request.pool, upstream, prompt, read_tokens, now));
-        drop(state);
-        let guard = RequestGuard { view: Arc::clone(self), upstream, started_at: now, work };
-        let load = candidates[choice.candidate].load;
-        Some(ChosenUpstream {
-            entry,
-            fetch_from,
-            reason: choice.reason,
-            load,
-            mean_load: choice.mean_load,
-            missing_tokens: choice.missing_tokens,
-            list_age,
-            chosen_at: now,
-            guard,
-        })
-    }
-
     /// Returns when the earliest requested backoff ends, if all upstreams of the pool that accept work in the allowed
     /// regions requested one.
     pub(crate) fn earliest_backoff_end(
--- a/crates/bendhinge_gateway/src/totals.rs
+++ b/crates/bendhinge_gateway/src/totals.rs
@@ -4,7 +4,7 @@
 use std::sync::Mutex;
 
 use bendhinge_fleet::{Figure, FleetTotal, FleetTotals, PackedTotals, TotalKey};
-use bendhinge_ids::Instant;
+use bendhinge_ids::{Instant, NameHash, PoolName};
 
 use crate::state::update_source;
 
@@ -18,6 +18,11 @@
         self.0.lock().unwrap().get(key, now)
     }
 
+    /// Returns the number of requests that all gateways together have in progress at an engine pool.
+    pub(crate) fn engine_requests(&self, pool: &PoolName, now: Instant) -> Option<f32> {
+        self.get(engine_requests_key(pool), now).map(|total| total.value)
+    }
+
     /// Calls `operation` with the totals locked.
     pub(crate) fn with<T>(&self, operation: impl FnOnce(&FleetTotals) -> T) -> T {
         operation(&self.0.lock().unwrap())
@@ -54,3 +59,8 @@
         self.0.lock().unwrap().record_totals(update_source(relay), totals, requested_at);
     }
 }
+
+/// Returns the key of the requests in progress at an engine pool.
+pub(crate) fn engine_requests_key(pool: &PoolName) -> TotalKey {
+    TotalKey::of(&[NameHash::of(pool.as_str()), NameHash::of("requests")])
+}
