Plain pools: response times as fleet totals, and a choice by them

88 routers that send a plain pool about one request per second each know nothing of its load. Requests in progress, responses and the time in progress are now additive figures; by Little's law they give the expected response time of each upstream, which fades towards the mean of the pool with the age of the totals. choose_plain draws an upstream with a probability that falls with the square of its expected response time, within the load bound of choose. hedge_delay is as late as nine in ten responses would still be in time, from the response times of the whole fleet, and none where a hedge would be late.

--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`FailureDetector`] tracks the upstreams that respond to no router, by the reports of all routers.
 //! * [`Quarantine`] tracks the requests that crash the upstreams running them.
 //! * [`FleetTotals`] sums values over all routers.
+//! * [`ResponseTimes`] estimates the response times of the upstreams of a plain pool.
 //!
 //! All types are pure state machines: the clock is passed in, and there is no I/O.
 //! `docs/design/PLATFORM.md` describes the design.
@@ -29,6 +30,7 @@
 mod peers;
 mod quarantine;
 mod replica;
+mod response_times;
 mod roster;
 mod store_reads;
 mod totals;
@@ -47,6 +49,7 @@
 pub use peers::{PeerState, PeerStates, PeerSummary};
 pub use quarantine::{Crash, CrashHistory, InFlightSends, MAX_CRASHES, Quarantine, SendPermission};
 pub use replica::{Replica, Revision, UpdateOutcome, Version, VersionedValue};
+pub use response_times::{ExpectedResponse, ResponseTimes};
 pub use roster::{
     Contact, Member, MemberReport, MemberStates, Origin, Reach, Roster, RosterDigest, RosterTimeouts,
 };
--- a/crates/bendhinge_fleet/src/totals.rs
+++ b/crates/bendhinge_fleet/src/totals.rs
@@ -171,6 +171,13 @@
         }
     }
 
+    /// Returns the total of `key` less this router's own part. For values that a part knows better itself.
+    #[must_use]
+    pub fn others(&self, key: TotalKey, now: Instant) -> Option<FleetTotal> {
+        let own = self.current_own(now).map_or(0.0, |message| message.value(key));
+        self.get(key, now).map(|total| FleetTotal { value: (total.value - own).max(0.0), ..total })
+    }
+
     /// Returns the number of routers whose figures are in the totals, including this one.
     #[must_use]
     pub fn router_count(&self, now: Instant) -> u32 {
--- a/crates/bendhinge_placement/src/lib.rs
+++ b/crates/bendhinge_placement/src/lib.rs
@@ -9,6 +9,7 @@
 //!   upstream from the ranking by these loads and by permits.
 //! * [`choose`] selects the upstream with the lowest cost for a prompt, based on the index of
 //!   cached prompt parts ([`CachedParts`]).
+//! * [`choose_plain`] selects an upstream of a plain pool by expected response time.
 //! * [`WarmupLimit`] limits the requests sent to upstreams that are warming up.
 //! * [`assess`] decides from possibly stale load data whether a permit must be requested.
 //!
@@ -24,6 +25,7 @@
 mod ledger;
 mod owner;
 mod permit_budget;
+mod plain;
 mod prompt;
 mod ranking;
 mod search;
@@ -40,6 +42,7 @@
 pub use ledger::{LedgerLimits, LoadReport, PermitDenied, PermitGrant, PermitLedger, PermitRequest};
 pub use owner::{owner_of, rank_owners};
 pub use permit_budget::PermitRequestBudget;
+pub use plain::{PlainCandidate, choose_plain};
 pub use prompt::{PartId, Prompt, PromptPart};
 pub use ranking::{RankedUpstream, Ranking, SHORTLIST_SIZE, Shortlist, UpstreamIndex};
 pub use search::{PermitResponse, PlacementReason, SearchPool, SearchStep, UpstreamSearch};
