--- a/crates/bendhinge_gateway/src/control/totals.rs
+++ b/crates/bendhinge_gateway/src/control/totals.rs
@@ -45,6 +45,7 @@
         let mut figures: Vec<Figure> =
             engine_requests.map(|(pool, value)| Figure { key: engine_requests_key(&pool), value }).collect();
         figures.extend(self.context.admission.own_figures(now));
+        figures.extend(self.context.upstreams.response_time_figures(now));
         figures
     }
 }
--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -109,8 +109,15 @@
 ) -> Result<UpstreamResponse, SendError> {
     let AttemptParams { record, measured, chosen, timeout, resume_after } = params;
     let request = build_request(&context, &inbound, &chosen, timeout, resume_after.as_deref());
-    let (response, connection) = send_with_reconnect(&context, &inbound, &chosen, request).await?;
-    let (head, body) = receive_response(&context, &inbound, &chosen, response, connection).await?;
+    let exchange = async {
+        let (response, connection) = send_with_reconnect(&context, &inbound, &chosen, request).await?;
+        receive_response(&context, &inbound, &chosen, response, connection).await
+    };
+    let received = exchange.await;
+    if received.as_ref().is_err_and(|error| error.error_response.is_none()) {
+        chosen.guard.record_no_response();
+    }
+    let (head, body) = received?;
     Ok(UpstreamResponse { record, measured, chosen, head, body })
 }
 
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -198,7 +198,8 @@
         if !self.retry_state.allows_hedge() {
             return first.result().await;
         }
-        if let Some(result) = first.result_within(self.hedge_delay()).await {
+        let Some(hedge_delay) = self.hedge_delay() else { return first.result().await };
+        if let Some(result) = first.result_within(hedge_delay).await {
             return result;
         }
         let Some(second) = self.start_hedge(resume_after) else { return first.result().await };
@@ -218,11 +219,16 @@
         }
     }
 
-    /// Returns how long to wait for a response before a hedge request is sent.
-    fn hedge_delay(&self) -> Duration {
+    /// Returns how long to wait for a response before a hedge request is sent; `None` if none is sent.
+    fn hedge_delay(&self) -> Option<Duration> {
         /// Fraction of the route's target latency. The remainder is for the response to the hedge request.
         const TARGET_LATENCY_FRACTION: f64 = 0.7;
-        self.inbound.route.target_latency.mul_f64(TARGET_LATENCY_FRACTION)
+        let DeliveryContext { upstreams, load_settings, .. } = &*self.context;
+        let target_latency = self.inbound.route.target_latency;
+        if self.is_paced && upstreams.is_active(load_settings.shared_response_times) {
+            return upstreams.plain_hedge_delay(&self.inbound.pool, target_latency);
+        }
+        Some(target_latency.mul_f64(TARGET_LATENCY_FRACTION))
     }
 
     /// Starts a hedge request; returns `None` if that is not possible.
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -115,6 +115,7 @@
             settings.location(),
             &settings.upstreams,
             settings.load,
+            Arc::clone(&totals),
         )),
         retry_budgets: RetryBudgets::new(settings.retry_budget),
         pacing: Pacing::new(log.clone()),
--- a/crates/bendhinge_gateway/src/state/choice.rs
+++ b/crates/bendhinge_gateway/src/state/choice.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bendhinge_fleet::{UpdateSource, UpstreamEntry};
@@ -51,9 +52,18 @@
     upstream: NameHash,
     started_at: Instant,
     work: Option<TrackedWork>,
+    /// The plain pool whose response times count the send.
+    plain_pool: Option<PoolName>,
+    /// Whether the send ended without a response.
+    has_failed: AtomicBool,
 }
 
 impl RequestGuard {
+    /// Records that the send ended without a response.
+    pub(crate) fn record_no_response(&self) {
+        self.has_failed.store(true, Ordering::Relaxed);
+    }
+
     /// Records the first event of the response.
     pub(crate) fn record_first_event(&self) {
         if let Some(work) = &self.work {
@@ -70,6 +80,13 @@
         if let Some(work) = &self.work {
             state.end_work(work, now);
         }
+        drop(state);
+        if let Some(pool) = &self.plain_pool {
+            // A send that a hedge superseded counts with the time that it took so far.
+            let response_time =
+                (!self.has_failed.load(Ordering::Relaxed)).then(|| now.since(self.started_at));
+            self.view.plain.lock().unwrap().end(pool, self.upstream, response_time, now);
+        }
     }
 }
 
@@ -94,13 +111,39 @@
             tie_breaker: request.tie_breaker,
             locality,
         };
-        let choice = choose(&self.costs, &query, &candidates, &state.cached_parts, now)?;
+        let shares_times = query.prompt.is_none()
+            && request.rule.is_none_or(|rule| !rule.caches_prompts)
+            && self.load_settings.shared_response_times.is_active(is_pace_reported);
+        let choice = if shares_times {
+            let prefers_local = locality.is_some();
+            let tie_breaker = request.tie_breaker;
+            self.plain.lock().unwrap().choose(
+                request.pool,
+                &candidates,
+                prefers_local,
+                &self.totals,
+                tie_breaker,
+            )
+        } else {
+            choose(&self.costs, &query, &candidates, &state.cached_parts, now)
+        }?;
         let entry = Arc::clone(&listed[choice.candidate].entry);
         let fetch_from = choice.fetch_source.map(|source| listed[source].entry.address);
         let read_tokens = if fetch_from.is_some() { 0 } else { choice.missing_tokens };
         let work = state.start_send(request.pool, entry.hash, query.prompt, read_tokens, now);
         drop(state);
-        let guard = RequestGuard { view: Arc::clone(self), upstream: entry.hash, started_at: now, work };
+        let plain_pool = shares_times.then(|| request.pool.clone());
+        if let Some(pool) = &plain_pool {
+            self.plain.lock().unwrap().start(pool, entry.hash, now);
+        }
+        let guard = RequestGuard {
+            view: Arc::clone(self),
+            upstream: entry.hash,
+            started_at: now,
+            work,
+            plain_pool,
+            has_failed: AtomicBool::new(false),
+        };
         Some(ChosenUpstream {
             entry,
             fetch_from,
--- a/crates/bendhinge_gateway/src/state/mod.rs
+++ b/crates/bendhinge_gateway/src/state/mod.rs
@@ -6,6 +6,7 @@
 mod engines;
 mod locality;
 mod peers;
+mod plain;
 mod rules;
 mod upstreams;
 
--- /dev/null
+++ b/crates/bendhinge_gateway/src/state/plain.rs
@@ -0,0 +1,101 @@
+//! Choice among the upstreams of plain pools, by response times that all gateways share.
+
+use std::time::Duration;
+
+use bendhinge_fleet::{Figure, ResponseTimes};
+use bendhinge_ids::{Instant, NameHash, PoolName};
+use bendhinge_placement::{Candidate, Choice, ChoiceReason, Distance, PlainCandidate, choose_plain};
+use rustc_hash::FxHashMap;
+
+use super::upstreams::UpstreamView;
+use crate::totals::SharedTotals;
+
+/// Response times of the plain pools.
+#[derive(Default)]
+pub(super) struct PlainPools(FxHashMap<PoolName, ResponseTimes>);
+
+impl PlainPools {
+    fn pool(&mut self, pool: &PoolName) -> &mut ResponseTimes {
+        self.0.entry(pool.clone()).or_insert_with(|| ResponseTimes::new(NameHash::of(pool.as_str())))
+    }
+
+    /// Chooses an upstream by its expected response time. Distances count if `prefers_local`.
+    pub(super) fn choose(
+        &mut self,
+        pool: &PoolName,
+        candidates: &[Candidate],
+        prefers_local: bool,
+        totals: &SharedTotals,
+        tie_breaker: u64,
+    ) -> Option<Choice> {
+        let now = bendhinge_clock::now();
+        let times = self.pool(pool);
+        let plain: Vec<PlainCandidate> = totals.with(|totals| {
+            let expected = candidates.iter().map(|candidate| {
+                let expected = times.expected(candidate.upstream, totals, now);
+                PlainCandidate {
+                    upstream: candidate.upstream,
+                    in_progress: expected.in_progress,
+                    own_in_progress: expected.own_in_progress,
+                    response_time: expected.response_time,
+                    failure_rate: candidate.failure_rate,
+                    takes_work: candidate.takes_work,
+                    counts_in_mean: candidate.counts_in_mean,
+                    distance: if prefers_local { candidate.distance } else { Distance::Local },
+                }
+            });
+            expected.collect()
+        });
+        let chosen = choose_plain(&plain, tie_breaker)?;
+        let counted = plain.iter().filter(|candidate| candidate.counts_in_mean);
+        let (count, total) = counted.fold((0.0_f32, 0.0_f32), |(count, total), candidate| {
+            (count + 1.0, total + candidate.in_progress)
+        });
+        Some(Choice {
+            candidate: chosen,
+            fetch_source: None,
+            reason: ChoiceReason::LeastCost,
+            cost: 0.0,
+            missing_tokens: 0,
+            mean_load: total / count.max(1.0),
+        })
+    }
+
+    pub(super) fn start(&mut self, pool: &PoolName, upstream: NameHash, now: Instant) {
+        self.pool(pool).start(upstream, now);
+    }
+
+    /// Records the end of a send; `response_time` is `None` if there was no response.
+    pub(super) fn end(
+        &mut self,
+        pool: &PoolName,
+        upstream: NameHash,
+        response_time: Option<Duration>,
+        now: Instant,
+    ) {
+        if let Some(times) = self.0.get_mut(pool) {
+            times.end(upstream, response_time, now);
+        }
+    }
+
+    pub(super) fn retain_listed(&mut self, listed: impl Fn(NameHash) -> bool) {
+        self.0.values_mut().for_each(|times| times.retain_listed(&listed));
+    }
+}
+
+impl UpstreamView {
+    /// Returns this gateway's part of the response times of all plain pools.
+    pub(crate) fn response_time_figures(&self, now: Instant) -> Vec<Figure> {
+        let plain = self.plain.lock().unwrap();
+        plain.0.values().flat_map(|times| times.own_figures(now)).collect()
+    }
+
+    /// Returns how long to wait for a response of a plain pool before a hedge is sent; `None` if a hedge is not expected
+    /// to be in time.
+    pub(crate) fn plain_hedge_delay(&self, pool: &PoolName, target_latency: Duration) -> Option<Duration> {
+        let now = bendhinge_clock::now();
+        let plain = self.plain.lock().unwrap();
+        let times = plain.0.get(pool)?;
+        self.totals.with(|totals| times.hedge_delay(target_latency, totals, now))
+    }
+}
--- a/crates/bendhinge_gateway/src/state/upstreams.rs
+++ b/crates/bendhinge_gateway/src/state/upstreams.rs
@@ -19,8 +19,10 @@
 use super::engines::EnginePools;
 use super::locality::PoolLocalities;
 use super::peers::address_hash;
+use super::plain::PlainPools;
 use crate::dialect;
 use crate::settings::{LoadSettings, Location, UpstreamSettings};
+use crate::totals::SharedTotals;
 
 /// How long an upstream is expected to keep a prompt part in its cache.
 const CACHE_RETENTION: Duration = Duration::from_secs(90);
@@ -62,6 +64,9 @@
     pub(super) location: Location,
     pub(super) load_settings: LoadSettings,
     pub(super) localities: Mutex<PoolLocalities>,
+    /// Response times of the plain pools.
+    pub(super) plain: Mutex<PlainPools>,
+    pub(super) totals: Arc<SharedTotals>,
 }
 
 impl UpstreamView {
@@ -71,6 +76,7 @@
         location: Location,
         settings: &UpstreamSettings,
         load_settings: LoadSettings,
+        totals: Arc<SharedTotals>,
     ) -> Self {
         let state = State {
             replica: Replica::default(),
@@ -88,7 +94,15 @@
             engines: EnginePools::default(),
         };
         let costs = CostModel { load_bound_factor: settings.load_bound_factor, ..CostModel::default() };
-        Self { state: Mutex::new(state), costs, location, load_settings, localities: Mutex::default() }
+        Self {
+            state: Mutex::new(state),
+            costs,
+            location,
+            load_settings,
+            localities: Mutex::default(),
+            plain: Mutex::default(),
+            totals,
+        }
     }
 
     /// Whether a complete list is held.
@@ -295,6 +309,7 @@
         let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
         state.prune_engines(now);
+        self.plain.lock().unwrap().retain_listed(|upstream| state.directory.contains(upstream));
         if state.directory.prune(now) {
             state.drop_removed();
         }
--- a/crates/bendhinge_placement/src/lib.rs
+++ b/crates/bendhinge_placement/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`choose`] selects the upstream with the lowest cost for a prompt, based on the index of
 //!   cached prompt parts ([`CachedParts`]).
 //! * [`LocalityState`] computes which share of a data centre's requests goes to others.
+//! * [`choose_plain`] selects an upstream of a plain pool by expected response time.
 //! * [`WarmupLimit`] limits the requests sent to upstreams that are warming up.
 //! * [`assess`] decides from possibly stale load data whether a permit must be requested.
 //!
@@ -26,6 +27,7 @@
 mod locality;
 mod owner;
 mod permit_budget;
+mod plain;
 mod prompt;
 mod ranking;
 mod search;
@@ -44,6 +46,7 @@
 pub use locality::{LocalUpstream, LocalityState};
 pub use owner::{owner_of, rank_owners};
 pub use permit_budget::PermitRequestBudget;
+pub use plain::{PlainCandidate, choose_plain};
 pub use prompt::{PartId, Prompt, PromptPart};
 pub use ranking::{RankedUpstream, Ranking, SHORTLIST_SIZE, Shortlist, UpstreamIndex};
 pub use search::{PermitResponse, PlacementReason, SearchPool, SearchStep, UpstreamSearch};
