--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -302,7 +302,7 @@
         metrics.count_send_end(end);
         match end {
             SendOutcome::Rejected if !self.is_paced => {
-                self.context.admission.record_rejection(&self.inbound.pool)
+                self.context.admission.record_rejection(&self.inbound.pool);
             }
             SendOutcome::Rejected => {
                 let upstream_count = upstreams.count_accepting_work(&self.inbound.pool);
