New prompts are processed at one home before local homes fetch them

Change: if upstreams can fetch, a prompt that no upstream is known to have cached goes to the home of all data centres.

--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -186,10 +186,10 @@
     let mean_load = mean_load(candidates);
     // Candidates at or above the limit are chosen only if no candidate is below it.
     let limit = model.load_bound_factor * mean_load + model.load_bound_slack;
-    let side = preferred_distance(model, query, candidates);
-    let home = query.prompt.and_then(|prompt| home(prompt, candidates, limit, side));
     let cached_tokens: Vec<u32> = cached_tokens_by_candidate(query, candidates, cached_parts, now);
     let max_cached_tokens = cached_tokens.iter().copied().max().unwrap_or_default();
+    let side = preferred_distance(model, query, candidates, max_cached_tokens);
+    let home = query.prompt.and_then(|prompt| home(prompt, candidates, limit, side));
     let evaluator =
         CostEvaluator { model, query, candidates, cached_tokens, max_cached_tokens, home, mean_load };
     let accepting = || (0..candidates.len()).filter(|index| candidates[*index].takes_work);
--- a/crates/bendhinge_placement/src/locality.rs
+++ b/crates/bendhinge_placement/src/locality.rs
@@ -174,14 +174,21 @@
 }
 
 /// Returns the side on which a request should be served; `None` if all upstreams are equally suitable: without a
-/// preference, for a long prompt, and if the preferred side accepts no requests.
+/// preference, for a prompt with a common home, and if the preferred side accepts no requests.
+///
+/// `max_cached_tokens` is the largest number of prompt tokens that an upstream has cached.
 pub(crate) fn preferred_distance(
     model: &CostModel,
     query: &CostQuery<'_>,
     candidates: &[Candidate],
+    max_cached_tokens: u32,
 ) -> Option<Distance> {
     let locality = query.locality?;
-    if query.prompt.is_some_and(|prompt| has_common_home(model, query.can_fetch, prompt)) {
+    let has_common_home = |prompt: &Prompt| {
+        is_long(model, query.can_fetch, prompt)
+            || (query.can_fetch && is_new(model, prompt, max_cached_tokens))
+    };
+    if query.prompt.is_some_and(has_common_home) {
         return None;
     }
     let key = query.prompt.and_then(Prompt::affinity_key).map_or(query.tie_breaker, |key| key.0);
@@ -196,8 +203,16 @@
     candidate.distance == preferred && candidate.failure_rate < MAX_PREFERRED_FAILURE_RATE
 }
 
+/// Whether no upstream is known to have cached a prompt that others could fetch from it.
+///
+/// Such a prompt is processed at the home of all data centres, from which the local homes fetch it. Otherwise, each
+/// data centre would process it until news of the others arrives, which triples the prefills after a start.
+fn is_new(model: &CostModel, prompt: &Prompt, max_cached_tokens: u32) -> bool {
+    prompt.shared_tokens().saturating_sub(max_cached_tokens) >= model.min_fetch_tokens
+}
+
 /// Whether a prompt is so long that one home serves all data centres.
-fn has_common_home(model: &CostModel, can_fetch: bool, prompt: &Prompt) -> bool {
+fn is_long(model: &CostModel, can_fetch: bool, prompt: &Prompt) -> bool {
     prompt.shared_tokens() > max_local_tokens(model, can_fetch)
 }
 
