--- a/crates/bendhinge_placement/tests/locality_model.rs
+++ b/crates/bendhinge_placement/tests/locality_model.rs
@@ -330,8 +330,9 @@
             *count += 1.0;
         }
         self.cached.record_prompt(upstream(engine), &prompt, at);
-        self.routers[router].cached.record_prompt(upstream(engine), &prompt, at);
-        self.cache_news.push_back((now, engine, key));
+        if !self.routers[router].cached.record_prompt(upstream(engine), &prompt, at).is_empty() {
+            self.cache_news.push_back((now, engine, key));
+        }
         self.loads[engine] += 1.0;
         self.routers[router].own_since_report.push_back((now, engine));
         let duration = -self.unit().max(1e-6).ln() * MEAN_DURATION_MS;
