--- a/crates/bendhinge_placement/src/locality.rs
+++ b/crates/bendhinge_placement/src/locality.rs
@@ -15,7 +15,6 @@
 /// Seed of the hash that decides which affinity keys spill over. It is the same on all routers, and distinct from
 /// the seeds of home selection, which are hashes of upstream names.
 const SPILL_SEED: u64 = 0x7370_696c_6c6f_7665;
-
 /// Seed of the hash that decides which requests make a copy of a prompt.
 const COPY_SEED: u64 = 0x636f_7079;
 /// Requests that a copy of a prompt saves from crossing, as assumed in the limits of [`CostModel`] on the length
@@ -27,7 +26,8 @@
 /// upstreams above the mean of their data centre.
 const LIMIT_USE_BEFORE_SPILL: f32 = 0.73;
 /// Spillover share per unit of limit use above that threshold. Three times the mean demand then leaves the local
-/// upstreams at 0.9 of their limit. A higher value oscillates, since loads follow the share with a delay.
+/// upstreams at 0.9 of their limit. A factor of 4 oscillates with five data centres, since loads follow the share
+/// with a delay.
 const SPILL_PER_LIMIT_USE: f32 = 3.0;
 /// Part of the local slots that may be in use before requests spill over. The rest absorbs bursts that are shorter
 /// than the reaction time of the share.
@@ -81,7 +81,7 @@
 }
 
 impl LocalityState {
-    /// Adjusts the share to the present loads of all upstreams of the pool. Takes one pass over them.
+    /// Adjusts the share to the present loads of all upstreams of the pool. Takes two passes over them.
     pub fn update(&mut self, upstreams: &[LocalUpstream], now: Instant) {
         let local = SideLoad::of(upstreams, Distance::Local);
         let remote = SideLoad::of(upstreams, Distance::Remote);
