--- a/crates/bendhinge_fleet/src/work.rs
+++ b/crates/bendhinge_fleet/src/work.rs
@@ -249,10 +249,10 @@
         Some(secs(shorter.iter().sum::<f32>() / shorter.len() as f32))
     }
 
-    /// Returns the number of sends of this router that have not ended.
+    /// Returns the number of sends of this router that have not ended, to upstreams that `counts` selects.
     #[must_use]
-    pub fn own_sends(&self) -> usize {
-        self.sends.len()
+    pub fn own_sends(&self, counts: impl Fn(NameHash) -> bool) -> usize {
+        self.sends.values().filter(|send| counts(send.upstream)).count()
     }
 
     /// Removes upstreams that are not listed, and sends whose end was never recorded.
--- a/crates/bendhinge_gateway/src/control/totals.rs
+++ b/crates/bendhinge_gateway/src/control/totals.rs
@@ -41,7 +41,7 @@
     }
 
     fn own_figures(&self, now: Instant) -> Vec<Figure> {
-        let engine_requests = self.context.upstreams.own_engine_requests().into_iter();
+        let engine_requests = self.context.upstreams.own_engine_requests(now).into_iter();
         let mut figures: Vec<Figure> =
             engine_requests.map(|(pool, value)| Figure { key: engine_requests_key(&pool), value }).collect();
         figures.extend(self.context.admission.own_figures(now));
--- a/crates/bendhinge_gateway/src/delivery/engine_admission.rs
+++ b/crates/bendhinge_gateway/src/delivery/engine_admission.rs
@@ -25,6 +25,7 @@
         let in_progress = self.totals.engine_requests(&inbound.pool, bendhinge_clock::now());
         let load =
             self.upstreams.engine_pool_load(&inbound.pool, rule, inbound.allowed_regions(), in_progress);
+        let Some(load) = load else { return Ok(()) };
         match self.admission.decide(&inbound.pool, &inbound.engine_request(), &load) {
             EngineDecision::Admitted => Ok(()),
             EngineDecision::Refused { retry_after, reason } => {
--- a/crates/bendhinge_gateway/src/state/engines.rs
+++ b/crates/bendhinge_gateway/src/state/engines.rs
@@ -39,14 +39,18 @@
             && activation.is_active(self.state.lock().unwrap().engines.is_pace_reported)
     }
 
-    /// Returns this gateway's number of requests in progress at each pool whose work is tracked.
-    pub(crate) fn own_engine_requests(&self) -> Vec<(PoolName, f32)> {
+    /// Returns this gateway's number of requests in progress at each pool whose work is tracked, at upstreams that take
+    /// work: requests at lost upstreams would count against the slots of the others until they time out.
+    pub(crate) fn own_engine_requests(&self, now: Instant) -> Vec<(PoolName, f32)> {
         let state = self.state.lock().unwrap();
-        let own = |pool: &PoolName| state.engines.work.get(pool).map_or(0.0, |work| work.own_sends() as f32);
-        state.engines.work.keys().map(|pool| (pool.clone(), own(pool))).collect()
+        let takes_work =
+            |upstream| state.directory.get(upstream).is_some_and(|listed| state.takes_work(listed, now));
+        let own = |work: &PoolWork| work.own_sends(takes_work) as f32;
+        state.engines.work.iter().map(|(pool, work)| (pool.clone(), own(work))).collect()
     }
 
-    /// Returns the load of an engine pool, as far as its upstreams take work in the allowed regions.
+    /// Returns the load of an engine pool, as far as its upstreams take work in the allowed regions, or `None` before the
+    /// complete list is known.
     /// `in_progress` is the number of requests that all gateways together have in progress there, if known: upstreams
     /// report their load at the head of a response, so requests that still wait are missing from reports.
     pub(crate) fn engine_pool_load(
@@ -55,17 +59,19 @@
         rule: Option<&PoolRule>,
         allowed: [&RegionFilter; 2],
         in_progress: Option<f32>,
-    ) -> EnginePoolLoad {
+    ) -> Option<EnginePoolLoad> {
         let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
+        // The slots of a partial list are too few for the requests of the whole fleet.
+        state.replica.current()?;
         if let Some((calculated_at, load)) = state.engines.loads.get(pool)
             && now.since(*calculated_at) < POOL_LOAD_VALIDITY
         {
-            return *load;
+            return Some(*load);
         }
         let load = state.calculate_pool_load(pool, rule, allowed, &self.location.regions, in_progress, now);
         state.engines.loads.insert(pool.clone(), (now, load));
-        load
+        Some(load)
     }
 }
 
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -88,7 +88,7 @@
     /// is known.
     pub home_pending_tokens: f32,
     /// Maximum number of shared tokens of a prompt that has a home in each data centre, if upstreams
-    /// can fetch. With some 60 requests for a copy in its time in the cache, fetching one token costs
+    /// can fetch. With some 20 requests for a copy in its time in the cache, fetching one token costs
     /// as much as one two-hundredth of a request and its response between data centres.
     pub max_local_tokens_fetched: u32,
     /// The same if upstreams cannot fetch, so that each data centre processes the prompt itself.
@@ -111,8 +111,8 @@
             load_bound_slack: 2.0,
             slowdown_factor: 0.02,
             home_pending_tokens: 6_000.0,
-            max_local_tokens_fetched: 12_000,
-            max_local_tokens_read: 2_000,
+            max_local_tokens_fetched: 4_000,
+            max_local_tokens_read: 700,
         }
     }
 }
@@ -196,9 +196,9 @@
     let mean_load = mean_load(candidates);
     // Candidates at or above the limit are chosen only if no candidate is below it.
     let limit = model.load_bound_factor * mean_load + model.load_bound_slack;
-    let side = preferred_distance(model, query, candidates);
     let cached_tokens: Vec<u32> = cached_tokens_by_candidate(query, candidates, cached_parts, now);
     let max_cached_tokens = cached_tokens.iter().copied().max().unwrap_or_default();
+    let side = preferred_distance(model, query, candidates, max_cached_tokens);
     let home = query.prompt.and_then(|prompt| {
         let is_cached = max_cached_tokens >= prompt.shared_tokens();
         let pending_tokens = if is_cached { f32::INFINITY } else { model.home_pending_tokens };
--- a/crates/bendhinge_placement/src/locality.rs
+++ b/crates/bendhinge_placement/src/locality.rs
@@ -15,19 +15,19 @@
 /// Seed of the hash that decides which affinity keys spill over. It is the same on all routers, and distinct from
 /// the seeds of home selection, which are hashes of upstream names.
 const SPILL_SEED: u64 = 0x7370_696c_6c6f_7665;
-
 /// Seed of the hash that decides which requests make a copy of a prompt.
 const COPY_SEED: u64 = 0x636f_7079;
 /// Requests that a copy of a prompt saves from crossing, as assumed in the limits of [`CostModel`] on the length
 /// of prompts with a home in each data centre.
-const REQUESTS_PER_COPY: f32 = 60.0;
+const REQUESTS_PER_COPY: f32 = 20.0;
 
 /// Part of the load limit that the mean local upstream may use before requests spill over. It corresponds to 1.1
 /// times the mean load under high load. The remaining third is needed for popular keys, which raise single
 /// upstreams above the mean of their data centre.
 const LIMIT_USE_BEFORE_SPILL: f32 = 0.73;
 /// Spillover share per unit of limit use above that threshold. Three times the mean demand then leaves the local
-/// upstreams at 0.9 of their limit. A higher value oscillates, since loads follow the share with a delay.
+/// upstreams at 0.9 of their limit. A factor of 4 oscillates with five data centres, since loads follow the share
+/// with a delay.
 const SPILL_PER_LIMIT_USE: f32 = 3.0;
 /// Part of the local slots that may be in use before requests spill over. The rest absorbs bursts that are shorter
 /// than the reaction time of the share.
@@ -81,7 +81,7 @@
 }
 
 impl LocalityState {
-    /// Adjusts the share to the present loads of all upstreams of the pool. Takes one pass over them.
+    /// Adjusts the share to the present loads of all upstreams of the pool. Takes two passes over them.
     pub fn update(&mut self, upstreams: &[LocalUpstream], now: Instant) {
         let local = SideLoad::of(upstreams, Distance::Local);
         let remote = SideLoad::of(upstreams, Distance::Remote);
@@ -174,14 +174,21 @@
 }
 
 /// Returns the side on which a request should be served; `None` if all upstreams are equally suitable: without a
-/// preference, for a long prompt, and if the preferred side accepts no requests.
+/// preference, for a prompt with a common home, and if the preferred side accepts no requests.
+///
+/// `max_cached_tokens` is the largest number of prompt tokens that an upstream has cached.
 pub(crate) fn preferred_distance(
     model: &CostModel,
     query: &CostQuery<'_>,
     candidates: &[Candidate],
+    max_cached_tokens: u32,
 ) -> Option<Distance> {
     let locality = query.locality?;
-    if query.prompt.is_some_and(|prompt| has_common_home(model, query.can_fetch, prompt)) {
+    let has_common_home = |prompt: &Prompt| {
+        is_long(model, query.can_fetch, prompt)
+            || (query.can_fetch && is_new(model, prompt, max_cached_tokens))
+    };
+    if query.prompt.is_some_and(has_common_home) {
         return None;
     }
     let key = query.prompt.and_then(Prompt::affinity_key).map_or(query.tie_breaker, |key| key.0);
@@ -196,8 +203,16 @@
     candidate.distance == preferred && candidate.failure_rate < MAX_PREFERRED_FAILURE_RATE
 }
 
+/// Whether no upstream is known to have cached a prompt that others could fetch from it.
+///
+/// Such a prompt is processed at the home of all data centres, from which the local homes fetch it. Otherwise, each
+/// data centre would process it until news of the others arrives, which triples the prefills after a start.
+fn is_new(model: &CostModel, prompt: &Prompt, max_cached_tokens: u32) -> bool {
+    prompt.shared_tokens().saturating_sub(max_cached_tokens) >= model.min_fetch_tokens
+}
+
 /// Whether a prompt is so long that one home serves all data centres.
-fn has_common_home(model: &CostModel, can_fetch: bool, prompt: &Prompt) -> bool {
+fn is_long(model: &CostModel, can_fetch: bool, prompt: &Prompt) -> bool {
     prompt.shared_tokens() > max_local_tokens(model, can_fetch)
 }
 
