--- a/crates/bendhinge_lab/src/bench/mod.rs
+++ b/crates/bendhinge_lab/src/bench/mod.rs
@@ -6,6 +6,7 @@
 mod cache;
 pub mod crashing;
 pub mod decision;
+pub mod pauses;
 pub mod placement;
 pub mod plain_pool;
 mod policy;
--- a/crates/bendhinge_lab/src/measure/decisions.rs
+++ b/crates/bendhinge_lab/src/measure/decisions.rs
@@ -4,7 +4,8 @@
 use crate::bench::placement::PlacementFigures;
 use crate::bench::warming::{ROUTERS, Way};
 use crate::bench::{
-    PolicyKind, Scenario, admission, crashing, decision, placement, plain_pool, resting, slowed, warming,
+    PolicyKind, Scenario, admission, crashing, decision, pauses, placement, plain_pool, resting, slowed,
+    warming,
 };
 
 /// Runs of a scenario; figures are their means, worst cases their worst.
@@ -155,6 +156,35 @@
     }
 }
 
+/// Finding what pauses of streams coincide with, by each way and part of the requests that are the gateway's own.
+pub(super) fn pauses() {
+    use pauses::{OWN_SHARES, Way};
+    let ways = [
+        ("at_begin", Way::AtBegin),
+        ("at_end", Way::AtEnd),
+        ("history_1_s", Way::History(1_000)),
+        ("history_10_s", Way::History(10_000)),
+        ("totals", Way::Totals),
+    ];
+    for own_share in OWN_SHARES {
+        for (name, way) in ways {
+            let runs = SEEDS.map(|seed| pauses::run(way, own_share, seed));
+            let sum = |count: fn(&pauses::Seen) -> u32| f64::from(runs.iter().map(count).sum::<u32>());
+            let most_entries = runs.iter().map(|seen| seen.most_entries).max().unwrap_or(0);
+            let name = format!("pauses.{name}.own_{own_share}");
+            figure(&format!("{name}.pauses"), sum(|seen| seen.pauses), "streams");
+            figure(&format!("{name}.right"), sum(|seen| seen.right) / sum(|seen| seen.pauses), "ratio");
+            figure(
+                &format!("{name}.own_recognized"),
+                sum(|seen| seen.own_recognized) / sum(|seen| seen.own),
+                "ratio",
+            );
+            figure(&format!("{name}.most_entries"), most_entries as f64, "entries");
+        }
+    }
+    figure("pauses.event_cost", pauses::event_cost_nanos(), "ns");
+}
+
 /// Letting requests in before a small pool of plain upstreams, by each way.
 pub(super) fn pacing() {
     use plain_pool::Way;
--- a/crates/bendhinge_lab/src/measure/mod.rs
+++ b/crates/bendhinge_lab/src/measure/mod.rs
@@ -41,6 +41,7 @@
     ("pacing", Group::Bench(decisions::pacing)),
     ("crashing", Group::Bench(decisions::crashing)),
     ("resting", Group::Bench(decisions::resting)),
+    ("pauses", Group::Bench(decisions::pauses)),
 ];
 
 /// Runs all measurements whose group's name contains `only`.
