bendhinge-explain: name the requests beside a stream's longest pause

Cause: the account told how many other sends a pause coincided with, and their requests had to be looked up by hand. Result: cargo test -p bendhinge_explain passes, among them a test with requests before, after and beside the pause, at another upstream and at another box.

--- a/crates/bendhinge_explain/src/lib.rs
+++ b/crates/bendhinge_explain/src/lib.rs
@@ -5,11 +5,13 @@
 //! * [`pause_cause`] names the likely cause of a stream's longest pause,
 //! * [`render`] formats a report as text.
 
+mod concurrent;
 mod log_entry;
 mod pause;
 mod render;
 mod report;
 
+pub use concurrent::ConcurrentSend;
 pub use log_entry::{Entry, Event, SendAttempt, read_log};
 pub use pause::{PauseCause, StreamMeasurements, pause_cause};
 pub use render::render;
--- a/crates/bendhinge_explain/src/render.rs
+++ b/crates/bendhinge_explain/src/render.rs
@@ -5,7 +5,7 @@
 use bendhinge_codes::ResultCode;
 
 use crate::{
-    CrashRecord, Event, NearbyEvent, PauseCause, RelatedAttempts, RequestReport, SendAttempt,
+    ConcurrentSend, CrashRecord, Event, NearbyEvent, PauseCause, RelatedAttempts, RequestReport, SendAttempt,
     StreamMeasurements, UpstreamSummary, pause_cause,
 };
 
@@ -28,6 +28,7 @@
             )?;
             sends.iter().try_for_each(|send| write_send(text, send))?;
             write_stream(text, stream, sends)?;
+            report.concurrent_sends.iter().try_for_each(|send| write_concurrent_send(text, send))?;
             write_code(text, code.as_deref())?;
         }
         Event::Refused { request, code, rules_age_ms, .. } => {
@@ -88,6 +89,16 @@
     }
 }
 
+fn write_concurrent_send(text: &mut String, send: &ConcurrentSend) -> std::fmt::Result {
+    let ConcurrentSend { request, sent_ms, first_event_ms } = send;
+    match first_event_ms {
+        Some(at_ms) => {
+            writeln!(text, "             {request}: sent at {sent_ms} ms, first event at {at_ms} ms")
+        }
+        None => writeln!(text, "             {request}: sent at {sent_ms} ms, no event"),
+    }
+}
+
 fn write_code(text: &mut String, code: Option<&str>) -> std::fmt::Result {
     let Some(code) = code else { return writeln!(text, "  the answer is the upstream's own") };
     match ResultCode::ALL.iter().find(|known| known.to_string() == code) {
--- a/crates/bendhinge_explain/src/report.rs
+++ b/crates/bendhinge_explain/src/report.rs
@@ -1,6 +1,7 @@
 //! Collection of the log entries that are related to a request.
 
-use crate::{Entry, Event};
+use crate::concurrent::concurrent_sends;
+use crate::{ConcurrentSend, Entry, Event};
 
 /// Maximum distance between a request's arrival and a state change shown in its report, in
 /// milliseconds.
@@ -59,6 +60,8 @@
     pub nearby_events: Vec<NearbyEvent>,
     /// Statistics of the upstreams that the request was sent to.
     pub upstreams: Vec<UpstreamSummary>,
+    /// Other sends of the gateway during the longest pause of the request's stream.
+    pub concurrent_sends: Vec<ConcurrentSend>,
     /// All attempts of the same request, if any of them crashed an upstream.
     pub related_attempts: Option<RelatedAttempts>,
 }
@@ -119,6 +122,7 @@
         entry: entry.clone(),
         nearby_events: found.collect(),
         upstreams,
+        concurrent_sends: concurrent_sends(entries, entry),
         related_attempts: related_attempts(entries, &entry.event),
     }
 }
--- a/crates/bendhinge_explain/tests/pause.rs
+++ b/crates/bendhinge_explain/tests/pause.rs
@@ -68,3 +68,45 @@
     assert!(text.contains("70 ms  first event of the stream\n"), "{text}");
     assert!(!text.contains("longest pause"), "{text}");
 }
+
+fn request_line(t: u64, request: &str, upstream: &str, ms: u64, stream: &str) -> String {
+    format!(
+        r#"{{"t":{t},"event":"request","request":"{request}","route":"r","outcome":"answered","status":200,"ms":{ms},"sends":[{{"upstream":"{upstream}","why":"home","load":0.0,"at_ms":0}}],"ran":"yes"{stream}}}"#
+    )
+}
+
+/// Guards against naming requests at other upstreams, at other boxes, or with their first event before the pause.
+#[test]
+fn requests_beside_the_pause_are_named() {
+    let stream =
+        r#","first_event_ms":50,"pause_ms":300,"pause_at_ms":400,"beside_requests":2,"beside_tokens":900"#;
+    let first_event = r#","first_event_ms":100"#;
+    let lines = [
+        request_line(11_000, "stream", "i-1", 1_000, stream),
+        request_line(11_000, "before", "i-1", 900, first_event),
+        request_line(12_000, "during", "i-1", 1_600, first_event),
+        request_line(12_000, "never", "i-1", 2_500, ""),
+        request_line(12_000, "elsewhere", "i-2", 1_600, first_event),
+        request_line(12_000, "after", "i-1", 1_200, first_event),
+    ];
+    let others = read_log("another-box", &request_line(12_000, "foreign", "i-1", 1_600, first_event));
+    let entries = [read_log("box", &lines.join("\n")), others].concat();
+    let reports = request_reports(&entries, "stream");
+    let named = reports[0].concurrent_sends.iter();
+    let named: Vec<_> =
+        named.map(|send| (send.request.as_str(), send.sent_ms, send.first_event_ms)).collect();
+    assert_eq!(named, [("never", -500, None), ("during", 400, Some(500))]);
+}
+
+/// Guards against overflow where a line's times make no sense.
+#[test]
+fn largest_times_name_no_request_wrongly() {
+    let stream = r#","pause_ms":18446744073709551615,"pause_at_ms":18446744073709551615,"beside_requests":1"#;
+    let lines = [
+        request_line(u64::MAX, "stream", "i-1", 0, stream),
+        request_line(0, "other", "i-1", u64::MAX, r#","first_event_ms":18446744073709551615"#),
+    ];
+    let entries = read_log("box", &lines.join("\n"));
+    let text = render(&request_reports(&entries, "stream")[0]);
+    assert!(!text.contains("other: "), "{text}");
+}
