--- a/crates/bendhinge_admission/src/engine/demands.rs
+++ b/crates/bendhinge_admission/src/engine/demands.rs
@@ -6,11 +6,17 @@
 use bendhinge_ids::{Instant, NameHash};
 use rustc_hash::FxHashMap;
 
-use super::EngineRequest;
+use super::{EnginePoolLoad, EngineRequest, REPORT_AGE};
 use crate::{DecayingRate, Requester};
 
 /// Time constant of demands. A burst has to show within a second; the sum over the fleet is smooth nevertheless.
-const TIME_CONSTANT: Duration = Duration::from_secs(1);
+const TIME_CONSTANT: Duration = Duration::from_millis(600);
+/// Time constant with which a box learns its part in the fleet's demand.
+const OWN_PART_TIME_CONSTANT: Duration = Duration::from_secs(8);
+/// Time constant of the arrivals by which a box notices a burst before reports show it.
+const BURST_TIME_CONSTANT: Duration = Duration::from_millis(300);
+/// Bound of the growth that is expected of the whole fleet.
+const MAX_GROWTH: f64 = 10.0;
 /// Number of customers of all priorities that a box counts separately.
 const MAX_CUSTOMERS: usize = 256;
 /// Demand below which a customer is forgotten, in slot-seconds per second.
@@ -30,13 +36,79 @@
 struct PriorityDemand {
     all: DecayingRate,
     retried: DecayingRate,
-    /// Shortest recent target latency.
-    target_latency: Duration,
+}
+
+/// Part of this box in the fleet's demand, learned while all is admitted: the requests that engines then have in
+/// progress are what the fleet demands.
+#[derive(Debug)]
+struct OwnPart {
+    own: DecayingRate,
+    slots_in_use: f64,
+    /// Time since the first observation matters as little for the ratio as for its parts, which start at zero together.
+    updated_at: Option<Instant>,
+    fleet_per_own: Option<f64>,
+    /// Requests per second at present and while the pool was far from its limit.
+    arrivals: DecayingRate,
+    calm_arrivals: DecayingRate,
+}
+
+impl Default for OwnPart {
+    fn default() -> Self {
+        let own = DecayingRate::new(OWN_PART_TIME_CONSTANT);
+        Self {
+            own,
+            slots_in_use: 0.0,
+            updated_at: None,
+            fleet_per_own: None,
+            arrivals: DecayingRate::new(BURST_TIME_CONSTANT),
+            calm_arrivals: DecayingRate::new(OWN_PART_TIME_CONSTANT),
+        }
+    }
+}
+
+impl OwnPart {
+    /// Records a request for `work` while the pool is far from its limit.
+    fn record_calm(&mut self, work: f32, pool: &EnginePoolLoad, now: Instant) {
+        self.own.record_amount(work, now);
+        self.calm_arrivals.record(now);
+        let elapsed = self.updated_at.map_or(0.0, |at| now.since(at).as_secs_f64());
+        let weight = 1.0 - (-elapsed / OWN_PART_TIME_CONSTANT.as_secs_f64()).exp();
+        self.slots_in_use += weight * (f64::from(pool.in_progress) - self.slots_in_use);
+        self.updated_at = Some(now);
+        let own = f64::from(self.own.per_second(now));
+        self.fleet_per_own = (own > 0.0 && self.slots_in_use > 0.0).then(|| self.slots_in_use / own);
+    }
+
+    /// Returns the requests in progress, relative to the slots, by which reports lag behind a burst, from the burst
+    /// that this box sees itself.
+    fn unreported(&self, pool: &EnginePoolLoad, slot_secs: f64, now: Instant) -> f64 {
+        /// Standard deviations by which arrivals have to exceed the usual.
+        const SIGNIFICANCE: f64 = 2.0;
+        let Some(at) = self.updated_at else { return 0.0 };
+        let counted = f64::from(self.arrivals.per_second(now)) * 2.0 * BURST_TIME_CONSTANT.as_secs_f64();
+        let surely = (counted - SIGNIFICANCE * counted.sqrt()) / (2.0 * BURST_TIME_CONSTANT.as_secs_f64());
+        let growth = surely / f64::from(self.calm_arrivals.per_second(at)).max(f64::MIN_POSITIVE);
+        if growth <= 1.0 || pool.slots == 0 {
+            return 0.0;
+        }
+        let inflow = growth.min(MAX_GROWTH) * self.slots_in_use / f64::from(pool.slots);
+        (inflow - pool.slots_in_use()).max(0.0) * REPORT_AGE.as_secs_f64() / slot_secs
+    }
+
+    /// Returns the demand of the fleet relative to that of this box.
+    fn scale(&self, router_count: u32) -> f64 {
+        /// Bound on the difference between boxes.
+        const MAX_RATIO: f64 = 20.0;
+        let router_count = f64::from(router_count.max(1));
+        let learned = self.fleet_per_own.unwrap_or(router_count);
+        learned.clamp((router_count / MAX_RATIO).max(1.0), router_count * MAX_RATIO)
+    }
 }
 
 /// Demands at this box.
 #[derive(Debug, Default)]
 pub(crate) struct EngineDemands {
+    own_part: OwnPart,
     priorities: BTreeMap<u8, PriorityDemand>,
     customers: FxHashMap<Requester, DecayingRate>,
 }
@@ -49,8 +121,6 @@
     pub(crate) all: f64,
     /// Demands of the customers that this box knows.
     pub(crate) customers: Vec<(NameHash, f64)>,
-    /// Target latency of its requests.
-    pub(crate) target_latency: Duration,
 }
 
 impl EngineDemands {
@@ -58,12 +128,11 @@
     pub(crate) fn record(&mut self, request: &EngineRequest, work: f64, now: Instant) {
         #[expect(clippy::cast_possible_truncation, reason = "seconds need no more precision")]
         let work = work as f32;
+        self.own_part.arrivals.record(now);
         let new = DecayingRate::new(TIME_CONSTANT);
-        let target_latency = request.target_latency;
         let priority = self.priorities.entry(request.requester.priority);
-        let priority = priority.or_insert(PriorityDemand { all: new, retried: new, target_latency });
+        let priority = priority.or_insert(PriorityDemand { all: new, retried: new });
         priority.all.record_amount(work, now);
-        priority.target_latency = recent_minimum(priority.target_latency, target_latency);
         if request.is_retry() {
             priority.retried.record_amount(work, now);
         }
@@ -73,6 +142,17 @@
         self.customers.entry(request.requester).or_insert(new).record_amount(work, now);
     }
 
+    /// Records a request for `work` while the pool is far from its limit.
+    pub(crate) fn record_calm(&mut self, work: f64, pool: &EnginePoolLoad, now: Instant) {
+        #[expect(clippy::cast_possible_truncation, reason = "seconds need no more precision")]
+        self.own_part.record_calm(work as f32, pool, now);
+    }
+
+    /// Returns the requests in progress, relative to the slots, by which reports probably lag behind.
+    pub(crate) fn unreported(&self, pool: &EnginePoolLoad, slot_secs: f64, now: Instant) -> f64 {
+        self.own_part.unreported(pool, slot_secs, now)
+    }
+
     fn remove_lightest(&mut self, now: Instant) {
         let demands = self.customers.iter();
         let lightest =
@@ -106,11 +186,12 @@
 
     /// Returns the demands of the fleet, the most urgent first.
     ///
-    /// Without totals, the other boxes are assumed to have the same demands as this one. A key that is missing from
-    /// the totals is too light to be shared.
+    /// Without totals, the demands of this box are extrapolated, also as long as totals may lack those of other boxes.
+    /// A key that is missing from complete totals is too light to be shared.
     pub(crate) fn of_fleet(
         &self,
         totals: &dyn Fn(DemandKey) -> Option<f32>,
+        are_complete: bool,
         router_count: u32,
         now: Instant,
     ) -> Vec<FleetDemand> {
@@ -119,21 +200,14 @@
             .priorities
             .keys()
             .any(|priority| total(DemandKey { priority: *priority, customer: None }).is_some());
-        let scale = if is_shared { 1.0 } else { f64::from(router_count.max(1)) };
-        let of_fleet = |key: DemandKey, own: f32| {
-            total(key).map_or(f64::from(own) * scale, |total| f64::from(total.max(own)))
-        };
+        let scale = if is_shared && are_complete { 1.0 } else { self.own_part.scale(router_count) };
+        let of_fleet =
+            |key: DemandKey, own: f32| (f64::from(own) * scale).max(f64::from(total(key).unwrap_or(0.0)));
         let mut demands: Vec<FleetDemand> = Vec::with_capacity(self.priorities.len());
         for (priority, demand) in &self.priorities {
             let key = DemandKey { priority: *priority, customer: None };
             let all = of_fleet(key, demand.all.per_second(now));
-            let customers = Vec::new();
-            demands.push(FleetDemand {
-                priority: *priority,
-                all,
-                customers,
-                target_latency: demand.target_latency,
-            });
+            demands.push(FleetDemand { priority: *priority, all, customers: Vec::new() });
         }
         for (requester, demand) in &self.customers {
             let key = DemandKey { priority: requester.priority, customer: Some(requester.customer) };
@@ -150,9 +224,3 @@
         self.priorities.retain(|_, demand| demand.all.per_second(now) > MIN_DEMAND);
     }
 }
-
-/// Returns a minimum that slowly approaches larger values.
-fn recent_minimum(minimum: Duration, value: Duration) -> Duration {
-    const APPROACH_FRACTION: f64 = 0.02;
-    value.min(minimum + value.saturating_sub(minimum).mul_f64(APPROACH_FRACTION))
-}
--- a/crates/bendhinge_admission/src/engine/mod.rs
+++ b/crates/bendhinge_admission/src/engine/mod.rs
@@ -30,6 +30,8 @@
 use shares::PoolShares;
 use slot_times::SlotTimes;
 
+/// Typical age of load reports.
+const REPORT_AGE: Duration = Duration::from_millis(600);
 /// Fraction of the slots in use below which every request is admitted. The remainder covers requests that other boxes
 /// have sent since the last reports.
 const CALM_FRACTION: f64 = 0.8;
@@ -37,18 +39,41 @@
 const SHARING_FRACTION: f64 = 0.7;
 /// Time for which demands are still shared after the last decision above [`SHARING_FRACTION`].
 const SHARING_DURATION: Duration = Duration::from_secs(3);
+/// Time from when a box shares its demands until it knows those of all others, which begin at about the same time.
+const TOTALS_DELAY: Duration = Duration::from_millis(2_200);
+/// Time for which shares apply after the last decision above [`CALM_FRACTION`]. The age of the
+/// oldest reports: they may show free slots that others have filled since.
+const RESTRICTION_DURATION: Duration = Duration::from_millis(800);
 /// Time for which calculated shares are used. Short compared to the age of the loads and totals that go into them.
 const SHARES_VALIDITY: Duration = Duration::from_millis(50);
 
 /// Admission control of one box for one pool of engines.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EngineAdmission {
     demands: EngineDemands,
     slot_times: SlotTimes,
     capacity: CapacityEstimate,
     shares: Option<PoolShares>,
+    /// Time of the last decision with too few free slots.
+    restricted_at: Option<Instant>,
     /// Time of the last decision for which the pool was near its limit.
     near_limit_at: Option<Instant>,
+    /// Since when demands have been shared, if they are now.
+    sharing_since: Instant,
+}
+
+impl Default for EngineAdmission {
+    fn default() -> Self {
+        Self {
+            demands: EngineDemands::default(),
+            slot_times: SlotTimes::default(),
+            capacity: CapacityEstimate::default(),
+            shares: None,
+            restricted_at: None,
+            near_limit_at: None,
+            sharing_since: Instant(0),
+        }
+    }
 }
 
 impl EngineAdmission {
@@ -66,10 +91,16 @@
     ) -> EngineDecision {
         let work = self.slot_times.expected(request.kind());
         self.demands.record(request, work, now);
-        if pool.slots > 0 && pool.slots_in_use() >= SHARING_FRACTION {
-            self.near_limit_at = Some(now);
+        let load = self.current_load(pool, now);
+        if load >= SHARING_FRACTION {
+            self.record_near_limit(now);
+        } else if !self.is_sharing(now) {
+            self.demands.record_calm(work, pool, now);
         }
-        if pool.slots_in_use() < CALM_FRACTION {
+        if load >= CALM_FRACTION {
+            self.restricted_at = Some(now);
+        }
+        if pool.slots == 0 || self.restricted_at.is_none_or(|at| now.since(at) > RESTRICTION_DURATION) {
             self.capacity.record_calm(now);
             self.shares = None;
             return EngineDecision::Admitted;
@@ -81,15 +112,38 @@
         self.decide_by_share(request, pool, jitter, now)
     }
 
+    /// Returns the requests in progress relative to the slots. After a calm time, a burst counts before reports show
+    /// it; later, reports decide when the burst is over, since refused requests come back for some time.
+    fn current_load(&self, pool: &EnginePoolLoad, now: Instant) -> f64 {
+        let unreported = if self.is_sharing(now) {
+            0.0
+        } else {
+            self.demands.unreported(pool, self.slot_times.mean(), now)
+        };
+        pool.slots_in_use() + unreported
+    }
+
+    fn record_near_limit(&mut self, now: Instant) {
+        if !self.is_sharing(now) {
+            self.sharing_since = now;
+        }
+        self.near_limit_at = Some(now);
+    }
+
+    fn is_sharing(&self, now: Instant) -> bool {
+        self.near_limit_at.is_some_and(|at| now.since(at) < SHARING_DURATION)
+    }
+
     fn calculate_shares(
         &mut self,
         pool: &EnginePoolLoad,
         totals: &dyn Fn(DemandKey) -> Option<f32>,
         now: Instant,
     ) -> PoolShares {
-        let demands = self.demands.of_fleet(totals, pool.router_count, now);
-        let work = self.slot_times.mean();
-        let capacity = self.capacity.update(pool, &demands, work, now);
+        let are_complete = now.since(self.sharing_since) >= TOTALS_DELAY;
+        let demands = self.demands.of_fleet(totals, are_complete, pool.router_count, now);
+        let demand = demands.iter().map(|demand| demand.all).sum();
+        let capacity = self.capacity.update(pool, demand, self.slot_times.mean(), now);
         PoolShares::new(pool, demands, capacity, now)
     }
 
@@ -104,7 +158,7 @@
         let share = shares.share_of(request.requester);
         let retried = self.demands.retried_fraction(request.requester.priority, now);
         let probability = refusal::admission_probability(share.fraction, retried, request.is_retry());
-        let jitter = jitter.clamp(0.0, 1.0);
+        let jitter = if jitter.is_nan() { 0.5 } else { jitter.clamp(0.0, 1.0) };
         let wait = shares.expected_wait(request.requester.priority, pool, self.slot_times.mean());
         let reason = if wait > request.patience.min(request.time_left) {
             AdmissionRefusal::DeadlineUnreachable
@@ -126,8 +180,7 @@
 
     /// Records the time from sending a request to its first event.
     pub fn record_first_event(&mut self, kind: RequestKind, wait: Duration, now: Instant) {
-        let is_calm = self.near_limit_at.is_none_or(|at| now.since(at) > SHARING_DURATION);
-        self.slot_times.record_first_event(kind, wait, is_calm);
+        self.slot_times.record_first_event(kind, wait, !self.is_sharing(now));
     }
 
     /// Records the end of a complete response `duration` after the request was sent; its first event came after
@@ -139,11 +192,7 @@
     /// Returns the demands of this box in work, the heaviest first, or nothing while the pool is far from its limit.
     #[must_use]
     pub fn own_figures(&self, now: Instant) -> Vec<(DemandKey, f32)> {
-        if self.near_limit_at.is_some_and(|at| now.since(at) < SHARING_DURATION) {
-            self.demands.own(now)
-        } else {
-            Vec::new()
-        }
+        if self.is_sharing(now) { self.demands.own(now) } else { Vec::new() }
     }
 
     /// Removes customers whose demand has decayed to nearly zero.
--- a/crates/bendhinge_admission/src/engine/shares.rs
+++ b/crates/bendhinge_admission/src/engine/shares.rs
@@ -6,11 +6,14 @@
 use rustc_hash::FxHashMap;
 
 use super::EnginePoolLoad;
+use super::capacity::Capacity;
 use super::demands::FleetDemand;
 use crate::{Requester, WeightedDemand, max_min_fair_shares};
 
 /// Fraction of the capacity that is left to less urgent priorities, so that none is starved.
 const LESS_URGENT_FRACTION: f64 = 0.05;
+/// Load relative to the slots from which nothing is left to less urgent priorities: they would wait behind all others.
+const MAX_RESERVING_LOAD: f64 = 1.2;
 /// Fraction of the capacity up to which a priority together with more urgent ones does not wait, since it overtakes
 /// the others.
 const NO_WAIT_FRACTION: f64 = 0.9;
@@ -45,16 +48,22 @@
 
 impl PoolShares {
     /// Divides `capacity` among `demands`, the most urgent of which comes first.
-    pub(crate) fn new(pool: &EnginePoolLoad, demands: Vec<FleetDemand>, capacity: f64, now: Instant) -> Self {
-        let mut remaining = capacity;
+    pub(crate) fn new(
+        pool: &EnginePoolLoad,
+        demands: Vec<FleetDemand>,
+        capacity: Capacity,
+        now: Instant,
+    ) -> Self {
+        let reserve = if capacity.load < MAX_RESERVING_LOAD { LESS_URGENT_FRACTION } else { 0.0 };
+        let mut remaining = capacity.work;
         let mut less_urgent: f64 = demands.iter().map(|demand| demand.all).sum();
         let mut priorities = FxHashMap::default();
         for demand in demands {
             less_urgent -= demand.all;
-            let reserved = less_urgent.max(0.0).min(capacity * LESS_URGENT_FRACTION).min(remaining / 2.0);
+            let reserved = less_urgent.max(0.0).min(capacity.work * reserve).min(remaining / 2.0);
             let share = demand.all.min(remaining - reserved);
             remaining -= share;
-            let waits = capacity - remaining > f64::from(pool.slots) * NO_WAIT_FRACTION;
+            let waits = capacity.work - remaining > f64::from(pool.slots) * NO_WAIT_FRACTION;
             priorities.insert(demand.priority, priority_shares(&demand, share, waits));
         }
         Self { calculated_at: now, slots: pool.slots, priorities }
--- a/crates/bendhinge_lab/src/bench/mod.rs
+++ b/crates/bendhinge_lab/src/bench/mod.rs
@@ -6,6 +6,7 @@
 mod cache;
 pub mod crashing;
 pub mod decision;
+pub mod engine_admission;
 pub mod placement;
 pub mod plain_pool;
 mod policy;
--- a/crates/bendhinge_lab/src/measure/mod.rs
+++ b/crates/bendhinge_lab/src/measure/mod.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod decisions;
+mod engine_admission;
 mod failures;
 mod router;
 
@@ -39,6 +40,7 @@
     ("warming", Group::Bench(decisions::warming)),
     ("slowed", Group::Bench(decisions::slowed)),
     ("pacing", Group::Bench(decisions::pacing)),
+    ("engine_admission", Group::Bench(engine_admission::run_all)),
     ("crashing", Group::Bench(decisions::crashing)),
     ("resting", Group::Bench(decisions::resting)),
 ];
