--- a/crates/bendhinge_admission/tests/engine.rs
+++ b/crates/bendhinge_admission/tests/engine.rs
@@ -159,7 +159,7 @@
 #[test]
 fn retried_requests_go_before_new_ones() {
     let mut admission = EngineAdmission::default();
-    let retried = EngineRequest { time_left: FULL_TIME.mul_f64(0.8), ..request(1, 1) };
+    let retried = EngineRequest { time_left: FULL_TIME.mul_f64(0.7), ..request(1, 1) };
     let sources =
         [Source { request: retried, per_second: 50 }, Source { request: request(1, 1), per_second: 50 }];
     let admitted = admitted_fractions(&mut admission, &sources, pool(SLOTS), &nothing_shared, 6);
--- a/crates/bendhinge_placement/src/cached.rs
+++ b/crates/bendhinge_placement/src/cached.rs
@@ -86,9 +86,9 @@
     #[must_use]
     pub fn cached_tokens_by_upstream(&self, prompt: &Prompt, now: Instant) -> FxHashMap<NameHash, u32> {
         let mut tokens = FxHashMap::default();
-        let mut before = 0;
+        let mut before = 0_u32;
         for (index, part) in prompt.shared().iter().enumerate() {
-            let through_part = before + part.tokens;
+            let through_part = before.saturating_add(part.tokens);
             for upstream in self.upstreams_caching(part.id, now) {
                 if index == 0 {
                     tokens.insert(upstream, through_part);
--- a/crates/bendhinge_placement/src/prompt.rs
+++ b/crates/bendhinge_placement/src/prompt.rs
@@ -43,12 +43,17 @@
     /// Returns the number of tokens in the shared parts.
     #[must_use]
     pub fn shared_tokens(&self) -> u32 {
-        self.shared().iter().map(|part| part.tokens).sum()
+        total_tokens(self.shared())
     }
 
     /// Returns the number of tokens in all parts.
     #[must_use]
     pub fn tokens(&self) -> u32 {
-        self.parts.iter().fold(0, |sum, part| sum.saturating_add(part.tokens))
+        total_tokens(&self.parts)
     }
 }
+
+/// Adds up tokens. Callers state them, so the sum may exceed the range.
+fn total_tokens(parts: &[PromptPart]) -> u32 {
+    parts.iter().fold(0, |sum, part| sum.saturating_add(part.tokens))
+}
--- a/crates/bendhinge_placement/tests/prompt.rs
+++ b/crates/bendhinge_placement/tests/prompt.rs
@@ -6,6 +6,7 @@
 #[test]
 fn sum_of_tokens_is_clamped() {
     let part = |id| PromptPart { id: PartId(id), tokens: u32::MAX };
-    assert_eq!(Prompt::new(vec![part(1), part(2)]).tokens(), u32::MAX);
+    let prompt = Prompt::new(vec![part(1), part(2), part(3)]);
+    assert_eq!((prompt.tokens(), prompt.shared_tokens()), (u32::MAX, u32::MAX));
     assert_eq!(Prompt::default().tokens(), 0);
 }
