Keep only short prompts and plain requests in their data centre

Retries go to any data centre: with an outdated list, all upstreams of one may be gone (64 requests were refused after three to four sends to it).

--- a/crates/bendhinge_gateway/src/state/choice.rs
+++ b/crates/bendhinge_gateway/src/state/choice.rs
@@ -100,10 +100,9 @@
         let uses_work = self.load_settings.work.is_active(is_pace_reported);
         let (listed, candidates) = state.candidates(request, &self.location, uses_work, now);
         let list_age = state.replica.age(now).unwrap_or_default();
-        let locality = self
-            .load_settings
-            .local_first
-            .is_active(is_pace_reported)
+        let prefers_local = self.load_settings.local_first.is_active(is_pace_reported);
+        // A retry goes anywhere: what failed nearby may fail there again.
+        let locality = (prefers_local && request.tried.is_empty())
             .then(|| self.localities.lock().unwrap().locality(request.pool, &listed, &candidates, now));
         let query = CostQuery {
             prompt: request.prompt.filter(|_| request.rule.is_some_and(|rule| rule.caches_prompts)),
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -88,7 +88,7 @@
     /// is known.
     pub home_pending_tokens: f32,
     /// Maximum number of shared tokens of a prompt that has a home in each data centre, if upstreams
-    /// can fetch. With some 20 requests for a copy in its time in the cache, fetching one token costs
+    /// can fetch. With some five requests that a copy saves before its home changes, fetching one token costs
     /// as much as one two-hundredth of a request and its response between data centres.
     pub max_local_tokens_fetched: u32,
     /// The same if upstreams cannot fetch, so that each data centre processes the prompt itself.
@@ -111,8 +111,8 @@
             load_bound_slack: 2.0,
             slowdown_factor: 0.02,
             home_pending_tokens: 6_000.0,
-            max_local_tokens_fetched: 4_000,
-            max_local_tokens_read: 700,
+            max_local_tokens_fetched: 1_000,
+            max_local_tokens_read: 175,
         }
     }
 }
--- a/crates/bendhinge_placement/src/locality.rs
+++ b/crates/bendhinge_placement/src/locality.rs
@@ -19,7 +19,7 @@
 const COPY_SEED: u64 = 0x636f_7079;
 /// Requests that a copy of a prompt saves from crossing, as assumed in the limits of [`CostModel`] on the length
 /// of prompts with a home in each data centre.
-const REQUESTS_PER_COPY: f32 = 20.0;
+const REQUESTS_PER_COPY: f32 = 5.0;
 
 /// Part of the load limit that the mean local upstream may use before requests spill over. It corresponds to 1.1
 /// times the mean load under high load. The remaining third is needed for popular keys, which raise single
