--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -87,13 +87,14 @@
     /// cached. Above it, the next upstream in the home order is the home. Applies to candidates whose work
     /// is known.
     pub home_pending_tokens: f32,
-    /// Maximum number of shared tokens of a prompt that has a home in each data centre, if upstreams
-    /// can fetch. With some five requests that a copy saves before its home changes, fetching one token costs
-    /// as much as one two-hundredth of a request and its response between data centres.
-    pub max_local_tokens_fetched: u32,
-    /// The same if upstreams cannot fetch, so that each data centre processes the prompt itself.
-    /// Processing a token costs five to ten times as much as fetching it.
-    pub max_local_tokens_read: u32,
+    /// Number of tokens whose fetch costs as much as a request and its response between data centres.
+    pub fetched_tokens_per_crossing: f32,
+    /// Number of tokens that cost as much to process. Processing delays other requests, and costs five to
+    /// ten times as much as fetching.
+    pub read_tokens_per_crossing: f32,
+    /// Number of requests that a copy of a prompt in another data centre saves from crossing before its home
+    /// changes. Longer prompts have one home for all data centres.
+    pub crossings_per_copy: f32,
 }
 
 impl Default for CostModel {
@@ -111,8 +112,9 @@
             load_bound_slack: 2.0,
             slowdown_factor: 0.02,
             home_pending_tokens: 6_000.0,
-            max_local_tokens_fetched: 1_000,
-            max_local_tokens_read: 175,
+            fetched_tokens_per_crossing: 200.0,
+            read_tokens_per_crossing: 35.0,
+            crossings_per_copy: 5.0,
         }
     }
 }
--- a/crates/bendhinge_placement/src/locality.rs
+++ b/crates/bendhinge_placement/src/locality.rs
@@ -17,9 +17,6 @@
 const SPILL_SEED: u64 = 0x7370_696c_6c6f_7665;
 /// Seed of the hash that decides which requests make a copy of a prompt.
 const COPY_SEED: u64 = 0x636f_7079;
-/// Requests that a copy of a prompt saves from crossing, as assumed in the limits of [`CostModel`] on the length
-/// of prompts with a home in each data centre.
-const REQUESTS_PER_COPY: f32 = 5.0;
 
 /// Part of the load limit that the mean local upstream may use before requests spill over. It corresponds to 1.1
 /// times the mean load under high load. The remaining third is needed for popular keys, which raise single
@@ -211,13 +208,22 @@
     prompt.shared_tokens().saturating_sub(max_cached_tokens) >= model.min_fetch_tokens
 }
 
-/// Whether a prompt is so long that one home serves all data centres.
-fn is_long(model: &CostModel, can_fetch: bool, prompt: &Prompt) -> bool {
-    prompt.shared_tokens() > max_local_tokens(model, can_fetch)
+impl CostModel {
+    /// Returns the maximum number of shared tokens of a prompt that has a home in each data centre.
+    #[must_use]
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "float casts saturate")]
+    pub const fn max_local_tokens(&self, can_fetch: bool) -> u32 {
+        (self.crossings_per_copy * self.tokens_per_crossing(can_fetch)) as u32
+    }
+
+    const fn tokens_per_crossing(&self, can_fetch: bool) -> f32 {
+        if can_fetch { self.fetched_tokens_per_crossing } else { self.read_tokens_per_crossing }
+    }
 }
 
-const fn max_local_tokens(model: &CostModel, can_fetch: bool) -> u32 {
-    if can_fetch { model.max_local_tokens_fetched } else { model.max_local_tokens_read }
+/// Whether a prompt is so long that one home serves all data centres.
+fn is_long(model: &CostModel, can_fetch: bool, prompt: &Prompt) -> bool {
+    prompt.shared_tokens() > model.max_local_tokens(can_fetch)
 }
 
 /// Whether an upstream other than the home should process or fetch missing parts although the other side has the
@@ -231,6 +237,6 @@
     query: &CostQuery<'_>,
     missing_tokens: u32,
 ) -> bool {
-    let tokens_per_crossing = max_local_tokens(model, query.can_fetch) as f32 / REQUESTS_PER_COPY;
+    let tokens_per_crossing = model.tokens_per_crossing(query.can_fetch);
     hash_pair_unit(query.tie_breaker, COPY_SEED) * (missing_tokens as f32) < tokens_per_crossing
 }
--- a/crates/bendhinge_placement/tests/locality.rs
+++ b/crates/bendhinge_placement/tests/locality.rs
@@ -94,7 +94,7 @@
 
 /// A prompt with a home in each data centre, if upstreams can fetch.
 fn short_prompt(key: u64) -> Prompt {
-    prompt(key, CostModel::default().max_local_tokens_fetched)
+    prompt(key, CostModel::default().max_local_tokens(true))
 }
 
 /// Returns a short prompt whose common home, where the pool has it cached, is outside the first data centre, and that
@@ -156,7 +156,7 @@
 fn long_prompts_have_one_home() {
     let model = CostModel::default();
     for (can_fetch, max_tokens) in
-        [(true, model.max_local_tokens_fetched), (false, model.max_local_tokens_read)]
+        [(true, model.max_local_tokens(true)), (false, model.max_local_tokens(false))]
     {
         let mut pool = Pool { can_fetch, ..Pool::new(30) };
         for key in 1..200 {
@@ -226,7 +226,7 @@
 #[test]
 fn local_home_reads_a_short_prompt_that_is_cached_elsewhere() {
     let mut pool = Pool { can_fetch: false, ..Pool::new(30) };
-    let prompt = prompt(7, CostModel::default().max_local_tokens_read);
+    let prompt = prompt(7, CostModel::default().max_local_tokens(false));
     pool.record_prompt(pool.chosen(1, &prompt), &prompt);
     let choice = pool.choose(0, Some(&prompt), 0.0, 5);
     assert_eq!((data_centre_of(choice.candidate), choice.reason), (0, ChoiceReason::Home));
--- a/crates/bendhinge_placement/tests/locality_model.rs
+++ b/crates/bendhinge_placement/tests/locality_model.rs
@@ -62,6 +62,11 @@
 
 const WAYS: [Way; 5] = [Way::None, Way::Local, Way::Share, Way::Drawn, Way::Penalty];
 
+/// Limits at which most prompts of the model have local homes, so that the ways differ.
+fn costs() -> CostModel {
+    CostModel { crossings_per_copy: 60.0, ..CostModel::default() }
+}
+
 /// Figures of a phase.
 #[derive(Clone, Copy, Debug, Default)]
 struct Figures {
@@ -281,14 +286,8 @@
         let with_spill = |spill: Option<f32>| {
             let locality = spill.map(|spill| Locality { spill });
             let query = CostQuery { prompt: Some(prompt), can_fetch: self.can_fetch, tie_breaker, locality };
-            choose(
-                &CostModel::default(),
-                &query,
-                candidates,
-                &self.routers[router].cached,
-                Instant::from_millis(now),
-            )
-            .unwrap()
+            choose(&costs(), &query, candidates, &self.routers[router].cached, Instant::from_millis(now))
+                .unwrap()
         };
         let spill = self.routers[router].locality.spill();
         match self.way {
