Predict waits from recent hold times and trends; agree on the next home

Waits were predicted at half of the actual ones while queues grew: loads are 0.4 s old, and hold times averaged over 30 requests lag. Queues are now extrapolated over 0.5 s, hold times average over ten requests, and the lower quartile of the engines counts.

Requests that cannot go to a home at the load limit went to any upstream, each of which processed the prompt: with work estimates, they go to the next upstream in the home order. Prompts are not fetched from an upstream that may still be processing them.

--- a/crates/bendhinge_fleet/src/work.rs
+++ b/crates/bendhinge_fleet/src/work.rs
@@ -12,7 +12,7 @@
 use bendhinge_ids::{Instant, NameHash};
 use rustc_hash::FxHashMap;
 
-use self::learned::{ReadSpeed, RecentMean};
+use self::learned::{LoadTrend, ReadSpeed, RecentMean};
 use self::upstream::UpstreamState;
 
 /// Time without any call after which this router is taken to have been suspended. The durations of sends
@@ -21,11 +21,11 @@
 /// Time after a report of waiting requests during which times to first event are not learned as prefill
 /// times, since they include the wait for a slot.
 const QUEUE_MEMORY: Duration = Duration::from_secs(1);
-/// Weight of past hold times for each new one; averages over roughly the last 30, so that it follows the
-/// longer hold times of an overloaded pool within a few seconds.
-const HOLD_DECAY: f32 = 0.97;
-/// Weight of past prompt lengths and capacities for each new one.
-const USUAL_DECAY: f32 = 0.9;
+/// Weight of past hold times for each new one; averages over roughly the last ten, so that it follows the
+/// longer hold times of an overloaded pool within a second or two.
+const HOLD_DECAY: f32 = 0.9;
+/// Weight of past capacities for each new one.
+const CAPACITY_DECAY: f32 = 0.9;
 /// Upper bound of a learned hold time, so that a hung request does not distort the mean.
 const MAX_HOLD: Duration = Duration::from_secs(30);
 /// Upper bound of predicted waits and read times. Callers give up long before.
@@ -42,8 +42,6 @@
 pub struct SendWork {
     /// Prompt tokens that the upstream has to process: those that it neither has cached nor fetches.
     pub unread_tokens: u32,
-    /// All tokens of the prompt.
-    pub prompt_tokens: u32,
 }
 
 /// Load reported by an upstream of an engine pool.
@@ -90,11 +88,10 @@
     next_send: u64,
     read_speed: ReadSpeed,
     hold: RecentMean,
-    /// Prompt tokens to process of requests whose prompt was mostly not cached.
-    usual_read: RecentMean,
     slots: RecentMean,
     /// Requests that ran at upstreams where others waited.
     full_running: RecentMean,
+    load_trend: LoadTrend,
     last_queue_at: Option<Instant>,
     last_call_at: Option<Instant>,
     /// Sends that began before are not learned from.
@@ -109,9 +106,9 @@
             next_send: 0,
             read_speed: ReadSpeed::default(),
             hold: RecentMean::new(HOLD_DECAY),
-            usual_read: RecentMean::new(USUAL_DECAY),
-            slots: RecentMean::new(USUAL_DECAY),
-            full_running: RecentMean::new(USUAL_DECAY),
+            slots: RecentMean::new(CAPACITY_DECAY),
+            full_running: RecentMean::new(CAPACITY_DECAY),
+            load_trend: LoadTrend::default(),
             last_queue_at: None,
             last_call_at: None,
             learn_from: Instant::default(),
@@ -125,13 +122,9 @@
         self.record_call(now);
         let id = SendId(self.next_send);
         self.next_send += 1;
-        if work.unread_tokens > work.prompt_tokens / 2 {
-            self.usual_read.add(work.unread_tokens as f32);
-        }
-        let speed = self.read_speed.tokens_per_sec();
         let state = self.upstreams.entry(upstream).or_default();
         state.add_own(id, work.unread_tokens, now);
-        let tokens_ahead = state.pending_tokens(speed, now) * state.pace(now);
+        let tokens_ahead = state.pending_tokens(now) * state.pace(now);
         self.sends.insert(id, Send { upstream, work, started_at: now, first_event_at: None, tokens_ahead });
         id
     }
@@ -181,15 +174,6 @@
         }
     }
 
-    /// Records that another router sent a prompt to an upstream that did not have it cached, as known from
-    /// the cached parts that routers announce to each other when they send. Its length is taken to be the
-    /// usual one of this router's uncached prompts.
-    pub fn record_peer_read(&mut self, upstream: NameHash, sent_at: Instant, now: Instant) {
-        self.record_call(now);
-        let (Some(tokens), speed) = (self.usual_read.get(), self.read_speed.tokens_per_sec()) else { return };
-        self.upstreams.entry(upstream).or_default().add_peer_read(tokens, sent_at, speed, now);
-    }
-
     /// Estimates the work at an upstream that has `load` requests in progress.
     #[must_use]
     pub fn estimate(&self, upstream: NameHash, load: f32, now: Instant) -> UpstreamWork {
@@ -197,9 +181,8 @@
         let load = load.max(0.0);
         let capacity = self.capacity(upstream, now);
         let waiting = capacity.map_or(0.0, |capacity| (load - capacity).max(0.0));
-        let speed = self.read_speed.tokens_per_sec();
         UpstreamWork {
-            pending_tokens: state.map_or(0.0, |state| state.pending_tokens(speed, now)),
+            pending_tokens: state.map_or(0.0, |state| state.pending_tokens(now)),
             waiting,
             running: load - waiting,
             pace: state.map_or(1.0, |state| state.pace(now)),
@@ -231,22 +214,21 @@
     /// accept requests with their estimated numbers of requests in progress. Returns `None` if too little
     /// is known.
     ///
-    /// The upstreams with the shorter queues decide, since requests are not sent to those whose load is far
-    /// above the mean.
+    /// It is the lower quartile over the upstreams, at the load that they have by now if it changes as
+    /// before: where a quarter of them has free slots, most requests are sent there.
     #[must_use]
     pub fn predicted_wait(
-        &self,
+        &mut self,
         upstreams: impl Iterator<Item = (NameHash, f32)>,
         now: Instant,
     ) -> Option<Duration> {
-        let waits = upstreams.map(|(upstream, load)| self.wait_secs(upstream, load, now));
-        let mut waits: Vec<f32> = waits.collect::<Option<_>>()?;
-        if waits.is_empty() {
-            return None;
-        }
-        waits.sort_unstable_by(f32::total_cmp);
-        let shorter = &waits[..waits.len().div_ceil(2)];
-        Some(secs(shorter.iter().sum::<f32>() / shorter.len() as f32))
+        self.record_call(now);
+        let upstreams: Vec<(NameHash, f32)> = upstreams.collect();
+        let loads = upstreams.iter().map(|(_, load)| *load);
+        let change = self.load_trend.change(lower_quartile(loads.collect())?, now);
+        let waits = upstreams.iter().map(|(upstream, load)| self.wait_secs(*upstream, load + change, now));
+        let wait = lower_quartile(waits.collect::<Option<_>>()?)?;
+        Some(secs(wait))
     }
 
     /// Removes upstreams that are not listed, and sends whose end was never recorded.
@@ -285,6 +267,11 @@
     }
 }
 
+fn lower_quartile(mut values: Vec<f32>) -> Option<f32> {
+    let quarter = values.len() / 4;
+    (!values.is_empty()).then(|| *values.select_nth_unstable_by(quarter, f32::total_cmp).1)
+}
+
 fn secs(secs: f32) -> Duration {
     Duration::from_secs_f32(secs.clamp(0.0, MAX_PREDICTION_SECS))
 }
--- a/crates/bendhinge_fleet/src/work/learned.rs
+++ b/crates/bendhinge_fleet/src/work/learned.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use bendhinge_ids::Instant;
+
 /// Weight of past samples of the read speed for each new one; averages over roughly the last 50.
 const SPEED_DECAY: f32 = 0.98;
 /// Minimum weight of the samples from which a speed is derived.
@@ -13,6 +15,13 @@
 /// Range of plausible read speeds, in tokens per second.
 const SPEED_RANGE: std::ops::RangeInclusive<f32> = 500.0..=10_000_000.0;
 
+/// Typical age of the loads that routers exchange, over which the trend is extrapolated.
+const LOAD_AGE_SECS: f32 = 0.5;
+/// Minimum time between two samples of the load, so that their difference is more than noise.
+const TREND_PERIOD: Duration = Duration::from_millis(200);
+/// Time without samples after which the trend is unknown.
+const TREND_MAX_GAP: Duration = Duration::from_secs(2);
+
 /// Exponentially decaying mean.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RecentMean {
@@ -81,3 +90,27 @@
         Some((self.mean_secs - self.mean_tokens / speed).max(0.0))
     }
 }
+
+/// Change of a pool's load over time.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct LoadTrend {
+    latest: Option<(Instant, f32)>,
+    per_sec: f32,
+}
+
+impl LoadTrend {
+    /// Records the load as known at `now`, and returns by how much it has changed since it was current if
+    /// it changes as before.
+    pub(super) fn change(&mut self, load: f32, now: Instant) -> f32 {
+        match self.latest {
+            Some((at, _)) if now.since(at) < TREND_PERIOD => {}
+            Some((at, before)) if now.since(at) < TREND_MAX_GAP => {
+                let per_sec = (load - before) / now.since(at).as_secs_f32();
+                self.per_sec = f32::midpoint(self.per_sec, per_sec);
+                self.latest = Some((now, load));
+            }
+            _ => *self = Self { latest: Some((now, load)), per_sec: 0.0 },
+        }
+        self.per_sec * LOAD_AGE_SECS
+    }
+}
--- a/crates/bendhinge_fleet/src/work/upstream.rs
+++ b/crates/bendhinge_fleet/src/work/upstream.rs
@@ -20,12 +20,6 @@
 const PENDING_MAX_AGE: Duration = Duration::from_secs(5);
 /// Time for which a report of waiting requests shows how many requests an upstream can run.
 pub(super) const FULL_MEMORY: Duration = Duration::from_secs(4);
-/// Time constant of the decay of other routers' prompts while the read speed is not known.
-const PEER_READ_FADE_SECS: f32 = 0.5;
-/// Upper bound of the prompt tokens of other routers, so that invalid announcements do not exclude an
-/// upstream for long.
-const MAX_PEER_TOKENS: f32 = 200_000.0;
-
 #[derive(Clone, Copy, Debug)]
 struct PendingSend {
     id: SendId,
@@ -44,8 +38,6 @@
 pub(super) struct UpstreamState {
     /// Sends of this router without a first event.
     pending: Vec<PendingSend>,
-    /// Prompt tokens that other routers sent, as of the instant.
-    peer_tokens: Option<At<f32>>,
     pace: Option<At<f32>>,
     slots: Option<u32>,
     /// Requests that ran while others waited.
@@ -66,23 +58,10 @@
         self.pending.iter().any(|send| is_pending(send, now))
     }
 
-    /// Adds a prompt that another router sent at `sent_at`. The prompts of other routers are processed one
-    /// after the other at the pool's read speed.
-    pub(super) fn add_peer_read(&mut self, tokens: f32, sent_at: Instant, speed: Option<f32>, now: Instant) {
-        let sent_at = sent_at.min(now);
-        let (before, as_of) = match self.peer_tokens {
-            Some(known) if known.at >= sent_at => (known.value, known.at),
-            known => (known.map_or(0.0, |known| left_of(known, speed, sent_at)), sent_at),
-        };
-        let value = (before + tokens).clamp(0.0, MAX_PEER_TOKENS);
-        self.peer_tokens = Some(At { value, at: as_of });
-    }
-
-    /// Returns the prompt tokens that wait or are being processed.
-    pub(super) fn pending_tokens(&self, speed: Option<f32>, now: Instant) -> f32 {
+    /// Returns the prompt tokens of this router's sends that wait or are being processed.
+    pub(super) fn pending_tokens(&self, now: Instant) -> f32 {
         let pending = self.pending.iter().filter(|send| is_pending(send, now));
-        let own: f32 = pending.map(|send| send.tokens as f32).sum();
-        own + self.peer_tokens.map_or(0.0, |known| left_of(known, speed, now))
+        pending.map(|send| send.tokens as f32).sum()
     }
 
     /// Returns how long work takes at present relative to the usual.
@@ -123,12 +102,3 @@
 fn is_pending(send: &PendingSend, now: Instant) -> bool {
     now.since(send.sent_at) < PENDING_MAX_AGE
 }
-
-/// Returns what is left of other routers' prompt tokens.
-fn left_of(known: At<f32>, speed: Option<f32>, now: Instant) -> f32 {
-    let age_secs = now.since(known.at).as_secs_f32();
-    match speed {
-        Some(speed) => (known.value - speed * age_secs).max(0.0),
-        None => known.value * (-age_secs / PEER_READ_FADE_SECS).exp(),
-    }
-}
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -79,6 +79,9 @@
     pub load_bound_factor: f32,
     /// Number of requests allowed in addition to that multiple.
     pub load_bound_slack: f32,
+    /// Cost of a pending token that a request waits for, relative to processing a token. Less than 1, since
+    /// waiting delays one request, whereas processing a prompt again takes the upstream's time from all.
+    pub wait_factor: f32,
     /// Cost of a token to process for each request that runs on the upstream, which it delays. Applies
     /// to candidates whose work is known.
     pub slowdown_factor: f32,
@@ -101,8 +104,9 @@
             min_fetch_tokens: 400,
             load_bound_factor: 1.5,
             load_bound_slack: 2.0,
+            wait_factor: 0.3,
             slowdown_factor: 0.02,
-            home_pending_tokens: 6_000.0,
+            home_pending_tokens: 12_000.0,
         }
     }
 }
@@ -181,13 +185,22 @@
     let limit = model.load_bound_factor * mean_load + model.load_bound_slack;
     let cached_tokens: Vec<u32> = cached_tokens_by_candidate(query, candidates, cached_parts, now);
     let max_cached_tokens = cached_tokens.iter().copied().max().unwrap_or_default();
+    let fetchable_tokens = fetchable_tokens(query, candidates, &cached_tokens);
     let home = query.prompt.and_then(|prompt| {
         let is_cached = max_cached_tokens >= prompt.shared_tokens();
         let pending_tokens = if is_cached { f32::INFINITY } else { model.home_pending_tokens };
         home(prompt, candidates, HomeLimits { load: limit, pending_tokens })
     });
-    let evaluator =
-        CostEvaluator { model, query, candidates, cached_tokens, max_cached_tokens, home, mean_load };
+    let evaluator = CostEvaluator {
+        model,
+        query,
+        candidates,
+        cached_tokens,
+        max_cached_tokens,
+        fetchable_tokens,
+        home,
+        mean_load,
+    };
     let accepting = || (0..candidates.len()).filter(|index| candidates[*index].takes_work);
     let within_limit = accepting().filter(|index| candidates[*index].load < limit);
     let best = |indices: &mut dyn Iterator<Item = usize>| {
@@ -223,15 +236,30 @@
     candidates.iter().map(tokens).collect()
 }
 
+/// Returns the maximum number of cached prompt tokens of a candidate that can serve as a fetch source.
+fn fetchable_tokens(query: &CostQuery<'_>, candidates: &[Candidate], cached_tokens: &[u32]) -> u32 {
+    let Some(prompt) = query.prompt else { return 0 };
+    let sources = candidates.iter().zip(cached_tokens);
+    let sources = sources.filter(|(candidate, _)| can_be_fetched_from(prompt, candidate));
+    sources.map(|(_, tokens)| *tokens).max().unwrap_or_default()
+}
+
+/// Returns whether a candidate that is expected to have parts of `prompt` has them already. Parts are
+/// expected from when a request is sent, so many pending tokens may be those of this prompt.
+fn can_be_fetched_from(prompt: &Prompt, candidate: &Candidate) -> bool {
+    candidate.work.is_none_or(|work| work.pending_tokens * 2.0 < prompt.shared_tokens() as f32)
+}
+
 struct CostEvaluator<'a> {
     model: &'a CostModel,
     query: &'a CostQuery<'a>,
     candidates: &'a [Candidate],
     /// Estimated number of cached prompt tokens for each candidate.
     cached_tokens: Vec<u32>,
-    /// The maximum of `cached_tokens`. Candidates that have this many can serve as fetch
-    /// sources.
+    /// The maximum of `cached_tokens`.
     max_cached_tokens: u32,
+    /// The maximum number of cached tokens of a candidate that can serve as a fetch source.
+    fetchable_tokens: u32,
     home: Option<usize>,
     mean_load: f32,
 }
@@ -259,7 +287,7 @@
         let remote_cost = prompt.shared_tokens() as f32 * self.model.remote_factor;
         let (read, fetched) = ((missing_tokens - fetched_tokens) as f32, fetched_tokens as f32);
         let prompt_cost = if is_home {
-            fetched * self.model.home_fetch_factor + read * self.model.home_read_factor
+            fetched * self.model.home_fetch_factor + read * self.home_read_factor(candidate, prompt)
         } else {
             fetched * self.model.fetch_factor + read + remote_cost
         };
@@ -285,13 +313,20 @@
         }
     }
 
+    /// Returns the cost of a missing token on the home. A copy elsewhere that cannot be fetched yet is
+    /// being processed there, and the home does not have it.
+    fn home_read_factor(&self, home: &Candidate, prompt: &Prompt) -> f32 {
+        let is_elsewhere = home.work.is_some() && self.max_cached_tokens >= prompt.shared_tokens();
+        if is_elsewhere { 1.0 } else { self.model.home_read_factor }
+    }
+
     /// Returns the number of tokens that a candidate with `own_cached_tokens` would fetch from
     /// one with the most cached tokens; 0 if a fetch is not worthwhile.
     fn fetched_tokens(&self, prompt: &Prompt, own_cached_tokens: u32) -> u32 {
         if !self.query.can_fetch || prompt.shared_tokens() - own_cached_tokens < self.model.min_fetch_tokens {
             return 0;
         }
-        let additional_tokens = self.max_cached_tokens.saturating_sub(own_cached_tokens);
+        let additional_tokens = self.fetchable_tokens.saturating_sub(own_cached_tokens);
         if additional_tokens < self.model.min_fetch_tokens { 0 } else { additional_tokens }
     }
 
@@ -301,11 +336,15 @@
     /// The source is picked pseudo-randomly among all candidates with the most cached tokens:
     /// each source serves its fetches one at a time, so a fixed choice would queue them.
     fn fetch_source_for(&self, index: usize) -> Option<usize> {
-        if self.fetched_tokens(self.query.prompt?, self.cached_tokens[index]) == 0 {
+        let prompt = self.query.prompt?;
+        if self.fetched_tokens(prompt, self.cached_tokens[index]) == 0 {
             return None;
         }
-        let has_max_cached_tokens = |index: &usize| self.cached_tokens[*index] == self.max_cached_tokens;
-        let sources: Vec<usize> = (0..self.cached_tokens.len()).filter(has_max_cached_tokens).collect();
+        let is_source = |index: &usize| {
+            self.cached_tokens[*index] == self.fetchable_tokens
+                && can_be_fetched_from(prompt, &self.candidates[*index])
+        };
+        let sources: Vec<usize> = (0..self.cached_tokens.len()).filter(is_source).collect();
         let choice = self.tie_hash(index) % sources.len().max(1) as u64;
         sources.get(usize::try_from(choice).unwrap_or_default()).copied()
     }
--- a/crates/bendhinge_placement/src/homes.rs
+++ b/crates/bendhinge_placement/src/homes.rs
@@ -39,6 +39,14 @@
     pub(crate) pending_tokens: f32,
 }
 
+impl HomeLimits {
+    /// Returns whether a candidate is within the limits. One whose work is not known always is.
+    fn allow(self, candidate: &Candidate) -> bool {
+        let Some(work) = candidate.work else { return true };
+        candidate.load < self.load && work.pending_tokens * work.pace <= self.pending_tokens
+    }
+}
+
 /// Returns the home of a prompt's affinity key among the candidates that accept requests: the one
 /// in the first group of its prefix in which the home is below the load limit, or else the one in the
 /// first group.
@@ -71,14 +79,10 @@
     let accepting = accepting.filter(|(_, candidate)| candidate.takes_work && is_in_group(candidate));
     let scores = accepting.map(|(index, candidate)| (hash_pair(affinity_key.0, candidate.upstream.0), index));
     let first = scores.clone().max()?;
-    let is_within_limit = |home: &(u64, usize)| pending_tokens(&candidates[home.1]) <= limits.pending_tokens;
+    let is_within_limits = |home: &(u64, usize)| limits.allow(&candidates[home.1]);
     let next = |home: &(u64, usize)| scores.clone().filter(|score| score < home).max();
     let homes = std::iter::successors(Some(first), next).take(HOMES_PER_KEY);
-    homes.into_iter().find(is_within_limit).or(Some(first)).map(|(_, index)| index)
-}
-
-fn pending_tokens(candidate: &Candidate) -> f32 {
-    candidate.work.map_or(0.0, |work| work.pending_tokens * work.pace)
+    homes.into_iter().find(is_within_limits).or(Some(first)).map(|(_, index)| index)
 }
 
 /// Returns a power of two, so that a growing pool splits each group in two and half of its
--- a/crates/bendhinge_placement/tests/work.rs
+++ b/crates/bendhinge_placement/tests/work.rs
@@ -96,6 +96,34 @@
     assert_eq!((choice.candidate, choice.reason), (first, ChoiceReason::Home));
 }
 
+/// Requests that cannot go to a home at the load limit must not be spread over the pool, where each
+/// upstream would process the prompt.
+#[test]
+fn routers_agree_on_the_next_home_when_the_first_is_at_the_load_limit() {
+    let mut fixture = Fixture::new(60);
+    let prompt = prompt(100);
+    let first = fixture.choose(&prompt, 1).candidate;
+    fixture.candidates[first].load = 40.0;
+    let second = fixture.choose(&prompt, 1).candidate;
+    assert_ne!(second, first);
+    assert!((2..20).all(|tie_breaker| fixture.choose(&prompt, tie_breaker).candidate == second));
+}
+
+/// A copy is expected from when its request is sent. Guards against a fetch from an upstream that is still
+/// processing the prompt, after which it would be processed twice.
+#[test]
+fn prompt_is_not_fetched_from_an_upstream_that_is_processing_it() {
+    let mut fixture = Fixture::new(60);
+    let prompt = prompt(100);
+    let home = fixture.choose(&prompt, 1).candidate;
+    let other = (home + 1) % 60;
+    fixture.cached.record_prompt(fixture.candidates[other].upstream, &prompt, NOW);
+    assert_eq!(fixture.choose(&prompt, 2).fetch_source, Some(other));
+    fixture.set_work(other, CandidateWork { pending_tokens: 10_500.0, ..IDLE });
+    let choice = fixture.choose(&prompt, 2);
+    assert_eq!((choice.candidate, choice.fetch_source), (other, None), "it waits for the copy");
+}
+
 /// Guards against a second reading of a prompt while its only copy is at a busy upstream.
 #[test]
 fn cached_prompt_is_not_processed_again_while_its_home_is_busy() {
@@ -134,8 +162,7 @@
     }
 }
 
-/// Guards against herding: routers with the same stale reports must spread equal requests whose prompt
-/// no upstream has, if its homes are busy or not.
+/// Guards against herding of routers that have the same stale reports.
 #[test]
 fn equal_requests_without_prompt_are_spread() {
     let mut fixture = Fixture::new(60);
