--- a/crates/bendhinge_lab/src/bench/mod.rs
+++ b/crates/bendhinge_lab/src/bench/mod.rs
@@ -9,6 +9,7 @@
 pub mod placement;
 pub mod plain_pool;
 mod policy;
+pub mod prefill;
 pub mod resting;
 pub mod slowed;
 pub mod warming;
--- a/crates/bendhinge_lab/src/measure/decisions.rs
+++ b/crates/bendhinge_lab/src/measure/decisions.rs
@@ -4,7 +4,8 @@
 use crate::bench::placement::PlacementFigures;
 use crate::bench::warming::{ROUTERS, Way};
 use crate::bench::{
-    PolicyKind, Scenario, admission, crashing, decision, placement, plain_pool, resting, slowed, warming,
+    PolicyKind, Scenario, admission, crashing, decision, placement, plain_pool, prefill, resting, slowed,
+    warming,
 };
 
 /// Runs of a scenario; figures are their means, worst cases their worst.
@@ -155,6 +156,36 @@
     }
 }
 
+/// Estimating the work at engines, by each way: means over ten seeds.
+pub(super) fn prefill() {
+    use prefill::{Figures, Scene};
+    let scenes = [(88, 500.0), (88, 250.0), (9, 500.0)];
+    for (routers, requests_per_sec) in scenes {
+        let scene = Scene { routers, requests_per_sec, is_overloaded: false };
+        for way in prefill::WAYS {
+            let runs: Vec<Figures> = (1..=10).map(|seed| prefill::run(way, scene, seed)).collect();
+            let print = |what: &str, value: fn(&Figures) -> f64, unit| {
+                let mean = runs.iter().map(value).sum::<f64>() / runs.len() as f64;
+                let name = format!("prefill.{}.{routers}_routers.{requests_per_sec}_per_s.{what}", way.name);
+                figure(&name, mean, unit);
+            };
+            print("start_first_event_p99", |run| run.start_p99_ms, "ms");
+            print("start_behind_others_p95", |run| run.start_p95_behind_ms, "ms");
+            print("start_behind_others_most", |run| run.start_most_behind_ms, "ms");
+            print("later_first_event_p99", |run| run.later_p99_ms, "ms");
+            print("read_again", |run| run.read_again as f64, "prompts");
+            print("paused", |run| run.paused, "in 1000");
+        }
+    }
+    let scene = Scene { routers: 88, requests_per_sec: 500.0, is_overloaded: true };
+    for seed in 1..=3 {
+        let run = prefill::run(prefill::CHOSEN, scene, seed);
+        let name = format!("prefill.predicted_wait.seed_{seed}");
+        figure(&format!("{name}.within_factor_2"), run.predicted_share, "ratio");
+        figure(&format!("{name}.median_to_actual"), run.predicted_ratio, "ratio");
+    }
+}
+
 /// Letting requests in before a small pool of plain upstreams, by each way.
 pub(super) fn pacing() {
     use plain_pool::Way;
--- a/crates/bendhinge_lab/src/measure/mod.rs
+++ b/crates/bendhinge_lab/src/measure/mod.rs
@@ -37,6 +37,7 @@
     ("share", Group::Bench(decisions::shares)),
     ("decision", Group::Bench(decisions::costs)),
     ("warming", Group::Bench(decisions::warming)),
+    ("prefill", Group::Bench(decisions::prefill)),
     ("slowed", Group::Bench(decisions::slowed)),
     ("pacing", Group::Bench(decisions::pacing)),
     ("crashing", Group::Bench(decisions::crashing)),
