--- a/crates/bendhinge_fleet/tests/work.rs
+++ b/crates/bendhinge_fleet/tests/work.rs
@@ -115,6 +115,36 @@
     assert_eq!(work.predicted_wait(loads.into_iter(), at(now)), Some(Duration::ZERO), "one has free slots");
 }
 
+/// Loads are known some tenths of a second late. Guards against waits that are predicted far too short
+/// while queues grow.
+#[test]
+fn growing_queues_are_extrapolated() {
+    let mut work = PoolWork::default();
+    let now = learn(&mut work, 60, 800, 0);
+    work.record_report(ENGINE, report(8, 0, Some(8), None), at(now));
+    let mut predict = |load: f32, after_ms| {
+        work.predicted_wait([(ENGINE, load)].into_iter(), at(now + after_ms)).unwrap().as_secs_f64()
+    };
+    // 20 requests per second more, of which one begins each 0.1 s.
+    let growing: Vec<f64> =
+        (0..6_u8).map(|step| predict(20.0 + 8.0 * f32::from(step), u64::from(step) * 400)).collect();
+    let steady = predict(60.0, 60_000);
+    assert!(growing[5] > steady + 0.7, "{growing:?} with growth, {steady} without");
+}
+
+/// Guards against a hold time of a stream that includes the time for which the router was suspended.
+#[test]
+fn suspension_is_not_learned_as_a_hold_time() {
+    let mut work = PoolWork::default();
+    let now = learn(&mut work, 20, 400, 0);
+    work.record_report(ENGINE, report(8, 0, Some(8), None), at(now));
+    let id = work.start(ENGINE, unread(100), at(now));
+    work.first_event(id, at(now + 20));
+    work.end(id, at(now + 20_000));
+    let wait = work.predicted_wait([(ENGINE, 15.0)].into_iter(), at(now + 20_000)).unwrap();
+    assert!(wait < Duration::from_millis(500), "{wait:?} for eight requests, one each 50 ms");
+}
+
 /// Engines can have too little memory to use all of their slots. Guards against taking their waiting
 /// requests for running ones.
 #[test]
--- a/crates/bendhinge_placement/tests/work.rs
+++ b/crates/bendhinge_placement/tests/work.rs
@@ -132,7 +132,7 @@
     let prompt = prompt(100);
     let home = fixture.choose(&prompt, 1).candidate;
     fixture.cached.record_prompt(fixture.candidates[home].upstream, &prompt, NOW);
-    fixture.set_work(home, CandidateWork { pending_tokens: 8_000.0, ..IDLE });
+    fixture.set_work(home, CandidateWork { pending_tokens: 34_000.0, ..IDLE });
     assert_eq!(fixture.choose(&prompt, 2).candidate, home);
 }
 
