--- a/crates/bendhinge_gateway/src/state/engines.rs
+++ b/crates/bendhinge_gateway/src/state/engines.rs
@@ -77,7 +77,7 @@
 
 impl State {
     fn calculate_pool_load(
-        &self,
+        &mut self,
         pool: &PoolName,
         rule: Option<&PoolRule>,
         allowed: [&RegionFilter; 2],
@@ -96,7 +96,7 @@
         let slots = accepting.map(|listed| configured_slots.unwrap_or(listed.entry.slots)).sum();
         let estimated: f32 = loads.iter().map(|(_, load)| load).sum();
         let in_progress = estimated.max(in_progress.unwrap_or_default());
-        let work = self.engines.work.get(pool);
+        let work = self.engines.work.get_mut(pool);
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "float casts saturate")]
         EnginePoolLoad {
             upstreams: u32::try_from(loads.len()).unwrap_or(u32::MAX),
@@ -158,10 +158,7 @@
         now: Instant,
     ) -> Option<TrackedWork> {
         let own_tokens = prompt.tokens().saturating_sub(prompt.shared_tokens());
-        let send = SendWork {
-            unread_tokens: own_tokens.saturating_add(missing_tokens),
-            prompt_tokens: prompt.tokens(),
-        };
+        let send = SendWork { unread_tokens: own_tokens.saturating_add(missing_tokens) };
         let id = self.engines.work.get_mut(pool)?.start(upstream, send, now);
         Some(TrackedWork { pool: pool.clone(), id })
     }
--- a/crates/bendhinge_lab/src/bench/mod.rs
+++ b/crates/bendhinge_lab/src/bench/mod.rs
@@ -11,6 +11,7 @@
 pub mod placement;
 pub mod plain_pool;
 mod policy;
+pub mod prefill;
 pub mod resting;
 pub mod slowed;
 pub mod warming;
--- a/crates/bendhinge_lab/src/measure/mod.rs
+++ b/crates/bendhinge_lab/src/measure/mod.rs
@@ -38,6 +38,7 @@
     ("share", Group::Bench(decisions::shares)),
     ("decision", Group::Bench(decisions::costs)),
     ("warming", Group::Bench(decisions::warming)),
+    ("prefill", Group::Bench(decisions::prefill)),
     ("slowed", Group::Bench(decisions::slowed)),
     ("pacing", Group::Bench(decisions::pacing)),
     ("engine_admission", Group::Bench(engine_admission::run_all)),
