--- a/crates/bendhinge_lab/src/bench/mod.rs
+++ b/crates/bendhinge_lab/src/bench/mod.rs
@@ -13,6 +13,7 @@
 mod policy;
 pub mod prefill;
 pub mod resting;
+pub mod shared_pool;
 pub mod slowed;
 pub mod warming;
 mod workload;
--- a/crates/bendhinge_lab/src/measure/mod.rs
+++ b/crates/bendhinge_lab/src/measure/mod.rs
@@ -42,6 +42,7 @@
     ("slowed", Group::Bench(decisions::slowed)),
     ("pacing", Group::Bench(decisions::pacing)),
     ("engine_admission", Group::Bench(engine_admission::run_all)),
+    ("plain_pools", Group::Bench(decisions::plain_pools)),
     ("crashing", Group::Bench(decisions::crashing)),
     ("resting", Group::Bench(decisions::resting)),
     ("pauses", Group::Bench(decisions::pauses)),
