--- a/crates/bendhinge_admission/src/engine/demands.rs
+++ b/crates/bendhinge_admission/src/engine/demands.rs
@@ -11,6 +11,8 @@
 
 /// Time constant of demands. A burst has to show well within a second; the sum over the fleet is smooth nevertheless.
 const TIME_CONSTANT: Duration = Duration::from_millis(350);
+/// Time constant of the fraction of retries. Long enough to contain a request and its retry.
+const RETRIES_TIME_CONSTANT: Duration = Duration::from_secs(4);
 /// Time constant with which a box learns its part in the fleet's demand.
 const OWN_PART_TIME_CONSTANT: Duration = Duration::from_secs(8);
 /// Time constant of the arrivals by which a box notices a burst before reports show it.
@@ -31,11 +33,20 @@
     pub customer: Option<NameHash>,
 }
 
-/// Demand of a priority at this box.
+/// Demand of a customer in a priority at this box.
 #[derive(Clone, Copy, Debug)]
-struct PriorityDemand {
+struct CustomerDemand {
     all: DecayingRate,
-    retried: DecayingRate,
+    /// Numbers of requests and of those among them that are retries.
+    requests: DecayingRate,
+    retries: DecayingRate,
+}
+
+impl Default for CustomerDemand {
+    fn default() -> Self {
+        let count = DecayingRate::new(RETRIES_TIME_CONSTANT);
+        Self { all: DecayingRate::new(TIME_CONSTANT), requests: count, retries: count }
+    }
 }
 
 /// Part of this box in the fleet's demand, learned while all is admitted: the requests that engines then have in
@@ -109,8 +120,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct EngineDemands {
     own_part: OwnPart,
-    priorities: BTreeMap<u8, PriorityDemand>,
-    customers: FxHashMap<Requester, DecayingRate>,
+    priorities: BTreeMap<u8, DecayingRate>,
+    customers: FxHashMap<Requester, CustomerDemand>,
 }
 
 /// Demand of a priority in the whole fleet.
@@ -129,17 +140,17 @@
         #[expect(clippy::cast_possible_truncation, reason = "seconds need no more precision")]
         let work = work as f32;
         self.own_part.arrivals.record(now);
-        let new = DecayingRate::new(TIME_CONSTANT);
         let priority = self.priorities.entry(request.requester.priority);
-        let priority = priority.or_insert(PriorityDemand { all: new, retried: new });
-        priority.all.record_amount(work, now);
-        if request.is_retry() {
-            priority.retried.record_amount(work, now);
-        }
+        priority.or_insert(DecayingRate::new(TIME_CONSTANT)).record_amount(work, now);
         if self.customers.len() >= MAX_CUSTOMERS && !self.customers.contains_key(&request.requester) {
             self.remove_lightest(now);
         }
-        self.customers.entry(request.requester).or_insert(new).record_amount(work, now);
+        let customer = self.customers.entry(request.requester).or_default();
+        customer.all.record_amount(work, now);
+        customer.requests.record(now);
+        if request.is_retry() {
+            customer.retries.record(now);
+        }
     }
 
     /// Records a request for `work` while the pool is far from its limit.
@@ -156,27 +167,33 @@
     fn remove_lightest(&mut self, now: Instant) {
         let demands = self.customers.iter();
         let lightest =
-            demands.min_by(|left, right| left.1.per_second(now).total_cmp(&right.1.per_second(now)));
+            demands.min_by(|left, right| left.1.all.per_second(now).total_cmp(&right.1.all.per_second(now)));
         if let Some(requester) = lightest.map(|(requester, _)| *requester) {
             self.customers.remove(&requester);
         }
     }
 
-    /// Returns the fraction of a priority's demand that callers retry.
-    pub(crate) fn retried_fraction(&self, priority: u8, now: Instant) -> f64 {
-        let Some(demand) = self.priorities.get(&priority) else { return 0.0 };
-        let all = f64::from(demand.all.per_second(now));
-        if all > 0.0 { (f64::from(demand.retried.per_second(now)) / all).clamp(0.0, 1.0) } else { 0.0 }
+    /// Returns the fraction of a customer's requests that are retries.
+    ///
+    /// This is counted by customer: one whose callers retry at once must not change how those of others are treated.
+    pub(crate) fn retried_fraction(&self, requester: Requester, now: Instant) -> f64 {
+        let Some(demand) = self.customers.get(&requester) else { return 0.0 };
+        let requests = f64::from(demand.requests.per_second(now));
+        if requests > 0.0 {
+            (f64::from(demand.retries.per_second(now)) / requests).clamp(0.0, 1.0)
+        } else {
+            0.0
+        }
     }
 
     /// Returns the demands of this box, the heaviest first.
     pub(crate) fn own(&self, now: Instant) -> Vec<(DemandKey, f32)> {
         let priorities = self.priorities.iter().map(|(priority, demand)| {
-            (DemandKey { priority: *priority, customer: None }, demand.all.per_second(now))
+            (DemandKey { priority: *priority, customer: None }, demand.per_second(now))
         });
         let customers = self.customers.iter().map(|(requester, demand)| {
             let key = DemandKey { priority: requester.priority, customer: Some(requester.customer) };
-            (key, demand.per_second(now))
+            (key, demand.all.per_second(now))
         });
         let mut figures: Vec<_> =
             priorities.chain(customers).filter(|figure| figure.1 > MIN_DEMAND).collect();
@@ -206,12 +223,12 @@
         let mut demands: Vec<FleetDemand> = Vec::with_capacity(self.priorities.len());
         for (priority, demand) in &self.priorities {
             let key = DemandKey { priority: *priority, customer: None };
-            let all = of_fleet(key, demand.all.per_second(now));
+            let all = of_fleet(key, demand.per_second(now));
             demands.push(FleetDemand { priority: *priority, all, customers: Vec::new() });
         }
         for (requester, demand) in &self.customers {
             let key = DemandKey { priority: requester.priority, customer: Some(requester.customer) };
-            let amount = of_fleet(key, demand.per_second(now));
+            let amount = of_fleet(key, demand.all.per_second(now));
             if let Ok(index) = demands.binary_search_by_key(&requester.priority, |demand| demand.priority) {
                 demands[index].customers.push((requester.customer, amount));
             }
@@ -220,7 +237,7 @@
     }
 
     pub(crate) fn prune(&mut self, now: Instant) {
-        self.customers.retain(|_, demand| demand.per_second(now) > MIN_DEMAND);
-        self.priorities.retain(|_, demand| demand.all.per_second(now) > MIN_DEMAND);
+        self.customers.retain(|_, demand| demand.all.per_second(now) > MIN_DEMAND);
+        self.priorities.retain(|_, demand| demand.per_second(now) > MIN_DEMAND);
     }
 }
--- a/crates/bendhinge_admission/src/engine/mod.rs
+++ b/crates/bendhinge_admission/src/engine/mod.rs
@@ -172,7 +172,7 @@
     ) -> EngineDecision {
         let Some(shares) = &self.shares else { return EngineDecision::Admitted };
         let share = shares.share_of(request.requester);
-        let retried = self.demands.retried_fraction(request.requester.priority, now);
+        let retried = self.demands.retried_fraction(request.requester, now);
         let probability = refusal::admission_probability(share.fraction, retried, request.is_retry());
         let jitter = if jitter.is_nan() { 0.5 } else { jitter.clamp(0.0, 1.0) };
         let wait = shares.expected_wait(request.requester.priority, pool);
--- a/crates/bendhinge_admission/tests/engine.rs
+++ b/crates/bendhinge_admission/tests/engine.rs
@@ -295,3 +295,15 @@
         EngineDecision::Refused { reason: AdmissionRefusal::DeadlineUnreachable, .. }
     ));
 }
+
+/// Guards against a customer whose callers retry at once lowering the fraction that others get.
+#[test]
+fn retries_of_one_customer_do_not_affect_others() {
+    let mut admission = EngineAdmission::default();
+    let retried = EngineRequest { time_left: FULL_TIME.mul_f64(0.8), ..request(1, 2) };
+    let sources =
+        [Source { request: request(1, 1), per_second: 20 }, Source { request: retried, per_second: 200 }];
+    let totals = |key: DemandKey| Some(if key.customer.is_some() { 480.0 } else { 960.0 });
+    let admitted = admitted_fractions(&mut admission, &sources, pool(SLOTS), &totals, 10);
+    assert!(admitted[0] > 0.4, "{admitted:?}");
+}
