Engine admission model: shares of customers other than the large one, after the first two seconds

Cause: the least share over all customers did not show whether the large customer or the others get too little.

--- a/crates/bendhinge_lab/src/bench/engine_admission/callers.rs
+++ b/crates/bendhinge_lab/src/bench/engine_admission/callers.rs
@@ -192,17 +192,23 @@
     /// Returns the least that a customer got relative to its max-min fair part of what its priority got.
     #[must_use]
     pub fn worst_share(&self) -> f64 {
-        worst_share(&self.customers)
+        worst_share(&self.customers, 0)
     }
 
     /// Returns the same without the first two seconds of the load.
     #[must_use]
     pub fn worst_settled_share(&self) -> f64 {
-        worst_share(&self.settled)
+        worst_share(&self.settled, 0)
+    }
+
+    /// Returns the same, also without the first two seconds, for customers other than the first, which is the large one of [`Load::Customer`].
+    #[must_use]
+    pub fn worst_settled_share_of_others(&self) -> f64 {
+        worst_share(&self.settled, 1)
     }
 }
 
-fn worst_share(customers: &CustomersServed) -> f64 {
+fn worst_share(customers: &CustomersServed, skipped: usize) -> f64 {
     /// Requests below which the ratio is mostly chance.
     const MIN_SENT: f64 = 100.0;
     let worst_of = |customers: &[Served; CUSTOMERS]| {
@@ -210,7 +216,7 @@
             customers.map(|served| WeightedDemand { weight: 1.0, amount: served.sent, is_growing: false });
         let complete: f64 = customers.iter().map(|served| served.complete).sum();
         let shares = max_min_fair_shares(&demands, complete);
-        let ratios = customers.iter().zip(shares).filter(|(served, _)| served.sent >= MIN_SENT);
+        let ratios = customers.iter().zip(shares).skip(skipped).filter(|(served, _)| served.sent >= MIN_SENT);
         ratios.map(|(served, share)| served.complete / share.max(1.0)).fold(1.0, f64::min)
     };
     customers.iter().map(worst_of).fold(1.0, f64::min)
