Admission refuses nothing while half of the slots are known to be free

A burst at one box counted before reports showed it, so requests could be refused on that prediction alone. The requirement is that nothing is refused while room is free; a property test covers it.

--- a/crates/bendhinge_admission/src/engine/mod.rs
+++ b/crates/bendhinge_admission/src/engine/mod.rs
@@ -38,6 +38,9 @@
 /// Fraction of the slots in use from which shares keep applying while the demand exceeds the capacity. Otherwise all
 /// requests that were told to retry would be admitted together.
 const RELEASE_FRACTION: f64 = 0.6;
+/// Fraction of the slots in use below which nothing is refused, whatever is predicted. A caller must not be refused
+/// while most slots are known to be free.
+const FREE_FRACTION: f64 = 0.5;
 /// Fraction of the slots in use from which demands are shared, so that totals are known when they are needed.
 const SHARING_FRACTION: f64 = 0.7;
 /// Time for which demands are still shared after the last decision above [`SHARING_FRACTION`].
@@ -109,7 +112,8 @@
         if load >= CALM_FRACTION {
             self.restricted_at = Some(now);
         }
-        if pool.slots == 0 || self.restricted_at.is_none_or(|at| now.since(at) > RESTRICTION_DURATION) {
+        let is_restricted = self.restricted_at.is_some_and(|at| now.since(at) <= RESTRICTION_DURATION);
+        if !is_restricted || pool.slots == 0 || pool.slots_in_use() < FREE_FRACTION {
             self.capacity.record_calm(now);
             self.shares = None;
             return EngineDecision::Admitted;
--- a/crates/bendhinge_admission/tests/engine.rs
+++ b/crates/bendhinge_admission/tests/engine.rs
@@ -307,3 +307,24 @@
     let admitted = admitted_fractions(&mut admission, &sources, pool(SLOTS), &totals, 10);
     assert!(admitted[0] > 0.4, "{admitted:?}");
 }
+
+/// Guards against a refusal on a prediction alone: a burst at one box, or demands that others share, while most slots
+/// are known to be free.
+#[test]
+fn nothing_is_refused_while_most_slots_are_free() {
+    arbtest(|random| {
+        let mut admission = EngineAdmission::default();
+        let totals = |_: DemandKey| Some(100_000.0);
+        for step in 0..400 {
+            let in_progress = random.int_in_range(0..=SLOTS * 3)?;
+            let customer = random.int_in_range(1..=3)?;
+            let request = request(random.int_in_range(0..=2)?, customer);
+            let decision =
+                admission.decide(&request, &pool(in_progress), &totals, jitter(step), at(step * 5));
+            if in_progress < SLOTS / 2 {
+                assert_eq!(decision, EngineDecision::Admitted, "{in_progress} of {SLOTS} slots");
+            }
+        }
+        Ok(())
+    });
+}
