--- a/crates/bendhinge_lab/src/gateways/soak.rs
+++ b/crates/bendhinge_lab/src/gateways/soak.rs
@@ -30,6 +30,11 @@
 [stop]
 grace_s = 3
 accept_ms = 300
+[load]
+work = yes
+local_first = yes
+shared_response_times = yes
+admission = yes
 ";
 
 /// What a soak found.
