Log and measure the load report behind each choice of an upstream

A send's log line shows the estimated load of the upstream, but not what the estimate is based on. It could not tell whether a box that sends to a busy upstream has an old report, a recent one, or a high one that has decayed.

Each send now has the keys own, reported and report_age_ms, and bendhinge_gateway_load_report_age_seconds counts the ages. The stand-in engines report their load on request.

--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -46,7 +46,7 @@
 pub use failure_detector::{FailureDetector, FailureEvidence, FailureReport, SuspectChange};
 pub use fetch::{FetchPlan, FetchSource};
 pub use lists::{ListDelta, ListHistory, ListUpdate};
-pub use loads::{ListLoads, Loads, PackedHighLoads, PackedLoads, UpstreamLoad};
+pub use loads::{AgedReport, ListLoads, LoadBasis, Loads, PackedHighLoads, PackedLoads, UpstreamLoad};
 pub use outlier_detector::{OutlierDetector, OutlierLimits, UpstreamFailure, UpstreamHealth};
 pub use peers::{PeerState, PeerStates, PeerSummary};
 pub use quarantine::{Crash, CrashHistory, InFlightSends, MAX_CRASHES, Quarantine, SendPermission};
--- a/crates/bendhinge_fleet/src/loads.rs
+++ b/crates/bendhinge_fleet/src/loads.rs
@@ -63,6 +63,24 @@
     pub reported_at: Instant,
 }
 
+/// What the estimate of an upstream's load is based on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadBasis {
+    /// Requests of this router in progress at the upstream.
+    pub own_requests: u32,
+    /// The latest report of the upstream, if any.
+    pub report: Option<AgedReport>,
+}
+
+/// The load that an upstream reported, and the time since then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AgedReport {
+    /// Requests running or queued at the upstream.
+    pub in_progress: u32,
+    /// Time since the report.
+    pub age: Duration,
+}
+
 /// Loads of all upstreams of a list that sender and receiver both hold, in list order.
 ///
 /// The first half has one byte for each load, capped at 254. The second half has one byte for the age of
@@ -156,6 +174,17 @@
         self.upstreams.get(&upstream).map_or(0.0, |load| load.own_requests as f32)
     }
 
+    /// Returns what the estimate of an upstream's load is based on.
+    #[must_use]
+    pub fn basis(&self, upstream: NameHash, now: Instant) -> LoadBasis {
+        let load = self.upstreams.get(&upstream).copied().unwrap_or_default();
+        let aged = |report: LatestReport| AgedReport {
+            in_progress: report.in_progress,
+            age: now.since(report.reported_at),
+        };
+        LoadBasis { own_requests: load.own_requests, report: load.report.map(aged) }
+    }
+
     /// Estimates the number of requests in progress at an upstream.
     ///
     /// The reported load of other routers decays towards `mean`, their mean load over the upstreams of
--- a/crates/bendhinge_fleet/tests/loads.rs
+++ b/crates/bendhinge_fleet/tests/loads.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use bendhinge_fleet::{Loads, PackedHighLoads, PackedLoads, UpdateSource, UpstreamLoad};
+use bendhinge_fleet::{
+    AgedReport, LoadBasis, Loads, PackedHighLoads, PackedLoads, UpdateSource, UpstreamLoad,
+};
 use bendhinge_ids::{Instant, NameHash};
 
 const NOW: Instant = Instant::from_millis(10_000);
@@ -74,6 +76,19 @@
     assert_eq!(received.recent_reports(NOW).len(), 0);
 }
 
+/// Guards against log lines that show another report than the one behind the estimate.
+#[test]
+fn basis_is_the_latest_report_and_the_own_requests() {
+    let mut loads = Loads::default();
+    let upstream = NameHash(100);
+    assert_eq!(loads.basis(upstream, NOW), LoadBasis::default());
+    loads.record(reported_load(0, 9, 300), SENDER);
+    loads.record(reported_load(0, 2, 700), UpdateSource::Local);
+    loads.start_request(upstream);
+    let report = Some(AgedReport { in_progress: 9, age: Duration::from_millis(300) });
+    assert_eq!(loads.basis(upstream, NOW), LoadBasis { own_requests: 1, report });
+}
+
 /// Forwarding a report over several routers must not make it look more recent.
 #[test]
 fn forwarding_never_makes_a_report_look_younger() {
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -176,6 +176,9 @@
         self.tried_upstreams.push(chosen.entry.hash);
         let number = self.log_line.record_send(&chosen);
         self.context.metrics.record_list_age(chosen.list_age);
+        if let Some(report) = chosen.load_basis.report {
+            self.context.metrics.record_load_report_age(report.age);
+        }
         let record = SendRecord::new(number, &chosen, tracked);
         let params = AttemptParams {
             record: record.clone(),
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -17,6 +17,12 @@
     load: f32,
     mean_load: f32,
     #[serde(skip_serializing_if = "is_zero")]
+    own: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reported: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    report_age_ms: Option<u64>,
+    #[serde(skip_serializing_if = "is_zero")]
     missing: u32,
     at_ms: u64,
     list_age_ms: u64,
@@ -99,11 +105,15 @@
     /// Records a send and returns its index.
     pub(crate) fn record_send(&mut self, chosen: &ChosenUpstream) -> usize {
         let at_ms = self.elapsed_ms();
+        let report = chosen.load_basis.report;
         self.sends.push(SendRecord {
             upstream: chosen.entry.name.to_string(),
             why: chosen.reason.as_str(),
             load: chosen.load,
             mean_load: chosen.mean_load,
+            own: chosen.load_basis.own_requests,
+            reported: report.map(|report| report.in_progress),
+            report_age_ms: report.map(|report| whole_millis(report.age)),
             missing: chosen.missing_tokens,
             at_ms,
             list_age_ms: whole_millis(chosen.list_age),
--- a/crates/bendhinge_gateway/src/metrics.rs
+++ b/crates/bendhinge_gateway/src/metrics.rs
@@ -30,6 +30,10 @@
 /// within which draining upstreams must get no more requests.
 const LIST_AGE_BUCKETS_SECONDS: [f64; 8] = [0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 5.0, 10.0];
 
+/// Bucket bounds of the age of load reports. They are dense up to two seconds: a report passes through up to four
+/// exchanges of 0.4 s each, and requests end within seconds.
+const LOAD_REPORT_AGE_BUCKETS_SECONDS: [f64; 9] = [0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2.0, 4.0, 10.0];
+
 /// State of the store that a gateway replicates, from the store or from other gateways.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum ReplicaKind {
@@ -88,6 +92,30 @@
     }
 }
 
+/// Ages of what a choice of an upstream is based on, once for each send.
+struct AgeHistograms {
+    list: Histogram<f64>,
+    load_report: Histogram<f64>,
+}
+
+impl AgeHistograms {
+    /// Builds them with `seconds`, which takes a name, a description and bucket bounds.
+    fn new(seconds: impl Fn(&'static str, &'static str, &[f64]) -> Histogram<f64>) -> Self {
+        Self {
+            list: seconds(
+                "bendhinge.gateway.list_age",
+                "How old the knowledge of the list of upstreams was at each send",
+                &LIST_AGE_BUCKETS_SECONDS,
+            ),
+            load_report: seconds(
+                "bendhinge.gateway.load_report_age",
+                "Age of the latest load report of the chosen upstream at each send",
+                &LOAD_REPORT_AGE_BUCKETS_SECONDS,
+            ),
+        }
+    }
+}
+
 /// All metrics of a gateway.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -97,7 +125,7 @@
     send_ends: Counter<u64>,
     store_reads: Histogram<f64>,
     peer_fetches: Histogram<f64>,
-    list_age: Histogram<f64>,
+    ages: AgeHistograms,
     exchanges: Counter<u64>,
     sent_entries: Counter<u64>,
     dropped_cached_parts: Counter<u64>,
@@ -147,11 +175,7 @@
                 "How long it took to fetch rules or lists from other gateways, by result",
                 &FETCH_BUCKETS_SECONDS,
             ),
-            list_age: seconds(
-                "bendhinge.gateway.list_age",
-                "How old the knowledge of the list of upstreams was at each send",
-                &LIST_AGE_BUCKETS_SECONDS,
-            ),
+            ages: AgeHistograms::new(seconds),
             sent_entries: counter(
                 "bendhinge.gateway.peer_told",
                 "Entries of messages to other gateways, by kind: what a message is made of",
@@ -247,7 +271,12 @@
 
     /// Records the age of the list of upstreams at a send.
     pub(crate) fn record_list_age(&self, age: Duration) {
-        self.list_age.record(age.as_secs_f64(), &[]);
+        self.ages.list.record(age.as_secs_f64(), &[]);
+    }
+
+    /// Records the age of the load report of an upstream at a send to it.
+    pub(crate) fn record_load_report_age(&self, age: Duration) {
+        self.ages.load_report.record(age.as_secs_f64(), &[]);
     }
 
     /// Counts an exchange with another gateway.
--- a/crates/bendhinge_gateway/src/state/choice.rs
+++ b/crates/bendhinge_gateway/src/state/choice.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bendhinge_fleet::{UpdateSource, UpstreamEntry};
+use bendhinge_fleet::{LoadBasis, UpdateSource, UpstreamEntry};
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_placement::{ChoiceReason, CostQuery, Prompt, choose};
 use bendhinge_routes::{PoolRule, RegionFilter};
@@ -35,6 +35,8 @@
     pub(crate) reason: ChoiceReason,
     /// The estimated number of requests at the upstream.
     pub(crate) load: f32,
+    /// What the estimate is based on.
+    pub(crate) load_basis: LoadBasis,
     /// The estimated average number of requests per upstream of the pool.
     pub(crate) mean_load: f32,
     pub(crate) chosen_at: Instant,
@@ -129,6 +131,7 @@
         let entry = Arc::clone(&listed[choice.candidate].entry);
         let fetch_from = choice.fetch_source.map(|source| listed[source].entry.address);
         let read_tokens = if fetch_from.is_some() { 0 } else { choice.missing_tokens };
+        let load_basis = state.loads.basis(entry.hash, now);
         let work = state.start_send(request.pool, entry.hash, query.prompt, read_tokens, now);
         drop(state);
         let plain_pool = shares_times.then(|| request.pool.clone());
@@ -148,6 +151,7 @@
             fetch_from,
             reason: choice.reason,
             load: candidates[choice.candidate].load,
+            load_basis,
             mean_load: choice.mean_load,
             missing_tokens: choice.missing_tokens,
             list_age,
--- a/crates/bendhinge_lab/tests/gateway_streams.rs
+++ b/crates/bendhinge_lab/tests/gateway_streams.rs
@@ -89,6 +89,25 @@
     });
 }
 
+/// Guards against sends to a busy upstream whose lines do not show whether its load was unknown, out of date, or ignored.
+#[test]
+fn line_of_a_send_shows_the_load_report_behind_its_choice() {
+    run(|tasks| async move {
+        let fleet = engines(&tasks, 1).await;
+        fleet.upstreams[0].report_load();
+        let calls = [Call::stream("/stream/x", KEY), Call::stream("/stream/x", KEY)];
+        for call in &calls {
+            assert_eq!(send(&fleet, call).await.told, Told::Whole);
+        }
+        let first = line_of(&fleet, &calls[0]).await;
+        assert!(!has_key(&first["sends"][0], "reported"), "{first}");
+        let second = line_of(&fleet, &calls[1]).await;
+        assert!(second["sends"][0]["reported"].is_u64(), "{second}");
+        assert!(second["sends"][0]["report_age_ms"].is_u64(), "{second}");
+        assert_eq!(metric(&fleet, "bendhinge_gateway_load_report_age_seconds_count").await, Some(1));
+    });
+}
+
 /// Guards against a changed form of the lines of requests that are no streams.
 #[test]
 fn line_of_another_request_has_no_keys_of_streams() {
--- a/crates/bendhinge_standin/src/gateway/upstream.rs
+++ b/crates/bendhinge_standin/src/gateway/upstream.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bendhinge_gateway::native::headers::{
-    CUSTOMER, DEADLINE, LEAVING, PROMPT, RAN, REQUEST, RESUME_AFTER, SIGNATURE, UPSTREAM,
+    CUSTOMER, DEADLINE, LEAVING, LOAD, PROMPT, RAN, REQUEST, RESUME_AFTER, SIGNATURE, UPSTREAM,
 };
 use bendhinge_http::{
     Body, CloseConnection, ServeLimits, Server, Tasks, channel_body, empty_body, full_body, read_body,
@@ -77,6 +77,7 @@
     fatal: Option<(Bytes, OnEnd)>,
     has_ended: bool,
     is_leaving: bool,
+    reports_load: bool,
     holding: usize,
     turned_away: usize,
     runs: Vec<Run>,
@@ -107,6 +108,7 @@
             fatal: None,
             has_ended: false,
             is_leaving: false,
+            reports_load: false,
             holding: 0,
             turned_away: 0,
             runs: Vec::new(),
@@ -174,6 +176,11 @@
         self.state.lock().unwrap().turned_away
     }
 
+    /// Reports its load in the heads of streams from now on.
+    pub fn report_load(&self) {
+        self.state.lock().unwrap().reports_load = true;
+    }
+
     /// Sets the time between the events of streams.
     pub fn set_pace(&self, pace: Duration) {
         self.state.lock().unwrap().pace = pace;
@@ -321,10 +328,17 @@
         _ if is_stream => {
             let from = resumed_after.and_then(|after| after.parse::<u32>().ok()).map_or(0, |after| after + 1);
             let (sender, body) = channel_body(1);
+            let (reports_load, running) = {
+                let state = state.lock().unwrap();
+                (state.reports_load, state.working)
+            };
             let sending = send_events(state, working, sender, id.clone(), from);
             tasks.spawn(sending).detach();
             let mut stream = signed(Response::new(body), &id);
             stream.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+            if reports_load {
+                stream.headers_mut().insert(LOAD, header_value(&format!("{running},0")));
+            }
             stream
         }
         _ => {
@@ -383,8 +397,11 @@
 }
 
 fn signed(mut answer: Response<Body>, id: &str) -> Response<Body> {
-    let value = |text: &str| HeaderValue::from_str(text).expect("the request's number was a header");
-    answer.headers_mut().insert(REQUEST, value(id));
-    answer.headers_mut().insert(SIGNATURE, value(&format!("signed-{id}")));
+    answer.headers_mut().insert(REQUEST, header_value(id));
+    answer.headers_mut().insert(SIGNATURE, header_value(&format!("signed-{id}")));
     answer
 }
+
+fn header_value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).expect("the text is printable: an id that was a header, or numbers")
+}
