Gateways send reports of overloaded upstreams to each other at once

Callers were still sent to upstreams with over twice the mean load for a second after a prompt had become popular, and to homes of several prompts at any time. The boxes that sent had reports from before the load rose: a report passes through up to four periodic exchanges of 0.4 s each.

A report of a load above 4/3 of the load limit now goes along the relay tree at once, at most five messages a second to a peer, with the loads alone (some 12 bytes each). Gateways of an older version take the reports as loads.

--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -172,7 +172,11 @@
 
 /// Exchanges messages with the gateway at `address` and merges its response. Returns `false` if it
 /// did not respond.
-async fn exchange_with(control: &Rc<ControlPlane>, address: SocketAddr, content: MessageContent) -> bool {
+pub(super) async fn exchange_with(
+    control: &Rc<ControlPlane>,
+    address: SocketAddr,
+    content: MessageContent,
+) -> bool {
     let requested_at = bendhinge_clock::now();
     let message = compose_message(control, address, content, None, requested_at);
     let response = control.peers.call(address, async |peer| peer.exchange(&message).await).await;
--- a/crates/bendhinge_gateway/src/control/message.rs
+++ b/crates/bendhinge_gateway/src/control/message.rs
@@ -26,6 +26,11 @@
         /// Whether changes reported by other gateways are included.
         includes_forwarded: bool,
     },
+    /// Versions, and reports of overloaded upstreams.
+    Overloads {
+        /// Sequence number up to which reports were already sent.
+        since: u64,
+    },
     /// Versions, and a request for members.
     Probe,
     /// Versions and members.
@@ -46,7 +51,10 @@
 ) -> PeerMessage {
     let peer = control.peer_states.borrow().get(receiver).copied();
     let mut message = PeerMessage {
-        is_announcement: matches!(content, MessageContent::Brief | MessageContent::Suspicions { .. }),
+        is_announcement: matches!(
+            content,
+            MessageContent::Brief | MessageContent::Suspicions { .. } | MessageContent::Overloads { .. }
+        ),
         is_probe: content == MessageContent::Probe,
         rules: control.context.rules.held_version(now),
         upstreams: control.context.upstreams.held_version(now),
@@ -61,7 +69,11 @@
     if let MessageContent::Suspicions { since, includes_forwarded } = content {
         message.crash_histories = quarantine.changes_for(receiver, since, includes_forwarded, now);
     }
+    if let MessageContent::Overloads { since } = content {
+        message.loads = control.context.upstreams.overloads_for(receiver, since, now).entries;
+    }
     if message.is_announcement {
+        control.context.metrics.count_sent_entries(&message);
         return message;
     }
     let builder = MessageBuilder { control, receiver, peer, now };
@@ -149,6 +161,9 @@
     let as_of = requested_at.unwrap_or(now);
     upstreams.record_peer_cached_parts(&message.cached_parts, sender_address, as_of);
     upstreams.record_peer_loads(&message.loads, sender_address, as_of);
+    if message.is_announcement {
+        upstreams.record_overloads(&message.loads, sender_address, as_of);
+    }
     if let (Some(list_loads), Some(held)) = (&message.list_loads, message.upstreams) {
         upstreams.apply_list_loads(list_loads, held.version, sender_address, as_of);
     }
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod exchange;
 mod fetching;
 mod message;
+mod overloads;
 mod pages;
 mod recovery;
 mod store;
@@ -103,7 +104,12 @@
     }
 
     /// Starts all tasks on the executor.
-    pub(crate) fn start(self: &Rc<Self>, listener: TcpListener, suspicions: Receiver<QuarantineChange>) {
+    pub(crate) fn start(
+        self: &Rc<Self>,
+        listener: TcpListener,
+        suspicions: Receiver<QuarantineChange>,
+        overloads: Receiver<()>,
+    ) {
         let serving = serve_fleet(
             listener,
             self.settings.fleet.shared_key.clone(),
@@ -116,6 +122,7 @@
         self.executor.spawn(store::run_rules_reads(Rc::clone(self))).detach();
         self.executor.spawn(exchange::run(Rc::clone(self))).detach();
         self.executor.spawn(exchange::push_suspicions(Rc::clone(self), suspicions)).detach();
+        self.executor.spawn(overloads::push_overloads(Rc::clone(self), overloads)).detach();
         self.executor.spawn(recovery::run(Rc::clone(self))).detach();
         self.executor.spawn(housekeeping(Rc::clone(self))).detach();
     }
--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -219,7 +219,7 @@
         return Err(SendOutcome::InvalidResponse.into());
     }
     if !fields.is_misdirected {
-        context.record_reported_state(inbound, &chosen.entry, &fields);
+        context.record_reported_state(inbound, chosen, &fields);
     }
     if let Some(end) = reported_not_run(&fields) {
         drain_and_release(context, &head, body, connection).await;
@@ -320,14 +320,14 @@
     fn record_reported_state(
         &self,
         inbound: &InboundRequest,
-        upstream: &UpstreamEntry,
+        chosen: &ChosenUpstream,
         fields: &ResponseFields,
     ) {
         if let Some(load) = fields.load {
-            self.upstreams.record_load(upstream.hash, load);
+            self.upstreams.record_load(chosen.entry.hash, load, chosen.mean_load);
         }
         let request_id = inbound.fields.id.as_ref().and_then(|id| id.to_str().ok());
-        self.record_availability(request_id, upstream, fields.availability);
+        self.record_availability(request_id, &chosen.entry, fields.availability);
     }
 
     /// Records the availability that an upstream reports, in response to a caller's request or, if
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -107,6 +107,8 @@
     let lifecycle = Arc::new(Lifecycle::new(settings.stop));
     let (quarantine, suspicions) = SharedQuarantine::new(settings.peer_address, log.clone());
     let totals = Arc::new(SharedTotals::default());
+    // One queued notification stands for any number of reports.
+    let (overload_notifier, overloads) = smol::channel::bounded(1);
     let context = Arc::new(DeliveryContext {
         dialect,
         rules: Arc::new(RulesReplica::new(settings.rules)),
@@ -116,6 +118,7 @@
             &settings.upstreams,
             settings.load,
             Arc::clone(&totals),
+            overload_notifier,
         )),
         retry_budgets: RetryBudgets::new(settings.retry_budget),
         pacing: Pacing::new(log.clone()),
@@ -143,7 +146,7 @@
     settings.peer_address = address;
     let control =
         ControlPlane::new(settings.clone(), Arc::clone(&context), Arc::clone(&lifecycle), traffic, executor);
-    control.start(peer_listener, suspicions);
+    control.start(peer_listener, suspicions, overloads);
     log.process_event("started", settings.name.as_str(), env!("CARGO_PKG_VERSION"));
     wait_for_stop_signal(signals, path, &control, &log).await;
     lifecycle.begin_shutdown();
--- a/crates/bendhinge_gateway/src/settings/load.rs
+++ b/crates/bendhinge_gateway/src/settings/load.rs
@@ -58,4 +58,6 @@
     pub admission: Activation,
     /// Whether a prompt has as many homes as the requests of all gateways with it need.
     pub popular_prompts: Activation,
+    /// Whether the report of an overloaded upstream is sent to the other gateways at once.
+    pub overload_reports: Activation,
 }
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -342,6 +342,7 @@
         let local_first = self.0.value(section, "local_first");
         let shared_response_times = self.0.value(section, "shared_response_times");
         let admission = self.0.value(section, "admission");
+        let overload_reports = self.0.value(section, "overload_reports");
         let popular_prompts = self.0.value(section, "popular_prompts");
         Some(LoadSettings {
             work: work?,
@@ -349,6 +350,7 @@
             shared_response_times: shared_response_times?,
             admission: admission?,
             popular_prompts: popular_prompts?,
+            overload_reports: overload_reports?,
         })
     }
 
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -221,6 +221,12 @@
             Some("no"),
             "Whether a prompt has as many homes as the requests of the whole fleet with it need.",
         ),
+        Key::new(
+            "overload_reports",
+            "no, yes or reported",
+            Some("no"),
+            "Whether the report of an overloaded upstream is sent to the other gateways at once.",
+        ),
     ],
 };
 
--- a/crates/bendhinge_gateway/src/state/mod.rs
+++ b/crates/bendhinge_gateway/src/state/mod.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod engines;
 mod locality;
+mod overloads;
 mod peers;
 mod plain;
 mod popular;
--- a/crates/bendhinge_gateway/src/state/peers.rs
+++ b/crates/bendhinge_gateway/src/state/peers.rs
@@ -49,12 +49,7 @@
     /// Returns the recent load reports, for peers that may hold a different upstream list.
     pub(crate) fn recent_loads(&self, now: Instant) -> Vec<ObservedLoad> {
         let state = self.state.lock().unwrap();
-        let observed = state.loads.recent_reports(now).into_iter().map(|report| ObservedLoad {
-            upstream: report.upstream,
-            in_progress: u16::try_from(report.in_progress).unwrap_or(u16::MAX),
-            age: now.since(report.reported_at),
-        });
-        observed.collect()
+        state.loads.recent_reports(now).iter().map(|report| observed_load(report, now)).collect()
     }
 
     /// Returns the load reports to send to the gateway at `peer`, which holds the same upstream list, or `None`
@@ -70,13 +65,7 @@
         let from = update_source(from);
         let mut state = self.state.lock().unwrap();
         for load in loads {
-            let at = as_of - load.age;
-            let report = UpstreamLoad {
-                upstream: load.upstream,
-                in_progress: load.in_progress.into(),
-                reported_at: at,
-            };
-            state.loads.record(report, from);
+            state.loads.record(reported_load(load, as_of), from);
         }
     }
 
@@ -176,6 +165,24 @@
     NameHash::of(&address.to_string())
 }
 
+/// Converts a load report to its form on the wire, which has an age in place of a time.
+pub(super) fn observed_load(report: &UpstreamLoad, now: Instant) -> ObservedLoad {
+    ObservedLoad {
+        upstream: report.upstream,
+        in_progress: u16::try_from(report.in_progress).unwrap_or(u16::MAX),
+        age: now.since(report.reported_at),
+    }
+}
+
+/// Converts an observed load whose age counts from `as_of`.
+pub(super) fn reported_load(observed: &ObservedLoad, as_of: Instant) -> UpstreamLoad {
+    UpstreamLoad {
+        upstream: observed.upstream,
+        in_progress: observed.in_progress.into(),
+        reported_at: as_of - observed.age,
+    }
+}
+
 /// Converts an observed cached part whose age counts from `as_of`.
 fn cached_part(observed: &ObservedCachedPart, as_of: Instant) -> CachedPart {
     CachedPart { part: observed.part, upstream: observed.upstream, last_used: as_of - observed.age }
--- a/crates/bendhinge_gateway/src/state/upstreams.rs
+++ b/crates/bendhinge_gateway/src/state/upstreams.rs
@@ -6,15 +6,16 @@
 
 use bendhinge_admission::Demand;
 use bendhinge_fleet::{
-    Directory, FailureDetector, KeyRequests, ListHistory, Loads, OutlierDetector, Replica, RequestedBackoffs,
-    UpdateLog, UpdateLogLimits, UpdateOutcome, UpdateSource, UpstreamEntry, UpstreamFailure, UpstreamList,
-    UpstreamLoad, Version,
+    Directory, FailureDetector, KeyRequests, ListHistory, Loads, OutlierDetector, OverloadLog, Replica,
+    RequestedBackoffs, UpdateLog, UpdateLogLimits, UpdateOutcome, UpdateSource, UpstreamEntry,
+    UpstreamFailure, UpstreamList, UpstreamLoad, Version,
 };
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_peer::HeldVersion;
 use bendhinge_placement::{CachedPart, CachedParts, CostModel};
 use bendhinge_routes::RegionFilter;
 use rustc_hash::FxHashMap;
+use smol::channel::Sender;
 
 use super::engines::EnginePools;
 use super::locality::PoolLocalities;
@@ -55,6 +56,8 @@
     pub(super) gateway_count: Option<usize>,
     /// Work and load of the engine pools.
     pub(super) engines: EnginePools,
+    /// Reports of overloaded upstreams that are sent to peers at once.
+    pub(super) overloads: OverloadLog,
     /// Own requests in progress by affinity key.
     pub(super) key_requests: KeyRequests,
 }
@@ -69,6 +72,8 @@
     /// Response times of the plain pools.
     pub(super) plain: Mutex<PlainPools>,
     pub(super) totals: Arc<SharedTotals>,
+    /// Notifies the control plane of new entries of `State::overloads`.
+    pub(super) overload_notifier: Sender<()>,
 }
 
 impl UpstreamView {
@@ -79,6 +84,7 @@
         settings: &UpstreamSettings,
         load_settings: LoadSettings,
         totals: Arc<SharedTotals>,
+        overload_notifier: Sender<()>,
     ) -> Self {
         let state = State {
             replica: Replica::default(),
@@ -94,6 +100,7 @@
             demand: FxHashMap::default(),
             gateway_count: None,
             engines: EnginePools::default(),
+            overloads: OverloadLog::default(),
             key_requests: KeyRequests::default(),
         };
         let costs = CostModel { load_bound_factor: settings.load_bound_factor, ..CostModel::default() };
@@ -105,6 +112,7 @@
             localities: Mutex::default(),
             plain: Mutex::default(),
             totals,
+            overload_notifier,
         }
     }
 
@@ -266,14 +274,17 @@
         state.outlier_detector.record_failure(upstream, failure, now)
     }
 
-    /// Records the load that an upstream reported.
-    pub(crate) fn record_load(&self, upstream: NameHash, load: dialect::ReportedLoad) {
+    /// Records the load that an upstream reported. `mean_load` is that of its pool.
+    pub(crate) fn record_load(&self, upstream: NameHash, load: dialect::ReportedLoad, mean_load: f32) {
         let in_progress = load.running.saturating_add(load.waiting);
         let now = bendhinge_clock::now();
         let report = UpstreamLoad { upstream, in_progress, reported_at: now };
         let mut state = self.state.lock().unwrap();
         state.loads.record(report, UpdateSource::Local);
         state.record_work_report(upstream, load, now);
+        if self.costs.is_overloaded(in_progress as f32, mean_load) {
+            self.record_overload(&mut state, report, UpdateSource::Local, now);
+        }
     }
 
     /// Returns the available upstreams of the pools for which `pool_matches` returns `true`.
@@ -312,6 +323,7 @@
         let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
         state.prune_engines(now);
+        state.overloads.prune(now);
         self.plain.lock().unwrap().retain_listed(|upstream| state.directory.contains(upstream));
         if state.directory.prune(now) {
             state.drop_removed();
--- a/crates/bendhinge_lab/src/bench/popular_prompt.rs
+++ b/crates/bendhinge_lab/src/bench/popular_prompt.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use bendhinge_fleet::{
-    FleetTotals, KeyRequests, Loads, TotalKey, UpdateLog, UpdateLogLimits, UpdateSource, UpstreamLoad,
+    FleetTotals, KeyRequests, Loads, OverloadLog, TotalKey, UpdateLog, UpdateLogLimits, UpdateSource,
+    UpstreamLoad,
 };
 use bendhinge_ids::{Instant, NameHash};
 use bendhinge_placement::{
@@ -28,6 +29,8 @@
 /// Routers that exchange with the first one; all others exchange with one of these.
 const RELAYS: usize = 8;
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(400);
+/// Minimum time between two messages with reports of overloaded engines to the same router.
+const PUSH_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two routers, or between a router and an engine.
 const LATENCY: Duration = Duration::from_millis(1);
 /// Prompt tokens that an engine processes in a millisecond.
@@ -68,6 +71,8 @@
     FleetRequests,
     /// The larger of `FleetRequests` and of what this router's own requests suggest beyond the first.
     Estimate,
+    /// As `Estimate`, and routers send reports of overloaded engines to each other at once.
+    OverloadReports,
 }
 
 /// A kind of request.
@@ -117,6 +122,8 @@
     pub processed: usize,
     /// Requests whose shared parts were fetched from another engine.
     pub fetched: usize,
+    /// Messages with reports of overloaded engines, from all routers.
+    pub overload_messages: usize,
     /// Engines that processed or fetched the popular prompt.
     pub copies: usize,
     /// Time to first event of the popular requests, in milliseconds, sorted.
@@ -150,6 +157,11 @@
     sent: FxHashMap<usize, u64>,
     key_requests: KeyRequests,
     totals: FleetTotals,
+    overloads: OverloadLog,
+    /// Sequence number up to which `overloads` were sent.
+    sent_overloads: u64,
+    next_push: Instant,
+    is_push_scheduled: bool,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -175,6 +187,7 @@
     Report(Sent),
     End(Sent),
     Exchange { router: usize },
+    PushOverloads { router: usize },
 }
 
 struct Model {
@@ -244,6 +257,10 @@
             sent: FxHashMap::default(),
             key_requests: KeyRequests::default(),
             totals: FleetTotals::default(),
+            overloads: OverloadLog::default(),
+            sent_overloads: 0,
+            next_push: Instant::default(),
+            is_push_scheduled: false,
         };
         let mut model = Self {
             way,
@@ -299,6 +316,7 @@
                 router.loads.end_request(engine_hash(sent.engine), duration);
                 router.key_requests.end(sent.key);
             }
+            Event::PushOverloads { router } => self.push_overloads(router),
             Event::Exchange { router } => {
                 self.schedule_exchange(router);
                 if let Some(relay) = relay_of(router) {
@@ -356,7 +374,9 @@
                 }
             }
             Way::FleetRequests => totals.get(key(prompt), self.now).map_or(0.0, |total| total.value),
-            Way::Estimate => key_requests.estimate(key(prompt), totals, ROUTERS, self.now),
+            Way::Estimate | Way::OverloadReports => {
+                key_requests.estimate(key(prompt), totals, ROUTERS, self.now)
+            }
         }
     }
 
@@ -444,7 +464,42 @@
             in_progress: self.engines[sent.engine].in_progress,
             reported_at: self.now,
         };
-        self.routers[sent.router].loads.record(report, UpdateSource::Local);
+        let router = &mut self.routers[sent.router];
+        router.loads.record(report, UpdateSource::Local);
+        let mean = router.loads.mean_other_requests((0..ENGINES).map(engine_hash), self.now);
+        if CostModel::default().is_overloaded(report.in_progress as f32, mean) {
+            self.record_overload(sent.router, report, UpdateSource::Local);
+        }
+    }
+
+    fn record_overload(&mut self, number: usize, report: UpstreamLoad, source: UpdateSource) {
+        let router = &mut self.routers[number];
+        let is_new = self.way == Way::OverloadReports && router.overloads.record(report, source, self.now);
+        if is_new && !router.is_push_scheduled {
+            router.is_push_scheduled = true;
+            let delay = router.next_push.since(self.now).max(LATENCY);
+            self.after(delay, Event::PushOverloads { router: number });
+        }
+    }
+
+    /// Sends the new reports of overloaded engines to the relay and to the routers that use this one as their relay.
+    fn push_overloads(&mut self, number: usize) {
+        let router = &mut self.routers[number];
+        router.is_push_scheduled = false;
+        router.next_push = self.now + PUSH_INTERVAL;
+        let since = router.sent_overloads;
+        let is_neighbour =
+            |other: &usize| relay_of(*other) == Some(number) || relay_of(number) == Some(*other);
+        for neighbour in (0..ROUTERS).filter(is_neighbour) {
+            let router = &mut self.routers[number];
+            let batch = router.overloads.since(since, source(neighbour), self.now);
+            router.sent_overloads = batch.last_sequence;
+            self.measured.overload_messages += usize::from(!batch.entries.is_empty());
+            for report in batch.entries {
+                self.routers[neighbour].loads.record(report, source(number));
+                self.record_overload(neighbour, report, source(number));
+            }
+        }
     }
 
     /// Exchanges the totals of the fleet between a router and its relay.
--- a/crates/bendhinge_lab/src/gateways/soak.rs
+++ b/crates/bendhinge_lab/src/gateways/soak.rs
@@ -36,6 +36,7 @@
 shared_response_times = yes
 admission = yes
 popular_prompts = yes
+overload_reports = yes
 ";
 
 /// What a soak found.
--- a/crates/bendhinge_lab/tests/gateway_streams.rs
+++ b/crates/bendhinge_lab/tests/gateway_streams.rs
@@ -94,7 +94,7 @@
 fn line_of_a_send_shows_the_load_report_behind_its_choice() {
     run(|tasks| async move {
         let fleet = engines(&tasks, 1).await;
-        fleet.upstreams[0].report_load();
+        fleet.upstreams[0].report_load(0);
         let calls = [Call::stream("/stream/x", KEY), Call::stream("/stream/x", KEY)];
         for call in &calls {
             assert_eq!(send(&fleet, call).await.told, Told::Whole);
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -127,7 +127,17 @@
     }
 }
 
+/// Load of an overloaded upstream, as a multiple of the load limit. Few upstreams reach it by chance, even where the limit
+/// is a few requests.
+const OVERLOAD_FACTOR: f32 = 4.0 / 3.0;
+
 impl CostModel {
+    /// Returns whether an upstream with `load` requests is overloaded, in a pool with this mean load.
+    #[must_use]
+    pub fn is_overloaded(&self, load: f32, mean_load: f32) -> bool {
+        load >= self.load_limit(mean_load) * OVERLOAD_FACTOR
+    }
+
     /// Returns the maximum load of an upstream of a pool with this mean load.
     fn load_limit(&self, mean_load: f32) -> f32 {
         self.load_bound_factor * mean_load + self.load_bound_slack
--- a/crates/bendhinge_placement/tests/cost.rs
+++ b/crates/bendhinge_placement/tests/cost.rs
@@ -113,6 +113,17 @@
     assert!(several.contains_key(single.keys().next().unwrap()), "the first home stays a home");
 }
 
+/// Guards against reports of upstreams that are within the load limit.
+#[test]
+fn an_upstream_is_overloaded_only_above_the_load_limit() {
+    let model = CostModel::default();
+    for (load, mean_load, expected) in
+        [(2.0, 0.0, false), (3.0, 0.0, true), (8.0, 4.0, false), (10.0, 4.0, false), (11.0, 4.0, true)]
+    {
+        assert_eq!(model.is_overloaded(load, mean_load), expected, "{load} at a mean of {mean_load}");
+    }
+}
+
 /// Guards against a number of homes that overflows or a choice that panics.
 #[test]
 fn invalid_numbers_of_requests_are_bounded() {
--- a/crates/bendhinge_standin/src/gateway/upstream.rs
+++ b/crates/bendhinge_standin/src/gateway/upstream.rs
@@ -77,7 +77,8 @@
     fatal: Option<(Bytes, OnEnd)>,
     has_ended: bool,
     is_leaving: bool,
-    reports_load: bool,
+    /// Requests to report besides its own; `None` if it does not report its load.
+    other_requests: Option<u32>,
     holding: usize,
     turned_away: usize,
     runs: Vec<Run>,
@@ -108,7 +109,7 @@
             fatal: None,
             has_ended: false,
             is_leaving: false,
-            reports_load: false,
+            other_requests: None,
             holding: 0,
             turned_away: 0,
             runs: Vec::new(),
@@ -176,9 +177,9 @@
         self.state.lock().unwrap().turned_away
     }
 
-    /// Reports its load in the heads of streams from now on.
-    pub fn report_load(&self) {
-        self.state.lock().unwrap().reports_load = true;
+    /// Reports its load in the heads of streams from now on, with this many requests besides its own.
+    pub fn report_load(&self, other_requests: u32) {
+        self.state.lock().unwrap().other_requests = Some(other_requests);
     }
 
     /// Sets the time between the events of streams.
@@ -216,6 +217,14 @@
     }
 }
 
+impl State {
+    /// The load that it reports, if it does.
+    fn load(&self) -> Option<usize> {
+        let others = usize::try_from(self.other_requests?).ok()?;
+        Some(self.working + others)
+    }
+}
+
 struct Working(Arc<Mutex<State>>);
 
 impl Working {
@@ -328,16 +337,13 @@
         _ if is_stream => {
             let from = resumed_after.and_then(|after| after.parse::<u32>().ok()).map_or(0, |after| after + 1);
             let (sender, body) = channel_body(1);
-            let (reports_load, running) = {
-                let state = state.lock().unwrap();
-                (state.reports_load, state.working)
-            };
+            let load = state.lock().unwrap().load();
             let sending = send_events(state, working, sender, id.clone(), from);
             tasks.spawn(sending).detach();
             let mut stream = signed(Response::new(body), &id);
             stream.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
-            if reports_load {
-                stream.headers_mut().insert(LOAD, header_value(&format!("{running},0")));
+            if let Some(load) = load {
+                stream.headers_mut().insert(LOAD, header_value(&format!("{load},0")));
             }
             stream
         }
