Outdated reports of overload are not sent on

Found by reading the change: a router forgot after half a second that it had sent a report, and would have sent the same one again when a peer returned it. Where ranks differ between routers, so that the relays form a cycle, a report could have circulated until the ranks agree.

Reports of 2 s and more are ignored, and a router remembers for as long what it sent. The test failed before: a report was sent on again after 500 ms.

--- a/crates/bendhinge_fleet/src/overloads.rs
+++ b/crates/bendhinge_fleet/src/overloads.rs
@@ -14,6 +14,8 @@
 /// Time for which a report of an upstream suffices before another one is sent. The load changes as fast as requests
 /// end.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
+/// Age from which a report is not sent on. A report reaches all routers well before.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
 /// Limits on the reports that are sent. Older ones arrive with the periodic exchanges as well.
 const LIMITS: UpdateLogLimits = UpdateLogLimits {
     max_entries: 512,
@@ -37,11 +39,12 @@
 }
 
 impl OverloadLog {
-    /// Records the report of an overloaded upstream. Returns `true` if it is to be sent, and `false` if a recent one
-    /// of the upstream was recorded before.
+    /// Records the report of an overloaded upstream. Returns `true` if it is to be sent, and `false` if it is outdated
+    /// or a recent one of the upstream was recorded before.
     pub fn record(&mut self, report: UpstreamLoad, source: UpdateSource, now: Instant) -> bool {
         let is_recent = |recorded: &Instant| report.reported_at < *recorded + RENEWAL_INTERVAL;
-        if self.reported_at.get(&report.upstream).is_some_and(is_recent) {
+        let is_outdated = now.since(report.reported_at) >= MAX_REPORT_AGE;
+        if is_outdated || self.reported_at.get(&report.upstream).is_some_and(is_recent) {
             return false;
         }
         self.reported_at.insert(report.upstream, report.reported_at);
@@ -58,6 +61,6 @@
     /// Drops the reports that are too old to be sent.
     pub fn prune(&mut self, now: Instant) {
         self.log.evict_expired(now);
-        self.reported_at.retain(|_, reported_at| now.since(*reported_at) < RENEWAL_INTERVAL);
+        self.reported_at.retain(|_, reported_at| now.since(*reported_at) < MAX_REPORT_AGE);
     }
 }
--- a/crates/bendhinge_fleet/tests/overloads.rs
+++ b/crates/bendhinge_fleet/tests/overloads.rs
@@ -66,6 +66,18 @@
     });
 }
 
+/// Guards against an old report that circulates, since routers forget that they have sent it.
+#[test]
+fn outdated_reports_are_not_sent_on() {
+    let mut log = OverloadLog::default();
+    assert!(log.record(report(1, START), PEER, START));
+    for millis in [500, 1_000, 1_999, 2_000, 60_000] {
+        let now = START + Duration::from_millis(millis);
+        log.prune(now);
+        assert!(!log.record(report(1, START), OTHER, now), "after {millis} ms");
+    }
+}
+
 /// Guards against memory that grows with the upstreams that were ever overloaded.
 #[test]
 fn expired_reports_are_dropped() {
@@ -73,7 +85,7 @@
     for number in 0..2_000 {
         log.record(report(number, START), UpdateSource::Local, START);
     }
-    let later = START + Duration::from_secs(1);
+    let later = START + Duration::from_secs(2);
     log.prune(later);
     assert_eq!(log.since(0, PEER, later).entries, []);
     assert!(log.record(report(1, later), PEER, later));
