Log and count the decisions of the retry budget

Request lines showed retries but not by which figures they were allowed, nor those that were denied, so that the hypotheses on the exceeded budget could not be told apart. A retry's send has `retry`, a denied one `denied_retry`, both with what was spent, the budget and its base; a counter has both decisions.

--- a/crates/bendhinge_admission/src/lib.rs
+++ b/crates/bendhinge_admission/src/lib.rs
@@ -27,6 +27,6 @@
 pub use fair_share::{WeightedDemand, max_min_fair_shares};
 pub use pacing::{Pacer, PacingDecision, Requester};
 pub use retry_after::retry_after;
-pub use router_retry_budget::{FleetRetryBudget, RouterRetryBudget};
+pub use router_retry_budget::{FleetRetryBudget, RetryDecision, RouterRetryBudget};
 pub use rules::{AdmissionRules, ClassIndex, ClassRule, CustomerIndex, CustomerRule, PoolIndex, PoolRule};
 pub use usage::{FleetUsage, PoolUsage, Usage};
--- a/crates/bendhinge_admission/src/router_retry_budget.rs
+++ b/crates/bendhinge_admission/src/router_retry_budget.rs
@@ -54,6 +54,19 @@
     }
 }
 
+/// Whether a retry was taken from a router's budget, with the figures behind the decision.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryDecision {
+    /// Whether the retry may be made.
+    pub is_allowed: bool,
+    /// Retries within the window before this one.
+    pub spent: u32,
+    /// Retries that the router may make within the window, before rounding.
+    pub budget: f64,
+    /// The part of `budget` that does not depend on the number of requests.
+    pub base: f64,
+}
+
 /// Number of windows for which a random number stays valid. A router may spend two budgets in a window in which its
 /// number changes; a longer validity reduces the fraction of routers that change theirs in the same window.
 const WINDOWS_PER_DRAW: u32 = 6;
@@ -107,15 +120,21 @@
 
     /// Takes one retry from the budget; returns `false` if it is exhausted.
     pub fn try_retry(&mut self, now: Instant) -> bool {
+        self.decide_retry(now).is_allowed
+    }
+
+    /// Takes one retry from the budget unless it is exhausted.
+    pub fn decide_retry(&mut self, now: Instant) -> RetryDecision {
         self.current_bucket(now);
         let spent: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let budget = self.base_share + self.ratio * self.counted_requests(now);
+        let base = self.base_share;
+        let budget = base + self.ratio * self.counted_requests(now);
         let is_rounded_up = budget < 1.0 && self.rounding.draw(now) < budget;
         let is_allowed = f64::from(spent) + 1.0 <= if is_rounded_up { 1.0 } else { budget };
         if is_allowed {
             self.current_bucket(now).retries += 1;
         }
-        is_allowed
+        RetryDecision { is_allowed, spent, budget, base }
     }
 
     /// Sets this router's part of the base retries.
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -350,8 +350,7 @@
         let FailedSend { record, error: SendError { end, error_response } } = failed;
         let may_retry = self.record_send_end(&record, end);
         let is_past_deadline = self.inbound.time_left().is_zero();
-        let is_within_budget = || !self.retry_state.needs_retry_budget() || self.try_retry();
-        if may_retry && !is_past_deadline && is_within_budget() {
+        if may_retry && !is_past_deadline && (!self.retry_state.needs_retry_budget() || self.try_retry()) {
             return Ok(());
         }
         Err(match error_response {
@@ -362,8 +361,13 @@
     }
 
     /// Takes a retry from the retry budget; returns `false` if the budget is exhausted.
-    fn try_retry(&self) -> bool {
-        self.context.retry_budgets.try_retry(&self.inbound.pool)
+    fn try_retry(&mut self) -> bool {
+        let Some(decision) = self.context.retry_budgets.decide_retry(&self.inbound.pool) else {
+            return false;
+        };
+        self.context.metrics.count_retry_decision(decision.is_allowed);
+        self.log_line.record_retry_decision(&decision);
+        decision.is_allowed
     }
 
     fn error_response(&mut self, response: ErrorResponse) -> Response<Body> {
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -1,5 +1,6 @@
 //! The log line of an admitted request, with its sends and its outcome.
 
+use bendhinge_admission::RetryDecision;
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{Pause, RetryState, SendOutcome, StreamTiming};
 use bendhinge_ids::{Instant, RequestDigest};
@@ -29,6 +30,8 @@
     at_ms: u64,
     list_age_ms: u64,
     #[serde(skip_serializing_if = "Option::is_none")]
+    retry: Option<RetryFields>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     end: Option<&'static str>,
     #[serde(skip_serializing_if = "is_false")]
     fetched: bool,
@@ -49,6 +52,25 @@
     *number == 1
 }
 
+/// The state of the gateway's retry budget when it allowed or denied a retry.
+#[derive(Clone, Copy, Serialize)]
+struct RetryFields {
+    spent: u32,
+    budget: f64,
+    base: f64,
+}
+
+impl From<&RetryDecision> for RetryFields {
+    fn from(decision: &RetryDecision) -> Self {
+        let &RetryDecision { spent, budget, base, .. } = decision;
+        Self { spent, budget: round_to_hundredths(budget), base: round_to_hundredths(base) }
+    }
+}
+
+fn round_to_hundredths(number: f64) -> f64 {
+    (number * 100.0).round() / 100.0
+}
+
 /// What is logged of a relayed stream. Values of zero are omitted, other than those of a pause.
 #[derive(Default, Serialize)]
 struct StreamFields {
@@ -88,6 +110,9 @@
     route: String,
     started_at: Instant,
     sends: Vec<SendRecord>,
+    /// The allowed retry whose send has not started yet.
+    allowed_retry: Option<RetryFields>,
+    denied_retry: Option<RetryFields>,
     digest: Option<RequestDigest>,
     stream: StreamFields,
 }
@@ -100,6 +125,8 @@
             route: inbound.route.name.clone(),
             started_at: inbound.received_at,
             sends: Vec::new(),
+            allowed_retry: None,
+            denied_retry: None,
             digest: None,
             stream: StreamFields::default(),
         }
@@ -125,12 +152,19 @@
             missing: chosen.missing_tokens,
             at_ms,
             list_age_ms: whole_millis(chosen.list_age),
+            retry: self.allowed_retry.take(),
             end: None,
             fetched: chosen.fetch_from.is_some(),
         });
         self.sends.len() - 1
     }
 
+    /// Records whether the retry budget allowed a retry. An allowed one is logged with the send that follows.
+    pub(crate) fn record_retry_decision(&mut self, decision: &RetryDecision) {
+        let retry = if decision.is_allowed { &mut self.allowed_retry } else { &mut self.denied_retry };
+        *retry = Some(decision.into());
+    }
+
     /// Sets the digest that identifies repetitions of the request.
     pub(crate) const fn set_digest(&mut self, digest: RequestDigest) {
         self.digest = Some(digest);
@@ -168,6 +202,8 @@
             #[serde(skip_serializing_if = "Option::is_none")]
             digest: Option<String>,
             sends: &'a [SendRecord],
+            #[serde(skip_serializing_if = "Option::is_none")]
+            denied_retry: Option<RetryFields>,
             ran: &'static str,
             #[serde(flatten)]
             stream: &'a StreamFields,
@@ -181,6 +217,7 @@
             ms: self.elapsed_ms(),
             digest: self.digest.map(|digest| digest.to_string()),
             sends: &self.sends,
+            denied_retry: self.denied_retry,
             ran: if code.is_none() { "yes" } else { retry_state.ran().as_str() },
             stream: &self.stream,
         };
--- a/crates/bendhinge_gateway/src/metrics.rs
+++ b/crates/bendhinge_gateway/src/metrics.rs
@@ -123,6 +123,7 @@
     requests: Counter<u64>,
     results: Counter<u64>,
     send_ends: Counter<u64>,
+    retry_decisions: Counter<u64>,
     store_reads: Histogram<f64>,
     peer_fetches: Histogram<f64>,
     ages: AgeHistograms,
@@ -165,6 +166,10 @@
                 "bendhinge.gateway.sends_ended",
                 "Sends without an answer that was passed on, by end",
             ),
+            retry_decisions: counter(
+                "bendhinge.gateway.retry_decisions",
+                "Retries that the retry budget allowed or denied, by decision",
+            ),
             store_reads: seconds(
                 "bendhinge.gateway.store_read",
                 "How long reads of the store took, by result",
@@ -258,6 +263,12 @@
         self.send_ends.add(1, &[KeyValue::new("end", end.as_str())]);
     }
 
+    /// Counts a decision on whether a retry is within the retry budget.
+    pub(crate) fn count_retry_decision(&self, is_allowed: bool) {
+        let decision = if is_allowed { "allowed" } else { "denied" };
+        self.retry_decisions.add(1, &[KeyValue::new("decision", decision)]);
+    }
+
     /// Records the duration of a read of the store.
     pub(crate) fn record_store_read(&self, time: Duration, succeeded: bool) {
         self.store_reads.record(time.as_secs_f64(), &[result_label(succeeded)]);
--- a/crates/bendhinge_gateway/src/retries.rs
+++ b/crates/bendhinge_gateway/src/retries.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Mutex;
 
-use bendhinge_admission::{FleetRetryBudget, RouterRetryBudget};
+use bendhinge_admission::{FleetRetryBudget, RetryDecision, RouterRetryBudget};
 use bendhinge_ids::PoolName;
 use rand::Rng;
 use rustc_hash::FxHashMap;
@@ -41,10 +41,10 @@
         state.by_pool.insert(pool.clone(), budget);
     }
 
-    /// Takes a retry from the budget of a pool; returns `false` if it is exhausted.
-    pub(crate) fn try_retry(&self, pool: &PoolName) -> bool {
+    /// Takes a retry from the budget of a pool unless it is exhausted; `None` if no request was recorded for the pool.
+    pub(crate) fn decide_retry(&self, pool: &PoolName) -> Option<RetryDecision> {
         let now = bendhinge_clock::now();
-        self.state.lock().unwrap().by_pool.get_mut(pool).is_some_and(|budget| budget.try_retry(now))
+        self.state.lock().unwrap().by_pool.get_mut(pool).map(|budget| budget.decide_retry(now))
     }
 
     /// Divides the fleet-wide budget among `gateway_count` gateways.
--- a/crates/bendhinge_lab/tests/gateway_streams.rs
+++ b/crates/bendhinge_lab/tests/gateway_streams.rs
@@ -11,7 +11,7 @@
 use bendhinge_standin::gateway::{Upstream, UpstreamFault};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use gateway_common::{PATIENCE, call, run, send, smallest, start};
-use serde_json::Value;
+use serde_json::{Value, json};
 use smol::net::TcpStream;
 
 /// All keys of a request's line that concern streams.
@@ -108,6 +108,27 @@
     });
 }
 
+/// Guards against retries beyond the fleet's budget whose lines do not show by which figures they were allowed.
+#[test]
+fn line_of_a_retry_shows_the_retry_budget_behind_it() {
+    run(|tasks| async move {
+        let shape = FleetShape { gateways: 1, engines: 0, services: 2 };
+        // Of the two base retries, a gateway uses one.
+        let fleet = GatewayFleet::start(&tasks, shape, "[retries]\nratio = 0\nslack = 2\n").await;
+        fleet.upstreams.iter().for_each(|upstream| upstream.set_fault(UpstreamFault::Full));
+        let call = call("/safe/x");
+        assert_ne!(send(&fleet, &call).await.told, Told::Whole);
+        let line = line_of(&fleet, &call).await;
+        assert!(!has_key(&line["sends"][0], "retry"), "{line}");
+        assert_eq!(line["sends"][1]["retry"], json!({ "spent": 0, "budget": 1.0, "base": 1.0 }), "{line}");
+        assert_eq!(line["denied_retry"], json!({ "spent": 1, "budget": 1.0, "base": 1.0 }), "{line}");
+        for decision in ["allowed", "denied"] {
+            let name = format!("bendhinge_gateway_retry_decisions_total{{decision=\"{decision}\"");
+            assert_eq!(metric(&fleet, &name).await, Some(1), "{name}");
+        }
+    });
+}
+
 /// Guards against a changed form of the lines of requests that are no streams.
 #[test]
 fn line_of_another_request_has_no_keys_of_streams() {
