Test the retry budget of a fleet whose routers restart; it fails

Callers' requests were retried beyond the budget of the fleet after boxes had been killed. The property test restarts any part of the routers between and within periods in which all requests fail, and checks the fleet's budget as it is stated.

--- a/crates/bendhinge_admission/tests/budget.rs
+++ b/crates/bendhinge_admission/tests/budget.rs
@@ -172,3 +172,44 @@
         );
     }
 }
+
+/// Guards against retries beyond the budget of the fleet after routers have restarted and forgotten what they spent.
+#[test]
+fn restarted_routers_stay_within_the_fleet_budget() {
+    /// Steps within which the requests of a router fail, and after which it may restart.
+    const PERIOD: usize = 15;
+    arbtest(|u| {
+        let routers = u.int_in_range(1..=40)?;
+        let budget = fleet_budget(f64::from(u.int_in_range(40..=200)?));
+        let base_share = budget.base_share(routers);
+        let mut budgets: Vec<RouterRetryBudget> =
+            (0..routers).map(|router| budget.router_budget(base_share, router as u64)).collect();
+        let rate: u32 = u.int_in_range(2..=60)?;
+        let mut record = TrafficRecord { requests: Vec::new(), retries: Vec::new() };
+        let mut next = 0;
+        for period in 0..4 * STEPS_PER_WINDOW / PERIOD {
+            let steps = period * PERIOD..(period + 1) * PERIOD;
+            let all_fail = period > STEPS_PER_WINDOW / PERIOD && u.ratio(1, 3)?;
+            for step in steps.clone() {
+                let mut retries = 0;
+                for _ in 0..rate {
+                    next = (next + 1) % routers;
+                    budgets[next].record_request(at(step));
+                    let attempts = if all_fail { 2 } else { 0 };
+                    retries +=
+                        (0..attempts).map(|_| u32::from(budgets[next].try_retry(at(step)))).sum::<u32>();
+                }
+                record.requests.push(rate);
+                record.retries.push(retries);
+            }
+            if u.ratio(1, 4)? {
+                let first_survivor = u.int_in_range(1..=routers)?;
+                for (router, restarted) in budgets[..first_survivor].iter_mut().enumerate() {
+                    *restarted = budget.router_budget(base_share, (steps.end * routers + router) as u64);
+                }
+            }
+        }
+        record.check(budget);
+        Ok(())
+    });
+}
