The retry budget holds across restarts of gateways

What callers saw: boxes sent more retries to an engine pool than the budget of the fleet allows, e.g. 616 for 2,513 requests in ten seconds (557 allowed), so that engines that were rejecting requests got still more of them.

Cause: a gateway keeps in memory what it spent of its retry budget. One that restarts has forgotten it and earns a new budget at once, so that two budgets fall into one window. Evidence: 878 of 878 retries were within the budget of their process.

With the new setting [retries] assume_spent, a gateway assumes for one window after its start that the budget was spent just before. It uses a quarter of its ratio, which is what the margin leaves, and a base share that grows from nothing, so that any number of restarts within a window use one share together. Until the number of gateways is known, a gateway's base share is no longer larger than the fleet's base.

--- a/crates/bendhinge_admission/src/router_retry_budget.rs
+++ b/crates/bendhinge_admission/src/router_retry_budget.rs
@@ -4,6 +4,9 @@
 //! It can therefore spend at once all retries earned in the window, as needed when an upstream with many requests in
 //! progress fails. A token bucket could not: its capacity would be only the router's part of the base retries.
 //!
+//! A router that restarts has forgotten what it spent. The budget of a restarted router therefore assumes for one window
+//! that the previous process spent its whole budget just before, and uses only what the margins leave beside that.
+//!
 //! In a large fleet, the part of a router is often less than one retry. Rounding it up would exceed the budget of the
 //! fleet, and rounding it down would allow no retries at all. Values below one are therefore rounded randomly, up with
 //! a probability equal to the value.
@@ -41,12 +44,25 @@
         RouterRetryBudget {
             ratio: self.ratio * Self::USED_RATIO_FRACTION,
             base_share,
+            restart: None,
             rounding: RandomRounding { seed, period: self.window * WINDOWS_PER_DRAW },
             bucket_duration: self.window / BUCKETS_PER_WINDOW,
             buckets: VecDeque::new(),
         }
     }
 
+    /// Creates the budget of a router that started at `started_at` and may have spent a whole budget just before.
+    #[must_use]
+    pub fn restarted_router_budget(
+        self,
+        base_share: f64,
+        seed: u64,
+        started_at: Instant,
+    ) -> RouterRetryBudget {
+        let restart = Restart { at: started_at, window: self.window };
+        RouterRetryBudget { restart: Some(restart), ..self.router_budget(base_share, seed) }
+    }
+
     /// Returns the part of the base retries for one of `router_count` routers.
     #[must_use]
     pub fn base_share(self, router_count: usize) -> f64 {
@@ -67,6 +83,29 @@
     pub base: f64,
 }
 
+/// The start of a router that may have spent a budget just before.
+#[derive(Clone, Copy, Debug)]
+struct Restart {
+    at: Instant,
+    window: Duration,
+}
+
+impl Restart {
+    /// Returns the fraction of the router's ratio that may be used at `now`. During the first window, this is what the
+    /// previous process left unused of the fleet's ratio.
+    fn ratio_fraction(self, now: Instant) -> f64 {
+        const UNUSED_FRACTION: f64 =
+            (1.0 - FleetRetryBudget::USED_RATIO_FRACTION) / FleetRetryBudget::USED_RATIO_FRACTION;
+        if now.since(self.at) < self.window { UNUSED_FRACTION } else { 1.0 }
+    }
+
+    /// Returns the fraction of the base share that may be used at `now`. It grows with time, so that several restarts
+    /// within a window use no more than one share together.
+    fn base_fraction(self, now: Instant) -> f64 {
+        now.since(self.at).div_duration_f64(self.window).min(1.0)
+    }
+}
+
 /// Number of windows for which a random number stays valid. A router may spend two budgets in a window in which its
 /// number changes; a longer validity reduces the fraction of routers that change theirs in the same window.
 const WINDOWS_PER_DRAW: u32 = 6;
@@ -106,6 +145,8 @@
 pub struct RouterRetryBudget {
     ratio: f64,
     base_share: f64,
+    /// `None` if the router did not restart, so that what it spent is known.
+    restart: Option<Restart>,
     rounding: RandomRounding,
     bucket_duration: Duration,
     /// Oldest first; buckets without requests or retries are absent.
@@ -127,8 +168,9 @@
     pub fn decide_retry(&mut self, now: Instant) -> RetryDecision {
         self.current_bucket(now);
         let spent: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let base = self.base_share;
-        let budget = base + self.ratio * self.counted_requests(now);
+        let ratio = self.ratio * self.restart.map_or(1.0, |restart| restart.ratio_fraction(now));
+        let base = self.base_share * self.restart.map_or(1.0, |restart| restart.base_fraction(now));
+        let budget = base + ratio * self.counted_requests(now);
         let is_rounded_up = budget < 1.0 && self.rounding.draw(now) < budget;
         let is_allowed = f64::from(spent) + 1.0 <= if is_rounded_up { 1.0 } else { budget };
         if is_allowed {
--- a/crates/bendhinge_admission/tests/budget.rs
+++ b/crates/bendhinge_admission/tests/budget.rs
@@ -205,7 +205,8 @@
             if u.ratio(1, 4)? {
                 let first_survivor = u.int_in_range(1..=routers)?;
                 for (router, restarted) in budgets[..first_survivor].iter_mut().enumerate() {
-                    *restarted = budget.router_budget(base_share, (steps.end * routers + router) as u64);
+                    let seed = (steps.end * routers + router) as u64;
+                    *restarted = budget.restarted_router_budget(base_share, seed, at(steps.end));
                 }
             }
         }
--- a/crates/bendhinge_gateway/src/retries.rs
+++ b/crates/bendhinge_gateway/src/retries.rs
@@ -3,7 +3,7 @@
 use std::sync::Mutex;
 
 use bendhinge_admission::{FleetRetryBudget, RetryDecision, RouterRetryBudget};
-use bendhinge_ids::PoolName;
+use bendhinge_ids::{Instant, PoolName};
 use rand::Rng;
 use rustc_hash::FxHashMap;
 
@@ -12,6 +12,8 @@
     fleet_budget: FleetRetryBudget,
     /// A random seed, which differs between gateways.
     seed: u64,
+    /// When the gateway started, if its budgets may have been spent just before.
+    restarted_at: Option<Instant>,
     state: Mutex<BudgetState>,
 }
 
@@ -22,11 +24,15 @@
 }
 
 impl RetryBudgets {
-    pub(crate) fn new(fleet_budget: FleetRetryBudget) -> Self {
-        /// The share until the number of gateways is known.
+    /// Creates the budgets at the start of the gateway. If `assumes_spent` is true, a previous process may have spent
+    /// them just before.
+    pub(crate) fn new(fleet_budget: FleetRetryBudget, assumes_spent: bool) -> Self {
+        /// The share until the number of gateways is known, unless the budget has less.
         const INITIAL_BASE_SHARE: f64 = 1.0;
-        let state = BudgetState { base_share: INITIAL_BASE_SHARE, by_pool: FxHashMap::default() };
-        Self { fleet_budget, seed: rand::rng().random(), state: Mutex::new(state) }
+        let base_share = fleet_budget.base_share(1).min(INITIAL_BASE_SHARE);
+        let state = BudgetState { base_share, by_pool: FxHashMap::default() };
+        let restarted_at = assumes_spent.then(bendhinge_clock::now);
+        Self { fleet_budget, seed: rand::rng().random(), restarted_at, state: Mutex::new(state) }
     }
 
     /// Records the first send of a request.
@@ -36,11 +42,18 @@
         if let Some(budget) = state.by_pool.get_mut(pool) {
             return budget.record_request(now);
         }
-        let mut budget = self.fleet_budget.router_budget(state.base_share, self.seed);
+        let mut budget = self.router_budget(state.base_share);
         budget.record_request(now);
         state.by_pool.insert(pool.clone(), budget);
     }
 
+    fn router_budget(&self, base_share: f64) -> RouterRetryBudget {
+        match self.restarted_at {
+            Some(started_at) => self.fleet_budget.restarted_router_budget(base_share, self.seed, started_at),
+            None => self.fleet_budget.router_budget(base_share, self.seed),
+        }
+    }
+
     /// Takes a retry from the budget of a pool unless it is exhausted; `None` if no request was recorded for the pool.
     pub(crate) fn decide_retry(&self, pool: &PoolName) -> Option<RetryDecision> {
         let now = bendhinge_clock::now();
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -120,7 +120,7 @@
             Arc::clone(&totals),
             overload_notifier,
         )),
-        retry_budgets: RetryBudgets::new(settings.retry_budget),
+        retry_budgets: RetryBudgets::new(settings.retry_budget, settings.assumes_spent_retries),
         pacing: Pacing::new(log.clone()),
         admission: Admission::new(Arc::clone(&totals), log.clone()),
         totals,
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -50,6 +50,8 @@
     pub load: LoadSettings,
     /// The fleet's retry budget.
     pub retry_budget: FleetRetryBudget,
+    /// Whether the gateway assumes at its start that its share of the retry budget was spent just before.
+    pub assumes_spent_retries: bool,
     /// Graceful shutdown.
     pub stop: StopSettings,
     /// Requests that operators release from quarantine when the settings are read.
@@ -204,6 +206,26 @@
     }
 }
 
+/// A switch: `yes` or `no`.
+struct YesNo(bool);
+
+/// A value that is neither `yes` nor `no`.
+#[derive(Debug, thiserror::Error)]
+#[error("expected yes or no")]
+struct InvalidYesNo;
+
+impl FromStr for YesNo {
+    type Err = InvalidYesNo;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "yes" => Ok(Self(true)),
+            "no" => Ok(Self(false)),
+            _ => Err(InvalidYesNo),
+        }
+    }
+}
+
 /// Builds settings from a document. Each method reads all values before it returns on a missing one, so
 /// that all errors are reported at once.
 struct SettingsReader<'a>(&'a Document);
@@ -217,6 +239,8 @@
         let upstreams = self.0.section("upstreams").map(|section| self.upstreams(section));
         let load = self.0.section("load").map(|section| self.load(section));
         let retry_budget = self.0.section("retries").map(|section| self.retry_budget(section));
+        let assumes_spent_retries =
+            self.0.section("retries").map(|section| self.0.value::<YesNo>(section, "assume_spent"));
         let stop = self.0.section("stop").map(|section| self.stop(section));
         let released_requests = self
             .0
@@ -245,6 +269,7 @@
             upstreams: upstreams??,
             load: load??,
             retry_budget: retry_budget??,
+            assumes_spent_retries: assumes_spent_retries??.0,
             stop: stop??,
             released_requests: released_requests??.0,
         })
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -244,6 +244,12 @@
             Some("10"),
             "Window, in seconds, within which requests and retries are counted.",
         ),
+        Key::new(
+            "assume_spent",
+            "yes or no",
+            Some("no"),
+            "Whether a gateway that starts assumes that its share of the budget was spent just before. During the first window it then uses only what other gateways and earlier processes leave of the budget in any case, so that the budget holds across restarts.",
+        ),
     ],
 };
 
--- a/crates/bendhinge_lab/src/bench/mod.rs
+++ b/crates/bendhinge_lab/src/bench/mod.rs
@@ -14,6 +14,7 @@
 pub mod popular_prompt;
 pub mod prefill;
 pub mod resting;
+pub mod retry_budget;
 pub mod shared_pool;
 pub mod slowed;
 pub mod warming;
--- a/crates/bendhinge_lab/src/measure/decisions.rs
+++ b/crates/bendhinge_lab/src/measure/decisions.rs
@@ -5,7 +5,7 @@
 use crate::bench::warming::{ROUTERS, Way};
 use crate::bench::{
     PolicyKind, Scenario, admission, crashing, decision, pauses, placement, plain_pool, prefill, resting,
-    shared_pool, slowed, warming,
+    retry_budget, shared_pool, slowed, warming,
 };
 
 /// Runs of a scenario; figures are their means, worst cases their worst.
@@ -270,6 +270,29 @@
     }
 }
 
+/// Retry budgets across restarts, as rows of a table.
+pub(super) fn retry_budget() {
+    use retry_budget::{FLEETS, Figures, Way, run, scenes};
+    const RUNS: u32 = 20;
+    for fleet in FLEETS {
+        println!(
+            "| {} routers | way | highest use of the budget | rescued | retries per rescue |",
+            fleet.routers
+        );
+        println!("| --- | --- | --- | --- | --- |");
+        for scene in scenes() {
+            for way in Way::ALL {
+                let runs: Vec<Figures> =
+                    (0..RUNS).map(|seed| run(way, &scene, fleet, u64::from(seed))).collect();
+                let mean = |of: fn(&Figures) -> f64| runs.iter().map(of).sum::<f64>() / f64::from(RUNS);
+                let highest = runs.iter().map(|run| run.highest_use).fold(0.0, f64::max);
+                let (rescued, retries) = (mean(|run| run.rescued), mean(|run| run.retries_per_rescue));
+                println!("| {} | {way:?} | {highest:.2} | {rescued:.3} | {retries:.1} |", scene.name);
+            }
+        }
+    }
+}
+
 pub(super) fn resting() {
     use resting::{Scene, Seen, Trouble, Way};
     let ways = [
--- a/crates/bendhinge_lab/src/measure/mod.rs
+++ b/crates/bendhinge_lab/src/measure/mod.rs
@@ -45,6 +45,7 @@
     ("plain_pools", Group::Bench(decisions::plain_pools)),
     ("crashing", Group::Bench(decisions::crashing)),
     ("resting", Group::Bench(decisions::resting)),
+    ("retry_budget", Group::Bench(decisions::retry_budget)),
     ("pauses", Group::Bench(decisions::pauses)),
 ];
 
