Gateways that know nobody share the base retries with their seeds

A gateway divides the base of the retry budget by the gateways that it knows. One that was cut off from the others since its start knew nobody and used the base of the whole fleet: seven such gateways together three and a half times the slack.

The base is now divided by the known gateways or the configured seeds, whichever are more. a_gateway_that_knows_nobody_shares_the_base_retries_with_its_seeds failed before with a base of 40 retries for 10.

--- a/crates/bendhinge_admission/src/router_retry_budget.rs
+++ b/crates/bendhinge_admission/src/router_retry_budget.rs
@@ -29,8 +29,8 @@
 }
 
 impl FleetRetryBudget {
-    /// Fraction of the ratio that is used. The margin covers requests and their retries that fall into different
-    /// windows.
+    /// Fraction of the ratio that is used. The rest is for routers that have restarted, and covers routers whose
+    /// requests are counted in different windows.
     const USED_RATIO_FRACTION: f64 = 0.8;
     /// Fraction of the base retries that is used. The margin covers routers that restart or do not know of each other.
     const USED_BASE_FRACTION: f64 = 0.5;
--- a/crates/bendhinge_fleet/src/roster.rs
+++ b/crates/bendhinge_fleet/src/roster.rs
@@ -224,6 +224,13 @@
         1 + self.members.len()
     }
 
+    /// Returns the number of known members or of configured seeds, whichever is larger, including this router. A router
+    /// that is partitioned right after its start knows no members.
+    #[must_use]
+    pub fn expected_count(&self) -> usize {
+        self.known_count().max(1 + self.seeds.len())
+    }
+
     /// Returns the live members and this router in the order in which they read the store.
     ///
     /// Members with failing reads come last, and faster links come before slower ones: the first in rank
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -135,8 +135,9 @@
 
     /// Divides the fleet-wide limits among the known gateways.
     fn divide_shared_limits(&self) {
-        let gateways = self.roster.borrow().known_count();
-        self.context.retry_budgets.set_gateway_count(gateways);
+        let roster = self.roster.borrow();
+        self.context.retry_budgets.set_gateway_count(roster.expected_count());
+        let gateways = roster.known_count();
         self.context.upstreams.set_gateway_count(gateways);
         self.context.totals.set_gateway_count(gateways);
     }
--- a/crates/bendhinge_lab/tests/gateway_retries.rs
+++ b/crates/bendhinge_lab/tests/gateway_retries.rs
@@ -7,8 +7,8 @@
 use gateway_common::{call, run, send};
 use serde_json::{Value, json};
 
-/// Waits for the line of a request and returns the budget behind its first retry, whether allowed or denied.
-async fn retry_budget(fleet: &GatewayFleet, call: &Call) -> Value {
+/// Waits for the line of a request and returns the figures behind its first retry, whether allowed or denied.
+async fn first_retry(fleet: &GatewayFleet, call: &Call) -> Value {
     let find = || {
         let lines = fleet.gateway(0).lines();
         let mut values = lines.iter().filter_map(|line| serde_json::from_str::<Value>(line).ok());
@@ -17,7 +17,7 @@
     until(async || find().is_some()).await;
     let line = find().unwrap();
     let retry = line["sends"].get(1).map_or(&line["denied_retry"], |send| &send["retry"]);
-    retry["budget"].clone()
+    retry.clone()
 }
 
 /// Returns the budget for the retries of the first request after the start of a gateway and after its restart.
@@ -26,7 +26,7 @@
     for budget in &mut budgets {
         let call = call("/safe/x");
         assert_ne!(send(fleet, &call).await.told, Told::Whole);
-        *budget = retry_budget(fleet, &call).await;
+        *budget = first_retry(fleet, &call).await["budget"].clone();
         fleet.gateways[0] = None;
         fleet.restart(0);
         fleet.until_ready().await;
@@ -52,3 +52,28 @@
         }
     });
 }
+
+/// Guards against gateways that each use the base retries of the whole fleet while they cannot reach each other.
+#[test]
+fn a_gateway_that_knows_nobody_shares_the_base_retries_with_its_seeds() {
+    run(|tasks| async move {
+        let shape = FleetShape { gateways: 1, engines: 0, services: 2 };
+        let mut fleet = GatewayFleet::start(&tasks, shape, "[retries]\nratio = 0\nslack = 80\n").await;
+        fleet.upstreams.iter().for_each(|upstream| upstream.set_fault(UpstreamFault::Failed));
+        fleet.settings[0].seeds =
+            ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"].map(|seed| seed.parse().unwrap()).into();
+        fleet.gateways[0] = None;
+        fleet.restart(0);
+        fleet.until_ready().await;
+        // Half of the base retries are used, and the first share is one retry.
+        let shares = [json!(1.0), json!(10.0)];
+        let last_share = async || {
+            let call = call("/safe/x");
+            send(&fleet, &call).await;
+            let base = first_retry(&fleet, &call).await["base"].clone();
+            assert!(shares.contains(&base), "{base}");
+            base == shares[1]
+        };
+        until(last_share).await;
+    });
+}
