--- a/crates/bendhinge_lab/src/bench/retry_budget.rs
+++ b/crates/bendhinge_lab/src/bench/retry_budget.rs
@@ -4,6 +4,7 @@
 //! Requests arrive at random routers at a constant rate. Each is sent to a random upstream and retried up to twice at
 //! others, as far as the router's budget allows. A send takes no time.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use bendhinge_admission::{FleetRetryBudget, RouterRetryBudget};
@@ -43,10 +44,10 @@
 }
 
 /// Sends that fail within a range of steps.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Failure {
-    /// The first step and the one after the last.
-    pub steps: (usize, usize),
+    /// The steps in which they fail.
+    pub steps: Range<usize>,
     /// Number of upstreams at which sends fail.
     pub upstreams: usize,
     /// Probability that a send to one of these fails.
@@ -54,12 +55,12 @@
 }
 
 /// Routers that restart at once.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Restart {
     /// The step before which they restart.
     pub step: usize,
-    /// Range of the routers, as fractions of their number.
-    pub routers: (f64, f64),
+    /// The routers that restart, as fractions of the fleet.
+    pub routers: Range<f64>,
 }
 
 /// A scenario.
@@ -105,49 +106,44 @@
 /// Returns the scenarios that are compared.
 #[must_use]
 pub fn scenes() -> Vec<Scene> {
-    const ALL: (f64, f64) = (0.0, 1.0);
-    let all_reject = |from: usize, to: usize, probability| Failure {
-        steps: (from, to),
-        upstreams: UPSTREAMS,
-        probability,
-    };
-    let one_fails =
-        |from: usize, to: usize, probability| Failure { steps: (from, to), upstreams: 1, probability };
+    const ALL: Range<f64> = 0.0..1.0;
+    let all_reject = |steps, probability| Failure { steps, upstreams: UPSTREAMS, probability };
+    let one_fails = |steps, probability| Failure { steps, upstreams: 1, probability };
     let restart = |step: usize, routers| Restart { step, routers };
     let scene = |name, failures, restarts| Scene { name, failures, restarts };
     let roll = || {
-        let tenths = |tenth: usize| (tenth as f64 / 10.0, (tenth + 1) as f64 / 10.0);
+        let tenths = |tenth: usize| tenth as f64 / 10.0..(tenth + 1) as f64 / 10.0;
         (0..10).map(|tenth| restart(200 + 10 * tenth, tenths(tenth))).collect()
     };
     vec![
-        scene("rejections, no restart", vec![all_reject(180, 198, 0.95), all_reject(240, 290, 0.95)], vec![]),
+        scene("rejections, no restart", vec![all_reject(180..198, 0.95), all_reject(240..290, 0.95)], vec![]),
         scene(
             "rejections, all restart, rejections",
-            vec![all_reject(180, 198, 0.95), all_reject(240, 290, 0.95)],
+            vec![all_reject(180..198, 0.95), all_reject(240..290, 0.95)],
             vec![restart(200, ALL)],
         ),
         scene(
             "half rejected, all restart, half rejected",
-            vec![all_reject(180, 198, 0.6), all_reject(220, 280, 0.6)],
+            vec![all_reject(180..198, 0.6), all_reject(220..280, 0.6)],
             vec![restart(200, ALL)],
         ),
         scene(
             "rejections, 0.6 restart, rejections",
-            vec![all_reject(180, 198, 0.95), all_reject(240, 290, 0.95)],
-            vec![restart(200, (0.0, 0.6))],
+            vec![all_reject(180..198, 0.95), all_reject(240..290, 0.95)],
+            vec![restart(200, 0.0..0.6)],
         ),
         scene(
             "all restart three times during rejections",
-            vec![all_reject(180, 290, 0.95)],
+            vec![all_reject(180..290, 0.95)],
             vec![restart(200, ALL), restart(230, ALL), restart(260, ALL)],
         ),
-        scene("roll during rejections", vec![all_reject(180, 330, 0.95)], roll()),
-        scene("all restart, one upstream fails 0.4", vec![one_fails(200, 300, 0.4)], vec![restart(200, ALL)]),
-        scene("roll, one upstream fails 0.4", vec![one_fails(200, 300, 0.4)], roll()),
-        scene("one upstream lost at once", vec![one_fails(200, 205, 1.0)], vec![]),
+        scene("roll during rejections", vec![all_reject(180..330, 0.95)], roll()),
+        scene("all restart, one upstream fails 0.4", vec![one_fails(200..300, 0.4)], vec![restart(200, ALL)]),
+        scene("roll, one upstream fails 0.4", vec![one_fails(200..300, 0.4)], roll()),
+        scene("one upstream lost at once", vec![one_fails(200..205, 1.0)], vec![]),
         scene(
             "three upstreams lost at once",
-            vec![Failure { upstreams: 3, ..one_fails(200, 205, 1.0) }],
+            vec![Failure { upstreams: 3, ..one_fails(200..205, 1.0) }],
             vec![],
         ),
     ]
@@ -228,9 +224,10 @@
 impl Scene {
     /// Whether a send to `upstream` at `step` fails.
     fn fails(&self, step: usize, upstream: usize, random: &mut ChaCha8Rng) -> bool {
-        let mut failures = self.failures.iter().filter(|failure| {
-            (failure.steps.0..failure.steps.1).contains(&step) && upstream < failure.upstreams
-        });
+        let mut failures = self
+            .failures
+            .iter()
+            .filter(|failure| failure.steps.contains(&step) && upstream < failure.upstreams);
         failures.any(|failure| random.random_bool(failure.probability))
     }
 }
@@ -263,7 +260,7 @@
     fn restart_routers(&mut self, step: usize) {
         let Self { way, scene, fleet, random, budgets, .. } = self;
         for restart in scene.restarts.iter().filter(|restart| restart.step == step) {
-            let routers = fleet.router_index(restart.routers.0)..fleet.router_index(restart.routers.1);
+            let routers = fleet.router_index(restart.routers.start)..fleet.router_index(restart.routers.end);
             // What the other routers remember is the budget itself.
             if *way == Way::Remember && routers.len() < fleet.routers {
                 continue;
--- a/crates/bendhinge_lab/tests/gateway_common/mod.rs
+++ b/crates/bendhinge_lab/tests/gateway_common/mod.rs
@@ -10,9 +10,10 @@
 
 use bendhinge_fleet::MemberReport;
 use bendhinge_http::{Tasks, run_until};
-use bendhinge_lab::gateways::{Answer, Call, FleetShape, GatewayFleet, KEY};
+use bendhinge_lab::gateways::{Answer, Call, FleetShape, GatewayFleet, KEY, until};
 use bendhinge_peer::PeerMessage;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use serde_json::Value;
 use smol::net::{TcpListener, TcpStream};
 
 /// How long a caller of a test waits.
@@ -44,6 +45,17 @@
     Call::new(path, KEY)
 }
 
+/// Waits for the line of a request at the first gateway.
+pub async fn line_of(fleet: &GatewayFleet, call: &Call) -> Value {
+    let find = || {
+        let lines = fleet.gateway(0).lines();
+        let mut values = lines.iter().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        values.find(|line| line["event"] == "request" && line["request"] == call.id.as_str())
+    };
+    until(async || find().is_some()).await;
+    find().unwrap()
+}
+
 /// Sends raw bytes to the first gateway and reads until it closes or `enough` is in what it sent.
 pub async fn send_raw(fleet: &GatewayFleet, bytes: &[u8], enough: &str) -> String {
     let mut stream = TcpStream::connect(fleet.callers(0)).await.unwrap();
--- a/crates/bendhinge_lab/tests/gateway_retries.rs
+++ b/crates/bendhinge_lab/tests/gateway_retries.rs
@@ -4,20 +4,13 @@
 
 use bendhinge_lab::gateways::{Call, FleetShape, GatewayFleet, Told, until};
 use bendhinge_standin::gateway::UpstreamFault;
-use gateway_common::{call, run, send};
+use gateway_common::{call, line_of, run, send};
 use serde_json::{Value, json};
 
 /// Waits for the line of a request and returns the figures behind its first retry, whether allowed or denied.
 async fn first_retry(fleet: &GatewayFleet, call: &Call) -> Value {
-    let find = || {
-        let lines = fleet.gateway(0).lines();
-        let mut values = lines.iter().filter_map(|line| serde_json::from_str::<Value>(line).ok());
-        values.find(|line| line["event"] == "request" && line["request"] == call.id.as_str())
-    };
-    until(async || find().is_some()).await;
-    let line = find().unwrap();
-    let retry = line["sends"].get(1).map_or(&line["denied_retry"], |send| &send["retry"]);
-    retry.clone()
+    let line = line_of(fleet, call).await;
+    line["sends"].get(1).map_or(&line["denied_retry"], |send| &send["retry"]).clone()
 }
 
 /// Returns the budget for the retries of the first request after the start of a gateway and after its restart.
--- a/crates/bendhinge_lab/tests/gateway_streams.rs
+++ b/crates/bendhinge_lab/tests/gateway_streams.rs
@@ -10,7 +10,7 @@
 use bendhinge_lab::gateways::{Call, FleetShape, GatewayFleet, KEY, Told, until};
 use bendhinge_standin::gateway::{Upstream, UpstreamFault};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use gateway_common::{PATIENCE, call, run, send, smallest, start};
+use gateway_common::{PATIENCE, call, line_of, run, send, smallest, start};
 use serde_json::{Value, json};
 use smol::net::TcpStream;
 
@@ -18,17 +18,6 @@
 const STREAM_KEYS: [&str; 5] =
     ["first_event_ms", "pause_ms", "pause_at_ms", "beside_requests", "beside_tokens"];
 
-/// Waits for the line of a request.
-async fn line_of(fleet: &GatewayFleet, call: &Call) -> Value {
-    let find = || {
-        let lines = fleet.gateway(0).lines();
-        let mut values = lines.iter().filter_map(|line| serde_json::from_str::<Value>(line).ok());
-        values.find(|line| line["event"] == "request" && line["request"] == call.id.as_str())
-    };
-    until(async || find().is_some()).await;
-    find().unwrap()
-}
-
 fn has_key(line: &Value, key: &str) -> bool {
     line.get(key).is_some()
 }
