--- a/crates/bendhinge_lab/src/gateways/soak.rs
+++ b/crates/bendhinge_lab/src/gateways/soak.rs
@@ -37,6 +37,8 @@
 admission = yes
 popular_prompts = yes
 overload_reports = yes
+[retries]
+assume_spent = yes
 ";
 
 /// What a soak found.
