Test of backoffs: wait until the connection is in the pool again

A gateway returns a connection to its pool in the background after the response. A request that follows at once may open another connection, which the test's proxy does not let in, so that the request never reaches the upstream and the wait for it ends after 60 s.

What the test asserts is unchanged; only its precondition is awaited.

--- a/crates/bendhinge_lab/tests/gateway_rests.rs
+++ b/crates/bendhinge_lab/tests/gateway_rests.rs
@@ -311,6 +311,8 @@
         fleet.store.add("narrow", "services", door.address);
         let serves = async || send(&fleet, &call("/unsafe/x")).await.told == Told::Whole;
         zip(until(serves), door.let_in_one()).await;
+        // The gateway returns a connection to its pool after the response, and the door lets in no other.
+        Timer::after(Duration::from_millis(150)).await;
         upstream.set_fault(UpstreamFault::AsksForRestLate("60"));
         let asks = Call { deadline: Duration::from_millis(600), ..call("/unsafe/x") };
         let waits = call("/unsafe/x");
