--- /dev/null
+++ b/crates/bendhinge_gateway/src/delivery/outcome.rs
@@ -0,0 +1,98 @@
+//! What follows from the end of a send: what is recorded of it, and whether the request is sent again.
+
+use bendhinge_delivery::SendOutcome;
+use bendhinge_fleet::UpstreamFailure;
+
+use super::attempt::{SendError, implies_not_run};
+use super::crash::detect_crash;
+use super::race::{FailedSend, SendRecord};
+use super::{Delivery, DeliveryContext, DeliveryError, InboundRequest};
+
+impl Delivery {
+    /// Records how a send ended, for the request and for its upstream; returns `false` if no further send may
+    /// follow.
+    pub(super) fn record_send_end(&mut self, record: &SendRecord, end: SendOutcome) -> bool {
+        let DeliveryContext { upstreams, metrics, log, .. } = &*self.context;
+        let SendRecord { number, upstream, started_at, .. } = record;
+        self.log_line.record_send_end(*number, end);
+        metrics.count_send_end(end);
+        match end {
+            SendOutcome::Rejected if !self.is_paced => {
+                self.context.admission.record_rejection(&self.inbound.pool);
+            }
+            SendOutcome::Rejected => {
+                let upstream_count = upstreams.count_accepting_work(&self.inbound.pool);
+                self.context.pacing.record_rejection(&self.inbound.pool, upstream.hash, upstream_count);
+            }
+            SendOutcome::Failed => {
+                self.record_response();
+                self.record_complete_response();
+            }
+            SendOutcome::Lost => {
+                self.log_line.set_digest(self.inbound.digest(&self.context.identity_key));
+                detect_crash(&self.context, &self.inbound, record.clone());
+            }
+            _ => {}
+        }
+        if upstream_failure(end)
+            .is_some_and(|failure| upstreams.record_failure(upstream.hash, failure, *started_at))
+        {
+            log.upstream_ejected(&upstream.name, end);
+        }
+        self.retry_state.record_outcome(end)
+    }
+
+    /// Records a response for the pacing of the pool.
+    pub(super) fn record_response(&self) {
+        if !self.is_paced {
+            return;
+        }
+        let InboundRequest { pool, received_at, route, .. } = &*self.inbound;
+        self.context.pacing.record_response(pool, *received_at, route.target_latency);
+    }
+
+    /// Records a complete response, which means that the request did not crash the upstream.
+    pub(super) fn record_complete_response(&self) {
+        if let Some(digest) = self.context.tracked_digest(&self.inbound) {
+            self.context.quarantine.record_response(digest);
+        }
+    }
+
+    /// Records a failed send; returns `Err` if it is not retried.
+    pub(super) fn handle_failure(&mut self, failed: FailedSend) -> Result<(), DeliveryError> {
+        let FailedSend { record, error: SendError { end, error_response } } = failed;
+        let may_retry = self.record_send_end(&record, end);
+        let is_past_deadline = self.inbound.time_left().is_zero();
+        if may_retry && !is_past_deadline && (!self.retry_state.needs_retry_budget() || self.try_retry()) {
+            return Ok(());
+        }
+        Err(match error_response {
+            Some(error) if !implies_not_run(error.head.status) => DeliveryError::ErrorResponse(error),
+            _ if is_past_deadline => DeliveryError::Code(self.retry_state.final_code(true)),
+            _ => self.no_upstream_error(),
+        })
+    }
+
+    /// Takes a retry from the retry budget; returns `false` if the budget is exhausted.
+    pub(super) fn try_retry(&mut self) -> bool {
+        let Some(decision) = self.context.retry_budgets.decide_retry(&self.inbound.pool) else {
+            return false;
+        };
+        self.context.metrics.count_retry_decision(decision.is_allowed);
+        self.log_line.record_retry_decision(&decision);
+        decision.is_allowed
+    }
+}
+
+/// Returns the failure to record for the upstream, if any.
+const fn upstream_failure(end: SendOutcome) -> Option<UpstreamFailure> {
+    match end {
+        SendOutcome::NotConnected => Some(UpstreamFailure::ConnectFailed),
+        SendOutcome::NotSent | SendOutcome::Superseded => None,
+        SendOutcome::Rejected => Some(UpstreamFailure::Rejected),
+        SendOutcome::Replaced => Some(UpstreamFailure::WrongInstance),
+        SendOutcome::Lost | SendOutcome::InvalidResponse => Some(UpstreamFailure::ConnectionLost),
+        SendOutcome::TimedOut => Some(UpstreamFailure::TimedOut),
+        SendOutcome::Failed => Some(UpstreamFailure::ErrorResponse),
+    }
+}
