Log and measure what the estimated load of a pool is made of

Request lines showed the estimated mean load but neither how old the reports behind it are nor how many upstreams have none and count with the mean itself. Lines of plain pools showed the engines' estimate, 0 plus own requests, in place of the shared count by which the upstream was chosen.

Lines have mean_age_ms and unreported now, those of plain pools totals_age_ms, and their load is the one that decided. Two histograms count the ages. No decision changes.

--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -49,7 +49,9 @@
 pub use fetch::{FetchPlan, FetchSource};
 pub use key_requests::KeyRequests;
 pub use lists::{ListDelta, ListHistory, ListUpdate};
-pub use loads::{AgedReport, ListLoads, LoadBasis, Loads, PackedHighLoads, PackedLoads, UpstreamLoad};
+pub use loads::{
+    AgedReport, ListLoads, LoadBasis, Loads, PackedHighLoads, PackedLoads, PoolReports, UpstreamLoad,
+};
 pub use outlier_detector::{OutlierDetector, OutlierLimits, UpstreamFailure, UpstreamHealth};
 pub use overloads::OverloadLog;
 pub use peers::{PeerState, PeerStates, PeerSummary};
--- a/crates/bendhinge_fleet/src/loads.rs
+++ b/crates/bendhinge_fleet/src/loads.rs
@@ -81,6 +81,17 @@
     pub age: Duration,
 }
 
+/// Summary of the recent reports of a pool's upstreams.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PoolReports {
+    /// Mean number of requests of other routers at an upstream with a recent report.
+    pub mean_other_requests: f32,
+    /// Mean age of the recent reports.
+    pub mean_age: Duration,
+    /// Number of upstreams without a recent report.
+    pub unreported: u32,
+}
+
 /// Loads of all upstreams of a list that sender and receiver both hold, in list order.
 ///
 /// The first half has one byte for each load, capped at 254. The second half has one byte for the age of
@@ -201,12 +212,31 @@
 
     /// Returns the mean number of requests of other routers at an upstream, over the recent reports.
     pub fn mean_other_requests(&self, upstreams: impl Iterator<Item = NameHash>, now: Instant) -> f32 {
-        let loads = upstreams.filter_map(|upstream| self.upstreams.get(&upstream));
-        let recent = loads
-            .filter(|load| load.report.is_some_and(|report| now.since(report.reported_at) < MEAN_MAX_AGE));
-        let (count, total) =
-            recent.fold((0_u32, 0_u32), |(count, total), load| (count + 1, total + load.other_requests));
-        total as f32 / count.max(1) as f32
+        self.pool_reports(upstreams, now).mean_other_requests
+    }
+
+    /// Summarizes the recent reports of `upstreams`.
+    pub fn pool_reports(&self, upstreams: impl Iterator<Item = NameHash>, now: Instant) -> PoolReports {
+        let (mut reported, mut unreported) = (0_u32, 0_u32);
+        let (mut other_requests, mut ages) = (0_u32, Duration::ZERO);
+        for upstream in upstreams {
+            let recent = self.upstreams.get(&upstream).and_then(|load| {
+                let age = now.since(load.report?.reported_at);
+                (age < MEAN_MAX_AGE).then_some((load.other_requests, age))
+            });
+            let Some((requests, age)) = recent else {
+                unreported += 1;
+                continue;
+            };
+            reported += 1;
+            other_requests += requests;
+            ages += age;
+        }
+        PoolReports {
+            mean_other_requests: other_requests as f32 / reported.max(1) as f32,
+            mean_age: ages / reported.max(1),
+            unreported,
+        }
     }
 
     /// Returns the recent reports to share with peers, limited to the highest loads.
--- a/crates/bendhinge_fleet/src/response_times.rs
+++ b/crates/bendhinge_fleet/src/response_times.rs
@@ -49,6 +49,8 @@
     pub own_in_progress: f32,
     /// Expected response time.
     pub response_time: Duration,
+    /// Time since the requests of other routers were summed; zero if nothing is known of them.
+    pub totals_age: Duration,
 }
 
 /// What a figure counts.
@@ -206,6 +208,7 @@
             in_progress: own.in_progress + others_in_progress.max(0.0),
             own_in_progress: own.in_progress,
             response_time: from_millis(response_millis),
+            totals_age: age,
         }
     }
 
--- a/crates/bendhinge_fleet/tests/loads.rs
+++ b/crates/bendhinge_fleet/tests/loads.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bendhinge_fleet::{
-    AgedReport, LoadBasis, Loads, PackedHighLoads, PackedLoads, UpdateSource, UpstreamLoad,
+    AgedReport, LoadBasis, Loads, PackedHighLoads, PackedLoads, PoolReports, UpdateSource, UpstreamLoad,
 };
 use bendhinge_ids::{Instant, NameHash};
 
@@ -76,6 +76,21 @@
     assert_eq!(received.recent_reports(NOW).len(), 0);
 }
 
+/// Guards against a summary that counts outdated reports, or upstreams without a report as idle.
+#[test]
+fn pool_reports_summarize_recent_reports_only() {
+    let mut loads = Loads::default();
+    loads.record(reported_load(0, 5, 100), SENDER);
+    loads.record(reported_load(1, 9, 300), SENDER);
+    loads.record(reported_load(2, 40, 4_000), SENDER);
+    let reports = loads.pool_reports(listed(4), NOW);
+    assert_eq!(
+        reports,
+        PoolReports { mean_other_requests: 7.0, mean_age: Duration::from_millis(200), unreported: 2 }
+    );
+    assert!((loads.mean_other_requests(listed(4), NOW) - 7.0).abs() < 0.01);
+}
+
 /// Guards against log lines that show another report than the one behind the estimate.
 #[test]
 fn basis_is_the_latest_report_and_the_own_requests() {
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -175,6 +175,10 @@
         if let Some(report) = chosen.load_basis.report {
             self.context.metrics.record_load_report_age(report.age);
         }
+        match chosen.totals_age {
+            Some(age) => self.context.metrics.record_totals_age(age),
+            None => self.context.metrics.record_mean_load_age(chosen.pool_reports.mean_age),
+        }
         let record = SendRecord::new(number, &chosen, tracked);
         let params = AttemptParams {
             record: record.clone(),
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -23,6 +23,12 @@
     reported: Option<u32>,
     #[serde(skip_serializing_if = "Option::is_none")]
     report_age_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    totals_age_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    mean_age_ms: Option<u64>,
+    #[serde(skip_serializing_if = "is_zero")]
+    unreported: u32,
     #[serde(skip_serializing_if = "is_one")]
     homes: usize,
     #[serde(skip_serializing_if = "is_zero")]
@@ -140,6 +146,8 @@
     pub(crate) fn record_send(&mut self, chosen: &ChosenUpstream) -> usize {
         let at_ms = self.elapsed_ms();
         let report = chosen.load_basis.report;
+        // The upstreams of a plain pool report no loads.
+        let pool_reports = Some(chosen.pool_reports).filter(|_| chosen.totals_age.is_none());
         self.sends.push(SendRecord {
             upstream: chosen.entry.name.to_string(),
             why: chosen.reason.as_str(),
@@ -148,6 +156,9 @@
             own: chosen.load_basis.own_requests,
             reported: report.map(|report| report.in_progress),
             report_age_ms: report.map(|report| whole_millis(report.age)),
+            totals_age_ms: chosen.totals_age.map(whole_millis),
+            mean_age_ms: pool_reports.map(|reports| whole_millis(reports.mean_age)),
+            unreported: pool_reports.map_or(0, |reports| reports.unreported),
             homes: chosen.homes,
             missing: chosen.missing_tokens,
             at_ms,
--- a/crates/bendhinge_gateway/src/metrics.rs
+++ b/crates/bendhinge_gateway/src/metrics.rs
@@ -96,6 +96,8 @@
 struct AgeHistograms {
     list: Histogram<f64>,
     load_report: Histogram<f64>,
+    mean_load: Histogram<f64>,
+    totals: Histogram<f64>,
 }
 
 impl AgeHistograms {
@@ -112,6 +114,16 @@
                 "Age of the latest load report of the chosen upstream at each send",
                 &LOAD_REPORT_AGE_BUCKETS_SECONDS,
             ),
+            mean_load: seconds(
+                "bendhinge.gateway.mean_load_age",
+                "Mean age of the load reports of the pool at each send",
+                &LOAD_REPORT_AGE_BUCKETS_SECONDS,
+            ),
+            totals: seconds(
+                "bendhinge.gateway.totals_age",
+                "Age of the fleet totals at each send to a plain pool",
+                &LOAD_REPORT_AGE_BUCKETS_SECONDS,
+            ),
         }
     }
 }
@@ -290,6 +302,16 @@
         self.ages.load_report.record(age.as_secs_f64(), &[]);
     }
 
+    /// Records the mean age of the load reports of a pool at a send to it.
+    pub(crate) fn record_mean_load_age(&self, age: Duration) {
+        self.ages.mean_load.record(age.as_secs_f64(), &[]);
+    }
+
+    /// Records the age of the fleet totals at a send to a plain pool.
+    pub(crate) fn record_totals_age(&self, age: Duration) {
+        self.ages.totals.record(age.as_secs_f64(), &[]);
+    }
+
     /// Counts an exchange with another gateway.
     pub(crate) fn count_exchange(&self, succeeded: bool) {
         self.exchanges.add(1, &[result_label(succeeded)]);
--- a/crates/bendhinge_gateway/src/state/candidates.rs
+++ b/crates/bendhinge_gateway/src/state/candidates.rs
@@ -1,6 +1,6 @@
 //! Candidates for a request: the upstreams of a pool with their health and estimated load.
 
-use bendhinge_fleet::{ListedUpstream, UpstreamHealth};
+use bendhinge_fleet::{ListedUpstream, PoolReports, UpstreamHealth};
 use bendhinge_ids::{Instant, PoolName};
 use bendhinge_placement::{Candidate, WarmupLimit};
 use bendhinge_routes::RegionFilter;
@@ -12,6 +12,15 @@
 /// The failure rate assumed for an upstream that is ejected or may only be probed.
 const UNHEALTHY_FAILURE_RATE: f32 = 0.5;
 
+/// The upstreams of a pool that are considered for a request.
+pub(super) struct PoolSnapshot<'a> {
+    pub(super) listed: Vec<&'a ListedUpstream>,
+    /// The candidate of each listed upstream, in the same order.
+    pub(super) candidates: Vec<Candidate>,
+    /// The recent load reports of the upstreams.
+    pub(super) pool_reports: PoolReports,
+}
+
 impl State {
     /// Whether requests may be sent to an upstream: it accepts work and has no active backoff.
     pub(super) fn is_available(&self, listed: &ListedUpstream, now: Instant) -> bool {
@@ -42,9 +51,10 @@
         location: &Location,
         uses_work: bool,
         now: Instant,
-    ) -> (Vec<&ListedUpstream>, Vec<Candidate>) {
+    ) -> PoolSnapshot<'_> {
         let listed = self.upstreams_in_regions(request.pool, request.regions, &location.regions);
-        let mean_load = self.loads.mean_other_requests(listed.iter().map(|listed| listed.entry.hash), now);
+        let pool_reports = self.loads.pool_reports(listed.iter().map(|listed| listed.entry.hash), now);
+        let mean_load = pool_reports.mean_other_requests;
         let mut candidates: Vec<Candidate> =
             listed.iter().map(|listed| self.candidate(listed, request, location, mean_load, now)).collect();
         if uses_work && request.prompt.is_some() {
@@ -68,7 +78,7 @@
             };
             warmup_limit.exclude_warming(&mut candidates, request.tie_breaker);
         }
-        (listed, candidates)
+        PoolSnapshot { listed, candidates, pool_reports }
     }
 
     pub(super) fn record_demand(&mut self, pool: &PoolName, now: Instant) {
--- a/crates/bendhinge_gateway/src/state/choice.rs
+++ b/crates/bendhinge_gateway/src/state/choice.rs
@@ -5,11 +5,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bendhinge_fleet::{LoadBasis, TotalKey, UpdateSource, UpstreamEntry};
+use bendhinge_fleet::{LoadBasis, PoolReports, TotalKey, UpdateSource, UpstreamEntry};
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_placement::{ChoiceReason, CostQuery, Prompt, choose};
 use bendhinge_routes::{PoolRule, RegionFilter};
 
+use super::candidates::PoolSnapshot;
 use super::engines::TrackedWork;
 use super::upstreams::{State, UpstreamView};
 
@@ -33,10 +34,14 @@
     pub(crate) entry: Arc<UpstreamEntry>,
     pub(crate) fetch_from: Option<SocketAddr>,
     pub(crate) reason: ChoiceReason,
-    /// The estimated number of requests at the upstream.
+    /// The estimated number of requests at the upstream by which it was chosen.
     pub(crate) load: f32,
-    /// What the estimate is based on.
+    /// What the estimate is based on, apart from fleet totals.
     pub(crate) load_basis: LoadBasis,
+    /// The age of the fleet totals that the estimate is based on, in a plain pool.
+    pub(crate) totals_age: Option<Duration>,
+    /// The recent load reports of the pool's upstreams.
+    pub(crate) pool_reports: PoolReports,
     /// The estimated average number of requests per upstream of the pool.
     pub(crate) mean_load: f32,
     pub(crate) chosen_at: Instant,
@@ -107,7 +112,8 @@
         state.record_demand(request.pool, now);
         let is_pace_reported = state.engines.is_pace_reported;
         let uses_work = self.load_settings.work.is_active(is_pace_reported);
-        let (listed, candidates) = state.candidates(request, &self.location, uses_work, now);
+        let PoolSnapshot { listed, candidates, pool_reports } =
+            state.candidates(request, &self.location, uses_work, now);
         let list_age = state.replica.age(now).unwrap_or_default();
         let prefers_local = self.load_settings.local_first.is_active(is_pace_reported);
         // A retry goes anywhere: what failed nearby may fail there again.
@@ -125,19 +131,19 @@
         let shares_times = query.prompt.is_none()
             && request.rule.is_none_or(|rule| !rule.caches_prompts)
             && self.load_settings.shared_response_times.is_active(is_pace_reported);
-        let choice = if shares_times {
-            let prefers_local = locality.is_some();
-            let tie_breaker = request.tie_breaker;
-            self.plain.lock().unwrap().choose(
+        let (choice, load, totals_age) = if shares_times {
+            let chosen = self.plain.lock().unwrap().choose(
                 request.pool,
                 &candidates,
-                prefers_local,
+                locality.is_some(),
                 &self.totals,
-                tie_breaker,
-            )
+                request.tie_breaker,
+            )?;
+            (chosen.choice, chosen.in_progress, Some(chosen.totals_age))
         } else {
-            choose(&self.costs, &query, &candidates, &state.cached_parts, now)
-        }?;
+            let choice = choose(&self.costs, &query, &candidates, &state.cached_parts, now)?;
+            (choice, candidates[choice.candidate].load, None)
+        };
         let entry = Arc::clone(&listed[choice.candidate].entry);
         let fetch_from = choice.fetch_source.map(|source| listed[source].entry.address);
         let read_tokens = if fetch_from.is_some() { 0 } else { choice.missing_tokens };
@@ -164,8 +170,10 @@
             entry,
             fetch_from,
             reason: choice.reason,
-            load: candidates[choice.candidate].load,
+            load,
             load_basis,
+            totals_age,
+            pool_reports,
             mean_load: choice.mean_load,
             homes: choice.homes,
             missing_tokens: choice.missing_tokens,
--- a/crates/bendhinge_gateway/src/state/plain.rs
+++ b/crates/bendhinge_gateway/src/state/plain.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bendhinge_fleet::{Figure, ResponseTimes};
+use bendhinge_fleet::{ExpectedResponse, Figure, ResponseTimes};
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_placement::{Candidate, Choice, ChoiceReason, Distance, PlainCandidate, choose_plain};
 use rustc_hash::FxHashMap;
@@ -10,6 +10,15 @@
 use super::upstreams::UpstreamView;
 use crate::totals::SharedTotals;
 
+/// An upstream of a plain pool chosen for a request.
+pub(super) struct PlainChoice {
+    pub(super) choice: Choice,
+    /// The estimated number of requests of all gateways in progress at the upstream.
+    pub(super) in_progress: f32,
+    /// The age of the fleet totals that the estimate is based on.
+    pub(super) totals_age: Duration,
+}
+
 /// Response times of the plain pools.
 #[derive(Default)]
 pub(super) struct PlainPools(FxHashMap<PoolName, ResponseTimes>);
@@ -27,31 +36,30 @@
         prefers_local: bool,
         totals: &SharedTotals,
         tie_breaker: u64,
-    ) -> Option<Choice> {
+    ) -> Option<PlainChoice> {
         let now = bendhinge_clock::now();
         let times = self.pool(pool);
-        let plain: Vec<PlainCandidate> = totals.with(|totals| {
-            let expected = candidates.iter().map(|candidate| {
-                let expected = times.expected(candidate.upstream, totals, now);
-                PlainCandidate {
-                    upstream: candidate.upstream,
-                    in_progress: expected.in_progress,
-                    own_in_progress: expected.own_in_progress,
-                    response_time: expected.response_time,
-                    failure_rate: candidate.failure_rate,
-                    takes_work: candidate.takes_work,
-                    counts_in_mean: candidate.counts_in_mean,
-                    distance: if prefers_local { candidate.distance } else { Distance::Local },
-                }
-            });
-            expected.collect()
+        let expected: Vec<ExpectedResponse> = totals.with(|totals| {
+            let expected = |candidate: &Candidate| times.expected(candidate.upstream, totals, now);
+            candidates.iter().map(expected).collect()
+        });
+        let plain = candidates.iter().zip(&expected).map(|(candidate, expected)| PlainCandidate {
+            upstream: candidate.upstream,
+            in_progress: expected.in_progress,
+            own_in_progress: expected.own_in_progress,
+            response_time: expected.response_time,
+            failure_rate: candidate.failure_rate,
+            takes_work: candidate.takes_work,
+            counts_in_mean: candidate.counts_in_mean,
+            distance: if prefers_local { candidate.distance } else { Distance::Local },
         });
+        let plain: Vec<PlainCandidate> = plain.collect();
         let chosen = choose_plain(&plain, tie_breaker)?;
         let counted = plain.iter().filter(|candidate| candidate.counts_in_mean);
         let (count, total) = counted.fold((0.0_f32, 0.0_f32), |(count, total), candidate| {
             (count + 1.0, total + candidate.in_progress)
         });
-        Some(Choice {
+        let choice = Choice {
             candidate: chosen,
             fetch_source: None,
             reason: ChoiceReason::LeastCost,
@@ -59,7 +67,9 @@
             missing_tokens: 0,
             mean_load: total / count.max(1.0),
             homes: 1,
-        })
+        };
+        let ExpectedResponse { in_progress, totals_age, .. } = expected[chosen];
+        Some(PlainChoice { choice, in_progress, totals_age })
     }
 
     pub(super) fn start(&mut self, pool: &PoolName, upstream: NameHash, now: Instant) {
--- a/crates/bendhinge_lab/tests/gateway_streams.rs
+++ b/crates/bendhinge_lab/tests/gateway_streams.rs
@@ -90,13 +90,32 @@
         }
         let first = line_of(&fleet, &calls[0]).await;
         assert!(!has_key(&first["sends"][0], "reported"), "{first}");
+        assert_eq!(first["sends"][0]["unreported"], 1, "{first}");
         let second = line_of(&fleet, &calls[1]).await;
         assert!(second["sends"][0]["reported"].is_u64(), "{second}");
         assert!(second["sends"][0]["report_age_ms"].is_u64(), "{second}");
+        assert!(second["sends"][0]["mean_age_ms"].is_u64(), "{second}");
+        assert!(!has_key(&second["sends"][0], "unreported"), "{second}");
         assert_eq!(metric(&fleet, "bendhinge_gateway_load_report_age_seconds_count").await, Some(1));
     });
 }
 
+/// Guards against lines of plain pools that show a load other than the one behind the choice.
+#[test]
+fn line_of_a_send_to_a_plain_pool_shows_the_shared_count() {
+    run(|tasks| async move {
+        let shape = FleetShape { gateways: 1, engines: 0, services: 1 };
+        let fleet = GatewayFleet::start(&tasks, shape, "[load]\nshared_response_times = yes\n").await;
+        let call = call("/safe/x");
+        assert_eq!(send(&fleet, &call).await.told, Told::Whole);
+        let line = line_of(&fleet, &call).await;
+        assert!(line["sends"][0]["totals_age_ms"].is_u64(), "{line}");
+        assert!(!has_key(&line["sends"][0], "mean_age_ms"), "{line}");
+        assert_eq!(metric(&fleet, "bendhinge_gateway_totals_age_seconds_count").await, Some(1));
+        assert_eq!(metric(&fleet, "bendhinge_gateway_mean_load_age_seconds_count").await, None);
+    });
+}
+
 /// Guards against retries beyond the fleet's budget whose lines do not show by which figures they were allowed.
 #[test]
 fn line_of_a_retry_shows_the_retry_budget_behind_it() {
