Test the load limit of engines around a drain; it fails

Callers' requests reached engines with over twice the mean load plus three while one data centre was drained and after its return. The model of popular prompts plays drains, a wave of demand and bursts as well now, and is called engine_loads after what it measures; its earlier scenarios run as before, event for event.

--- a/crates/bendhinge_lab/src/bench/popular_prompt.rs
+++ b/crates/bendhinge_lab/src/bench/engine_loads/mod.rs
@@ -1,10 +1,13 @@
-//! A fleet's requests to a pool of engines while a fraction of the long prompts suddenly concerns one subject.
+//! A fleet's requests to a pool of engines while one prompt becomes popular, a data centre is drained, or demand changes.
 //!
 //! Each router has its own loads and cached parts, which travel along the relay tree in exchanges every 0.4 s, as in
 //! the gateway. Engines report their load with the first event. Each engine processes prompts one at a time; the
 //! duration of a stream does not depend on the load, and caches evict nothing. The figures are those of a deployment
 //! of 65 boxes before 140 engines.
 
+mod measured;
+mod scenario;
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashSet};
 use std::time::Duration;
@@ -15,13 +18,16 @@
 };
 use bendhinge_ids::{Instant, NameHash};
 use bendhinge_placement::{
-    CachedPart, CachedParts, Candidate, Choice, CostModel, CostQuery, Distance, PartId, Prompt, PromptPart,
-    choose,
+    CachedPart, CachedParts, Candidate, Choice, CostModel, CostQuery, Distance, Prompt, WarmupLimit, choose,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
 
+pub use self::measured::{MeanEstimate, Measured};
+use self::scenario::{CLASSES, POPULAR_SUBJECT, SKEW, prompt};
+pub use self::scenario::{Drain, MILLIS, POPULAR_MILLIS, Scenario, WARM_MILLIS};
+
 /// Routers of the fleet.
 pub const ROUTERS: usize = 65;
 /// Engines of the pool.
@@ -46,15 +52,9 @@
     max_age: Duration::from_secs(5),
     max_age_for_new_peer: Duration::from_millis(1_300),
 };
-/// Exponent of the popularity of subjects by rank.
-const SKEW: f64 = 0.3;
-
-/// When the subject is popular, in milliseconds.
-pub const POPULAR_MILLIS: std::ops::Range<u64> = 4_000..10_000;
-/// Duration of a run, in milliseconds.
-pub const MILLIS: u64 = 12_000;
-/// Start of the measurement, in milliseconds. All caches are empty at the start of a run.
-pub const WARM_MILLIS: u64 = 3_000;
+/// Time for which an engine counts as warming up after a drain, and the requests per second that it gets meanwhile.
+const WARM_UP: Duration = Duration::from_millis(2_500);
+const WARM_UP_PER_SECOND: f32 = 9.5;
 
 /// How the load of a popular prompt is distributed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,80 +75,6 @@
     OverloadReports,
 }
 
-/// A kind of request.
-struct Class {
-    per_second: f64,
-    subjects: usize,
-    /// Tokens of the part that all subjects share, and of the part of each subject.
-    shared_tokens: [u32; 2],
-    request_tokens: u32,
-    stream: Duration,
-}
-
-const CLASSES: [Class; 3] = [
-    Class {
-        per_second: 189.0,
-        subjects: 365,
-        shared_tokens: [512, 10_000],
-        request_tokens: 1_300,
-        stream: Duration::from_millis(1_450),
-    },
-    Class {
-        per_second: 129.0,
-        subjects: 250,
-        shared_tokens: [119, 580],
-        request_tokens: 130,
-        stream: Duration::from_millis(950),
-    },
-    Class {
-        per_second: 345.0,
-        subjects: 445,
-        shared_tokens: [341, 1_700],
-        request_tokens: 360,
-        stream: Duration::from_millis(75),
-    },
-];
-
-/// The subject of the first class that becomes popular.
-const POPULAR_SUBJECT: usize = 100;
-
-/// What a run measured after [`WARM_MILLIS`].
-#[derive(Clone, Debug, Default)]
-pub struct Measured {
-    /// Arrivals at engines: time in milliseconds, and whether the engine had more than twice the mean load plus
-    /// three requests.
-    pub arrivals: Vec<(u64, bool)>,
-    /// Requests whose shared parts were processed again.
-    pub processed: usize,
-    /// Requests whose shared parts were fetched from another engine.
-    pub fetched: usize,
-    /// Messages with reports of overloaded engines, from all routers.
-    pub overload_messages: usize,
-    /// Engines that processed or fetched the popular prompt.
-    pub copies: usize,
-    /// Time to first event of the popular requests, in milliseconds, sorted.
-    pub first_event_millis: Vec<u64>,
-}
-
-impl Measured {
-    /// Returns the highest fraction of arrivals over the limit within five seconds, of windows with at least 20 of
-    /// them.
-    #[must_use]
-    pub fn worst_fraction_over_limit(&self) -> f64 {
-        const WINDOW_MILLIS: u64 = 5_000;
-        const MIN_OVER: usize = 20;
-        let starts = (WARM_MILLIS..=MILLIS - WINDOW_MILLIS).step_by(100);
-        let fraction = |start: u64| {
-            let window = start..start + WINDOW_MILLIS;
-            let within: Vec<bool> =
-                self.arrivals.iter().filter(|(at, _)| window.contains(at)).map(|(_, over)| *over).collect();
-            let over = within.iter().filter(|over| **over).count();
-            if over < MIN_OVER { 0.0 } else { over as f64 / within.len() as f64 }
-        };
-        starts.map(fraction).fold(0.0, f64::max)
-    }
-}
-
 struct Router {
     loads: Loads,
     cached_parts: CachedParts,
@@ -162,6 +88,8 @@
     sent_overloads: u64,
     next_push: Instant,
     is_push_scheduled: bool,
+    /// Time after which the router learns of the start and the end of a drain.
+    drain_delay: Duration,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -192,7 +120,7 @@
 
 struct Model {
     way: Way,
-    popular_fraction: f64,
+    scenario: Scenario,
     random: ChaCha8Rng,
     now: Instant,
     events: BinaryHeap<Reverse<(Instant, u64, Event)>>,
@@ -204,10 +132,10 @@
     measured: Measured,
 }
 
-/// Runs the fleet with `popular_fraction` of the long prompts about the popular subject.
+/// Runs the fleet through a scenario.
 #[must_use]
-pub fn run(way: Way, popular_fraction: f64, seed: u64) -> Measured {
-    let mut model = Model::new(way, popular_fraction, seed);
+pub fn run(way: Way, scenario: &Scenario, seed: u64) -> Measured {
+    let mut model = Model::new(way, scenario.clone(), seed);
     while let Some(Reverse((at, _, event))) = model.events.pop() {
         model.now = at;
         if model.millis() >= MILLIS {
@@ -239,18 +167,9 @@
     KeyRequests::key(NameHash(0), prompt.affinity_key().map_or(0, |key| key.0))
 }
 
-fn prompt(class: usize, subject: usize, request: u64) -> Prompt {
-    let part = |group: usize, number: u64, tokens| PromptPart {
-        id: PartId(NameHash::of(&format!("{class} {group} {number}")).0),
-        tokens,
-    };
-    let Class { shared_tokens: [common, own], request_tokens, .. } = CLASSES[class];
-    Prompt::new(vec![part(0, 0, common), part(1, subject as u64, own), part(2, request, request_tokens)])
-}
-
 impl Model {
-    fn new(way: Way, popular_fraction: f64, seed: u64) -> Self {
-        let router = || Router {
+    fn new(way: Way, scenario: Scenario, seed: u64) -> Self {
+        let router = |number: usize| Router {
             loads: Loads::default(),
             cached_parts: CachedParts::new(CACHE_TTL),
             updates: UpdateLog::new(UPDATE_LIMITS),
@@ -261,15 +180,16 @@
             sent_overloads: 0,
             next_push: Instant::default(),
             is_push_scheduled: false,
+            drain_delay: Drain::MAX_DELAY.mul_f64(number as f64 / ROUTERS as f64),
         };
         let mut model = Self {
             way,
-            popular_fraction,
-            random: ChaCha8Rng::seed_from_u64(seed),
+            scenario,
             now: Instant::from_millis(0),
             events: BinaryHeap::new(),
             scheduled: 0,
-            routers: std::iter::repeat_with(router).take(ROUTERS).collect(),
+            routers: (0..ROUTERS).map(router).collect(),
+            random: ChaCha8Rng::seed_from_u64(seed),
             engines: vec![Engine::default(); ENGINES],
             cached: HashSet::new(),
             measured: Measured::default(),
@@ -293,7 +213,8 @@
     }
 
     fn schedule_request(&mut self, class: usize) {
-        let gap = -self.random.random::<f64>().ln() / CLASSES[class].per_second;
+        let per_second = CLASSES[class].per_second * self.scenario.demand(self.millis());
+        let gap = -self.random.random::<f64>().ln() / per_second;
         self.after(Duration::from_secs_f64(gap), Event::Request { class });
     }
 
@@ -331,7 +252,7 @@
     /// Draws a subject, of which the first ones are the most popular.
     fn draw_subject(&mut self, class: usize) -> usize {
         let is_popular = class == 0 && POPULAR_MILLIS.contains(&self.millis());
-        if is_popular && self.random.random_bool(self.popular_fraction) {
+        if is_popular && self.random.random_bool(self.scenario.popular_fraction) {
             return POPULAR_SUBJECT;
         }
         let subjects = CLASSES[class].subjects as f64;
@@ -346,7 +267,7 @@
         let prompt = prompt(class, subject, request);
         let choice = self.choose(router, &prompt, request);
         let engine = choice.candidate;
-        self.record_arrival(engine);
+        self.record_arrival(engine, choice.mean_load);
         let key = key(&prompt);
         let Router { loads, cached_parts, updates, key_requests, .. } = &mut self.routers[router];
         key_requests.start(key);
@@ -381,11 +302,14 @@
     }
 
     fn choose(&self, router: usize, prompt: &Prompt, tie_breaker: u64) -> Choice {
-        let Router { loads, cached_parts, .. } = &self.routers[router];
+        let Router { loads, cached_parts, drain_delay, .. } = &self.routers[router];
+        // The router's view of drains is that of an earlier moment.
+        let known = self.now - *drain_delay;
         let mean = loads.mean_other_requests((0..ENGINES).map(engine_hash), self.now);
         let candidate = |engine| Candidate {
             upstream: engine_hash(engine),
             load: match self.way {
+                _ if self.scenario.is_drained(engine, known) => loads.own_requests(engine_hash(engine)),
                 Way::WithoutDecay => {
                     let basis = loads.basis(engine_hash(engine), self.now);
                     basis
@@ -396,13 +320,14 @@
                 _ => loads.estimate(engine_hash(engine), mean, self.now),
             },
             failure_rate: 0.0,
-            takes_work: true,
-            is_warming: false,
+            takes_work: !self.scenario.is_drained(engine, known),
+            is_warming: self.scenario.was_drained_within(engine, WARM_UP, known),
             counts_in_mean: true,
             distance: Distance::Local,
             work: None,
         };
-        let candidates: Vec<Candidate> = (0..ENGINES).map(candidate).collect();
+        let mut candidates: Vec<Candidate> = (0..ENGINES).map(candidate).collect();
+        self.exclude_warming(&mut candidates, tie_breaker);
         let key_requests = self.key_requests(router, prompt);
         let query =
             CostQuery { prompt: Some(prompt), can_fetch: true, tie_breaker, locality: None, key_requests };
@@ -413,12 +338,26 @@
         choose(&model, &query, &candidates, cached_parts, self.now).expect("all engines take work")
     }
 
-    fn record_arrival(&mut self, engine: usize) {
+    fn exclude_warming(&self, candidates: &mut [Candidate], tie_breaker: u64) {
+        let per_second: f64 = CLASSES.iter().map(|class| class.per_second).sum();
+        let demand = per_second * self.scenario.demand(self.millis()) / ROUTERS as f64;
+        let limit = WarmupLimit {
+            requests_per_second: WARM_UP_PER_SECOND,
+            demand_per_second: super::narrow(demand),
+            router_count: Some(ROUTERS),
+        };
+        limit.exclude_warming(candidates, tie_breaker);
+    }
+
+    fn record_arrival(&mut self, engine: usize, estimated_mean: f32) {
         let total: u32 = self.engines.iter().map(|engine| engine.in_progress).sum();
         let mean = f64::from(total) / ENGINES as f64;
         let is_over = f64::from(self.engines[engine].in_progress) > 2.0 * mean + 3.0;
         if self.millis() >= WARM_MILLIS {
-            self.measured.arrivals.push((self.millis(), is_over));
+            let millis = self.millis();
+            let estimated = f64::from(estimated_mean);
+            self.measured.arrivals.push((millis, is_over));
+            self.measured.mean_estimates.push(MeanEstimate { millis, estimated, actual: mean });
         }
     }
 
--- a/crates/bendhinge_lab/src/bench/mod.rs
+++ b/crates/bendhinge_lab/src/bench/mod.rs
@@ -7,11 +7,11 @@
 pub mod crashing;
 pub mod decision;
 pub mod engine_admission;
+pub mod engine_loads;
 pub mod pauses;
 pub mod placement;
 pub mod plain_pool;
 mod policy;
-pub mod popular_prompt;
 pub mod prefill;
 pub mod resting;
 pub mod retry_budget;
@@ -28,3 +28,9 @@
 const fn whole(number: f64) -> u64 {
     number as u64
 }
+
+/// A number in the precision of the decisions.
+#[expect(clippy::cast_possible_truncation, reason = "a small positive number")]
+const fn narrow(number: f64) -> f32 {
+    number as f32
+}
