Upstreams that get few requests and have no report count as idle

Callers' requests reached engines with over twice the mean load plus three after a drained data centre was given back. Cause: gateways send nothing to a drained upstream, so its last report expires; once the drain ends, it was taken to hold as much as the others on average, and so it stayed for the 2.5 s for which it counts as warming up.

The reports of upstreams that are drained or warm up now decay towards zero in place of the mean, for placement as for admission, which added the same requests to the load of the pool.

--- a/crates/bendhinge_fleet/src/loads.rs
+++ b/crates/bendhinge_fleet/src/loads.rs
@@ -200,7 +200,8 @@
     ///
     /// The reported load of other routers decays towards `mean`, their mean load over the upstreams of
     /// the pool, at the rate at which requests end. Relying on a report for longer would make all
-    /// routers send to an upstream that was idle a moment ago.
+    /// routers send to an upstream that was idle a moment ago. For an upstream that gets no requests,
+    /// `mean` is 0.
     #[must_use]
     pub fn estimate(&self, upstream: NameHash, mean: f32, now: Instant) -> f32 {
         let load = self.upstreams.get(&upstream).copied().unwrap_or_default();
--- a/crates/bendhinge_gateway/src/state/candidates.rs
+++ b/crates/bendhinge_gateway/src/state/candidates.rs
@@ -81,6 +81,13 @@
         PoolSnapshot { listed, candidates, pool_reports }
     }
 
+    /// Estimates the number of requests at an upstream of a pool in which others have `mean_load` requests of other
+    /// gateways on average.
+    pub(super) fn estimated_load(&self, listed: &ListedUpstream, mean_load: f32, now: Instant) -> f32 {
+        let mean_load = if listed.gets_few_requests(now) { 0.0 } else { mean_load };
+        self.loads.estimate(listed.entry.hash, mean_load, now)
+    }
+
     pub(super) fn record_demand(&mut self, pool: &PoolName, now: Instant) {
         match self.demand.get_mut(pool) {
             Some(demand) => demand.record(now),
@@ -104,15 +111,9 @@
             UpstreamHealth::ProbeAllowed | UpstreamHealth::Ejected => UNHEALTHY_FAILURE_RATE,
         };
         let is_eligible = self.is_available(listed, now) && !request.tried.contains(&upstream);
-        // No gateway sends to a drained upstream, so its load has no requests of other gateways.
-        let load = if listed.is_drained {
-            self.loads.own_requests(upstream)
-        } else {
-            self.loads.estimate(upstream, mean_load, now)
-        };
         Candidate {
             upstream,
-            load,
+            load: self.estimated_load(listed, mean_load, now),
             failure_rate: expected_failure_rate,
             takes_work: is_eligible && health != UpstreamHealth::Ejected,
             is_warming: is_eligible && listed.is_warming_up(now),
--- a/crates/bendhinge_gateway/src/state/engines.rs
+++ b/crates/bendhinge_gateway/src/state/engines.rs
@@ -90,7 +90,7 @@
         let accepting = listed.iter().filter(|listed| self.takes_work(listed, now));
         let loads: Vec<(NameHash, f32)> = accepting
             .clone()
-            .map(|listed| (listed.entry.hash, self.loads.estimate(listed.entry.hash, mean_load, now)))
+            .map(|listed| (listed.entry.hash, self.estimated_load(listed, mean_load, now)))
             .collect();
         let configured_slots = rule.and_then(|rule| rule.slots);
         let slots = accepting.map(|listed| configured_slots.unwrap_or(listed.entry.slots)).sum();
--- a/crates/bendhinge_lab/src/bench/engine_loads/mod.rs
+++ b/crates/bendhinge_lab/src/bench/engine_loads/mod.rs
@@ -308,17 +308,7 @@
         let mean = loads.mean_other_requests((0..ENGINES).map(engine_hash), self.now);
         let candidate = |engine| Candidate {
             upstream: engine_hash(engine),
-            load: match self.way {
-                _ if self.scenario.is_drained(engine, known) => loads.own_requests(engine_hash(engine)),
-                Way::WithoutDecay => {
-                    let basis = loads.basis(engine_hash(engine), self.now);
-                    basis
-                        .report
-                        .map_or(mean, |report| report.in_progress as f32)
-                        .max(basis.own_requests as f32)
-                }
-                _ => loads.estimate(engine_hash(engine), mean, self.now),
-            },
+            load: self.estimated_load(router, engine, mean),
             failure_rate: 0.0,
             takes_work: !self.scenario.is_drained(engine, known),
             is_warming: self.scenario.was_drained_within(engine, WARM_UP, known),
@@ -338,6 +328,21 @@
         choose(&model, &query, &candidates, cached_parts, self.now).expect("all engines take work")
     }
 
+    /// Estimates the load of an engine as a router does whose upstreams have `mean` requests of other routers.
+    fn estimated_load(&self, router: usize, engine: usize, mean: f32) -> f32 {
+        let Router { loads, drain_delay, .. } = &self.routers[router];
+        let upstream = engine_hash(engine);
+        if self.way == Way::WithoutDecay {
+            let basis = loads.basis(upstream, self.now);
+            let reported = basis.report.map_or(mean, |report| report.in_progress as f32);
+            return reported.max(basis.own_requests as f32);
+        }
+        let known = self.now - *drain_delay;
+        let gets_few_requests = self.scenario.is_drained(engine, known)
+            || self.scenario.was_drained_within(engine, WARM_UP, known);
+        loads.estimate(upstream, if gets_few_requests { 0.0 } else { mean }, self.now)
+    }
+
     fn exclude_warming(&self, candidates: &mut [Candidate], tie_breaker: u64) {
         let per_second: f64 = CLASSES.iter().map(|class| class.per_second).sum();
         let demand = per_second * self.scenario.demand(self.millis()) / ROUTERS as f64;
--- a/crates/bendhinge_lab/tests/gateway_streams.rs
+++ b/crates/bendhinge_lab/tests/gateway_streams.rs
@@ -100,6 +100,29 @@
     });
 }
 
+/// Guards against a load limit raised by upstreams that have no report because they get few requests.
+#[test]
+fn an_upstream_that_warms_up_without_a_report_counts_as_idle() {
+    const REPORTED: u32 = 20;
+    run(|tasks| async move {
+        let fleet = engines(&tasks, 2).await;
+        let warming = fleet.upstreams[1].name();
+        fleet.store.warm_up(&warming, Duration::from_mins(5));
+        fleet.upstreams[0].report_load(REPORTED);
+        let mean_load = async || {
+            let call = Call::stream("/stream/x", KEY);
+            assert_eq!(send(&fleet, &call).await.told, Told::Whole);
+            line_of(&fleet, &call).await["sends"][0]["mean_load"].as_f64().unwrap()
+        };
+        // The list says that the upstream warms up from a later read on.
+        until(async || {
+            let mean_load = mean_load().await;
+            mean_load > 0.0 && mean_load < f64::from(REPORTED) * 0.75
+        })
+        .await;
+    });
+}
+
 /// Guards against lines of plain pools that show a load other than the one behind the choice.
 #[test]
 fn line_of_a_send_to_a_plain_pool_shows_the_shared_count() {
