Gateways exchange twice as often while a pool is close to its load limit

The engines that are left bear 1.5 times the mean of all and may bear 1.5 times the mean plus two, and a report that is as old as requests last cannot tell which of them is above that.

While the mean load of the upstreams that take requests is above 0.6 of the load limit, a gateway exchanges with its relay once more between two rounds.

--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -51,7 +51,14 @@
             control.executor.spawn(task).detach();
         }
         round = round.wrapping_add(1);
-        Timer::after(round_interval(&control)).await;
+        let interval = round_interval(&control);
+        if exchanges_frequently(&control) {
+            Timer::after(interval / 2).await;
+            spawn_exchange_with_relay(&control);
+            Timer::after(interval / 2).await;
+        } else {
+            Timer::after(interval).await;
+        }
         control.peers.close_idle(IDLE_CONNECTION_TIMEOUT);
     }
 }
@@ -67,6 +74,26 @@
     interval.mul_f64(rand::rng().random_range(0.8..1.2))
 }
 
+/// Returns whether loads have to be exchanged more often, because the upstreams of a pool are close to the load limit.
+fn exchanges_frequently(control: &ControlPlane) -> bool {
+    let DeliveryContext { upstreams, load_settings, .. } = &*control.context;
+    upstreams.is_active(load_settings.frequent_exchanges)
+        && upstreams.is_any_pool_near_load_limit(bendhinge_clock::now())
+}
+
+/// Starts an exchange with the preferred relay between two rounds.
+fn spawn_exchange_with_relay(control: &Rc<ControlPlane>) {
+    let now = bendhinge_clock::now();
+    let store_failing = control.is_store_failing();
+    let contacts = control.roster.borrow().contacts(Reach::RelayOnly, store_failing, now, &mut random_below);
+    for contact in contacts.into_iter().filter(|contact| matches!(contact, Contact::Relay(_))) {
+        let task_control = Rc::clone(control);
+        let task = async move { exchange_or_fall_back(&task_control, contact).await };
+        control.executor.spawn(task).detach();
+    }
+    control.context.metrics.count_frequent_exchange();
+}
+
 /// Returns whether this gateway still lacks rules or upstreams to serve with.
 ///
 /// It then contacts a random member. Otherwise all gateways of a fleet that has just started would
--- a/crates/bendhinge_gateway/src/metrics.rs
+++ b/crates/bendhinge_gateway/src/metrics.rs
@@ -128,6 +128,35 @@
     }
 }
 
+/// What is counted of the exchanges with other gateways.
+struct ExchangeCounters {
+    by_result: Counter<u64>,
+    frequent: Counter<u64>,
+    sent_entries: Counter<u64>,
+    dropped_cached_parts: Counter<u64>,
+}
+
+impl ExchangeCounters {
+    /// Builds them with `counter`, which takes a name and a description.
+    fn new(counter: impl Fn(&'static str, &'static str) -> Counter<u64>) -> Self {
+        Self {
+            by_result: counter("bendhinge.gateway.exchanges", "Exchanges with other gateways, by result"),
+            frequent: counter(
+                "bendhinge.gateway.frequent_exchanges",
+                "Additional exchanges, because a pool was close to its load limit",
+            ),
+            sent_entries: counter(
+                "bendhinge.gateway.peer_told",
+                "Entries of messages to other gateways, by kind: what a message is made of",
+            ),
+            dropped_cached_parts: counter(
+                "bendhinge.gateway.reads_not_told",
+                "Reads of which another gateway was not told in time",
+            ),
+        }
+    }
+}
+
 /// All metrics of a gateway.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -139,9 +168,7 @@
     store_reads: Histogram<f64>,
     peer_fetches: Histogram<f64>,
     ages: AgeHistograms,
-    exchanges: Counter<u64>,
-    sent_entries: Counter<u64>,
-    dropped_cached_parts: Counter<u64>,
+    exchanges: ExchangeCounters,
     suspected_upstreams: Counter<u64>,
     backoff_requests: Counter<u64>,
     drain_announcements: Counter<u64>,
@@ -193,15 +220,7 @@
                 &FETCH_BUCKETS_SECONDS,
             ),
             ages: AgeHistograms::new(seconds),
-            sent_entries: counter(
-                "bendhinge.gateway.peer_told",
-                "Entries of messages to other gateways, by kind: what a message is made of",
-            ),
-            dropped_cached_parts: counter(
-                "bendhinge.gateway.reads_not_told",
-                "Reads of which another gateway was not told in time",
-            ),
-            exchanges: counter("bendhinge.gateway.exchanges", "Exchanges with other gateways, by result"),
+            exchanges: ExchangeCounters::new(counter),
             suspected_upstreams: counter(
                 "bendhinge.gateway.upstreams_suspected",
                 "Times that an upstream was spared since other gateways found that it answers nobody",
@@ -314,7 +333,12 @@
 
     /// Counts an exchange with another gateway.
     pub(crate) fn count_exchange(&self, succeeded: bool) {
-        self.exchanges.add(1, &[result_label(succeeded)]);
+        self.exchanges.by_result.add(1, &[result_label(succeeded)]);
+    }
+
+    /// Counts an additional exchange between two rounds.
+    pub(crate) fn count_frequent_exchange(&self) {
+        self.exchanges.frequent.add(1, &[]);
     }
 
     /// Counts the entries of a message to another gateway, by kind.
@@ -333,14 +357,14 @@
             ("doubts", message.failure_evidence.len()),
         ];
         for (kind, count) in entries.into_iter().filter(|(_, count)| *count > 0) {
-            self.sent_entries.add(count as u64, &[KeyValue::new("kind", kind)]);
+            self.exchanges.sent_entries.add(count as u64, &[KeyValue::new("kind", kind)]);
         }
     }
 
     /// Counts cached parts that were dropped before another gateway was informed of them.
     pub(crate) fn count_dropped_cached_parts(&self, count: u64) {
         if count > 0 {
-            self.dropped_cached_parts.add(count, &[]);
+            self.exchanges.dropped_cached_parts.add(count, &[]);
         }
     }
 
--- a/crates/bendhinge_gateway/src/settings/load.rs
+++ b/crates/bendhinge_gateway/src/settings/load.rs
@@ -60,4 +60,6 @@
     pub popular_prompts: Activation,
     /// Whether the report of an overloaded upstream is sent to the other gateways at once.
     pub overload_reports: Activation,
+    /// Whether gateways exchange twice as often while the upstreams of a pool are close to the load limit.
+    pub frequent_exchanges: Activation,
 }
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -368,6 +368,7 @@
         let shared_response_times = self.0.value(section, "shared_response_times");
         let admission = self.0.value(section, "admission");
         let overload_reports = self.0.value(section, "overload_reports");
+        let frequent_exchanges = self.0.value(section, "frequent_exchanges");
         let popular_prompts = self.0.value(section, "popular_prompts");
         Some(LoadSettings {
             work: work?,
@@ -376,6 +377,7 @@
             admission: admission?,
             popular_prompts: popular_prompts?,
             overload_reports: overload_reports?,
+            frequent_exchanges: frequent_exchanges?,
         })
     }
 
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -227,6 +227,12 @@
             Some("no"),
             "Whether the report of an overloaded upstream is sent to the other gateways at once.",
         ),
+        Key::new(
+            "frequent_exchanges",
+            "no, yes or reported",
+            Some("no"),
+            "Whether gateways exchange twice as often while the upstreams of a pool are close to the load limit.",
+        ),
     ],
 };
 
--- a/crates/bendhinge_gateway/src/state/candidates.rs
+++ b/crates/bendhinge_gateway/src/state/candidates.rs
@@ -88,6 +88,18 @@
         self.loads.estimate(listed.entry.hash, mean_load, now)
     }
 
+    /// Whether the load of an upstream counts in the mean of its pool, as that of a drained one does.
+    pub(super) fn counts_in_mean(
+        &self,
+        listed: &ListedUpstream,
+        health: UpstreamHealth,
+        now: Instant,
+    ) -> bool {
+        listed.stops_at.is_none_or(|stops_at| now < stops_at)
+            && self.backoffs.ends_at(listed.entry.hash, now).is_none()
+            && health != UpstreamHealth::Ejected
+    }
+
     pub(super) fn record_demand(&mut self, pool: &PoolName, now: Instant) {
         match self.demand.get_mut(pool) {
             Some(demand) => demand.record(now),
@@ -117,9 +129,7 @@
             failure_rate: expected_failure_rate,
             takes_work: is_eligible && health != UpstreamHealth::Ejected,
             is_warming: is_eligible && listed.is_warming_up(now),
-            counts_in_mean: listed.stops_at.is_none_or(|stops_at| now < stops_at)
-                && self.backoffs.ends_at(upstream, now).is_none()
-                && health != UpstreamHealth::Ejected,
+            counts_in_mean: self.counts_in_mean(listed, health, now),
             distance: location.distance_to(&listed.entry.data_centre),
             work: None,
         }
--- a/crates/bendhinge_gateway/src/state/mod.rs
+++ b/crates/bendhinge_gateway/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod candidates;
 mod choice;
 mod engines;
+mod load_limit;
 mod locality;
 mod overloads;
 mod peers;
--- a/crates/bendhinge_gateway/src/state/plain.rs
+++ b/crates/bendhinge_gateway/src/state/plain.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bendhinge_fleet::{ExpectedResponse, Figure, ResponseTimes};
+use bendhinge_fleet::{ExpectedResponse, Figure, FleetTotals, ResponseTimes};
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_placement::{Candidate, Choice, ChoiceReason, Distance, PlainCandidate, choose_plain};
 use rustc_hash::FxHashMap;
@@ -72,6 +72,21 @@
         Some(PlainChoice { choice, in_progress, totals_age })
     }
 
+    pub(super) fn pools(&self) -> impl Iterator<Item = &PoolName> {
+        self.0.keys()
+    }
+
+    /// Estimates the number of requests of all gateways in progress at an upstream.
+    pub(super) fn in_progress(
+        &self,
+        pool: &PoolName,
+        upstream: NameHash,
+        totals: &FleetTotals,
+        now: Instant,
+    ) -> Option<f32> {
+        Some(self.0.get(pool)?.expected(upstream, totals, now).in_progress)
+    }
+
     pub(super) fn start(&mut self, pool: &PoolName, upstream: NameHash, now: Instant) {
         self.pool(pool).start(upstream, now);
     }
--- a/crates/bendhinge_lab/src/bench/engine_loads/mod.rs
+++ b/crates/bendhinge_lab/src/bench/engine_loads/mod.rs
@@ -18,7 +18,8 @@
 };
 use bendhinge_ids::{Instant, NameHash};
 use bendhinge_placement::{
-    CachedPart, CachedParts, Candidate, Choice, CostModel, CostQuery, Distance, Prompt, WarmupLimit, choose,
+    CachedPart, CachedParts, Candidate, Choice, CostModel, CostQuery, Distance, Prompt, UpstreamUsage,
+    WarmupLimit, choose,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -73,6 +74,8 @@
     Estimate,
     /// As `Estimate`, and routers send reports of overloaded engines to each other at once.
     OverloadReports,
+    /// As `OverloadReports`, and routers exchange twice as often while the engines are close to the load limit.
+    FrequentExchanges,
 }
 
 struct Router {
@@ -220,7 +223,9 @@
 
     fn schedule_exchange(&mut self, router: usize) {
         let jitter = self.random.random_range(0.8..1.2);
-        self.after(EXCHANGE_INTERVAL.mul_f64(jitter), Event::Exchange { router });
+        let interval = EXCHANGE_INTERVAL.mul_f64(jitter);
+        let interval = if self.exchanges_frequently(router) { interval / 2 } else { interval };
+        self.after(interval, Event::Exchange { router });
     }
 
     fn handle(&mut self, event: Event) {
@@ -295,7 +300,7 @@
                 }
             }
             Way::FleetRequests => totals.get(key(prompt), self.now).map_or(0.0, |total| total.value),
-            Way::Estimate | Way::OverloadReports => {
+            Way::Estimate | Way::OverloadReports | Way::FrequentExchanges => {
                 key_requests.estimate(key(prompt), totals, ROUTERS, self.now)
             }
         }
@@ -337,12 +342,27 @@
             let reported = basis.report.map_or(mean, |report| report.in_progress as f32);
             return reported.max(basis.own_requests as f32);
         }
-        let known = self.now - *drain_delay;
-        let gets_few_requests = self.scenario.is_drained(engine, known)
-            || self.scenario.was_drained_within(engine, WARM_UP, known);
+        let gets_few_requests = self.gets_few_requests(engine, self.now - *drain_delay);
         loads.estimate(upstream, if gets_few_requests { 0.0 } else { mean }, self.now)
     }
 
+    fn gets_few_requests(&self, engine: usize, known: Instant) -> bool {
+        self.scenario.is_drained(engine, known) || self.scenario.was_drained_within(engine, WARM_UP, known)
+    }
+
+    fn exchanges_frequently(&self, router: usize) -> bool {
+        if self.way != Way::FrequentExchanges {
+            return false;
+        }
+        let Router { loads, drain_delay, .. } = &self.routers[router];
+        let mean = loads.mean_other_requests((0..ENGINES).map(engine_hash), self.now);
+        let usage = |engine| UpstreamUsage {
+            load: self.estimated_load(router, engine, mean),
+            takes_requests: !self.gets_few_requests(engine, self.now - *drain_delay),
+        };
+        CostModel::default().is_near_load_limit((0..ENGINES).map(usage))
+    }
+
     fn exclude_warming(&self, candidates: &mut [Candidate], tie_breaker: u64) {
         let per_second: f64 = CLASSES.iter().map(|class| class.per_second).sum();
         let demand = per_second * self.scenario.demand(self.millis()) / ROUTERS as f64;
@@ -418,7 +438,8 @@
 
     fn record_overload(&mut self, number: usize, report: UpstreamLoad, source: UpdateSource) {
         let router = &mut self.routers[number];
-        let is_new = self.way == Way::OverloadReports && router.overloads.record(report, source, self.now);
+        let sends_reports = matches!(self.way, Way::OverloadReports | Way::FrequentExchanges);
+        let is_new = sends_reports && router.overloads.record(report, source, self.now);
         if is_new && !router.is_push_scheduled {
             router.is_push_scheduled = true;
             let delay = router.next_push.since(self.now).max(LATENCY);
--- a/crates/bendhinge_lab/tests/engine_loads.rs
+++ b/crates/bendhinge_lab/tests/engine_loads.rs
@@ -27,6 +27,16 @@
     }
 }
 
+/// One of three data centres is drained while the demand is twice the usual.
+fn busy_drain() -> Scenario {
+    Scenario {
+        drains: vec![Drain { millis: DRAIN_MILLIS, data_centre: 1 }],
+        burst_millis: DRAIN_MILLIS.start..DRAIN_MILLIS.end + 500,
+        burst_factor: 2.0,
+        ..Scenario::default()
+    }
+}
+
 /// Guards against a model whose engines are over the limit whatever is popular.
 #[test]
 fn engines_without_a_popular_prompt_stay_within_the_load_limit() {
@@ -84,3 +94,24 @@
         assert!(ratio <= MAX_RATIO, "seed {seed}: {ratio:.2} times the mean load");
     }
 }
+
+/// Guards against exchanges that are too rare while the engines that are left bear twice the usual demand: routers learn
+/// of an engine above the limit after the next requests were sent there.
+#[test]
+fn engines_of_a_busy_pool_stay_within_the_load_limit_around_a_drain() {
+    for seed in DRAIN_SEEDS {
+        let over = run(Way::FrequentExchanges, &busy_drain(), seed).worst_fraction_over_limit();
+        assert!(over <= MAX_OVER_LIMIT, "seed {seed}: {over:.3} of the requests");
+    }
+}
+
+/// Guards against a model that does not show the fault: at the usual interval, the load limit is exceeded.
+#[test]
+fn exchanges_at_the_usual_interval_exceed_the_load_limit_around_a_drain() {
+    let over = DRAIN_SEEDS.map(|seed| {
+        let run = run(Way::OverloadReports, &busy_drain(), seed);
+        run.worst_fraction_over_limit()
+    });
+    let worst = over.fold(0.0, f64::max);
+    assert!(worst > MAX_OVER_LIMIT, "{worst:.3} of the requests");
+}
--- a/crates/bendhinge_lab/tests/gateway_common/mod.rs
+++ b/crates/bendhinge_lab/tests/gateway_common/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bendhinge_fleet::MemberReport;
-use bendhinge_http::{Tasks, run_until};
+use bendhinge_http::{Tasks, fetch_bytes, run_until};
 use bendhinge_lab::gateways::{Answer, Call, FleetShape, GatewayFleet, KEY, until};
 use bendhinge_peer::PeerMessage;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
@@ -179,3 +179,12 @@
         }
     }
 }
+
+/// The value of a metric of the first gateway.
+pub async fn metric(fleet: &GatewayFleet, name: &str) -> Option<u64> {
+    const TIME: Duration = Duration::from_secs(5);
+    let page = fetch_bytes(&fleet.pool, fleet.settings[0].addresses["ready"], "/metrics", TIME).await.ok()?;
+    let page = String::from_utf8_lossy(&page).into_owned();
+    let line = page.lines().find(|line| line.starts_with(name))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
--- a/crates/bendhinge_lab/tests/gateway_streams.rs
+++ b/crates/bendhinge_lab/tests/gateway_streams.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use bendhinge_gateway::native::headers::{DEADLINE, PROMPT, REQUEST};
-use bendhinge_http::{Tasks, fetch_bytes};
+use bendhinge_http::Tasks;
 use bendhinge_lab::gateways::{Call, FleetShape, GatewayFleet, KEY, Told, until};
 use bendhinge_standin::gateway::{Upstream, UpstreamFault};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use gateway_common::{PATIENCE, call, line_of, run, send, smallest, start};
+use gateway_common::{PATIENCE, call, line_of, metric, run, send, smallest, start};
 use serde_json::{Value, json};
 use smol::net::TcpStream;
 
@@ -22,15 +22,6 @@
     line.get(key).is_some()
 }
 
-/// The value of a metric of the first gateway.
-async fn metric(fleet: &GatewayFleet, name: &str) -> Option<u64> {
-    const TIME: Duration = Duration::from_secs(5);
-    let page = fetch_bytes(&fleet.pool, fleet.settings[0].addresses["ready"], "/metrics", TIME).await.ok()?;
-    let page = String::from_utf8_lossy(&page).into_owned();
-    let line = page.lines().find(|line| line.starts_with(name))?;
-    line.rsplit(' ').next()?.parse().ok()
-}
-
 /// Sends a call and reads until the first event of its stream is complete. Dropping the connection disconnects the
 /// caller.
 async fn read_first_event(address: SocketAddr, call: &Call) -> TcpStream {
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -131,6 +131,36 @@
 /// is a few requests.
 const OVERLOAD_FACTOR: f32 = 4.0 / 3.0;
 
+/// Mean load of the upstreams that take requests, as a fraction of the load limit, above which the limit is near. Pools
+/// of which all upstreams take requests exceed it from twelve requests on each; they have more room.
+const NEAR_LIMIT_FRACTION: f32 = 0.6;
+
+/// The load of an upstream, and whether it takes its share of the requests.
+#[derive(Clone, Copy, Debug)]
+pub struct UpstreamUsage {
+    /// Estimated number of requests in progress.
+    pub load: f32,
+    /// Whether it takes requests like the others: it is neither drained nor warming up.
+    pub takes_requests: bool,
+}
+
+#[derive(Default)]
+struct MeanLoad {
+    upstreams: f32,
+    load: f32,
+}
+
+impl MeanLoad {
+    fn add(&mut self, load: f32) {
+        self.upstreams += 1.0;
+        self.load += load;
+    }
+
+    fn mean(&self) -> f32 {
+        self.load / self.upstreams.max(1.0)
+    }
+}
+
 impl CostModel {
     /// Returns whether an upstream with `load` requests is overloaded, in a pool with this mean load.
     #[must_use]
@@ -138,6 +168,20 @@
         load >= self.load_limit(mean_load) * OVERLOAD_FACTOR
     }
 
+    /// Returns whether the upstreams of a pool that take requests are close to the load limit on average. Reports that
+    /// are as old as requests last then come too late to keep single upstreams below it.
+    #[must_use]
+    pub fn is_near_load_limit(&self, upstreams: impl Iterator<Item = UpstreamUsage>) -> bool {
+        let (mut all, mut taking) = (MeanLoad::default(), MeanLoad::default());
+        for UpstreamUsage { load, takes_requests } in upstreams {
+            all.add(load);
+            if takes_requests {
+                taking.add(load);
+            }
+        }
+        taking.mean() > NEAR_LIMIT_FRACTION * self.load_limit(all.mean())
+    }
+
     /// Returns the maximum load of an upstream of a pool with this mean load.
     fn load_limit(&self, mean_load: f32) -> f32 {
         self.load_bound_factor * mean_load + self.load_bound_slack
@@ -289,10 +333,10 @@
 /// Returns the mean load of the pool. Drained upstreams are included, so that draining part of a
 /// pool does not raise the limit of the others.
 fn mean_load(candidates: &[Candidate]) -> f32 {
+    let mut mean = MeanLoad::default();
     let counted_candidates = candidates.iter().filter(|candidate| candidate.counts_in_mean);
-    let (count, total) = counted_candidates
-        .fold((0.0_f32, 0.0_f32), |(count, total), candidate| (count + 1.0, total + candidate.load));
-    total / count.max(1.0)
+    counted_candidates.for_each(|candidate| mean.add(candidate.load));
+    mean.mean()
 }
 
 /// Returns the estimated number of cached prompt tokens for each candidate.
--- a/crates/bendhinge_placement/src/lib.rs
+++ b/crates/bendhinge_placement/src/lib.rs
@@ -39,7 +39,8 @@
 pub use bound::{LoadBound, PoolLoad};
 pub use cached::{CachedPart, CachedParts};
 pub use cost::{
-    Candidate, CandidateWork, Choice, ChoiceReason, CostModel, CostQuery, Distance, Locality, choose,
+    Candidate, CandidateWork, Choice, ChoiceReason, CostModel, CostQuery, Distance, Locality, UpstreamUsage,
+    choose,
 };
 pub use displaced::DisplacedChats;
 pub use ledger::{LedgerLimits, LoadReport, PermitDenied, PermitGrant, PermitLedger, PermitRequest};
--- a/crates/bendhinge_placement/tests/cost.rs
+++ b/crates/bendhinge_placement/tests/cost.rs
@@ -6,7 +6,7 @@
 use bendhinge_ids::{Instant, NameHash};
 use bendhinge_placement::{
     CachedParts, Candidate, Choice, ChoiceReason, CostModel, CostQuery, Distance, PartId, Prompt, PromptPart,
-    choose,
+    UpstreamUsage, choose,
 };
 
 const NOW: Instant = Instant::from_millis(100_000);
@@ -367,3 +367,21 @@
     });
     assert!(moved.count() < 18);
 }
+
+fn usage(load: f32, takes_requests: bool) -> UpstreamUsage {
+    UpstreamUsage { load, takes_requests }
+}
+
+/// Guards against exchanges that stay rare while the upstreams that are left bear the load of drained ones, and against
+/// frequent ones while there is room.
+#[test]
+fn a_pool_is_near_its_load_limit_while_part_of_it_takes_no_requests() {
+    let model = CostModel::default();
+    let drained = [usage(0.0, false), usage(6.6, true), usage(6.6, true)];
+    assert!(model.is_near_load_limit(drained.into_iter()));
+    let all = [usage(4.4, true); 3];
+    assert!(!model.is_near_load_limit(all.into_iter()));
+    let idle = [usage(0.0, false), usage(0.9, true), usage(0.9, true)];
+    assert!(!model.is_near_load_limit(idle.into_iter()));
+    assert!(!model.is_near_load_limit(std::iter::empty()));
+}
