Upstreams that took few requests approach the mean load after their warm-up

The mean towards which the load of such an upstream decays grows from zero at the end of its warm-up, at the rate at which requests accumulate. A report takes precedence as before.

--- a/crates/bendhinge_fleet/src/directory.rs
+++ b/crates/bendhinge_fleet/src/directory.rs
@@ -115,13 +115,18 @@
         self.stops_at.is_none_or(|stops_at| now < stops_at) && !self.is_drained
     }
 
-    /// Whether routers send the upstream nothing, or only a few requests while it warms up. Without a recent report it
-    /// has hardly any requests in progress, rather than as many as the others.
+    /// Whether routers send the upstream nothing, or only a few requests while it warms up.
     #[must_use]
     pub fn gets_few_requests(&self, now: Instant) -> bool {
         self.is_drained || self.is_warming_up(now)
     }
 
+    /// Returns until when [`ListedUpstream::gets_few_requests`] holds, or held; at least `now` while it is drained.
+    #[must_use]
+    pub fn few_requests_until(&self, now: Instant) -> Option<Instant> {
+        if self.is_drained { Some(now) } else { self.warm_at }
+    }
+
     /// Makes the upstream stop accepting new work at the given time, unless it stops earlier.
     fn stop_at(&mut self, at: Instant) {
         self.stops_at = Some(self.stops_at.map_or(at, |stops_at| stops_at.min(at)));
--- a/crates/bendhinge_fleet/src/loads.rs
+++ b/crates/bendhinge_fleet/src/loads.rs
@@ -200,17 +200,29 @@
     ///
     /// The reported load of other routers decays towards `mean`, their mean load over the upstreams of
     /// the pool, at the rate at which requests end. Relying on a report for longer would make all
-    /// routers send to an upstream that was idle a moment ago. For an upstream that gets no requests,
-    /// `mean` is 0.
+    /// routers send to an upstream that was idle a moment ago. See [`Loads::mean_after_idling`] for one
+    /// that got no requests.
     #[must_use]
     pub fn estimate(&self, upstream: NameHash, mean: f32, now: Instant) -> f32 {
         let load = self.upstreams.get(&upstream).copied().unwrap_or_default();
-        let fade_secs = FADE_FACTOR * self.durations.mean_remaining_secs();
-        let weight = |report: LatestReport| (-now.since(report.reported_at).as_secs_f32() / fade_secs).exp();
-        let weight = load.report.map_or(0.0, weight);
+        let weight = load.report.map_or(0.0, |report| self.decay(now.since(report.reported_at)));
         load.own_requests as f32 + load.other_requests as f32 * weight + mean * (1.0 - weight)
     }
 
+    /// Returns the part of `mean` towards which the load of an upstream decays that gets hardly any
+    /// requests until `idle_until`: none of it until then, and all of it once its requests have had time
+    /// to accumulate. Without a report, such an upstream has fewer requests than the others.
+    #[must_use]
+    pub fn mean_after_idling(&self, mean: f32, idle_until: Instant, now: Instant) -> f32 {
+        mean * (1.0 - self.decay(now.since(idle_until)))
+    }
+
+    /// Returns the weight of a load after `age`.
+    fn decay(&self, age: Duration) -> f32 {
+        let time_constant = FADE_FACTOR * self.durations.mean_remaining_secs();
+        (-age.as_secs_f32() / time_constant).exp()
+    }
+
     /// Returns the mean number of requests of other routers at an upstream, over the recent reports.
     pub fn mean_other_requests(&self, upstreams: impl Iterator<Item = NameHash>, now: Instant) -> f32 {
         self.pool_reports(upstreams, now).mean_other_requests
--- a/crates/bendhinge_fleet/tests/loads.rs
+++ b/crates/bendhinge_fleet/tests/loads.rs
@@ -76,6 +76,20 @@
     assert_eq!(received.recent_reports(NOW).len(), 0);
 }
 
+/// Guards against an upstream that counts as loaded as the others as soon as it takes requests again.
+#[test]
+fn the_mean_load_is_approached_after_idling() {
+    let loads = Loads::default();
+    let mean = |millis: i64| {
+        let idle_until = Instant(NOW.0.saturating_add_signed(-millis * 1_000));
+        loads.mean_after_idling(6.0, idle_until, NOW)
+    };
+    assert!(mean(-1_000).abs() < 0.01, "it still idles");
+    assert!(mean(0).abs() < 0.01);
+    assert!(mean(0) < mean(500) && mean(500) < mean(2_000));
+    assert!(mean(30_000) > 5.9);
+}
+
 /// Guards against a summary that counts outdated reports, or upstreams without a report as idle.
 #[test]
 fn pool_reports_summarize_recent_reports_only() {
--- a/crates/bendhinge_gateway/src/state/candidates.rs
+++ b/crates/bendhinge_gateway/src/state/candidates.rs
@@ -84,7 +84,10 @@
     /// Estimates the number of requests at an upstream of a pool in which others have `mean_load` requests of other
     /// gateways on average.
     pub(super) fn estimated_load(&self, listed: &ListedUpstream, mean_load: f32, now: Instant) -> f32 {
-        let mean_load = if listed.gets_few_requests(now) { 0.0 } else { mean_load };
+        let mean_load = match listed.few_requests_until(now) {
+            Some(until) => self.loads.mean_after_idling(mean_load, until, now),
+            None => mean_load,
+        };
         self.loads.estimate(listed.entry.hash, mean_load, now)
     }
 
--- a/crates/bendhinge_lab/src/bench/engine_loads/mod.rs
+++ b/crates/bendhinge_lab/src/bench/engine_loads/mod.rs
@@ -316,7 +316,10 @@
             load: self.estimated_load(router, engine, mean),
             failure_rate: 0.0,
             takes_work: !self.scenario.is_drained(engine, known),
-            is_warming: self.scenario.was_drained_within(engine, WARM_UP, known),
+            is_warming: self
+                .scenario
+                .few_requests_until(engine, WARM_UP, known)
+                .is_some_and(|until| known < until),
             counts_in_mean: true,
             distance: Distance::Local,
             work: None,
@@ -342,12 +345,11 @@
             let reported = basis.report.map_or(mean, |report| report.in_progress as f32);
             return reported.max(basis.own_requests as f32);
         }
-        let gets_few_requests = self.gets_few_requests(engine, self.now - *drain_delay);
-        loads.estimate(upstream, if gets_few_requests { 0.0 } else { mean }, self.now)
-    }
-
-    fn gets_few_requests(&self, engine: usize, known: Instant) -> bool {
-        self.scenario.is_drained(engine, known) || self.scenario.was_drained_within(engine, WARM_UP, known)
+        let mean = match self.scenario.few_requests_until(engine, WARM_UP, self.now - *drain_delay) {
+            Some(until) => loads.mean_after_idling(mean, until + *drain_delay, self.now),
+            None => mean,
+        };
+        loads.estimate(upstream, mean, self.now)
     }
 
     fn exchanges_frequently(&self, router: usize) -> bool {
@@ -358,7 +360,7 @@
         let mean = loads.mean_other_requests((0..ENGINES).map(engine_hash), self.now);
         let usage = |engine| UpstreamUsage {
             load: self.estimated_load(router, engine, mean),
-            takes_requests: !self.gets_few_requests(engine, self.now - *drain_delay),
+            takes_requests: !self.scenario.gets_few_requests(engine, WARM_UP, self.now - *drain_delay),
         };
         CostModel::default().is_near_load_limit((0..ENGINES).map(usage))
     }
--- a/crates/bendhinge_lab/src/bench/engine_loads/scenario.rs
+++ b/crates/bendhinge_lab/src/bench/engine_loads/scenario.rs
@@ -74,11 +74,26 @@
         self.drains.iter().any(|drain| drain.includes(engine) && drain.millis.contains(&millis))
     }
 
-    /// Whether a drain of an engine ended within `period` before a time.
-    pub(super) fn was_drained_within(&self, engine: usize, period: Duration, at: Instant) -> bool {
-        let ended = |drain: &Drain| Instant::from_millis(drain.millis.end);
-        let recent = |drain: &&Drain| at >= ended(drain) && at.since(ended(drain)) < period;
-        self.drains.iter().filter(recent).any(|drain| drain.includes(engine))
+    /// Whether an engine is drained at a time, or warms up for `warm_up` afterwards.
+    pub(super) fn gets_few_requests(&self, engine: usize, warm_up: Duration, at: Instant) -> bool {
+        self.is_drained(engine, at)
+            || self.few_requests_until(engine, warm_up, at).is_some_and(|until| at < until)
+    }
+
+    /// Returns until when an engine gets few requests, or got them: `at` while it is drained, or `warm_up` after its last
+    /// drain.
+    pub(super) fn few_requests_until(
+        &self,
+        engine: usize,
+        warm_up: Duration,
+        at: Instant,
+    ) -> Option<Instant> {
+        if self.is_drained(engine, at) {
+            return Some(at);
+        }
+        let ends = self.drains.iter().filter(|drain| drain.includes(engine));
+        let ends = ends.map(|drain| Instant::from_millis(drain.millis.end));
+        ends.filter(|end| *end <= at).max().map(|end| end + warm_up)
     }
 }
 
