--- a/crates/bendhinge_lab/src/gateways/soak.rs
+++ b/crates/bendhinge_lab/src/gateways/soak.rs
@@ -37,6 +37,7 @@
 admission = yes
 popular_prompts = yes
 overload_reports = yes
+frequent_exchanges = yes
 [retries]
 assume_spent = yes
 ";
