--- a/crates/bendhinge_standin/src/gateway/mod.rs
+++ b/crates/bendhinge_standin/src/gateway/mod.rs
@@ -5,4 +5,4 @@
 mod upstream;
 
 pub use store::{DATA_CENTRE, Store, StoreFault, UpstreamRecord};
-pub use upstream::{Run, Upstream, UpstreamFault};
+pub use upstream::{Framing, Run, Upstream, UpstreamFault};
--- a/crates/bendhinge_standin/src/gateway/upstream.rs
+++ b/crates/bendhinge_standin/src/gateway/upstream.rs
@@ -16,7 +16,7 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode, Version};
 use smol::Timer;
 use smol::channel::Sender;
 
@@ -46,10 +46,24 @@
     Failed,
     /// It breaks streams off in the middle of an event, after this many whole ones.
     BreaksOff(u32),
+    /// It ends streams in the middle of an event, after this many whole ones, in the way of its framing.
+    EndsMidEvent(u32),
+    /// It ends streams after this many events, in the way of its framing.
+    EndsEarly(u32),
     /// It stops sending events after this many, without breaking off.
     Stalls(u32),
 }
 
+/// How an upstream marks the end of its answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Framing {
+    /// By a length, or by the last chunk of a stream.
+    #[default]
+    Framed,
+    /// By closing the connection.
+    UntilClose,
+}
+
 /// A request that an upstream began to work on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
@@ -73,6 +87,7 @@
 struct State {
     name: String,
     fault: UpstreamFault,
+    framing: Framing,
     /// The body of the request under which its process ends, and what ends with it.
     fatal: Option<(Bytes, OnEnd)>,
     has_ended: bool,
@@ -106,6 +121,7 @@
         let state = Arc::new(Mutex::new(State {
             name: name.to_owned(),
             fault: UpstreamFault::None,
+            framing: Framing::Framed,
             fatal: None,
             has_ended: false,
             is_leaving: false,
@@ -144,6 +160,11 @@
         self.state.lock().unwrap().fault = fault;
     }
 
+    /// Sets how the end of its answers is marked from now on.
+    pub fn set_framing(&self, framing: Framing) {
+        self.state.lock().unwrap().framing = framing;
+    }
+
     /// Its process ends while it works on a request with this body: then `on_end` is called, and it works on
     /// nothing more.
     pub fn ends_under<F>(&self, body: &'static str, on_end: impl Fn() -> F + Send + Sync + 'static)
@@ -258,9 +279,13 @@
 
 async fn answer(state: Arc<Mutex<State>>, tasks: Tasks, request: Request<Incoming>) -> Response<Body> {
     let mut answer = answer_by_state(Arc::clone(&state), tasks, request).await;
-    if state.lock().unwrap().is_leaving {
+    let state = state.lock().unwrap();
+    if state.is_leaving {
         answer.headers_mut().insert(LEAVING, HeaderValue::from_static("yes"));
     }
+    if state.framing == Framing::UntilClose {
+        *answer.version_mut() = Version::HTTP_10;
+    }
     answer
 }
 
@@ -372,12 +397,16 @@
         let event = Upstream::expected_event(&request, id);
         let sent = match fault {
             UpstreamFault::BreaksOff(whole) if id - from >= whole => {
-                let part = Bytes::copy_from_slice(&event.as_bytes()[..event.len() / 2]);
-                let _ = sender.send(Ok(part)).await;
+                let _ = sender.send(Ok(first_half(&event))).await;
                 Timer::after(pace).await;
                 let _ = sender.send(Err(io::Error::other("broken off"))).await;
                 return;
             }
+            UpstreamFault::EndsMidEvent(whole) if id - from >= whole => {
+                let _ = sender.send(Ok(first_half(&event))).await;
+                return;
+            }
+            UpstreamFault::EndsEarly(whole) if id - from >= whole => return,
             UpstreamFault::Stalls(whole) if id - from >= whole => {
                 while !sender.is_closed() {
                     Timer::after(pace).await;
@@ -392,6 +421,10 @@
     }
 }
 
+fn first_half(event: &str) -> Bytes {
+    Bytes::copy_from_slice(&event.as_bytes()[..event.len() / 2])
+}
+
 fn whole(id: &str) -> Response<Body> {
     Response::new(full_body(Upstream::expected_body(id)))
 }
