Gateways: log and count how response bodies were framed and ended

A line of a request did not show whether an upstream's response had a length, chunks or neither, nor how its body ended, so that a stream that was cut and one that is complete looked alike. Each send now has framing, body_end and partial_bytes, streams have caller_framing, and bendhinge_gateway_bodies_ended_total counts bodies by framing and end. No decision depends on them.

--- /dev/null
+++ b/crates/bendhinge_delivery/src/body_end.rs
@@ -0,0 +1,43 @@
+//! How the body of an upstream's response ended, and whether it is complete.
+
+/// How the body of a response ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum BodyEnd {
+    /// Complete, as far as its framing and its events tell.
+    Complete,
+    /// Inside an event of a stream.
+    MidEvent,
+    /// Without content, and without framing that would mark it as empty.
+    Empty,
+    /// By a failure of its connection or of its framing.
+    Failed,
+    /// By the timeout for its next data.
+    TimedOut,
+}
+
+impl BodyEnd {
+    /// Classifies a body that was read to its end without a failure. `marks_end` is whether its framing marks the
+    /// end; if not, its connection was closed.
+    #[must_use]
+    pub const fn at_end(marks_end: bool, is_empty: bool, is_mid_event: bool) -> Self {
+        if is_mid_event {
+            Self::MidEvent
+        } else if is_empty && !marks_end {
+            Self::Empty
+        } else {
+            Self::Complete
+        }
+    }
+
+    /// The name used in logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::MidEvent => "mid_event",
+            Self::Empty => "empty",
+            Self::Failed => "failed",
+            Self::TimedOut => "silent",
+        }
+    }
+}
--- a/crates/bendhinge_delivery/src/events.rs
+++ b/crates/bendhinge_delivery/src/events.rs
@@ -7,6 +7,7 @@
 pub struct EventSplitter {
     partial: BytesMut,
     last_id: Option<String>,
+    has_events: bool,
 }
 
 /// The prefix of an event's `id` line.
@@ -27,13 +28,20 @@
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
         }
+        self.has_events |= !complete.is_empty();
         Some(complete).filter(|complete| !complete.is_empty())
     }
 
-    /// Whether an incomplete event is buffered.
+    /// The number of buffered bytes of an incomplete event.
     #[must_use]
-    pub fn has_partial(&self) -> bool {
-        !self.partial.is_empty()
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
+    /// Whether there was a complete event since the stream began or resumed.
+    #[must_use]
+    pub const fn has_events(&self) -> bool {
+        self.has_events
     }
 
     /// Removes and returns the buffered bytes of an incomplete event.
@@ -50,6 +58,7 @@
     /// Discards a partial event, because another stream resumes after the last complete event.
     pub fn restart(&mut self) {
         self.partial.clear();
+        self.has_events = false;
     }
 }
 
--- a/crates/bendhinge_delivery/src/lib.rs
+++ b/crates/bendhinge_delivery/src/lib.rs
@@ -4,6 +4,7 @@
 //! See `docs/design/DELIVERY.md` for the design.
 
 mod attempt;
+mod body_end;
 mod events;
 mod identity;
 mod once;
@@ -13,6 +14,7 @@
 mod stream_timing;
 
 pub use attempt::{AttemptEnd, NextStep, Repeatable, next_step};
+pub use body_end::BodyEnd;
 pub use events::EventSplitter;
 pub use identity::{IdentityKey, RequestIdentity};
 pub use once::{Claim, Claimant, OnceKey, OnceLedger, OnceLimits, OnceOutcome};
--- a/crates/bendhinge_delivery/tests/events.rs
+++ b/crates/bendhinge_delivery/tests/events.rs
@@ -13,7 +13,7 @@
     let mut splitter = EventSplitter::default();
     assert_eq!(feed(&mut splitter, "id: 1\ndata: a\n\nid: 2\nda").as_deref(), Some("id: 1\ndata: a\n\n"));
     assert_eq!(splitter.last_id(), Some("1"));
-    assert!(splitter.has_partial());
+    assert_eq!(splitter.partial_len(), "id: 2\nda".len());
     assert_eq!(feed(&mut splitter, "ta: b\n"), None);
     assert_eq!(feed(&mut splitter, "\n").as_deref(), Some("id: 2\ndata: b\n\n"));
     assert_eq!(splitter.last_id(), Some("2"));
@@ -31,7 +31,7 @@
     let mut splitter = EventSplitter::default();
     feed(&mut splitter, "id: 1\ndata: a\n\nid: 2\nda");
     splitter.restart();
-    assert!(!splitter.has_partial());
+    assert_eq!(splitter.partial_len(), 0);
     assert_eq!(feed(&mut splitter, "id: 2\ndata: b\n\n").as_deref(), Some("id: 2\ndata: b\n\n"));
 }
 
--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_delivery::SendOutcome;
+use bendhinge_delivery::{BodyEnd, SendOutcome};
 use bendhinge_fleet::UpstreamEntry;
-use bendhinge_http::{Body, Connection, SendFailure, full_body, read_body};
+use bendhinge_http::{Body, BodyFraming, Connection, SendFailure, full_body, read_body};
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use hyper::body::Incoming;
@@ -36,15 +36,24 @@
 /// The body of an upstream's response.
 pub(super) enum UpstreamBody {
     /// A body that was received completely.
-    Complete(Bytes),
+    Complete(Bytes, EndedBody),
     /// An event stream that is still read from its connection.
-    Stream(Incoming, Connection),
+    Stream(Incoming, BodyFraming, Connection),
+}
+
+/// How a response body was framed and ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EndedBody {
+    pub(super) framing: BodyFraming,
+    pub(super) end: BodyEnd,
 }
 
 /// A failed attempt, with the upstream's error response, if there is one.
 pub(super) struct SendError {
     pub(super) end: SendOutcome,
     pub(super) error_response: Option<Box<ErrorResponse>>,
+    /// How the response body ended, if it was read.
+    pub(super) body: Option<EndedBody>,
 }
 
 /// A complete error response of an upstream.
@@ -55,7 +64,7 @@
 
 impl From<SendOutcome> for SendError {
     fn from(end: SendOutcome) -> Self {
-        Self { end, error_response: None }
+        Self { end, error_response: None, body: None }
     }
 }
 
@@ -221,8 +230,9 @@
     if !fields.is_misdirected {
         context.record_reported_state(inbound, chosen, &fields);
     }
+    let framing = BodyFraming::of_response(&inbound.head.method, head.status, &head.headers);
     if let Some(end) = reported_not_run(&fields) {
-        drain_and_release(context, &head, body, connection).await;
+        drain_and_release(context, &head, framing, body, connection).await;
         return Err(end.into());
     }
     let is_success = head.status.is_success();
@@ -230,15 +240,14 @@
         return Err(SendOutcome::InvalidResponse.into());
     }
     if is_success && inbound.route.kind.is_stream() && is_event_stream(&head.headers) {
-        return Ok((head, UpstreamBody::Stream(body, connection)));
+        return Ok((head, UpstreamBody::Stream(body, framing, connection)));
     }
-    let complete_body =
-        read_complete_body(context, &head, body, connection).await.map_err(|()| SendOutcome::Lost)?;
+    let (complete_body, ended) = read_complete_body(context, &head, framing, body, connection).await?;
     if head.status.is_server_error() || implies_not_run(head.status) {
         let error_response = Some(Box::new(ErrorResponse { head, body: complete_body }));
-        return Err(SendError { end: SendOutcome::Failed, error_response });
+        return Err(SendError { end: SendOutcome::Failed, error_response, body: Some(ended) });
     }
-    Ok((head, UpstreamBody::Complete(complete_body)))
+    Ok((head, UpstreamBody::Complete(complete_body, ended)))
 }
 
 fn is_event_stream(headers: &HeaderMap) -> bool {
@@ -269,12 +278,24 @@
 async fn read_complete_body(
     context: &Arc<DeliveryContext>,
     head: &response::Parts,
+    framing: BodyFraming,
     body: Incoming,
     connection: Connection,
-) -> Result<Bytes, ()> {
-    let complete_body = read_body(body, context.max_response_bytes).await.map_err(|_| ())?;
-    context.release_connection(&head.headers, connection);
-    Ok(complete_body)
+) -> Result<(Bytes, EndedBody), SendError> {
+    let read = read_body(body, context.max_response_bytes).await;
+    let end = match &read {
+        Ok(bytes) => BodyEnd::at_end(framing.marks_end(), bytes.is_empty(), false),
+        Err(_) => BodyEnd::Failed,
+    };
+    context.metrics.count_body_end(framing, end);
+    let ended = EndedBody { framing, end };
+    match read {
+        Ok(bytes) => {
+            context.release_connection(&head.headers, connection);
+            Ok((bytes, ended))
+        }
+        Err(_) => Err(SendError { end: SendOutcome::Lost, error_response: None, body: Some(ended) }),
+    }
 }
 
 /// Reads the response of an upstream that did not run the request so that the connection can be reused. Gives
@@ -282,12 +303,13 @@
 async fn drain_and_release(
     context: &Arc<DeliveryContext>,
     head: &response::Parts,
+    framing: BodyFraming,
     body: Incoming,
     connection: Connection,
 ) {
     const DRAIN_TIMEOUT: Duration = Duration::from_millis(20);
     let reading = async {
-        let _ = read_complete_body(context, head, body, connection).await;
+        let _ = read_complete_body(context, head, framing, body, connection).await;
     };
     let drain_timeout = async {
         Timer::after(DRAIN_TIMEOUT).await;
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -17,12 +17,14 @@
 use bendhinge_admission::PacingDecision;
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{RetryState, SendOutcome};
-use bendhinge_http::{Body, full_body};
+use bendhinge_http::{Body, BodyFraming, full_body};
 use bendhinge_ids::NameHash;
 use hyper::Response;
 use rand::Rng;
 
-use self::attempt::{AttemptParams, ErrorResponse, UpstreamBody, UpstreamResponse, send_to_upstream};
+use self::attempt::{
+    AttemptParams, EndedBody, ErrorResponse, UpstreamBody, UpstreamResponse, send_to_upstream,
+};
 pub(crate) use self::context::DeliveryContext;
 pub(crate) use self::crash::CrashProbes;
 pub(crate) use self::inbound::InboundRequest;
@@ -308,7 +310,8 @@
         let upstream_headers = head.headers.clone();
         headers::prepare_for_caller(&mut head.headers);
         match body {
-            UpstreamBody::Complete(bytes) => {
+            UpstreamBody::Complete(bytes, EndedBody { framing, end }) => {
+                self.log_line.record_body_end(record.number, framing, end, 0);
                 self.record_complete_response();
                 self.log_line.write_answered(
                     &self.context.log,
@@ -318,9 +321,10 @@
                 );
                 Response::from_parts(head, full_body(bytes))
             }
-            UpstreamBody::Stream(body, connection) => {
+            UpstreamBody::Stream(body, framing, connection) => {
+                self.log_line.set_caller_framing(BodyFraming::of_stream_to(self.inbound.head.version));
                 let headers = upstream_headers;
-                let source = StreamSource::new(record, measured, chosen, headers, body, connection);
+                let source = StreamSource::new(record, measured, chosen, headers, framing, body, connection);
                 Response::from_parts(head, relay_body(Relay::new(self, source, in_progress)))
             }
         }
--- a/crates/bendhinge_gateway/src/delivery/outcome.rs
+++ b/crates/bendhinge_gateway/src/delivery/outcome.rs
@@ -3,7 +3,7 @@
 use bendhinge_delivery::SendOutcome;
 use bendhinge_fleet::UpstreamFailure;
 
-use super::attempt::{SendError, implies_not_run};
+use super::attempt::{EndedBody, SendError, implies_not_run};
 use super::crash::detect_crash;
 use super::race::{FailedSend, SendRecord};
 use super::{Delivery, DeliveryContext, DeliveryError, InboundRequest};
@@ -60,7 +60,10 @@
 
     /// Records a failed send; returns `Err` if it is not retried.
     pub(super) fn handle_failure(&mut self, failed: FailedSend) -> Result<(), DeliveryError> {
-        let FailedSend { record, error: SendError { end, error_response } } = failed;
+        let FailedSend { record, error: SendError { end, error_response, body } } = failed;
+        if let Some(EndedBody { framing, end }) = body {
+            self.log_line.record_body_end(record.number, framing, end, 0);
+        }
         let may_retry = self.record_send_end(&record, end);
         let is_past_deadline = self.inbound.time_left().is_zero();
         if may_retry && !is_past_deadline && (!self.retry_state.needs_retry_budget() || self.try_retry()) {
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use bendhinge_codes::ResultCode;
-use bendhinge_delivery::{EventSplitter, SendOutcome, StreamTiming};
-use bendhinge_http::{Body, BodyError, Connection, flush_before_error};
+use bendhinge_delivery::{BodyEnd, EventSplitter, SendOutcome, StreamTiming};
+use bendhinge_http::{Body, BodyError, BodyFraming, Connection, flush_before_error};
 use bytes::Bytes;
 use futures_lite::{FutureExt, Stream, StreamExt, stream};
 use http_body_util::BodyExt;
@@ -49,6 +49,7 @@
     /// Time from the choice of the upstream to its first event.
     pub(super) first_event_after: Option<Duration>,
     pub(super) headers: HeaderMap,
+    pub(super) framing: BodyFraming,
     pub(super) body: Incoming,
     pub(super) connection: Connection,
 }
@@ -59,18 +60,18 @@
         measured: MeasuredSend,
         chosen: ChosenUpstream,
         headers: HeaderMap,
+        framing: BodyFraming,
         body: Incoming,
         connection: Connection,
     ) -> Self {
-        Self { record, measured, chosen, first_event_after: None, headers, body, connection }
+        Self { record, measured, chosen, first_event_after: None, headers, framing, body, connection }
     }
 }
 
 /// The result of reading from the upstream.
 enum ReadOutcome {
     Bytes(Bytes),
-    End,
-    Interrupted(SendOutcome),
+    Ended(BodyEnd),
 }
 
 impl Relay {
@@ -100,8 +101,13 @@
                         return Some(Ok(events));
                     }
                 }
-                ReadOutcome::End => return self.finish(),
-                ReadOutcome::Interrupted(end) => {
+                ReadOutcome::Ended(end) => {
+                    self.record_body_end(end);
+                    let end = match end {
+                        BodyEnd::Complete | BodyEnd::MidEvent | BodyEnd::Empty => return self.finish(),
+                        BodyEnd::Failed => SendOutcome::Lost,
+                        BodyEnd::TimedOut => SendOutcome::TimedOut,
+                    };
                     if !self.resume_elsewhere(end).await {
                         return Some(Err(self.truncate()));
                     }
@@ -113,17 +119,22 @@
 
     async fn read(&mut self) -> ReadOutcome {
         let timeout = self.read_timeout();
-        let Some(source) = &mut self.source else { return ReadOutcome::Interrupted(SendOutcome::Lost) };
+        let Some(source) = &mut self.source else { return ReadOutcome::Ended(BodyEnd::Failed) };
+        let events = &self.events;
         let reading = async {
             match source.body.frame().await {
-                None => ReadOutcome::End,
-                Some(Err(_)) => ReadOutcome::Interrupted(SendOutcome::Lost),
+                None => ReadOutcome::Ended(BodyEnd::at_end(
+                    source.framing.marks_end(),
+                    !events.has_events(),
+                    events.partial_len() > 0,
+                )),
+                Some(Err(_)) => ReadOutcome::Ended(BodyEnd::Failed),
                 Some(Ok(frame)) => ReadOutcome::Bytes(frame.into_data().unwrap_or_default()),
             }
         };
         let timer = async {
             Timer::after(timeout).await;
-            ReadOutcome::Interrupted(SendOutcome::TimedOut)
+            ReadOutcome::Ended(BodyEnd::TimedOut)
         };
         reading.or(timer).await
     }
@@ -159,6 +170,14 @@
         context.admission.record_end(&inbound.pool, inbound.request_kind(), first_event, duration);
     }
 
+    /// Records how the body of the current source ended.
+    fn record_body_end(&mut self, end: BodyEnd) {
+        let Some(StreamSource { record, framing, .. }) = &self.source else { return };
+        let Delivery { context, log_line, .. } = &mut self.delivery;
+        context.metrics.count_body_end(*framing, end);
+        log_line.record_body_end(record.number, *framing, end, self.events.partial_len());
+    }
+
     /// Records that events arrived.
     fn record_event(&mut self) {
         self.is_awaiting_event = false;
@@ -224,10 +243,10 @@
                 measured,
                 chosen,
                 head,
-                body: UpstreamBody::Stream(body, connection),
+                body: UpstreamBody::Stream(body, framing, connection),
             }) => {
                 let headers = head.headers;
-                let source = StreamSource::new(record, measured, chosen, headers, body, connection);
+                let source = StreamSource::new(record, measured, chosen, headers, framing, body, connection);
                 self.source = Some(source);
                 true
             }
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -2,7 +2,8 @@
 
 use bendhinge_admission::RetryDecision;
 use bendhinge_codes::ResultCode;
-use bendhinge_delivery::{Pause, RetryState, SendOutcome, StreamTiming};
+use bendhinge_delivery::{BodyEnd, Pause, RetryState, SendOutcome, StreamTiming};
+use bendhinge_http::BodyFraming;
 use bendhinge_ids::{Instant, RequestDigest};
 use serde::Serialize;
 
@@ -39,6 +40,12 @@
     retry: Option<RetryFields>,
     #[serde(skip_serializing_if = "Option::is_none")]
     end: Option<&'static str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    framing: Option<&'static str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    body_end: Option<&'static str>,
+    #[serde(skip_serializing_if = "is_zero_bytes")]
+    partial_bytes: usize,
     #[serde(skip_serializing_if = "is_false")]
     fetched: bool,
 }
@@ -53,6 +60,11 @@
     *number == 0
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde requires")]
+const fn is_zero_bytes(bytes: &usize) -> bool {
+    *bytes == 0
+}
+
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde requires")]
 const fn is_one(number: &usize) -> bool {
     *number == 1
@@ -120,6 +132,8 @@
     allowed_retry: Option<RetryFields>,
     denied_retry: Option<RetryFields>,
     digest: Option<RequestDigest>,
+    /// How the body of the response to the caller is framed, if it is relayed as it arrives.
+    caller_framing: Option<BodyFraming>,
     stream: StreamFields,
 }
 
@@ -134,6 +148,7 @@
             allowed_retry: None,
             denied_retry: None,
             digest: None,
+            caller_framing: None,
             stream: StreamFields::default(),
         }
     }
@@ -165,6 +180,9 @@
             list_age_ms: whole_millis(chosen.list_age),
             retry: self.allowed_retry.take(),
             end: None,
+            framing: None,
+            body_end: None,
+            partial_bytes: 0,
             fetched: chosen.fetch_from.is_some(),
         });
         self.sends.len() - 1
@@ -181,6 +199,11 @@
         self.digest = Some(digest);
     }
 
+    /// Sets how the body of the response to the caller is framed.
+    pub(crate) const fn set_caller_framing(&mut self, framing: BodyFraming) {
+        self.caller_framing = Some(framing);
+    }
+
     /// Sets what was measured of the relayed stream.
     pub(crate) fn set_stream_timing(&mut self, timing: &StreamTiming) {
         self.stream = StreamFields::new(timing);
@@ -193,6 +216,22 @@
         }
     }
 
+    /// Records how the body of the response to a send was framed and ended, and how many bytes of an incomplete
+    /// event it ended with.
+    pub(crate) fn record_body_end(
+        &mut self,
+        index: usize,
+        framing: BodyFraming,
+        end: BodyEnd,
+        partial_bytes: usize,
+    ) {
+        if let Some(send) = self.sends.get_mut(index) {
+            send.framing = Some(framing.as_str());
+            send.body_end = Some(end.as_str());
+            send.partial_bytes = partial_bytes;
+        }
+    }
+
     fn write(
         &mut self,
         log: &Log,
@@ -216,6 +255,8 @@
             #[serde(skip_serializing_if = "Option::is_none")]
             denied_retry: Option<RetryFields>,
             ran: &'static str,
+            #[serde(skip_serializing_if = "Option::is_none")]
+            caller_framing: Option<&'static str>,
             #[serde(flatten)]
             stream: &'a StreamFields,
         }
@@ -230,6 +271,7 @@
             sends: &self.sends,
             denied_retry: self.denied_retry,
             ran: if code.is_none() { "yes" } else { retry_state.ran().as_str() },
+            caller_framing: self.caller_framing.map(BodyFraming::as_str),
             stream: &self.stream,
         };
         log.log_event("request", fields);
--- a/crates/bendhinge_gateway/src/metrics.rs
+++ b/crates/bendhinge_gateway/src/metrics.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use bendhinge_codes::ResultCode;
-use bendhinge_delivery::SendOutcome;
+use bendhinge_delivery::{BodyEnd, SendOutcome};
 use bendhinge_fleet::ListLoads;
+use bendhinge_http::BodyFraming;
 use bendhinge_peer::PeerMessage;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
@@ -164,6 +165,7 @@
     requests: Counter<u64>,
     results: Counter<u64>,
     send_ends: Counter<u64>,
+    body_ends: Counter<u64>,
     retry_decisions: Counter<u64>,
     store_reads: Histogram<f64>,
     peer_fetches: Histogram<f64>,
@@ -205,6 +207,10 @@
                 "bendhinge.gateway.sends_ended",
                 "Sends without an answer that was passed on, by end",
             ),
+            body_ends: counter(
+                "bendhinge.gateway.bodies_ended",
+                "Bodies of upstreams' responses that were read, by framing and end",
+            ),
             retry_decisions: counter(
                 "bendhinge.gateway.retry_decisions",
                 "Retries that the retry budget allowed or denied, by decision",
@@ -294,6 +300,12 @@
         self.send_ends.add(1, &[KeyValue::new("end", end.as_str())]);
     }
 
+    /// Counts the end of a response body.
+    pub(crate) fn count_body_end(&self, framing: BodyFraming, end: BodyEnd) {
+        let labels = [KeyValue::new("framing", framing.as_str()), KeyValue::new("end", end.as_str())];
+        self.body_ends.add(1, &labels);
+    }
+
     /// Counts a decision on whether a retry is within the retry budget.
     pub(crate) fn count_retry_decision(&self, is_allowed: bool) {
         let decision = if is_allowed { "allowed" } else { "denied" };
--- a/crates/bendhinge_http/src/lib.rs
+++ b/crates/bendhinge_http/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod body;
 mod client;
+mod framing;
 mod hop_by_hop;
 mod pool;
 mod serve;
@@ -14,6 +15,7 @@
     Body, BodyError, ReadBodyError, channel_body, empty_body, flush_before_error, full_body, read_body,
 };
 pub use client::{FetchError, FetchTimeouts, Fetched, fetch, fetch_bytes, fetch_json, fetch_path};
+pub use framing::BodyFraming;
 pub use hop_by_hop::remove_hop_by_hop_headers;
 pub use pool::{ConnectError, Connection, Pool, SendFailure};
 pub use serve::{CloseConnection, ServeLimits, Server, StopHandle, WriteTimeoutCallback};
--- a/crates/bendhinge_lab/tests/gateway_common/mod.rs
+++ b/crates/bendhinge_lab/tests/gateway_common/mod.rs
@@ -13,6 +13,7 @@
 use bendhinge_lab::gateways::{Answer, Call, FleetShape, GatewayFleet, KEY, until};
 use bendhinge_peer::PeerMessage;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use rustix::net::sockopt::set_socket_linger;
 use serde_json::Value;
 use smol::net::{TcpListener, TcpStream};
 
@@ -93,7 +94,7 @@
     Keep,
     /// It closes it.
     Close,
-    /// It resets it: bytes are left unread.
+    /// It resets it.
     Reset,
 }
 
@@ -106,16 +107,17 @@
 
 impl RawUpstream {
     /// Starts one. It answers once it has read `reads` bytes beyond the head, if that many come.
-    pub async fn start(tasks: &Tasks, answer: &'static str, end: RawEnd, reads: usize) -> Self {
+    pub async fn start(tasks: &Tasks, answer: impl Into<String>, end: RawEnd, reads: usize) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let requests = Arc::new(Mutex::new(Vec::new()));
         let kept = Arc::clone(&requests);
+        let answer: Arc<str> = answer.into().into();
         let spawning = Arc::clone(tasks);
         let accepting = async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let kept = Arc::clone(&kept);
-                spawning.spawn(serve_raw(stream, answer, end, reads, kept)).detach();
+                spawning.spawn(serve_raw(stream, Arc::clone(&answer), end, reads, kept)).detach();
             }
         };
         tasks.spawn(accepting).detach();
@@ -130,7 +132,7 @@
 
 async fn serve_raw(
     mut stream: TcpStream,
-    answer: &str,
+    answer: Arc<str>,
     end: RawEnd,
     reads: usize,
     requests: Arc<Mutex<Vec<String>>>,
@@ -173,7 +175,7 @@
             }
             RawEnd::Close => return,
             RawEnd::Reset => {
-                // Closing with bytes unread resets the connection; the gateway has sent a body.
+                set_socket_linger(&stream, Some(Duration::ZERO)).unwrap();
                 return;
             }
         }
--- a/crates/bendhinge_lab/tests/gateway_streams.rs
+++ b/crates/bendhinge_lab/tests/gateway_streams.rs
@@ -8,7 +8,7 @@
 use bendhinge_gateway::native::headers::{DEADLINE, PROMPT, REQUEST};
 use bendhinge_http::Tasks;
 use bendhinge_lab::gateways::{Call, FleetShape, GatewayFleet, KEY, Told, until};
-use bendhinge_standin::gateway::{Upstream, UpstreamFault};
+use bendhinge_standin::gateway::{Framing, Upstream, UpstreamFault};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use gateway_common::{PATIENCE, call, line_of, metric, run, send, smallest, start};
 use serde_json::{Value, json};
@@ -69,6 +69,39 @@
     });
 }
 
+/// Guards against lines and metrics that do not show how an upstream's response was framed and ended.
+#[test]
+fn line_of_a_request_shows_how_the_responses_were_framed_and_ended() {
+    const CASES: [(Framing, UpstreamFault, &str, &str); 6] = [
+        (Framing::Framed, UpstreamFault::None, "chunked", "complete"),
+        (Framing::Framed, UpstreamFault::BreaksOff(3), "chunked", "failed"),
+        (Framing::Framed, UpstreamFault::EndsMidEvent(3), "chunked", "mid_event"),
+        (Framing::UntilClose, UpstreamFault::None, "close", "complete"),
+        (Framing::UntilClose, UpstreamFault::BreaksOff(3), "close", "mid_event"),
+        (Framing::UntilClose, UpstreamFault::EndsEarly(0), "close", "empty"),
+    ];
+    run(|tasks| async move {
+        for (upstream_framing, fault, framing, end) in CASES {
+            let fleet = engines(&tasks, 1).await;
+            fleet.upstreams[0].set_framing(upstream_framing);
+            fleet.upstreams[0].set_fault(fault);
+            let call = Call::stream("/stream/x", KEY);
+            send(&fleet, &call).await;
+            let line = line_of(&fleet, &call).await;
+            let record = &line["sends"][0];
+            assert_eq!((&record["framing"], &record["body_end"]), (&framing.into(), &end.into()), "{line}");
+            assert_eq!(
+                has_key(record, "partial_bytes"),
+                fault != UpstreamFault::None && end != "empty",
+                "{line}"
+            );
+            assert_eq!(line["caller_framing"], "chunked", "{line}");
+            let name = format!("bendhinge_gateway_bodies_ended_total{{end=\"{end}\",framing=\"{framing}\"");
+            assert_eq!(metric(&fleet, &name).await, Some(1), "{name}");
+        }
+    });
+}
+
 /// Guards against sends to a busy upstream whose lines do not show whether its load was unknown, out of date, or ignored.
 #[test]
 fn line_of_a_send_shows_the_load_report_behind_its_choice() {
