--- /dev/null
+++ b/crates/bendhinge_lab/tests/gateway_body_ends.rs
@@ -0,0 +1,118 @@
+//! How gateways judge whether an upstream's response is complete, for each way in which its end can be marked.
+
+mod gateway_common;
+
+use bendhinge_http::Tasks;
+use bendhinge_lab::gateways::{Call, FleetShape, GatewayFleet, KEY, Told, until};
+use bendhinge_standin::gateway::{Framing, Upstream, UpstreamFault};
+use gateway_common::{RawEnd, RawUpstream, run, send, start};
+
+/// The number of events in a complete stream of the stand-in.
+const EVENTS: u32 = 12;
+
+async fn engines(tasks: &Tasks, engines: usize, framing: Framing, fault: UpstreamFault) -> GatewayFleet {
+    let fleet = start(tasks, FleetShape { gateways: 1, engines, services: 0 }).await;
+    for upstream in &fleet.upstreams {
+        upstream.set_framing(framing);
+        upstream.set_fault(fault);
+    }
+    fleet
+}
+
+/// Guards against streams that were cut by an upstream and end as complete for the caller.
+#[test]
+fn streams_that_end_inside_an_event_are_not_complete() {
+    const FAULTS: [UpstreamFault; 4] = [
+        UpstreamFault::BreaksOff(3),
+        UpstreamFault::BreaksOff(0),
+        UpstreamFault::BreaksOff(EVENTS - 1),
+        UpstreamFault::EndsMidEvent(3),
+    ];
+    run(|tasks| async move {
+        let mut wrong = Vec::new();
+        for framing in [Framing::Framed, Framing::UntilClose] {
+            for fault in FAULTS {
+                let fleet = engines(&tasks, 1, framing, fault).await;
+                let told = send(&fleet, &Call::stream("/stream/x", KEY)).await.told;
+                if told != Told::Broken {
+                    wrong.push(format!("{framing:?}, {fault:?}: {told:?}"));
+                }
+            }
+        }
+        assert!(wrong.is_empty(), "{wrong:#?}");
+    });
+}
+
+#[test]
+fn streams_that_end_with_their_connection_are_complete() {
+    run(|tasks| async move {
+        let fleet = engines(&tasks, 1, Framing::UntilClose, UpstreamFault::None).await;
+        assert_eq!(send(&fleet, &Call::stream("/stream/x", KEY)).await.told, Told::Whole);
+        assert_eq!(send(&fleet, &Call::stream("/resumable/x", KEY)).await.told, Told::Whole);
+    });
+}
+
+/// Guards against a stream that is not resumed because its end inside an event was taken for its end. Either
+/// upstream sends half of the events.
+#[test]
+fn streams_that_end_inside_an_event_are_resumed() {
+    run(|tasks| async move {
+        let mut wrong = Vec::new();
+        for framing in [Framing::Framed, Framing::UntilClose] {
+            let fleet = engines(&tasks, 2, framing, UpstreamFault::EndsMidEvent(EVENTS / 2)).await;
+            let call = Call::stream("/resumable/x", KEY);
+            let told = send(&fleet, &call).await.told;
+            let runs = fleet.runs_of(&call.id);
+            if told != Told::Whole || runs != 2 {
+                wrong.push(format!("{framing:?}: {runs} runs, {told:?}"));
+            }
+        }
+        assert!(wrong.is_empty(), "{wrong:#?}");
+    });
+}
+
+/// Guards against a head without a body that passes for an empty stream. Only framing can mark that.
+#[test]
+fn streams_without_events_are_complete_only_if_framed() {
+    run(|tasks| async move {
+        for (framing, is_complete) in [(Framing::Framed, true), (Framing::UntilClose, false)] {
+            let fleet = engines(&tasks, 1, framing, UpstreamFault::EndsEarly(0)).await;
+            let told = send(&fleet, &Call::stream("/stream/x", KEY)).await.told;
+            // The caller expects events, and reports a complete stream without them.
+            assert_eq!(matches!(told, Told::Wrong(_)), is_complete, "{framing:?}: {told:?}");
+            assert_eq!(told == Told::Broken, !is_complete, "{framing:?}: {told:?}");
+        }
+    });
+}
+
+/// The head of a stream without a length and without chunks.
+const UNFRAMED_HEAD: &str = "HTTP/1.1 200 OK\r\nx-bendhinge-request: {id}\r\nx-bendhinge-signature: s\r\n\
+                             content-type: text/event-stream\r\n\r\n";
+
+fn events(count: u32) -> String {
+    (0..count).map(|id| Upstream::expected_event("{id}", id)).collect()
+}
+
+/// Sends a call to a fleet whose only engine is `raw`, until the gateway knows it.
+async fn send_to_raw(tasks: &Tasks, raw: &RawUpstream) -> Told {
+    let fleet = start(tasks, FleetShape { gateways: 1, engines: 0, services: 1 }).await;
+    fleet.store.add("raw", "engines", raw.address);
+    let mut told = Told::Status(503);
+    until(async || {
+        told = send(&fleet, &Call::stream("/stream/x", KEY)).await.told;
+        told != Told::Status(503)
+    })
+    .await;
+    told
+}
+
+/// Guards against a reset that is taken for the end of a stream without framing.
+#[test]
+fn unframed_streams_are_complete_only_if_their_connection_is_closed() {
+    run(|tasks| async move {
+        for (end, expected) in [(RawEnd::Close, Told::Whole), (RawEnd::Reset, Told::Broken)] {
+            let raw = RawUpstream::start(&tasks, UNFRAMED_HEAD.to_owned() + &events(EVENTS), end, 0).await;
+            assert_eq!(send_to_raw(&tasks, &raw).await, expected);
+        }
+    });
+}
