Relay responses in the gateway's own HTTP version

The response of an upstream that speaks HTTP/1.0 was relayed in that version, so that a caller of HTTP/1.1 got a stream without chunks. Such a stream ends with its connection, and a truncated one looks complete to its caller. Gateways and routers now answer in their own version (RFC 9110, section 2.5), and the HTTP library adds a length or chunks.

--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -301,14 +301,14 @@
     fn error_response(&mut self, response: ErrorResponse) -> Response<Body> {
         let ErrorResponse { mut head, body } = response;
         self.log_line.write_answered(&self.context.log, head.status.as_u16(), None, &self.retry_state);
-        headers::prepare_for_caller(&mut head.headers);
+        headers::prepare_for_caller(&mut head);
         Response::from_parts(head, full_body(body))
     }
 
     fn into_response(mut self, response: UpstreamResponse, in_progress: InProgress) -> Response<Body> {
         let UpstreamResponse { record, measured, chosen, mut head, body } = response;
         let upstream_headers = head.headers.clone();
-        headers::prepare_for_caller(&mut head.headers);
+        headers::prepare_for_caller(&mut head);
         match body {
             UpstreamBody::Complete(bytes, EndedBody { framing, end }) => {
                 self.log_line.record_body_end(record.number, framing, end, 0);
--- a/crates/bendhinge_lab/tests/gateway_body_ends.rs
+++ b/crates/bendhinge_lab/tests/gateway_body_ends.rs
@@ -5,7 +5,7 @@
 use bendhinge_http::Tasks;
 use bendhinge_lab::gateways::{Call, FleetShape, GatewayFleet, KEY, Told, until};
 use bendhinge_standin::gateway::{Framing, Upstream, UpstreamFault};
-use gateway_common::{RawEnd, RawUpstream, run, send, start};
+use gateway_common::{RawEnd, RawUpstream, run, send, send_raw, start};
 
 /// The number of events in a complete stream of the stand-in.
 const EVENTS: u32 = 12;
@@ -116,3 +116,23 @@
         }
     });
 }
+
+/// Guards against a response in the upstream's HTTP version, which a caller of HTTP/1.1 gets without chunks.
+#[test]
+fn responses_of_http_1_0_upstreams_are_framed_for_callers() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, FleetShape { gateways: 1, engines: 1, services: 1 }).await;
+        fleet.upstreams.iter().for_each(|upstream| upstream.set_framing(Framing::UntilClose));
+        for (path, prompt, framing) in [
+            ("/safe/x", "", "content-length: "),
+            ("/stream/x", "x-bendhinge-prompt: 1:100\r\n", "transfer-encoding: chunked"),
+        ] {
+            let request = format!(
+                "POST {path} HTTP/1.1\r\nhost: fleet.example\r\nx-bendhinge-request: one\r\n\
+                 authorization: Bearer {KEY}\r\n{prompt}content-length: 0\r\n\r\n"
+            );
+            let head = send_raw(&fleet, request.as_bytes(), "\r\n\r\n").await;
+            assert!(head.starts_with("HTTP/1.1 200") && head.contains(framing), "{head}");
+        }
+    });
+}
--- a/crates/bendhinge_router/src/delivery/relay.rs
+++ b/crates/bendhinge_router/src/delivery/relay.rs
@@ -31,7 +31,7 @@
     is_stream: bool,
 ) -> Response<Body> {
     let Attempt { target, mut head, body, permit } = attempt;
-    headers::to_caller(&mut head.headers);
+    headers::to_caller(&mut head);
     answers::mark(&mut head.headers, node, request, bendhinge_codes::Ran::Yes);
     let held = Held { node: Arc::clone(node), request, target, admitted, _permit: permit };
     let body = match body {
--- a/crates/bendhinge_router/src/intake/headers.rs
+++ b/crates/bendhinge_router/src/intake/headers.rs
@@ -6,7 +6,8 @@
 use bendhinge_delivery::Repeatable;
 use bendhinge_http::remove_hop_by_hop_headers;
 use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, TRANSFER_ENCODING};
-use hyper::{Method, Request};
+use hyper::http::response;
+use hyper::{Method, Request, Version};
 
 use super::Refused;
 
@@ -33,10 +34,12 @@
     }
 }
 
-/// Makes an upstream's headers fit for the caller.
-pub(crate) fn to_caller(headers: &mut HeaderMap) {
-    remove_hop_by_hop_headers(headers);
-    headers.remove(CONTENT_LENGTH);
+/// Prepares the head of an upstream's response for the caller: removes the headers that are not forwarded and
+/// sets the router's own HTTP version, which decides how the body is framed.
+pub(crate) fn to_caller(head: &mut response::Parts) {
+    head.version = Version::HTTP_11;
+    remove_hop_by_hop_headers(&mut head.headers);
+    head.headers.remove(CONTENT_LENGTH);
 }
 
 /// Refuses requests that a careful gateway does not pass on.
