Streams that end inside an event, or unframed without one, are lost sends

Callers saw a stream whose engine crashed as a complete response, with half an event at its end. The relay took every end of a body without an error for success. A response with neither a length nor chunks ends with its connection, also when the upstream crashes, and the HTTP library reports no error then.

A stream is complete only if its body ends between two events, and, without framing, after at least one event. Any other end is a lost send: the stream is resumed at another upstream or visibly truncated, the upstream's failure and a possible crash are recorded, and its duration is not learned as a slot time. A resumed stream for which nothing is left may end without framing and events as well; a second upstream that ends alike confirms it. Unframed connections are not returned to the pool.

--- a/crates/bendhinge_delivery/src/events.rs
+++ b/crates/bendhinge_delivery/src/events.rs
@@ -44,11 +44,6 @@
         self.has_events
     }
 
-    /// Removes and returns the buffered bytes of an incomplete event.
-    pub fn take_partial(&mut self) -> Bytes {
-        self.partial.split().freeze()
-    }
-
     /// The most recent event id among the complete events.
     #[must_use]
     pub fn last_id(&self) -> Option<&str> {
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -36,6 +36,8 @@
     source: Option<StreamSource>,
     /// Whether the next event is awaited; if not, the caller has not taken the last ones yet.
     is_awaiting_event: bool,
+    /// Whether the previous upstream closed the connection without an event after the last one.
+    previous_had_no_more: bool,
     is_finished: bool,
     _in_progress: InProgress,
 }
@@ -84,6 +86,7 @@
             timing,
             source: Some(source),
             is_awaiting_event: false,
+            previous_had_no_more: false,
             is_finished: false,
             _in_progress: in_progress,
         }
@@ -102,13 +105,14 @@
                     }
                 }
                 ReadOutcome::Ended(end) => {
+                    let end = self.confirm_end(end);
                     self.record_body_end(end);
-                    let end = match end {
-                        BodyEnd::Complete | BodyEnd::MidEvent | BodyEnd::Empty => return self.finish(),
-                        BodyEnd::Failed => SendOutcome::Lost,
+                    let failure = match end {
+                        BodyEnd::Complete => return self.finish(),
+                        BodyEnd::MidEvent | BodyEnd::Empty | BodyEnd::Failed => SendOutcome::Lost,
                         BodyEnd::TimedOut => SendOutcome::TimedOut,
                     };
-                    if !self.resume_elsewhere(end).await {
+                    if !self.resume_elsewhere(failure).await {
                         return Some(Err(self.truncate()));
                     }
                 }
@@ -170,6 +174,17 @@
         context.admission.record_end(&inbound.pool, inbound.request_kind(), first_event, duration);
     }
 
+    /// Returns the end of the current source, `Complete` if another one ended alike before. An upstream that has
+    /// nothing to send after the last event may only close the connection, which looks like a crash; a second
+    /// upstream that does the same confirms it.
+    fn confirm_end(&mut self, end: BodyEnd) -> BodyEnd {
+        let is_resumed =
+            self.events.last_id().is_some() || self.delivery.inbound.fields.resume_after.is_some();
+        let has_no_more = is_resumed && end == BodyEnd::Empty;
+        let is_confirmed = std::mem::replace(&mut self.previous_had_no_more, has_no_more);
+        if has_no_more && is_confirmed { BodyEnd::Complete } else { end }
+    }
+
     /// Records how the body of the current source ended.
     fn record_body_end(&mut self, end: BodyEnd) {
         let Some(StreamSource { record, framing, .. }) = &self.source else { return };
@@ -212,14 +227,15 @@
         self.is_finished = true;
         self.record_slot_time();
         self.report_timing();
-        let rest = self.events.take_partial();
-        if let Some(StreamSource { headers, connection, .. }) = self.source.take() {
+        if let Some(StreamSource { headers, framing, connection, .. }) = self.source.take()
+            && framing.marks_end()
+        {
             self.delivery.context.release_connection(&headers, connection);
         }
         self.delivery.record_complete_response();
         let Delivery { log_line, context, retry_state, .. } = &mut self.delivery;
         log_line.write_answered(&context.log, 200, None, retry_state);
-        (!rest.is_empty()).then_some(Ok(rest))
+        None
     }
 
     /// Resumes the stream at another upstream after the last complete event; returns `false` if that is not
--- a/crates/bendhinge_lab/tests/gateway_body_ends.rs
+++ b/crates/bendhinge_lab/tests/gateway_body_ends.rs
@@ -2,6 +2,7 @@
 
 mod gateway_common;
 
+use bendhinge_gateway::native::headers::{PROMPT, REQUEST, RESUME_AFTER};
 use bendhinge_http::Tasks;
 use bendhinge_lab::gateways::{Call, FleetShape, GatewayFleet, KEY, Told, until};
 use bendhinge_standin::gateway::{Framing, Upstream, UpstreamFault};
@@ -106,13 +107,45 @@
     told
 }
 
-/// Guards against a reset that is taken for the end of a stream without framing.
+/// Guards against a reset, or a lost connection, that is taken for the end of a stream without framing.
 #[test]
-fn unframed_streams_are_complete_only_if_their_connection_is_closed() {
+fn unframed_streams_are_complete_only_if_their_connection_is_closed_after_an_event() {
     run(|tasks| async move {
-        for (end, expected) in [(RawEnd::Close, Told::Whole), (RawEnd::Reset, Told::Broken)] {
-            let raw = RawUpstream::start(&tasks, UNFRAMED_HEAD.to_owned() + &events(EVENTS), end, 0).await;
-            assert_eq!(send_to_raw(&tasks, &raw).await, expected);
+        let cases = [
+            (events(EVENTS), RawEnd::Close, Told::Whole),
+            (events(EVENTS), RawEnd::Reset, Told::Broken),
+            (events(3) + "id: 3\nda", RawEnd::Close, Told::Broken),
+            (String::new(), RawEnd::Close, Told::Broken),
+        ];
+        for (body, end, expected) in cases {
+            let raw = RawUpstream::start(&tasks, UNFRAMED_HEAD.to_owned() + &body, end, 0).await;
+            assert_eq!(send_to_raw(&tasks, &raw).await, expected, "{end:?} after {body:?}");
+        }
+    });
+}
+
+/// Guards against a caller that has all events and never sees the end of its stream, and against one crash that
+/// passes for that end. An upstream that has nothing left to send may only close the connection.
+#[test]
+fn end_of_a_resumed_stream_without_framing_is_confirmed_by_a_second_upstream() {
+    const CASES: [(Framing, usize, bool); 3] =
+        [(Framing::Framed, 1, true), (Framing::UntilClose, 1, false), (Framing::UntilClose, 2, true)];
+    run(|tasks| async move {
+        for (framing, engine_count, is_complete) in CASES {
+            let fleet = engines(&tasks, engine_count, framing, UpstreamFault::None).await;
+            let request = format!(
+                "POST /resumable/x HTTP/1.1\r\nhost: fleet.example\r\n{REQUEST}: one\r\n{PROMPT}: 1:100\r\n\
+                 {RESUME_AFTER}: {}\r\nauthorization: Bearer {KEY}\r\ncontent-length: 0\r\n\
+                 connection: close\r\n\r\n",
+                EVENTS - 1
+            );
+            let response = send_raw(&fleet, request.as_bytes(), "").await;
+            assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+            assert_eq!(
+                response.ends_with("\r\n0\r\n\r\n"),
+                is_complete,
+                "{framing:?}, {engine_count}: {response}"
+            );
         }
     });
 }
--- a/crates/bendhinge_lab/tests/gateway_common/mod.rs
+++ b/crates/bendhinge_lab/tests/gateway_common/mod.rs
@@ -88,7 +88,7 @@
 }
 
 /// What a raw upstream does once it has read a request.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub enum RawEnd {
     /// It keeps the connection.
     Keep,
