Event streams: all line ends, comments and a byte order mark

The splitter knew only blank lines of two LF or two CRLF. With any other line ends no event was ever released before the end of the stream, and a comment or a CR after the last event counted as part of an event, so that a complete stream without framing would be truncated now that its end is judged. It parses lines as the HTML standard defines them; a byte order mark of a resumed stream is removed. Comments alone count neither as a first event nor as the end of a pause.

--- a/crates/bendhinge_delivery/src/lib.rs
+++ b/crates/bendhinge_delivery/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use attempt::{AttemptEnd, NextStep, Repeatable, next_step};
 pub use body_end::BodyEnd;
-pub use events::EventSplitter;
+pub use events::{CompleteEvents, EventSplitter};
 pub use identity::{IdentityKey, RequestIdentity};
 pub use once::{Claim, Claimant, OnceKey, OnceLedger, OnceLimits, OnceOutcome};
 pub use outstanding::{OutstandingSends, PromptWork, SendTotals};
--- a/crates/bendhinge_delivery/tests/events.rs
+++ b/crates/bendhinge_delivery/tests/events.rs
@@ -1,11 +1,10 @@
 //! `EventSplitter` releases only complete events.
 
 use bendhinge_delivery::EventSplitter;
-use bytes::Bytes;
 
 fn feed(splitter: &mut EventSplitter, text: &str) -> Option<String> {
-    let events = splitter.feed(&Bytes::copy_from_slice(text.as_bytes()));
-    events.map(|events| String::from_utf8(events.to_vec()).unwrap())
+    let events = splitter.feed(text.as_bytes())?;
+    Some(String::from_utf8(events.bytes.to_vec()).unwrap())
 }
 
 #[test]
@@ -59,3 +58,81 @@
         Ok(())
     });
 }
+
+/// A stream, the events in it, and whether its end is inside an event or a line.
+struct EndCase {
+    stream: &'static str,
+    event_count: usize,
+    last_id: Option<&'static str>,
+    is_mid_event: bool,
+}
+
+const END_CASES: [EndCase; 17] = [
+    EndCase { stream: "", event_count: 0, last_id: None, is_mid_event: false },
+    EndCase { stream: "id: 1\ndata: a\n\n", event_count: 1, last_id: Some("1"), is_mid_event: false },
+    EndCase { stream: "id: 1\ndata: a\n", event_count: 0, last_id: None, is_mid_event: true },
+    EndCase { stream: "id: 1\ndata: a\n\nid: 2", event_count: 1, last_id: Some("1"), is_mid_event: true },
+    EndCase { stream: "id: 1\rdata: a\r\r", event_count: 1, last_id: Some("1"), is_mid_event: false },
+    EndCase { stream: "id: 1\r\ndata: a\r\n\r\n", event_count: 1, last_id: Some("1"), is_mid_event: false },
+    EndCase { stream: "id: 1\r\ndata: a\r\n\r", event_count: 1, last_id: Some("1"), is_mid_event: false },
+    EndCase { stream: "id: 1\r\ndata: a\r\n", event_count: 0, last_id: None, is_mid_event: true },
+    EndCase { stream: "id: 1\ndata: a\n\r\n", event_count: 1, last_id: Some("1"), is_mid_event: false },
+    EndCase { stream: "id: 1\r\ndata: a\n\r", event_count: 1, last_id: Some("1"), is_mid_event: false },
+    EndCase { stream: "id: 1\ndata: a\n\n\n", event_count: 1, last_id: Some("1"), is_mid_event: false },
+    EndCase { stream: ": ping\n\n", event_count: 0, last_id: None, is_mid_event: false },
+    EndCase { stream: "data: a\n\n: ping\n", event_count: 1, last_id: None, is_mid_event: false },
+    EndCase { stream: "data: a\n\n: pi", event_count: 1, last_id: None, is_mid_event: true },
+    EndCase { stream: "\u{feff}id: 1\ndata: a\n\n", event_count: 1, last_id: Some("1"), is_mid_event: false },
+    EndCase { stream: "\u{feff}: ping\n\n", event_count: 0, last_id: None, is_mid_event: false },
+    EndCase {
+        stream: "data: id: 9\nid:1\n\ndata: a\n\n",
+        event_count: 2,
+        last_id: Some("1"),
+        is_mid_event: false,
+    },
+];
+
+/// Guards against line ends, comments or a byte order mark that hide where an event ends, however the stream is
+/// divided into chunks.
+#[test]
+fn ends_of_streams_are_recognized() {
+    arbtest::arbtest(|source| {
+        let case = source.choose(&END_CASES)?;
+        let mut splitter = EventSplitter::default();
+        let mut rest = case.stream.as_bytes();
+        let (mut out, mut event_count) = (Vec::new(), 0);
+        while !rest.is_empty() {
+            let (chunk, later) = rest.split_at(source.int_in_range(1..=rest.len())?);
+            if let Some(events) = splitter.feed(chunk) {
+                out.extend_from_slice(&events.bytes);
+                event_count += events.count;
+            }
+            rest = later;
+        }
+        assert_eq!(event_count, case.event_count, "{:?}", case.stream);
+        assert_eq!(splitter.has_events(), event_count > 0, "{:?}", case.stream);
+        assert_eq!(splitter.last_id(), case.last_id, "{:?}", case.stream);
+        assert_eq!(splitter.is_mid_event(), case.is_mid_event, "{:?}", case.stream);
+        out.extend_from_slice(&splitter.take_rest());
+        assert_eq!(out, case.stream.as_bytes());
+        Ok(())
+    });
+}
+
+/// Guards against a byte order mark in the middle of a stream, where it would be part of an event.
+#[test]
+fn byte_order_mark_of_a_resumed_stream_is_removed() {
+    let mut splitter = EventSplitter::default();
+    feed(&mut splitter, "\u{feff}id: 1\ndata: a\n\nid: 2");
+    splitter.restart();
+    assert_eq!(feed(&mut splitter, "\u{feff}id: 2\n\n").as_deref(), Some("id: 2\n\n"));
+    assert_eq!(splitter.last_id(), Some("2"));
+}
+
+/// Guards against an event that waits for the chunk after a CR.
+#[test]
+fn event_is_released_before_the_lf_of_its_last_crlf() {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(feed(&mut splitter, "data: a\r\n\r").as_deref(), Some("data: a\r\n\r"));
+    assert_eq!(feed(&mut splitter, "\ndata: b\r\n\r\n").as_deref(), Some("\ndata: b\r\n\r\n"));
+}
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -99,9 +99,11 @@
             match self.read().await {
                 ReadOutcome::Bytes(bytes) => {
                     if let Some(events) = self.events.feed(&bytes) {
-                        self.record_event();
-                        self.record_first_event();
-                        return Some(Ok(events));
+                        if events.count > 0 {
+                            self.record_event();
+                            self.record_first_event();
+                        }
+                        return Some(Ok(events.bytes));
                     }
                 }
                 ReadOutcome::Ended(end) => {
@@ -130,7 +132,7 @@
                 None => ReadOutcome::Ended(BodyEnd::at_end(
                     source.framing.marks_end(),
                     !events.has_events(),
-                    events.partial_len() > 0,
+                    events.is_mid_event(),
                 )),
                 Some(Err(_)) => ReadOutcome::Ended(BodyEnd::Failed),
                 Some(Ok(frame)) => ReadOutcome::Bytes(frame.into_data().unwrap_or_default()),
@@ -235,7 +237,8 @@
         self.delivery.record_complete_response();
         let Delivery { log_line, context, retry_state, .. } = &mut self.delivery;
         log_line.write_answered(&context.log, 200, None, retry_state);
-        None
+        let rest = self.events.take_rest();
+        (!rest.is_empty()).then_some(Ok(rest))
     }
 
     /// Resumes the stream at another upstream after the last complete event; returns `false` if that is not
--- a/crates/bendhinge_lab/tests/gateway_body_ends.rs
+++ b/crates/bendhinge_lab/tests/gateway_body_ends.rs
@@ -6,7 +6,8 @@
 use bendhinge_http::Tasks;
 use bendhinge_lab::gateways::{Call, FleetShape, GatewayFleet, KEY, Told, until};
 use bendhinge_standin::gateway::{Framing, Upstream, UpstreamFault};
-use gateway_common::{RawEnd, RawUpstream, run, send, send_raw, start};
+use gateway_common::{RawEnd, RawUpstream, call, run, send, send_raw, smallest, start};
+use hyper::header::CONTENT_LENGTH;
 
 /// The number of events in a complete stream of the stand-in.
 const EVENTS: u32 = 12;
@@ -94,17 +95,20 @@
     (0..count).map(|id| Upstream::expected_event("{id}", id)).collect()
 }
 
-/// Sends a call to a fleet whose only engine is `raw`, until the gateway knows it.
-async fn send_to_raw(tasks: &Tasks, raw: &RawUpstream) -> Told {
+/// Returns the head of a caller's request for a stream, with further `headers`.
+fn stream_request(path: &str, headers: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: fleet.example\r\n{REQUEST}: one\r\n{PROMPT}: 1:100\r\n\
+         authorization: Bearer {KEY}\r\ncontent-length: 0\r\nconnection: close\r\n{headers}\r\n"
+    )
+}
+
+/// Starts a fleet whose only engine is `raw`, and waits until its gateway knows it.
+async fn fleet_before(tasks: &Tasks, raw: &RawUpstream) -> GatewayFleet {
     let fleet = start(tasks, FleetShape { gateways: 1, engines: 0, services: 1 }).await;
     fleet.store.add("raw", "engines", raw.address);
-    let mut told = Told::Status(503);
-    until(async || {
-        told = send(&fleet, &Call::stream("/stream/x", KEY)).await.told;
-        told != Told::Status(503)
-    })
-    .await;
-    told
+    until(async || send(&fleet, &Call::stream("/stream/x", KEY)).await.told != Told::Status(503)).await;
+    fleet
 }
 
 /// Guards against a reset, or a lost connection, that is taken for the end of a stream without framing.
@@ -119,8 +123,38 @@
         ];
         for (body, end, expected) in cases {
             let raw = RawUpstream::start(&tasks, UNFRAMED_HEAD.to_owned() + &body, end, 0).await;
-            assert_eq!(send_to_raw(&tasks, &raw).await, expected, "{end:?} after {body:?}");
+            let fleet = fleet_before(&tasks, &raw).await;
+            let told = send(&fleet, &Call::stream("/stream/x", KEY)).await.told;
+            assert_eq!(told, expected, "{end:?} after {body:?}");
+        }
+    });
+}
+
+/// Guards against streams that look cut because of their line ends or of what follows the last event.
+#[test]
+fn unframed_streams_are_complete_after_an_event_with_any_line_ends() {
+    const BODIES: [&str; 6] = [
+        "id: 0\rdata: a\r\r",
+        "id: 0\r\ndata: a\r\n\r\n",
+        "id: 0\r\ndata: a\r\n\r",
+        "id: 0\ndata: a\n\r\n",
+        "id: 0\ndata: a\n\n: comment\n",
+        "\u{feff}id: 0\ndata: a\n\n\n",
+    ];
+    run(|tasks| async move {
+        let request = stream_request("/stream/x", "");
+        let mut wrong = Vec::new();
+        for body in BODIES {
+            let raw = RawUpstream::start(&tasks, UNFRAMED_HEAD.to_owned() + body, RawEnd::Close, 0).await;
+            let fleet = fleet_before(&tasks, &raw).await;
+            let response = send_raw(&fleet, request.as_bytes(), "").await;
+            // The body may come in several chunks.
+            let is_whole = body.split('\n').all(|line| response.contains(line));
+            if !is_whole || !response.ends_with("\r\n0\r\n\r\n") {
+                wrong.push(format!("{body:?}: {response:?}"));
+            }
         }
+        assert!(wrong.is_empty(), "{wrong:#?}");
     });
 }
 
@@ -133,12 +167,7 @@
     run(|tasks| async move {
         for (framing, engine_count, is_complete) in CASES {
             let fleet = engines(&tasks, engine_count, framing, UpstreamFault::None).await;
-            let request = format!(
-                "POST /resumable/x HTTP/1.1\r\nhost: fleet.example\r\n{REQUEST}: one\r\n{PROMPT}: 1:100\r\n\
-                 {RESUME_AFTER}: {}\r\nauthorization: Bearer {KEY}\r\ncontent-length: 0\r\n\
-                 connection: close\r\n\r\n",
-                EVENTS - 1
-            );
+            let request = stream_request("/resumable/x", &format!("{RESUME_AFTER}: {}\r\n", EVENTS - 1));
             let response = send_raw(&fleet, request.as_bytes(), "").await;
             assert!(response.starts_with("HTTP/1.1 200"), "{response}");
             assert_eq!(
@@ -154,18 +183,11 @@
 #[test]
 fn responses_of_http_1_0_upstreams_are_framed_for_callers() {
     run(|tasks| async move {
-        let fleet = start(&tasks, FleetShape { gateways: 1, engines: 1, services: 1 }).await;
+        let fleet = smallest(&tasks).await;
         fleet.upstreams.iter().for_each(|upstream| upstream.set_framing(Framing::UntilClose));
-        for (path, prompt, framing) in [
-            ("/safe/x", "", "content-length: "),
-            ("/stream/x", "x-bendhinge-prompt: 1:100\r\n", "transfer-encoding: chunked"),
-        ] {
-            let request = format!(
-                "POST {path} HTTP/1.1\r\nhost: fleet.example\r\nx-bendhinge-request: one\r\n\
-                 authorization: Bearer {KEY}\r\n{prompt}content-length: 0\r\n\r\n"
-            );
-            let head = send_raw(&fleet, request.as_bytes(), "\r\n\r\n").await;
-            assert!(head.starts_with("HTTP/1.1 200") && head.contains(framing), "{head}");
-        }
+        let answer = send(&fleet, &call("/safe/x")).await;
+        assert!(answer.headers.contains_key(CONTENT_LENGTH), "{answer:?}");
+        let head = send_raw(&fleet, stream_request("/stream/x", "").as_bytes(), "\r\n\r\n").await;
+        assert!(head.starts_with("HTTP/1.1 200") && head.contains("transfer-encoding: chunked"), "{head}");
     });
 }
