Reset the connections of HTTP/1.0 callers whose streams are truncated

A caller of HTTP/1.0, the default of some proxies towards what they stand before, gets a stream without framing. If it was truncated, or if the gateway was killed, the connection was closed like that of a complete stream, so that the caller took what it had for all of it. Such a connection now is reset unless the stream is complete: the socket lingers for zero seconds from the head of an unframed response to its end.

--- a/crates/bendhinge_http/src/lib.rs
+++ b/crates/bendhinge_http/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 over `smol`, based on hyper: a server, a pooled client that reports whether a failed
 //! request was sent, and the worker threads for both.
 
+mod abort_guard;
 mod body;
 mod client;
 mod framing;
--- a/crates/bendhinge_http/src/serve.rs
+++ b/crates/bendhinge_http/src/serve.rs
@@ -17,6 +17,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
+use crate::abort_guard::AbortGuard;
 use crate::write_timeout::WriteTimeoutStream;
 use crate::{Body, Tasks};
 
@@ -151,11 +152,19 @@
         let connection = async move {
             let _guard = guard;
             let _ = stream.set_nodelay(true);
+            let abort_guard = AbortGuard::new(stream.clone());
+            let response_guard = abort_guard.clone();
             let service = service_fn(move |request| {
+                let version = request.version();
+                let abort_guard = response_guard.clone();
                 // Boxed, because hyper reserves space for this future for the lifetime of the
                 // connection, including while the response body streams.
                 let response = Box::pin(handler(request));
-                async move { response_or_close(response.await) }
+                async move {
+                    let response = response_or_close(response.await)?;
+                    abort_guard.begin_response(version, &response);
+                    Ok::<_, CloseConnection>(response)
+                }
             });
             let http_connection = http1::Builder::new()
                 .timer(SmolTimer::new())
@@ -167,20 +176,22 @@
                     service,
                 );
             let mut http_connection = std::pin::pin!(http_connection);
-            let completed = async {
-                // Other connection errors need no handling: the request was dropped with the connection.
-                if http_connection.as_mut().await.is_err_and(|error| is_write_timeout(&error)) {
-                    on_write_timeout(caller);
-                }
-                true
-            };
+            let completed = async { Some(http_connection.as_mut().await) };
             let stop_requested = async {
                 let _ = stop_receiver.recv().await;
-                false
+                None
             };
-            if !completed.or(stop_requested).await {
+            let result = if let Some(result) = completed.or(stop_requested).await {
+                result
+            } else {
                 http_connection.as_mut().graceful_shutdown();
-                let _ = http_connection.await;
+                http_connection.await
+            };
+            match result {
+                Ok(()) => abort_guard.allow_close(),
+                Err(error) if is_write_timeout(&error) => on_write_timeout(caller),
+                // Other errors need no handling: the request was dropped with the connection.
+                Err(_) => {}
             }
         };
         self.tasks.spawn(connection).detach();
--- a/crates/bendhinge_lab/tests/gateway_body_ends.rs
+++ b/crates/bendhinge_lab/tests/gateway_body_ends.rs
@@ -2,12 +2,16 @@
 
 mod gateway_common;
 
+use std::io::ErrorKind;
+
 use bendhinge_gateway::native::headers::{PROMPT, REQUEST, RESUME_AFTER};
 use bendhinge_http::Tasks;
 use bendhinge_lab::gateways::{Call, FleetShape, GatewayFleet, KEY, Told, until};
 use bendhinge_standin::gateway::{Framing, Upstream, UpstreamFault};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use gateway_common::{RawEnd, RawUpstream, call, run, send, send_raw, smallest, start};
 use hyper::header::CONTENT_LENGTH;
+use smol::net::TcpStream;
 
 /// The number of events in a complete stream of the stand-in.
 const EVENTS: u32 = 12;
@@ -191,3 +195,54 @@
         assert!(head.starts_with("HTTP/1.1 200") && head.contains("transfer-encoding: chunked"), "{head}");
     });
 }
+
+/// Sends a request for a stream in HTTP/1.0.
+async fn request_in_http_1_0(fleet: &GatewayFleet) -> TcpStream {
+    let mut stream = TcpStream::connect(fleet.callers(0)).await.unwrap();
+    let request = stream_request("/stream/x", "").replace("HTTP/1.1", "HTTP/1.0");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    stream
+}
+
+/// Guards against truncated streams that look complete to callers of HTTP/1.0, whose responses are not framed.
+#[test]
+fn truncated_streams_reset_the_connections_of_http_1_0_callers() {
+    const CASES: [(UpstreamFault, Option<ErrorKind>); 3] = [
+        (UpstreamFault::None, None),
+        (UpstreamFault::BreaksOff(3), Some(ErrorKind::ConnectionReset)),
+        (UpstreamFault::EndsMidEvent(3), Some(ErrorKind::ConnectionReset)),
+    ];
+    run(|tasks| async move {
+        for (fault, expected) in CASES {
+            let fleet = engines(&tasks, 1, Framing::Framed, fault).await;
+            let mut response = Vec::new();
+            let result = request_in_http_1_0(&fleet).await.read_to_end(&mut response).await;
+            assert_eq!(result.err().map(|error| error.kind()), expected, "{fault:?}");
+            let response = String::from_utf8(response).unwrap();
+            let last_event = if expected.is_none() { EVENTS - 1 } else { 2 };
+            assert!(
+                response.ends_with(&Upstream::expected_event("one", last_event)),
+                "{fault:?}: {response}"
+            );
+        }
+    });
+}
+
+/// Guards against streams that look complete to callers of HTTP/1.0 because the gateway was killed.
+#[test]
+fn killed_gateways_reset_the_connections_of_http_1_0_callers() {
+    run(|tasks| async move {
+        let mut fleet = engines(&tasks, 1, Framing::Framed, UpstreamFault::Stalls(1)).await;
+        let mut caller = request_in_http_1_0(&fleet).await;
+        let mut response = Vec::new();
+        let mut chunk = [0; 4096];
+        while !String::from_utf8_lossy(&response).contains(&Upstream::expected_event("one", 0)) {
+            let length = caller.read(&mut chunk).await.unwrap();
+            assert!(length > 0, "the stream ended before its first event");
+            response.extend_from_slice(&chunk[..length]);
+        }
+        fleet.gateways[0].take().unwrap().kill();
+        let result = caller.read_to_end(&mut response).await;
+        assert_eq!(result.unwrap_err().kind(), ErrorKind::ConnectionReset);
+    });
+}
