Unframed successes without a body are lost sends

A plain response with neither a length nor chunks and without a body is all that is left of one whose upstream crashed after the head, and callers got it as a complete empty response. It is now a lost send: retried if the route allows it, otherwise answered with 502. A length of zero, a status without a body and the response to HEAD stay complete. Unframed connections are not offered to the pool.

Measured: the new test fails on the code before ("a whole answer that is not right") and passes now.

--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -243,6 +243,9 @@
         return Ok((head, UpstreamBody::Stream(body, framing, connection)));
     }
     let (complete_body, ended) = read_complete_body(context, &head, framing, body, connection).await?;
+    if is_success && ended.end == BodyEnd::Empty {
+        return Err(SendError { end: SendOutcome::Lost, error_response: None, body: Some(ended) });
+    }
     if head.status.is_server_error() || implies_not_run(head.status) {
         let error_response = Some(Box::new(ErrorResponse { head, body: complete_body }));
         return Err(SendError { end: SendOutcome::Failed, error_response, body: Some(ended) });
@@ -291,7 +294,7 @@
     let ended = EndedBody { framing, end };
     match read {
         Ok(bytes) => {
-            context.release_connection(&head.headers, connection);
+            context.release_connection(&head.headers, framing, connection);
             Ok((bytes, ended))
         }
         Err(_) => Err(SendError { end: SendOutcome::Lost, error_response: None, body: Some(ended) }),
@@ -320,8 +323,13 @@
 impl DeliveryContext {
     /// Returns a connection to the pool in the background, unless the upstream closes it. The response must
     /// have been read completely.
-    pub(super) fn release_connection(self: &Arc<Self>, headers: &HeaderMap, connection: Connection) {
-        if has_connection_close(headers) {
+    pub(super) fn release_connection(
+        self: &Arc<Self>,
+        headers: &HeaderMap,
+        framing: BodyFraming,
+        connection: Connection,
+    ) {
+        if has_connection_close(headers) || !framing.marks_end() {
             return;
         }
         let keep_alive = keep_alive_timeout(headers);
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -229,10 +229,8 @@
         self.is_finished = true;
         self.record_slot_time();
         self.report_timing();
-        if let Some(StreamSource { headers, framing, connection, .. }) = self.source.take()
-            && framing.marks_end()
-        {
-            self.delivery.context.release_connection(&headers, connection);
+        if let Some(StreamSource { headers, framing, connection, .. }) = self.source.take() {
+            self.delivery.context.release_connection(&headers, framing, connection);
         }
         self.delivery.record_complete_response();
         let Delivery { log_line, context, retry_state, .. } = &mut self.delivery;
--- a/crates/bendhinge_lab/tests/gateway_body_ends.rs
+++ b/crates/bendhinge_lab/tests/gateway_body_ends.rs
@@ -183,6 +183,37 @@
     });
 }
 
+/// Guards against a head without a body that passes for an empty response. Only framing, or a status that implies
+/// it, can mark that.
+#[test]
+fn unframed_plain_responses_are_complete_only_with_a_body() {
+    const HEADERS: &str = "x-bendhinge-request: {id}\r\nx-bendhinge-signature: s\r\n";
+    run(|tasks| async move {
+        let cases = [
+            ("200 OK", "", Upstream::expected_body("{id}"), Told::Whole),
+            ("200 OK", "", String::new(), Told::Status(502)),
+            ("200 OK", "content-length: 0\r\n", String::new(), Told::Wrong(String::new())),
+            ("204 No Content", "", String::new(), Told::Status(204)),
+        ];
+        for (status, length, body, expected) in cases {
+            let response = format!("HTTP/1.1 {status}\r\n{HEADERS}{length}\r\n{body}");
+            let raw = RawUpstream::start(&tasks, response, RawEnd::Close, 0).await;
+            let fleet = start(&tasks, FleetShape { gateways: 1, engines: 1, services: 0 }).await;
+            fleet.store.add("raw", "services", raw.address);
+            let mut told = Told::Status(503);
+            until(async || {
+                told = send(&fleet, &call("/unsafe/x")).await.told;
+                told != Told::Status(503)
+            })
+            .await;
+            // The caller expects a body, and reports an empty one in words.
+            let is_expected =
+                told == expected || matches!((&told, &expected), (Told::Wrong(_), Told::Wrong(_)));
+            assert!(is_expected, "{status}, {length:?}, {body:?}: {told:?}");
+        }
+    });
+}
+
 /// Guards against a response in the upstream's HTTP version, which a caller of HTTP/1.1 gets without chunks.
 #[test]
 fn responses_of_http_1_0_upstreams_are_framed_for_callers() {
