Router: unframed successes without a body are truncated

A plain answer with neither a length nor chunks and without a body was passed on as a complete empty one, also if its upstream crashed after the head. It now is truncated visibly, as an answer that breaks off. Streams of chats have an end mark and were not affected.

Measured: the new test over real processes fails on the code before (status 200, whole) and passes now.

--- a/crates/bendhinge_lab/tests/delivery.rs
+++ b/crates/bendhinge_lab/tests/delivery.rs
@@ -64,6 +64,19 @@
     });
 }
 
+/// Guards against a head without a body that passes for an empty answer. Its upstream may have crashed.
+#[test]
+fn an_answer_without_length_and_body_does_not_look_whole() {
+    run(|tasks| async move {
+        let fleet = start(&tasks).await;
+        let faults = ServiceFaults { head_only: true, ..ServiceFaults::default() };
+        fleet.upstream_faults("b-portal-1", &faults).await.unwrap();
+        let outcome = bulletin(&fleet, "box-1", "head only", 1).await;
+        assert!(!outcome.whole, "{outcome:?}");
+        assert_eq!(runs(&fleet, "head only").await, 1);
+    });
+}
+
 /// A request that may not be repeated and was lost at its upstream: unknown, at once, once.
 #[test]
 fn a_lost_bulletin_is_unknown_and_invites_no_retry() {
--- a/crates/bendhinge_router/src/delivery/attempt.rs
+++ b/crates/bendhinge_router/src/delivery/attempt.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bendhinge_delivery::AttemptEnd;
-use bendhinge_http::{Body, Connection, ReadBodyError, SendFailure, empty_body, full_body, read_body};
+use bendhinge_http::{
+    Body, BodyFraming, Connection, ReadBodyError, SendFailure, empty_body, full_body, read_body,
+};
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http_body_util::BodyExt;
@@ -59,7 +61,7 @@
     /// Gathered and found whole; the connection is back in its pool.
     Gathered(Bytes),
     /// Still on its connection.
-    Open(Incoming, Connection),
+    Open(Incoming, BodyFraming, Connection),
 }
 
 /// An attempt without a usable answer.
@@ -79,7 +81,7 @@
     let began = bendhinge_clock::now();
     let sent = exchange(node, turn, &target).await;
     let result = match sent {
-        Ok((answer, connection)) => take_answer(node, turn.kind, answer, connection).await,
+        Ok((answer, connection)) => take_answer(node, turn, answer, connection).await,
         Err(end) => Err(end),
     };
     match result {
@@ -170,13 +172,14 @@
 /// Decides whether the answer is passed on as it comes or must first be seen whole.
 async fn take_answer(
     node: &Node,
-    kind: TurnKind,
+    turn: &Turn,
     answer: Response<Incoming>,
     connection: Connection,
 ) -> Result<(response::Parts, AttemptBody), AttemptEnd> {
     let (head, body) = answer.into_parts();
-    if kind != TurnKind::Whole {
-        return Ok((head, AttemptBody::Open(body, connection)));
+    if turn.kind != TurnKind::Whole {
+        let framing = BodyFraming::of_response(&turn.head.method, head.status, &head.headers);
+        return Ok((head, AttemptBody::Open(body, framing, connection)));
     }
     let gathered = gather(body, node.settings.limits.answer_bytes, node.settings.limits.first_byte).await?;
     if head.status == StatusCode::OK && serde_json::from_slice::<serde::de::IgnoredAny>(&gathered).is_err() {
--- a/crates/bendhinge_router/src/delivery/relay.rs
+++ b/crates/bendhinge_router/src/delivery/relay.rs
@@ -39,9 +39,10 @@
             held.finished();
             full_body(bytes)
         }
-        AttemptBody::Open(body, connection) => {
+        AttemptBody::Open(body, framing, connection) => {
             let end_mark = is_stream.then(EndMark::default);
-            flush_before_error(RelayBody::new(body, connection, held, end_mark))
+            let may_be_lost = head.status.is_success() && !framing.marks_end();
+            flush_before_error(RelayBody::new(body, connection, held, end_mark, may_be_lost))
         }
     };
     Response::from_parts(head, body)
@@ -87,6 +88,8 @@
     connection: Option<Connection>,
     held: Option<Held>,
     end_mark: Option<EndMark>,
+    /// Whether the body has no content yet, and only its connection would mark that it has none.
+    may_be_lost: bool,
     idle: Duration,
     last_frame: Instant,
     timer: Timer,
@@ -94,13 +97,20 @@
 }
 
 impl RelayBody {
-    fn new(body: Incoming, connection: Connection, held: Held, end_mark: Option<EndMark>) -> Self {
+    fn new(
+        body: Incoming,
+        connection: Connection,
+        held: Held,
+        end_mark: Option<EndMark>,
+        may_be_lost: bool,
+    ) -> Self {
         let idle = held.node.settings.limits.idle;
         Self {
             body,
             connection: Some(connection),
             held: Some(held),
             end_mark,
+            may_be_lost,
             idle,
             last_frame: Instant::now(),
             timer: Timer::after(idle),
@@ -110,6 +120,7 @@
 
     fn saw(&mut self, frame: &Frame<Bytes>) {
         self.last_frame = Instant::now();
+        self.may_be_lost &= frame.data_ref().is_none_or(Bytes::is_empty);
         if let (Some(end_mark), Some(data)) = (&mut self.end_mark, frame.data_ref()) {
             end_mark.saw(data);
         }
@@ -120,7 +131,7 @@
     }
 
     fn is_complete(&self) -> bool {
-        self.end_mark.as_ref().is_none_or(EndMark::is_complete)
+        !self.may_be_lost && self.end_mark.as_ref().is_none_or(EndMark::is_complete)
     }
 
     fn finish(&mut self) {
--- a/crates/bendhinge_standin/src/service.rs
+++ b/crates/bendhinge_standin/src/service.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use serde::{Deserialize, Serialize};
 use smol::Timer;
 
@@ -29,6 +29,8 @@
     pub cut_before_answer: bool,
     /// The connection is cut in the middle of the answer.
     pub cut_in_answer: bool,
+    /// The connection is closed after the head of an answer, which does not say where its body ends.
+    pub head_only: bool,
 }
 
 #[derive(Debug, Default)]
@@ -94,6 +96,9 @@
         if faults.cut_before_answer || faults.cut_in_answer {
             return cut_answer(faults.cut_in_answer).await;
         }
+        if faults.head_only {
+            return head_only();
+        }
         self.echo(request)
     }
 
@@ -134,6 +139,14 @@
     answer
 }
 
+/// An answer without a body, length or chunks.
+fn head_only() -> Response<Body> {
+    let (_, body) = channel_body(1);
+    let mut answer = Response::new(body);
+    *answer.version_mut() = Version::HTTP_10;
+    answer
+}
+
 struct Done(Arc<Mutex<State>>);
 
 impl Drop for Done {
