Soak with unframed responses, streams that end inside an event, HTTP/1.0 callers

The stand-in broke streams off within chunks only, and all callers spoke HTTP/1.1, so that the soak could not see a cut stream that looks complete. Half of the faults of upstreams now come with responses that end with their connection, one call in five is made in HTTP/1.0, and the proxy's reset resets connections instead of closing them. Tests of what is recorded of a cut stream, and of requests whose body is cut.

--- a/crates/bendhinge_lab/src/gateways/caller.rs
+++ b/crates/bendhinge_lab/src/gateways/caller.rs
@@ -11,7 +11,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HOST, HeaderMap};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use smol::Timer;
 
 /// A request to be sent.
@@ -31,6 +31,8 @@
     pub deadline: Duration,
     /// Its body.
     pub body: String,
+    /// The HTTP version in which it is sent.
+    pub version: Version,
 }
 
 impl Call {
@@ -45,6 +47,7 @@
             prompt: None,
             deadline: Duration::from_secs(5),
             body: String::new(),
+            version: Version::HTTP_11,
         }
     }
 
@@ -58,6 +61,7 @@
     fn request(&self) -> Request<Body> {
         let mut request = Request::new(full_body(self.body.clone()));
         *request.method_mut() = Method::POST;
+        *request.version_mut() = self.version;
         *request.uri_mut() = self.path.parse().expect("paths of tests are valid");
         let headers = request.headers_mut();
         let value = |text: &str| text.parse().expect("values of tests are valid");
--- a/crates/bendhinge_lab/src/gateways/proxy.rs
+++ b/crates/bendhinge_lab/src/gateways/proxy.rs
@@ -7,6 +7,7 @@
 
 use bendhinge_http::Tasks;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use rustix::net::connect_unspec;
 use smol::net::{TcpListener, TcpStream};
 use smol::{Task, Timer};
 
@@ -18,7 +19,7 @@
     None,
     /// They arrive later.
     Delay(Duration),
-    /// Connections are closed.
+    /// Connections are reset.
     Reset,
     /// Bytes towards the target are held back for as long as this lasts.
     CutThere,
@@ -106,6 +107,11 @@
     accepted.push(near);
 }
 
+/// Resets a connection at once, although other handles of it are open.
+fn reset(connection: &TcpStream) {
+    let _ = connect_unspec(connection);
+}
+
 async fn pass(mut from: TcpStream, mut to: TcpStream, direction: Direction, harm: Arc<Mutex<Harm>>) {
     const LOOK: Duration = Duration::from_millis(5);
     const PIECE: usize = 16 << 10;
@@ -123,8 +129,9 @@
             Timer::after(time).await;
         }
         if now == Harm::Reset {
-            let _ = from.shutdown(Shutdown::Both);
-            break;
+            reset(&from);
+            reset(&to);
+            return;
         }
         if to.write_all(&piece[..length]).await.is_err() {
             break;
--- a/crates/bendhinge_lab/src/gateways/soak.rs
+++ b/crates/bendhinge_lab/src/gateways/soak.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use bendhinge_http::Tasks;
-use bendhinge_standin::gateway::{Run, StoreFault, Upstream, UpstreamFault};
+use bendhinge_standin::gateway::{Framing, Run, StoreFault, Upstream, UpstreamFault};
+use hyper::Version;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
@@ -119,6 +120,9 @@
     };
     call.id = format!("{:016x}", random.random::<u64>());
     call.body = "x".repeat(random.random_range(0..20_000));
+    if random.random_ratio(1, 5) {
+        call.version = Version::HTTP_10;
+    }
     call
 }
 
@@ -195,21 +199,25 @@
     }
 
     fn fault_upstream(&self, random: &mut ChaCha8Rng) {
-        let fault = match random.random_range(0..12) {
+        let fault = match random.random_range(0..14) {
             0 => UpstreamFault::Full,
             1 => UpstreamFault::Unclear,
             2 | 9 => UpstreamFault::Lost,
             3 => UpstreamFault::Crossed,
             4 => UpstreamFault::Unsigned,
             5 => UpstreamFault::Failed,
-            6 => UpstreamFault::BreaksOff(random.random_range(0..8)),
+            6 | 12 => UpstreamFault::BreaksOff(random.random_range(0..8)),
+            13 => UpstreamFault::EndsMidEvent(random.random_range(0..8)),
             7 => UpstreamFault::Stalls(random.random_range(0..8)),
             10 => UpstreamFault::AsksForRest("1.5"),
             11 => UpstreamFault::AsksForRestLate("60"),
             _ => UpstreamFault::None,
         };
+        let framing = if random.random() { Framing::Framed } else { Framing::UntilClose };
         let fleet = self.fleet.borrow();
-        fleet.upstreams[random.random_range(0..fleet.upstreams.len())].set_fault(fault);
+        let upstream = &fleet.upstreams[random.random_range(0..fleet.upstreams.len())];
+        upstream.set_fault(fault);
+        upstream.set_framing(framing);
     }
 
     fn harm_store(&self, random: &mut ChaCha8Rng) {
--- a/crates/bendhinge_lab/tests/gateway_body_ends.rs
+++ b/crates/bendhinge_lab/tests/gateway_body_ends.rs
@@ -3,13 +3,14 @@
 mod gateway_common;
 
 use std::io::ErrorKind;
+use std::net::Shutdown;
 
 use bendhinge_gateway::native::headers::{PROMPT, REQUEST, RESUME_AFTER};
 use bendhinge_http::Tasks;
 use bendhinge_lab::gateways::{Call, FleetShape, GatewayFleet, KEY, Told, until};
 use bendhinge_standin::gateway::{Framing, Upstream, UpstreamFault};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use gateway_common::{RawEnd, RawUpstream, call, run, send, send_raw, smallest, start};
+use gateway_common::{RawEnd, RawUpstream, call, line_of, metric, run, send, send_raw, smallest, start};
 use hyper::header::CONTENT_LENGTH;
 use smol::net::TcpStream;
 
@@ -227,6 +228,40 @@
     });
 }
 
+/// Guards against a cut stream that is recorded as answered.
+#[test]
+fn cut_streams_are_recorded_as_lost() {
+    run(|tasks| async move {
+        let fleet = engines(&tasks, 1, Framing::UntilClose, UpstreamFault::BreaksOff(3)).await;
+        let call = Call::stream("/stream/x", KEY);
+        assert_eq!(send(&fleet, &call).await.told, Told::Broken);
+        let line = line_of(&fleet, &call).await;
+        assert_eq!(line["sends"][0]["end"], "lost", "{line}");
+        assert_eq!((&line["code"], &line["ran"]), (&"BH0406".into(), &"unknown".into()), "{line}");
+        assert!(line["digest"].is_string(), "{line}");
+        assert_eq!(metric(&fleet, "bendhinge_gateway_sends_ended_total{end=\"lost\"").await, Some(1));
+    });
+}
+
+/// Guards against requests that run without the rest of their body because the caller's connection ended.
+#[test]
+fn requests_whose_body_is_cut_do_not_run() {
+    run(|tasks| async move {
+        let fleet = smallest(&tasks).await;
+        for framing in ["content-length: 9\r\n\r\nhalf", "transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n"] {
+            let mut stream = TcpStream::connect(fleet.callers(0)).await.unwrap();
+            let request = format!(
+                "POST /unsafe/x HTTP/1.1\r\nhost: fleet.example\r\n{REQUEST}: cut\r\nauthorization: Bearer {KEY}\r\n{framing}"
+            );
+            stream.write_all(request.as_bytes()).await.unwrap();
+            stream.shutdown(Shutdown::Write).unwrap();
+            // The gateway has read the end of the connection once it answers or closes.
+            let _ = stream.read_to_end(&mut Vec::new()).await;
+            assert_eq!(fleet.runs_of("cut"), 0, "{framing}");
+        }
+    });
+}
+
 /// Sends a request for a stream in HTTP/1.0.
 async fn request_in_http_1_0(fleet: &GatewayFleet) -> TcpStream {
     let mut stream = TcpStream::connect(fleet.callers(0)).await.unwrap();
--- a/crates/bendhinge_lab/tests/gateway_soak.rs
+++ b/crates/bendhinge_lab/tests/gateway_soak.rs
@@ -4,7 +4,7 @@
 use bendhinge_lab::gateways::soak;
 
 /// Seeds of the short run, and seeds that once found something.
-const SEEDS: [u64; 3] = [1, 2, 3];
+const SEEDS: [u64; 4] = [1, 2, 3, 4];
 
 #[test]
 fn no_promise_breaks_while_everything_fails() {
