Streams whose events have no ids are not resumed

A stream that broke off after events without ids was sent again from its start, and its caller got the first events twice. Nothing tells the next upstream where to resume, so that such a stream is truncated visibly.

Found while looking at what follows a cut. Measured: the new test over real processes fails on the code before (the first event arrives twice) and passes now.

--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -248,7 +248,7 @@
         let record = source.record.clone();
         drop(source);
         let may_retry = self.delivery.record_send_end(&record, end);
-        if !may_retry || !self.delivery.try_retry() {
+        if !may_retry || !self.has_resume_point() || !self.delivery.try_retry() {
             return false;
         }
         self.events.restart();
@@ -271,6 +271,11 @@
         }
     }
 
+    /// Whether the next upstream can be told where to resume: the stream has no events yet, or they have ids.
+    fn has_resume_point(&self) -> bool {
+        self.timing.first_event().is_none() || self.events.last_id().is_some()
+    }
+
     fn truncate(&mut self) -> io::Error {
         self.is_finished = true;
         self.record_abandonment();
--- a/crates/bendhinge_lab/tests/gateway_body_ends.rs
+++ b/crates/bendhinge_lab/tests/gateway_body_ends.rs
@@ -78,6 +78,29 @@
     });
 }
 
+/// Guards against events that reach the caller twice because nothing tells the next upstream where to resume.
+#[test]
+fn streams_without_event_ids_are_not_resumed() {
+    run(|tasks| async move {
+        let response = UNFRAMED_HEAD.to_owned() + "data: a\n\ndata: b\n\ndata: c";
+        let fleet = start(&tasks, FleetShape { gateways: 1, engines: 0, services: 1 }).await;
+        let first = RawUpstream::start(&tasks, response.clone(), RawEnd::Close, 0).await;
+        let second = RawUpstream::start(&tasks, response, RawEnd::Close, 0).await;
+        fleet.store.add("first", "engines", first.address);
+        fleet.store.add("second", "engines", second.address);
+        let request = stream_request("/resumable/x", "");
+        let mut response = String::new();
+        until(async || {
+            response = send_raw(&fleet, request.as_bytes(), "").await;
+            !response.starts_with("HTTP/1.1 503")
+        })
+        .await;
+        assert_eq!(response.matches("data: a").count(), 1, "{response}");
+        assert!(!response.ends_with("\r\n0\r\n\r\n"), "{response}");
+        assert_eq!(first.requests().len() + second.requests().len(), 1);
+    });
+}
+
 /// Guards against a head without a body that passes for an empty stream. Only framing can mark that.
 #[test]
 fn streams_without_events_are_complete_only_if_framed() {
