Test that a crash inside an event of an unframed stream is noticed

An upstream that crashed while it sent an unframed stream was not probed, so that the request was not counted as one under which an upstream crashed.

--- a/crates/bendhinge_lab/tests/gateway_body_ends.rs
+++ b/crates/bendhinge_lab/tests/gateway_body_ends.rs
@@ -12,7 +12,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use gateway_common::{RawEnd, RawUpstream, call, line_of, metric, run, send, send_raw, smallest, start};
 use hyper::header::CONTENT_LENGTH;
-use smol::net::TcpStream;
+use smol::net::{TcpListener, TcpStream};
 
 /// The number of events in a complete stream of the stand-in.
 const EVENTS: u32 = 12;
@@ -266,6 +266,41 @@
     });
 }
 
+/// Serves one request with the start of an unframed stream, then refuses connections, as a process that crashes does.
+async fn crash_while_streaming(listener: TcpListener) {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).await.unwrap();
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).unwrap();
+    let mut id = head.lines().filter_map(|line| line.strip_prefix(&format!("{REQUEST}: ")));
+    drop(listener);
+    let response = (UNFRAMED_HEAD.to_owned() + &events(3) + "id: 3").replace("{id}", id.next().unwrap());
+    stream.write_all(response.as_bytes()).await.unwrap();
+}
+
+/// Guards against crashes of upstreams that are not noticed because a stream without framing ended in order.
+#[test]
+fn crash_inside_an_event_of_an_unframed_stream_is_noticed() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, FleetShape { gateways: 1, engines: 0, services: 1 }).await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        fleet.store.add("crashing", "engines", listener.local_addr().unwrap());
+        tasks.spawn(crash_while_streaming(listener)).detach();
+        let mut call = Call::stream("/stream/x", KEY);
+        until(async || {
+            call = Call::stream("/stream/x", KEY);
+            send(&fleet, &call).await.told == Told::Broken
+        })
+        .await;
+        let is_crash = |line: &String| line.contains("\"event\":\"crash\"") && line.contains(&call.id);
+        until(async || fleet.gateway(0).lines().iter().any(is_crash)).await;
+    });
+}
+
 /// Guards against requests that run without the rest of their body because the caller's connection ended.
 #[test]
 fn requests_whose_body_is_cut_do_not_run() {
