Gateways: log and count why connections to upstreams failed

A line of a request said that a send did not connect, neither how nor whether the upstream responded to others. Each such send now has the reason (connect) and how long before any gateway had a response from that upstream (responded_ms); connect_failures_total counts reasons.

--- a/crates/bendhinge_fleet/src/failure_detector.rs
+++ b/crates/bendhinge_fleet/src/failure_detector.rs
@@ -151,6 +151,13 @@
         }
     }
 
+    /// Returns when any router last received a response, as far as this one knows.
+    #[must_use]
+    pub fn last_response(&self, upstream: NameHash) -> Option<Instant> {
+        let reported = self.upstreams.get(&upstream).and_then(|tracked| tracked.evidence.last_response);
+        reported.max(self.own_responses.get(&upstream).copied())
+    }
+
     /// Records a failure of a request that this router sent at `sent`.
     pub fn record_failure(
         &mut self,
--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -1,11 +1,12 @@
 //! Sends a request once to one upstream and reads the response until it can be relayed to the caller.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bendhinge_delivery::{BodyEnd, SendOutcome};
 use bendhinge_fleet::UpstreamEntry;
-use bendhinge_http::{Body, BodyFraming, Connection, SendFailure, full_body};
+use bendhinge_http::{Body, BodyFraming, ConnectError, Connection, SendFailure, full_body};
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use hyper::body::Incoming;
@@ -40,6 +41,46 @@
     pub(super) error_response: Option<Box<ErrorResponse>>,
     /// How the response body ended, if it was read.
     pub(super) body: Option<EndedBody>,
+    /// Why no connection was established.
+    pub(super) connect_failure: Option<ConnectFailure>,
+}
+
+/// Why no connection to an upstream was established.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectFailure {
+    /// The box of the upstream refused the connection.
+    Refused,
+    /// Nothing answered within the connect timeout.
+    TimedOut,
+    /// Another error, such as a reset connection or an unreachable network.
+    Other,
+}
+
+impl ConnectFailure {
+    /// The name used in logs and metrics.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::TimedOut => "timeout",
+            Self::Other => "other",
+        }
+    }
+}
+
+impl From<&ConnectError> for ConnectFailure {
+    fn from(error: &ConnectError) -> Self {
+        match error {
+            ConnectError::Timeout => Self::TimedOut,
+            ConnectError::Io(error) if error.kind() == ErrorKind::ConnectionRefused => Self::Refused,
+            ConnectError::Io(_) | ConnectError::Http(_) => Self::Other,
+        }
+    }
+}
+
+impl From<ConnectError> for SendError {
+    fn from(error: ConnectError) -> Self {
+        Self { connect_failure: Some((&error).into()), ..SendOutcome::NotConnected.into() }
+    }
 }
 
 /// A complete error response of an upstream.
@@ -50,7 +91,7 @@
 
 impl From<SendOutcome> for SendError {
     fn from(end: SendOutcome) -> Self {
-        Self { end, error_response: None, body: None }
+        Self { end, error_response: None, body: None, connect_failure: None }
     }
 }
 
@@ -151,7 +192,7 @@
     } else {
         context.connection_pool.connection_used_within(address, MAX_CONNECTION_IDLE_TIME).await
     };
-    let mut connection = connecting.map_err(|_| SendOutcome::NotConnected)?;
+    let mut connection = connecting?;
     // The deadline or the lease may have expired while the connection was established or the process was
     // suspended.
     if !context.may_be_sent(inbound, chosen) {
@@ -161,8 +202,7 @@
         Ok(response) => Ok((response, connection)),
         Err(ExchangeError::NotSent(request)) if connection.reused => {
             // The upstream closed an idle connection, which is no sign of a failure.
-            connection =
-                context.connection_pool.connect(address).await.map_err(|_| SendOutcome::NotConnected)?;
+            connection = context.connection_pool.connect(address).await?;
             if !context.may_be_sent(inbound, chosen) {
                 return Err(SendOutcome::NotSent.into());
             }
@@ -230,11 +270,11 @@
     }
     let (complete_body, ended) = read_complete_body(context, &head, framing, body, connection).await?;
     if is_success && ended.end == BodyEnd::Empty {
-        return Err(SendError { end: SendOutcome::Lost, error_response: None, body: Some(ended) });
+        return Err(SendError { body: Some(ended), ..SendOutcome::Lost.into() });
     }
     if head.status.is_server_error() || implies_not_run(head.status) {
         let error_response = Some(Box::new(ErrorResponse { head, body: complete_body }));
-        return Err(SendError { end: SendOutcome::Failed, error_response, body: Some(ended) });
+        return Err(SendError { error_response, body: Some(ended), ..SendOutcome::Failed.into() });
     }
     Ok((head, UpstreamBody::Complete(complete_body, ended)))
 }
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -23,6 +23,7 @@
 use hyper::Response;
 use rand::Rng;
 
+pub(crate) use self::attempt::ConnectFailure;
 use self::attempt::{AttemptParams, ErrorResponse, UpstreamResponse, send_to_upstream};
 pub(crate) use self::context::DeliveryContext;
 pub(crate) use self::crash::CrashProbes;
--- a/crates/bendhinge_gateway/src/delivery/outcome.rs
+++ b/crates/bendhinge_gateway/src/delivery/outcome.rs
@@ -3,7 +3,7 @@
 use bendhinge_delivery::SendOutcome;
 use bendhinge_fleet::UpstreamFailure;
 
-use super::attempt::{SendError, implies_not_run};
+use super::attempt::{ConnectFailure, SendError, implies_not_run};
 use super::crash::detect_crash;
 use super::race::{FailedSend, SendRecord};
 use super::upstream_body::EndedBody;
@@ -61,7 +61,11 @@
 
     /// Records a failed send; returns `Err` if it is not retried.
     pub(super) fn handle_failure(&mut self, failed: FailedSend) -> Result<(), DeliveryError> {
-        let FailedSend { record, error: SendError { end, error_response, body } } = failed;
+        let FailedSend { record, error } = failed;
+        let SendError { end, error_response, body, connect_failure } = error;
+        if let Some(connect_failure) = connect_failure {
+            self.record_connect_failure(&record, connect_failure);
+        }
         if let Some(EndedBody { framing, end }) = body {
             self.log_line.record_body_end(record.number, framing, end, 0);
         }
@@ -77,6 +81,15 @@
         })
     }
 
+    /// Records why a send did not connect, and when any gateway last had a response from its upstream: a recent one
+    /// suggests that the upstream works and the link of this gateway does not.
+    fn record_connect_failure(&mut self, record: &SendRecord, connect_failure: ConnectFailure) {
+        let DeliveryContext { upstreams, metrics, .. } = &*self.context;
+        metrics.count_connect_failure(connect_failure);
+        let response_age = upstreams.last_response_age(record.upstream.hash);
+        self.log_line.record_connect_failure(record.number, connect_failure, response_age);
+    }
+
     /// Takes a retry from the retry budget; returns `false` if the budget is exhausted.
     pub(super) fn try_retry(&mut self) -> bool {
         let Some(decision) = self.context.retry_budgets.decide_retry(&self.inbound.pool) else {
--- a/crates/bendhinge_gateway/src/delivery/upstream_body.rs
+++ b/crates/bendhinge_gateway/src/delivery/upstream_body.rs
@@ -51,7 +51,7 @@
             context.release_connection(&head.headers, framing, connection);
             Ok((bytes, ended))
         }
-        Err(_) => Err(SendError { end: SendOutcome::Lost, error_response: None, body: Some(ended) }),
+        Err(_) => Err(SendError { body: Some(ended), ..SendOutcome::Lost.into() }),
     }
 }
 
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -1,5 +1,7 @@
 //! The log line of an admitted request, with its sends and its outcome.
 
+use std::time::Duration;
+
 use bendhinge_admission::RetryDecision;
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{BodyEnd, Pause, RetryState, SendOutcome, StreamTiming};
@@ -8,7 +10,7 @@
 use serde::Serialize;
 
 use super::{Log, whole_millis};
-use crate::delivery::InboundRequest;
+use crate::delivery::{ConnectFailure, InboundRequest};
 use crate::state::ChosenUpstream;
 
 /// A send of the request to an upstream.
@@ -41,6 +43,10 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     end: Option<&'static str>,
     #[serde(skip_serializing_if = "Option::is_none")]
+    connect: Option<&'static str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    responded_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     framing: Option<&'static str>,
     #[serde(skip_serializing_if = "Option::is_none")]
     body_end: Option<&'static str>,
@@ -180,6 +186,8 @@
             list_age_ms: whole_millis(chosen.list_age),
             retry: self.allowed_retry.take(),
             end: None,
+            connect: None,
+            responded_ms: None,
             framing: None,
             body_end: None,
             partial_bytes: 0,
@@ -216,6 +224,19 @@
         }
     }
 
+    /// Records why a send did not connect, and the time since any gateway last had a response from its upstream.
+    pub(crate) fn record_connect_failure(
+        &mut self,
+        index: usize,
+        connect_failure: ConnectFailure,
+        response_age: Option<Duration>,
+    ) {
+        if let Some(send) = self.sends.get_mut(index) {
+            send.connect = Some(connect_failure.as_str());
+            send.responded_ms = response_age.map(whole_millis);
+        }
+    }
+
     /// Records how the body of the response to a send was framed and ended, and how many bytes of an incomplete
     /// event it ended with.
     pub(crate) fn record_body_end(
--- a/crates/bendhinge_gateway/src/metrics/mod.rs
+++ b/crates/bendhinge_gateway/src/metrics/mod.rs
@@ -16,6 +16,7 @@
 use prometheus::{Registry, TextEncoder};
 
 use self::groups::{AgeHistograms, ExchangeCounters, StreamHistograms};
+use crate::delivery::ConnectFailure;
 
 /// Bucket bounds of the time to first byte. They include 1.3 s, the target of its 95th percentile.
 const FIRST_BYTE_BUCKETS_SECONDS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 1.3, 2.5, 10.0];
@@ -63,6 +64,7 @@
     requests: Counter<u64>,
     results: Counter<u64>,
     send_ends: Counter<u64>,
+    connect_failures: Counter<u64>,
     body_ends: Counter<u64>,
     retry_decisions: Counter<u64>,
     store_reads: Histogram<f64>,
@@ -105,6 +107,10 @@
                 "bendhinge.gateway.sends_ended",
                 "Sends without an answer that was passed on, by end",
             ),
+            connect_failures: counter(
+                "bendhinge.gateway.connect_failures",
+                "Sends for which no connection was established, by reason",
+            ),
             body_ends: counter(
                 "bendhinge.gateway.bodies_ended",
                 "Bodies of upstreams' responses that were read, by framing and end",
@@ -193,6 +199,11 @@
         self.results.add(1, &[KeyValue::new("code", code.to_string())]);
     }
 
+    /// Counts a send for which no connection was established.
+    pub(crate) fn count_connect_failure(&self, connect_failure: ConnectFailure) {
+        self.connect_failures.add(1, &[KeyValue::new("reason", connect_failure.as_str())]);
+    }
+
     /// Counts a send whose response is not passed on.
     pub(crate) fn count_send_end(&self, end: SendOutcome) {
         self.send_ends.add(1, &[KeyValue::new("end", end.as_str())]);
--- a/crates/bendhinge_gateway/src/state/upstreams.rs
+++ b/crates/bendhinge_gateway/src/state/upstreams.rs
@@ -260,6 +260,12 @@
         state.failure_detector.record_response(upstream, now);
     }
 
+    /// Returns the time since any gateway last had a response from an upstream, as far as this one knows.
+    pub(crate) fn last_response_age(&self, upstream: NameHash) -> Option<Duration> {
+        let last_response = self.state.lock().unwrap().failure_detector.last_response(upstream);
+        last_response.map(|at| bendhinge_clock::now().since(at))
+    }
+
     /// Records the failure of a request that was sent at `sent_at`; returns `true` if the upstream is ejected as a
     /// result.
     pub(crate) fn record_failure(
