--- /dev/null
+++ b/crates/bendhinge_lab/src/gateways/linked_fleet.rs
@@ -0,0 +1,196 @@
+//! Gateways with links of their own to the upstreams, so that some can be partitioned from upstreams that others reach.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bendhinge_http::{Pool, Tasks, fetch_bytes};
+use bendhinge_standin::gateway::{Store, Upstream};
+use rustix::process::Signal;
+
+use super::caller::{Answer, Call, GatewayCaller};
+use super::fleet::{FleetShape, RULES, until};
+use super::process::{GatewayProcess, GatewaySettings};
+use super::proxy::{Harm, Proxy};
+
+/// How the links of a gateway are partitioned from an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Partition {
+    /// Open connections are reset, and new ones refused.
+    Reset,
+    /// Open connections become silent, and new ones get no answer.
+    Silent,
+    /// Open connections stay, and new ones are refused.
+    OpenConnectionsStay,
+}
+
+/// A fleet in which each gateway has a proxy of its own before each upstream.
+///
+/// Each gateway reads a store of its own, which differs from the others only in the addresses of the upstreams. Stores
+/// that are changed alike have equal revisions, so that the gateways do not fetch each other's lists.
+pub struct LinkedFleet {
+    /// The upstreams, engines first.
+    pub upstreams: Vec<Upstream>,
+    /// The gateways' settings, with the addresses that they took.
+    pub settings: Vec<GatewaySettings>,
+    /// The gateways.
+    pub gateways: Vec<GatewayProcess>,
+    /// Connections of this process.
+    pub pool: Arc<Pool>,
+    /// The links of each gateway, in the order of the upstreams.
+    links: Vec<Vec<Proxy>>,
+}
+
+impl LinkedFleet {
+    /// Starts a fleet with the usual rules and waits until all gateways are ready and know each other.
+    ///
+    /// # Panics
+    ///
+    /// If something cannot be started: tests cannot go on then.
+    pub async fn start(tasks: &Tasks, shape: FleetShape, sections: &str) -> Self {
+        const CONNECT: Duration = Duration::from_secs(5);
+        const IDLE: Duration = Duration::from_secs(10);
+        let mut fleet = Self {
+            upstreams: Vec::new(),
+            settings: Vec::new(),
+            gateways: Vec::new(),
+            pool: Arc::new(Pool::new(Arc::clone(tasks), CONNECT, IDLE)),
+            links: Vec::new(),
+        };
+        let mut pools = Vec::new();
+        for (pool, count) in [("engines", shape.engines), ("services", shape.services)] {
+            for number in 0..count {
+                let name = format!("{pool}-{number}");
+                fleet.upstreams.push(Upstream::start(tasks, &name).await.expect("a free port"));
+                pools.push(pool);
+            }
+        }
+        for number in 0..shape.gateways {
+            fleet.add_gateway(tasks, number, &pools, sections).await;
+        }
+        for number in 0..shape.gateways {
+            fleet.introduce(number);
+        }
+        fleet.until_connected().await;
+        fleet
+    }
+
+    async fn add_gateway(&mut self, tasks: &Tasks, number: usize, pools: &[&str], sections: &str) {
+        let store = Store::start(tasks).await.expect("a free port");
+        store.put_rules(RULES);
+        let mut links = Vec::new();
+        for (upstream, pool) in self.upstreams.iter().zip(pools) {
+            let link = Proxy::start(tasks, upstream.address).await.expect("a free port");
+            store.add(&upstream.name(), pool, link.address);
+            links.push(link);
+        }
+        let mut settings = GatewaySettings {
+            name: format!("gateway-{number}"),
+            addresses: HashMap::new(),
+            store: store.address,
+            seeds: Vec::new(),
+            sections: sections.to_owned(),
+        };
+        let process = GatewayProcess::start(&settings).expect("the workspace is built");
+        for what in ["callers", "ready", "peers"] {
+            settings.addresses.insert(what, process.address(what));
+        }
+        self.settings.push(settings);
+        self.gateways.push(process);
+        self.links.push(links);
+        until(async || self.is_ready(number).await).await;
+    }
+
+    /// Names all other gateways to one that holds a list of its own.
+    fn introduce(&mut self, number: usize) {
+        let all = self.settings.iter().map(|settings| settings.addresses["peers"]);
+        let own = self.settings[number].addresses["peers"];
+        self.settings[number].seeds = all.filter(|address| *address != own).collect();
+        let gateway = &self.gateways[number];
+        gateway.write_settings(&self.settings[number]).expect("the directory of temporary files is writable");
+        gateway.signal(Signal::HUP);
+    }
+
+    /// Waits until every gateway has exchanged messages.
+    async fn until_connected(&self) {
+        for number in 0..self.gateways.len() {
+            until(async || self.metric(number, "bendhinge_gateway_exchanges_total").await > Some(2)).await;
+        }
+    }
+
+    /// Partitions a gateway from all upstreams.
+    pub async fn partition(&self, gateway: usize, how: Partition) {
+        for link in &self.links[gateway] {
+            cut(link, how).await;
+        }
+    }
+
+    /// Partitions a gateway from the upstreams whose names begin with `prefix`.
+    pub async fn partition_from(&self, gateway: usize, prefix: &str, how: Partition) {
+        for (link, upstream) in self.links[gateway].iter().zip(&self.upstreams) {
+            if upstream.name().starts_with(prefix) {
+                cut(link, how).await;
+            }
+        }
+    }
+
+    /// Ends the partition of a gateway.
+    pub async fn restore(&self, gateway: usize) {
+        for link in &self.links[gateway] {
+            link.set(Harm::None);
+            link.accept_new().await;
+        }
+    }
+
+    /// Where callers reach a gateway.
+    #[must_use]
+    pub fn callers(&self, gateway: usize) -> SocketAddr {
+        self.settings[gateway].addresses["callers"]
+    }
+
+    /// Sends a call to a gateway.
+    pub async fn send(&self, gateway: usize, call: &Call) -> Answer {
+        const PATIENCE: Duration = Duration::from_secs(20);
+        GatewayCaller::new(Arc::clone(&self.pool)).send(self.callers(gateway), call, PATIENCE).await
+    }
+
+    /// Whether a gateway calls itself ready.
+    pub async fn is_ready(&self, gateway: usize) -> bool {
+        self.fetch(gateway, "/ready").await.is_some()
+    }
+
+    /// The sum of a metric of a gateway over its labels.
+    pub async fn metric(&self, gateway: usize, name: &str) -> Option<u64> {
+        let page = self.fetch(gateway, "/metrics").await?;
+        let page = String::from_utf8_lossy(&page).into_owned();
+        let lines = page.lines().filter(|line| line.starts_with(name));
+        lines.map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+    }
+
+    async fn fetch(&self, gateway: usize, path: &str) -> Option<bytes::Bytes> {
+        const TIME: Duration = Duration::from_secs(2);
+        fetch_bytes(&self.pool, self.settings[gateway].addresses["ready"], path, TIME).await.ok()
+    }
+
+    /// How often a request ran, at all upstreams together.
+    #[must_use]
+    pub fn runs_of(&self, request: &str) -> usize {
+        let runs = self.upstreams.iter().flat_map(Upstream::runs);
+        runs.filter(|run| run.request == request).count()
+    }
+}
+
+async fn cut(link: &Proxy, how: Partition) {
+    match how {
+        Partition::Reset => {
+            link.refuse_new().await;
+            link.reset_open();
+        }
+        Partition::Silent => {
+            link.hang_new().await;
+            link.set(Harm::Silence);
+        }
+        Partition::OpenConnectionsStay => link.refuse_new().await,
+    }
+}
--- a/crates/bendhinge_lab/src/gateways/mod.rs
+++ b/crates/bendhinge_lab/src/gateways/mod.rs
@@ -3,12 +3,14 @@
 
 mod caller;
 mod fleet;
+mod linked_fleet;
 mod process;
 mod proxy;
 mod soak;
 
 pub use caller::{Answer, Call, GatewayCaller, Told};
 pub use fleet::{FleetShape, GatewayFleet, KEY, RULES, StartedUpstream, until};
+pub use linked_fleet::{LinkedFleet, Partition};
 pub use process::{GatewayProcess, GatewaySettings, PEER_KEY};
 pub use proxy::{Harm, Proxy};
 pub use soak::{Findings, soak};
--- a/crates/bendhinge_lab/src/gateways/proxy.rs
+++ b/crates/bendhinge_lab/src/gateways/proxy.rs
@@ -2,12 +2,14 @@
 
 use std::io;
 use std::net::{Shutdown, SocketAddr};
+use std::os::fd::OwnedFd;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bendhinge_http::Tasks;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use rustix::net::connect_unspec;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use rustix::net::sockopt::set_socket_reuseaddr;
+use rustix::net::{AddressFamily, SocketType, connect_unspec};
 use smol::net::{TcpListener, TcpStream};
 use smol::{Task, Timer};
 
@@ -50,10 +52,42 @@
     harm: Arc<Mutex<Harm>>,
     accepting: Arc<Mutex<Option<Task<()>>>>,
     accepted: Arc<Mutex<Vec<TcpStream>>>,
+    target: SocketAddr,
+    tasks: Tasks,
     /// Where it is reached.
     pub address: SocketAddr,
 }
 
+/// A listening socket whose queue is full, so that further connections get no answer.
+struct FullListener {
+    _socket: OwnedFd,
+    _queued: Vec<TcpStream>,
+}
+
+impl FullListener {
+    /// Listens on `address` and fills the queue.
+    async fn bind(address: SocketAddr) -> io::Result<Self> {
+        const CONNECT_TIME: Duration = Duration::from_millis(100);
+        let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None)?;
+        set_socket_reuseaddr(&socket, true)?;
+        rustix::net::bind(&socket, &address)?;
+        rustix::net::listen(&socket, 0)?;
+        let mut queued = Vec::new();
+        let connect = async || {
+            let connecting = async { TcpStream::connect(address).await.ok() };
+            let timeout = async {
+                Timer::after(CONNECT_TIME).await;
+                None
+            };
+            connecting.or(timeout).await
+        };
+        while let Some(connection) = connect().await {
+            queued.push(connection);
+        }
+        Ok(Self { _socket: socket, _queued: queued })
+    }
+}
+
 impl Proxy {
     /// Starts a proxy in front of `target` on a free port.
     pub async fn start(tasks: &Tasks, target: SocketAddr) -> io::Result<Self> {
@@ -63,15 +97,55 @@
         let accepted = Arc::default();
         let accepting = accept(listener, target, Arc::clone(&harm), Arc::clone(&accepted), Arc::clone(tasks));
         let accepting = Arc::new(Mutex::new(Some(tasks.spawn(accepting))));
-        Ok(Self { harm, accepting, accepted, address })
+        Ok(Self { harm, accepting, accepted, target, tasks: Arc::clone(tasks), address })
     }
 
-    /// What it stands for has ended: its connections are closed, and further ones refused.
-    pub async fn end(&self) {
+    /// Refuses new connections; open ones stay.
+    pub async fn refuse_new(&self) {
         let accepting = self.accepting.lock().unwrap().take();
         if let Some(accepting) = accepting {
             accepting.cancel().await;
         }
+    }
+
+    /// Answers no new connection; open ones stay.
+    ///
+    /// # Panics
+    ///
+    /// If its port was taken by another process.
+    pub async fn hang_new(&self) {
+        self.refuse_new().await;
+        let listener = FullListener::bind(self.address).await.expect("its own port is free");
+        let holding = async move {
+            let _listener = listener;
+            std::future::pending::<()>().await;
+        };
+        *self.accepting.lock().unwrap() = Some(self.tasks.spawn(holding));
+    }
+
+    /// Accepts new connections again.
+    ///
+    /// # Panics
+    ///
+    /// If its port was taken by another process.
+    pub async fn accept_new(&self) {
+        self.refuse_new().await;
+        let listener = TcpListener::bind(self.address).await.expect("its own port is free");
+        let (harm, accepted) = (Arc::clone(&self.harm), Arc::clone(&self.accepted));
+        let accepting = accept(listener, self.target, harm, accepted, Arc::clone(&self.tasks));
+        *self.accepting.lock().unwrap() = Some(self.tasks.spawn(accepting));
+    }
+
+    /// Resets all open connections.
+    pub fn reset_open(&self) {
+        for connection in self.accepted.lock().unwrap().drain(..) {
+            reset(&connection);
+        }
+    }
+
+    /// What it stands for has ended: its connections are closed, and further ones refused.
+    pub async fn end(&self) {
+        self.refuse_new().await;
         for connection in self.accepted.lock().unwrap().drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
         }
