--- a/crates/bendhinge_codes/src/code.rs
+++ b/crates/bendhinge_codes/src/code.rs
@@ -28,6 +28,12 @@
                 match self { $(Self::$name => $number,)+ }
             }
 
+            /// Returns the code with a number, if there is one.
+            #[must_use]
+            pub fn from_number(number: u16) -> Option<Self> {
+                Self::ALL.iter().copied().find(|code| code.number() == number)
+            }
+
             /// The HTTP status of the response; 0 if the code is only used for settings and commands.
             #[must_use]
             pub const fn http_status(self) -> u16 {
--- a/crates/bendhinge_delivery/src/retry.rs
+++ b/crates/bendhinge_delivery/src/retry.rs
@@ -97,6 +97,23 @@
         self.may_send()
     }
 
+    /// Returns the number of upstreams on which the request may still run, of the `max_attempts` of its route.
+    #[must_use]
+    pub const fn attempts_left(&self, max_attempts: u32) -> u32 {
+        max_attempts.saturating_sub(self.possible_runs)
+    }
+
+    /// Records that the request was forwarded to another router, which used all attempts that were left, and how that
+    /// ended if there was no response.
+    pub const fn record_forward(&mut self, end: Option<SendOutcome>) {
+        self.sends += 1;
+        self.reached_count += 1;
+        self.possible_runs = if self.policy.max_attempts > 1 { self.policy.max_attempts } else { 1 };
+        if end.is_some() {
+            self.last_outcome = end;
+        }
+    }
+
     /// Whether the request may be sent, or sent again.
     #[must_use]
     pub const fn may_send(&self) -> bool {
--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -12,6 +12,8 @@
 //! * [`OutlierDetector`] tracks which upstreams are available, by their responses and by reports of peers.
 //! * [`RequestedBackoffs`] tracks the upstreams that asked for a pause, and until when.
 //! * [`FailureDetector`] tracks the upstreams that respond to no router, by the reports of all routers.
+//! * [`Reachability`] detects partitions between this router and the upstreams of a pool, and [`PeerPartitions`] holds those of
+//!   other routers.
 //! * [`PoolWork`] estimates the work at the upstreams of an engine pool.
 //! * [`Quarantine`] tracks the requests that crash the upstreams running them.
 //! * [`FleetTotals`] sums values over all routers.
@@ -30,8 +32,10 @@
 mod loads;
 mod outlier_detector;
 mod overloads;
+mod peer_partitions;
 mod peers;
 mod quarantine;
+mod reachability;
 mod replica;
 mod response_times;
 mod roster;
@@ -54,8 +58,10 @@
 };
 pub use outlier_detector::{OutlierDetector, OutlierLimits, UpstreamFailure, UpstreamHealth};
 pub use overloads::OverloadLog;
+pub use peer_partitions::{PartitionReport, PeerPartitions};
 pub use peers::{PeerState, PeerStates, PeerSummary};
 pub use quarantine::{Crash, CrashHistory, InFlightSends, MAX_CRASHES, Quarantine, SendPermission};
+pub use reachability::{Reachability, ReachabilityChange};
 pub use replica::{Replica, Revision, UpdateOutcome, Version, VersionedValue};
 pub use response_times::{ExpectedResponse, ResponseTimes};
 pub use roster::{
--- a/crates/bendhinge_fleet/src/outlier_detector.rs
+++ b/crates/bendhinge_fleet/src/outlier_detector.rs
@@ -209,6 +209,11 @@
         }
     }
 
+    /// Ends the ejection of an upstream whose failures were caused by the links of this router.
+    pub fn forgive(&mut self, upstream: NameHash) {
+        self.records.remove(&upstream);
+    }
+
     /// Records that a request is sent to an upstream, which is a probe if the upstream was ejected.
     pub fn record_send(&mut self, upstream: NameHash, now: Instant) {
         if let Some(record) = self.records.get_mut(&upstream)
--- a/crates/bendhinge_fleet/src/roster.rs
+++ b/crates/bendhinge_fleet/src/roster.rs
@@ -11,6 +11,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use bendhinge_ids::Instant;
@@ -38,6 +39,8 @@
     pub is_store_failing: bool,
     /// Bandwidth of the member's link in Mbit/s, or 0 if unknown.
     pub link_mbps: u32,
+    /// Hash of the member's data centre, if it takes requests that other routers forward.
+    pub forwarding_from: Option<NonZeroU32>,
     /// Address of the router that reported it last, or its own if it was heard directly.
     reported_by: SocketAddr,
     /// Hash of the address that orders members of equal priority.
@@ -57,6 +60,8 @@
     pub is_store_failing: bool,
     /// Bandwidth of the member's link in Mbit/s, or 0 if unknown.
     pub link_mbps: u32,
+    /// Hash of the member's data centre, if it takes requests that other routers forward.
+    pub forwarding_from: Option<NonZeroU32>,
 }
 
 /// Router to exchange state with.
@@ -172,6 +177,7 @@
             is_leaving: report.is_leaving,
             is_store_failing: report.is_store_failing,
             link_mbps: report.link_mbps,
+            forwarding_from: report.forwarding_from,
             reported_by,
             rank_score,
         };
@@ -186,6 +192,7 @@
             is_leaving: member.is_leaving,
             is_store_failing: member.is_store_failing,
             link_mbps: member.link_mbps,
+            forwarding_from: member.forwarding_from,
         })
     }
 
--- a/crates/bendhinge_fleet/tests/roster.rs
+++ b/crates/bendhinge_fleet/tests/roster.rs
@@ -44,6 +44,7 @@
             is_leaving: false,
             is_store_failing: false,
             link_mbps: LINK_MBPS,
+            forwarding_from: None,
         };
         std::iter::once(own).chain(roster.members(now)).collect()
     }
@@ -113,6 +114,7 @@
             is_leaving: false,
             is_store_failing: false,
             link_mbps: LINK_MBPS,
+            forwarding_from: None,
         };
         roster.merge_direct(&report, now);
     }
@@ -167,6 +169,7 @@
         is_leaving: false,
         is_store_failing: false,
         link_mbps: LINK_MBPS,
+        forwarding_from: None,
     };
     roster.merge_direct(&report, now);
     assert_eq!(roster.live_count(now), 2);
@@ -192,6 +195,7 @@
                 is_leaving: false,
                 is_store_failing: true,
                 link_mbps: LINK_MBPS,
+                forwarding_from: None,
             },
             now,
         );
@@ -311,6 +315,7 @@
                 is_leaving: false,
                 is_store_failing: false,
                 link_mbps,
+                forwarding_from: None,
             };
             roster.merge_direct(&report, now);
         }
--- a/crates/bendhinge_fleet/tests/roster_fuzz.rs
+++ b/crates/bendhinge_fleet/tests/roster_fuzz.rs
@@ -31,6 +31,7 @@
         is_leaving: false,
         is_store_failing: false,
         link_mbps: LINK_MBPS,
+        forwarding_from: None,
     }
 }
 
--- a/crates/bendhinge_fleet/tests/store_read_fanout.rs
+++ b/crates/bendhinge_fleet/tests/store_read_fanout.rs
@@ -110,6 +110,7 @@
             is_leaving: false,
             is_store_failing: false,
             link_mbps: link_mbps(number),
+            forwarding_from: None,
         }
     }
 
--- a/crates/bendhinge_gateway/src/control/message.rs
+++ b/crates/bendhinge_gateway/src/control/message.rs
@@ -5,6 +5,7 @@
 //! cached part is sent once.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bendhinge_fleet::{LogPosition, MemberReport, PeerState, PeerSummary};
@@ -31,6 +32,8 @@
         /// Sequence number up to which reports were already sent.
         since: u64,
     },
+    /// Versions, and the gateways that are partitioned from pools.
+    Partitions,
     /// Versions, and a request for members.
     Probe,
     /// Versions and members.
@@ -53,7 +56,10 @@
     let mut message = PeerMessage {
         is_announcement: matches!(
             content,
-            MessageContent::Brief | MessageContent::Suspicions { .. } | MessageContent::Overloads { .. }
+            MessageContent::Brief
+                | MessageContent::Suspicions { .. }
+                | MessageContent::Overloads { .. }
+                | MessageContent::Partitions
         ),
         is_probe: content == MessageContent::Probe,
         rules: control.context.rules.held_version(now),
@@ -72,6 +78,9 @@
     if let MessageContent::Overloads { since } = content {
         message.loads = control.context.upstreams.overloads_for(receiver, since, now).entries;
     }
+    if matches!(content, MessageContent::Partitions | MessageContent::Full | MessageContent::FullToRelay) {
+        control.add_partitions(&mut message, receiver);
+    }
     if message.is_announcement {
         control.context.metrics.count_sent_entries(&message);
         return message;
@@ -150,11 +159,16 @@
 ///
 /// For a response, `requested_at` is the time of the request. It bounds the age of the response, so
 /// only responses count as evidence that a version is current.
-pub(super) fn merge_message(control: &ControlPlane, message: &PeerMessage, requested_at: Option<Instant>) {
+pub(super) fn merge_message(
+    control: &Rc<ControlPlane>,
+    message: &PeerMessage,
+    requested_at: Option<Instant>,
+) {
     let now = bendhinge_clock::now();
     let sender_address = message.sender.address;
     control.peer_states.borrow_mut().record_summary(sender_address, peer_summary(message), now);
     merge_members(control, message, now);
+    control.merge_partitions(message);
     let upstreams = &control.context.upstreams;
     // Cached parts, loads, crash histories and failure evidence only guide decisions, so the
     // unknown transit time of an unsolicited message is ignored for them.
@@ -215,6 +229,7 @@
             is_leaving: self.lifecycle.is_stopping(),
             is_store_failing: self.is_store_failing(),
             link_mbps: self.settings.link.mbps(),
+            forwarding_from: self.context.forwarding.accepts_from(),
         }
     }
 }
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod message;
 mod overloads;
 mod pages;
+mod partitions;
 mod recovery;
 mod store;
 mod totals;
@@ -18,7 +19,7 @@
 use std::time::Duration;
 
 use bendhinge_fleet::{Origin, PeerStates, Roster, RouterIncarnation};
-use bendhinge_peer::{FleetClient, PeerPool, PeerPoolTimeouts, TrafficCounters, serve_fleet};
+use bendhinge_peer::{FleetClient, PeerPool, PeerPoolTimeouts, TrafficCounters, serve_fleet_and_streams};
 use rand::Rng;
 use smol::channel::Receiver;
 use smol::net::TcpListener;
@@ -29,6 +30,8 @@
 use self::store::StoreReader;
 use crate::delivery::DeliveryContext;
 use crate::dialect::ForeignEntry;
+use crate::forwarding::ConnectRequest;
+use crate::intake::Intake;
 use crate::lifecycle::Lifecycle;
 use crate::quarantine::QuarantineChange;
 use crate::settings::Settings;
@@ -39,6 +42,18 @@
 /// state again.
 const PEER_STATE_RETENTION: Duration = Duration::from_secs(20);
 
+/// What the other modules ask of the control plane.
+pub(crate) struct Notifications {
+    /// Changes of suspected requests.
+    pub(crate) suspicions: Receiver<QuarantineChange>,
+    /// New reports of overloaded upstreams.
+    pub(crate) overloads: Receiver<()>,
+    /// Changes of the pools from which this gateway is partitioned.
+    pub(crate) partitions: Receiver<()>,
+    /// Connections to be opened to other gateways.
+    pub(crate) connects: Receiver<ConnectRequest>,
+}
+
 /// Control plane of this gateway.
 pub(crate) struct ControlPlane {
     settings: Settings,
@@ -107,15 +122,19 @@
     pub(crate) fn start(
         self: &Rc<Self>,
         listener: TcpListener,
-        suspicions: Receiver<QuarantineChange>,
-        overloads: Receiver<()>,
+        intake: Arc<Intake>,
+        notifications: Notifications,
     ) {
-        let serving = serve_fleet(
+        let Notifications { suspicions, overloads, partitions, connects } = notifications;
+        let stream_handler = partitions::stream_handler(self, intake);
+        let accepts_streams = self.context.forwarding.is_enabled();
+        let serving = serve_fleet_and_streams(
             listener,
             self.settings.fleet.shared_key.clone(),
             Rc::new(PeerRequestHandler(Rc::clone(self))),
             Arc::clone(self.peers.traffic()),
             Rc::clone(&self.executor),
+            accepts_streams.then_some(stream_handler),
         );
         self.executor.spawn(serving).detach();
         self.executor.spawn(store::run_list_reads(Rc::clone(self))).detach();
@@ -123,6 +142,8 @@
         self.executor.spawn(exchange::run(Rc::clone(self))).detach();
         self.executor.spawn(exchange::push_suspicions(Rc::clone(self), suspicions)).detach();
         self.executor.spawn(overloads::push_overloads(Rc::clone(self), overloads)).detach();
+        self.executor.spawn(partitions::push_partitions(Rc::clone(self), partitions)).detach();
+        self.executor.spawn(partitions::open_streams(Rc::clone(self), connects)).detach();
         self.executor.spawn(recovery::run(Rc::clone(self))).detach();
         self.executor.spawn(housekeeping(Rc::clone(self))).detach();
     }
@@ -160,6 +181,7 @@
         let now = bendhinge_clock::now();
         control.roster.borrow_mut().remove_expired(now);
         control.divide_shared_limits();
+        control.publish_forward_targets();
         control.peer_states.borrow_mut().evict_idle(now);
         control.context.upstreams.prune();
         control.context.quarantine.prune();
--- /dev/null
+++ b/crates/bendhinge_gateway/src/control/partitions.rs
@@ -0,0 +1,116 @@
+//! Tells other gateways from which pools this one is partitioned, and opens the connections on which requests are
+//! forwarded.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bendhinge_fleet::Origin;
+use bendhinge_http::{ServeLimits, serve_stream};
+use bendhinge_peer::{ObservedPartition, PeerMessage, PeerStream, StreamHandler};
+use smol::Timer;
+use smol::channel::Receiver;
+
+use super::ControlPlane;
+use super::exchange::exchange_with;
+use super::message::MessageContent;
+use crate::forwarding::{ConnectRequest, ForwardTarget, pool_hash};
+use crate::intake::{Intake, handle_forwarded};
+use crate::state::update_source;
+
+/// Minimum time between two messages to the same gateway. Changes within it are sent together.
+const MIN_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Sends changes of the partitions of this gateway to peers at once. Returns when the channel is closed.
+pub(super) async fn push_partitions(control: Rc<ControlPlane>, changes: Receiver<()>) {
+    while changes.recv().await.is_ok() {
+        let now = bendhinge_clock::now();
+        let pools = control.context.upstreams.partitioned_pools();
+        control.context.forwarding.set_own_partitions(pools.iter().map(pool_hash).collect(), now);
+        control.spawn_partition_push(Origin::Store);
+        Timer::after(MIN_INTERVAL).await;
+    }
+}
+
+/// Opens connections to other gateways. Returns when the channel is closed.
+pub(super) async fn open_streams(control: Rc<ControlPlane>, requests: Receiver<ConnectRequest>) {
+    while let Ok(ConnectRequest { address, reply }) = requests.recv().await {
+        let task_control = Rc::clone(&control);
+        let task = async move {
+            let ControlPlane { settings, peers, executor, .. } = &*task_control;
+            let timeout = settings.upstreams.connect_timeout;
+            let key = &settings.fleet.shared_key;
+            let stream = PeerStream::connect(address, key, timeout, peers.traffic(), executor).await;
+            // The request may have been cancelled.
+            let _ = reply.send(stream).await;
+        };
+        control.executor.spawn(task).detach();
+    }
+}
+
+impl ControlPlane {
+    /// Sends the known partitions to the gateways that learn them from this one.
+    fn spawn_partition_push(self: &Rc<Self>, origin: Origin) {
+        let store_failing = self.is_store_failing();
+        let now = bendhinge_clock::now();
+        let targets = self.roster.borrow().suspicion_push_targets(origin, store_failing, now);
+        for address in targets {
+            let control = Rc::clone(self);
+            let task = async move { exchange_with(&control, address, MessageContent::Partitions).await };
+            self.executor.spawn(task).detach();
+        }
+    }
+
+    /// Adds the known partitions to a message.
+    pub(super) fn add_partitions(&self, message: &mut PeerMessage, receiver: SocketAddr) {
+        let now = bendhinge_clock::now();
+        let reports = self.context.forwarding.partitions_for(update_source(receiver), now);
+        message.partitions = reports.into_iter().map(|report| ObservedPartition::new(report, now)).collect();
+    }
+
+    /// Merges the partitions in a message and publishes the members that take forwarded requests.
+    pub(super) fn merge_partitions(self: &Rc<Self>, message: &PeerMessage) {
+        let forwarding = &self.context.forwarding;
+        if !forwarding.is_enabled() {
+            return;
+        }
+        let now = bendhinge_clock::now();
+        let sender = message.sender.address;
+        let mut is_changed = false;
+        for observed in &message.partitions {
+            if forwarding.merge_partition(observed.to_report(now), update_source(sender), now) {
+                is_changed = true;
+                self.context.log.peer_partition_changed(observed.pools.len(), observed.age, sender);
+            }
+        }
+        if is_changed {
+            self.spawn_partition_push(Origin::Peer);
+        }
+        self.publish_forward_targets();
+    }
+
+    /// Publishes the live members that take forwarded requests.
+    pub(super) fn publish_forward_targets(&self) {
+        let forwarding = &self.context.forwarding;
+        if !forwarding.is_enabled() {
+            return;
+        }
+        let roster = self.roster.borrow();
+        let targets = roster.live(bendhinge_clock::now()).filter_map(|(address, member)| {
+            Some(ForwardTarget { address, data_centre: member.forwarding_from? })
+        });
+        forwarding.set_targets(targets.collect());
+    }
+}
+
+/// Serves the requests that other gateways forward over a stream.
+pub(super) fn stream_handler(control: &Rc<ControlPlane>, intake: Arc<Intake>) -> StreamHandler {
+    let tasks = Arc::clone(&control.context.tasks);
+    Rc::new(move |stream: PeerStream| {
+        let intake = Arc::clone(&intake);
+        let handler = move |request| handle_forwarded(Arc::clone(&intake), request);
+        let limits = ServeLimits::default();
+        tasks.spawn(serve_stream(stream, limits, handler)).detach();
+    })
+}
--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -17,6 +17,7 @@
 
 use super::measured_send::MeasuredSend;
 use super::race::SendRecord;
+use super::relay::{ResponseSource, UpstreamSend};
 use super::upstream_body::{EndedBody, UpstreamBody, drain_and_release, read_complete_body};
 use super::{DeliveryContext, InboundRequest};
 use crate::dialect::{Availability, ResponseFields, UpstreamRequestFields};
@@ -24,13 +25,11 @@
 
 /// Maximum idle time of a reused connection for requests that must not run twice. Upstreams may close idle
 /// connections without notice.
-const MAX_CONNECTION_IDLE_TIME: Duration = Duration::from_millis(900);
+pub(super) const MAX_CONNECTION_IDLE_TIME: Duration = Duration::from_millis(900);
 
 /// The response of an upstream, after its head has been received.
 pub(super) struct UpstreamResponse {
-    pub(super) record: SendRecord,
-    pub(super) measured: MeasuredSend,
-    pub(super) chosen: ChosenUpstream,
+    pub(super) source: ResponseSource,
     pub(super) head: response::Parts,
     pub(super) body: UpstreamBody,
 }
@@ -154,7 +153,8 @@
         chosen.guard.record_no_response();
     }
     let (head, body) = received?;
-    Ok(UpstreamResponse { record, measured, chosen, head, body })
+    let source = ResponseSource::Upstream(Box::new(UpstreamSend { record, measured, chosen }));
+    Ok(UpstreamResponse { source, head, body })
 }
 
 fn build_request(
@@ -180,8 +180,16 @@
     request
 }
 
+fn record_link(context: &Arc<DeliveryContext>, chosen: &ChosenUpstream, is_connected: bool) {
+    if is_connected {
+        context.record_connected(&chosen.entry);
+    } else {
+        context.record_connect_failure(&chosen.entry);
+    }
+}
+
 async fn send_with_reconnect(
-    context: &DeliveryContext,
+    context: &Arc<DeliveryContext>,
     inbound: &InboundRequest,
     chosen: &ChosenUpstream,
     request: Request<Body>,
@@ -192,6 +200,9 @@
     } else {
         context.connection_pool.connection_used_within(address, MAX_CONNECTION_IDLE_TIME).await
     };
+    if !connecting.as_ref().is_ok_and(|connection| connection.reused) {
+        record_link(context, chosen, connecting.is_ok());
+    }
     let mut connection = connecting?;
     // The deadline or the lease may have expired while the connection was established or the process was
     // suspended.
@@ -202,7 +213,9 @@
         Ok(response) => Ok((response, connection)),
         Err(ExchangeError::NotSent(request)) if connection.reused => {
             // The upstream closed an idle connection, which is no sign of a failure.
-            connection = context.connection_pool.connect(address).await?;
+            let reconnecting = context.connection_pool.connect(address).await;
+            record_link(context, chosen, reconnecting.is_ok());
+            connection = reconnecting?;
             if !context.may_be_sent(inbound, chosen) {
                 return Err(SendOutcome::NotSent.into());
             }
@@ -279,7 +292,7 @@
     Ok((head, UpstreamBody::Complete(complete_body, ended)))
 }
 
-fn is_event_stream(headers: &HeaderMap) -> bool {
+pub(super) fn is_event_stream(headers: &HeaderMap) -> bool {
     let content_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
     content_type.is_some_and(|content_type| content_type.starts_with("text/event-stream"))
 }
--- a/crates/bendhinge_gateway/src/delivery/context.rs
+++ b/crates/bendhinge_gateway/src/delivery/context.rs
@@ -7,10 +7,12 @@
 use bendhinge_http::{Pool, Tasks};
 use bendhinge_ids::{PoolName, RequestDigest};
 use rand::Rng;
+use smol::channel::Sender;
 
-use super::{CrashProbes, InboundRequest, SendRegistry};
+use super::{CrashProbes, InboundRequest, LinkProbes, SendRegistry};
 use crate::admission::Admission;
 use crate::dialect::Dialect;
+use crate::forwarding::Forwarding;
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::pacing::Pacing;
@@ -33,6 +35,10 @@
     pub(crate) identity_key: IdentityKey,
     pub(crate) quarantine: Arc<SharedQuarantine>,
     pub(crate) crash_probes: CrashProbes,
+    pub(crate) link_probes: LinkProbes,
+    pub(crate) forwarding: Arc<Forwarding>,
+    /// Notifies the control plane of changes of the pools from which this gateway is partitioned.
+    pub(crate) partition_notifier: Sender<()>,
     pub(crate) sends: Arc<SendRegistry>,
     pub(crate) connection_pool: Pool,
     pub(crate) tasks: Tasks,
--- /dev/null
+++ b/crates/bendhinge_gateway/src/delivery/forward.rs
@@ -0,0 +1,257 @@
+//! Forwards a request to a gateway that reaches the upstreams of its pool.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bendhinge_codes::{Ran, ResultCode};
+use bendhinge_delivery::SendOutcome;
+use bendhinge_http::{Body, BodyFraming, Connection, SendFailure, full_body};
+use futures_lite::FutureExt;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use smol::Timer;
+
+use super::attempt::{ErrorResponse, MAX_CONNECTION_IDLE_TIME, UpstreamResponse, is_event_stream};
+use super::relay::ResponseSource;
+use super::upstream_body::{UpstreamBody, read_complete_body};
+use super::{Delivery, DeliveryContext, DeliveryError, InboundRequest, delay_until_next_list};
+use crate::forwarding::ForwardGuard;
+use crate::forwarding::headers::{self, ForwardRefusal, ForwardedFields};
+use crate::state::LinkState;
+
+/// The number of gateways to which a request is sent in turn while none of them has run it.
+const MAX_GATEWAYS: usize = 2;
+/// How long after the deadline the response is still awaited. The other gateway has the same deadline, and its
+/// response says whether the request ran.
+const RESPONSE_GRACE: Duration = Duration::from_millis(100);
+
+/// A request that was forwarded to a gateway.
+pub(super) struct ForwardedSend {
+    /// The index among the gateways to which the request was forwarded.
+    pub(super) number: usize,
+    _guard: ForwardGuard,
+}
+
+/// The result of forwarding a request.
+pub(super) enum ForwardOutcome {
+    Response(Box<UpstreamResponse>),
+    Failed(DeliveryError),
+    /// The request did not run, since no gateway took it.
+    NotForwarded,
+}
+
+/// Why a gateway did not deliver a response.
+enum ForwardError {
+    /// The gateway was not reached, or closed the connection before a byte of the request was written.
+    NotSent(SendOutcome),
+    /// The request may have run.
+    Lost(SendOutcome),
+}
+
+impl DeliveryContext {
+    /// Whether requests to the pool are forwarded before anything is tried here.
+    pub(super) fn forwards_at_once(&self, inbound: &InboundRequest) -> bool {
+        self.forwarding.is_enabled()
+            && inbound.forwarded.is_none()
+            && self.upstreams.link_state(&inbound.pool) == LinkState::Partitioned { has_open_links: false }
+    }
+}
+
+impl Delivery {
+    /// Whether the request should be forwarded to another gateway. A request that was forwarded to this one is not.
+    pub(super) fn should_forward(&self) -> bool {
+        let DeliveryContext { forwarding, upstreams, .. } = &*self.context;
+        if !forwarding.is_enabled() || self.inbound.forwarded.is_some() {
+            return false;
+        }
+        match upstreams.link_state(&self.inbound.pool) {
+            LinkState::Working => false,
+            LinkState::Suspect => self.has_failed_to_connect,
+            LinkState::Partitioned { has_open_links } => !has_open_links || self.has_failed_to_connect,
+        }
+    }
+
+    /// Returns the error for a request that cannot be sent, since this gateway is partitioned from the pool.
+    pub(super) fn partition_error(&self) -> Option<DeliveryError> {
+        let DeliveryContext { forwarding, upstreams, .. } = &*self.context;
+        let is_cut_off = forwarding.is_enabled()
+            && upstreams.link_state(&self.inbound.pool) == LinkState::Partitioned { has_open_links: false };
+        is_cut_off.then(|| self.retry_later(ResultCode::UpstreamNotReached, delay_until_next_list()))
+    }
+
+    /// Forwards the request to a gateway that is not known to be partitioned from the pool, and to a second one if the
+    /// first does not take it.
+    pub(super) async fn forward(&mut self, resume_after: Option<&str>) -> ForwardOutcome {
+        let mut last_refusal = None;
+        let mut tried: Vec<SocketAddr> = Vec::new();
+        while tried.len() < MAX_GATEWAYS && !self.inbound.time_left().is_zero() {
+            let Some(guard) = self.context.forwarding.choose(&self.inbound.pool, &tried) else { break };
+            if !self.inbound.is_authorized(&self.context.rules) {
+                return ForwardOutcome::Failed(DeliveryError::Code(
+                    self.code_if_not_run(ResultCode::ViewNotFresh),
+                ));
+            }
+            tried.push(guard.address);
+            let number = self.log_line.record_forward(guard.address);
+            let response = match self.exchange_with_gateway(guard.address, resume_after).await {
+                Ok(response) => response,
+                Err(ForwardError::NotSent(end)) => {
+                    self.record_forward_end(number, end);
+                    continue;
+                }
+                Err(ForwardError::Lost(end)) => return self.fail_forward(number, end),
+            };
+            let Some(refusal) = headers::parse_refusal(response.0.headers()) else {
+                let send = ForwardedSend { number, _guard: guard };
+                return self.receive_forwarded(response.0, response.1, send).await;
+            };
+            self.log_line.record_forward_refusal(number, refusal.code);
+            self.context.metrics.count_forward("refused");
+            if !may_try_another_gateway(refusal.code) {
+                return self.fail_with_refusal(refusal);
+            }
+            last_refusal = Some(refusal);
+        }
+        match last_refusal {
+            Some(refusal) => self.fail_with_refusal(refusal),
+            None => ForwardOutcome::NotForwarded,
+        }
+    }
+
+    /// Sends the request to the gateway at `address` and waits for the head of the response.
+    async fn exchange_with_gateway(
+        &self,
+        address: SocketAddr,
+        resume_after: Option<&str>,
+    ) -> Result<(Response<Incoming>, Connection), ForwardError> {
+        let timeout = self.inbound.time_left() + RESPONSE_GRACE;
+        let exchange = self.send_to_gateway(address, resume_after);
+        let timed_out = async {
+            Timer::after(timeout).await;
+            Err(ForwardError::Lost(SendOutcome::TimedOut))
+        };
+        exchange.or(timed_out).await
+    }
+
+    async fn send_to_gateway(
+        &self,
+        address: SocketAddr,
+        resume_after: Option<&str>,
+    ) -> Result<(Response<Incoming>, Connection), ForwardError> {
+        let context = &self.context;
+        let idle = context.connection_pool.idle_connection(address, MAX_CONNECTION_IDLE_TIME);
+        let mut request = self.forwarded_request(resume_after);
+        if let Some(mut connection) = idle {
+            match connection.send(request).await {
+                Ok(response) => return Ok((response, connection)),
+                // The gateway closed an idle connection.
+                Err(SendFailure::NotSent(unsent)) => request = *unsent,
+                Err(SendFailure::Unknown(_)) => return Err(ForwardError::Lost(SendOutcome::Lost)),
+            }
+        }
+        let not_connected = ForwardError::NotSent(SendOutcome::NotConnected);
+        let Some(stream) = context.forwarding.connect(address).await else { return Err(not_connected) };
+        let Ok(mut connection) = context.connection_pool.connect_over(stream, address).await else {
+            return Err(not_connected);
+        };
+        // The deadline or the lease may have expired meanwhile.
+        if self.inbound.time_left().is_zero() || !self.inbound.is_authorized(&context.rules) {
+            return Err(ForwardError::NotSent(SendOutcome::NotSent));
+        }
+        match connection.send(request).await {
+            Ok(response) => Ok((response, connection)),
+            Err(SendFailure::NotSent(_)) => Err(ForwardError::NotSent(SendOutcome::NotSent)),
+            Err(SendFailure::Unknown(_)) => Err(ForwardError::Lost(SendOutcome::Lost)),
+        }
+    }
+
+    fn forwarded_request(&self, resume_after: Option<&str>) -> Request<Body> {
+        let InboundRequest { head, body, route, .. } = &*self.inbound;
+        let mut request = Request::new(full_body(body.clone()));
+        *request.method_mut() = head.method.clone();
+        *request.uri_mut() = head.uri.clone();
+        *request.headers_mut() = head.headers.clone();
+        let held_rules = self.context.rules.held_version(bendhinge_clock::now());
+        let fields = ForwardedFields {
+            from: self.context.forwarding.own_address(),
+            time_left: self.inbound.time_left(),
+            max_attempts: self.retry_state.attempts_left(route.max_attempts),
+            was_counted: self.is_counted,
+            rules_revision: held_rules.map_or(0, |held| held.version.document().0),
+            resume_after: resume_after.map(str::to_owned),
+        };
+        headers::write_request(request.headers_mut(), &fields);
+        request
+    }
+
+    /// Receives the response of an upstream that another gateway relays.
+    async fn receive_forwarded(
+        &mut self,
+        response: Response<Incoming>,
+        connection: Connection,
+        send: ForwardedSend,
+    ) -> ForwardOutcome {
+        let (head, body) = response.into_parts();
+        if self.context.dialect.parse_response_head(&head).id != self.inbound.fields.id {
+            return self.fail_forward(send.number, SendOutcome::InvalidResponse);
+        }
+        self.context.metrics.count_forward("responded");
+        let framing = BodyFraming::of_response(&self.inbound.head.method, head.status, &head.headers);
+        let is_stream =
+            head.status.is_success() && self.inbound.route.kind.is_stream() && is_event_stream(&head.headers);
+        if is_stream {
+            // The gateway that relays the stream has resumed it as often as it may be.
+            self.retry_state.record_forward(None);
+            let body = UpstreamBody::Stream(body, framing, connection);
+            let source = ResponseSource::Gateway(send);
+            return ForwardOutcome::Response(Box::new(UpstreamResponse { source, head, body }));
+        }
+        let read = read_complete_body(&self.context, &head, framing, body, connection).await;
+        let Ok((bytes, ended)) = read else { return self.fail_forward(send.number, SendOutcome::Lost) };
+        if head.status.is_success() {
+            let body = UpstreamBody::Complete(bytes, ended);
+            let source = ResponseSource::Gateway(send);
+            return ForwardOutcome::Response(Box::new(UpstreamResponse { source, head, body }));
+        }
+        self.log_line.record_forward_body_end(send.number, ended.end);
+        ForwardOutcome::Failed(DeliveryError::ErrorResponse(Box::new(ErrorResponse { head, body: bytes })))
+    }
+
+    fn record_forward_end(&mut self, number: usize, end: SendOutcome) {
+        self.log_line.record_forward_end(number, end);
+        self.context.metrics.count_forward(end.as_str());
+    }
+
+    /// Ends a request that may have run at another gateway, which had all attempts that were left.
+    pub(super) fn fail_forward(&mut self, number: usize, end: SendOutcome) -> ForwardOutcome {
+        self.record_forward_end(number, end);
+        self.retry_state.record_forward(Some(end));
+        let is_past_deadline = self.inbound.time_left().is_zero();
+        ForwardOutcome::Failed(DeliveryError::Code(self.retry_state.final_code(is_past_deadline)))
+    }
+
+    /// Passes the refusal of another gateway on to the caller as it is, unless the request may have run before.
+    fn fail_with_refusal(&mut self, refusal: ForwardRefusal) -> ForwardOutcome {
+        let ForwardRefusal { code, retry_after } = refusal;
+        if code.ran() != Some(Ran::No) {
+            self.retry_state.record_forward(Some(SendOutcome::Lost));
+            return ForwardOutcome::Failed(DeliveryError::Code(code));
+        }
+        ForwardOutcome::Failed(match retry_after {
+            Some(retry_after) => self.retry_later(code, retry_after),
+            None => DeliveryError::Code(self.code_if_not_run(code)),
+        })
+    }
+}
+
+/// Whether a gateway refused a request for a reason that need not hold at another one.
+const fn may_try_another_gateway(code: ResultCode) -> bool {
+    matches!(
+        code,
+        ResultCode::UpstreamNotReached
+            | ResultCode::RouterStopping
+            | ResultCode::NoConfiguration
+            | ResultCode::NoUpstream
+            | ResultCode::ViewNotFresh
+    )
+}
--- a/crates/bendhinge_gateway/src/delivery/inbound.rs
+++ b/crates/bendhinge_gateway/src/delivery/inbound.rs
@@ -11,6 +11,7 @@
 use hyper::http::request;
 
 use crate::dialect::RequestFields;
+use crate::forwarding::headers::ForwardedFields;
 use crate::state::RulesReplica;
 
 /// A request that was authorized and is to be sent to an upstream.
@@ -27,6 +28,8 @@
     /// The time by which the final response is due.
     pub(crate) deadline: Instant,
     pub(crate) tie_breaker: u64,
+    /// What the gateway that forwarded the request says of it; `None` if the caller sent it to this one.
+    pub(crate) forwarded: Option<ForwardedFields>,
     /// The digest that identifies equal requests, computed on first use.
     pub(crate) digest: OnceLock<RequestDigest>,
 }
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -5,7 +5,9 @@
 mod context;
 mod crash;
 mod engine_admission;
+mod forward;
 mod inbound;
+mod link_probes;
 mod measured_send;
 mod outcome;
 mod race;
@@ -27,11 +29,13 @@
 use self::attempt::{AttemptParams, ErrorResponse, UpstreamResponse, send_to_upstream};
 pub(crate) use self::context::DeliveryContext;
 pub(crate) use self::crash::CrashProbes;
+use self::forward::ForwardOutcome;
 pub(crate) use self::inbound::InboundRequest;
+pub(crate) use self::link_probes::LinkProbes;
 use self::measured_send::MeasuredSend;
 pub(crate) use self::measured_send::SendRegistry;
 use self::race::{FailedSend, PendingSend, SendRecord, race};
-use self::relay::{Relay, StreamSource, relay_body};
+use self::relay::{Relay, ResponseSource, StreamSource, relay_body};
 use self::upstream_body::{EndedBody, UpstreamBody};
 use crate::intake::Refusal;
 use crate::intake::headers;
@@ -53,31 +57,28 @@
         };
         context.quarantine.check(digest).map_err(to_refusal)?;
     }
-    context.retry_budgets.record_request(&inbound.pool);
-    // Checked before pacing, whose retry delay could be shorter than the backoff.
-    if let Some(backoff) = context.remaining_backoff(&inbound) {
-        return Err(Refusal::with_retry_after(ResultCode::AllUpstreamsRest, backoff));
-    }
-    let is_paced = context.is_paced(&inbound.pool);
-    if is_paced
-        && let PacingDecision::Refused(retry_after) =
-            context.pacing.decide(&inbound.pool, inbound.requester())
-    {
-        return Err(Refusal::with_retry_after(ResultCode::AllUpstreamsAtBound, retry_after));
+    let is_counted = !context.forwards_at_once(&inbound);
+    if is_counted {
+        // Otherwise the gateway that it is forwarded to counts and admits it.
+        admit(context, &inbound)?;
     }
-    context.admit_to_engines(&inbound)?;
     context.metrics.count_request();
+    let route_attempts = inbound.route.max_attempts;
     let retry_state = RetryState::new(bendhinge_delivery::RetryPolicy {
         repeatable: inbound.route.kind.is_retryable(),
-        max_attempts: inbound.route.max_attempts,
+        max_attempts: inbound
+            .forwarded
+            .as_ref()
+            .map_or(route_attempts, |forwarded| route_attempts.min(forwarded.max_attempts)),
     });
     let log_line = RequestLogEntry::new(&inbound);
-    let inbound = Arc::new(inbound);
     let mut delivery = Delivery {
         context: Arc::clone(context),
-        inbound,
+        is_paced: context.is_paced(&inbound.pool),
+        inbound: Arc::new(inbound),
         retry_state,
-        is_paced,
+        is_counted,
+        has_failed_to_connect: false,
         tried_upstreams: Vec::new(),
         log_line,
     };
@@ -109,6 +110,24 @@
     }
 }
 
+/// Counts a request toward the retry budget and decides whether it is admitted.
+fn admit(context: &DeliveryContext, inbound: &InboundRequest) -> Result<(), Refusal> {
+    if inbound.forwarded.as_ref().is_none_or(|forwarded| !forwarded.was_counted) {
+        context.retry_budgets.record_request(&inbound.pool);
+    }
+    // Checked before pacing, whose retry delay could be shorter than the backoff.
+    if let Some(backoff) = context.remaining_backoff(inbound) {
+        return Err(Refusal::with_retry_after(ResultCode::AllUpstreamsRest, backoff));
+    }
+    if context.is_paced(&inbound.pool)
+        && let PacingDecision::Refused(retry_after) =
+            context.pacing.decide(&inbound.pool, inbound.requester())
+    {
+        return Err(Refusal::with_retry_after(ResultCode::AllUpstreamsAtBound, retry_after));
+    }
+    context.admit_to_engines(inbound)
+}
+
 /// Returns the retry delay for a request to a pool without available upstreams: a retry before the next
 /// upstream list would fail again.
 fn delay_until_next_list() -> Duration {
@@ -136,6 +155,10 @@
     retry_state: RetryState,
     /// Whether requests to the pool are paced.
     is_paced: bool,
+    /// Whether this gateway has counted and admitted the request.
+    is_counted: bool,
+    /// Whether a send of the request did not connect.
+    has_failed_to_connect: bool,
     tried_upstreams: Vec<NameHash>,
     log_line: RequestLogEntry,
 }
@@ -144,10 +167,22 @@
     /// Sends the request until an upstream's response can be relayed.
     async fn next_response(&mut self, resume_after: Option<&str>) -> Result<UpstreamResponse, DeliveryError> {
         loop {
+            if self.should_forward() {
+                match self.forward(resume_after).await {
+                    ForwardOutcome::Response(response) => return Ok(*response),
+                    ForwardOutcome::Failed(error) => return Err(error),
+                    ForwardOutcome::NotForwarded => {}
+                }
+            }
+            if let Some(error) = self.partition_error() {
+                return Err(error);
+            }
             let send = self.start_send(resume_after, self.retry_state.allows_hedge())?;
             match self.await_response(send, resume_after).await {
                 Ok(response) => {
-                    self.context.upstreams.record_response(response.chosen.entry.hash);
+                    if let ResponseSource::Upstream(send) = &response.source {
+                        self.context.upstreams.record_response(send.chosen.entry.hash);
+                    }
                     self.record_response();
                     self.context
                         .metrics
@@ -213,7 +248,8 @@
         match result {
             Ok(response) => {
                 // The hedge request is not late just because the response to the first one arrived before.
-                let is_later = other.record.number > response.record.number;
+                let is_later =
+                    response.source.upstream_number().is_none_or(|number| other.record.number > number);
                 let end = if is_later { SendOutcome::Superseded } else { SendOutcome::TimedOut };
                 self.record_send_end(&other.record, end);
                 Ok(response)
@@ -299,6 +335,17 @@
         }
     }
 
+    /// Records how a body ended that was received completely.
+    fn record_complete_body(&mut self, source: &ResponseSource, ended: EndedBody) {
+        match source {
+            ResponseSource::Upstream(send) => {
+                self.log_line.record_body_end(send.record.number, ended.framing, ended.end, 0);
+                self.record_complete_response();
+            }
+            ResponseSource::Gateway(send) => self.log_line.record_forward_body_end(send.number, ended.end),
+        }
+    }
+
     fn error_response(&mut self, response: ErrorResponse) -> Response<Body> {
         let ErrorResponse { mut head, body } = response;
         self.log_line.write_answered(&self.context.log, head.status.as_u16(), None, &self.retry_state);
@@ -307,13 +354,12 @@
     }
 
     fn into_response(mut self, response: UpstreamResponse, in_progress: InProgress) -> Response<Body> {
-        let UpstreamResponse { record, measured, chosen, mut head, body } = response;
+        let UpstreamResponse { source, mut head, body } = response;
         let upstream_headers = head.headers.clone();
         headers::prepare_for_caller(&mut head);
         match body {
-            UpstreamBody::Complete(bytes, EndedBody { framing, end }) => {
-                self.log_line.record_body_end(record.number, framing, end, 0);
-                self.record_complete_response();
+            UpstreamBody::Complete(bytes, ended) => {
+                self.record_complete_body(&source, ended);
                 self.log_line.write_answered(
                     &self.context.log,
                     head.status.as_u16(),
@@ -325,7 +371,7 @@
             UpstreamBody::Stream(body, framing, connection) => {
                 self.log_line.set_caller_framing(BodyFraming::of_stream_to(self.inbound.head.version));
                 let headers = upstream_headers;
-                let source = StreamSource::new(record, measured, chosen, headers, framing, body, connection);
+                let source = StreamSource::new(source, headers, framing, body, connection);
                 Response::from_parts(head, relay_body(Relay::new(self, source, in_progress)))
             }
         }
--- a/crates/bendhinge_gateway/src/delivery/outcome.rs
+++ b/crates/bendhinge_gateway/src/delivery/outcome.rs
@@ -64,6 +64,7 @@
         let FailedSend { record, error } = failed;
         let SendError { end, error_response, body, connect_failure } = error;
         if let Some(connect_failure) = connect_failure {
+            self.has_failed_to_connect = true;
             self.record_connect_failure(&record, connect_failure);
         }
         if let Some(EndedBody { framing, end }) = body {
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bendhinge_codes::ResultCode;
-use bendhinge_delivery::{BodyEnd, EventSplitter, SendOutcome, StreamTiming};
+use bendhinge_delivery::{BodyEnd, EventSplitter, SendOutcome, SendTotals, StreamTiming};
 use bendhinge_http::{Body, BodyError, BodyFraming, Connection, flush_before_error};
 use bytes::Bytes;
 use futures_lite::{FutureExt, Stream, StreamExt, stream};
@@ -19,6 +19,7 @@
 
 use super::Delivery;
 use super::attempt::UpstreamResponse;
+use super::forward::ForwardedSend;
 use super::measured_send::MeasuredSend;
 use super::race::SendRecord;
 use super::upstream_body::UpstreamBody;
@@ -43,12 +44,50 @@
     _in_progress: InProgress,
 }
 
-/// The upstream that currently sends the stream.
-pub(super) struct StreamSource {
+/// A send to an upstream that has responded.
+pub(super) struct UpstreamSend {
     pub(super) record: SendRecord,
     pub(super) measured: MeasuredSend,
     /// Counts the request towards the upstream's load until dropped.
     pub(super) chosen: ChosenUpstream,
+}
+
+/// Who sends a response.
+pub(super) enum ResponseSource {
+    Upstream(Box<UpstreamSend>),
+    /// Another gateway, which relays the response of an upstream.
+    Gateway(ForwardedSend),
+}
+
+impl ResponseSource {
+    /// Returns the index of the send to the upstream, if it is one.
+    pub(super) fn upstream_number(&self) -> Option<usize> {
+        match self {
+            Self::Upstream(send) => Some(send.record.number),
+            Self::Gateway(_) => None,
+        }
+    }
+
+    /// Returns the totals of the sends to the upstream, if it is one.
+    fn totals(&self) -> SendTotals {
+        match self {
+            Self::Upstream(send) => send.measured.totals(),
+            Self::Gateway(_) => SendTotals::default(),
+        }
+    }
+
+    /// Records an event and returns the totals of the sends to the upstream, if it is one.
+    fn record_event(&mut self) -> SendTotals {
+        match self {
+            Self::Upstream(send) => send.measured.record_event(),
+            Self::Gateway(_) => SendTotals::default(),
+        }
+    }
+}
+
+/// The upstream or gateway that currently sends the stream.
+pub(super) struct StreamSource {
+    pub(super) sender: ResponseSource,
     /// Time from the choice of the upstream to its first event.
     pub(super) first_event_after: Option<Duration>,
     pub(super) headers: HeaderMap,
@@ -59,15 +98,13 @@
 
 impl StreamSource {
     pub(super) const fn new(
-        record: SendRecord,
-        measured: MeasuredSend,
-        chosen: ChosenUpstream,
+        sender: ResponseSource,
         headers: HeaderMap,
         framing: BodyFraming,
         body: Incoming,
         connection: Connection,
     ) -> Self {
-        Self { record, measured, chosen, first_event_after: None, headers, framing, body, connection }
+        Self { sender, first_event_after: None, headers, framing, body, connection }
     }
 }
 
@@ -161,9 +198,10 @@
         let Some(source) = self.source.as_mut().filter(|source| source.first_event_after.is_none()) else {
             return;
         };
-        let wait = bendhinge_clock::now().since(source.chosen.chosen_at);
+        let ResponseSource::Upstream(send) = &source.sender else { return };
+        let wait = bendhinge_clock::now().since(send.chosen.chosen_at);
         source.first_event_after = Some(wait);
-        source.chosen.guard.record_first_event();
+        send.chosen.guard.record_first_event();
         let Delivery { context, inbound, .. } = &self.delivery;
         context.admission.record_first_event(&inbound.pool, inbound.request_kind(), wait);
     }
@@ -171,8 +209,11 @@
     /// Records how long the complete response took, from which the time that a request holds a slot is learned.
     fn record_slot_time(&self) {
         let Some(source) = &self.source else { return };
-        let Some(first_event) = source.first_event_after else { return };
-        let duration = bendhinge_clock::now().since(source.chosen.chosen_at);
+        let (Some(first_event), ResponseSource::Upstream(send)) = (source.first_event_after, &source.sender)
+        else {
+            return;
+        };
+        let duration = bendhinge_clock::now().since(send.chosen.chosen_at);
         let Delivery { context, inbound, .. } = &self.delivery;
         context.admission.record_end(&inbound.pool, inbound.request_kind(), first_event, duration);
     }
@@ -190,10 +231,15 @@
 
     /// Records how the body of the current source ended.
     fn record_body_end(&mut self, end: BodyEnd) {
-        let Some(StreamSource { record, framing, .. }) = &self.source else { return };
+        let Some(StreamSource { sender, framing, .. }) = &self.source else { return };
         let Delivery { context, log_line, .. } = &mut self.delivery;
         context.metrics.count_body_end(*framing, end);
-        log_line.record_body_end(record.number, *framing, end, self.events.partial_len());
+        match sender {
+            ResponseSource::Upstream(send) => {
+                log_line.record_body_end(send.record.number, *framing, end, self.events.partial_len());
+            }
+            ResponseSource::Gateway(send) => log_line.record_forward_body_end(send.number, end),
+        }
     }
 
     /// Records that events arrived.
@@ -201,7 +247,7 @@
         self.is_awaiting_event = false;
         let Some(source) = &mut self.source else { return };
         let now = bendhinge_clock::now();
-        if self.timing.record_event(now, source.measured.record_event()) {
+        if self.timing.record_event(now, source.sender.record_event()) {
             self.delivery.context.metrics.record_first_event(now.since(self.delivery.inbound.received_at));
         }
     }
@@ -213,7 +259,7 @@
             return;
         }
         if let Some(source) = &self.source {
-            self.timing.record_interruption(source.measured.totals());
+            self.timing.record_interruption(source.sender.totals());
         }
         self.timing.record_abandonment(bendhinge_clock::now());
     }
@@ -230,10 +276,14 @@
         self.is_finished = true;
         self.record_slot_time();
         self.report_timing();
-        if let Some(StreamSource { headers, framing, connection, .. }) = self.source.take() {
+        let mut is_from_upstream = false;
+        if let Some(StreamSource { sender, headers, framing, connection, .. }) = self.source.take() {
+            is_from_upstream = matches!(sender, ResponseSource::Upstream(_));
             self.delivery.context.release_connection(&headers, framing, connection);
         }
-        self.delivery.record_complete_response();
+        if is_from_upstream {
+            self.delivery.record_complete_response();
+        }
         let Delivery { log_line, context, retry_state, .. } = &mut self.delivery;
         log_line.write_answered(&context.log, 200, None, retry_state);
         let rest = self.events.take_rest();
@@ -245,10 +295,16 @@
     async fn resume_elsewhere(&mut self, end: SendOutcome) -> bool {
         // Closes the connection, which cancels the request at the upstream.
         let Some(source) = self.source.take() else { return false };
-        self.timing.record_interruption(source.measured.totals());
-        let record = source.record.clone();
-        drop(source);
-        let may_retry = self.delivery.record_send_end(&record, end);
+        self.timing.record_interruption(source.sender.totals());
+        let StreamSource { sender, body, connection, .. } = source;
+        drop((body, connection));
+        let may_retry = match sender {
+            ResponseSource::Upstream(send) => self.delivery.record_send_end(&send.record, end),
+            ResponseSource::Gateway(send) => {
+                self.delivery.fail_forward(send.number, end);
+                false
+            }
+        };
         if !may_retry || !self.has_resume_point() || !self.delivery.try_retry() {
             return false;
         }
@@ -256,15 +312,8 @@
         let last_event_id = self.events.last_id().map(str::to_owned);
         let last_event_id = last_event_id.or_else(|| self.delivery.inbound.fields.resume_after.clone());
         match self.delivery.next_response(last_event_id.as_deref()).await {
-            Ok(UpstreamResponse {
-                record,
-                measured,
-                chosen,
-                head,
-                body: UpstreamBody::Stream(body, framing, connection),
-            }) => {
-                let headers = head.headers;
-                let source = StreamSource::new(record, measured, chosen, headers, framing, body, connection);
+            Ok(UpstreamResponse { source, head, body: UpstreamBody::Stream(body, framing, connection) }) => {
+                let source = StreamSource::new(source, head.headers, framing, body, connection);
                 self.source = Some(source);
                 true
             }
--- a/crates/bendhinge_gateway/src/intake/mod.rs
+++ b/crates/bendhinge_gateway/src/intake/mod.rs
@@ -21,6 +21,8 @@
 
 use crate::delivery::{DeliveryContext, InboundRequest, deliver};
 use crate::dialect::{ErrorResponseFields, RequestFields};
+use crate::forwarding;
+use crate::forwarding::headers::{ForwardRefusal, ForwardedFields};
 use crate::lifecycle::Lifecycle;
 use crate::state::ActiveRules;
 
@@ -63,21 +65,43 @@
 
 /// Handles one request of a caller.
 pub(crate) async fn handle(intake: Arc<Intake>, request: Request<Incoming>) -> Response<Body> {
+    respond(&intake, request, None).await
+}
+
+/// Handles one request that another gateway forwards.
+pub(crate) async fn handle_forwarded(intake: Arc<Intake>, mut request: Request<Incoming>) -> Response<Body> {
+    let Some(forwarded) = forwarding::headers::take_request(request.headers_mut()) else {
+        return intake.refuse(None, ResultCode::MalformedRequest.into(), true);
+    };
+    intake.context.metrics.count_forwarded_request();
+    respond(&intake, request, Some(forwarded)).await
+}
+
+async fn respond(
+    intake: &Intake,
+    request: Request<Incoming>,
+    forwarded: Option<ForwardedFields>,
+) -> Response<Body> {
     let received_at = bendhinge_clock::now();
     let (head, body) = request.into_parts();
+    let is_forwarded = forwarded.is_some();
     // The HTTP library drops a `Content-Length` that precedes `Transfer-Encoding`. To prevent request
     // smuggling, the connection is closed after such a request (RFC 9112, section 6.1).
     let ends_connection = head.headers.contains_key(TRANSFER_ENCODING);
     let fields = intake.context.dialect.parse_request(&head);
     let id = fields.as_ref().ok().and_then(|fields| fields.id.clone());
     let result = match fields {
-        Ok(fields) => intake.serve(head, body, fields, received_at).await,
+        Ok(fields) => intake.serve(head, body, fields, forwarded, received_at).await,
         Err(_) => Err(ResultCode::MalformedRequest.into()),
     };
     let is_malformed = result.as_ref().is_err_and(|refusal| refusal.is_malformed());
     let mut response = match result {
-        Ok(response) => response,
-        Err(refusal) => intake.refuse(id.as_ref(), refusal),
+        Ok(mut response) => {
+            // An upstream's response must not look like one of the gateway.
+            forwarding::headers::remove(response.headers_mut());
+            response
+        }
+        Err(refusal) => intake.refuse(id.as_ref(), refusal, is_forwarded),
     };
     if is_malformed || ends_connection || intake.lifecycle.is_stopping() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -98,16 +122,24 @@
         &self,
         mut head: request::Parts,
         body: Incoming,
-        fields: RequestFields,
+        mut fields: RequestFields,
+        forwarded: Option<ForwardedFields>,
         received_at: Instant,
     ) -> Result<Response<Body>, Refusal> {
         validate_head(&head)?;
+        if let Some(forwarded) = &forwarded {
+            fields.timeout = Some(forwarded.time_left);
+            fields.resume_after.clone_from(&forwarded.resume_after);
+        }
         if !self.lifecycle.accepts_requests() {
             return Err(ResultCode::RouterStopping.into());
         }
         let tie_breaker = rand::rng().random();
         let current = self.context.rules.current_or_wait(fields.timeout).await;
         let current = current.ok_or(ResultCode::NoConfiguration)?;
+        if forwarded.as_ref().is_some_and(|forwarded| self.holds_older_rules(forwarded.rules_revision)) {
+            return Err(ResultCode::ViewNotFresh.into());
+        }
         let authorization = authorize(&current, &head, &fields)?;
         if authorization.customer.is_some() && !self.context.rules.is_within_lease() {
             return Err(ResultCode::ViewNotFresh.into());
@@ -132,12 +164,19 @@
             received_at,
             deadline,
             tie_breaker,
+            forwarded,
             digest: OnceLock::new(),
         };
         deliver(&self.context, inbound, in_progress).await
     }
 
-    fn refuse(&self, id: Option<&HeaderValue>, refusal: Refusal) -> Response<Body> {
+    /// Whether the rules held are older than those of `revision`.
+    fn holds_older_rules(&self, revision: u64) -> bool {
+        let held = self.context.rules.held_version(bendhinge_clock::now());
+        held.is_none_or(|held| held.version.document().0 < revision)
+    }
+
+    fn refuse(&self, id: Option<&HeaderValue>, refusal: Refusal, is_forwarded: bool) -> Response<Body> {
         let Refusal { code, was_sent, retry_after, digest } = refusal;
         let context = &self.context;
         context.metrics.count_result(code);
@@ -155,6 +194,10 @@
             .dialect
             .write_error_response(response.headers_mut(), &ErrorResponseFields { id, code, retry_after });
         *response.body_mut() = full_body(body);
+        if is_forwarded {
+            let refusal = ForwardRefusal { code, retry_after };
+            forwarding::headers::write_refusal(response.headers_mut(), refusal);
+        }
         response
     }
 }
--- a/crates/bendhinge_gateway/src/lib.rs
+++ b/crates/bendhinge_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod control;
 mod delivery;
 pub mod dialect;
+mod forwarding;
 mod intake;
 mod lifecycle;
 mod log;
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -1,5 +1,6 @@
 //! The log line of an admitted request, with its sends and its outcome.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bendhinge_admission::RetryDecision;
@@ -95,6 +96,19 @@
     (number * 100.0).round() / 100.0
 }
 
+/// A gateway to which the request was forwarded.
+#[derive(Serialize)]
+struct ForwardRecord {
+    gateway: SocketAddr,
+    at_ms: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    end: Option<&'static str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    code: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    body_end: Option<&'static str>,
+}
+
 /// What is logged of a relayed stream. Values of zero are omitted, other than those of a pause.
 #[derive(Default, Serialize)]
 struct StreamFields {
@@ -134,6 +148,10 @@
     route: String,
     started_at: Instant,
     sends: Vec<SendRecord>,
+    /// The gateways to which the request was forwarded.
+    forwards: Vec<ForwardRecord>,
+    /// The gateway that forwarded the request to this one.
+    forwarded_by: Option<SocketAddr>,
     /// The allowed retry whose send has not started yet.
     allowed_retry: Option<RetryFields>,
     denied_retry: Option<RetryFields>,
@@ -151,6 +169,8 @@
             route: inbound.route.name.clone(),
             started_at: inbound.received_at,
             sends: Vec::new(),
+            forwards: Vec::new(),
+            forwarded_by: inbound.forwarded.as_ref().map(|forwarded| forwarded.from),
             allowed_retry: None,
             denied_retry: None,
             digest: None,
@@ -196,6 +216,35 @@
         self.sends.len() - 1
     }
 
+    /// Records that the request is forwarded to a gateway and returns the index of the record.
+    pub(crate) fn record_forward(&mut self, gateway: SocketAddr) -> usize {
+        let at_ms = self.elapsed_ms();
+        self.forwards.push(ForwardRecord { gateway, at_ms, end: None, code: None, body_end: None });
+        self.forwards.len() - 1
+    }
+
+    /// Records how forwarding ended if there was no response.
+    pub(crate) fn record_forward_end(&mut self, index: usize, end: SendOutcome) {
+        if let Some(forward) = self.forwards.get_mut(index) {
+            forward.end = Some(end.as_str());
+        }
+    }
+
+    /// Records that the other gateway refused the request.
+    pub(crate) fn record_forward_refusal(&mut self, index: usize, code: ResultCode) {
+        if let Some(forward) = self.forwards.get_mut(index) {
+            forward.end = Some("refused");
+            forward.code = Some(code.to_string());
+        }
+    }
+
+    /// Records how the body of the response that the other gateway relayed ended.
+    pub(crate) fn record_forward_body_end(&mut self, index: usize, end: BodyEnd) {
+        if let Some(forward) = self.forwards.get_mut(index) {
+            forward.body_end = Some(end.as_str());
+        }
+    }
+
     /// Records whether the retry budget allowed a retry. An allowed one is logged with the send that follows.
     pub(crate) fn record_retry_decision(&mut self, decision: &RetryDecision) {
         let retry = if decision.is_allowed { &mut self.allowed_retry } else { &mut self.denied_retry };
@@ -273,6 +322,10 @@
             #[serde(skip_serializing_if = "Option::is_none")]
             digest: Option<String>,
             sends: &'a [SendRecord],
+            #[serde(skip_serializing_if = "<[_]>::is_empty")]
+            forwards: &'a [ForwardRecord],
+            #[serde(skip_serializing_if = "Option::is_none")]
+            forwarded_by: Option<SocketAddr>,
             #[serde(skip_serializing_if = "Option::is_none")]
             denied_retry: Option<RetryFields>,
             ran: &'static str,
@@ -290,6 +343,8 @@
             ms: self.elapsed_ms(),
             digest: self.digest.map(|digest| digest.to_string()),
             sends: &self.sends,
+            forwards: &self.forwards,
+            forwarded_by: self.forwarded_by,
             denied_retry: self.denied_retry,
             ran: if code.is_none() { "yes" } else { retry_state.ran().as_str() },
             caller_framing: self.caller_framing.map(BodyFraming::as_str),
--- a/crates/bendhinge_gateway/src/metrics/groups.rs
+++ b/crates/bendhinge_gateway/src/metrics/groups.rs
@@ -107,3 +107,34 @@
         }
     }
 }
+
+/// Counters of partitions from upstreams and of forwarded requests.
+pub(super) struct ForwardingCounters {
+    pub(super) forwards: Counter<u64>,
+    pub(super) received: Counter<u64>,
+    pub(super) partitions: Counter<u64>,
+    pub(super) link_probes: Counter<u64>,
+}
+
+impl ForwardingCounters {
+    pub(super) fn new(counter: impl Fn(&'static str, &'static str) -> Counter<u64>) -> Self {
+        Self {
+            forwards: counter(
+                "bendhinge.gateway.forwards",
+                "Requests that were forwarded to another gateway, by end",
+            ),
+            received: counter(
+                "bendhinge.gateway.forwarded_requests",
+                "Requests that other gateways forwarded to this one",
+            ),
+            partitions: counter(
+                "bendhinge.gateway.partitions",
+                "Beginnings and ends of partitions from the upstreams of a pool",
+            ),
+            link_probes: counter(
+                "bendhinge.gateway.link_probes",
+                "Connections that were opened to find out whether this gateway is partitioned, by result",
+            ),
+        }
+    }
+}
--- a/crates/bendhinge_gateway/src/metrics/mod.rs
+++ b/crates/bendhinge_gateway/src/metrics/mod.rs
@@ -15,7 +15,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
-use self::groups::{AgeHistograms, ExchangeCounters, StreamHistograms};
+use self::groups::{AgeHistograms, ExchangeCounters, ForwardingCounters, StreamHistograms};
 use crate::delivery::ConnectFailure;
 
 /// Bucket bounds of the time to first byte. They include 1.3 s, the target of its 95th percentile.
@@ -66,6 +66,7 @@
     send_ends: Counter<u64>,
     connect_failures: Counter<u64>,
     body_ends: Counter<u64>,
+    forwarding: ForwardingCounters,
     retry_decisions: Counter<u64>,
     store_reads: Histogram<f64>,
     peer_fetches: Histogram<f64>,
@@ -115,6 +116,7 @@
                 "bendhinge.gateway.bodies_ended",
                 "Bodies of upstreams' responses that were read, by framing and end",
             ),
+            forwarding: ForwardingCounters::new(counter),
             retry_decisions: counter(
                 "bendhinge.gateway.retry_decisions",
                 "Retries that the retry budget allowed or denied, by decision",
@@ -204,6 +206,28 @@
         self.connect_failures.add(1, &[KeyValue::new("reason", connect_failure.as_str())]);
     }
 
+    /// Counts a request that was forwarded to another gateway, by how that ended.
+    pub(crate) fn count_forward(&self, end: &'static str) {
+        self.forwarding.forwards.add(1, &[KeyValue::new("end", end)]);
+    }
+
+    /// Counts a request that another gateway forwarded to this one.
+    pub(crate) fn count_forwarded_request(&self) {
+        self.forwarding.received.add(1, &[]);
+    }
+
+    /// Counts the beginning or the end of a partition from a pool.
+    pub(crate) fn count_partition_change(&self, is_partitioned: bool) {
+        let state = if is_partitioned { "begun" } else { "over" };
+        self.forwarding.partitions.add(1, &[KeyValue::new("state", state)]);
+    }
+
+    /// Counts a connection that was opened to find out whether this gateway is partitioned.
+    pub(crate) fn count_link_probe(&self, is_connected: bool) {
+        let result = if is_connected { "connected" } else { "failed" };
+        self.forwarding.link_probes.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Counts a send whose response is not passed on.
     pub(crate) fn count_send_end(&self, end: SendOutcome) {
         self.send_ends.add(1, &[KeyValue::new("end", end.as_str())]);
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -17,9 +17,10 @@
 
 use crate::admission::Admission;
 use crate::args::args;
-use crate::control::ControlPlane;
-use crate::delivery::{CrashProbes, DeliveryContext, SendRegistry};
+use crate::control::{ControlPlane, Notifications};
+use crate::delivery::{CrashProbes, DeliveryContext, LinkProbes, SendRegistry};
 use crate::dialect::Dialect;
+use crate::forwarding::Forwarding;
 use crate::intake::{self, Intake};
 use crate::lifecycle::Lifecycle;
 use crate::log::Log;
@@ -104,11 +105,16 @@
 ) -> Result<(), StartError> {
     let log = Log::new()?;
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(StartError::Signals)?;
+    let (peer_listener, address) = listen_to_peers(settings.peer_address, &log).await?;
+    settings.peer_address = address;
     let lifecycle = Arc::new(Lifecycle::new(settings.stop));
     let (quarantine, suspicions) = SharedQuarantine::new(settings.peer_address, log.clone());
     let totals = Arc::new(SharedTotals::default());
     // One queued notification stands for any number of reports.
     let (overload_notifier, overloads) = smol::channel::bounded(1);
+    let (partition_notifier, partitions) = smol::channel::bounded(1);
+    let (forwarding, connects) =
+        Forwarding::new(settings.forwards_requests, settings.peer_address, &settings.data_centre);
     let context = Arc::new(DeliveryContext {
         dialect,
         rules: Arc::new(RulesReplica::new(settings.rules)),
@@ -119,6 +125,7 @@
             settings.load,
             Arc::clone(&totals),
             overload_notifier,
+            settings.forwards_requests,
         )),
         retry_budgets: RetryBudgets::new(settings.retry_budget, settings.assumes_spent_retries),
         pacing: Pacing::new(log.clone()),
@@ -128,6 +135,9 @@
         identity_key: IdentityKey(settings.fleet.shared_key.derive("requests")),
         quarantine: Arc::new(quarantine),
         crash_probes: CrashProbes::default(),
+        link_probes: LinkProbes::default(),
+        forwarding: Arc::new(forwarding),
+        partition_notifier,
         sends: Arc::new(SendRegistry::default()),
         connection_pool: Pool::new(
             Arc::clone(tasks),
@@ -139,14 +149,13 @@
         metrics: Metrics::new()?,
         max_response_bytes: settings.upstreams.max_response_bytes,
     });
-    let caller_server = serve_callers(&settings, &context, &lifecycle).await?;
+    let intake = Arc::new(Intake { context: Arc::clone(&context), lifecycle: Arc::clone(&lifecycle) });
+    let caller_server = serve_callers(&settings, &intake).await?;
     let traffic = Arc::new(TrafficCounters::default());
     let _readiness_server = serve_readiness(&settings, &context, &lifecycle, &traffic).await?;
-    let (peer_listener, address) = listen_to_peers(settings.peer_address, &log).await?;
-    settings.peer_address = address;
     let control =
         ControlPlane::new(settings.clone(), Arc::clone(&context), Arc::clone(&lifecycle), traffic, executor);
-    control.start(peer_listener, suspicions, overloads);
+    control.start(peer_listener, intake, Notifications { suspicions, overloads, partitions, connects });
     log.process_event("started", settings.name.as_str(), env!("CARGO_PKG_VERSION"));
     wait_for_stop_signal(signals, path, &control, &log).await;
     lifecycle.begin_shutdown();
@@ -196,11 +205,7 @@
     Ok(server)
 }
 
-async fn serve_callers(
-    settings: &Settings,
-    context: &Arc<DeliveryContext>,
-    lifecycle: &Arc<Lifecycle>,
-) -> Result<StopHandle, StartError> {
+async fn serve_callers(settings: &Settings, intake: &Arc<Intake>) -> Result<StopHandle, StartError> {
     /// The maximum size of a request's head; above any limit that callers are given.
     const MAX_HEAD_BYTES: usize = 64 << 10;
     let limits = ServeLimits {
@@ -209,6 +214,7 @@
         max_connections: settings.max_connections,
         ..ServeLimits::default()
     };
+    let context = &intake.context;
     let recorder = Arc::clone(context);
     let on_write_timeout = Arc::new(move |caller| {
         recorder.metrics.count_slow_caller_disconnect();
@@ -218,7 +224,7 @@
         .await?
         .on_write_timeout(on_write_timeout);
     let stop = server.stop_handle();
-    let intake = Arc::new(Intake { context: Arc::clone(context), lifecycle: Arc::clone(lifecycle) });
+    let intake = Arc::clone(intake);
     let serving = server.run(move |request| intake::handle(Arc::clone(&intake), request));
     context.tasks.spawn(serving).detach();
     Ok(stop)
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -46,6 +46,9 @@
     pub rules: RulesSettings,
     /// Connections to upstreams and failure detection.
     pub upstreams: UpstreamSettings,
+    /// Whether requests are forwarded to other gateways while this one is partitioned from their upstreams, and
+    /// forwarded ones accepted.
+    pub forwards_requests: bool,
     /// Decisions that depend on the load of upstreams.
     pub load: LoadSettings,
     /// The fleet's retry budget.
@@ -242,6 +245,8 @@
         let assumes_spent_retries =
             self.0.section("retries").map(|section| self.0.value::<YesNo>(section, "assume_spent"));
         let stop = self.0.section("stop").map(|section| self.stop(section));
+        let forwards_requests =
+            self.0.section("forwarding").map(|section| self.0.value::<YesNo>(section, "enabled"));
         let released_requests = self
             .0
             .section("quarantine")
@@ -267,6 +272,7 @@
             fleet: fleet??,
             rules: rules??,
             upstreams: upstreams??,
+            forwards_requests: forwards_requests??.0,
             load: load??,
             retry_budget: retry_budget??,
             assumes_spent_retries: assumes_spent_retries??.0,
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -5,7 +5,19 @@
 /// The sections and keys of a gateway's settings.
 pub const SCHEMA: Schema = Schema {
     title: "Gateway settings",
-    sections: &[GATEWAY, DATA_CENTRE, STORE, FLEET, BELIEFS, UPSTREAMS, LOAD, RETRIES, QUARANTINE, STOP],
+    sections: &[
+        GATEWAY,
+        DATA_CENTRE,
+        STORE,
+        FLEET,
+        BELIEFS,
+        UPSTREAMS,
+        FORWARDING,
+        LOAD,
+        RETRIES,
+        QUARANTINE,
+        STOP,
+    ],
 };
 
 const GATEWAY: SectionKind = SectionKind {
@@ -185,6 +197,19 @@
     ],
 };
 
+const FORWARDING: SectionKind = SectionKind {
+    kind: "forwarding",
+    named: false,
+    required: false,
+    help: "What a gateway does while its own links to the upstreams of a pool fail and other gateways reach them.",
+    keys: &[Key::new(
+        "enabled",
+        "yes or no",
+        Some("no"),
+        "Whether it detects such partitions and forwards the requests of its callers to gateways that are not partitioned, and accepts those that others forward.",
+    )],
+};
+
 const LOAD: SectionKind = SectionKind {
     kind: "load",
     named: false,
--- a/crates/bendhinge_gateway/src/state/mod.rs
+++ b/crates/bendhinge_gateway/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod candidates;
 mod choice;
 mod engines;
+mod links;
 mod load_limit;
 mod locality;
 mod overloads;
@@ -14,6 +15,7 @@
 mod upstreams;
 
 pub(crate) use choice::{ChosenUpstream, PlacementRequest};
+pub(crate) use links::LinkState;
 pub(crate) use peers::{address_hash, observed_cached_part, update_source};
 pub(crate) use rules::{ActiveRules, RulesReplica};
 pub(crate) use upstreams::UpstreamView;
--- a/crates/bendhinge_gateway/src/state/upstreams.rs
+++ b/crates/bendhinge_gateway/src/state/upstreams.rs
@@ -6,8 +6,8 @@
 
 use bendhinge_admission::Demand;
 use bendhinge_fleet::{
-    Directory, FailureDetector, KeyRequests, ListHistory, Loads, OutlierDetector, OverloadLog, Replica,
-    RequestedBackoffs, UpdateLog, UpdateLogLimits, UpdateOutcome, UpdateSource, UpstreamEntry,
+    Directory, FailureDetector, KeyRequests, ListHistory, Loads, OutlierDetector, OverloadLog, Reachability,
+    Replica, RequestedBackoffs, UpdateLog, UpdateLogLimits, UpdateOutcome, UpdateSource, UpstreamEntry,
     UpstreamFailure, UpstreamList, UpstreamLoad, Version,
 };
 use bendhinge_ids::{Instant, NameHash, PoolName};
@@ -60,6 +60,8 @@
     pub(super) overloads: OverloadLog,
     /// Own requests in progress by affinity key.
     pub(super) key_requests: KeyRequests,
+    /// What own connections show of the links to the upstreams.
+    pub(super) reachability: Reachability,
 }
 
 /// This gateway's view of the upstreams.
@@ -74,6 +76,8 @@
     pub(super) totals: Arc<SharedTotals>,
     /// Notifies the control plane of new entries of `State::overloads`.
     pub(super) overload_notifier: Sender<()>,
+    /// Whether partitions from upstreams are detected.
+    pub(super) tracks_links: bool,
 }
 
 impl UpstreamView {
@@ -85,6 +89,7 @@
         load_settings: LoadSettings,
         totals: Arc<SharedTotals>,
         overload_notifier: Sender<()>,
+        tracks_links: bool,
     ) -> Self {
         let state = State {
             replica: Replica::default(),
@@ -102,6 +107,7 @@
             engines: EnginePools::default(),
             overloads: OverloadLog::default(),
             key_requests: KeyRequests::default(),
+            reachability: Reachability::default(),
         };
         let costs = CostModel { load_bound_factor: settings.load_bound_factor, ..CostModel::default() };
         Self {
@@ -113,6 +119,7 @@
             plain: Mutex::default(),
             totals,
             overload_notifier,
+            tracks_links,
         }
     }
 
@@ -230,10 +237,7 @@
     /// Returns the number of a pool's upstreams that accept new work. Upstreams in backoff are included, because
     /// their rejections count toward the decision whether the pool is overloaded.
     pub(crate) fn count_accepting_work(&self, pool: &PoolName) -> usize {
-        let now = bendhinge_clock::now();
-        let state = self.state.lock().unwrap();
-        let listed = state.directory.upstreams().iter();
-        listed.filter(|listed| listed.entry.pool == *pool && listed.accepts_work(now)).count()
+        self.state.lock().unwrap().count_accepting_work(pool, bendhinge_clock::now())
     }
 
     /// Records a backoff that an upstream requested; returns the remaining time of its backoff.
@@ -258,6 +262,9 @@
         let mut state = self.state.lock().unwrap();
         state.outlier_detector.record_success(upstream, now);
         state.failure_detector.record_response(upstream, now);
+        if self.tracks_links {
+            state.record_link_response(upstream, now);
+        }
     }
 
     /// Returns the time since any gateway last had a response from an upstream, as far as this one knows.
@@ -276,7 +283,26 @@
     ) -> bool {
         let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
-        state.failure_detector.record_failure(upstream, failure, sent_at, now);
+        if !self.tracks_links {
+            state.failure_detector.record_failure(upstream, failure, sent_at, now);
+            return state.outlier_detector.record_failure(upstream, failure, now);
+        }
+        match failure {
+            UpstreamFailure::Rejected | UpstreamFailure::ErrorResponse => {
+                state.failure_detector.record_failure(upstream, failure, sent_at, now);
+                state.record_link_response(upstream, now);
+            }
+            UpstreamFailure::ConnectFailed
+            | UpstreamFailure::TimedOut
+            | UpstreamFailure::ConnectionLost
+            | UpstreamFailure::WrongInstance => {
+                if state.is_partitioned_from(upstream) {
+                    // The failure says nothing about the upstream.
+                    return false;
+                }
+                state.failure_detector.record_failure(upstream, failure, sent_at, now);
+            }
+        }
         state.outlier_detector.record_failure(upstream, failure, now)
     }
 
@@ -351,8 +377,9 @@
     }
 
     fn drop_removed(&mut self) {
-        let Self { directory, outlier_detector, loads, .. } = self;
+        let Self { directory, outlier_detector, loads, reachability, .. } = self;
         outlier_detector.retain_listed(|upstream| directory.contains(upstream));
+        reachability.retain_listed(|upstream| directory.contains(upstream));
         loads.retain_listed(|upstream| directory.contains(upstream));
     }
 }
--- a/crates/bendhinge_http/src/pool.rs
+++ b/crates/bendhinge_http/src/pool.rs
@@ -5,7 +5,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use futures_lite::FutureExt;
+use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -100,8 +100,8 @@
         address: SocketAddr,
         max_idle: Duration,
     ) -> Result<Connection, ConnectError> {
-        match self.take_idle(address, max_idle) {
-            Some(sender) => Ok(Connection { sender, address, reused: true }),
+        match self.idle_connection(address, max_idle) {
+            Some(connection) => Ok(connection),
             None => self.connect(address).await,
         }
     }
@@ -147,6 +147,21 @@
         };
         let stream = connecting.or(timeout).await?;
         stream.set_nodelay(true)?;
+        self.connect_over(stream, address).await
+    }
+
+    /// Returns an idle connection to `address` that was used within `max_idle`, if there is one.
+    pub fn idle_connection(&self, address: SocketAddr, max_idle: Duration) -> Option<Connection> {
+        let sender = self.take_idle(address, max_idle)?;
+        Some(Connection { sender, address, reused: true })
+    }
+
+    /// Speaks HTTP over a stream that is already connected to `address`.
+    pub async fn connect_over(
+        &self,
+        stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+        address: SocketAddr,
+    ) -> Result<Connection, ConnectError> {
         // Without vectored writes, hyper keeps a copy of each request body while the connection is open.
         let mut builder = http1::Builder::new();
         let (sender, connection) = builder.writev(true).handshake(FuturesIo::new(stream)).await?;
--- a/crates/bendhinge_http/src/serve.rs
+++ b/crates/bendhinge_http/src/serve.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use futures_lite::FutureExt;
+use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -198,6 +198,28 @@
     }
 }
 
+/// Serves the HTTP requests on one stream that is already connected, until it is closed.
+pub async fn serve_stream<F, R>(
+    stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    limits: ServeLimits,
+    handler: F,
+) where
+    F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
+    R: Future<Output = Response<Body>> + Send + 'static,
+{
+    let service = service_fn(move |request| {
+        let response = Box::pin(handler(request));
+        async move { response_or_close(response.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .max_buf_size(limits.max_head_bytes)
+        .header_read_timeout(limits.head_timeout)
+        .serve_connection(FuturesIo::new(WriteTimeoutStream::new(stream, limits.write_timeout)), service);
+    // An error drops the request in progress with the connection.
+    let _ = connection.await;
+}
+
 /// Whether a connection failed because of the write timeout.
 fn is_write_timeout(error: &hyper::Error) -> bool {
     let source = std::error::Error::source(error);
--- a/crates/bendhinge_lab/tests/gateway_common/mod.rs
+++ b/crates/bendhinge_lab/tests/gateway_common/mod.rs
@@ -83,6 +83,7 @@
         is_leaving: false,
         is_store_failing: false,
         link_mbps: 1_000,
+        forwarding_from: None,
     };
     PeerMessage::from_sender(sender)
 }
--- a/crates/bendhinge_lab/tests/gateway_partitions.rs
+++ b/crates/bendhinge_lab/tests/gateway_partitions.rs
@@ -11,6 +11,7 @@
 const SHAPE: FleetShape = FleetShape { gateways: 3, engines: 4, services: 3 };
 /// Within this time a gateway that is partitioned has to serve its callers as the others do.
 const CONTACT: Duration = Duration::from_secs(3);
+const FORWARDING: &str = "[forwarding]\nenabled = yes\n";
 /// The pause between two requests of one caller.
 const PAUSE: Duration = Duration::from_millis(50);
 /// The gateway that is partitioned.
@@ -55,7 +56,7 @@
 /// Partitions a gateway under load and asserts that it serves its callers once it had time to notice.
 fn assert_serves_while_partitioned(how: Partition) {
     run(|tasks| async move {
-        let fleet = LinkedFleet::start(&tasks, SHAPE, "").await;
+        let fleet = LinkedFleet::start(&tasks, SHAPE, FORWARDING).await;
         assert_serves(&fleet, PARTITIONED).await;
         fleet.partition(PARTITIONED, how).await;
         load(&fleet, PARTITIONED, CONTACT).await;
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -16,6 +16,15 @@
   leaving @4 :Bool;
   storeFailing @5 :Bool;
   linkMbps @6 :UInt32;
+  # A hash of its data centre if it takes requests that other gateways forward, otherwise 0.
+  forwardingDataCentre @7 :UInt32;
+}
+
+# The pools whose upstreams a gateway does not reach, identified by hashes of their names.
+struct Partition {
+  router @0 :UInt64;
+  ageMillis @1 :UInt32;
+  pools @2 :List(UInt64);
 }
 
 struct Load {
@@ -103,6 +112,8 @@
   # In a request to the preferred relay, the subtotal of the figures of the sender and of the gateways that use it as
   # their relay; in the response, the totals of the fleet. Encoded as PackedTotals of bendhinge_fleet.
   totals @18 :Data;
+  # The gateways that do not reach all pools, and those that reach them again since recently.
+  partitions @19 :List(Partition);
 }
 
 struct Upstream {
--- a/crates/bendhinge_peer/src/connector.rs
+++ b/crates/bendhinge_peer/src/connector.rs
@@ -13,7 +13,7 @@
 use smol::{LocalExecutor, Task};
 
 use crate::client::{CallError, with_timeout};
-use crate::secure::{ConnectError, ConnectionRole, PeerKey, secure};
+use crate::secure::{ConnectError, ConnectionRole, PeerKey, Protocol, secure};
 use crate::traffic::TrafficCounters;
 
 /// Keeps a connection open until it is dropped, which cancels the task of the RPC system.
@@ -36,7 +36,7 @@
 ) -> Result<(C, Rc<ConnectionGuard>), CallError> {
     let connecting = async {
         let stream = TcpStream::connect(address).await.map_err(ConnectError::from)?;
-        Ok(secure(stream, key, ConnectionRole::Initiator, traffic, executor).await?)
+        Ok(secure(stream, key, ConnectionRole::Initiator(Protocol::Rpc), traffic, executor).await?)
     };
     let io = with_timeout(timeout, connecting).await?;
     let network = twoparty::VatNetwork::new(io.reader, io.writer, Side::Client, ReaderOptions::default());
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -1,6 +1,7 @@
 //! Conversions between the message types and the Cap'n Proto types of the `fleet` schema.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,10 +18,10 @@
 use super::crash_history::{read_crash_history, write_crash_history};
 use super::{
     HeldVersion, ObservedCachedPart, ObservedFailureEvidence, ObservedFailureReport, ObservedLoad,
-    PeerMessage, address_parts,
+    ObservedPartition, PeerMessage, address_parts,
 };
 use crate::fleet_capnp::{
-    doubt, fleet, known, load, member, news_position, peer_message, read, upstream, witness,
+    doubt, fleet, known, load, member, news_position, partition, peer_message, read, upstream, witness,
 };
 
 pub(super) fn millis(duration: Duration) -> u32 {
@@ -62,6 +63,7 @@
     builder.set_leaving(report.is_leaving);
     builder.set_store_failing(report.is_store_failing);
     builder.set_link_mbps(report.link_mbps);
+    builder.set_forwarding_data_centre(report.forwarding_from.map_or(0, NonZeroU32::get));
 }
 
 fn read_member(reader: member::Reader<'_>) -> MemberReport {
@@ -71,6 +73,7 @@
         is_leaving: reader.get_leaving(),
         is_store_failing: reader.get_store_failing(),
         link_mbps: reader.get_link_mbps(),
+        forwarding_from: NonZeroU32::new(reader.get_forwarding_data_centre()),
     }
 }
 
@@ -162,7 +165,15 @@
 
 /// Writes the lists of a message. Empty lists are not allocated.
 fn write_lists(mut builder: peer_message::Builder<'_>, message: &PeerMessage) {
-    let PeerMessage { members, loads, cached_parts, failure_evidence, crash_histories, .. } = message;
+    let PeerMessage { members, loads, cached_parts, failure_evidence, crash_histories, partitions, .. } =
+        message;
+    if !partitions.is_empty() {
+        write_list_items(
+            builder.reborrow().init_partitions(list_length(partitions.len())),
+            partitions,
+            write_partition,
+        );
+    }
     if !members.is_empty() {
         write_list_items(builder.reborrow().init_members(list_length(members.len())), members, write_member);
     }
@@ -192,6 +203,23 @@
     }
 }
 
+fn write_partition(mut builder: partition::Builder<'_>, observed: &ObservedPartition) {
+    builder.set_router(observed.router.0);
+    builder.set_age_millis(millis(observed.age));
+    let mut pools = builder.init_pools(list_length(observed.pools.len()));
+    for (index, pool) in (0..).zip(&observed.pools) {
+        pools.set(index, pool.0);
+    }
+}
+
+fn read_partition(reader: partition::Reader<'_>) -> Result<ObservedPartition, Error> {
+    Ok(ObservedPartition {
+        router: NameHash(reader.get_router()),
+        pools: reader.get_pools()?.iter().map(NameHash).collect(),
+        age: Duration::from_millis(reader.get_age_millis().into()),
+    })
+}
+
 fn write_failure_evidence(mut builder: doubt::Builder<'_>, evidence: &ObservedFailureEvidence) {
     builder.set_upstream(evidence.upstream.0);
     builder.set_answered(evidence.last_response_age.is_some());
@@ -244,6 +272,7 @@
         failure_evidence: reader.get_doubts()?.iter().map(read_failure_evidence).collect::<Result<_, _>>()?,
         crash_histories: reader.get_suspicions()?.iter().map(read_crash_history).collect::<Result<_, _>>()?,
         quarantine_digest: reader.get_quarantine(),
+        partitions: reader.get_partitions()?.iter().map(read_partition).collect::<Result<_, _>>()?,
         totals: reader.has_totals().then(|| PackedTotals(totals.to_vec())),
     })
 }
--- a/crates/bendhinge_peer/src/fleet/mod.rs
+++ b/crates/bendhinge_peer/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 
 use bendhinge_fleet::{
     FailureEvidence, FailureReport, ListLoads, ListUpdate, LogPosition, MemberReport, MemberStates,
-    PackedTotals, RosterDigest, UpstreamList, Version, VersionedValue,
+    PackedTotals, PartitionReport, RosterDigest, UpstreamList, Version, VersionedValue,
 };
 use bendhinge_ids::{Instant, NameHash};
 use bendhinge_placement::PartId;
@@ -20,7 +20,7 @@
 
 pub use client::FleetClient;
 pub use crash_history::{ObservedCrash, ObservedCrashHistory, ObservedInFlightSends};
-pub use server::serve_fleet;
+pub use server::{serve_fleet, serve_fleet_and_streams};
 
 /// The version and age of a replicated value that a gateway holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -108,6 +108,31 @@
     pub age: Duration,
 }
 
+/// A [`PartitionReport`], with an age instead of an instant.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ObservedPartition {
+    /// The hash of the gateway's address.
+    pub router: NameHash,
+    /// The hashes of the names of the pools that it does not reach.
+    pub pools: Vec<NameHash>,
+    /// The time since it reported this.
+    pub age: Duration,
+}
+
+impl ObservedPartition {
+    /// Converts a report, with its age as of `now`.
+    #[must_use]
+    pub fn new(report: PartitionReport, now: Instant) -> Self {
+        Self { router: report.router, pools: report.pools, age: now.since(report.at) }
+    }
+
+    /// Converts back to a report, with the age counted from `as_of`.
+    #[must_use]
+    pub fn to_report(&self, as_of: Instant) -> PartitionReport {
+        PartitionReport { router: self.router, pools: self.pools.clone(), at: as_of - self.age }
+    }
+}
+
 /// The message that two gateways send each other in an exchange.
 ///
 /// It contains only what the receiver lacks as far as the sender knows. Entries of lists that both sides
@@ -152,6 +177,8 @@
     /// In a request to the preferred relay, the subtotal of the sender and of the gateways that use it as their
     /// relay; in the response, the totals of the fleet.
     pub totals: Option<PackedTotals>,
+    /// The gateways that are or recently were partitioned from pools.
+    pub partitions: Vec<ObservedPartition>,
 }
 
 impl PeerMessage {
@@ -177,6 +204,7 @@
             crash_histories: Vec::new(),
             quarantine_digest: 0,
             totals: None,
+            partitions: Vec::new(),
         }
     }
 }
--- a/crates/bendhinge_peer/src/fleet/server.rs
+++ b/crates/bendhinge_peer/src/fleet/server.rs
@@ -14,7 +14,7 @@
     write_list, write_list_items, write_message,
 };
 use super::{CachedPartsPage, FleetService};
-use crate::acceptor::serve_connections;
+use crate::acceptor::{StreamHandler, serve_connections};
 use crate::fleet_capnp::{document, fleet};
 use crate::secure::PeerKey;
 use crate::traffic::TrafficCounters;
@@ -44,19 +44,32 @@
     }
 }
 
-/// Serves RPC calls of peers on `listener` indefinitely.
+/// Serves RPC calls of peers on `listener` indefinitely. Streams for forwarded requests are not accepted.
 pub async fn serve_fleet<D: FleetService + 'static>(
     listener: TcpListener,
     key: PeerKey,
     service: Rc<D>,
     traffic: Arc<TrafficCounters>,
     executor: Rc<LocalExecutor<'static>>,
+) {
+    serve_fleet_and_streams(listener, key, service, traffic, executor, None).await;
+}
+
+/// Serves RPC calls of peers on `listener` indefinitely. `on_stream` receives the streams on which they forward
+/// requests; without it, none are accepted.
+pub async fn serve_fleet_and_streams<D: FleetService + 'static>(
+    listener: TcpListener,
+    key: PeerKey,
+    service: Rc<D>,
+    traffic: Arc<TrafficCounters>,
+    executor: Rc<LocalExecutor<'static>>,
+    on_stream: Option<StreamHandler>,
 ) {
     let bootstrap = || {
         let client: fleet::Client = capnp_rpc::new_client(Server(Rc::clone(&service)));
         client.client
     };
-    serve_connections(listener, key, traffic, executor, bootstrap).await;
+    serve_connections(listener, key, traffic, executor, bootstrap, on_stream).await;
 }
 
 impl<D: FleetService + 'static> fleet::Server for Server<D> {
--- a/crates/bendhinge_peer/src/lib.rs
+++ b/crates/bendhinge_peer/src/lib.rs
@@ -14,6 +14,7 @@
 mod secure;
 mod server;
 mod service;
+mod stream;
 mod traffic;
 
 #[expect(warnings, clippy::all, clippy::pedantic, missing_docs, reason = "generated code is taken as it is")]
@@ -22,15 +23,17 @@
 #[expect(warnings, clippy::all, clippy::pedantic, missing_docs, reason = "generated code is taken as it is")]
 mod fleet_capnp;
 
+pub use acceptor::StreamHandler;
 pub use client::{CallError, PeerClient};
 pub use codec::{DecodeError, FrameCodec};
 pub use fleet::{
     CachedPartsPage, FleetClient, FleetService, HeldVersion, ObservedCachedPart, ObservedCrash,
     ObservedCrashHistory, ObservedFailureEvidence, ObservedFailureReport, ObservedInFlightSends,
-    ObservedLoad, PeerMessage, serve_fleet,
+    ObservedLoad, ObservedPartition, PeerMessage, serve_fleet, serve_fleet_and_streams,
 };
 pub use pool::{PeerConnection, PeerPool, PeerPoolTimeouts};
 pub use secure::{ConnectError, PeerKey};
 pub use server::serve;
 pub use service::{ClaimRequest, ClaimResponse, ConfigResponse, PeerService, PermitResponse, Traced};
+pub use stream::PeerStream;
 pub use traffic::TrafficCounters;
--- a/crates/bendhinge_peer/src/secure.rs
+++ b/crates/bendhinge_peer/src/secure.rs
@@ -54,19 +54,49 @@
     /// The peer does not hold the fleet's key, or a message was altered or replayed.
     #[error("peer failed authentication with the fleet key: {0}")]
     Authentication(#[from] snow::Error),
+    /// The peer does not accept connections of this protocol.
+    #[error("peer does not accept the protocol")]
+    Unsupported,
+}
+
+/// The protocol spoken on a connection. The initiator names it in the payload of its handshake message, and the
+/// responder repeats the name if it accepts the protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Protocol {
+    /// RPC.
+    Rpc,
+    /// HTTP, for forwarded requests.
+    Http,
+}
+
+impl Protocol {
+    /// The payload that names the protocol. It is empty for RPC, as it always was.
+    const fn payload(self) -> &'static [u8] {
+        match self {
+            Self::Rpc => b"",
+            Self::Http => b"http",
+        }
+    }
+
+    fn from_payload(payload: &[u8]) -> Self {
+        if payload == Self::Http.payload() { Self::Http } else { Self::Rpc }
+    }
 }
 
 /// The role of this process in the handshake.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnectionRole {
-    Initiator,
-    Responder,
+    /// Opens a connection for a protocol.
+    Initiator(Protocol),
+    /// Accepts a connection.
+    Responder { accepts_http: bool },
 }
 
 /// The plaintext side of an encrypted connection.
 pub(crate) struct SecureStream {
     pub(crate) reader: piper::Reader,
     pub(crate) writer: piper::Writer,
+    pub(crate) protocol: Protocol,
 }
 
 /// Performs the handshake on `stream`, then encrypts and decrypts on `executor` until either end is
@@ -79,7 +109,7 @@
     executor: &Rc<LocalExecutor<'static>>,
 ) -> Result<SecureStream, ConnectError> {
     stream.set_nodelay(true)?;
-    let transport = perform_handshake(&mut stream, key, role, traffic).await?;
+    let (transport, protocol) = perform_handshake(&mut stream, key, role, traffic).await?;
     let transport = Rc::new(RefCell::new(transport));
     let (reader, plaintext_writer) = piper::pipe(MAX_CHUNK_BYTES);
     let (plaintext_reader, writer) = piper::pipe(MAX_CHUNK_BYTES);
@@ -93,7 +123,7 @@
     };
     executor.spawn(incoming).detach();
     executor.spawn(outgoing).detach();
-    Ok(SecureStream { reader, writer })
+    Ok(SecureStream { reader, writer, protocol })
 }
 
 async fn perform_handshake(
@@ -101,32 +131,39 @@
     key: &PeerKey,
     role: ConnectionRole,
     traffic: &TrafficCounters,
-) -> Result<TransportState, ConnectError> {
+) -> Result<(TransportState, Protocol), ConnectError> {
     let builder = Builder::new(NOISE_PATTERN.parse()?).psk(0, &key.0)?;
     let mut state = match role {
-        ConnectionRole::Initiator => builder.build_initiator()?,
-        ConnectionRole::Responder => builder.build_responder()?,
+        ConnectionRole::Initiator(_) => builder.build_initiator()?,
+        ConnectionRole::Responder { .. } => builder.build_responder()?,
     };
-    match role {
-        ConnectionRole::Initiator => {
-            send_handshake(stream, &mut state, traffic).await?;
-            receive_handshake(stream, &mut state, traffic).await?;
+    let protocol = match role {
+        ConnectionRole::Initiator(protocol) => {
+            send_handshake(stream, &mut state, protocol, traffic).await?;
+            let accepted = receive_handshake(stream, &mut state, traffic).await?;
+            if accepted != protocol {
+                return Err(ConnectError::Unsupported);
+            }
+            protocol
         }
-        ConnectionRole::Responder => {
-            receive_handshake(stream, &mut state, traffic).await?;
-            send_handshake(stream, &mut state, traffic).await?;
+        ConnectionRole::Responder { accepts_http } => {
+            let requested = receive_handshake(stream, &mut state, traffic).await?;
+            let protocol = if accepts_http { requested } else { Protocol::Rpc };
+            send_handshake(stream, &mut state, protocol, traffic).await?;
+            protocol
         }
-    }
-    Ok(state.into_transport_mode()?)
+    };
+    Ok((state.into_transport_mode()?, protocol))
 }
 
 async fn send_handshake(
     stream: &mut TcpStream,
     state: &mut HandshakeState,
+    protocol: Protocol,
     traffic: &TrafficCounters,
 ) -> Result<(), ConnectError> {
     let mut frame = [0; 128];
-    let length = state.write_message(&[], &mut frame)?;
+    let length = state.write_message(protocol.payload(), &mut frame)?;
     write_frame(stream, &frame[..length], traffic).await?;
     Ok(())
 }
@@ -135,12 +172,12 @@
     stream: &mut TcpStream,
     state: &mut HandshakeState,
     traffic: &TrafficCounters,
-) -> Result<(), ConnectError> {
+) -> Result<Protocol, ConnectError> {
     let frame = read_frame(stream, traffic).await?;
     let mut payload = vec![0; frame.len()];
     let result = state.read_message(&frame, &mut payload);
-    result.inspect_err(|_| traffic.record_rejected())?;
-    Ok(())
+    let length = result.inspect_err(|_| traffic.record_rejected())?;
+    Ok(Protocol::from_payload(&payload[..length]))
 }
 
 async fn write_frame(stream: &mut TcpStream, frame: &[u8], traffic: &TrafficCounters) -> std::io::Result<()> {
--- a/crates/bendhinge_peer/src/server.rs
+++ b/crates/bendhinge_peer/src/server.rs
@@ -32,7 +32,7 @@
         let client: peer::Client = capnp_rpc::new_client(Server(Rc::clone(&service)));
         client.client
     };
-    serve_connections(listener, key, traffic, executor, bootstrap).await;
+    serve_connections(listener, key, traffic, executor, bootstrap, None).await;
 }
 
 impl<D: PeerService + 'static> peer::Server for Server<D> {
