Report failed sends only once own links are shown to work

Cause: two reports of failures make an upstream suspected, on the assumption that two gateways do not have faulty links at once.

A failure without a response is now reported after another upstream of the pool responded to this gateway since the send, and dropped if it turns out to be partitioned from the pool. Where a pool has one upstream, or none responds to a gateway, each gateway finds out alone.

--- a/crates/bendhinge_fleet/src/failure_detector.rs
+++ b/crates/bendhinge_fleet/src/failure_detector.rs
@@ -133,13 +133,27 @@
     /// The last responses to this router, including those of upstreams without failures. They outweigh
     /// older reports of other routers.
     own_responses: FxHashMap<NameHash, Instant>,
+    /// Failures of this router that may be caused by its own network links.
+    unconfirmed: Vec<UnconfirmedFailure>,
+}
+
+/// A failure that is not reported before a response from another upstream shows that the links of this router work.
+#[derive(Clone, Copy, Debug)]
+struct UnconfirmedFailure {
+    upstream: NameHash,
+    at: Instant,
 }
 
 impl FailureDetector {
     /// Creates an empty detector for the router with the given address hash.
     #[must_use]
     pub fn new(local_router: NameHash) -> Self {
-        Self { local_router, upstreams: FxHashMap::default(), own_responses: FxHashMap::default() }
+        Self {
+            local_router,
+            upstreams: FxHashMap::default(),
+            own_responses: FxHashMap::default(),
+            unconfirmed: Vec::new(),
+        }
     }
 
     /// Records a response to this router.
@@ -166,16 +180,68 @@
         sent: Instant,
         now: Instant,
     ) {
-        let at = match failure {
-            UpstreamFailure::TimedOut => sent,
-            UpstreamFailure::ConnectFailed | UpstreamFailure::ConnectionLost => now,
+        if let Some(at) = self.silent_since(upstream, failure, sent, now) {
+            self.add_own_report(upstream, at, now);
+        }
+    }
+
+    /// Records a failure like [`FailureDetector::record_failure`], but reports it only after
+    /// [`FailureDetector::confirm_failures`].
+    pub fn record_unconfirmed_failure(
+        &mut self,
+        upstream: NameHash,
+        failure: UpstreamFailure,
+        sent: Instant,
+        now: Instant,
+    ) {
+        if let Some(at) = self.silent_since(upstream, failure, sent, now) {
+            self.unconfirmed.retain(|unconfirmed| unconfirmed.upstream != upstream);
+            self.unconfirmed.push(UnconfirmedFailure { upstream, at });
+        }
+    }
+
+    /// Reports the unconfirmed failures of the upstreams for which `are_links_shown_to_work` returns `true`.
+    pub fn confirm_failures(&mut self, are_links_shown_to_work: impl Fn(NameHash) -> bool, now: Instant) {
+        let confirmed: Vec<_> =
+            self.unconfirmed.extract_if(.., |failure| are_links_shown_to_work(failure.upstream)).collect();
+        for failure in confirmed {
+            self.add_own_report(failure.upstream, failure.at, now);
+        }
+    }
+
+    /// Drops the unconfirmed failures of the upstreams for which `is_unreached` returns `true`.
+    pub fn drop_unconfirmed(&mut self, is_unreached: impl Fn(NameHash) -> bool) {
+        self.unconfirmed.retain(|failure| !is_unreached(failure.upstream));
+    }
+
+    /// Whether there are failures that wait for [`FailureDetector::confirm_failures`].
+    #[must_use]
+    pub const fn has_unconfirmed(&self) -> bool {
+        !self.unconfirmed.is_empty()
+    }
+
+    /// Returns since when the upstream certainly did not respond, if the failure says so.
+    fn silent_since(
+        &mut self,
+        upstream: NameHash,
+        failure: UpstreamFailure,
+        sent: Instant,
+        now: Instant,
+    ) -> Option<Instant> {
+        match failure {
+            UpstreamFailure::TimedOut => Some(sent),
+            UpstreamFailure::ConnectFailed | UpstreamFailure::ConnectionLost => Some(now),
             // An error or rejection is a response.
             UpstreamFailure::Rejected | UpstreamFailure::ErrorResponse => {
-                return self.record_response(upstream, now);
+                self.record_response(upstream, now);
+                None
             }
             // The response of another instance says nothing about this one.
-            UpstreamFailure::WrongInstance => return,
-        };
+            UpstreamFailure::WrongInstance => None,
+        }
+    }
+
+    fn add_own_report(&mut self, upstream: NameHash, at: Instant, now: Instant) {
         let report = FailureReport { router: self.local_router, at };
         let tracked = self.tracked(upstream);
         tracked.evidence.add_report(report);
@@ -232,6 +298,7 @@
     /// Removes expired failures and upstreams that are not listed.
     pub fn prune(&mut self, is_listed: impl Fn(NameHash) -> bool, now: Instant) {
         self.own_responses.retain(|upstream, _| is_listed(*upstream));
+        self.unconfirmed.retain(|failure| now.since(failure.at) < FAILURE_TTL && is_listed(failure.upstream));
         self.upstreams.retain(|upstream, TrackedUpstream { evidence, .. }| {
             evidence.reports.retain(|report| now.since(report.at) < FAILURE_TTL);
             is_listed(*upstream) && !evidence.reports.is_empty()
--- a/crates/bendhinge_fleet/tests/failure_detector.rs
+++ b/crates/bendhinge_fleet/tests/failure_detector.rs
@@ -199,3 +199,44 @@
     detector.merge(UPSTREAM, &evidence(&[report(3, 120)]), SENDER, at(1_100));
     assert_eq!(detector.changes_for(SENDER, at(1_100)).count(), 1, "the sender lacks the response");
 }
+
+/// Guards against suspicion caused by routers that are partitioned from all upstreams.
+#[test]
+fn unconfirmed_failures_are_not_reported() {
+    let mut detector = FailureDetector::new(LOCAL_ROUTER);
+    detector.record_unconfirmed_failure(UPSTREAM, UpstreamFailure::ConnectFailed, at(0), at(10));
+    assert!(detector.has_unconfirmed());
+    assert_eq!(detector.changes_for(RECIPIENT, at(10)).count(), 0);
+    detector.confirm_failures(|_| false, at(20));
+    assert_eq!(detector.changes_for(RECIPIENT, at(20)).count(), 0);
+}
+
+#[test]
+fn confirmed_failures_are_reported_as_of_their_time() {
+    let mut detector = FailureDetector::new(LOCAL_ROUTER);
+    detector.record_unconfirmed_failure(UPSTREAM, UpstreamFailure::ConnectFailed, at(0), at(10));
+    detector.confirm_failures(|upstream| upstream == UPSTREAM, at(20));
+    assert!(!detector.has_unconfirmed());
+    let (upstream, evidence) = detector.changes_for(RECIPIENT, at(20)).next().unwrap();
+    assert_eq!(upstream, UPSTREAM);
+    assert_eq!(evidence.reports, [FailureReport { router: LOCAL_ROUTER, at: at(10) }]);
+}
+
+#[test]
+fn unconfirmed_failures_are_dropped_or_expire() {
+    let mut detector = FailureDetector::new(LOCAL_ROUTER);
+    detector.record_unconfirmed_failure(UPSTREAM, UpstreamFailure::TimedOut, at(0), at(10));
+    detector.drop_unconfirmed(|upstream| upstream == UPSTREAM);
+    assert!(!detector.has_unconfirmed());
+    detector.record_unconfirmed_failure(UPSTREAM, UpstreamFailure::TimedOut, at(0), at(10));
+    detector.prune(|_| true, at(3_500));
+    assert!(!detector.has_unconfirmed());
+}
+
+#[test]
+fn an_unconfirmed_error_counts_as_a_response() {
+    let mut detector = FailureDetector::new(LOCAL_ROUTER);
+    detector.record_unconfirmed_failure(UPSTREAM, UpstreamFailure::ErrorResponse, at(0), at(10));
+    assert!(!detector.has_unconfirmed());
+    assert_eq!(detector.last_response(UPSTREAM), Some(at(10)));
+}
--- a/crates/bendhinge_gateway/src/state/links.rs
+++ b/crates/bendhinge_gateway/src/state/links.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bendhinge_fleet::{ReachabilityChange, UpstreamEntry};
+use bendhinge_fleet::{ReachabilityChange, UpstreamEntry, UpstreamFailure};
 use bendhinge_ids::{Instant, NameHash, PoolName};
 
 use super::upstreams::{State, UpstreamView};
@@ -46,10 +46,9 @@
             reachability.record_connect_failure(&upstream.pool, upstream.hash, listed, now)
         };
         match change {
+            ReachabilityChange::Partitioned => state.drop_unconfirmed_failures(&upstream.pool),
             ReachabilityChange::Restored => state.forgive_failures(&upstream.pool),
-            ReachabilityChange::Unchanged
-            | ReachabilityChange::Suspected
-            | ReachabilityChange::Partitioned => {}
+            ReachabilityChange::Unchanged | ReachabilityChange::Suspected => {}
         }
         change
     }
@@ -94,11 +93,39 @@
         listed.filter(|listed| listed.entry.pool == *pool && listed.accepts_work(now)).count()
     }
 
-    /// Records a response for the links.
+    /// Records a response for the links, and reports the failures of other upstreams of the pool, which are now known
+    /// not to be caused by the links.
     pub(super) fn record_link_response(&mut self, upstream: NameHash, now: Instant) {
-        let Self { directory, reachability, .. } = self;
+        let Self { directory, reachability, failure_detector, .. } = self;
         let Some(listed) = directory.get(upstream) else { return };
-        reachability.record_response(&listed.entry.pool, upstream, now);
+        let pool = &listed.entry.pool;
+        reachability.record_response(pool, upstream, now);
+        if failure_detector.has_unconfirmed() {
+            let is_confirmed = |failed: NameHash| {
+                failed != upstream && directory.get(failed).is_some_and(|listed| listed.entry.pool == *pool)
+            };
+            failure_detector.confirm_failures(is_confirmed, now);
+        }
+    }
+
+    /// Records a failure as evidence for other gateways, once a response from another upstream of the pool shows that
+    /// it was not caused by the links of this one.
+    pub(super) fn record_link_failure(
+        &mut self,
+        upstream: NameHash,
+        failure: UpstreamFailure,
+        sent_at: Instant,
+        now: Instant,
+    ) {
+        let Self { directory, reachability, failure_detector, .. } = self;
+        let are_links_working = directory
+            .get(upstream)
+            .is_some_and(|listed| reachability.has_other_responded(&listed.entry.pool, upstream, sent_at));
+        if are_links_working {
+            failure_detector.record_failure(upstream, failure, sent_at, now);
+        } else {
+            failure_detector.record_unconfirmed_failure(upstream, failure, sent_at, now);
+        }
     }
 
     /// Whether this gateway is partitioned from the pool of an upstream.
@@ -107,6 +134,13 @@
         listed.is_some_and(|listed| self.reachability.is_partitioned(&listed.entry.pool))
     }
 
+    fn drop_unconfirmed_failures(&mut self, pool: &PoolName) {
+        let Self { directory, failure_detector, .. } = self;
+        failure_detector.drop_unconfirmed(|upstream| {
+            directory.get(upstream).is_some_and(|listed| listed.entry.pool == *pool)
+        });
+    }
+
     /// Ends the ejections of a pool's upstreams, which failed because of the links.
     fn forgive_failures(&mut self, pool: &PoolName) {
         let Self { directory, outlier_detector, .. } = self;
--- a/crates/bendhinge_gateway/src/state/upstreams.rs
+++ b/crates/bendhinge_gateway/src/state/upstreams.rs
@@ -300,7 +300,7 @@
                     // The failure says nothing about the upstream.
                     return false;
                 }
-                state.failure_detector.record_failure(upstream, failure, sent_at, now);
+                state.record_link_failure(upstream, failure, sent_at, now);
             }
         }
         state.outlier_detector.record_failure(upstream, failure, now)
--- a/crates/bendhinge_lab/tests/gateway_partitions.rs
+++ b/crates/bendhinge_lab/tests/gateway_partitions.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bendhinge_lab::gateways::{Call, FleetShape, KEY, LinkedFleet, Partition, Told};
+use futures_lite::future::zip;
 use gateway_common::run;
 use smol::Timer;
 
@@ -76,3 +77,20 @@
 fn callers_are_served_while_links_to_all_upstreams_are_silent() {
     assert_serves_while_partitioned(Partition::Silent);
 }
+
+/// Guards against gateways that make others eject the upstreams that only they themselves do not reach.
+#[test]
+fn partitioned_gateways_raise_no_suspicion_of_upstreams_at_others() {
+    const SHAPE: FleetShape = FleetShape { gateways: 4, engines: 4, services: 3 };
+    const SUSPECTED: &str = "bendhinge_gateway_upstreams_suspected_total";
+    run(|tasks| async move {
+        let fleet = LinkedFleet::start(&tasks, SHAPE, FORWARDING).await;
+        for gateway in [0, 1] {
+            fleet.partition(gateway, Partition::Silent).await;
+        }
+        zip(load(&fleet, 0, CONTACT), load(&fleet, 1, CONTACT)).await;
+        for gateway in [2, 3] {
+            assert_eq!(fleet.metric(gateway, SUSPECTED).await, Some(0), "gateway {gateway}");
+        }
+    });
+}
