Crashes: a refused connection counts only if another upstream is reached

Requests under way at gateways whose links were reset were quarantined on the whole fleet, and refused with BH0311 after the partition was over.

Cause: a lost connection after which new ones are refused counted as the end of the upstream's process. The links of a partitioned gateway look the same.

Where partitions are detected, a crash now counts only if another upstream of the pool is reached, or there is none.

requests_under_way_at_a_partitioned_gateway_are_not_taken_for_the_cause_of_crashes failed before.

--- a/crates/bendhinge_gateway/src/delivery/crash.rs
+++ b/crates/bendhinge_gateway/src/delivery/crash.rs
@@ -73,7 +73,7 @@
     tasks.spawn(detection).detach();
 }
 
-async fn has_crashed(context: &DeliveryContext, upstream: &UpstreamEntry, lost_at: Instant) -> bool {
+async fn has_crashed(context: &Arc<DeliveryContext>, upstream: &UpstreamEntry, lost_at: Instant) -> bool {
     if !context.upstreams.accepts_work(upstream.hash) {
         // An upstream that is leaving closes its connections when it exits.
         return false;
@@ -84,8 +84,9 @@
 
 /// Whether the upstream's address refuses connections, which means that its process has ended. Requests in
 /// progress or an idle connection show that it is running; a new connection is made only without these, since
-/// a busy upstream may have none left. An unreachable box does not respond, which is not a crash.
-async fn refuses_connections(context: &DeliveryContext, upstream: &UpstreamEntry) -> bool {
+/// a busy upstream may have none left. An unreachable box does not respond, which is not a crash. Neither is a link of
+/// this gateway on which the connections to all upstreams are refused.
+async fn refuses_connections(context: &Arc<DeliveryContext>, upstream: &UpstreamEntry) -> bool {
     Timer::after(SOCKET_CLOSE_TIME).await;
     if context.upstreams.has_own_requests(upstream.hash)
         || context.connection_pool.has_idle_connection(upstream.address)
@@ -97,7 +98,10 @@
             context.connection_pool.release(connection).await;
             false
         }
-        Err(ConnectError::Io(error)) => error.kind() == ErrorKind::ConnectionRefused,
-        Err(ConnectError::Timeout | ConnectError::Http(_)) => false,
+        Err(ConnectError::Io(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            context.record_connect_failure(upstream);
+            context.reaches_another_upstream(upstream).await
+        }
+        Err(_) => false,
     }
 }
--- a/crates/bendhinge_gateway/src/delivery/link_probes.rs
+++ b/crates/bendhinge_gateway/src/delivery/link_probes.rs
@@ -94,6 +94,22 @@
         }
     }
 
+    /// Whether a connection to another upstream of the pool is established, or there is no other one.
+    pub(super) async fn reaches_another_upstream(self: &Arc<Self>, upstream: &UpstreamEntry) -> bool {
+        if !self.forwarding.is_enabled() {
+            return true;
+        }
+        let mut others = self.upstreams.upstreams_to_probe(&upstream.pool, PROBES_WHILE_SUSPECT);
+        others.retain(|other| other.hash != upstream.hash);
+        let has_others = !others.is_empty();
+        for other in others {
+            if Arc::clone(self).probe_link(other).await {
+                return true;
+            }
+        }
+        !has_others
+    }
+
     /// Connects to an upstream; returns whether that succeeded. The connection is kept for requests.
     async fn probe_link(self: Arc<Self>, upstream: Arc<UpstreamEntry>) -> bool {
         let connected = self.connection_pool.connect(upstream.address).await;
--- a/crates/bendhinge_lab/tests/gateway_partitions.rs
+++ b/crates/bendhinge_lab/tests/gateway_partitions.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bendhinge_lab::gateways::{Call, FleetShape, KEY, LinkedFleet, Partition, Told};
+use bendhinge_standin::gateway::UpstreamFault;
 use futures_lite::future::zip;
 use gateway_common::run;
 use smol::Timer;
@@ -94,3 +95,38 @@
         }
     });
 }
+
+/// Guards against requests that are quarantined since the links of their gateway were reset under them.
+#[test]
+fn requests_under_way_at_a_partitioned_gateway_are_not_taken_for_the_cause_of_crashes() {
+    const UNTIL_CUT: Duration = Duration::from_millis(500);
+    run(|tasks| async move {
+        let fleet = LinkedFleet::start(&tasks, SHAPE, FORWARDING).await;
+        let repeated_call = || Call { body: "repeated".to_owned(), ..Call::stream("/stream/x", KEY) };
+        for upstream in &fleet.upstreams {
+            upstream.set_fault(UpstreamFault::Silent);
+        }
+        // Each gateway in turn loses its links while it waits for the response to one and the same request.
+        for gateway in 0..SHAPE.gateways {
+            let call = repeated_call();
+            let cutting = async {
+                Timer::after(UNTIL_CUT).await;
+                fleet.partition(gateway, Partition::Reset).await;
+            };
+            let (answer, ()) = zip(fleet.send(gateway, &call), cutting).await;
+            assert_ne!(answer.told, Told::Whole);
+        }
+        Timer::after(CONTACT).await;
+        for gateway in 0..SHAPE.gateways {
+            fleet.restore(gateway).await;
+        }
+        for upstream in &fleet.upstreams {
+            upstream.set_fault(UpstreamFault::None);
+        }
+        Timer::after(CONTACT).await;
+        for gateway in 0..SHAPE.gateways {
+            let answer = fleet.send(gateway, &repeated_call()).await;
+            assert_eq!(answer.told, Told::Whole, "gateway {gateway} told {:?}", answer.code());
+        }
+    });
+}
