Partitions: deliver to what is still reached if no other gateway reaches the pool

When most upstreams of a pool crashed, every gateway took itself for partitioned and refused requests at once, although one upstream was left; failures of upstreams that were no longer listed kept the partition up, and probes that succeeded followed each other without a pause.

Requests are now refused at once only if no connection succeeds, upstreams that accept no work do not count, and probes pause after eight rounds.

--- a/crates/bendhinge_fleet/src/reachability.rs
+++ b/crates/bendhinge_fleet/src/reachability.rs
@@ -159,6 +159,15 @@
         })
     }
 
+    /// Whether any upstream of the pool was reached recently, over a new connection or an open one.
+    #[must_use]
+    pub fn is_any_reached(&self, pool: &PoolName, now: Instant) -> bool {
+        let since = now - RESPONSE_TTL;
+        self.pools.get(pool).is_some_and(|links| {
+            links.links.values().any(|link| link.is_connected(now) || link.has_responded_since(since))
+        })
+    }
+
     /// Whether at least half of the pool's upstreams responded recently, as they do over open connections if only new
     /// ones fail.
     #[must_use]
@@ -190,15 +199,18 @@
         self.pools.iter().filter(|(_, links)| links.is_partitioned).map(|(pool, _)| pool)
     }
 
-    /// Drops the links to upstreams that are not listed, and pools without upstreams. Returns `true` if a partition is
-    /// forgotten with its pool.
-    pub fn retain_listed(&mut self, is_listed: impl Fn(NameHash) -> bool) -> bool {
-        let mut is_partition_forgotten = false;
+    /// Drops the links to upstreams of the pool that accept no work. Their failures say nothing about the others.
+    pub fn retain_accepting(&mut self, pool: &PoolName, accepts_work: impl Fn(NameHash) -> bool) {
+        if let Some(links) = self.pools.get_mut(pool) {
+            links.links.retain(|upstream, _| accepts_work(*upstream));
+        }
+    }
+
+    /// Drops the links to upstreams that are not listed, and pools without upstreams.
+    pub fn retain_listed(&mut self, is_listed: impl Fn(NameHash) -> bool) {
         self.pools.retain(|_, links| {
             links.links.retain(|upstream, _| is_listed(*upstream));
-            is_partition_forgotten |= links.is_partitioned && links.links.is_empty();
             !links.links.is_empty()
         });
-        is_partition_forgotten
     }
 }
--- a/crates/bendhinge_fleet/tests/reachability.rs
+++ b/crates/bendhinge_fleet/tests/reachability.rs
@@ -135,6 +135,29 @@
 fn a_partition_is_forgotten_with_the_upstreams_of_its_pool() {
     let mut reachability = Reachability::default();
     fail(&mut reachability, 0..4, after(0));
-    assert!(reachability.retain_listed(|_| false));
+    reachability.retain_listed(|_| false);
     assert!(!reachability.is_partitioned(&pool()));
 }
+
+/// Guards against a partition that lasts because of failed upstreams that are no longer listed.
+#[test]
+fn failures_of_upstreams_that_accept_no_work_do_not_count() {
+    let mut reachability = Reachability::default();
+    fail(&mut reachability, 0..11, after(0));
+    reachability.retain_accepting(&pool(), |upstream| upstream == NameHash(11));
+    let change = reachability.record_connected(&pool(), NameHash(11), 1, after(10));
+    assert_eq!(change, ReachabilityChange::Restored);
+}
+
+#[test]
+fn any_recent_connection_or_response_shows_that_an_upstream_is_reached() {
+    let mut reachability = Reachability::default();
+    fail(&mut reachability, 0..11, after(0));
+    assert!(!reachability.is_any_reached(&pool(), after(0)));
+    connect(&mut reachability, 11..12, after(10));
+    assert!(reachability.is_partitioned(&pool()));
+    assert!(reachability.is_any_reached(&pool(), after(10)));
+    reachability.record_response(&pool(), NameHash(0), after(3_000));
+    assert!(reachability.is_any_reached(&pool(), after(3_100)));
+    assert!(!reachability.is_any_reached(&pool(), after(4_100)));
+}
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -181,6 +181,7 @@
         let now = bendhinge_clock::now();
         control.roster.borrow_mut().remove_expired(now);
         control.divide_shared_limits();
+        control.refresh_own_partitions();
         control.publish_forward_targets();
         control.peer_states.borrow_mut().evict_idle(now);
         control.context.upstreams.prune();
--- a/crates/bendhinge_gateway/src/control/partitions.rs
+++ b/crates/bendhinge_gateway/src/control/partitions.rs
@@ -15,6 +15,7 @@
 use super::ControlPlane;
 use super::exchange::exchange_with;
 use super::message::MessageContent;
+use crate::delivery::DeliveryContext;
 use crate::forwarding::{ConnectRequest, ForwardTarget, pool_hash};
 use crate::intake::{Intake, handle_forwarded};
 use crate::state::update_source;
@@ -25,9 +26,7 @@
 /// Sends changes of the partitions of this gateway to peers at once. Returns when the channel is closed.
 pub(super) async fn push_partitions(control: Rc<ControlPlane>, changes: Receiver<()>) {
     while changes.recv().await.is_ok() {
-        let now = bendhinge_clock::now();
-        let pools = control.context.upstreams.partitioned_pools();
-        control.context.forwarding.set_own_partitions(pools.iter().map(pool_hash).collect(), now);
+        control.refresh_own_partitions();
         control.spawn_partition_push(Origin::Store);
         Timer::after(MIN_INTERVAL).await;
     }
@@ -50,6 +49,13 @@
 }
 
 impl ControlPlane {
+    /// Sets the pools that are reported to peers. A pool without upstreams is no longer reported.
+    pub(super) fn refresh_own_partitions(&self) {
+        let DeliveryContext { upstreams, forwarding, .. } = &*self.context;
+        let pools = upstreams.partitioned_pools();
+        forwarding.set_own_partitions(pools.iter().map(pool_hash).collect(), bendhinge_clock::now());
+    }
+
     /// Sends the known partitions to the gateways that learn them from this one.
     fn spawn_partition_push(self: &Rc<Self>, origin: Origin) {
         let store_failing = self.is_store_failing();
--- a/crates/bendhinge_gateway/src/delivery/forward.rs
+++ b/crates/bendhinge_gateway/src/delivery/forward.rs
@@ -53,7 +53,11 @@
     pub(super) fn forwards_at_once(&self, inbound: &InboundRequest) -> bool {
         self.forwarding.is_enabled()
             && inbound.forwarded.is_none()
-            && self.upstreams.link_state(&inbound.pool) == LinkState::Partitioned { has_open_links: false }
+            && matches!(
+                self.upstreams.link_state(&inbound.pool),
+                LinkState::Partitioned { has_open_links: false, .. }
+            )
+            && self.forwarding.has_target(&inbound.pool)
     }
 }
 
@@ -67,15 +71,18 @@
         match upstreams.link_state(&self.inbound.pool) {
             LinkState::Working => false,
             LinkState::Suspect => self.has_failed_to_connect,
-            LinkState::Partitioned { has_open_links } => !has_open_links || self.has_failed_to_connect,
+            LinkState::Partitioned { has_open_links, .. } => !has_open_links || self.has_failed_to_connect,
         }
     }
 
-    /// Returns the error for a request that cannot be sent, since this gateway is partitioned from the pool.
+    /// Returns the error for a request that cannot be sent, since no connection to an upstream of the pool succeeds.
     pub(super) fn partition_error(&self) -> Option<DeliveryError> {
         let DeliveryContext { forwarding, upstreams, .. } = &*self.context;
         let is_cut_off = forwarding.is_enabled()
-            && upstreams.link_state(&self.inbound.pool) == LinkState::Partitioned { has_open_links: false };
+            && matches!(
+                upstreams.link_state(&self.inbound.pool),
+                LinkState::Partitioned { is_any_reached: false, .. }
+            );
         is_cut_off.then(|| self.retry_later(ResultCode::UpstreamNotReached, delay_until_next_list()))
     }
 
--- a/crates/bendhinge_gateway/src/delivery/link_probes.rs
+++ b/crates/bendhinge_gateway/src/delivery/link_probes.rs
@@ -18,6 +18,9 @@
 /// The interval between probes during a partition.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The number of rounds of successful probes that follow each other without a pause.
+const MAX_ROUNDS_IN_A_ROW: u32 = 8;
+
 /// The pools that are being probed.
 #[derive(Default)]
 pub(crate) struct LinkProbes(Mutex<FxHashSet<PoolName>>);
@@ -71,6 +74,7 @@
     /// Probes the upstreams of a pool until a suspicion is settled or a partition is over.
     async fn probe_links(self: &Arc<Self>, pool: &PoolName) {
         let mut count = PROBES_WHILE_SUSPECT;
+        let mut rounds_in_a_row = 0;
         loop {
             let targets = self.upstreams.upstreams_to_probe(pool, count);
             let probes: Vec<_> = targets
@@ -81,6 +85,7 @@
             for probe in probes {
                 is_any_unreached |= !probe.await;
             }
+            rounds_in_a_row = if is_any_unreached { 0 } else { rounds_in_a_row + 1 };
             match self.upstreams.link_state(pool) {
                 LinkState::Working => return,
                 // Upstreams that failed are ejected like any other.
@@ -88,7 +93,7 @@
                 LinkState::Suspect | LinkState::Partitioned { .. } => {}
             }
             count = PROBES_WHILE_PARTITIONED;
-            if is_any_unreached {
+            if is_any_unreached || rounds_in_a_row >= MAX_ROUNDS_IN_A_ROW {
                 Timer::after(PROBE_INTERVAL).await;
             }
         }
--- a/crates/bendhinge_gateway/src/forwarding/mod.rs
+++ b/crates/bendhinge_gateway/src/forwarding/mod.rs
@@ -156,6 +156,16 @@
         Some(ForwardGuard { forwarding: Arc::clone(self), address })
     }
 
+    /// Whether there is a gateway that is not known to be partitioned from the pool.
+    pub(crate) fn has_target(&self, pool: &PoolName) -> bool {
+        let now = bendhinge_clock::now();
+        let pool = pool_hash(pool);
+        let state = self.state.lock().unwrap();
+        let is_partitioned =
+            |target: &ForwardTarget| state.partitions.is_partitioned(address_hash(target.address), pool, now);
+        state.targets.iter().any(|target| !is_partitioned(target))
+    }
+
     /// Connects to the gateway at `address`.
     pub(crate) async fn connect(&self, address: SocketAddr) -> Option<PeerStream> {
         let (reply, result) = bounded(1);
--- a/crates/bendhinge_gateway/src/state/links.rs
+++ b/crates/bendhinge_gateway/src/state/links.rs
@@ -18,6 +18,8 @@
     Partitioned {
         /// Whether upstreams still respond over connections that were open before.
         has_open_links: bool,
+        /// Whether any upstream is reached.
+        is_any_reached: bool,
     },
 }
 
@@ -39,7 +41,10 @@
         let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
         let listed = state.count_accepting_work(&upstream.pool, now);
-        let reachability = &mut state.reachability;
+        let State { directory, reachability, .. } = &mut *state;
+        reachability.retain_accepting(&upstream.pool, |known| {
+            directory.get(known).is_some_and(|listed| listed.accepts_work(now))
+        });
         let change = if is_connected {
             reachability.record_connected(&upstream.pool, upstream.hash, listed, now)
         } else {
@@ -63,7 +68,8 @@
         let listed = state.count_accepting_work(pool, now);
         if state.reachability.is_partitioned(pool) {
             let has_open_links = state.reachability.has_open_links(pool, listed, now);
-            return LinkState::Partitioned { has_open_links };
+            let is_any_reached = state.reachability.is_any_reached(pool, now);
+            return LinkState::Partitioned { has_open_links, is_any_reached };
         }
         if state.reachability.is_suspect(pool, listed, now) { LinkState::Suspect } else { LinkState::Working }
     }
--- a/crates/bendhinge_gateway/src/state/upstreams.rs
+++ b/crates/bendhinge_gateway/src/state/upstreams.rs
@@ -296,11 +296,9 @@
             | UpstreamFailure::TimedOut
             | UpstreamFailure::ConnectionLost
             | UpstreamFailure::WrongInstance => {
-                if state.is_partitioned_from(upstream) {
-                    // The failure says nothing about the upstream.
-                    return false;
+                if !state.is_partitioned_from(upstream) {
+                    state.record_link_failure(upstream, failure, sent_at, now);
                 }
-                state.record_link_failure(upstream, failure, sent_at, now);
             }
         }
         state.outlier_detector.record_failure(upstream, failure, now)
