--- a/crates/bendhinge_lab/src/gateways/caller.rs
+++ b/crates/bendhinge_lab/src/gateways/caller.rs
@@ -33,6 +33,8 @@
     pub body: String,
     /// The HTTP version in which it is sent.
     pub version: Version,
+    /// Further headers.
+    pub extra_headers: Vec<(&'static str, &'static str)>,
 }
 
 impl Call {
@@ -48,6 +50,7 @@
             deadline: Duration::from_secs(5),
             body: String::new(),
             version: Version::HTTP_11,
+            extra_headers: Vec::new(),
         }
     }
 
@@ -68,6 +71,9 @@
         headers.insert(HOST, value(self.host));
         headers.insert(REQUEST, value(&self.id));
         headers.insert(DEADLINE, value(&self.deadline.as_millis().to_string()));
+        for (name, text) in &self.extra_headers {
+            headers.insert(*name, value(text));
+        }
         if let Some(key) = &self.key {
             headers.insert(AUTHORIZATION, value(&format!("Bearer {key}")));
         }
--- a/crates/bendhinge_lab/src/gateways/linked_fleet.rs
+++ b/crates/bendhinge_lab/src/gateways/linked_fleet.rs
@@ -49,6 +49,19 @@
     ///
     /// If something cannot be started: tests cannot go on then.
     pub async fn start(tasks: &Tasks, shape: FleetShape, sections: &str) -> Self {
+        Self::start_each(tasks, shape, |_| sections).await
+    }
+
+    /// Starts a fleet whose gateways have sections of their own, by their numbers.
+    ///
+    /// # Panics
+    ///
+    /// If something cannot be started: tests cannot go on then.
+    pub async fn start_each<'a>(
+        tasks: &Tasks,
+        shape: FleetShape,
+        sections: impl Fn(usize) -> &'a str,
+    ) -> Self {
         const CONNECT: Duration = Duration::from_secs(5);
         const IDLE: Duration = Duration::from_secs(10);
         let mut fleet = Self {
@@ -67,7 +80,7 @@
             }
         }
         for number in 0..shape.gateways {
-            fleet.add_gateway(tasks, number, &pools, sections).await;
+            fleet.add_gateway(tasks, number, &pools, sections(number)).await;
         }
         for number in 0..shape.gateways {
             fleet.introduce(number);
@@ -160,11 +173,12 @@
         self.fetch(gateway, "/ready").await.is_some()
     }
 
-    /// The sum of a metric of a gateway over its labels.
+    /// The sum of a metric of a gateway over its labels; `None` if it was not counted yet.
     pub async fn metric(&self, gateway: usize, name: &str) -> Option<u64> {
         let page = self.fetch(gateway, "/metrics").await?;
         let page = String::from_utf8_lossy(&page).into_owned();
-        let lines = page.lines().filter(|line| line.starts_with(name));
+        let mut lines = page.lines().filter(|line| line.starts_with(name)).peekable();
+        lines.peek()?;
         lines.map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
     }
 
--- a/crates/bendhinge_lab/tests/gateway_partitions.rs
+++ b/crates/bendhinge_lab/tests/gateway_partitions.rs
@@ -2,10 +2,13 @@
 
 mod gateway_common;
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_lab::gateways::{Call, FleetShape, KEY, LinkedFleet, Partition, Told};
-use bendhinge_standin::gateway::UpstreamFault;
+use bendhinge_http::Tasks;
+use bendhinge_lab::gateways::{Call, FleetShape, GatewayCaller, KEY, LinkedFleet, Partition, Told, until};
+use bendhinge_standin::gateway::{Upstream, UpstreamFault};
+use futures_lite::FutureExt;
 use futures_lite::future::zip;
 use gateway_common::run;
 use smol::Timer;
@@ -16,6 +19,12 @@
 const FORWARDING: &str = "[forwarding]\nenabled = yes\n";
 /// The pause between two requests of one caller.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Requests that were forwarded to other gateways.
+const FORWARDS: &str = "bendhinge_gateway_forwards_total";
+/// Requests that other gateways forwarded.
+const FORWARDED: &str = "bendhinge_gateway_forwarded_requests_total";
+const PARTITIONS_OVER: &str = "bendhinge_gateway_partitions_total{state=\"over\"";
+const CONNECT_FAILURES: &str = "bendhinge_gateway_connect_failures_total";
 /// The gateway that is partitioned.
 const PARTITIONED: usize = 0;
 
@@ -43,7 +52,7 @@
     let timeout = async {
         Timer::after(time).await;
     };
-    futures_lite::FutureExt::or(sending, timeout).await;
+    sending.or(timeout).await;
 }
 
 /// Asserts that the first tries of callers at a gateway are served, each by one run.
@@ -91,7 +100,7 @@
         }
         zip(load(&fleet, 0, CONTACT), load(&fleet, 1, CONTACT)).await;
         for gateway in [2, 3] {
-            assert_eq!(fleet.metric(gateway, SUSPECTED).await, Some(0), "gateway {gateway}");
+            assert_eq!(fleet.metric(gateway, SUSPECTED).await, None, "gateway {gateway}");
         }
     });
 }
@@ -130,3 +139,162 @@
         }
     });
 }
+
+/// Guards against a gateway that serves only the requests for which it still has an open connection.
+#[test]
+fn callers_are_served_while_open_links_stay_and_new_ones_are_refused() {
+    assert_serves_while_partitioned(Partition::OpenConnectionsStay);
+}
+
+/// Starts a fleet with one gateway that is partitioned and has noticed it.
+async fn start_partitioned(tasks: &Tasks) -> LinkedFleet {
+    let fleet = LinkedFleet::start(tasks, SHAPE, FORWARDING).await;
+    fleet.partition(PARTITIONED, Partition::Reset).await;
+    load(&fleet, PARTITIONED, CONTACT).await;
+    fleet
+}
+
+/// Guards against a gateway that forwards requests whose upstreams it reaches.
+#[test]
+fn only_requests_of_the_partitioned_pool_are_forwarded() {
+    run(|tasks| async move {
+        let fleet = LinkedFleet::start(&tasks, SHAPE, FORWARDING).await;
+        fleet.partition_from(PARTITIONED, "engines", Partition::Reset).await;
+        load(&fleet, PARTITIONED, CONTACT).await;
+        let before = fleet.metric(PARTITIONED, FORWARDS).await;
+        for call in [Call::new("/safe/x", KEY), Call::new("/unsafe/x", KEY)] {
+            assert_eq!(fleet.send(PARTITIONED, &call).await.told, Told::Whole);
+        }
+        assert_eq!(fleet.metric(PARTITIONED, FORWARDS).await, before);
+        assert_eq!(fleet.send(PARTITIONED, &Call::stream("/stream/x", KEY)).await.told, Told::Whole);
+        assert!(fleet.metric(PARTITIONED, FORWARDS).await > before);
+    });
+}
+
+/// Guards against a gateway that stays blind for long after its links work again.
+#[test]
+fn a_gateway_delivers_itself_again_once_its_links_work() {
+    run(|tasks| async move {
+        let fleet = start_partitioned(&tasks).await;
+        fleet.restore(PARTITIONED).await;
+        until(async || fleet.metric(PARTITIONED, PARTITIONS_OVER).await == Some(2)).await;
+        let before = fleet.metric(PARTITIONED, FORWARDS).await;
+        assert_serves(&fleet, PARTITIONED).await;
+        assert_eq!(fleet.metric(PARTITIONED, FORWARDS).await, before);
+    });
+}
+
+/// Guards against requests that wait, circulate or run where no gateway reaches an upstream.
+#[test]
+fn requests_are_refused_at_once_while_all_gateways_are_partitioned() {
+    run(|tasks| async move {
+        let fleet = LinkedFleet::start(&tasks, SHAPE, FORWARDING).await;
+        for gateway in 0..SHAPE.gateways {
+            fleet.partition(gateway, Partition::Silent).await;
+        }
+        let loads = zip(load(&fleet, 0, CONTACT), load(&fleet, 1, CONTACT));
+        zip(loads, load(&fleet, 2, CONTACT)).await;
+        let before = fleet.metric(PARTITIONED, CONNECT_FAILURES).await;
+        for call in one_of_each() {
+            let answer = fleet.send(PARTITIONED, &call).await;
+            assert_eq!(answer.code(), Some("BH0401"));
+            assert_eq!(answer.ran(), Some("no"));
+            assert!(answer.headers.contains_key("retry-after-ms"));
+            assert_eq!(fleet.runs_of(&call.id), 0);
+        }
+        // Refused without another attempt to connect.
+        assert_eq!(fleet.metric(PARTITIONED, CONNECT_FAILURES).await, before);
+    });
+}
+
+/// Guards against an upstream that works on for a caller who has left the gateway that forwarded the request.
+#[test]
+fn a_forwarded_request_is_cancelled_when_its_caller_leaves() {
+    const PACE: Duration = Duration::from_secs(1);
+    const UNTIL_LEAVING: Duration = Duration::from_secs(2);
+    run(|tasks| async move {
+        let fleet = start_partitioned(&tasks).await;
+        let is_working = || fleet.upstreams.iter().any(|upstream| upstream.working() > 0);
+        for upstream in &fleet.upstreams {
+            upstream.set_pace(PACE);
+            upstream.set_work(PACE * 60);
+        }
+        for call in [Call::stream("/stream/x", KEY), Call::new("/safe/x", KEY)] {
+            let call = Call { deadline: PACE * 60, ..call };
+            let sending = async {
+                fleet.send(PARTITIONED, &call).await;
+            };
+            let leaving = async {
+                until(async || is_working()).await;
+                Timer::after(UNTIL_LEAVING).await;
+            };
+            sending.or(leaving).await;
+            until(async || !is_working()).await;
+        }
+    });
+}
+
+/// Guards against a request that runs twice, or is said not to have run, since the gateway that it was forwarded to
+/// ended.
+#[test]
+fn a_forwarded_request_runs_at_most_once_if_the_other_gateway_ends() {
+    const WORK: Duration = Duration::from_secs(60);
+    run(|tasks| async move {
+        let mut fleet = start_partitioned(&tasks).await;
+        for upstream in &fleet.upstreams {
+            upstream.set_work(WORK);
+        }
+        let call = Call { deadline: WORK, ..Call::new("/unsafe/x", KEY) };
+        let gateways = &mut fleet.gateways;
+        let (upstreams, pool) = (&fleet.upstreams, &fleet.pool);
+        let address = fleet.settings[PARTITIONED].addresses["callers"];
+        let ending = async {
+            let runs = |upstream: &Upstream| upstream.runs().iter().any(|run| run.request == call.id);
+            until(async || upstreams.iter().any(runs)).await;
+            for gateway in gateways.iter_mut().skip(1) {
+                gateway.kill();
+            }
+        };
+        let caller = GatewayCaller::new(Arc::clone(pool));
+        let sending = caller.send(address, &call, WORK);
+        let (answer, ()) = zip(sending, ending).await;
+        assert_eq!(answer.told, Told::Status(502), "{:?}", answer.code());
+        assert_eq!(answer.ran(), Some("unknown"));
+        assert_eq!(fleet.runs_of(&call.id), 1);
+    });
+}
+
+/// Guards against callers who pose as a gateway to get more attempts or time, or to have their requests counted by
+/// nobody.
+#[test]
+fn headers_of_forwarded_requests_mean_nothing_from_a_caller() {
+    run(|tasks| async move {
+        let fleet = LinkedFleet::start(&tasks, SHAPE, FORWARDING).await;
+        let mut call = Call::new("/safe/x", KEY);
+        for (name, value) in [
+            ("x-bendhinge-forward-from", "127.0.0.1:1"),
+            ("x-bendhinge-forward-time-left-ms", "0"),
+            ("x-bendhinge-forward-attempts", "0"),
+            ("x-bendhinge-forward-counted", "yes"),
+            ("x-bendhinge-forward-rules", "999999"),
+        ] {
+            call.extra_headers.push((name, value));
+        }
+        assert_eq!(fleet.send(PARTITIONED, &call).await.told, Told::Whole);
+        assert_eq!(fleet.metric(PARTITIONED, FORWARDED).await, None);
+    });
+}
+
+/// Guards against requests that are forwarded to gateways that are not set to take them.
+#[test]
+fn requests_are_forwarded_only_to_gateways_that_take_them() {
+    run(|tasks| async move {
+        let sections = |number: usize| if number == 1 { "" } else { FORWARDING };
+        let fleet = LinkedFleet::start_each(&tasks, SHAPE, sections).await;
+        fleet.partition(PARTITIONED, Partition::Reset).await;
+        load(&fleet, PARTITIONED, CONTACT).await;
+        assert_serves(&fleet, PARTITIONED).await;
+        assert_eq!(fleet.metric(1, FORWARDED).await, None);
+        assert!(fleet.metric(2, FORWARDED).await > Some(0));
+    });
+}
