Soak of partitions: links of single gateways fail and recover beside restarts and pauses

Proxies keep their ports reserved while nothing listens on them: another process had taken one. The usual soak runs with forwarding, too.

--- a/crates/bendhinge_lab/src/gateways/fleet.rs
+++ b/crates/bendhinge_lab/src/gateways/fleet.rs
@@ -109,7 +109,7 @@
         const CONNECT: Duration = Duration::from_secs(5);
         const IDLE: Duration = Duration::from_secs(10);
         let store = Store::start(tasks).await.expect("a free port");
-        let store_proxy = Proxy::start(tasks, store.address).await.expect("a free port");
+        let store_proxy = Proxy::start(tasks, store.address).expect("a free port");
         store.put_rules(RULES);
         let mut fleet = Self {
             tasks: Arc::clone(tasks),
@@ -263,7 +263,7 @@
     /// If there is no free port.
     pub async fn start(tasks: &Tasks, name: &str) -> Self {
         let upstream = Upstream::start(tasks, name).await.expect("a free port");
-        let proxy = Proxy::start(tasks, upstream.address).await.expect("a free port");
+        let proxy = Proxy::start(tasks, upstream.address).expect("a free port");
         Self { upstream, proxy }
     }
 }
--- a/crates/bendhinge_lab/src/gateways/linked_fleet.rs
+++ b/crates/bendhinge_lab/src/gateways/linked_fleet.rs
@@ -94,7 +94,7 @@
         store.put_rules(RULES);
         let mut links = Vec::new();
         for (upstream, pool) in self.upstreams.iter().zip(pools) {
-            let link = Proxy::start(tasks, upstream.address).await.expect("a free port");
+            let link = Proxy::start(tasks, upstream.address).expect("a free port");
             store.add(&upstream.name(), pool, link.address);
             links.push(link);
         }
@@ -115,6 +115,21 @@
         until(async || self.is_ready(number).await).await;
     }
 
+    /// Kills a gateway and starts it again at its addresses.
+    ///
+    /// # Panics
+    ///
+    /// If it cannot be started.
+    pub fn restart(&mut self, number: usize) {
+        self.gateways[number].kill();
+        // It first reads its own store and learns of the others later, as at the start.
+        let seeds = std::mem::take(&mut self.settings[number].seeds);
+        let process = GatewayProcess::start(&self.settings[number]).expect("its addresses are free again");
+        self.settings[number].seeds = seeds;
+        self.gateways[number] = process;
+        self.introduce(number);
+    }
+
     /// Names all other gateways to one that holds a list of its own.
     fn introduce(&mut self, number: usize) {
         let all = self.settings.iter().map(|settings| settings.addresses["peers"]);
--- a/crates/bendhinge_lab/src/gateways/mod.rs
+++ b/crates/bendhinge_lab/src/gateways/mod.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod fleet;
 mod linked_fleet;
+mod partition_soak;
 mod process;
 mod proxy;
 mod soak;
@@ -11,6 +12,7 @@
 pub use caller::{Answer, Call, GatewayCaller, Told};
 pub use fleet::{FleetShape, GatewayFleet, KEY, RULES, StartedUpstream, until};
 pub use linked_fleet::{LinkedFleet, Partition};
+pub use partition_soak::partition_soak;
 pub use process::{GatewayProcess, GatewaySettings, PEER_KEY};
 pub use proxy::{Harm, Proxy};
 pub use soak::{Findings, soak};
--- a/crates/bendhinge_lab/src/gateways/proxy.rs
+++ b/crates/bendhinge_lab/src/gateways/proxy.rs
@@ -8,8 +8,8 @@
 
 use bendhinge_http::Tasks;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
-use rustix::net::sockopt::set_socket_reuseaddr;
-use rustix::net::{AddressFamily, SocketType, connect_unspec};
+use rustix::net::sockopt::set_socket_reuseport;
+use rustix::net::{AddressFamily, SocketFlags, SocketType, connect_unspec};
 use smol::net::{TcpListener, TcpStream};
 use smol::{Task, Timer};
 
@@ -54,10 +54,28 @@
     accepted: Arc<Mutex<Vec<TcpStream>>>,
     target: SocketAddr,
     tasks: Tasks,
+    /// Keeps the port while nothing listens on it.
+    _reserved: Arc<OwnedFd>,
     /// Where it is reached.
     pub address: SocketAddr,
 }
 
+/// Binds a socket to an address to which further ones may be bound in this way.
+fn bind_shared(address: SocketAddr) -> io::Result<OwnedFd> {
+    let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
+    let socket = rustix::net::socket_with(AddressFamily::INET, SocketType::STREAM, flags, None)?;
+    set_socket_reuseport(&socket, true)?;
+    rustix::net::bind(&socket, &address)?;
+    Ok(socket)
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    const BACKLOG: i32 = 128;
+    let socket = bind_shared(address)?;
+    rustix::net::listen(&socket, BACKLOG)?;
+    std::net::TcpListener::from(socket).try_into()
+}
+
 /// A listening socket whose queue is full, so that further connections get no answer.
 struct FullListener {
     _socket: OwnedFd,
@@ -68,9 +86,7 @@
     /// Listens on `address` and fills the queue.
     async fn bind(address: SocketAddr) -> io::Result<Self> {
         const CONNECT_TIME: Duration = Duration::from_millis(100);
-        let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None)?;
-        set_socket_reuseaddr(&socket, true)?;
-        rustix::net::bind(&socket, &address)?;
+        let socket = bind_shared(address)?;
         rustix::net::listen(&socket, 0)?;
         let mut queued = Vec::new();
         let connect = async || {
@@ -90,14 +106,16 @@
 
 impl Proxy {
     /// Starts a proxy in front of `target` on a free port.
-    pub async fn start(tasks: &Tasks, target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
-        let address = listener.local_addr()?;
+    pub fn start(tasks: &Tasks, target: SocketAddr) -> io::Result<Self> {
+        let reserved = bind_shared(SocketAddr::from((std::net::Ipv4Addr::LOCALHOST, 0)))?;
+        let address = std::net::TcpListener::from(reserved.try_clone()?).local_addr()?;
+        let listener = listen(address)?;
         let harm = Arc::new(Mutex::new(Harm::None));
         let accepted = Arc::default();
         let accepting = accept(listener, target, Arc::clone(&harm), Arc::clone(&accepted), Arc::clone(tasks));
         let accepting = Arc::new(Mutex::new(Some(tasks.spawn(accepting))));
-        Ok(Self { harm, accepting, accepted, target, tasks: Arc::clone(tasks), address })
+        let reserved = Arc::new(reserved);
+        Ok(Self { harm, accepting, accepted, target, tasks: Arc::clone(tasks), _reserved: reserved, address })
     }
 
     /// Refuses new connections; open ones stay.
@@ -112,10 +130,10 @@
     ///
     /// # Panics
     ///
-    /// If its port was taken by another process.
+    /// If it cannot listen again.
     pub async fn hang_new(&self) {
         self.refuse_new().await;
-        let listener = FullListener::bind(self.address).await.expect("its own port is free");
+        let listener = FullListener::bind(self.address).await.expect("its own port is reserved");
         let holding = async move {
             let _listener = listener;
             std::future::pending::<()>().await;
@@ -127,10 +145,10 @@
     ///
     /// # Panics
     ///
-    /// If its port was taken by another process.
+    /// If it cannot listen again.
     pub async fn accept_new(&self) {
         self.refuse_new().await;
-        let listener = TcpListener::bind(self.address).await.expect("its own port is free");
+        let listener = listen(self.address).expect("its own port is reserved");
         let (harm, accepted) = (Arc::clone(&self.harm), Arc::clone(&self.accepted));
         let accepting = accept(listener, self.target, harm, accepted, Arc::clone(&self.tasks));
         *self.accepting.lock().unwrap() = Some(self.tasks.spawn(accepting));
--- a/crates/bendhinge_lab/src/gateways/soak.rs
+++ b/crates/bendhinge_lab/src/gateways/soak.rs
@@ -41,6 +41,8 @@
 frequent_exchanges = yes
 [retries]
 assume_spent = yes
+[forwarding]
+enabled = yes
 ";
 
 /// What a soak found.
@@ -52,9 +54,9 @@
     pub told: BTreeMap<String, usize>,
 }
 
-struct Sent {
-    call: Call,
-    answer: Answer,
+pub(super) struct Sent {
+    pub(super) call: Call,
+    pub(super) answer: Answer,
 }
 
 /// What callers and strikes share.
@@ -110,7 +112,7 @@
     }
 }
 
-fn any_call(random: &mut ChaCha8Rng) -> Call {
+pub(super) fn any_call(random: &mut ChaCha8Rng) -> Call {
     let mut call = match random.random_range(0..5) {
         0 => Call::new("/safe/x", KEY),
         1 => Call::new("/unsafe/x", KEY),
@@ -314,7 +316,7 @@
     }
 }
 
-fn check_one(sent: &Sent, runs: &[Run], broken: &mut Vec<String>) {
+pub(super) fn check_one(sent: &Sent, runs: &[Run], broken: &mut Vec<String>) {
     let Sent { call, answer } = sent;
     let mut found = |what: String| broken.push(format!("{} {}: {what}", call.path, call.id));
     if let Told::Wrong(what) = &answer.told {
--- a/crates/bendhinge_lab/tests/gateway_soak.rs
+++ b/crates/bendhinge_lab/tests/gateway_soak.rs
@@ -1,26 +1,39 @@
 //! A few seeds of the soak in CI, and those that once failed.
 
 use bendhinge_http::{Tasks, run_until};
-use bendhinge_lab::gateways::soak;
+use bendhinge_lab::gateways::{Findings, partition_soak, soak};
 
 /// Seeds of the short run, and seeds that once found something.
 const SEEDS: [u64; 4] = [1, 2, 3, 4];
+/// The same of the soak of partitions.
+const PARTITION_SEEDS: [u64; 3] = [1, 2, 3];
 
 #[test]
 fn no_promise_breaks_while_everything_fails() {
-    for seed in seeds() {
-        let tasks = Tasks::default();
-        let workers = std::num::NonZeroUsize::new(1).unwrap();
-        let findings = run_until(&tasks, workers, soak(&tasks, seed));
-        println!("seed {seed}: {:?}", findings.told);
-        assert!(findings.broken.is_empty(), "seed {seed}: {:#?}", findings.broken);
-        assert!(findings.told.contains_key("Whole"), "seed {seed}: nothing was served");
+    for seed in seeds(&SEEDS) {
+        check(seed, |tasks| async move { soak(&tasks, seed).await });
     }
 }
 
+#[test]
+fn no_promise_breaks_while_gateways_are_partitioned() {
+    for seed in seeds(&PARTITION_SEEDS) {
+        check(seed, |tasks| async move { partition_soak(&tasks, seed).await });
+    }
+}
+
+fn check<F: Future<Output = Findings>>(seed: u64, soak: impl FnOnce(Tasks) -> F) {
+    let tasks = Tasks::default();
+    let workers = std::num::NonZeroUsize::MIN;
+    let findings = run_until(&tasks, workers, soak(Tasks::clone(&tasks)));
+    println!("seed {seed}: {:?}", findings.told);
+    assert!(findings.broken.is_empty(), "seed {seed}: {:#?}", findings.broken);
+    assert!(findings.told.contains_key("Whole"), "seed {seed}: nothing was served");
+}
+
 /// By hand more: `BENDHINGE_SOAK_SEEDS=100..150`.
-fn seeds() -> Vec<u64> {
-    let Ok(range) = std::env::var("BENDHINGE_SOAK_SEEDS") else { return SEEDS.to_vec() };
+fn seeds(usual: &[u64]) -> Vec<u64> {
+    let Ok(range) = std::env::var("BENDHINGE_SOAK_SEEDS") else { return usual.to_vec() };
     let (from, to) = range.split_once("..").expect("FROM..TO");
     (from.parse().unwrap()..to.parse().unwrap()).collect()
 }
