Forwarding: a request that is still being connected did not run; pace by own responses only

A request whose deadline passed while the connection to the other gateway was established was said to have an unknown fate. Responses to forwarded requests counted for the pacing of the gateway that forwarded them, which did not decide on them.

--- a/crates/bendhinge_gateway/src/delivery/forward.rs
+++ b/crates/bendhinge_gateway/src/delivery/forward.rs
@@ -48,6 +48,13 @@
     Lost(SendOutcome),
 }
 
+/// What became of a request on a connection.
+enum Sent {
+    Response(Response<Incoming>),
+    /// No byte was written.
+    Nothing(Box<Request<Body>>),
+}
+
 impl DeliveryContext {
     /// Whether requests to the pool are forwarded before anything is tried here.
     pub(super) fn forwards_at_once(&self, inbound: &InboundRequest) -> bool {
@@ -106,9 +113,10 @@
                 }
                 Err(ForwardError::Lost(end)) => return self.fail_forward(number, end),
             };
-            let Some(refusal) = headers::parse_refusal(response.0.headers()) else {
+            let (response, connection) = response;
+            let Some(refusal) = headers::parse_refusal(response.headers()) else {
                 let send = ForwardedSend { number, _guard: guard };
-                return self.receive_forwarded(response.0, response.1, send).await;
+                return self.receive_forwarded(response, connection, send).await;
             };
             self.log_line.record_forward_refusal(number, refusal.code);
             self.context.metrics.count_forward("refused");
@@ -129,45 +137,52 @@
         address: SocketAddr,
         resume_after: Option<&str>,
     ) -> Result<(Response<Incoming>, Connection), ForwardError> {
-        let timeout = self.inbound.time_left() + RESPONSE_GRACE;
-        let exchange = self.send_to_gateway(address, resume_after);
-        let timed_out = async {
-            Timer::after(timeout).await;
-            Err(ForwardError::Lost(SendOutcome::TimedOut))
+        let idle = self.context.connection_pool.idle_connection(address, MAX_CONNECTION_IDLE_TIME);
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => self.connect_to_gateway(address).await?,
         };
-        exchange.or(timed_out).await
-    }
-
-    async fn send_to_gateway(
-        &self,
-        address: SocketAddr,
-        resume_after: Option<&str>,
-    ) -> Result<(Response<Incoming>, Connection), ForwardError> {
-        let context = &self.context;
-        let idle = context.connection_pool.idle_connection(address, MAX_CONNECTION_IDLE_TIME);
         let mut request = self.forwarded_request(resume_after);
-        if let Some(mut connection) = idle {
-            match connection.send(request).await {
-                Ok(response) => return Ok((response, connection)),
+        loop {
+            // The deadline or the lease may have expired while the connection was established.
+            if self.inbound.time_left().is_zero() || !self.inbound.is_authorized(&self.context.rules) {
+                return Err(ForwardError::NotSent(SendOutcome::NotSent));
+            }
+            match self.send_on(&mut connection, request).await? {
+                Sent::Response(response) => return Ok((response, connection)),
                 // The gateway closed an idle connection.
-                Err(SendFailure::NotSent(unsent)) => request = *unsent,
-                Err(SendFailure::Unknown(_)) => return Err(ForwardError::Lost(SendOutcome::Lost)),
+                Sent::Nothing(unsent) if connection.reused => request = *unsent,
+                Sent::Nothing(_) => return Err(ForwardError::NotSent(SendOutcome::NotSent)),
             }
+            connection = self.connect_to_gateway(address).await?;
         }
+    }
+
+    async fn connect_to_gateway(&self, address: SocketAddr) -> Result<Connection, ForwardError> {
         let not_connected = ForwardError::NotSent(SendOutcome::NotConnected);
-        let Some(stream) = context.forwarding.connect(address).await else { return Err(not_connected) };
-        let Ok(mut connection) = context.connection_pool.connect_over(stream, address).await else {
-            return Err(not_connected);
+        let Some(stream) = self.context.forwarding.connect(address).await else { return Err(not_connected) };
+        let connected = self.context.connection_pool.connect_over(stream, address).await;
+        connected.map_err(|_| not_connected)
+    }
+
+    async fn send_on(
+        &self,
+        connection: &mut Connection,
+        request: Request<Body>,
+    ) -> Result<Sent, ForwardError> {
+        let timeout = self.inbound.time_left() + RESPONSE_GRACE;
+        let sending = async {
+            match connection.send(request).await {
+                Ok(response) => Ok(Sent::Response(response)),
+                Err(SendFailure::NotSent(unsent)) => Ok(Sent::Nothing(unsent)),
+                Err(SendFailure::Unknown(_)) => Err(ForwardError::Lost(SendOutcome::Lost)),
+            }
         };
-        // The deadline or the lease may have expired meanwhile.
-        if self.inbound.time_left().is_zero() || !self.inbound.is_authorized(&context.rules) {
-            return Err(ForwardError::NotSent(SendOutcome::NotSent));
-        }
-        match connection.send(request).await {
-            Ok(response) => Ok((response, connection)),
-            Err(SendFailure::NotSent(_)) => Err(ForwardError::NotSent(SendOutcome::NotSent)),
-            Err(SendFailure::Unknown(_)) => Err(ForwardError::Lost(SendOutcome::Lost)),
-        }
+        let timed_out = async {
+            Timer::after(timeout).await;
+            Err(ForwardError::Lost(SendOutcome::TimedOut))
+        };
+        sending.or(timed_out).await
     }
 
     fn forwarded_request(&self, resume_after: Option<&str>) -> Request<Body> {
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -180,10 +180,11 @@
             let send = self.start_send(resume_after, self.retry_state.allows_hedge())?;
             match self.await_response(send, resume_after).await {
                 Ok(response) => {
+                    // Of a forwarded request the other gateway records the response.
                     if let ResponseSource::Upstream(send) = &response.source {
                         self.context.upstreams.record_response(send.chosen.entry.hash);
+                        self.record_response();
                     }
-                    self.record_response();
                     self.context
                         .metrics
                         .record_first_byte(bendhinge_clock::now().since(self.inbound.received_at));
