Router: report no unreachable upstreams if hardly any of those tracked is reached

The same cause elsewhere: a router that is partitioned from the upstreams told all others that those were unreachable that it tracks, and nobody sent them anything.

--- a/crates/bendhinge_membership/src/lib.rs
+++ b/crates/bendhinge_membership/src/lib.rs
@@ -13,4 +13,4 @@
 pub use exchange::{Exchange, MAX_EXCHANGE_BYTES};
 pub use freshness::{Freshness, FreshnessLimits};
 pub use list::{Member, MemberList, MemberRole, MemberState};
-pub use summary::{ClassUsage, CustomerUsage, Summary, SummaryVersion, UpstreamLoad};
+pub use summary::{ClassUsage, CustomerUsage, Summary, SummaryVersion, UpstreamLoad, distrust_own_links};
--- a/crates/bendhinge_membership/src/summary.rs
+++ b/crates/bendhinge_membership/src/summary.rs
@@ -24,6 +24,22 @@
     pub reachable: bool,
 }
 
+/// Reports upstreams as reachable if the router that tracks them reaches hardly any: its own links are then more likely
+/// to have failed than all of them, and other routers find out by themselves if not.
+pub fn distrust_own_links(tracked: &mut [UpstreamLoad]) {
+    /// A router that tracks fewer cannot tell.
+    const MIN_TRACKED: usize = 2;
+    /// The minimum share of unreachable upstreams, as a numerator and a denominator.
+    const UNREACHABLE_SHARE: (usize, usize) = (3, 4);
+    let unreachable = tracked.iter().filter(|load| !load.reachable).count();
+    let (numerator, denominator) = UNREACHABLE_SHARE;
+    if tracked.len() >= MIN_TRACKED && unreachable * denominator >= tracked.len() * numerator {
+        for load in tracked {
+            load.reachable = true;
+        }
+    }
+}
+
 /// Requests of one class in one pool on one router.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClassUsage {
--- a/crates/bendhinge_router/src/membership/mod.rs
+++ b/crates/bendhinge_router/src/membership/mod.rs
@@ -8,7 +8,9 @@
 
 use bendhinge_delivery::OwnershipHistory;
 use bendhinge_ids::{BoxName, ConfigRevision, Instant};
-use bendhinge_membership::{Directory, Exchange, MemberList, Summary, SummaryVersion, UpstreamLoad};
+use bendhinge_membership::{
+    Directory, Exchange, MemberList, Summary, SummaryVersion, UpstreamLoad, distrust_own_links,
+};
 use bendhinge_timeline::EventKind;
 
 pub(crate) use fleet::{Fleet, FleetPool, Owner, RouterEntry, Target};
@@ -113,10 +115,12 @@
 fn counted_upstreams(node: &Node) -> Vec<UpstreamLoad> {
     let counts = placement::own_counts(node, &node.fleet());
     let health = node.health.lock().unwrap();
-    let told = counts.iter().map(|(target, count)| UpstreamLoad {
+    let tracked = counts.iter().map(|(target, count)| UpstreamLoad {
         upstream: target.hash,
         in_progress: u16::try_from(*count).unwrap_or(u16::MAX),
         reachable: health.is_reachable(target.hash),
     });
-    told.collect()
+    let mut tracked: Vec<UpstreamLoad> = tracked.collect();
+    distrust_own_links(&mut tracked);
+    tracked
 }
