Partitions: changes that other gateways report are sent on in batches; log how a gateway was chosen

Each changed report was pushed along the relays by itself: hundreds of gateways that are partitioned at once would have cost that many messages to each. Lines of forwarded requests say from how many gateways this one was chosen, how busy it was and how old the word of it was.

--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -48,8 +48,8 @@
     pub(crate) suspicions: Receiver<QuarantineChange>,
     /// New reports of overloaded upstreams.
     pub(crate) overloads: Receiver<()>,
-    /// Changes of the pools from which this gateway is partitioned.
-    pub(crate) partitions: Receiver<()>,
+    /// Origins of changes of the pools from which gateways are partitioned.
+    pub(crate) partitions: Receiver<Origin>,
     /// Connections to be opened to other gateways.
     pub(crate) connects: Receiver<ConnectRequest>,
 }
--- a/crates/bendhinge_gateway/src/control/partitions.rs
+++ b/crates/bendhinge_gateway/src/control/partitions.rs
@@ -22,13 +22,20 @@
 
 /// Minimum time between two messages to the same gateway. Changes within it are sent together.
 const MIN_INTERVAL: Duration = Duration::from_millis(50);
+/// The same in a fleet in which changes are forwarded, where hundreds of gateways may be partitioned at once.
+const MIN_INTERVAL_IN_LARGE_FLEET: Duration = Duration::from_millis(300);
 
-/// Sends changes of the partitions of this gateway to peers at once. Returns when the channel is closed.
-pub(super) async fn push_partitions(control: Rc<ControlPlane>, changes: Receiver<()>) {
-    while changes.recv().await.is_ok() {
+/// Sends changes of partitions to peers at once. Returns when the channel is closed.
+pub(super) async fn push_partitions(control: Rc<ControlPlane>, changes: Receiver<Origin>) {
+    while let Ok(first) = changes.recv().await {
+        let mut is_own = first == Origin::Store;
+        while let Ok(origin) = changes.try_recv() {
+            is_own |= origin == Origin::Store;
+        }
         control.refresh_own_partitions();
-        control.spawn_partition_push(Origin::Store);
-        Timer::after(MIN_INTERVAL).await;
+        control.spawn_partition_push(if is_own { Origin::Store } else { Origin::Peer });
+        let is_small = control.roster.borrow().is_small();
+        Timer::after(if is_small { MIN_INTERVAL } else { MIN_INTERVAL_IN_LARGE_FLEET }).await;
     }
 }
 
@@ -75,7 +82,7 @@
         message.partitions = reports.into_iter().map(|report| ObservedPartition::new(report, now)).collect();
     }
 
-    /// Merges the partitions in a message and publishes the members that take forwarded requests.
+    /// Merges the partitions in a message.
     pub(super) fn merge_partitions(self: &Rc<Self>, message: &PeerMessage) {
         let forwarding = &self.context.forwarding;
         if !forwarding.is_enabled() {
@@ -91,9 +98,10 @@
             }
         }
         if is_changed {
-            self.spawn_partition_push(Origin::Peer);
+            // A notification that is still queued stands for this change too.
+            let _ = self.context.partition_notifier.try_send(Origin::Peer);
+            self.publish_forward_targets();
         }
-        self.publish_forward_targets();
     }
 
     /// Publishes the live members that take forwarded requests.
@@ -104,7 +112,8 @@
         }
         let roster = self.roster.borrow();
         let targets = roster.live(bendhinge_clock::now()).filter_map(|(address, member)| {
-            Some(ForwardTarget { address, data_centre: member.forwarding_from? })
+            let data_centre = member.forwarding_from?;
+            Some(ForwardTarget { address, data_centre, last_heard: member.last_heard })
         });
         forwarding.set_targets(targets.collect());
     }
--- a/crates/bendhinge_gateway/src/delivery/context.rs
+++ b/crates/bendhinge_gateway/src/delivery/context.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bendhinge_delivery::IdentityKey;
+use bendhinge_fleet::Origin;
 use bendhinge_http::{Pool, Tasks};
 use bendhinge_ids::{PoolName, RequestDigest};
 use rand::Rng;
@@ -37,8 +38,8 @@
     pub(crate) crash_probes: CrashProbes,
     pub(crate) link_probes: LinkProbes,
     pub(crate) forwarding: Arc<Forwarding>,
-    /// Notifies the control plane of changes of the pools from which this gateway is partitioned.
-    pub(crate) partition_notifier: Sender<()>,
+    /// Notifies the control plane of changes of the pools from which gateways are partitioned.
+    pub(crate) partition_notifier: Sender<Origin>,
     pub(crate) sends: Arc<SendRegistry>,
     pub(crate) connection_pool: Pool,
     pub(crate) tasks: Tasks,
--- a/crates/bendhinge_gateway/src/delivery/forward.rs
+++ b/crates/bendhinge_gateway/src/delivery/forward.rs
@@ -103,7 +103,7 @@
                 ));
             }
             tried.push(guard.address);
-            let number = self.log_line.record_forward(guard.address);
+            let number = self.log_line.record_forward(&guard);
             let response = match self.exchange_with_gateway(guard.address, resume_after).await {
                 Ok(response) => response,
                 Err(ForwardError::NotSent(end)) => {
--- a/crates/bendhinge_gateway/src/delivery/link_probes.rs
+++ b/crates/bendhinge_gateway/src/delivery/link_probes.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bendhinge_fleet::{ReachabilityChange, UpstreamEntry};
+use bendhinge_fleet::{Origin, ReachabilityChange, UpstreamEntry};
 use bendhinge_ids::PoolName;
 use rustc_hash::FxHashSet;
 use smol::Timer;
@@ -58,7 +58,7 @@
                 self.log.partition_changed(pool, is_partitioned);
                 self.metrics.count_partition_change(is_partitioned);
                 // A notification that is still queued stands for this change too.
-                let _ = self.partition_notifier.try_send(());
+                let _ = self.partition_notifier.try_send(Origin::Store);
             }
         }
         if change != ReachabilityChange::Restored && self.link_probes.begin(pool) {
--- a/crates/bendhinge_gateway/src/forwarding/mod.rs
+++ b/crates/bendhinge_gateway/src/forwarding/mod.rs
@@ -34,6 +34,8 @@
     pub(crate) address: SocketAddr,
     /// The hash of its data centre.
     pub(crate) data_centre: NonZeroU32,
+    /// When any gateway last heard from it.
+    pub(crate) last_heard: Instant,
 }
 
 /// A connection to be opened to a gateway.
@@ -65,6 +67,19 @@
 pub(crate) struct ForwardGuard {
     forwarding: Arc<Forwarding>,
     pub(crate) address: SocketAddr,
+    /// What the gateway was chosen by.
+    pub(crate) basis: ForwardBasis,
+}
+
+/// What a gateway was chosen by.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ForwardBasis {
+    /// The number of gateways that it was chosen from.
+    pub(crate) candidates: usize,
+    /// The number of other requests of this gateway that were in progress there.
+    pub(crate) own_requests: usize,
+    /// The time since any gateway last heard from it.
+    pub(crate) heard_age: Duration,
 }
 
 impl Drop for ForwardGuard {
@@ -165,10 +180,14 @@
             let has_failed = failures.get(&target.address).is_some_and(|at| now.since(*at) < FAILURE_TTL);
             (has_failed, requests + preference, rand::rng().random::<u32>())
         };
-        let address = targets.iter().filter(is_eligible).min_by_key(cost)?.address;
-        *in_progress.entry(address).or_default() += 1;
+        let candidates = targets.iter().filter(is_eligible).count();
+        let &ForwardTarget { address, last_heard, .. } =
+            targets.iter().filter(is_eligible).min_by_key(cost)?;
+        let requests = in_progress.entry(address).or_default();
+        let basis = ForwardBasis { candidates, own_requests: *requests, heard_age: now.since(last_heard) };
+        *requests += 1;
         drop(state);
-        Some(ForwardGuard { forwarding: Arc::clone(self), address })
+        Some(ForwardGuard { forwarding: Arc::clone(self), address, basis })
     }
 
     /// Whether there is a gateway that is not known to be partitioned from the pool.
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -12,6 +12,7 @@
 
 use super::{Log, whole_millis};
 use crate::delivery::{ConnectFailure, InboundRequest};
+use crate::forwarding::{ForwardBasis, ForwardGuard};
 use crate::state::ChosenUpstream;
 
 /// A send of the request to an upstream.
@@ -101,6 +102,9 @@
 struct ForwardRecord {
     gateway: SocketAddr,
     at_ms: u64,
+    candidates: usize,
+    own: usize,
+    heard_ms: u64,
     #[serde(skip_serializing_if = "Option::is_none")]
     end: Option<&'static str>,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -217,9 +221,18 @@
     }
 
     /// Records that the request is forwarded to a gateway and returns the index of the record.
-    pub(crate) fn record_forward(&mut self, gateway: SocketAddr) -> usize {
-        let at_ms = self.elapsed_ms();
-        self.forwards.push(ForwardRecord { gateway, at_ms, end: None, code: None, body_end: None });
+    pub(crate) fn record_forward(&mut self, guard: &ForwardGuard) -> usize {
+        let ForwardBasis { candidates, own_requests, heard_age } = guard.basis;
+        self.forwards.push(ForwardRecord {
+            gateway: guard.address,
+            at_ms: self.elapsed_ms(),
+            candidates,
+            own: own_requests,
+            heard_ms: whole_millis(heard_age),
+            end: None,
+            code: None,
+            body_end: None,
+        });
         self.forwards.len() - 1
     }
 
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -37,6 +37,8 @@
 /// How long an idle connection of a caller stays open. Longer than any idle timeout of callers, so that the
 /// gateway does not close a connection on which a request is in transit.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_mins(2);
+/// Queued changes of partitions. More than one, so that those of other gateways do not displace one of this gateway.
+const MAX_QUEUED_PARTITION_CHANGES: usize = 64;
 /// Delay before the process exits, for the last responses and log lines to be written.
 const FLUSH_DELAY: Duration = Duration::from_millis(200);
 
@@ -112,7 +114,7 @@
     let totals = Arc::new(SharedTotals::default());
     // One queued notification stands for any number of reports.
     let (overload_notifier, overloads) = smol::channel::bounded(1);
-    let (partition_notifier, partitions) = smol::channel::bounded(1);
+    let (partition_notifier, partitions) = smol::channel::bounded(MAX_QUEUED_PARTITION_CHANGES);
     let (forwarding, connects) =
         Forwarding::new(settings.forwards_requests, settings.peer_address, &settings.data_centre);
     let context = Arc::new(DeliveryContext {
