Bodies: an error waits until data before it is flushed

Cause: the error of a body was delayed by one poll, in which the server was expected to write what it holds. The stream between two gateways accepts data now and then only when it is polled again (piper yields at random); the next poll returned the error and the server dropped the head. The error now waits 10 ms, in which the server is polled as often as its stream asks for it.

--- a/crates/bendhinge_http/src/body.rs
+++ b/crates/bendhinge_http/src/body.rs
@@ -1,6 +1,7 @@
 //! Boxed request and response bodies, fully buffered or streamed.
 
 use std::convert::Infallible;
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -31,11 +32,15 @@
     http_body_util::Empty::new().map_err(infallible).boxed()
 }
 
-/// Delays an error of the wrapped body by one poll. The server discards its write buffer when a
-/// body fails, so it needs a chance to flush first.
+/// How long an error of a body is delayed. One poll is not enough: a stream may accept the data only when it is polled
+/// again.
+const FLUSH_TIME: Duration = Duration::from_millis(10);
+
+/// Delays an error of the wrapped body. The server discards its write buffer when a body fails, so it
+/// needs a chance to flush first.
 struct FlushBeforeError<B> {
     body: B,
-    error: Option<BodyError>,
+    error: Option<(BodyError, Timer)>,
 }
 
 /// Wraps `body` so that all data before an error is flushed to the client.
@@ -57,18 +62,19 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if let Some(error) = self.error.take() {
-            return Poll::Ready(Some(Err(error)));
-        }
-        match Pin::new(&mut self.body).poll_frame(context) {
-            Poll::Ready(Some(Err(error))) => {
-                self.error = Some(error);
-                // `Pending` makes the server flush; the wake-up makes it poll again immediately.
-                context.waker().wake_by_ref();
-                Poll::Pending
+        if self.error.is_none() {
+            match Pin::new(&mut self.body).poll_frame(context) {
+                // `Pending` makes the server flush.
+                Poll::Ready(Some(Err(error))) => self.error = Some((error, Timer::after(FLUSH_TIME))),
+                polled => return polled,
             }
-            polled => polled,
         }
+        if let Some((_, timer)) = &mut self.error
+            && Pin::new(timer).poll(context).is_pending()
+        {
+            return Poll::Pending;
+        }
+        Poll::Ready(self.error.take().map(|(error, _)| Err(error)))
     }
 
     fn is_end_stream(&self) -> bool {
