--- a/crates/bendhinge_gateway/src/log/mod.rs
+++ b/crates/bendhinge_gateway/src/log/mod.rs
@@ -1,6 +1,7 @@
 //! Structured logging: one JSON line for each decision about a request and for each change of
 //! replicated state.
 
+mod partition;
 mod request;
 
 use std::net::SocketAddr;
@@ -196,27 +197,6 @@
         self.log_event("foreign_entry", Fields { key, why });
     }
 
-    /// Logs that a partition from the upstreams of a pool begins or is over.
-    pub(crate) fn partition_changed(&self, pool: &PoolName, is_partitioned: bool) {
-        #[derive(Serialize)]
-        struct Fields<'a> {
-            pool: &'a str,
-            partitioned: bool,
-        }
-        self.log_event("partition", Fields { pool: pool.as_str(), partitioned: is_partitioned });
-    }
-
-    /// Logs that a gateway reported other pools than before from which it is partitioned.
-    pub(crate) fn peer_partition_changed(&self, pools: usize, age: Duration, from: SocketAddr) {
-        #[derive(Serialize)]
-        struct Fields {
-            pools: usize,
-            age_ms: u64,
-            told_by: SocketAddr,
-        }
-        self.log_event("peer_partition", Fields { pools, age_ms: whole_millis(age), told_by: from });
-    }
-
     /// Logs that an upstream was ejected because of a failed send.
     pub(crate) fn upstream_ejected(&self, upstream: &UpstreamName, end: SendOutcome) {
         #[derive(Serialize)]
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -2,10 +2,10 @@
 
 mod load;
 mod schema;
+mod values;
 
 use std::net::SocketAddr;
 use std::path::Path;
-use std::str::FromStr;
 use std::time::Duration;
 
 use bendhinge_admission::FleetRetryBudget;
@@ -19,6 +19,8 @@
 pub use load::{Activation, LoadSettings};
 pub use schema::SCHEMA;
 
+use self::values::{CommaSeparated, YesNo};
+
 /// All settings of a gateway.
 #[derive(Clone)]
 pub struct Settings {
@@ -197,38 +199,6 @@
     }
 }
 
-/// A comma-separated list of values.
-struct CommaSeparated<T>(Vec<T>);
-
-impl<T: FromStr> FromStr for CommaSeparated<T> {
-    type Err = T::Err;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
-        parts.map(str::parse).collect::<Result<_, _>>().map(Self)
-    }
-}
-
-/// A switch: `yes` or `no`.
-struct YesNo(bool);
-
-/// A value that is neither `yes` nor `no`.
-#[derive(Debug, thiserror::Error)]
-#[error("expected yes or no")]
-struct InvalidYesNo;
-
-impl FromStr for YesNo {
-    type Err = InvalidYesNo;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        match text {
-            "yes" => Ok(Self(true)),
-            "no" => Ok(Self(false)),
-            _ => Err(InvalidYesNo),
-        }
-    }
-}
-
 /// Builds settings from a document. Each method reads all values before it returns on a missing one, so
 /// that all errors are reported at once.
 struct SettingsReader<'a>(&'a Document);
