--- a/crates/bendhinge_lab/src/gateways/fleet.rs
+++ b/crates/bendhinge_lab/src/gateways/fleet.rs
@@ -10,7 +10,7 @@
 use smol::Timer;
 
 use super::caller::GatewayCaller;
-use super::process::{GatewayProcess, GatewaySettings};
+use super::process::{GatewayProcess, GatewaySettings, USUAL_DATA_CENTRE};
 use super::proxy::Proxy;
 
 /// A key of the rules' customer.
@@ -155,6 +155,7 @@
         let seeds = self.settings.iter().map(|known| known.addresses["peers"]).collect();
         let mut settings = GatewaySettings {
             name: format!("gateway-{number}"),
+            data_centre: USUAL_DATA_CENTRE,
             addresses: HashMap::new(),
             store: self.store_proxy.address,
             seeds,
--- a/crates/bendhinge_lab/src/gateways/linked_fleet.rs
+++ b/crates/bendhinge_lab/src/gateways/linked_fleet.rs
@@ -11,7 +11,7 @@
 
 use super::caller::{Answer, Call, GatewayCaller};
 use super::fleet::{FleetShape, RULES, until};
-use super::process::{GatewayProcess, GatewaySettings};
+use super::process::{GatewayProcess, GatewaySettings, USUAL_DATA_CENTRE};
 use super::proxy::{Harm, Proxy};
 
 /// How the links of a gateway are partitioned from an upstream.
@@ -25,6 +25,23 @@
     OpenConnectionsStay,
 }
 
+/// How a gateway is started.
+#[derive(Clone, Copy, Debug)]
+pub struct GatewayStart<'a> {
+    /// Its data centre.
+    pub data_centre: &'static str,
+    /// Further sections of its settings.
+    pub sections: &'a str,
+}
+
+impl<'a> GatewayStart<'a> {
+    /// A gateway in the usual data centre.
+    #[must_use]
+    pub const fn new(sections: &'a str) -> Self {
+        Self { data_centre: USUAL_DATA_CENTRE, sections }
+    }
+}
+
 /// A fleet in which each gateway has a proxy of its own before each upstream.
 ///
 /// Each gateway reads a store of its own, which differs from the others only in the addresses of the upstreams. Stores
@@ -49,10 +66,10 @@
     ///
     /// If something cannot be started: tests cannot go on then.
     pub async fn start(tasks: &Tasks, shape: FleetShape, sections: &str) -> Self {
-        Self::start_each(tasks, shape, |_| sections).await
+        Self::start_each(tasks, shape, |_| GatewayStart::new(sections)).await
     }
 
-    /// Starts a fleet whose gateways have sections of their own, by their numbers.
+    /// Starts a fleet whose gateways differ, by their numbers.
     ///
     /// # Panics
     ///
@@ -60,7 +77,7 @@
     pub async fn start_each<'a>(
         tasks: &Tasks,
         shape: FleetShape,
-        sections: impl Fn(usize) -> &'a str,
+        start: impl Fn(usize) -> GatewayStart<'a>,
     ) -> Self {
         const CONNECT: Duration = Duration::from_secs(5);
         const IDLE: Duration = Duration::from_secs(10);
@@ -80,7 +97,7 @@
             }
         }
         for number in 0..shape.gateways {
-            fleet.add_gateway(tasks, number, &pools, sections(number)).await;
+            fleet.add_gateway(tasks, number, &pools, start(number)).await;
         }
         for number in 0..shape.gateways {
             fleet.introduce(number);
@@ -89,7 +106,7 @@
         fleet
     }
 
-    async fn add_gateway(&mut self, tasks: &Tasks, number: usize, pools: &[&str], sections: &str) {
+    async fn add_gateway(&mut self, tasks: &Tasks, number: usize, pools: &[&str], start: GatewayStart<'_>) {
         let store = Store::start(tasks).await.expect("a free port");
         store.put_rules(RULES);
         let mut links = Vec::new();
@@ -100,10 +117,11 @@
         }
         let mut settings = GatewaySettings {
             name: format!("gateway-{number}"),
+            data_centre: start.data_centre,
             addresses: HashMap::new(),
             store: store.address,
             seeds: Vec::new(),
-            sections: sections.to_owned(),
+            sections: start.sections.to_owned(),
         };
         let process = GatewayProcess::start(&settings).expect("the workspace is built");
         for what in ["callers", "ready", "peers"] {
--- a/crates/bendhinge_lab/src/gateways/mod.rs
+++ b/crates/bendhinge_lab/src/gateways/mod.rs
@@ -11,7 +11,7 @@
 
 pub use caller::{Answer, Call, GatewayCaller, Told};
 pub use fleet::{FleetShape, GatewayFleet, KEY, RULES, StartedUpstream, until};
-pub use linked_fleet::{LinkedFleet, Partition};
+pub use linked_fleet::{GatewayStart, LinkedFleet, Partition};
 pub use partition_soak::partition_soak;
 pub use process::{GatewayProcess, GatewaySettings, PEER_KEY};
 pub use proxy::{Harm, Proxy};
--- a/crates/bendhinge_lab/src/gateways/process.rs
+++ b/crates/bendhinge_lab/src/gateways/process.rs
@@ -21,11 +21,16 @@
 /// The lease of a test that says nothing of it: longer than any of their outages.
 const USUAL_BELIEFS: &str = "[beliefs]\nrules_lease_ms = 5000\n";
 
+/// The data centre of gateways that are not placed elsewhere.
+pub(super) const USUAL_DATA_CENTRE: &str = "south";
+
 /// What a gateway is started with.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
     /// Its name.
     pub name: String,
+    /// Its data centre.
+    pub data_centre: &'static str,
     /// Where it listens for callers, balancers and peers; port 0 takes a free one.
     pub addresses: HashMap<&'static str, SocketAddr>,
     /// The store.
@@ -44,7 +49,7 @@
         };
         let mut text = String::new();
         // Writing to a string does not fail.
-        let _ = writeln!(text, "[gateway]\nname = {}\ndata_centre = south", self.name);
+        let _ = writeln!(text, "[gateway]\nname = {}\ndata_centre = {}", self.name, self.data_centre);
         for what in ["callers", "ready", "peers"] {
             let _ = writeln!(text, "{what} = {}", address(what));
         }
--- a/crates/bendhinge_lab/tests/gateway_partitions.rs
+++ b/crates/bendhinge_lab/tests/gateway_partitions.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use bendhinge_http::Tasks;
-use bendhinge_lab::gateways::{Call, FleetShape, GatewayCaller, KEY, LinkedFleet, Partition, Told, until};
+use bendhinge_lab::gateways::{
+    Call, FleetShape, GatewayCaller, GatewayStart, KEY, LinkedFleet, Partition, Told, until,
+};
 use bendhinge_standin::gateway::{Upstream, UpstreamFault};
 use futures_lite::FutureExt;
 use futures_lite::future::zip;
@@ -288,8 +290,8 @@
 #[test]
 fn requests_are_forwarded_only_to_gateways_that_take_them() {
     run(|tasks| async move {
-        let sections = |number: usize| if number == 1 { "" } else { FORWARDING };
-        let fleet = LinkedFleet::start_each(&tasks, SHAPE, sections).await;
+        let start = |number| GatewayStart::new(if number == 1 { "" } else { FORWARDING });
+        let fleet = LinkedFleet::start_each(&tasks, SHAPE, start).await;
         fleet.partition(PARTITIONED, Partition::Reset).await;
         load(&fleet, PARTITIONED, CONTACT).await;
         assert_serves(&fleet, PARTITIONED).await;
@@ -297,3 +299,79 @@
         assert!(fleet.metric(2, FORWARDED).await > Some(0));
     });
 }
+
+/// Guards against callers that are refused since all gateways of their data centre are partitioned.
+#[test]
+fn callers_are_served_over_another_data_centre() {
+    const SHAPE: FleetShape = FleetShape { gateways: 4, engines: 4, services: 3 };
+    run(|tasks| async move {
+        let start = |number| GatewayStart {
+            data_centre: if number < 2 { "south" } else { "north" },
+            sections: FORWARDING,
+        };
+        let fleet = LinkedFleet::start_each(&tasks, SHAPE, start).await;
+        for gateway in [0, 1] {
+            fleet.partition(gateway, Partition::Silent).await;
+        }
+        zip(load(&fleet, 0, CONTACT), load(&fleet, 1, CONTACT)).await;
+        for gateway in [0, 1] {
+            assert_serves(&fleet, gateway).await;
+        }
+    });
+}
+
+/// Guards against a gateway in another data centre that gets forwarded requests while one in the own is idle.
+#[test]
+fn requests_are_forwarded_within_the_data_centre() {
+    run(|tasks| async move {
+        let start = |number| GatewayStart {
+            data_centre: if number < 2 { "south" } else { "north" },
+            sections: FORWARDING,
+        };
+        let fleet = LinkedFleet::start_each(&tasks, SHAPE, start).await;
+        fleet.partition(PARTITIONED, Partition::Reset).await;
+        load(&fleet, PARTITIONED, CONTACT).await;
+        let before = fleet.metric(2, FORWARDED).await;
+        // One at a time: none waits at the gateway of the same data centre when the next one comes.
+        assert_serves(&fleet, PARTITIONED).await;
+        assert_eq!(fleet.metric(2, FORWARDED).await, before);
+        assert!(fleet.metric(1, FORWARDED).await > Some(0));
+    });
+}
+
+/// Guards against requests of other pools that are refused since no gateway reaches one of them.
+#[test]
+fn other_pools_are_served_while_all_gateways_are_partitioned_from_one() {
+    run(|tasks| async move {
+        let fleet = LinkedFleet::start(&tasks, SHAPE, FORWARDING).await;
+        for gateway in 0..SHAPE.gateways {
+            fleet.partition_from(gateway, "engines", Partition::Reset).await;
+        }
+        let loads = zip(load(&fleet, 0, CONTACT), load(&fleet, 1, CONTACT));
+        zip(loads, load(&fleet, 2, CONTACT)).await;
+        for gateway in 0..SHAPE.gateways {
+            for call in one_of_each() {
+                let answer = fleet.send(gateway, &call).await;
+                if call.prompt.is_some() {
+                    assert_eq!(answer.code(), Some("BH0401"), "{}", call.path);
+                    assert_eq!(fleet.runs_of(&call.id), 0);
+                } else {
+                    assert_eq!(answer.told, Told::Whole, "{}", call.path);
+                }
+            }
+        }
+    });
+}
+
+/// Guards against a partition that outlives its gateway: one that restarts while it is partitioned is served over the
+/// others, and delivers itself again afterwards.
+#[test]
+fn a_gateway_that_restarts_during_a_partition_serves_its_callers() {
+    run(|tasks| async move {
+        let mut fleet = start_partitioned(&tasks).await;
+        fleet.restart(PARTITIONED);
+        until(async || fleet.is_ready(PARTITIONED).await).await;
+        load(&fleet, PARTITIONED, CONTACT).await;
+        assert_serves(&fleet, PARTITIONED).await;
+    });
+}
