--- a/crates/bendhinge_lab/tests/gateway_partitions.rs
+++ b/crates/bendhinge_lab/tests/gateway_partitions.rs
@@ -13,7 +13,7 @@
 use futures_lite::FutureExt;
 use futures_lite::future::zip;
 use gateway_common::run;
-use smol::Timer;
+use smol::{LocalExecutor, Timer};
 
 const SHAPE: FleetShape = FleetShape { gateways: 3, engines: 4, services: 3 };
 /// Within this time a gateway that is partitioned has to serve its callers as the others do.
@@ -57,6 +57,19 @@
     sending.or(timeout).await;
 }
 
+/// Sends more requests at once than the gateway has open connections.
+async fn load_heavily(fleet: &LinkedFleet, gateway: usize, time: Duration) {
+    const CALLERS: usize = 8;
+    let executor = LocalExecutor::new();
+    let callers: Vec<_> = (0..CALLERS).map(|_| executor.spawn(load(fleet, gateway, time))).collect();
+    let waiting = async {
+        for caller in callers {
+            caller.await;
+        }
+    };
+    executor.run(waiting).await;
+}
+
 /// Asserts that the first tries of callers at a gateway are served, each by one run.
 async fn assert_serves(fleet: &LinkedFleet, gateway: usize) {
     for call in std::iter::repeat_with(one_of_each).take(4).flatten() {
@@ -90,23 +103,43 @@
     assert_serves_while_partitioned(Partition::Silent);
 }
 
-/// Guards against gateways that make others eject the upstreams that only they themselves do not reach.
-#[test]
-fn partitioned_gateways_raise_no_suspicion_of_upstreams_at_others() {
+/// Partitions two of four gateways under load at all of them and asserts that the others suspect no upstream.
+fn assert_no_suspicion_at_others(how: Partition) {
     const SHAPE: FleetShape = FleetShape { gateways: 4, engines: 4, services: 3 };
     const SUSPECTED: &str = "bendhinge_gateway_upstreams_suspected_total";
     run(|tasks| async move {
         let fleet = LinkedFleet::start(&tasks, SHAPE, FORWARDING).await;
+        for gateway in 0..SHAPE.gateways {
+            assert_serves(&fleet, gateway).await;
+        }
         for gateway in [0, 1] {
-            fleet.partition(gateway, Partition::Silent).await;
+            fleet.partition(gateway, how).await;
         }
-        zip(load(&fleet, 0, CONTACT), load(&fleet, 1, CONTACT)).await;
+        zip(load_heavily(&fleet, 0, CONTACT), load_heavily(&fleet, 1, CONTACT)).await;
         for gateway in [2, 3] {
             assert_eq!(fleet.metric(gateway, SUSPECTED).await, None, "gateway {gateway}");
         }
     });
 }
 
+/// Guards against gateways that make others eject the upstreams that only they themselves do not reach.
+#[test]
+fn partitioned_gateways_raise_no_suspicion_of_upstreams_at_others() {
+    assert_no_suspicion_at_others(Partition::Silent);
+}
+
+/// The same for gateways whose links are reset.
+#[test]
+fn gateways_with_reset_links_raise_no_suspicion_of_upstreams_at_others() {
+    assert_no_suspicion_at_others(Partition::Reset);
+}
+
+/// Guards against failed connections that responses over open ones make look like the upstreams' failures.
+#[test]
+fn gateways_whose_open_links_stay_raise_no_suspicion_of_upstreams_at_others() {
+    assert_no_suspicion_at_others(Partition::OpenConnectionsStay);
+}
+
 /// Guards against requests that are quarantined since the links of their gateway were reset under them.
 #[test]
 fn requests_under_way_at_a_partitioned_gateway_are_not_taken_for_the_cause_of_crashes() {
