Streams: log and count which software resumes them

A line of a request showed neither the software of the upstreams behind its sends, nor how many events of an interrupted stream came from each, nor that its caller resumed a stream and which one, so that the hypotheses on mixed streams could not be told apart.

Sends have `software` while upstreams of the pool run several versions, and `events` of an interrupted stream; requests have `resumes` and `resume_after`; `bendhinge_gateway_streams_resumed_total` counts by who resumed a stream and by software. The stand-ins name versions, and a caller of the lab resumes its streams. No decision changes.

--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -41,6 +41,7 @@
 use crate::intake::headers;
 use crate::lifecycle::InProgress;
 use crate::log::RequestLogEntry;
+use crate::metrics::{ResumedSoftware, Resumer};
 use crate::quarantine::{SendRefusal, TrackedSend};
 use crate::state::{ChosenUpstream, PlacementRequest};
 
@@ -383,6 +384,9 @@
                 Response::from_parts(head, full_body(bytes))
             }
             UpstreamBody::Stream(body, framing, connection) => {
+                if self.inbound.fields.resume_after.is_some() {
+                    self.context.metrics.count_resumption(Resumer::Caller, ResumedSoftware::Unknown);
+                }
                 self.log_line.set_caller_framing(BodyFraming::of_stream_to(self.inbound.head.version));
                 let headers = upstream_headers;
                 let source = StreamSource::new(source, headers, framing, body, connection);
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -10,6 +10,7 @@
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{BodyEnd, EventSplitter, SendOutcome, SendTotals, StreamTiming};
 use bendhinge_http::{Body, BodyError, BodyFraming, Connection, flush_before_error};
+use bendhinge_ids::NameHash;
 use bytes::Bytes;
 use futures_lite::{FutureExt, Stream, StreamExt, stream};
 use http_body_util::BodyExt;
@@ -24,6 +25,7 @@
 use super::race::SendRecord;
 use super::upstream_body::UpstreamBody;
 use crate::lifecycle::InProgress;
+use crate::metrics::{ResumedSoftware, Resumer};
 use crate::state::ChosenUpstream;
 
 /// Number of target gaps between events after which a silent stream is resumed at another upstream.
@@ -41,6 +43,8 @@
     /// Whether the previous upstream had resumed the stream with an unframed response without events.
     previous_was_empty: bool,
     is_finished: bool,
+    /// The software of the upstream that sent the first event.
+    software: Option<NameHash>,
     _in_progress: InProgress,
 }
 
@@ -90,6 +94,8 @@
     pub(super) sender: ResponseSource,
     /// Time from the choice of the upstream to its first event.
     pub(super) first_event_after: Option<Duration>,
+    /// The number of its events that were relayed.
+    relayed_events: usize,
     pub(super) headers: HeaderMap,
     pub(super) framing: BodyFraming,
     pub(super) body: Incoming,
@@ -104,7 +110,7 @@
         body: Incoming,
         connection: Connection,
     ) -> Self {
-        Self { sender, first_event_after: None, headers, framing, body, connection }
+        Self { sender, first_event_after: None, relayed_events: 0, headers, framing, body, connection }
     }
 }
 
@@ -126,6 +132,7 @@
             is_awaiting_event: false,
             previous_was_empty: false,
             is_finished: false,
+            software: None,
             _in_progress: in_progress,
         }
     }
@@ -138,7 +145,7 @@
                 ReadOutcome::Bytes(bytes) => {
                     if let Some(events) = self.events.feed(&bytes) {
                         if events.count > 0 {
-                            self.record_event();
+                            self.record_event(events.count);
                             self.record_first_event();
                         }
                         return Some(Ok(events.bytes));
@@ -242,10 +249,14 @@
         }
     }
 
-    /// Records that events arrived.
-    fn record_event(&mut self) {
+    /// Records that `count` events arrived.
+    fn record_event(&mut self, count: usize) {
         self.is_awaiting_event = false;
         let Some(source) = &mut self.source else { return };
+        source.relayed_events += count;
+        if let ResponseSource::Upstream(send) = &source.sender {
+            self.software.get_or_insert(send.chosen.entry.software);
+        }
         let now = bendhinge_clock::now();
         if self.timing.record_event(now, source.sender.record_event()) {
             self.delivery.context.metrics.record_first_event(now.since(self.delivery.inbound.received_at));
@@ -296,10 +307,13 @@
         // Closes the connection, which cancels the request at the upstream.
         let Some(source) = self.source.take() else { return false };
         self.timing.record_interruption(source.sender.totals());
-        let StreamSource { sender, body, connection, .. } = source;
+        let StreamSource { sender, body, connection, relayed_events, .. } = source;
         drop((body, connection));
         let may_retry = match sender {
-            ResponseSource::Upstream(send) => self.delivery.record_send_end(&send.record, end),
+            ResponseSource::Upstream(send) => {
+                self.delivery.log_line.record_relayed_events(send.record.number, relayed_events);
+                self.delivery.record_send_end(&send.record, end)
+            }
             ResponseSource::Gateway(send) => {
                 self.delivery.fail_forward(send.number, end);
                 false
@@ -313,6 +327,7 @@
         let last_event_id = last_event_id.or_else(|| self.delivery.inbound.fields.resume_after.clone());
         match self.delivery.next_response(last_event_id.as_deref()).await {
             Ok(UpstreamResponse { source, head, body: UpstreamBody::Stream(body, framing, connection) }) => {
+                self.count_resumption(&source);
                 let source = StreamSource::new(source, head.headers, framing, body, connection);
                 self.source = Some(source);
                 true
@@ -321,6 +336,17 @@
         }
     }
 
+    /// Counts that the stream is resumed by `source`, if it has events.
+    fn count_resumption(&self, source: &ResponseSource) {
+        let (Some(software), ResponseSource::Upstream(send)) = (self.software, source) else { return };
+        let resumed = if send.chosen.entry.software == software {
+            ResumedSoftware::Same
+        } else {
+            ResumedSoftware::Other
+        };
+        self.delivery.context.metrics.count_resumption(Resumer::Gateway, resumed);
+    }
+
     /// Whether the stream can be resumed: it has no events yet, or its events have IDs.
     fn has_resume_point(&self) -> bool {
         self.timing.first_event().is_none() || self.events.last_id().is_some()
--- a/crates/bendhinge_gateway/src/dialect.rs
+++ b/crates/bendhinge_gateway/src/dialect.rs
@@ -28,6 +28,8 @@
     pub prompt: Option<Prompt>,
     /// The ID of the last event that the caller received of an interrupted stream.
     pub resume_after: Option<String>,
+    /// The ID of the request that brought the first event of that stream.
+    pub resumes: Option<HeaderValue>,
 }
 
 /// The fields that the gateway adds to a request to an upstream.
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -12,6 +12,7 @@
 
 use super::{Log, whole_millis};
 use crate::delivery::{ConnectFailure, InboundRequest};
+use crate::dialect::RequestFields;
 use crate::forwarding::{ForwardBasis, ForwardGuard};
 use crate::state::ChosenUpstream;
 
@@ -54,6 +55,12 @@
     body_end: Option<&'static str>,
     #[serde(skip_serializing_if = "is_zero_bytes")]
     partial_bytes: usize,
+    /// Hash of the software of the upstream, if those of the pool run several versions.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    software: Option<String>,
+    /// Events of an interrupted stream that were relayed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    events: Option<usize>,
     #[serde(skip_serializing_if = "is_false")]
     fetched: bool,
 }
@@ -146,6 +153,28 @@
     }
 }
 
+/// What is logged of a request that resumes a stream.
+#[derive(Default, Serialize)]
+struct ResumptionFields {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    resumes: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    resume_after: Option<String>,
+}
+
+impl ResumptionFields {
+    fn new(fields: &RequestFields) -> Self {
+        let resumes = fields.resumes.as_ref().and_then(|id| id.to_str().ok());
+        Self { resumes: resumes.map(shortened), resume_after: fields.resume_after.as_deref().map(shortened) }
+    }
+}
+
+/// Truncates a caller's text to a length suitable for a log line.
+fn shortened(text: &str) -> String {
+    const MAX_BYTES: usize = 64;
+    text[..text.floor_char_boundary(MAX_BYTES)].to_owned()
+}
+
 /// Collects what is logged of a request until its line is written.
 pub(crate) struct RequestLogEntry {
     request: String,
@@ -160,6 +189,8 @@
     allowed_retry: Option<RetryFields>,
     denied_retry: Option<RetryFields>,
     digest: Option<RequestDigest>,
+    /// The stream that the request resumes.
+    resumption: ResumptionFields,
     /// How the body of the response to the caller is framed, if it is relayed as it arrives.
     caller_framing: Option<BodyFraming>,
     stream: StreamFields,
@@ -178,6 +209,7 @@
             allowed_retry: None,
             denied_retry: None,
             digest: None,
+            resumption: ResumptionFields::new(&inbound.fields),
             caller_framing: None,
             stream: StreamFields::default(),
         }
@@ -215,6 +247,8 @@
             framing: None,
             body_end: None,
             partial_bytes: 0,
+            software: chosen.has_other_software.then(|| format!("{:016x}", chosen.entry.software.0)),
+            events: None,
             fetched: chosen.fetch_from.is_some(),
         });
         self.sends.len() - 1
@@ -315,6 +349,13 @@
         }
     }
 
+    /// Records how many events of an interrupted stream a send has contributed.
+    pub(crate) fn record_relayed_events(&mut self, index: usize, events: usize) {
+        if let Some(send) = self.sends.get_mut(index) {
+            send.events = Some(events);
+        }
+    }
+
     fn write(
         &mut self,
         log: &Log,
@@ -345,6 +386,8 @@
             #[serde(skip_serializing_if = "Option::is_none")]
             caller_framing: Option<&'static str>,
             #[serde(flatten)]
+            resumption: &'a ResumptionFields,
+            #[serde(flatten)]
             stream: &'a StreamFields,
         }
         let fields = Fields {
@@ -361,6 +404,7 @@
             denied_retry: self.denied_retry,
             ran: if code.is_none() { "yes" } else { retry_state.ran().as_str() },
             caller_framing: self.caller_framing.map(BodyFraming::as_str),
+            resumption: &self.resumption,
             stream: &self.stream,
         };
         log.log_event("request", fields);
--- a/crates/bendhinge_gateway/src/metrics/groups.rs
+++ b/crates/bendhinge_gateway/src/metrics/groups.rs
@@ -19,16 +19,63 @@
 /// exchanges of 0.4 s each, and requests end within seconds.
 const LOAD_REPORT_AGE_BUCKETS_SECONDS: [f64; 9] = [0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2.0, 4.0, 10.0];
 
-/// What is measured of relayed streams, once for each.
-pub(super) struct StreamHistograms {
+/// Who resumed an interrupted stream.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Resumer {
+    /// The gateway, within a response.
+    Gateway,
+    /// The caller, with a request of its own.
+    Caller,
+}
+
+impl Resumer {
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Gateway => "gateway",
+            Self::Caller => "caller",
+        }
+    }
+}
+
+/// The software of the upstream that resumes a stream, compared with the one that sent its first event.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum ResumedSoftware {
+    Same,
+    Other,
+    /// It is not known which software sent the first event.
+    Unknown,
+}
+
+impl ResumedSoftware {
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Same => "same",
+            Self::Other => "other",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// What is measured of relayed streams.
+pub(super) struct StreamMetrics {
+    /// Recorded once for each stream.
     pub(super) first_event: Histogram<f64>,
+    /// Recorded once for each stream.
     pub(super) longest_pause: Histogram<f64>,
+    pub(super) resumptions: Counter<u64>,
 }
 
-impl StreamHistograms {
-    /// Builds them with `seconds`, which takes a name, a description and bucket bounds.
-    pub(super) fn new(seconds: impl Fn(&'static str, &'static str, &[f64]) -> Histogram<f64>) -> Self {
+impl StreamMetrics {
+    /// Builds them with `seconds`, which takes a name, a description and bucket bounds, and `counter`.
+    pub(super) fn new(
+        seconds: impl Fn(&'static str, &'static str, &[f64]) -> Histogram<f64>,
+        counter: impl Fn(&'static str, &'static str) -> Counter<u64>,
+    ) -> Self {
         Self {
+            resumptions: counter(
+                "bendhinge.gateway.streams_resumed",
+                "Interrupted streams that went on, by who resumed them and by the software of the upstream",
+            ),
             first_event: seconds(
                 "bendhinge.gateway.first_event",
                 "Time from a request to the first event of its stream",
--- a/crates/bendhinge_gateway/src/metrics/mod.rs
+++ b/crates/bendhinge_gateway/src/metrics/mod.rs
@@ -15,7 +15,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
-use self::groups::{AgeHistograms, ExchangeCounters, ForwardingCounters, StreamHistograms};
+use self::groups::{AgeHistograms, ExchangeCounters, ForwardingCounters, StreamMetrics};
+pub(crate) use self::groups::{ResumedSoftware, Resumer};
 use crate::delivery::ConnectFailure;
 
 /// Bucket bounds of the time to first byte. They include 1.3 s, the target of its 95th percentile.
@@ -77,7 +78,7 @@
     drain_announcements: Counter<u64>,
     slow_caller_disconnects: Counter<u64>,
     first_byte: Histogram<f64>,
-    streams: StreamHistograms,
+    streams: StreamMetrics,
     in_progress: Gauge<u64>,
     rules_age: Gauge<f64>,
     peer_connections: Gauge<u64>,
@@ -154,7 +155,7 @@
                 "Time from a request to the head of its answer",
                 &FIRST_BYTE_BUCKETS_SECONDS,
             ),
-            streams: StreamHistograms::new(seconds),
+            streams: StreamMetrics::new(seconds, counter),
             in_progress: meter
                 .u64_gauge("bendhinge.gateway.requests_in_progress")
                 .with_description("Requests in progress")
@@ -206,6 +207,12 @@
         self.connect_failures.add(1, &[KeyValue::new("reason", connect_failure.as_str())]);
     }
 
+    /// Counts an interrupted stream that goes on.
+    pub(crate) fn count_resumption(&self, by: Resumer, software: ResumedSoftware) {
+        let labels = [KeyValue::new("by", by.as_str()), KeyValue::new("software", software.as_str())];
+        self.streams.resumptions.add(1, &labels);
+    }
+
     /// Counts a request that was forwarded to another gateway, by how that ended.
     pub(crate) fn count_forward(&self, end: &'static str) {
         self.forwarding.forwards.add(1, &[KeyValue::new("end", end)]);
--- a/crates/bendhinge_gateway/src/native/callers.rs
+++ b/crates/bendhinge_gateway/src/native/callers.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 
 use super::Native;
-use super::headers::{CODE, DEADLINE, PROMPT, RAN, REQUEST, RESUME_AFTER};
+use super::headers::{CODE, DEADLINE, PROMPT, RAN, REQUEST, RESUME_AFTER, RESUMES};
 use crate::dialect::{CallerDialect, ErrorResponseFields, RequestFields, header_text, parse_prompt};
 
 /// The radix of prompt part IDs.
@@ -27,6 +27,7 @@
             timeout,
             prompt,
             resume_after: header_text(headers, &RESUME_AFTER)?.map(str::to_owned),
+            resumes: headers.get(RESUMES).cloned(),
         })
     }
 
--- a/crates/bendhinge_gateway/src/native/mod.rs
+++ b/crates/bendhinge_gateway/src/native/mod.rs
@@ -25,6 +25,8 @@
     pub const PROMPT: HeaderName = HeaderName::from_static("x-bendhinge-prompt");
     /// The ID of the event after which to resume a stream.
     pub const RESUME_AFTER: HeaderName = HeaderName::from_static("last-event-id");
+    /// The ID of the request that brought the first event of the stream to resume.
+    pub const RESUMES: HeaderName = HeaderName::from_static("x-bendhinge-resumes");
     /// The name of the upstream that the request is for.
     pub const UPSTREAM: HeaderName = HeaderName::from_static("x-bendhinge-upstream");
     /// The customer that sent the request.
--- a/crates/bendhinge_gateway/src/state/choice.rs
+++ b/crates/bendhinge_gateway/src/state/choice.rs
@@ -51,6 +51,8 @@
     pub(crate) homes: usize,
     /// The number of tokens in shared prompt parts that the upstream is not expected to have cached.
     pub(crate) missing_tokens: u32,
+    /// Whether upstreams of the pool run several versions of their software.
+    pub(crate) has_other_software: bool,
     /// Counts the request toward the upstream's load until dropped.
     pub(crate) guard: RequestGuard,
 }
@@ -145,6 +147,7 @@
             (choice, candidates[choice.candidate].load, None)
         };
         let entry = Arc::clone(&listed[choice.candidate].entry);
+        let has_other_software = listed.iter().any(|other| other.entry.software != entry.software);
         let fetch_from = choice.fetch_source.map(|source| listed[source].entry.address);
         let read_tokens = if fetch_from.is_some() { 0 } else { choice.missing_tokens };
         let load_basis = state.loads.basis(entry.hash, now);
@@ -177,6 +180,7 @@
             mean_load: choice.mean_load,
             homes: choice.homes,
             missing_tokens: choice.missing_tokens,
+            has_other_software,
             list_age,
             chosen_at: now,
             guard,
--- a/crates/bendhinge_lab/src/gateways/caller.rs
+++ b/crates/bendhinge_lab/src/gateways/caller.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_gateway::native::headers::{CODE, DEADLINE, PROMPT, RAN, REQUEST, SIGNATURE};
+use bendhinge_gateway::native::headers::{
+    CODE, DEADLINE, PROMPT, RAN, REQUEST, RESUME_AFTER, RESUMES, SIGNATURE,
+};
 use bendhinge_http::{Body, Pool, SendFailure, full_body};
 use bendhinge_standin::gateway::Upstream;
 use futures_lite::FutureExt;
@@ -35,6 +37,17 @@
     pub version: Version,
     /// Further headers.
     pub extra_headers: Vec<(&'static str, &'static str)>,
+    /// The stream that it resumes.
+    pub resumption: Option<Resumption>,
+}
+
+/// A stream that a call resumes.
+#[derive(Clone, Debug)]
+pub struct Resumption {
+    /// The request that brought its first event; `None` if the caller does not name it.
+    pub request: Option<String>,
+    /// The ID of its last event.
+    pub last_event: u32,
 }
 
 impl Call {
@@ -51,6 +64,7 @@
             body: String::new(),
             version: Version::HTTP_11,
             extra_headers: Vec::new(),
+            resumption: None,
         }
     }
 
@@ -61,7 +75,7 @@
         Self { prompt: Some(format!("1:2000,2:6000,{own}:500")), ..Self::new(path, key) }
     }
 
-    fn request(&self) -> Request<Body> {
+    pub(super) fn request(&self) -> Request<Body> {
         let mut request = Request::new(full_body(self.body.clone()));
         *request.method_mut() = Method::POST;
         *request.version_mut() = self.version;
@@ -74,6 +88,12 @@
         for (name, text) in &self.extra_headers {
             headers.insert(*name, value(text));
         }
+        if let Some(Resumption { request, last_event }) = &self.resumption {
+            headers.insert(RESUME_AFTER, value(&last_event.to_string()));
+            if let Some(request) = request {
+                headers.insert(RESUMES, value(request));
+            }
+        }
         if let Some(key) = &self.key {
             headers.insert(AUTHORIZATION, value(&format!("Bearer {key}")));
         }
@@ -203,7 +223,7 @@
 }
 
 /// The number of events in the stand-in's streams.
-const EVENTS: u32 = 12;
+pub(super) const EVENTS: u32 = 12;
 
 fn expected(call: &Call) -> String {
     if call.prompt.is_none() {
--- a/crates/bendhinge_lab/src/gateways/fleet.rs
+++ b/crates/bendhinge_lab/src/gateways/fleet.rs
@@ -106,6 +106,28 @@
     ///
     /// If something cannot be started: tests cannot go on then.
     pub async fn start(tasks: &Tasks, shape: FleetShape, sections: &str) -> Self {
+        let FleetShape { gateways, engines, services } = shape;
+        let engines: Vec<(String, &str)> = (0..engines).map(|number| (engine_name(number), "")).collect();
+        Self::start_engines(tasks, gateways, &engines, services, sections).await
+    }
+
+    /// Starts a fleet whose engines run these versions of their software.
+    ///
+    /// # Panics
+    ///
+    /// If something cannot be started: tests cannot go on then.
+    pub async fn start_versions(tasks: &Tasks, gateways: usize, versions: &[&str], sections: &str) -> Self {
+        let engines = versions.iter().enumerate().map(|(number, software)| (engine_name(number), *software));
+        Self::start_engines(tasks, gateways, &engines.collect::<Vec<_>>(), 0, sections).await
+    }
+
+    async fn start_engines(
+        tasks: &Tasks,
+        gateways: usize,
+        engines: &[(String, &str)],
+        services: usize,
+        sections: &str,
+    ) -> Self {
         const CONNECT: Duration = Duration::from_secs(5);
         const IDLE: Duration = Duration::from_secs(10);
         let store = Store::start(tasks).await.expect("a free port");
@@ -121,12 +143,13 @@
             gateways: Vec::new(),
             pool: Arc::new(Pool::new(Arc::clone(tasks), CONNECT, IDLE)),
         };
-        for (pool, count) in [("engines", shape.engines), ("services", shape.services)] {
-            for number in 0..count {
-                fleet.add_upstream(&format!("{pool}-{number}"), pool).await;
-            }
+        for (name, software) in engines {
+            fleet.add_engine(name, software).await;
+        }
+        for number in 0..services {
+            fleet.add_upstream(&format!("services-{number}"), "services").await;
         }
-        for number in 0..shape.gateways {
+        for number in 0..gateways {
             fleet.add_gateway(number, sections);
         }
         fleet.until_ready().await;
@@ -143,10 +166,21 @@
         self.adopt(pool, started);
     }
 
+    /// Adds an engine with a version of its software.
+    ///
+    /// # Panics
+    ///
+    /// If there is no free port.
+    pub async fn add_engine(&mut self, name: &str, software: &str) {
+        let started = StartedUpstream::start(&self.tasks, name).await;
+        started.upstream.set_software(software);
+        self.adopt("engines", started);
+    }
+
     /// Lists an upstream that was started.
     pub fn adopt(&mut self, pool: &str, started: StartedUpstream) {
         let StartedUpstream { upstream, proxy } = started;
-        self.store.add(&upstream.name(), pool, proxy.address);
+        self.store.add_with_software(&upstream.name(), pool, proxy.address, &upstream.software());
         self.upstreams.push(upstream);
         self.proxies.push(proxy);
     }
@@ -269,6 +303,10 @@
     }
 }
 
+fn engine_name(number: usize) -> String {
+    format!("engines-{number}")
+}
+
 /// Waits until `holds`, for as long as a loaded box may need.
 ///
 /// # Panics
--- a/crates/bendhinge_lab/src/gateways/mod.rs
+++ b/crates/bendhinge_lab/src/gateways/mod.rs
@@ -8,11 +8,13 @@
 mod process;
 mod proxy;
 mod soak;
+mod stream_caller;
 
-pub use caller::{Answer, Call, GatewayCaller, Told};
+pub use caller::{Answer, Call, GatewayCaller, Resumption, Told};
 pub use fleet::{FleetShape, GatewayFleet, KEY, RULES, StartedUpstream, until};
 pub use linked_fleet::{GatewayStart, LinkedFleet, Partition};
 pub use partition_soak::partition_soak;
 pub use process::{GatewayProcess, GatewaySettings, PEER_KEY};
 pub use proxy::{Harm, Proxy};
 pub use soak::{Findings, soak};
+pub use stream_caller::{StreamCaller, StreamEnd};
--- a/crates/bendhinge_standin/src/gateway/store.rs
+++ b/crates/bendhinge_standin/src/gateway/store.rs
@@ -49,6 +49,8 @@
     pub warm_up_said: u64,
     /// The revision at which it first appeared.
     pub made: u64,
+    /// The version of its software; empty if it does not say.
+    pub software: String,
 }
 
 #[derive(Default)]
@@ -121,6 +123,7 @@
         "made": record.made,
         "warm_up_ms": u64::try_from(record.warm_up.as_millis()).unwrap_or(u64::MAX),
         "warm_up_said": record.warm_up_said,
+        "software": record.software,
     })
 }
 
@@ -166,8 +169,13 @@
         self.change(|state| state.rules = Some((state.revision, document.to_owned())));
     }
 
-    /// Adds an upstream.
+    /// Adds an upstream that does not name its software.
     pub fn add(&self, name: &str, pool: &str, address: SocketAddr) {
+        self.add_with_software(name, pool, address, "");
+    }
+
+    /// Adds an upstream with a version of its software.
+    pub fn add_with_software(&self, name: &str, pool: &str, address: SocketAddr, software: &str) {
         self.change(|state| {
             state.upstreams.push(UpstreamRecord {
                 name: name.to_owned(),
@@ -178,6 +186,7 @@
                 warm_up: Duration::ZERO,
                 warm_up_said: state.revision,
                 made: state.revision,
+                software: software.to_owned(),
             });
             state.note(name);
         });
--- a/crates/bendhinge_standin/src/gateway/upstream.rs
+++ b/crates/bendhinge_standin/src/gateway/upstream.rs
@@ -58,6 +58,8 @@
     events: u32,
     pace: Duration,
     work: Duration,
+    /// The version of its software, which its events name; empty if they do not.
+    software: String,
 }
 
 /// An upstream; cheap to clone.
@@ -90,6 +92,7 @@
             events: EVENTS,
             pace: PACE,
             work: WORK,
+            software: String::new(),
         }));
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let server = Server::bind(any, ServeLimits::default(), Arc::clone(tasks)).await?;
@@ -160,6 +163,17 @@
         self.state.lock().unwrap().other_requests = Some(other_requests);
     }
 
+    /// The version of its software.
+    #[must_use]
+    pub fn software(&self) -> String {
+        self.state.lock().unwrap().software.clone()
+    }
+
+    /// Sets the version of its software, which its events name from now on.
+    pub fn set_software(&self, software: &str) {
+        software.clone_into(&mut self.state.lock().unwrap().software);
+    }
+
     /// Sets the time between the events of streams.
     pub fn set_pace(&self, pace: Duration) {
         self.state.lock().unwrap().pace = pace;
@@ -337,6 +351,14 @@
     }
 }
 
+/// The event of a stream with this id, from an upstream with this software.
+fn versioned_event(request: &str, id: u32, software: &str) -> String {
+    if software.is_empty() {
+        return Upstream::expected_event(request, id);
+    }
+    format!("id: {id}\ndata: {request} {id} {software}\n\n")
+}
+
 async fn send_events(
     state: Arc<Mutex<State>>,
     _working: Working,
@@ -344,14 +366,14 @@
     request: String,
     from: u32,
 ) {
-    let (fault, events) = {
+    let (fault, events, software) = {
         let state = state.lock().unwrap();
-        (state.fault, state.events)
+        (state.fault, state.events, state.software.clone())
     };
     for id in from..events {
         let pace = state.lock().unwrap().pace;
         Timer::after(pace).await;
-        let event = Upstream::expected_event(&request, id);
+        let event = versioned_event(&request, id, &software);
         let sent = match fault {
             UpstreamFault::BreaksOff(whole) if id - from >= whole => {
                 let _ = sender.send(Ok(first_half(&event))).await;
