--- a/crates/bendhinge_lab/tests/gateway_software.rs
+++ b/crates/bendhinge_lab/tests/gateway_software.rs
@@ -2,12 +2,18 @@
 
 mod gateway_common;
 
+use std::time::Duration;
+
 use bendhinge_http::Tasks;
 use bendhinge_lab::gateways::{Call, GatewayFleet, KEY, StreamCaller, StreamEnd};
 use bendhinge_standin::gateway::UpstreamFault;
 use gateway_common::{PATIENCE, line_of, metric, run};
+use smol::Timer;
 
 const SECTIONS: &str = "";
+/// Two old upstreams and four new ones.
+const VERSIONS: [&str; 6] = ["v1", "v1", "v1.2", "v1.2", "v1.2", "v1.2"];
+const STREAMS: usize = 24;
 /// The number of events in a complete stream.
 const ALL: usize = 12;
 
@@ -15,6 +21,71 @@
     GatewayFleet::start_versions(tasks, gateways, versions, SECTIONS).await
 }
 
+/// Begins streams at a gateway and leaves them after `events` events.
+async fn begin(fleet: &GatewayFleet, gateway: usize, events: usize) -> Vec<StreamCaller> {
+    let mut streams = Vec::new();
+    for _ in 0..STREAMS {
+        let mut stream = StreamCaller::new("/resumable/x", KEY);
+        let end = stream.receive(&fleet.pool, fleet.callers(gateway), events).await;
+        assert_eq!(end, StreamEnd::Left);
+        streams.push(stream);
+    }
+    streams
+}
+
+/// Resumes streams at a gateway; returns how many go on.
+async fn resume(fleet: &GatewayFleet, gateway: usize, streams: &mut [StreamCaller], events: usize) -> usize {
+    let mut going_on = 0;
+    for stream in streams {
+        let end = stream.receive(&fleet.pool, fleet.callers(gateway), events).await;
+        assert!(!matches!(end, StreamEnd::Wrong(_)), "{end:?}");
+        going_on += usize::from(matches!(end, StreamEnd::Complete | StreamEnd::Left));
+    }
+    going_on
+}
+
+fn mixed(streams: &[StreamCaller]) -> usize {
+    streams.iter().filter(|stream| stream.is_mixed()).count()
+}
+
+/// The time in which records of streams reach other gateways.
+async fn records_are_sent() {
+    Timer::after(Duration::from_millis(500)).await;
+}
+
+/// Guards against a stream that its gateway resumes within the response at an upstream with other software.
+#[test]
+fn streams_resumed_within_a_response_keep_their_software() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, 1, &VERSIONS).await;
+        fleet.upstreams.iter().for_each(|upstream| upstream.set_fault(UpstreamFault::BreaksOff(8)));
+        let mut streams = Vec::new();
+        for _ in 0..STREAMS {
+            let mut stream = StreamCaller::new("/resumable/x", KEY);
+            let end = stream.receive(&fleet.pool, fleet.callers(0), ALL).await;
+            assert!(matches!(end, StreamEnd::Complete | StreamEnd::Broken), "{end:?}");
+            streams.push(stream);
+        }
+        assert_eq!(mixed(&streams), 0, "of {STREAMS}");
+        assert!(streams.iter().any(StreamCaller::is_whole), "no stream went on");
+    });
+}
+
+/// Guards against a stream that its caller resumes at the same or at another gateway, several times, and that is sent
+/// to an upstream with other software.
+#[test]
+fn streams_resumed_by_their_callers_keep_their_software() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, 3, &VERSIONS).await;
+        let mut streams = begin(&fleet, 0, 3).await;
+        records_are_sent().await;
+        for (gateway, events) in [(0, 5), (1, 7), (2, ALL)] {
+            let going_on = resume(&fleet, gateway, &mut streams, events).await;
+            assert_eq!((mixed(&streams), going_on), (0, STREAMS), "at gateway {gateway}");
+        }
+    });
+}
+
 /// Guards against lines and metrics that do not show which software a resumed stream had, and how far it came.
 #[test]
 fn lines_of_resumed_streams_show_software_and_events() {
