--- a/crates/bendhinge_codes/src/code.rs
+++ b/crates/bendhinge_codes/src/code.rs
@@ -157,6 +157,12 @@
     CustomerOverShare = 313, 429, NOT_RUN, true,
         "The engines are nearly full, and the customer demands more than its fair share of them.",
         "Come back after `Retry-After` seconds, or send fewer requests at once.";
+    StreamSoftwareUnknown = 314, 503, NOT_RUN, false,
+        "It is not known which version of the upstreams' software began the stream that the request resumes.",
+        "Request the stream from its beginning.";
+    StreamSoftwareUnavailable = 315, 503, NOT_RUN, false,
+        "No upstream with the software that began the stream accepts the request that resumes it.",
+        "Request the stream from its beginning, or retry if its upstreams are only busy.";
     UpstreamNotReached = 401, 503, NOT_RUN, true,
         "No connection to an upstream could be made within the retry budget.",
         "Come back after `Retry-After` seconds.";
--- a/crates/bendhinge_delivery/src/identity.rs
+++ b/crates/bendhinge_delivery/src/identity.rs
@@ -10,6 +10,22 @@
 #[derive(Clone)]
 pub struct IdentityKey(pub [u8; 32]);
 
+impl IdentityKey {
+    /// Returns a truncated HMAC-SHA-256 of `parts` under the key.
+    #[must_use]
+    #[expect(clippy::missing_panics_doc, reason = "keys of every length are taken")]
+    pub fn hash(&self, parts: &[&[u8]]) -> u64 {
+        let mut hash = Hmac::<Sha256>::new_from_slice(&self.0).expect("HMAC accepts keys of any length");
+        for part in parts {
+            // Length prefixes keep the boundaries between parts unambiguous.
+            hash.update(&(part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        let mac: [u8; 32] = hash.finalize().into_bytes().into();
+        u64::from_be_bytes(*mac.first_chunk().expect("32 bytes contain 8"))
+    }
+}
+
 /// The fields that identify a request across retries and boxes. Other headers, which a caller may vary freely,
 /// are excluded.
 #[derive(Clone, Copy, Debug)]
@@ -41,16 +57,9 @@
 
     /// Computes the digest under `key`: the hint, followed by a truncated HMAC-SHA-256.
     #[must_use]
-    #[expect(clippy::missing_panics_doc, reason = "keys of every length are taken")]
     pub fn digest(&self, key: &IdentityKey) -> RequestDigest {
-        let mut hash = Hmac::<Sha256>::new_from_slice(&key.0).expect("HMAC accepts keys of any length");
-        for part in [self.customer.as_bytes(), self.method.as_bytes(), self.target.as_bytes(), self.body] {
-            // Length prefixes keep the boundaries between parts unambiguous.
-            hash.update(&(part.len() as u64).to_be_bytes());
-            hash.update(part);
-        }
-        let mac: [u8; 32] = hash.finalize().into_bytes().into();
-        let suffix = u64::from_be_bytes(*mac.first_chunk().expect("32 bytes contain 8"));
+        let parts = [self.customer.as_bytes(), self.method.as_bytes(), self.target.as_bytes(), self.body];
+        let suffix = key.hash(&parts);
         RequestDigest::new(self.hint(key), suffix)
     }
 }
--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -16,6 +16,8 @@
 //!   other routers.
 //! * [`PoolWork`] estimates the work at the upstreams of an engine pool.
 //! * [`Quarantine`] tracks the requests that crash the upstreams running them.
+//! * [`SoftwareHistory`] tracks which versions of their software the upstreams of a pool have run, and [`StreamRecords`] which of
+//!   them began each stream.
 //! * [`FleetTotals`] sums values over all routers.
 //! * [`ResponseTimes`] estimates the response times of the upstreams of a plain pool.
 //!
@@ -39,7 +41,9 @@
 mod replica;
 mod response_times;
 mod roster;
+mod software_history;
 mod store_reads;
+mod stream_records;
 mod totals;
 mod update_log;
 mod work;
@@ -67,7 +71,11 @@
 pub use roster::{
     Contact, Member, MemberReport, MemberStates, Origin, Reach, Roster, RosterDigest, RosterTimeouts,
 };
+pub use software_history::{PoolSoftware, ServedSoftware, SoftwareHistory};
 pub use store_reads::{StoreReadSchedule, StoreReadTimings};
+pub use stream_records::{
+    OwnStream, StreamId, StreamRecord, StreamRecordLimits, StreamRecords, StreamSoftware, UnsentRecord,
+};
 pub use totals::{Figure, FleetTotal, FleetTotals, PackedTotals, TotalKey};
 pub use update_log::{LogPosition, RouterIncarnation, UpdateBatch, UpdateLog, UpdateLogLimits, UpdateSource};
 pub use work::{PoolWork, SendId, SendWork, UpstreamWork, WorkReport};
--- a/crates/bendhinge_fleet/src/roster.rs
+++ b/crates/bendhinge_fleet/src/roster.rs
@@ -16,7 +16,7 @@
 
 use bendhinge_ids::Instant;
 
-use self::ranks::{pick_random, primary_relay, rank_score, relays};
+use self::ranks::{pick_random, primary_relay, rank_score, record_score, relays};
 pub use self::states::{MemberStates, RosterDigest};
 
 /// Timeouts of membership.
@@ -334,6 +334,17 @@
         }
     }
 
+    /// Returns the live members that hold a record, the first `count` in an order that depends on the record.
+    /// Routers that know the same members agree on it, apart from themselves.
+    #[must_use]
+    pub fn record_holders(&self, record: u64, count: usize, now: Instant) -> Vec<SocketAddr> {
+        let scored =
+            self.live(now).map(|(address, member)| (record_score(record, member.rank_score), address));
+        let mut scored: Vec<_> = scored.collect();
+        scored.sort_unstable_by(|left, right| right.cmp(left));
+        scored.into_iter().take(count).map(|(_, address)| address).collect()
+    }
+
     /// Returns this router's index in `ranked`.
     fn position(&self, ranked: &[SocketAddr]) -> usize {
         ranked.iter().position(|address| *address == self.own).unwrap_or(0)
--- a/crates/bendhinge_fleet/src/roster/ranks.rs
+++ b/crates/bendhinge_fleet/src/roster/ranks.rs
@@ -34,6 +34,11 @@
     if candidates.is_empty() { None } else { candidates.get(draw(candidates.len())).copied() }
 }
 
+/// Hashes a record together with the score of a member, to order the members that may hold it.
+pub(super) fn record_score(record: u64, member_score: u64) -> u64 {
+    xxh3_64_with_seed(&record.to_be_bytes(), member_score)
+}
+
 /// Hashes an address to order members of equal priority. The order is the same at all routers and mixes
 /// data centres.
 pub(super) fn rank_score(address: SocketAddr) -> u64 {
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -5,8 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{Contact, ListUpdate, Origin, Reach, UpstreamList};
-use bendhinge_peer::{CachedPartsPage, FleetService, HeldVersion, ObservedCachedPart, PeerMessage};
+use bendhinge_fleet::{Contact, ListUpdate, Origin, Reach, StreamId, UpstreamList};
+use bendhinge_ids::NameHash;
+use bendhinge_peer::{
+    CachedPartsPage, FleetService, HeldVersion, ObservedCachedPart, ObservedStream, PeerMessage, StreamAnswer,
+};
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use rand::Rng;
@@ -318,4 +321,14 @@
         let held = upstreams.held_version(bendhinge_clock::now())?;
         Some((held, upstreams.list_update_for(base)?))
     }
+
+    fn merge_streams(&self, streams: Vec<ObservedStream>) {
+        if self.0.context.streams.is_enabled() {
+            self.0.context.streams.merge(&streams);
+        }
+    }
+
+    fn find_stream(&self, stream: StreamId, pool: Option<NameHash>) -> StreamAnswer {
+        self.0.stream_answer(stream, pool)
+    }
 }
--- a/crates/bendhinge_gateway/src/control/fetching.rs
+++ b/crates/bendhinge_gateway/src/control/fetching.rs
@@ -212,6 +212,8 @@
             let age = bendhinge_clock::now().since(requested_at - held.age);
             log.replica_updated(ReplicaKind::Upstreams, held.version, origin, age);
             self.context.quarantine.set_running_software(upstreams.software_hashes());
+            // A second version in a pool makes it necessary to send the records of its streams.
+            self.context.streams.notify_unsent();
             self.spawn_push(origin);
         }
     }
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod partitions;
 mod recovery;
 mod store;
+mod streams;
 mod totals;
 
 use std::cell::{Cell, RefCell};
@@ -35,6 +36,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::quarantine::QuarantineChange;
 use crate::settings::Settings;
+use crate::streams::StreamNotifications;
 
 /// Time during which a peer is not called again after a failed call.
 const FAILED_CALL_BACKOFF: Duration = Duration::from_millis(300);
@@ -52,6 +54,8 @@
     pub(crate) partitions: Receiver<Origin>,
     /// Connections to be opened to other gateways.
     pub(crate) connects: Receiver<ConnectRequest>,
+    /// Streams to be recorded or looked up at other gateways.
+    pub(crate) streams: StreamNotifications,
 }
 
 /// Control plane of this gateway.
@@ -125,7 +129,7 @@
         intake: Arc<Intake>,
         notifications: Notifications,
     ) {
-        let Notifications { suspicions, overloads, partitions, connects } = notifications;
+        let Notifications { suspicions, overloads, partitions, connects, streams } = notifications;
         let stream_handler = partitions::stream_handler(self, intake);
         let accepts_streams = self.context.forwarding.is_enabled();
         let serving = serve_fleet_and_streams(
@@ -144,6 +148,7 @@
         self.executor.spawn(overloads::push_overloads(Rc::clone(self), overloads)).detach();
         self.executor.spawn(partitions::push_partitions(Rc::clone(self), partitions)).detach();
         self.executor.spawn(partitions::open_streams(Rc::clone(self), connects)).detach();
+        streams::start(self, streams);
         self.executor.spawn(recovery::run(Rc::clone(self))).detach();
         self.executor.spawn(housekeeping(Rc::clone(self))).detach();
     }
@@ -166,6 +171,7 @@
     /// Notifies peers that this gateway is shutting down.
     pub(crate) async fn announce_shutdown(self: &Rc<Self>) {
         exchange::push_update(self, Origin::Store).await;
+        self.hand_over_streams().await;
     }
 }
 
@@ -190,5 +196,6 @@
         control.context.pacing.prune();
         control.context.admission.prune();
         control.context.connection_pool.prune();
+        control.context.streams.prune();
     }
 }
--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -360,6 +360,6 @@
         is_before_deadline
             && !is_quarantined()
             && inbound.is_authorized(&self.rules)
-            && self.upstreams.is_available(chosen.entry.hash)
+            && self.upstreams.is_available(&chosen.entry)
     }
 }
--- a/crates/bendhinge_gateway/src/delivery/context.rs
+++ b/crates/bendhinge_gateway/src/delivery/context.rs
@@ -21,6 +21,7 @@
 use crate::retries::RetryBudgets;
 use crate::settings::LoadSettings;
 use crate::state::{RulesReplica, UpstreamView};
+use crate::streams::Streams;
 use crate::totals::SharedTotals;
 
 /// The shared state that delivery uses.
@@ -40,6 +41,7 @@
     pub(crate) forwarding: Arc<Forwarding>,
     /// Notifies the control plane of changes of the pools from which gateways are partitioned.
     pub(crate) partition_notifier: Sender<Origin>,
+    pub(crate) streams: Streams,
     pub(crate) sends: Arc<SendRegistry>,
     pub(crate) connection_pool: Pool,
     pub(crate) tasks: Tasks,
--- a/crates/bendhinge_gateway/src/delivery/forward.rs
+++ b/crates/bendhinge_gateway/src/delivery/forward.rs
@@ -17,7 +17,7 @@
 use super::{Delivery, DeliveryContext, DeliveryError, InboundRequest, delay_until_next_list};
 use crate::forwarding::ForwardGuard;
 use crate::forwarding::headers::{self, ForwardRefusal, ForwardedFields};
-use crate::state::LinkState;
+use crate::state::{LinkState, SoftwareRule};
 
 /// The number of gateways to which a request is sent in turn while none of them has run it.
 const MAX_GATEWAYS: usize = 2;
@@ -199,6 +199,10 @@
             was_counted: self.is_counted,
             rules_revision: held_rules.map_or(0, |held| held.version.document().0),
             resume_after: resume_after.map(str::to_owned),
+            software: match self.software_rule() {
+                SoftwareRule::Only(software) => Some(software),
+                SoftwareRule::Any | SoftwareRule::Settled => None,
+            },
         };
         headers::write_request(request.headers_mut(), &fields);
         request
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -12,6 +12,7 @@
 mod outcome;
 mod race;
 mod relay;
+mod software;
 mod upstream_body;
 
 use std::sync::Arc;
@@ -36,6 +37,7 @@
 pub(crate) use self::measured_send::SendRegistry;
 use self::race::{FailedSend, PendingSend, SendRecord, race};
 use self::relay::{Relay, ResponseSource, StreamSource, relay_body};
+use self::software::RequiredSoftware;
 use self::upstream_body::{EndedBody, UpstreamBody};
 use crate::intake::Refusal;
 use crate::intake::headers;
@@ -43,7 +45,7 @@
 use crate::log::RequestLogEntry;
 use crate::metrics::{ResumedSoftware, Resumer};
 use crate::quarantine::{SendRefusal, TrackedSend};
-use crate::state::{ChosenUpstream, PlacementRequest};
+use crate::state::{ChosenUpstream, PlacementRequest, SoftwareRule};
 
 /// Sends a request and returns the final response.
 pub(crate) async fn deliver(
@@ -74,6 +76,7 @@
     });
     let log_line = RequestLogEntry::new(&inbound);
     let mut delivery = Delivery {
+        software: inbound.initial_software(context),
         context: Arc::clone(context),
         is_paced: context.is_paced(&inbound.pool),
         inbound: Arc::new(inbound),
@@ -161,6 +164,8 @@
     /// Whether a send of the request did not connect.
     has_failed_to_connect: bool,
     tried_upstreams: Vec<NameHash>,
+    /// The software that may process the request.
+    software: RequiredSoftware,
     log_line: RequestLogEntry,
 }
 
@@ -169,6 +174,7 @@
     async fn next_response(&mut self, resume_after: Option<&str>) -> Result<UpstreamResponse, DeliveryError> {
         loop {
             if self.should_forward() {
+                self.resolve_software_locally();
                 match self.forward(resume_after).await {
                     ForwardOutcome::Response(response) => return Ok(*response),
                     ForwardOutcome::Failed(error) => return Err(error),
@@ -179,6 +185,7 @@
                 return Err(error);
             }
             self.admit_if_not_counted()?;
+            self.resolve_software().await?;
             let send = self.start_send(resume_after, self.retry_state.allows_hedge())?;
             match self.await_response(send, resume_after).await {
                 Ok(response) => {
@@ -319,6 +326,7 @@
             prompt: self.inbound.fields.prompt.as_ref(),
             regions: self.inbound.allowed_regions(),
             tried: &self.tried_upstreams,
+            software: self.software_rule(),
             may_probe,
             tie_breaker: self.inbound.tie_breaker,
         };
@@ -327,6 +335,9 @@
 
     /// Returns the error for a request that no upstream accepts or that must not be sent again.
     fn no_upstream_error(&self) -> DeliveryError {
+        if self.inbound.resumes_stream() && matches!(self.software_rule(), SoftwareRule::Only(_)) {
+            return DeliveryError::Code(self.code_if_not_run(ResultCode::StreamSoftwareUnavailable));
+        }
         match self.context.remaining_backoff(&self.inbound) {
             Some(backoff) => self.retry_later(ResultCode::AllUpstreamsRest, backoff),
             None => DeliveryError::Code(self.retry_state.final_code(false)),
@@ -384,8 +395,12 @@
                 Response::from_parts(head, full_body(bytes))
             }
             UpstreamBody::Stream(body, framing, connection) => {
-                if self.inbound.fields.resume_after.is_some() {
-                    self.context.metrics.count_resumption(Resumer::Caller, ResumedSoftware::Unknown);
+                if self.inbound.resumes_stream() {
+                    let resumed = match self.software_rule() {
+                        SoftwareRule::Only(_) => ResumedSoftware::Same,
+                        SoftwareRule::Any | SoftwareRule::Settled => ResumedSoftware::Unknown,
+                    };
+                    self.context.metrics.count_resumption(Resumer::Caller, resumed);
                 }
                 self.log_line.set_caller_framing(BodyFraming::of_stream_to(self.inbound.head.version));
                 let headers = upstream_headers;
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -18,12 +18,12 @@
 use hyper::body::{Frame, Incoming};
 use smol::Timer;
 
-use super::Delivery;
 use super::attempt::UpstreamResponse;
 use super::forward::ForwardedSend;
 use super::measured_send::MeasuredSend;
 use super::race::SendRecord;
 use super::upstream_body::UpstreamBody;
+use super::{Delivery, DeliveryError};
 use crate::lifecycle::InProgress;
 use crate::metrics::{ResumedSoftware, Resumer};
 use crate::state::ChosenUpstream;
@@ -254,8 +254,10 @@
         self.is_awaiting_event = false;
         let Some(source) = &mut self.source else { return };
         source.relayed_events += count;
-        if let ResponseSource::Upstream(send) = &source.sender {
-            self.software.get_or_insert(send.chosen.entry.software);
+        if let (None, ResponseSource::Upstream(send)) = (self.software, &source.sender) {
+            let software = send.chosen.entry.software;
+            self.software = Some(software);
+            self.delivery.record_began_software(software);
         }
         let now = bendhinge_clock::now();
         if self.timing.record_event(now, source.sender.record_event()) {
@@ -332,7 +334,13 @@
                 self.source = Some(source);
                 true
             }
-            Ok(_) | Err(_) => false,
+            Ok(_) => false,
+            Err(error) => {
+                if let DeliveryError::Code(code) | DeliveryError::RetryLater { code, .. } = error {
+                    self.delivery.log_line.set_resume_code(code);
+                }
+                false
+            }
         }
     }
 
--- a/crates/bendhinge_gateway/src/dialect.rs
+++ b/crates/bendhinge_gateway/src/dialect.rs
@@ -32,6 +32,14 @@
     pub resumes: Option<HeaderValue>,
 }
 
+impl RequestFields {
+    /// Returns the ID of the request that began the stream: the one that is resumed, or this one.
+    pub(crate) fn began_by(&self) -> Option<&HeaderValue> {
+        let resumed = self.resumes.as_ref().filter(|_| self.resume_after.is_some());
+        resumed.or(self.id.as_ref())
+    }
+}
+
 /// The fields that the gateway adds to a request to an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct UpstreamRequestFields<'a> {
--- a/crates/bendhinge_gateway/src/forwarding/headers.rs
+++ b/crates/bendhinge_gateway/src/forwarding/headers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bendhinge_codes::ResultCode;
+use bendhinge_ids::NameHash;
 use hyper::HeaderMap;
 use hyper::header::HeaderName;
 
@@ -21,12 +22,15 @@
 const RULES: HeaderName = HeaderName::from_static("x-bendhinge-forward-rules");
 /// The ID of the last event that the caller received.
 const RESUME_AFTER: HeaderName = HeaderName::from_static("x-bendhinge-forward-resume-after");
+/// The hash of the software that began the stream, in hexadecimal.
+const SOFTWARE: HeaderName = HeaderName::from_static("x-bendhinge-forward-software");
 /// In a response, the number of the result code if the gateway itself generated it.
 const CODE: HeaderName = HeaderName::from_static("x-bendhinge-forward-code");
 /// In a response, the retry delay in milliseconds.
 const RETRY_AFTER: HeaderName = HeaderName::from_static("x-bendhinge-forward-retry-after-ms");
 
-const ALL: [HeaderName; 8] = [FROM, TIME_LEFT, ATTEMPTS, COUNTED, RULES, RESUME_AFTER, CODE, RETRY_AFTER];
+const ALL: [HeaderName; 9] =
+    [FROM, TIME_LEFT, ATTEMPTS, COUNTED, RULES, RESUME_AFTER, SOFTWARE, CODE, RETRY_AFTER];
 
 /// The fields that a gateway adds to a request that it forwards.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -43,6 +47,8 @@
     pub(crate) rules_revision: u64,
     /// The ID of the last event that the caller received.
     pub(crate) resume_after: Option<String>,
+    /// The software that began the stream to resume, if it is known.
+    pub(crate) software: Option<NameHash>,
 }
 
 /// Adds the fields to the headers of a forwarded request.
@@ -56,6 +62,9 @@
     if let Some(resume_after) = &fields.resume_after {
         insert_header(headers, RESUME_AFTER, resume_after);
     }
+    if let Some(NameHash(software)) = fields.software {
+        insert_header(headers, SOFTWARE, &format!("{software:016x}"));
+    }
 }
 
 /// Takes the fields out of the headers of a forwarded request; `None` if one is missing or invalid.
@@ -67,6 +76,9 @@
         was_counted: headers.get(COUNTED)? == "yes",
         rules_revision: parse(headers, &RULES)?,
         resume_after: parse(headers, &RESUME_AFTER),
+        software: parse::<String>(headers, &SOFTWARE)
+            .and_then(|software| u64::from_str_radix(&software, 16).ok())
+            .map(NameHash),
     };
     remove(headers);
     Some(fields)
--- a/crates/bendhinge_gateway/src/intake/mod.rs
+++ b/crates/bendhinge_gateway/src/intake/mod.rs
@@ -140,7 +140,9 @@
         if forwarded.as_ref().is_some_and(|forwarded| self.holds_older_rules(forwarded.rules_revision)) {
             return Err(ResultCode::ViewNotFresh.into());
         }
-        let authorization = authorize(&current, &head, &fields)?;
+        // A split of the route leads to the pool in which the stream began.
+        let split_id = if self.context.streams.is_enabled() { fields.began_by() } else { fields.id.as_ref() };
+        let authorization = authorize(&current, &head, &fields, split_id)?;
         if authorization.customer.is_some() && !self.context.rules.is_within_lease() {
             return Err(ResultCode::ViewNotFresh.into());
         }
@@ -211,12 +213,13 @@
     current: &ActiveRules,
     head: &request::Parts,
     fields: &RequestFields,
+    split_id: Option<&HeaderValue>,
 ) -> Result<Authorization, Refusal> {
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let rules = &current.rules;
     let route = rules.routes.find(host, head.uri.path()).ok_or(ResultCode::UnknownModel)?;
     let customer = authenticate(current, route, fields)?;
-    let pool = route.split.pool_at(split_point(fields)).ok_or(ResultCode::NoUpstream)?;
+    let pool = route.split.pool_at(split_point(split_id)).ok_or(ResultCode::NoUpstream)?;
     Ok(Authorization { route: Arc::clone(route), pool: pool.clone(), customer, limits: rules.limits })
 }
 
@@ -238,8 +241,8 @@
 }
 
 /// Returns a number in `[0, 1)` for the traffic split, which is equal for equal request IDs on all gateways.
-fn split_point(fields: &RequestFields) -> f64 {
-    match &fields.id {
+fn split_point(id: Option<&HeaderValue>) -> f64 {
+    match id {
         Some(id) => hash_to_fraction(xxh3_64(id.as_bytes())),
         None => rand::rng().random(),
     }
--- a/crates/bendhinge_gateway/src/lib.rs
+++ b/crates/bendhinge_gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod run;
 pub mod settings;
 mod state;
+mod streams;
 mod totals;
 
 pub use run::{main, reference};
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -7,7 +7,7 @@
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{BodyEnd, Pause, RetryState, SendOutcome, StreamTiming};
 use bendhinge_http::BodyFraming;
-use bendhinge_ids::{Instant, RequestDigest};
+use bendhinge_ids::{Instant, NameHash, RequestDigest};
 use serde::Serialize;
 
 use super::{Log, whole_millis};
@@ -160,12 +160,23 @@
     resumes: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
     resume_after: Option<String>,
+    /// Hash of the software that began the stream.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    began_software: Option<String>,
+    /// Why the stream was not resumed within the response.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    resume_code: Option<String>,
 }
 
 impl ResumptionFields {
     fn new(fields: &RequestFields) -> Self {
         let resumes = fields.resumes.as_ref().and_then(|id| id.to_str().ok());
-        Self { resumes: resumes.map(shortened), resume_after: fields.resume_after.as_deref().map(shortened) }
+        Self {
+            resumes: resumes.map(shortened),
+            resume_after: fields.resume_after.as_deref().map(shortened),
+            began_software: None,
+            resume_code: None,
+        }
     }
 }
 
@@ -303,6 +314,16 @@
         self.digest = Some(digest);
     }
 
+    /// Sets the software that began the stream which the request resumes.
+    pub(crate) fn set_began_software(&mut self, software: NameHash) {
+        self.resumption.began_software = Some(format!("{:016x}", software.0));
+    }
+
+    /// Sets why an interrupted stream was not resumed within the response.
+    pub(crate) fn set_resume_code(&mut self, code: ResultCode) {
+        self.resumption.resume_code = Some(code.to_string());
+    }
+
     /// Sets how the body of the response to the caller is framed.
     pub(crate) const fn set_caller_framing(&mut self, framing: BodyFraming) {
         self.caller_framing = Some(framing);
--- a/crates/bendhinge_gateway/src/metrics/groups.rs
+++ b/crates/bendhinge_gateway/src/metrics/groups.rs
@@ -63,6 +63,7 @@
     /// Recorded once for each stream.
     pub(super) longest_pause: Histogram<f64>,
     pub(super) resumptions: Counter<u64>,
+    pub(super) sent_records: Counter<u64>,
 }
 
 impl StreamMetrics {
@@ -72,6 +73,10 @@
         counter: impl Fn(&'static str, &'static str) -> Counter<u64>,
     ) -> Self {
         Self {
+            sent_records: counter(
+                "bendhinge.gateway.stream_records_sent",
+                "Records of streams that were sent to other gateways, by result",
+            ),
             resumptions: counter(
                 "bendhinge.gateway.streams_resumed",
                 "Interrupted streams that went on, by who resumed them and by the software of the upstream",
--- a/crates/bendhinge_gateway/src/metrics/mod.rs
+++ b/crates/bendhinge_gateway/src/metrics/mod.rs
@@ -213,6 +213,12 @@
         self.streams.resumptions.add(1, &labels);
     }
 
+    /// Counts records of streams that were sent to another gateway.
+    pub(crate) fn count_sent_stream_records(&self, records: usize, is_received: bool) {
+        let result = if is_received { "ok" } else { "failed" };
+        self.streams.sent_records.add(records as u64, &[KeyValue::new("result", result)]);
+    }
+
     /// Counts a request that was forwarded to another gateway, by how that ended.
     pub(crate) fn count_forward(&self, end: &'static str) {
         self.forwarding.forwards.add(1, &[KeyValue::new("end", end)]);
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -32,6 +32,7 @@
 use crate::retries::RetryBudgets;
 use crate::settings::{SCHEMA, Settings};
 use crate::state::{RulesReplica, UpstreamView};
+use crate::streams::Streams;
 use crate::totals::SharedTotals;
 
 /// How long an idle connection of a caller stays open. Longer than any idle timeout of callers, so that the
@@ -117,24 +118,28 @@
     let (partition_notifier, partitions) = smol::channel::bounded(MAX_QUEUED_PARTITION_CHANGES);
     let (forwarding, connects) =
         Forwarding::new(settings.forwards_requests, settings.peer_address, &settings.data_centre);
+    let identity_key = IdentityKey(settings.fleet.shared_key.derive("requests"));
+    let upstreams = UpstreamView::new(
+        settings.peer_address,
+        settings.location(),
+        &settings.upstreams,
+        settings.load,
+        Arc::clone(&totals),
+        overload_notifier,
+        settings.forwards_requests,
+    );
+    let (streams, stream_notifications) = Streams::new(settings.streams.keeps_software, identity_key.clone());
     let context = Arc::new(DeliveryContext {
         dialect,
         rules: Arc::new(RulesReplica::new(settings.rules)),
-        upstreams: Arc::new(UpstreamView::new(
-            settings.peer_address,
-            settings.location(),
-            &settings.upstreams,
-            settings.load,
-            Arc::clone(&totals),
-            overload_notifier,
-            settings.forwards_requests,
-        )),
+        upstreams: Arc::new(upstreams.with_first_start(settings.streams.is_first_start)),
         retry_budgets: RetryBudgets::new(settings.retry_budget, settings.assumes_spent_retries),
         pacing: Pacing::new(log.clone()),
         admission: Admission::new(Arc::clone(&totals), log.clone()),
         totals,
         load_settings: settings.load,
-        identity_key: IdentityKey(settings.fleet.shared_key.derive("requests")),
+        identity_key,
+        streams,
         quarantine: Arc::new(quarantine),
         crash_probes: CrashProbes::default(),
         link_probes: LinkProbes::default(),
@@ -157,8 +162,15 @@
     let _readiness_server = serve_readiness(&settings, &context, &lifecycle, &traffic).await?;
     let control =
         ControlPlane::new(settings.clone(), Arc::clone(&context), Arc::clone(&lifecycle), traffic, executor);
-    control.start(peer_listener, intake, Notifications { suspicions, overloads, partitions, connects });
-    log.process_event("started", settings.name.as_str(), env!("CARGO_PKG_VERSION"));
+    let notifications =
+        Notifications { suspicions, overloads, partitions, connects, streams: stream_notifications };
+    control.start(peer_listener, intake, notifications);
+    let detail = if settings.streams.is_first_start {
+        concat!(env!("CARGO_PKG_VERSION"), ", first start")
+    } else {
+        env!("CARGO_PKG_VERSION")
+    };
+    log.process_event("started", settings.name.as_str(), detail);
     wait_for_stop_signal(signals, path, &control, &log).await;
     lifecycle.begin_shutdown();
     log.process_event("stopping", settings.name.as_str(), &lifecycle.in_progress().to_string());
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -51,6 +51,8 @@
     /// Whether requests are forwarded to other gateways while this one is partitioned from their upstreams, and
     /// forwarded ones accepted.
     pub forwards_requests: bool,
+    /// Resumption of streams.
+    pub streams: StreamSettings,
     /// Decisions that depend on the load of upstreams.
     pub load: LoadSettings,
     /// The fleet's retry budget.
@@ -159,6 +161,15 @@
     pub drain_deadline: Duration,
 }
 
+/// Resumption of streams.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamSettings {
+    /// Whether streams are resumed only at upstreams with the software that began them.
+    pub keeps_software: bool,
+    /// Whether the whole fleet starts for the first time, so that there are no earlier streams.
+    pub is_first_start: bool,
+}
+
 /// Graceful shutdown.
 #[derive(Clone, Copy, Debug)]
 pub struct StopSettings {
@@ -217,6 +228,7 @@
         let stop = self.0.section("stop").map(|section| self.stop(section));
         let forwards_requests =
             self.0.section("forwarding").map(|section| self.0.value::<YesNo>(section, "enabled"));
+        let streams = self.0.section("streams").map(|section| self.streams(section));
         let released_requests = self
             .0
             .section("quarantine")
@@ -243,6 +255,7 @@
             rules: rules??,
             upstreams: upstreams??,
             forwards_requests: forwards_requests??.0,
+            streams: streams??,
             load: load??,
             retry_budget: retry_budget??,
             assumes_spent_retries: assumes_spent_retries??.0,
@@ -364,6 +377,12 @@
         Some(FleetRetryBudget { ratio: ratio?, base_retries: base_retries?, window: window? })
     }
 
+    fn streams(&self, section: &Section) -> Option<StreamSettings> {
+        let keeps_software = self.0.value::<YesNo>(section, "keep_software");
+        let is_first_start = self.0.value::<YesNo>(section, "first_start");
+        Some(StreamSettings { keeps_software: keeps_software?.0, is_first_start: is_first_start?.0 })
+    }
+
     fn stop(&self, section: &Section) -> Option<StopSettings> {
         let grace_period = self.0.seconds(section, "grace_s");
         let accept_period = self.0.millis(section, "accept_ms");
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -15,6 +15,7 @@
         FORWARDING,
         LOAD,
         RETRIES,
+        STREAMS,
         QUARANTINE,
         STOP,
     ],
@@ -284,6 +285,27 @@
     ],
 };
 
+const STREAMS: SectionKind = SectionKind {
+    kind: "streams",
+    named: false,
+    required: false,
+    help: "How interrupted streams are resumed.",
+    keys: &[
+        Key::new(
+            "keep_software",
+            "yes or no",
+            Some("no"),
+            "Whether a stream goes on only at upstreams with the version of their software that began it. While upstreams of a pool run several versions, gateways tell each other which one began each stream.",
+        ),
+        Key::new(
+            "first_start",
+            "yes or no",
+            Some("no"),
+            "Whether the whole fleet starts for the first time, so that there can be no streams of earlier processes. Otherwise a gateway that starts assumes that it may have missed a version, until another one has told it or time has passed.",
+        ),
+    ],
+};
+
 const QUARANTINE: SectionKind = SectionKind {
     kind: "quarantine",
     named: false,
--- a/crates/bendhinge_gateway/src/state/candidates.rs
+++ b/crates/bendhinge_gateway/src/state/candidates.rs
@@ -6,6 +6,7 @@
 use bendhinge_routes::RegionFilter;
 
 use super::choice::PlacementRequest;
+use super::software::SoftwareRule;
 use super::upstreams::State;
 use crate::settings::{Location, RegionMap};
 
@@ -65,8 +66,9 @@
         if !candidates.iter().any(|candidate| candidate.takes_work) {
             // Without any healthy candidate, ejected upstreams are better than none.
             for (candidate, listed) in candidates.iter_mut().zip(&listed) {
-                candidate.takes_work =
-                    self.is_available(listed, now) && !request.tried.contains(&candidate.upstream);
+                candidate.takes_work = self.is_available(listed, now)
+                    && !request.tried.contains(&candidate.upstream)
+                    && request.software.allows(listed, candidate.load);
             }
         }
         if let Some(rate) = request.rule.and_then(|rule| rule.warmup_requests_per_second) {
@@ -78,6 +80,9 @@
             };
             warmup_limit.exclude_warming(&mut candidates, request.tie_breaker);
         }
+        if request.software == SoftwareRule::Settled {
+            self.exclude_new_software(request.pool, &listed, &mut candidates, now);
+        }
         PoolSnapshot { listed, candidates, pool_reports }
     }
 
@@ -125,10 +130,13 @@
             UpstreamHealth::ProbeAllowed if request.may_probe => 0.0,
             UpstreamHealth::ProbeAllowed | UpstreamHealth::Ejected => UNHEALTHY_FAILURE_RATE,
         };
-        let is_eligible = self.is_available(listed, now) && !request.tried.contains(&upstream);
+        let load = self.estimated_load(listed, mean_load, now);
+        let is_eligible = self.is_available(listed, now)
+            && !request.tried.contains(&upstream)
+            && request.software.allows(listed, load);
         Candidate {
             upstream,
-            load: self.estimated_load(listed, mean_load, now),
+            load,
             failure_rate: expected_failure_rate,
             takes_work: is_eligible && health != UpstreamHealth::Ejected,
             is_warming: is_eligible && listed.is_warming_up(now),
--- a/crates/bendhinge_gateway/src/state/choice.rs
+++ b/crates/bendhinge_gateway/src/state/choice.rs
@@ -12,6 +12,7 @@
 
 use super::candidates::PoolSnapshot;
 use super::engines::TrackedWork;
+use super::software::SoftwareRule;
 use super::upstreams::{State, UpstreamView};
 
 /// The properties of a request that determine its upstream.
@@ -23,6 +24,8 @@
     pub(crate) regions: [&'a RegionFilter; 2],
     /// Upstreams that previous attempts were sent to.
     pub(crate) tried: &'a [NameHash],
+    /// The software that may process the request.
+    pub(crate) software: SoftwareRule,
     /// Whether the request may probe an ejected upstream, because it can be retried if that fails.
     pub(crate) may_probe: bool,
     /// A number that differs between requests, to break ties.
--- a/crates/bendhinge_gateway/src/state/mod.rs
+++ b/crates/bendhinge_gateway/src/state/mod.rs
@@ -12,10 +12,12 @@
 mod plain;
 mod popular;
 mod rules;
+mod software;
 mod upstreams;
 
 pub(crate) use choice::{ChosenUpstream, PlacementRequest};
 pub(crate) use links::LinkState;
 pub(crate) use peers::{address_hash, observed_cached_part, update_source};
 pub(crate) use rules::{ActiveRules, RulesReplica};
+pub(crate) use software::SoftwareRule;
 pub(crate) use upstreams::UpstreamView;
--- a/crates/bendhinge_gateway/src/state/upstreams.rs
+++ b/crates/bendhinge_gateway/src/state/upstreams.rs
@@ -7,8 +7,8 @@
 use bendhinge_admission::Demand;
 use bendhinge_fleet::{
     Directory, FailureDetector, KeyRequests, ListHistory, Loads, OutlierDetector, OverloadLog, Reachability,
-    Replica, RequestedBackoffs, UpdateLog, UpdateLogLimits, UpdateOutcome, UpdateSource, UpstreamEntry,
-    UpstreamFailure, UpstreamList, UpstreamLoad, Version,
+    Replica, RequestedBackoffs, SoftwareHistory, UpdateLog, UpdateLogLimits, UpdateOutcome, UpdateSource,
+    UpstreamEntry, UpstreamFailure, UpstreamList, UpstreamLoad, Version,
 };
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_peer::HeldVersion;
@@ -40,6 +40,8 @@
     /// Incomplete list that is used until the first complete list arrives.
     partial_list: Option<Arc<UpstreamList>>,
     pub(super) directory: Directory,
+    /// The software of the upstreams, also of those that left.
+    pub(super) software: SoftwareHistory,
     pub(super) outlier_detector: OutlierDetector,
     /// Backoffs that upstreams requested from this gateway.
     pub(super) backoffs: RequestedBackoffs,
@@ -95,6 +97,7 @@
             replica: Replica::default(),
             partial_list: None,
             directory: Directory::new(settings.directory_limits),
+            software: SoftwareHistory::default(),
             outlier_detector: OutlierDetector::new(settings.outlier_limits),
             backoffs: RequestedBackoffs::default(),
             failure_detector: FailureDetector::new(address_hash(own_address)),
@@ -123,6 +126,12 @@
         }
     }
 
+    /// Sets whether the whole fleet starts for the first time. Has to be called before the first list is held.
+    pub(crate) fn with_first_start(self, is_first_start: bool) -> Self {
+        self.state.lock().unwrap().software = SoftwareHistory::new(is_first_start);
+        self
+    }
+
     /// Whether a complete list is held.
     pub(crate) fn has_list(&self) -> bool {
         self.state.lock().unwrap().replica.current().is_some()
@@ -174,6 +183,7 @@
         let outcome = state.replica.confirm(version, as_of);
         if outcome == UpdateOutcome::Confirmed {
             state.directory.confirm_current(as_of);
+            state.software.confirm(as_of);
         }
         outcome
     }
@@ -194,6 +204,7 @@
         }
         if outcome != UpdateOutcome::Stale {
             state.directory.confirm_current(as_of);
+            state.software.confirm(as_of);
         }
         if outcome == UpdateOutcome::Updated {
             state.partial_list = None;
@@ -226,12 +237,15 @@
         state.directory.get(upstream).is_some_and(|listed| listed.accepts_work(bendhinge_clock::now()))
     }
 
-    /// Whether requests may be sent to an upstream. Check this again right before sending: the upstream may have
-    /// started to leave, requested a backoff or been drained while the connection was established.
-    pub(crate) fn is_available(&self, upstream: NameHash) -> bool {
+    /// Whether requests may be sent to an upstream that was chosen. Check this again right before sending: the upstream
+    /// may have started to leave, requested a backoff, been drained or changed its software while the connection was
+    /// established.
+    pub(crate) fn is_available(&self, chosen: &UpstreamEntry) -> bool {
         let state = self.state.lock().unwrap();
         let now = bendhinge_clock::now();
-        state.directory.get(upstream).is_some_and(|listed| state.is_available(listed, now))
+        let listed = state.directory.get(chosen.hash);
+        listed
+            .is_some_and(|listed| listed.entry.software == chosen.software && state.is_available(listed, now))
     }
 
     /// Returns the number of a pool's upstreams that accept new work. Upstreams in backoff are included, because
@@ -354,6 +368,7 @@
         let mut state = self.state.lock().unwrap();
         state.prune_engines(now);
         state.overloads.prune(now);
+        state.software.prune(now);
         self.plain.lock().unwrap().retain_listed(|upstream| state.directory.contains(upstream));
         if state.directory.prune(now) {
             state.drop_removed();
@@ -369,7 +384,9 @@
 impl State {
     fn apply_list(&mut self) {
         if let Some(list) = self.replica.value() {
-            self.directory.apply(list, bendhinge_clock::now());
+            let now = bendhinge_clock::now();
+            self.directory.apply(list, now);
+            self.software.record_list(list, now);
             self.drop_removed();
         }
     }
--- a/crates/bendhinge_lab/tests/gateway_software.rs
+++ b/crates/bendhinge_lab/tests/gateway_software.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use bendhinge_http::Tasks;
-use bendhinge_lab::gateways::{Call, GatewayFleet, KEY, StreamCaller, StreamEnd};
+use bendhinge_lab::gateways::{Call, GatewayFleet, KEY, RULES, StreamCaller, StreamEnd, until};
 use bendhinge_standin::gateway::UpstreamFault;
 use gateway_common::{PATIENCE, line_of, metric, run};
+use rustix::process::Signal;
 use smol::Timer;
 
-const SECTIONS: &str = "";
+const SECTIONS: &str = "[streams]\nkeep_software = yes\n";
 /// Two old upstreams and four new ones.
 const VERSIONS: [&str; 6] = ["v1", "v1", "v1.2", "v1.2", "v1.2", "v1.2"];
 const STREAMS: usize = 24;
@@ -44,6 +45,10 @@
     going_on
 }
 
+fn kill(fleet: &mut GatewayFleet, gateway: usize) {
+    fleet.gateways[gateway].take().expect("the gateway runs").kill();
+}
+
 fn mixed(streams: &[StreamCaller]) -> usize {
     streams.iter().filter(|stream| stream.is_mixed()).count()
 }
@@ -110,3 +115,175 @@
         assert_eq!(line["resume_after"], (stream.software.len() - 1).to_string().as_str(), "{line}");
     });
 }
+
+/// Guards against streams that are mixed, or lost, because the gateway that began them was killed.
+#[test]
+fn streams_of_a_killed_gateway_keep_their_software() {
+    run(|tasks| async move {
+        let mut fleet = start(&tasks, 4, &VERSIONS).await;
+        let mut streams = begin(&fleet, 0, 3).await;
+        records_are_sent().await;
+        kill(&mut fleet, 0);
+        for (gateway, events) in [(1, 6), (2, 9), (3, ALL)] {
+            let going_on = resume(&fleet, gateway, &mut streams, events).await;
+            assert_eq!((mixed(&streams), going_on), (0, STREAMS), "at gateway {gateway}");
+        }
+    });
+}
+
+/// Guards against streams that are guessed to have some software after all gateways that knew it were killed.
+#[test]
+fn streams_that_no_gateway_knows_are_refused() {
+    run(|tasks| async move {
+        let mut fleet = start(&tasks, 3, &VERSIONS).await;
+        let mut streams = begin(&fleet, 0, 3).await;
+        records_are_sent().await;
+        (0..3).for_each(|gateway| kill(&mut fleet, gateway));
+        (0..3).for_each(|gateway| fleet.restart(gateway));
+        fleet.until_ready().await;
+        for stream in &mut streams {
+            let end = stream.receive(&fleet.pool, fleet.callers(1), ALL).await;
+            assert_eq!(end, StreamEnd::Refused(503, "BH0314".to_owned()));
+        }
+        assert_eq!(mixed(&streams), 0);
+        begin(&fleet, 1, 3).await;
+    });
+}
+
+/// Guards against streams that go on at other software once no upstream with theirs is listed, also at a gateway that
+/// has started since.
+#[test]
+fn streams_of_software_that_left_are_refused() {
+    run(|tasks| async move {
+        let mut fleet = start(&tasks, 3, &VERSIONS).await;
+        let mut streams = begin(&fleet, 0, 3).await;
+        let old = streams.iter().filter(|stream| stream.software[0] == "v1").count();
+        assert!((1..STREAMS).contains(&old), "{old} streams began at the old upstreams");
+        records_are_sent().await;
+        fleet.store.remove("engines-0");
+        fleet.store.remove("engines-1");
+        let gateways_without_old = async || {
+            let mut stream = StreamCaller::new("/resumable/x", KEY);
+            stream.receive(&fleet.pool, fleet.callers(2), ALL).await;
+            stream.software[0] != "v1"
+        };
+        for _ in 0..STREAMS {
+            until(gateways_without_old).await;
+        }
+        kill(&mut fleet, 1);
+        fleet.restart(1);
+        fleet.until_ready().await;
+        for (number, stream) in streams.iter_mut().enumerate() {
+            let end = stream.receive(&fleet.pool, fleet.callers(number % 3), ALL).await;
+            if stream.software[0] == "v1" {
+                assert_eq!(end, StreamEnd::Refused(503, "BH0315".to_owned()));
+            } else {
+                assert_eq!(end, StreamEnd::Complete);
+            }
+        }
+        assert_eq!(mixed(&streams), 0);
+    });
+}
+
+/// Guards against messages and lookups in a pool whose upstreams all run the same software.
+#[test]
+fn pools_with_a_single_version_cost_no_messages() {
+    run(|tasks| async move {
+        let first_start = SECTIONS.to_owned() + "first_start = yes\n";
+        let mut fleet = GatewayFleet::start_versions(&tasks, 3, &["v1"; 4], &first_start).await;
+        let mut streams = begin(&fleet, 0, 3).await;
+        let records = metric(&fleet, "bendhinge_gateway_stream_records_sent").await;
+        kill(&mut fleet, 0);
+        let going_on = resume(&fleet, 1, &mut streams, ALL).await;
+        assert_eq!((records, going_on), (None, STREAMS));
+    });
+}
+
+/// Guards against callers that resume the streams of other customers, or streams that never began, and against
+/// records of such requests.
+#[test]
+fn streams_of_others_and_unknown_ones_are_refused() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, 2, &VERSIONS).await;
+        let rules = RULES.replace("version = 1", "version = 2") + "[customer.two]\nkeys = key-three\n";
+        fleet.store.put_rules(&rules);
+        let stream = begin(&fleet, 0, 3).await.remove(0);
+        records_are_sent().await;
+        until(async || {
+            let mut other = StreamCaller::new("/resumable/x", "key-three");
+            other.receive(&fleet.pool, fleet.callers(1), ALL).await == StreamEnd::Complete
+        })
+        .await;
+        let mut foreign = stream.clone();
+        foreign.call.key = Some("key-three".to_owned());
+        let mut forged = stream.clone();
+        forged.began_with = Some("ffffffffffffffff".to_owned());
+        let mut unnamed = stream.clone();
+        unnamed.began_with = None;
+        for mut stream in [foreign, forged, unnamed] {
+            for gateway in [0, 1] {
+                let end = stream.receive(&fleet.pool, fleet.callers(gateway), ALL).await;
+                assert_eq!(end, StreamEnd::Refused(503, "BH0314".to_owned()));
+            }
+        }
+        let mut own = stream;
+        assert_eq!(own.receive(&fleet.pool, fleet.callers(1), ALL).await, StreamEnd::Complete);
+    });
+}
+
+/// Guards against a caller that uses the ID of a request twice and gets events of both streams.
+#[test]
+fn streams_that_share_an_id_are_not_mixed() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, 2, &VERSIONS).await;
+        let mut streams = Vec::new();
+        for _ in 0..STREAMS {
+            let mut stream = StreamCaller::new("/resumable/x", KEY);
+            assert_eq!(stream.receive(&fleet.pool, fleet.callers(0), 3).await, StreamEnd::Left);
+            let mut call = stream.next_call();
+            call.id = stream.began_with.clone().unwrap();
+            call.resumption = None;
+            fleet.caller().send(fleet.callers(1), &call, PATIENCE).await;
+            streams.push(stream);
+        }
+        records_are_sent().await;
+        resume(&fleet, 1, &mut streams, ALL).await;
+        assert_eq!(mixed(&streams), 0);
+        let whole = streams.iter().filter(|stream| stream.is_whole()).count();
+        assert!((1..STREAMS).contains(&whole), "{whole} streams went on");
+    });
+}
+
+/// Guards against records that are lost with a gateway that stops regularly.
+#[test]
+fn records_move_on_before_their_holders_stop() {
+    const STOP: Duration = Duration::from_secs(20);
+    run(|tasks| async move {
+        let sections = SECTIONS.to_owned() + "[stop]\naccept_ms = 300\n";
+        let mut fleet = GatewayFleet::start_versions(&tasks, 4, &VERSIONS, &sections).await;
+        let mut streams = begin(&fleet, 0, 3).await;
+        records_are_sent().await;
+        kill(&mut fleet, 0);
+        for gateway in [1, 2] {
+            fleet.gateway(gateway).signal(Signal::TERM);
+            let mut process = fleet.gateways[gateway].take().unwrap();
+            assert!(process.wait(STOP).is_some(), "the gateway stops");
+        }
+        let going_on = resume(&fleet, 3, &mut streams, ALL).await;
+        assert_eq!((mixed(&streams), going_on), (0, STREAMS));
+    });
+}
+
+/// Guards against lookups that wait for a gateway that is suspended.
+#[test]
+fn streams_are_resumed_while_a_gateway_is_suspended() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, 4, &VERSIONS).await;
+        let mut streams = begin(&fleet, 0, 3).await;
+        records_are_sent().await;
+        fleet.gateway(0).signal(Signal::STOP);
+        let going_on = resume(&fleet, 1, &mut streams, ALL).await;
+        fleet.gateway(0).signal(Signal::CONT);
+        assert_eq!((mixed(&streams), going_on), (0, STREAMS));
+    });
+}
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -133,6 +133,22 @@
   software @11 :UInt64;
 }
 
+# The software that began a stream, identified by a keyed hash of its customer and first request. A software of 0 means
+# that several streams have this hash and were begun by different software.
+struct StreamRecord {
+  stream @0 :UInt64;
+  software @1 :UInt64;
+  expiresInMillis @2 :UInt32;
+}
+
+# Software that upstreams of a pool run or have run; pool and software are hashes.
+struct ServedSoftware {
+  pool @0 :UInt64;
+  software @1 :UInt64;
+  # Time since it was last listed.
+  ageMillis @2 :UInt32;
+}
+
 # A snapshot of a document at the time of the request.
 interface Document {
   read @0 (offset :UInt32) -> (bytes :Data);
@@ -155,4 +171,9 @@
   listPiece @4 (digest :UInt64, from :UInt32) -> (list :List(Upstream));
   # Returns the partial list that a gateway uses after startup until it has a complete one; `drained` as above.
   listPart @5 () -> (list :List(Upstream), drained :List(Text));
+  # Hands over records of streams.
+  recordStreams @6 (records :List(StreamRecord)) -> ();
+  # Returns the record of a stream, if there is one, and the software that the upstreams of its pool have run; a pool of
+  # 0 stands for all pools. No other software was listed within `watchedMillis`.
+  findStream @7 (stream :UInt64, pool :UInt64) -> (records :List(StreamRecord), watchedMillis :UInt32, served :List(ServedSoftware));
 }
--- a/crates/bendhinge_peer/src/fleet/client.rs
+++ b/crates/bendhinge_peer/src/fleet/client.rs
@@ -5,15 +5,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{ListUpdate, UpstreamEntry, UpstreamList};
+use bendhinge_fleet::{ListUpdate, StreamId, UpstreamEntry, UpstreamList};
+use bendhinge_ids::NameHash;
 use bytes::{Bytes, BytesMut};
 use smol::LocalExecutor;
 
+use super::convert::write_list_items;
 use super::convert::{
     list_length, read_cached_part, read_drained, read_held_version, read_list, read_message, read_upstreams,
     write_message,
 };
-use super::{CachedPartsPage, HeldVersion, ObservedCachedPart, PeerMessage};
+use super::stream_records::{read_served, read_stream, write_stream};
+use super::{CachedPartsPage, HeldVersion, ObservedCachedPart, ObservedStream, PeerMessage, StreamAnswer};
 use crate::client::{CallError, with_timeout};
 use crate::connector::{self, ConnectionGuard};
 use crate::fleet_capnp::{document, fleet};
@@ -200,4 +203,36 @@
         })
         .await
     }
+
+    /// Hands records of streams over to the peer.
+    pub async fn record_streams(&self, streams: &[ObservedStream]) -> Result<(), CallError> {
+        let mut request = self.peer.record_streams_request();
+        write_list_items(request.get().init_records(list_length(streams.len())), streams, write_stream);
+        with_timeout(self.timeout, async {
+            request.send().promise.await?;
+            Ok(())
+        })
+        .await
+    }
+
+    /// Asks the peer for a stream and for the software of its pool, or of all pools.
+    pub async fn find_stream(
+        &self,
+        stream: StreamId,
+        pool: Option<NameHash>,
+    ) -> Result<StreamAnswer, CallError> {
+        let mut request = self.peer.find_stream_request();
+        request.get().set_stream(stream.0);
+        request.get().set_pool(pool.map_or(0, |pool| pool.0));
+        with_timeout(self.timeout, async {
+            let response = request.send().promise.await?;
+            let response = response.get()?;
+            Ok(StreamAnswer {
+                record: response.get_records()?.iter().map(read_stream).next(),
+                watched_for: Duration::from_millis(response.get_watched_millis().into()),
+                served: response.get_served()?.iter().map(read_served).collect(),
+            })
+        })
+        .await
+    }
 }
--- a/crates/bendhinge_peer/src/fleet/mod.rs
+++ b/crates/bendhinge_peer/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod convert;
 mod crash_history;
 mod server;
+mod stream_records;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,7 +13,7 @@
 
 use bendhinge_fleet::{
     FailureEvidence, FailureReport, ListLoads, ListUpdate, LogPosition, MemberReport, MemberStates,
-    PackedTotals, PartitionReport, RosterDigest, UpstreamList, Version, VersionedValue,
+    PackedTotals, PartitionReport, RosterDigest, StreamId, UpstreamList, Version, VersionedValue,
 };
 use bendhinge_ids::{Instant, NameHash};
 use bendhinge_placement::PartId;
@@ -21,6 +22,7 @@
 pub use client::FleetClient;
 pub use crash_history::{ObservedCrash, ObservedCrashHistory, ObservedInFlightSends};
 pub use server::{serve_fleet, serve_fleet_and_streams};
+pub use stream_records::{ObservedSoftware, ObservedStream, StreamAnswer};
 
 /// The version and age of a replicated value that a gateway holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -243,6 +245,12 @@
     fn partial_list(&self) -> Option<Arc<UpstreamList>>;
     /// Returns a page of the known cached parts, or `None` shortly after startup.
     fn cached_parts(&self, page: CachedPartsPage) -> Option<Vec<ObservedCachedPart>>;
+    /// Merges records of streams.
+    fn merge_streams(&self, _streams: Vec<ObservedStream>) {}
+    /// Returns what this gateway knows of a stream and of the software of its pool, or of all pools.
+    fn find_stream(&self, _stream: StreamId, _pool: Option<NameHash>) -> StreamAnswer {
+        StreamAnswer::default()
+    }
 }
 
 /// Returns the address bits and the port, or `None` for IPv6, which gateways do not listen on.
--- a/crates/bendhinge_peer/src/fleet/server.rs
+++ b/crates/bendhinge_peer/src/fleet/server.rs
@@ -3,16 +3,18 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use bendhinge_fleet::ListUpdate;
+use bendhinge_fleet::{ListUpdate, StreamId};
+use bendhinge_ids::NameHash;
 use bytes::Bytes;
 use capnp::Error;
 use smol::LocalExecutor;
 use smol::net::TcpListener;
 
 use super::convert::{
-    list_length, read_message, write_cached_part, write_drained, write_entries, write_held_version,
+    list_length, millis, read_message, write_cached_part, write_drained, write_entries, write_held_version,
     write_list, write_list_items, write_message,
 };
+use super::stream_records::{read_stream, write_served, write_stream};
 use super::{CachedPartsPage, FleetService};
 use crate::acceptor::{StreamHandler, serve_connections};
 use crate::fleet_capnp::{document, fleet};
@@ -162,4 +164,29 @@
         );
         Ok(())
     }
+
+    async fn record_streams(
+        self: Rc<Self>,
+        params: fleet::RecordStreamsParams,
+        _: fleet::RecordStreamsResults,
+    ) -> Result<(), Error> {
+        self.0.merge_streams(params.get()?.get_records()?.iter().map(read_stream).collect());
+        Ok(())
+    }
+
+    async fn find_stream(
+        self: Rc<Self>,
+        params: fleet::FindStreamParams,
+        mut results: fleet::FindStreamResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let pool = Some(params.get_pool()).filter(|pool| *pool != 0).map(NameHash);
+        let answer = self.0.find_stream(StreamId(params.get_stream()), pool);
+        let mut results = results.get();
+        let records: Vec<_> = answer.record.into_iter().collect();
+        write_list_items(results.reborrow().init_records(list_length(records.len())), &records, write_stream);
+        results.set_watched_millis(millis(answer.watched_for));
+        write_list_items(results.init_served(list_length(answer.served.len())), &answer.served, write_served);
+        Ok(())
+    }
 }
--- a/crates/bendhinge_peer/src/fleet_capnp.rs
+++ b/crates/bendhinge_peer/src/fleet_capnp.rs
@@ -5725,738 +5725,646 @@
     }
 }
 
-pub mod document {
-    #![allow(unused_variables)]
-    pub type ReadParams = ::capnp::capability::Params<crate::fleet_capnp::document::read_params::Owned>;
-    pub type ReadResults = ::capnp::capability::Results<crate::fleet_capnp::document::read_results::Owned>;
-
-    pub struct Client {
-        pub client: ::capnp::capability::Client,
-    }
-    impl ::capnp::capability::FromClientHook for Client {
-        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
-            Self { client: ::capnp::capability::Client::new(hook) }
-        }
-        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
-            self.client.hook
-        }
-        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
-            &*self.client.hook
-        }
-    }
+pub mod stream_record {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
         fn introspect() -> ::capnp::introspect::Type {
-            ::capnp::introspect::TypeVariant::Capability.into()
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
         }
     }
     impl ::capnp::traits::Owned for Owned {
-        type Reader<'a> = Client;
-        type Builder<'a> = Client;
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
     }
     impl ::capnp::traits::Pipelined for Owned {
-        type Pipeline = Client;
+        type Pipeline = Pipeline;
     }
-    impl<'a> ::capnp::traits::FromPointerReader<'a> for Client {
-        fn get_from_pointer(
-            reader: &::capnp::private::layout::PointerReader<'a>,
-            _default: ::core::option::Option<&'a [::capnp::Word]>,
-        ) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(reader.get_capability()?))
-        }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
     }
-    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Client {
-        fn init_pointer(_builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-            unimplemented!()
-        }
-        fn get_from_pointer(
-            builder: ::capnp::private::layout::PointerBuilder<'a>,
-            _default: ::core::option::Option<&'a [::capnp::Word]>,
-        ) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(builder.get_capability()?))
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
         }
     }
 
-    impl ::capnp::traits::SetterInput<Owned> for Client {
-        fn set_pointer_builder(
-            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
-            from: Self,
-            _canonicalize: bool,
-        ) -> ::capnp::Result<()> {
-            pointer.set_capability(from.client.hook);
-            ::core::result::Result::Ok(())
-        }
-    }
-    impl ::capnp::traits::HasTypeId for Client {
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
     }
-    impl Clone for Client {
-        fn clone(&self) -> Self {
-            Self { client: self.client.clone() }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
         }
     }
-    impl Client {
-        pub fn read_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::fleet_capnp::document::read_params::Owned,
-            crate::fleet_capnp::document::read_results::Owned,
-        > {
-            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
         }
     }
-    pub trait Server: 'static {
-        fn read(
-            self: ::capnp::capability::Rc<Self>,
-            _: ReadParams,
-            _: ReadResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method document::Server::read not implemented".to_string(),
-            )))
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
         }
     }
-    pub struct ServerDispatch<_T> {
-        pub server: ::capnp::capability::Rc<_T>,
-    }
-    impl<_S: Server + 'static> ::capnp::capability::FromServer<_S> for Client {
-        type Dispatch = ServerDispatch<_S>;
-        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S> {
-            ServerDispatch { server: s }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
         }
     }
-    impl<_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
-        type Target = _T;
-        fn deref(&self) -> &_T {
-            &self.server
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
         }
     }
-    impl<_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
-        fn clone(&self) -> Self {
-            Self { server: self.server.clone() }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
         }
     }
-    impl<_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
-        fn dispatch_call(
-            self,
-            interface_id: u64,
-            method_id: u16,
-            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
-            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
-        ) -> ::capnp::capability::DispatchCallResult {
-            match interface_id {
-                _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
-                _ => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
-                        "Method not implemented.".to_string(),
-                    )),
-                    false,
-                ),
-            }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
         }
-        fn as_ptr(&self) -> usize {
-            ::capnp::capability::Rc::as_ptr(&self.server) as usize
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
         }
-    }
-    impl<_T: Server> ServerDispatch<_T> {
-        pub fn dispatch_call_internal(
-            this: ::capnp::capability::Rc<_T>,
-            method_id: u16,
-            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
-            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
-        ) -> ::capnp::capability::DispatchCallResult {
-            match method_id {
-                0 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::read(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                _ => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
-                        "Method not implemented.".to_string(),
-                    )),
-                    false,
-                ),
-            }
+        #[inline]
+        pub fn get_stream(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_software(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_expires_in_millis(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
         }
     }
-    pub(crate) mod _private {
-        pub(crate) const TYPE_ID: u64 = 0xd528_4562_8301_2a57;
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
     }
 
-    pub mod read_params {
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned {
-            fn introspect() -> ::capnp::introspect::Type {
-                ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
                     generic: &_private::RAW_SCHEMA,
                     field_types: _private::get_field_types,
                     annotation_types: _private::get_annotation_types,
                     type_id: ::core::any::TypeId::of::<Owned>(),
-                })
-                .into()
-            }
-        }
-        impl ::capnp::traits::Owned for Owned {
-            type Reader<'a> = Reader<'a>;
-            type Builder<'a> = Builder<'a>;
-        }
-        impl ::capnp::traits::OwnedStruct for Owned {
-            type Reader<'a> = Reader<'a>;
-            type Builder<'a> = Builder<'a>;
+                }),
+            ))
         }
-        impl ::capnp::traits::Pipelined for Owned {
-            type Pipeline = Pipeline;
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
         }
+    }
 
-        pub struct Reader<'a> {
-            reader: ::capnp::private::layout::StructReader<'a>,
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
         }
-        impl ::core::marker::Copy for Reader<'_> {}
-        impl ::core::clone::Clone for Reader<'_> {
-            fn clone(&self) -> Self {
-                *self
-            }
-        }
-
-        impl ::capnp::traits::HasTypeId for Reader<'_> {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader }
-            }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into(),
+            )
         }
+    }
 
-        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
-            fn from(reader: Reader<'a>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(
-                    reader.reader,
-                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
-                        generic: &_private::RAW_SCHEMA,
-                        field_types: _private::get_field_types,
-                        annotation_types: _private::get_annotation_types,
-                        type_id: ::core::any::TypeId::of::<Owned>(),
-                    }),
-                ))
-            }
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
         }
+    }
 
-        impl ::core::fmt::Debug for Reader<'_> {
-            fn fmt(
-                &self,
-                f: &mut ::core::fmt::Formatter<'_>,
-            ) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(
-                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
-                    f,
-                )
-            }
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
         }
-
-        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
-            fn get_from_pointer(
-                reader: &::capnp::private::layout::PointerReader<'a>,
-                default: ::core::option::Option<&'a [::capnp::Word]>,
-            ) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
         }
-
-        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
         }
 
-        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-            }
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
         }
-
-        impl Reader<'_> {
-            pub fn reborrow(&self) -> Reader<'_> {
-                Self { ..*self }
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-            #[inline]
-            pub fn get_offset(self) -> u32 {
-                self.reader.get_data_field::<u32>(0)
-            }
+        #[inline]
+        pub fn get_stream(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
-
-        pub struct Builder<'a> {
-            builder: ::capnp::private::layout::StructBuilder<'a>,
+        #[inline]
+        pub fn set_stream(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
         }
-        impl ::capnp::traits::HasStructSize for Builder<'_> {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        #[inline]
+        pub fn get_software(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
         }
-        impl ::capnp::traits::HasTypeId for Builder<'_> {
-            const TYPE_ID: u64 = _private::TYPE_ID;
+        #[inline]
+        pub fn set_software(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
         }
-        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder }
-            }
+        #[inline]
+        pub fn get_expires_in_millis(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
         }
-
-        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
-            fn from(builder: Builder<'a>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(
-                    builder.builder,
-                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
-                        generic: &_private::RAW_SCHEMA,
-                        field_types: _private::get_field_types,
-                        annotation_types: _private::get_annotation_types,
-                        type_id: ::core::any::TypeId::of::<Owned>(),
-                    }),
-                ))
-            }
+        #[inline]
+        pub fn set_expires_in_millis(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(4, value);
         }
+    }
 
-        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-            }
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
         }
-
-        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-            }
-            fn get_from_pointer(
-                builder: ::capnp::private::layout::PointerBuilder<'a>,
-                default: ::core::option::Option<&'a [::capnp::Word]>,
-            ) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(
-                    builder
-                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
-                        .into(),
-                )
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(80, 222, 105, 114, 253, 195, 167, 213),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 83, 116, 114, 101),
+            ::capnp::word(97, 109, 82, 101, 99, 111, 114, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 116, 114, 101, 97, 109, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 111, 102, 116, 119, 97, 114, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 112, 105, 114, 101, 115, 73),
+            ::capnp::word(110, 77, 105, 108, 108, 105, 115, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
-
-        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
-            fn set_pointer_builder(
-                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
-                value: Self,
-                canonicalize: bool,
-            ) -> ::capnp::Result<()> {
-                pointer.set_struct(&value.reader, canonicalize)
-            }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
         }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xd5a7_c3fd_7269_de50;
+    }
+}
 
-        impl<'a> Builder<'a> {
-            pub fn into_reader(self) -> Reader<'a> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-            #[inline]
-            pub fn get_offset(self) -> u32 {
-                self.builder.get_data_field::<u32>(0)
-            }
-            #[inline]
-            pub fn set_offset(&mut self, value: u32) {
-                self.builder.set_data_field::<u32>(0, value);
-            }
+pub mod served_software {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
         }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
 
-        pub struct Pipeline {
-            _typeless: ::capnp::any_pointer::Pipeline,
-        }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless }
-            }
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
         }
-        impl Pipeline {}
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(22, 93, 148, 22, 223, 128, 144, 210),
-                ::capnp::word(21, 0, 0, 0, 1, 0, 1, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
-                ::capnp::word(112, 110, 112, 58, 68, 111, 99, 117),
-                ::capnp::word(109, 101, 110, 116, 46, 114, 101, 97),
-                ::capnp::word(100, 36, 80, 97, 114, 97, 109, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(111, 102, 102, 115, 101, 116, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
-            }
-            pub(crate) fn get_annotation_types(
-                child_index: Option<u16>,
-                index: u32,
-            ) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
-                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
-                ::capnp::introspect::RawStructSchema::new(
-                    &ARENA,
-                    NONUNION_MEMBERS,
-                    MEMBERS_BY_DISCRIMINANT,
-                    MEMBERS_BY_NAME,
-                );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xd290_80df_1694_5d16;
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
         }
     }
 
-    pub mod read_results {
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned {
-            fn introspect() -> ::capnp::introspect::Type {
-                ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
                     generic: &_private::RAW_SCHEMA,
                     field_types: _private::get_field_types,
                     annotation_types: _private::get_annotation_types,
                     type_id: ::core::any::TypeId::of::<Owned>(),
-                })
-                .into()
-            }
-        }
-        impl ::capnp::traits::Owned for Owned {
-            type Reader<'a> = Reader<'a>;
-            type Builder<'a> = Builder<'a>;
-        }
-        impl ::capnp::traits::OwnedStruct for Owned {
-            type Reader<'a> = Reader<'a>;
-            type Builder<'a> = Builder<'a>;
-        }
-        impl ::capnp::traits::Pipelined for Owned {
-            type Pipeline = Pipeline;
+                }),
+            ))
         }
+    }
 
-        pub struct Reader<'a> {
-            reader: ::capnp::private::layout::StructReader<'a>,
-        }
-        impl ::core::marker::Copy for Reader<'_> {}
-        impl ::core::clone::Clone for Reader<'_> {
-            fn clone(&self) -> Self {
-                *self
-            }
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
         }
+    }
 
-        impl ::capnp::traits::HasTypeId for Reader<'_> {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader }
-            }
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
         }
+    }
 
-        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
-            fn from(reader: Reader<'a>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(
-                    reader.reader,
-                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
-                        generic: &_private::RAW_SCHEMA,
-                        field_types: _private::get_field_types,
-                        annotation_types: _private::get_annotation_types,
-                        type_id: ::core::any::TypeId::of::<Owned>(),
-                    }),
-                ))
-            }
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
         }
+    }
 
-        impl ::core::fmt::Debug for Reader<'_> {
-            fn fmt(
-                &self,
-                f: &mut ::core::fmt::Formatter<'_>,
-            ) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(
-                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
-                    f,
-                )
-            }
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
         }
+    }
 
-        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
-            fn get_from_pointer(
-                reader: &::capnp::private::layout::PointerReader<'a>,
-                default: ::core::option::Option<&'a [::capnp::Word]>,
-            ) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
         }
 
-        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
         }
-
-        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-            }
+        #[inline]
+        pub fn get_pool(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
+        #[inline]
+        pub fn get_software(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_age_millis(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
+    }
 
-        impl<'a> Reader<'a> {
-            pub fn reborrow(&self) -> Reader<'_> {
-                Self { ..*self }
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-            #[inline]
-            pub fn get_bytes(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn has_bytes(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
         }
+    }
 
-        pub struct Builder<'a> {
-            builder: ::capnp::private::layout::StructBuilder<'a>,
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
         }
-        impl ::capnp::traits::HasStructSize for Builder<'_> {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
         }
-        impl ::capnp::traits::HasTypeId for Builder<'_> {
-            const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
         }
-        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder }
-            }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into(),
+            )
         }
+    }
 
-        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
-            fn from(builder: Builder<'a>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(
-                    builder.builder,
-                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
-                        generic: &_private::RAW_SCHEMA,
-                        field_types: _private::get_field_types,
-                        annotation_types: _private::get_annotation_types,
-                        type_id: ::core::any::TypeId::of::<Owned>(),
-                    }),
-                ))
-            }
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
         }
+    }
 
-        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-            }
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
         }
-
-        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-            }
-            fn get_from_pointer(
-                builder: ::capnp::private::layout::PointerBuilder<'a>,
-                default: ::core::option::Option<&'a [::capnp::Word]>,
-            ) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(
-                    builder
-                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
-                        .into(),
-                )
-            }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
         }
-
-        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
-            fn set_pointer_builder(
-                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
-                value: Self,
-                canonicalize: bool,
-            ) -> ::capnp::Result<()> {
-                pointer.set_struct(&value.reader, canonicalize)
-            }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
         }
 
-        impl<'a> Builder<'a> {
-            pub fn into_reader(self) -> Reader<'a> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-            #[inline]
-            pub fn get_bytes(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn set_bytes(&mut self, value: ::capnp::data::Reader<'_>) {
-                self.builder.reborrow().get_pointer_field(0).set_data(value);
-            }
-            #[inline]
-            pub fn init_bytes(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(0).init_data(size)
-            }
-            #[inline]
-            pub fn has_bytes(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
         }
-
-        pub struct Pipeline {
-            _typeless: ::capnp::any_pointer::Pipeline,
+        #[inline]
+        pub fn get_pool(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless }
-            }
+        #[inline]
+        pub fn set_pool(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
         }
-        impl Pipeline {}
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(212, 150, 138, 27, 180, 173, 204, 183),
-                ::capnp::word(21, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
-                ::capnp::word(112, 110, 112, 58, 68, 111, 99, 117),
-                ::capnp::word(109, 101, 110, 116, 46, 114, 101, 97),
-                ::capnp::word(100, 36, 82, 101, 115, 117, 108, 116),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(98, 121, 116, 101, 115, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
-            }
-            pub(crate) fn get_annotation_types(
-                child_index: Option<u16>,
-                index: u32,
-            ) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
-                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
-                ::capnp::introspect::RawStructSchema::new(
-                    &ARENA,
-                    NONUNION_MEMBERS,
-                    MEMBERS_BY_DISCRIMINANT,
-                    MEMBERS_BY_NAME,
-                );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xb7cc_adb4_1b8a_96d4;
+        #[inline]
+        pub fn get_software(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_software(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_age_millis(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_age_millis(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(4, value);
         }
     }
-}
 
-pub mod fleet {
-    #![allow(unused_variables)]
-    pub type ExchangeParams = ::capnp::capability::Params<crate::fleet_capnp::fleet::exchange_params::Owned>;
-    pub type ExchangeResults =
-        ::capnp::capability::Results<crate::fleet_capnp::fleet::exchange_results::Owned>;
-    pub type RulesParams = ::capnp::capability::Params<crate::fleet_capnp::fleet::rules_params::Owned>;
-    pub type RulesResults = ::capnp::capability::Results<crate::fleet_capnp::fleet::rules_results::Owned>;
-    pub type UpstreamsParams =
-        ::capnp::capability::Params<crate::fleet_capnp::fleet::upstreams_params::Owned>;
-    pub type UpstreamsResults =
-        ::capnp::capability::Results<crate::fleet_capnp::fleet::upstreams_results::Owned>;
-    pub type ReadsParams = ::capnp::capability::Params<crate::fleet_capnp::fleet::reads_params::Owned>;
-    pub type ReadsResults = ::capnp::capability::Results<crate::fleet_capnp::fleet::reads_results::Owned>;
-    pub type ListPieceParams =
-        ::capnp::capability::Params<crate::fleet_capnp::fleet::list_piece_params::Owned>;
-    pub type ListPieceResults =
-        ::capnp::capability::Results<crate::fleet_capnp::fleet::list_piece_results::Owned>;
-    pub type ListPartParams = ::capnp::capability::Params<crate::fleet_capnp::fleet::list_part_params::Owned>;
-    pub type ListPartResults =
-        ::capnp::capability::Results<crate::fleet_capnp::fleet::list_part_results::Owned>;
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(203, 49, 153, 6, 244, 123, 156, 132),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 83, 101, 114, 118),
+            ::capnp::word(101, 100, 83, 111, 102, 116, 119, 97),
+            ::capnp::word(114, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 111, 111, 108, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 111, 102, 116, 119, 97, 114, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 105, 108, 108, 105),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 1];
+        pub(crate) const TYPE_ID: u64 = 0x849c_7bf4_0699_31cb;
+    }
+}
+
+pub mod document {
+    #![allow(unused_variables)]
+    pub type ReadParams = ::capnp::capability::Params<crate::fleet_capnp::document::read_params::Owned>;
+    pub type ReadResults = ::capnp::capability::Results<crate::fleet_capnp::document::read_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -6525,108 +6433,23 @@
         }
     }
     impl Client {
-        pub fn exchange_request(
+        pub fn read_request(
             &self,
         ) -> ::capnp::capability::Request<
-            crate::fleet_capnp::fleet::exchange_params::Owned,
-            crate::fleet_capnp::fleet::exchange_results::Owned,
+            crate::fleet_capnp::document::read_params::Owned,
+            crate::fleet_capnp::document::read_results::Owned,
         > {
             self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
         }
-        pub fn rules_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::fleet_capnp::fleet::rules_params::Owned,
-            crate::fleet_capnp::fleet::rules_results::Owned,
-        > {
-            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
-        }
-        pub fn upstreams_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::fleet_capnp::fleet::upstreams_params::Owned,
-            crate::fleet_capnp::fleet::upstreams_results::Owned,
-        > {
-            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
-        }
-        pub fn reads_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::fleet_capnp::fleet::reads_params::Owned,
-            crate::fleet_capnp::fleet::reads_results::Owned,
-        > {
-            self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
-        }
-        pub fn list_piece_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::fleet_capnp::fleet::list_piece_params::Owned,
-            crate::fleet_capnp::fleet::list_piece_results::Owned,
-        > {
-            self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
-        }
-        pub fn list_part_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::fleet_capnp::fleet::list_part_params::Owned,
-            crate::fleet_capnp::fleet::list_part_results::Owned,
-        > {
-            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
-        }
     }
     pub trait Server: 'static {
-        fn exchange(
-            self: ::capnp::capability::Rc<Self>,
-            _: ExchangeParams,
-            _: ExchangeResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method fleet::Server::exchange not implemented".to_string(),
-            )))
-        }
-        fn rules(
-            self: ::capnp::capability::Rc<Self>,
-            _: RulesParams,
-            _: RulesResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method fleet::Server::rules not implemented".to_string(),
-            )))
-        }
-        fn upstreams(
-            self: ::capnp::capability::Rc<Self>,
-            _: UpstreamsParams,
-            _: UpstreamsResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method fleet::Server::upstreams not implemented".to_string(),
-            )))
-        }
-        fn reads(
-            self: ::capnp::capability::Rc<Self>,
-            _: ReadsParams,
-            _: ReadsResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method fleet::Server::reads not implemented".to_string(),
-            )))
-        }
-        fn list_piece(
-            self: ::capnp::capability::Rc<Self>,
-            _: ListPieceParams,
-            _: ListPieceResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method fleet::Server::list_piece not implemented".to_string(),
-            )))
-        }
-        fn list_part(
+        fn read(
             self: ::capnp::capability::Rc<Self>,
-            _: ListPartParams,
-            _: ListPartResults,
+            _: ReadParams,
+            _: ReadResults,
         ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
             ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method fleet::Server::list_part not implemented".to_string(),
+                "method document::Server::read not implemented".to_string(),
             )))
         }
     }
@@ -6681,47 +6504,7 @@
         ) -> ::capnp::capability::DispatchCallResult {
             match method_id {
                 0 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::exchange(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                1 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::rules(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                2 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::upstreams(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                3 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::reads(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                4 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::list_piece(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                5 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::list_part(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::read(
                         this,
                         ::capnp::private::capability::internal_get_typed_params(params),
                         ::capnp::private::capability::internal_get_typed_results(results),
