Soak of software versions: releases that overlap and roll back, callers that resume, killed gateways

No stream may hold events of two versions, and the share of resumed streams that go on, while two upstreams of their software are listed, is at least half of the share of new ones.

--- a/crates/bendhinge_lab/src/gateways/fleet.rs
+++ b/crates/bendhinge_lab/src/gateways/fleet.rs
@@ -172,8 +172,7 @@
     ///
     /// If there is no free port.
     pub async fn add_engine(&mut self, name: &str, software: &str) {
-        let started = StartedUpstream::start(&self.tasks, name).await;
-        started.upstream.set_software(software);
+        let started = StartedUpstream::start_version(&self.tasks, name, software).await;
         self.adopt("engines", started);
     }
 
@@ -301,6 +300,17 @@
         let proxy = Proxy::start(tasks, upstream.address).expect("a free port");
         Self { upstream, proxy }
     }
+
+    /// Starts both; the upstream runs a version of its software.
+    ///
+    /// # Panics
+    ///
+    /// If there is no free port.
+    pub async fn start_version(tasks: &Tasks, name: &str, software: &str) -> Self {
+        let started = Self::start(tasks, name).await;
+        started.upstream.set_software(software);
+        started
+    }
 }
 
 fn engine_name(number: usize) -> String {
--- a/crates/bendhinge_lab/src/gateways/mod.rs
+++ b/crates/bendhinge_lab/src/gateways/mod.rs
@@ -8,6 +8,7 @@
 mod process;
 mod proxy;
 mod soak;
+mod software_soak;
 mod stream_caller;
 
 pub use caller::{Answer, Call, GatewayCaller, Resumption, Told};
@@ -17,4 +18,5 @@
 pub use process::{GatewayProcess, GatewaySettings, PEER_KEY};
 pub use proxy::{Harm, Proxy};
 pub use soak::{Findings, soak};
+pub use software_soak::software_soak;
 pub use stream_caller::{StreamCaller, StreamEnd};
--- a/crates/bendhinge_lab/tests/gateway_soak.rs
+++ b/crates/bendhinge_lab/tests/gateway_soak.rs
@@ -1,13 +1,28 @@
 //! A few seeds of the soak in CI, and those that once failed.
 
 use bendhinge_http::{Tasks, run_until};
-use bendhinge_lab::gateways::{Findings, partition_soak, soak};
+use bendhinge_lab::gateways::{Findings, partition_soak, soak, software_soak};
 
 /// Seeds of the short run, and seeds that once found something.
 const SEEDS: [u64; 4] = [1, 2, 3, 4];
 /// The same of the soak of partitions.
 const PARTITION_SEEDS: [u64; 3] = [1, 2, 3];
 
+/// The same of the soak of software versions.
+const SOFTWARE_SEEDS: [u64; 2] = [1, 2];
+
+#[test]
+fn no_stream_is_mixed_while_versions_overlap() {
+    for seed in seeds(&SOFTWARE_SEEDS) {
+        let tasks = Tasks::default();
+        let findings =
+            run_until(&tasks, std::num::NonZeroUsize::MIN, software_soak(&Tasks::clone(&tasks), seed));
+        println!("seed {seed}: {:?}", findings.told);
+        assert!(findings.broken.is_empty(), "seed {seed}: {:#?}", findings.broken);
+        assert!(findings.told.contains_key("resumed: served"), "seed {seed}: no stream went on");
+    }
+}
+
 #[test]
 fn no_promise_breaks_while_everything_fails() {
     for seed in seeds(&SEEDS) {
