Streams: send records only to gateways that take them; test hops, heads without events, and older gateways

A call that a gateway does not implement ends its connection and pauses calls to it for 300 ms, so that records would have disturbed the exchanges with gateways of an earlier release, or without keep_software. Members say whether they take records.

Tests: streams of partitioned gateways, streams that are forwarded after their first events, heads without events, gateways that take no records, agreement on the holders of a record.

--- a/crates/bendhinge_fleet/src/roster.rs
+++ b/crates/bendhinge_fleet/src/roster.rs
@@ -41,6 +41,8 @@
     pub link_mbps: u32,
     /// Hash of the member's data centre, if it takes requests that other routers forward.
     pub forwarding_from: Option<NonZeroU32>,
+    /// Whether the member takes records of streams.
+    pub holds_stream_records: bool,
     /// Address of the router that reported it last, or its own if it was heard directly.
     reported_by: SocketAddr,
     /// Hash of the address that orders members of equal priority.
@@ -62,6 +64,8 @@
     pub link_mbps: u32,
     /// Hash of the member's data centre, if it takes requests that other routers forward.
     pub forwarding_from: Option<NonZeroU32>,
+    /// Whether the member takes records of streams.
+    pub holds_stream_records: bool,
 }
 
 /// Router to exchange state with.
@@ -178,6 +182,7 @@
             is_store_failing: report.is_store_failing,
             link_mbps: report.link_mbps,
             forwarding_from: report.forwarding_from,
+            holds_stream_records: report.holds_stream_records,
             reported_by,
             rank_score,
         };
@@ -193,6 +198,7 @@
             is_store_failing: member.is_store_failing,
             link_mbps: member.link_mbps,
             forwarding_from: member.forwarding_from,
+            holds_stream_records: member.holds_stream_records,
         })
     }
 
@@ -334,12 +340,12 @@
         }
     }
 
-    /// Returns the live members that hold a record, the first `count` in an order that depends on the record.
-    /// Routers that know the same members agree on it, apart from themselves.
+    /// Returns the live members that hold the record of a stream, the first `count` in an order that depends on the
+    /// record. Routers that know the same members agree on it, apart from themselves.
     #[must_use]
     pub fn record_holders(&self, record: u64, count: usize, now: Instant) -> Vec<SocketAddr> {
-        let scored =
-            self.live(now).map(|(address, member)| (record_score(record, member.rank_score), address));
+        let holders = self.live(now).filter(|(_, member)| member.holds_stream_records);
+        let scored = holders.map(|(address, member)| (record_score(record, member.rank_score), address));
         let mut scored: Vec<_> = scored.collect();
         scored.sort_unstable_by(|left, right| right.cmp(left));
         scored.into_iter().take(count).map(|(_, address)| address).collect()
--- a/crates/bendhinge_fleet/tests/roster.rs
+++ b/crates/bendhinge_fleet/tests/roster.rs
@@ -45,6 +45,7 @@
             is_store_failing: false,
             link_mbps: LINK_MBPS,
             forwarding_from: None,
+            holds_stream_records: true,
         };
         std::iter::once(own).chain(roster.members(now)).collect()
     }
@@ -115,6 +116,7 @@
             is_store_failing: false,
             link_mbps: LINK_MBPS,
             forwarding_from: None,
+            holds_stream_records: true,
         };
         roster.merge_direct(&report, now);
     }
@@ -170,6 +172,7 @@
         is_store_failing: false,
         link_mbps: LINK_MBPS,
         forwarding_from: None,
+        holds_stream_records: true,
     };
     roster.merge_direct(&report, now);
     assert_eq!(roster.live_count(now), 2);
@@ -196,6 +199,7 @@
                 is_store_failing: true,
                 link_mbps: LINK_MBPS,
                 forwarding_from: None,
+                holds_stream_records: true,
             },
             now,
         );
@@ -316,6 +320,7 @@
                 is_store_failing: false,
                 link_mbps,
                 forwarding_from: None,
+                holds_stream_records: true,
             };
             roster.merge_direct(&report, now);
         }
@@ -326,3 +331,42 @@
     assert_eq!(rank(10, false, [0, 0, 0]), 0, "an unknown link speed counts as slow");
     assert_eq!(rank(FAST_LINK_MBPS, true, [10, 10, 10]), 3);
 }
+
+/// Guards against records of streams that cannot be found, because routers look for them at other members than those
+/// to which they were sent.
+#[test]
+fn routers_agree_on_the_members_that_hold_a_record() {
+    const ROUTERS: usize = 30;
+    let now = Instant::from_millis(1_000);
+    let report = |number: usize| MemberReport {
+        address: address(number),
+        age: Duration::ZERO,
+        is_leaving: false,
+        is_store_failing: false,
+        link_mbps: LINK_MBPS,
+        forwarding_from: None,
+        holds_stream_records: number != 0,
+    };
+    let rosters: Vec<Roster> = (0..ROUTERS)
+        .map(|own| {
+            let mut roster = Roster::new(address(own), LINK_MBPS, &[], TIMEOUTS);
+            (0..ROUTERS).for_each(|number| roster.merge_direct(&report(number), now));
+            roster
+        })
+        .collect();
+    let mut held = vec![0; ROUTERS];
+    for record in 0..3_000_u64 {
+        let sender = usize::try_from(record).unwrap() % ROUTERS;
+        let holders = rosters[sender].record_holders(record, 2, now);
+        assert!(!holders.contains(&address(0)), "router 0 takes no records");
+        for holder in &holders {
+            held[(0..ROUTERS).find(|number| address(*number) == *holder).unwrap()] += 1;
+        }
+        for (number, roster) in rosters.iter().enumerate() {
+            let asked = roster.record_holders(record, 3, now);
+            let is_found = holders.iter().any(|holder| asked.contains(holder) || *holder == address(number));
+            assert!(is_found, "router {number} does not find record {record}");
+        }
+    }
+    assert!(held[1..].iter().all(|count| (100..350).contains(count)), "{held:?}");
+}
--- a/crates/bendhinge_fleet/tests/roster_fuzz.rs
+++ b/crates/bendhinge_fleet/tests/roster_fuzz.rs
@@ -32,6 +32,7 @@
         is_store_failing: false,
         link_mbps: LINK_MBPS,
         forwarding_from: None,
+        holds_stream_records: true,
     }
 }
 
--- a/crates/bendhinge_fleet/tests/roster_states.rs
+++ b/crates/bendhinge_fleet/tests/roster_states.rs
@@ -32,6 +32,7 @@
         is_store_failing: false,
         link_mbps: link_mbps(number),
         forwarding_from: None,
+        holds_stream_records: true,
     }
 }
 
--- a/crates/bendhinge_fleet/tests/store_read_fanout.rs
+++ b/crates/bendhinge_fleet/tests/store_read_fanout.rs
@@ -111,6 +111,7 @@
             is_store_failing: false,
             link_mbps: link_mbps(number),
             forwarding_from: None,
+            holds_stream_records: true,
         }
     }
 
--- a/crates/bendhinge_gateway/src/control/message.rs
+++ b/crates/bendhinge_gateway/src/control/message.rs
@@ -230,6 +230,7 @@
             is_store_failing: self.is_store_failing(),
             link_mbps: self.settings.link.mbps(),
             forwarding_from: self.context.forwarding.accepts_from(),
+            holds_stream_records: self.context.streams.is_enabled(),
         }
     }
 }
--- a/crates/bendhinge_gateway/src/control/streams.rs
+++ b/crates/bendhinge_gateway/src/control/streams.rs
@@ -12,7 +12,7 @@
 use smol::Timer;
 use smol::channel::{Receiver, bounded};
 
-use super::{ControlPlane, random_below};
+use super::ControlPlane;
 use crate::streams::{StreamLookup, StreamNotifications};
 
 /// The number of gateways that hold a record besides the one that made it.
@@ -79,11 +79,12 @@
     for _ in 0..HISTORY_REQUESTS {
         Timer::after(HISTORY_REQUEST_INTERVAL).await;
         let now = bendhinge_clock::now();
-        let contact = control.roster.borrow().random_contact(now, &mut random_below);
-        let Some(contact) = contact else { continue };
+        // Any number serves to pick a gateway.
+        let holders = control.roster.borrow().record_holders(rand::random(), 1, now);
+        let Some(address) = holders.first().copied() else { continue };
         let asked_at = bendhinge_clock::now();
         // No stream has this ID; only the history is of interest.
-        if let Ok(answer) = control.ask(contact.address(), StreamId(0), None).await {
+        if let Ok(answer) = control.ask(address, StreamId(0), None).await {
             let watched_for = answer.watched_for;
             control.merge_answer(&answer, asked_at);
             if watched_for > HISTORY_REQUEST_INTERVAL * HISTORY_REQUESTS {
--- a/crates/bendhinge_lab/src/gateways/linked_fleet.rs
+++ b/crates/bendhinge_lab/src/gateways/linked_fleet.rs
@@ -78,6 +78,26 @@
         tasks: &Tasks,
         shape: FleetShape,
         start: impl Fn(usize) -> GatewayStart<'a>,
+    ) -> Self {
+        let FleetShape { gateways, engines, services } = shape;
+        Self::start_engines(tasks, gateways, &vec![""; engines], services, start).await
+    }
+
+    /// Starts a fleet whose engines run these versions of their software.
+    ///
+    /// # Panics
+    ///
+    /// If something cannot be started: tests cannot go on then.
+    pub async fn start_versions(tasks: &Tasks, gateways: usize, versions: &[&str], sections: &str) -> Self {
+        Self::start_engines(tasks, gateways, versions, 0, |_| GatewayStart::new(sections)).await
+    }
+
+    async fn start_engines<'a>(
+        tasks: &Tasks,
+        gateways: usize,
+        engines: &[&str],
+        services: usize,
+        start: impl Fn(usize) -> GatewayStart<'a>,
     ) -> Self {
         const CONNECT: Duration = Duration::from_secs(5);
         const IDLE: Duration = Duration::from_secs(10);
@@ -89,17 +109,19 @@
             links: Vec::new(),
         };
         let mut pools = Vec::new();
-        for (pool, count) in [("engines", shape.engines), ("services", shape.services)] {
-            for number in 0..count {
+        for (pool, versions) in [("engines", engines), ("services", &vec![""; services])] {
+            for (number, software) in versions.iter().enumerate() {
                 let name = format!("{pool}-{number}");
-                fleet.upstreams.push(Upstream::start(tasks, &name).await.expect("a free port"));
+                let upstream = Upstream::start(tasks, &name).await.expect("a free port");
+                upstream.set_software(software);
+                fleet.upstreams.push(upstream);
                 pools.push(pool);
             }
         }
-        for number in 0..shape.gateways {
+        for number in 0..gateways {
             fleet.add_gateway(tasks, number, &pools, start(number)).await;
         }
-        for number in 0..shape.gateways {
+        for number in 0..gateways {
             fleet.introduce(number);
         }
         fleet.until_connected().await;
@@ -112,7 +134,7 @@
         let mut links = Vec::new();
         for (upstream, pool) in self.upstreams.iter().zip(pools) {
             let link = Proxy::start(tasks, upstream.address).expect("a free port");
-            store.add(&upstream.name(), pool, link.address);
+            store.add_with_software(&upstream.name(), pool, link.address, &upstream.software());
             links.push(link);
         }
         let mut settings = GatewaySettings {
--- a/crates/bendhinge_lab/tests/gateway_common/mod.rs
+++ b/crates/bendhinge_lab/tests/gateway_common/mod.rs
@@ -84,6 +84,7 @@
         is_store_failing: false,
         link_mbps: 1_000,
         forwarding_from: None,
+        holds_stream_records: true,
     };
     PeerMessage::from_sender(sender)
 }
--- a/crates/bendhinge_lab/tests/gateway_software.rs
+++ b/crates/bendhinge_lab/tests/gateway_software.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use bendhinge_http::Tasks;
-use bendhinge_lab::gateways::{Call, GatewayFleet, KEY, RULES, StreamCaller, StreamEnd, until};
+use bendhinge_lab::gateways::{
+    Call, GatewayFleet, KEY, LinkedFleet, Partition, RULES, StreamCaller, StreamEnd, until,
+};
 use bendhinge_standin::gateway::UpstreamFault;
 use gateway_common::{PATIENCE, line_of, metric, run};
 use rustix::process::Signal;
@@ -58,6 +60,11 @@
     Timer::after(Duration::from_millis(500)).await;
 }
 
+/// The time after which gateways use their whole share of the retry budget.
+async fn retry_budget_is_divided() {
+    Timer::after(Duration::from_millis(1_500)).await;
+}
+
 /// Guards against a stream that its gateway resumes within the response at an upstream with other software.
 #[test]
 fn streams_resumed_within_a_response_keep_their_software() {
@@ -287,3 +294,125 @@
         assert_eq!((mixed(&streams), going_on), (0, STREAMS));
     });
 }
+
+/// Guards against streams that are mixed because another gateway delivers the requests of a partitioned one.
+#[test]
+fn streams_of_partitioned_gateways_keep_their_software() {
+    run(|tasks| async move {
+        let sections = SECTIONS.to_owned() + "[forwarding]\nenabled = yes\n";
+        let fleet = LinkedFleet::start_versions(&tasks, 4, &VERSIONS, &sections).await;
+        fleet.partition(0, Partition::Reset).await;
+        let mut streams = Vec::new();
+        while streams.len() < STREAMS {
+            let mut stream = StreamCaller::new("/resumable/x", KEY);
+            // The first requests find out that the gateway is partitioned.
+            if stream.receive(&fleet.pool, fleet.callers(0), 3).await == StreamEnd::Left {
+                streams.push(stream);
+            }
+        }
+        records_are_sent().await;
+        let all_go_on = async |streams: &mut Vec<StreamCaller>, gateway: usize, events: usize| {
+            for stream in streams.iter_mut() {
+                let end = stream.receive(&fleet.pool, fleet.callers(gateway), events).await;
+                assert!(
+                    matches!(end, StreamEnd::Left | StreamEnd::Complete),
+                    "at gateway {gateway}: {end:?}"
+                );
+            }
+            assert_eq!(mixed(streams), 0, "at gateway {gateway}");
+        };
+        all_go_on(&mut streams, 0, 5).await;
+        all_go_on(&mut streams, 1, 7).await;
+        fleet.gateways[1].signal(Signal::KILL);
+        all_go_on(&mut streams, 2, 9).await;
+        all_go_on(&mut streams, 3, ALL).await;
+    });
+}
+
+/// Guards against a stream whose gateway is partitioned while it relays it, and that another gateway resumes at other
+/// software.
+#[test]
+fn streams_forwarded_after_their_first_events_keep_their_software() {
+    const PACE: Duration = Duration::from_millis(150);
+    run(|tasks| async move {
+        let sections = SECTIONS.to_owned() + "[forwarding]\nenabled = yes\n";
+        let fleet = LinkedFleet::start_versions(&tasks, 2, &VERSIONS, &sections).await;
+        fleet.upstreams.iter().for_each(|upstream| upstream.set_pace(PACE));
+        retry_budget_is_divided().await;
+        let receiving = (0..STREAMS).map(|_| {
+            let (pool, gateway) = (fleet.pool.clone(), fleet.callers(0));
+            tasks.spawn(async move {
+                let mut stream = StreamCaller::new("/resumable/x", KEY);
+                let end = stream.receive(&pool, gateway, ALL).await;
+                (stream, end)
+            })
+        });
+        let receiving: Vec<_> = receiving.collect();
+        Timer::after(PACE * 2).await;
+        // The gateway finds out that it is partitioned before its open connections are lost.
+        fleet.partition(0, Partition::OpenConnectionsStay).await;
+        until(async || {
+            StreamCaller::new("/resumable/x", KEY).receive(&fleet.pool, fleet.callers(0), 1).await;
+            fleet.metric(1, "bendhinge_gateway_forwarded_requests_total").await > Some(0)
+        })
+        .await;
+        fleet.partition(0, Partition::Reset).await;
+        let mut streams = Vec::new();
+        for task in receiving {
+            let (stream, end) = task.await;
+            assert!(matches!(end, StreamEnd::Complete | StreamEnd::Broken), "{end:?}");
+            streams.push(stream);
+        }
+        assert_eq!(mixed(&streams), 0);
+        assert!(streams.iter().any(StreamCaller::is_whole), "no stream went on");
+        let is_forwarded = |line: &String| line.contains("\"software\"") && line.contains("\"forwards\"");
+        assert!(
+            fleet.gateways[0].lines().iter().any(is_forwarded),
+            "no stream was forwarded after its first events"
+        );
+    });
+}
+
+/// Guards against the software of a send that lost the race for the first response, or that sent no event, being taken
+/// for that of the stream.
+#[test]
+fn streams_have_the_software_of_their_first_event() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, 2, &["v1", "v1.2", "v1.2"]).await;
+        // Only the head of a response arrives in time from the old upstream, so that all streams begin at the new ones.
+        fleet.upstreams[0].set_fault(UpstreamFault::Stalls(0));
+        let mut streams = Vec::new();
+        for _ in 0..STREAMS {
+            let mut stream = StreamCaller::new("/resumable/x", KEY);
+            let end = stream.receive(&fleet.pool, fleet.callers(0), 3).await;
+            if end == StreamEnd::Left {
+                streams.push(stream);
+            }
+        }
+        assert!(streams.iter().all(|stream| stream.software[0] == "v1.2"));
+        let heads_only = fleet.upstreams[0].runs().len();
+        assert!(heads_only > 0 && !streams.is_empty(), "{heads_only} heads, {} streams", streams.len());
+        records_are_sent().await;
+        resume(&fleet, 1, &mut streams, ALL).await;
+        assert_eq!(mixed(&streams), 0);
+        assert!(streams.iter().any(StreamCaller::is_whole), "no stream went on");
+    });
+}
+
+/// Guards against messages to gateways that take no records, whose failure would end the exchanges with them.
+#[test]
+fn gateways_that_take_no_records_get_none() {
+    run(|tasks| async move {
+        let mut fleet = start(&tasks, 2, &VERSIONS).await;
+        kill(&mut fleet, 1);
+        fleet.settings[1].sections = String::new();
+        fleet.restart(1);
+        fleet.until_ready().await;
+        let exchanges = async || metric(&fleet, "bendhinge_gateway_exchanges_total").await.unwrap_or(0);
+        let before = exchanges().await;
+        until(async || exchanges().await > before + 2).await;
+        begin(&fleet, 0, 3).await;
+        records_are_sent().await;
+        assert_eq!(metric(&fleet, "bendhinge_gateway_stream_records_sent").await, None);
+    });
+}
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -18,6 +18,8 @@
   linkMbps @6 :UInt32;
   # A hash of its data centre if it takes requests that other gateways forward, otherwise 0.
   forwardingDataCentre @7 :UInt32;
+  # Whether it implements `recordStreams` and `findStream`.
+  holdsStreamRecords @8 :Bool;
 }
 
 # The pools whose upstreams a gateway does not reach, identified by hashes of their names.
--- a/crates/bendhinge_peer/src/fleet_capnp.rs
+++ b/crates/bendhinge_peer/src/fleet_capnp.rs
@@ -478,6 +478,10 @@
         pub fn get_forwarding_data_centre(self) -> u32 {
             self.reader.get_data_field::<u32>(6)
         }
+        #[inline]
+        pub fn get_holds_stream_records(self) -> bool {
+            self.reader.get_bool_field(50)
+        }
     }
 
     pub struct Builder<'a> {
@@ -618,6 +622,14 @@
         pub fn set_forwarding_data_centre(&mut self, value: u32) {
             self.builder.set_data_field::<u32>(6, value);
         }
+        #[inline]
+        pub fn get_holds_stream_records(self) -> bool {
+            self.builder.get_bool_field(50)
+        }
+        #[inline]
+        pub fn set_holds_stream_records(&mut self, value: bool) {
+            self.builder.set_bool_field(50, value);
+        }
     }
 
     pub struct Pipeline {
@@ -630,7 +642,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 142] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 159] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(131, 233, 241, 127, 114, 153, 209, 233),
             ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
@@ -640,70 +652,77 @@
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 77, 101, 109, 98),
             ::capnp::word(101, 114, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 48, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 49, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 170, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -773,6 +792,16 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 111, 108, 100, 115, 83, 116, 114),
+            ::capnp::word(101, 97, 109, 82, 101, 99, 111, 114),
+            ::capnp::word(100, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -784,6 +813,7 @@
                 5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -802,9 +832,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 7, 4, 6, 1, 5, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 7, 8, 4, 6, 1, 5, 2];
         pub(crate) const TYPE_ID: u64 = 0xe9d1_9972_7ff1_e983;
     }
 }
