--- a/crates/bendhinge_lab/src/gateways/fleet.rs
+++ b/crates/bendhinge_lab/src/gateways/fleet.rs
@@ -172,8 +172,17 @@
     ///
     /// If there is no free port.
     pub async fn add_engine(&mut self, name: &str, software: &str) {
+        self.add_upstream_of(name, "engines", software).await;
+    }
+
+    /// Adds an upstream of a pool with a version of its software.
+    ///
+    /// # Panics
+    ///
+    /// If there is no free port.
+    pub async fn add_upstream_of(&mut self, name: &str, pool: &str, software: &str) {
         let started = StartedUpstream::start_version(&self.tasks, name, software).await;
-        self.adopt("engines", started);
+        self.adopt(pool, started);
     }
 
     /// Lists an upstream that was started.
--- a/crates/bendhinge_lab/tests/gateway_software.rs
+++ b/crates/bendhinge_lab/tests/gateway_software.rs
@@ -432,3 +432,33 @@
         assert_eq!((mixed(&streams), going_on), (0, STREAMS));
     });
 }
+
+/// Guards against a caller that resumes a stream of a route which is split between pools and is led to the other pool.
+#[test]
+fn streams_of_a_split_route_go_on_in_their_pool() {
+    run(|tasks| async move {
+        let mut fleet = start(&tasks, 2, &["v1", "v1"]).await;
+        for (name, software) in [("others-0", "other"), ("others-1", "other")] {
+            fleet.add_upstream_of(name, "others", software).await;
+        }
+        let split = RULES.replace("version = 1", "version = 2").replace(
+            "path = /resumable/\nkind = resumable\npools = engines",
+            "path = /resumable/\nkind = resumable\npools = engines:1, others:1",
+        );
+        fleet.store.put_rules(&(split + "[pool.others]\nkeeps_prompts = yes\n"));
+        for gateway in [0, 1] {
+            until(async || {
+                let mut stream = StreamCaller::new("/resumable/x", KEY);
+                stream.receive(&fleet.pool, fleet.callers(gateway), ALL).await;
+                stream.software.first().is_some_and(|software| software == "other")
+            })
+            .await;
+        }
+        let mut streams = begin(&fleet, 0, 3).await;
+        records_are_sent().await;
+        let others = streams.iter().filter(|stream| stream.software[0] == "other").count();
+        assert!((1..STREAMS).contains(&others), "{others} streams began in the other pool");
+        let going_on = resume(&fleet, 1, &mut streams, ALL).await;
+        assert_eq!((mixed(&streams), going_on), (0, STREAMS));
+    });
+}
