--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -2,6 +2,7 @@
 //! caller.
 
 mod attempt;
+mod choice;
 mod context;
 mod crash;
 mod engine_admission;
@@ -12,6 +13,7 @@
 mod outcome;
 mod race;
 mod relay;
+mod relay_body;
 mod software;
 mod upstream_body;
 
@@ -36,7 +38,8 @@
 use self::measured_send::MeasuredSend;
 pub(crate) use self::measured_send::SendRegistry;
 use self::race::{FailedSend, PendingSend, SendRecord, race};
-use self::relay::{Relay, ResponseSource, StreamSource, relay_body};
+use self::relay::{Relay, ResponseSource, StreamSource};
+use self::relay_body::relay_body;
 use self::software::RequiredSoftware;
 use self::upstream_body::{EndedBody, UpstreamBody};
 use crate::intake::Refusal;
@@ -45,7 +48,7 @@
 use crate::log::RequestLogEntry;
 use crate::metrics::{ResumedSoftware, Resumer};
 use crate::quarantine::{SendRefusal, TrackedSend};
-use crate::state::{ChosenUpstream, PlacementRequest, SoftwareRule};
+use crate::state::SoftwareRule;
 
 /// Sends a request and returns the final response.
 pub(crate) async fn deliver(
@@ -315,52 +318,6 @@
         }
     }
 
-    fn choose_upstream(&self, may_probe: bool) -> Result<ChosenUpstream, DeliveryError> {
-        if !self.inbound.is_authorized(&self.context.rules) {
-            return Err(DeliveryError::Code(self.code_if_not_run(ResultCode::ViewNotFresh)));
-        }
-        let rules = self.context.rules.current();
-        let query = PlacementRequest {
-            pool: &self.inbound.pool,
-            rule: rules.as_ref().and_then(|current| current.rules.pools.get(&self.inbound.pool)),
-            prompt: self.inbound.fields.prompt.as_ref(),
-            regions: self.inbound.allowed_regions(),
-            tried: &self.tried_upstreams,
-            software: self.software_rule(),
-            may_probe,
-            tie_breaker: self.inbound.tie_breaker,
-        };
-        self.context.upstreams.choose(&query).ok_or_else(|| self.no_upstream_error())
-    }
-
-    /// Returns the error for a request that no upstream accepts or that must not be sent again.
-    fn no_upstream_error(&self) -> DeliveryError {
-        if self.inbound.resumes_stream() && matches!(self.software_rule(), SoftwareRule::Only(_)) {
-            return DeliveryError::Code(self.code_if_not_run(ResultCode::StreamSoftwareUnavailable));
-        }
-        match self.context.remaining_backoff(&self.inbound) {
-            Some(backoff) => self.retry_later(ResultCode::AllUpstreamsRest, backoff),
-            None => DeliveryError::Code(self.retry_state.final_code(false)),
-        }
-    }
-
-    /// Returns the error that asks the caller to retry later, unless the request may have run.
-    fn retry_later(&self, code: ResultCode, retry_after: Duration) -> DeliveryError {
-        match self.retry_state.ran() {
-            bendhinge_codes::Ran::No => DeliveryError::RetryLater { code, retry_after },
-            _ => DeliveryError::Code(self.retry_state.final_code(false)),
-        }
-    }
-
-    /// Returns `code`, which reports that the request did not run, or the final code if it may have run.
-    fn code_if_not_run(&self, code: ResultCode) -> ResultCode {
-        if self.retry_state.ran() == bendhinge_codes::Ran::No {
-            code
-        } else {
-            self.retry_state.final_code(false)
-        }
-    }
-
     /// Records how a body ended that was received completely.
     fn record_complete_body(&mut self, source: &ResponseSource, ended: EndedBody) {
         match source {
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -2,20 +2,17 @@
 //! truncated.
 
 use std::io;
-use std::pin::Pin;
-use std::sync::Mutex;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{BodyEnd, EventSplitter, SendOutcome, SendTotals, StreamTiming};
-use bendhinge_http::{Body, BodyError, BodyFraming, Connection, flush_before_error};
+use bendhinge_http::{BodyFraming, Connection};
 use bendhinge_ids::NameHash;
 use bytes::Bytes;
-use futures_lite::{FutureExt, Stream, StreamExt, stream};
+use futures_lite::FutureExt;
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Incoming;
 use smol::Timer;
 
 use super::attempt::UpstreamResponse;
@@ -138,7 +135,7 @@
     }
 
     /// Returns the next complete events, `None` at the end, or `Err` to truncate the response visibly.
-    async fn next_events(&mut self) -> Option<io::Result<Bytes>> {
+    pub(super) async fn next_events(&mut self) -> Option<io::Result<Bytes>> {
         self.is_awaiting_event = true;
         while !self.is_finished {
             match self.read().await {
@@ -381,33 +378,3 @@
         }
     }
 }
-
-type Chunks = Pin<Box<dyn Stream<Item = io::Result<Bytes>> + Send>>;
-
-/// A response body that consists of the chunks of a relay.
-struct RelayBody {
-    /// Never contended; the mutex makes the body `Sync`, as the HTTP library requires.
-    chunks: Mutex<Chunks>,
-}
-
-/// Returns the response body for `relay`.
-pub(super) fn relay_body(relay: Relay) -> Body {
-    let chunks = stream::unfold(relay, |mut relay| async move {
-        let chunk = relay.next_events().await?;
-        Some((chunk, relay))
-    });
-    flush_before_error(RelayBody { chunks: Mutex::new(chunks.boxed()) })
-}
-
-impl hyper::body::Body for RelayBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let polled = self.chunks.get_mut().unwrap().poll_next(context);
-        polled.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data).map_err(BodyError::from)))
-    }
-}
--- a/crates/bendhinge_gateway/src/log/mod.rs
+++ b/crates/bendhinge_gateway/src/log/mod.rs
@@ -3,6 +3,7 @@
 
 mod partition;
 mod request;
+mod stream;
 
 use std::net::SocketAddr;
 use std::num::NonZeroUsize;
--- a/crates/bendhinge_standin/src/gateway/answers.rs
+++ b/crates/bendhinge_standin/src/gateway/answers.rs
@@ -12,6 +12,14 @@
     Bytes::copy_from_slice(&event.as_bytes()[..event.len() / 2])
 }
 
+/// The event of a stream with this id, from an upstream with this software.
+pub(super) fn versioned_event(request: &str, id: u32, software: &str) -> String {
+    if software.is_empty() {
+        return Upstream::expected_event(request, id);
+    }
+    format!("id: {id}\ndata: {request} {id} {software}\n\n")
+}
+
 pub(super) fn whole(id: &str) -> Response<Body> {
     Response::new(full_body(Upstream::expected_body(id)))
 }
--- a/crates/bendhinge_standin/src/gateway/upstream.rs
+++ b/crates/bendhinge_standin/src/gateway/upstream.rs
@@ -18,7 +18,7 @@
 use smol::Timer;
 use smol::channel::Sender;
 
-use super::answers::{first_half, header_value, signed, whole, with_status};
+use super::answers::{first_half, header_value, signed, versioned_event, whole, with_status};
 use super::fault::{Framing, UpstreamFault};
 
 /// A request that an upstream began to work on.
@@ -351,14 +351,6 @@
     }
 }
 
-/// The event of a stream with this id, from an upstream with this software.
-fn versioned_event(request: &str, id: u32, software: &str) -> String {
-    if software.is_empty() {
-        return Upstream::expected_event(request, id);
-    }
-    format!("id: {id}\ndata: {request} {id} {software}\n\n")
-}
-
 async fn send_events(
     state: Arc<Mutex<State>>,
     _working: Working,
