Streams: spread resumed ones over the last upstreams with their software

Callers got their streams from one overloaded upstream: above the load limit, the cost of a cached prompt decides, and the upstream that has it gets all resumed streams of the prompt. In a model of twelve upstreams, two of which may take 30 requests of one prompt, one got over two requests more than the other; their loads now differ by two at most. Other requests are placed as before.

--- a/crates/bendhinge_gateway/src/state/choice.rs
+++ b/crates/bendhinge_gateway/src/state/choice.rs
@@ -7,7 +7,7 @@
 
 use bendhinge_fleet::{LoadBasis, PoolReports, TotalKey, UpdateSource, UpstreamEntry};
 use bendhinge_ids::{Instant, NameHash, PoolName};
-use bendhinge_placement::{ChoiceReason, CostQuery, Prompt, choose};
+use bendhinge_placement::{ChoiceReason, CostQuery, Prompt, choose, spread_above_limit};
 use bendhinge_routes::{PoolRule, RegionFilter};
 
 use super::candidates::PoolSnapshot;
@@ -117,8 +117,11 @@
         state.record_demand(request.pool, now);
         let is_pace_reported = state.engines.is_pace_reported;
         let uses_work = self.load_settings.work.is_active(is_pace_reported);
-        let PoolSnapshot { listed, candidates, pool_reports } =
+        let PoolSnapshot { listed, mut candidates, pool_reports } =
             state.candidates(request, &self.location, uses_work, now);
+        if matches!(request.software, SoftwareRule::Only(_)) {
+            spread_above_limit(&self.costs, &mut candidates);
+        }
         let list_age = state.replica.age(now).unwrap_or_default();
         let prefers_local = self.load_settings.local_first.is_active(is_pace_reported);
         // A retry goes anywhere: what failed nearby may fail there again.
--- a/crates/bendhinge_placement/src/cost.rs
+++ b/crates/bendhinge_placement/src/cost.rs
@@ -183,7 +183,7 @@
     }
 
     /// Returns the maximum load of an upstream of a pool with this mean load.
-    fn load_limit(&self, mean_load: f32) -> f32 {
+    pub(crate) fn load_limit(&self, mean_load: f32) -> f32 {
         self.load_bound_factor * mean_load + self.load_bound_slack
     }
 
@@ -332,7 +332,7 @@
 
 /// Returns the mean load of the pool. Drained upstreams are included, so that draining part of a
 /// pool does not raise the limit of the others.
-fn mean_load(candidates: &[Candidate]) -> f32 {
+pub(crate) fn mean_load(candidates: &[Candidate]) -> f32 {
     let mut mean = MeanLoad::default();
     let counted_candidates = candidates.iter().filter(|candidate| candidate.counts_in_mean);
     counted_candidates.for_each(|candidate| mean.add(candidate.load));
--- a/crates/bendhinge_placement/src/lib.rs
+++ b/crates/bendhinge_placement/src/lib.rs
@@ -9,6 +9,7 @@
 //!   upstream from the ranking by these loads and by permits.
 //! * [`choose`] selects the upstream with the lowest cost for a prompt, based on the index of
 //!   cached prompt parts ([`CachedParts`]).
+//! * [`spread_above_limit`] divides requests among the few upstreams that may process them.
 //! * [`LocalityState`] computes which share of a data centre's requests goes to others.
 //! * [`choose_plain`] selects an upstream of a plain pool by expected response time.
 //! * [`WarmupLimit`] limits the requests sent to upstreams that are warming up.
@@ -31,6 +32,7 @@
 mod prompt;
 mod ranking;
 mod search;
+mod spread;
 mod view;
 mod warmup;
 mod work;
@@ -51,5 +53,6 @@
 pub use prompt::{PartId, Prompt, PromptPart};
 pub use ranking::{RankedUpstream, Ranking, SHORTLIST_SIZE, Shortlist, UpstreamIndex};
 pub use search::{PermitResponse, PlacementReason, SearchPool, SearchStep, UpstreamSearch};
+pub use spread::spread_above_limit;
 pub use view::{LoadKey, LoadView};
 pub use warmup::WarmupLimit;
--- a/crates/bendhinge_placement/tests/cost.rs
+++ b/crates/bendhinge_placement/tests/cost.rs
@@ -6,7 +6,7 @@
 use bendhinge_ids::{Instant, NameHash};
 use bendhinge_placement::{
     CachedParts, Candidate, Choice, ChoiceReason, CostModel, CostQuery, Distance, PartId, Prompt, PromptPart,
-    UpstreamUsage, choose,
+    UpstreamUsage, choose, spread_above_limit,
 };
 
 const NOW: Instant = Instant::from_millis(100_000);
@@ -385,3 +385,31 @@
     assert!(!model.is_near_load_limit(idle.into_iter()));
     assert!(!model.is_near_load_limit(std::iter::empty()));
 }
+
+/// Guards against streams of one prompt that all go on at the one of the last upstreams with their software that has
+/// it cached.
+#[test]
+fn requests_that_few_upstreams_may_process_are_spread() {
+    const REQUESTS: usize = 30;
+    let prompt = prompt(1, 2);
+    let loads_after = |spreads: bool| {
+        let mut fixture = Fixture { can_fetch: false, ..Fixture::new(12) };
+        fixture.record_prompt(0, &prompt);
+        for _ in 0..REQUESTS {
+            for (index, candidate) in fixture.candidates.iter_mut().enumerate() {
+                candidate.takes_work = index < 2;
+            }
+            if spreads {
+                spread_above_limit(&CostModel::default(), &mut fixture.candidates);
+            }
+            let chosen = fixture.chosen(&prompt);
+            fixture.candidates[chosen].load += 1.0;
+        }
+        let loads = fixture.candidates[..2].iter().map(|candidate| candidate.load);
+        (loads.clone().fold(f32::MAX, f32::min), loads.fold(0.0, f32::max))
+    };
+    let (lowest, highest) = loads_after(true);
+    assert!(highest - lowest <= 2.0, "{lowest} to {highest} requests");
+    let (lowest, highest) = loads_after(false);
+    assert!(highest - lowest > 2.0, "{lowest} to {highest} requests, so the test shows nothing");
+}
