--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -295,13 +295,13 @@
             "keep_software",
             "yes or no",
             Some("no"),
-            "Whether a stream goes on only at upstreams with the version of their software that began it. While upstreams of a pool run several versions, gateways tell each other which one began each stream.",
+            "Whether a stream goes on only at upstreams with the version of their software that began it. While upstreams of a pool run several versions, gateways exchange records of which one began each stream.",
         ),
         Key::new(
             "first_start",
             "yes or no",
             Some("no"),
-            "Whether the whole fleet starts for the first time, so that there can be no streams of earlier processes. Otherwise a gateway that starts assumes that it may have missed a version, until another one has told it or time has passed.",
+            "Whether the whole fleet starts for the first time, so that there can be no streams of earlier processes. Otherwise a gateway that starts assumes that it may have missed a version, until another one reports that it has missed none, or until earlier streams can no longer last.",
         ),
     ],
 };
