Streams: log and count what cuts them, and why nothing goes on with them

A stream that ended early said neither how long its upstream had been silent, nor why it was not resumed, nor which rules were in force. A request whose caller's connection closed before the response had no line, and neither had a connection closed by the limit. Now a line has `cut`, every request that was passed on to delivery leaves a line (also if its task panics), and bendhinge_gateway_streams_cut_total and _connections_refused_total count both. The stand-in can hold back its events or answers without a failure.

--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod context;
 mod crash;
+mod cut;
 mod engine_admission;
 mod forward;
 mod inbound;
@@ -32,6 +33,7 @@
 use self::attempt::{AttemptParams, ErrorResponse, UpstreamResponse, send_to_upstream};
 pub(crate) use self::context::DeliveryContext;
 pub(crate) use self::crash::CrashProbes;
+pub(crate) use self::cut::Cut;
 use self::forward::ForwardOutcome;
 pub(crate) use self::inbound::InboundRequest;
 pub(crate) use self::link_probes::LinkProbes;
@@ -172,6 +174,14 @@
     log_line: RequestLogEntry,
 }
 
+impl Drop for Delivery {
+    fn drop(&mut self) {
+        if !self.log_line.is_written() {
+            self.log_line.write_dropped(&self.context.log, &self.retry_state);
+        }
+    }
+}
+
 impl Delivery {
     /// Sends the request until an upstream's response can be relayed.
     async fn next_response(&mut self, resume_after: Option<&str>) -> Result<UpstreamResponse, DeliveryError> {
--- a/crates/bendhinge_gateway/src/delivery/outcome.rs
+++ b/crates/bendhinge_gateway/src/delivery/outcome.rs
@@ -5,6 +5,7 @@
 
 use super::attempt::{ConnectFailure, SendError, implies_not_run};
 use super::crash::detect_crash;
+use super::cut::Cut;
 use super::race::{FailedSend, SendRecord};
 use super::upstream_body::EndedBody;
 use super::{Delivery, DeliveryContext, DeliveryError, InboundRequest};
@@ -91,6 +92,14 @@
         self.log_line.record_connect_failure(record.number, connect_failure, response_age);
     }
 
+    /// Records that the response to the caller ends before it is complete.
+    pub(super) fn record_cut(&mut self, cut: &Cut) {
+        let DeliveryContext { metrics, rules, .. } = &*self.context;
+        metrics.count_cut(cut);
+        let held_rules = rules.held_version(bendhinge_clock::now());
+        self.log_line.set_cut(cut, held_rules.map(|held| held.version.document().0));
+    }
+
     /// Takes a retry from the retry budget; returns `false` if the budget is exhausted.
     pub(super) fn try_retry(&mut self) -> bool {
         let Some(decision) = self.context.retry_budgets.decide_retry(&self.inbound.pool) else {
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -7,7 +7,7 @@
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{BodyEnd, EventSplitter, SendOutcome, SendTotals, StreamTiming};
 use bendhinge_http::{BodyFraming, Connection};
-use bendhinge_ids::NameHash;
+use bendhinge_ids::{Instant, NameHash};
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http_body_util::BodyExt;
@@ -16,6 +16,7 @@
 use smol::Timer;
 
 use super::attempt::UpstreamResponse;
+use super::cut::{Cut, CutCause, ResumeObstacle};
 use super::forward::ForwardedSend;
 use super::measured_send::MeasuredSend;
 use super::race::SendRecord;
@@ -37,6 +38,8 @@
     source: Option<StreamSource>,
     /// Whether the next event is awaited; if not, the caller has not taken the last ones yet.
     is_awaiting_event: bool,
+    /// When the current source last sent anything, at first when it responded.
+    last_data_at: Instant,
     /// Whether the previous upstream had resumed the stream with an unframed response without events.
     previous_was_empty: bool,
     is_finished: bool,
@@ -127,6 +130,7 @@
             timing,
             source: Some(source),
             is_awaiting_event: false,
+            last_data_at: bendhinge_clock::now(),
             previous_was_empty: false,
             is_finished: false,
             software: None,
@@ -140,6 +144,7 @@
         while !self.is_finished {
             match self.read().await {
                 ReadOutcome::Bytes(bytes) => {
+                    self.last_data_at = bendhinge_clock::now();
                     if let Some(events) = self.events.feed(&bytes) {
                         if events.count > 0 {
                             self.record_event(events.count);
@@ -156,8 +161,10 @@
                         BodyEnd::MidEvent | BodyEnd::Empty | BodyEnd::Failed => SendOutcome::Lost,
                         BodyEnd::TimedOut => SendOutcome::TimedOut,
                     };
-                    if !self.resume_elsewhere(failure).await {
-                        return Some(Err(self.truncate()));
+                    let cause = self.cut_cause(end);
+                    let silence = bendhinge_clock::now().since(self.last_data_at);
+                    if let Err(obstacle) = self.resume_elsewhere(failure).await {
+                        return Some(Err(self.truncate(Cut { cause, silence, obstacle })));
                     }
                 }
             }
@@ -300,11 +307,17 @@
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
-    /// Resumes the stream at another upstream after the last complete event; returns `false` if that is not
-    /// possible.
-    async fn resume_elsewhere(&mut self, end: SendOutcome) -> bool {
+    /// Returns what ended the current source if nothing goes on with the stream.
+    fn cut_cause(&self, end: BodyEnd) -> CutCause {
+        let is_upstream =
+            self.source.as_ref().is_some_and(|source| matches!(source.sender, ResponseSource::Upstream(_)));
+        CutCause::of(end, is_upstream, self.delivery.inbound.time_left().is_zero())
+    }
+
+    /// Resumes the stream at another upstream after the last complete event.
+    async fn resume_elsewhere(&mut self, end: SendOutcome) -> Result<(), ResumeObstacle> {
         // Closes the connection, which cancels the request at the upstream.
-        let Some(source) = self.source.take() else { return false };
+        let Some(source) = self.source.take() else { return Err(ResumeObstacle::Attempts) };
         self.timing.record_interruption(source.sender.totals());
         let StreamSource { sender, body, connection, relayed_events, .. } = source;
         drop((body, connection));
@@ -318,8 +331,14 @@
                 false
             }
         };
-        if !may_retry || !self.has_resume_point() || !self.delivery.try_retry() {
-            return false;
+        if !may_retry {
+            return Err(ResumeObstacle::Attempts);
+        }
+        if !self.has_resume_point() {
+            return Err(ResumeObstacle::NoEventIds);
+        }
+        if !self.delivery.try_retry() {
+            return Err(ResumeObstacle::RetryBudget);
         }
         self.events.restart();
         let last_event_id = self.events.last_id().map(str::to_owned);
@@ -329,14 +348,15 @@
                 self.count_resumption(&source);
                 let source = StreamSource::new(source, head.headers, framing, body, connection);
                 self.source = Some(source);
-                true
+                self.last_data_at = bendhinge_clock::now();
+                Ok(())
             }
-            Ok(_) => false,
+            Ok(_) => Err(ResumeObstacle::SendFailed),
             Err(error) => {
                 if let DeliveryError::Code(code) | DeliveryError::RetryLater { code, .. } = error {
                     self.delivery.log_line.set_resume_code(code);
                 }
-                false
+                Err(ResumeObstacle::SendFailed)
             }
         }
     }
@@ -357,8 +377,9 @@
         self.timing.first_event().is_none() || self.events.last_id().is_some()
     }
 
-    fn truncate(&mut self) -> io::Error {
+    fn truncate(&mut self, cut: Cut) -> io::Error {
         self.is_finished = true;
+        self.delivery.record_cut(&cut);
         self.record_abandonment();
         self.source = None;
         self.report_timing();
@@ -374,7 +395,7 @@
             self.record_abandonment();
             self.report_timing();
             let Delivery { log_line, context, retry_state, .. } = &mut self.delivery;
-            log_line.write_caller_left(&context.log, retry_state);
+            log_line.write_dropped(&context.log, retry_state);
         }
     }
 }
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -10,9 +10,9 @@
 use bendhinge_ids::{Instant, NameHash, RequestDigest};
 use serde::Serialize;
 
-use super::stream::{ResumptionFields, StreamFields};
+use super::stream::{CutFields, ResumptionFields, StreamFields};
 use super::{Log, whole_millis};
-use crate::delivery::{ConnectFailure, InboundRequest};
+use crate::delivery::{ConnectFailure, Cut, InboundRequest};
 use crate::forwarding::{ForwardBasis, ForwardGuard};
 use crate::state::ChosenUpstream;
 
@@ -139,6 +139,8 @@
     /// How the body of the response to the caller is framed, if it is relayed as it arrives.
     caller_framing: Option<BodyFraming>,
     stream: StreamFields,
+    cut: Option<CutFields>,
+    is_written: bool,
 }
 
 impl RequestLogEntry {
@@ -157,6 +159,8 @@
             resumption: ResumptionFields::new(&inbound.fields),
             caller_framing: None,
             stream: StreamFields::default(),
+            cut: None,
+            is_written: false,
         }
     }
 
@@ -268,6 +272,11 @@
         self.stream = StreamFields::new(timing);
     }
 
+    /// Sets why the response to the caller ended before it was complete.
+    pub(crate) fn set_cut(&mut self, cut: &Cut, rules_revision: Option<u64>) {
+        self.cut = Some(CutFields::new(cut, rules_revision));
+    }
+
     /// Records how a send ended whose response is not passed on.
     pub(crate) fn record_send_end(&mut self, index: usize, end: SendOutcome) {
         if let Some(send) = self.sends.get_mut(index) {
@@ -344,6 +353,8 @@
             resumption: &'a ResumptionFields,
             #[serde(flatten)]
             stream: &'a StreamFields,
+            #[serde(skip_serializing_if = "Option::is_none")]
+            cut: Option<&'a CutFields>,
         }
         let fields = Fields {
             request: &self.request,
@@ -361,7 +372,9 @@
             caller_framing: self.caller_framing.map(BodyFraming::as_str),
             resumption: &self.resumption,
             stream: &self.stream,
+            cut: self.cut.as_ref(),
         };
+        self.is_written = true;
         log.log_event("request", fields);
     }
 
@@ -376,8 +389,14 @@
         self.write(log, "answered", status, code, retry_state);
     }
 
-    /// Writes the line of a request whose caller disconnected.
-    pub(crate) fn write_caller_left(&mut self, log: &Log, retry_state: &RetryState) {
-        self.write(log, "caller_left", 0, None, retry_state);
+    /// Whether the line is written.
+    pub(crate) const fn is_written(&self) -> bool {
+        self.is_written
+    }
+
+    /// Writes the line of a request that was dropped because its caller disconnected or its task panicked.
+    pub(crate) fn write_dropped(&mut self, log: &Log, retry_state: &RetryState) {
+        let outcome = if std::thread::panicking() { "panicked" } else { "caller_left" };
+        self.write(log, outcome, 0, None, retry_state);
     }
 }
--- a/crates/bendhinge_gateway/src/log/stream.rs
+++ b/crates/bendhinge_gateway/src/log/stream.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use super::whole_millis;
+use crate::delivery::Cut;
 use crate::dialect::RequestFields;
 
 /// What is logged of a relayed stream. Values of zero are omitted, other than those of a pause.
@@ -41,6 +42,28 @@
     }
 }
 
+/// What is logged of a response that ended before it was complete.
+#[derive(Serialize)]
+pub(super) struct CutFields {
+    by: &'static str,
+    silent_ms: u64,
+    not_resumed: &'static str,
+    /// The revision of the rules in force.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    rules: Option<u64>,
+}
+
+impl CutFields {
+    pub(super) fn new(cut: &Cut, rules_revision: Option<u64>) -> Self {
+        Self {
+            by: cut.cause.as_str(),
+            silent_ms: whole_millis(cut.silence),
+            not_resumed: cut.obstacle.as_str(),
+            rules: rules_revision,
+        }
+    }
+}
+
 /// What is logged of a request that resumes a stream.
 #[derive(Default, Serialize)]
 pub(super) struct ResumptionFields {
--- a/crates/bendhinge_gateway/src/metrics/groups.rs
+++ b/crates/bendhinge_gateway/src/metrics/groups.rs
@@ -63,6 +63,7 @@
     /// Recorded once for each stream.
     pub(super) longest_pause: Histogram<f64>,
     pub(super) resumptions: Counter<u64>,
+    pub(super) cuts: Counter<u64>,
     pub(super) sent_records: Counter<u64>,
 }
 
@@ -77,6 +78,10 @@
                 "bendhinge.gateway.stream_records_sent",
                 "Records of streams that were sent to other gateways, by result",
             ),
+            cuts: counter(
+                "bendhinge.gateway.streams_cut",
+                "Streams that ended before they were complete, by what ended them and why nothing went on with them",
+            ),
             resumptions: counter(
                 "bendhinge.gateway.streams_resumed",
                 "Interrupted streams that went on, by who resumed them and by the software of the upstream",
@@ -190,3 +195,25 @@
         }
     }
 }
+
+/// Connections of callers that the gateway closed.
+pub(super) struct CallerConnectionCounters {
+    pub(super) unread: Counter<u64>,
+    pub(super) refused: Counter<u64>,
+}
+
+impl CallerConnectionCounters {
+    /// Builds them with `counter`, which takes a name and a description.
+    pub(super) fn new(counter: impl Fn(&'static str, &'static str) -> Counter<u64>) -> Self {
+        Self {
+            unread: counter(
+                "bendhinge.gateway.answers_unread",
+                "Connections of callers that were cut since these left their answers unread",
+            ),
+            refused: counter(
+                "bendhinge.gateway.connections_refused",
+                "Connections of callers that were closed since too many were open",
+            ),
+        }
+    }
+}
--- a/crates/bendhinge_gateway/src/metrics/mod.rs
+++ b/crates/bendhinge_gateway/src/metrics/mod.rs
@@ -15,9 +15,11 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
-use self::groups::{AgeHistograms, ExchangeCounters, ForwardingCounters, StreamMetrics};
+use self::groups::{
+    AgeHistograms, CallerConnectionCounters, ExchangeCounters, ForwardingCounters, StreamMetrics,
+};
 pub(crate) use self::groups::{ResumedSoftware, Resumer};
-use crate::delivery::ConnectFailure;
+use crate::delivery::{ConnectFailure, Cut};
 
 /// Bucket bounds of the time to first byte. They include 1.3 s, the target of its 95th percentile.
 const FIRST_BYTE_BUCKETS_SECONDS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 1.3, 2.5, 10.0];
@@ -76,7 +78,7 @@
     suspected_upstreams: Counter<u64>,
     backoff_requests: Counter<u64>,
     drain_announcements: Counter<u64>,
-    slow_caller_disconnects: Counter<u64>,
+    caller_connections: CallerConnectionCounters,
     first_byte: Histogram<f64>,
     streams: StreamMetrics,
     in_progress: Gauge<u64>,
@@ -142,10 +144,7 @@
                 "bendhinge.gateway.rests_asked",
                 "Answers in which an upstream asked for a rest",
             ),
-            slow_caller_disconnects: counter(
-                "bendhinge.gateway.answers_unread",
-                "Connections of callers that were cut since these left their answers unread",
-            ),
+            caller_connections: CallerConnectionCounters::new(counter),
             drain_announcements: counter(
                 "bendhinge.gateway.leavings_said",
                 "Upstreams that said in an answer that they leave",
@@ -213,6 +212,13 @@
         self.streams.resumptions.add(1, &labels);
     }
 
+    /// Counts a stream that ended before it was complete.
+    pub(crate) fn count_cut(&self, cut: &Cut) {
+        let labels =
+            [KeyValue::new("by", cut.cause.as_str()), KeyValue::new("not_resumed", cut.obstacle.as_str())];
+        self.streams.cuts.add(1, &labels);
+    }
+
     /// Counts records of streams that were sent to another gateway.
     pub(crate) fn count_sent_stream_records(&self, records: usize, is_received: bool) {
         let result = if is_received { "ok" } else { "failed" };
@@ -338,7 +344,12 @@
 
     /// Counts a connection closed because the caller did not read its response.
     pub(crate) fn count_slow_caller_disconnect(&self) {
-        self.slow_caller_disconnects.add(1, &[]);
+        self.caller_connections.unread.add(1, &[]);
+    }
+
+    /// Counts a connection of a caller that was closed because too many were open.
+    pub(crate) fn count_refused_connection(&self) {
+        self.caller_connections.refused.add(1, &[]);
     }
 
     /// Counts an upstream that announced in a response that it is draining.
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -234,9 +234,12 @@
         recorder.metrics.count_slow_caller_disconnect();
         recorder.log.slow_caller_disconnected(caller);
     });
+    let recorder = Arc::clone(context);
+    let on_connection_limit = Arc::new(move |_| recorder.metrics.count_refused_connection());
     let server = bind_server("callers", settings.caller_address, limits, context)
         .await?
-        .on_write_timeout(on_write_timeout);
+        .on_write_timeout(on_write_timeout)
+        .on_connection_limit(on_connection_limit);
     let stop = server.stop_handle();
     let intake = Arc::clone(intake);
     let serving = server.run(move |request| intake::handle(Arc::clone(&intake), request));
--- a/crates/bendhinge_http/src/lib.rs
+++ b/crates/bendhinge_http/src/lib.rs
@@ -19,6 +19,6 @@
 pub use framing::BodyFraming;
 pub use hop_by_hop::remove_hop_by_hop_headers;
 pub use pool::{ConnectError, Connection, Pool, SendFailure};
-pub use serve::{CloseConnection, ServeLimits, Server, StopHandle, WriteTimeoutCallback, serve_stream};
+pub use serve::{CloseCallback, CloseConnection, ServeLimits, Server, StopHandle, serve_stream};
 pub use signal::wait_for_termination;
 pub use workers::{Tasks, run_until};
--- a/crates/bendhinge_http/src/serve.rs
+++ b/crates/bendhinge_http/src/serve.rs
@@ -56,8 +56,8 @@
     }
 }
 
-/// A callback for connections closed by the write timeout. It receives the caller's address.
-pub type WriteTimeoutCallback = Arc<dyn Fn(SocketAddr) + Send + Sync>;
+/// A callback for connections that the server closes. It receives the client's address.
+pub type CloseCallback = Arc<dyn Fn(SocketAddr) + Send + Sync>;
 
 /// An HTTP/1.1 server bound to an address.
 pub struct Server {
@@ -67,7 +67,8 @@
     stop_sender: Sender<()>,
     stop_receiver: Receiver<()>,
     open_connections: Arc<AtomicUsize>,
-    on_write_timeout: WriteTimeoutCallback,
+    on_write_timeout: CloseCallback,
+    on_connection_limit: CloseCallback,
 }
 
 impl Server {
@@ -83,15 +84,22 @@
             stop_receiver,
             open_connections: Arc::default(),
             on_write_timeout: Arc::new(|_| ()),
+            on_connection_limit: Arc::new(|_| ()),
         })
     }
 
     /// Sets the callback for connections closed by the write timeout.
     #[must_use]
-    pub fn on_write_timeout(self, on_write_timeout: WriteTimeoutCallback) -> Self {
+    pub fn on_write_timeout(self, on_write_timeout: CloseCallback) -> Self {
         Self { on_write_timeout, ..self }
     }
 
+    /// Sets the callback for connections closed because too many are open.
+    #[must_use]
+    pub fn on_connection_limit(self, on_connection_limit: CloseCallback) -> Self {
+        Self { on_connection_limit, ..self }
+    }
+
     /// The bound address, with the actual port.
     pub fn local_addr(&self) -> std::io::Result<SocketAddr> {
         self.listener.local_addr()
@@ -113,6 +121,7 @@
         while let Some((stream, caller)) = self.next_connection().await {
             if self.open_connections.load(Ordering::Relaxed) >= self.limits.max_connections {
                 let _ = stream.shutdown(Shutdown::Both);
+                (self.on_connection_limit)(caller);
                 continue;
             }
             self.spawn_connection(stream, caller, handler.clone());
--- a/crates/bendhinge_standin/src/gateway/fault.rs
+++ b/crates/bendhinge_standin/src/gateway/fault.rs
@@ -34,6 +34,18 @@
     Stalls(u32),
 }
 
+/// What a sound upstream holds back until it goes on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Silence {
+    /// Nothing.
+    #[default]
+    None,
+    /// The events of its streams.
+    Events,
+    /// Its answers, and the events of streams that it has begun.
+    Answers,
+}
+
 /// How an upstream marks the end of its answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Framing {
--- a/crates/bendhinge_standin/src/gateway/mod.rs
+++ b/crates/bendhinge_standin/src/gateway/mod.rs
@@ -6,6 +6,6 @@
 mod store;
 mod upstream;
 
-pub use fault::{Framing, UpstreamFault};
+pub use fault::{Framing, Silence, UpstreamFault};
 pub use store::{DATA_CENTRE, Store, StoreFault, UpstreamRecord};
 pub use upstream::{Run, Upstream};
--- a/crates/bendhinge_standin/src/gateway/upstream.rs
+++ b/crates/bendhinge_standin/src/gateway/upstream.rs
@@ -19,7 +19,7 @@
 use smol::channel::Sender;
 
 use super::answers::{first_half, header_value, signed, versioned_event, whole, with_status};
-use super::fault::{Framing, UpstreamFault};
+use super::fault::{Framing, Silence, UpstreamFault};
 
 /// A request that an upstream began to work on.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -45,6 +45,7 @@
     name: String,
     fault: UpstreamFault,
     framing: Framing,
+    silence: Silence,
     /// The body of the request under which its process ends, and what ends with it.
     fatal: Option<(Bytes, OnEnd)>,
     has_ended: bool,
@@ -81,6 +82,7 @@
             name: name.to_owned(),
             fault: UpstreamFault::None,
             framing: Framing::Framed,
+            silence: Silence::None,
             fatal: None,
             has_ended: false,
             is_leaving: false,
@@ -125,6 +127,11 @@
         self.state.lock().unwrap().framing = framing;
     }
 
+    /// Sets what it holds back from now on, also of the answers that it has begun.
+    pub fn set_silence(&self, silence: Silence) {
+        self.state.lock().unwrap().silence = silence;
+    }
+
     /// Its process ends while it works on a request with this body: then `on_end` is called, and it works on
     /// nothing more.
     pub fn ends_under<F>(&self, body: &'static str, on_end: impl Fn() -> F + Send + Sync + 'static)
@@ -236,6 +243,14 @@
     headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
 }
 
+/// Waits until the upstream holds back less than `silence`.
+async fn until_it_goes_on(state: &Mutex<State>, silence: Silence) {
+    const LOOK: Duration = Duration::from_millis(2);
+    while state.lock().unwrap().silence >= silence {
+        Timer::after(LOOK).await;
+    }
+}
+
 /// How much later than its caller an upstream sees that a request's time is over.
 const ON_ITS_WAY: Duration = Duration::from_millis(5);
 
@@ -250,6 +265,7 @@
 
 async fn answer(state: Arc<Mutex<State>>, tasks: Tasks, request: Request<Incoming>) -> Response<Body> {
     let mut answer = answer_by_state(Arc::clone(&state), tasks, request).await;
+    until_it_goes_on(&state, Silence::Answers).await;
     let state = state.lock().unwrap();
     if state.is_leaving {
         answer.headers_mut().insert(LEAVING, HeaderValue::from_static("yes"));
@@ -365,6 +381,7 @@
     for id in from..events {
         let pace = state.lock().unwrap().pace;
         Timer::after(pace).await;
+        until_it_goes_on(&state, Silence::Events).await;
         let event = versioned_event(&request, id, &software);
         let sent = match fault {
             UpstreamFault::BreaksOff(whole) if id - from >= whole => {
