Test streams of upstreams that are silent for a second and go on

One engine that pauses for 1.2 s: eight of eight streams are cut. Four engines that pause together: most of 60 streams, those that the retry budget does not let be resumed.

--- a/crates/bendhinge_lab/tests/gateway_silence.rs
+++ b/crates/bendhinge_lab/tests/gateway_silence.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use bendhinge_http::Tasks;
-use bendhinge_lab::gateways::{Call, FleetShape, GatewayFleet, KEY, Told};
+use bendhinge_lab::gateways::{Answer, Call, FleetShape, GatewayFleet, KEY, Told, until};
 use bendhinge_standin::gateway::{Silence, UpstreamFault};
-use gateway_common::{line_of, metric, run, send, start};
+use gateway_common::{PATIENCE, line_of, metric, run, send, start};
+use smol::Timer;
 
 /// Several times as long as a gateway waits for the next event of a stream that may be resumed.
 const PAUSE: Duration = Duration::from_millis(1_200);
@@ -21,6 +22,29 @@
     fleet
 }
 
+/// Sends `calls`; once all of them are at an upstream, these hold back `silence` for a while.
+async fn send_beside_pause(fleet: &GatewayFleet, calls: &[Call], silence: Silence) -> Vec<Answer> {
+    let caller = fleet.caller();
+    let sending = calls.iter().map(|call| {
+        let (caller, call, address) = (caller.clone(), call.clone(), fleet.callers(0));
+        fleet.tasks.spawn(async move { caller.send(address, &call, PATIENCE).await })
+    });
+    let sending: Vec<_> = sending.collect();
+    until(async || calls.iter().all(|call| fleet.runs_of(&call.id) > 0)).await;
+    fleet.upstreams.iter().for_each(|upstream| upstream.set_silence(silence));
+    Timer::after(PAUSE).await;
+    fleet.upstreams.iter().for_each(|upstream| upstream.set_silence(Silence::None));
+    let mut answers = Vec::new();
+    for sent in sending {
+        answers.push(sent.await);
+    }
+    answers
+}
+
+fn streams(count: usize) -> Vec<Call> {
+    (0..count).map(|_| Call::stream("/resumable/x", KEY)).collect()
+}
+
 /// Guards against a stream that is cut and a line that does not show who ended it, after which silence, and why nothing
 /// went on with it.
 #[test]
@@ -60,3 +84,26 @@
         assert_eq!(line["sends"].as_array().map(Vec::len), Some(1), "{line}");
     });
 }
+
+/// Guards against streams that are cut when their upstream is silent for a second and no other one can go on with them.
+#[test]
+fn streams_of_an_upstream_that_pauses_are_not_cut_if_nothing_can_replace_it() {
+    run(|tasks| async move {
+        let fleet = engines(&tasks, 1).await;
+        let answers = send_beside_pause(&fleet, &streams(8), Silence::Events).await;
+        let told: Vec<_> = answers.into_iter().map(|answer| answer.told).collect();
+        assert!(told.iter().all(|told| *told == Told::Whole), "{told:?}");
+    });
+}
+
+/// Guards against streams that are cut when all upstreams are silent for a second and the retry budget allows only some
+/// of them to be resumed.
+#[test]
+fn streams_of_a_pool_that_pauses_are_not_cut_when_the_retry_budget_is_exhausted() {
+    run(|tasks| async move {
+        let fleet = engines(&tasks, 4).await;
+        let answers = send_beside_pause(&fleet, &streams(60), Silence::Events).await;
+        let told: Vec<_> = answers.into_iter().map(|answer| answer.told).collect();
+        assert!(told.iter().all(|told| *told == Told::Whole), "{told:?}");
+    });
+}
