Retry budget: take back retries that were not sent

A retry is taken from the budget before an upstream is chosen. Where none is available, nothing is sent and the retry is lost for requests that could use it. The budget can now take it back; two tests.

--- a/crates/bendhinge_admission/src/router_retry_budget.rs
+++ b/crates/bendhinge_admission/src/router_retry_budget.rs
@@ -187,6 +187,13 @@
         RetryDecision { is_allowed, spent, budget, base }
     }
 
+    /// Returns the last retry that was taken, because it was not sent.
+    pub fn return_retry(&mut self) {
+        if let Some(bucket) = self.buckets.iter_mut().rev().find(|bucket| bucket.retries > 0) {
+            bucket.retries -= 1;
+        }
+    }
+
     /// Sets this router's part of the base retries.
     pub fn set_base_share(&mut self, base_share: f64) {
         self.base_share = base_share;
--- a/crates/bendhinge_admission/tests/budget.rs
+++ b/crates/bendhinge_admission/tests/budget.rs
@@ -125,6 +125,28 @@
 }
 
 /// After a burst, its requests must not earn retries beyond the current rate.
+/// Guards against retries that are charged although nothing was sent.
+#[test]
+fn returned_retry_can_be_taken_again() {
+    let mut budget = fleet_budget(60.0).router_budget(fleet_budget(60.0).base_share(2), 1);
+    let now = at(1);
+    let taken = (0..100).take_while(|_| budget.try_retry(now)).count();
+    assert!(taken > 0 && !budget.try_retry(now));
+    budget.return_retry();
+    assert!(budget.try_retry(now));
+    assert!(!budget.try_retry(now));
+}
+
+/// Guards against returns that add to the budget.
+#[test]
+fn returns_without_a_retry_change_nothing() {
+    let mut budget = fleet_budget(60.0).router_budget(fleet_budget(60.0).base_share(2), 1);
+    let unchanged = budget.clone();
+    budget.return_retry();
+    let taken = |mut budget: RouterRetryBudget| (0..100).take_while(|_| budget.try_retry(at(1))).count();
+    assert_eq!(taken(budget), taken(unchanged));
+}
+
 #[test]
 fn retries_follow_the_current_rate() {
     let mut budget = fleet_budget(0.0).router_budget(fleet_budget(0.0).base_share(1), 1);
