Streams: keep a silent source until another one has sent an event

Cause: after three target gaps the relay dropped the upstream's connection and only then looked at the resume point, the retry budget, the choice of an upstream and its response. What was held was given up before what replaces it was held.

Now the silent source is read until the deadline. Another send races it if the route and the budget allow one; whichever sends an event first goes on, at an event boundary, and the other is closed and recorded as overtaken. The silent source counts as a run meanwhile, so that no request runs more often than its route allows. An attempt that fails is repeated after a target gap, and a retry for which nothing was sent returns to the budget. If the source fails during the race, the other send is waited for.

--- a/crates/bendhinge_delivery/src/body_end.rs
+++ b/crates/bendhinge_delivery/src/body_end.rs
@@ -29,6 +29,12 @@
         }
     }
 
+    /// Whether the body ended before it was complete.
+    #[must_use]
+    pub const fn is_failure(self) -> bool {
+        matches!(self, Self::MidEvent | Self::Empty | Self::Failed)
+    }
+
     /// The name used in logs and metrics.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
--- a/crates/bendhinge_delivery/src/events.rs
+++ b/crates/bendhinge_delivery/src/events.rs
@@ -164,8 +164,9 @@
         self.last_id.as_deref()
     }
 
-    /// Discards a partial event, because another stream resumes after the last complete event.
-    pub fn restart(&mut self) {
-        *self = Self { last_id: self.last_id.take(), position: Position::ResumedStart, ..Self::default() };
+    /// Returns a splitter for a stream that resumes this one after its last complete event.
+    #[must_use]
+    pub fn resumed(&self) -> Self {
+        Self { last_id: self.last_id.clone(), position: Position::ResumedStart, ..Self::default() }
     }
 }
--- a/crates/bendhinge_delivery/src/retry.rs
+++ b/crates/bendhinge_delivery/src/retry.rs
@@ -74,6 +74,8 @@
     sends: u32,
     possible_runs: u32,
     reached_count: u32,
+    /// Whether the response to a send is relayed while another send may replace it.
+    is_response_held: bool,
     last_outcome: Option<SendOutcome>,
 }
 
@@ -81,7 +83,14 @@
     /// Creates the state of a request that has not been sent yet.
     #[must_use]
     pub const fn new(policy: RetryPolicy) -> Self {
-        Self { policy, sends: 0, possible_runs: 0, reached_count: 0, last_outcome: None }
+        Self {
+            policy,
+            sends: 0,
+            possible_runs: 0,
+            reached_count: 0,
+            is_response_held: false,
+            last_outcome: None,
+        }
     }
 
     /// Records the outcome of a send. Returns whether another may follow, subject to the retry budget.
@@ -100,7 +109,7 @@
     /// Returns the number of upstreams on which the request may still run, of the `max_attempts` of its route.
     #[must_use]
     pub const fn attempts_left(&self, max_attempts: u32) -> u32 {
-        max_attempts.saturating_sub(self.possible_runs)
+        max_attempts.saturating_sub(self.runs())
     }
 
     /// Records that the request was forwarded to another router, which used all attempts that were left, and how that
@@ -114,19 +123,30 @@
         }
     }
 
+    /// Sets whether the response to a send is relayed while another send may replace it. The request then runs at its
+    /// upstream, too.
+    pub const fn set_response_held(&mut self, is_held: bool) {
+        self.is_response_held = is_held;
+    }
+
+    /// The number of upstreams on which the request may have run, or runs while its response is relayed.
+    const fn runs(&self) -> u32 {
+        self.possible_runs + self.is_response_held as u32
+    }
+
     /// Whether the request may be sent, or sent again.
     #[must_use]
     pub const fn may_send(&self) -> bool {
-        let safe_to_retry = self.possible_runs == 0 || self.policy.repeatable;
+        let safe_to_retry = self.runs() == 0 || self.policy.repeatable;
         safe_to_retry
-            && self.possible_runs < self.policy.max_attempts
+            && self.runs() < self.policy.max_attempts
             && self.sends < self.policy.max_attempts + MAX_EXTRA_SENDS
     }
 
     /// Whether a hedged send is allowed while the next send is slow to respond.
     #[must_use]
     pub const fn allows_hedge(&self) -> bool {
-        self.policy.repeatable && self.possible_runs + 1 < self.policy.max_attempts
+        self.policy.repeatable && self.runs() + 1 < self.policy.max_attempts
     }
 
     /// The number of completed sends.
@@ -138,7 +158,7 @@
     /// Whether the next send must be covered by the retry budget.
     #[must_use]
     pub const fn needs_retry_budget(&self) -> bool {
-        self.reached_count > 0
+        self.reached_count > 0 || self.is_response_held
     }
 
     /// Whether the request may have run, provided that no response was forwarded.
--- a/crates/bendhinge_delivery/tests/events.rs
+++ b/crates/bendhinge_delivery/tests/events.rs
@@ -29,7 +29,7 @@
 fn restart_discards_partial_event() {
     let mut splitter = EventSplitter::default();
     feed(&mut splitter, "id: 1\ndata: a\n\nid: 2\nda");
-    splitter.restart();
+    let mut splitter = splitter.resumed();
     assert_eq!(splitter.partial_len(), 0);
     assert_eq!(feed(&mut splitter, "id: 2\ndata: b\n\n").as_deref(), Some("id: 2\ndata: b\n\n"));
 }
@@ -124,7 +124,7 @@
 fn byte_order_mark_of_a_resumed_stream_is_removed() {
     let mut splitter = EventSplitter::default();
     feed(&mut splitter, "\u{feff}id: 1\ndata: a\n\nid: 2");
-    splitter.restart();
+    let mut splitter = splitter.resumed();
     assert_eq!(feed(&mut splitter, "\u{feff}id: 2\n\n").as_deref(), Some("id: 2\n\n"));
     assert_eq!(splitter.last_id(), Some("2"));
 }
--- a/crates/bendhinge_delivery/tests/retry.rs
+++ b/crates/bendhinge_delivery/tests/retry.rs
@@ -83,3 +83,29 @@
         Ok(())
     });
 }
+
+/// Guards against more runs than the route allows while one upstream's response is relayed and another may replace it.
+#[test]
+fn held_response_counts_as_a_run() {
+    let mut state = state(true, 2);
+    assert!(state.allows_hedge());
+    state.set_response_held(true);
+    assert!(state.may_send() && !state.allows_hedge());
+    assert!(state.needs_retry_budget());
+    assert_eq!(state.attempts_left(2), 1);
+    assert!(state.record_outcome(NotConnected), "it did not run");
+    assert!(!state.record_outcome(Lost), "the held response and this send may both have run");
+    state.set_response_held(false);
+    assert!(!state.record_outcome(Lost));
+}
+
+/// Guards against a third run after the silent upstream went on and its replacement was cancelled.
+#[test]
+fn cancelled_replacement_counts_as_a_run() {
+    let mut state = state(true, 2);
+    state.set_response_held(true);
+    assert!(!state.record_outcome(SendOutcome::Superseded));
+    state.set_response_held(false);
+    assert!(!state.allows_hedge());
+    assert!(!state.record_outcome(Lost));
+}
--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -17,7 +17,7 @@
 
 use super::measured_send::MeasuredSend;
 use super::race::SendRecord;
-use super::relay::{ResponseSource, UpstreamSend};
+use super::stream_source::{ResponseSource, UpstreamSend};
 use super::upstream_body::{EndedBody, UpstreamBody, drain_and_release, read_complete_body};
 use super::{DeliveryContext, InboundRequest};
 use crate::dialect::{Availability, ResponseFields, UpstreamRequestFields};
--- a/crates/bendhinge_gateway/src/delivery/cut.rs
+++ b/crates/bendhinge_gateway/src/delivery/cut.rs
@@ -60,6 +60,8 @@
     RetryBudget,
     /// No upstream took the request.
     SendFailed,
+    /// The time of the request was over.
+    Deadline,
 }
 
 impl ResumeObstacle {
@@ -70,6 +72,7 @@
             Self::NoEventIds => "no_event_ids",
             Self::RetryBudget => "retry_budget",
             Self::SendFailed => "send_failed",
+            Self::Deadline => "deadline",
         }
     }
 }
--- a/crates/bendhinge_gateway/src/delivery/forward.rs
+++ b/crates/bendhinge_gateway/src/delivery/forward.rs
@@ -12,7 +12,7 @@
 use smol::Timer;
 
 use super::attempt::{ErrorResponse, MAX_CONNECTION_IDLE_TIME, UpstreamResponse, is_event_stream};
-use super::relay::ResponseSource;
+use super::stream_source::ResponseSource;
 use super::upstream_body::{UpstreamBody, read_complete_body};
 use super::{Delivery, DeliveryContext, DeliveryError, InboundRequest, delay_until_next_list};
 use crate::forwarding::ForwardGuard;
@@ -104,6 +104,8 @@
             }
             tried.push(guard.address);
             let number = self.log_line.record_forward(&guard);
+            self.started_sends += 1;
+            self.open_forward = Some(number);
             let response = match self.exchange_with_gateway(guard.address, resume_after).await {
                 Ok(response) => response,
                 Err(ForwardError::NotSent(end)) => {
@@ -118,6 +120,7 @@
                 let send = ForwardedSend { number, _guard: guard };
                 return self.receive_forwarded(response, connection, send).await;
             };
+            self.open_forward = None;
             self.log_line.record_forward_refusal(number, refusal.code);
             self.context.metrics.count_forward("refused");
             if !may_try_another_gateway(refusal.code) {
@@ -241,7 +244,8 @@
         ForwardOutcome::Failed(DeliveryError::ErrorResponse(Box::new(ErrorResponse { head, body: bytes })))
     }
 
-    fn record_forward_end(&mut self, number: usize, end: SendOutcome) {
+    pub(super) fn record_forward_end(&mut self, number: usize, end: SendOutcome) {
+        self.open_forward = None;
         self.log_line.record_forward_end(number, end);
         self.context.metrics.count_forward(end.as_str());
     }
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -15,7 +15,9 @@
 mod race;
 mod relay;
 mod relay_body;
+mod replacement;
 mod software;
+mod stream_source;
 mod upstream_body;
 
 use std::sync::Arc;
@@ -40,9 +42,10 @@
 use self::measured_send::MeasuredSend;
 pub(crate) use self::measured_send::SendRegistry;
 use self::race::{FailedSend, PendingSend, SendRecord, race};
-use self::relay::{Relay, ResponseSource, StreamSource};
+use self::relay::Relay;
 use self::relay_body::relay_body;
 use self::software::RequiredSoftware;
+use self::stream_source::{ResponseSource, StreamSource};
 use self::upstream_body::{EndedBody, UpstreamBody};
 use crate::intake::Refusal;
 use crate::intake::headers;
@@ -89,6 +92,9 @@
         is_counted,
         has_failed_to_connect: false,
         tried_upstreams: Vec::new(),
+        started_sends: 0,
+        open_sends: Vec::new(),
+        open_forward: None,
         log_line,
     };
     let resume_after = delivery.inbound.fields.resume_after.clone();
@@ -169,6 +175,12 @@
     /// Whether a send of the request did not connect.
     has_failed_to_connect: bool,
     tried_upstreams: Vec<NameHash>,
+    /// The number of sends to upstreams or gateways that were started.
+    started_sends: usize,
+    /// Sends to upstreams whose end is not recorded.
+    open_sends: Vec<SendRecord>,
+    /// The index of the forward whose end is not recorded.
+    open_forward: Option<usize>,
     /// The software that may process the request.
     software: RequiredSoftware,
     log_line: RequestLogEntry,
@@ -253,6 +265,8 @@
             None => self.context.metrics.record_mean_load_age(chosen.pool_reports.mean_age),
         }
         let record = SendRecord::new(number, &chosen, tracked);
+        self.started_sends += 1;
+        self.open_sends.push(record.clone());
         let params = AttemptParams {
             record: record.clone(),
             measured: MeasuredSend::start(&self.context.sends, chosen.entry.hash, &self.inbound),
@@ -310,10 +324,13 @@
 
     /// Starts a hedge request; returns `None` if that is not possible.
     fn start_hedge(&mut self, resume_after: Option<&str>) -> Option<PendingSend> {
+        let sends_before = self.started_sends;
         if !self.try_retry() {
             return None;
         }
-        self.start_send(resume_after, false).ok()
+        let second = self.start_send(resume_after, false).ok();
+        self.return_unused_retry(sends_before);
+        second
     }
 
     /// Starts a tracked send if the quarantine tracks the request; returns `Err` if it must not be sent.
--- a/crates/bendhinge_gateway/src/delivery/outcome.rs
+++ b/crates/bendhinge_gateway/src/delivery/outcome.rs
@@ -16,6 +16,7 @@
     pub(super) fn record_send_end(&mut self, record: &SendRecord, end: SendOutcome) -> bool {
         let DeliveryContext { upstreams, metrics, log, .. } = &*self.context;
         let SendRecord { number, upstream, started_at, .. } = record;
+        self.open_sends.retain(|open| open.number != *number);
         self.log_line.record_send_end(*number, end);
         metrics.count_send_end(end);
         match end {
@@ -109,6 +110,27 @@
         self.log_line.record_retry_decision(&decision);
         decision.is_allowed
     }
+
+    /// Returns the last retry to the retry budget if no send has started since there were `sends_before`.
+    pub(super) fn return_unused_retry(&mut self, sends_before: usize) {
+        if self.started_sends == sends_before {
+            self.context.retry_budgets.return_retry(&self.inbound.pool);
+            self.log_line.drop_allowed_retry();
+        }
+    }
+
+    /// Records that all sends but that with the index `kept` were cancelled.
+    pub(super) fn cancel_other_sends(&mut self, kept: usize) {
+        let (_, cancelled): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.open_sends).into_iter().partition(|open| open.number == kept);
+        for record in cancelled {
+            self.record_send_end(&record, SendOutcome::Superseded);
+        }
+        if let Some(number) = self.open_forward.take() {
+            self.record_forward_end(number, SendOutcome::Superseded);
+            self.retry_state.record_forward(None);
+        }
+    }
 }
 
 /// Returns the failure to record for the upstream, if any.
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -2,44 +2,33 @@
 //! truncated.
 
 use std::io;
-use std::time::Duration;
 
 use bendhinge_codes::ResultCode;
-use bendhinge_delivery::{BodyEnd, EventSplitter, SendOutcome, SendTotals, StreamTiming};
-use bendhinge_http::{BodyFraming, Connection};
+use bendhinge_delivery::{BodyEnd, CompleteEvents, EventSplitter, SendOutcome, StreamTiming};
 use bendhinge_ids::{Instant, NameHash};
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use http_body_util::BodyExt;
-use hyper::HeaderMap;
-use hyper::body::Incoming;
 use smol::Timer;
 
-use super::attempt::UpstreamResponse;
+use super::Delivery;
 use super::cut::{Cut, CutCause, ResumeObstacle};
-use super::forward::ForwardedSend;
-use super::measured_send::MeasuredSend;
-use super::race::SendRecord;
-use super::upstream_body::UpstreamBody;
-use super::{Delivery, DeliveryError};
+use super::replacement::{RaceOutcome, ReplacementTimer};
+use super::stream_source::{ResponseSource, SourceRead, StreamSource};
 use crate::lifecycle::InProgress;
 use crate::metrics::{ResumedSoftware, Resumer};
-use crate::state::ChosenUpstream;
-
-/// Number of target gaps between events after which a silent stream is resumed at another upstream.
-const MAX_SILENT_GAPS: u32 = 3;
 
 /// A stream that is relayed to a caller. Dropping it, as when the caller disconnects, also drops the upstream
 /// connection, which cancels the request there.
 pub(super) struct Relay {
-    delivery: Delivery,
-    events: EventSplitter,
+    pub(super) delivery: Delivery,
+    pub(super) events: EventSplitter,
     timing: StreamTiming,
-    source: Option<StreamSource>,
+    pub(super) source: Option<StreamSource>,
+    pub(super) replacement_timer: ReplacementTimer,
     /// Whether the next event is awaited; if not, the caller has not taken the last ones yet.
     is_awaiting_event: bool,
-    /// When the current source last sent anything, at first when it responded.
-    last_data_at: Instant,
+    /// Since when data of the source is awaited.
+    awaited_since: Instant,
     /// Whether the previous upstream had resumed the stream with an unframed response without events.
     previous_was_empty: bool,
     is_finished: bool,
@@ -48,89 +37,19 @@
     _in_progress: InProgress,
 }
 
-/// A send to an upstream that has responded.
-pub(super) struct UpstreamSend {
-    pub(super) record: SendRecord,
-    pub(super) measured: MeasuredSend,
-    /// Counts the request towards the upstream's load until dropped.
-    pub(super) chosen: ChosenUpstream,
-}
-
-/// Who sends a response.
-pub(super) enum ResponseSource {
-    Upstream(Box<UpstreamSend>),
-    /// Another gateway, which relays the response of an upstream.
-    Gateway(ForwardedSend),
-}
-
-impl ResponseSource {
-    /// Returns the index of the send to the upstream, if it is one.
-    pub(super) fn upstream_number(&self) -> Option<usize> {
-        match self {
-            Self::Upstream(send) => Some(send.record.number),
-            Self::Gateway(_) => None,
-        }
-    }
-
-    /// Returns the totals of the sends to the upstream, if it is one.
-    fn totals(&self) -> SendTotals {
-        match self {
-            Self::Upstream(send) => send.measured.totals(),
-            Self::Gateway(_) => SendTotals::default(),
-        }
-    }
-
-    /// Records an event and returns the totals of the sends to the upstream, if it is one.
-    fn record_event(&mut self) -> SendTotals {
-        match self {
-            Self::Upstream(send) => send.measured.record_event(),
-            Self::Gateway(_) => SendTotals::default(),
-        }
-    }
-}
-
-/// The upstream or gateway that currently sends the stream.
-pub(super) struct StreamSource {
-    pub(super) sender: ResponseSource,
-    /// Time from the choice of the upstream to its first event.
-    pub(super) first_event_after: Option<Duration>,
-    /// The number of its events that were relayed.
-    relayed_events: usize,
-    pub(super) headers: HeaderMap,
-    pub(super) framing: BodyFraming,
-    pub(super) body: Incoming,
-    pub(super) connection: Connection,
-}
-
-impl StreamSource {
-    pub(super) const fn new(
-        sender: ResponseSource,
-        headers: HeaderMap,
-        framing: BodyFraming,
-        body: Incoming,
-        connection: Connection,
-    ) -> Self {
-        Self { sender, first_event_after: None, relayed_events: 0, headers, framing, body, connection }
-    }
-}
-
-/// The result of reading from the upstream.
-enum ReadOutcome {
-    Bytes(Bytes),
-    Ended(BodyEnd),
-}
-
 impl Relay {
     pub(super) fn new(delivery: Delivery, source: StreamSource, in_progress: InProgress) -> Self {
         let events = EventSplitter::default();
         let timing = StreamTiming::new(delivery.inbound.received_at);
+        let replacement_timer = ReplacementTimer::new(delivery.inbound.route.target_gap);
         Self {
             delivery,
             events,
             timing,
             source: Some(source),
+            replacement_timer,
             is_awaiting_event: false,
-            last_data_at: bendhinge_clock::now(),
+            awaited_since: bendhinge_clock::now(),
             previous_was_empty: false,
             is_finished: false,
             software: None,
@@ -141,29 +60,20 @@
     /// Returns the next complete events, `None` at the end, or `Err` to truncate the response visibly.
     pub(super) async fn next_events(&mut self) -> Option<io::Result<Bytes>> {
         self.is_awaiting_event = true;
+        self.await_data();
         while !self.is_finished {
             match self.read().await {
-                ReadOutcome::Bytes(bytes) => {
-                    self.last_data_at = bendhinge_clock::now();
-                    if let Some(events) = self.events.feed(&bytes) {
-                        if events.count > 0 {
-                            self.record_event(events.count);
-                            self.record_first_event();
-                        }
-                        return Some(Ok(events.bytes));
-                    }
-                }
-                ReadOutcome::Ended(end) => {
+                SourceRead::Data(None) => self.await_data(),
+                SourceRead::Data(Some(events)) => return Some(Ok(self.relay(events))),
+                SourceRead::Ended(end) => {
                     let end = self.confirm_end(end);
                     self.record_body_end(end);
-                    let failure = match end {
-                        BodyEnd::Complete => return self.finish(),
-                        BodyEnd::MidEvent | BodyEnd::Empty | BodyEnd::Failed => SendOutcome::Lost,
-                        BodyEnd::TimedOut => SendOutcome::TimedOut,
-                    };
+                    if end == BodyEnd::Complete {
+                        return self.finish();
+                    }
                     let cause = self.cut_cause(end);
-                    let silence = bendhinge_clock::now().since(self.last_data_at);
-                    if let Err(obstacle) = self.resume_elsewhere(failure).await {
+                    let silence = bendhinge_clock::now().since(self.awaited_since);
+                    if let Err(obstacle) = self.resume_elsewhere(end).await {
                         return Some(Err(self.truncate(Cut { cause, silence, obstacle })));
                     }
                 }
@@ -172,36 +82,46 @@
         None
     }
 
-    async fn read(&mut self) -> ReadOutcome {
-        let timeout = self.read_timeout();
-        let Some(source) = &mut self.source else { return ReadOutcome::Ended(BodyEnd::Failed) };
-        let events = &self.events;
-        let reading = async {
-            match source.body.frame().await {
-                None => ReadOutcome::Ended(BodyEnd::at_end(
-                    source.framing.marks_end(),
-                    !events.has_events(),
-                    events.is_mid_event(),
-                )),
-                Some(Err(_)) => ReadOutcome::Ended(BodyEnd::Failed),
-                Some(Ok(frame)) => ReadOutcome::Bytes(frame.into_data().unwrap_or_default()),
+    /// Reads from the source until the deadline. If the source is silent, another one may replace it.
+    async fn read(&mut self) -> SourceRead {
+        loop {
+            let time_left = self.delivery.inbound.time_left();
+            let replace_after = self.replacement_timer.remaining().filter(|_| self.may_race());
+            let timeout = replace_after.map_or(time_left, |replace_after| replace_after.min(time_left));
+            let Some(source) = &mut self.source else { return SourceRead::Ended(BodyEnd::Failed) };
+            let reading = async { Some(source.read(&mut self.events).await) };
+            let timer = async {
+                Timer::after(timeout).await;
+                None
+            };
+            if let Some(read) = reading.or(timer).await {
+                return read;
             }
-        };
-        let timer = async {
-            Timer::after(timeout).await;
-            ReadOutcome::Ended(BodyEnd::TimedOut)
-        };
-        reading.or(timer).await
+            if self.delivery.inbound.time_left().is_zero() {
+                return SourceRead::Ended(BodyEnd::TimedOut);
+            }
+            match self.race_replacement().await {
+                RaceOutcome::Source(read) => return read,
+                RaceOutcome::Replaced(Some(first)) => return SourceRead::Data(Some(first)),
+                RaceOutcome::Replaced(None) => return SourceRead::Ended(BodyEnd::Complete),
+                RaceOutcome::NotReplaced => {}
+            }
+        }
+    }
+
+    /// Starts to measure the silence of the source.
+    fn await_data(&mut self) {
+        self.awaited_since = bendhinge_clock::now();
+        self.replacement_timer.restart();
     }
 
-    /// Returns how long to wait for the next event: until the request's deadline, or for less if the stream
-    /// can be resumed at another upstream.
-    fn read_timeout(&self) -> Duration {
-        let time_left = self.delivery.inbound.time_left();
-        match self.delivery.inbound.route.target_gap {
-            Some(gap) if self.delivery.retry_state.allows_hedge() => time_left.min(gap * MAX_SILENT_GAPS),
-            _ => time_left,
+    /// Records complete events and returns them for the caller.
+    fn relay(&mut self, events: CompleteEvents) -> Bytes {
+        if events.count > 0 {
+            self.record_event(events.count);
+            self.record_first_event();
         }
+        events.bytes
     }
 
     /// Records the first event of the current source, after which its prompt is processed.
@@ -241,7 +161,7 @@
     }
 
     /// Records how the body of the current source ended.
-    fn record_body_end(&mut self, end: BodyEnd) {
+    pub(super) fn record_body_end(&mut self, end: BodyEnd) {
         let Some(StreamSource { sender, framing, .. }) = &self.source else { return };
         let Delivery { context, log_line, .. } = &mut self.delivery;
         context.metrics.count_body_end(*framing, end);
@@ -295,7 +215,7 @@
         self.report_timing();
         let mut is_from_upstream = false;
         if let Some(StreamSource { sender, headers, framing, connection, .. }) = self.source.take() {
-            is_from_upstream = matches!(sender, ResponseSource::Upstream(_));
+            is_from_upstream = sender.is_upstream();
             self.delivery.context.release_connection(&headers, framing, connection);
         }
         if is_from_upstream {
@@ -309,58 +229,59 @@
 
     /// Returns what ended the current source if nothing goes on with the stream.
     fn cut_cause(&self, end: BodyEnd) -> CutCause {
-        let is_upstream =
-            self.source.as_ref().is_some_and(|source| matches!(source.sender, ResponseSource::Upstream(_)));
+        let is_upstream = self.source.as_ref().is_some_and(|source| source.sender.is_upstream());
         CutCause::of(end, is_upstream, self.delivery.inbound.time_left().is_zero())
     }
 
-    /// Resumes the stream at another upstream after the last complete event.
-    async fn resume_elsewhere(&mut self, end: SendOutcome) -> Result<(), ResumeObstacle> {
-        // Closes the connection, which cancels the request at the upstream.
-        let Some(source) = self.source.take() else { return Err(ResumeObstacle::Attempts) };
-        self.timing.record_interruption(source.sender.totals());
-        let StreamSource { sender, body, connection, relayed_events, .. } = source;
-        drop((body, connection));
-        let may_retry = match sender {
-            ResponseSource::Upstream(send) => {
-                self.delivery.log_line.record_relayed_events(send.record.number, relayed_events);
-                self.delivery.record_send_end(&send.record, end)
-            }
-            ResponseSource::Gateway(send) => {
-                self.delivery.fail_forward(send.number, end);
-                false
-            }
-        };
-        if !may_retry {
+    /// Resumes the stream at another upstream after the last complete event, because the source has ended.
+    async fn resume_elsewhere(&mut self, end: BodyEnd) -> Result<(), ResumeObstacle> {
+        if end == BodyEnd::TimedOut {
+            self.end_source(SendOutcome::TimedOut);
+            return Err(ResumeObstacle::Deadline);
+        }
+        if !self.end_source(SendOutcome::Lost) {
             return Err(ResumeObstacle::Attempts);
         }
         if !self.has_resume_point() {
             return Err(ResumeObstacle::NoEventIds);
         }
+        let sends_before = self.delivery.started_sends;
         if !self.delivery.try_retry() {
             return Err(ResumeObstacle::RetryBudget);
         }
-        self.events.restart();
-        let last_event_id = self.events.last_id().map(str::to_owned);
-        let last_event_id = last_event_id.or_else(|| self.delivery.inbound.fields.resume_after.clone());
-        match self.delivery.next_response(last_event_id.as_deref()).await {
-            Ok(UpstreamResponse { source, head, body: UpstreamBody::Stream(body, framing, connection) }) => {
-                self.count_resumption(&source);
-                let source = StreamSource::new(source, head.headers, framing, body, connection);
-                self.source = Some(source);
-                self.last_data_at = bendhinge_clock::now();
-                Ok(())
+        self.events = self.events.resumed();
+        let resumed = self.delivery.resume(&self.events).await;
+        self.delivery.return_unused_retry(sends_before);
+        self.take_over(resumed?);
+        Ok(())
+    }
+
+    /// Closes the source, which cancels the request there, and records its end. Returns whether the request may be sent
+    /// again.
+    pub(super) fn end_source(&mut self, outcome: SendOutcome) -> bool {
+        let Some(source) = self.source.take() else { return false };
+        self.timing.record_interruption(source.sender.totals());
+        let StreamSource { sender, body, connection, relayed_events, .. } = source;
+        drop((body, connection));
+        match sender {
+            ResponseSource::Upstream(send) => {
+                self.delivery.log_line.record_relayed_events(send.record.number, relayed_events);
+                self.delivery.record_send_end(&send.record, outcome)
             }
-            Ok(_) => Err(ResumeObstacle::SendFailed),
-            Err(error) => {
-                if let DeliveryError::Code(code) | DeliveryError::RetryLater { code, .. } = error {
-                    self.delivery.log_line.set_resume_code(code);
-                }
-                Err(ResumeObstacle::SendFailed)
+            ResponseSource::Gateway(send) => {
+                self.delivery.fail_forward(send.number, outcome);
+                false
             }
         }
     }
 
+    /// Goes on with the stream from `source`.
+    pub(super) fn take_over(&mut self, source: StreamSource) {
+        self.count_resumption(&source.sender);
+        self.source = Some(source);
+        self.await_data();
+    }
+
     /// Counts that the stream is resumed by `source`, if it has events.
     fn count_resumption(&self, source: &ResponseSource) {
         let (Some(software), ResponseSource::Upstream(send)) = (self.software, source) else { return };
@@ -373,7 +294,7 @@
     }
 
     /// Whether the stream can be resumed: it has no events yet, or its events have IDs.
-    fn has_resume_point(&self) -> bool {
+    pub(super) fn has_resume_point(&self) -> bool {
         self.timing.first_event().is_none() || self.events.last_id().is_some()
     }
 
--- /dev/null
+++ b/crates/bendhinge_gateway/src/delivery/stream_source.rs
@@ -0,0 +1,104 @@
+//! The sources of a relayed stream: an upstream, or another gateway that relays the response of one.
+
+use std::time::Duration;
+
+use bendhinge_delivery::{BodyEnd, CompleteEvents, EventSplitter, SendTotals};
+use bendhinge_http::{BodyFraming, Connection};
+use http_body_util::BodyExt;
+use hyper::HeaderMap;
+use hyper::body::Incoming;
+
+use super::forward::ForwardedSend;
+use super::measured_send::MeasuredSend;
+use super::race::SendRecord;
+use crate::state::ChosenUpstream;
+
+/// A send to an upstream that has responded.
+pub(super) struct UpstreamSend {
+    pub(super) record: SendRecord,
+    pub(super) measured: MeasuredSend,
+    /// Counts the request towards the upstream's load until dropped.
+    pub(super) chosen: ChosenUpstream,
+}
+
+/// Who sends a response.
+pub(super) enum ResponseSource {
+    Upstream(Box<UpstreamSend>),
+    /// Another gateway, which relays the response of an upstream.
+    Gateway(ForwardedSend),
+}
+
+impl ResponseSource {
+    /// Returns the index of the send to the upstream, if it is one.
+    pub(super) fn upstream_number(&self) -> Option<usize> {
+        match self {
+            Self::Upstream(send) => Some(send.record.number),
+            Self::Gateway(_) => None,
+        }
+    }
+
+    pub(super) const fn is_upstream(&self) -> bool {
+        matches!(self, Self::Upstream(_))
+    }
+
+    /// Returns the totals of the sends to the upstream, if it is one.
+    pub(super) fn totals(&self) -> SendTotals {
+        match self {
+            Self::Upstream(send) => send.measured.totals(),
+            Self::Gateway(_) => SendTotals::default(),
+        }
+    }
+
+    /// Records an event and returns the totals of the sends to the upstream, if it is one.
+    pub(super) fn record_event(&mut self) -> SendTotals {
+        match self {
+            Self::Upstream(send) => send.measured.record_event(),
+            Self::Gateway(_) => SendTotals::default(),
+        }
+    }
+}
+
+/// The upstream or gateway that currently sends the stream.
+pub(super) struct StreamSource {
+    pub(super) sender: ResponseSource,
+    /// Time from the choice of the upstream to its first event.
+    pub(super) first_event_after: Option<Duration>,
+    /// The number of its events that were relayed.
+    pub(super) relayed_events: usize,
+    pub(super) headers: HeaderMap,
+    pub(super) framing: BodyFraming,
+    pub(super) body: Incoming,
+    pub(super) connection: Connection,
+}
+
+/// The result of reading from a source.
+pub(super) enum SourceRead {
+    /// Data, with what is now complete of it.
+    Data(Option<CompleteEvents>),
+    Ended(BodyEnd),
+}
+
+impl StreamSource {
+    pub(super) const fn new(
+        sender: ResponseSource,
+        headers: HeaderMap,
+        framing: BodyFraming,
+        body: Incoming,
+        connection: Connection,
+    ) -> Self {
+        Self { sender, first_event_after: None, relayed_events: 0, headers, framing, body, connection }
+    }
+
+    /// Reads the next data into `events`. Nothing is lost if the future is dropped before it is ready.
+    pub(super) async fn read(&mut self, events: &mut EventSplitter) -> SourceRead {
+        match self.body.frame().await {
+            None => SourceRead::Ended(BodyEnd::at_end(
+                self.framing.marks_end(),
+                !events.has_events(),
+                events.is_mid_event(),
+            )),
+            Some(Err(_)) => SourceRead::Ended(BodyEnd::Failed),
+            Some(Ok(frame)) => SourceRead::Data(events.feed(&frame.into_data().unwrap_or_default())),
+        }
+    }
+}
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -247,6 +247,11 @@
         *retry = Some(decision.into());
     }
 
+    /// Drops an allowed retry that was not sent.
+    pub(crate) const fn drop_allowed_retry(&mut self) {
+        self.allowed_retry = None;
+    }
+
     /// Sets the digest that identifies repetitions of the request.
     pub(crate) const fn set_digest(&mut self, digest: RequestDigest) {
         self.digest = Some(digest);
--- a/crates/bendhinge_gateway/src/retries.rs
+++ b/crates/bendhinge_gateway/src/retries.rs
@@ -60,6 +60,13 @@
         self.state.lock().unwrap().by_pool.get_mut(pool).map(|budget| budget.decide_retry(now))
     }
 
+    /// Returns a retry that was taken from the budget of a pool and not sent.
+    pub(crate) fn return_retry(&self, pool: &PoolName) {
+        if let Some(budget) = self.state.lock().unwrap().by_pool.get_mut(pool) {
+            budget.return_retry();
+        }
+    }
+
     /// Divides the fleet-wide budget among `gateway_count` gateways.
     pub(crate) fn set_gateway_count(&self, gateway_count: usize) {
         let base_share = self.fleet_budget.base_share(gateway_count);
--- a/crates/bendhinge_lab/tests/gateway_silence.rs
+++ b/crates/bendhinge_lab/tests/gateway_silence.rs
@@ -8,13 +8,16 @@
 use bendhinge_lab::gateways::{Answer, Call, FleetShape, GatewayFleet, KEY, Told, until};
 use bendhinge_standin::gateway::{Silence, UpstreamFault};
 use gateway_common::{PATIENCE, line_of, metric, run, send, start};
-use smol::Timer;
+use smol::{Task, Timer};
 
 /// Several times as long as a gateway waits for the next event of a stream that may be resumed.
 const PAUSE: Duration = Duration::from_millis(1_200);
 /// The time between events, so that streams are in progress when their upstreams fall silent.
 const PACE: Duration = Duration::from_millis(30);
 
+/// The number of upstreams at which a stream of the route that may be resumed may run.
+const MAX_ATTEMPTS: usize = 2;
+
 /// Starts one gateway and its engines.
 async fn engines(tasks: &Tasks, engines: usize) -> GatewayFleet {
     let fleet = start(tasks, FleetShape { gateways: 1, engines, services: 0 }).await;
@@ -41,6 +44,35 @@
     answers
 }
 
+/// A stream that runs at both of two silent upstreams.
+struct RacedStream {
+    call: Call,
+    answer: Task<Answer>,
+    /// The index of the upstream that began it.
+    first: usize,
+}
+
+impl RacedStream {
+    async fn start(fleet: &GatewayFleet) -> Self {
+        let call = Call::stream("/resumable/x", KEY);
+        let answer = fleet.tasks.spawn({
+            let (caller, call, address) = (fleet.caller(), call.clone(), fleet.callers(0));
+            async move { caller.send(address, &call, PATIENCE).await }
+        });
+        let first = || fleet.upstreams.iter().position(|upstream| upstream.working() > 0);
+        until(async || first().is_some()).await;
+        let first = first().unwrap();
+        fleet.upstreams.iter().for_each(|upstream| upstream.set_silence(Silence::Events));
+        until(async || fleet.runs_of(&call.id) == MAX_ATTEMPTS).await;
+        Self { call, answer, first }
+    }
+}
+
+fn assert_all_whole(answers: &[Answer]) {
+    let told: Vec<_> = answers.iter().map(|answer| &answer.told).collect();
+    assert!(told.iter().all(|told| **told == Told::Whole), "{told:?}");
+}
+
 fn streams(count: usize) -> Vec<Call> {
     (0..count).map(|_| Call::stream("/resumable/x", KEY)).collect()
 }
@@ -91,8 +123,18 @@
     run(|tasks| async move {
         let fleet = engines(&tasks, 1).await;
         let answers = send_beside_pause(&fleet, &streams(8), Silence::Events).await;
-        let told: Vec<_> = answers.into_iter().map(|answer| answer.told).collect();
-        assert!(told.iter().all(|told| *told == Told::Whole), "{told:?}");
+        assert_all_whole(&answers);
+    });
+}
+
+/// Guards against streams that are cut when their upstream is silent for a second after the head of its response.
+#[test]
+fn streams_of_an_upstream_that_pauses_before_its_first_event_are_not_cut() {
+    run(|tasks| async move {
+        let fleet = engines(&tasks, 1).await;
+        fleet.upstreams[0].set_silence(Silence::Events);
+        let answers = send_beside_pause(&fleet, &streams(8), Silence::Events).await;
+        assert_all_whole(&answers);
     });
 }
 
@@ -102,8 +144,69 @@
 fn streams_of_a_pool_that_pauses_are_not_cut_when_the_retry_budget_is_exhausted() {
     run(|tasks| async move {
         let fleet = engines(&tasks, 4).await;
-        let answers = send_beside_pause(&fleet, &streams(60), Silence::Events).await;
-        let told: Vec<_> = answers.into_iter().map(|answer| answer.told).collect();
-        assert!(told.iter().all(|told| *told == Told::Whole), "{told:?}");
+        let calls = streams(60);
+        let answers = send_beside_pause(&fleet, &calls, Silence::Events).await;
+        assert_all_whole(&answers);
+        assert!(calls.iter().all(|call| fleet.runs_of(&call.id) <= MAX_ATTEMPTS));
+    });
+}
+
+/// Guards against a stream that waits for an upstream that is silent for good while another one could go on with it.
+#[test]
+fn a_stream_of_an_upstream_that_stays_silent_goes_on_at_another_one() {
+    run(|tasks| async move {
+        let fleet = engines(&tasks, 2).await;
+        for upstream in &fleet.upstreams {
+            upstream.set_fault(UpstreamFault::Stalls(6));
+        }
+        let call = Call::stream("/resumable/x", KEY);
+        assert_eq!(send(&fleet, &call).await.told, Told::Whole);
+        assert_eq!(fleet.runs_of(&call.id), MAX_ATTEMPTS);
+        let line = line_of(&fleet, &call).await;
+        assert_eq!(line["sends"][0]["end"], "silent", "{line}");
+        assert_eq!(line["sends"][0]["events"], 6, "{line}");
+        until(async || fleet.upstreams.iter().all(|upstream| upstream.working() == 0)).await;
+    });
+}
+
+/// Guards against a second run that goes on at another upstream after the silent one went on with the stream, and
+/// against its events in the response.
+#[test]
+fn the_other_upstream_is_left_when_the_silent_one_goes_on_first() {
+    run(|tasks| async move {
+        let fleet = engines(&tasks, 2).await;
+        let RacedStream { call, answer, first } = RacedStream::start(&fleet).await;
+        fleet.upstreams[first].set_silence(Silence::None);
+        until(async || fleet.upstreams[1 - first].working() == 0).await;
+        fleet.upstreams[1 - first].set_silence(Silence::None);
+        assert_eq!(answer.await.told, Told::Whole);
+        let line = line_of(&fleet, &call).await;
+        assert_eq!(line["sends"][1]["end"], "overtaken", "{line}");
+    });
+}
+
+/// Guards against a stream that is cut because its upstream fails while another one is about to go on with it.
+#[test]
+fn a_stream_whose_silent_upstream_fails_goes_on_at_the_other_one() {
+    run(|tasks| async move {
+        let fleet = engines(&tasks, 2).await;
+        let RacedStream { call, answer, first } = RacedStream::start(&fleet).await;
+        fleet.proxies[first].reset_open();
+        until(async || fleet.upstreams[first].working() == 0).await;
+        fleet.upstreams[1 - first].set_silence(Silence::None);
+        assert_eq!(answer.await.told, Told::Whole);
+        assert_eq!(fleet.runs_of(&call.id), MAX_ATTEMPTS);
+    });
+}
+
+/// Guards against a retry budget that sends which were never made use up, so that later failures cannot be retried.
+#[test]
+fn streams_that_nothing_can_replace_use_up_no_retries() {
+    run(|tasks| async move {
+        let fleet = engines(&tasks, 1).await;
+        let answers = send_beside_pause(&fleet, &streams(8), Silence::Events).await;
+        assert_all_whole(&answers);
+        let denied = "bendhinge_gateway_retry_decisions_total{decision=\"denied\"";
+        assert_eq!(metric(&fleet, denied).await, None);
     });
 }
--- a/crates/bendhinge_standin/src/gateway/upstream.rs
+++ b/crates/bendhinge_standin/src/gateway/upstream.rs
@@ -243,10 +243,10 @@
     headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
 }
 
-/// Waits until the upstream holds back less than `silence`.
-async fn until_it_goes_on(state: &Mutex<State>, silence: Silence) {
+/// Waits until the upstream holds back less than `silence`, or its caller has left.
+async fn until_it_goes_on(state: &Mutex<State>, silence: Silence, has_left: impl Fn() -> bool) {
     const LOOK: Duration = Duration::from_millis(2);
-    while state.lock().unwrap().silence >= silence {
+    while state.lock().unwrap().silence >= silence && !has_left() {
         Timer::after(LOOK).await;
     }
 }
@@ -265,7 +265,7 @@
 
 async fn answer(state: Arc<Mutex<State>>, tasks: Tasks, request: Request<Incoming>) -> Response<Body> {
     let mut answer = answer_by_state(Arc::clone(&state), tasks, request).await;
-    until_it_goes_on(&state, Silence::Answers).await;
+    until_it_goes_on(&state, Silence::Answers, || false).await;
     let state = state.lock().unwrap();
     if state.is_leaving {
         answer.headers_mut().insert(LEAVING, HeaderValue::from_static("yes"));
@@ -381,7 +381,7 @@
     for id in from..events {
         let pace = state.lock().unwrap().pace;
         Timer::after(pace).await;
-        until_it_goes_on(&state, Silence::Events).await;
+        until_it_goes_on(&state, Silence::Events, || sender.is_closed()).await;
         let event = versioned_event(&request, id, &software);
         let sent = match fault {
             UpstreamFault::BreaksOff(whole) if id - from >= whole => {
