--- a/crates/bendhinge_explain/src/lib.rs
+++ b/crates/bendhinge_explain/src/lib.rs
@@ -12,7 +12,7 @@
 mod report;
 
 pub use concurrent::ConcurrentSend;
-pub use log_entry::{Entry, Event, ForwardAttempt, Resumption, SendAttempt, read_log};
+pub use log_entry::{Cut, Entry, Event, ForwardAttempt, Resumption, SendAttempt, read_log};
 pub use pause::{PauseCause, StreamMeasurements, pause_cause};
 pub use render::render;
 pub use report::{
--- a/crates/bendhinge_explain/src/log_entry.rs
+++ b/crates/bendhinge_explain/src/log_entry.rs
@@ -44,6 +44,19 @@
     pub resume_code: Option<String>,
 }
 
+/// Why the answer ended before it was complete.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Cut {
+    /// What ended its source: `upstream`, `gateway`, `silence` or `deadline`.
+    pub by: String,
+    /// How long the source had sent nothing, in milliseconds.
+    pub silent_ms: u64,
+    /// Why nothing went on with the answer.
+    pub not_resumed: String,
+    /// Revision of the rules in force.
+    pub rules: Option<u64>,
+}
+
 /// An attempt to forward a request to another gateway.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 pub struct ForwardAttempt {
@@ -94,6 +107,8 @@
         /// Measurements of the relayed stream.
         #[serde(flatten)]
         stream: StreamMeasurements,
+        /// Why the answer ended before it was complete.
+        cut: Option<Cut>,
     },
     /// A request that was rejected without being sent.
     Refused {
--- a/crates/bendhinge_explain/src/render.rs
+++ b/crates/bendhinge_explain/src/render.rs
@@ -5,7 +5,7 @@
 use bendhinge_codes::ResultCode;
 
 use crate::{
-    ConcurrentSend, CrashRecord, Event, ForwardAttempt, NearbyEvent, PauseCause, RelatedAttempts,
+    ConcurrentSend, CrashRecord, Cut, Event, ForwardAttempt, NearbyEvent, PauseCause, RelatedAttempts,
     RequestReport, Resumption, SendAttempt, StreamMeasurements, UpstreamSummary, pause_cause,
 };
 
@@ -34,6 +34,7 @@
             ran,
             resumption,
             stream,
+            cut,
             ..
         } => {
             writeln!(
@@ -48,6 +49,7 @@
             forwards.iter().try_for_each(|forward| write_forward(text, forward))?;
             write_stream(text, stream, sends)?;
             report.concurrent_sends.iter().try_for_each(|send| write_concurrent_send(text, send))?;
+            cut.iter().try_for_each(|cut| write_cut(text, cut))?;
             write_code(text, code.as_deref())?;
         }
         Event::Refused { request, code, rules_age_ms, .. } => {
@@ -118,6 +120,15 @@
     Ok(())
 }
 
+fn write_cut(text: &mut String, cut: &Cut) -> std::fmt::Result {
+    let Cut { by, silent_ms, not_resumed, rules } = cut;
+    write!(text, "  cut by {by} after {silent_ms} ms without data, not resumed because of {not_resumed}")?;
+    match rules {
+        Some(revision) => writeln!(text, ", under rules of revision {revision}"),
+        None => writeln!(text),
+    }
+}
+
 fn write_forward(text: &mut String, forward: &ForwardAttempt) -> std::fmt::Result {
     let ForwardAttempt { gateway, at_ms, end, code } = forward;
     let end = end.as_deref().unwrap_or("answered");
--- a/crates/bendhinge_explain/tests/report.rs
+++ b/crates/bendhinge_explain/tests/report.rs
@@ -50,6 +50,16 @@
     assert!(report.contains(": lost, body mid_event (framing: close)\n"), "{report}");
 }
 
+/// Guards against a report that does not show what ended a stream early, and why nothing went on with it.
+#[test]
+fn stream_that_was_cut() {
+    let log = r#"{"t":9,"event":"request","request":"1","route":"x","outcome":"answered","status":200,"code":"BH0406","ms":5000,"sends":[],"ran":"unknown","cut":{"by":"deadline","silent_ms":4000,"not_resumed":"retry_budget","rules":7}}"#;
+    let report = render(&request_reports(&read_log("a", log), "1")[0]);
+    let expected = "  cut by deadline after 4000 ms without data, not resumed because of retry_budget, \
+                    under rules of revision 7\n";
+    assert!(report.contains(expected), "{report}");
+}
+
 /// Guards against a report that does not show where a request went that was forwarded.
 #[test]
 fn request_that_was_forwarded() {
