--- a/crates/bendhinge_gateway/src/log/mod.rs
+++ b/crates/bendhinge_gateway/src/log/mod.rs
@@ -3,6 +3,7 @@
 
 mod partition;
 mod request;
+mod sends;
 mod stream;
 
 use std::net::SocketAddr;
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -10,116 +10,13 @@
 use bendhinge_ids::{Instant, NameHash, RequestDigest};
 use serde::Serialize;
 
+use super::sends::{ForwardRecord, RetryFields, SendRecord};
 use super::stream::{CutFields, ResumptionFields, StreamFields};
 use super::{Log, whole_millis};
 use crate::delivery::{ConnectFailure, Cut, InboundRequest};
 use crate::forwarding::{ForwardBasis, ForwardGuard};
 use crate::state::ChosenUpstream;
 
-/// A send of the request to an upstream.
-#[derive(Serialize)]
-struct SendRecord {
-    upstream: String,
-    why: &'static str,
-    load: f32,
-    mean_load: f32,
-    #[serde(skip_serializing_if = "is_zero")]
-    own: u32,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    reported: Option<u32>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    report_age_ms: Option<u64>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    totals_age_ms: Option<u64>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    mean_age_ms: Option<u64>,
-    #[serde(skip_serializing_if = "is_zero")]
-    unreported: u32,
-    #[serde(skip_serializing_if = "is_one")]
-    homes: usize,
-    #[serde(skip_serializing_if = "is_zero")]
-    missing: u32,
-    at_ms: u64,
-    list_age_ms: u64,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    retry: Option<RetryFields>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    end: Option<&'static str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    connect: Option<&'static str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    responded_ms: Option<u64>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    framing: Option<&'static str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    body_end: Option<&'static str>,
-    #[serde(skip_serializing_if = "is_zero_bytes")]
-    partial_bytes: usize,
-    /// Hash of the software of the upstream, if those of the pool run several versions.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    software: Option<String>,
-    /// Events of an interrupted stream that were relayed.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    events: Option<usize>,
-    #[serde(skip_serializing_if = "is_false")]
-    fetched: bool,
-}
-
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde requires")]
-const fn is_false(value: &bool) -> bool {
-    !*value
-}
-
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde requires")]
-const fn is_zero(number: &u32) -> bool {
-    *number == 0
-}
-
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde requires")]
-const fn is_zero_bytes(bytes: &usize) -> bool {
-    *bytes == 0
-}
-
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde requires")]
-const fn is_one(number: &usize) -> bool {
-    *number == 1
-}
-
-/// The state of the gateway's retry budget when it allowed or denied a retry.
-#[derive(Clone, Copy, Serialize)]
-struct RetryFields {
-    spent: u32,
-    budget: f64,
-    base: f64,
-}
-
-impl From<&RetryDecision> for RetryFields {
-    fn from(decision: &RetryDecision) -> Self {
-        let &RetryDecision { spent, budget, base, .. } = decision;
-        Self { spent, budget: round_to_hundredths(budget), base: round_to_hundredths(base) }
-    }
-}
-
-fn round_to_hundredths(number: f64) -> f64 {
-    (number * 100.0).round() / 100.0
-}
-
-/// A gateway to which the request was forwarded.
-#[derive(Serialize)]
-struct ForwardRecord {
-    gateway: SocketAddr,
-    at_ms: u64,
-    candidates: usize,
-    own: usize,
-    heard_ms: u64,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    end: Option<&'static str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    code: Option<String>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    body_end: Option<&'static str>,
-}
-
 /// Collects what is logged of a request until its line is written.
 pub(crate) struct RequestLogEntry {
     request: String,
