--- a/crates/bendhinge_gateway/src/delivery/replacement.rs
+++ b/crates/bendhinge_gateway/src/delivery/replacement.rs
@@ -44,6 +44,7 @@
 
 impl ReplacementTimer {
     pub(super) fn new(target_gap: Option<Duration>) -> Self {
+        let target_gap = target_gap.filter(|gap| !gap.is_zero());
         let mut timer = Self { target_gap, due_at: None };
         timer.restart();
         timer
