Suspicion: an attempt to connect that times out counts from its start

A timed out connect was reported as of its end, 0.3 s after anything was heard, so that it outweighed the responses in between. It says that nothing was heard since its start, as a timed out request does. Refused connections count as before.

The new cases of timeout_counts_from_send_and_rejection_counts_as_response fail if the end counts.

--- a/crates/bendhinge_fleet/src/failure_detector.rs
+++ b/crates/bendhinge_fleet/src/failure_detector.rs
@@ -229,7 +229,7 @@
         now: Instant,
     ) -> Option<Instant> {
         match failure {
-            UpstreamFailure::TimedOut => Some(sent),
+            UpstreamFailure::TimedOut | UpstreamFailure::ConnectTimedOut => Some(sent),
             UpstreamFailure::ConnectFailed | UpstreamFailure::ConnectionLost => Some(now),
             // An error or rejection is a response.
             UpstreamFailure::Rejected | UpstreamFailure::ErrorResponse => {
--- a/crates/bendhinge_fleet/src/outlier_detector.rs
+++ b/crates/bendhinge_fleet/src/outlier_detector.rs
@@ -23,8 +23,10 @@
 /// The kind of failure of a request at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpstreamFailure {
-    /// The connection could not be established.
+    /// The connection was refused or failed.
     ConnectFailed,
+    /// The connection was not established in time.
+    ConnectTimedOut,
     /// The upstream did not respond in time.
     TimedOut,
     /// The connection was lost, or the response was malformed.
@@ -41,7 +43,7 @@
     /// Returns the number of consecutive failures after which the upstream is ejected.
     const fn ejection_threshold(self) -> u32 {
         match self {
-            Self::ConnectFailed | Self::WrongInstance => 1,
+            Self::ConnectFailed | Self::ConnectTimedOut | Self::WrongInstance => 1,
             Self::TimedOut => 2,
             Self::ConnectionLost | Self::Rejected => 3,
             // Some error responses are expected in normal operation.
--- a/crates/bendhinge_fleet/tests/failure_detector.rs
+++ b/crates/bendhinge_fleet/tests/failure_detector.rs
@@ -77,6 +77,12 @@
         "the response was only delayed"
     );
     assert_eq!(change_after(UpstreamFailure::ConnectFailed, 520), SuspectChange::Suspected);
+    assert_eq!(change_after(UpstreamFailure::ConnectTimedOut, 400), SuspectChange::Suspected);
+    assert_eq!(
+        change_after(UpstreamFailure::ConnectTimedOut, 520),
+        SuspectChange::Unchanged,
+        "the upstream responded while the connection was attempted"
+    );
     assert_eq!(
         change_after(UpstreamFailure::Rejected, 400),
         SuspectChange::Unchanged,
--- a/crates/bendhinge_fleet/tests/outlier_detector.rs
+++ b/crates/bendhinge_fleet/tests/outlier_detector.rs
@@ -24,6 +24,7 @@
 fn ejection_threshold_depends_on_failure_kind() {
     let cases = [
         (UpstreamFailure::ConnectFailed, 1),
+        (UpstreamFailure::ConnectTimedOut, 1),
         (UpstreamFailure::WrongInstance, 1),
         (UpstreamFailure::TimedOut, 2),
         (UpstreamFailure::ConnectionLost, 3),
--- a/crates/bendhinge_gateway/src/delivery/outcome.rs
+++ b/crates/bendhinge_gateway/src/delivery/outcome.rs
@@ -14,6 +14,16 @@
     /// Records how a send ended, for the request and for its upstream; returns `false` if no further send may
     /// follow.
     pub(super) fn record_send_end(&mut self, record: &SendRecord, end: SendOutcome) -> bool {
+        self.record_send_failure(record, end, upstream_failure(end))
+    }
+
+    /// Does the same as [`Self::record_send_end`] with the `failure` that counts against the upstream.
+    fn record_send_failure(
+        &mut self,
+        record: &SendRecord,
+        end: SendOutcome,
+        failure: Option<UpstreamFailure>,
+    ) -> bool {
         let DeliveryContext { upstreams, metrics, log, .. } = &*self.context;
         let SendRecord { number, upstream, started_at, .. } = record;
         self.open_sends.retain(|open| open.number != *number);
@@ -37,9 +47,7 @@
             }
             _ => {}
         }
-        if upstream_failure(end)
-            .is_some_and(|failure| upstreams.record_failure(upstream.hash, failure, *started_at))
-        {
+        if failure.is_some_and(|failure| upstreams.record_failure(upstream.hash, failure, *started_at)) {
             log.upstream_ejected(&upstream.name, end);
         }
         self.retry_state.record_outcome(end)
@@ -72,7 +80,11 @@
         if let Some(EndedBody { framing, end }) = body {
             self.log_line.record_body_end(record.number, framing, end, 0);
         }
-        let may_retry = self.record_send_end(&record, end);
+        let failure = match connect_failure {
+            Some(ConnectFailure::TimedOut) => Some(UpstreamFailure::ConnectTimedOut),
+            _ => upstream_failure(end),
+        };
+        let may_retry = self.record_send_failure(&record, end, failure);
         let is_past_deadline = self.inbound.time_left().is_zero();
         if may_retry && !is_past_deadline && (!self.retry_state.needs_retry_budget() || self.try_retry()) {
             return Ok(());
--- a/crates/bendhinge_gateway/src/state/upstreams.rs
+++ b/crates/bendhinge_gateway/src/state/upstreams.rs
@@ -307,6 +307,7 @@
                 state.record_link_response(upstream, now);
             }
             UpstreamFailure::ConnectFailed
+            | UpstreamFailure::ConnectTimedOut
             | UpstreamFailure::TimedOut
             | UpstreamFailure::ConnectionLost
             | UpstreamFailure::WrongInstance => {
