Streams: do not refuse a resumption for want of software that is only unreached

A caller that resumed a stream while the upstreams of its version refused connections was told BH0315, without Retry-After, that none has the version, and so was a gateway that forwarded the stream, which then tried no other one. A request that tried an upstream now ends like any that reached none: BH0401 with Retry-After.

The new test fails on the code before (BH0315).

--- a/crates/bendhinge_gateway/src/delivery/choice.rs
+++ b/crates/bendhinge_gateway/src/delivery/choice.rs
@@ -28,7 +28,11 @@
 
     /// Returns the error for a request that no upstream accepts or that must not be sent again.
     pub(super) fn no_upstream_error(&self) -> DeliveryError {
-        if self.inbound.resumes_stream() && matches!(self.software_rule(), SoftwareRule::Only(_)) {
+        // If an upstream was tried, there are some with the software.
+        if self.inbound.resumes_stream()
+            && self.tried_upstreams.is_empty()
+            && matches!(self.software_rule(), SoftwareRule::Only(_))
+        {
             return DeliveryError::Code(self.code_if_not_run(ResultCode::StreamSoftwareUnavailable));
         }
         match self.context.remaining_backoff(&self.inbound) {
--- a/crates/bendhinge_lab/tests/gateway_software.rs
+++ b/crates/bendhinge_lab/tests/gateway_software.rs
@@ -192,6 +192,24 @@
     });
 }
 
+/// Guards against a resumed stream that is refused for want of its software, without `Retry-After`, although the upstreams
+/// with that software only cannot be reached at the moment.
+#[test]
+fn streams_whose_upstreams_are_not_reached_may_be_resumed_later() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, 1, &VERSIONS).await;
+        let mut streams = begin(&fleet, 0, 3).await;
+        for proxy in &fleet.proxies {
+            proxy.refuse_new().await;
+            proxy.reset_open();
+        }
+        for stream in &mut streams {
+            let end = stream.receive(&fleet.pool, fleet.callers(0), ALL).await;
+            assert_eq!(end, StreamEnd::Refused(503, "BH0401".to_owned()));
+        }
+    });
+}
+
 /// Guards against messages and lookups in a pool whose upstreams all run the same software.
 #[test]
 fn pools_with_a_single_version_cost_no_messages() {
