Forwarding: the body of a forwarded response ends with the request's time

What callers saw: no answer and no refusal. A request was forwarded to another gateway, which sent the head of its response and then nothing, as when it is suspended or its link falls silent. The body was read without a time limit, and nothing else limits the request, so that its caller waited until it left.

Now the body is awaited until shortly after the deadline, as the head is, and the caller is told 504 (BH0403).

--- a/crates/bendhinge_gateway/src/delivery/forward.rs
+++ b/crates/bendhinge_gateway/src/delivery/forward.rs
@@ -233,8 +233,19 @@
             let source = ResponseSource::Gateway(send);
             return ForwardOutcome::Response(Box::new(UpstreamResponse { source, head, body }));
         }
-        let read = read_complete_body(&self.context, &head, framing, body, connection).await;
-        let Ok((bytes, ended)) = read else { return self.fail_forward(send.number, SendOutcome::Lost) };
+        let timeout = self.inbound.time_left() + RESPONSE_GRACE;
+        let reading = async {
+            let read = read_complete_body(&self.context, &head, framing, body, connection).await;
+            read.map_err(|_| SendOutcome::Lost)
+        };
+        let timed_out = async {
+            Timer::after(timeout).await;
+            Err(SendOutcome::TimedOut)
+        };
+        let (bytes, ended) = match reading.or(timed_out).await {
+            Ok(read) => read,
+            Err(end) => return self.fail_forward(send.number, end),
+        };
         if head.status.is_success() {
             let body = UpstreamBody::Complete(bytes, ended);
             let source = ResponseSource::Gateway(send);
--- a/crates/bendhinge_lab/tests/gateway_partitions.rs
+++ b/crates/bendhinge_lab/tests/gateway_partitions.rs
@@ -13,6 +13,7 @@
 use futures_lite::FutureExt;
 use futures_lite::future::zip;
 use gateway_common::run;
+use rustix::process::Signal;
 use smol::{LocalExecutor, Timer};
 
 const SHAPE: FleetShape = FleetShape { gateways: 3, engines: 4, services: 3 };
@@ -411,3 +412,35 @@
         assert_serves(&fleet, PARTITIONED).await;
     });
 }
+
+/// Guards against a request that gets no answer at all because the gateway to which it was forwarded is suspended in the
+/// middle of its response.
+#[test]
+fn forwarded_requests_end_at_their_deadline_if_the_response_stops_midway() {
+    /// More than the connections between the gateways hold.
+    const PADDING: usize = 24 << 20;
+    const PATIENCE: Duration = Duration::from_secs(12);
+    const RESPONDED: &str = "bendhinge_gateway_forwards_total{end=\"responded\"";
+    run(|tasks| async move {
+        let shape = FleetShape { gateways: 2, engines: 1, services: 1 };
+        let sections = "[forwarding]\nenabled = yes\n[upstreams]\nanswer_bytes = 64M\n";
+        let fleet = LinkedFleet::start(&tasks, shape, sections).await;
+        fleet.partition(0, Partition::Reset).await;
+        until(async || {
+            fleet.send(0, &Call::new("/safe/x", KEY)).await;
+            fleet.metric(0, RESPONDED).await > Some(0)
+        })
+        .await;
+        fleet.upstreams.iter().for_each(|upstream| upstream.pad_answers(PADDING));
+        let forwards = fleet.metric(0, FORWARDS).await;
+        let call = Call::new("/safe/x", KEY);
+        let caller = GatewayCaller::new(Arc::clone(&fleet.pool));
+        let address = fleet.settings[0].addresses["callers"];
+        let answer = tasks.spawn(async move { caller.send(address, &call, PATIENCE).await });
+        until(async || fleet.metric(0, FORWARDS).await > forwards).await;
+        fleet.gateways[1].signal(Signal::STOP);
+        let told = answer.await.told;
+        fleet.gateways[1].signal(Signal::CONT);
+        assert_ne!(told, Told::GaveUp);
+    });
+}
--- a/crates/bendhinge_standin/src/gateway/answers.rs
+++ b/crates/bendhinge_standin/src/gateway/answers.rs
@@ -24,6 +24,11 @@
     Response::new(full_body(Upstream::expected_body(id)))
 }
 
+/// The whole answer, and `padding` bytes after it.
+pub(super) fn padded(id: &str, padding: usize) -> Response<Body> {
+    Response::new(full_body(Upstream::expected_body(id) + &"x".repeat(padding)))
+}
+
 pub(super) fn with_status(status: StatusCode) -> Response<Body> {
     let mut answer = Response::new(empty_body());
     *answer.status_mut() = status;
--- a/crates/bendhinge_standin/src/gateway/upstream.rs
+++ b/crates/bendhinge_standin/src/gateway/upstream.rs
@@ -18,7 +18,7 @@
 use smol::Timer;
 use smol::channel::Sender;
 
-use super::answers::{first_half, header_value, signed, versioned_event, whole, with_status};
+use super::answers::{first_half, header_value, padded, signed, versioned_event, whole, with_status};
 use super::fault::{Framing, Silence, UpstreamFault};
 
 /// A request that an upstream began to work on.
@@ -59,6 +59,8 @@
     events: u32,
     pace: Duration,
     work: Duration,
+    /// Bytes that follow the body of answers that are no streams.
+    padding: usize,
     /// The version of its software, which its events name; empty if they do not.
     software: String,
 }
@@ -94,6 +96,7 @@
             events: EVENTS,
             pace: PACE,
             work: WORK,
+            padding: 0,
             software: String::new(),
         }));
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -191,6 +194,11 @@
         self.state.lock().unwrap().work = work;
     }
 
+    /// Makes the bodies of other answers longer by so many bytes, so that they take a while.
+    pub fn pad_answers(&self, bytes: usize) {
+        self.state.lock().unwrap().padding = bytes;
+    }
+
     /// The requests that it began to work on.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -360,9 +368,12 @@
             stream
         }
         _ => {
-            let work = state.lock().unwrap().work;
+            let (work, padding) = {
+                let state = state.lock().unwrap();
+                (state.work, state.padding)
+            };
             Timer::after(work).await;
-            signed(whole(&id), &id)
+            signed(padded(&id, padding), &id)
         }
     }
 }
