Streams: several sources race; the end of one is recorded at once

The silent source and all that responded since are now read side by side, a further one is requested after three more target gaps, and one that ends is closed and recorded for its upstream at once. A retry belongs to the request until a send reaches an upstream, and returns to the budget otherwise. An upstream that goes on after a silence counts as one that responded.

--- a/crates/bendhinge_delivery/src/body_end.rs
+++ b/crates/bendhinge_delivery/src/body_end.rs
@@ -29,9 +29,9 @@
         }
     }
 
-    /// Whether the body ended before it was complete.
+    /// Whether the body ended before it was complete, other than by a timeout.
     #[must_use]
-    pub const fn is_failure(self) -> bool {
+    pub const fn is_premature(self) -> bool {
         matches!(self, Self::MidEvent | Self::Empty | Self::Failed)
     }
 
--- a/crates/bendhinge_delivery/src/retry.rs
+++ b/crates/bendhinge_delivery/src/retry.rs
@@ -74,8 +74,8 @@
     sends: u32,
     possible_runs: u32,
     reached_count: u32,
-    /// Whether the response to a send is relayed while another send may replace it.
-    is_response_held: bool,
+    /// The number of responses that are read while another send is made.
+    held_responses: u32,
     last_outcome: Option<SendOutcome>,
 }
 
@@ -83,14 +83,7 @@
     /// Creates the state of a request that has not been sent yet.
     #[must_use]
     pub const fn new(policy: RetryPolicy) -> Self {
-        Self {
-            policy,
-            sends: 0,
-            possible_runs: 0,
-            reached_count: 0,
-            is_response_held: false,
-            last_outcome: None,
-        }
+        Self { policy, sends: 0, possible_runs: 0, reached_count: 0, held_responses: 0, last_outcome: None }
     }
 
     /// Records the outcome of a send. Returns whether another may follow, subject to the retry budget.
@@ -123,15 +116,14 @@
         }
     }
 
-    /// Sets whether the response to a send is relayed while another send may replace it. The request then runs at its
-    /// upstream, too.
-    pub const fn set_response_held(&mut self, is_held: bool) {
-        self.is_response_held = is_held;
+    /// Sets the number of responses that are read while another send is made. The request runs at their upstreams, too.
+    pub const fn set_held_responses(&mut self, count: u32) {
+        self.held_responses = count;
     }
 
-    /// The number of upstreams on which the request may have run, or runs while its response is relayed.
+    /// The number of upstreams on which the request may have run, or runs while its response is read.
     const fn runs(&self) -> u32 {
-        self.possible_runs + self.is_response_held as u32
+        self.possible_runs + self.held_responses
     }
 
     /// Whether the request may be sent, or sent again.
@@ -158,7 +150,7 @@
     /// Whether the next send must be covered by the retry budget.
     #[must_use]
     pub const fn needs_retry_budget(&self) -> bool {
-        self.reached_count > 0 || self.is_response_held
+        self.reached_count > 0 || self.held_responses > 0
     }
 
     /// Whether the request may have run, provided that no response was forwarded.
--- a/crates/bendhinge_delivery/tests/retry.rs
+++ b/crates/bendhinge_delivery/tests/retry.rs
@@ -89,13 +89,13 @@
 fn held_response_counts_as_a_run() {
     let mut state = state(true, 2);
     assert!(state.allows_hedge());
-    state.set_response_held(true);
+    state.set_held_responses(1);
     assert!(state.may_send() && !state.allows_hedge());
     assert!(state.needs_retry_budget());
     assert_eq!(state.attempts_left(2), 1);
     assert!(state.record_outcome(NotConnected), "it did not run");
     assert!(!state.record_outcome(Lost), "the held response and this send may both have run");
-    state.set_response_held(false);
+    state.set_held_responses(0);
     assert!(!state.record_outcome(Lost));
 }
 
@@ -103,9 +103,9 @@
 #[test]
 fn cancelled_replacement_counts_as_a_run() {
     let mut state = state(true, 2);
-    state.set_response_held(true);
+    state.set_held_responses(1);
     assert!(!state.record_outcome(SendOutcome::Superseded));
-    state.set_response_held(false);
+    state.set_held_responses(0);
     assert!(!state.allows_hedge());
     assert!(!state.record_outcome(Lost));
 }
--- a/crates/bendhinge_explain/src/log_entry.rs
+++ b/crates/bendhinge_explain/src/log_entry.rs
@@ -47,7 +47,7 @@
 /// Why the answer ended before it was complete.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 pub struct Cut {
-    /// What ended its source: `upstream`, `gateway`, `silence` or `deadline`.
+    /// What ended its source: `upstream`, `gateway` or `deadline`.
     pub by: String,
     /// How long the source had sent nothing, in milliseconds.
     pub silent_ms: u64,
--- a/crates/bendhinge_gateway/src/delivery/choice.rs
+++ b/crates/bendhinge_gateway/src/delivery/choice.rs
@@ -26,6 +26,13 @@
         self.context.upstreams.choose(&query).ok_or_else(|| self.no_upstream_error())
     }
 
+    /// Lets upstreams be chosen again that earlier sends did not reach.
+    pub(super) fn forget_unreached(&mut self) {
+        let Self { tried_upstreams, unreached_upstreams, .. } = self;
+        tried_upstreams.retain(|tried| !unreached_upstreams.contains(tried));
+        unreached_upstreams.clear();
+    }
+
     /// Returns the error for a request that no upstream accepts or that must not be sent again.
     pub(super) fn no_upstream_error(&self) -> DeliveryError {
         // If an upstream was tried, there are some with the software.
--- a/crates/bendhinge_gateway/src/delivery/cut.rs
+++ b/crates/bendhinge_gateway/src/delivery/cut.rs
@@ -20,19 +20,15 @@
     Upstream,
     /// The gateway that relayed the upstream's response ended it.
     Gateway,
-    /// This gateway gave the source up because it was silent.
-    Silence,
     /// The time of the request was over.
     Deadline,
 }
 
 impl CutCause {
-    /// Returns what ended a source whose body ended with `end`. `is_past_deadline` is whether the time of the request
-    /// was over by then.
-    pub(super) const fn of(end: BodyEnd, is_upstream: bool, is_past_deadline: bool) -> Self {
+    /// Returns what ended a source whose body ended with `end`.
+    pub(super) const fn of(end: BodyEnd, is_upstream: bool) -> Self {
         match end {
-            BodyEnd::TimedOut if is_past_deadline => Self::Deadline,
-            BodyEnd::TimedOut => Self::Silence,
+            BodyEnd::TimedOut => Self::Deadline,
             _ if is_upstream => Self::Upstream,
             _ => Self::Gateway,
         }
@@ -43,7 +39,6 @@
         match self {
             Self::Upstream => "upstream",
             Self::Gateway => "gateway",
-            Self::Silence => "silence",
             Self::Deadline => "deadline",
         }
     }
--- a/crates/bendhinge_gateway/src/delivery/forward.rs
+++ b/crates/bendhinge_gateway/src/delivery/forward.rs
@@ -104,7 +104,6 @@
             }
             tried.push(guard.address);
             let number = self.log_line.record_forward(&guard);
-            self.started_sends += 1;
             self.open_forward = Some(number);
             let response = match self.exchange_with_gateway(guard.address, resume_after).await {
                 Ok(response) => response,
@@ -222,6 +221,7 @@
         if self.context.dialect.parse_response_head(&head).id != self.inbound.fields.id {
             return self.fail_forward(send.number, SendOutcome::InvalidResponse);
         }
+        self.open_forward = None;
         self.context.metrics.count_forward("responded");
         let framing = BodyFraming::of_response(&self.inbound.head.method, head.status, &head.headers);
         let is_stream =
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -15,8 +15,8 @@
 mod race;
 mod relay;
 mod relay_body;
-mod replacement;
 mod software;
+mod stream_race;
 mod stream_source;
 mod upstream_body;
 
@@ -92,7 +92,8 @@
         is_counted,
         has_failed_to_connect: false,
         tried_upstreams: Vec::new(),
-        started_sends: 0,
+        unreached_upstreams: Vec::new(),
+        unused_retry: None,
         open_sends: Vec::new(),
         open_forward: None,
         log_line,
@@ -163,6 +164,9 @@
     Code(ResultCode),
 }
 
+/// A retry that was taken from the retry budget of the pool.
+struct TakenRetry;
+
 /// The delivery of one request.
 struct Delivery {
     context: Arc<DeliveryContext>,
@@ -175,8 +179,10 @@
     /// Whether a send of the request did not connect.
     has_failed_to_connect: bool,
     tried_upstreams: Vec<NameHash>,
-    /// The number of sends to upstreams or gateways that were started.
-    started_sends: usize,
+    /// Upstreams that earlier sends did not reach.
+    unreached_upstreams: Vec<NameHash>,
+    /// The retry that was taken from the retry budget, until a send has reached an upstream.
+    unused_retry: Option<TakenRetry>,
     /// Sends to upstreams whose end is not recorded.
     open_sends: Vec<SendRecord>,
     /// The index of the forward whose end is not recorded.
@@ -188,6 +194,7 @@
 
 impl Drop for Delivery {
     fn drop(&mut self) {
+        self.return_unused_retry();
         if !self.log_line.is_written() {
             self.log_line.write_dropped(&self.context.log, &self.retry_state);
         }
@@ -214,10 +221,11 @@
             let send = self.start_send(resume_after, self.retry_state.allows_hedge())?;
             match self.await_response(send, resume_after).await {
                 Ok(response) => {
+                    self.unused_retry = None;
                     // Of a forwarded request the other gateway records the response.
                     if let ResponseSource::Upstream(send) = &response.source {
                         self.context.upstreams.record_response(send.chosen.entry.hash);
-                        self.record_response();
+                        self.context.record_response(&self.inbound);
                     }
                     self.context
                         .metrics
@@ -265,7 +273,6 @@
             None => self.context.metrics.record_mean_load_age(chosen.pool_reports.mean_age),
         }
         let record = SendRecord::new(number, &chosen, tracked);
-        self.started_sends += 1;
         self.open_sends.push(record.clone());
         let params = AttemptParams {
             record: record.clone(),
@@ -324,13 +331,10 @@
 
     /// Starts a hedge request; returns `None` if that is not possible.
     fn start_hedge(&mut self, resume_after: Option<&str>) -> Option<PendingSend> {
-        let sends_before = self.started_sends;
         if !self.try_retry() {
             return None;
         }
-        let second = self.start_send(resume_after, false).ok();
-        self.return_unused_retry(sends_before);
-        second
+        self.start_send(resume_after, false).ok()
     }
 
     /// Starts a tracked send if the quarantine tracks the request; returns `Err` if it must not be sent.
@@ -350,7 +354,7 @@
         match source {
             ResponseSource::Upstream(send) => {
                 self.log_line.record_body_end(send.record.number, ended.framing, ended.end, 0);
-                self.record_complete_response();
+                self.context.record_complete_response(&self.inbound);
             }
             ResponseSource::Gateway(send) => self.log_line.record_forward_body_end(send.number, ended.end),
         }
--- a/crates/bendhinge_gateway/src/delivery/outcome.rs
+++ b/crates/bendhinge_gateway/src/delivery/outcome.rs
@@ -1,5 +1,7 @@
 //! What follows from the end of a send: what is recorded of it, and whether the request is sent again.
 
+use std::sync::Arc;
+
 use bendhinge_delivery::SendOutcome;
 use bendhinge_fleet::UpstreamFailure;
 
@@ -8,67 +10,31 @@
 use super::cut::Cut;
 use super::race::{FailedSend, SendRecord};
 use super::upstream_body::EndedBody;
-use super::{Delivery, DeliveryContext, DeliveryError, InboundRequest};
+use super::{Delivery, DeliveryContext, DeliveryError, InboundRequest, TakenRetry};
 
 impl Delivery {
     /// Records how a send ended, for the request and for its upstream; returns `false` if no further send may
     /// follow.
     pub(super) fn record_send_end(&mut self, record: &SendRecord, end: SendOutcome) -> bool {
-        self.record_send_failure(record, end, upstream_failure(end))
+        self.context.record_upstream_end(&self.inbound, record, end);
+        self.record_request_end(record, end)
     }
 
-    /// Does the same as [`Self::record_send_end`] with the `failure` that counts against the upstream.
-    fn record_send_failure(
-        &mut self,
-        record: &SendRecord,
-        end: SendOutcome,
-        failure: Option<UpstreamFailure>,
-    ) -> bool {
-        let DeliveryContext { upstreams, metrics, log, .. } = &*self.context;
-        let SendRecord { number, upstream, started_at, .. } = record;
-        self.open_sends.retain(|open| open.number != *number);
-        self.log_line.record_send_end(*number, end);
-        metrics.count_send_end(end);
-        match end {
-            SendOutcome::Rejected if !self.is_paced => {
-                self.context.admission.record_rejection(&self.inbound.pool);
-            }
-            SendOutcome::Rejected => {
-                let upstream_count = upstreams.count_accepting_work(&self.inbound.pool);
-                self.context.pacing.record_rejection(&self.inbound.pool, upstream.hash, upstream_count);
-            }
-            SendOutcome::Failed => {
-                self.record_response();
-                self.record_complete_response();
-            }
-            SendOutcome::Lost => {
-                self.log_line.set_digest(self.inbound.digest(&self.context.identity_key));
-                detect_crash(&self.context, &self.inbound, record.clone());
-            }
-            _ => {}
+    /// Records how a send ended for the request alone; returns `false` if no further send may follow.
+    pub(super) fn record_request_end(&mut self, record: &SendRecord, end: SendOutcome) -> bool {
+        self.open_sends.retain(|open| open.number != record.number);
+        self.log_line.record_send_end(record.number, end);
+        if end == SendOutcome::Lost {
+            self.log_line.set_digest(self.inbound.digest(&self.context.identity_key));
         }
-        if failure.is_some_and(|failure| upstreams.record_failure(upstream.hash, failure, *started_at)) {
-            log.upstream_ejected(&upstream.name, end);
+        if end.reached_upstream() {
+            self.unused_retry = None;
+        } else {
+            self.unreached_upstreams.push(record.upstream.hash);
         }
         self.retry_state.record_outcome(end)
     }
 
-    /// Records a response for the pacing of the pool.
-    pub(super) fn record_response(&self) {
-        if !self.is_paced {
-            return;
-        }
-        let InboundRequest { pool, received_at, route, .. } = &*self.inbound;
-        self.context.pacing.record_response(pool, *received_at, route.target_latency);
-    }
-
-    /// Records a complete response, which means that the request did not crash the upstream.
-    pub(super) fn record_complete_response(&self) {
-        if let Some(digest) = self.context.tracked_digest(&self.inbound) {
-            self.context.quarantine.record_response(digest);
-        }
-    }
-
     /// Records a failed send; returns `Err` if it is not retried.
     pub(super) fn handle_failure(&mut self, failed: FailedSend) -> Result<(), DeliveryError> {
         let FailedSend { record, error } = failed;
@@ -84,7 +50,8 @@
             Some(ConnectFailure::TimedOut) => Some(UpstreamFailure::ConnectTimedOut),
             _ => upstream_failure(end),
         };
-        let may_retry = self.record_send_failure(&record, end, failure);
+        self.context.record_upstream_failure(&self.inbound, &record, end, failure);
+        let may_retry = self.record_request_end(&record, end);
         let is_past_deadline = self.inbound.time_left().is_zero();
         if may_retry && !is_past_deadline && (!self.retry_state.needs_retry_budget() || self.try_retry()) {
             return Ok(());
@@ -113,38 +80,101 @@
         self.log_line.set_cut(cut, held_rules.map(|held| held.version.document().0));
     }
 
-    /// Takes a retry from the retry budget; returns `false` if the budget is exhausted.
+    /// Takes a retry from the retry budget, unless one is left that was not sent; returns `false` if the budget is
+    /// exhausted.
     pub(super) fn try_retry(&mut self) -> bool {
+        if self.unused_retry.is_some() {
+            return true;
+        }
         let Some(decision) = self.context.retry_budgets.decide_retry(&self.inbound.pool) else {
             return false;
         };
         self.context.metrics.count_retry_decision(decision.is_allowed);
         self.log_line.record_retry_decision(&decision);
+        self.unused_retry = decision.is_allowed.then_some(TakenRetry);
         decision.is_allowed
     }
 
-    /// Returns the last retry to the retry budget if no send has started since there were `sends_before`.
-    pub(super) fn return_unused_retry(&mut self, sends_before: usize) {
-        if self.started_sends == sends_before {
+    /// Returns a retry that was not sent to the retry budget.
+    pub(super) fn return_unused_retry(&mut self) {
+        if self.unused_retry.take().is_some() {
             self.context.retry_budgets.return_retry(&self.inbound.pool);
+            self.context.metrics.count_returned_retry();
             self.log_line.drop_allowed_retry();
         }
     }
 
-    /// Records that all sends but that with the index `kept` were cancelled.
-    pub(super) fn cancel_other_sends(&mut self, kept: usize) {
-        let (_, cancelled): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.open_sends).into_iter().partition(|open| open.number == kept);
-        for record in cancelled {
-            self.record_send_end(&record, SendOutcome::Superseded);
+    /// Records that all open sends but that with the index `kept` ended with `outcome`.
+    pub(super) fn end_other_sends(&mut self, kept: Option<usize>, outcome: SendOutcome) {
+        for record in self.open_sends.clone() {
+            if Some(record.number) != kept {
+                self.record_send_end(&record, outcome);
+            }
         }
-        if let Some(number) = self.open_forward.take() {
-            self.record_forward_end(number, SendOutcome::Superseded);
+        if let Some(number) = self.open_forward {
+            self.record_forward_end(number, outcome);
             self.retry_state.record_forward(None);
         }
     }
 }
 
+impl DeliveryContext {
+    /// Records how a send ended for its upstream.
+    pub(super) fn record_upstream_end(
+        self: &Arc<Self>,
+        inbound: &Arc<InboundRequest>,
+        record: &SendRecord,
+        end: SendOutcome,
+    ) {
+        self.record_upstream_failure(inbound, record, end, upstream_failure(end));
+    }
+
+    /// Records how a send ended for its upstream, with the `failure` that counts against it.
+    fn record_upstream_failure(
+        self: &Arc<Self>,
+        inbound: &Arc<InboundRequest>,
+        record: &SendRecord,
+        end: SendOutcome,
+        failure: Option<UpstreamFailure>,
+    ) {
+        let SendRecord { upstream, started_at, .. } = record;
+        self.metrics.count_send_end(end);
+        match end {
+            SendOutcome::Rejected if !self.is_paced(&inbound.pool) => {
+                self.admission.record_rejection(&inbound.pool);
+            }
+            SendOutcome::Rejected => {
+                let upstream_count = self.upstreams.count_accepting_work(&inbound.pool);
+                self.pacing.record_rejection(&inbound.pool, upstream.hash, upstream_count);
+            }
+            SendOutcome::Failed => {
+                self.record_response(inbound);
+                self.record_complete_response(inbound);
+            }
+            SendOutcome::Lost => detect_crash(self, inbound, record.clone()),
+            _ => {}
+        }
+        if failure.is_some_and(|failure| self.upstreams.record_failure(upstream.hash, failure, *started_at)) {
+            self.log.upstream_ejected(&upstream.name, end);
+        }
+    }
+
+    /// Records a response for the pacing of the pool.
+    pub(super) fn record_response(&self, inbound: &InboundRequest) {
+        let InboundRequest { pool, received_at, route, .. } = inbound;
+        if self.is_paced(pool) {
+            self.pacing.record_response(pool, *received_at, route.target_latency);
+        }
+    }
+
+    /// Records a complete response, which means that the request did not crash the upstream.
+    pub(super) fn record_complete_response(&self, inbound: &InboundRequest) {
+        if let Some(digest) = self.tracked_digest(inbound) {
+            self.quarantine.record_response(digest);
+        }
+    }
+}
+
 /// Returns the failure to record for the upstream, if any.
 const fn upstream_failure(end: SendOutcome) -> Option<UpstreamFailure> {
     match end {
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -4,15 +4,15 @@
 use std::io;
 
 use bendhinge_codes::ResultCode;
-use bendhinge_delivery::{BodyEnd, CompleteEvents, EventSplitter, SendOutcome, StreamTiming};
+use bendhinge_delivery::{BodyEnd, CompleteEvents, EventSplitter, StreamTiming};
 use bendhinge_ids::{Instant, NameHash};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
 use smol::Timer;
 
 use super::Delivery;
 use super::cut::{Cut, CutCause, ResumeObstacle};
-use super::replacement::{RaceOutcome, ReplacementTimer};
+use super::stream_race::{RaceEnd, RaceTimer};
 use super::stream_source::{ResponseSource, SourceRead, StreamSource};
 use crate::lifecycle::InProgress;
 use crate::metrics::{ResumedSoftware, Resumer};
@@ -22,9 +22,13 @@
 pub(super) struct Relay {
     pub(super) delivery: Delivery,
     pub(super) events: EventSplitter,
-    timing: StreamTiming,
+    pub(super) timing: StreamTiming,
     pub(super) source: Option<StreamSource>,
-    pub(super) replacement_timer: ReplacementTimer,
+    pub(super) race_timer: RaceTimer,
+    /// Comments of the source that arrived during a race and are not relayed yet.
+    pub(super) comments: BytesMut,
+    /// Why no other source was found when the current one was silent.
+    pub(super) obstacle: Option<ResumeObstacle>,
     /// Whether the next event is awaited; if not, the caller has not taken the last ones yet.
     is_awaiting_event: bool,
     /// Since when data of the source is awaited.
@@ -41,13 +45,15 @@
     pub(super) fn new(delivery: Delivery, source: StreamSource, in_progress: InProgress) -> Self {
         let events = EventSplitter::default();
         let timing = StreamTiming::new(delivery.inbound.received_at);
-        let replacement_timer = ReplacementTimer::new(delivery.inbound.route.target_gap);
+        let race_timer = RaceTimer::new(delivery.inbound.route.target_gap);
         Self {
             delivery,
             events,
             timing,
             source: Some(source),
-            replacement_timer,
+            race_timer,
+            comments: BytesMut::new(),
+            obstacle: None,
             is_awaiting_event: false,
             awaited_since: bendhinge_clock::now(),
             previous_was_empty: false,
@@ -67,7 +73,6 @@
                 SourceRead::Data(Some(events)) => return Some(Ok(self.relay(events))),
                 SourceRead::Ended(end) => {
                     let end = self.confirm_end(end);
-                    self.record_body_end(end);
                     if end == BodyEnd::Complete {
                         return self.finish();
                     }
@@ -84,10 +89,11 @@
 
     /// Reads from the source until the deadline. If the source is silent, another one may replace it.
     async fn read(&mut self) -> SourceRead {
-        loop {
+        let mut was_silent = false;
+        let read = loop {
             let time_left = self.delivery.inbound.time_left();
-            let replace_after = self.replacement_timer.remaining().filter(|_| self.may_race());
-            let timeout = replace_after.map_or(time_left, |replace_after| replace_after.min(time_left));
+            let send_due = self.race_timer.remaining().filter(|_| self.may_race());
+            let timeout = send_due.map_or(time_left, |send_due| send_due.min(time_left));
             let Some(source) = &mut self.source else { return SourceRead::Ended(BodyEnd::Failed) };
             let reading = async { Some(source.read(&mut self.events).await) };
             let timer = async {
@@ -95,24 +101,36 @@
                 None
             };
             if let Some(read) = reading.or(timer).await {
-                return read;
+                break read;
             }
-            if self.delivery.inbound.time_left().is_zero() {
+            if send_due.is_none() || self.delivery.inbound.time_left().is_zero() {
                 return SourceRead::Ended(BodyEnd::TimedOut);
             }
-            match self.race_replacement().await {
-                RaceOutcome::Source(read) => return read,
-                RaceOutcome::Replaced(Some(first)) => return SourceRead::Data(Some(first)),
-                RaceOutcome::Replaced(None) => return SourceRead::Ended(BodyEnd::Complete),
-                RaceOutcome::NotReplaced => {}
+            was_silent = true;
+            match self.race().await {
+                RaceEnd::Source(read) => break read,
+                RaceEnd::Replaced(first) => return SourceRead::Data(Some(first)),
+                RaceEnd::ReplacedAtEnd => return SourceRead::Ended(BodyEnd::Complete),
+                RaceEnd::NotReplaced => {}
             }
+        };
+        if was_silent && matches!(read, SourceRead::Data(_)) {
+            self.record_revival();
+        }
+        read
+    }
+
+    /// Records that the silent upstream goes on, which outweighs the suspicion that its silence has raised.
+    fn record_revival(&self) {
+        if let Some(StreamSource { sender: ResponseSource::Upstream(send), .. }) = &self.source {
+            self.delivery.context.upstreams.record_response(send.chosen.entry.hash);
         }
     }
 
     /// Starts to measure the silence of the source.
     fn await_data(&mut self) {
         self.awaited_since = bendhinge_clock::now();
-        self.replacement_timer.restart();
+        self.race_timer.restart();
     }
 
     /// Records complete events and returns them for the caller.
@@ -121,7 +139,11 @@
             self.record_event(events.count);
             self.record_first_event();
         }
-        events.bytes
+        if self.comments.is_empty() {
+            return events.bytes;
+        }
+        self.comments.extend_from_slice(&events.bytes);
+        self.comments.split().freeze()
     }
 
     /// Records the first event of the current source, after which its prompt is processed.
@@ -161,7 +183,7 @@
     }
 
     /// Records how the body of the current source ended.
-    pub(super) fn record_body_end(&mut self, end: BodyEnd) {
+    fn record_body_end(&mut self, end: BodyEnd) {
         let Some(StreamSource { sender, framing, .. }) = &self.source else { return };
         let Delivery { context, log_line, .. } = &mut self.delivery;
         context.metrics.count_body_end(*framing, end);
@@ -211,6 +233,7 @@
 
     fn finish(&mut self) -> Option<io::Result<Bytes>> {
         self.is_finished = true;
+        self.record_body_end(BodyEnd::Complete);
         self.record_slot_time();
         self.report_timing();
         let mut is_from_upstream = false;
@@ -219,8 +242,9 @@
             self.delivery.context.release_connection(&headers, framing, connection);
         }
         if is_from_upstream {
-            self.delivery.record_complete_response();
+            self.delivery.context.record_complete_response(&self.delivery.inbound);
         }
+        self.delivery.log_line.clear_resume_code();
         let Delivery { log_line, context, retry_state, .. } = &mut self.delivery;
         log_line.write_answered(&context.log, 200, None, retry_state);
         let rest = self.events.take_rest();
@@ -229,50 +253,40 @@
 
     /// Returns what ended the current source if nothing goes on with the stream.
     fn cut_cause(&self, end: BodyEnd) -> CutCause {
-        let is_upstream = self.source.as_ref().is_some_and(|source| source.sender.is_upstream());
-        CutCause::of(end, is_upstream, self.delivery.inbound.time_left().is_zero())
+        // Only upstreams are raced with, and only a race leaves no source.
+        let is_upstream = self.source.as_ref().is_none_or(|source| source.sender.is_upstream());
+        CutCause::of(end, is_upstream)
     }
 
     /// Resumes the stream at another upstream after the last complete event, because the source has ended.
     async fn resume_elsewhere(&mut self, end: BodyEnd) -> Result<(), ResumeObstacle> {
+        let may_retry = self.close_source(end);
         if end == BodyEnd::TimedOut {
-            self.end_source(SendOutcome::TimedOut);
-            return Err(ResumeObstacle::Deadline);
+            return Err(self.obstacle.unwrap_or(ResumeObstacle::Deadline));
         }
-        if !self.end_source(SendOutcome::Lost) {
+        if !may_retry {
             return Err(ResumeObstacle::Attempts);
         }
         if !self.has_resume_point() {
             return Err(ResumeObstacle::NoEventIds);
         }
-        let sends_before = self.delivery.started_sends;
         if !self.delivery.try_retry() {
             return Err(ResumeObstacle::RetryBudget);
         }
         self.events = self.events.resumed();
         let resumed = self.delivery.resume(&self.events).await;
-        self.delivery.return_unused_retry(sends_before);
+        self.delivery.return_unused_retry();
         self.take_over(resumed?);
         Ok(())
     }
 
-    /// Closes the source, which cancels the request there, and records its end. Returns whether the request may be sent
-    /// again.
-    pub(super) fn end_source(&mut self, outcome: SendOutcome) -> bool {
-        let Some(source) = self.source.take() else { return false };
+    /// Closes the source, if there is one, and records its end. Returns whether the request may be sent again.
+    pub(super) fn close_source(&mut self, end: BodyEnd) -> bool {
+        let Some(source) = self.source.take() else { return self.delivery.retry_state.may_send() };
         self.timing.record_interruption(source.sender.totals());
-        let StreamSource { sender, body, connection, relayed_events, .. } = source;
-        drop((body, connection));
-        match sender {
-            ResponseSource::Upstream(send) => {
-                self.delivery.log_line.record_relayed_events(send.record.number, relayed_events);
-                self.delivery.record_send_end(&send.record, outcome)
-            }
-            ResponseSource::Gateway(send) => {
-                self.delivery.fail_forward(send.number, outcome);
-                false
-            }
-        }
+        let Delivery { context, inbound, .. } = &self.delivery;
+        let closed = source.close(context, inbound, end, self.events.partial_len());
+        self.delivery.record_closed(closed)
     }
 
     /// Goes on with the stream from `source`.
--- a/crates/bendhinge_gateway/src/delivery/stream_source.rs
+++ b/crates/bendhinge_gateway/src/delivery/stream_source.rs
@@ -1,8 +1,9 @@
 //! The sources of a relayed stream: an upstream, or another gateway that relays the response of one.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_delivery::{BodyEnd, CompleteEvents, EventSplitter, SendTotals};
+use bendhinge_delivery::{BodyEnd, CompleteEvents, EventSplitter, SendOutcome, SendTotals};
 use bendhinge_http::{BodyFraming, Connection};
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
@@ -11,6 +12,7 @@
 use super::forward::ForwardedSend;
 use super::measured_send::MeasuredSend;
 use super::race::SendRecord;
+use super::{Delivery, DeliveryContext, InboundRequest};
 use crate::state::ChosenUpstream;
 
 /// A send to an upstream that has responded.
@@ -78,6 +80,22 @@
     Ended(BodyEnd),
 }
 
+/// A source that was closed before the stream was complete, and whose end is not recorded for the request yet.
+pub(super) struct ClosedSource {
+    sender: ClosedSender,
+    framing: BodyFraming,
+    end: BodyEnd,
+    outcome: SendOutcome,
+    partial_bytes: usize,
+    relayed_events: usize,
+}
+
+enum ClosedSender {
+    Upstream(SendRecord),
+    /// The index of the forward.
+    Gateway(usize),
+}
+
 impl StreamSource {
     pub(super) const fn new(
         sender: ResponseSource,
@@ -101,4 +119,52 @@
             Some(Ok(frame)) => SourceRead::Data(events.feed(&frame.into_data().unwrap_or_default())),
         }
     }
+
+    /// Closes the connection, which cancels the request there, and records the end for the upstream. `partial_bytes` is
+    /// what the source has sent of an incomplete event.
+    pub(super) fn close(
+        self,
+        context: &Arc<DeliveryContext>,
+        inbound: &Arc<InboundRequest>,
+        end: BodyEnd,
+        partial_bytes: usize,
+    ) -> ClosedSource {
+        let Self { sender, relayed_events, framing, body, connection, .. } = self;
+        drop((body, connection));
+        context.metrics.count_body_end(framing, end);
+        let outcome = match end {
+            BodyEnd::TimedOut => SendOutcome::TimedOut,
+            _ => SendOutcome::Lost,
+        };
+        let sender = match sender {
+            ResponseSource::Upstream(send) => {
+                let UpstreamSend { record, measured, chosen } = *send;
+                // While it is counted, the request shows that the upstream runs.
+                drop((measured, chosen));
+                context.record_upstream_end(inbound, &record, outcome);
+                ClosedSender::Upstream(record)
+            }
+            ResponseSource::Gateway(send) => ClosedSender::Gateway(send.number),
+        };
+        ClosedSource { sender, framing, end, outcome, partial_bytes, relayed_events }
+    }
+}
+
+impl Delivery {
+    /// Records the end of a closed source for the request; returns whether another send may follow.
+    pub(super) fn record_closed(&mut self, closed: ClosedSource) -> bool {
+        let ClosedSource { sender, framing, end, outcome, partial_bytes, relayed_events } = closed;
+        match sender {
+            ClosedSender::Upstream(record) => {
+                self.log_line.record_body_end(record.number, framing, end, partial_bytes);
+                self.log_line.record_relayed_events(record.number, relayed_events);
+                self.record_request_end(&record, outcome)
+            }
+            ClosedSender::Gateway(number) => {
+                self.log_line.record_forward_body_end(number, end);
+                self.fail_forward(number, outcome);
+                false
+            }
+        }
+    }
 }
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -164,6 +164,11 @@
         self.resumption.set_resume_code(code);
     }
 
+    /// Clears the reason of an attempt to resume a stream that went on anyway.
+    pub(crate) fn clear_resume_code(&mut self) {
+        self.resumption.clear_resume_code();
+    }
+
     /// Sets how the body of the response to the caller is framed.
     pub(crate) const fn set_caller_framing(&mut self, framing: BodyFraming) {
         self.caller_framing = Some(framing);
--- a/crates/bendhinge_gateway/src/log/stream.rs
+++ b/crates/bendhinge_gateway/src/log/stream.rs
@@ -97,6 +97,10 @@
     pub(super) fn set_resume_code(&mut self, code: ResultCode) {
         self.resume_code = Some(code.to_string());
     }
+
+    pub(super) fn clear_resume_code(&mut self) {
+        self.resume_code = None;
+    }
 }
 
 /// Truncates a caller's text to a length suitable for a log line.
--- a/crates/bendhinge_gateway/src/metrics/mod.rs
+++ b/crates/bendhinge_gateway/src/metrics/mod.rs
@@ -264,6 +264,11 @@
         self.retry_decisions.add(1, &[KeyValue::new("decision", decision)]);
     }
 
+    /// Counts a retry that was not sent and returns to the retry budget.
+    pub(crate) fn count_returned_retry(&self) {
+        self.retry_decisions.add(1, &[KeyValue::new("decision", "returned")]);
+    }
+
     /// Records the duration of a read of the store.
     pub(crate) fn record_store_read(&self, time: Duration, succeeded: bool) {
         self.store_reads.record(time.as_secs_f64(), &[result_label(succeeded)]);
