--- a/crates/bendhinge_lab/tests/gateway_rule_changes.rs
+++ b/crates/bendhinge_lab/tests/gateway_rule_changes.rs
@@ -51,8 +51,10 @@
 enum Phase {
     /// At an upstream that has not responded yet.
     BeforeHead,
-    /// Streams are in the middle of their events.
+    /// Streams are in the middle of their events, and go no further.
     MidStream,
+    /// Streams have this pace.
+    AtPace(Duration),
 }
 
 /// Calls that were sent and have not ended.
@@ -66,7 +68,7 @@
         const PACE: Duration = Duration::from_millis(50);
         const FIRST_EVENTS: Duration = Duration::from_millis(160);
         for upstream in &fleet.upstreams {
-            upstream.set_pace(PACE);
+            upstream.set_pace(if let Phase::AtPace(pace) = phase { pace } else { PACE });
             upstream.set_silence(if phase == Phase::BeforeHead { Silence::Answers } else { Silence::None });
         }
         let calls: Vec<Call> =
@@ -307,3 +309,46 @@
         assert!(answers.iter().all(|answer| answer.told != Told::Whole), "{answers:?}");
     });
 }
+
+/// A change after which requests in progress may not be sent again.
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    /// Their key is revoked.
+    Key,
+    /// The lease of the rules ends.
+    Lease,
+}
+
+/// Guards against streams that are cut because their upstream pauses after a change that forbids to resume them
+/// elsewhere: a key that is revoked, a lease that ends.
+#[test]
+fn streams_that_may_not_be_resumed_are_not_cut_when_their_upstream_pauses() {
+    /// A third of how long the gateway waits for the next event.
+    const GAP: &str = "gap_ms = 500";
+    const PACE: Duration = Duration::from_millis(500);
+    const PAUSE: Duration = Duration::from_millis(2_500);
+    const VERSION: u32 = 10;
+    run(|tasks| async move {
+        for loss in [Loss::Key, Loss::Lease] {
+            let fleet = GatewayFleet::start(&tasks, TWO_OF_EACH, SHORT_LEASE).await;
+            let rules = rules().replace("gap_ms = 10000", GAP);
+            put_version(&fleet, VERSION, &rules);
+            until_in_force(&fleet, VERSION).await;
+            let sending = Sending::start(&fleet, Phase::AtPace(PACE), &PATHS[3..]).await;
+            match loss {
+                Loss::Key => {
+                    put_version(&fleet, VERSION + 1, &rules.replace("key-one, key-two", "key-two"));
+                    until_in_force(&fleet, VERSION + 1).await;
+                }
+                Loss::Lease => {
+                    fleet.store_proxy.set(Harm::Silence);
+                    until_lease_has_ended(&fleet).await;
+                }
+            }
+            assert!(!sending.has_ended(), "{loss:?}");
+            fleet.upstreams.iter().for_each(|upstream| upstream.set_silence(Silence::Events));
+            Timer::after(PAUSE).await;
+            assert_whole(&sending.finish(&fleet).await, &loss);
+        }
+    });
+}
