Stop: wait until complete responses are written

A response that is no stream stopped counting as in progress as soon as it was handed to the server, and 200 ms after the last one the process ended. What the caller had not read by then, beyond what the sockets hold, was lost: of a response of 24,000,000 bytes, whose caller read on a second after the signal, 4,253,049 bytes arrived, and then the connection was closed.

A stop now also waits until the connections of callers are closed, which the server does after their last response, and at most until 400 ms before the end of the grace period, as for requests in progress.

--- a/crates/bendhinge_gateway/src/lifecycle.rs
+++ b/crates/bendhinge_gateway/src/lifecycle.rs
@@ -1,10 +1,12 @@
 //! Graceful shutdown of the process: tracks requests in progress and decides when new ones are refused.
 
+use std::future::Future;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bendhinge_ids::Instant;
+use futures_lite::FutureExt;
 use smol::Timer;
 
 use crate::settings::StopSettings;
@@ -59,17 +61,31 @@
         since.is_none_or(|since| bendhinge_clock::now().since(*since) < self.settings.accept_period)
     }
 
+    /// Returns by when requests in progress have to end: shortly before the grace period is over.
+    fn drain_deadline(&self) -> Instant {
+        /// Part of the grace period that is reserved for writing the last responses.
+        const WRITE_MARGIN: Duration = Duration::from_millis(400);
+        let since = self.stopping_since.get().copied().unwrap_or_else(bendhinge_clock::now);
+        since + self.settings.grace_period.saturating_sub(WRITE_MARGIN)
+    }
+
     /// Waits until the accept period is over and no request is in progress, or until shortly before the grace
     /// period ends.
     pub(crate) async fn wait_until_drained(&self) {
         const POLL_INTERVAL: Duration = Duration::from_millis(20);
-        /// Part of the grace period that is reserved for writing the last responses.
-        const WRITE_MARGIN: Duration = Duration::from_millis(400);
         Timer::after(self.settings.accept_period).await;
-        let remaining = self.settings.grace_period.saturating_sub(self.settings.accept_period + WRITE_MARGIN);
-        let deadline = bendhinge_clock::now() + remaining;
+        let deadline = self.drain_deadline();
         while self.in_progress() > 0 && bendhinge_clock::now() < deadline {
             Timer::after(POLL_INTERVAL).await;
         }
     }
+
+    /// Waits until `connections` are closed, or until shortly before the grace period ends. A response that is
+    /// complete may not be written yet, as when the caller reads it slowly.
+    pub(crate) async fn wait_until_closed(&self, connections: impl Future<Output = ()>) {
+        let deadline = async {
+            Timer::after(self.drain_deadline().since(bendhinge_clock::now())).await;
+        };
+        connections.or(deadline).await;
+    }
 }
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -13,7 +13,7 @@
 use bendhinge_peer::TrafficCounters;
 use futures_lite::StreamExt;
 use smol::net::TcpListener;
-use smol::{LocalExecutor, Timer};
+use smol::{LocalExecutor, Task, Timer};
 
 use crate::admission::Admission;
 use crate::args::args;
@@ -157,7 +157,7 @@
         max_response_bytes: settings.upstreams.max_response_bytes,
     });
     let intake = Arc::new(Intake { context: Arc::clone(&context), lifecycle: Arc::clone(&lifecycle) });
-    let caller_server = serve_callers(&settings, &intake).await?;
+    let (caller_server, caller_connections) = serve_callers(&settings, &intake).await?;
     let traffic = Arc::new(TrafficCounters::default());
     let _readiness_server = serve_readiness(&settings, &context, &lifecycle, &traffic).await?;
     let control =
@@ -177,6 +177,7 @@
     executor.spawn(async move { control.announce_shutdown().await }).detach();
     lifecycle.wait_until_drained().await;
     caller_server.stop();
+    lifecycle.wait_until_closed(caller_connections).await;
     log.process_event("stopped", settings.name.as_str(), &lifecycle.in_progress().to_string());
     Timer::after(FLUSH_DELAY).await;
     Ok(())
@@ -219,7 +220,11 @@
     Ok(server)
 }
 
-async fn serve_callers(settings: &Settings, intake: &Arc<Intake>) -> Result<StopHandle, StartError> {
+/// Serves callers. Returns how to stop that, and a task that ends once their connections are closed after it.
+async fn serve_callers(
+    settings: &Settings,
+    intake: &Arc<Intake>,
+) -> Result<(StopHandle, Task<()>), StartError> {
     /// The maximum size of a request's head; above any limit that callers are given.
     const MAX_HEAD_BYTES: usize = 64 << 10;
     let limits = ServeLimits {
@@ -243,8 +248,7 @@
     let stop = server.stop_handle();
     let intake = Arc::clone(intake);
     let serving = server.run(move |request| intake::handle(Arc::clone(&intake), request));
-    context.tasks.spawn(serving).detach();
-    Ok(stop)
+    Ok((stop, context.tasks.spawn(serving)))
 }
 
 async fn serve_readiness(
