--- a/crates/bendhinge_lab/src/gateways/linked_fleet.rs
+++ b/crates/bendhinge_lab/src/gateways/linked_fleet.rs
@@ -53,6 +53,8 @@
     pub settings: Vec<GatewaySettings>,
     /// The gateways.
     pub gateways: Vec<GatewayProcess>,
+    /// The store of each gateway.
+    pub stores: Vec<Store>,
     /// Connections of this process.
     pub pool: Arc<Pool>,
     /// The links of each gateway, in the order of the upstreams.
@@ -79,8 +81,17 @@
         shape: FleetShape,
         start: impl Fn(usize) -> GatewayStart<'a>,
     ) -> Self {
-        let FleetShape { gateways, engines, services } = shape;
-        Self::start_engines(tasks, gateways, &vec![""; engines], services, start).await
+        Self::start_engines(tasks, shape, &vec![""; shape.engines], RULES, start).await
+    }
+
+    /// Starts a fleet with other rules.
+    ///
+    /// # Panics
+    ///
+    /// If something cannot be started: tests cannot go on then.
+    pub async fn start_with_rules(tasks: &Tasks, shape: FleetShape, sections: &str, rules: &str) -> Self {
+        let start = |_| GatewayStart::new(sections);
+        Self::start_engines(tasks, shape, &vec![""; shape.engines], rules, start).await
     }
 
     /// Starts a fleet whose engines run these versions of their software.
@@ -89,14 +100,15 @@
     ///
     /// If something cannot be started: tests cannot go on then.
     pub async fn start_versions(tasks: &Tasks, gateways: usize, versions: &[&str], sections: &str) -> Self {
-        Self::start_engines(tasks, gateways, versions, 0, |_| GatewayStart::new(sections)).await
+        let shape = FleetShape { gateways, engines: versions.len(), services: 0 };
+        Self::start_engines(tasks, shape, versions, RULES, |_| GatewayStart::new(sections)).await
     }
 
     async fn start_engines<'a>(
         tasks: &Tasks,
-        gateways: usize,
+        FleetShape { gateways, services, .. }: FleetShape,
         engines: &[&str],
-        services: usize,
+        rules: &str,
         start: impl Fn(usize) -> GatewayStart<'a>,
     ) -> Self {
         const CONNECT: Duration = Duration::from_secs(5);
@@ -105,6 +117,7 @@
             upstreams: Vec::new(),
             settings: Vec::new(),
             gateways: Vec::new(),
+            stores: Vec::new(),
             pool: Arc::new(Pool::new(Arc::clone(tasks), CONNECT, IDLE)),
             links: Vec::new(),
         };
@@ -119,7 +132,7 @@
             }
         }
         for number in 0..gateways {
-            fleet.add_gateway(tasks, number, &pools, start(number)).await;
+            fleet.add_gateway(tasks, number, &pools, rules, start(number)).await;
         }
         for number in 0..gateways {
             fleet.introduce(number);
@@ -128,9 +141,16 @@
         fleet
     }
 
-    async fn add_gateway(&mut self, tasks: &Tasks, number: usize, pools: &[&str], start: GatewayStart<'_>) {
+    async fn add_gateway(
+        &mut self,
+        tasks: &Tasks,
+        number: usize,
+        pools: &[&str],
+        rules: &str,
+        start: GatewayStart<'_>,
+    ) {
         let store = Store::start(tasks).await.expect("a free port");
-        store.put_rules(RULES);
+        store.put_rules(rules);
         let mut links = Vec::new();
         for (upstream, pool) in self.upstreams.iter().zip(pools) {
             let link = Proxy::start(tasks, upstream.address).expect("a free port");
@@ -151,6 +171,7 @@
         }
         self.settings.push(settings);
         self.gateways.push(process);
+        self.stores.push(store);
         self.links.push(links);
         until(async || self.is_ready(number).await).await;
     }
