Test answers of the router for chat completions beside silent engines

The router gives an answer up only after limits.idle_ms and first_byte_ms of silence, 120 s each. All engines are suspended for 1.2 s while twelve turns run, half of them streams: all are served, each by one run.

--- a/crates/bendhinge_lab/tests/delivery.rs
+++ b/crates/bendhinge_lab/tests/delivery.rs
@@ -105,6 +105,42 @@
     });
 }
 
+/// Guards against answers that are given up, or run twice, since their upstreams are silent for a second.
+#[test]
+fn answers_outlast_a_pause_of_all_upstreams() {
+    const PAUSE: Duration = Duration::from_millis(1_200);
+    const TOKENS: u32 = 200;
+    run(|tasks| async move {
+        let fleet = start(&tasks).await;
+        let mut pending = Vec::new();
+        for number in 0..12_u32 {
+            let (caller, router) = (caller(&fleet), fleet.callers()[number as usize % 3]);
+            let turn = turn(&format!("paused {number}"), number % 2 == 0, TOKENS);
+            pending.push(tasks.spawn(async move { caller.chat(router, &turn).await }));
+        }
+        let begun = || async {
+            let mut begun = 0;
+            for engine in ENGINES {
+                begun += fleet.upstream_page::<EngineState>(engine, "/control/state").await.unwrap().begun;
+            }
+            begun
+        };
+        eventually("all turns are at an engine", || async { begun().await == 12 }).await;
+        for upstream in fleet.upstreams.values() {
+            upstream.freeze();
+        }
+        Timer::after(PAUSE).await;
+        for upstream in fleet.upstreams.values() {
+            upstream.thaw();
+        }
+        for task in pending {
+            let outcome = task.await;
+            assert!(outcome.served(), "{outcome:?}");
+        }
+        assert_eq!(begun().await, 12);
+    });
+}
+
 /// Many at once over reused connections, late and crossed: each has its own answer.
 #[test]
 fn answers_do_not_cross() {
