Hand records of streams over before the process ends

What callers saw: streams that they resumed were refused with BH0314 after their gateway was killed and one of the holders of their records was stopped regularly, although others were left.

Cause: a gateway that stops handed its records over only after it had announced its end to all peers, and its process did not wait for it. A peer that is silent holds the announcement for the time limit of a call or two; with a shorter accept period the process ended before it had sent a record. What is held was given up before another gateway held it.

Now both go on at the same time, and the process ends once the records are handed over, within the grace period.

--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -171,7 +171,6 @@
     /// Notifies peers that this gateway is shutting down.
     pub(crate) async fn announce_shutdown(self: &Rc<Self>) {
         exchange::push_update(self, Origin::Store).await;
-        self.hand_over_streams().await;
     }
 }
 
--- a/crates/bendhinge_gateway/src/control/streams.rs
+++ b/crates/bendhinge_gateway/src/control/streams.rs
@@ -201,7 +201,7 @@
     }
 
     /// Hands all records over to the gateways that hold them once this one has ended.
-    pub(super) async fn hand_over_streams(self: &Rc<Self>) {
+    pub(crate) async fn hand_over_streams(self: &Rc<Self>) {
         let now = bendhinge_clock::now();
         let mut batches: FxHashMap<SocketAddr, Vec<ObservedStream>> = FxHashMap::default();
         for record in self.context.streams.all() {
--- a/crates/bendhinge_gateway/src/lifecycle.rs
+++ b/crates/bendhinge_gateway/src/lifecycle.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bendhinge_ids::Instant;
-use smol::Timer;
+use smol::{Task, Timer};
 
 use crate::settings::StopSettings;
 
@@ -59,16 +59,17 @@
         since.is_none_or(|since| bendhinge_clock::now().since(*since) < self.settings.accept_period)
     }
 
-    /// Waits until the accept period is over and no request is in progress, or until shortly before the grace
-    /// period ends.
-    pub(crate) async fn wait_until_drained(&self) {
+    /// Waits until the accept period is over, no request is in progress and `handing_over` is finished, or until shortly
+    /// before the grace period ends.
+    pub(crate) async fn wait_until_drained(&self, handing_over: &Task<()>) {
         const POLL_INTERVAL: Duration = Duration::from_millis(20);
         /// Part of the grace period that is reserved for writing the last responses.
         const WRITE_MARGIN: Duration = Duration::from_millis(400);
         Timer::after(self.settings.accept_period).await;
         let remaining = self.settings.grace_period.saturating_sub(self.settings.accept_period + WRITE_MARGIN);
         let deadline = bendhinge_clock::now() + remaining;
-        while self.in_progress() > 0 && bendhinge_clock::now() < deadline {
+        let is_drained = || self.in_progress() == 0 && handing_over.is_finished();
+        while !is_drained() && bendhinge_clock::now() < deadline {
             Timer::after(POLL_INTERVAL).await;
         }
     }
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -174,8 +174,11 @@
     wait_for_stop_signal(signals, path, &control, &log).await;
     lifecycle.begin_shutdown();
     log.process_event("stopping", settings.name.as_str(), &lifecycle.in_progress().to_string());
-    executor.spawn(async move { control.announce_shutdown().await }).detach();
-    lifecycle.wait_until_drained().await;
+    let announcing = Rc::clone(&control);
+    executor.spawn(async move { announcing.announce_shutdown().await }).detach();
+    // Not after the announcement, which waits for gateways that do not respond.
+    let handing_over = executor.spawn(async move { control.hand_over_streams().await });
+    lifecycle.wait_until_drained(&handing_over).await;
     caller_server.stop();
     log.process_event("stopped", settings.name.as_str(), &lifecycle.in_progress().to_string());
     Timer::after(FLUSH_DELAY).await;
--- a/crates/bendhinge_lab/tests/gateway_software.rs
+++ b/crates/bendhinge_lab/tests/gateway_software.rs
@@ -281,6 +281,26 @@
     });
 }
 
+/// Guards against records that are lost with a gateway that stops while another one is silent.
+#[test]
+fn records_move_on_although_a_gateway_is_suspended() {
+    const STOP: Duration = Duration::from_secs(20);
+    run(|tasks| async move {
+        let sections = SECTIONS.to_owned() + "[stop]\naccept_ms = 0\n";
+        let mut fleet = GatewayFleet::start_versions(&tasks, 4, &VERSIONS, &sections).await;
+        let mut streams = begin(&fleet, 0, 3).await;
+        records_are_sent().await;
+        kill(&mut fleet, 0);
+        fleet.gateway(3).signal(Signal::STOP);
+        fleet.gateway(1).signal(Signal::TERM);
+        let mut process = fleet.gateways[1].take().unwrap();
+        assert!(process.wait(STOP).is_some(), "the gateway stops");
+        let going_on = resume(&fleet, 2, &mut streams, ALL).await;
+        fleet.gateway(3).signal(Signal::CONT);
+        assert_eq!((mixed(&streams), going_on), (0, STREAMS));
+    });
+}
+
 /// Guards against lookups that wait for a gateway that is suspended.
 #[test]
 fn streams_are_resumed_while_a_gateway_is_suspended() {
