--- a/crates/bendhinge_gateway/src/lifecycle.rs
+++ b/crates/bendhinge_gateway/src/lifecycle.rs
@@ -7,7 +7,7 @@
 
 use bendhinge_ids::Instant;
 use futures_lite::FutureExt;
-use smol::Timer;
+use smol::{Task, Timer};
 
 use crate::settings::StopSettings;
 
@@ -69,13 +69,14 @@
         since + self.settings.grace_period.saturating_sub(WRITE_MARGIN)
     }
 
-    /// Waits until the accept period is over and no request is in progress, or until shortly before the grace
-    /// period ends.
-    pub(crate) async fn wait_until_drained(&self) {
+    /// Waits until the accept period is over, no request is in progress and `handing_over` is finished, or until shortly
+    /// before the grace period ends.
+    pub(crate) async fn wait_until_drained(&self, handing_over: &Task<()>) {
         const POLL_INTERVAL: Duration = Duration::from_millis(20);
         Timer::after(self.settings.accept_period).await;
         let deadline = self.drain_deadline();
-        while self.in_progress() > 0 && bendhinge_clock::now() < deadline {
+        let is_drained = || self.in_progress() == 0 && handing_over.is_finished();
+        while !is_drained() && bendhinge_clock::now() < deadline {
             Timer::after(POLL_INTERVAL).await;
         }
     }
