Lab: soak of sound upstreams that fall silent

24 callers keep connections to three gateways before four engines and three services. In ten silences of 0.5 to 2 s each, one, some or all upstreams hold back their events, or their answers too. Beside them rules and settings change, gateways are killed, stopped and started again, and upstreams are replaced. All upstreams are sound, and callers' deadlines and the timeouts are longer than the silences, so a gateway that was neither killed nor stopped during a request may not cut its response. The checks of the usual soak hold as well, and after all silences every gateway has to serve every kind of request.

--- a/crates/bendhinge_lab/tests/gateway_soak.rs
+++ b/crates/bendhinge_lab/tests/gateway_soak.rs
@@ -1,7 +1,9 @@
 //! A few seeds of the soak in CI, and those that once failed.
 
+use std::collections::BTreeMap;
+
 use bendhinge_http::{Tasks, run_until};
-use bendhinge_lab::gateways::{Findings, partition_soak, soak, software_soak};
+use bendhinge_lab::gateways::{Findings, partition_soak, silence_soak, soak, software_soak};
 
 /// Seeds of the short run, and seeds that once found something.
 const SEEDS: [u64; 4] = [1, 2, 3, 4];
@@ -10,6 +12,8 @@
 
 /// The same of the soak of software versions.
 const SOFTWARE_SEEDS: [u64; 2] = [1, 2];
+/// The same of the soak of silent upstreams.
+const SILENCE_SEEDS: [u64; 2] = [1, 2];
 
 #[test]
 fn no_stream_is_mixed_while_versions_overlap() {
@@ -37,13 +41,23 @@
     }
 }
 
-fn check<F: Future<Output = Findings>>(seed: u64, soak: impl FnOnce(Tasks) -> F) {
+/// Guards against gateways that cut responses of sound upstreams which fall silent for a second or so.
+#[test]
+fn no_response_is_cut_while_sound_upstreams_fall_silent() {
+    for seed in seeds(&SILENCE_SEEDS) {
+        let told = check(seed, |tasks| async move { silence_soak(&tasks, seed).await });
+        assert!(told.contains_key("Whole after a silence"), "seed {seed}: no response waited for a silence");
+    }
+}
+
+fn check<F: Future<Output = Findings>>(seed: u64, soak: impl FnOnce(Tasks) -> F) -> BTreeMap<String, usize> {
     let tasks = Tasks::default();
     let workers = std::num::NonZeroUsize::MIN;
     let findings = run_until(&tasks, workers, soak(Tasks::clone(&tasks)));
     println!("seed {seed}: {:?}", findings.told);
     assert!(findings.broken.is_empty(), "seed {seed}: {:#?}", findings.broken);
     assert!(findings.told.contains_key("Whole"), "seed {seed}: nothing was served");
+    findings.told
 }
 
 /// By hand more: `BENDHINGE_SOAK_SEEDS=100..150`.
