--- a/crates/bendhinge_lab/src/gateways/silence_soak.rs
+++ b/crates/bendhinge_lab/src/gateways/silence_soak.rs
@@ -336,7 +336,8 @@
             check_one(sent, runs.get(&call.id).map_or(&[][..], Vec::as_slice), &mut findings.broken);
             let duration = *ended_at - *began_at;
             let is_interrupted = outages.iter().any(|outage| outage.concerns(exchange));
-            let mut name = format!("{:?}", answer.told);
+            let code = answer.code().map(|code| format!(" {code}")).unwrap_or_default();
+            let mut name = format!("{:?}{code}", answer.told);
             if answer.told == Told::Whole && duration >= SHORTEST_SILENCE {
                 name.push_str(" after a silence");
             } else if is_interrupted {
