Streams: an upstream that was asked second is not late; split hedges and the race's timer

Whichever source sends an event first, the one that it overtakes counts as late only if it had been silent for longer before than the winner took. Where the first send went on before the second one sent an event, the second, sound upstream would have been recorded as silent. A response to a hedge that arrives while a further send is made no longer ends that send.

--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -8,11 +8,13 @@
 mod cut;
 mod engine_admission;
 mod forward;
+mod hedge;
 mod inbound;
 mod link_probes;
 mod measured_send;
 mod outcome;
 mod race;
+mod race_timer;
 mod relay;
 mod relay_body;
 mod software;
@@ -25,7 +27,7 @@
 
 use bendhinge_admission::PacingDecision;
 use bendhinge_codes::ResultCode;
-use bendhinge_delivery::{RetryState, SendOutcome};
+use bendhinge_delivery::RetryState;
 use bendhinge_http::{Body, BodyFraming, full_body};
 use bendhinge_ids::NameHash;
 use hyper::Response;
@@ -41,7 +43,7 @@
 pub(crate) use self::link_probes::LinkProbes;
 use self::measured_send::MeasuredSend;
 pub(crate) use self::measured_send::SendRegistry;
-use self::race::{FailedSend, PendingSend, SendRecord, race};
+use self::race::{PendingSend, SendRecord};
 use self::relay::Relay;
 use self::relay_body::relay_body;
 use self::software::RequiredSoftware;
@@ -285,69 +287,6 @@
         Ok(PendingSend { record, response: Box::pin(response) })
     }
 
-    /// Waits for the response to a send. If it is slow and the request may be sent once more, sends a hedge
-    /// request to another upstream and takes the first response.
-    async fn await_response(
-        &mut self,
-        mut first: PendingSend,
-        resume_after: Option<&str>,
-    ) -> Result<UpstreamResponse, FailedSend> {
-        if !self.retry_state.allows_hedge() {
-            return first.result().await;
-        }
-        let Some(hedge_delay) = self.hedge_delay() else { return first.result().await };
-        if let Some(result) = first.result_within(hedge_delay).await {
-            return result;
-        }
-        let Some(second) = self.start_hedge(resume_after) else { return first.result().await };
-        let (result, mut other) = race(first, second).await;
-        match result {
-            Ok(response) if matches!(response.body, UpstreamBody::Stream(..)) => {
-                Ok(UpstreamResponse { hedge: Some(other), ..response })
-            }
-            Ok(response) => {
-                self.end_hedge(&other, response.source.upstream_number());
-                Ok(response)
-            }
-            Err(failed) => {
-                self.record_send_end(&failed.record, failed.error.end);
-                other.result().await
-            }
-        }
-    }
-
-    /// Records the end of a send that another one, with the index `winner`, has overtaken. It is late only if the other one
-    /// took less time than it was ahead; otherwise both upstreams were silent alike.
-    fn end_hedge(&mut self, overtaken: &PendingSend, winner: Option<usize>) {
-        let winner = self.open_sends.iter().find(|open| Some(open.number) == winner);
-        let is_late = winner.is_some_and(|winner| {
-            let lead = winner.started_at.since(overtaken.record.started_at);
-            bendhinge_clock::now().since(winner.started_at) < lead
-        });
-        let end = if is_late { SendOutcome::TimedOut } else { SendOutcome::Superseded };
-        self.record_send_end(&overtaken.record, end);
-    }
-
-    /// Returns how long to wait for a response before a hedge request is sent; `None` if none is sent.
-    fn hedge_delay(&self) -> Option<Duration> {
-        /// Fraction of the route's target latency. The remainder is for the response to the hedge request.
-        const TARGET_LATENCY_FRACTION: f64 = 0.7;
-        let DeliveryContext { upstreams, load_settings, .. } = &*self.context;
-        let target_latency = self.inbound.route.target_latency;
-        if self.is_paced && upstreams.is_active(load_settings.shared_response_times) {
-            return upstreams.plain_hedge_delay(&self.inbound.pool, target_latency);
-        }
-        Some(target_latency.mul_f64(TARGET_LATENCY_FRACTION))
-    }
-
-    /// Starts a hedge request; returns `None` if that is not possible.
-    fn start_hedge(&mut self, resume_after: Option<&str>) -> Option<PendingSend> {
-        if !self.try_retry() {
-            return None;
-        }
-        self.start_send(resume_after, false).ok()
-    }
-
     /// Starts a tracked send if the quarantine tracks the request; returns `Err` if it must not be sent.
     fn track_send(&mut self) -> Result<Option<Arc<TrackedSend>>, DeliveryError> {
         let Some(digest) = self.context.tracked_digest(&self.inbound) else { return Ok(None) };
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -14,7 +14,8 @@
 use super::Delivery;
 use super::cut::{Cut, CutCause, ResumeObstacle};
 use super::race::PendingSend;
-use super::stream_race::{RaceEnd, RaceTimer};
+use super::race_timer::RaceTimer;
+use super::stream_race::RaceEnd;
 use super::stream_source::{ResponseSource, SourceRead, StreamSource};
 use crate::lifecycle::InProgress;
 use crate::metrics::{ResumedSoftware, Resumer};
@@ -36,7 +37,7 @@
     /// Whether the next event is awaited; if not, the caller has not taken the last ones yet.
     is_awaiting_event: bool,
     /// Since when data of the source is awaited.
-    awaited_since: Instant,
+    pub(super) awaited_since: Instant,
     /// Whether the previous upstream had resumed the stream with an unframed response without events.
     previous_was_empty: bool,
     is_finished: bool,
--- a/crates/bendhinge_gateway/src/delivery/stream_race.rs
+++ b/crates/bendhinge_gateway/src/delivery/stream_race.rs
@@ -4,7 +4,6 @@
 use std::future::{pending, poll_fn};
 use std::sync::Arc;
 use std::task::Poll;
-use std::time::Duration;
 
 use bendhinge_delivery::{BodyEnd, CompleteEvents, EventSplitter, SendOutcome};
 use bendhinge_ids::Instant;
@@ -16,12 +15,9 @@
 use super::cut::ResumeObstacle;
 use super::race::{FailedSend, PendingSend};
 use super::relay::Relay;
-use super::stream_source::{ResponseSource, SourceRead, StreamSource};
+use super::stream_source::{ClosedSource, ResponseSource, SourceRead, StreamSource};
 use super::upstream_body::UpstreamBody;
-use super::{Delivery, DeliveryError};
-
-/// Number of target gaps without data after which a stream is requested from another upstream, too.
-const MAX_SILENT_GAPS: u32 = 3;
+use super::{Delivery, DeliveryContext, DeliveryError, InboundRequest};
 
 /// How a race ended.
 pub(super) enum RaceEnd {
@@ -41,6 +37,18 @@
     events: EventSplitter,
 }
 
+impl Candidate {
+    /// Closes a candidate that has ended before the stream was complete.
+    fn close(
+        self,
+        context: &Arc<DeliveryContext>,
+        inbound: &Arc<InboundRequest>,
+        end: BodyEnd,
+    ) -> ClosedSource {
+        self.source.close(context, inbound, end, SendOutcome::Lost, self.events.partial_len())
+    }
+}
+
 /// What happens first in a race.
 enum Step {
     /// The source sent an event or ended.
@@ -56,40 +64,6 @@
     Deadline,
 }
 
-/// When a stream is requested from another upstream.
-pub(super) struct RaceTimer {
-    target_gap: Option<Duration>,
-    due_at: Option<Instant>,
-}
-
-impl RaceTimer {
-    pub(super) fn new(target_gap: Option<Duration>) -> Self {
-        let mut timer = Self { target_gap: target_gap.filter(|gap| !gap.is_zero()), due_at: None };
-        timer.restart();
-        timer
-    }
-
-    /// Returns how long a source may be silent.
-    fn limit(&self) -> Option<Duration> {
-        self.target_gap.map(|gap| gap * MAX_SILENT_GAPS)
-    }
-
-    /// Starts anew, after data or a send.
-    pub(super) fn restart(&mut self) {
-        self.due_at = self.limit().map(|limit| bendhinge_clock::now() + limit);
-    }
-
-    /// Waits one more target gap, after a send that was denied or failed.
-    fn postpone(&mut self) {
-        self.due_at = self.target_gap.map(|gap| bendhinge_clock::now() + gap);
-    }
-
-    /// Returns the time until a send is due; `None` if none ever is.
-    pub(super) fn remaining(&self) -> Option<Duration> {
-        self.due_at.map(|due_at| due_at.since(bendhinge_clock::now()))
-    }
-}
-
 impl Relay {
     /// Whether the stream may be requested from another upstream while the current source is still read.
     pub(super) fn may_race(&self) -> bool {
@@ -205,6 +179,7 @@
     /// their upstreams do not seem to be in use.
     async fn send(&mut self, candidates: &mut Vec<Candidate>) -> Step {
         let mut closed = Vec::new();
+        let mut hedge_result = None;
         let step = {
             let Self { delivery, source, events, comments, timing, hedge, .. } = self;
             let (context, inbound) = (Arc::clone(&delivery.context), Arc::clone(&delivery.inbound));
@@ -228,14 +203,11 @@
                         }
                     }
                     Step::Candidate(index, SourceRead::Ended(end)) if end.is_premature() => {
-                        let Candidate { source, events } = candidates.swap_remove(index);
-                        closed.push(source.close(
-                            &context,
-                            &inbound,
-                            end,
-                            SendOutcome::Lost,
-                            events.partial_len(),
-                        ));
+                        closed.push(candidates.swap_remove(index).close(&context, &inbound, end));
+                    }
+                    Step::Hedge(result) => {
+                        *hedge = None;
+                        hedge_result = Some(result);
                     }
                     step => break step,
                 }
@@ -244,6 +216,9 @@
         for closed in closed {
             self.delivery.record_closed(closed);
         }
+        if let Some(result) = hedge_result {
+            candidates.extend(self.accept_hedge(*result));
+        }
         step
     }
 
@@ -272,19 +247,25 @@
     }
 
     fn record_failed_candidate(&mut self, candidate: Candidate, end: BodyEnd) {
-        let Candidate { source, events } = candidate;
-        let Delivery { context, inbound, .. } = &self.delivery;
-        let closed = source.close(context, inbound, end, SendOutcome::Lost, events.partial_len());
+        let closed = candidate.close(&self.delivery.context, &self.delivery.inbound, end);
         self.delivery.record_closed(closed);
         self.obstacle = Some(ResumeObstacle::SendFailed);
     }
 
+    /// Whether the silence of the current source counts against it when `winner` sends an event: `winner` took less time
+    /// than the source had been silent before. Otherwise both were silent alike.
+    fn is_overdue_beside(&self, winner: &StreamSource) -> bool {
+        let Some(started_at) = winner.sender.started_at() else { return false };
+        let silence_before = started_at.since(self.awaited_since);
+        let limit = self.race_timer.limit().map_or(silence_before, |limit| limit.min(silence_before));
+        bendhinge_clock::now().since(started_at) < limit
+    }
+
     /// Closes the silent source and makes `candidate` the source of the stream.
     fn adopt(&mut self, candidate: Candidate) {
         let Candidate { source, events } = candidate;
-        // Otherwise both upstreams were silent alike.
-        let is_late = self.race_timer.limit().is_some_and(|limit| source.sender.age() < limit);
-        let outcome = if is_late { SendOutcome::TimedOut } else { SendOutcome::Superseded };
+        let outcome =
+            if self.is_overdue_beside(&source) { SendOutcome::TimedOut } else { SendOutcome::Superseded };
         self.close_source(BodyEnd::TimedOut, outcome);
         self.events = events;
         self.comments.clear();
--- a/crates/bendhinge_gateway/src/delivery/stream_source.rs
+++ b/crates/bendhinge_gateway/src/delivery/stream_source.rs
@@ -5,6 +5,7 @@
 
 use bendhinge_delivery::{BodyEnd, CompleteEvents, EventSplitter, SendOutcome, SendTotals};
 use bendhinge_http::{BodyFraming, Connection};
+use bendhinge_ids::Instant;
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
 use hyper::body::Incoming;
@@ -39,11 +40,11 @@
         }
     }
 
-    /// Returns the time since the upstream was chosen; zero if it is a gateway.
-    pub(super) fn age(&self) -> Duration {
+    /// Returns when the upstream was chosen, if it is one.
+    pub(super) fn started_at(&self) -> Option<Instant> {
         match self {
-            Self::Upstream(send) => bendhinge_clock::now().since(send.record.started_at),
-            Self::Gateway(_) => Duration::ZERO,
+            Self::Upstream(send) => Some(send.record.started_at),
+            Self::Gateway(_) => None,
         }
     }
 
