Log digests of the prompt parts of lost requests, and of complete responses that share them

The lines could not tell one part of a prompt, a chain of parts, a route and crashes without a cause apart: they had a digest of the whole request only. A request that is lost with its upstream now has the keyed digests of its shared prompt parts in its line (`parts`), and so has a completely answered request that shares a part with a lost one. Nothing is decided by them.

The stand-in engines crash under a part of a prompt and are replaced later.

--- a/crates/bendhinge_delivery/src/identity.rs
+++ b/crates/bendhinge_delivery/src/identity.rs
@@ -1,6 +1,6 @@
 //! Request identity, used to recognise retries of the same request.
 
-use bendhinge_ids::{RequestDigest, RequestHint};
+use bendhinge_ids::{PartDigest, PoolName, RequestDigest, RequestHint};
 use hmac::{Hmac, Mac};
 use sha2::Sha256;
 use xxhash_rust::xxh3::Xxh3;
@@ -26,6 +26,14 @@
     }
 }
 
+impl IdentityKey {
+    /// Returns the digest of the prompt part with the ID `part` in requests to `pool`.
+    #[must_use]
+    pub fn part_digest(&self, pool: &PoolName, part: u64) -> PartDigest {
+        PartDigest(self.hash(&[b"prompt part", pool.as_str().as_bytes(), &part.to_be_bytes()]))
+    }
+}
+
 /// The fields that identify a request across retries and boxes. Other headers, which a caller may vary freely,
 /// are excluded.
 #[derive(Clone, Copy, Debug)]
--- a/crates/bendhinge_gateway/src/delivery/context.rs
+++ b/crates/bendhinge_gateway/src/delivery/context.rs
@@ -6,7 +6,7 @@
 use bendhinge_delivery::IdentityKey;
 use bendhinge_fleet::Origin;
 use bendhinge_http::{Pool, Tasks};
-use bendhinge_ids::{PoolName, RequestDigest};
+use bendhinge_ids::{PartDigest, PoolName, RequestDigest};
 use rand::Rng;
 use smol::channel::Sender;
 
@@ -15,6 +15,7 @@
 use crate::dialect::Dialect;
 use crate::forwarding::Forwarding;
 use crate::log::Log;
+use crate::lost_parts::LostParts;
 use crate::metrics::Metrics;
 use crate::pacing::Pacing;
 use crate::quarantine::SharedQuarantine;
@@ -36,6 +37,9 @@
     pub(crate) load_settings: LoadSettings,
     pub(crate) identity_key: IdentityKey,
     pub(crate) quarantine: Arc<SharedQuarantine>,
+    /// Whether the shared parts of prompts are tracked.
+    pub(crate) tracks_prompt_parts: bool,
+    pub(crate) lost_parts: LostParts,
     pub(crate) crash_probes: CrashProbes,
     pub(crate) link_probes: LinkProbes,
     pub(crate) forwarding: Arc<Forwarding>,
@@ -59,6 +63,11 @@
         may_be_tracked.then(|| inbound.digest(&self.identity_key))
     }
 
+    /// Returns the digests of the shared prompt parts of a request, none if they are not tracked.
+    pub(super) fn part_digests<'a>(&self, inbound: &'a InboundRequest) -> &'a [PartDigest] {
+        if self.tracks_prompt_parts { inbound.part_digests(&self.identity_key) } else { &[] }
+    }
+
     /// Returns after which time the caller should retry if all upstreams that could serve the request have
     /// requested a backoff.
     pub(super) fn remaining_backoff(&self, inbound: &InboundRequest) -> Option<Duration> {
--- a/crates/bendhinge_gateway/src/delivery/inbound.rs
+++ b/crates/bendhinge_gateway/src/delivery/inbound.rs
@@ -5,7 +5,8 @@
 
 use bendhinge_admission::Requester;
 use bendhinge_delivery::{IdentityKey, RequestIdentity};
-use bendhinge_ids::{Instant, NameHash, PoolName, RequestDigest};
+use bendhinge_ids::{Instant, NameHash, PartDigest, PoolName, RequestDigest};
+use bendhinge_placement::Prompt;
 use bendhinge_routes::{Customer, RegionFilter, Route};
 use bytes::Bytes;
 use hyper::http::request;
@@ -32,8 +33,13 @@
     pub(crate) forwarded: Option<ForwardedFields>,
     /// The digest that identifies equal requests, computed on first use.
     pub(crate) digest: OnceLock<RequestDigest>,
+    /// The digests of the shared prompt parts, computed on first use.
+    pub(crate) part_digests: OnceLock<Vec<PartDigest>>,
 }
 
+/// The maximum number of prompt parts of a request that are tracked. Further parts are ignored.
+const MAX_TRACKED_PARTS: usize = 64;
+
 impl InboundRequest {
     pub(super) fn requester(&self) -> Requester {
         let customer = self.customer.as_ref().map_or("", |customer| customer.name.as_str());
@@ -61,6 +67,17 @@
         *self.digest.get_or_init(|| self.identity().digest(key))
     }
 
+    /// Returns the distinct digests of the prompt parts that are shared with other requests.
+    pub(super) fn part_digests(&self, key: &IdentityKey) -> &[PartDigest] {
+        self.part_digests.get_or_init(|| {
+            let parts = self.fields.prompt.iter().flat_map(Prompt::shared);
+            let mut ids: Vec<_> = parts.take(MAX_TRACKED_PARTS).map(|part| part.id).collect();
+            ids.sort_unstable();
+            ids.dedup();
+            ids.into_iter().map(|id| key.part_digest(&self.pool, id.0)).collect()
+        })
+    }
+
     pub(super) fn identity(&self) -> RequestIdentity<'_> {
         RequestIdentity {
             customer: self.customer.as_ref().map_or("", |customer| customer.name.as_str()),
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -304,6 +304,7 @@
         match source {
             ResponseSource::Upstream(send) => {
                 self.log_line.record_body_end(send.record.number, ended.framing, ended.end, 0);
+                self.record_answered_parts();
                 self.context.record_complete_response(&self.inbound);
             }
             ResponseSource::Gateway(send) => self.log_line.record_forward_body_end(send.number, ended.end),
--- a/crates/bendhinge_gateway/src/delivery/outcome.rs
+++ b/crates/bendhinge_gateway/src/delivery/outcome.rs
@@ -25,7 +25,7 @@
         self.open_sends.retain(|open| open.number != record.number);
         self.log_line.record_send_end(record.number, end);
         if end == SendOutcome::Lost {
-            self.log_line.set_digest(self.inbound.digest(&self.context.identity_key));
+            self.record_lost();
         }
         if end.reached_upstream() {
             self.unused_retry = None;
@@ -35,6 +35,27 @@
         self.retry_state.record_outcome(end)
     }
 
+    /// Records what identifies a request that was lost with the connection to its upstream.
+    fn record_lost(&mut self) {
+        let Self { context, inbound, log_line, .. } = self;
+        let parts = context.part_digests(inbound);
+        log_line.set_digest(inbound.digest(&context.identity_key));
+        log_line.set_part_digests(parts);
+        context.lost_parts.record(parts);
+    }
+
+    /// Records the prompt parts of a completely answered request if one of them was in a lost request before.
+    pub(super) fn record_answered_parts(&mut self) {
+        let Self { context, inbound, log_line, .. } = self;
+        if context.lost_parts.is_empty() {
+            return;
+        }
+        let parts = context.part_digests(inbound);
+        if context.lost_parts.contains_any(parts) {
+            log_line.set_part_digests(parts);
+        }
+    }
+
     /// Records a failed send; returns `Err` if it is not retried.
     pub(super) fn handle_failure(&mut self, failed: FailedSend) -> Result<(), DeliveryError> {
         let FailedSend { record, error } = failed;
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -259,6 +259,7 @@
             self.delivery.context.release_connection(&headers, framing, connection);
         }
         if is_from_upstream {
+            self.delivery.record_answered_parts();
             self.delivery.context.record_complete_response(&self.delivery.inbound);
         }
         self.delivery.log_line.clear_resume_code();
--- a/crates/bendhinge_gateway/src/intake/mod.rs
+++ b/crates/bendhinge_gateway/src/intake/mod.rs
@@ -168,6 +168,7 @@
             tie_breaker,
             forwarded,
             digest: OnceLock::new(),
+            part_digests: OnceLock::new(),
         };
         deliver(&self.context, inbound, in_progress).await
     }
--- a/crates/bendhinge_gateway/src/lib.rs
+++ b/crates/bendhinge_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod intake;
 mod lifecycle;
 mod log;
+mod lost_parts;
 mod metrics;
 pub mod native;
 mod pacing;
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -7,7 +7,7 @@
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{BodyEnd, RetryState, SendOutcome, StreamTiming};
 use bendhinge_http::BodyFraming;
-use bendhinge_ids::{Instant, NameHash, RequestDigest};
+use bendhinge_ids::{Instant, NameHash, PartDigest, RequestDigest};
 use serde::Serialize;
 
 use super::sends::{ForwardRecord, RetryFields, SendRecord};
@@ -31,6 +31,8 @@
     allowed_retry: Option<RetryFields>,
     denied_retry: Option<RetryFields>,
     digest: Option<RequestDigest>,
+    /// The shared prompt parts.
+    parts: Vec<PartDigest>,
     /// The stream that the request resumes.
     resumption: ResumptionFields,
     /// How the body of the response to the caller is framed, if it is relayed as it arrives.
@@ -53,6 +55,7 @@
             allowed_retry: None,
             denied_retry: None,
             digest: None,
+            parts: Vec::new(),
             resumption: ResumptionFields::new(&inbound.fields),
             caller_framing: None,
             stream: StreamFields::default(),
@@ -154,6 +157,11 @@
         self.digest = Some(digest);
     }
 
+    /// Sets the digests of the shared prompt parts.
+    pub(crate) fn set_part_digests(&mut self, parts: &[PartDigest]) {
+        self.parts = parts.to_vec();
+    }
+
     /// Sets the software that began the stream which the request resumes.
     pub(crate) fn set_began_software(&mut self, software: NameHash) {
         self.resumption.set_began_software(software);
@@ -246,6 +254,8 @@
             ms: u64,
             #[serde(skip_serializing_if = "Option::is_none")]
             digest: Option<String>,
+            #[serde(skip_serializing_if = "Vec::is_empty")]
+            parts: Vec<String>,
             sends: &'a [SendRecord],
             #[serde(skip_serializing_if = "<[_]>::is_empty")]
             forwards: &'a [ForwardRecord],
@@ -271,6 +281,7 @@
             code: code.map(|code| code.to_string()),
             ms: self.elapsed_ms(),
             digest: self.digest.map(|digest| digest.to_string()),
+            parts: self.parts.iter().map(PartDigest::to_string).collect(),
             sends: &self.sends,
             forwards: &self.forwards,
             forwarded_by: self.forwarded_by,
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -61,6 +61,8 @@
     pub assumes_spent_retries: bool,
     /// Graceful shutdown.
     pub stop: StopSettings,
+    /// Whether the shared parts of prompts are tracked when requests are lost with an upstream.
+    pub tracks_prompt_parts: bool,
     /// Requests that operators release from quarantine when the settings are read.
     pub released_requests: Vec<RequestDigest>,
 }
@@ -233,6 +235,8 @@
             .0
             .section("quarantine")
             .map(|section| self.0.value::<CommaSeparated<RequestDigest>>(section, "released"));
+        let tracks_prompt_parts =
+            self.0.section("quarantine").map(|section| self.0.value::<YesNo>(section, "prompt_parts"));
         let name = self.0.value(gateway, "name");
         let data_centre = self.0.value(gateway, "data_centre");
         let regions: Vec<_> = self.0.sections("data_centre").map(|section| self.region(section)).collect();
@@ -260,6 +264,7 @@
             retry_budget: retry_budget??,
             assumes_spent_retries: assumes_spent_retries??.0,
             stop: stop??,
+            tracks_prompt_parts: tracks_prompt_parts??.0,
             released_requests: released_requests??.0,
         })
     }
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -311,12 +311,20 @@
     named: false,
     required: false,
     help: "Requests that are not sent because upstreams crashed while processing them.",
-    keys: &[Key::new(
-        "released",
-        "digests",
-        Some(""),
-        "Digests of requests to release, as shown in log lines and on the page `/quarantine`, separated by commas. When the settings are reloaded, the crashes recorded for these requests are cleared on all gateways.",
-    )],
+    keys: &[
+        Key::new(
+            "prompt_parts",
+            "yes or no",
+            Some("no"),
+            "Whether the prompt parts that requests share are tracked: log lines of requests that were lost with an upstream contain digests of the parts.",
+        ),
+        Key::new(
+            "released",
+            "digests",
+            Some(""),
+            "Digests of requests to release, as shown in log lines and on the page `/quarantine`, separated by commas. When the settings are reloaded, the crashes recorded for these requests are cleared on all gateways.",
+        ),
+    ],
 };
 
 const STOP: SectionKind = SectionKind {
--- a/crates/bendhinge_ids/src/lib.rs
+++ b/crates/bendhinge_ids/src/lib.rs
@@ -11,7 +11,7 @@
     UpstreamName,
 };
 pub use number::{
-    ConfigRevision, Digest, DigestError, EventSequence, Incarnation, PermitId, RequestDigest, RequestHint,
-    RouterInstance, hash_to_fraction,
+    ConfigRevision, Digest, DigestError, EventSequence, Incarnation, PartDigest, PermitId, RequestDigest,
+    RequestHint, RouterInstance, hash_to_fraction,
 };
 pub use time::Instant;
--- a/crates/bendhinge_ids/src/number.rs
+++ b/crates/bendhinge_ids/src/number.rs
@@ -102,6 +102,24 @@
     }
 }
 
+/// Digest of a part of the prompts that a pool processes; keyed, so that the ID of the part cannot be recovered from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PartDigest(pub u64);
+
+impl FromStr for PartDigest {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+impl fmt::Display for PartDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
 /// First 16 bytes of the SHA-256 hash of a document.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
--- a/crates/bendhinge_lab/src/gateways/fleet.rs
+++ b/crates/bendhinge_lab/src/gateways/fleet.rs
@@ -310,6 +310,12 @@
         Self { upstream, proxy }
     }
 
+    /// Returns both.
+    #[must_use]
+    pub fn into_parts(self) -> (Upstream, Proxy) {
+        (self.upstream, self.proxy)
+    }
+
     /// Starts both; the upstream runs a version of its software.
     ///
     /// # Panics
--- a/crates/bendhinge_lab/src/gateways/mod.rs
+++ b/crates/bendhinge_lab/src/gateways/mod.rs
@@ -2,6 +2,7 @@
 //! proxy that harms what passes through it, and a caller that judges every answer.
 
 mod caller;
+mod crashing_engines;
 mod fleet;
 mod linked_fleet;
 mod partition_soak;
@@ -13,6 +14,7 @@
 mod stream_caller;
 
 pub use caller::{Answer, Call, GatewayCaller, Resumption, Told};
+pub use crashing_engines::CrashingEngines;
 pub use fleet::{FleetShape, GatewayFleet, KEY, RULES, StartedUpstream, until};
 pub use linked_fleet::{GatewayStart, LinkedFleet, Partition};
 pub use partition_soak::partition_soak;
--- a/crates/bendhinge_standin/src/gateway/upstream.rs
+++ b/crates/bendhinge_standin/src/gateway/upstream.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bendhinge_gateway::native::headers::{
     CUSTOMER, DEADLINE, LEAVING, LOAD, PROMPT, RAN, REQUEST, RESUME_AFTER, SIGNATURE, UPSTREAM,
@@ -36,6 +36,40 @@
     pub body: Bytes,
     /// The event after which it went on.
     pub resumed_after: Option<String>,
+    /// The parts of its prompt.
+    pub prompt: Option<String>,
+    /// When it arrived.
+    pub at: Instant,
+}
+
+impl Run {
+    /// Whether this part of the prompt is one of those that are shared with other requests.
+    #[must_use]
+    pub fn shares_part(&self, part: u64) -> bool {
+        let Some((shared, _)) = self.prompt.as_deref().and_then(|prompt| prompt.rsplit_once(',')) else {
+            return false;
+        };
+        let ids = shared.split(',').filter_map(|part| part.split_once(':')?.0.trim().parse().ok());
+        ids.into_iter().any(|id: u64| id == part)
+    }
+}
+
+/// The requests under which the process of an upstream ends.
+#[derive(Clone)]
+enum Fatal {
+    /// Those with this body, before the response begins.
+    Body(Bytes),
+    /// Those that share this part of the prompt, after the response has begun.
+    Part(u64),
+}
+
+impl Fatal {
+    fn applies_to(&self, run: &Run) -> bool {
+        match self {
+            Self::Body(body) => *body == run.body,
+            Self::Part(part) => run.shares_part(*part),
+        }
+    }
 }
 
 /// What happens when an upstream's process ends.
@@ -46,8 +80,8 @@
     fault: UpstreamFault,
     framing: Framing,
     silence: Silence,
-    /// The body of the request under which its process ends, and what ends with it.
-    fatal: Option<(Bytes, OnEnd)>,
+    /// The requests under which its process ends, and what ends with it.
+    fatal: Option<(Fatal, OnEnd)>,
     has_ended: bool,
     is_leaving: bool,
     /// Requests to report besides its own; `None` if it does not report its load.
@@ -138,11 +172,27 @@
     /// Its process ends while it works on a request with this body: then `on_end` is called, and it works on
     /// nothing more.
     pub fn ends_under<F>(&self, body: &'static str, on_end: impl Fn() -> F + Send + Sync + 'static)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.set_fatal(Fatal::Body(Bytes::from_static(body.as_bytes())), on_end);
+    }
+
+    /// Its process ends soon after it has begun to respond to a request that shares this part of its prompt: then
+    /// `on_end` is called.
+    pub fn ends_under_part<F>(&self, part: u64, on_end: impl Fn() -> F + Send + Sync + 'static)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.set_fatal(Fatal::Part(part), on_end);
+    }
+
+    fn set_fatal<F>(&self, fatal: Fatal, on_end: impl Fn() -> F + Send + Sync + 'static)
     where
         F: Future<Output = ()> + Send + 'static,
     {
         let on_end: OnEnd = Arc::new(move || Box::pin(on_end()));
-        self.state.lock().unwrap().fatal = Some((Bytes::from_static(body.as_bytes()), on_end));
+        self.state.lock().unwrap().fatal = Some((fatal, on_end));
     }
 
     /// Whether its process has ended.
@@ -270,6 +320,13 @@
 
 /// How long a process works on the request under which it ends.
 const TO_ITS_END: Duration = Duration::from_millis(30);
+/// How long a process responds to the request under which it ends.
+const INTO_ITS_ANSWER: Duration = Duration::from_millis(70);
+
+async fn end_process(state: &Mutex<State>, on_end: &OnEnd) {
+    state.lock().unwrap().has_ended = true;
+    on_end().await;
+}
 
 async fn answer(state: Arc<Mutex<State>>, tasks: Tasks, request: Request<Incoming>) -> Response<Body> {
     let mut answer = answer_by_state(Arc::clone(&state), tasks, request).await;
@@ -323,21 +380,34 @@
     let Ok(body) = read_body(body, 16 << 20).await else { return with_status(StatusCode::BAD_REQUEST) };
     let resumed_after = text(&head.headers, &RESUME_AFTER);
     let is_stream = head.headers.contains_key(PROMPT);
-    let on_end = state.lock().unwrap().fatal.clone().filter(|(fatal, _)| *fatal == body).map(|(_, end)| end);
-    state.lock().unwrap().runs.push(Run {
+    let run = Run {
         request: id.clone(),
         path: head.uri.path().to_owned(),
         customer: text(&head.headers, &CUSTOMER),
         carried_key: head.headers.contains_key(AUTHORIZATION),
         body,
         resumed_after: resumed_after.clone(),
-    });
+        prompt: text(&head.headers, &PROMPT),
+        at: Instant::now(),
+    };
+    let fatal = state.lock().unwrap().fatal.clone().filter(|(fatal, _)| fatal.applies_to(&run));
+    state.lock().unwrap().runs.push(run);
     let working = Working::new(&state);
-    if let Some(on_end) = on_end {
-        Timer::after(TO_ITS_END).await;
-        state.lock().unwrap().has_ended = true;
-        on_end().await;
-        return std::future::pending().await;
+    match fatal {
+        Some((Fatal::Body(_), on_end)) => {
+            Timer::after(TO_ITS_END).await;
+            end_process(&state, &on_end).await;
+            return std::future::pending().await;
+        }
+        Some((Fatal::Part(_), on_end)) => {
+            let state = Arc::clone(&state);
+            let ending = async move {
+                Timer::after(INTO_ITS_ANSWER).await;
+                end_process(&state, &on_end).await;
+            };
+            tasks.spawn(ending).detach();
+        }
+        None => {}
     }
     match fault {
         UpstreamFault::Silent => std::future::pending().await,
