--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -26,9 +26,11 @@
 
 mod backoff;
 mod cache_recovery;
+mod crash_table;
 mod directory;
 mod failure_detector;
 mod fetch;
+mod in_flight;
 mod key_requests;
 mod lists;
 mod loads;
@@ -55,6 +57,7 @@
 };
 pub use failure_detector::{FailureDetector, FailureEvidence, FailureReport, SuspectChange};
 pub use fetch::{FetchPlan, FetchSource};
+pub use in_flight::InFlightSends;
 pub use key_requests::KeyRequests;
 pub use lists::{ListDelta, ListHistory, ListUpdate};
 pub use loads::{
@@ -64,7 +67,7 @@
 pub use overloads::OverloadLog;
 pub use peer_partitions::{PartitionReport, PeerPartitions};
 pub use peers::{PeerState, PeerStates, PeerSummary};
-pub use quarantine::{Crash, CrashHistory, InFlightSends, MAX_CRASHES, Quarantine, SendPermission};
+pub use quarantine::{Crash, CrashHistory, MAX_CRASHES, Quarantine, SendPermission};
 pub use reachability::{Reachability, ReachabilityChange};
 pub use replica::{Replica, Revision, UpdateOutcome, Version, VersionedValue};
 pub use response_times::{ExpectedResponse, ResponseTimes};
--- a/crates/bendhinge_fleet/src/quarantine.rs
+++ b/crates/bendhinge_fleet/src/quarantine.rs
@@ -18,6 +18,8 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::UpdateSource;
+use crate::crash_table::{CrashTable, History, Update};
+use crate::in_flight::{InFlightSends, change_sends, count_in_flight, record_sends};
 
 /// The number of upstream crashes after which a request is quarantined. A single crash says little, since all requests
 /// in progress on the upstream are lost with it.
@@ -27,10 +29,7 @@
 /// The upper bound of the quarantine period.
 const MAX_QUARANTINE: Duration = Duration::from_hours(24);
 /// How long a crash count below the quarantine limit is kept after the last crash.
-const SUSPICION_TTL: Duration = Duration::from_mins(10);
-/// How long a reported send counts as in flight if its end is not reported, since the router that sent it
-/// may have crashed or be unreachable.
-const IN_FLIGHT_TTL: Duration = Duration::from_secs(10);
+pub(crate) const SUSPICION_TTL: Duration = Duration::from_mins(10);
 /// The crash count from which on sends are reported to other routers. Reporting after the first crash would
 /// prevent few crashes (3.07 instead of 3.25 per request, with nine routers) and double the number of messages
 /// during an overload.
@@ -55,17 +54,6 @@
     pub at: Instant,
 }
 
-/// The number of sends of a request that a router has in flight.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct InFlightSends {
-    /// The hash of the router's address.
-    pub router: NameHash,
-    /// The number of sends in flight; 0 once all have ended.
-    pub count: u8,
-    /// When the last of them started or ended.
-    pub at: Instant,
-}
-
 /// The crashes, responses and sends in flight of one request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashHistory {
@@ -84,31 +72,10 @@
             .filter(|crash| self.last_response.is_none_or(|last_response| crash.at > last_response))
     }
 
-    fn crash_count(&self) -> usize {
-        self.crashes_since_response().count()
-    }
-
-    fn last_crash_at(&self) -> Option<Instant> {
-        self.crashes_since_response().map(|crash| crash.at).max()
-    }
-
-    /// Returns the contribution to the digest, or 0 below [`SYNC_THRESHOLD`].
-    fn digest(&self, request: RequestDigest) -> u64 {
-        if self.crash_count() < SYNC_THRESHOLD {
-            return 0;
-        }
-        self.crashes_since_response().fold(0, |digest, crash| digest ^ crash_digest(request, crash.upstream))
-    }
-
     fn contains_crash_of(&self, upstream: NameHash) -> bool {
         self.crashes_since_response().any(|crash| crash.upstream == upstream)
     }
 
-    fn in_flight_count(&self, now: Instant) -> usize {
-        let recent = self.in_flight.iter().filter(|entry| now.since(entry.at) < IN_FLIGHT_TTL);
-        recent.map(|entry| usize::from(entry.count)).sum()
-    }
-
     /// Adds a crash; returns `false` if the crash of this upstream instance is already recorded.
     fn add_crash(&mut self, crash: Crash) -> bool {
         if self.crashes.iter().any(|entry| entry.upstream == crash.upstream) {
@@ -121,55 +88,85 @@
         true
     }
 
-    /// Returns the upstream instance to which a request was sent at `sent`. An instance that crashed before
-    /// `sent` has been replaced under the same name, although the upstream list may not show that yet.
+    /// Returns the upstream instance to which a request was sent at `sent`.
     fn instance_at(&self, upstream: NameHash, sent: Instant) -> NameHash {
-        let mut instance = upstream;
-        while self.crashes.iter().any(|entry| entry.upstream == instance && entry.at < sent) {
-            instance = NameHash(xxhash_rust::xxh3::xxh3_64(&instance.0.to_le_bytes()));
-        }
-        instance
-    }
-
-    /// Records the sends that a router reports; returns `true` if their number changed.
-    fn record_sends(&mut self, reported: InFlightSends) -> bool {
-        // Expired entries are dropped so that they are not forwarded indefinitely.
-        self.in_flight.retain(|entry| reported.at.since(entry.at) < IN_FLIGHT_TTL);
-        match self.in_flight.iter_mut().find(|entry| entry.router == reported.router) {
-            Some(entry) if entry.at >= reported.at => false,
-            Some(entry) => {
-                let is_changed = entry.count != reported.count;
-                *entry = reported;
-                is_changed
-            }
-            None => {
-                self.in_flight.push(reported);
-                reported.count > 0
-            }
-        }
+        instance_at(upstream, sent, self.crashes.iter().map(|crash| (crash.upstream, crash.at)))
     }
 
     /// Returns the remaining quarantine period, if any.
     fn quarantine_remaining(&self, crash_count: usize, now: Instant) -> Option<Duration> {
-        let repeats = crash_count.checked_sub(MAX_CRASHES)?;
-        let doublings = u32::try_from(repeats).unwrap_or(u32::MAX).min(16);
-        let period = BASE_QUARANTINE.saturating_mul(1 << doublings).min(MAX_QUARANTINE);
-        let elapsed = now.since(self.last_crash_at()?);
-        period.checked_sub(elapsed).filter(|remaining| !remaining.is_zero())
+        quarantine_remaining(crash_count, self.last_crash_at()?, now)
+    }
+}
+
+impl History for CrashHistory {
+    type Key = RequestDigest;
+
+    const REPORTS_UNSHARED: bool = true;
+
+    fn crash_count(&self) -> usize {
+        self.crashes_since_response().count()
+    }
+
+    fn last_crash_at(&self) -> Option<Instant> {
+        self.crashes_since_response().map(|crash| crash.at).max()
+    }
+
+    /// Returns the contribution to the digest, or 0 below [`SYNC_THRESHOLD`].
+    fn digest(&self, request: RequestDigest) -> u64 {
+        if self.crash_count() < SYNC_THRESHOLD {
+            return 0;
+        }
+        self.crashes_since_response().fold(0, |digest, crash| digest ^ crash_digest(request, crash.upstream))
     }
 
-    /// Whether the history can be removed. It outlives the quarantine so that a further crash doubles the
-    /// period.
     fn is_expired(&self, now: Instant) -> bool {
-        let Some(last) = self.last_crash_at() else {
-            // Kept for a while so that delayed reports of cleared crashes are recognised.
-            return self.last_response.is_none_or(|last_response| now.since(last_response) > SUSPICION_TTL);
-        };
-        let is_old = now.since(last) > SUSPICION_TTL;
-        is_old && (self.crash_count() < MAX_CRASHES || now.since(last) > 2 * MAX_QUARANTINE)
+        is_history_expired(self.crash_count(), self.last_crash_at(), self.last_response, now)
     }
 }
 
+/// Returns the instance of `upstream` to which a request was sent at `sent`. An instance that crashed before `sent` has
+/// been replaced under the same name, although the upstream list may not show that yet.
+pub(crate) fn instance_at(
+    upstream: NameHash,
+    sent: Instant,
+    crashes: impl Iterator<Item = (NameHash, Instant)> + Clone,
+) -> NameHash {
+    let mut instance = upstream;
+    while crashes.clone().any(|(crashed, at)| crashed == instance && at < sent) {
+        instance = NameHash(xxhash_rust::xxh3::xxh3_64(&instance.0.to_le_bytes()));
+    }
+    instance
+}
+
+/// Returns what remains of the quarantine period after `crash_count` crashes, if any.
+pub(crate) fn quarantine_remaining(
+    crash_count: usize,
+    last_crash_at: Instant,
+    now: Instant,
+) -> Option<Duration> {
+    let repeats = crash_count.checked_sub(MAX_CRASHES)?;
+    let doublings = u32::try_from(repeats).unwrap_or(u32::MAX).min(16);
+    let period = BASE_QUARANTINE.saturating_mul(1 << doublings).min(MAX_QUARANTINE);
+    let elapsed = now.since(last_crash_at);
+    period.checked_sub(elapsed).filter(|remaining| !remaining.is_zero())
+}
+
+/// Whether a history can be removed. It outlives the quarantine so that a further crash doubles the period.
+pub(crate) fn is_history_expired(
+    crash_count: usize,
+    last_crash_at: Option<Instant>,
+    last_response: Option<Instant>,
+    now: Instant,
+) -> bool {
+    let Some(last) = last_crash_at else {
+        // Kept for a while so that delayed reports of cleared crashes are recognised.
+        return last_response.is_none_or(|last_response| now.since(last_response) > SUSPICION_TTL);
+    };
+    let is_old = now.since(last) > SUSPICION_TTL;
+    is_old && (crash_count < MAX_CRASHES || now.since(last) > 2 * MAX_QUARANTINE)
+}
+
 /// Whether a request may be sent to an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendPermission {
@@ -183,31 +180,18 @@
     Quarantined(Duration),
 }
 
-/// A crash history and its last change.
-#[derive(Debug)]
-struct TrackedRequest {
-    history: CrashHistory,
-    last_change: Change,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Change {
-    at: Instant,
-    source: UpdateSource,
-}
-
 /// One router's view of the requests under which upstreams crashed.
 #[derive(Debug)]
 pub struct Quarantine {
     /// The address hash of this router.
     local_router: NameHash,
-    requests: FxHashMap<RequestDigest, TrackedRequest>,
+    requests: CrashTable<CrashHistory>,
     /// The number of tracked requests per hint.
     hint_counts: FxHashMap<RequestHint, u32>,
-    /// The combined digest of all histories that reached [`SYNC_THRESHOLD`].
-    digest: u64,
     /// The software that upstreams run, if known. Crashes of other software do not count.
     running_software: Option<FxHashSet<NameHash>>,
+    /// The upstreams whose crashes are attributed to something else than requests.
+    attributed_crashes: FxHashSet<NameHash>,
 }
 
 impl Quarantine {
@@ -216,10 +200,10 @@
     pub fn new(local_router: NameHash) -> Self {
         Self {
             local_router,
-            requests: FxHashMap::default(),
+            requests: CrashTable::new(MAX_REQUESTS),
             hint_counts: FxHashMap::default(),
-            digest: 0,
             running_software: None,
+            attributed_crashes: FxHashSet::default(),
         }
     }
 
@@ -238,9 +222,7 @@
     /// Returns whether a request may be sent now.
     #[must_use]
     pub fn permission(&self, request: RequestDigest, now: Instant) -> SendPermission {
-        let Some(TrackedRequest { history, .. }) = self.requests.get(&request) else {
-            return SendPermission::Allowed;
-        };
+        let Some(history) = self.requests.get(request) else { return SendPermission::Allowed };
         let counted_crashes = self.counted_crashes(history);
         if counted_crashes < TRACKING_THRESHOLD {
             return SendPermission::Allowed;
@@ -250,7 +232,7 @@
         }
         // After a quarantine, one send at a time is allowed.
         let crashes = counted_crashes.min(MAX_CRASHES - 1);
-        if crashes + history.in_flight_count(now) < MAX_CRASHES {
+        if crashes + count_in_flight(&history.in_flight, now) < MAX_CRASHES {
             SendPermission::Tracked
         } else {
             SendPermission::Deferred
@@ -260,7 +242,7 @@
     /// Returns the number of crashes that count against a request.
     #[must_use]
     pub fn crash_count(&self, request: RequestDigest) -> usize {
-        self.requests.get(&request).map_or(0, |tracked| self.counted_crashes(&tracked.history))
+        self.requests.get(request).map_or(0, |history| self.counted_crashes(history))
     }
 
     fn counted_crashes(&self, history: &CrashHistory) -> usize {
@@ -274,7 +256,9 @@
                 .running_software
                 .as_ref()
                 .is_none_or(|running_software| running_software.contains(&crash.software));
-            is_software_running && !self.is_explained_by_quarantine(crash.upstream, crash_count)
+            is_software_running
+                && !self.attributed_crashes.contains(&crash.upstream)
+                && !self.is_explained_by_quarantine(crash.upstream, crash_count)
         };
         history.crashes_since_response().filter(is_counted).count()
     }
@@ -282,7 +266,7 @@
     /// Whether the crash of an upstream is attributed to a quarantined request with more than `crash_count`
     /// crashes.
     fn is_explained_by_quarantine(&self, upstream: NameHash, crash_count: usize) -> bool {
-        self.requests.values().any(|TrackedRequest { history, .. }| {
+        self.requests.iter().any(|(_, history)| {
             let other = history.crash_count();
             other >= MAX_CRASHES && other > crash_count && history.contains_crash_of(upstream)
         })
@@ -300,12 +284,8 @@
 
     fn update_own_sends(&mut self, request: RequestDigest, now: Instant, apply: impl Fn(u8) -> u8) {
         let router = self.local_router;
-        self.update(request, UpdateSource::Local, now, |history| {
-            let existing = history.in_flight.iter().find(|entry| entry.router == router);
-            let count = apply(existing.map_or(0, |existing| existing.count));
-            // Keeps two changes within one clock tick in order.
-            let at = existing.map_or(now, |existing| now.max(existing.at + Duration::from_micros(1)));
-            history.record_sends(InFlightSends { router, count, at })
+        self.requests.update(request, UpdateSource::Local, now, |history| {
+            change_sends(&mut history.in_flight, router, now, apply)
         });
     }
 
@@ -326,7 +306,7 @@
 
     /// Records a complete response to a request; returns `true` if that cleared any crash.
     pub fn record_response(&mut self, request: RequestDigest, now: Instant) -> bool {
-        self.update(request, UpdateSource::Local, now, |history| {
+        self.requests.update(request, UpdateSource::Local, now, |history| {
             let had_crashes = history.crash_count() > 0;
             history.last_response = Some(now);
             had_crashes
@@ -342,7 +322,7 @@
         now: Instant,
     ) -> bool {
         let local_router = self.local_router;
-        if received.is_expired(now) && !self.requests.contains_key(&request) {
+        if received.is_expired(now) && self.requests.get(request).is_none() {
             return false;
         }
         self.update_or_insert(request, sender, now, |history| {
@@ -353,31 +333,14 @@
                 is_changed |= history.add_crash(*crash);
             }
             for reported in &received.in_flight {
-                is_changed |= reported.router != local_router && history.record_sends(*reported);
+                is_changed |=
+                    reported.router != local_router && record_sends(&mut history.in_flight, *reported);
             }
             is_changed || history.crash_count() != before
         })
     }
 
-    /// Updates the history of a tracked request; returns `false` if it is not tracked or did not change.
-    fn update(
-        &mut self,
-        request: RequestDigest,
-        source: UpdateSource,
-        now: Instant,
-        apply: impl FnOnce(&mut CrashHistory) -> bool,
-    ) -> bool {
-        let Some(tracked) = self.requests.get_mut(&request) else { return false };
-        let before = tracked.history.digest(request);
-        let is_changed = apply(&mut tracked.history);
-        self.digest ^= before ^ tracked.history.digest(request);
-        if is_changed {
-            tracked.last_change = Change { at: now, source };
-        }
-        is_changed
-    }
-
-    /// Like [`Self::update`], but starts to track the request if necessary.
+    /// Updates the history of a request, which is tracked from then on.
     fn update_or_insert(
         &mut self,
         request: RequestDigest,
@@ -385,42 +348,17 @@
         now: Instant,
         apply: impl FnOnce(&mut CrashHistory) -> bool,
     ) -> bool {
-        if self.requests.contains_key(&request) {
-            return self.update(request, source, now, apply);
-        }
-        let mut history = CrashHistory::default();
-        let is_changed = apply(&mut history);
-        if !is_changed || !self.make_room_for(&history) {
-            return false;
-        }
-        self.digest ^= history.digest(request);
-        self.requests.insert(request, TrackedRequest { history, last_change: Change { at: now, source } });
-        *self.hint_counts.entry(request.hint()).or_default() += 1;
-        true
-    }
-
-    /// Evicts the lowest-ranked request if the quarantine is full; returns `false` if there is no room.
-    /// Requests with equal crash counts do not evict each other: routers would send each other the evicted
-    /// ones again and again.
-    fn make_room_for(&mut self, history: &CrashHistory) -> bool {
-        if self.requests.len() < MAX_REQUESTS {
-            return true;
-        }
-        let eviction_rank =
-            |tracked: &TrackedRequest| (tracked.history.crash_count(), tracked.history.last_crash_at());
-        let lowest_ranked = self.requests.iter().min_by_key(|(_, tracked)| eviction_rank(tracked));
-        let Some((request, tracked)) = lowest_ranked else { return true };
-        if tracked.history.crash_count() >= history.crash_count() {
-            return false;
+        let update = self.requests.update_or_insert(request, source, now, apply);
+        if let Update::Inserted { evicted } = &update {
+            *self.hint_counts.entry(request.hint()).or_default() += 1;
+            if let Some(evicted) = evicted {
+                self.remove_hint(*evicted);
+            }
         }
-        let request = *request;
-        self.remove(request);
-        true
+        update.is_change()
     }
 
-    fn remove(&mut self, request: RequestDigest) {
-        let Some(tracked) = self.requests.remove(&request) else { return };
-        self.digest ^= tracked.history.digest(request);
+    fn remove_hint(&mut self, request: RequestDigest) {
         if let Entry::Occupied(mut hint) = self.hint_counts.entry(request.hint()) {
             *hint.get_mut() -= 1;
             if *hint.get() == 0 {
@@ -437,11 +375,7 @@
         since: Instant,
         forwards: bool,
     ) -> impl Iterator<Item = (RequestDigest, &CrashHistory)> {
-        let is_sent = move |tracked: &TrackedRequest| {
-            let Change { at, source } = tracked.last_change;
-            at > since && source != recipient && (forwards || source == UpdateSource::Local)
-        };
-        self.histories().filter(move |(request, _)| self.requests.get(request).is_some_and(is_sent))
+        self.requests.changes_for(recipient, since, forwards)
     }
 
     /// Returns the histories to send to a router whose digest differs, regardless of their age.
@@ -451,14 +385,14 @@
 
     /// Returns the histories of all tracked requests.
     pub fn histories(&self) -> impl Iterator<Item = (RequestDigest, &CrashHistory)> {
-        self.requests.iter().map(|(request, tracked)| (*request, &tracked.history))
+        self.requests.iter()
     }
 
     /// Returns a digest that is equal for routers with the same [`Self::synced_histories`]; 0 if there are
     /// none.
     #[must_use]
     pub const fn digest(&self) -> u64 {
-        self.digest
+        self.requests.digest()
     }
 
     /// Returns the quarantined requests with the remaining period.
@@ -477,12 +411,15 @@
         self.running_software = Some(running_software.into_iter().collect());
     }
 
+    /// Sets the upstreams whose crashes are attributed to something else than requests, such as a part of their prompts.
+    pub fn set_attributed_crashes(&mut self, upstreams: impl IntoIterator<Item = NameHash>) {
+        self.attributed_crashes = upstreams.into_iter().collect();
+    }
+
     /// Removes expired histories.
     pub fn prune(&mut self, now: Instant) {
-        let expired = self.histories().filter(|(_, history)| history.is_expired(now));
-        let expired: Vec<RequestDigest> = expired.map(|(request, _)| request).collect();
-        for request in expired {
-            self.remove(request);
+        for request in self.requests.prune(now) {
+            self.remove_hint(request);
         }
     }
 }
