Quarantine: report own crashes although another router's report arrives before them

A crash that a gateway had detected was reported to nobody if a report of the same request arrived within the 0.2 to 0.4 s until the next push: the report replaced the origin of the entry's last change, and changes go neither to their origin nor, in small fleets, on to others. Own and received changes now have an instant each. The test gave 0 changes in place of 1 before.

--- a/crates/bendhinge_fleet/src/crash_table.rs
+++ b/crates/bendhinge_fleet/src/crash_table.rs
@@ -29,16 +29,39 @@
     fn is_expired(&self, now: Instant) -> bool;
 }
 
-/// A crash history and its last change.
+/// A crash history and its last changes.
 #[derive(Debug)]
 struct Entry<H> {
     history: H,
-    changed_at: Instant,
-    source: UpdateSource,
+    /// When this router last changed it.
+    changed_at: Option<Instant>,
+    /// When and by which report another router last changed it.
+    reported: Option<(Instant, UpdateSource)>,
     /// Whether another router has reported the history or was sent it while it had crashes.
     is_shared: Cell<bool>,
 }
 
+impl<H> Entry<H> {
+    fn new(history: H) -> Self {
+        Self { history, changed_at: None, reported: None, is_shared: Cell::new(false) }
+    }
+
+    fn record_change(&mut self, source: UpdateSource, now: Instant) {
+        if source == UpdateSource::Local {
+            self.changed_at = Some(now);
+        } else {
+            self.reported = Some((now, source));
+        }
+    }
+
+    /// Whether the history changed after `since` by this router or, if it `forwards`, by another one than `recipient`.
+    fn has_changed(&self, recipient: UpdateSource, since: Instant, forwards: bool) -> bool {
+        let has_changed_here = self.changed_at.is_some_and(|at| at > since);
+        let is_reported = self.reported.is_some_and(|(at, source)| at > since && source != recipient);
+        has_changed_here || forwards && is_reported
+    }
+}
+
 /// The effect of an update.
 #[derive(Debug)]
 pub(crate) enum Update<K> {
@@ -102,8 +125,7 @@
         let is_changed = apply(&mut entry.history);
         self.digest ^= before ^ entry.history.digest(key);
         if is_changed {
-            entry.changed_at = now;
-            entry.source = source;
+            entry.record_change(source, now);
         }
         if source != UpdateSource::Local {
             entry.is_shared.set(true);
@@ -129,8 +151,10 @@
         }
         let Ok(evicted) = self.make_room_for(&history) else { return Update::None };
         self.digest ^= history.digest(key);
-        let is_shared = Cell::new(source != UpdateSource::Local);
-        self.entries.insert(key, Entry { history, changed_at: now, source, is_shared });
+        let mut entry = Entry::new(history);
+        entry.record_change(source, now);
+        entry.is_shared.set(source != UpdateSource::Local);
+        self.entries.insert(key, entry);
         Update::Inserted { evicted }
     }
 
@@ -167,8 +191,7 @@
     ) -> impl Iterator<Item = (H::Key, &H)> {
         let is_sent = move |entry: &&Entry<H>| {
             let is_reported = H::REPORTS_UNSHARED || entry.is_shared.get() || entry.history.crash_count() > 0;
-            let is_recent = entry.changed_at > since && entry.source != recipient;
-            is_recent && is_reported && (forwards || entry.source == UpdateSource::Local)
+            is_reported && entry.has_changed(recipient, since, forwards)
         };
         let changed = self.entries.iter().filter(move |(_, entry)| is_sent(entry));
         changed.map(|(key, entry)| {
--- a/crates/bendhinge_fleet/src/quarantine.rs
+++ b/crates/bendhinge_fleet/src/quarantine.rs
@@ -90,7 +90,7 @@
 
     /// Returns the upstream instance to which a request was sent at `sent`.
     fn instance_at(&self, upstream: NameHash, sent: Instant) -> NameHash {
-        instance_at(upstream, sent, self.crashes.iter().map(|crash| (crash.upstream, crash.at)))
+        instance_at(upstream, sent, &self.crashes.iter().map(|crash| (crash.upstream, crash.at)))
     }
 
     /// Returns the remaining quarantine period, if any.
@@ -130,7 +130,7 @@
 pub(crate) fn instance_at(
     upstream: NameHash,
     sent: Instant,
-    crashes: impl Iterator<Item = (NameHash, Instant)> + Clone,
+    crashes: &(impl Iterator<Item = (NameHash, Instant)> + Clone),
 ) -> NameHash {
     let mut instance = upstream;
     while crashes.clone().any(|(crashed, at)| crashed == instance && at < sent) {
--- a/crates/bendhinge_fleet/tests/quarantine.rs
+++ b/crates/bendhinge_fleet/tests/quarantine.rs
@@ -344,3 +344,15 @@
         Ok(())
     });
 }
+
+/// Guards against a change of this router that is not reported because a report of another one arrives before.
+#[test]
+fn own_crash_is_reported_beside_a_report_of_another_router() {
+    let mut quarantine = quarantine_with_crashes(CRASHING, [1]);
+    let reported = quarantine_with_crashes(CRASHING, [2]);
+    assert!(merge_all(&reported, OTHER_ROUTER, &mut quarantine, at(2)));
+    for recipient in [OTHER_ROUTER, NameHash(102)] {
+        let changes = quarantine.changes_for(UpdateSource::Router(recipient), Instant::default(), false);
+        assert_eq!(changes.count(), 1);
+    }
+}
