Quarantine of prompt parts: the state of one gateway

Counts, for each shared part of a prompt, the crashes in a row under requests with it since a request with it was last answered completely, and blames it after three under at least two requests while the pool answers others. Pure; nothing uses it yet.

--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -15,7 +15,7 @@
 //! * [`Reachability`] detects partitions between this router and the upstreams of a pool, and [`PeerPartitions`] holds those of
 //!   other routers.
 //! * [`PoolWork`] estimates the work at the upstreams of an engine pool.
-//! * [`Quarantine`] tracks the requests that crash the upstreams running them.
+//! * [`Quarantine`] tracks the requests that crash the upstreams running them, and [`PartQuarantine`] the prompt parts that do.
 //! * [`SoftwareHistory`] tracks which versions of their software the upstreams of a pool have run, and [`StreamRecords`] which of
 //!   them began each stream.
 //! * [`FleetTotals`] sums values over all routers.
@@ -36,6 +36,7 @@
 mod loads;
 mod outlier_detector;
 mod overloads;
+mod part_quarantine;
 mod peer_partitions;
 mod peers;
 mod quarantine;
@@ -65,6 +66,7 @@
 };
 pub use outlier_detector::{OutlierDetector, OutlierLimits, UpstreamFailure, UpstreamHealth};
 pub use overloads::OverloadLog;
+pub use part_quarantine::{Evidence, PartCrash, PartHistory, PartQuarantine};
 pub use peer_partitions::{PartitionReport, PeerPartitions};
 pub use peers::{PeerState, PeerStates, PeerSummary};
 pub use quarantine::{Crash, CrashHistory, MAX_CRASHES, Quarantine, SendPermission};
--- a/crates/bendhinge_ids/src/name.rs
+++ b/crates/bendhinge_ids/src/name.rs
@@ -91,7 +91,7 @@
 }
 
 /// Hash of a name; a compact substitute for the name in messages.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct NameHash(pub u64);
 
 impl NameHash {
