--- a/crates/bendhinge_fleet/src/part_quarantine/history.rs
+++ b/crates/bendhinge_fleet/src/part_quarantine/history.rs
@@ -58,6 +58,12 @@
 }
 
 impl PartHistory {
+    /// Creates a history without crashes.
+    #[must_use]
+    pub fn new(pool: NameHash, other_responses: u32) -> Self {
+        Self { pool, other_responses, ..Self::default() }
+    }
+
     pub(super) fn crashes_since_response(&self) -> impl Iterator<Item = &PartCrash> {
         self.crashes
             .iter()
--- a/crates/bendhinge_fleet/src/part_quarantine/mod.rs
+++ b/crates/bendhinge_fleet/src/part_quarantine/mod.rs
@@ -63,6 +63,12 @@
         self.parts.is_empty()
     }
 
+    /// Whether a part is tracked.
+    #[must_use]
+    pub fn contains(&self, part: PartDigest) -> bool {
+        self.parts.get(part).is_some()
+    }
+
     /// Returns whether a request with these parts may be sent now, and the part that decides it.
     #[must_use]
     pub fn permission(&self, parts: &[PartDigest], now: Instant) -> (SendPermission, Option<PartDigest>) {
@@ -166,6 +172,12 @@
         self.parts.get(part).map_or(Evidence::default(), |history| self.evidence(history))
     }
 
+    /// Whether a part is quarantined, regardless of the other parts of a request.
+    #[must_use]
+    pub fn is_blamed(&self, part: PartDigest, now: Instant) -> bool {
+        self.parts.get(part).is_some_and(|history| self.quarantine_period(history, now).is_some())
+    }
+
     /// Records that this router starts to send a request with tracked parts.
     pub fn record_send_start(&mut self, parts: &[PartDigest], now: Instant) {
         self.update_own_sends(parts, now, |count| count.saturating_add(1));
--- a/crates/bendhinge_fleet/src/peers.rs
+++ b/crates/bendhinge_fleet/src/peers.rs
@@ -20,6 +20,8 @@
     pub upstream_list_digest: Option<u64>,
     /// Digest of its quarantine state.
     pub quarantine_digest: u64,
+    /// The digest of its quarantine of prompt parts.
+    pub part_quarantine_digest: u64,
 }
 
 /// State of a peer as known to this router.
--- a/crates/bendhinge_fleet/tests/peers.rs
+++ b/crates/bendhinge_fleet/tests/peers.rs
@@ -20,6 +20,7 @@
         roster_digest: RosterDigest(1),
         upstream_list_digest: Some(2),
         quarantine_digest: 0,
+        part_quarantine_digest: 0,
     }
 }
 
--- a/crates/bendhinge_gateway/src/control/message.rs
+++ b/crates/bendhinge_gateway/src/control/message.rs
@@ -69,11 +69,14 @@
         sent_position: Some(LogPosition { incarnation: control.incarnation, sequence: 0 }),
         received_position: peer.and_then(|peer| peer.received),
         quarantine_digest: control.context.quarantine.digest(),
+        part_quarantine_digest: control.context.quarantine.part_digest(),
         ..PeerMessage::from_sender(control.own_report())
     };
     let quarantine = &control.context.quarantine;
     if let MessageContent::Suspicions { since, includes_forwarded } = content {
-        message.crash_histories = quarantine.changes_for(receiver, since, includes_forwarded, now);
+        let changes = quarantine.changes_for(receiver, since, includes_forwarded, now);
+        message.crash_histories = changes.requests;
+        message.part_histories = changes.parts;
     }
     if let MessageContent::Overloads { since } = content {
         message.loads = control.context.upstreams.overloads_for(receiver, since, now).entries;
@@ -91,8 +94,10 @@
         builder.add_members(&mut message);
     }
     if is_full {
-        let peer_digest = peer.map_or(0, |peer| peer.summary.quarantine_digest);
-        message.crash_histories = quarantine.histories_to_sync(peer_digest, now);
+        let (request_digest, part_digest) =
+            peer.map_or((0, 0), |peer| (peer.summary.quarantine_digest, peer.summary.part_quarantine_digest));
+        message.crash_histories = quarantine.histories_to_sync(request_digest, now);
+        message.part_histories = quarantine.part_histories_to_sync(part_digest, now);
         message.failure_evidence = control.context.upstreams.suspicions_for(receiver, now);
         builder.add_loads(&mut message);
         builder.add_cached_parts(request, &mut message);
@@ -182,6 +187,7 @@
         upstreams.apply_list_loads(list_loads, held.version, sender_address, as_of);
     }
     control.context.quarantine.merge_reported(&message.crash_histories, sender_address, as_of);
+    control.context.quarantine.merge_reported_parts(&message.part_histories, sender_address, as_of);
     for upstream in upstreams.merge_suspicions(&message.failure_evidence, sender_address, as_of) {
         control.context.log.upstream_suspected(&upstream.name, sender_address);
         control.context.metrics.count_suspected_upstream();
@@ -217,6 +223,7 @@
         roster_digest: message.roster_digest,
         upstream_list_digest: message.upstreams.map(|held| held.version.digest),
         quarantine_digest: message.quarantine_digest,
+        part_quarantine_digest: message.part_quarantine_digest,
     }
 }
 
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -157,6 +157,7 @@
     pub(crate) fn apply_settings(&self, settings: &Settings) {
         self.roster.borrow_mut().set_seeds(&settings.fleet.seeds);
         self.context.quarantine.release(&settings.released_requests);
+        self.context.quarantine.release_parts(&settings.released_parts);
     }
 
     /// Divides the fleet-wide limits among the known gateways.
--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -357,8 +357,7 @@
     /// the rules or the upstream list may have changed or expired, or the request may have been quarantined.
     fn may_be_sent(&self, inbound: &InboundRequest, chosen: &ChosenUpstream) -> bool {
         let is_before_deadline = bendhinge_clock::now() < inbound.deadline;
-        let is_quarantined =
-            || self.tracked_digest(inbound).is_some_and(|digest| self.quarantine.is_quarantined(digest));
+        let is_quarantined = || self.quarantine.is_quarantined(self.suspects(inbound));
         is_before_deadline
             && !is_quarantined()
             && inbound.is_authorized(&self.rules)
--- a/crates/bendhinge_gateway/src/delivery/context.rs
+++ b/crates/bendhinge_gateway/src/delivery/context.rs
@@ -15,10 +15,9 @@
 use crate::dialect::Dialect;
 use crate::forwarding::Forwarding;
 use crate::log::Log;
-use crate::lost_parts::LostParts;
 use crate::metrics::Metrics;
 use crate::pacing::Pacing;
-use crate::quarantine::SharedQuarantine;
+use crate::quarantine::{SharedQuarantine, Suspects};
 use crate::retries::RetryBudgets;
 use crate::settings::LoadSettings;
 use crate::state::{RulesReplica, UpstreamView};
@@ -39,7 +38,6 @@
     pub(crate) quarantine: Arc<SharedQuarantine>,
     /// Whether the shared parts of prompts are tracked.
     pub(crate) tracks_prompt_parts: bool,
-    pub(crate) lost_parts: LostParts,
     pub(crate) crash_probes: CrashProbes,
     pub(crate) link_probes: LinkProbes,
     pub(crate) forwarding: Arc<Forwarding>,
@@ -58,11 +56,17 @@
     /// Returns the digest of a request that may be tracked by the quarantine. Other requests are not hashed.
     pub(crate) fn tracked_digest(&self, inbound: &InboundRequest) -> Option<RequestDigest> {
         let quarantine = &self.quarantine;
-        let may_be_tracked =
-            !quarantine.is_empty() && quarantine.may_contain(inbound.identity().hint(&self.identity_key));
+        let may_be_tracked = !quarantine.has_no_request()
+            && quarantine.may_contain(inbound.identity().hint(&self.identity_key));
         may_be_tracked.then(|| inbound.digest(&self.identity_key))
     }
 
+    /// Returns what the quarantine may track of a request.
+    pub(super) fn suspects<'a>(&self, inbound: &'a InboundRequest) -> Suspects<'a> {
+        let parts = if self.quarantine.has_no_part() { &[] } else { self.part_digests(inbound) };
+        Suspects { request: self.tracked_digest(inbound), parts }
+    }
+
     /// Returns the digests of the shared prompt parts of a request, none if they are not tracked.
     pub(super) fn part_digests<'a>(&self, inbound: &'a InboundRequest) -> &'a [PartDigest] {
         if self.tracks_prompt_parts { inbound.part_digests(&self.identity_key) } else { &[] }
--- a/crates/bendhinge_gateway/src/delivery/crash.rs
+++ b/crates/bendhinge_gateway/src/delivery/crash.rs
@@ -13,11 +13,16 @@
 
 use super::race::SendRecord;
 use super::{DeliveryContext, InboundRequest};
+use crate::quarantine::CrashedSend;
 
 /// The time within which a terminating process closes all its sockets. Connections to an upstream that are
 /// lost within this time share one probe.
 const SOCKET_CLOSE_TIME: Duration = Duration::from_millis(10);
 
+/// The time from the first event of a response to a crash up to which a part of the prompt may be to blame. Such a part
+/// crashes the upstream when the response begins.
+const MAX_TIME_TO_CRASH: Duration = Duration::from_secs(2);
+
 /// A probe of an upstream, shared by all connections that are lost up to `until`.
 #[derive(Clone)]
 struct CrashProbe {
@@ -62,17 +67,55 @@
     let (context, inbound) = (Arc::clone(context), Arc::clone(inbound));
     let tasks = Arc::clone(&context.tasks);
     let detection = async move {
-        if has_crashed(&context, &record.upstream, lost_at).await {
-            let request_id = inbound.fields.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
-            let digest = inbound.digest(&context.identity_key);
-            context.quarantine.record_crash(digest, request_id, &record.upstream, record.started_at, lost_at);
-        }
+        record_if_crashed(&context, &inbound, &record, lost_at).await;
         // Dropping the record ends the tracked send, so it is kept until the crash is recorded.
         drop(record);
     };
     tasks.spawn(detection).detach();
 }
 
+/// Records a complete response that its upstream ended by closing the connection, once the upstream is known not to have
+/// crashed: the end of its process closes connections in the same way.
+pub(super) fn confirm_success(
+    context: &Arc<DeliveryContext>,
+    inbound: &Arc<InboundRequest>,
+    record: SendRecord,
+) {
+    let ended_at = bendhinge_clock::now();
+    let (context, inbound) = (Arc::clone(context), Arc::clone(inbound));
+    let tasks = Arc::clone(&context.tasks);
+    let confirmation = async move {
+        if !record_if_crashed(&context, &inbound, &record, ended_at).await {
+            context.record_success(&inbound);
+        }
+        drop(record);
+    };
+    tasks.spawn(confirmation).detach();
+}
+
+/// Records a crash of the upstream against the request if there was one; returns whether there was.
+async fn record_if_crashed(
+    context: &Arc<DeliveryContext>,
+    inbound: &InboundRequest,
+    record: &SendRecord,
+    lost_at: Instant,
+) -> bool {
+    if !has_crashed(context, &record.upstream, lost_at).await {
+        return false;
+    }
+    let had_begun = record.first_event_at.is_some_and(|first| lost_at.since(first) > MAX_TIME_TO_CRASH);
+    context.quarantine.record_crash(&CrashedSend {
+        request_id: inbound.fields.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default(),
+        request: inbound.digest(&context.identity_key),
+        parts: if had_begun { &[] } else { context.part_digests(inbound) },
+        pool: NameHash::of(inbound.pool.as_str()),
+        upstream: &record.upstream,
+        sent_at: record.started_at,
+        lost_at,
+    });
+    true
+}
+
 async fn has_crashed(context: &Arc<DeliveryContext>, upstream: &UpstreamEntry, lost_at: Instant) -> bool {
     if !context.upstreams.accepts_work(upstream.hash) {
         // An upstream that is leaving closes its connections when it exits.
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -30,7 +30,7 @@
 use bendhinge_delivery::RetryState;
 use bendhinge_http::{Body, BodyFraming, full_body};
 use bendhinge_ids::NameHash;
-use hyper::Response;
+use hyper::{Response, StatusCode};
 use rand::Rng;
 
 pub(crate) use self::attempt::ConnectFailure;
@@ -54,7 +54,7 @@
 use crate::lifecycle::InProgress;
 use crate::log::RequestLogEntry;
 use crate::metrics::{ResumedSoftware, Resumer};
-use crate::quarantine::{SendRefusal, TrackedSend};
+use crate::quarantine::TrackedSend;
 use crate::state::SoftwareRule;
 
 /// Sends a request and returns the final response.
@@ -63,13 +63,10 @@
     inbound: InboundRequest,
     in_progress: InProgress,
 ) -> Result<Response<Body>, Refusal> {
-    if let Some(digest) = context.tracked_digest(&inbound) {
-        let to_refusal = |refusal: SendRefusal| Refusal {
-            digest: Some(digest),
-            ..Refusal::with_retry_after(refusal.code, refusal.retry_after)
-        };
-        context.quarantine.check(digest).map_err(to_refusal)?;
-    }
+    context.quarantine.check(context.suspects(&inbound)).map_err(|refusal| Refusal {
+        suspect: Some(refusal.suspect),
+        ..Refusal::with_retry_after(refusal.code, refusal.retry_after)
+    })?;
     let is_counted = !context.forwards_at_once(&inbound);
     if is_counted {
         // Otherwise the gateway that it is forwarded to counts and admits it.
@@ -123,7 +120,7 @@
             // Right after the start, the first upstream list is expected within moments.
             let awaits_next_list = code == ResultCode::NoUpstream && context.upstreams.has_list();
             let retry_after = awaits_next_list.then(delay_until_next_list);
-            Err(Refusal { code, was_sent: true, retry_after, digest: None })
+            Err(Refusal { code, was_sent: true, retry_after, suspect: None })
         }
     }
 }
@@ -287,25 +284,27 @@
         Ok(PendingSend { record, response: Box::pin(response) })
     }
 
-    /// Starts a tracked send if the quarantine tracks the request; returns `Err` if it must not be sent.
+    /// Starts a tracked send if the request or a part of its prompt is tracked; returns `Err` if it must not be sent.
     fn track_send(&mut self) -> Result<Option<Arc<TrackedSend>>, DeliveryError> {
-        let Some(digest) = self.context.tracked_digest(&self.inbound) else { return Ok(None) };
-        match self.context.quarantine.begin_send(digest) {
+        match self.context.quarantine.begin_send(self.context.suspects(&self.inbound)) {
             Ok(tracked) => Ok(tracked.map(Arc::new)),
             Err(refusal) => {
-                self.log_line.set_digest(digest);
+                self.log_line.set_suspect(refusal.suspect);
                 Err(self.retry_later(refusal.code, refusal.retry_after))
             }
         }
     }
 
-    /// Records how a body ended that was received completely.
-    fn record_complete_body(&mut self, source: &ResponseSource, ended: EndedBody) {
+    /// Records how a body ended that was received completely, in a response with this status.
+    fn record_complete_body(&mut self, source: &ResponseSource, status: StatusCode, ended: EndedBody) {
         match source {
             ResponseSource::Upstream(send) => {
                 self.log_line.record_body_end(send.record.number, ended.framing, ended.end, 0);
-                self.record_answered_parts();
-                self.context.record_complete_response(&self.inbound);
+                if status.is_success() {
+                    self.record_success(&send.record, ended.framing);
+                } else {
+                    self.context.record_complete_response(&self.inbound);
+                }
             }
             ResponseSource::Gateway(send) => self.log_line.record_forward_body_end(send.number, ended.end),
         }
@@ -324,7 +323,7 @@
         headers::prepare_for_caller(&mut head);
         match body {
             UpstreamBody::Complete(bytes, ended) => {
-                self.record_complete_body(&source, ended);
+                self.record_complete_body(&source, head.status, ended);
                 self.log_line.write_answered(
                     &self.context.log,
                     head.status.as_u16(),
--- a/crates/bendhinge_gateway/src/delivery/outcome.rs
+++ b/crates/bendhinge_gateway/src/delivery/outcome.rs
@@ -4,9 +4,11 @@
 
 use bendhinge_delivery::SendOutcome;
 use bendhinge_fleet::UpstreamFailure;
+use bendhinge_http::BodyFraming;
+use bendhinge_ids::NameHash;
 
 use super::attempt::{ConnectFailure, SendError, implies_not_run};
-use super::crash::detect_crash;
+use super::crash::{confirm_success, detect_crash};
 use super::cut::Cut;
 use super::race::{FailedSend, SendRecord};
 use super::upstream_body::EndedBody;
@@ -38,21 +40,20 @@
     /// Records what identifies a request that was lost with the connection to its upstream.
     fn record_lost(&mut self) {
         let Self { context, inbound, log_line, .. } = self;
-        let parts = context.part_digests(inbound);
         log_line.set_digest(inbound.digest(&context.identity_key));
-        log_line.set_part_digests(parts);
-        context.lost_parts.record(parts);
+        log_line.set_part_digests(context.part_digests(inbound));
     }
 
-    /// Records the prompt parts of a completely answered request if one of them was in a lost request before.
-    pub(super) fn record_answered_parts(&mut self) {
+    /// Records that an upstream answered the request completely and with success.
+    pub(super) fn record_success(&mut self, record: &SendRecord, framing: BodyFraming) {
         let Self { context, inbound, log_line, .. } = self;
-        if context.lost_parts.is_empty() {
-            return;
+        if context.quarantine.tracks_any(context.suspects(inbound).parts) {
+            log_line.set_part_digests(context.part_digests(inbound));
         }
-        let parts = context.part_digests(inbound);
-        if context.lost_parts.contains_any(parts) {
-            log_line.set_part_digests(parts);
+        if framing.marks_end() || context.part_digests(inbound).is_empty() {
+            context.record_success(inbound);
+        } else {
+            confirm_success(context, inbound, record.clone());
         }
     }
 
@@ -188,6 +189,15 @@
         }
     }
 
+    /// Records a complete successful response, which means that no part of the prompt crashes upstreams.
+    pub(super) fn record_success(&self, inbound: &InboundRequest) {
+        self.record_complete_response(inbound);
+        if !self.quarantine.has_no_part() {
+            let parts = self.part_digests(inbound);
+            self.quarantine.record_response_with_parts(parts, NameHash::of(inbound.pool.as_str()));
+        }
+    }
+
     /// Records a complete response, which means that the request did not crash the upstream.
     pub(super) fn record_complete_response(&self, inbound: &InboundRequest) {
         if let Some(digest) = self.tracked_digest(inbound) {
--- a/crates/bendhinge_gateway/src/delivery/race.rs
+++ b/crates/bendhinge_gateway/src/delivery/race.rs
@@ -24,13 +24,21 @@
     pub(super) upstream: Arc<UpstreamEntry>,
     /// When the upstream was chosen.
     pub(super) started_at: Instant,
+    /// When the upstream sent the first event of its response, once the send has ended.
+    pub(super) first_event_at: Option<Instant>,
     /// Reports the send to other gateways if the request is tracked by the quarantine.
     _tracked: Option<Arc<TrackedSend>>,
 }
 
 impl SendRecord {
     pub(super) fn new(number: usize, chosen: &ChosenUpstream, tracked: Option<Arc<TrackedSend>>) -> Self {
-        Self { number, upstream: Arc::clone(&chosen.entry), started_at: chosen.chosen_at, _tracked: tracked }
+        Self {
+            number,
+            upstream: Arc::clone(&chosen.entry),
+            started_at: chosen.chosen_at,
+            first_event_at: None,
+            _tracked: tracked,
+        }
     }
 }
 
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -253,14 +253,20 @@
         self.record_body_end(BodyEnd::Complete);
         self.record_slot_time();
         self.report_timing();
-        let mut is_from_upstream = false;
-        if let Some(StreamSource { sender, headers, framing, connection, .. }) = self.source.take() {
-            is_from_upstream = sender.is_upstream();
+        if let Some(StreamSource { sender, relayed_events, headers, framing, connection, .. }) =
+            self.source.take()
+        {
             self.delivery.context.release_connection(&headers, framing, connection);
-        }
-        if is_from_upstream {
-            self.delivery.record_answered_parts();
-            self.delivery.context.record_complete_response(&self.delivery.inbound);
+            match sender {
+                ResponseSource::Upstream(send) if relayed_events > 0 => {
+                    self.delivery.record_success(&send.record, framing);
+                }
+                // An upstream that has nothing left to send has not processed the prompt.
+                ResponseSource::Upstream(_) => {
+                    self.delivery.context.record_complete_response(&self.delivery.inbound);
+                }
+                ResponseSource::Gateway(_) => {}
+            }
         }
         self.delivery.log_line.clear_resume_code();
         let Delivery { log_line, context, retry_state, .. } = &mut self.delivery;
--- a/crates/bendhinge_gateway/src/delivery/stream_source.rs
+++ b/crates/bendhinge_gateway/src/delivery/stream_source.rs
@@ -139,12 +139,13 @@
         outcome: SendOutcome,
         partial_bytes: usize,
     ) -> ClosedSource {
-        let Self { sender, relayed_events, framing, body, connection, .. } = self;
+        let Self { sender, first_event_after, relayed_events, framing, body, connection, .. } = self;
         drop((body, connection));
         context.metrics.count_body_end(framing, end);
         let sender = match sender {
             ResponseSource::Upstream(send) => {
-                let UpstreamSend { record, measured, chosen } = *send;
+                let UpstreamSend { mut record, measured, chosen } = *send;
+                record.first_event_at = first_event_after.map(|after| record.started_at + after);
                 // While it is counted, the request shows that the upstream runs.
                 drop((measured, chosen));
                 context.record_upstream_end(inbound, &record, outcome);
--- a/crates/bendhinge_gateway/src/intake/mod.rs
+++ b/crates/bendhinge_gateway/src/intake/mod.rs
@@ -7,7 +7,7 @@
 
 use bendhinge_codes::ResultCode;
 use bendhinge_http::{Body, ReadBodyError, full_body, read_body};
-use bendhinge_ids::{Instant, PoolName, RequestDigest, hash_to_fraction};
+use bendhinge_ids::{Instant, PoolName, hash_to_fraction};
 use bendhinge_routes::{CallerLimits, Customer, Route};
 use bytes::Bytes;
 use futures_lite::FutureExt;
@@ -24,6 +24,7 @@
 use crate::forwarding;
 use crate::forwarding::headers::{ForwardRefusal, ForwardedFields};
 use crate::lifecycle::Lifecycle;
+use crate::quarantine::Suspect;
 use crate::state::ActiveRules;
 
 /// A request that the gateway answers itself, with the response for the caller.
@@ -34,14 +35,14 @@
     pub(crate) was_sent: bool,
     /// The retry delay, if it is more specific than the default.
     pub(crate) retry_after: Option<Duration>,
-    /// The digest of the request, if it is refused because of the quarantine.
-    pub(crate) digest: Option<RequestDigest>,
+    /// What is quarantined, if the request is refused because of that.
+    pub(crate) suspect: Option<Suspect>,
 }
 
 impl Refusal {
     /// Creates the refusal of a request that was not sent, with a retry delay.
     pub(crate) const fn with_retry_after(code: ResultCode, retry_after: Duration) -> Self {
-        Self { code, was_sent: false, retry_after: Some(retry_after), digest: None }
+        Self { code, was_sent: false, retry_after: Some(retry_after), suspect: None }
     }
 
     /// Whether the framing of further requests on the connection cannot be trusted.
@@ -53,7 +54,7 @@
 /// Creates the refusal of a request that was not sent.
 impl From<ResultCode> for Refusal {
     fn from(code: ResultCode) -> Self {
-        Self { code, was_sent: false, retry_after: None, digest: None }
+        Self { code, was_sent: false, retry_after: None, suspect: None }
     }
 }
 
@@ -180,14 +181,14 @@
     }
 
     fn refuse(&self, id: Option<&HeaderValue>, refusal: Refusal, is_forwarded: bool) -> Response<Body> {
-        let Refusal { code, was_sent, retry_after, digest } = refusal;
+        let Refusal { code, was_sent, retry_after, suspect } = refusal;
         let context = &self.context;
         context.metrics.count_result(code);
         let retry_after = retry_after.or_else(|| code.invites_retry().then(default_retry_after));
         if !was_sent {
             let rules_age = context.rules.age(bendhinge_clock::now());
             let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
-            context.log.request_refused(id, code, digest, rules_age, retry_after);
+            context.log.request_refused(id, code, suspect, rules_age, retry_after);
         }
         let mut response = Response::new(full_body(Bytes::new()));
         *response.status_mut() =
--- a/crates/bendhinge_gateway/src/lib.rs
+++ b/crates/bendhinge_gateway/src/lib.rs
@@ -20,7 +20,6 @@
 mod intake;
 mod lifecycle;
 mod log;
-mod lost_parts;
 mod metrics;
 pub mod native;
 mod pacing;
--- a/crates/bendhinge_gateway/src/log/mod.rs
+++ b/crates/bendhinge_gateway/src/log/mod.rs
@@ -1,6 +1,7 @@
 //! Structured logging: one JSON line for each decision about a request and for each change of
 //! replicated state.
 
+mod part;
 mod partition;
 mod request;
 mod sends;
@@ -26,6 +27,7 @@
 pub(crate) use self::request::RequestLogEntry;
 use crate::admission::RefusalCounts;
 use crate::metrics::ReplicaKind;
+use crate::quarantine::Suspect;
 
 /// The number of lines queued for writing above which further lines are dropped and counted.
 const MAX_QUEUED_LINES: usize = 1_024;
@@ -361,7 +363,7 @@
         &self,
         request: &str,
         code: ResultCode,
-        digest: Option<RequestDigest>,
+        suspect: Option<Suspect>,
         rules_age: Option<Duration>,
         retry_after: Option<Duration>,
     ) {
@@ -371,14 +373,22 @@
             code: String,
             #[serde(skip_serializing_if = "Option::is_none")]
             digest: Option<String>,
+            #[serde(skip_serializing_if = "Option::is_none")]
+            part: Option<String>,
             rules_age_ms: Option<u64>,
             #[serde(skip_serializing_if = "Option::is_none")]
             retry_after_ms: Option<u64>,
         }
+        let (digest, part) = match suspect {
+            Some(Suspect::Request(digest)) => (Some(digest.to_string()), None),
+            Some(Suspect::Part(part)) => (None, Some(part.to_string())),
+            None => (None, None),
+        };
         let fields = Fields {
             request,
             code: code.to_string(),
-            digest: digest.map(|digest| digest.to_string()),
+            digest,
+            part,
             rules_age_ms: rules_age.map(whole_millis),
             retry_after_ms: retry_after.map(whole_millis),
         };
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -15,6 +15,7 @@
 use super::{Log, whole_millis};
 use crate::delivery::{ConnectFailure, Cut, InboundRequest};
 use crate::forwarding::{ForwardBasis, ForwardGuard};
+use crate::quarantine::Suspect;
 use crate::state::ChosenUpstream;
 
 /// Collects what is logged of a request until its line is written.
@@ -157,6 +158,14 @@
         self.digest = Some(digest);
     }
 
+    /// Sets what the request is refused for.
+    pub(crate) fn set_suspect(&mut self, suspect: Suspect) {
+        match suspect {
+            Suspect::Request(digest) => self.digest = Some(digest),
+            Suspect::Part(part) => self.parts = vec![part],
+        }
+    }
+
     /// Sets the digests of the shared prompt parts.
     pub(crate) fn set_part_digests(&mut self, parts: &[PartDigest]) {
         self.parts = parts.to_vec();
--- a/crates/bendhinge_gateway/src/metrics/mod.rs
+++ b/crates/bendhinge_gateway/src/metrics/mod.rs
@@ -20,6 +20,7 @@
 };
 pub(crate) use self::groups::{ResumedSoftware, Resumer};
 use crate::delivery::{ConnectFailure, Cut};
+use crate::quarantine::QuarantinedCounts;
 
 /// Bucket bounds of the time to first byte. They include 1.3 s, the target of its 95th percentile.
 const FIRST_BYTE_BUCKETS_SECONDS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 1.3, 2.5, 10.0];
@@ -56,7 +57,7 @@
     pub(crate) rules_age: Option<Duration>,
     pub(crate) peer_connections: u64,
     pub(crate) peer_sent_bytes: u64,
-    pub(crate) quarantined_requests: usize,
+    pub(crate) quarantined: QuarantinedCounts,
     pub(crate) upstreams_in_backoff: usize,
 }
 
@@ -86,6 +87,7 @@
     peer_connections: Gauge<u64>,
     peer_sent_bytes: Gauge<u64>,
     quarantined_requests: Gauge<u64>,
+    quarantined_parts: Gauge<u64>,
     upstreams_in_backoff: Gauge<u64>,
     foreign_entries: Gauge<u64>,
 }
@@ -100,6 +102,8 @@
         let meter = provider.meter("bendhinge");
         let counter =
             |name: &'static str, help: &'static str| meter.u64_counter(name).with_description(help).build();
+        let gauge =
+            |name: &'static str, help: &'static str| meter.u64_gauge(name).with_description(help).build();
         let seconds = |name: &'static str, help: &'static str, bounds: &[f64]| {
             let histogram = meter.f64_histogram(name).with_unit("s").with_boundaries(bounds.to_vec());
             histogram.with_description(help).build()
@@ -155,37 +159,36 @@
                 &FIRST_BYTE_BUCKETS_SECONDS,
             ),
             streams: StreamMetrics::new(seconds, counter),
-            in_progress: meter
-                .u64_gauge("bendhinge.gateway.requests_in_progress")
-                .with_description("Requests in progress")
-                .build(),
+            in_progress: gauge("bendhinge.gateway.requests_in_progress", "Requests in progress"),
             rules_age: meter
                 .f64_gauge("bendhinge.gateway.rules_age")
                 .with_unit("s")
                 .with_description("Age of the knowledge that the rules are current")
                 .build(),
-            foreign_entries: meter
-                .u64_gauge("bendhinge.gateway.foreign_entries")
-                .with_description("Entries of the store that name no upstream, as of the last read")
-                .build(),
-            quarantined_requests: meter
-                .u64_gauge("bendhinge.gateway.quarantined")
-                .with_description(
-                    "Requests that are quarantined because upstreams crashed while processing them",
-                )
-                .build(),
-            upstreams_in_backoff: meter
-                .u64_gauge("bendhinge.gateway.upstreams_resting")
-                .with_description("Upstreams that are spared since they asked for a rest")
-                .build(),
-            peer_connections: meter
-                .u64_gauge("bendhinge.gateway.peer_connections")
-                .with_description("Open connections with other gateways, in both directions")
-                .build(),
-            peer_sent_bytes: meter
-                .u64_gauge("bendhinge.gateway.peer_sent_bytes")
-                .with_description("Bytes sent to other gateways since the start, without TCP's own")
-                .build(),
+            foreign_entries: gauge(
+                "bendhinge.gateway.foreign_entries",
+                "Entries of the store that name no upstream, as of the last read",
+            ),
+            quarantined_requests: gauge(
+                "bendhinge.gateway.quarantined",
+                "Requests that are quarantined because upstreams crashed while processing them",
+            ),
+            quarantined_parts: gauge(
+                "bendhinge.gateway.quarantined_parts",
+                "Parts of prompts that are quarantined because upstreams crashed under requests with them",
+            ),
+            upstreams_in_backoff: gauge(
+                "bendhinge.gateway.upstreams_resting",
+                "Upstreams that are spared since they asked for a rest",
+            ),
+            peer_connections: gauge(
+                "bendhinge.gateway.peer_connections",
+                "Open connections with other gateways, in both directions",
+            ),
+            peer_sent_bytes: gauge(
+                "bendhinge.gateway.peer_sent_bytes",
+                "Bytes sent to other gateways since the start, without TCP's own",
+            ),
             registry,
             _provider: provider,
         })
@@ -387,7 +390,8 @@
         self.in_progress.record(gauges.in_progress as u64, &[]);
         self.peer_connections.record(gauges.peer_connections, &[]);
         self.peer_sent_bytes.record(gauges.peer_sent_bytes, &[]);
-        self.quarantined_requests.record(gauges.quarantined_requests as u64, &[]);
+        self.quarantined_requests.record(gauges.quarantined.requests as u64, &[]);
+        self.quarantined_parts.record(gauges.quarantined.parts as u64, &[]);
         self.upstreams_in_backoff.record(gauges.upstreams_in_backoff as u64, &[]);
         if let Some(age) = gauges.rules_age {
             self.rules_age.record(age.as_secs_f64(), &[]);
--- a/crates/bendhinge_gateway/src/quarantine.rs
+++ b/crates/bendhinge_gateway/src/quarantine.rs
@@ -1,13 +1,13 @@
-//! Keeps the quarantine of requests that crash upstreams, and notifies peers of its changes.
+//! Keeps the quarantines of requests and of prompt parts that crash upstreams, and notifies peers of their changes.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bendhinge_codes::ResultCode;
-use bendhinge_fleet::{Crash, Origin, Quarantine, SendPermission, UpstreamEntry};
-use bendhinge_ids::{Instant, NameHash, RequestDigest, RequestHint};
-use bendhinge_peer::ObservedCrashHistory;
+use bendhinge_fleet::{Crash, Origin, PartCrash, PartQuarantine, Quarantine, SendPermission, UpstreamEntry};
+use bendhinge_ids::{Instant, NameHash, PartDigest, RequestDigest, RequestHint};
+use bendhinge_peer::{ObservedCrashHistory, ObservedPartHistory};
 use rand::Rng;
 use serde_json::json;
 use smol::channel::{Receiver, Sender, bounded};
@@ -40,9 +40,82 @@
     }
 }
 
+/// What may be tracked of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Suspects<'a> {
+    /// The request itself, if it may be tracked.
+    pub(crate) request: Option<RequestDigest>,
+    /// The shared parts of its prompt.
+    pub(crate) parts: &'a [PartDigest],
+}
+
+/// What a refusal is based on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Suspect {
+    Request(RequestDigest),
+    Part(PartDigest),
+}
+
+/// A request that was lost because its upstream crashed.
+pub(crate) struct CrashedSend<'a> {
+    /// The ID of the request.
+    pub(crate) request_id: &'a str,
+    pub(crate) request: RequestDigest,
+    /// The shared parts of its prompt, if they may be to blame.
+    pub(crate) parts: &'a [PartDigest],
+    /// The pool of the upstream.
+    pub(crate) pool: NameHash,
+    pub(crate) upstream: &'a UpstreamEntry,
+    pub(crate) sent_at: Instant,
+    /// When the connection was lost.
+    pub(crate) lost_at: Instant,
+}
+
+/// Histories to send to another gateway.
+pub(crate) struct SuspectChanges {
+    pub(crate) requests: Vec<ObservedCrashHistory>,
+    pub(crate) parts: Vec<ObservedPartHistory>,
+}
+
+/// The numbers of what is quarantined.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct QuarantinedCounts {
+    pub(crate) requests: usize,
+    pub(crate) parts: usize,
+}
+
+struct State {
+    requests: Quarantine,
+    parts: PartQuarantine,
+}
+
+impl State {
+    /// Returns the stricter one of the permissions of a request and of its parts, and what it is based on.
+    fn permission(&self, suspects: Suspects<'_>, now: Instant) -> (SendPermission, Option<Suspect>) {
+        if let Some(request) = suspects.request {
+            let permission = self.requests.permission(request, now);
+            if matches!(permission, SendPermission::Deferred | SendPermission::Quarantined(_)) {
+                return (permission, Some(Suspect::Request(request)));
+            }
+            let (of_parts, part) = self.parts.permission(suspects.parts, now);
+            if of_parts != SendPermission::Allowed {
+                return (of_parts, part.map(Suspect::Part));
+            }
+            return (permission, Some(Suspect::Request(request)));
+        }
+        let (permission, part) = self.parts.permission(suspects.parts, now);
+        (permission, part.map(Suspect::Part))
+    }
+
+    /// Crashes that a part is blamed for do not count against the requests that ran beside it.
+    fn update_attributed_crashes(&mut self) {
+        self.requests.set_attributed_crashes(self.parts.attributed_crashes());
+    }
+}
+
 /// The quarantine of this gateway, shared between its tasks.
 pub(crate) struct SharedQuarantine {
-    state: Mutex<Quarantine>,
+    state: Mutex<State>,
     changes: Sender<QuarantineChange>,
     log: Log,
 }
@@ -53,10 +126,11 @@
     pub(crate) code: ResultCode,
     /// The delay after which a retry may succeed.
     pub(crate) retry_after: Duration,
+    pub(crate) suspect: Suspect,
 }
 
 impl SendRefusal {
-    fn from_permission(permission: SendPermission) -> Option<Self> {
+    fn new((permission, suspect): (SendPermission, Option<Suspect>)) -> Option<Self> {
         /// The range of the retry delay while sends are in flight. Requests that crash their upstream usually do
         /// so within a second or two.
         const DEFERRAL_RANGE_MS: std::ops::Range<u64> = 500..1_500;
@@ -68,19 +142,26 @@
             }
             SendPermission::Quarantined(period) => (ResultCode::Quarantined, period),
         };
-        Some(Self { code, retry_after })
+        Some(Self { code, retry_after, suspect: suspect? })
     }
 }
 
 /// A tracked send in flight; dropping it records its end.
 pub(crate) struct TrackedSend {
     quarantine: Arc<SharedQuarantine>,
-    request: RequestDigest,
+    request: Option<RequestDigest>,
+    parts: Vec<PartDigest>,
 }
 
 impl Drop for TrackedSend {
     fn drop(&mut self) {
-        self.quarantine.state.lock().unwrap().record_send_end(self.request, bendhinge_clock::now());
+        let now = bendhinge_clock::now();
+        let mut state = self.quarantine.state.lock().unwrap();
+        if let Some(request) = self.request {
+            state.requests.record_send_end(request, now);
+        }
+        state.parts.record_send_end(&self.parts, now);
+        drop(state);
         self.quarantine.notify(Origin::Store, REPORTING_THRESHOLD);
     }
 }
@@ -90,69 +171,118 @@
     /// peers reach this gateway.
     pub(crate) fn new(local_address: SocketAddr, log: Log) -> (Self, Receiver<QuarantineChange>) {
         let (changes, receiver) = bounded(MAX_QUEUED_CHANGES);
-        (Self { state: Mutex::new(Quarantine::new(address_hash(local_address))), changes, log }, receiver)
+        let local_router = address_hash(local_address);
+        let state =
+            State { requests: Quarantine::new(local_router), parts: PartQuarantine::new(local_router) };
+        (Self { state: Mutex::new(state), changes, log }, receiver)
     }
 
     /// Whether a request with this hint may be tracked.
     pub(crate) fn may_contain(&self, hint: RequestHint) -> bool {
-        self.state.lock().unwrap().may_contain(hint)
+        self.state.lock().unwrap().requests.may_contain(hint)
     }
 
     /// Whether no request is tracked.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.state.lock().unwrap().is_empty()
+    pub(crate) fn has_no_request(&self) -> bool {
+        self.state.lock().unwrap().requests.is_empty()
+    }
+
+    /// Whether no prompt part is tracked.
+    pub(crate) fn has_no_part(&self) -> bool {
+        self.state.lock().unwrap().parts.is_empty()
+    }
+
+    /// Whether any of the prompt parts is tracked.
+    pub(crate) fn tracks_any(&self, parts: &[PartDigest]) -> bool {
+        let state = self.state.lock().unwrap();
+        parts.iter().any(|part| state.parts.contains(*part))
     }
 
-    /// Whether a request is quarantined, as opposed to deferred until its sends in flight have ended.
-    pub(crate) fn is_quarantined(&self, request: RequestDigest) -> bool {
-        let permission = self.state.lock().unwrap().permission(request, bendhinge_clock::now());
+    /// Whether a request is quarantined, as opposed to deferred until sends in flight have ended.
+    pub(crate) fn is_quarantined(&self, suspects: Suspects<'_>) -> bool {
+        let (permission, _) = self.state.lock().unwrap().permission(suspects, bendhinge_clock::now());
         matches!(permission, SendPermission::Quarantined(_))
     }
 
     /// Returns `Err` if a request must not be sent now.
-    pub(crate) fn check(&self, request: RequestDigest) -> Result<(), SendRefusal> {
-        let permission = self.state.lock().unwrap().permission(request, bendhinge_clock::now());
-        SendRefusal::from_permission(permission).map_or(Ok(()), Err)
+    pub(crate) fn check(&self, suspects: Suspects<'_>) -> Result<(), SendRefusal> {
+        let permission = self.state.lock().unwrap().permission(suspects, bendhinge_clock::now());
+        SendRefusal::new(permission).map_or(Ok(()), Err)
     }
 
-    /// Starts a send of a request. If the request is tracked, the send is reported to peers until the
-    /// returned value is dropped.
+    /// Starts a send of a request. If the request or a part of its prompt is tracked, the send is reported to peers until
+    /// the returned value is dropped.
     pub(crate) fn begin_send(
         self: &Arc<Self>,
-        request: RequestDigest,
+        suspects: Suspects<'_>,
     ) -> Result<Option<TrackedSend>, SendRefusal> {
         let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
-        let permission = state.permission(request, now);
-        if let Some(refusal) = SendRefusal::from_permission(permission) {
+        let permission = state.permission(suspects, now);
+        if let Some(refusal) = SendRefusal::new(permission) {
             return Err(refusal);
         }
-        if permission == SendPermission::Allowed {
+        if permission.0 == SendPermission::Allowed {
             return Ok(None);
         }
-        state.record_send_start(request, now);
+        if let Some(request) = suspects.request {
+            state.requests.record_send_start(request, now);
+        }
+        state.parts.record_send_start(suspects.parts, now);
         drop(state);
         self.notify(Origin::Store, REPORTING_THRESHOLD);
-        Ok(Some(TrackedSend { quarantine: Arc::clone(self), request }))
+        let Suspects { request, parts } = suspects;
+        Ok(Some(TrackedSend { quarantine: Arc::clone(self), request, parts: parts.to_vec() }))
     }
 
-    /// Records that an upstream crashed while it processed a request. The request has the ID `request_id`,
-    /// was sent at `sent_at`, and its connection was lost at `lost_at`.
-    pub(crate) fn record_crash(
-        &self,
-        request: RequestDigest,
-        request_id: &str,
-        upstream: &UpstreamEntry,
-        sent_at: Instant,
-        lost_at: Instant,
-    ) {
+    /// Records that an upstream crashed while it processed a request.
+    pub(crate) fn record_crash(&self, send: &CrashedSend<'_>) {
+        let CrashedSend { upstream, sent_at, lost_at, .. } = *send;
         let crash = Crash { upstream: upstream.hash, software: upstream.software, at: lost_at };
         let mut state = self.state.lock().unwrap();
-        let is_new = state.record_crash(request, crash, sent_at, bendhinge_clock::now());
-        let crashes = state.crash_count(request);
+        let is_new = state.requests.record_crash(send.request, crash, sent_at, bendhinge_clock::now());
+        let crashes = state.requests.crash_count(send.request);
         drop(state);
         if is_new {
-            self.log.upstream_crashed(request_id, request, &upstream.name, crashes);
+            self.log.upstream_crashed(send.request_id, send.request, &upstream.name, crashes);
+            self.notify(Origin::Store, crashes);
+        }
+        self.record_part_crashes(send);
+    }
+
+    fn record_part_crashes(&self, send: &CrashedSend<'_>) {
+        let CrashedSend { upstream, .. } = *send;
+        let crash = PartCrash {
+            upstream: upstream.hash,
+            software: upstream.software,
+            request: NameHash(send.request.lower_half()),
+            sent_at: send.sent_at,
+            at: send.lost_at,
+        };
+        let now = bendhinge_clock::now();
+        let mut most_crashes = None;
+        for part in send.parts {
+            let mut state = self.state.lock().unwrap();
+            let is_new = state.parts.record_crash(*part, send.pool, crash, now);
+            let evidence = state.parts.evidence_against(*part);
+            let is_blamed = state.parts.is_blamed(*part, now);
+            drop(state);
+            if !is_new {
+                continue;
+            }
+            most_crashes = most_crashes.max(Some(evidence.consecutive_crashes));
+            if evidence.consecutive_crashes >= REPORTING_THRESHOLD {
+                self.log.upstream_crashed_under_part(
+                    send.request_id,
+                    *part,
+                    &upstream.name,
+                    evidence,
+                    is_blamed,
+                );
+            }
+        }
+        if let Some(crashes) = most_crashes {
+            self.state.lock().unwrap().update_attributed_crashes();
             self.notify(Origin::Store, crashes);
         }
     }
@@ -162,6 +292,25 @@
         self.clear_crashes(request, "answered");
     }
 
+    /// Records a complete successful response of `pool` to a request with `parts`.
+    pub(crate) fn record_response_with_parts(&self, parts: &[PartDigest], pool: NameHash) {
+        let mut state = self.state.lock().unwrap();
+        let crashes = |part: &PartDigest| state.parts.evidence_against(*part).consecutive_crashes;
+        let previous_crashes = parts.iter().map(crashes).max().unwrap_or_default();
+        let cleared = state.parts.record_response(parts, pool, bendhinge_clock::now());
+        if cleared.is_empty() {
+            return;
+        }
+        state.update_attributed_crashes();
+        drop(state);
+        if previous_crashes >= REPORTING_THRESHOLD {
+            for part in cleared {
+                self.log.part_suspicion_cleared(part, "answered");
+            }
+        }
+        self.notify(Origin::Store, previous_crashes);
+    }
+
     /// Clears the crashes of requests that an operator released.
     pub(crate) fn release(&self, requests: &[RequestDigest]) {
         for request in requests {
@@ -169,10 +318,24 @@
         }
     }
 
+    /// Clears the crashes of prompt parts that an operator released.
+    pub(crate) fn release_parts(&self, parts: &[PartDigest]) {
+        for part in parts {
+            let mut state = self.state.lock().unwrap();
+            let was_cleared = state.parts.release(*part, bendhinge_clock::now());
+            state.update_attributed_crashes();
+            drop(state);
+            if was_cleared {
+                self.log.part_suspicion_cleared(*part, "released");
+                self.notify(Origin::Store, REPORTING_THRESHOLD);
+            }
+        }
+    }
+
     fn clear_crashes(&self, request: RequestDigest, reason: &str) {
         let mut state = self.state.lock().unwrap();
-        let crashes = state.crash_count(request);
-        let was_cleared = state.record_response(request, bendhinge_clock::now());
+        let crashes = state.requests.crash_count(request);
+        let was_cleared = state.requests.record_response(request, bendhinge_clock::now());
         drop(state);
         if was_cleared {
             self.log.suspicion_cleared(request, reason, crashes);
@@ -191,10 +354,10 @@
         let mut max_crashes = None;
         for reported in histories {
             let mut state = self.state.lock().unwrap();
-            let previous_crashes = state.crash_count(reported.request);
-            let is_changed =
-                state.merge(reported.request, &reported.to_history(as_of), update_source(from), now);
-            let crashes = state.crash_count(reported.request);
+            let previous_crashes = state.requests.crash_count(reported.request);
+            let history = reported.to_history(as_of);
+            let is_changed = state.requests.merge(reported.request, &history, update_source(from), now);
+            let crashes = state.requests.crash_count(reported.request);
             drop(state);
             if is_changed {
                 max_crashes = max_crashes.max(Some(crashes.max(previous_crashes)));
@@ -208,9 +371,43 @@
         }
     }
 
+    /// Merges the crash histories of prompt parts that the gateway at `from` reported; their ages are relative to `as_of`.
+    pub(crate) fn merge_reported_parts(
+        &self,
+        histories: &[ObservedPartHistory],
+        from: SocketAddr,
+        as_of: Instant,
+    ) {
+        let now = bendhinge_clock::now();
+        let mut max_crashes = None;
+        for reported in histories {
+            let mut state = self.state.lock().unwrap();
+            let previous = state.parts.evidence_against(reported.part).consecutive_crashes;
+            let history = reported.to_history(as_of);
+            let is_changed = state.parts.merge(reported.part, &history, update_source(from), now);
+            let evidence = state.parts.evidence_against(reported.part);
+            let is_blamed = state.parts.is_blamed(reported.part, now);
+            drop(state);
+            let crashes = evidence.consecutive_crashes;
+            if is_changed {
+                max_crashes = max_crashes.max(Some(crashes.max(previous)));
+            }
+            if crashes != previous && crashes.max(previous) >= REPORTING_THRESHOLD {
+                self.log.part_suspicion_received(reported.part, evidence, is_blamed, from);
+            }
+        }
+        if let Some(crashes) = max_crashes {
+            self.state.lock().unwrap().update_attributed_crashes();
+            self.notify(Origin::Peer, crashes);
+        }
+    }
+
     /// Whether there are changes to send to the gateway at `recipient`, see [`SharedQuarantine::changes_for`].
     pub(crate) fn has_changes_for(&self, recipient: SocketAddr, since: Instant, forwards: bool) -> bool {
-        self.state.lock().unwrap().changes_for(update_source(recipient), since, forwards).next().is_some()
+        let state = self.state.lock().unwrap();
+        let source = update_source(recipient);
+        state.requests.changes_for(source, since, forwards).next().is_some()
+            || state.parts.changes_for(source, since, forwards).next().is_some()
     }
 
     /// Returns the changes after `since` to send to the gateway at `recipient`, including those received from
@@ -221,54 +418,91 @@
         since: Instant,
         forwards: bool,
         now: Instant,
-    ) -> Vec<ObservedCrashHistory> {
+    ) -> SuspectChanges {
         let state = self.state.lock().unwrap();
-        let histories = state.changes_for(update_source(recipient), since, forwards);
-        histories.map(|(request, history)| ObservedCrashHistory::new(request, history, now)).collect()
+        let source = update_source(recipient);
+        let requests = state.requests.changes_for(source, since, forwards);
+        let parts = state.parts.changes_for(source, since, forwards);
+        SuspectChanges {
+            requests: requests
+                .map(|(request, history)| ObservedCrashHistory::new(request, history, now))
+                .collect(),
+            parts: parts.map(|(part, history)| ObservedPartHistory::new(part, &history, now)).collect(),
+        }
     }
 
     /// Returns the histories to send to a gateway with the digest `remote_digest`; empty if the digests are
     /// equal.
     pub(crate) fn histories_to_sync(&self, remote_digest: u64, now: Instant) -> Vec<ObservedCrashHistory> {
         let state = self.state.lock().unwrap();
-        let is_different = remote_digest != state.digest();
-        let histories = state.synced_histories().filter(|_| is_different);
+        let is_different = remote_digest != state.requests.digest();
+        let histories = state.requests.synced_histories().filter(|_| is_different);
         histories.map(|(request, history)| ObservedCrashHistory::new(request, history, now)).collect()
     }
 
+    /// The same as [`Self::histories_to_sync`] for prompt parts.
+    pub(crate) fn part_histories_to_sync(
+        &self,
+        remote_digest: u64,
+        now: Instant,
+    ) -> Vec<ObservedPartHistory> {
+        let state = self.state.lock().unwrap();
+        let is_different = remote_digest != state.parts.digest();
+        let histories = state.parts.synced_histories().filter(|_| is_different);
+        histories.map(|(part, history)| ObservedPartHistory::new(part, &history, now)).collect()
+    }
+
     /// Returns a digest that is equal for gateways with equal crash histories.
     pub(crate) fn digest(&self) -> u64 {
-        self.state.lock().unwrap().digest()
+        self.state.lock().unwrap().requests.digest()
+    }
+
+    /// Returns a digest that is equal for gateways with equal crash histories of prompt parts.
+    pub(crate) fn part_digest(&self) -> u64 {
+        self.state.lock().unwrap().parts.digest()
     }
 
     /// Sets the software that upstreams run now.
     pub(crate) fn set_running_software(&self, running_software: Vec<NameHash>) {
-        self.state.lock().unwrap().set_running_software(running_software);
+        let mut state = self.state.lock().unwrap();
+        state.parts.set_running_software(running_software.iter().copied());
+        state.requests.set_running_software(running_software);
     }
 
     /// Removes expired histories.
     pub(crate) fn prune(&self) {
-        self.state.lock().unwrap().prune(bendhinge_clock::now());
+        let now = bendhinge_clock::now();
+        let mut state = self.state.lock().unwrap();
+        state.requests.prune(now);
+        state.parts.prune(now);
+        state.update_attributed_crashes();
     }
 
-    /// Returns the number of quarantined requests.
-    pub(crate) fn quarantined_count(&self) -> usize {
-        self.state.lock().unwrap().quarantined(bendhinge_clock::now()).count()
+    /// Returns the numbers of quarantined requests and prompt parts.
+    pub(crate) fn quarantined_counts(&self) -> QuarantinedCounts {
+        let now = bendhinge_clock::now();
+        let state = self.state.lock().unwrap();
+        QuarantinedCounts {
+            requests: state.requests.quarantined(now).count(),
+            parts: state.parts.quarantined(now).count(),
+        }
     }
 
-    /// Returns the quarantined requests as a JSON document for operators.
+    /// Returns what is quarantined as a JSON document for operators.
     pub(crate) fn to_json(&self) -> String {
         let now = bendhinge_clock::now();
         let state = self.state.lock().unwrap();
-        let requests = state.quarantined(now).map(|(request, history, period)| {
-            let ages = history.crashes.iter().map(|crash| now.since(crash.at).as_secs());
-            json!({
-                "digest": request.to_string(),
-                "crashes_s_ago": ages.collect::<Vec<_>>(),
-                "left_s": period.as_secs(),
-            })
+        let to_json = |digest: String, crashes: Vec<Instant>, period: Duration| {
+            let ages: Vec<_> = crashes.into_iter().map(|at| now.since(at).as_secs()).collect();
+            json!({ "digest": digest, "crashes_s_ago": ages, "left_s": period.as_secs() })
+        };
+        let requests = state.requests.quarantined(now).map(|(request, history, period)| {
+            to_json(request.to_string(), history.crashes.iter().map(|crash| crash.at).collect(), period)
+        });
+        let parts = state.parts.quarantined(now).map(|(part, history, period)| {
+            to_json(part.to_string(), history.crashes.iter().map(|crash| crash.at).collect(), period)
         });
-        json!({ "quarantined": requests.collect::<Vec<_>>() }).to_string()
+        json!({ "quarantined": requests.collect::<Vec<_>>(), "parts": parts.collect::<Vec<_>>() }).to_string()
     }
 
     /// Queues a notification of peers about a request with the given number of crashes.
--- a/crates/bendhinge_gateway/src/ready.rs
+++ b/crates/bendhinge_gateway/src/ready.rs
@@ -44,7 +44,7 @@
             rules_age: self.context.rules.age(bendhinge_clock::now()),
             peer_connections: self.traffic.open_connections(),
             peer_sent_bytes: self.traffic.sent_bytes(),
-            quarantined_requests: self.context.quarantine.quarantined_count(),
+            quarantined: self.context.quarantine.quarantined_counts(),
             upstreams_in_backoff: self.context.upstreams.backoff_count(),
         }
     }
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -24,7 +24,6 @@
 use crate::intake::{self, Intake};
 use crate::lifecycle::Lifecycle;
 use crate::log::Log;
-use crate::lost_parts::LostParts;
 use crate::metrics::{Metrics, MetricsError};
 use crate::native::RULES_SCHEMA;
 use crate::pacing::Pacing;
@@ -143,7 +142,6 @@
         streams,
         quarantine: Arc::new(quarantine),
         tracks_prompt_parts: settings.tracks_prompt_parts,
-        lost_parts: LostParts::default(),
         crash_probes: CrashProbes::default(),
         link_probes: LinkProbes::default(),
         forwarding: Arc::new(forwarding),
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -10,7 +10,7 @@
 
 use bendhinge_admission::FleetRetryBudget;
 use bendhinge_fleet::{DirectoryLimits, OutlierLimits, RosterTimeouts, StoreReadTimings};
-use bendhinge_ids::{BoxName, DataCentreName, RegionName, RequestDigest};
+use bendhinge_ids::{BoxName, DataCentreName, PartDigest, RegionName, RequestDigest};
 use bendhinge_ini::{Document, Faults, Section, read_file};
 use bendhinge_peer::PeerKey;
 use bendhinge_placement::Distance;
@@ -61,10 +61,12 @@
     pub assumes_spent_retries: bool,
     /// Graceful shutdown.
     pub stop: StopSettings,
-    /// Whether the shared parts of prompts are tracked when requests are lost with an upstream.
+    /// Whether the parts that prompts share are quarantined.
     pub tracks_prompt_parts: bool,
     /// Requests that operators release from quarantine when the settings are read.
     pub released_requests: Vec<RequestDigest>,
+    /// Prompt parts that operators release from quarantine when the settings are read.
+    pub released_parts: Vec<PartDigest>,
 }
 
 /// The region of each data centre for which the operators name one.
@@ -235,6 +237,10 @@
             .0
             .section("quarantine")
             .map(|section| self.0.value::<CommaSeparated<RequestDigest>>(section, "released"));
+        let released_parts = self
+            .0
+            .section("quarantine")
+            .map(|section| self.0.value::<CommaSeparated<PartDigest>>(section, "released_parts"));
         let tracks_prompt_parts =
             self.0.section("quarantine").map(|section| self.0.value::<YesNo>(section, "prompt_parts"));
         let name = self.0.value(gateway, "name");
@@ -266,6 +272,7 @@
             stop: stop??,
             tracks_prompt_parts: tracks_prompt_parts??.0,
             released_requests: released_requests??.0,
+            released_parts: released_parts??.0,
         })
     }
 
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -316,7 +316,7 @@
             "prompt_parts",
             "yes or no",
             Some("no"),
-            "Whether the prompt parts that requests share are tracked: log lines of requests that were lost with an upstream contain digests of the parts.",
+            "Whether the parts that prompts share are quarantined as well, if upstreams crash under requests with them that are different in everything else.",
         ),
         Key::new(
             "released",
@@ -324,6 +324,7 @@
             Some(""),
             "Digests of requests to release, as shown in log lines and on the page `/quarantine`, separated by commas. When the settings are reloaded, the crashes recorded for these requests are cleared on all gateways.",
         ),
+        Key::new("released_parts", "digests", Some(""), "The same for parts of prompts."),
     ],
 };
 
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -77,6 +77,28 @@
   underWay @5 :List(UnderWay);
 }
 
+# The crash of an upstream's process while it ran a request with a part of a prompt; `request` is a hash of it.
+struct PartCrash {
+  upstream @0 :UInt64;
+  software @1 :UInt64;
+  request @2 :UInt64;
+  sentAgeMillis @3 :UInt32;
+  ageMillis @4 :UInt32;
+}
+
+# A part of prompts during whose requests upstreams crashed, identified by its digest.
+struct PartSuspicion {
+  part @0 :UInt64;
+  # A hash of the name of the pool that the requests are sent to.
+  pool @1 :UInt64;
+  crashes @2 :List(PartCrash);
+  answered @3 :Bool;
+  answeredAgeMillis @4 :UInt32;
+  # Complete responses of the pool to other requests since the first crash.
+  otherResponses @5 :UInt32;
+  underWay @6 :List(UnderWay);
+}
+
 # A position in the log of updates of one incarnation of a gateway; a life of 0 means no position.
 struct NewsPosition {
   life @0 :UInt64;
@@ -116,6 +138,9 @@
   totals @18 :Data;
   # The gateways that do not reach all pools, and those that reach them again since recently.
   partitions @19 :List(Partition);
+  # The same as `suspicions` and `quarantine` for parts of prompts.
+  partSuspicions @20 :List(PartSuspicion);
+  partQuarantine @21 :UInt64;
 }
 
 struct Upstream {
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -16,6 +16,7 @@
 use capnp::{Error, struct_list, text_list};
 
 use super::crash_history::{read_crash_history, write_crash_history};
+use super::part_history::{read_part_history, write_part_history};
 use super::{
     HeldVersion, ObservedCachedPart, ObservedFailureEvidence, ObservedFailureReport, ObservedLoad,
     ObservedPartition, PeerMessage, address_parts,
@@ -126,6 +127,7 @@
     write_held_version(builder.reborrow().init_upstreams(), message.upstreams.as_ref());
     builder.set_roster(message.roster_digest.0);
     builder.set_quarantine(message.quarantine_digest);
+    builder.set_part_quarantine(message.part_quarantine_digest);
     write_lists(builder.reborrow(), message);
     if let Some(MemberStates(states)) = &message.member_states {
         builder.set_member_states(states);
@@ -167,8 +169,16 @@
 
 /// Writes the lists of a message. Empty lists are not allocated.
 fn write_lists(mut builder: peer_message::Builder<'_>, message: &PeerMessage) {
-    let PeerMessage { members, loads, cached_parts, failure_evidence, crash_histories, partitions, .. } =
-        message;
+    let PeerMessage {
+        members,
+        loads,
+        cached_parts,
+        failure_evidence,
+        crash_histories,
+        part_histories,
+        partitions,
+        ..
+    } = message;
     if !partitions.is_empty() {
         write_list_items(
             builder.reborrow().init_partitions(list_length(partitions.len())),
@@ -198,11 +208,18 @@
     }
     if !crash_histories.is_empty() {
         write_list_items(
-            builder.init_suspicions(list_length(crash_histories.len())),
+            builder.reborrow().init_suspicions(list_length(crash_histories.len())),
             crash_histories,
             write_crash_history,
         );
     }
+    if !part_histories.is_empty() {
+        write_list_items(
+            builder.init_part_suspicions(list_length(part_histories.len())),
+            part_histories,
+            write_part_history,
+        );
+    }
 }
 
 fn write_partition(mut builder: partition::Builder<'_>, observed: &ObservedPartition) {
@@ -274,6 +291,12 @@
         failure_evidence: reader.get_doubts()?.iter().map(read_failure_evidence).collect::<Result<_, _>>()?,
         crash_histories: reader.get_suspicions()?.iter().map(read_crash_history).collect::<Result<_, _>>()?,
         quarantine_digest: reader.get_quarantine(),
+        part_histories: reader
+            .get_part_suspicions()?
+            .iter()
+            .map(read_part_history)
+            .collect::<Result<_, _>>()?,
+        part_quarantine_digest: reader.get_part_quarantine(),
         partitions: reader.get_partitions()?.iter().map(read_partition).collect::<Result<_, _>>()?,
         totals: reader.has_totals().then(|| PackedTotals(totals.to_vec())),
     })
--- a/crates/bendhinge_peer/src/fleet/crash_history.rs
+++ b/crates/bendhinge_peer/src/fleet/crash_history.rs
@@ -45,6 +45,16 @@
     pub age: Duration,
 }
 
+impl ObservedInFlightSends {
+    pub(super) fn new(sends: &InFlightSends, now: Instant) -> Self {
+        Self { router: sends.router, count: sends.count, age: now.since(sends.at) }
+    }
+
+    pub(super) fn to_sends(self, as_of: Instant) -> InFlightSends {
+        InFlightSends { router: self.router, count: self.count, at: as_of - self.age }
+    }
+}
+
 impl ObservedCrashHistory {
     /// Converts a history, with ages as of `now`.
     #[must_use]
@@ -54,16 +64,11 @@
             software: crash.software,
             age: now.since(crash.at),
         };
-        let observed_sends = |sends: &InFlightSends| ObservedInFlightSends {
-            router: sends.router,
-            count: sends.count,
-            age: now.since(sends.at),
-        };
         Self {
             request,
             crashes: history.crashes.iter().map(crash).collect(),
             last_response_age: history.last_response.map(|at| now.since(at)),
-            in_flight: history.in_flight.iter().map(observed_sends).collect(),
+            in_flight: history.in_flight.iter().map(|sends| ObservedInFlightSends::new(sends, now)).collect(),
         }
     }
 
@@ -75,15 +80,10 @@
             software: crash.software,
             at: as_of - crash.age,
         };
-        let restored_sends = |sends: &ObservedInFlightSends| InFlightSends {
-            router: sends.router,
-            count: sends.count,
-            at: as_of - sends.age,
-        };
         CrashHistory {
             crashes: self.crashes.iter().map(crash).collect(),
             last_response: self.last_response_age.map(|age| as_of - age),
-            in_flight: self.in_flight.iter().map(restored_sends).collect(),
+            in_flight: self.in_flight.iter().map(|sends| sends.to_sends(as_of)).collect(),
         }
     }
 }
@@ -108,29 +108,35 @@
     builder.set_age_millis(millis(crash.age));
 }
 
-fn write_in_flight_sends(mut builder: under_way::Builder<'_>, sends: &ObservedInFlightSends) {
+pub(super) fn write_in_flight_sends(mut builder: under_way::Builder<'_>, sends: &ObservedInFlightSends) {
     builder.set_router(sends.router.0);
     builder.set_sends(sends.count);
     builder.set_age_millis(millis(sends.age));
 }
 
 pub(super) fn read_crash_history(reader: suspicion::Reader<'_>) -> Result<ObservedCrashHistory, Error> {
-    let age = |millis: u32| Duration::from_millis(millis.into());
     let crashes = reader.get_crashes()?.iter().map(|crash| ObservedCrash {
         upstream: NameHash(crash.get_upstream()),
         software: NameHash(crash.get_software()),
         age: age(crash.get_age_millis()),
     });
-    let in_flight = reader.get_under_way()?.iter().map(|sends| ObservedInFlightSends {
-        router: NameHash(sends.get_router()),
-        count: sends.get_sends(),
-        age: age(sends.get_age_millis()),
-    });
     let hint = RequestHint(reader.get_request_high());
     Ok(ObservedCrashHistory {
         request: RequestDigest::new(hint, reader.get_request_low()),
         crashes: crashes.collect(),
         last_response_age: reader.get_answered().then(|| age(reader.get_answered_age_millis())),
-        in_flight: in_flight.collect(),
+        in_flight: reader.get_under_way()?.iter().map(read_in_flight_sends).collect(),
     })
 }
+
+pub(super) fn read_in_flight_sends(reader: under_way::Reader<'_>) -> ObservedInFlightSends {
+    ObservedInFlightSends {
+        router: NameHash(reader.get_router()),
+        count: reader.get_sends(),
+        age: age(reader.get_age_millis()),
+    }
+}
+
+pub(super) fn age(millis: u32) -> Duration {
+    Duration::from_millis(millis.into())
+}
--- a/crates/bendhinge_peer/src/fleet/mod.rs
+++ b/crates/bendhinge_peer/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod convert;
 mod crash_history;
+mod part_history;
 mod server;
 mod stream_records;
 
@@ -21,6 +22,7 @@
 
 pub use client::FleetClient;
 pub use crash_history::{ObservedCrash, ObservedCrashHistory, ObservedInFlightSends};
+pub use part_history::{ObservedPartCrash, ObservedPartHistory};
 pub use server::{serve_fleet, serve_fleet_and_streams};
 pub use stream_records::{ObservedSoftware, ObservedStream, StreamAnswer};
 
@@ -176,6 +178,10 @@
     pub crash_histories: Vec<ObservedCrashHistory>,
     /// The digest of all relevant crash histories.
     pub quarantine_digest: u64,
+    /// Crash histories of prompt parts, as for requests.
+    pub part_histories: Vec<ObservedPartHistory>,
+    /// The digest of all relevant crash histories of prompt parts.
+    pub part_quarantine_digest: u64,
     /// In a request to the preferred relay, the subtotal of the sender and of the gateways that use it as their
     /// relay; in the response, the totals of the fleet.
     pub totals: Option<PackedTotals>,
@@ -204,6 +210,8 @@
             received_position: None,
             failure_evidence: Vec::new(),
             crash_histories: Vec::new(),
+            part_histories: Vec::new(),
+            part_quarantine_digest: 0,
             quarantine_digest: 0,
             totals: None,
             partitions: Vec::new(),
--- a/crates/bendhinge_peer/src/fleet_capnp.rs
+++ b/crates/bendhinge_peer/src/fleet_capnp.rs
@@ -3603,6 +3603,889 @@
     }
 }
 
+pub mod part_crash {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_upstream(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_software(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_request(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_sent_age_millis(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn get_age_millis(self) -> u32 {
+            self.reader.get_data_field::<u32>(7)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_upstream(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_upstream(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_software(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_software(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_request(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_request(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_sent_age_millis(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn set_sent_age_millis(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(6, value);
+        }
+        #[inline]
+        pub fn get_age_millis(self) -> u32 {
+            self.builder.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn set_age_millis(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(7, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(212, 78, 26, 252, 243, 28, 202, 234),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 80, 97, 114, 116),
+            ::capnp::word(67, 114, 97, 115, 104, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 111, 102, 116, 119, 97, 114, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 110, 116, 65, 103, 101, 77),
+            ::capnp::word(105, 108, 108, 105, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 105, 108, 108, 105),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 2, 3, 1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xeaca_1cf3_fc1a_4ed4;
+    }
+}
+
+pub mod part_suspicion {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_part(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_pool(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_crashes(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::fleet_capnp::part_crash::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_answered(self) -> bool {
+            self.reader.get_bool_field(128)
+        }
+        #[inline]
+        pub fn get_answered_age_millis(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn get_other_responses(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn get_under_way(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::fleet_capnp::under_way::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_under_way(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_part(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_part(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_pool(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_pool(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_crashes(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::fleet_capnp::part_crash::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_crashes(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::fleet_capnp::part_crash::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_crashes(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::fleet_capnp::part_crash::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_answered(self) -> bool {
+            self.builder.get_bool_field(128)
+        }
+        #[inline]
+        pub fn set_answered(&mut self, value: bool) {
+            self.builder.set_bool_field(128, value);
+        }
+        #[inline]
+        pub fn get_answered_age_millis(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn set_answered_age_millis(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(5, value);
+        }
+        #[inline]
+        pub fn get_other_responses(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn set_other_responses(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(6, value);
+        }
+        #[inline]
+        pub fn get_under_way(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::fleet_capnp::under_way::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_under_way(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::fleet_capnp::under_way::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_under_way(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::fleet_capnp::under_way::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_under_way(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 136] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(182, 3, 99, 21, 250, 131, 51, 239),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 80, 97, 114, 116),
+            ::capnp::word(83, 117, 115, 112, 105, 99, 105, 111),
+            ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 111, 111, 108, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 78, 26, 252, 243, 28, 202, 234),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(65, 103, 101, 77, 105, 108, 108, 105),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 116, 104, 101, 114, 82, 101, 115),
+            ::capnp::word(112, 111, 110, 115, 101, 115, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 100, 101, 114, 87, 97, 121),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(227, 65, 176, 140, 27, 79, 28, 152),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::fleet_capnp::part_crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::fleet_capnp::under_way::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 4, 2, 5, 0, 1, 6];
+        pub(crate) const TYPE_ID: u64 = 0xef33_83fa_1563_03b6;
+    }
+}
+
 pub mod news_position {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -4185,6 +5068,24 @@
         pub fn has_partitions(&self) -> bool {
             !self.reader.get_pointer_field(14).is_null()
         }
+        #[inline]
+        pub fn get_part_suspicions(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::fleet_capnp::part_suspicion::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(15),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_part_suspicions(&self) -> bool {
+            !self.reader.get_pointer_field(15).is_null()
+        }
+        #[inline]
+        pub fn get_part_quarantine(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> {
@@ -4192,7 +5093,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 3, pointers: 15 };
+            ::capnp::private::layout::StructSize { data: 4, pointers: 16 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4686,6 +5587,46 @@
         pub fn has_partitions(&self) -> bool {
             !self.builder.is_pointer_field_null(14)
         }
+        #[inline]
+        pub fn get_part_suspicions(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::fleet_capnp::part_suspicion::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(15),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_part_suspicions(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::fleet_capnp::part_suspicion::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(15),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_part_suspicions(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::fleet_capnp::part_suspicion::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(15), size)
+        }
+        #[inline]
+        pub fn has_part_suspicions(&self) -> bool {
+            !self.builder.is_pointer_field_null(15)
+        }
+        #[inline]
+        pub fn get_part_quarantine(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_part_quarantine(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline {
@@ -4714,164 +5655,178 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 348] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 384] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(50, 195, 17, 35, 89, 221, 79, 151),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(56, 79, 96, 94, 169, 193, 183, 210),
-            ::capnp::word(15, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 103, 4, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 215, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
             ::capnp::word(77, 101, 115, 115, 97, 103, 101, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(88, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(93, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(97, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(105, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(125, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(145, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(165, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(169, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(189, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(193, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(197, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(201, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(209, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(217, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(221, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(245, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(253, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(5, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 3, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(13, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(37, 3, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(21, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 3, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(60, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(131, 233, 241, 127, 114, 153, 209, 233),
@@ -5063,6 +6018,28 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 83, 117, 115, 112),
+            ::capnp::word(105, 99, 105, 111, 110, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(182, 3, 99, 21, 250, 131, 51, 239),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 81, 117, 97, 114),
+            ::capnp::word(97, 110, 116, 105, 110, 101, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5086,6 +6063,8 @@
                 17 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 18 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 19 => <::capnp::struct_list::Owned<crate::fleet_capnp::partition::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                20 => <::capnp::struct_list::Owned<crate::fleet_capnp::part_suspicion::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                21 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5105,10 +6084,10 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] =
-            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19];
+            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME: &[u16] =
-            &[17, 6, 7, 9, 16, 12, 4, 11, 3, 19, 13, 15, 5, 10, 1, 0, 14, 8, 18, 2];
+            &[17, 6, 7, 9, 16, 12, 4, 11, 3, 21, 20, 19, 13, 15, 5, 10, 1, 0, 14, 8, 18, 2];
         pub(crate) const TYPE_ID: u64 = 0x974f_dd59_2311_c332;
     }
 }
--- a/crates/bendhinge_peer/src/lib.rs
+++ b/crates/bendhinge_peer/src/lib.rs
@@ -29,8 +29,8 @@
 pub use fleet::{
     CachedPartsPage, FleetClient, FleetService, HeldVersion, ObservedCachedPart, ObservedCrash,
     ObservedCrashHistory, ObservedFailureEvidence, ObservedFailureReport, ObservedInFlightSends,
-    ObservedLoad, ObservedPartition, ObservedSoftware, ObservedStream, PeerMessage, StreamAnswer,
-    serve_fleet, serve_fleet_and_streams,
+    ObservedLoad, ObservedPartCrash, ObservedPartHistory, ObservedPartition, ObservedSoftware,
+    ObservedStream, PeerMessage, StreamAnswer, serve_fleet, serve_fleet_and_streams,
 };
 pub use pool::{PeerConnection, PeerPool, PeerPoolTimeouts};
 pub use secure::{ConnectError, PeerKey};
