HTTP: limit what is read before the head of a response, and give other tasks a turn

Cause: the HTTP library parses interim responses in a loop and reads on in the same poll as long as there are bytes, so that no timer and no other task of the thread got a turn, and the connection outlived the request.

A connection now yields after 16 reads in a row, and fails after 1 MiB without the head of the final response; the request goes on elsewhere where it may, and the upstream rests. It holds for upstreams, the store and other gateways' forwards, which share the client.

--- a/crates/bendhinge_http/src/lib.rs
+++ b/crates/bendhinge_http/src/lib.rs
@@ -6,6 +6,7 @@
 mod client;
 mod framing;
 mod hop_by_hop;
+mod limited_read;
 mod pool;
 mod serve;
 mod signal;
--- /dev/null
+++ b/crates/bendhinge_http/src/limited_read.rs
@@ -0,0 +1,116 @@
+//! Limits on what is read from a connection.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
+
+use futures_lite::{AsyncRead, AsyncWrite};
+
+/// The number of reads in a row after which other tasks get a turn. A peer that always has data ready would keep the HTTP
+/// library reading, for instance interim responses, and so keep the thread from everything else.
+const MAX_READS_IN_A_ROW: u32 = 16;
+
+/// The maximum number of bytes before the head of a response is complete, with interim responses. It exceeds what the HTTP
+/// library reads at once, since the beginning of the body may come with the head.
+const MAX_HEAD_BYTES: usize = 1 << 20;
+
+/// The number of bytes that may be read before the head of a response is complete.
+#[derive(Clone, Debug)]
+pub(crate) struct HeadAllowance(Arc<AtomicUsize>);
+
+impl HeadAllowance {
+    /// The value while no response head is awaited.
+    const UNLIMITED: usize = usize::MAX;
+
+    pub(crate) fn new() -> Self {
+        Self(Arc::new(AtomicUsize::new(Self::UNLIMITED)))
+    }
+
+    /// Starts to count, since the head of a response is awaited.
+    pub(crate) fn begin(&self) {
+        self.0.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+    }
+
+    /// Ends to count, since the head of the response is complete.
+    pub(crate) fn end(&self) {
+        self.0.store(Self::UNLIMITED, Ordering::Relaxed);
+    }
+
+    /// Counts bytes; returns `Err` if they exceed the allowance.
+    fn take(&self, bytes: usize) -> io::Result<()> {
+        let allowance = self.0.load(Ordering::Relaxed);
+        if allowance == Self::UNLIMITED {
+            return Ok(());
+        }
+        let Some(rest) = allowance.checked_sub(bytes) else {
+            let message = format!("no response head within {MAX_HEAD_BYTES} bytes");
+            return Err(io::Error::new(io::ErrorKind::InvalidData, message));
+        };
+        self.0.store(rest, Ordering::Relaxed);
+        Ok(())
+    }
+}
+
+/// A stream whose reads give other tasks a turn, and fail if they exceed the allowance for a response head.
+pub(crate) struct LimitedReadStream<S> {
+    stream: S,
+    allowance: HeadAllowance,
+    reads_in_a_row: u32,
+}
+
+impl<S> LimitedReadStream<S> {
+    pub(crate) const fn new(stream: S, allowance: HeadAllowance) -> Self {
+        Self { stream, allowance, reads_in_a_row: 0 }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for LimitedReadStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.reads_in_a_row == MAX_READS_IN_A_ROW {
+            self.reads_in_a_row = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        match &read {
+            Poll::Ready(Ok(bytes)) => {
+                self.reads_in_a_row += 1;
+                self.allowance.take(*bytes)?;
+            }
+            _ => self.reads_in_a_row = 0,
+        }
+        read
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for LimitedReadStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(context)
+    }
+}
--- a/crates/bendhinge_http/src/pool.rs
+++ b/crates/bendhinge_http/src/pool.rs
@@ -13,6 +13,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
+use crate::limited_read::{HeadAllowance, LimitedReadStream};
 use crate::{Body, Tasks};
 
 /// A connection could not be established; nothing was sent.
@@ -42,6 +43,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Body>,
+    head_allowance: HeadAllowance,
     /// The remote address.
     pub address: SocketAddr,
     /// Whether an earlier request used this connection; the upstream may then be closing it.
@@ -51,7 +53,9 @@
 impl Connection {
     /// Sends a request and waits for the response head.
     pub async fn send(&mut self, request: Request<Body>) -> Result<Response<Incoming>, SendFailure> {
+        self.head_allowance.begin();
         let sent = self.sender.try_send_request(request).await;
+        self.head_allowance.end();
         sent.map_err(|mut failure| match failure.take_message() {
             Some(request) => SendFailure::NotSent(Box::new(request)),
             None => SendFailure::Unknown(failure.into_error()),
@@ -61,6 +65,7 @@
 
 struct IdleConnection {
     sender: SendRequest<Body>,
+    head_allowance: HeadAllowance,
     idle_since: Instant,
     idle_timeout: Duration,
 }
@@ -106,7 +111,7 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<SendRequest<Body>> {
+    fn take_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<IdleConnection> {
         let mut idle = self.idle.lock().unwrap();
         let connections = idle.get_mut(&address)?;
         // The most recently used connection is last.
@@ -117,7 +122,7 @@
             }
             let candidate = connections.pop()?;
             if candidate.sender.is_ready() && age < candidate.idle_timeout {
-                return Some(candidate.sender);
+                return Some(candidate);
             }
         }
         None
@@ -152,8 +157,8 @@
 
     /// Returns an idle connection to `address` that was used within `max_idle`, if there is one.
     pub fn idle_connection(&self, address: SocketAddr, max_idle: Duration) -> Option<Connection> {
-        let sender = self.take_idle(address, max_idle)?;
-        Some(Connection { sender, address, reused: true })
+        let IdleConnection { sender, head_allowance, .. } = self.take_idle(address, max_idle)?;
+        Some(Connection { sender, head_allowance, address, reused: true })
     }
 
     /// Speaks HTTP over a stream that is already connected to `address`.
@@ -164,6 +169,8 @@
     ) -> Result<Connection, ConnectError> {
         // Without vectored writes, hyper keeps a copy of each request body while the connection is open.
         let mut builder = http1::Builder::new();
+        let head_allowance = HeadAllowance::new();
+        let stream = LimitedReadStream::new(stream, head_allowance.clone());
         let (sender, connection) = builder.writev(true).handshake(FuturesIo::new(stream)).await?;
         self.tasks
             .spawn(async move {
@@ -171,7 +178,7 @@
                 let _ = connection.await;
             })
             .detach();
-        Ok(Connection { sender, address, reused: false })
+        Ok(Connection { sender, head_allowance, address, reused: false })
     }
 
     /// Returns a connection to the pool. Its last response body must have been read to the end.
@@ -190,6 +197,7 @@
             let idle_timeout = idle_timeout.min(self.max_idle_timeout);
             connections.push(IdleConnection {
                 sender: connection.sender,
+                head_allowance: connection.head_allowance,
                 idle_since: Instant::now(),
                 idle_timeout,
             });
