--- a/crates/bendhinge_lab/tests/gateway_endless_responses.rs
+++ b/crates/bendhinge_lab/tests/gateway_endless_responses.rs
@@ -135,3 +135,40 @@
         });
     }
 }
+
+/// Guards against a caller that keeps the gateway from serving others.
+#[test]
+fn requests_are_served_beside_callers_that_send_without_end() {
+    const HEAD: &str = "POST /safe/x HTTP/1.1\r\nhost: fleet.example\r\nauthorization: Bearer key-one\r\n";
+    let chunked = format!("{HEAD}transfer-encoding: chunked\r\n\r\n");
+    let pipelined = format!("{HEAD}content-length: 0\r\n\r\n");
+    let floods = [
+        ("", "\r\n"),
+        (HEAD, "x-more: and more\r\n"),
+        (&chunked, "1\r\nx\r\n"),
+        ("", &pipelined),
+        ("", "\0\u{1}no request"),
+    ];
+    for (first, repeated) in floods {
+        run(|tasks| async move {
+            let fleet = start(&tasks, FleetShape { gateways: 1, engines: 0, services: 2 }).await;
+            let address = fleet.callers(0);
+            let flood = format!("{first}{}", repeated.repeat(4_000));
+            let rest = repeated.repeat(4_000);
+            let sending = tasks.spawn(async move {
+                loop {
+                    let Ok(mut stream) = TcpStream::connect(address).await else { return };
+                    let mut sent = stream.write_all(flood.as_bytes()).await;
+                    while sent.is_ok() {
+                        sent = stream.write_all(rest.as_bytes()).await;
+                    }
+                }
+            });
+            for _ in 0..20 {
+                let answer = fleet.caller().send(address, &Call::new("/safe/x", KEY), PATIENCE).await;
+                assert_eq!(answer.told, Told::Whole, "{first:?} {repeated:?}");
+            }
+            sending.cancel().await;
+        });
+    }
+}
