Quarantine of prompt parts: report that there are enough responses to blame a part

A gateway that answered few other requests itself sent requests with the part on although the others blamed it: the reports had the number of responses as of the last crash, and no report followed when there were enough.

--- a/crates/bendhinge_fleet/src/lib.rs
+++ b/crates/bendhinge_fleet/src/lib.rs
@@ -66,7 +66,7 @@
 };
 pub use outlier_detector::{OutlierDetector, OutlierLimits, UpstreamFailure, UpstreamHealth};
 pub use overloads::OverloadLog;
-pub use part_quarantine::{Evidence, PartCrash, PartHistory, PartQuarantine};
+pub use part_quarantine::{Evidence, PartCrash, PartHistory, PartQuarantine, ResponseEffect};
 pub use peer_partitions::{PartitionReport, PeerPartitions};
 pub use peers::{PeerState, PeerStates, PeerSummary};
 pub use quarantine::{Crash, CrashHistory, MAX_CRASHES, Quarantine, SendPermission};
--- a/crates/bendhinge_fleet/src/part_quarantine/history.rs
+++ b/crates/bendhinge_fleet/src/part_quarantine/history.rs
@@ -12,6 +12,9 @@
 const MAX_RECORDED_CRASHES: usize = 12;
 /// The crash count from which on a history is part of the digest and is sent to routers whose digest differs.
 pub(super) const SYNC_THRESHOLD: usize = 2;
+/// The number of complete responses without the part since the first crash, below which the crashes may have a cause that
+/// affects all requests.
+pub(super) const MIN_OTHER_RESPONSES: u32 = 3;
 /// The difference up to which two reports of an instant are taken for the same. The transit time of a report adds to it.
 const CLOCK_TOLERANCE: Duration = Duration::from_millis(100);
 
@@ -127,6 +130,13 @@
         had_crashes
     }
 
+    /// Records the number of complete responses to other requests; returns `true` if it is enough now and was not before.
+    pub(super) fn record_other_responses(&mut self, count: u32) -> bool {
+        let had_enough = self.other_responses >= MIN_OTHER_RESPONSES;
+        self.other_responses = self.other_responses.max(count);
+        !had_enough && self.other_responses >= MIN_OTHER_RESPONSES
+    }
+
     /// Whether a response that this history contains clears crashes that count in the `other` one.
     pub(super) fn clears(&self, other: &Self) -> bool {
         let Some(last_response) = self.last_response else { return false };
@@ -150,8 +160,8 @@
             (Some(known), Some(received)) => known <= received + CLOCK_TOLERANCE,
             (known, _) => known.is_none(),
         };
-        if has_same_response && received.other_responses > self.other_responses {
-            self.other_responses = received.other_responses;
+        if has_same_response {
+            is_changed |= self.record_other_responses(received.other_responses);
         }
         for reported in &received.in_flight {
             is_changed |= reported.router != local_router && record_sends(&mut self.in_flight, *reported);
@@ -183,7 +193,8 @@
             bytes[8..].copy_from_slice(&crash.upstream.0.to_le_bytes());
             xxhash_rust::xxh3::xxh3_64(&bytes)
         };
-        self.crashes_since_response().fold(0, |digest, crash| digest ^ crash_digest(crash))
+        let has_others = u64::from(self.other_responses >= MIN_OTHER_RESPONSES);
+        self.crashes_since_response().fold(has_others, |digest, crash| digest ^ crash_digest(crash))
     }
 
     fn is_expired(&self, now: Instant) -> bool {
--- a/crates/bendhinge_fleet/src/part_quarantine/mod.rs
+++ b/crates/bendhinge_fleet/src/part_quarantine/mod.rs
@@ -13,8 +13,8 @@
 use bendhinge_ids::{Instant, NameHash, PartDigest};
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use self::history::SYNC_THRESHOLD;
 pub use self::history::{Evidence, PartCrash, PartHistory};
+use self::history::{MIN_OTHER_RESPONSES, SYNC_THRESHOLD};
 use crate::UpdateSource;
 use crate::crash_table::{CrashTable, History};
 use crate::in_flight::{change_sends, count_in_flight};
@@ -22,9 +22,6 @@
 
 /// The number of different requests that have to be among the crashes. The crashes of a single one are its own.
 const MIN_REQUESTS: usize = 2;
-/// The number of complete responses without the part since the first crash, below which the crashes may have a cause that
-/// affects all requests.
-const MIN_OTHER_RESPONSES: u32 = 3;
 /// The crash count from which on sends are reported to other routers and limited.
 const TRACKING_THRESHOLD: usize = 2;
 /// The number of crashes beyond [`MAX_CRASHES`] up to which a request is sent that can tell parts with the same crashes
@@ -33,6 +30,15 @@
 /// The maximum number of parts in the quarantine. An entry takes some 250 bytes.
 const MAX_PARTS: usize = 1_024;
 
+/// The effect of a complete response.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ResponseEffect {
+    /// The parts whose crashes do not count any more.
+    pub cleared: Vec<PartDigest>,
+    /// Whether there are enough responses to other requests now to blame a suspect part.
+    pub is_enough: bool,
+}
+
 /// One router's view of the prompt parts under which upstreams crashed.
 #[derive(Debug)]
 pub struct PartQuarantine {
@@ -210,17 +216,37 @@
         update.is_change()
     }
 
-    /// Records a complete response of `pool` to a request with `parts`; returns the parts that it clears.
-    pub fn record_response(&mut self, parts: &[PartDigest], pool: NameHash, now: Instant) -> Vec<PartDigest> {
+    /// Records a complete response of `pool` to a request with `parts`.
+    pub fn record_response(&mut self, parts: &[PartDigest], pool: NameHash, now: Instant) -> ResponseEffect {
         if self.is_empty() {
-            return Vec::new();
+            return ResponseEffect::default();
         }
         let responses = self.responses.entry(pool).or_default();
         *responses = responses.saturating_add(1);
         let clears = |part: &&PartDigest| {
             self.parts.update(**part, UpdateSource::Local, now, |history| history.record_response(now))
         };
-        parts.iter().filter(clears).copied().collect()
+        let cleared = parts.iter().filter(clears).copied().collect();
+        ResponseEffect { cleared, is_enough: self.record_other_responses(pool, now) }
+    }
+
+    /// Records for the suspect parts of `pool` how many responses to other requests this router has counted. Returns `true`
+    /// if that is enough for a part now, which other routers with fewer responses have to know.
+    fn record_other_responses(&mut self, pool: NameHash, now: Instant) -> bool {
+        let is_suspect = |history: &PartHistory| {
+            history.pool == pool
+                && history.other_responses < MIN_OTHER_RESPONSES
+                && history.crash_count() >= TRACKING_THRESHOLD
+        };
+        let suspects = self.parts.iter().filter(|(_, history)| is_suspect(history));
+        let counts: Vec<_> = suspects.map(|(part, history)| (part, self.other_responses(history))).collect();
+        let mut is_enough = false;
+        for (part, count) in counts {
+            is_enough |= self
+                .parts
+                .update(part, UpdateSource::Local, now, |history| history.record_other_responses(count));
+        }
+        is_enough
     }
 
     /// Clears the crashes under a part; returns `true` if there were any.
--- a/crates/bendhinge_fleet/tests/part_quarantine.rs
+++ b/crates/bendhinge_fleet/tests/part_quarantine.rs
@@ -83,7 +83,7 @@
 fn complete_response_clears_the_parts_of_its_request() {
     let mut quarantine = quarantine_with(&[CRASHING, POPULAR]);
     assert!(is_quarantined(&quarantine, &[POPULAR, CRASHING], at(3)));
-    assert_eq!(quarantine.record_response(&[POPULAR, RARE], POOL, at(4)), [POPULAR]);
+    assert_eq!(quarantine.record_response(&[POPULAR, RARE], POOL, at(4)).cleared, [POPULAR]);
     assert_eq!(quarantine.permission(&[POPULAR, RARE], at(4)), (SendPermission::Allowed, None));
     assert!(is_quarantined(&quarantine, &[POPULAR, CRASHING], at(4)));
 }
@@ -163,6 +163,23 @@
     assert_eq!(first.digest(), second.digest());
 }
 
+/// Guards against a router that sends requests with the part since it answers few others itself.
+#[test]
+fn router_without_responses_hears_that_there_are_enough() {
+    let mut busy = PartQuarantine::new(LOCAL_ROUTER);
+    let mut idle = PartQuarantine::new(OTHER_ROUTER);
+    record_crashes(&mut busy, &[CRASHING], 0, 3);
+    report_changes(&busy, LOCAL_ROUTER, &mut idle, OTHER_ROUTER, at(3));
+    assert_eq!(idle.permission(&[CRASHING], at(3)).0, SendPermission::Allowed);
+    record_other_responses(&mut busy, POOL, 2, 4);
+    assert!(busy.record_response(&[], POOL, at(4)).is_enough);
+    assert!(!busy.record_response(&[], POOL, at(4)).is_enough, "it was enough before");
+    assert_ne!(busy.digest(), idle.digest());
+    report_changes(&busy, LOCAL_ROUTER, &mut idle, OTHER_ROUTER, at(4));
+    assert!(is_quarantined(&idle, &[CRASHING], at(4)));
+    assert_eq!(busy.digest(), idle.digest());
+}
+
 #[test]
 fn router_that_starts_later_learns_what_is_quarantined() {
     let known = quarantine_with(&[CRASHING]);
@@ -176,7 +193,7 @@
     let mut first = quarantine_with(&[POPULAR]);
     let mut second = PartQuarantine::new(OTHER_ROUTER);
     merge_all(&first, LOCAL_ROUTER, &mut second, at(3));
-    assert_eq!(second.record_response(&[POPULAR], POOL, at(4)), [POPULAR]);
+    assert_eq!(second.record_response(&[POPULAR], POOL, at(4)).cleared, [POPULAR]);
     let changes: Vec<_> = second.changes_for(UpdateSource::Router(LOCAL_ROUTER), at(3), false).collect();
     assert_eq!(changes.len(), 1, "the first router knows of the crashes");
     for (part, history) in changes {
--- a/crates/bendhinge_gateway/src/quarantine.rs
+++ b/crates/bendhinge_gateway/src/quarantine.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use bendhinge_codes::ResultCode;
-use bendhinge_fleet::{Crash, Origin, PartCrash, PartQuarantine, Quarantine, SendPermission, UpstreamEntry};
+use bendhinge_fleet::{
+    Crash, Origin, PartCrash, PartQuarantine, Quarantine, ResponseEffect, SendPermission, UpstreamEntry,
+};
 use bendhinge_ids::{Instant, NameHash, PartDigest, RequestDigest, RequestHint};
 use bendhinge_peer::{ObservedCrashHistory, ObservedPartHistory};
 use rand::Rng;
@@ -297,12 +299,16 @@
         let mut state = self.state.lock().unwrap();
         let crashes = |part: &PartDigest| state.parts.evidence_against(*part).consecutive_crashes;
         let previous_crashes = parts.iter().map(crashes).max().unwrap_or_default();
-        let cleared = state.parts.record_response(parts, pool, bendhinge_clock::now());
-        if cleared.is_empty() {
+        let effect = state.parts.record_response(parts, pool, bendhinge_clock::now());
+        let ResponseEffect { cleared, is_enough } = effect;
+        if cleared.is_empty() && !is_enough {
             return;
         }
         state.update_attributed_crashes();
         drop(state);
+        if is_enough {
+            self.notify(Origin::Store, REPORTING_THRESHOLD);
+        }
         if previous_crashes >= REPORTING_THRESHOLD {
             for part in cleared {
                 self.log.part_suspicion_cleared(part, "answered");
