Check that an upstream runs before a response that ends with its connection is complete

Cause: the end of a process closes connections in the same way as the end of an unframed response. Only with `[upstreams] verify_close` or `[quarantine] prompt_parts`.

--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -192,7 +192,9 @@
         control.peer_states.borrow_mut().evict_idle(now);
         control.context.upstreams.prune();
         control.context.quarantine.prune();
-        control.context.crash_probes.retain(|upstream| control.context.upstreams.contains(upstream));
+        for probes in [&control.context.crash_probes, &control.context.close_probes] {
+            probes.retain(|upstream| control.context.upstreams.contains(upstream));
+        }
         control.context.pacing.prune();
         control.context.admission.prune();
         control.context.connection_pool.prune();
--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -15,6 +15,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use smol::Timer;
 
+use super::crash::has_crashed_at_close;
 use super::measured_send::MeasuredSend;
 use super::race::{PendingSend, SendRecord};
 use super::stream_source::{ResponseSource, UpstreamSend};
@@ -287,6 +288,10 @@
     if is_success && ended.end == BodyEnd::Empty {
         return Err(SendError { body: Some(ended), ..SendOutcome::Lost.into() });
     }
+    if is_success && !framing.marks_end() && has_crashed_at_close(context, &chosen.entry).await {
+        let ended = EndedBody { framing, end: BodyEnd::Failed };
+        return Err(SendError { body: Some(ended), ..SendOutcome::Lost.into() });
+    }
     if head.status.is_server_error() || implies_not_run(head.status) {
         let error_response = Some(Box::new(ErrorResponse { head, body: complete_body }));
         return Err(SendError { error_response, body: Some(ended), ..SendOutcome::Failed.into() });
--- a/crates/bendhinge_gateway/src/delivery/context.rs
+++ b/crates/bendhinge_gateway/src/delivery/context.rs
@@ -38,7 +38,11 @@
     pub(crate) quarantine: Arc<SharedQuarantine>,
     /// Whether the shared parts of prompts are tracked.
     pub(crate) tracks_prompt_parts: bool,
+    /// Whether a response that ends with its connection is complete only once its upstream is known to run.
+    pub(crate) verifies_close: bool,
     pub(crate) crash_probes: CrashProbes,
+    /// The probes of upstreams that closed a connection at the end of a response.
+    pub(crate) close_probes: CrashProbes,
     pub(crate) link_probes: LinkProbes,
     pub(crate) forwarding: Arc<Forwarding>,
     /// Notifies the control plane of changes of the pools from which gateways are partitioned.
--- a/crates/bendhinge_gateway/src/delivery/crash.rs
+++ b/crates/bendhinge_gateway/src/delivery/crash.rs
@@ -74,34 +74,29 @@
     tasks.spawn(detection).detach();
 }
 
-/// Records a complete response that its upstream ended by closing the connection, once the upstream is known not to have
-/// crashed: the end of its process closes connections in the same way.
-pub(super) fn confirm_success(
-    context: &Arc<DeliveryContext>,
-    inbound: &Arc<InboundRequest>,
-    record: SendRecord,
-) {
-    let ended_at = bendhinge_clock::now();
-    let (context, inbound) = (Arc::clone(context), Arc::clone(inbound));
-    let tasks = Arc::clone(&context.tasks);
-    let confirmation = async move {
-        if !record_if_crashed(&context, &inbound, &record, ended_at).await {
-            context.record_success(&inbound);
-        }
-        drop(record);
+/// Whether an upstream that closed the connection at the end of a response has crashed, so that the response is incomplete.
+pub(super) async fn has_crashed_at_close(context: &Arc<DeliveryContext>, upstream: &UpstreamEntry) -> bool {
+    if !context.verifies_close || !context.upstreams.accepts_work(upstream.hash) {
+        return false;
+    }
+    let probe = context.close_probes.probe_for(upstream.hash, bendhinge_clock::now());
+    let refuses = || async {
+        Timer::after(SOCKET_CLOSE_TIME).await;
+        // Requests in progress show nothing: theirs may be the connections that were closed.
+        refuses_connections(context, upstream).await
     };
-    tasks.spawn(confirmation).detach();
+    *probe.has_crashed.get_or_init(refuses).await
 }
 
-/// Records a crash of the upstream against the request if there was one; returns whether there was.
+/// Records a crash of the upstream against the request, if there was one.
 async fn record_if_crashed(
     context: &Arc<DeliveryContext>,
     inbound: &InboundRequest,
     record: &SendRecord,
     lost_at: Instant,
-) -> bool {
+) {
     if !has_crashed(context, &record.upstream, lost_at).await {
-        return false;
+        return;
     }
     let had_begun = record.first_event_at.is_some_and(|first| lost_at.since(first) > MAX_TIME_TO_CRASH);
     context.quarantine.record_crash(&CrashedSend {
@@ -113,7 +108,6 @@
         sent_at: record.started_at,
         lost_at,
     });
-    true
 }
 
 async fn has_crashed(context: &Arc<DeliveryContext>, upstream: &UpstreamEntry, lost_at: Instant) -> bool {
@@ -122,7 +116,11 @@
         return false;
     }
     let probe = context.crash_probes.probe_for(upstream.hash, lost_at);
-    *probe.has_crashed.get_or_init(|| refuses_connections(context, upstream)).await
+    let refuses = || async {
+        Timer::after(SOCKET_CLOSE_TIME).await;
+        !context.upstreams.has_own_requests(upstream.hash) && refuses_connections(context, upstream).await
+    };
+    *probe.has_crashed.get_or_init(refuses).await
 }
 
 /// Whether the upstream's address refuses connections, which means that its process has ended. Requests in
@@ -130,10 +128,7 @@
 /// a busy upstream may have none left. An unreachable box does not respond, which is not a crash. Neither is a link of
 /// this gateway on which the connections to all upstreams are refused.
 async fn refuses_connections(context: &Arc<DeliveryContext>, upstream: &UpstreamEntry) -> bool {
-    Timer::after(SOCKET_CLOSE_TIME).await;
-    if context.upstreams.has_own_requests(upstream.hash)
-        || context.connection_pool.has_idle_connection(upstream.address)
-    {
+    if context.connection_pool.has_idle_connection(upstream.address) {
         return false;
     }
     match context.connection_pool.connect(upstream.address).await {
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -301,7 +301,7 @@
             ResponseSource::Upstream(send) => {
                 self.log_line.record_body_end(send.record.number, ended.framing, ended.end, 0);
                 if status.is_success() {
-                    self.record_success(&send.record, ended.framing);
+                    self.record_success();
                 } else {
                     self.context.record_complete_response(&self.inbound);
                 }
--- a/crates/bendhinge_gateway/src/delivery/outcome.rs
+++ b/crates/bendhinge_gateway/src/delivery/outcome.rs
@@ -4,11 +4,10 @@
 
 use bendhinge_delivery::SendOutcome;
 use bendhinge_fleet::UpstreamFailure;
-use bendhinge_http::BodyFraming;
 use bendhinge_ids::NameHash;
 
 use super::attempt::{ConnectFailure, SendError, implies_not_run};
-use super::crash::{confirm_success, detect_crash};
+use super::crash::detect_crash;
 use super::cut::Cut;
 use super::race::{FailedSend, SendRecord};
 use super::upstream_body::EndedBody;
@@ -45,16 +44,12 @@
     }
 
     /// Records that an upstream answered the request completely and with success.
-    pub(super) fn record_success(&mut self, record: &SendRecord, framing: BodyFraming) {
+    pub(super) fn record_success(&mut self) {
         let Self { context, inbound, log_line, .. } = self;
         if context.quarantine.tracks_any(context.suspects(inbound).parts) {
             log_line.set_part_digests(context.part_digests(inbound));
         }
-        if framing.marks_end() || context.part_digests(inbound).is_empty() {
-            context.record_success(inbound);
-        } else {
-            confirm_success(context, inbound, record.clone());
-        }
+        context.record_success(inbound);
     }
 
     /// Records a failed send; returns `Err` if it is not retried.
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -12,6 +12,7 @@
 use smol::Timer;
 
 use super::Delivery;
+use super::crash::has_crashed_at_close;
 use super::cut::{Cut, CutCause, ResumeObstacle};
 use super::race::PendingSend;
 use super::race_timer::RaceTimer;
@@ -84,6 +85,7 @@
                 SourceRead::Data(Some(events)) => return Some(Ok(self.relay(events))),
                 SourceRead::Ended(end) => {
                     let end = self.confirm_end(end);
+                    let end = self.verify_end(end).await;
                     if end == BodyEnd::Complete {
                         return self.finish();
                     }
@@ -199,6 +201,19 @@
         if is_empty && is_confirmed { BodyEnd::Complete } else { end }
     }
 
+    /// Returns the end of the current source, `Failed` if its upstream has crashed and only seems to have closed the
+    /// connection after a complete stream.
+    async fn verify_end(&mut self, end: BodyEnd) -> BodyEnd {
+        let Some(StreamSource { sender: ResponseSource::Upstream(send), framing, .. }) = &self.source else {
+            return end;
+        };
+        let is_marked = end != BodyEnd::Complete || framing.marks_end();
+        if is_marked || !has_crashed_at_close(&self.delivery.context, &send.record.upstream).await {
+            return end;
+        }
+        BodyEnd::Failed
+    }
+
     /// Records how the body of the current source ended.
     fn record_body_end(&mut self, end: BodyEnd) {
         let Some(StreamSource { sender, framing, .. }) = &self.source else { return };
@@ -258,9 +273,7 @@
         {
             self.delivery.context.release_connection(&headers, framing, connection);
             match sender {
-                ResponseSource::Upstream(send) if relayed_events > 0 => {
-                    self.delivery.record_success(&send.record, framing);
-                }
+                ResponseSource::Upstream(_) if relayed_events > 0 => self.delivery.record_success(),
                 // An upstream that has nothing left to send has not processed the prompt.
                 ResponseSource::Upstream(_) => {
                     self.delivery.context.record_complete_response(&self.delivery.inbound);
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -155,6 +155,8 @@
     pub idle_timeout: Duration,
     /// The maximum size of a response that is not a stream.
     pub max_response_bytes: usize,
+    /// Whether a response that ends with its connection is complete only once its upstream is known to run.
+    pub verifies_close: bool,
     /// Ejection of upstreams that fail.
     pub outlier_limits: OutlierLimits,
     /// Removal of upstreams that are no longer listed.
@@ -338,6 +340,7 @@
         let connect_timeout = self.0.millis(section, "connect_ms");
         let idle_timeout = self.0.millis(section, "idle_ms");
         let max_response_bytes = self.0.byte_count(section, "answer_bytes");
+        let verifies_close = self.0.value::<YesNo>(section, "verify_close");
         let base_ejection = self.0.millis(section, "rest_ms");
         let max_ejection = self.0.millis(section, "longest_rest_ms");
         let removal_grace = self.0.millis(section, "doubt_ms");
@@ -348,6 +351,7 @@
             connect_timeout: connect_timeout?,
             idle_timeout: idle_timeout?,
             max_response_bytes: max_response_bytes?,
+            verifies_close: verifies_close?.0,
             outlier_limits: OutlierLimits {
                 base_ejection: base_ejection?,
                 max_ejection: max_ejection?,
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -189,6 +189,12 @@
             Some("1.5"),
             "Maximum load of an upstream as a multiple of the mean load.",
         ),
+        Key::new(
+            "verify_close",
+            "yes or no",
+            Some("no"),
+            "Whether a response that ends with its connection, without a length or chunks, is complete only once its upstream is known to run: the end of a process closes connections in the same way. `[quarantine] prompt_parts` implies it.",
+        ),
         Key::new(
             "leaving_ms",
             "milliseconds",
--- a/crates/bendhinge_lab/tests/gateway_prompt_parts.rs
+++ b/crates/bendhinge_lab/tests/gateway_prompt_parts.rs
@@ -4,14 +4,21 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bendhinge_http::Tasks;
-use bendhinge_lab::gateways::{Answer, Call, CrashingEngines, FleetShape, GatewayFleet, KEY, Told};
+use bendhinge_http::{Pool, Tasks, fetch_bytes};
+use bendhinge_lab::gateways::{
+    Answer, Call, CrashingEngines, FleetShape, GatewayFleet, GatewaySettings, KEY, Told, until,
+};
+use bendhinge_standin::gateway::Framing;
 use futures_lite::future::zip;
 use gateway_common::{PATIENCE, run};
+use rustix::process::Signal;
 use smol::Timer;
 
+const SECTIONS: &str = "[quarantine]\nprompt_parts = yes\n";
 /// The part under which engines crash.
 const CRASHING_PART: u64 = 666;
 /// The time within which gateways that reach each other know of the same crashes.
@@ -104,6 +111,9 @@
     /// The part is known in time, and requests without it are served.
     fn check(&self) {
         println!("{}", self.summary());
+        let sound = self.sound.iter().map(|sound| &sound.answer);
+        let wrong = sound.chain(&self.crashing).filter(|answer| matches!(answer.told, Told::Wrong(_)));
+        assert_eq!(wrong.count(), 0, "{}", self.summary());
         assert!(self.crashes.len() >= 2, "engines crash under the part: {}", self.summary());
         assert!(self.late() <= MAX_LATE, "{}", self.summary());
         assert!(self.sound_share(true) > 0.5, "{}", self.summary());
@@ -129,7 +139,7 @@
 ) -> Vec<Sound> {
     let begun = Instant::now();
     let mut sending = Vec::new();
-    Timer::after(delay).await;
+    Timer::after(delay.min(lasts)).await;
     let mut number = 0;
     while begun.elapsed() < lasts {
         let (caller, address) = {
@@ -177,7 +187,7 @@
 }
 
 async fn start_fleet(tasks: &Tasks, shape: FleetShape) -> GatewayFleet {
-    GatewayFleet::start(tasks, shape, "[quarantine]\nprompt_parts = yes\n").await
+    GatewayFleet::start(tasks, shape, SECTIONS).await
 }
 
 async fn usual_fleet(tasks: &Tasks) -> GatewayFleet {
@@ -222,3 +232,102 @@
         play(&tasks, usual_fleet(&tasks).await, traffic, async |_, _| {}).await.check();
     });
 }
+
+#[test]
+fn a_crashing_part_among_many_is_recognised() {
+    run(|tasks| async move {
+        let prompt = "1:2000,2:3000,3:3000,666:1000,{}:500";
+        let traffic =
+            Traffic { crashing_prompt: prompt, sound_prompt: "1:2000,2:3000,3:3000,{}:500", ..USUAL };
+        play(&tasks, usual_fleet(&tasks).await, traffic, async |_, _| {}).await.check();
+    });
+}
+
+/// Guards against crashes that pass for complete responses: the end of a process closes connections like the end of an
+/// unframed response.
+#[test]
+fn a_crashing_part_is_recognised_if_responses_end_with_their_connection() {
+    run(|tasks| async move {
+        let outcome = play(&tasks, usual_fleet(&tasks).await, USUAL, async |_, engines: CrashingEngines| {
+            engines.set_framing(Framing::UntilClose);
+        });
+        outcome.await.check();
+    });
+}
+
+/// Guards against a part that is blamed since popular parts are in every crash.
+#[test]
+fn no_part_is_blamed_for_engines_that_crash_by_themselves() {
+    run(|tasks| async move {
+        let traffic = Traffic { crashing_from: USUAL.lasts, sound_per_second: 40.0, ..USUAL };
+        let mut blamed = Vec::new();
+        let outcome = play(
+            &tasks,
+            usual_fleet(&tasks).await,
+            traffic,
+            async |fleet: &RefCell<GatewayFleet>, engines| {
+                for index in 0..12 {
+                    Timer::after(Duration::from_millis(1_200)).await;
+                    engines.crash_one(index).await;
+                }
+                let pages: Vec<_> = {
+                    let fleet = fleet.borrow();
+                    let addresses = fleet.settings.iter().map(|settings| settings.addresses["ready"]);
+                    addresses.map(|address| (Arc::clone(&fleet.pool), address)).collect()
+                };
+                for (pool, address) in pages {
+                    blamed.extend(parts_on_page(pool, address).await);
+                }
+            },
+        );
+        let outcome = outcome.await;
+        println!("{}", outcome.summary());
+        assert!(blamed.is_empty(), "{blamed:?}");
+        let codes = outcome.sound.iter().filter_map(|sound| sound.answer.code());
+        let refused = codes.filter(|code| ["BH0310", "BH0311"].contains(code)).count();
+        assert_eq!(refused, 0, "{}", outcome.summary());
+    });
+}
+
+/// Returns the digests of the parts that a gateway keeps from engines.
+async fn quarantined_parts(fleet: &GatewayFleet, gateway: usize) -> Vec<String> {
+    parts_on_page(Arc::clone(&fleet.pool), fleet.settings[gateway].addresses["ready"]).await
+}
+
+async fn parts_on_page(pool: Arc<Pool>, address: SocketAddr) -> Vec<String> {
+    let page = fetch_bytes(&pool, address, "/quarantine", PATIENCE).await.unwrap();
+    let page: serde_json::Value = serde_json::from_slice(&page).unwrap();
+    let parts = page["parts"].as_array().unwrap().iter();
+    parts.map(|part| part["digest"].as_str().unwrap().to_owned()).collect()
+}
+
+#[test]
+fn operators_see_and_release_a_crashing_part() {
+    run(|tasks| async move {
+        let fleet = usual_fleet(&tasks).await;
+        let engines = CrashingEngines::new(&fleet, Some(CRASHING_PART));
+        let caller = fleet.caller();
+        let mut parts = Vec::new();
+        until(async || {
+            let crashing = stream(USUAL.crashing_prompt, 0);
+            caller.send(fleet.callers(0), &crashing, PATIENCE).await;
+            for gateway in 0..3 {
+                caller.send(fleet.callers(gateway), &stream(USUAL.sound_prompt, 0), PATIENCE).await;
+            }
+            parts = quarantined_parts(&fleet, 2).await;
+            !parts.is_empty()
+        })
+        .await;
+        assert_eq!(parts.len(), 1, "{parts:?}");
+        until(async || quarantined_parts(&fleet, 1).await == parts).await;
+        let crashes = engines.crashes().len();
+        let answer = caller.send(fleet.callers(1), &stream(USUAL.crashing_prompt, 0), PATIENCE).await;
+        assert_eq!((answer.code(), answer.ran()), (Some("BH0310"), Some("no")));
+        assert_eq!(engines.crashes().len(), crashes);
+        let sections = format!("{SECTIONS}released_parts = {}\n", parts[0]);
+        let released = GatewaySettings { sections, ..fleet.settings[0].clone() };
+        fleet.gateway(0).write_settings(&released).unwrap();
+        fleet.gateway(0).signal(Signal::HUP);
+        until(async || quarantined_parts(&fleet, 2).await.is_empty()).await;
+    });
+}
