--- a/crates/bendhinge_lab/src/gateways/crashing_engines.rs
+++ b/crates/bendhinge_lab/src/gateways/crashing_engines.rs
@@ -29,6 +29,7 @@
     running: Vec<Engine>,
     ended: Vec<Upstream>,
     crashes: Vec<Instant>,
+    crashes_under_part: Vec<Instant>,
     framing: Framing,
     started: usize,
 }
@@ -51,6 +52,7 @@
             running: Vec::new(),
             ended: Vec::new(),
             crashes: Vec::new(),
+            crashes_under_part: Vec::new(),
             framing: Framing::Framed,
             started: fleet.upstreams.len(),
         };
@@ -82,7 +84,7 @@
             }
             state.running[index % state.running.len()].upstream.name()
         };
-        self.crash(&name).await;
+        self.crash(&name, false).await;
     }
 
     /// When engines crashed.
@@ -91,6 +93,12 @@
         self.state.lock().unwrap().crashes.clone()
     }
 
+    /// When engines crashed under requests with the part.
+    #[must_use]
+    pub fn crashes_under_part(&self) -> Vec<Instant> {
+        self.state.lock().unwrap().crashes_under_part.clone()
+    }
+
     /// All requests that reached an engine.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -106,7 +114,7 @@
             let (engines, name) = (self.clone(), upstream.name());
             upstream.ends_under_part(part, move || {
                 let (engines, name) = (engines.clone(), name.clone());
-                async move { engines.crash(&name).await }
+                async move { engines.crash(&name, true).await }
             });
         }
         let mut state = self.state.lock().unwrap();
@@ -115,7 +123,7 @@
     }
 
     /// Ends an engine and starts another one in its place later.
-    async fn crash(&self, name: &str) {
+    async fn crash(&self, name: &str, is_under_part: bool) {
         let engine = {
             let mut state = self.state.lock().unwrap();
             let index = state.running.iter().position(|engine| engine.upstream.name() == name);
@@ -124,6 +132,9 @@
             let engine = state.running.swap_remove(index);
             state.ended.push(engine.upstream.clone());
             state.crashes.push(Instant::now());
+            if is_under_part {
+                state.crashes_under_part.push(Instant::now());
+            }
             engine
         };
         engine.proxy.end().await;
--- a/crates/bendhinge_lab/tests/gateway_soak.rs
+++ b/crates/bendhinge_lab/tests/gateway_soak.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use bendhinge_http::{Tasks, run_until};
-use bendhinge_lab::gateways::{Findings, partition_soak, silence_soak, soak, software_soak};
+use bendhinge_lab::gateways::{Findings, part_soak, partition_soak, silence_soak, soak, software_soak};
 
 /// Seeds of the short run, and seeds that once found something.
 const SEEDS: [u64; 4] = [1, 2, 3, 4];
@@ -15,6 +15,21 @@
 /// The same of the soak of silent upstreams.
 const SILENCE_SEEDS: [u64; 2] = [1, 2];
 
+/// The same of the soak of prompt parts under which engines crash.
+const PART_SEEDS: [u64; 2] = [1, 2];
+
+/// Guards against requests with a crashing part that reach engine after engine, and sound ones that are blamed.
+#[test]
+fn a_crashing_part_stays_known_while_gateways_fail() {
+    for seed in seeds(&PART_SEEDS) {
+        let told = check(seed, |tasks| async move { part_soak(&tasks, seed).await });
+        assert!(
+            told.contains_key("with the part: Status(503) BH0310"),
+            "seed {seed}: the part was not blamed"
+        );
+    }
+}
+
 #[test]
 fn no_stream_is_mixed_while_versions_overlap() {
     for seed in seeds(&SOFTWARE_SEEDS) {
