Quarantine of prompt parts: remember the parts of complete responses

A part that is in none of the responses that a gateway remembers (8,192 parts at most) needs no further ones to be blamed; a part that was in one does, and explains no crashes of others. Gateways tell one that lacks such a response.

--- a/crates/bendhinge_fleet/src/part_quarantine/history.rs
+++ b/crates/bendhinge_fleet/src/part_quarantine/history.rs
@@ -137,10 +137,11 @@
         !had_enough && self.other_responses >= MIN_OTHER_RESPONSES
     }
 
-    /// Whether a response that this history contains clears crashes that count in the `other` one.
-    pub(super) fn clears(&self, other: &Self) -> bool {
+    /// Whether this history contains a response that clears crashes of the `other` one, or the first response at all.
+    pub(super) fn outdates(&self, other: &Self) -> bool {
         let Some(last_response) = self.last_response else { return false };
-        other.crashes_since_response().any(|crash| crash.at <= last_response)
+        let is_first = other.last_response.is_none();
+        other.crashes_since_response().any(|crash| is_first || crash.at <= last_response)
     }
 
     /// Merges the history that another router reports; returns `true` if it is new evidence.
--- a/crates/bendhinge_fleet/src/part_quarantine/mod.rs
+++ b/crates/bendhinge_fleet/src/part_quarantine/mod.rs
@@ -1,11 +1,13 @@
 //! Quarantine of prompt parts that crash the upstreams that respond to requests with them.
 //!
 //! Requests that share such a part may be different in everything else, so that no request crashes twice. A part is to blame if
-//! it is in a request of several crashes in a row and in no complete response since the first of them, while the pool
-//! responds to requests without it. Parts that requests without the fault share are cleared by the responses to these.
+//! it is in a request of several crashes in a row and in no complete response since the first of them. A part that was in a
+//! response before is blamed only while the pool responds to requests without it, since otherwise something else may crash
+//! the upstreams. Parts that requests without the fault share are cleared by the responses to these.
 //!
 //! `docs/design/PART-QUARANTINE.md` describes the design and the alternatives.
 
+mod answered;
 mod history;
 
 use std::time::Duration;
@@ -13,6 +15,7 @@
 use bendhinge_ids::{Instant, NameHash, PartDigest};
 use rustc_hash::{FxHashMap, FxHashSet};
 
+use self::answered::AnsweredParts;
 pub use self::history::{Evidence, PartCrash, PartHistory};
 use self::history::{MIN_OTHER_RESPONSES, SYNC_THRESHOLD};
 use crate::UpdateSource;
@@ -27,6 +30,8 @@
 /// The number of crashes beyond [`MAX_CRASHES`] up to which a request is sent that can tell parts with the same crashes
 /// apart.
 const MAX_TEST_CRASHES: usize = 2;
+/// The number of complete responses of a pool from which on a part that is in none of them is blamed without further ones.
+const MIN_KNOWN_RESPONSES: u32 = 20;
 /// The maximum number of parts in the quarantine. An entry takes some 250 bytes.
 const MAX_PARTS: usize = 1_024;
 
@@ -45,7 +50,9 @@
     /// The address hash of this router.
     local_router: NameHash,
     parts: CrashTable<PartHistory>,
-    /// The number of complete responses of each pool, counted while there are suspect parts.
+    /// The parts of complete responses.
+    answered: AnsweredParts,
+    /// The number of complete responses of each pool.
     responses: FxHashMap<NameHash, u32>,
     /// The software that upstreams run, if known. Crashes of other software do not count.
     running_software: Option<FxHashSet<NameHash>>,
@@ -58,6 +65,7 @@
         Self {
             local_router,
             parts: CrashTable::new(MAX_PARTS),
+            answered: AnsweredParts::default(),
             responses: FxHashMap::default(),
             running_software: None,
         }
@@ -113,8 +121,8 @@
         quarantine_remaining(evidence.consecutive_crashes, history.last_crash_at()?, now)
     }
 
-    /// Whether a request with `parts` lacks one of the parts that have the same crashes as `part`, so that its end tells which
-    /// of them is to blame.
+    /// Whether a request with `parts` lacks one of the blamed parts that have the same crashes as `part`, so that its end
+    /// tells which of them is to blame.
     fn is_test(&self, part: PartDigest, history: &PartHistory, parts: &[PartDigest]) -> bool {
         if self.evidence(history).consecutive_crashes >= MAX_CRASHES + MAX_TEST_CRASHES {
             return false;
@@ -123,6 +131,7 @@
             other.pool == history.pool
                 && other.crash_count() == history.crash_count()
                 && history.crashes_since_response().all(|crash| other.contains_crash_of(crash.upstream))
+                && self.is_to_blame(other)
         };
         let mut others = self.parts.iter().filter(|(other, _)| *other != part && !parts.contains(other));
         others.any(|(_, other)| has_same_crashes(other))
@@ -145,10 +154,12 @@
         })
     }
 
-    /// Whether the crash of an upstream is attributed to a quarantined part with more than `crash_count` crashes.
+    /// Whether the crash of an upstream is attributed to a quarantined part with more than `crash_count` crashes. A part that
+    /// was in a response before explains nothing: after a loss of many upstreams, popular parts have most crashes.
     fn is_explained(&self, upstream: NameHash, pool: NameHash, crash_count: usize) -> bool {
         self.parts.iter().any(|(_, other)| {
             other.pool == pool
+                && other.last_response.is_none()
                 && other.crash_count() > crash_count
                 && self.is_to_blame(other)
                 && other.contains_crash_of(upstream)
@@ -163,13 +174,14 @@
             && self.other_responses(history) >= MIN_OTHER_RESPONSES
     }
 
-    /// Returns the number of complete responses of the pool since the first crash under the part. None of them is to a
-    /// request with the part, since that would have cleared it.
+    /// Returns the number of complete responses of the pool since the first crash under the part, at least
+    /// [`MIN_OTHER_RESPONSES`] if there were many before and none of them to a request with the part.
     fn other_responses(&self, history: &PartHistory) -> u32 {
-        let own = history.responses_before.map_or(0, |before| {
-            self.responses.get(&history.pool).copied().unwrap_or_default().saturating_sub(before)
-        });
-        history.other_responses.max(own)
+        let total = self.responses.get(&history.pool).copied().unwrap_or_default();
+        let own = history.responses_before.map_or(0, |before| total.saturating_sub(before));
+        let is_distinguished = history.last_response.is_none() && total >= MIN_KNOWN_RESPONSES;
+        let before = if is_distinguished { MIN_OTHER_RESPONSES } else { 0 };
+        history.other_responses.max(own).max(before)
     }
 
     /// Returns the evidence that counts against a part.
@@ -207,22 +219,26 @@
     /// if that is no new evidence or the quarantine is full.
     pub fn record_crash(&mut self, part: PartDigest, pool: NameHash, crash: PartCrash, now: Instant) -> bool {
         let responses = self.responses.get(&pool).copied().unwrap_or_default();
+        let last_response = self.answered.last_response(part);
         let update = self.parts.update_or_insert(part, UpdateSource::Local, now, |history| {
             history.pool = pool;
+            history.last_response = history.last_response.max(last_response);
             let is_new = history.add_detected_crash(crash);
             history.responses_before.get_or_insert(responses);
             is_new
         });
+        self.record_other_responses(pool, now);
         update.is_change()
     }
 
     /// Records a complete response of `pool` to a request with `parts`.
     pub fn record_response(&mut self, parts: &[PartDigest], pool: NameHash, now: Instant) -> ResponseEffect {
+        self.answered.record(parts, now);
+        let responses = self.responses.entry(pool).or_default();
+        *responses = responses.saturating_add(1);
         if self.is_empty() {
             return ResponseEffect::default();
         }
-        let responses = self.responses.entry(pool).or_default();
-        *responses = responses.saturating_add(1);
         let clears = |part: &&PartDigest| {
             self.parts.update(**part, UpdateSource::Local, now, |history| history.record_response(now))
         };
@@ -268,15 +284,17 @@
         }
         let local_router = self.local_router;
         let responses = self.responses.get(&received.pool).copied().unwrap_or_default();
+        let last_response = self.answered.last_response(part);
         let update = self.parts.update_or_insert(part, sender, now, |history| {
             history.pool = received.pool;
+            history.last_response = history.last_response.max(last_response);
             let is_changed = history.merge(received, local_router);
             if history.crash_count() > 0 {
                 history.responses_before.get_or_insert(responses);
             }
             is_changed
         });
-        let is_outdated = self.parts.get(part).is_some_and(|history| history.clears(received));
+        let is_outdated = self.parts.get(part).is_some_and(|history| history.outdates(received));
         if is_outdated {
             self.parts.update(part, UpdateSource::Local, now, |_| true);
         }
@@ -335,9 +353,6 @@
     /// Removes expired histories.
     pub fn prune(&mut self, now: Instant) {
         self.parts.prune(now);
-        if self.parts.is_empty() {
-            self.responses.clear();
-        }
     }
 }
 
--- a/crates/bendhinge_fleet/tests/part_quarantine.rs
+++ b/crates/bendhinge_fleet/tests/part_quarantine.rs
@@ -114,6 +114,31 @@
     assert_eq!(quarantine.permission(&[POPULAR], at(8)).0, SendPermission::Allowed);
 }
 
+/// Guards against a pool with little traffic in which nothing is answered any more under the crashes.
+#[test]
+fn part_of_no_earlier_response_is_blamed_although_nothing_is_answered() {
+    let mut quarantine = PartQuarantine::new(LOCAL_ROUTER);
+    record_other_responses(&mut quarantine, POOL, 20, 0);
+    quarantine.record_response(&[POPULAR], POOL, at(0));
+    record_crashes(&mut quarantine, &[POPULAR, CRASHING], 1, 3);
+    assert!(is_quarantined(&quarantine, &[CRASHING], at(3)));
+    assert_eq!(quarantine.permission(&[POPULAR], at(3)).0, SendPermission::Allowed);
+}
+
+/// Guards against a part that is taken for one of no response by the routers that have not seen the response.
+#[test]
+fn response_before_the_first_crash_is_reported_to_the_router_that_lacks_it() {
+    let mut first = PartQuarantine::new(LOCAL_ROUTER);
+    let mut second = PartQuarantine::new(OTHER_ROUTER);
+    second.record_response(&[POPULAR], POOL, at(0));
+    record_other_responses(&mut first, POOL, 20, 0);
+    record_crashes(&mut first, &[POPULAR], 1, 3);
+    assert!(is_quarantined(&first, &[POPULAR], at(3)));
+    report_changes(&first, LOCAL_ROUTER, &mut second, OTHER_ROUTER, at(3));
+    report_changes(&second, OTHER_ROUTER, &mut first, LOCAL_ROUTER, at(3));
+    assert!(!is_quarantined(&first, &[POPULAR], at(3)));
+}
+
 /// The quarantine of requests covers it.
 #[test]
 fn crashes_under_a_single_request_do_not_count_against_its_parts() {
--- a/crates/bendhinge_gateway/src/delivery/outcome.rs
+++ b/crates/bendhinge_gateway/src/delivery/outcome.rs
@@ -187,7 +187,7 @@
     /// Records a complete successful response, which means that no part of the prompt crashes upstreams.
     pub(super) fn record_success(&self, inbound: &InboundRequest) {
         self.record_complete_response(inbound);
-        if !self.quarantine.has_no_part() {
+        if self.tracks_prompt_parts && inbound.fields.prompt.is_some() {
             let parts = self.part_digests(inbound);
             self.quarantine.record_response_with_parts(parts, NameHash::of(inbound.pool.as_str()));
         }
--- a/crates/bendhinge_lab/src/bench/mod.rs
+++ b/crates/bendhinge_lab/src/bench/mod.rs
@@ -5,6 +5,7 @@
 pub mod admission;
 mod cache;
 pub mod crashing;
+pub mod crashing_parts;
 pub mod decision;
 pub mod engine_admission;
 pub mod engine_loads;
--- a/crates/bendhinge_lab/src/measure/decisions.rs
+++ b/crates/bendhinge_lab/src/measure/decisions.rs
@@ -4,8 +4,8 @@
 use crate::bench::placement::PlacementFigures;
 use crate::bench::warming::{ROUTERS, Way};
 use crate::bench::{
-    PolicyKind, Scenario, admission, crashing, decision, pauses, placement, plain_pool, prefill, resting,
-    retry_budget, shared_pool, slowed, warming,
+    PolicyKind, Scenario, admission, crashing, crashing_parts, decision, pauses, placement, plain_pool,
+    prefill, resting, retry_budget, shared_pool, slowed, warming,
 };
 
 /// Runs of a scenario; figures are their means, worst cases their worst.
@@ -270,6 +270,62 @@
     }
 }
 
+/// Blaming a part of prompts for crashes, by each way.
+pub(super) fn crashing_parts() {
+    use crashing_parts::{OtherCrashes, Outcome, Scene, Way, run};
+    const SEEDS: u64 = 40;
+    let part = Scene {
+        crashing_per_second: 2.0,
+        has_companion: false,
+        other_crashes: OtherCrashes::None,
+        sound_per_second: 26.0,
+    };
+    let none = Scene { crashing_per_second: 0.0, ..part };
+    let scenes = [
+        ("part", part),
+        ("part_and_companion", Scene { has_companion: true, ..part }),
+        ("part_beside_waves", Scene { other_crashes: OtherCrashes::Waves, ..part }),
+        ("part_in_little_traffic", Scene { sound_per_second: 2.0, ..part }),
+        ("waves", Scene { other_crashes: OtherCrashes::Waves, ..none }),
+        (
+            "waves_in_heavy_traffic",
+            Scene { other_crashes: OtherCrashes::Waves, sound_per_second: 100.0, ..none },
+        ),
+        ("single_crashes", Scene { other_crashes: OtherCrashes::Single, ..none }),
+    ];
+    let ways = [
+        ("none", Way::None),
+        ("counts", Way::Counts),
+        ("ratio", Way::Ratio),
+        ("shares", Way::Shares),
+        ("consecutive", Way::Consecutive),
+    ];
+    for (scene_name, scene) in scenes {
+        for (way_name, way) in ways {
+            let outcomes: Vec<Outcome> = (0..SEEDS).map(|seed| run(way, scene, seed)).collect();
+            let total = |of: fn(&Outcome) -> usize| outcomes.iter().map(of).sum::<usize>() as f64;
+            let most = |of: fn(&Outcome) -> usize| outcomes.iter().map(of).max().unwrap_or(0) as f64;
+            let sound = total(|outcome| outcome.sound);
+            let name = format!("crashing_parts.{scene_name}.{way_name}");
+            figure(&format!("{name}.crashes"), total(|outcome| outcome.crashes) / SEEDS as f64, "upstreams");
+            figure(&format!("{name}.crashes_most"), most(|outcome| outcome.crashes), "upstreams");
+            figure(&format!("{name}.late_most"), most(|outcome| outcome.late), "sends");
+            figure(
+                &format!("{name}.sound_refused"),
+                total(|outcome| outcome.refused),
+                &format!("of {sound}"),
+            );
+            figure(
+                &format!("{name}.sound_deferred"),
+                total(|outcome| outcome.deferred),
+                &format!("of {sound}"),
+            );
+            let blamed = total(|outcome| usize::from(outcome.is_first_blamed));
+            figure(&format!("{name}.first_blamed"), blamed, &format!("of {SEEDS} runs"));
+        }
+    }
+}
+
 /// Retry budgets across restarts, as rows of a table.
 pub(super) fn retry_budget() {
     use retry_budget::{FLEETS, Figures, Way, run, scenes};
--- a/crates/bendhinge_lab/src/measure/mod.rs
+++ b/crates/bendhinge_lab/src/measure/mod.rs
@@ -44,6 +44,7 @@
     ("engine_admission", Group::Bench(engine_admission::run_all)),
     ("plain_pools", Group::Bench(decisions::plain_pools)),
     ("crashing", Group::Bench(decisions::crashing)),
+    ("crashing_parts", Group::Bench(decisions::crashing_parts)),
     ("resting", Group::Bench(decisions::resting)),
     ("retry_budget", Group::Bench(decisions::retry_budget)),
     ("pauses", Group::Bench(decisions::pauses)),
