--- a/crates/bendhinge_codes/src/code.rs
+++ b/crates/bendhinge_codes/src/code.rs
@@ -146,10 +146,10 @@
         "What this router believes is too old to act on: it woke from a pause, or nobody could tell it what is current.",
         "Come back after `Retry-After` seconds.";
     Quarantined = 310, 503, NOT_RUN, false,
-        "Upstreams crashed, one after the other, each time that this very request ran: it is kept from them.",
-        "Do not send it again before `Retry-After`: change the request, or ask the operators, whom its number leads to the crashes.";
+        "Upstreams crashed, one after the other, each time that this very request ran, or different ones that share a part of its prompt: it is kept from them.",
+        "Do not send it again before `Retry-After`: change the request or the shared part, or ask the operators, whom its number leads to the crashes.";
     SuspectUnderWay = 311, 503, NOT_RUN, true,
-        "An upstream crashed under this very request lately, and as many sends of it as are risked are under way.",
+        "An upstream crashed under this very request or others with a part of its prompt lately, and as many sends of it as are risked are under way.",
         "Come back after `Retry-After` seconds.";
     AllUpstreamsRest = 312, 503, NOT_RUN, true,
         "Every upstream of the pool that takes new work asked this router for a rest that is not over.",
--- a/crates/bendhinge_delivery/tests/identity.rs
+++ b/crates/bendhinge_delivery/tests/identity.rs
@@ -1,6 +1,7 @@
 //! Request identity digests.
 
 use bendhinge_delivery::{IdentityKey, RequestIdentity};
+use bendhinge_ids::PoolName;
 
 const KEY: IdentityKey = IdentityKey([7; 32]);
 
@@ -42,3 +43,14 @@
 fn digest_depends_on_the_key() {
     assert_ne!(REQUEST.digest(&KEY), REQUEST.digest(&IdentityKey([8; 32])));
 }
+
+#[test]
+fn digests_of_prompt_parts_depend_on_pool_part_and_key() {
+    let (pool, other): (PoolName, PoolName) = ("one".parse().unwrap(), "two".parse().unwrap());
+    let digest = KEY.part_digest(&pool, 7);
+    assert_eq!(digest, IdentityKey([7; 32]).part_digest(&pool, 7));
+    assert_ne!(digest, KEY.part_digest(&pool, 8));
+    assert_ne!(digest, KEY.part_digest(&other, 7));
+    assert_ne!(digest, IdentityKey([8; 32]).part_digest(&pool, 7));
+    assert_eq!(digest.to_string().parse(), Ok(digest));
+}
--- a/crates/bendhinge_lab/src/bench/decision.rs
+++ b/crates/bendhinge_lab/src/bench/decision.rs
@@ -10,6 +10,7 @@
 };
 use bendhinge_configuration::{SealKey, parse_document};
 use bendhinge_delivery::{IdentityKey, RequestIdentity};
+use bendhinge_fleet::PartQuarantine;
 use bendhinge_ids::{ChatKey, Incarnation, Instant, NameHash, PoolName, RouterInstance};
 use bendhinge_placement::{
     LedgerLimits, LoadBound, LoadKey, LoadView, PermitLedger, PermitRequest, RankedUpstream, Ranking,
@@ -50,6 +51,22 @@
     identity_ns(bytes, |identity, key| _ = black_box(identity.hint(key)))
 }
 
+/// Nanoseconds for the digests of `parts` prompt parts and the record of their complete response.
+#[must_use]
+pub fn answered_parts_ns(parts: u64) -> f64 {
+    const TIMES: u32 = 2_000;
+    let key = IdentityKey([7; 32]);
+    let pool: PoolName = "pool".parse().expect("a valid name");
+    let mut quarantine = PartQuarantine::new(NameHash(1));
+    let began = Clock::now();
+    for time in 0..TIMES {
+        let digests: Vec<_> = (0..parts).map(|part| key.part_digest(&pool, black_box(part))).collect();
+        let at = Instant::from_millis(u64::from(time));
+        black_box(quarantine.record_response(&digests, NameHash::of(pool.as_str()), at));
+    }
+    began.elapsed().as_secs_f64() * 1e9 / f64::from(TIMES)
+}
+
 fn identity_ns(bytes: usize, find: impl Fn(RequestIdentity<'_>, &IdentityKey)) -> f64 {
     const TIMES: u32 = 2_000;
     let body = vec![b'x'; bytes];
--- a/crates/bendhinge_lab/src/measure/decisions.rs
+++ b/crates/bendhinge_lab/src/measure/decisions.rs
@@ -83,6 +83,9 @@
         figure(&format!("decision.digest_ns.{bytes}_bytes"), decision::digest_ns(bytes), "ns");
         figure(&format!("decision.hint_ns.{bytes}_bytes"), decision::hint_ns(bytes), "ns");
     }
+    for parts in [2, 8, 64] {
+        figure(&format!("decision.answered_parts_ns.{parts}"), decision::answered_parts_ns(parts), "ns");
+    }
     for customers in [10, 500, 4_500] {
         let open = decision::open_configuration_ms(customers);
         figure(&format!("decision.open_configuration_ms.{customers}_customers"), open, "ms");
