--- a/crates/bendhinge_gateway/src/quarantine.rs
+++ b/crates/bendhinge_gateway/src/quarantine/mod.rs
@@ -1,19 +1,21 @@
 //! Keeps the quarantines of requests and of prompt parts that crash upstreams, and notifies peers of their changes.
 
+mod parts;
+mod suspects;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bendhinge_codes::ResultCode;
-use bendhinge_fleet::{
-    Crash, Origin, PartCrash, PartQuarantine, Quarantine, ResponseEffect, SendPermission, UpstreamEntry,
-};
+use bendhinge_fleet::{Crash, Origin, PartQuarantine, Quarantine, SendPermission};
 use bendhinge_ids::{Instant, NameHash, PartDigest, RequestDigest, RequestHint};
 use bendhinge_peer::{ObservedCrashHistory, ObservedPartHistory};
-use rand::Rng;
 use serde_json::json;
 use smol::channel::{Receiver, Sender, bounded};
 
+pub(crate) use self::suspects::{
+    CrashedSend, QuarantinedCounts, SendRefusal, Suspect, SuspectChanges, Suspects,
+};
 use crate::log::Log;
 use crate::state::{address_hash, update_source};
 
@@ -42,50 +44,6 @@
     }
 }
 
-/// What may be tracked of a request.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Suspects<'a> {
-    /// The request itself, if it may be tracked.
-    pub(crate) request: Option<RequestDigest>,
-    /// The shared parts of its prompt.
-    pub(crate) parts: &'a [PartDigest],
-}
-
-/// What a refusal is based on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Suspect {
-    Request(RequestDigest),
-    Part(PartDigest),
-}
-
-/// A request that was lost because its upstream crashed.
-pub(crate) struct CrashedSend<'a> {
-    /// The ID of the request.
-    pub(crate) request_id: &'a str,
-    pub(crate) request: RequestDigest,
-    /// The shared parts of its prompt, if they may be to blame.
-    pub(crate) parts: &'a [PartDigest],
-    /// The pool of the upstream.
-    pub(crate) pool: NameHash,
-    pub(crate) upstream: &'a UpstreamEntry,
-    pub(crate) sent_at: Instant,
-    /// When the connection was lost.
-    pub(crate) lost_at: Instant,
-}
-
-/// Histories to send to another gateway.
-pub(crate) struct SuspectChanges {
-    pub(crate) requests: Vec<ObservedCrashHistory>,
-    pub(crate) parts: Vec<ObservedPartHistory>,
-}
-
-/// The numbers of what is quarantined.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct QuarantinedCounts {
-    pub(crate) requests: usize,
-    pub(crate) parts: usize,
-}
-
 struct State {
     requests: Quarantine,
     parts: PartQuarantine,
@@ -122,32 +80,6 @@
     log: Log,
 }
 
-/// Why a request must not be sent now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct SendRefusal {
-    pub(crate) code: ResultCode,
-    /// The delay after which a retry may succeed.
-    pub(crate) retry_after: Duration,
-    pub(crate) suspect: Suspect,
-}
-
-impl SendRefusal {
-    fn new((permission, suspect): (SendPermission, Option<Suspect>)) -> Option<Self> {
-        /// The range of the retry delay while sends are in flight. Requests that crash their upstream usually do
-        /// so within a second or two.
-        const DEFERRAL_RANGE_MS: std::ops::Range<u64> = 500..1_500;
-        let (code, retry_after) = match permission {
-            SendPermission::Allowed | SendPermission::Tracked => return None,
-            SendPermission::Deferred => {
-                let millis = rand::rng().random_range(DEFERRAL_RANGE_MS);
-                (ResultCode::SuspectUnderWay, Duration::from_millis(millis))
-            }
-            SendPermission::Quarantined(period) => (ResultCode::Quarantined, period),
-        };
-        Some(Self { code, retry_after, suspect: suspect? })
-    }
-}
-
 /// A tracked send in flight; dropping it records its end.
 pub(crate) struct TrackedSend {
     quarantine: Arc<SharedQuarantine>,
@@ -252,71 +184,11 @@
         self.record_part_crashes(send);
     }
 
-    fn record_part_crashes(&self, send: &CrashedSend<'_>) {
-        let CrashedSend { upstream, .. } = *send;
-        let crash = PartCrash {
-            upstream: upstream.hash,
-            software: upstream.software,
-            request: NameHash(send.request.lower_half()),
-            sent_at: send.sent_at,
-            at: send.lost_at,
-        };
-        let now = bendhinge_clock::now();
-        let mut most_crashes = None;
-        for part in send.parts {
-            let mut state = self.state.lock().unwrap();
-            let is_new = state.parts.record_crash(*part, send.pool, crash, now);
-            let evidence = state.parts.evidence_against(*part);
-            let is_blamed = state.parts.is_blamed(*part, now);
-            drop(state);
-            if !is_new {
-                continue;
-            }
-            most_crashes = most_crashes.max(Some(evidence.consecutive_crashes));
-            if evidence.consecutive_crashes >= REPORTING_THRESHOLD {
-                self.log.upstream_crashed_under_part(
-                    send.request_id,
-                    *part,
-                    &upstream.name,
-                    evidence,
-                    is_blamed,
-                );
-            }
-        }
-        if let Some(crashes) = most_crashes {
-            self.state.lock().unwrap().update_attributed_crashes();
-            self.notify(Origin::Store, crashes);
-        }
-    }
-
     /// Records a complete response to a request.
     pub(crate) fn record_response(&self, request: RequestDigest) {
         self.clear_crashes(request, "answered");
     }
 
-    /// Records a complete successful response of `pool` to a request with `parts`.
-    pub(crate) fn record_response_with_parts(&self, parts: &[PartDigest], pool: NameHash) {
-        let mut state = self.state.lock().unwrap();
-        let crashes = |part: &PartDigest| state.parts.evidence_against(*part).consecutive_crashes;
-        let previous_crashes = parts.iter().map(crashes).max().unwrap_or_default();
-        let effect = state.parts.record_response(parts, pool, bendhinge_clock::now());
-        let ResponseEffect { cleared, is_enough } = effect;
-        if cleared.is_empty() && !is_enough {
-            return;
-        }
-        state.update_attributed_crashes();
-        drop(state);
-        if is_enough {
-            self.notify(Origin::Store, REPORTING_THRESHOLD);
-        }
-        if previous_crashes >= REPORTING_THRESHOLD {
-            for part in cleared {
-                self.log.part_suspicion_cleared(part, "answered");
-            }
-        }
-        self.notify(Origin::Store, previous_crashes);
-    }
-
     /// Clears the crashes of requests that an operator released.
     pub(crate) fn release(&self, requests: &[RequestDigest]) {
         for request in requests {
@@ -324,20 +196,6 @@
         }
     }
 
-    /// Clears the crashes of prompt parts that an operator released.
-    pub(crate) fn release_parts(&self, parts: &[PartDigest]) {
-        for part in parts {
-            let mut state = self.state.lock().unwrap();
-            let was_cleared = state.parts.release(*part, bendhinge_clock::now());
-            state.update_attributed_crashes();
-            drop(state);
-            if was_cleared {
-                self.log.part_suspicion_cleared(*part, "released");
-                self.notify(Origin::Store, REPORTING_THRESHOLD);
-            }
-        }
-    }
-
     fn clear_crashes(&self, request: RequestDigest, reason: &str) {
         let mut state = self.state.lock().unwrap();
         let crashes = state.requests.crash_count(request);
@@ -377,37 +235,6 @@
         }
     }
 
-    /// Merges the crash histories of prompt parts that the gateway at `from` reported; their ages are relative to `as_of`.
-    pub(crate) fn merge_reported_parts(
-        &self,
-        histories: &[ObservedPartHistory],
-        from: SocketAddr,
-        as_of: Instant,
-    ) {
-        let now = bendhinge_clock::now();
-        let mut max_crashes = None;
-        for reported in histories {
-            let mut state = self.state.lock().unwrap();
-            let previous = state.parts.evidence_against(reported.part).consecutive_crashes;
-            let history = reported.to_history(as_of);
-            let is_changed = state.parts.merge(reported.part, &history, update_source(from), now);
-            let evidence = state.parts.evidence_against(reported.part);
-            let is_blamed = state.parts.is_blamed(reported.part, now);
-            drop(state);
-            let crashes = evidence.consecutive_crashes;
-            if is_changed {
-                max_crashes = max_crashes.max(Some(crashes.max(previous)));
-            }
-            if crashes != previous && crashes.max(previous) >= REPORTING_THRESHOLD {
-                self.log.part_suspicion_received(reported.part, evidence, is_blamed, from);
-            }
-        }
-        if let Some(crashes) = max_crashes {
-            self.state.lock().unwrap().update_attributed_crashes();
-            self.notify(Origin::Peer, crashes);
-        }
-    }
-
     /// Whether there are changes to send to the gateway at `recipient`, see [`SharedQuarantine::changes_for`].
     pub(crate) fn has_changes_for(&self, recipient: SocketAddr, since: Instant, forwards: bool) -> bool {
         let state = self.state.lock().unwrap();
@@ -446,28 +273,11 @@
         histories.map(|(request, history)| ObservedCrashHistory::new(request, history, now)).collect()
     }
 
-    /// The same as [`Self::histories_to_sync`] for prompt parts.
-    pub(crate) fn part_histories_to_sync(
-        &self,
-        remote_digest: u64,
-        now: Instant,
-    ) -> Vec<ObservedPartHistory> {
-        let state = self.state.lock().unwrap();
-        let is_different = remote_digest != state.parts.digest();
-        let histories = state.parts.synced_histories().filter(|_| is_different);
-        histories.map(|(part, history)| ObservedPartHistory::new(part, &history, now)).collect()
-    }
-
     /// Returns a digest that is equal for gateways with equal crash histories.
     pub(crate) fn digest(&self) -> u64 {
         self.state.lock().unwrap().requests.digest()
     }
 
-    /// Returns a digest that is equal for gateways with equal crash histories of prompt parts.
-    pub(crate) fn part_digest(&self) -> u64 {
-        self.state.lock().unwrap().parts.digest()
-    }
-
     /// Sets the software that upstreams run now.
     pub(crate) fn set_running_software(&self, running_software: Vec<NameHash>) {
         let mut state = self.state.lock().unwrap();
