Quarantine of prompt parts: shorten two scans of the table

A crash scanned all parts for enough responses, and each blamed part was sorted out of all with an allocation. In a wave of hundreds of lost requests both grow with their product.

--- a/crates/bendhinge_fleet/src/part_quarantine/mod.rs
+++ b/crates/bendhinge_fleet/src/part_quarantine/mod.rs
@@ -168,6 +168,9 @@
 
     /// Whether the crashes of a part are enough to blame it, by themselves.
     fn is_to_blame(&self, history: &PartHistory) -> bool {
+        if history.crash_count() < MAX_CRASHES {
+            return false;
+        }
         let evidence = history.evidence(|_| true);
         evidence.consecutive_crashes >= MAX_CRASHES
             && evidence.requests >= MIN_REQUESTS
@@ -227,7 +230,11 @@
             history.responses_before.get_or_insert(responses);
             is_new
         });
-        self.record_other_responses(pool, now);
+        if let Some(history) = self.parts.get(part) {
+            let count = self.other_responses(history);
+            self.parts
+                .update(part, UpdateSource::Local, now, |history| history.record_other_responses(count));
+        }
         update.is_change()
     }
 
