--- a/crates/bendhinge_fleet/src/part_quarantine/mod.rs
+++ b/crates/bendhinge_fleet/src/part_quarantine/mod.rs
@@ -27,8 +27,7 @@
 const MIN_REQUESTS: usize = 2;
 /// The crash count from which on sends are reported to other routers and limited.
 const TRACKING_THRESHOLD: usize = 2;
-/// The number of crashes beyond [`MAX_CRASHES`] up to which a request is sent that can tell parts with the same crashes
-/// apart.
+/// The number of crashes beyond [`MAX_CRASHES`] that are risked to distinguish parts with the same crashes.
 const MAX_TEST_CRASHES: usize = 2;
 /// The number of complete responses of a pool from which on a part that is in none of them is blamed without further ones.
 const MIN_KNOWN_RESPONSES: u32 = 20;
@@ -121,8 +120,8 @@
         quarantine_remaining(evidence.consecutive_crashes, history.last_crash_at()?, now)
     }
 
-    /// Whether a request with `parts` lacks one of the blamed parts that have the same crashes as `part`, so that its end
-    /// tells which of them is to blame.
+    /// Whether a request with `parts` lacks one of the blamed parts that have the same crashes as `part`, so that its outcome
+    /// distinguishes them.
     fn is_test(&self, part: PartDigest, history: &PartHistory, parts: &[PartDigest]) -> bool {
         if self.evidence(history).consecutive_crashes >= MAX_CRASHES + MAX_TEST_CRASHES {
             return false;
--- a/crates/bendhinge_lab/src/gateways/part_soak.rs
+++ b/crates/bendhinge_lab/src/gateways/part_soak.rs
@@ -276,7 +276,7 @@
     }
 }
 
-/// Returns what a caller was told, without details.
+/// Returns the outcome for a caller, without details.
 fn told(told: &Told) -> Told {
     match told {
         Told::Wrong(_) => Told::Wrong(String::new()),
