--- a/crates/bendhinge_gateway/src/log/mod.rs
+++ b/crates/bendhinge_gateway/src/log/mod.rs
@@ -1,8 +1,8 @@
 //! Structured logging: one JSON line for each decision about a request and for each change of
 //! replicated state.
 
-mod part;
 mod partition;
+mod quarantine;
 mod request;
 mod sends;
 mod stream;
@@ -17,7 +17,7 @@
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::SendOutcome;
 use bendhinge_fleet::{Origin, Version};
-use bendhinge_ids::{DataCentreName, PoolName, RequestDigest, UpstreamName};
+use bendhinge_ids::{DataCentreName, PoolName, UpstreamName};
 use bendhinge_peer::CallError;
 use serde::Serialize;
 use spdlog::formatter::{Formatter, FormatterContext};
@@ -250,47 +250,6 @@
         self.log_event("upstream_suspected", Fields { upstream: upstream.as_str(), told_by: peer });
     }
 
-    /// Logs that an upstream crashed while it processed a request, and the request's number of crashes.
-    pub(crate) fn upstream_crashed(
-        &self,
-        request: &str,
-        digest: RequestDigest,
-        upstream: &UpstreamName,
-        crashes: usize,
-    ) {
-        #[derive(Serialize)]
-        struct Fields<'a> {
-            request: &'a str,
-            digest: String,
-            upstream: &'a str,
-            crashes: usize,
-        }
-        let fields = Fields { request, digest: digest.to_string(), upstream: upstream.as_str(), crashes };
-        self.log_event("crash", fields);
-    }
-
-    /// Logs a change of a request's crash count that another gateway reported.
-    pub(crate) fn suspicion_received(&self, digest: RequestDigest, crashes: usize, peer: SocketAddr) {
-        #[derive(Serialize)]
-        struct Fields {
-            digest: String,
-            crashes: usize,
-            told_by: SocketAddr,
-        }
-        self.log_event("suspicion_heard", Fields { digest: digest.to_string(), crashes, told_by: peer });
-    }
-
-    /// Logs that a request's crash count was cleared, with its last value.
-    pub(crate) fn suspicion_cleared(&self, digest: RequestDigest, why: &str, crashes: usize) {
-        #[derive(Serialize)]
-        struct Fields<'a> {
-            digest: String,
-            why: &'a str,
-            crashes: usize,
-        }
-        self.log_event("suspicion_over", Fields { digest: digest.to_string(), why, crashes });
-    }
-
     /// Logs that a caller's connection was closed because the caller did not read its response.
     pub(crate) fn slow_caller_disconnected(&self, caller: SocketAddr) {
         #[derive(Serialize)]
--- a/crates/bendhinge_gateway/src/log/part.rs
+++ b/crates/bendhinge_gateway/src/log/quarantine.rs
@@ -1,14 +1,55 @@
-//! Log lines about prompt parts under which upstreams crashed.
+//! Log lines about requests and prompt parts under which upstreams crashed.
 
 use std::net::SocketAddr;
 
 use bendhinge_fleet::Evidence;
-use bendhinge_ids::{PartDigest, UpstreamName};
+use bendhinge_ids::{PartDigest, RequestDigest, UpstreamName};
 use serde::Serialize;
 
 use super::Log;
 
 impl Log {
+    /// Logs that an upstream crashed while it processed a request, and the request's number of crashes.
+    pub(crate) fn upstream_crashed(
+        &self,
+        request: &str,
+        digest: RequestDigest,
+        upstream: &UpstreamName,
+        crashes: usize,
+    ) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            request: &'a str,
+            digest: String,
+            upstream: &'a str,
+            crashes: usize,
+        }
+        let fields = Fields { request, digest: digest.to_string(), upstream: upstream.as_str(), crashes };
+        self.log_event("crash", fields);
+    }
+
+    /// Logs a change of a request's crash count that another gateway reported.
+    pub(crate) fn suspicion_received(&self, digest: RequestDigest, crashes: usize, peer: SocketAddr) {
+        #[derive(Serialize)]
+        struct Fields {
+            digest: String,
+            crashes: usize,
+            told_by: SocketAddr,
+        }
+        self.log_event("suspicion_heard", Fields { digest: digest.to_string(), crashes, told_by: peer });
+    }
+
+    /// Logs that a request's crash count was cleared, with its last value.
+    pub(crate) fn suspicion_cleared(&self, digest: RequestDigest, why: &str, crashes: usize) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            digest: String,
+            why: &'a str,
+            crashes: usize,
+        }
+        self.log_event("suspicion_over", Fields { digest: digest.to_string(), why, crashes });
+    }
+
     /// Logs that an upstream crashed while it processed a request with a part that is suspected, and the evidence.
     pub(crate) fn upstream_crashed_under_part(
         &self,
--- a/crates/bendhinge_standin/src/gateway/mod.rs
+++ b/crates/bendhinge_standin/src/gateway/mod.rs
@@ -3,9 +3,11 @@
 
 mod answers;
 mod fault;
+mod run;
 mod store;
 mod upstream;
 
 pub use fault::{Framing, Silence, UpstreamFault};
+pub use run::Run;
 pub use store::{DATA_CENTRE, Store, StoreFault, UpstreamRecord};
-pub use upstream::{Run, Upstream};
+pub use upstream::Upstream;
