--- a/crates/bendhinge_fleet/src/quarantine.rs
+++ b/crates/bendhinge_fleet/src/quarantine.rs
@@ -29,7 +29,7 @@
 /// The upper bound of the quarantine period.
 const MAX_QUARANTINE: Duration = Duration::from_hours(24);
 /// How long a crash count below the quarantine limit is kept after the last crash.
-pub(crate) const SUSPICION_TTL: Duration = Duration::from_mins(10);
+const SUSPICION_TTL: Duration = Duration::from_mins(10);
 /// The crash count from which on sends are reported to other routers. Reporting after the first crash would
 /// prevent few crashes (3.07 instead of 3.25 per request, with nine routers) and double the number of messages
 /// during an overload.
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -156,8 +156,8 @@
     /// Applies the reloadable part of changed settings.
     pub(crate) fn apply_settings(&self, settings: &Settings) {
         self.roster.borrow_mut().set_seeds(&settings.fleet.seeds);
-        self.context.quarantine.release(&settings.released_requests);
-        self.context.quarantine.release_parts(&settings.released_parts);
+        self.context.quarantine.release(&settings.quarantine.released_requests);
+        self.context.quarantine.release_parts(&settings.quarantine.released_parts);
     }
 
     /// Divides the fleet-wide limits among the known gateways.
--- a/crates/bendhinge_gateway/src/metrics/groups.rs
+++ b/crates/bendhinge_gateway/src/metrics/groups.rs
@@ -1,6 +1,8 @@
 //! Metrics that are recorded together.
 
-use opentelemetry::metrics::{Counter, Histogram};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
+
+use crate::quarantine::QuarantinedCounts;
 
 /// Bucket bounds of the time to the first event of a stream.
 const FIRST_EVENT_BUCKETS_SECONDS: [f64; 13] =
@@ -217,3 +219,29 @@
         }
     }
 }
+
+/// Gauges of what is quarantined.
+pub(super) struct QuarantineGauges {
+    requests: Gauge<u64>,
+    parts: Gauge<u64>,
+}
+
+impl QuarantineGauges {
+    pub(super) fn new(gauge: impl Fn(&'static str, &'static str) -> Gauge<u64>) -> Self {
+        Self {
+            requests: gauge(
+                "bendhinge.gateway.quarantined",
+                "Requests that are quarantined because upstreams crashed while processing them",
+            ),
+            parts: gauge(
+                "bendhinge.gateway.quarantined_parts",
+                "Parts of prompts that are quarantined because upstreams crashed under requests with them",
+            ),
+        }
+    }
+
+    pub(super) fn record(&self, counts: QuarantinedCounts) {
+        self.requests.record(counts.requests as u64, &[]);
+        self.parts.record(counts.parts as u64, &[]);
+    }
+}
--- a/crates/bendhinge_gateway/src/metrics/mod.rs
+++ b/crates/bendhinge_gateway/src/metrics/mod.rs
@@ -16,7 +16,8 @@
 use prometheus::{Registry, TextEncoder};
 
 use self::groups::{
-    AgeHistograms, CallerConnectionCounters, ExchangeCounters, ForwardingCounters, StreamMetrics,
+    AgeHistograms, CallerConnectionCounters, ExchangeCounters, ForwardingCounters, QuarantineGauges,
+    StreamMetrics,
 };
 pub(crate) use self::groups::{ResumedSoftware, Resumer};
 use crate::delivery::{ConnectFailure, Cut};
@@ -86,8 +87,7 @@
     rules_age: Gauge<f64>,
     peer_connections: Gauge<u64>,
     peer_sent_bytes: Gauge<u64>,
-    quarantined_requests: Gauge<u64>,
-    quarantined_parts: Gauge<u64>,
+    quarantined: QuarantineGauges,
     upstreams_in_backoff: Gauge<u64>,
     foreign_entries: Gauge<u64>,
 }
@@ -169,14 +169,7 @@
                 "bendhinge.gateway.foreign_entries",
                 "Entries of the store that name no upstream, as of the last read",
             ),
-            quarantined_requests: gauge(
-                "bendhinge.gateway.quarantined",
-                "Requests that are quarantined because upstreams crashed while processing them",
-            ),
-            quarantined_parts: gauge(
-                "bendhinge.gateway.quarantined_parts",
-                "Parts of prompts that are quarantined because upstreams crashed under requests with them",
-            ),
+            quarantined: QuarantineGauges::new(gauge),
             upstreams_in_backoff: gauge(
                 "bendhinge.gateway.upstreams_resting",
                 "Upstreams that are spared since they asked for a rest",
@@ -390,8 +383,7 @@
         self.in_progress.record(gauges.in_progress as u64, &[]);
         self.peer_connections.record(gauges.peer_connections, &[]);
         self.peer_sent_bytes.record(gauges.peer_sent_bytes, &[]);
-        self.quarantined_requests.record(gauges.quarantined.requests as u64, &[]);
-        self.quarantined_parts.record(gauges.quarantined.parts as u64, &[]);
+        self.quarantined.record(gauges.quarantined);
         self.upstreams_in_backoff.record(gauges.upstreams_in_backoff as u64, &[]);
         if let Some(age) = gauges.rules_age {
             self.rules_age.record(age.as_secs_f64(), &[]);
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -1,6 +1,7 @@
 //! Parses and validates the settings of a gateway.
 
 mod load;
+mod quarantine;
 mod schema;
 mod values;
 
@@ -10,13 +11,14 @@
 
 use bendhinge_admission::FleetRetryBudget;
 use bendhinge_fleet::{DirectoryLimits, OutlierLimits, RosterTimeouts, StoreReadTimings};
-use bendhinge_ids::{BoxName, DataCentreName, PartDigest, RegionName, RequestDigest};
+use bendhinge_ids::{BoxName, DataCentreName, RegionName};
 use bendhinge_ini::{Document, Faults, Section, read_file};
 use bendhinge_peer::PeerKey;
 use bendhinge_placement::Distance;
 use rustc_hash::FxHashMap;
 
 pub use load::{Activation, LoadSettings};
+pub use quarantine::QuarantineSettings;
 pub use schema::SCHEMA;
 
 use self::values::{CommaSeparated, YesNo};
@@ -61,12 +63,8 @@
     pub assumes_spent_retries: bool,
     /// Graceful shutdown.
     pub stop: StopSettings,
-    /// Whether the parts that prompts share are quarantined.
-    pub tracks_prompt_parts: bool,
-    /// Requests that operators release from quarantine when the settings are read.
-    pub released_requests: Vec<RequestDigest>,
-    /// Prompt parts that operators release from quarantine when the settings are read.
-    pub released_parts: Vec<PartDigest>,
+    /// Quarantine of requests and prompt parts under which upstreams crash.
+    pub quarantine: QuarantineSettings,
 }
 
 /// The region of each data centre for which the operators name one.
@@ -235,16 +233,7 @@
         let forwards_requests =
             self.0.section("forwarding").map(|section| self.0.value::<YesNo>(section, "enabled"));
         let streams = self.0.section("streams").map(|section| self.streams(section));
-        let released_requests = self
-            .0
-            .section("quarantine")
-            .map(|section| self.0.value::<CommaSeparated<RequestDigest>>(section, "released"));
-        let released_parts = self
-            .0
-            .section("quarantine")
-            .map(|section| self.0.value::<CommaSeparated<PartDigest>>(section, "released_parts"));
-        let tracks_prompt_parts =
-            self.0.section("quarantine").map(|section| self.0.value::<YesNo>(section, "prompt_parts"));
+        let quarantine = self.0.section("quarantine").map(|section| self.quarantine(section));
         let name = self.0.value(gateway, "name");
         let data_centre = self.0.value(gateway, "data_centre");
         let regions: Vec<_> = self.0.sections("data_centre").map(|section| self.region(section)).collect();
@@ -272,9 +261,7 @@
             retry_budget: retry_budget??,
             assumes_spent_retries: assumes_spent_retries??.0,
             stop: stop??,
-            tracks_prompt_parts: tracks_prompt_parts??.0,
-            released_requests: released_requests??.0,
-            released_parts: released_parts??.0,
+            quarantine: quarantine??,
         })
     }
 
--- a/crates/bendhinge_lab/tests/gateway_body_ends.rs
+++ b/crates/bendhinge_lab/tests/gateway_body_ends.rs
@@ -3,7 +3,7 @@
 mod gateway_common;
 
 use std::io::ErrorKind;
-use std::net::Shutdown;
+use std::net::{Shutdown, SocketAddr};
 
 use bendhinge_gateway::native::headers::{PROMPT, REQUEST, RESUME_AFTER};
 use bendhinge_http::Tasks;
@@ -370,3 +370,54 @@
         assert_eq!(result.unwrap_err().kind(), ErrorKind::ConnectionReset);
     });
 }
+
+/// An upstream whose process ends in the middle of an unframed response.
+async fn start_crashing(tasks: &Tasks) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let crashing = async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut request = vec![0; 4096];
+        let length = stream.read(&mut request).await.unwrap();
+        let head = String::from_utf8_lossy(&request[..length]).into_owned();
+        let id = head.lines().find_map(|line| line.strip_prefix("x-bendhinge-request: ")).unwrap_or_default();
+        let response = format!(
+            "HTTP/1.1 200 OK\r\nx-bendhinge-request: {id}\r\nx-bendhinge-signature: s\r\n\r\nanswer to"
+        );
+        stream.write_all(response.as_bytes()).await.unwrap();
+        drop(listener);
+        stream.close().await.unwrap();
+    };
+    tasks.spawn(crashing).detach();
+    address
+}
+
+/// Guards against a part of a response that passes for the whole of it: the end of a process closes connections like the
+/// end of an unframed response.
+#[test]
+fn plain_responses_that_a_crash_ends_are_not_complete() {
+    run(|tasks| async move {
+        for (path, expected) in [("/unsafe/x", Told::Status(502)), ("/safe/x", Told::Whole)] {
+            let shape = FleetShape { gateways: 1, engines: 0, services: 2 };
+            let fleet = GatewayFleet::start(&tasks, shape, "[upstreams]\nverify_close = yes\n").await;
+            fleet.store.add("crashing", "services", start_crashing(&tasks).await);
+            let is_lost = |line: &String| {
+                line.contains("\"upstream\":\"crashing\"") && line.contains("\"end\":\"lost\"")
+            };
+            until(async || {
+                let call = call(path);
+                let answer = send(&fleet, &call).await;
+                assert!(!matches!(answer.told, Told::Wrong(_)), "{path}: {:?}", answer.told);
+                line_of(&fleet, &call).await;
+                let lines = fleet.gateway(0).lines();
+                let lost = lines.iter().find(|line| is_lost(line));
+                assert!(
+                    lost.is_none_or(|line| !line.contains(&call.id)) || answer.told == expected,
+                    "{path}: {answer:?}"
+                );
+                lost.is_some()
+            })
+            .await;
+        }
+    });
+}
--- a/crates/bendhinge_lab/tests/gateway_endless_responses.rs
+++ b/crates/bendhinge_lab/tests/gateway_endless_responses.rs
@@ -2,13 +2,16 @@
 
 mod gateway_common;
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bendhinge_http::Tasks;
-use bendhinge_lab::gateways::{Answer, Call, FleetShape, GatewayFleet, KEY, Told, until};
+use bendhinge_lab::gateways::{
+    Answer, Call, FleetShape, GatewayFleet, GatewayProcess, GatewaySettings, KEY, Told, until,
+};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use gateway_common::{PATIENCE, run, start};
 use smol::net::{TcpListener, TcpStream};
@@ -172,3 +175,35 @@
         });
     }
 }
+
+/// Guards against a gateway that a store keeps from serving.
+#[test]
+fn requests_are_served_beside_a_store_that_sends_without_end() {
+    for endless in [INTERIM, HEADER_LINES, EMPTY_LINES] {
+        run(|tasks| async move {
+            let mut fleet = start(&tasks, FleetShape { gateways: 1, engines: 0, services: 2 }).await;
+            let (store, requests) = start_endless(&tasks, endless).await;
+            let settings = GatewaySettings {
+                name: "gateway-1".to_owned(),
+                store,
+                seeds: vec![fleet.settings[0].addresses["peers"]],
+                addresses: HashMap::new(),
+                ..fleet.settings[0].clone()
+            };
+            let process = GatewayProcess::start(&settings).unwrap();
+            let callers = process.address("callers");
+            fleet.gateways.push(Some(process));
+            until(async || requests.received.load(Ordering::Relaxed) > 0).await;
+            // It learns what the other gateway has read.
+            until(async || {
+                let answer = fleet.caller().send(callers, &Call::new("/safe/x", KEY), PATIENCE).await;
+                answer.told == Told::Whole
+            })
+            .await;
+            for _ in 0..20 {
+                let answer = fleet.caller().send(callers, &Call::new("/safe/x", KEY), PATIENCE).await;
+                assert_eq!(answer.told, Told::Whole, "{endless:?}");
+            }
+        });
+    }
+}
--- a/crates/bendhinge_lab/tests/gateway_prompt_parts.rs
+++ b/crates/bendhinge_lab/tests/gateway_prompt_parts.rs
@@ -108,6 +108,12 @@
         )
     }
 
+    /// Returns the number of sound requests that were refused because of a part.
+    fn refused_sound(&self) -> usize {
+        let codes = self.sound.iter().filter_map(|sound| sound.answer.code());
+        codes.filter(|code| ["BH0310", "BH0311"].contains(code)).count()
+    }
+
     /// The part is known in time, and requests without it are served.
     fn check(&self) {
         println!("{}", self.summary());
@@ -116,6 +122,7 @@
         assert_eq!(wrong.count(), 0, "{}", self.summary());
         assert!(self.crashes.len() >= 2, "engines crash under the part: {}", self.summary());
         assert!(self.late() <= MAX_LATE, "{}", self.summary());
+        assert_eq!(self.refused_sound(), 0, "{}", self.summary());
         assert!(self.sound_share(true) > 0.5, "{}", self.summary());
     }
 }
@@ -233,6 +240,24 @@
     });
 }
 
+/// Guards against gateways that act on what they knew before they were suspended.
+#[test]
+fn a_crashing_part_is_known_while_gateways_are_suspended() {
+    run(|tasks| async move {
+        let fleet = usual_fleet(&tasks).await;
+        let outcome = play(&tasks, fleet, USUAL, async |fleet: &RefCell<GatewayFleet>, _| {
+            for gateway in [0, 1, 2, 0, 1, 2] {
+                fleet.borrow().gateway(gateway).signal(Signal::STOP);
+                Timer::after(Duration::from_millis(1_500)).await;
+                fleet.borrow().gateway(gateway).signal(Signal::CONT);
+                Timer::after(Duration::from_millis(500)).await;
+            }
+        })
+        .await;
+        outcome.check();
+    });
+}
+
 #[test]
 fn a_crashing_part_among_many_is_recognised() {
     run(|tasks| async move {
@@ -283,9 +308,7 @@
         let outcome = outcome.await;
         println!("{}", outcome.summary());
         assert!(blamed.is_empty(), "{blamed:?}");
-        let codes = outcome.sound.iter().filter_map(|sound| sound.answer.code());
-        let refused = codes.filter(|code| ["BH0310", "BH0311"].contains(code)).count();
-        assert_eq!(refused, 0, "{}", outcome.summary());
+        assert_eq!(outcome.refused_sound(), 0, "{}", outcome.summary());
     });
 }
 
