--- a/crates/bendhinge_http/src/limited_read.rs
+++ b/crates/bendhinge_http/src/limited_read.rs
@@ -8,8 +8,8 @@
 
 use futures_lite::{AsyncRead, AsyncWrite};
 
-/// The number of reads in a row after which other tasks get a turn. A peer that always has data ready would keep the HTTP
-/// library reading, for instance interim responses, and so keep the thread from everything else.
+/// The number of reads in a row after which the stream yields to other tasks. While a peer always has data ready, the HTTP
+/// library reads on within one poll, for instance interim responses, which would block the thread.
 const MAX_READS_IN_A_ROW: u32 = 16;
 
 /// The maximum number of bytes before the head of a response is complete, with interim responses. It exceeds what the HTTP
@@ -53,7 +53,7 @@
     }
 }
 
-/// A stream whose reads give other tasks a turn, and fail if they exceed the allowance for a response head.
+/// A stream whose reads yield to other tasks, and fail if they exceed the allowance for a response head.
 pub(crate) struct LimitedReadStream<S> {
     stream: S,
     allowance: HeadAllowance,
