--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -277,8 +277,30 @@
 pub struct StreamShape {
     pub events: usize,
     pub gap_ms: u64,
+    /// The time from a request to the head of its answer.
+    pub first_ms: u64,
     /// Whether answers have chunks; without, they end when their connection closes.
     pub chunked: bool,
+    /// The number of the answer that is spoilt: an event without an end; 0 for none.
+    pub spoilt: usize,
+}
+
+impl StreamShape {
+    fn to_args(self) -> [String; 5] {
+        let Self { events, gap_ms, first_ms, chunked, spoilt } = self;
+        [events.to_string(), gap_ms.to_string(), first_ms.to_string(), u8::from(chunked).to_string(), spoilt.to_string()]
+    }
+
+    fn from_args(args: &[String]) -> Option<Self> {
+        let number = |index: usize| args.get(index)?.parse::<u64>().ok();
+        Some(Self {
+            events: number(0)? as usize,
+            gap_ms: number(1)?,
+            first_ms: number(2)?,
+            chunked: number(3)? == 1,
+            spoilt: number(4)? as usize,
+        })
+    }
 }
 
 /// One run of a request, as its runner tells it.
@@ -303,7 +325,8 @@
     /// Starts a runner; its runs go to `runs` and to the record.
     pub fn start(id: &str, service: &str, shape: StreamShape, record: &Record, runs: &Arc<Mutex<Vec<Run>>>) -> Self {
         let mut process = Command::new(std::env::current_exe().unwrap())
-            .args(["runner", id, &shape.events.to_string(), &shape.gap_ms.to_string(), &shape.chunked.to_string()])
+            .args(["runner", id])
+            .args(shape.to_args())
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()
@@ -348,22 +371,16 @@
     }
 }
 
-/// The process of a runner: `runner ID EVENTS GAP_MS CHUNKED`. It ends with its parent.
+/// The process of a runner: `runner ID` and its shape. It ends with its parent.
 pub fn run_runner(args: &[String]) -> ! {
-    let (id, shape) = match args {
-        [id, events, gap_ms, chunked] => (
-            id.clone(),
-            StreamShape {
-                events: events.parse().unwrap(),
-                gap_ms: gap_ms.parse().unwrap(),
-                chunked: chunked.parse().unwrap(),
-            },
-        ),
-        _ => not_run("usage: runner ID EVENTS GAP_MS CHUNKED"),
+    let Some((id, shape)) = args.split_first().and_then(|(id, rest)| Some((id.clone(), StreamShape::from_args(rest)?)))
+    else {
+        not_run("the arguments of a runner are wrong")
     };
+    let answers = Arc::new(Mutex::new(0));
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     println!("{}", listener.local_addr().unwrap());
-    serve(listener, move |stream| serve_runner(&id, shape, stream));
+    serve(listener, move |stream| serve_runner(&id, shape, &answers, stream));
     let _ = std::io::stdin().read_to_end(&mut Vec::new());
     std::process::exit(0);
 }
@@ -373,7 +390,7 @@
     format!("id: {number}\ndata: piece {number}\n\n")
 }
 
-fn serve_runner(id: &str, shape: StreamShape, stream: TcpStream) {
+fn serve_runner(id: &str, shape: StreamShape, answers: &Mutex<usize>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let mut writer = stream.try_clone().unwrap();
     let mut reader = BufReader::new(stream);
@@ -392,6 +409,16 @@
             answer(&mut writer, "421 Misdirected Request", &format!("Instance-Id: {id}\r\nRequest-Id: {request}\r\n"), "")
         } else if header(&head, "prompt-prefix").is_some() {
             println!("runs {} {request} {path}", now_ms());
+            sleep_ms(shape.first_ms);
+            let number = {
+                let mut answers = answers.lock().unwrap();
+                *answers += 1;
+                *answers
+            };
+            if number == shape.spoilt {
+                println!("spoils {} {request} answer-{number}", now_ms());
+                return send_without_end(&mut writer, &request);
+            }
             let after = header(&head, "last-event-id").and_then(|id| id.parse::<usize>().ok());
             let first = after.map_or(0, |last| last + 1);
             stream_events(&mut writer, shape, &request, first)
@@ -406,6 +433,25 @@
     }
 }
 
+/// Sends an event without an end, at 960 Mbit/s, until the connection is closed.
+fn send_without_end(writer: &mut TcpStream, request: &str) {
+    const PERIOD: Duration = Duration::from_millis(10);
+    const BYTES_PER_PERIOD: usize = 1_200_000;
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Stamp: s\r\nContent-Type: text/event-stream\r\n\
+         Connection: close\r\n\r\nid: 0\ndata: "
+    );
+    if writer.write_all(head.as_bytes()).is_err() {
+        return;
+    }
+    let piece = vec![b'x'; BYTES_PER_PERIOD];
+    let mut next = Instant::now();
+    while writer.write_all(&piece).is_ok() {
+        next += PERIOD;
+        thread::sleep(next.saturating_duration_since(Instant::now()));
+    }
+}
+
 fn answer(writer: &mut TcpStream, status: &str, headers: &str, body: &str) -> bool {
     let response = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len());
     writer.write_all(response.as_bytes()).is_ok()
@@ -487,6 +533,14 @@
         }
     }
 
+    /// The memory of the process in bytes.
+    pub fn memory_bytes(&self) -> Option<u64> {
+        let id = self.process.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        line.trim().trim_end_matches("kB").trim().parse::<u64>().ok().map(|kilobytes| kilobytes * 1_024)
+    }
+
     pub fn is_ready(&self) -> bool {
         send(self.ready, "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", Duration::from_secs(1))
             .is_some_and(|seen| seen.status == 200)
@@ -541,14 +595,14 @@
     Some(seen)
 }
 
-fn read_length(reader: &mut impl Read, head: &str) -> (Vec<u8>, bool) {
+pub fn read_length(reader: &mut impl Read, head: &str) -> (Vec<u8>, bool) {
     let length = header(head, "content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
     let mut body = vec![0; length];
     let is_complete = reader.read_exact(&mut body).is_ok();
     (body, is_complete)
 }
 
-fn read_chunks(reader: &mut impl BufRead) -> (Vec<u8>, bool) {
+pub fn read_chunks(reader: &mut impl BufRead) -> (Vec<u8>, bool) {
     let mut body = Vec::new();
     loop {
         let mut line = String::new();
@@ -591,13 +645,17 @@
     }
 }
 
-/// A configuration with two services and one tenant; `further` is added to its routes.
-pub fn configuration(version: u64, routes: &[Route], keys: &[&str], further: &str) -> String {
+/// A configuration with two services and the given tenants, each with its keys.
+pub fn configuration(version: u64, routes: &[Route], tenants: &[(&str, &[&str])]) -> String {
     let routes: Vec<String> = routes.iter().map(Route::to_json).collect();
-    let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
+    let tenant = |(name, keys): &(&str, &[&str])| {
+        let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
+        format!(r#"{{"name":"{name}","apiKeys":[{}]}}"#, keys.join(","))
+    };
+    let tenants: Vec<String> = tenants.iter().map(tenant).collect();
     format!(
-        r#"{{"version":{version},"routes":[{}{further}],"services":[{{"name":"pool-llm","healthPath":"/health","maxConnections":300,"protocol":"h1","tls":false,"engine":{{"slots":48,"kvCapacityTokens":713635,"tokenKvBytes":327680,"linkMbps":370000.0,"moves":true,"backups":true,"stride":7,"most":2,"pinMs":4000.0,"holdMs":2000.0,"handleS":5.0,"models":[{{"name":"m"}}]}}}},{{"name":"board-app","healthPath":"/health","maxConnections":100,"protocol":"h1","tls":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"residents","apiKeys":[{}]}}]}}"#,
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"pool-llm","healthPath":"/health","maxConnections":300,"protocol":"h1","tls":false,"engine":{{"slots":48,"kvCapacityTokens":713635,"tokenKvBytes":327680,"linkMbps":370000.0,"moves":true,"backups":true,"stride":7,"most":2,"pinMs":4000.0,"holdMs":2000.0,"handleS":5.0,"models":[{{"name":"m"}}]}}}},{{"name":"board-app","healthPath":"/health","maxConnections":100,"protocol":"h1","tls":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{}]}}"#,
         routes.join(","),
-        keys.join(","),
+        tenants.join(","),
     )
 }
