--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -7,7 +7,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, ChildStdin, Command, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -318,7 +318,6 @@
     pub service: String,
     pub address: SocketAddr,
     process: Child,
-    _stdin: ChildStdin,
 }
 
 impl Runner {
@@ -331,7 +330,6 @@
             .stdout(Stdio::piped())
             .spawn()
             .unwrap();
-        let stdin = process.stdin.take().unwrap();
         let mut lines = BufReader::new(process.stdout.take().unwrap()).lines();
         let address = lines.next().unwrap().unwrap().parse().unwrap();
         let (record, runs, runner) = (record.clone(), Arc::clone(runs), id.to_owned());
@@ -346,7 +344,7 @@
                 }
             }
         });
-        Self { id: id.to_owned(), service: service.to_owned(), address, process, _stdin: stdin }
+        Self { id: id.to_owned(), service: service.to_owned(), address, process }
     }
 
     /// Writes the runner's entry to the store.
@@ -358,16 +356,18 @@
         store.put(&format!("servers/{id}"), value.as_bytes());
     }
 
-    /// Ends the process.
-    pub fn end(&mut self) {
-        let _ = self.process.kill();
+    /// Lets the process end by itself, as after a planned leave.
+    pub fn leave(&mut self) {
+        // The process reads its standard input to the end.
+        drop(self.process.stdin.take());
         let _ = self.process.wait();
     }
 }
 
 impl Drop for Runner {
     fn drop(&mut self) {
-        self.end();
+        let _ = self.process.kill();
+        let _ = self.process.wait();
     }
 }
 
