--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -13,8 +13,8 @@
 use std::time::{Duration, Instant};
 
 use common::{
-    BROKEN, Gateway, HELD, HOST, NOT_RUN, Record, Route, Run, Runner, Store, StreamShape, configuration, has_trouble,
-    header, read_chunks, read_head, read_length, sleep_ms,
+    BROKEN, Gateway, HELD, HOST, NOT_RUN, Record, Route, Run, Runner, Store, StreamShape, configuration,
+    has_trouble, header, read_chunks, read_head, read_length, sleep_ms,
 };
 
 const RUNNERS: usize = 8;
@@ -47,19 +47,21 @@
 type LostRequests = Arc<Mutex<Vec<String>>>;
 
 fn main() {
-    let args: Vec<String> = std::env::args().skip(1).collect();
-    if args.first().is_some_and(|role| role == "runner") {
-        common::run_runner(&args[1..]);
-    }
-    let record = Record::new();
-    let verdict = run(&record);
-    record.write(args[0].as_ref());
-    std::process::exit(verdict);
+    common::play(run);
 }
 
 fn run(record: &Record) -> i32 {
     let store = Store::start(50, 1);
-    let routes = [Route { name: "digest", prefix: "/digest/", kind: "streaming", service: "pool-llm", timeout_ms: 12_000, aim_ms: 600, attempts: 1, can_resume: false }];
+    let routes = [Route {
+        name: "digest",
+        prefix: "/digest/",
+        kind: "streaming",
+        service: "pool-llm",
+        timeout_ms: 12_000,
+        aim_ms: 600,
+        attempts: 1,
+        can_resume: false,
+    }];
     store.put("op/config", configuration(1, &routes, &[("residents", &["key-1"])]).as_bytes());
     let runs = Arc::new(Mutex::new(Vec::new()));
     let runners: Vec<Runner> = (1..=RUNNERS)
@@ -114,7 +116,9 @@
     let lost = lost.lock().unwrap();
     let lost = lost.iter().filter(|id| ran_at_sound.contains(id.as_str())).count();
     let of_faulty = runs.iter().filter(|run| run.runner == "i-1").count();
-    record.add(format!("i-1 got {of_faulty} requests; the gateway used {peak} bytes at most and was killed {ends} times"));
+    record.add(format!(
+        "i-1 got {of_faulty} requests; the gateway used {peak} bytes at most and was killed {ends} times"
+    ));
     record.add(format!(
         "LOST: {lost} requests from kept connections were passed on to sound runners, and their connections closed with no answer"
     ));
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -19,10 +19,28 @@
 /// The host of all routes.
 pub const HOST: &str = "boards.example";
 
-/// Ends the script because the case could not run.
+/// Ends the case because it could not run. Unwinds, so that all processes that were started are ended.
 pub fn not_run(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
-    std::process::exit(NOT_RUN);
+    std::panic::resume_unwind(Box::new(()));
+}
+
+/// The program of a case: plays it and writes its record to the file that is named, or is one of its runners.
+pub fn play(case: fn(&Record) -> i32) -> ! {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match args.split_first() {
+        Some((role, rest)) if role == "runner" => run_runner(rest),
+        Some((path, _)) => {
+            let record = Record::new();
+            let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| case(&record)));
+            record.write(path.as_ref());
+            std::process::exit(verdict.unwrap_or(NOT_RUN))
+        }
+        None => {
+            eprintln!("usage: case RECORD");
+            std::process::exit(NOT_RUN)
+        }
+    }
 }
 
 /// Milliseconds since the epoch, equal in all processes of the script.
@@ -85,7 +103,10 @@
     const ALPHABET: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::with_capacity(bytes.len().div_ceil(3) * 4);
     for chunk in bytes.chunks(3) {
-        let group = chunk.iter().enumerate().fold(0, |group, (index, byte)| group | u32::from(*byte) << (16 - 8 * index));
+        let group = chunk
+            .iter()
+            .enumerate()
+            .fold(0, |group, (index, byte)| group | u32::from(*byte) << (16 - 8 * index));
         for index in 0..4 {
             let is_padding = index > chunk.len();
             let sign = ALPHABET[(group >> (18 - 6 * index) & 63) as usize] as char;
@@ -288,7 +309,13 @@
 impl StreamShape {
     fn to_args(self) -> [String; 5] {
         let Self { events, gap_ms, first_ms, chunked, spoilt } = self;
-        [events.to_string(), gap_ms.to_string(), first_ms.to_string(), u8::from(chunked).to_string(), spoilt.to_string()]
+        [
+            events.to_string(),
+            gap_ms.to_string(),
+            first_ms.to_string(),
+            u8::from(chunked).to_string(),
+            spoilt.to_string(),
+        ]
     }
 
     fn from_args(args: &[String]) -> Option<Self> {
@@ -322,7 +349,13 @@
 
 impl Runner {
     /// Starts a runner; its runs go to `runs` and to the record.
-    pub fn start(id: &str, service: &str, shape: StreamShape, record: &Record, runs: &Arc<Mutex<Vec<Run>>>) -> Self {
+    pub fn start(
+        id: &str,
+        service: &str,
+        shape: StreamShape,
+        record: &Record,
+        runs: &Arc<Mutex<Vec<Run>>>,
+    ) -> Self {
         let mut process = Command::new(std::env::current_exe().unwrap())
             .args(["runner", id])
             .args(shape.to_args())
@@ -373,7 +406,8 @@
 
 /// The process of a runner: `runner ID` and its shape. It ends with its parent.
 pub fn run_runner(args: &[String]) -> ! {
-    let Some((id, shape)) = args.split_first().and_then(|(id, rest)| Some((id.clone(), StreamShape::from_args(rest)?)))
+    let Some((id, shape)) =
+        args.split_first().and_then(|(id, rest)| Some((id.clone(), StreamShape::from_args(rest)?)))
     else {
         not_run("the arguments of a runner are wrong")
     };
@@ -406,7 +440,12 @@
         } else if path == "/kv-list" {
             answer(&mut writer, "200 OK", "", r#"{"epoch":1,"nextToken":1,"held":[]}"#)
         } else if expected != id {
-            answer(&mut writer, "421 Misdirected Request", &format!("Instance-Id: {id}\r\nRequest-Id: {request}\r\n"), "")
+            answer(
+                &mut writer,
+                "421 Misdirected Request",
+                &format!("Instance-Id: {id}\r\nRequest-Id: {request}\r\n"),
+                "",
+            )
         } else if header(&head, "prompt-prefix").is_some() {
             println!("runs {} {request} {path}", now_ms());
             sleep_ms(shape.first_ms);
@@ -425,7 +464,12 @@
         } else {
             println!("runs {} {request} {path}", now_ms());
             sleep_ms(10);
-            answer(&mut writer, "200 OK", &format!("Request-Id: {request}\r\nResponse-Stamp: s.{id}\r\n"), "done")
+            answer(
+                &mut writer,
+                "200 OK",
+                &format!("Request-Id: {request}\r\nResponse-Stamp: s.{id}\r\n"),
+                "done",
+            )
         };
         if !written {
             return;
@@ -492,7 +536,8 @@
 impl Gateway {
     /// Plans a gateway on free ports.
     pub fn plan(name: &str) -> Self {
-        let settings = std::env::temp_dir().join(format!("bendhinge-review-{}-{name}.ini", std::process::id()));
+        let settings =
+            std::env::temp_dir().join(format!("bendhinge-review-{}-{name}.ini", std::process::id()));
         let [callers, ready, peers] = [(); 3].map(|()| free_address());
         Self { name: name.to_owned(), callers, ready, peers, settings, process: None }
     }
@@ -518,12 +563,15 @@
         std::fs::write(&self.settings, text).unwrap();
         let log = std::env::var("REVIEW_LOGS").ok();
         let output = match log {
-            Some(folder) => Stdio::from(std::fs::File::create(Path::new(&folder).join(format!("{name}.log"))).unwrap()),
+            Some(folder) => {
+                Stdio::from(std::fs::File::create(Path::new(&folder).join(format!("{name}.log"))).unwrap())
+            }
             None => Stdio::null(),
         };
         let program = repository().join("target/release/bendhinge-platform");
         let child = Command::new(program).arg(&self.settings).stdin(Stdio::null()).stdout(output).spawn();
-        self.process = Some(child.unwrap_or_else(|error| not_run(&format!("the gateway does not start: {error}"))));
+        self.process =
+            Some(child.unwrap_or_else(|error| not_run(&format!("the gateway does not start: {error}"))));
     }
 
     pub fn kill(&mut self) {
@@ -542,8 +590,12 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        send(self.ready, "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", Duration::from_secs(1))
-            .is_some_and(|seen| seen.status == 200)
+        send(
+            self.ready,
+            "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+            Duration::from_secs(1),
+        )
+        .is_some_and(|seen| seen.status == 200)
     }
 
     pub fn wait_until_ready(&self) {
@@ -589,7 +641,8 @@
     let status = head.split(' ').nth(1)?.parse().ok()?;
     let mut seen = Seen { status, is_signed: header(&head, "response-stamp").is_some(), ..Seen::default() };
     let is_chunked = header(&head, "transfer-encoding").is_some();
-    let (body, is_complete) = if is_chunked { read_chunks(&mut reader) } else { read_length(&mut reader, &head) };
+    let (body, is_complete) =
+        if is_chunked { read_chunks(&mut reader) } else { read_length(&mut reader, &head) };
     seen.body = String::from_utf8_lossy(&body).into_owned();
     seen.is_complete = is_complete;
     Some(seen)
