--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -8,6 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -57,9 +58,20 @@
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
-/// A free port of the loopback address.
+/// A free port of the loopback address, below those that the system gives to connections. Each call gives another one.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    const FIRST: u16 = 20_000;
+    const COUNT: u16 = 10_000;
+    // Scripts that run at the same time begin elsewhere.
+    let offset = (std::process::id() * 37 % u32::from(COUNT)) as u16;
+    for _ in 0..COUNT {
+        let port = FIRST + (offset + NEXT.fetch_add(1, Ordering::Relaxed)) % COUNT;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().unwrap();
+        }
+    }
+    not_run("no port is free")
 }
 
 /// The lines of `record.txt`.
