Gateway: cut events that exceed a size limit

Callers: while one upstream sent an event without an end, the gateway buffered all of it.

Cause: `EventSplitter` buffers until an event is complete, and nothing limited the buffer; `answer_bytes` holds for complete bodies only. Comments that a source sends while an event is awaited were kept without a limit as well. Ruled out: the HTTP library's read buffer, and the response to the caller, which had three events.

Change: an event, or a block of comments, may have `[upstreams] event_bytes` (4M). Beyond that the source ends with `too_large`, which counts as a failure of its upstream. The stream is resumed elsewhere where it may be, otherwise the response is cut with BH0407. A complete response beyond `answer_bytes` ends alike; before, it was taken for a lost connection, which starts the detection of a crash.

--- a/crates/bendhinge_codes/src/code.rs
+++ b/crates/bendhinge_codes/src/code.rs
@@ -181,6 +181,9 @@
     AnswerCutShort = 406, 502, MAY_HAVE_RUN, false,
         "The answer broke off after part of it was passed on.",
         "Discard the partial answer; a repeatable request may be sent again.";
+    AnswerTooLarge = 407, 502, MAY_HAVE_RUN, false,
+        "The upstream's answer, or an event of its stream, is larger than the limit.",
+        "Discard a partial answer. Operators: raise `answer_bytes` or `event_bytes` if the upstream is sound.";
     OnceAlreadyTaken = 501, 409, MAY_HAVE_RUN, false,
         "A request with this idempotency key was already taken; it may be running or have run.",
         "Do not send it again; look for its effect.";
--- a/crates/bendhinge_delivery/src/body_end.rs
+++ b/crates/bendhinge_delivery/src/body_end.rs
@@ -1,5 +1,7 @@
 //! How the body of an upstream's response ended, and whether it is complete.
 
+use crate::SendOutcome;
+
 /// How the body of a response ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum BodyEnd {
@@ -11,6 +13,8 @@
     Empty,
     /// By a failure of its connection or of its framing.
     Failed,
+    /// By the gateway, since it or an event of it exceeds the size limit.
+    TooLarge,
     /// By the timeout for its next data.
     TimedOut,
 }
@@ -32,7 +36,17 @@
     /// Whether the body ended before it was complete, other than by a timeout.
     #[must_use]
     pub const fn is_premature(self) -> bool {
-        matches!(self, Self::MidEvent | Self::Empty | Self::Failed)
+        matches!(self, Self::MidEvent | Self::Empty | Self::Failed | Self::TooLarge)
+    }
+
+    /// The outcome of the send whose response ended like this before it was complete.
+    #[must_use]
+    pub const fn outcome(self) -> SendOutcome {
+        match self {
+            Self::TimedOut => SendOutcome::TimedOut,
+            Self::TooLarge => SendOutcome::TooLarge,
+            Self::Complete | Self::MidEvent | Self::Empty | Self::Failed => SendOutcome::Lost,
+        }
     }
 
     /// The name used in logs and metrics.
@@ -43,6 +57,7 @@
             Self::MidEvent => "mid_event",
             Self::Empty => "empty",
             Self::Failed => "failed",
+            Self::TooLarge => "too_large",
             Self::TimedOut => "silent",
         }
     }
--- a/crates/bendhinge_delivery/src/events.rs
+++ b/crates/bendhinge_delivery/src/events.rs
@@ -145,6 +145,12 @@
         if self.is_mid_event() { self.buffer.len() } else { 0 }
     }
 
+    /// The number of buffered bytes: those of an incomplete event, line or block of comments.
+    #[must_use]
+    pub fn buffered_len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether there was a complete event since the stream began or resumed.
     #[must_use]
     pub const fn has_events(&self) -> bool {
--- a/crates/bendhinge_delivery/src/retry.rs
+++ b/crates/bendhinge_delivery/src/retry.rs
@@ -19,6 +19,8 @@
     TimedOut,
     /// The response was invalid or belonged to another request.
     InvalidResponse,
+    /// The response, or an event of it, exceeds the size limit.
+    TooLarge,
     /// The upstream responded with a failure, and that response is kept.
     Failed,
     /// The send was cancelled because another send of the request got a response.
@@ -49,6 +51,7 @@
             Self::Lost => "lost",
             Self::TimedOut => "silent",
             Self::InvalidResponse => "spoilt",
+            Self::TooLarge => "too_large",
             Self::Failed => "failed",
             Self::Superseded => "overtaken",
         }
@@ -167,6 +170,7 @@
             (0, None) => ResultCode::NoUpstream,
             (0, Some(_)) => ResultCode::UpstreamNotReached,
             (_, Some(SendOutcome::InvalidResponse)) => ResultCode::UpstreamBadAnswer,
+            (_, Some(SendOutcome::TooLarge)) => ResultCode::AnswerTooLarge,
             (_, Some(SendOutcome::TimedOut)) => ResultCode::UpstreamTimeout,
             _ if deadline_exceeded => ResultCode::UpstreamTimeout,
             _ => ResultCode::UpstreamLost,
--- a/crates/bendhinge_gateway/src/delivery/context.rs
+++ b/crates/bendhinge_gateway/src/delivery/context.rs
@@ -54,6 +54,7 @@
     pub(crate) log: Log,
     pub(crate) metrics: Metrics,
     pub(crate) max_response_bytes: usize,
+    pub(crate) max_event_bytes: usize,
 }
 
 impl DeliveryContext {
--- a/crates/bendhinge_gateway/src/delivery/cut.rs
+++ b/crates/bendhinge_gateway/src/delivery/cut.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bendhinge_codes::ResultCode;
 use bendhinge_delivery::BodyEnd;
 
 /// A response that ended before it was complete.
@@ -22,6 +23,8 @@
     Gateway,
     /// The time of the request was over.
     Deadline,
+    /// An event exceeded the size limit.
+    EventSize,
 }
 
 impl CutCause {
@@ -29,6 +32,7 @@
     pub(super) const fn of(end: BodyEnd, is_upstream: bool) -> Self {
         match end {
             BodyEnd::TimedOut => Self::Deadline,
+            BodyEnd::TooLarge => Self::EventSize,
             _ if is_upstream => Self::Upstream,
             _ => Self::Gateway,
         }
@@ -40,6 +44,15 @@
             Self::Upstream => "upstream",
             Self::Gateway => "gateway",
             Self::Deadline => "deadline",
+            Self::EventSize => "event_size",
+        }
+    }
+
+    /// The code of the response that ended.
+    pub(super) const fn code(self) -> ResultCode {
+        match self {
+            Self::EventSize => ResultCode::AnswerTooLarge,
+            Self::Upstream | Self::Gateway | Self::Deadline => ResultCode::AnswerCutShort,
         }
     }
 }
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -342,7 +342,7 @@
                 }
                 self.log_line.set_caller_framing(BodyFraming::of_stream_to(self.inbound.head.version));
                 let headers = upstream_headers;
-                let source = StreamSource::new(source, headers, framing, body, connection);
+                let source = StreamSource::new(&self.context, source, headers, framing, body, connection);
                 Response::from_parts(head, relay_body(Relay::new(self, source, hedge, in_progress)))
             }
         }
--- a/crates/bendhinge_gateway/src/delivery/outcome.rs
+++ b/crates/bendhinge_gateway/src/delivery/outcome.rs
@@ -208,7 +208,9 @@
         SendOutcome::NotSent | SendOutcome::Superseded => None,
         SendOutcome::Rejected => Some(UpstreamFailure::Rejected),
         SendOutcome::Replaced => Some(UpstreamFailure::WrongInstance),
-        SendOutcome::Lost | SendOutcome::InvalidResponse => Some(UpstreamFailure::ConnectionLost),
+        SendOutcome::Lost | SendOutcome::InvalidResponse | SendOutcome::TooLarge => {
+            Some(UpstreamFailure::ConnectionLost)
+        }
         SendOutcome::TimedOut => Some(UpstreamFailure::TimedOut),
         SendOutcome::Failed => Some(UpstreamFailure::ErrorResponse),
     }
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -4,10 +4,9 @@
 use std::io;
 use std::time::Duration;
 
-use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{BodyEnd, CompleteEvents, EventSplitter, SendOutcome, StreamTiming};
 use bendhinge_ids::{Instant, NameHash};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_lite::FutureExt;
 use smol::Timer;
 
@@ -31,8 +30,6 @@
     /// The send that raced the one that responded first, until a source sends an event.
     pub(super) hedge: Option<PendingSend>,
     pub(super) race_timer: RaceTimer,
-    /// Comments of the source that arrived during a race and are not relayed yet.
-    pub(super) comments: BytesMut,
     /// Why no other source was found when the current one was silent.
     pub(super) obstacle: Option<ResumeObstacle>,
     /// Whether the next event is awaited; if not, the caller has not taken the last ones yet.
@@ -64,7 +61,6 @@
             source: Some(source),
             hedge,
             race_timer,
-            comments: BytesMut::new(),
             obstacle: None,
             is_awaiting_event: false,
             awaited_since: bendhinge_clock::now(),
@@ -81,7 +77,8 @@
         self.await_data();
         while !self.is_finished {
             match self.read().await {
-                SourceRead::Data(None) => self.await_data(),
+                // The wait for an event goes on.
+                SourceRead::Data(None) => {}
                 SourceRead::Data(Some(events)) => return Some(Ok(self.relay(events))),
                 SourceRead::Ended(end) => {
                     let end = self.confirm_end(end);
@@ -158,11 +155,10 @@
             self.record_event(events.count);
             self.record_first_event();
         }
-        if self.comments.is_empty() {
-            return events.bytes;
+        match &mut self.source {
+            Some(source) => source.take_with_comments(events.bytes),
+            None => events.bytes,
         }
-        self.comments.extend_from_slice(&events.bytes);
-        self.comments.split().freeze()
     }
 
     /// Records the first event of the current source, after which its prompt is processed.
@@ -301,7 +297,7 @@
             self.close_source(end, SendOutcome::TimedOut);
             return Err(self.obstacle.unwrap_or(ResumeObstacle::Deadline));
         }
-        if !self.close_source(end, SendOutcome::Lost) {
+        if !self.close_source(end, end.outcome()) {
             return Err(ResumeObstacle::Attempts);
         }
         if !self.has_resume_point() {
@@ -356,7 +352,7 @@
         self.source = None;
         self.report_timing();
         let Delivery { log_line, context, retry_state, .. } = &mut self.delivery;
-        log_line.write_answered(&context.log, 200, Some(ResultCode::AnswerCutShort), retry_state);
+        log_line.write_answered(&context.log, 200, Some(cut.cause.code()), retry_state);
         io::Error::other("the upstream's event stream was interrupted")
     }
 }
--- a/crates/bendhinge_gateway/src/delivery/stream_race.rs
+++ b/crates/bendhinge_gateway/src/delivery/stream_race.rs
@@ -7,7 +7,6 @@
 
 use bendhinge_delivery::{BodyEnd, CompleteEvents, EventSplitter, SendOutcome};
 use bendhinge_ids::Instant;
-use bytes::BytesMut;
 use futures_lite::FutureExt;
 use smol::Timer;
 
@@ -45,7 +44,7 @@
         inbound: &Arc<InboundRequest>,
         end: BodyEnd,
     ) -> ClosedSource {
-        self.source.close(context, inbound, end, SendOutcome::Lost, self.events.partial_len())
+        self.source.close(context, inbound, end, end.outcome(), self.events.partial_len())
     }
 }
 
@@ -118,7 +117,7 @@
                 Step::Source(SourceRead::Ended(end))
                     if end.is_premature() && (self.hedge.is_some() || !candidates.is_empty()) =>
                 {
-                    self.close_source(end, SendOutcome::Lost);
+                    self.close_source(end, end.outcome());
                 }
                 Step::Source(read) => return RaceEnd::Source(read),
                 Step::Candidate(index, read) => {
@@ -163,7 +162,7 @@
     async fn next_step(&mut self, candidates: &mut [Candidate], may_send: bool) -> Step {
         let send_due = self.race_timer.remaining().filter(|_| may_send);
         let deadline = self.delivery.inbound.deadline;
-        let Self { source, events, comments, hedge, .. } = self;
+        let Self { source, events, hedge, .. } = self;
         let send_due = async {
             match send_due {
                 Some(remaining) => Timer::after(remaining).await,
@@ -171,7 +170,7 @@
             };
             Step::SendDue
         };
-        let speaking = first_to_speak(source.as_mut(), events, comments, candidates);
+        let speaking = first_to_speak(source.as_mut(), events, candidates);
         speaking.or(hedge_step(hedge.as_mut())).or(send_due).or(at(deadline)).await
     }
 
@@ -181,12 +180,12 @@
         let mut closed = Vec::new();
         let mut hedge_result = None;
         let step = {
-            let Self { delivery, source, events, comments, timing, hedge, .. } = self;
+            let Self { delivery, source, events, timing, hedge, .. } = self;
             let (context, inbound) = (Arc::clone(&delivery.context), Arc::clone(&delivery.inbound));
             let resumed = events.resumed();
             let mut responding = Box::pin(delivery.resume(&resumed));
             loop {
-                let speaking = first_to_speak(source.as_mut(), events, comments, candidates);
+                let speaking = first_to_speak(source.as_mut(), events, candidates);
                 let responded = async { Step::Responded((&mut responding).await.map(Box::new)) };
                 let hedged = hedge_step(hedge.as_mut());
                 match speaking.or(hedged).or(responded).or(at(inbound.deadline)).await {
@@ -197,7 +196,7 @@
                                 &context,
                                 &inbound,
                                 end,
-                                SendOutcome::Lost,
+                                end.outcome(),
                                 events.partial_len(),
                             ));
                         }
@@ -234,7 +233,8 @@
                 if let ResponseSource::Upstream(send) = &source {
                     self.delivery.context.upstreams.record_response(send.chosen.entry.hash);
                 }
-                let source = StreamSource::new(source, head.headers, framing, body, connection);
+                let context = &self.delivery.context;
+                let source = StreamSource::new(context, source, head.headers, framing, body, connection);
                 Some(Candidate { source, events: self.events.resumed() })
             }
             // It remains open and is ended with the race.
@@ -268,7 +268,6 @@
             if self.is_overdue_beside(&source) { SendOutcome::TimedOut } else { SendOutcome::Superseded };
         self.close_source(BodyEnd::TimedOut, outcome);
         self.events = events;
-        self.comments.clear();
         self.take_over(source);
     }
 }
@@ -285,17 +284,15 @@
     Step::Deadline
 }
 
-/// Waits until the source or a candidate sends an event or ends. Comments of the source are kept in `comments`: they show
-/// that it is alive, not that it goes on.
+/// Waits until the source or a candidate sends an event or ends.
 async fn first_to_speak(
     source: Option<&mut StreamSource>,
     events: &mut EventSplitter,
-    comments: &mut BytesMut,
     candidates: &mut [Candidate],
 ) -> Step {
     let source_step = async {
         match source {
-            Some(source) => Step::Source(read_to_event(source, events, comments).await),
+            Some(source) => Step::Source(source.read_event(events).await),
             None => pending().await,
         }
     };
@@ -303,10 +300,7 @@
 }
 
 async fn first_candidate(candidates: &mut [Candidate]) -> Step {
-    let read = async |candidate: &mut Candidate| {
-        let mut comments = BytesMut::new();
-        read_to_event(&mut candidate.source, &mut candidate.events, &mut comments).await
-    };
+    let read = async |candidate: &mut Candidate| candidate.source.read_event(&mut candidate.events).await;
     let mut reads: Vec<_> = candidates.iter_mut().map(|candidate| Box::pin(read(candidate))).collect();
     poll_fn(|context| {
         for (index, read) in reads.iter_mut().enumerate() {
@@ -319,23 +313,6 @@
     .await
 }
 
-/// Reads until an event is complete or the body ends.
-async fn read_to_event(
-    source: &mut StreamSource,
-    events: &mut EventSplitter,
-    comments: &mut BytesMut,
-) -> SourceRead {
-    loop {
-        match source.read(events).await {
-            SourceRead::Data(None) => {}
-            SourceRead::Data(Some(complete)) if complete.count == 0 => {
-                comments.extend_from_slice(&complete.bytes);
-            }
-            read => return read,
-        }
-    }
-}
-
 impl Delivery {
     /// Sends the request once more so that its stream goes on after the last complete event of `events`.
     pub(super) async fn resume(&mut self, events: &EventSplitter) -> Result<StreamSource, ResumeObstacle> {
@@ -351,7 +328,7 @@
                 if let Some(hedge) = hedge {
                     self.end_hedge(&hedge, source.upstream_number());
                 }
-                Ok(StreamSource::new(source, head.headers, framing, body, connection))
+                Ok(StreamSource::new(&self.context, source, head.headers, framing, body, connection))
             }
             Ok(_) => Err(ResumeObstacle::SendFailed),
             Err(error) => {
--- a/crates/bendhinge_gateway/src/delivery/stream_source.rs
+++ b/crates/bendhinge_gateway/src/delivery/stream_source.rs
@@ -6,6 +6,7 @@
 use bendhinge_delivery::{BodyEnd, CompleteEvents, EventSplitter, SendOutcome, SendTotals};
 use bendhinge_http::{BodyFraming, Connection};
 use bendhinge_ids::Instant;
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
 use hyper::body::Incoming;
@@ -80,6 +81,9 @@
     pub(super) framing: BodyFraming,
     pub(super) body: Incoming,
     pub(super) connection: Connection,
+    /// Comments that arrived while an event was awaited, until they are relayed with it.
+    comments: BytesMut,
+    max_event_bytes: usize,
 }
 
 /// The result of reading from a source.
@@ -106,27 +110,68 @@
 }
 
 impl StreamSource {
-    pub(super) const fn new(
+    pub(super) fn new(
+        context: &DeliveryContext,
         sender: ResponseSource,
         headers: HeaderMap,
         framing: BodyFraming,
         body: Incoming,
         connection: Connection,
     ) -> Self {
-        Self { sender, first_event_after: None, relayed_events: 0, headers, framing, body, connection }
+        Self {
+            sender,
+            first_event_after: None,
+            relayed_events: 0,
+            headers,
+            framing,
+            body,
+            connection,
+            comments: BytesMut::new(),
+            max_event_bytes: context.max_event_bytes,
+        }
     }
 
     /// Reads the next data into `events`. Nothing is lost if the future is dropped before it is ready.
     pub(super) async fn read(&mut self, events: &mut EventSplitter) -> SourceRead {
-        match self.body.frame().await {
-            None => SourceRead::Ended(BodyEnd::at_end(
-                self.framing.marks_end(),
-                !events.has_events(),
-                events.is_mid_event(),
-            )),
-            Some(Err(_)) => SourceRead::Ended(BodyEnd::Failed),
-            Some(Ok(frame)) => SourceRead::Data(events.feed(&frame.into_data().unwrap_or_default())),
+        let complete = match self.body.frame().await {
+            None => {
+                return SourceRead::Ended(BodyEnd::at_end(
+                    self.framing.marks_end(),
+                    !events.has_events(),
+                    events.is_mid_event(),
+                ));
+            }
+            Some(Err(_)) => return SourceRead::Ended(BodyEnd::Failed),
+            Some(Ok(frame)) => events.feed(&frame.into_data().unwrap_or_default()),
+        };
+        let has_event = complete.as_ref().is_some_and(|complete| complete.count > 0);
+        if !has_event && events.buffered_len() + self.comments.len() > self.max_event_bytes {
+            return SourceRead::Ended(BodyEnd::TooLarge);
+        }
+        SourceRead::Data(complete)
+    }
+
+    /// Reads until an event is complete or the body ends. Comments are kept until then: they show that the source is
+    /// alive, not that the stream goes on.
+    pub(super) async fn read_event(&mut self, events: &mut EventSplitter) -> SourceRead {
+        loop {
+            match self.read(events).await {
+                SourceRead::Data(None) => {}
+                SourceRead::Data(Some(complete)) if complete.count == 0 => {
+                    self.comments.extend_from_slice(&complete.bytes);
+                }
+                read => return read,
+            }
+        }
+    }
+
+    /// Returns the bytes of `events` for the caller, after the comments that preceded them.
+    pub(super) fn take_with_comments(&mut self, events: Bytes) -> Bytes {
+        if self.comments.is_empty() {
+            return events;
         }
+        self.comments.extend_from_slice(&events);
+        self.comments.split().freeze()
     }
 
     /// Closes the connection, which cancels the request there, and records the end for the upstream. `partial_bytes` is
--- a/crates/bendhinge_gateway/src/delivery/upstream_body.rs
+++ b/crates/bendhinge_gateway/src/delivery/upstream_body.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_delivery::{BodyEnd, SendOutcome};
-use bendhinge_http::{BodyFraming, Connection, read_body};
+use bendhinge_delivery::BodyEnd;
+use bendhinge_http::{BodyFraming, Connection, ReadBodyError, read_body};
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use hyper::HeaderMap;
@@ -42,7 +42,8 @@
     let read = read_body(body, context.max_response_bytes).await;
     let end = match &read {
         Ok(bytes) => BodyEnd::at_end(framing.marks_end(), bytes.is_empty(), false),
-        Err(_) => BodyEnd::Failed,
+        Err(ReadBodyError::TooLong(_)) => BodyEnd::TooLarge,
+        Err(ReadBodyError::Broken(_)) => BodyEnd::Failed,
     };
     context.metrics.count_body_end(framing, end);
     let ended = EndedBody { framing, end };
@@ -51,7 +52,7 @@
             context.release_connection(&head.headers, framing, connection);
             Ok((bytes, ended))
         }
-        Err(_) => Err(SendError { body: Some(ended), ..SendOutcome::Lost.into() }),
+        Err(_) => Err(SendError { body: Some(ended), ..end.outcome().into() }),
     }
 }
 
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -158,6 +158,7 @@
         log: log.clone(),
         metrics: Metrics::new()?,
         max_response_bytes: settings.upstreams.max_response_bytes,
+        max_event_bytes: settings.upstreams.max_event_bytes,
     });
     let intake = Arc::new(Intake { context: Arc::clone(&context), lifecycle: Arc::clone(&lifecycle) });
     let (caller_server, caller_connections) = serve_callers(&settings, &intake).await?;
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -153,6 +153,8 @@
     pub idle_timeout: Duration,
     /// The maximum size of a response that is not a stream.
     pub max_response_bytes: usize,
+    /// The maximum size of an event of a stream, and of a block of comments.
+    pub max_event_bytes: usize,
     /// Whether a response that ends with its connection is complete only once its upstream is known to run.
     pub verifies_close: bool,
     /// Ejection of upstreams that fail.
@@ -327,6 +329,7 @@
         let connect_timeout = self.0.millis(section, "connect_ms");
         let idle_timeout = self.0.millis(section, "idle_ms");
         let max_response_bytes = self.0.byte_count(section, "answer_bytes");
+        let max_event_bytes = self.0.byte_count(section, "event_bytes");
         let verifies_close = self.0.value::<YesNo>(section, "verify_close");
         let base_ejection = self.0.millis(section, "rest_ms");
         let max_ejection = self.0.millis(section, "longest_rest_ms");
@@ -338,6 +341,7 @@
             connect_timeout: connect_timeout?,
             idle_timeout: idle_timeout?,
             max_response_bytes: max_response_bytes?,
+            max_event_bytes: max_event_bytes?,
             verifies_close: verifies_close?.0,
             outlier_limits: OutlierLimits {
                 base_ejection: base_ejection?,
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -177,6 +177,12 @@
         Key::new("rest_ms", "milliseconds", Some("500"), "First ejection period of an upstream that fails."),
         Key::new("longest_rest_ms", "milliseconds", Some("4000"), "Longest ejection period of an upstream."),
         Key::new("answer_bytes", "bytes", Some("4M"), "Maximum size of an answer that is not a stream."),
+        Key::new(
+            "event_bytes",
+            "bytes",
+            Some("4M"),
+            "Maximum size of an event of a stream, which is relayed once it is complete. A stream with a larger one is resumed elsewhere or cut.",
+        ),
         Key::new(
             "doubt_ms",
             "milliseconds",
--- a/crates/bendhinge_lab/src/gateways/process.rs
+++ b/crates/bendhinge_lab/src/gateways/process.rs
@@ -147,6 +147,20 @@
         std::fs::write(&self.file, settings.text())
     }
 
+    /// The most memory that it has used, in bytes.
+    ///
+    /// # Panics
+    ///
+    /// If the process has ended.
+    #[must_use]
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|peak| peak.trim().trim_end_matches(" kB").parse::<u64>().ok());
+        kilobytes.expect("the process runs") << 10
+    }
+
     /// Sends it a signal.
     pub fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
