--- a/crates/bendhinge_codes/src/code.rs
+++ b/crates/bendhinge_codes/src/code.rs
@@ -163,6 +163,9 @@
     StreamSoftwareUnavailable = 315, 503, NOT_RUN, false,
         "No upstream with the software that began the stream accepts the request that resumes it.",
         "Request the stream from its beginning, or retry if its upstreams are only busy.";
+    BuffersFull = 316, 503, NOT_RUN, true,
+        "This router has no memory left for the body of the request.",
+        "Come back after `Retry-After` seconds; operators: look for what fills `bendhinge_gateway_buffered_bytes`.";
     UpstreamNotReached = 401, 503, NOT_RUN, true,
         "No connection to an upstream could be made within the retry budget.",
         "Come back after `Retry-After` seconds.";
@@ -182,7 +185,7 @@
         "The answer broke off after part of it was passed on.",
         "Discard the partial answer; a repeatable request may be sent again.";
     AnswerTooLarge = 407, 502, MAY_HAVE_RUN, false,
-        "The upstream's answer, or an event of its stream, is larger than the limit.",
+        "The upstream's answer, or an event of its stream, is larger than the limit, or than the memory for it.",
         "Discard a partial answer. Operators: raise `answer_bytes` or `event_bytes` if the upstream is sound.";
     OnceAlreadyTaken = 501, 409, MAY_HAVE_RUN, false,
         "A request with this idempotency key was already taken; it may be running or have run.",
--- a/crates/bendhinge_delivery/src/body_end.rs
+++ b/crates/bendhinge_delivery/src/body_end.rs
@@ -15,6 +15,8 @@
     Failed,
     /// By the gateway, since it or an event of it exceeds the size limit.
     TooLarge,
+    /// By the gateway, since its memory was needed elsewhere.
+    OutOfMemory,
     /// By the timeout for its next data.
     TimedOut,
 }
@@ -36,7 +38,7 @@
     /// Whether the body ended before it was complete, other than by a timeout.
     #[must_use]
     pub const fn is_premature(self) -> bool {
-        matches!(self, Self::MidEvent | Self::Empty | Self::Failed | Self::TooLarge)
+        matches!(self, Self::MidEvent | Self::Empty | Self::Failed | Self::TooLarge | Self::OutOfMemory)
     }
 
     /// The outcome of the send whose response ended like this before it was complete.
@@ -44,7 +46,7 @@
     pub const fn outcome(self) -> SendOutcome {
         match self {
             Self::TimedOut => SendOutcome::TimedOut,
-            Self::TooLarge => SendOutcome::TooLarge,
+            Self::TooLarge | Self::OutOfMemory => SendOutcome::TooLarge,
             Self::Complete | Self::MidEvent | Self::Empty | Self::Failed => SendOutcome::Lost,
         }
     }
@@ -58,6 +60,7 @@
             Self::Empty => "empty",
             Self::Failed => "failed",
             Self::TooLarge => "too_large",
+            Self::OutOfMemory => "out_of_memory",
             Self::TimedOut => "silent",
         }
     }
--- a/crates/bendhinge_delivery/src/events.rs
+++ b/crates/bendhinge_delivery/src/events.rs
@@ -37,7 +37,21 @@
 #[derive(Debug, Default)]
 struct PartialEvent {
     has_fields: bool,
-    id: Option<String>,
+    id: Option<EventId>,
+}
+
+/// The ID of an event.
+#[derive(Debug)]
+enum EventId {
+    Usable(String),
+    /// Too long to be kept for the time of the stream, and to be sent in a header.
+    TooLong,
+}
+
+impl EventId {
+    fn new(id: &str) -> Self {
+        if id.len() > MAX_ID_BYTES { Self::TooLong } else { Self::Usable(id.to_owned()) }
+    }
 }
 
 /// Bytes of a stream up to the end of an event or of a block of comments.
@@ -49,6 +63,8 @@
     pub count: usize,
 }
 
+/// The maximum size of an event ID after which a stream can be resumed.
+const MAX_ID_BYTES: usize = 1 << 10;
 /// The prefix of an event's `id` line.
 const ID_PREFIX: &[u8] = b"id:";
 /// The prefix of a comment line.
@@ -87,10 +103,22 @@
         }
         self.line_start -= complete_len;
         self.parsed_len = self.buffer.len() - complete_len;
-        let bytes = self.buffer.split_to(complete_len).freeze();
+        let bytes = self.take(complete_len);
         (!bytes.is_empty()).then_some(CompleteEvents { bytes, count })
     }
 
+    /// Removes the first `length` bytes. They keep the allocation, since a large one would otherwise stay in use until
+    /// both they and later events are dropped.
+    fn take(&mut self, length: usize) -> Bytes {
+        if length == 0 {
+            return Bytes::new();
+        }
+        let rest = BytesMut::from(&self.buffer[length..]);
+        let mut taken = std::mem::replace(&mut self.buffer, rest);
+        taken.truncate(length);
+        taken.freeze()
+    }
+
     /// Skips a byte order mark at the start of the stream; returns `false` if it may still be incomplete. In a
     /// stream that resumes another one, it would be part of an event and is removed.
     fn skip_byte_order_mark(&mut self) -> bool {
@@ -119,15 +147,17 @@
         self.event.has_fields = true;
         let id = line.strip_prefix(ID_PREFIX).map(<[u8]>::trim_ascii);
         if let Some(id) = id.and_then(|id| std::str::from_utf8(id).ok()) {
-            self.event.id = Some(id.to_owned());
+            self.event.id = Some(EventId::new(id));
         }
     }
 
     /// Ends a block of lines; returns whether it is an event.
     fn end_event(&mut self) -> bool {
         let PartialEvent { has_fields, id } = std::mem::take(&mut self.event);
-        if id.is_some() {
-            self.last_id = id;
+        match id {
+            Some(EventId::Usable(id)) => self.last_id = Some(id),
+            Some(EventId::TooLong) => self.last_id = None,
+            None => {}
         }
         self.has_events |= has_fields;
         has_fields
@@ -164,7 +194,7 @@
         self.buffer.split().freeze()
     }
 
-    /// The most recent event id among the complete events.
+    /// The most recent event id among the complete events; `None` if it is too long to be sent in a header.
     #[must_use]
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
--- a/crates/bendhinge_delivery/src/retry.rs
+++ b/crates/bendhinge_delivery/src/retry.rs
@@ -19,7 +19,7 @@
     TimedOut,
     /// The response was invalid or belonged to another request.
     InvalidResponse,
-    /// The response, or an event of it, exceeds the size limit.
+    /// The response, or an event of it, exceeds the size limit or the memory for it.
     TooLarge,
     /// The upstream responded with a failure, and that response is kept.
     Failed,
--- a/crates/bendhinge_delivery/tests/events.rs
+++ b/crates/bendhinge_delivery/tests/events.rs
@@ -34,6 +34,27 @@
     assert_eq!(feed(&mut splitter, "id: 2\ndata: b\n\n").as_deref(), Some("id: 2\ndata: b\n\n"));
 }
 
+/// Guards against IDs of any size that are kept for as long as their streams last. A stream cannot be resumed after an
+/// earlier event instead.
+#[test]
+fn an_id_that_is_too_long_is_not_kept() {
+    let mut splitter = EventSplitter::default();
+    feed(&mut splitter, "id: 1\ndata: a\n\n");
+    feed(&mut splitter, &format!("id: {}\ndata: b\n\n", "2".repeat(2_000)));
+    assert_eq!(splitter.last_id(), None);
+    feed(&mut splitter, "id: 3\ndata: c\n\n");
+    assert_eq!(splitter.last_id(), Some("3"));
+}
+
+#[test]
+fn buffered_bytes_are_counted_for_events_and_comments() {
+    let mut splitter = EventSplitter::default();
+    feed(&mut splitter, "id: 1\ndata: a\n\n: a comment\n");
+    assert_eq!((splitter.buffered_len(), splitter.partial_len()), (": a comment\n".len(), 0));
+    feed(&mut splitter, "\nid: 2");
+    assert_eq!((splitter.buffered_len(), splitter.partial_len()), ("id: 2".len(), "id: 2".len()));
+}
+
 /// Chunk boundaries do not affect the released events or the last event id.
 #[test]
 fn chunk_boundaries_do_not_affect_events() {
--- a/crates/bendhinge_gateway/src/control/partitions.rs
+++ b/crates/bendhinge_gateway/src/control/partitions.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bendhinge_buffers::Owner;
 use bendhinge_fleet::Origin;
 use bendhinge_http::{ServeLimits, serve_stream};
 use bendhinge_peer::{ObservedPartition, PeerMessage, PeerStream, StreamHandler};
@@ -122,10 +123,12 @@
 /// Serves the requests that other gateways forward over a stream.
 pub(super) fn stream_handler(control: &Rc<ControlPlane>, intake: Arc<Intake>) -> StreamHandler {
     let tasks = Arc::clone(&control.context.tasks);
+    let buffers = control.context.buffers.clone();
     Rc::new(move |stream: PeerStream| {
         let intake = Arc::clone(&intake);
         let handler = move |request| handle_forwarded(Arc::clone(&intake), request);
         let limits = ServeLimits::default();
-        tasks.spawn(serve_stream(stream, limits, handler)).detach();
+        let reservation = buffers.open(Owner::Peers);
+        tasks.spawn(serve_stream(stream, limits, reservation, handler)).detach();
     })
 }
--- a/crates/bendhinge_gateway/src/delivery/context.rs
+++ b/crates/bendhinge_gateway/src/delivery/context.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bendhinge_buffers::BufferBudget;
 use bendhinge_delivery::IdentityKey;
 use bendhinge_fleet::Origin;
 use bendhinge_http::{Pool, Tasks};
@@ -55,6 +56,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) max_response_bytes: usize,
     pub(crate) max_event_bytes: usize,
+    /// Memory for incomplete requests and responses.
+    pub(crate) buffers: BufferBudget,
 }
 
 impl DeliveryContext {
--- a/crates/bendhinge_gateway/src/delivery/cut.rs
+++ b/crates/bendhinge_gateway/src/delivery/cut.rs
@@ -25,6 +25,8 @@
     Deadline,
     /// An event exceeded the size limit.
     EventSize,
+    /// The memory for an event was needed elsewhere.
+    Memory,
 }
 
 impl CutCause {
@@ -33,6 +35,7 @@
         match end {
             BodyEnd::TimedOut => Self::Deadline,
             BodyEnd::TooLarge => Self::EventSize,
+            BodyEnd::OutOfMemory => Self::Memory,
             _ if is_upstream => Self::Upstream,
             _ => Self::Gateway,
         }
@@ -45,13 +48,14 @@
             Self::Gateway => "gateway",
             Self::Deadline => "deadline",
             Self::EventSize => "event_size",
+            Self::Memory => "memory",
         }
     }
 
     /// The code of the response that ended.
     pub(super) const fn code(self) -> ResultCode {
         match self {
-            Self::EventSize => ResultCode::AnswerTooLarge,
+            Self::EventSize | Self::Memory => ResultCode::AnswerTooLarge,
             Self::Upstream | Self::Gateway | Self::Deadline => ResultCode::AnswerCutShort,
         }
     }
--- a/crates/bendhinge_gateway/src/delivery/inbound.rs
+++ b/crates/bendhinge_gateway/src/delivery/inbound.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bendhinge_admission::Requester;
+use bendhinge_buffers::Reservation;
 use bendhinge_delivery::{IdentityKey, RequestIdentity};
 use bendhinge_ids::{Instant, NameHash, PartDigest, PoolName, RequestDigest};
 use bendhinge_placement::Prompt;
@@ -25,6 +26,8 @@
     /// The head that is sent upstream, without the headers that each attempt adds.
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
+    /// Accounts for the memory of the head and the body.
+    pub(crate) _buffers: Reservation,
     pub(crate) received_at: Instant,
     /// The time by which the final response is due.
     pub(crate) deadline: Instant,
--- a/crates/bendhinge_gateway/src/delivery/stream_source.rs
+++ b/crates/bendhinge_gateway/src/delivery/stream_source.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bendhinge_buffers::Reservation;
 use bendhinge_delivery::{BodyEnd, CompleteEvents, EventSplitter, SendOutcome, SendTotals};
 use bendhinge_http::{BodyFraming, Connection};
 use bendhinge_ids::Instant;
 use bytes::{Bytes, BytesMut};
+use futures_lite::FutureExt;
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
 use hyper::body::Incoming;
@@ -84,6 +86,18 @@
     /// Comments that arrived while an event was awaited, until they are relayed with it.
     comments: BytesMut,
     max_event_bytes: usize,
+    /// Accounts for the incomplete event, and for the comments.
+    reservation: Reservation,
+}
+
+/// What arrives next from a source.
+enum NextFrame {
+    Data(Bytes),
+    /// The body has ended.
+    None,
+    Failed,
+    /// The memory of the source is needed elsewhere.
+    Revoked,
 }
 
 /// The result of reading from a source.
@@ -118,6 +132,7 @@
         body: Incoming,
         connection: Connection,
     ) -> Self {
+        let reservation = context.connection_pool.open_reservation(connection.address);
         Self {
             sender,
             first_event_after: None,
@@ -128,29 +143,53 @@
             connection,
             comments: BytesMut::new(),
             max_event_bytes: context.max_event_bytes,
+            reservation,
         }
     }
 
     /// Reads the next data into `events`. Nothing is lost if the future is dropped before it is ready.
     pub(super) async fn read(&mut self, events: &mut EventSplitter) -> SourceRead {
-        let complete = match self.body.frame().await {
-            None => {
+        let complete = match self.next_frame().await {
+            NextFrame::Revoked => return SourceRead::Ended(BodyEnd::OutOfMemory),
+            NextFrame::None => {
                 return SourceRead::Ended(BodyEnd::at_end(
                     self.framing.marks_end(),
                     !events.has_events(),
                     events.is_mid_event(),
                 ));
             }
-            Some(Err(_)) => return SourceRead::Ended(BodyEnd::Failed),
-            Some(Ok(frame)) => events.feed(&frame.into_data().unwrap_or_default()),
+            NextFrame::Failed => return SourceRead::Ended(BodyEnd::Failed),
+            NextFrame::Data(data) => events.feed(&data),
         };
-        let has_event = complete.as_ref().is_some_and(|complete| complete.count > 0);
-        if !has_event && events.buffered_len() + self.comments.len() > self.max_event_bytes {
+        if complete.as_ref().is_some_and(|complete| complete.count > 0) {
+            return SourceRead::Data(complete);
+        }
+        let buffered = events.buffered_len() + self.comments.len();
+        if buffered > self.max_event_bytes {
             return SourceRead::Ended(BodyEnd::TooLarge);
         }
+        if self.reservation.resize(buffered).is_err() {
+            return SourceRead::Ended(BodyEnd::OutOfMemory);
+        }
         SourceRead::Data(complete)
     }
 
+    async fn next_frame(&mut self) -> NextFrame {
+        let Self { body, reservation, .. } = self;
+        let frame = async {
+            match body.frame().await {
+                None => NextFrame::None,
+                Some(Err(_)) => NextFrame::Failed,
+                Some(Ok(frame)) => NextFrame::Data(frame.into_data().unwrap_or_default()),
+            }
+        };
+        let revoked = async {
+            reservation.revoked().await;
+            NextFrame::Revoked
+        };
+        frame.or(revoked).await
+    }
+
     /// Reads until an event is complete or the body ends. Comments are kept until then: they show that the source is
     /// alive, not that the stream goes on.
     pub(super) async fn read_event(&mut self, events: &mut EventSplitter) -> SourceRead {
@@ -167,6 +206,8 @@
 
     /// Returns the bytes of `events` for the caller, after the comments that preceded them.
     pub(super) fn take_with_comments(&mut self, events: Bytes) -> Bytes {
+        // Until the caller takes them, nothing more is read than what one read has left.
+        let _ = self.reservation.resize(0);
         if self.comments.is_empty() {
             return events;
         }
--- a/crates/bendhinge_gateway/src/delivery/upstream_body.rs
+++ b/crates/bendhinge_gateway/src/delivery/upstream_body.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bendhinge_delivery::BodyEnd;
-use bendhinge_http::{BodyFraming, Connection, ReadBodyError, read_body};
+use bendhinge_http::{BodyFraming, Connection, ReadBodyError, read_body_reserved};
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use hyper::HeaderMap;
@@ -39,10 +39,12 @@
     body: Incoming,
     connection: Connection,
 ) -> Result<(Bytes, EndedBody), SendError> {
-    let read = read_body(body, context.max_response_bytes).await;
+    let reservation = context.connection_pool.open_reservation(connection.address);
+    let read = read_body_reserved(body, context.max_response_bytes, &reservation).await;
     let end = match &read {
         Ok(bytes) => BodyEnd::at_end(framing.marks_end(), bytes.is_empty(), false),
         Err(ReadBodyError::TooLong(_)) => BodyEnd::TooLarge,
+        Err(ReadBodyError::NoMemory(_) | ReadBodyError::Revoked) => BodyEnd::OutOfMemory,
         Err(ReadBodyError::Broken(_)) => BodyEnd::Failed,
     };
     context.metrics.count_body_end(framing, end);
--- a/crates/bendhinge_gateway/src/intake/mod.rs
+++ b/crates/bendhinge_gateway/src/intake/mod.rs
@@ -1,24 +1,24 @@
 //! Accepts callers' requests: reads and authorizes them, and passes them on to delivery.
 
+mod buffers;
 pub(crate) mod headers;
 
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bendhinge_codes::ResultCode;
-use bendhinge_http::{Body, ReadBodyError, full_body, read_body};
-use bendhinge_ids::{Instant, PoolName, hash_to_fraction};
+use bendhinge_http::{Body, HeadBytes, full_body};
+use bendhinge_ids::{Instant, NameHash, PoolName, hash_to_fraction};
 use bendhinge_routes::{CallerLimits, Customer, Route};
 use bytes::Bytes;
-use futures_lite::FutureExt;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request;
 use hyper::{Request, Response, StatusCode};
 use rand::Rng;
-use smol::Timer;
 use xxhash_rust::xxh3::xxh3_64;
 
+use self::buffers::RequestBuffers;
 use crate::delivery::{DeliveryContext, InboundRequest, deliver};
 use crate::dialect::{ErrorResponseFields, RequestFields};
 use crate::forwarding;
@@ -153,7 +153,10 @@
             + fields
                 .timeout
                 .map_or(authorization.route.timeout, |time_left| time_left.min(authorization.route.timeout));
-        let body = read_request_body(body, &authorization.limits, deadline).await?;
+        let customer = authorization.customer.as_ref().map(|customer| NameHash::of(customer.name.as_str()));
+        let head_bytes = head.extensions.get::<HeadBytes>().copied().unwrap_or_default();
+        let buffers = RequestBuffers::new(&self.context.buffers, customer, head_bytes);
+        let body = buffers.read_body(body, &authorization.limits, deadline, &self.context.tasks).await?;
         headers::prepare_for_upstream(&mut head.headers);
         let customer_priority = authorization.customer.as_ref().and_then(|customer| customer.priority);
         let inbound = InboundRequest {
@@ -164,6 +167,7 @@
             customer: authorization.customer,
             head,
             body,
+            _buffers: buffers.pin(),
             received_at,
             deadline,
             tie_breaker,
@@ -262,23 +266,3 @@
     }
     Ok(())
 }
-
-async fn read_request_body(
-    body: Incoming,
-    limits: &CallerLimits,
-    deadline: Instant,
-) -> Result<Bytes, Refusal> {
-    let reading = async {
-        read_body(body, limits.max_body_bytes).await.map_err(|error| {
-            Refusal::from(match error {
-                ReadBodyError::TooLong(_) => ResultCode::BodyTooLarge,
-                ReadBodyError::Broken(_) => ResultCode::MalformedRequest,
-            })
-        })
-    };
-    let timeout = async {
-        Timer::after(deadline.since(bendhinge_clock::now())).await;
-        Err(ResultCode::SlowCaller.into())
-    };
-    reading.or(timeout).await
-}
--- a/crates/bendhinge_gateway/src/log/mod.rs
+++ b/crates/bendhinge_gateway/src/log/mod.rs
@@ -259,6 +259,16 @@
         self.log_event("answer_unread", Fields { caller });
     }
 
+    /// Logs that a caller's connection was closed because the memory of its buffers was needed elsewhere.
+    pub(crate) fn caller_connection_revoked(&self, caller: SocketAddr) {
+        #[derive(Serialize)]
+        struct Fields {
+            caller: SocketAddr,
+            code: String,
+        }
+        self.log_event("buffers_revoked", Fields { caller, code: ResultCode::BuffersFull.to_string() });
+    }
+
     /// Logs a change of a pool's rate limit; `None` means that it was lifted.
     pub(crate) fn rate_limit_changed(&self, pool: &PoolName, per_second: Option<f64>) {
         #[derive(Serialize)]
--- a/crates/bendhinge_gateway/src/metrics/groups.rs
+++ b/crates/bendhinge_gateway/src/metrics/groups.rs
@@ -1,5 +1,6 @@
 //! Metrics that are recorded together.
 
+use bendhinge_buffers::BufferUsage;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use crate::quarantine::QuarantinedCounts;
@@ -202,6 +203,7 @@
 pub(super) struct CallerConnectionCounters {
     pub(super) unread: Counter<u64>,
     pub(super) refused: Counter<u64>,
+    pub(super) revoked: Counter<u64>,
 }
 
 impl CallerConnectionCounters {
@@ -216,10 +218,40 @@
                 "bendhinge.gateway.connections_refused",
                 "Connections of callers that were closed since too many were open",
             ),
+            revoked: counter(
+                "bendhinge.gateway.connections_revoked",
+                "Connections of callers that were closed since the memory of their buffers was needed elsewhere",
+            ),
         }
     }
 }
 
+/// Gauges of the memory for buffers.
+pub(super) struct BufferGauges {
+    bytes: Gauge<u64>,
+    revocations: Gauge<u64>,
+}
+
+impl BufferGauges {
+    pub(super) fn new(gauge: impl Fn(&'static str, &'static str) -> Gauge<u64>) -> Self {
+        Self {
+            bytes: gauge(
+                "bendhinge.gateway.buffered_bytes",
+                "Bytes of incomplete requests and responses, and of responses that are not read yet",
+            ),
+            revocations: gauge(
+                "bendhinge.gateway.buffers_revoked",
+                "Buffers that were revoked since the start, because their memory was needed elsewhere",
+            ),
+        }
+    }
+
+    pub(super) fn record(&self, usage: BufferUsage) {
+        self.bytes.record(usage.bytes as u64, &[]);
+        self.revocations.record(usage.revocations, &[]);
+    }
+}
+
 /// Gauges of what is quarantined.
 pub(super) struct QuarantineGauges {
     requests: Gauge<u64>,
--- a/crates/bendhinge_gateway/src/metrics/mod.rs
+++ b/crates/bendhinge_gateway/src/metrics/mod.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use bendhinge_buffers::BufferUsage;
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{BodyEnd, SendOutcome};
 use bendhinge_fleet::ListLoads;
@@ -16,8 +17,8 @@
 use prometheus::{Registry, TextEncoder};
 
 use self::groups::{
-    AgeHistograms, CallerConnectionCounters, ExchangeCounters, ForwardingCounters, QuarantineGauges,
-    StreamMetrics,
+    AgeHistograms, BufferGauges, CallerConnectionCounters, ExchangeCounters, ForwardingCounters,
+    QuarantineGauges, StreamMetrics,
 };
 pub(crate) use self::groups::{ResumedSoftware, Resumer};
 use crate::delivery::{ConnectFailure, Cut};
@@ -60,6 +61,7 @@
     pub(crate) peer_sent_bytes: u64,
     pub(crate) quarantined: QuarantinedCounts,
     pub(crate) upstreams_in_backoff: usize,
+    pub(crate) buffers: BufferUsage,
 }
 
 /// All metrics of a gateway.
@@ -88,6 +90,7 @@
     peer_connections: Gauge<u64>,
     peer_sent_bytes: Gauge<u64>,
     quarantined: QuarantineGauges,
+    buffers: BufferGauges,
     upstreams_in_backoff: Gauge<u64>,
     foreign_entries: Gauge<u64>,
 }
@@ -170,6 +173,7 @@
                 "Entries of the store that name no upstream, as of the last read",
             ),
             quarantined: QuarantineGauges::new(gauge),
+            buffers: BufferGauges::new(gauge),
             upstreams_in_backoff: gauge(
                 "bendhinge.gateway.upstreams_resting",
                 "Upstreams that are spared since they asked for a rest",
@@ -353,6 +357,11 @@
         self.caller_connections.refused.add(1, &[]);
     }
 
+    /// Counts a connection of a caller that was closed because the memory of its buffers was needed elsewhere.
+    pub(crate) fn count_revoked_connection(&self) {
+        self.caller_connections.revoked.add(1, &[]);
+    }
+
     /// Counts an upstream that announced in a response that it is draining.
     pub(crate) fn count_drain_announcement(&self) {
         self.drain_announcements.add(1, &[]);
@@ -384,6 +393,7 @@
         self.peer_connections.record(gauges.peer_connections, &[]);
         self.peer_sent_bytes.record(gauges.peer_sent_bytes, &[]);
         self.quarantined.record(gauges.quarantined);
+        self.buffers.record(gauges.buffers);
         self.upstreams_in_backoff.record(gauges.upstreams_in_backoff as u64, &[]);
         if let Some(age) = gauges.rules_age {
             self.rules_age.record(age.as_secs_f64(), &[]);
--- a/crates/bendhinge_gateway/src/ready.rs
+++ b/crates/bendhinge_gateway/src/ready.rs
@@ -45,6 +45,7 @@
             peer_connections: self.traffic.open_connections(),
             peer_sent_bytes: self.traffic.sent_bytes(),
             quarantined: self.context.quarantine.quarantined_counts(),
+            buffers: self.context.buffers.usage(),
             upstreams_in_backoff: self.context.upstreams.backoff_count(),
         }
     }
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use async_signal::{Signal, Signals};
+use bendhinge_buffers::BufferBudget;
 use bendhinge_codes::ExitStatus;
 use bendhinge_delivery::IdentityKey;
 use bendhinge_http::{Pool, ServeLimits, Server, StopHandle, Tasks};
@@ -129,6 +130,7 @@
         settings.forwards_requests,
     );
     let (streams, stream_notifications) = Streams::new(settings.streams.keeps_software, identity_key.clone());
+    let buffers = BufferBudget::new(settings.memory.max_buffer_bytes);
     let context = Arc::new(DeliveryContext {
         dialect,
         rules: Arc::new(RulesReplica::new(settings.rules)),
@@ -153,12 +155,14 @@
             Arc::clone(tasks),
             settings.upstreams.connect_timeout,
             settings.upstreams.idle_timeout,
-        ),
+        )
+        .with_buffers(buffers.clone()),
         tasks: Arc::clone(tasks),
         log: log.clone(),
         metrics: Metrics::new()?,
         max_response_bytes: settings.upstreams.max_response_bytes,
         max_event_bytes: settings.upstreams.max_event_bytes,
+        buffers,
     });
     let intake = Arc::new(Intake { context: Arc::clone(&context), lifecycle: Arc::clone(&lifecycle) });
     let (caller_server, caller_connections) = serve_callers(&settings, &intake).await?;
@@ -224,7 +228,7 @@
     let listen_error = |error| StartError::Listen { address, error };
     let server = Server::bind(address, limits, Arc::clone(&context.tasks)).await.map_err(listen_error)?;
     context.log.listening(name, server.local_addr().map_err(listen_error)?);
-    Ok(server)
+    Ok(server.with_buffers(context.buffers.clone()))
 }
 
 /// Serves callers. Returns how to stop that, and a task that ends once their connections are closed after it.
@@ -247,11 +251,17 @@
         recorder.log.slow_caller_disconnected(caller);
     });
     let recorder = Arc::clone(context);
+    let on_memory_limit = Arc::new(move |caller| {
+        recorder.metrics.count_revoked_connection();
+        recorder.log.caller_connection_revoked(caller);
+    });
+    let recorder = Arc::clone(context);
     let on_connection_limit = Arc::new(move |_| recorder.metrics.count_refused_connection());
     let server = bind_server("callers", settings.caller_address, limits, context)
         .await?
         .on_write_timeout(on_write_timeout)
-        .on_connection_limit(on_connection_limit);
+        .on_connection_limit(on_connection_limit)
+        .on_memory_limit(on_memory_limit);
     let stop = server.stop_handle();
     let intake = Arc::clone(intake);
     let serving = server.run(move |request| intake::handle(Arc::clone(&intake), request));
@@ -264,7 +274,10 @@
     lifecycle: &Arc<Lifecycle>,
     traffic: &Arc<TrafficCounters>,
 ) -> Result<StopHandle, StartError> {
-    let server = bind_server("ready", settings.readiness_address, ServeLimits::default(), context).await?;
+    /// Load balancers and monitoring need few connections.
+    const MAX_CONNECTIONS: usize = 256;
+    let limits = ServeLimits { max_connections: MAX_CONNECTIONS, ..ServeLimits::default() };
+    let server = bind_server("ready", settings.readiness_address, limits, context).await?;
     let stop = server.stop_handle();
     let readiness = Arc::new(Readiness {
         context: Arc::clone(context),
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -1,6 +1,7 @@
 //! Parses and validates the settings of a gateway.
 
 mod load;
+mod memory;
 mod quarantine;
 mod schema;
 mod values;
@@ -18,6 +19,7 @@
 use rustc_hash::FxHashMap;
 
 pub use load::{Activation, LoadSettings};
+pub use memory::MemorySettings;
 pub use quarantine::QuarantineSettings;
 pub use schema::SCHEMA;
 
@@ -42,6 +44,8 @@
     pub max_connections: usize,
     /// The box's network link.
     pub link: Link,
+    /// Memory for buffers.
+    pub memory: MemorySettings,
     /// Access to the platform's store.
     pub store: StoreSettings,
     /// Communication with the other gateways.
@@ -223,6 +227,7 @@
 impl SettingsReader<'_> {
     fn settings(&self) -> Option<Settings> {
         let gateway = self.0.section("gateway")?;
+        let memory = self.0.section("memory").map(|section| self.memory(section));
         let store = self.0.section("store").map(|section| self.store(section));
         let fleet = self.0.section("fleet").map(|section| self.fleet(section));
         let rules = self.0.section("beliefs").map(|section| self.rules(section));
@@ -253,6 +258,7 @@
             peer_address: peer_address?,
             max_connections: max_connections?,
             link: Link { mbps: link? },
+            memory: memory??,
             store: store??,
             fleet: fleet??,
             rules: rules??,
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -8,6 +8,7 @@
     sections: &[
         GATEWAY,
         DATA_CENTRE,
+        MEMORY,
         STORE,
         FLEET,
         BELIEFS,
@@ -60,6 +61,27 @@
     )],
 };
 
+const MEMORY: SectionKind = SectionKind {
+    kind: "memory",
+    named: false,
+    required: false,
+    help: "Memory for incomplete requests and responses, and for responses that are not read yet. One upstream, one customer or one host of callers gets as much of it as remains free. Beyond that, what has held the most of its memory for the longest time is ended.",
+    keys: &[
+        Key::new(
+            "limit_mb",
+            "number",
+            Some("1024"),
+            "Memory of the process in megabytes, above which the box kills it.",
+        ),
+        Key::new(
+            "buffer_share",
+            "number up to 1",
+            Some("0.25"),
+            "Share of it that buffers may use. Connections, tables and the growth of buffers need the rest.",
+        ),
+    ],
+};
+
 const STORE: SectionKind = SectionKind {
     kind: "store",
     named: false,
--- a/crates/bendhinge_gateway/src/settings/values.rs
+++ b/crates/bendhinge_gateway/src/settings/values.rs
@@ -14,6 +14,23 @@
     }
 }
 
+/// The share of a box's memory that buffers may use.
+pub(super) struct BufferShare(pub(super) f64);
+
+/// A value that is no share.
+#[derive(Debug, thiserror::Error)]
+#[error("expected a number above 0 and at most 1")]
+pub(super) struct InvalidShare;
+
+impl FromStr for BufferShare {
+    type Err = InvalidShare;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let share = text.parse().map_err(|_| InvalidShare)?;
+        if share > 0.0 && share <= 1.0 { Ok(Self(share)) } else { Err(InvalidShare) }
+    }
+}
+
 /// A switch: `yes` or `no`.
 pub(super) struct YesNo(pub(super) bool);
 
--- a/crates/bendhinge_http/src/body.rs
+++ b/crates/bendhinge_http/src/body.rs
@@ -7,8 +7,9 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bendhinge_buffers::{BudgetExceeded, Reservation};
 use bytes::{Bytes, BytesMut};
-use futures_lite::Stream;
+use futures_lite::{FutureExt, Stream};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, SizeHint};
@@ -160,23 +161,50 @@
     /// The body ended with an error.
     #[error("reading the body failed: {0}")]
     Broken(BodyError),
+    /// The process has no memory for the body.
+    #[error(transparent)]
+    NoMemory(#[from] BudgetExceeded),
+    /// The memory of the body is needed elsewhere.
+    #[error("the memory of the body is needed elsewhere")]
+    Revoked,
 }
 
 /// Reads a body of at most `limit` bytes into memory.
 pub async fn read_body<B>(body: B, limit: usize) -> Result<Bytes, ReadBodyError>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<BodyError>,
+{
+    read_body_reserved(body, limit, &Reservation::unlimited()).await
+}
+
+/// Reads a body of at most `limit` bytes into memory that is added to `reservation`.
+pub async fn read_body_reserved<B>(
+    body: B,
+    limit: usize,
+    reservation: &Reservation,
+) -> Result<Bytes, ReadBodyError>
 where
     B: hyper::body::Body<Data = Bytes>,
     B::Error: Into<BodyError>,
 {
     let mut body = std::pin::pin!(body);
-    let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| ReadBodyError::Broken(error.into()))?;
-        let Ok(data) = frame.into_data() else { continue };
-        if collected.len() + data.len() > limit {
-            return Err(ReadBodyError::TooLong(limit));
+    let reading = async {
+        let mut collected = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| ReadBodyError::Broken(error.into()))?;
+            let Ok(data) = frame.into_data() else { continue };
+            if collected.len() + data.len() > limit {
+                return Err(ReadBodyError::TooLong(limit));
+            }
+            reservation.add(data.len())?;
+            collected.extend_from_slice(&data);
         }
-        collected.extend_from_slice(&data);
-    }
-    Ok(collected.freeze())
+        Ok(collected.freeze())
+    };
+    let revoked = async {
+        reservation.revoked().await;
+        Err(ReadBodyError::Revoked)
+    };
+    reading.or(revoked).await
 }
--- a/crates/bendhinge_http/src/client.rs
+++ b/crates/bendhinge_http/src/client.rs
@@ -12,7 +12,7 @@
 
 use crate::body::{ReadBodyError, ReadTimeoutBody};
 use crate::pool::{ConnectError, Connection, SendFailure};
-use crate::{Body, Pool, read_body};
+use crate::{Body, Pool, read_body_reserved};
 
 /// A request that received no complete response.
 #[derive(Debug, thiserror::Error)]
@@ -78,7 +78,8 @@
     let exchange = async {
         let (answer, connection) = with_timeout(read, send_request(pool, address, request)).await?;
         let (head, body) = answer.into_parts();
-        let body = read_body(ReadTimeoutBody::new(body, read), limit).await?;
+        let reservation = pool.open_reservation(address);
+        let body = read_body_reserved(ReadTimeoutBody::new(body, read), limit, &reservation).await?;
         pool.release(connection).await;
         Ok(Fetched { status: head.status, headers: head.headers, body })
     };
--- a/crates/bendhinge_http/src/limited_read.rs
+++ b/crates/bendhinge_http/src/limited_read.rs
@@ -6,41 +6,59 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 
+use bendhinge_buffers::Reservation;
 use futures_lite::{AsyncRead, AsyncWrite};
 
 /// The number of reads in a row after which the stream yields to other tasks. While a peer always has data ready, the HTTP
 /// library reads on within one poll, for instance interim responses, which would block the thread.
-const MAX_READS_IN_A_ROW: u32 = 16;
+const MAX_READS_IN_A_ROW: u32 = 32;
 
 /// The maximum number of bytes before the head of a response is complete, with interim responses. It exceeds what the HTTP
 /// library reads at once, since the beginning of the body may come with the head.
 const MAX_HEAD_BYTES: usize = 1 << 20;
 
-/// The number of bytes that may be read before the head of a response is complete.
+/// The maximum number of bytes that are read at once, which bounds the read buffer of the HTTP library.
+pub(crate) const MAX_READ_BYTES: usize = 8 << 10;
+
+/// The bytes that are read before the head of a response is complete.
 #[derive(Clone, Debug)]
-pub(crate) struct HeadAllowance(Arc<AtomicUsize>);
+pub(crate) struct HeadAllowance(Arc<State>);
+
+#[derive(Debug)]
+struct State {
+    /// The bytes that may still be read, or `UNLIMITED`.
+    rest: AtomicUsize,
+    /// The bytes that were read.
+    reservation: Reservation,
+}
 
 impl HeadAllowance {
     /// The value while no response head is awaited.
     const UNLIMITED: usize = usize::MAX;
 
-    pub(crate) fn new() -> Self {
-        Self(Arc::new(AtomicUsize::new(Self::UNLIMITED)))
+    pub(crate) fn new(reservation: Reservation) -> Self {
+        Self(Arc::new(State { rest: AtomicUsize::new(Self::UNLIMITED), reservation }))
     }
 
     /// Starts to count, since the head of a response is awaited.
     pub(crate) fn begin(&self) {
-        self.0.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+        self.0.rest.store(MAX_HEAD_BYTES, Ordering::Relaxed);
     }
 
     /// Ends to count, since the head of the response is complete.
     pub(crate) fn end(&self) {
-        self.0.store(Self::UNLIMITED, Ordering::Relaxed);
+        self.0.rest.store(Self::UNLIMITED, Ordering::Relaxed);
+        self.0.reservation.subtract(MAX_HEAD_BYTES);
+    }
+
+    /// Waits until the memory for the head is needed elsewhere.
+    pub(crate) async fn revoked(&self) {
+        self.0.reservation.revoked().await;
     }
 
     /// Counts bytes; returns `Err` if they exceed the allowance.
     fn take(&self, bytes: usize) -> io::Result<()> {
-        let allowance = self.0.load(Ordering::Relaxed);
+        let allowance = self.0.rest.load(Ordering::Relaxed);
         if allowance == Self::UNLIMITED {
             return Ok(());
         }
@@ -48,8 +66,9 @@
             let message = format!("no response head within {MAX_HEAD_BYTES} bytes");
             return Err(io::Error::new(io::ErrorKind::InvalidData, message));
         };
-        self.0.store(rest, Ordering::Relaxed);
-        Ok(())
+        self.0.rest.store(rest, Ordering::Relaxed);
+        let reserved = self.0.reservation.add(bytes);
+        reserved.map_err(|exceeded| io::Error::new(io::ErrorKind::InvalidData, exceeded))
     }
 }
 
@@ -77,7 +96,8 @@
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let length = buffer.len().min(MAX_READ_BYTES);
+        let read = Pin::new(&mut self.stream).poll_read(context, &mut buffer[..length]);
         match &read {
             Poll::Ready(Ok(bytes)) => {
                 self.reads_in_a_row += 1;
--- a/crates/bendhinge_http/src/pool.rs
+++ b/crates/bendhinge_http/src/pool.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use bendhinge_buffers::{BufferBudget, Owner, Reservation};
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -16,6 +17,9 @@
 use crate::limited_read::{HeadAllowance, LimitedReadStream};
 use crate::{Body, Tasks};
 
+/// The maximum size of the head of a response, and of the HTTP library's buffers for a connection.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// A connection could not be established; nothing was sent.
 #[derive(Debug, thiserror::Error)]
 pub enum ConnectError {
@@ -77,6 +81,7 @@
     connect_timeout: Duration,
     max_idle_timeout: Duration,
     max_idle_per_address: usize,
+    buffers: BufferBudget,
 }
 
 impl Pool {
@@ -90,9 +95,21 @@
             connect_timeout,
             max_idle_timeout,
             max_idle_per_address: MAX_IDLE_PER_ADDRESS,
+            buffers: BufferBudget::unlimited(),
         }
     }
 
+    /// Sets the budget for the bytes of responses that are incomplete.
+    #[must_use]
+    pub fn with_buffers(self, buffers: BufferBudget) -> Self {
+        Self { buffers, ..self }
+    }
+
+    /// Opens a reservation for the bytes of a response from `address`.
+    pub fn open_reservation(&self, address: SocketAddr) -> Reservation {
+        self.buffers.open(Owner::Server(address))
+    }
+
     /// An idle connection to `address`, or a new one.
     pub async fn connection(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
         self.connection_used_within(address, self.max_idle_timeout).await
@@ -169,15 +186,17 @@
     ) -> Result<Connection, ConnectError> {
         // Without vectored writes, hyper keeps a copy of each request body while the connection is open.
         let mut builder = http1::Builder::new();
-        let head_allowance = HeadAllowance::new();
+        let head_allowance = HeadAllowance::new(self.open_reservation(address));
+        let revocation = head_allowance.clone();
         let stream = LimitedReadStream::new(stream, head_allowance.clone());
-        let (sender, connection) = builder.writev(true).handshake(FuturesIo::new(stream)).await?;
-        self.tasks
-            .spawn(async move {
-                // `Connection::send` reports the error.
-                let _ = connection.await;
-            })
-            .detach();
+        builder.writev(true).max_buf_size(MAX_BUFFER_BYTES);
+        let (sender, connection) = builder.handshake(FuturesIo::new(stream)).await?;
+        let connection = async move {
+            // `Connection::send` reports the error.
+            let _ = connection.await;
+        };
+        let revoked = async move { revocation.revoked().await };
+        self.tasks.spawn(connection.or(revoked)).detach();
         Ok(Connection { sender, head_allowance, address, reused: false })
     }
 
--- a/crates/bendhinge_http/src/serve.rs
+++ b/crates/bendhinge_http/src/serve.rs
@@ -7,20 +7,26 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use bendhinge_buffers::{BufferBudget, Owner, Reservation};
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
+use rustix::net::sockopt::set_socket_send_buffer_size;
 use smol::Timer;
 use smol::channel::{Receiver, Sender, bounded};
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::abort_guard::AbortGuard;
+use crate::connection_buffers::{AccountedStream, ConnectionBuffers};
 use crate::write_timeout::WriteTimeoutStream;
 use crate::{Body, Tasks};
 
+/// The size of the system's buffer for data that a client has not received, which otherwise grows to megabytes.
+const SEND_BUFFER_BYTES: usize = 128 << 10;
+
 /// Limits on the connections of a [`Server`].
 #[derive(Clone, Copy, Debug)]
 pub struct ServeLimits {
@@ -69,6 +75,8 @@
     open_connections: Arc<AtomicUsize>,
     on_write_timeout: CloseCallback,
     on_connection_limit: CloseCallback,
+    on_memory_limit: CloseCallback,
+    buffers: BufferBudget,
 }
 
 impl Server {
@@ -85,9 +93,23 @@
             open_connections: Arc::default(),
             on_write_timeout: Arc::new(|_| ()),
             on_connection_limit: Arc::new(|_| ()),
+            on_memory_limit: Arc::new(|_| ()),
+            buffers: BufferBudget::unlimited(),
         })
     }
 
+    /// Sets the budget for incomplete request heads and unread responses.
+    #[must_use]
+    pub fn with_buffers(self, buffers: BufferBudget) -> Self {
+        Self { buffers, ..self }
+    }
+
+    /// Sets the callback for connections closed because their memory is needed elsewhere.
+    #[must_use]
+    pub fn on_memory_limit(self, on_memory_limit: CloseCallback) -> Self {
+        Self { on_memory_limit, ..self }
+    }
+
     /// Sets the callback for connections closed by the write timeout.
     #[must_use]
     pub fn on_write_timeout(self, on_write_timeout: CloseCallback) -> Self {
@@ -158,21 +180,31 @@
         let stop_receiver = self.stop_receiver.clone();
         let guard = ConnectionGuard::new(&self.open_connections);
         let on_write_timeout = Arc::clone(&self.on_write_timeout);
+        let on_memory_limit = Arc::clone(&self.on_memory_limit);
+        let buffers =
+            ConnectionBuffers::new(self.buffers.open(Owner::Client(caller.ip())), limits.max_head_bytes);
+        let accounts = self.buffers.is_limited();
         let connection = async move {
             let _guard = guard;
             let _ = stream.set_nodelay(true);
+            // If this fails, the system's limit applies.
+            let _ = set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES);
             let abort_guard = AbortGuard::new(stream.clone());
             let response_guard = abort_guard.clone();
-            let service = service_fn(move |request| {
+            let response_buffers = buffers.clone();
+            let service = service_fn(move |mut request: Request<Incoming>| {
                 let version = request.version();
                 let abort_guard = response_guard.clone();
+                let buffers = response_buffers.clone();
+                request.extensions_mut().insert(buffers.begin_request());
                 // Boxed, because hyper reserves space for this future for the lifetime of the
                 // connection, including while the response body streams.
                 let response = Box::pin(handler(request));
                 async move {
                     let response = response_or_close(response.await)?;
                     abort_guard.begin_response(version, &response);
-                    Ok::<_, CloseConnection>(response)
+                    let account = |body| if accounts { buffers.account_for(body) } else { body };
+                    Ok::<_, CloseConnection>(response.map(account))
                 }
             });
             let http_connection = http1::Builder::new()
@@ -181,59 +213,98 @@
                 .writev(true)
                 .header_read_timeout(limits.head_timeout)
                 .serve_connection(
-                    FuturesIo::new(WriteTimeoutStream::new(stream, limits.write_timeout)),
+                    FuturesIo::new(AccountedStream::new(
+                        WriteTimeoutStream::new(stream, limits.write_timeout),
+                        buffers.clone(),
+                    )),
                     service,
                 );
             let mut http_connection = std::pin::pin!(http_connection);
-            let completed = async { Some(http_connection.as_mut().await) };
-            let stop_requested = async {
-                let _ = stop_receiver.recv().await;
-                None
+            let serving = async {
+                let completed = async { Some(http_connection.as_mut().await) };
+                let stop_requested = async {
+                    let _ = stop_receiver.recv().await;
+                    None
+                };
+                let result = if let Some(result) = completed.or(stop_requested).await {
+                    result
+                } else {
+                    http_connection.as_mut().graceful_shutdown();
+                    http_connection.as_mut().await
+                };
+                ConnectionEnd::of(result)
             };
-            let result = if let Some(result) = completed.or(stop_requested).await {
-                result
-            } else {
-                http_connection.as_mut().graceful_shutdown();
-                http_connection.await
+            let revoked = async {
+                buffers.revoked().await;
+                ConnectionEnd::OutOfMemory
             };
-            match result {
-                Ok(()) => abort_guard.allow_close(),
-                Err(error) if is_write_timeout(&error) => on_write_timeout(caller),
-                // Other errors need no handling: the request was dropped with the connection.
-                Err(_) => {}
+            match serving.or(revoked).await {
+                ConnectionEnd::Complete => abort_guard.allow_close(),
+                ConnectionEnd::WriteTimeout => on_write_timeout(caller),
+                ConnectionEnd::OutOfMemory => on_memory_limit(caller),
+                // The request was dropped with the connection.
+                ConnectionEnd::Failed => {}
             }
         };
         self.tasks.spawn(connection).detach();
     }
 }
 
-/// Serves the HTTP requests on one stream that is already connected, until it is closed.
+/// Serves the HTTP requests on one stream that is already connected, until it is closed or its `buffers` are needed
+/// elsewhere.
 pub async fn serve_stream<F, R>(
     stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
     limits: ServeLimits,
+    buffers: Reservation,
     handler: F,
 ) where
     F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
-    let service = service_fn(move |request| {
+    let buffers = ConnectionBuffers::new(buffers, limits.max_head_bytes);
+    let response_buffers = buffers.clone();
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        let buffers = response_buffers.clone();
+        request.extensions_mut().insert(buffers.begin_request());
         let response = Box::pin(handler(request));
-        async move { response_or_close(response.await) }
+        async move {
+            let response = response_or_close(response.await)?;
+            Ok::<_, CloseConnection>(response.map(|body| buffers.account_for(body)))
+        }
     });
+    let stream = WriteTimeoutStream::new(stream, limits.write_timeout);
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .max_buf_size(limits.max_head_bytes)
         .header_read_timeout(limits.head_timeout)
-        .serve_connection(FuturesIo::new(WriteTimeoutStream::new(stream, limits.write_timeout)), service);
-    // An error drops the request in progress with the connection.
-    let _ = connection.await;
+        .serve_connection(FuturesIo::new(AccountedStream::new(stream, buffers.clone())), service);
+    let serving = async {
+        // An error drops the request in progress with the connection.
+        let _ = connection.await;
+    };
+    serving.or(buffers.revoked()).await;
 }
 
-/// Whether a connection failed because of the write timeout.
-fn is_write_timeout(error: &hyper::Error) -> bool {
-    let source = std::error::Error::source(error);
-    let source = source.and_then(|source| source.downcast_ref::<io::Error>());
-    source.is_some_and(|source| source.kind() == io::ErrorKind::TimedOut)
+/// How a connection ended.
+enum ConnectionEnd {
+    Complete,
+    /// The client did not read its response.
+    WriteTimeout,
+    /// The memory of its buffers was needed elsewhere.
+    OutOfMemory,
+    Failed,
+}
+
+impl ConnectionEnd {
+    fn of(result: hyper::Result<()>) -> Self {
+        let Err(error) = result else { return Self::Complete };
+        let source = std::error::Error::source(&error);
+        match source.and_then(|source| source.downcast_ref::<io::Error>()).map(io::Error::kind) {
+            Some(io::ErrorKind::TimedOut) => Self::WriteTimeout,
+            Some(io::ErrorKind::OutOfMemory) => Self::OutOfMemory,
+            _ => Self::Failed,
+        }
+    }
 }
 
 /// A response extension that closes the connection instead of sending the response.
--- a/crates/bendhinge_lab/tests/gateway_common/mod.rs
+++ b/crates/bendhinge_lab/tests/gateway_common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, unreachable_pub, reason = "each test file uses a part")]
 
+pub mod flood;
+
 use std::future::Future;
 use std::net::SocketAddr;
 use std::num::NonZeroUsize;
--- a/crates/bendhinge_lab/tests/gateway_event_limit.rs
+++ b/crates/bendhinge_lab/tests/gateway_event_limit.rs
@@ -2,94 +2,44 @@
 
 mod gateway_common;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 
-use bendhinge_http::Tasks;
 use bendhinge_lab::gateways::{Answer, Call, FleetShape, GatewayFleet, KEY, Told, until};
 use bendhinge_standin::gateway::Upstream;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use gateway_common::flood::{Flood, FloodingUpstream, STREAM_HEAD};
 use gateway_common::{RawEnd, RawUpstream, line_of, metric, run, send, send_raw, start};
-use smol::net::{TcpListener, TcpStream};
 
 /// The number of bytes that a faulty upstream sends before it falls silent.
 const FLOOD_BYTES: usize = 256 << 20;
 /// The memory that a gateway may use meanwhile.
 const MAX_MEMORY_BYTES: u64 = 96 << 20;
 
-/// What a faulty upstream sends after its complete events, again and again.
+/// An event, or a block of comments, that does not end.
 #[derive(Clone, Copy, Debug)]
-struct Flood {
-    /// The number of complete events before the one without an end.
+struct EndlessEvent {
+    /// The number of complete events before it.
     events: u32,
     first: &'static str,
     repeated: &'static str,
 }
 
-const FLOODS: [Flood; 6] = [
-    Flood { events: 0, first: "id: 0\ndata: ", repeated: "and more " },
-    Flood { events: 3, first: "id: 3\ndata: ", repeated: "and more " },
-    Flood { events: 3, first: "", repeated: "data: another line\n" },
-    Flood { events: 3, first: "id: ", repeated: "3" },
-    Flood { events: 0, first: ": ", repeated: "a comment " },
-    Flood { events: 3, first: "", repeated: ": one comment after the other\n" },
+const ENDLESS_EVENTS: [EndlessEvent; 6] = [
+    EndlessEvent { events: 0, first: "id: 0\ndata: ", repeated: "and more " },
+    EndlessEvent { events: 3, first: "id: 3\ndata: ", repeated: "and more " },
+    EndlessEvent { events: 3, first: "", repeated: "data: another line\n" },
+    EndlessEvent { events: 3, first: "id: ", repeated: "3" },
+    EndlessEvent { events: 0, first: ": ", repeated: "a comment " },
+    EndlessEvent { events: 3, first: "", repeated: ": one comment after the other\n" },
 ];
 
-/// An upstream that answers each request with a stream whose last event does not end.
-struct FloodingUpstream {
-    address: SocketAddr,
-    requests: Arc<AtomicUsize>,
-}
-
-impl FloodingUpstream {
-    async fn start(tasks: &Tasks, flood: Flood) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let requests = Arc::new(AtomicUsize::new(0));
-        let (counted, spawning) = (Arc::clone(&requests), Arc::clone(tasks));
-        let accepting = async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let counted = Arc::clone(&counted);
-                let serving = async move {
-                    // The gateway closes the connection.
-                    let _ = serve(stream, flood, &counted).await;
-                };
-                spawning.spawn(serving).detach();
-            }
+impl EndlessEvent {
+    fn flood(self) -> Flood {
+        let first = move |id: &str| {
+            let events = (0..self.events).map(|number| Upstream::expected_event(id, number));
+            STREAM_HEAD.replace("{id}", id) + &events.collect::<String>() + self.first
         };
-        tasks.spawn(accepting).detach();
-        Self { address, requests }
-    }
-
-    fn requests(&self) -> usize {
-        self.requests.load(Ordering::Relaxed)
-    }
-}
-
-async fn serve(mut stream: TcpStream, flood: Flood, requests: &AtomicUsize) -> std::io::Result<()> {
-    const PIECE: usize = 64 << 10;
-    let mut request = [0; 4096];
-    let length = stream.read(&mut request).await?;
-    let request = String::from_utf8_lossy(&request[..length]).into_owned();
-    let Some((_, id)) = request.split_once("x-bendhinge-request: ") else { return Ok(()) };
-    let id = id.lines().next().unwrap_or_default();
-    requests.fetch_add(1, Ordering::Relaxed);
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nx-bendhinge-request: {id}\r\nx-bendhinge-signature: s\r\n\
-         content-type: text/event-stream\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes()).await?;
-    for number in 0..flood.events {
-        stream.write_all(Upstream::expected_event(id, number).as_bytes()).await?;
-    }
-    stream.write_all(flood.first.as_bytes()).await?;
-    let piece = flood.repeated.repeat(PIECE / flood.repeated.len());
-    for _ in 0..FLOOD_BYTES / piece.len() {
-        stream.write_all(piece.as_bytes()).await?;
+        Flood { first: Arc::new(first), repeated: self.repeated, bytes: FLOOD_BYTES }
     }
-    stream.read(&mut [0]).await?;
-    Ok(())
 }
 
 /// Sends requests until one has reached `upstream`; returns all answers with their calls.
@@ -112,23 +62,23 @@
 /// Guards against a gateway whose memory is used up by an event without an end, which it buffers to relay it whole.
 #[test]
 fn an_event_without_an_end_is_cut_at_the_limit() {
-    for flood in FLOODS {
+    for event in ENDLESS_EVENTS {
         run(|tasks| async move {
             let fleet = start(&tasks, FleetShape { gateways: 1, engines: 0, services: 1 }).await;
-            let upstream = FloodingUpstream::start(&tasks, flood).await;
+            let upstream = FloodingUpstream::start(&tasks, event.flood()).await;
             fleet.store.add("flooding", "engines", upstream.address);
             let answers = send_until_reached(&fleet, &upstream, "/stream/x").await;
             let peak = fleet.gateway(0).peak_memory();
-            assert!(peak < MAX_MEMORY_BYTES, "{flood:?}: {peak} bytes");
+            assert!(peak < MAX_MEMORY_BYTES, "{event:?}: {peak} bytes");
             let (call, answer) = answers.last().unwrap();
-            assert_eq!(answer.told, Told::Broken, "{flood:?}");
+            assert_eq!(answer.told, Told::Broken, "{event:?}");
             let line = line_of(&fleet, call).await;
-            assert_eq!(line["code"], "BH0407", "{flood:?}: {line}");
-            assert_eq!(line["cut"]["by"], "event_size", "{flood:?}: {line}");
-            assert_eq!(line["sends"][0]["end"], "too_large", "{flood:?}: {line}");
-            assert_eq!(line["sends"][0]["body_end"], "too_large", "{flood:?}: {line}");
+            assert_eq!(line["code"], "BH0407", "{event:?}: {line}");
+            assert_eq!(line["cut"]["by"], "event_size", "{event:?}: {line}");
+            assert_eq!(line["sends"][0]["end"], "too_large", "{event:?}: {line}");
+            assert_eq!(line["sends"][0]["body_end"], "too_large", "{event:?}: {line}");
             let ended = "bendhinge_gateway_bodies_ended_total{end=\"too_large\",framing=\"close\"";
-            assert_eq!(metric(&fleet, ended).await, Some(1), "{flood:?}");
+            assert_eq!(metric(&fleet, ended).await, Some(1), "{event:?}");
         });
     }
 }
@@ -136,16 +86,16 @@
 /// Guards against a stream that is lost because of one faulty upstream, although another one could go on with it.
 #[test]
 fn a_stream_whose_event_has_no_end_is_resumed_elsewhere() {
-    for flood in FLOODS {
+    for event in ENDLESS_EVENTS {
         run(|tasks| async move {
             let fleet = start(&tasks, FleetShape { gateways: 1, engines: 1, services: 0 }).await;
-            let upstream = FloodingUpstream::start(&tasks, flood).await;
+            let upstream = FloodingUpstream::start(&tasks, event.flood()).await;
             fleet.store.add("flooding", "engines", upstream.address);
             let answers = send_until_reached(&fleet, &upstream, "/resumable/x").await;
             let told: Vec<_> = answers.iter().map(|(_, answer)| &answer.told).collect();
-            assert!(told.iter().all(|told| **told == Told::Whole), "{flood:?}: {told:?}");
+            assert!(told.iter().all(|told| **told == Told::Whole), "{event:?}: {told:?}");
             let peak = fleet.gateway(0).peak_memory();
-            assert!(peak < MAX_MEMORY_BYTES, "{flood:?}: {peak} bytes");
+            assert!(peak < MAX_MEMORY_BYTES, "{event:?}: {peak} bytes");
         });
     }
 }
--- a/crates/bendhinge_router/src/delivery/attempt.rs
+++ b/crates/bendhinge_router/src/delivery/attempt.rs
@@ -192,7 +192,9 @@
 async fn gather(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, AttemptEnd> {
     let reading = async {
         read_body(body, limit).await.map_err(|error| match error {
-            ReadBodyError::TooLong(_) => AttemptEnd::BadAnswer,
+            ReadBodyError::TooLong(_) | ReadBodyError::NoMemory(_) | ReadBodyError::Revoked => {
+                AttemptEnd::BadAnswer
+            }
             ReadBodyError::Broken(_) => AttemptEnd::Lost,
         })
     };
--- a/crates/bendhinge_router/src/intake/chat.rs
+++ b/crates/bendhinge_router/src/intake/chat.rs
@@ -74,6 +74,7 @@
     let reading = async {
         read_body(body, limits.body_bytes).await.map_err(|error| match error {
             ReadBodyError::TooLong(_) => ResultCode::BodyTooLarge.into(),
+            ReadBodyError::NoMemory(_) | ReadBodyError::Revoked => ResultCode::BuffersFull.into(),
             ReadBodyError::Broken(error) => {
                 Refused::because(ResultCode::MalformedRequest, format!("The body broke off: {error}."))
             }
