Gateway: limit the size of a read of the store

Callers: a store whose list has no end was read for 200 pages of up to 8 MB each, all of which are kept until the last one. The gateway uses up its memory and is killed, again after each start.

Change: a read, of pages or of changes, takes at most 16 MB. Beyond that it fails; the `dependency` line says so, and the gateway goes on with what it has or with what others have read.

--- a/crates/bendhinge_gateway/src/control/pages.rs
+++ b/crates/bendhinge_gateway/src/control/pages.rs
@@ -20,6 +20,8 @@
 
 /// Maximum size of a page, in bytes.
 const MAX_PAGE_BYTES: usize = 8 << 20;
+/// Maximum size of all pages of a read, in bytes. Lists are far smaller, and their entries take several times as much memory.
+const MAX_READ_BYTES: usize = 16 << 20;
 /// Maximum number of pages of a read.
 const MAX_PAGES: usize = 200;
 /// Timeout for reads that may include large rules.
@@ -36,6 +38,8 @@
     Translate(#[from] ParseError),
     #[error("the store returned more than {MAX_PAGES} pages")]
     TooManyPages,
+    #[error("the store returned more than {MAX_READ_BYTES} bytes")]
+    TooLarge,
     #[error("the store returned no changes since revision {}", .0.0)]
     ChangesUnavailable(Revision),
 }
@@ -56,6 +60,22 @@
     }
 }
 
+/// The number of bytes that a read may still return.
+struct ReadAllowance(usize);
+
+impl Default for ReadAllowance {
+    fn default() -> Self {
+        Self(MAX_READ_BYTES)
+    }
+}
+
+impl ReadAllowance {
+    fn take(&mut self, bytes: usize) -> Result<(), ReadError> {
+        self.0 = self.0.checked_sub(bytes).ok_or(ReadError::TooLarge)?;
+        Ok(())
+    }
+}
+
 /// Contents of the store.
 #[derive(Default)]
 pub(super) struct StoreContents {
@@ -109,9 +129,10 @@
     /// Reads a part of the store in full.
     pub(super) async fn read_part(self: &Rc<Self>, part: StorePart) -> Result<ReadOutcome, ReadError> {
         let start = bendhinge_clock::now();
-        let page = self.read_page(part, None).await?;
+        let mut allowance = ReadAllowance::default();
+        let page = self.read_page(part, None, &mut allowance).await?;
         if page.next_after.is_none() || !part.includes_upstreams() {
-            return self.read_remaining_pages(part, page, start).await;
+            return self.read_remaining_pages(part, page, start, allowance).await;
         }
         if !self.context.upstreams.has_list() {
             let mut contents = StoreContents { start, ..StoreContents::default() };
@@ -122,8 +143,9 @@
             return Ok(ReadOutcome::SuppliedByPeer);
         }
         let start = bendhinge_clock::now();
-        let page = self.read_page(part, None).await?;
-        self.read_remaining_pages(part, page, start).await
+        let mut allowance = ReadAllowance::default();
+        let page = self.read_page(part, None, &mut allowance).await?;
+        self.read_remaining_pages(part, page, start, allowance).await
     }
 
     /// Reads the pages after the first one, unless a peer supplies the list meanwhile. The read
@@ -133,6 +155,7 @@
         part: StorePart,
         mut page: StorePage,
         start: Instant,
+        mut allowance: ReadAllowance,
     ) -> Result<ReadOutcome, ReadError> {
         let mut contents = StoreContents { start, ..StoreContents::default() };
         for _ in 0..MAX_PAGES {
@@ -144,7 +167,7 @@
             if self.is_list_current_since(start) {
                 return Ok(ReadOutcome::SuppliedByPeer);
             }
-            page = self.read_page(part, after.as_deref()).await?;
+            page = self.read_page(part, after.as_deref(), &mut allowance).await?;
         }
         Err(ReadError::TooManyPages)
     }
@@ -171,10 +194,12 @@
     /// there are any.
     pub(super) async fn read_changes(&self, since: Revision) -> Result<ReadOutcome, ReadError> {
         let start = bendhinge_clock::now();
-        let StorePage { at, drained, foreign, .. } = self.read_page(StorePart::Drained, None).await?;
+        let mut allowance = ReadAllowance::default();
+        let StorePage { at, drained, foreign, .. } =
+            self.read_page(StorePart::Drained, None, &mut allowance).await?;
         let mut collected = StoreChanges { at: since, ..StoreChanges::default() };
         while collected.at < at {
-            let batch = self.fetch_changes(collected.at).await?;
+            let batch = self.fetch_changes(collected.at, &mut allowance).await?;
             if batch.at <= collected.at {
                 return Err(ReadError::ChangesUnavailable(collected.at));
             }
@@ -186,20 +211,31 @@
         Ok(ReadOutcome::Changes { start, drained, changes })
     }
 
-    async fn fetch_changes(&self, since: Revision) -> Result<StoreChanges, ReadError> {
+    async fn fetch_changes(
+        &self,
+        since: Revision,
+        allowance: &mut ReadAllowance,
+    ) -> Result<StoreChanges, ReadError> {
         let dialect = &self.context.dialect;
         // The changes may include the rules.
         let body = self.fetch_from_store(&dialect.changes_path(since), LARGE_RULES_TIMEOUT).await?;
+        allowance.take(body.len())?;
         Ok(dialect.parse_changes(&body)?)
     }
 
-    async fn read_page(&self, part: StorePart, after: Option<&str>) -> Result<StorePage, ReadError> {
+    async fn read_page(
+        &self,
+        part: StorePart,
+        after: Option<&str>,
+        allowance: &mut ReadAllowance,
+    ) -> Result<StorePage, ReadError> {
         let known_revision = self.held_rules_revision();
         let dialect = &self.context.dialect;
         let may_include_large_rules = part == StorePart::Rules || self.awaits_initial_read();
         let timeout =
             if may_include_large_rules { LARGE_RULES_TIMEOUT } else { self.settings.store.call_timeout };
         let body = self.fetch_from_store(&dialect.page_path(part, after), timeout).await?;
+        allowance.take(body.len())?;
         Ok(dialect.parse_page(&body, known_revision)?)
     }
 
--- a/crates/bendhinge_lab/tests/gateway_buffers.rs
+++ b/crates/bendhinge_lab/tests/gateway_buffers.rs
@@ -2,13 +2,17 @@
 
 mod gateway_common;
 
+use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bendhinge_http::Tasks;
-use bendhinge_lab::gateways::{Answer, Call, FleetShape, GatewayFleet, KEY, Told, until};
+use bendhinge_lab::gateways::{
+    Answer, Call, FleetShape, GatewayFleet, GatewayProcess, GatewaySettings, KEY, Told, until,
+};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use gateway_common::flood::{Flood, FloodingUpstream, STREAM_HEAD};
 use gateway_common::{PATIENCE, RawEnd, RawUpstream, metric, run, send, send_raw};
 use rustix::net::sockopt::set_socket_recv_buffer_size;
@@ -273,3 +277,56 @@
         assert!(open.await > 0);
     });
 }
+
+/// The pages of a store that does not end its list.
+async fn serve_endless_pages(mut stream: smol::net::TcpStream) -> std::io::Result<()> {
+    const NAMES: usize = 8_000;
+    let mut request = [0; 4096];
+    loop {
+        if stream.read(&mut request).await? == 0 {
+            return Ok(());
+        }
+        // Entries of another writer, with keys of their own.
+        let entry = |_| format!("{{\"name\":\"{:0200x}\"}}", rand::random::<u64>());
+        let entries: Vec<_> = (0..NAMES).map(entry).collect();
+        let page = format!("{{\"at\":7,\"upstreams\":[{}],\"next\":\"more\"}}", entries.join(","));
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", page.len());
+        stream.write_all(head.as_bytes()).await?;
+        stream.write_all(page.as_bytes()).await?;
+    }
+}
+
+/// Guards against a store whose list has no end.
+#[test]
+fn pages_without_an_end_do_not_use_up_the_memory() {
+    run(|tasks| async move {
+        let listener = smol::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let settings = GatewaySettings {
+            name: "gateway".to_owned(),
+            data_centre: "south",
+            addresses: HashMap::new(),
+            store: listener.local_addr().unwrap(),
+            seeds: Vec::new(),
+            sections: MEMORY.to_owned(),
+        };
+        let spawning = Arc::clone(&tasks);
+        let accepting = async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let serving = async move {
+                    // The gateway closes the connection.
+                    let _ = serve_endless_pages(stream).await;
+                };
+                spawning.spawn(serving).detach();
+            }
+        };
+        tasks.spawn(accepting).detach();
+        let process = GatewayProcess::start(&settings).unwrap();
+        let has_failed = |lines: &[String]| {
+            lines.iter().any(|line| line.contains("\"dependency\"") && line.contains("more than"))
+        };
+        until(async || has_failed(&process.lines())).await;
+        let peak = process.peak_memory();
+        println!("{peak} bytes of memory");
+        assert!(peak < 2 * MAX_MEMORY_BYTES, "{peak} bytes");
+    });
+}
