Peers: limit what is read before and after authentication

Callers: whoever reaches the port for peers could send handshake messages of 64 KB on any number of connections, without an end and without the key of the fleet. A peer could announce a document of 4 GB or a list without an end.

Change: handshake messages have at most 128 bytes and 5 s, 256 of them are awaited at once, and a further one replaces the oldest. Frames have the size that the sender gives them at most, messages 16 MB, documents 8 MB, lists 65,536 entries.

The limits for authenticated peers have no test.

--- a/crates/bendhinge_lab/tests/gateway_buffers.rs
+++ b/crates/bendhinge_lab/tests/gateway_buffers.rs
@@ -278,6 +278,37 @@
     });
 }
 
+/// Guards against connections for peers that use up the memory before they are authenticated.
+#[test]
+fn many_handshakes_without_an_end_do_not_use_up_the_memory() {
+    const FRAME_BYTES: u16 = u16::MAX;
+    run(|tasks| async move {
+        let shape = FleetShape { gateways: 2, ..SHAPE };
+        let fleet = GatewayFleet::start(&tasks, shape, MEMORY).await;
+        let address = fleet.settings[0].addresses["peers"];
+        let peers = smol::unblock(move || {
+            let mut frame = FRAME_BYTES.to_be_bytes().to_vec();
+            frame.resize(usize::from(FRAME_BYTES), 0);
+            let send = |_| {
+                let mut peer = TcpStream::connect(address).unwrap();
+                // The gateway may close the connection.
+                let _ = peer.write_all(&frame);
+                peer
+            };
+            (0..1_200).map(send).collect::<Vec<_>>()
+        });
+        let peers = peers.await;
+        for path in ["/safe/x", "/stream/x"] {
+            assert_served(&fleet, path).await;
+        }
+        assert_memory(&fleet).await;
+        let exchanges = "bendhinge_gateway_exchanges_total{result=\"answered\"";
+        let before = metric(&fleet, exchanges).await;
+        until(async || metric(&fleet, exchanges).await > before).await;
+        drop(peers);
+    });
+}
+
 /// The pages of a store that does not end its list.
 async fn serve_endless_pages(mut stream: smol::net::TcpStream) -> std::io::Result<()> {
     const NAMES: usize = 8_000;
--- a/crates/bendhinge_peer/src/acceptor.rs
+++ b/crates/bendhinge_peer/src/acceptor.rs
@@ -1,19 +1,28 @@
 //! Accepts connections from peers, serves RPC calls on them, and hands over those of other protocols.
 
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use capnp::capability::Client;
-use capnp::message::ReaderOptions;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
-use smol::LocalExecutor;
 use smol::net::{TcpListener, TcpStream};
+use smol::{LocalExecutor, Task};
 
+use crate::client::with_timeout;
+use crate::connector::reader_options;
 use crate::secure::{ConnectionRole, PeerKey, Protocol, secure};
 use crate::stream::PeerStream;
 use crate::traffic::TrafficCounters;
 
+/// How long a peer may take for its part of the handshake.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The maximum number of connections whose handshake is not complete. A further one replaces the oldest.
+const MAX_HANDSHAKES: usize = 256;
+
 /// Receives the streams on which peers forward requests.
 pub type StreamHandler = Rc<dyn Fn(PeerStream)>;
 
@@ -27,9 +36,15 @@
     bootstrap: impl Fn() -> Client,
     on_stream: Option<StreamHandler>,
 ) {
+    let mut handshakes: VecDeque<Task<()>> = VecDeque::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
-        let connection = serve_connection(
+        handshakes.retain(|handshake| !handshake.is_finished());
+        if handshakes.len() >= MAX_HANDSHAKES {
+            traffic.record_rejected();
+            handshakes.pop_front();
+        }
+        let accepted = accept(
             stream,
             key.clone(),
             Arc::clone(&traffic),
@@ -37,11 +52,12 @@
             bootstrap(),
             on_stream.clone(),
         );
-        executor.spawn(connection).detach();
+        handshakes.push_back(executor.spawn(accepted));
     }
 }
 
-async fn serve_connection(
+/// Performs the handshake with a peer, and starts to serve it.
+async fn accept(
     stream: TcpStream,
     key: PeerKey,
     traffic: Arc<TrafficCounters>,
@@ -50,11 +66,15 @@
     on_stream: Option<StreamHandler>,
 ) {
     let role = ConnectionRole::Responder { accepts_http: on_stream.is_some() };
+    let securing = async { Ok(secure(stream, &key, role, &traffic, &executor).await?) };
     // Failed handshakes are already counted, and the peer must not learn the reason.
-    let Ok(io) = secure(stream, &key, role, &traffic, &executor).await else { return };
+    let Ok(io) = with_timeout(HANDSHAKE_TIMEOUT, securing).await else { return };
     if let (Protocol::Http, Some(on_stream)) = (io.protocol, on_stream) {
         return on_stream(PeerStream::new(io));
     }
-    let network = twoparty::VatNetwork::new(io.reader, io.writer, Side::Server, ReaderOptions::default());
-    let _ = RpcSystem::new(Box::new(network), Some(bootstrap)).await;
+    let network = twoparty::VatNetwork::new(io.reader, io.writer, Side::Server, reader_options());
+    let serving = async move {
+        let _ = RpcSystem::new(Box::new(network), Some(bootstrap)).await;
+    };
+    executor.spawn(serving).detach();
 }
--- a/crates/bendhinge_peer/src/connector.rs
+++ b/crates/bendhinge_peer/src/connector.rs
@@ -12,10 +12,21 @@
 use smol::net::TcpStream;
 use smol::{LocalExecutor, Task};
 
+use crate::MAX_DOCUMENT_BYTES;
 use crate::client::{CallError, with_timeout};
 use crate::secure::{ConnectError, ConnectionRole, PeerKey, Protocol, secure};
 use crate::traffic::TrafficCounters;
 
+/// Returns the limits on messages of peers.
+pub(crate) fn reader_options() -> ReaderOptions {
+    /// Twice the size of the largest document, which peers of older versions send in one message.
+    const MAX_MESSAGE_BYTES: usize = 2 * MAX_DOCUMENT_BYTES;
+    const WORD_BYTES: usize = 8;
+    let mut options = ReaderOptions::default();
+    options.traversal_limit_in_words(Some(MAX_MESSAGE_BYTES / WORD_BYTES));
+    options
+}
+
 /// Keeps a connection open until it is dropped, which cancels the task of the RPC system.
 ///
 /// Without this the task would run until the peer closes the connection, while the peer waits for this
@@ -39,7 +50,7 @@
         Ok(secure(stream, key, ConnectionRole::Initiator(Protocol::Rpc), traffic, executor).await?)
     };
     let io = with_timeout(timeout, connecting).await?;
-    let network = twoparty::VatNetwork::new(io.reader, io.writer, Side::Client, ReaderOptions::default());
+    let network = twoparty::VatNetwork::new(io.reader, io.writer, Side::Client, reader_options());
     let mut system = RpcSystem::new(Box::new(network), None);
     let peer = system.bootstrap(Side::Server);
     let task = executor.spawn(async move {
--- a/crates/bendhinge_peer/src/fleet/client.rs
+++ b/crates/bendhinge_peer/src/fleet/client.rs
@@ -23,6 +23,7 @@
 use crate::pool::PeerConnection;
 use crate::secure::PeerKey;
 use crate::traffic::TrafficCounters;
+use crate::{MAX_DOCUMENT_BYTES, MAX_LIST_ENTRIES};
 
 /// A connection to one peer; cheap to clone.
 #[derive(Clone)]
@@ -81,6 +82,7 @@
         else {
             return Ok(None);
         };
+        check_length("rules document", length, MAX_DOCUMENT_BYTES)?;
         while let Some(rest) = rest.as_ref().filter(|_| document.len() < length) {
             let mut request = rest.read_request();
             request.get().set_offset(u32::try_from(document.len()).unwrap_or(u32::MAX));
@@ -129,6 +131,7 @@
         else {
             return Ok(None);
         };
+        check_length("upstream list", length, MAX_LIST_ENTRIES)?;
         if let ListUpdate::Full(list) = &mut update {
             while list.entries.len() < length {
                 let chunk = self.fetch_list_chunk(held.version.digest, list.entries.len()).await?;
@@ -236,3 +239,11 @@
         .await
     }
 }
+
+/// Returns an error if a peer announces more than it may send.
+fn check_length(what: &str, length: usize, max_length: usize) -> Result<(), CallError> {
+    if length <= max_length {
+        return Ok(());
+    }
+    Err(capnp::Error::failed(format!("{what} of length {length} exceeds {max_length}")).into())
+}
--- a/crates/bendhinge_peer/src/lib.rs
+++ b/crates/bendhinge_peer/src/lib.rs
@@ -23,6 +23,12 @@
 #[expect(warnings, clippy::all, clippy::pedantic, missing_docs, reason = "generated code is taken as it is")]
 mod fleet_capnp;
 
+/// The maximum size of a document that is fetched from a peer, in bytes.
+const MAX_DOCUMENT_BYTES: usize = 8 << 20;
+
+/// The maximum number of entries of an upstream list that is fetched from a peer.
+const MAX_LIST_ENTRIES: usize = 1 << 16;
+
 pub use acceptor::StreamHandler;
 pub use client::{CallError, PeerClient};
 pub use codec::{DecodeError, FrameCodec};
--- a/crates/bendhinge_peer/src/secure.rs
+++ b/crates/bendhinge_peer/src/secure.rs
@@ -25,6 +25,10 @@
 const LENGTH_BYTES: usize = 2;
 const TAG_BYTES: usize = 16;
 const ENCODING_BYTES: usize = 1;
+/// The maximum size of a frame.
+const MAX_FRAME_BYTES: usize = MAX_CHUNK_BYTES + ENCODING_BYTES + TAG_BYTES;
+/// The maximum size of a handshake message. Those who send one are not authenticated yet.
+const MAX_HANDSHAKE_BYTES: usize = 128;
 
 /// The pre-shared key of a fleet.
 #[derive(Clone)]
@@ -162,7 +166,7 @@
     protocol: Protocol,
     traffic: &TrafficCounters,
 ) -> Result<(), ConnectError> {
-    let mut frame = [0; 128];
+    let mut frame = [0; MAX_HANDSHAKE_BYTES];
     let length = state.write_message(protocol.payload(), &mut frame)?;
     write_frame(stream, &frame[..length], traffic).await?;
     Ok(())
@@ -173,7 +177,7 @@
     state: &mut HandshakeState,
     traffic: &TrafficCounters,
 ) -> Result<Protocol, ConnectError> {
-    let frame = read_frame(stream, traffic).await?;
+    let frame = read_frame(stream, MAX_HANDSHAKE_BYTES, traffic).await?;
     let mut payload = vec![0; frame.len()];
     let result = state.read_message(&frame, &mut payload);
     let length = result.inspect_err(|_| traffic.record_rejected())?;
@@ -190,10 +194,20 @@
     Ok(())
 }
 
-async fn read_frame(stream: &mut TcpStream, traffic: &TrafficCounters) -> std::io::Result<Vec<u8>> {
+async fn read_frame(
+    stream: &mut TcpStream,
+    max_bytes: usize,
+    traffic: &TrafficCounters,
+) -> std::io::Result<Vec<u8>> {
     let mut length = [0; LENGTH_BYTES];
     stream.read_exact(&mut length).await?;
-    let mut frame = vec![0; usize::from(u16::from_be_bytes(length))];
+    let length = usize::from(u16::from_be_bytes(length));
+    if length > max_bytes {
+        traffic.record_rejected();
+        let message = format!("frame of {length} bytes exceeds {max_bytes} bytes");
+        return Err(std::io::Error::new(std::io::ErrorKind::InvalidData, message));
+    }
+    let mut frame = vec![0; length];
     stream.read_exact(&mut frame).await?;
     traffic.record_received(LENGTH_BYTES + frame.len());
     Ok(frame)
@@ -207,7 +221,7 @@
     traffic: Arc<TrafficCounters>,
 ) {
     let mut codec = FrameCodec::default();
-    while let Ok(frame) = read_frame(&mut stream, &traffic).await {
+    while let Ok(frame) = read_frame(&mut stream, MAX_FRAME_BYTES, &traffic).await {
         let mut encoded = vec![0; frame.len()];
         let decrypted = transport.borrow_mut().read_message(&frame, &mut encoded);
         let chunk = decrypted.ok().and_then(|length| codec.decode(&encoded[..length], MAX_CHUNK_BYTES).ok());
@@ -230,7 +244,7 @@
     traffic: Arc<TrafficCounters>,
 ) {
     let mut chunk = vec![0; MAX_CHUNK_BYTES];
-    let mut frame = vec![0; MAX_CHUNK_BYTES + ENCODING_BYTES + TAG_BYTES];
+    let mut frame = vec![0; MAX_FRAME_BYTES];
     let mut codec = FrameCodec::default();
     while let Ok(length) = plaintext.read(&mut chunk).await {
         if length == 0 {
