Log: limit the size of the queued lines

Callers: lines contain request IDs of up to 64 KB, and up to 1,024 lines are queued while nobody reads standard output. Both together take a quarter of a box's memory.

Change: at most 4 MB are queued. Further lines are dropped and counted, as those above 1,024.

--- a/crates/bendhinge_gateway/src/log/mod.rs
+++ b/crates/bendhinge_gateway/src/log/mod.rs
@@ -31,6 +31,9 @@
 
 /// The number of lines queued for writing above which further lines are dropped and counted.
 const MAX_QUEUED_LINES: usize = 1_024;
+/// The number of bytes queued for writing above which further lines are dropped and counted. Lines contain texts of callers,
+/// such as request IDs.
+const MAX_QUEUED_BYTES: usize = 4 << 20;
 
 /// Numbers of lines that were queued, written and dropped.
 #[derive(Debug, Default)]
@@ -38,6 +41,19 @@
     queued: AtomicUsize,
     written: AtomicUsize,
     dropped: AtomicUsize,
+    queued_bytes: AtomicUsize,
+    written_bytes: AtomicUsize,
+}
+
+impl LineCounts {
+    /// Whether no further line may be queued.
+    fn is_full(&self) -> bool {
+        let difference = |queued: &AtomicUsize, written: &AtomicUsize| {
+            queued.load(Ordering::Relaxed).saturating_sub(written.load(Ordering::Relaxed))
+        };
+        difference(&self.queued, &self.written) >= MAX_QUEUED_LINES
+            || difference(&self.queued_bytes, &self.written_bytes) >= MAX_QUEUED_BYTES
+    }
 }
 
 /// Formats a record as its bare payload and counts the written lines.
@@ -52,6 +68,7 @@
         _: &mut FormatterContext<'_>,
     ) -> spdlog::Result<()> {
         self.0.written.fetch_add(1, Ordering::Relaxed);
+        self.0.written_bytes.fetch_add(record.payload().len(), Ordering::Relaxed);
         text.push_str(record.payload());
         text.push('\n');
         Ok(())
@@ -93,9 +110,7 @@
     }
 
     fn log_event(&self, event: &str, fields: impl Serialize) {
-        let total_queued = self.counts.queued.load(Ordering::Relaxed);
-        let queued = total_queued.saturating_sub(self.counts.written.load(Ordering::Relaxed));
-        if queued >= MAX_QUEUED_LINES {
+        if self.counts.is_full() {
             self.counts.dropped.fetch_add(1, Ordering::Relaxed);
             return;
         }
@@ -110,6 +125,7 @@
         let line = Line { t: bendhinge_clock::now().0 / 1_000, event, fields };
         if let Ok(text) = serde_json::to_string(&line) {
             self.counts.queued.fetch_add(1, Ordering::Relaxed);
+            self.counts.queued_bytes.fetch_add(text.len(), Ordering::Relaxed);
             spdlog::info!(logger: self.logger, "{text}");
         }
     }
--- a/crates/bendhinge_lab/tests/gateway_buffers.rs
+++ b/crates/bendhinge_lab/tests/gateway_buffers.rs
@@ -309,6 +309,40 @@
     });
 }
 
+/// Guards against log lines with long texts of callers that use up the memory while nobody reads the log.
+#[test]
+fn unread_log_lines_do_not_use_up_the_memory() {
+    const ID_BYTES: usize = 60 << 10;
+    run(|tasks| async move {
+        let fleet = GatewayFleet::start(&tasks, SHAPE, MEMORY).await;
+        fleet.gateway(0).stop_reading();
+        let address = fleet.callers(0);
+        let refused = smol::unblock(move || {
+            let id = "x".repeat(ID_BYTES);
+            let send = |_| {
+                let mut caller = TcpStream::connect(address).unwrap();
+                let head = format!(
+                    "POST /safe/x HTTP/1.1\r\nhost: fleet.example\r\nx-bendhinge-request: {id}\r\n\r\n"
+                );
+                caller.write_all(head.as_bytes()).unwrap();
+                let mut response = [0; 12];
+                caller.read_exact(&mut response).unwrap();
+                response
+            };
+            (0..1_000).map(send).all(|response| response == *b"HTTP/1.1 401")
+        });
+        assert!(refused.await);
+        assert_served(&fleet, "/safe/x").await;
+        assert_memory(&fleet).await;
+        fleet.gateway(0).read_on();
+        until(async || {
+            assert_served(&fleet, "/safe/x").await;
+            fleet.gateway(0).lines().iter().any(|line| line.contains("lines_dropped"))
+        })
+        .await;
+    });
+}
+
 /// The pages of a store that does not end its list.
 async fn serve_endless_pages(mut stream: smol::net::TcpStream) -> std::io::Result<()> {
     const NAMES: usize = 8_000;
