--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -78,6 +78,7 @@
         while !self.is_finished {
             match self.read().await {
                 // The wait for an event goes on.
+                // Bytes that complete no event do not end the wait for one.
                 SourceRead::Data(None) => {}
                 SourceRead::Data(Some(events)) => return Some(Ok(self.relay(events))),
                 SourceRead::Ended(end) => {
--- a/crates/bendhinge_lab/tests/gateway_buffers.rs
+++ b/crates/bendhinge_lab/tests/gateway_buffers.rs
@@ -28,7 +28,7 @@
 const HEAD: &str = "HTTP/1.1 200 OK\r\nx-bendhinge-request: {id}\r\nx-bendhinge-signature: s\r\n";
 
 fn flood(first: String, repeated: &'static str, bytes: usize) -> Flood {
-    Flood { first: Arc::new(move |id| first.replace("{id}", id)), repeated, bytes }
+    Flood { first: Arc::new(move |id| first.replace("{id}", id)), repeated, bytes, pause: None }
 }
 
 /// Adds an upstream that sends `flood`, and waits until requests reach it.
--- a/crates/bendhinge_lab/tests/gateway_common/flood.rs
+++ b/crates/bendhinge_lab/tests/gateway_common/flood.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use bendhinge_http::Tasks;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 
 /// The head of a stream; `{id}` stands for the ID of the request.
@@ -21,6 +23,8 @@
     pub repeated: &'static str,
     /// The number of bytes of the repetitions.
     pub bytes: usize,
+    /// The pause after each repetition; without one, they are sent in large pieces.
+    pub pause: Option<Duration>,
 }
 
 /// An upstream that sends a [`Flood`].
@@ -69,7 +73,7 @@
 }
 
 async fn serve(mut stream: TcpStream, flood: &Flood, counts: &Counts) -> std::io::Result<()> {
-    const PIECE_BYTES: usize = 64 << 10;
+    let piece_bytes = if flood.pause.is_some() { 1 } else { 64 << 10 };
     let mut request = [0; 4096];
     let length = stream.read(&mut request).await?;
     let request = String::from_utf8_lossy(&request[..length]).into_owned();
@@ -77,9 +81,12 @@
     counts.requests.fetch_add(1, Ordering::Relaxed);
     let first = (flood.first)(id.lines().next().unwrap_or_default());
     stream.write_all(first.as_bytes()).await?;
-    let piece = flood.repeated.repeat((PIECE_BYTES / flood.repeated.len()).max(1));
+    let piece = flood.repeated.repeat((piece_bytes / flood.repeated.len()).max(1));
     for _ in 0..flood.bytes / piece.len() {
         stream.write_all(piece.as_bytes()).await?;
+        if let Some(pause) = flood.pause {
+            Timer::after(pause).await;
+        }
     }
     stream.read(&mut [0]).await?;
     Ok(())
--- a/crates/bendhinge_lab/tests/gateway_event_limit.rs
+++ b/crates/bendhinge_lab/tests/gateway_event_limit.rs
@@ -3,6 +3,7 @@
 mod gateway_common;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bendhinge_lab::gateways::{Answer, Call, FleetShape, GatewayFleet, KEY, Told, until};
 use bendhinge_standin::gateway::Upstream;
@@ -38,7 +39,7 @@
             let events = (0..self.events).map(|number| Upstream::expected_event(id, number));
             STREAM_HEAD.replace("{id}", id) + &events.collect::<String>() + self.first
         };
-        Flood { first: Arc::new(first), repeated: self.repeated, bytes: FLOOD_BYTES }
+        Flood { first: Arc::new(first), repeated: self.repeated, bytes: FLOOD_BYTES, pause: None }
     }
 }
 
@@ -100,6 +101,24 @@
     }
 }
 
+/// Guards against a stream that is not requested elsewhere because bytes that complete no event restart the wait for one.
+#[test]
+fn a_stream_whose_event_arrives_slowly_is_resumed_elsewhere() {
+    const SLOW_BYTES: usize = 4_000;
+    const PAUSE: Duration = Duration::from_millis(20);
+    for event in ENDLESS_EVENTS {
+        run(|tasks| async move {
+            let fleet = start(&tasks, FleetShape { gateways: 1, engines: 1, services: 0 }).await;
+            let flood = Flood { bytes: SLOW_BYTES, pause: Some(PAUSE), ..event.flood() };
+            let upstream = FloodingUpstream::start(&tasks, flood).await;
+            fleet.store.add("slow", "engines", upstream.address);
+            let answers = send_until_reached(&fleet, &upstream, "/resumable/x").await;
+            let told: Vec<_> = answers.iter().map(|(_, answer)| &answer.told).collect();
+            assert!(told.iter().all(|told| **told == Told::Whole), "{event:?}: {told:?}");
+        });
+    }
+}
+
 /// Guards against a limit that also cuts large events of sound upstreams.
 #[test]
 fn large_events_are_relayed_whole() {
