--- a/crates/bendhinge_lab/src/bench/mod.rs
+++ b/crates/bendhinge_lab/src/bench/mod.rs
@@ -3,6 +3,7 @@
 //! a network, and nothing here is a simulator of a cluster.
 
 pub mod admission;
+pub mod buffers;
 mod cache;
 pub mod crashing;
 pub mod crashing_parts;
--- a/crates/bendhinge_lab/src/measure/mod.rs
+++ b/crates/bendhinge_lab/src/measure/mod.rs
@@ -1,5 +1,6 @@
 //! Measurements: one line a figure, `measure NAME VALUE UNIT`.
 
+mod buffers;
 mod control;
 mod decisions;
 mod engine_admission;
@@ -47,6 +48,7 @@
     ("crashing_parts", Group::Bench(decisions::crashing_parts)),
     ("resting", Group::Bench(decisions::resting)),
     ("retry_budget", Group::Bench(decisions::retry_budget)),
+    ("buffers", Group::Bench(buffers::run_all)),
     ("pauses", Group::Bench(decisions::pauses)),
 ];
 
