Router: limit the memory for incomplete and unread messages of all requests

Callers: limits on one chat request or answer do not limit the process, as in the gateway.

Change: `[limits] buffer_bytes` (256M) is a budget like the gateway's for request heads and bodies, answers that are gathered, and unread answers. Beyond it a chat request is refused with BH0316.

--- a/crates/bendhinge_lab/src/gateways/process.rs
+++ b/crates/bendhinge_lab/src/gateways/process.rs
@@ -13,7 +13,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 
-use crate::process::{StartError, programs, wait_for};
+use crate::process::{StartError, peak_memory, programs, wait_for};
 
 /// The key that gateways of tests share.
 pub const PEER_KEY: &str = "a-key-for-tests-only";
@@ -154,11 +154,7 @@
     /// If the process has ended.
     #[must_use]
     pub fn peak_memory(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
-        let status = status.expect("the process runs");
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let kilobytes = peak.and_then(|peak| peak.trim().trim_end_matches(" kB").parse::<u64>().ok());
-        kilobytes.expect("the process runs") << 10
+        peak_memory(self.child.id())
     }
 
     /// Sends it a signal.
--- a/crates/bendhinge_lab/src/process.rs
+++ b/crates/bendhinge_lab/src/process.rs
@@ -36,6 +36,14 @@
     if folder.ends_with("deps") { folder.parent().unwrap_or(&folder).to_owned() } else { folder }
 }
 
+/// The most memory that a running process has used, in bytes.
+pub(crate) fn peak_memory(id: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("the process runs");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kilobytes = peak.and_then(|peak| peak.trim().trim_end_matches(" kB").parse::<u64>().ok());
+    kilobytes.expect("the process runs") << 10
+}
+
 impl Process {
     /// Starts a program of this workspace and waits until it has told `addresses` addresses.
     pub fn start(program: &str, args: &[String], addresses: usize) -> Result<Self, StartError> {
@@ -71,6 +79,16 @@
         self.child.id()
     }
 
+    /// The most memory that it has used, in bytes.
+    ///
+    /// # Panics
+    ///
+    /// If it has ended.
+    #[must_use]
+    pub fn peak_memory(&self) -> u64 {
+        peak_memory(self.id())
+    }
+
     fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
         if let Some(id) = id {
--- a/crates/bendhinge_lab/tests/intake.rs
+++ b/crates/bendhinge_lab/tests/intake.rs
@@ -2,9 +2,11 @@
 
 mod common;
 
+use std::io::Write as _;
+
 use bendhinge_http::full_body;
 use bendhinge_lab::fleet::Fleet;
-use common::{MODEL, caller, eventually, run, small, start, start_with, turn};
+use common::{CUSTOMER, MODEL, caller, callers_of, eventually, run, small, start, start_with, turn};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use hyper::{Method, Request};
 
@@ -297,3 +299,37 @@
         }
     });
 }
+
+/// Guards against chat requests that use up the memory of a router while their callers send them slowly.
+#[test]
+fn many_request_bodies_without_an_end_do_not_use_up_the_memory() {
+    const BODY_BYTES: usize = 4 << 20;
+    const MAX_MEMORY_BYTES: u64 = 64_000_000;
+    run(|tasks| async move {
+        let fleet = start_with(&tasks, small().with_setting("limits", "buffer_bytes", "16M")).await;
+        let (name, router) = fleet.routers.first_key_value().unwrap();
+        let address = callers_of(&fleet, name);
+        let callers = smol::unblock(move || {
+            let head = format!(
+                "POST {CHAT} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer demo-key-{CUSTOMER}\r\n\
+                 content-length: {BODY_BYTES}\r\n\r\n"
+            );
+            let body = vec![b' '; BODY_BYTES - 1];
+            let send = |_| {
+                let mut caller = std::net::TcpStream::connect(address).unwrap();
+                caller.set_write_timeout(Some(std::time::Duration::from_secs(2))).unwrap();
+                // The router may refuse the request before it has read all of it.
+                let _ = caller.write_all(head.as_bytes()).and_then(|()| caller.write_all(&body));
+                caller
+            };
+            (0..40).map(send).collect::<Vec<_>>()
+        });
+        let callers = callers.await;
+        let outcome = caller(&fleet).chat(address, &turn("a short one", false, 4)).await;
+        assert_eq!(outcome.status, 200, "{outcome:?}");
+        let peak = router.peak_memory();
+        println!("{peak} bytes of memory");
+        assert!(peak < MAX_MEMORY_BYTES, "{peak} bytes");
+        drop(callers);
+    });
+}
--- a/crates/bendhinge_router/src/delivery/attempt.rs
+++ b/crates/bendhinge_router/src/delivery/attempt.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bendhinge_buffers::Reservation;
 use bendhinge_delivery::AttemptEnd;
 use bendhinge_http::{
-    Body, BodyFraming, Connection, ReadBodyError, SendFailure, empty_body, full_body, read_body,
+    Body, BodyFraming, Connection, ReadBodyError, SendFailure, empty_body, full_body, read_body_reserved,
 };
 use bytes::Bytes;
 use futures_lite::FutureExt;
@@ -181,7 +182,9 @@
         let framing = BodyFraming::of_response(&turn.head.method, head.status, &head.headers);
         return Ok((head, AttemptBody::Open(body, framing, connection)));
     }
-    let gathered = gather(body, node.settings.limits.answer_bytes, node.settings.limits.first_byte).await?;
+    let limits = &node.settings.limits;
+    let reservation = node.upstreams.open_reservation(connection.address);
+    let gathered = gather(body, limits.answer_bytes, &reservation, limits.first_byte).await?;
     if head.status == StatusCode::OK && serde_json::from_slice::<serde::de::IgnoredAny>(&gathered).is_err() {
         return Err(AttemptEnd::BadAnswer);
     }
@@ -189,9 +192,14 @@
     Ok((head, AttemptBody::Gathered(gathered)))
 }
 
-async fn gather(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, AttemptEnd> {
+async fn gather(
+    body: Incoming,
+    limit: usize,
+    reservation: &Reservation,
+    time: Duration,
+) -> Result<Bytes, AttemptEnd> {
     let reading = async {
-        read_body(body, limit).await.map_err(|error| match error {
+        read_body_reserved(body, limit, reservation).await.map_err(|error| match error {
             ReadBodyError::TooLong(_) | ReadBodyError::NoMemory(_) | ReadBodyError::Revoked => {
                 AttemptEnd::BadAnswer
             }
--- a/crates/bendhinge_router/src/intake/chat.rs
+++ b/crates/bendhinge_router/src/intake/chat.rs
@@ -3,9 +3,10 @@
 use std::borrow::Cow;
 use std::sync::Arc;
 
+use bendhinge_buffers::{Owner, Reservation};
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::Repeatable;
-use bendhinge_http::{Body, ReadBodyError, read_body};
+use bendhinge_http::{Body, ReadBodyError, read_body_reserved};
 use bendhinge_ids::ChatKey;
 use bytes::Bytes;
 use futures_lite::FutureExt;
@@ -71,8 +72,9 @@
 
 async fn read(node: &Node, body: Incoming) -> Result<Bytes, Refused> {
     let limits = node.settings.limits;
+    let reservation = node.buffers.open(Owner::Customer(None));
     let reading = async {
-        read_body(body, limits.body_bytes).await.map_err(|error| match error {
+        read_body_reserved(body, limits.body_bytes, &reservation).await.map_err(|error| match error {
             ReadBodyError::TooLong(_) => ResultCode::BodyTooLarge.into(),
             ReadBodyError::NoMemory(_) | ReadBodyError::Revoked => ResultCode::BuffersFull.into(),
             ReadBodyError::Broken(error) => {
@@ -84,7 +86,21 @@
         Timer::after(limits.body).await;
         Err(ResultCode::SlowCaller.into())
     };
-    reading.or(too_long).await
+    let data = reading.or(too_long).await?;
+    reservation.pin();
+    Ok(Bytes::from_owner(ReservedBytes { data, _reservation: reservation }))
+}
+
+/// A body whose memory is accounted for as long as any part of it is in use.
+struct ReservedBytes {
+    data: Bytes,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for ReservedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
 }
 
 fn parse(bytes: &[u8]) -> Result<ChatRequest<'_>, Refused> {
--- a/crates/bendhinge_router/src/node.rs
+++ b/crates/bendhinge_router/src/node.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 
+use bendhinge_buffers::BufferBudget;
 use bendhinge_delivery::{OnceLedger, OnceLimits};
 use bendhinge_http::{Pool, Tasks};
 use bendhinge_ids::{EventSequence, RequestId, RouterInstance};
@@ -35,6 +36,8 @@
     pub(crate) record: EventLog,
     pub(crate) metrics: Metrics,
     pub(crate) traffic: Arc<TrafficCounters>,
+    /// Memory for incomplete requests and answers.
+    pub(crate) buffers: BufferBudget,
     pub(crate) upstreams: Pool,
     pub(crate) calls: Sender<ControlCall>,
     pub(crate) stopping: AtomicBool,
@@ -71,10 +74,13 @@
         let limits =
             FreshnessLimits { max_gap: settings.control.gap, renewal_timeout: settings.control.patience };
         let ledger = LedgerLimits { lease: settings.control.lease, max_displaced_chats: DISPLACED_CHATS };
+        let buffers = BufferBudget::new(settings.limits.buffer_bytes);
         let once = OnceLimits { window: settings.once.window, max_keys: settings.once.keys };
         Self {
             record: EventLog::new(process, settings.events),
-            upstreams: Pool::new(Arc::clone(&tasks), settings.limits.connect, settings.limits.idle),
+            upstreams: Pool::new(Arc::clone(&tasks), settings.limits.connect, settings.limits.idle)
+                .with_buffers(buffers.clone()),
+            buffers,
             stopping: AtomicBool::new(false),
             platform_fails: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
--- a/crates/bendhinge_router/src/run.rs
+++ b/crates/bendhinge_router/src/run.rs
@@ -121,7 +121,7 @@
     let bound = Server::bind(address, limits, Arc::clone(&node.tasks)).await;
     let server = bound.map_err(|error| StartError::Listen { address, error })?;
     print_listening(what, server.local_addr().unwrap_or(address));
-    Ok(server)
+    Ok(server.with_buffers(node.buffers.clone()))
 }
 
 async fn serve_until_stopped(node: &Arc<Node>) -> Result<(), StartError> {
--- a/crates/bendhinge_router/src/settings/mod.rs
+++ b/crates/bendhinge_router/src/settings/mod.rs
@@ -77,6 +77,8 @@
     pub body_bytes: usize,
     /// The largest whole chat answer.
     pub answer_bytes: usize,
+    /// The memory for incomplete requests and answers, and for answers that are not read yet.
+    pub buffer_bytes: usize,
     /// Callers' connections.
     pub connections: usize,
     /// Requests in progress.
@@ -207,6 +209,7 @@
         }
         let body_bytes = self.0.byte_count(section, "body_bytes");
         let answer_bytes = self.0.byte_count(section, "answer_bytes");
+        let buffer_bytes = self.0.byte_count(section, "buffer_bytes");
         let connections = self.0.value(section, "connections");
         let in_progress = self.0.value(section, "in_progress");
         let head = self.0.millis(section, "head_ms");
@@ -221,6 +224,7 @@
             head_bytes: head_bytes?,
             body_bytes: body_bytes?,
             answer_bytes: answer_bytes?,
+            buffer_bytes: buffer_bytes?,
             connections: connections?,
             in_progress: in_progress?,
             head: head?,
--- a/crates/bendhinge_router/src/settings/schema.rs
+++ b/crates/bendhinge_router/src/settings/schema.rs
@@ -71,6 +71,12 @@
             "The largest chat request body. Bodies to plain services have no limit.",
         ),
         Key::new("answer_bytes", "bytes", Some("16M"), "The largest chat answer that is not streamed."),
+        Key::new(
+            "buffer_bytes",
+            "bytes",
+            Some("256M"),
+            "Memory for incomplete requests and answers, and for answers that are not read yet. One upstream, one host of callers and all chat request bodies together get as much of it as remains free. Beyond that, what has held the most of its memory for the longest time is ended.",
+        ),
         Key::new(
             "connections",
             "whole number",
