Peers: pause after a failure to accept a connection

Callers: a gateway without a free descriptor that another gateway connects to answers nothing more, also after it has descriptors again, and does not end on SIGTERM.

Cause: the loop that accepts connections of peers tried again at once after an error, which without a free descriptor comes without a wait.

Change: it pauses for 50 ms, as the one of `bendhinge_http` does.

--- a/crates/bendhinge_lab/src/gateways/process.rs
+++ b/crates/bendhinge_lab/src/gateways/process.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use serde_json::Value;
 
 use crate::process::{StartError, peak_memory, programs, wait_for};
@@ -157,6 +157,17 @@
         peak_memory(self.child.id())
     }
 
+    /// Limits the descriptors that it may have.
+    ///
+    /// # Panics
+    ///
+    /// If the process has ended.
+    pub fn limit_descriptors(&self, count: u64) {
+        let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let limit = Rlimit { current: Some(count), maximum: Some(count) };
+        prlimit(id, Resource::Nofile, limit).expect("the process runs");
+    }
+
     /// Sends it a signal.
     pub fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
--- a/crates/bendhinge_peer/src/acceptor.rs
+++ b/crates/bendhinge_peer/src/acceptor.rs
@@ -9,7 +9,7 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
 use smol::net::{TcpListener, TcpStream};
-use smol::{LocalExecutor, Task};
+use smol::{LocalExecutor, Task, Timer};
 
 use crate::client::with_timeout;
 use crate::connector::reader_options;
@@ -17,6 +17,9 @@
 use crate::stream::PeerStream;
 use crate::traffic::TrafficCounters;
 
+/// The pause after a failure to accept a connection.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// How long a peer may take for its part of the handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -38,7 +41,11 @@
 ) {
     let mut handshakes: VecDeque<Task<()>> = VecDeque::new();
     loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
+        let Ok((stream, _)) = listener.accept().await else {
+            // Without a free descriptor, each attempt fails at once.
+            Timer::after(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
         handshakes.retain(|handshake| !handshake.is_finished());
         if handshakes.len() >= MAX_HANDSHAKES {
             traffic.record_rejected();
