--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -77,7 +77,6 @@
         self.await_data();
         while !self.is_finished {
             match self.read().await {
-                // The wait for an event goes on.
                 // Bytes that complete no event do not end the wait for one.
                 SourceRead::Data(None) => {}
                 SourceRead::Data(Some(events)) => return Some(Ok(self.relay(events))),
--- a/crates/bendhinge_gateway/src/delivery/stream_source.rs
+++ b/crates/bendhinge_gateway/src/delivery/stream_source.rs
@@ -206,7 +206,8 @@
 
     /// Returns the bytes of `events` for the caller, after the comments that preceded them.
     pub(super) fn take_with_comments(&mut self, events: Bytes) -> Bytes {
-        // Until the caller takes them, nothing more is read than what one read has left.
+        // The source is not read until the caller has taken the events, so its memory cannot be revoked meanwhile. At most
+        // one read is left of it.
         let _ = self.reservation.resize(0);
         if self.comments.is_empty() {
             return events;
