Store: percent-encode keys in queries

Cause: the last key of a page stands in the query of the next one as it is. With a blank the URI is invalid and the whole read fails; with `&`, `+`, `%` or `#` another key is asked for.

--- a/crates/bendhinge_gateway/src/dialect.rs
+++ b/crates/bendhinge_gateway/src/dialect.rs
@@ -1,6 +1,7 @@
 //! Interface to the protocols of callers, upstreams and the store. An implementation only translates between
 //! these protocols and the types of this module; it holds no state and makes no decisions.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use hyper::header::{HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::http::{request, response};
 use hyper::{HeaderMap, StatusCode};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use rustc_hash::FxHashSet;
 
 /// The fields of a caller's request.
@@ -363,3 +365,14 @@
 pub trait Dialect: CallerDialect + UpstreamDialect + StoreDialect + Send + Sync + 'static {}
 
 impl<T: CallerDialect + UpstreamDialect + StoreDialect + Send + Sync + 'static> Dialect for T {}
+
+/// The bytes that are not encoded in the value of a query field: those that are unreserved, and the slash (RFC 3986,
+/// sections 2.3 and 3.4).
+const QUERY_VALUE: &AsciiSet =
+    &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~').remove(b'/');
+
+/// Encodes a text, such as a key of another writer, as the value of a field in a query.
+#[must_use]
+pub fn encode_query_value(text: &str) -> impl Display + '_ {
+    utf8_percent_encode(text, QUERY_VALUE)
+}
--- a/crates/bendhinge_gateway/src/native/store.rs
+++ b/crates/bendhinge_gateway/src/native/store.rs
@@ -13,7 +13,7 @@
 use super::{Native, rules};
 use crate::dialect::{
     ChangedEntry, ForeignEntry, ParseError, StoreChange, StoreChanges, StoreDialect, StorePage, StorePart,
-    StoredRules,
+    StoredRules, encode_query_value,
 };
 
 /// The key of the serving rules among changes. Upstream names contain no slash.
@@ -76,7 +76,7 @@
             StorePart::Rules => "/v1/fleet/rules",
             StorePart::Drained => "/v1/fleet/drained",
         };
-        after.map_or_else(|| path.to_owned(), |after| format!("{path}?after={after}"))
+        after.map_or_else(|| path.to_owned(), |after| format!("{path}?after={}", encode_query_value(after)))
     }
 
     fn parse_page(&self, body: &[u8], _: Option<Revision>) -> Result<StorePage, ParseError> {
