--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bendhinge_admission::FleetRetryBudget;
+use bendhinge_codes::ResultCode;
 use bendhinge_fleet::{DirectoryLimits, OutlierLimits, RosterTimeouts, StoreReadTimings};
 use bendhinge_ids::{BoxName, DataCentreName, RegionName};
 use bendhinge_ini::{Document, Faults, Section, read_file};
@@ -326,6 +327,8 @@
     }
 
     fn upstreams(&self, section: &Section) -> Option<UpstreamSettings> {
+        /// With less, ordinary streams are cut.
+        const MIN_EVENT_BYTES: usize = 1 << 10;
         /// The time in which the weight of a failure halves.
         const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
         /// How long upstreams that left are kept as sources of cached prompts.
@@ -336,6 +339,10 @@
         let idle_timeout = self.0.millis(section, "idle_ms");
         let max_response_bytes = self.0.byte_count(section, "answer_bytes");
         let max_event_bytes = self.0.byte_count(section, "event_bytes");
+        if max_event_bytes.is_some_and(|bytes| bytes < MIN_EVENT_BYTES) {
+            let message = format!("'event_bytes' is below {MIN_EVENT_BYTES}");
+            self.0.add_fault_at(section, "event_bytes", ResultCode::InvalidValue, message);
+        }
         let verifies_close = self.0.value::<YesNo>(section, "verify_close");
         let base_ejection = self.0.millis(section, "rest_ms");
         let max_ejection = self.0.millis(section, "longest_rest_ms");
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -203,7 +203,7 @@
             "event_bytes",
             "bytes",
             Some("4M"),
-            "Maximum size of an event of a stream, which is relayed once it is complete. A stream with a larger one is resumed elsewhere or cut.",
+            "Maximum size of an event of a stream, which is relayed once it is complete; at least 1K. A stream with a larger one is resumed elsewhere or cut.",
         ),
         Key::new(
             "doubt_ms",
