--- a/crates/bendhinge_lab/tests/gateway_buffers.rs
+++ b/crates/bendhinge_lab/tests/gateway_buffers.rs
@@ -10,7 +10,7 @@
 
 use bendhinge_http::Tasks;
 use bendhinge_lab::gateways::{
-    Answer, Call, FleetShape, GatewayFleet, GatewayProcess, GatewaySettings, KEY, Told, until,
+    Answer, Call, FleetShape, GatewayFleet, GatewayProcess, GatewaySettings, KEY, RULES, Told, until,
 };
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use gateway_common::flood::{Flood, FloodingUpstream, STREAM_HEAD};
@@ -108,7 +108,7 @@
     let id = rand::random::<u64>();
     format!(
         "POST {path} HTTP/1.1\r\nhost: fleet.example\r\nauthorization: Bearer key-one\r\n\
-         x-bendhinge-request: {id:016x}\r\nx-bendhinge-deadline-ms: 20000\r\nx-bendhinge-prompt: {id}:100\r\n\
+         x-bendhinge-request: {id:016x}\r\nx-bendhinge-deadline-ms: 120000\r\nx-bendhinge-prompt: {id}:100\r\n\
          content-length: {length}\r\n\r\n"
     )
 }
@@ -260,6 +260,12 @@
     run(|tasks| async move {
         let shape = FleetShape { gateways: 1, engines: 0, services: 1 };
         let fleet = GatewayFleet::start(&tasks, shape, LITTLE_MEMORY).await;
+        // Long enough that the system's buffers of all connections are full on a busy machine.
+        let rules =
+            RULES.replace("version = 1", "version = 2").replace("timeout_ms = 5000", "timeout_ms = 120000");
+        fleet.store.put_rules(&rules);
+        let is_in_force = |line: &String| line.contains("\"belief\"") && line.contains("\"rules\"");
+        until(async || fleet.gateway(0).lines().iter().filter(|line| is_in_force(line)).count() > 1).await;
         let stream = flood(STREAM_HEAD.to_owned(), EVENT, 4 << 20);
         let _upstream = add_flooding(&fleet, &tasks, "engines", stream).await;
         let address = fleet.callers(0);
