Buffers: wake revoked holders also if the growth is refused

Callers: memory that counted as free was still in use, so that more than the limit could be buffered.

Cause: a reservation that grows may revoke others until it is itself the one that has held the most, and is then refused. The error was returned before the revoked holders were woken and counted. Found by reading.

Change: the ledger reports what it revoked also with an error.

Result, a_revoked_holder_is_woken_if_the_growth_is_refused: did not end before, passes now.

--- a/crates/bendhinge_buffers/src/budget.rs
+++ b/crates/bendhinge_buffers/src/budget.rs
@@ -128,16 +128,17 @@
         let Some(Handle { state, id }) = &self.handle else { return Ok(()) };
         let mut state = state.lock().unwrap();
         let size = size(state.ledger.bytes(*id));
-        let revoked = state.ledger.resize(*id, size, bendhinge_clock::now)?;
+        let mut revoked = Vec::new();
+        let result = state.ledger.resize(*id, size, bendhinge_clock::now, &mut revoked);
         if revoked.is_empty() {
-            return Ok(());
+            return result;
         }
         state.revocations += revoked.len() as u64;
         let wakers: Vec<_> = revoked.iter().filter_map(|id| state.wakers.remove(id)).collect();
         // Wakers run code of the executor, so the lock is not held.
         drop(state);
         wakers.into_iter().for_each(Waker::wake);
-        Ok(())
+        result
     }
 
     /// Excludes the reservation from revocation, because its bytes are in use.
--- a/crates/bendhinge_buffers/src/ledger.rs
+++ b/crates/bendhinge_buffers/src/ledger.rs
@@ -147,13 +147,15 @@
         2 * (pinned + bytes) + of_others <= self.limit
     }
 
-    /// Changes the size of a reservation. Returns the reservations that were revoked for it.
+    /// Changes the size of a reservation. Adds the reservations that are revoked for it to `revoked`, also if the size is
+    /// refused in the end.
     pub fn resize(
         &mut self,
         id: ReservationId,
         bytes: usize,
         now: impl Fn() -> Instant,
-    ) -> Result<Vec<ReservationId>, BudgetExceeded> {
+        revoked: &mut Vec<ReservationId>,
+    ) -> Result<(), BudgetExceeded> {
         let Some(entry) = self.entries.get_mut(&id).filter(|entry| !entry.is_revoked) else {
             return Err(self.exceeded(0, bytes));
         };
@@ -164,10 +166,9 @@
         if bytes <= previous {
             entry.bytes = bytes;
             self.release(owner, previous - bytes);
-            return Ok(Vec::new());
+            return Ok(());
         }
         let growth = bytes - previous;
-        let mut revoked = Vec::new();
         while let Err(exceeded) = self.check(owner, growth) {
             let Some(victim) = self.victim(id, bytes, now()) else {
                 return Err(BudgetExceeded { requested: bytes, ..exceeded });
@@ -180,7 +181,7 @@
         }
         *self.owned.entry(owner).or_default() += growth;
         self.total += growth;
-        Ok(revoked)
+        Ok(())
     }
 
     /// Returns the reservation to revoke so that `id` can grow to `bytes`; `None` if that is itself.
--- a/crates/bendhinge_buffers/tests/budget.rs
+++ b/crates/bendhinge_buffers/tests/budget.rs
@@ -30,6 +30,26 @@
     }));
 }
 
+/// Guards against holders that keep memory which counts as free, because they are not woken if the growth for which they
+/// were revoked is refused in the end.
+#[test]
+fn a_revoked_holder_is_woken_if_the_growth_is_refused() {
+    let budget = BufferBudget::new(1_000);
+    let executor = LocalExecutor::new();
+    let held = Arc::new(budget.open(OWNER));
+    held.resize(400).unwrap();
+    let holder = Arc::clone(&held);
+    let waiting = executor.spawn(async move { holder.revoked().await });
+    smol::block_on(executor.run(async {
+        while executor.try_tick() {}
+        smol::Timer::after(std::time::Duration::from_millis(20)).await;
+        // No reservation can grow to more than half of the budget.
+        assert!(budget.open(OWNER).resize(600).is_err());
+        waiting.await;
+        assert_eq!(budget.usage().revocations, 1);
+    }));
+}
+
 #[test]
 fn dropped_reservations_are_released() {
     let budget = BufferBudget::new(1_000);
--- a/crates/bendhinge_buffers/tests/ledger.rs
+++ b/crates/bendhinge_buffers/tests/ledger.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use bendhinge_buffers::{Ledger, Owner, ReservationId};
+use bendhinge_buffers::{BudgetExceeded, Ledger, Owner, ReservationId};
 use bendhinge_ids::Instant;
 
 const LIMIT: usize = 1_000;
@@ -16,9 +16,19 @@
     move || Instant::from_millis(millis)
 }
 
+fn resize(
+    ledger: &mut Ledger,
+    id: ReservationId,
+    bytes: usize,
+    now: impl Fn() -> Instant,
+) -> Result<Vec<ReservationId>, BudgetExceeded> {
+    let mut revoked = Vec::new();
+    ledger.resize(id, bytes, now, &mut revoked).map(|()| revoked)
+}
+
 fn open(ledger: &mut Ledger, owner: Owner, bytes: usize, millis: u64) -> ReservationId {
     let id = ledger.open(owner, at(millis)());
-    assert_eq!(ledger.resize(id, bytes, at(millis)), Ok(Vec::new()));
+    assert_eq!(resize(ledger, id, bytes, at(millis)), Ok(Vec::new()));
     id
 }
 
@@ -26,11 +36,11 @@
 fn an_owner_holds_no_more_than_remains_free() {
     let mut ledger = Ledger::new(LIMIT);
     let first = ledger.open(server(1), at(0)());
-    assert!(ledger.resize(first, 500, at(0)).is_ok());
-    assert!(ledger.resize(first, 501, at(0)).is_err());
+    assert!(resize(&mut ledger, first, 500, at(0)).is_ok());
+    assert!(resize(&mut ledger, first, 501, at(0)).is_err());
     let second = ledger.open(server(2), at(0)());
-    assert!(ledger.resize(second, 250, at(0)).is_ok());
-    assert!(ledger.resize(second, 251, at(0)).is_err());
+    assert!(resize(&mut ledger, second, 250, at(0)).is_ok());
+    assert!(resize(&mut ledger, second, 251, at(0)).is_err());
     assert_eq!(ledger.total(), 750);
 }
 
@@ -42,10 +52,10 @@
     let old_and_small = open(&mut ledger, server(1), 10, 0);
     let new_and_large = open(&mut ledger, server(1), 220, 900);
     let growing = ledger.open(server(1), at(1_000)());
-    assert_eq!(ledger.resize(growing, 80, at(1_000)), Ok(vec![old_and_large]));
+    assert_eq!(resize(&mut ledger, growing, 80, at(1_000)), Ok(vec![old_and_large]));
     assert!(ledger.is_revoked(old_and_large));
     assert!(![old_and_small, new_and_large, growing].iter().any(|id| ledger.is_revoked(*id)));
-    assert!(ledger.resize(old_and_large, 1, at(1_000)).is_err());
+    assert!(resize(&mut ledger, old_and_large, 1, at(1_000)).is_err());
 }
 
 #[test]
@@ -53,7 +63,7 @@
     let mut ledger = Ledger::new(LIMIT);
     let other = open(&mut ledger, server(1), 100, 900);
     let growing = open(&mut ledger, server(1), 300, 0);
-    assert!(ledger.resize(growing, 450, at(1_000)).is_err());
+    assert!(resize(&mut ledger, growing, 450, at(1_000)).is_err());
     assert!(!ledger.is_revoked(other));
     assert_eq!(ledger.bytes(growing), 300);
 }
@@ -68,8 +78,8 @@
     let growing = ledger.open(server(1), at(1_000)());
     assert!(ledger.could_hold(server(1), 100));
     assert!(!ledger.could_hold(server(1), 101));
-    assert_eq!(ledger.resize(growing, 100, at(1_000)), Ok(vec![reading]));
-    assert!(ledger.resize(growing, 101, at(1_000)).is_err());
+    assert_eq!(resize(&mut ledger, growing, 100, at(1_000)), Ok(vec![reading]));
+    assert!(resize(&mut ledger, growing, 101, at(1_000)).is_err());
     assert!(!ledger.is_revoked(pinned));
     ledger.close(pinned);
     assert!(ledger.could_hold(server(1), 500));
@@ -105,7 +115,7 @@
                     let bytes = source.int_in_range(0..=LIMIT)?;
                     let was_revoked = ledger.is_revoked(id);
                     let before = ledger.bytes(id);
-                    match ledger.resize(id, bytes, at(now)) {
+                    match resize(&mut ledger, id, bytes, at(now)) {
                         Ok(revoked) => {
                             assert!(!was_revoked);
                             assert!(revoked.iter().all(|other| open[other] == (open[&id].0, false)));
--- a/crates/bendhinge_lab/src/bench/buffers.rs
+++ b/crates/bendhinge_lab/src/bench/buffers.rs
@@ -120,7 +120,8 @@
     /// Grows a message. Returns `false` if it is ended for that.
     fn grow(&mut self, index: usize, bytes: usize, now: Instant) -> bool {
         if let Some(reservation) = self.messages[index].reservation {
-            return self.ledger.resize(reservation, self.messages[index].bytes + bytes, || now).is_ok();
+            let size = self.messages[index].bytes + bytes;
+            return self.ledger.resize(reservation, size, || now, &mut Vec::new()).is_ok();
         }
         self.total + bytes <= LIMIT || self.way == Way::Largest
     }
