--- a/crates/bendhinge_gateway/src/metrics/mod.rs
+++ b/crates/bendhinge_gateway/src/metrics/mod.rs
@@ -1,5 +1,6 @@
 //! The gateway's metrics; `docs/METRICS.md` lists them.
 
+mod callers;
 mod groups;
 
 use std::time::Duration;
@@ -347,21 +348,6 @@
         self.backoff_requests.add(1, &[]);
     }
 
-    /// Counts a connection closed because the caller did not read its response.
-    pub(crate) fn count_slow_caller_disconnect(&self) {
-        self.caller_connections.unread.add(1, &[]);
-    }
-
-    /// Counts a connection of a caller that was closed because too many were open.
-    pub(crate) fn count_refused_connection(&self) {
-        self.caller_connections.refused.add(1, &[]);
-    }
-
-    /// Counts a connection of a caller that was closed because the memory of its buffers was needed elsewhere.
-    pub(crate) fn count_revoked_connection(&self) {
-        self.caller_connections.revoked.add(1, &[]);
-    }
-
     /// Counts an upstream that announced in a response that it is draining.
     pub(crate) fn count_drain_announcement(&self) {
         self.drain_announcements.add(1, &[]);
--- a/crates/bendhinge_lab/tests/gateway_buffers.rs
+++ b/crates/bendhinge_lab/tests/gateway_buffers.rs
@@ -322,7 +322,7 @@
     });
 }
 
-/// Guards against log lines with long texts of callers that use up the memory while nobody reads the log.
+/// Guards against queued log lines with large request IDs that use up the memory while standard output is not read.
 #[test]
 fn unread_log_lines_do_not_use_up_the_memory() {
     const ID_BYTES: usize = 60 << 10;
