Log: number of gateways in the counts that decide in plain pools

Request lines had the age of the fleet totals behind a choice in a plain pool, but not how many gateways were in them, so that incomplete totals after a start could not be told from old ones.

--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -84,6 +84,7 @@
             reported: report.map(|report| report.in_progress),
             report_age_ms: report.map(|report| whole_millis(report.age)),
             totals_age_ms: chosen.totals_age.map(whole_millis),
+            totals_gateways: chosen.totals_gateways,
             mean_age_ms: pool_reports.map(|reports| whole_millis(reports.mean_age)),
             unreported: pool_reports.map_or(0, |reports| reports.unreported),
             homes: chosen.homes,
--- a/crates/bendhinge_gateway/src/state/choice.rs
+++ b/crates/bendhinge_gateway/src/state/choice.rs
@@ -43,6 +43,8 @@
     pub(crate) load_basis: LoadBasis,
     /// The age of the fleet totals that the estimate is based on, in a plain pool.
     pub(crate) totals_age: Option<Duration>,
+    /// The number of gateways that these totals contain.
+    pub(crate) totals_gateways: Option<u32>,
     /// The recent load reports of the pool's upstreams.
     pub(crate) pool_reports: PoolReports,
     /// The estimated average number of requests per upstream of the pool.
@@ -139,7 +141,7 @@
         let shares_times = query.prompt.is_none()
             && request.rule.is_none_or(|rule| !rule.caches_prompts)
             && self.load_settings.shared_response_times.is_active(is_pace_reported);
-        let (choice, load, totals_age) = if shares_times {
+        let (choice, load, totals_age, totals_gateways) = if shares_times {
             let chosen = self.plain.lock().unwrap().choose(
                 request.pool,
                 &candidates,
@@ -147,10 +149,10 @@
                 &self.totals,
                 request.tie_breaker,
             )?;
-            (chosen.choice, chosen.in_progress, Some(chosen.totals_age))
+            (chosen.choice, chosen.in_progress, Some(chosen.totals_age), Some(chosen.totals_gateways))
         } else {
             let choice = choose(&self.costs, &query, &candidates, &state.cached_parts, now)?;
-            (choice, candidates[choice.candidate].load, None)
+            (choice, candidates[choice.candidate].load, None, None)
         };
         let entry = Arc::clone(&listed[choice.candidate].entry);
         let has_other_software = listed.iter().any(|other| other.entry.software != entry.software);
@@ -182,6 +184,7 @@
             load,
             load_basis,
             totals_age,
+            totals_gateways,
             pool_reports,
             mean_load: choice.mean_load,
             homes: choice.homes,
--- a/crates/bendhinge_gateway/src/state/plain.rs
+++ b/crates/bendhinge_gateway/src/state/plain.rs
@@ -17,6 +17,8 @@
     pub(super) in_progress: f32,
     /// The age of the fleet totals that the estimate is based on.
     pub(super) totals_age: Duration,
+    /// The number of gateways that the totals contain.
+    pub(super) totals_gateways: u32,
 }
 
 /// Response times of the plain pools.
@@ -39,9 +41,9 @@
     ) -> Option<PlainChoice> {
         let now = bendhinge_clock::now();
         let times = self.pool(pool);
-        let expected: Vec<ExpectedResponse> = totals.with(|totals| {
+        let (expected, totals_gateways): (Vec<ExpectedResponse>, u32) = totals.with(|totals| {
             let expected = |candidate: &Candidate| times.expected(candidate.upstream, totals, now);
-            candidates.iter().map(expected).collect()
+            (candidates.iter().map(expected).collect(), totals.router_count(now))
         });
         let plain = candidates.iter().zip(&expected).map(|(candidate, expected)| PlainCandidate {
             upstream: candidate.upstream,
@@ -69,7 +71,7 @@
             homes: 1,
         };
         let ExpectedResponse { in_progress, totals_age, .. } = expected[chosen];
-        Some(PlainChoice { choice, in_progress, totals_age })
+        Some(PlainChoice { choice, in_progress, totals_age, totals_gateways })
     }
 
     pub(super) fn pools(&self) -> impl Iterator<Item = &PoolName> {
--- a/crates/bendhinge_lab/tests/gateway_streams.rs
+++ b/crates/bendhinge_lab/tests/gateway_streams.rs
@@ -157,6 +157,7 @@
         assert_eq!(send(&fleet, &call).await.told, Told::Whole);
         let line = line_of(&fleet, &call).await;
         assert!(line["sends"][0]["totals_age_ms"].is_u64(), "{line}");
+        assert!(line["sends"][0]["totals_gateways"].as_u64() >= Some(1), "{line}");
         assert!(!has_key(&line["sends"][0], "mean_age_ms"), "{line}");
         assert_eq!(metric(&fleet, "bendhinge_gateway_totals_age_seconds_count").await, Some(1));
         assert_eq!(metric(&fleet, "bendhinge_gateway_mean_load_age_seconds_count").await, None);
