--- a/crates/bendhinge_lab/src/bench/engine_loads/measured.rs
+++ b/crates/bendhinge_lab/src/bench/engine_loads/measured.rs
@@ -3,6 +3,7 @@
 use std::ops::Range;
 
 use super::scenario::{MILLIS, WARM_MILLIS};
+use crate::bench::load_limit::{Arrival, worst_fraction_over};
 
 /// The mean load of the pool as a router estimated it, and as it was.
 #[derive(Clone, Copy, Debug)]
@@ -18,9 +19,8 @@
 /// What a run measured after [`WARM_MILLIS`].
 #[derive(Clone, Debug, Default)]
 pub struct Measured {
-    /// Arrivals at engines: time in milliseconds, and whether the engine had more than twice the mean load plus
-    /// three requests.
-    pub arrivals: Vec<(u64, bool)>,
+    /// Arrivals at engines.
+    pub arrivals: Vec<Arrival>,
     /// Mean loads as estimated by the router of each arrival.
     pub mean_estimates: Vec<MeanEstimate>,
     /// Requests whose shared parts were processed again.
@@ -50,16 +50,6 @@
     /// them.
     #[must_use]
     pub fn worst_fraction_over_limit(&self) -> f64 {
-        const WINDOW_MILLIS: u64 = 5_000;
-        const MIN_OVER: usize = 20;
-        let starts = (WARM_MILLIS..=MILLIS - WINDOW_MILLIS).step_by(100);
-        let fraction = |start: u64| {
-            let window = start..start + WINDOW_MILLIS;
-            let within: Vec<bool> =
-                self.arrivals.iter().filter(|(at, _)| window.contains(at)).map(|(_, over)| *over).collect();
-            let over = within.iter().filter(|over| **over).count();
-            if over < MIN_OVER { 0.0 } else { over as f64 / within.len() as f64 }
-        };
-        starts.map(fraction).fold(0.0, f64::max)
+        worst_fraction_over(&self.arrivals, WARM_MILLIS..MILLIS)
     }
 }
--- a/crates/bendhinge_lab/src/bench/engine_loads/mod.rs
+++ b/crates/bendhinge_lab/src/bench/engine_loads/mod.rs
@@ -25,6 +25,8 @@
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
 
+use crate::bench::load_limit::Arrival;
+
 pub use self::measured::{MeanEstimate, Measured};
 use self::scenario::{CLASSES, POPULAR_SUBJECT, SKEW, prompt};
 pub use self::scenario::{Drain, MILLIS, POPULAR_MILLIS, Scenario, WARM_MILLIS};
@@ -383,7 +385,7 @@
         if self.millis() >= WARM_MILLIS {
             let millis = self.millis();
             let estimated = f64::from(estimated_mean);
-            self.measured.arrivals.push((millis, is_over));
+            self.measured.arrivals.push(Arrival { millis, is_over });
             self.measured.mean_estimates.push(MeanEstimate { millis, estimated, actual: mean });
         }
     }
--- a/crates/bendhinge_lab/src/bench/mod.rs
+++ b/crates/bendhinge_lab/src/bench/mod.rs
@@ -10,6 +10,7 @@
 pub mod decision;
 pub mod engine_admission;
 pub mod engine_loads;
+pub mod load_limit;
 pub mod pauses;
 pub mod placement;
 pub mod plain_pool;
--- a/crates/bendhinge_lab/src/measure/decisions.rs
+++ b/crates/bendhinge_lab/src/measure/decisions.rs
@@ -381,7 +381,7 @@
 
 /// Ways to choose an upstream of a plain pool and to hedge, as rows of a table.
 pub(super) fn plain_pools() {
-    use shared_pool::{COMPARED, Figures, LOADS, mean};
+    use shared_pool::{COMPARED, COMPARED_SHIFTS, Figures, Hedge, LOADS, SHIFTS, mean};
     for (name, load) in LOADS {
         println!("| {name} | in time | p99, ms | rejected | over the bound | hedges |");
         println!("| --- | --- | --- | --- | --- | --- |");
@@ -390,10 +390,24 @@
             threads.map(|thread| thread.join().expect("a bench does not panic")).into()
         });
         for ((choice, hedge), row) in COMPARED.iter().zip(rows) {
-            let Figures { in_time, p99_ms, rejected, over_bound, hedges } = row;
+            let Figures { in_time, p99_ms, rejected, over_bound, hedges, .. } = row;
             println!(
                 "| {choice:?}, {hedge:?} | {in_time:.1} | {p99_ms:.0} | {rejected:.1} | {over_bound:.1} | {hedges:.0} |"
             );
         }
     }
+    for (name, load) in SHIFTS {
+        println!("| {name} | worst five seconds over the bound, of 1,000 | in time | p99, ms | questions |");
+        println!("| --- | --- | --- | --- | --- |");
+        let rows: Vec<Figures> = std::thread::scope(|scope| {
+            let threads =
+                COMPARED_SHIFTS.map(|choice| scope.spawn(move || mean((choice, Hedge::Tail), load, &SEEDS)));
+            threads.map(|thread| thread.join().expect("a bench does not panic")).into()
+        });
+        for (choice, row) in COMPARED_SHIFTS.iter().zip(rows) {
+            let Figures { worst_over_bound, in_time, p99_ms, questions, .. } = row;
+            let worst = worst_over_bound * 1_000.0;
+            println!("| {choice:?} | {worst:.0} | {in_time:.1} | {p99_ms:.0} | {questions:.0} |");
+        }
+    }
 }
