--- a/crates/bendhinge_fleet/src/response_times.rs
+++ b/crates/bendhinge_fleet/src/response_times.rs
@@ -25,6 +25,8 @@
 /// Time constant with which what other routers reported loses weight against the mean of the pool, once it
 /// has been summed. With 2 s, all routers avoided the same upstream for too long under four times the demand.
 const TOTALS_FADE: Duration = Duration::from_millis(600);
+/// How long an exact number of requests in progress takes precedence over the totals.
+const EXACT_COUNT_TTL: Duration = Duration::from_millis(300);
 /// Responses at the mean response time of the pool by which the response time of each upstream is extended.
 /// Without them, a single response would decide.
 const PRIOR_RESPONSES: f32 = 2.0;
@@ -133,6 +135,8 @@
 #[derive(Debug)]
 pub struct ResponseTimes {
     upstreams: FxHashMap<NameHash, OwnUsage>,
+    /// The latest exact numbers of requests in progress, and when they were learned.
+    exact_counts: FxHashMap<NameHash, (u32, Instant)>,
     tail: TailTimes,
     /// Identifies the pool in the keys of the values that concern all of it.
     pool: NameHash,
@@ -142,7 +146,12 @@
     /// Creates the statistics of the pool with this hash of its name.
     #[must_use]
     pub fn new(pool: NameHash) -> Self {
-        Self { upstreams: FxHashMap::default(), tail: TailTimes::default(), pool }
+        Self {
+            upstreams: FxHashMap::default(),
+            exact_counts: FxHashMap::default(),
+            tail: TailTimes::default(),
+            pool,
+        }
     }
 
     /// Counts a request sent by this router.
@@ -166,9 +175,20 @@
         }
     }
 
+    /// Records the exact number of requests of all routers in progress at `upstream`.
+    pub fn record_exact_count(&mut self, upstream: NameHash, in_progress: u32, now: Instant) {
+        self.exact_counts.insert(upstream, (in_progress, now));
+    }
+
+    fn exact_count(&self, upstream: NameHash, now: Instant) -> Option<f32> {
+        let (in_progress, at) = *self.exact_counts.get(&upstream)?;
+        (now.since(at) < EXACT_COUNT_TTL).then_some(in_progress as f32)
+    }
+
     /// Removes the upstreams that are not listed and have no request of this router in progress.
     pub fn retain_listed(&mut self, listed: impl Fn(NameHash) -> bool) {
         let pool = self.pool;
+        self.exact_counts.retain(|upstream, _| listed(*upstream));
         self.upstreams
             .retain(|upstream, own| *upstream == pool || own.usage.in_progress > 0.0 || listed(*upstream));
     }
@@ -205,7 +225,9 @@
         let count_weight = (-age.as_secs_f32() * 1_000.0 / known_millis.max(1.0)).exp();
         let others_in_progress = mean_in_progress + (others.in_progress - mean_in_progress) * count_weight;
         ExpectedResponse {
-            in_progress: own.in_progress + others_in_progress.max(0.0),
+            in_progress: self
+                .exact_count(upstream, now)
+                .unwrap_or(own.in_progress + others_in_progress.max(0.0)),
             own_in_progress: own.in_progress,
             response_time: from_millis(response_millis),
             totals_age: age,
--- a/crates/bendhinge_fleet/src/roster.rs
+++ b/crates/bendhinge_fleet/src/roster.rs
@@ -14,7 +14,7 @@
 use std::num::NonZeroU32;
 use std::time::Duration;
 
-use bendhinge_ids::Instant;
+use bendhinge_ids::{Instant, NameHash};
 
 use self::ranks::{pick_random, primary_relay, rank_score, record_score, relays};
 pub use self::states::{MemberStates, RosterDigest};
@@ -43,6 +43,8 @@
     pub forwarding_from: Option<NonZeroU32>,
     /// Whether the member takes records of streams.
     pub holds_stream_records: bool,
+    /// Hash of the member's data centre, if it issues permits.
+    pub permits_from: Option<NonZeroU32>,
     /// Address of the router that reported it last, or its own if it was heard directly.
     reported_by: SocketAddr,
     /// Hash of the address that orders members of equal priority.
@@ -66,6 +68,8 @@
     pub forwarding_from: Option<NonZeroU32>,
     /// Whether the member takes records of streams.
     pub holds_stream_records: bool,
+    /// Hash of the member's data centre, if it issues permits.
+    pub permits_from: Option<NonZeroU32>,
 }
 
 /// Router to exchange state with.
@@ -183,6 +187,7 @@
             link_mbps: report.link_mbps,
             forwarding_from: report.forwarding_from,
             holds_stream_records: report.holds_stream_records,
+            permits_from: report.permits_from,
             reported_by,
             rank_score,
         };
@@ -199,6 +204,7 @@
             link_mbps: member.link_mbps,
             forwarding_from: member.forwarding_from,
             holds_stream_records: member.holds_stream_records,
+            permits_from: member.permits_from,
         })
     }
 
@@ -351,6 +357,27 @@
         scored.into_iter().take(count).map(|(_, address)| address).collect()
     }
 
+    /// Returns the router that issues the permits of an upstream: a live one, in the upstream's data centre if there is
+    /// one, and of these one with the fastest link, since requests wait for its answers. `own_data_centre` is that of this router if it issues permits itself. Routers that know the same members
+    /// agree on it.
+    #[must_use]
+    pub fn permit_issuer(
+        &self,
+        upstream: NameHash,
+        data_centre: NonZeroU32,
+        own_data_centre: Option<NonZeroU32>,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let score = |address: SocketAddr, located: NonZeroU32, link_mbps: u32, rank_score: u64| {
+            (located == data_centre, link_mbps, record_score(upstream.0, rank_score), address)
+        };
+        let own = own_data_centre.map(|own| score(self.own, own, self.own_link_mbps, rank_score(self.own)));
+        let others = self.live(now).filter_map(|(address, member)| {
+            Some(score(address, member.permits_from?, member.link_mbps, member.rank_score))
+        });
+        others.chain(own).max().map(|(.., address)| address)
+    }
+
     /// Returns this router's index in `ranked`.
     fn position(&self, ranked: &[SocketAddr]) -> usize {
         ranked.iter().position(|address| *address == self.own).unwrap_or(0)
--- a/crates/bendhinge_fleet/tests/response_times.rs
+++ b/crates/bendhinge_fleet/tests/response_times.rs
@@ -193,3 +193,14 @@
         Ok(())
     });
 }
+
+/// Guards against shared counts, which are older, that hide the exact one.
+#[test]
+fn an_exact_count_takes_precedence_for_a_moment() {
+    let (mut times, totals) = (ResponseTimes::new(POOL), FleetTotals::default());
+    times.start(FAST, START);
+    times.record_exact_count(FAST, 7, START);
+    let in_progress = |at| times.expected(FAST, &totals, at).in_progress;
+    assert!((in_progress(START + ms(100)) - 7.0).abs() < f32::EPSILON);
+    assert!((in_progress(START + ms(1_000)) - 1.0).abs() < f32::EPSILON);
+}
--- a/crates/bendhinge_fleet/tests/roster.rs
+++ b/crates/bendhinge_fleet/tests/roster.rs
@@ -2,10 +2,11 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use bendhinge_fleet::{MemberReport, Origin, Reach, Roster, RosterTimeouts};
-use bendhinge_ids::Instant;
+use bendhinge_ids::{Instant, NameHash};
 
 const TIMEOUTS: RosterTimeouts =
     RosterTimeouts { dead_after: Duration::from_secs(3), expire_after: Duration::from_secs(60) };
@@ -46,6 +47,7 @@
             link_mbps: LINK_MBPS,
             forwarding_from: None,
             holds_stream_records: true,
+            permits_from: None,
         };
         std::iter::once(own).chain(roster.members(now)).collect()
     }
@@ -117,6 +119,7 @@
             link_mbps: LINK_MBPS,
             forwarding_from: None,
             holds_stream_records: true,
+            permits_from: None,
         };
         roster.merge_direct(&report, now);
     }
@@ -173,6 +176,7 @@
         link_mbps: LINK_MBPS,
         forwarding_from: None,
         holds_stream_records: true,
+        permits_from: None,
     };
     roster.merge_direct(&report, now);
     assert_eq!(roster.live_count(now), 2);
@@ -200,6 +204,7 @@
                 link_mbps: LINK_MBPS,
                 forwarding_from: None,
                 holds_stream_records: true,
+                permits_from: None,
             },
             now,
         );
@@ -321,6 +326,7 @@
                 link_mbps,
                 forwarding_from: None,
                 holds_stream_records: true,
+                permits_from: None,
             };
             roster.merge_direct(&report, now);
         }
@@ -346,6 +352,7 @@
         link_mbps: LINK_MBPS,
         forwarding_from: None,
         holds_stream_records: number != 0,
+        permits_from: None,
     };
     let rosters: Vec<Roster> = (0..ROUTERS)
         .map(|own| {
@@ -370,3 +377,48 @@
     }
     assert!(held[1..].iter().all(|count| (100..350).contains(count)), "{held:?}");
 }
+
+/// Guards against requests of one upstream that several routers count, each a part of them.
+#[test]
+fn routers_agree_on_the_issuer_of_permits() {
+    const ROUTERS: usize = 30;
+    let now = Instant::from_millis(1_000);
+    let data_centre = |number: usize| NonZeroU32::new(u32::try_from(number % 3).unwrap() + 1).unwrap();
+    let report = |number: usize| MemberReport {
+        address: address(number),
+        age: Duration::ZERO,
+        is_leaving: number == 3,
+        is_store_failing: false,
+        link_mbps: if number.is_multiple_of(5) { LINK_MBPS } else { 10 },
+        forwarding_from: None,
+        holds_stream_records: true,
+        permits_from: (number != 0).then(|| data_centre(number)),
+    };
+    let rosters = (0..ROUTERS).map(|own| {
+        let mut roster = Roster::new(address(own), report(own).link_mbps, &[], TIMEOUTS);
+        (0..ROUTERS).for_each(|number| roster.merge_direct(&report(number), now));
+        (own, roster)
+    });
+    let rosters: Vec<(usize, Roster)> = rosters.filter(|(own, _)| *own != 3).collect();
+    for upstream in 0..200_u64 {
+        let located = data_centre(usize::try_from(upstream).unwrap());
+        let issuer = |(own, roster): &(usize, Roster)| {
+            roster.permit_issuer(NameHash(upstream), located, report(*own).permits_from, now).unwrap()
+        };
+        let agreed = issuer(&rosters[0]);
+        assert!(rosters.iter().all(|roster| issuer(roster) == agreed), "upstream {upstream}");
+        let number = (0..ROUTERS).find(|number| address(*number) == agreed).unwrap();
+        assert_eq!(data_centre(number), located, "in the data centre of the upstream");
+        assert!(number.is_multiple_of(5) && number != 0, "{number} has a slow link, or issues no permits");
+    }
+}
+
+/// Guards against requests without an issuer while all routers of a data centre are lost.
+#[test]
+fn a_router_of_another_data_centre_issues_permits_if_there_is_no_other() {
+    let now = Instant::from_millis(1_000);
+    let (own, other) = (NonZeroU32::MIN, NonZeroU32::MAX);
+    let roster = Roster::new(address(0), LINK_MBPS, &[], TIMEOUTS);
+    assert_eq!(roster.permit_issuer(NameHash(1), other, Some(own), now), Some(address(0)));
+    assert_eq!(roster.permit_issuer(NameHash(1), other, None, now), None);
+}
--- a/crates/bendhinge_fleet/tests/roster_fuzz.rs
+++ b/crates/bendhinge_fleet/tests/roster_fuzz.rs
@@ -33,6 +33,7 @@
         link_mbps: LINK_MBPS,
         forwarding_from: None,
         holds_stream_records: true,
+        permits_from: None,
     }
 }
 
--- a/crates/bendhinge_fleet/tests/roster_states.rs
+++ b/crates/bendhinge_fleet/tests/roster_states.rs
@@ -33,6 +33,7 @@
         link_mbps: link_mbps(number),
         forwarding_from: None,
         holds_stream_records: true,
+        permits_from: None,
     }
 }
 
--- a/crates/bendhinge_fleet/tests/store_read_fanout.rs
+++ b/crates/bendhinge_fleet/tests/store_read_fanout.rs
@@ -112,6 +112,7 @@
             link_mbps: link_mbps(number),
             forwarding_from: None,
             holds_stream_records: true,
+            permits_from: None,
         }
     }
 
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{Contact, ListUpdate, Origin, Reach, StreamId, UpstreamList};
+use bendhinge_fleet::{Contact, ListUpdate, Origin, PermitRequest, Reach, StreamId, UpstreamList};
 use bendhinge_ids::NameHash;
 use bendhinge_peer::{
-    CachedPartsPage, FleetService, HeldVersion, ObservedCachedPart, ObservedStream, PeerMessage, StreamAnswer,
+    CachedPartsPage, FleetService, HeldVersion, ObservedCachedPart, ObservedStream, PeerMessage,
+    PermitAnswer, PermitGuard, StreamAnswer,
 };
 use bytes::Bytes;
 use futures_lite::FutureExt;
@@ -331,4 +332,8 @@
     fn find_stream(&self, stream: StreamId, pool: Option<NameHash>) -> StreamAnswer {
         self.0.stream_answer(stream, pool)
     }
+
+    fn issue_permit(&self, request: PermitRequest) -> PermitAnswer<PermitGuard> {
+        self.0.issue_permit(request)
+    }
 }
--- a/crates/bendhinge_gateway/src/control/message.rs
+++ b/crates/bendhinge_gateway/src/control/message.rs
@@ -238,6 +238,7 @@
             link_mbps: self.settings.link.mbps(),
             forwarding_from: self.context.forwarding.accepts_from(),
             holds_stream_records: self.context.streams.is_enabled(),
+            permits_from: self.issues_permits_from(),
         }
     }
 }
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod overloads;
 mod pages;
 mod partitions;
+mod permits;
 mod recovery;
 mod store;
 mod streams;
@@ -15,13 +16,16 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bendhinge_fleet::{Origin, PeerStates, Roster, RouterIncarnation};
+use bendhinge_ids::Instant;
 use bendhinge_peer::{FleetClient, PeerPool, PeerPoolTimeouts, TrafficCounters, serve_fleet_and_streams};
 use rand::Rng;
+use rustc_hash::FxHashMap;
 use smol::channel::Receiver;
 use smol::net::TcpListener;
 use smol::{LocalExecutor, Timer};
@@ -34,6 +38,7 @@
 use crate::forwarding::ConnectRequest;
 use crate::intake::Intake;
 use crate::lifecycle::Lifecycle;
+use crate::permits::PermitQuery;
 use crate::quarantine::QuarantineChange;
 use crate::settings::Settings;
 use crate::streams::StreamNotifications;
@@ -56,6 +61,8 @@
     pub(crate) connects: Receiver<ConnectRequest>,
     /// Streams to be recorded or looked up at other gateways.
     pub(crate) streams: StreamNotifications,
+    /// Requests for permits.
+    pub(crate) permits: Receiver<PermitQuery>,
 }
 
 /// Control plane of this gateway.
@@ -83,6 +90,8 @@
     executor: Rc<LocalExecutor<'static>>,
     /// Whether enough is known of the upstreams' caches to serve peers that recover.
     is_recovery_done: Cell<bool>,
+    /// When gateways last did not answer a request for a permit.
+    silent_issuers: RefCell<FxHashMap<SocketAddr, Instant>>,
 }
 
 impl ControlPlane {
@@ -116,6 +125,7 @@
             partial_list_fetch: FetchState::default(),
             executor: Rc::clone(executor),
             is_recovery_done: Cell::new(false),
+            silent_issuers: RefCell::default(),
             settings,
             context,
             lifecycle,
@@ -129,7 +139,7 @@
         intake: Arc<Intake>,
         notifications: Notifications,
     ) {
-        let Notifications { suspicions, overloads, partitions, connects, streams } = notifications;
+        let Notifications { suspicions, overloads, partitions, connects, streams, permits } = notifications;
         let stream_handler = partitions::stream_handler(self, intake);
         let accepts_streams = self.context.forwarding.is_enabled();
         let serving = serve_fleet_and_streams(
@@ -149,6 +159,7 @@
         self.executor.spawn(partitions::push_partitions(Rc::clone(self), partitions)).detach();
         self.executor.spawn(partitions::open_streams(Rc::clone(self), connects)).detach();
         streams::start(self, streams);
+        self.executor.spawn(permits::serve_queries(Rc::clone(self), permits)).detach();
         self.executor.spawn(recovery::run(Rc::clone(self))).detach();
         self.executor.spawn(housekeeping(Rc::clone(self))).detach();
     }
@@ -199,5 +210,7 @@
         control.context.admission.prune();
         control.context.connection_pool.prune();
         control.context.streams.prune();
+        let permits = control.context.permits.prune(now);
+        control.context.metrics.set_issued_permits(permits);
     }
 }
--- a/crates/bendhinge_gateway/src/delivery/context.rs
+++ b/crates/bendhinge_gateway/src/delivery/context.rs
@@ -18,6 +18,7 @@
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::pacing::Pacing;
+use crate::permits::Permits;
 use crate::quarantine::{SharedQuarantine, Suspects};
 use crate::retries::RetryBudgets;
 use crate::settings::LoadSettings;
@@ -49,6 +50,7 @@
     /// Notifies the control plane of changes of the pools from which gateways are partitioned.
     pub(crate) partition_notifier: Sender<Origin>,
     pub(crate) streams: Streams,
+    pub(crate) permits: Permits,
     pub(crate) sends: Arc<SendRegistry>,
     pub(crate) connection_pool: Pool,
     pub(crate) tasks: Tasks,
--- a/crates/bendhinge_gateway/src/delivery/hedge.rs
+++ b/crates/bendhinge_gateway/src/delivery/hedge.rs
@@ -70,6 +70,6 @@
         if !self.try_retry() {
             return None;
         }
-        self.start_send(resume_after, false).ok()
+        self.start_second_send(resume_after).ok()
     }
 }
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -55,7 +55,7 @@
 use crate::log::RequestLogEntry;
 use crate::metrics::{ResumedSoftware, Resumer};
 use crate::quarantine::TrackedSend;
-use crate::state::SoftwareRule;
+use crate::state::{ChosenUpstream, SoftwareRule};
 
 /// Sends a request and returns the final response.
 pub(crate) async fn deliver(
@@ -217,7 +217,7 @@
             }
             self.admit_if_not_counted()?;
             self.resolve_software().await?;
-            let send = self.start_send(resume_after, self.retry_state.allows_hedge())?;
+            let send = self.start_first_send(resume_after).await?;
             match self.await_response(send, resume_after).await {
                 Ok(response) => {
                     self.unused_retry = None;
@@ -248,19 +248,36 @@
         })
     }
 
-    /// Starts a send to the best upstream. `may_probe` is whether it may be the probe request of an ejected
-    /// upstream.
+    /// Starts a send to the best upstream, or a retry. It may be the probe request of an ejected upstream if it can be
+    /// retried.
+    async fn start_first_send(&mut self, resume_after: Option<&str>) -> Result<PendingSend, DeliveryError> {
+        self.check_time_left()?;
+        let tracked = self.track_send()?;
+        let chosen = self.choose_upstream(self.retry_state.allows_hedge()).await?;
+        Ok(self.start_send(chosen, tracked, resume_after))
+    }
+
+    /// Starts a hedge request.
+    fn start_second_send(&mut self, resume_after: Option<&str>) -> Result<PendingSend, DeliveryError> {
+        self.check_time_left()?;
+        let tracked = self.track_send()?;
+        let chosen = self.choose_upstream_of_hedge()?;
+        Ok(self.start_send(chosen, tracked, resume_after))
+    }
+
+    fn check_time_left(&self) -> Result<(), DeliveryError> {
+        if self.inbound.time_left().is_zero() {
+            return Err(DeliveryError::Code(self.retry_state.final_code(true)));
+        }
+        Ok(())
+    }
+
     fn start_send(
         &mut self,
+        chosen: ChosenUpstream,
+        tracked: Option<Arc<TrackedSend>>,
         resume_after: Option<&str>,
-        may_probe: bool,
-    ) -> Result<PendingSend, DeliveryError> {
-        let timeout = self.inbound.time_left();
-        if timeout.is_zero() {
-            return Err(DeliveryError::Code(self.retry_state.final_code(true)));
-        }
-        let tracked = self.track_send()?;
-        let chosen = self.choose_upstream(may_probe)?;
+    ) -> PendingSend {
         self.tried_upstreams.push(chosen.entry.hash);
         let number = self.log_line.record_send(&chosen);
         self.context.metrics.record_list_age(chosen.list_age);
@@ -277,11 +294,11 @@
             record: record.clone(),
             measured: MeasuredSend::start(&self.context.sends, chosen.entry.hash, &self.inbound),
             chosen,
-            timeout,
+            timeout: self.inbound.time_left(),
             resume_after: resume_after.map(str::to_owned),
         };
         let response = send_to_upstream(Arc::clone(&self.context), Arc::clone(&self.inbound), params);
-        Ok(PendingSend { record, response: Box::pin(response) })
+        PendingSend { record, response: Box::pin(response) }
     }
 
     /// Starts a tracked send if the request or a part of its prompt is tracked; returns `Err` if it must not be sent.
--- a/crates/bendhinge_gateway/src/forwarding/mod.rs
+++ b/crates/bendhinge_gateway/src/forwarding/mod.rs
@@ -123,6 +123,11 @@
         self.own_address
     }
 
+    /// The hash of the own data centre.
+    pub(crate) const fn own_data_centre(&self) -> NonZeroU32 {
+        self.own_data_centre
+    }
+
     /// The hash of the own data centre, if forwarded requests are accepted.
     pub(crate) fn accepts_from(&self) -> Option<NonZeroU32> {
         self.is_enabled.then_some(self.own_data_centre)
@@ -209,7 +214,7 @@
 }
 
 /// Returns the hash that stands for a data centre in messages.
-fn data_centre_hash(data_centre: &DataCentreName) -> NonZeroU32 {
+pub(crate) fn data_centre_hash(data_centre: &DataCentreName) -> NonZeroU32 {
     #[expect(
         clippy::cast_possible_truncation,
         reason = "half of the bits suffice to tell data centres apart"
--- a/crates/bendhinge_gateway/src/lib.rs
+++ b/crates/bendhinge_gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod metrics;
 pub mod native;
 mod pacing;
+mod permits;
 mod quarantine;
 mod ready;
 mod retries;
--- a/crates/bendhinge_gateway/src/log/sends.rs
+++ b/crates/bendhinge_gateway/src/log/sends.rs
@@ -23,6 +23,12 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(super) totals_gateways: Option<u32>,
     #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) counted: Option<u32>,
+    #[serde(skip_serializing_if = "is_zero")]
+    pub(super) refused_permits: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) permit_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub(super) mean_age_ms: Option<u64>,
     #[serde(skip_serializing_if = "is_zero")]
     pub(super) unreported: u32,
--- a/crates/bendhinge_gateway/src/metrics/groups.rs
+++ b/crates/bendhinge_gateway/src/metrics/groups.rs
@@ -21,6 +21,8 @@
 /// Bucket bounds of the age of load reports. They are dense up to two seconds: a report passes through up to four
 /// exchanges of 0.4 s each, and requests end within seconds.
 const LOAD_REPORT_AGE_BUCKETS_SECONDS: [f64; 9] = [0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2.0, 4.0, 10.0];
+/// Bounds of the wait for a permit. The last one is the time after which requests go without.
+const PERMIT_WAIT_BUCKETS_SECONDS: [f64; 6] = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05];
 
 /// Who resumed an interrupted stream.
 #[derive(Clone, Copy, Debug)]
@@ -168,6 +170,34 @@
     }
 }
 
+/// What is measured of permits.
+pub(super) struct PermitMetrics {
+    pub(super) requests: Counter<u64>,
+    pub(super) wait: Histogram<f64>,
+    pub(super) issued: Gauge<u64>,
+}
+
+impl PermitMetrics {
+    pub(super) fn new(
+        counter: impl Fn(&'static str, &'static str) -> Counter<u64>,
+        gauge: impl Fn(&'static str, &'static str) -> Gauge<u64>,
+        seconds: impl Fn(&'static str, &'static str, &[f64]) -> Histogram<f64>,
+    ) -> Self {
+        Self {
+            requests: counter(
+                "bendhinge.gateway.permit_requests",
+                "Requests for permits to send to an upstream, by result",
+            ),
+            wait: seconds(
+                "bendhinge.gateway.permit_wait",
+                "How long requests waited for a permit",
+                &PERMIT_WAIT_BUCKETS_SECONDS,
+            ),
+            issued: gauge("bendhinge.gateway.permits_issued", "Permits of this gateway that have not ended"),
+        }
+    }
+}
+
 /// Counters of partitions from upstreams and of forwarded requests.
 pub(super) struct ForwardingCounters {
     pub(super) forwards: Counter<u64>,
--- a/crates/bendhinge_gateway/src/metrics/mod.rs
+++ b/crates/bendhinge_gateway/src/metrics/mod.rs
@@ -19,7 +19,7 @@
 
 use self::groups::{
     AgeHistograms, BufferGauges, CallerConnectionCounters, ExchangeCounters, ForwardingCounters,
-    QuarantineGauges, StreamMetrics,
+    PermitMetrics, QuarantineGauges, StreamMetrics,
 };
 pub(crate) use self::groups::{ResumedSoftware, Resumer};
 use crate::delivery::{ConnectFailure, Cut};
@@ -80,6 +80,7 @@
     peer_fetches: Histogram<f64>,
     ages: AgeHistograms,
     exchanges: ExchangeCounters,
+    permits: PermitMetrics,
     suspected_upstreams: Counter<u64>,
     backoff_requests: Counter<u64>,
     drain_announcements: Counter<u64>,
@@ -144,6 +145,7 @@
             ),
             ages: AgeHistograms::new(seconds),
             exchanges: ExchangeCounters::new(counter),
+            permits: PermitMetrics::new(counter, gauge, seconds),
             suspected_upstreams: counter(
                 "bendhinge.gateway.upstreams_suspected",
                 "Times that an upstream was spared since other gateways found that it answers nobody",
@@ -311,6 +313,17 @@
         self.exchanges.frequent.add(1, &[]);
     }
 
+    /// Records a request for a permit and how long the request waited for it.
+    pub(crate) fn record_permit(&self, result: &'static str, wait: Duration) {
+        self.permits.requests.add(1, &[KeyValue::new("result", result)]);
+        self.permits.wait.record(wait.as_secs_f64(), &[]);
+    }
+
+    /// Sets the number of permits that this gateway has issued and that have not ended.
+    pub(crate) fn set_issued_permits(&self, permits: usize) {
+        self.permits.issued.record(permits as u64, &[]);
+    }
+
     /// Counts the entries of a message to another gateway, by kind.
     pub(crate) fn count_sent_entries(&self, message: &PeerMessage) {
         let list_loads = match &message.list_loads {
--- a/crates/bendhinge_gateway/src/run.rs
+++ b/crates/bendhinge_gateway/src/run.rs
@@ -28,6 +28,7 @@
 use crate::metrics::{Metrics, MetricsError};
 use crate::native::RULES_SCHEMA;
 use crate::pacing::Pacing;
+use crate::permits::Permits;
 use crate::quarantine::SharedQuarantine;
 use crate::ready::Readiness;
 use crate::retries::RetryBudgets;
@@ -130,6 +131,7 @@
         settings.forwards_requests,
     );
     let (streams, stream_notifications) = Streams::new(settings.streams.keeps_software, identity_key.clone());
+    let (permits, permit_queries) = Permits::new();
     let buffers = BufferBudget::new(settings.memory.max_buffer_bytes);
     let context = Arc::new(DeliveryContext {
         dialect,
@@ -142,6 +144,7 @@
         load_settings: settings.load,
         identity_key,
         streams,
+        permits,
         quarantine: Arc::new(quarantine),
         tracks_prompt_parts: settings.quarantine.tracks_prompt_parts,
         verifies_close: settings.upstreams.verifies_close || settings.quarantine.tracks_prompt_parts,
@@ -170,8 +173,14 @@
     let _readiness_server = serve_readiness(&settings, &context, &lifecycle, &traffic).await?;
     let control =
         ControlPlane::new(settings.clone(), Arc::clone(&context), Arc::clone(&lifecycle), traffic, executor);
-    let notifications =
-        Notifications { suspicions, overloads, partitions, connects, streams: stream_notifications };
+    let notifications = Notifications {
+        suspicions,
+        overloads,
+        partitions,
+        connects,
+        streams: stream_notifications,
+        permits: permit_queries,
+    };
     control.start(peer_listener, intake, notifications);
     let detail = if settings.streams.is_first_start {
         concat!(env!("CARGO_PKG_VERSION"), ", first start")
--- a/crates/bendhinge_gateway/src/settings/load.rs
+++ b/crates/bendhinge_gateway/src/settings/load.rs
@@ -16,6 +16,12 @@
 }
 
 impl Activation {
+    /// Whether the decision never takes effect.
+    #[must_use]
+    pub const fn is_off(self) -> bool {
+        matches!(self, Self::No)
+    }
+
     /// Returns whether the decision is in effect, given whether an upstream has reported its pace.
     #[must_use]
     pub const fn is_active(self, pace_reported: bool) -> bool {
@@ -54,6 +60,9 @@
     pub local_first: Activation,
     /// Whether gateways share the response times of plain pools.
     pub shared_response_times: Activation,
+    /// Whether requests to pools with shared response times need a permit of the gateway that counts those of the
+    /// upstream.
+    pub permits: Activation,
     /// Whether requests to engine pools are admitted by priority and customer when the pool is nearly full.
     pub admission: Activation,
     /// Whether a prompt has as many homes as the requests of all gateways with it need.
--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -308,6 +308,7 @@
         let work = self.0.value(section, "work");
         let local_first = self.0.value(section, "local_first");
         let shared_response_times = self.0.value(section, "shared_response_times");
+        let permits = self.0.value(section, "permits");
         let admission = self.0.value(section, "admission");
         let overload_reports = self.0.value(section, "overload_reports");
         let frequent_exchanges = self.0.value(section, "frequent_exchanges");
@@ -316,6 +317,7 @@
             work: work?,
             local_first: local_first?,
             shared_response_times: shared_response_times?,
+            permits: permits?,
             admission: admission?,
             popular_prompts: popular_prompts?,
             overload_reports: overload_reports?,
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -269,6 +269,12 @@
             Some("no"),
             "Whether gateways share how long the responses of upstreams take that do not report their load.",
         ),
+        Key::new(
+            "permits",
+            "no, yes or reported",
+            Some("no"),
+            "Whether one gateway counts the requests to each upstream of a pool with shared response times, and the others ask it for a permit before they send one.",
+        ),
         Key::new(
             "admission",
             "no, yes or reported",
--- a/crates/bendhinge_gateway/src/state/choice.rs
+++ b/crates/bendhinge_gateway/src/state/choice.rs
@@ -12,8 +12,10 @@
 
 use super::candidates::PoolSnapshot;
 use super::engines::TrackedWork;
+use super::plain::RefusedPermit;
 use super::software::SoftwareRule;
 use super::upstreams::{State, UpstreamView};
+use crate::permits::Permit;
 
 /// The properties of a request that determine its upstream.
 pub(crate) struct PlacementRequest<'a> {
@@ -26,6 +28,8 @@
     pub(crate) tried: &'a [NameHash],
     /// The software that may process the request.
     pub(crate) software: SoftwareRule,
+    /// Upstreams at their limit, according to the gateways that issue their permits.
+    pub(crate) refused_permits: &'a [RefusedPermit],
     /// Whether the request may probe an ejected upstream, because it can be retried if that fails.
     pub(crate) may_probe: bool,
     /// A number that differs between requests, to break ties.
@@ -33,6 +37,8 @@
 }
 
 /// An upstream chosen for a request.
+///
+/// [`UpstreamView::start`] counts the request toward the load of the upstream.
 pub(crate) struct ChosenUpstream {
     pub(crate) entry: Arc<UpstreamEntry>,
     pub(crate) fetch_from: Option<SocketAddr>,
@@ -45,6 +51,14 @@
     pub(crate) totals_age: Option<Duration>,
     /// The number of gateways that these totals contain.
     pub(crate) totals_gateways: Option<u32>,
+    /// The number of requests there at which no permit is issued; `None` if none is needed.
+    pub(crate) permit_limit: Option<u32>,
+    /// The number of other requests there according to the gateway that issued the permit.
+    pub(crate) counted: Option<u32>,
+    /// The number of upstreams for which no permit was issued before.
+    pub(crate) refused_permits: usize,
+    /// How long the request waited for the permit.
+    pub(crate) permit_wait: Duration,
     /// The recent load reports of the pool's upstreams.
     pub(crate) pool_reports: PoolReports,
     /// The estimated average number of requests per upstream of the pool.
@@ -58,15 +72,17 @@
     pub(crate) missing_tokens: u32,
     /// Whether upstreams of the pool run several versions of their software.
     pub(crate) has_other_software: bool,
-    /// Counts the request toward the upstream's load until dropped.
+    /// Counts the request toward the upstream's load, once started, until dropped.
     pub(crate) guard: RequestGuard,
 }
 
-/// Counts a request toward the load of its upstream until dropped.
+/// Counts a request toward the load of its upstream, once started, until dropped.
 pub(crate) struct RequestGuard {
     view: Arc<UpstreamView>,
     upstream: NameHash,
-    started_at: Instant,
+    /// When the request was counted; `None` if it is not.
+    started_at: Option<Instant>,
+    permit: Option<Permit>,
     work: Option<TrackedWork>,
     /// The affinity key of the prompt, if requests are counted by it.
     key: Option<TotalKey>,
@@ -92,9 +108,10 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
+        let Some(started_at) = self.started_at else { return };
         let now = bendhinge_clock::now();
         let mut state = self.view.state.lock().unwrap();
-        state.loads.end_request(self.upstream, now.since(self.started_at));
+        state.loads.end_request(self.upstream, now.since(started_at));
         if let Some(work) = &self.work {
             state.end_work(work, now);
         }
@@ -104,19 +121,20 @@
         drop(state);
         if let Some(pool) = &self.plain_pool {
             // A send that a hedge superseded counts with the time that it took so far.
-            let response_time =
-                (!self.has_failed.load(Ordering::Relaxed)).then(|| now.since(self.started_at));
+            let response_time = (!self.has_failed.load(Ordering::Relaxed)).then(|| now.since(started_at));
             self.view.plain.lock().unwrap().end(pool, self.upstream, response_time, now);
         }
     }
 }
 
 impl UpstreamView {
-    /// Chooses an upstream for a request and counts the request toward its load.
+    /// Chooses an upstream for a request.
     pub(crate) fn choose(self: &Arc<Self>, request: &PlacementRequest<'_>) -> Option<ChosenUpstream> {
         let now = bendhinge_clock::now();
         let mut state = self.state.lock().unwrap();
-        state.record_demand(request.pool, now);
+        if request.refused_permits.is_empty() {
+            state.record_demand(request.pool, now);
+        }
         let is_pace_reported = state.engines.is_pace_reported;
         let uses_work = self.load_settings.work.is_active(is_pace_reported);
         let PoolSnapshot { listed, mut candidates, pool_reports } =
@@ -141,50 +159,50 @@
         let shares_times = query.prompt.is_none()
             && request.rule.is_none_or(|rule| !rule.caches_prompts)
             && self.load_settings.shared_response_times.is_active(is_pace_reported);
-        let (choice, load, totals_age, totals_gateways) = if shares_times {
+        let plain = if shares_times {
             let chosen = self.plain.lock().unwrap().choose(
                 request.pool,
                 &candidates,
                 locality.is_some(),
+                request.refused_permits,
                 &self.totals,
                 request.tie_breaker,
             )?;
-            (chosen.choice, chosen.in_progress, Some(chosen.totals_age), Some(chosen.totals_gateways))
+            Some(chosen)
         } else {
-            let choice = choose(&self.costs, &query, &candidates, &state.cached_parts, now)?;
-            (choice, candidates[choice.candidate].load, None, None)
+            None
+        };
+        let choice = match &plain {
+            Some(plain) => plain.choice,
+            None => choose(&self.costs, &query, &candidates, &state.cached_parts, now)?,
         };
+        let load = plain.as_ref().map_or(candidates[choice.candidate].load, |plain| plain.in_progress);
+        let needs_permit = self.load_settings.permits.is_active(is_pace_reported);
         let entry = Arc::clone(&listed[choice.candidate].entry);
         let has_other_software = listed.iter().any(|other| other.entry.software != entry.software);
         let fetch_from = choice.fetch_source.map(|source| listed[source].entry.address);
-        let read_tokens = if fetch_from.is_some() { 0 } else { choice.missing_tokens };
-        let load_basis = state.loads.basis(entry.hash, now);
-        if let Some(key) = key {
-            state.key_requests.start(key);
-        }
-        let work = state.start_send(request.pool, entry.hash, query.prompt, read_tokens, now);
-        drop(state);
-        let plain_pool = shares_times.then(|| request.pool.clone());
-        if let Some(pool) = &plain_pool {
-            self.plain.lock().unwrap().start(pool, entry.hash, now);
-        }
         let guard = RequestGuard {
             view: Arc::clone(self),
             upstream: entry.hash,
-            started_at: now,
-            work,
+            started_at: None,
+            permit: None,
+            work: None,
             key,
-            plain_pool,
+            plain_pool: shares_times.then(|| request.pool.clone()),
             has_failed: AtomicBool::new(false),
         };
         Some(ChosenUpstream {
+            load_basis: state.loads.basis(entry.hash, now),
             entry,
             fetch_from,
             reason: choice.reason,
             load,
-            load_basis,
-            totals_age,
-            totals_gateways,
+            totals_age: plain.as_ref().map(|plain| plain.totals_age),
+            totals_gateways: plain.as_ref().map(|plain| plain.totals_gateways),
+            counted: None,
+            refused_permits: 0,
+            permit_wait: Duration::ZERO,
+            permit_limit: plain.map(|plain| plain.permit_limit).filter(|_| needs_permit),
             pool_reports,
             mean_load: choice.mean_load,
             homes: choice.homes,
@@ -195,6 +213,31 @@
             guard,
         })
     }
+
+    /// Counts a request toward the load of the upstream that was chosen for it, until the guard is dropped.
+    pub(crate) fn start(
+        &self,
+        chosen: &mut ChosenUpstream,
+        request: &PlacementRequest<'_>,
+        permit: Option<Permit>,
+    ) {
+        let now = bendhinge_clock::now();
+        let ChosenUpstream { entry, fetch_from, missing_tokens, guard, .. } = chosen;
+        let read_tokens = if fetch_from.is_some() { 0 } else { *missing_tokens };
+        let prompt = request.prompt.filter(|_| request.rule.is_some_and(|rule| rule.caches_prompts));
+        let mut state = self.state.lock().unwrap();
+        if let Some(key) = guard.key {
+            state.key_requests.start(key);
+        }
+        guard.work = state.start_send(request.pool, entry.hash, prompt, read_tokens, now);
+        drop(state);
+        if let Some(pool) = &guard.plain_pool {
+            self.plain.lock().unwrap().start(pool, entry.hash, now);
+        }
+        guard.permit = permit;
+        guard.started_at = Some(now);
+        chosen.chosen_at = now;
+    }
 }
 
 impl State {
--- a/crates/bendhinge_gateway/src/state/mod.rs
+++ b/crates/bendhinge_gateway/src/state/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) use choice::{ChosenUpstream, PlacementRequest};
 pub(crate) use links::LinkState;
 pub(crate) use peers::{address_hash, observed_cached_part, update_source};
+pub(crate) use plain::RefusedPermit;
 pub(crate) use rules::{ActiveRules, RulesReplica};
 pub(crate) use software::SoftwareRule;
 pub(crate) use upstreams::UpstreamView;
--- a/crates/bendhinge_gateway/src/state/plain.rs
+++ b/crates/bendhinge_gateway/src/state/plain.rs
@@ -10,9 +10,19 @@
 use super::upstreams::UpstreamView;
 use crate::totals::SharedTotals;
 
+/// An upstream whose issuer of permits refused one for a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RefusedPermit {
+    pub(crate) upstream: NameHash,
+    /// The number of requests there.
+    pub(crate) in_progress: u32,
+}
+
 /// An upstream of a plain pool chosen for a request.
-pub(super) struct PlainChoice {
+pub(super) struct ChosenPlain {
     pub(super) choice: Choice,
+    /// The number of requests there at which no permit is issued.
+    pub(super) permit_limit: u32,
     /// The estimated number of requests of all gateways in progress at the upstream.
     pub(super) in_progress: f32,
     /// The age of the fleet totals that the estimate is based on.
@@ -36,24 +46,29 @@
         pool: &PoolName,
         candidates: &[Candidate],
         prefers_local: bool,
+        refused: &[RefusedPermit],
         totals: &SharedTotals,
         tie_breaker: u64,
-    ) -> Option<PlainChoice> {
+    ) -> Option<ChosenPlain> {
         let now = bendhinge_clock::now();
         let times = self.pool(pool);
         let (expected, totals_gateways): (Vec<ExpectedResponse>, u32) = totals.with(|totals| {
             let expected = |candidate: &Candidate| times.expected(candidate.upstream, totals, now);
             (candidates.iter().map(expected).collect(), totals.router_count(now))
         });
-        let plain = candidates.iter().zip(&expected).map(|(candidate, expected)| PlainCandidate {
-            upstream: candidate.upstream,
-            in_progress: expected.in_progress,
-            own_in_progress: expected.own_in_progress,
-            response_time: expected.response_time,
-            failure_rate: candidate.failure_rate,
-            takes_work: candidate.takes_work,
-            counts_in_mean: candidate.counts_in_mean,
-            distance: if prefers_local { candidate.distance } else { Distance::Local },
+        let plain = candidates.iter().zip(&expected).map(|(candidate, expected)| {
+            let refusal = refused.iter().find(|refused| refused.upstream == candidate.upstream);
+            PlainCandidate {
+                upstream: candidate.upstream,
+                in_progress: refusal.map_or(expected.in_progress, |refused| refused.in_progress as f32),
+                own_in_progress: expected.own_in_progress,
+                response_time: expected.response_time,
+                failure_rate: candidate.failure_rate,
+                takes_work: candidate.takes_work,
+                is_at_limit: refusal.is_some(),
+                counts_in_mean: candidate.counts_in_mean,
+                distance: if prefers_local { candidate.distance } else { Distance::Local },
+            }
         });
         let plain: Vec<PlainCandidate> = plain.collect();
         let chosen = choose_plain(&plain, tie_breaker)?;
@@ -62,7 +77,7 @@
             (count + 1.0, total + candidate.in_progress)
         });
         let choice = Choice {
-            candidate: chosen,
+            candidate: chosen.candidate,
             fetch_source: None,
             reason: ChoiceReason::LeastCost,
             cost: 0.0,
@@ -70,8 +85,9 @@
             mean_load: total / count.max(1.0),
             homes: 1,
         };
-        let ExpectedResponse { in_progress, totals_age, .. } = expected[chosen];
-        Some(PlainChoice { choice, in_progress, totals_age, totals_gateways })
+        let ExpectedResponse { in_progress, totals_age, .. } = expected[chosen.candidate];
+        let permit_limit = chosen.limit;
+        Some(ChosenPlain { choice, permit_limit, in_progress, totals_age, totals_gateways })
     }
 
     pub(super) fn pools(&self) -> impl Iterator<Item = &PoolName> {
@@ -93,6 +109,16 @@
         self.pool(pool).start(upstream, now);
     }
 
+    pub(super) fn record_exact_count(
+        &mut self,
+        pool: &PoolName,
+        upstream: NameHash,
+        in_progress: u32,
+        now: Instant,
+    ) {
+        self.pool(pool).record_exact_count(upstream, in_progress, now);
+    }
+
     /// Records the end of a send; `response_time` is `None` if there was no response.
     pub(super) fn end(
         &mut self,
@@ -118,6 +144,12 @@
         plain.0.values().flat_map(|times| times.own_figures(now)).collect()
     }
 
+    /// Records the number of requests of all gateways in progress at an upstream, as the issuer of its permits counts them.
+    pub(crate) fn record_exact_count(&self, pool: &PoolName, upstream: NameHash, in_progress: u32) {
+        let now = bendhinge_clock::now();
+        self.plain.lock().unwrap().record_exact_count(pool, upstream, in_progress, now);
+    }
+
     /// Returns how long to wait for a response of a plain pool before a hedge is sent; `None` if a hedge is not expected
     /// to be in time.
     pub(crate) fn plain_hedge_delay(&self, pool: &PoolName, target_latency: Duration) -> Option<Duration> {
--- a/crates/bendhinge_lab/src/bench/shared_pool/model.rs
+++ b/crates/bendhinge_lab/src/bench/shared_pool/model.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use bendhinge_admission::RouterRetryBudget;
-use bendhinge_fleet::{FleetTotals, ResponseTimes, UpdateSource};
+use bendhinge_fleet::{FleetTotals, IssuedPermits, ResponseTimes, UpdateSource};
 use bendhinge_ids::{Instant, NameHash};
 use bendhinge_placement::{Distance, PlainCandidate, choose_plain};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::counting::{Question, Verdict};
+use super::counting::{Counted, Question, Verdict};
 use super::load::{Burst, Load};
 use super::upstream::{QUEUE, SLOTS, Upstream};
 use super::{BUDGET, Choice, END_MICROS, Figures, Hedge, POOL, TARGET};
@@ -33,8 +33,8 @@
     sends: Vec<usize>,
     open_sends: usize,
     response: Option<u64>,
-    /// Upstreams at their limit according to the routers that count their requests.
-    pub(super) refused: Vec<usize>,
+    /// Upstreams at their limit according to the routers that count their requests, and their requests.
+    pub(super) refused: Vec<(usize, u32)>,
 }
 
 #[derive(Clone, Copy)]
@@ -42,6 +42,7 @@
     request: usize,
     upstream: usize,
     started: u64,
+    counted: Option<Counted>,
     is_ended: bool,
 }
 
@@ -61,8 +62,8 @@
     /// A question reaches the router that counts the requests of its upstream.
     Asked(Question),
     Answered(Question, Verdict),
-    /// The router that counts learns of the end of a send to this upstream.
-    Uncounted(usize),
+    /// The router that counts learns of the end of a send.
+    Uncounted(Counted),
     Responds(usize, bool),
     HedgeDue(usize),
     Exchanges(usize),
@@ -85,8 +86,8 @@
     arrivals: Vec<Arrival>,
     hedges: u32,
     pub(super) questions: u32,
-    /// Requests in progress at each upstream according to the router that counts them.
-    pub(super) counts: Vec<usize>,
+    /// What the routers that count requests have counted.
+    pub(super) permits: IssuedPermits,
 }
 
 impl Model {
@@ -117,7 +118,7 @@
             arrivals: Vec::new(),
             hedges: 0,
             questions: 0,
-            counts: vec![0; load.upstreams],
+            permits: IssuedPermits::default(),
         }
     }
 
@@ -200,7 +201,7 @@
             Event::Done(send) => self.done(send),
             Event::Asked(question) => self.decide(question),
             Event::Answered(question, verdict) => self.answered(question, verdict),
-            Event::Uncounted(upstream) => self.counts[upstream] -= 1,
+            Event::Uncounted(counted) => self.permits.end(name(counted.upstream), counted.permit),
             Event::Responds(send, is_ok) => self.responds(send, is_ok),
             Event::HedgeDue(request) => self.hedge(request),
             Event::Exchanges(router) => self.exchange(router),
@@ -216,7 +217,7 @@
             return self.ask(request, &left);
         }
         let Some(upstream) = self.choose(self.requests[request].router, &left) else { return false };
-        self.send_to(request, upstream);
+        self.send_to(request, upstream, None);
         true
     }
 
@@ -233,19 +234,23 @@
         (0..self.load.upstreams).filter(is_left).collect()
     }
 
+    pub(super) const fn random(&mut self) -> &mut ChaCha8Rng {
+        &mut self.random
+    }
+
     /// Returns the one-way latency between a router and an upstream, or the router of that number.
     pub(super) fn latency(&self, router: usize, upstream: usize) -> u64 {
         let (local, remote) = self.load.latency_micros;
         if router % 3 == upstream % 3 { local } else { remote }
     }
 
-    pub(super) fn send_to(&mut self, request: usize, upstream: usize) {
+    pub(super) fn send_to(&mut self, request: usize, upstream: usize, counted: Option<Counted>) {
         let Request { router, .. } = self.requests[request];
         self.routers[router].times.start(name(upstream), instant(self.now));
         self.requests[request].tried.push(upstream);
         self.requests[request].open_sends += 1;
         self.requests[request].sends.push(self.sends.len());
-        self.sends.push(Send { request, upstream, started: self.now, is_ended: false });
+        self.sends.push(Send { request, upstream, started: self.now, counted, is_ended: false });
         self.after(self.latency(router, upstream), Event::Reaches(self.sends.len() - 1));
     }
 
@@ -276,7 +281,7 @@
             | Choice::ExpectedLocal
             | Choice::Exact
             | Choice::Counted
-            | Choice::PoolCounter => choose_plain(&candidates, draw)?,
+            | Choice::PoolCounter => choose_plain(&candidates, draw)?.candidate,
         };
         left.get(position).copied()
     }
@@ -291,6 +296,7 @@
             response_time: expected.response_time,
             failure_rate: 0.0,
             takes_work: true,
+            is_at_limit: false,
             counts_in_mean: true,
             distance: Distance::Local,
         };
@@ -393,13 +399,13 @@
     }
 
     fn end_send(&mut self, send: usize, has_time: bool) {
-        let Send { request, upstream, started, .. } = self.sends[send];
+        let Send { request, upstream, started, counted, .. } = self.sends[send];
         self.sends[send].is_ended = true;
         self.requests[request].open_sends -= 1;
         let took = has_time.then(|| Duration::from_micros(self.now - started));
         let router = &mut self.routers[self.requests[request].router];
         router.times.end(name(upstream), took, instant(self.now));
-        self.uncount(self.requests[request].router, upstream);
+        self.uncount(self.requests[request].router, counted);
     }
 
     /// Sends over the tree of relays.
--- a/crates/bendhinge_lab/src/gateways/partition_soak.rs
+++ b/crates/bendhinge_lab/src/gateways/partition_soak.rs
@@ -32,6 +32,7 @@
 accept_ms = 300
 [load]
 shared_response_times = yes
+permits = yes
 admission = yes
 popular_prompts = yes
 [retries]
--- a/crates/bendhinge_lab/src/gateways/soak.rs
+++ b/crates/bendhinge_lab/src/gateways/soak.rs
@@ -35,6 +35,7 @@
 work = yes
 local_first = yes
 shared_response_times = yes
+permits = yes
 admission = yes
 popular_prompts = yes
 overload_reports = yes
--- a/crates/bendhinge_lab/tests/gateway_common/mod.rs
+++ b/crates/bendhinge_lab/tests/gateway_common/mod.rs
@@ -87,6 +87,7 @@
         link_mbps: 1_000,
         forwarding_from: None,
         holds_stream_records: true,
+        permits_from: None,
     };
     PeerMessage::from_sender(sender)
 }
--- a/crates/bendhinge_lab/tests/plain_pools.rs
+++ b/crates/bendhinge_lab/tests/plain_pools.rs
@@ -5,7 +5,7 @@
 
 const SEEDS: [u64; 3] = [20_261_202, 20_261_203, 20_261_204];
 /// How gateways choose.
-const IN_USE: Choice = Choice::ExpectedLocal;
+const IN_USE: Choice = Choice::Counted;
 /// Fraction of the requests of five seconds that may reach upstreams with over twice the mean load plus three.
 const MAX_OVER_LIMIT: f64 = 0.03;
 
--- a/crates/bendhinge_peer/schema/fleet.capnp
+++ b/crates/bendhinge_peer/schema/fleet.capnp
@@ -20,6 +20,8 @@
   forwardingDataCentre @7 :UInt32;
   # Whether it implements `recordStreams` and `findStream`.
   holdsStreamRecords @8 :Bool;
+  # A hash of its data centre if it implements `issuePermit`, otherwise 0.
+  permitsDataCentre @9 :UInt32;
 }
 
 # The pools whose upstreams a gateway does not reach, identified by hashes of their names.
@@ -181,6 +183,9 @@
   read @0 (offset :UInt32) -> (bytes :Data);
 }
 
+# Counts a request to an upstream until it is released.
+interface Permit {}
+
 interface Fleet {
   exchange @0 (message :PeerMessage) -> (message :PeerMessage);
   # With `inPieces`, `document` is the first chunk of `length` bytes and the others are read from `rest`.
@@ -203,4 +208,7 @@
   # Returns the record of a stream, if there is one, and the software that the upstreams of its pool have run; a pool of
   # 0 stands for all pools. No other software was listed within `watchedMillis`.
   findStream @7 (stream :UInt64, pool :UInt64) -> (records :List(StreamRecord), watchedMillis :UInt32, served :List(ServedSoftware));
+  # Returns a permit to send a request to the upstream, and the number of other requests there. There is no permit if
+  # that number has reached the limit. A permit expires after its lifetime.
+  issuePermit @8 (upstream :UInt64, limit :UInt32, lifetimeMillis :UInt32) -> (inProgress :UInt32, permit :Permit);
 }
--- a/crates/bendhinge_peer/src/fleet/client.rs
+++ b/crates/bendhinge_peer/src/fleet/client.rs
@@ -5,18 +5,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{ListUpdate, StreamId, UpstreamEntry, UpstreamList};
+use bendhinge_fleet::{ListUpdate, PermitRequest, StreamId, UpstreamEntry, UpstreamList};
 use bendhinge_ids::NameHash;
 use bytes::{Bytes, BytesMut};
 use smol::LocalExecutor;
 
 use super::convert::write_list_items;
 use super::convert::{
-    list_length, read_cached_part, read_drained, read_held_version, read_list, read_message, read_upstreams,
-    write_message,
+    list_length, millis, read_cached_part, read_drained, read_held_version, read_list, read_message,
+    read_upstreams, write_message,
 };
 use super::stream_records::{read_served, read_stream, write_stream};
-use super::{CachedPartsPage, HeldVersion, ObservedCachedPart, ObservedStream, PeerMessage, StreamAnswer};
+use super::{
+    CachedPartsPage, HeldVersion, ObservedCachedPart, ObservedStream, PeerMessage, PermitAnswer,
+    RemotePermit, StreamAnswer,
+};
 use crate::client::{CallError, with_timeout};
 use crate::connector::{self, ConnectionGuard};
 use crate::fleet_capnp::{document, fleet};
@@ -240,6 +243,26 @@
     }
 }
 
+impl FleetClient {
+    /// Requests a permit from the peer.
+    pub async fn issue_permit(&self, permit: PermitRequest) -> Result<PermitAnswer<RemotePermit>, CallError> {
+        let mut request = self.peer.issue_permit_request();
+        request.get().set_upstream(permit.upstream.0);
+        request.get().set_limit(permit.limit);
+        request.get().set_lifetime_millis(millis(permit.lifetime));
+        with_timeout(self.timeout, async {
+            let response = request.send().promise.await?;
+            let response = response.get()?;
+            let permit = if response.has_permit() { Some(response.get_permit()?) } else { None };
+            Ok(PermitAnswer {
+                in_progress: response.get_in_progress(),
+                permit: permit.map(RemotePermit::new),
+            })
+        })
+        .await
+    }
+}
+
 /// Returns an error if a peer announces more than it may send.
 fn check_length(what: &str, length: usize, max_length: usize) -> Result<(), CallError> {
     if length <= max_length {
--- a/crates/bendhinge_peer/src/fleet/convert.rs
+++ b/crates/bendhinge_peer/src/fleet/convert.rs
@@ -66,6 +66,7 @@
     builder.set_link_mbps(report.link_mbps);
     builder.set_forwarding_data_centre(report.forwarding_from.map_or(0, NonZeroU32::get));
     builder.set_holds_stream_records(report.holds_stream_records);
+    builder.set_permits_data_centre(report.permits_from.map_or(0, NonZeroU32::get));
 }
 
 fn read_member(reader: member::Reader<'_>) -> MemberReport {
@@ -77,6 +78,7 @@
         link_mbps: reader.get_link_mbps(),
         forwarding_from: NonZeroU32::new(reader.get_forwarding_data_centre()),
         holds_stream_records: reader.get_holds_stream_records(),
+        permits_from: NonZeroU32::new(reader.get_permits_data_centre()),
     }
 }
 
--- a/crates/bendhinge_peer/src/fleet/mod.rs
+++ b/crates/bendhinge_peer/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod convert;
 mod crash_history;
 mod part_history;
+mod permits;
 mod server;
 mod stream_records;
 
@@ -14,7 +15,8 @@
 
 use bendhinge_fleet::{
     FailureEvidence, FailureReport, ListLoads, ListUpdate, LogPosition, MemberReport, MemberStates,
-    PackedTotals, PartitionReport, RosterDigest, StreamId, UpstreamList, Version, VersionedValue,
+    PackedTotals, PartitionReport, PermitRequest, RosterDigest, StreamId, UpstreamList, Version,
+    VersionedValue,
 };
 use bendhinge_ids::{Instant, NameHash};
 use bendhinge_placement::PartId;
@@ -23,6 +25,7 @@
 pub use client::FleetClient;
 pub use crash_history::{ObservedCrash, ObservedCrashHistory, ObservedInFlightSends};
 pub use part_history::{ObservedPartCrash, ObservedPartHistory};
+pub use permits::{PermitAnswer, PermitGuard, RemotePermit};
 pub use server::{serve_fleet, serve_fleet_and_streams};
 pub use stream_records::{ObservedSoftware, ObservedStream, StreamAnswer};
 
@@ -259,6 +262,10 @@
     fn find_stream(&self, _stream: StreamId, _pool: Option<NameHash>) -> StreamAnswer {
         StreamAnswer::default()
     }
+    /// Issues a permit, whose guard is dropped when the peer releases it or is lost; no permit if the limit is reached.
+    fn issue_permit(&self, _request: PermitRequest) -> PermitAnswer<PermitGuard> {
+        PermitAnswer { in_progress: 0, permit: None }
+    }
 }
 
 /// Returns the address bits and the port, or `None` for IPv6, which gateways do not listen on.
--- a/crates/bendhinge_peer/src/fleet/server.rs
+++ b/crates/bendhinge_peer/src/fleet/server.rs
@@ -2,8 +2,9 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
-use bendhinge_fleet::{ListUpdate, StreamId};
+use bendhinge_fleet::{ListUpdate, PermitRequest, StreamId};
 use bendhinge_ids::NameHash;
 use bytes::Bytes;
 use capnp::Error;
@@ -14,6 +15,7 @@
     list_length, millis, read_message, write_cached_part, write_drained, write_entries, write_held_version,
     write_list, write_list_items, write_message,
 };
+use super::permits::PeerPermit;
 use super::stream_records::{read_stream, write_served, write_stream};
 use super::{CachedPartsPage, FleetService};
 use crate::acceptor::{StreamHandler, serve_connections};
@@ -189,4 +191,23 @@
         write_list_items(results.init_served(list_length(answer.served.len())), &answer.served, write_served);
         Ok(())
     }
+
+    async fn issue_permit(
+        self: Rc<Self>,
+        params: fleet::IssuePermitParams,
+        mut results: fleet::IssuePermitResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let answer = self.0.issue_permit(PermitRequest {
+            upstream: NameHash(params.get_upstream()),
+            limit: params.get_limit(),
+            lifetime: Duration::from_millis(params.get_lifetime_millis().into()),
+        });
+        let mut results = results.get();
+        results.set_in_progress(answer.in_progress);
+        if let Some(guard) = answer.permit {
+            results.set_permit(capnp_rpc::new_client(PeerPermit::new(guard)));
+        }
+        Ok(())
+    }
 }
--- a/crates/bendhinge_peer/src/fleet_capnp.rs
+++ b/crates/bendhinge_peer/src/fleet_capnp.rs
@@ -482,6 +482,10 @@
         pub fn get_holds_stream_records(self) -> bool {
             self.reader.get_bool_field(50)
         }
+        #[inline]
+        pub fn get_permits_data_centre(self) -> u32 {
+            self.reader.get_data_field::<u32>(7)
+        }
     }
 
     pub struct Builder<'a> {
@@ -630,6 +634,14 @@
         pub fn set_holds_stream_records(&mut self, value: bool) {
             self.builder.set_bool_field(50, value);
         }
+        #[inline]
+        pub fn get_permits_data_centre(self) -> u32 {
+            self.builder.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn set_permits_data_centre(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(7, value);
+        }
     }
 
     pub struct Pipeline {
@@ -642,7 +654,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 159] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 176] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(131, 233, 241, 127, 114, 153, 209, 233),
             ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
@@ -652,77 +664,84 @@
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 77, 101, 109, 98),
             ::capnp::word(101, 114, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 48, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 49, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 170, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -802,6 +821,16 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 114, 109, 105, 116, 115, 68),
+            ::capnp::word(97, 116, 97, 67, 101, 110, 116, 114),
+            ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -814,6 +843,7 @@
                 6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -832,9 +862,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 7, 8, 4, 6, 1, 5, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 7, 8, 4, 6, 9, 1, 5, 2];
         pub(crate) const TYPE_ID: u64 = 0xe9d1_9972_7ff1_e983;
     }
 }
@@ -8082,6 +8112,141 @@
     }
 }
 
+pub mod permit {
+    #![allow(unused_variables)]
+
+    pub struct Client {
+        pub client: ::capnp::capability::Client,
+    }
+    impl ::capnp::capability::FromClientHook for Client {
+        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
+            Self { client: ::capnp::capability::Client::new(hook) }
+        }
+        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
+            self.client.hook
+        }
+        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
+            &*self.client.hook
+        }
+    }
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Capability.into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Client;
+        type Builder<'a> = Client;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Client;
+    }
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Client {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            _default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(reader.get_capability()?))
+        }
+    }
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Client {
+        fn init_pointer(_builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            unimplemented!()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            _default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(builder.get_capability()?))
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Client {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            from: Self,
+            _canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_capability(from.client.hook);
+            ::core::result::Result::Ok(())
+        }
+    }
+    impl ::capnp::traits::HasTypeId for Client {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl Clone for Client {
+        fn clone(&self) -> Self {
+            Self { client: self.client.clone() }
+        }
+    }
+    impl Client {}
+    pub trait Server: 'static {}
+    pub struct ServerDispatch<_T> {
+        pub server: ::capnp::capability::Rc<_T>,
+    }
+    impl<_S: Server + 'static> ::capnp::capability::FromServer<_S> for Client {
+        type Dispatch = ServerDispatch<_S>;
+        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S> {
+            ServerDispatch { server: s }
+        }
+    }
+    impl<_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
+        type Target = _T;
+        fn deref(&self) -> &_T {
+            &self.server
+        }
+    }
+    impl<_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
+        fn clone(&self) -> Self {
+            Self { server: self.server.clone() }
+        }
+    }
+    impl<_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
+        fn dispatch_call(
+            self,
+            interface_id: u64,
+            method_id: u16,
+            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
+            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
+        ) -> ::capnp::capability::DispatchCallResult {
+            match interface_id {
+                _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
+                _ => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
+                        "Method not implemented.".to_string(),
+                    )),
+                    false,
+                ),
+            }
+        }
+        fn as_ptr(&self) -> usize {
+            ::capnp::capability::Rc::as_ptr(&self.server) as usize
+        }
+    }
+    impl<_T: Server> ServerDispatch<_T> {
+        pub fn dispatch_call_internal(
+            this: ::capnp::capability::Rc<_T>,
+            method_id: u16,
+            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
+            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
+        ) -> ::capnp::capability::DispatchCallResult {
+            match method_id {
+                _ => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
+                        "Method not implemented.".to_string(),
+                    )),
+                    false,
+                ),
+            }
+        }
+    }
+    pub(crate) mod _private {
+        pub(crate) const TYPE_ID: u64 = 0xa9eb_1fab_8ffa_a862;
+    }
+}
+
 pub mod fleet {
     #![allow(unused_variables)]
     pub type ExchangeParams = ::capnp::capability::Params<crate::fleet_capnp::fleet::exchange_params::Owned>;
@@ -8110,6 +8275,10 @@
         ::capnp::capability::Params<crate::fleet_capnp::fleet::find_stream_params::Owned>;
     pub type FindStreamResults =
         ::capnp::capability::Results<crate::fleet_capnp::fleet::find_stream_results::Owned>;
+    pub type IssuePermitParams =
+        ::capnp::capability::Params<crate::fleet_capnp::fleet::issue_permit_params::Owned>;
+    pub type IssuePermitResults =
+        ::capnp::capability::Results<crate::fleet_capnp::fleet::issue_permit_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -8242,6 +8411,14 @@
         > {
             self.client.new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
         }
+        pub fn issue_permit_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::fleet_capnp::fleet::issue_permit_params::Owned,
+            crate::fleet_capnp::fleet::issue_permit_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 8, ::core::option::Option::None)
+        }
     }
     pub trait Server: 'static {
         fn exchange(
@@ -8316,6 +8493,15 @@
                 "method fleet::Server::find_stream not implemented".to_string(),
             )))
         }
+        fn issue_permit(
+            self: ::capnp::capability::Rc<Self>,
+            _: IssuePermitParams,
+            _: IssuePermitResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method fleet::Server::issue_permit not implemented".to_string(),
+            )))
+        }
     }
     pub struct ServerDispatch<_T> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -8431,6 +8617,14 @@
                     )),
                     false,
                 ),
+                8 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::issue_permit(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
                 _ => ::capnp::capability::DispatchCallResult::new(
                     ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
                         "Method not implemented.".to_string(),
@@ -13574,4 +13768,643 @@
             pub(crate) const TYPE_ID: u64 = 0xbc4e_8700_4a7c_a5ad;
         }
     }
+
+    pub mod issue_permit_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                })
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    }),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_upstream(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_limit(self) -> u32 {
+                self.reader.get_data_field::<u32>(2)
+            }
+            #[inline]
+            pub fn get_lifetime_millis(self) -> u32 {
+                self.reader.get_data_field::<u32>(3)
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    }),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_upstream(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_upstream(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_limit(self) -> u32 {
+                self.builder.get_data_field::<u32>(2)
+            }
+            #[inline]
+            pub fn set_limit(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(2, value);
+            }
+            #[inline]
+            pub fn get_lifetime_millis(self) -> u32 {
+                self.builder.get_data_field::<u32>(3)
+            }
+            #[inline]
+            pub fn set_lifetime_millis(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(3, value);
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(124, 53, 58, 91, 176, 92, 62, 220),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 70, 108, 101, 101),
+                ::capnp::word(116, 46, 105, 115, 115, 117, 101, 80),
+                ::capnp::word(101, 114, 109, 105, 116, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 122, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 105, 109, 105, 116, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 105, 102, 101, 116, 105, 109, 101),
+                ::capnp::word(77, 105, 108, 108, 105, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
+            pub(crate) const TYPE_ID: u64 = 0xdc3e_5cb0_5b3a_357c;
+        }
+    }
+
+    pub mod issue_permit_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                })
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    }),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_in_progress(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn get_permit(self) -> ::capnp::Result<crate::fleet_capnp::permit::Client> {
+                match self.reader.get_pointer_field(0).get_capability() {
+                    ::core::result::Result::Ok(c) => {
+                        ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c))
+                    }
+                    ::core::result::Result::Err(e) => ::core::result::Result::Err(e),
+                }
+            }
+            #[inline]
+            pub fn has_permit(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    }),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_in_progress(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn set_in_progress(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(0, value);
+            }
+            #[inline]
+            pub fn get_permit(self) -> ::capnp::Result<crate::fleet_capnp::permit::Client> {
+                match self.builder.get_pointer_field(0).get_capability() {
+                    ::core::result::Result::Ok(c) => {
+                        ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c))
+                    }
+                    ::core::result::Result::Err(e) => ::core::result::Result::Err(e),
+                }
+            }
+            #[inline]
+            pub fn set_permit(&mut self, value: crate::fleet_capnp::permit::Client) {
+                self.builder.reborrow().get_pointer_field(0).set_capability(value.client.hook);
+            }
+            #[inline]
+            pub fn has_permit(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {
+            pub fn get_permit(&self) -> crate::fleet_capnp::permit::Client {
+                ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(0).as_cap())
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(99, 2, 67, 117, 208, 217, 142, 200),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 70, 108, 101, 101),
+                ::capnp::word(116, 46, 105, 115, 115, 117, 101, 80),
+                ::capnp::word(101, 114, 109, 105, 116, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(49, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(105, 110, 80, 114, 111, 103, 114, 101),
+                ::capnp::word(115, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 114, 109, 105, 116, 0, 0),
+                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 168, 250, 143, 171, 31, 235, 169),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::fleet_capnp::permit::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) const TYPE_ID: u64 = 0xc88e_d9d0_7543_0263;
+        }
+    }
 }
--- a/crates/bendhinge_peer/src/lib.rs
+++ b/crates/bendhinge_peer/src/lib.rs
@@ -36,7 +36,8 @@
     CachedPartsPage, FleetClient, FleetService, HeldVersion, ObservedCachedPart, ObservedCrash,
     ObservedCrashHistory, ObservedFailureEvidence, ObservedFailureReport, ObservedInFlightSends,
     ObservedLoad, ObservedPartCrash, ObservedPartHistory, ObservedPartition, ObservedSoftware,
-    ObservedStream, PeerMessage, StreamAnswer, serve_fleet, serve_fleet_and_streams,
+    ObservedStream, PeerMessage, PermitAnswer, PermitGuard, RemotePermit, StreamAnswer, serve_fleet,
+    serve_fleet_and_streams,
 };
 pub use pool::{PeerConnection, PeerPool, PeerPoolTimeouts};
 pub use secure::{ConnectError, PeerKey};
--- a/crates/bendhinge_placement/src/lib.rs
+++ b/crates/bendhinge_placement/src/lib.rs
@@ -49,7 +49,7 @@
 pub use locality::{LocalUpstream, LocalityState};
 pub use owner::{owner_of, rank_owners};
 pub use permit_budget::PermitRequestBudget;
-pub use plain::{PlainCandidate, choose_plain};
+pub use plain::{PlainCandidate, PlainChoice, choose_plain};
 pub use prompt::{PartId, Prompt, PromptPart};
 pub use ranking::{RankedUpstream, Ranking, SHORTLIST_SIZE, Shortlist, UpstreamIndex};
 pub use search::{PermitResponse, PlacementReason, SearchPool, SearchStep, UpstreamSearch};
--- a/crates/bendhinge_placement/src/plain.rs
+++ b/crates/bendhinge_placement/src/plain.rs
@@ -28,6 +28,8 @@
     pub failure_rate: f32,
     /// Whether it accepts new requests.
     pub takes_work: bool,
+    /// Whether the router that issues its permits refused one for the request. `in_progress` is exact then.
+    pub is_at_limit: bool,
     /// Whether its requests in progress count in the pool's mean.
     pub counts_in_mean: bool,
     /// Where it is relative to the router.
@@ -46,15 +48,37 @@
 /// Shortest response time that is told apart.
 const MIN_RESPONSE_SECS: f32 = 0.001;
 
-/// Returns the index of the chosen candidate, or `None` if no candidate accepts requests.
+/// The choice of an upstream of a plain pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlainChoice {
+    /// Index of the chosen candidate.
+    pub candidate: usize,
+    /// Number of requests there at which it should refuse the request; `u32::MAX` if all others have refused it.
+    pub limit: u32,
+}
+
+/// Returns the chosen candidate, or `None` if no candidate accepts requests.
 ///
-/// `tie_breaker` is a random number of the request.
+/// `tie_breaker` is a random number of the request. If all candidates are at the limit, the one with the fewest requests is
+/// chosen.
 #[must_use]
-pub fn choose_plain(candidates: &[PlainCandidate], tie_breaker: u64) -> Option<usize> {
+pub fn choose_plain(candidates: &[PlainCandidate], tie_breaker: u64) -> Option<PlainChoice> {
     let limit = load_limit(candidates);
     let accepting = || (0..candidates.len()).filter(|index| candidates[*index].takes_work);
-    let within_limit = accepting().filter(|index| candidates[*index].in_progress < limit);
-    draw(candidates, within_limit, tie_breaker).or_else(|| draw(candidates, accepting(), tie_breaker))
+    let open = || accepting().filter(|index| !candidates[*index].is_at_limit);
+    let within_limit = open().filter(|index| candidates[*index].in_progress < limit);
+    let drawn = draw(candidates, within_limit, tie_breaker).or_else(|| draw(candidates, open(), tie_breaker));
+    if let Some(candidate) = drawn {
+        return Some(PlainChoice { candidate, limit: whole_requests(limit) });
+    }
+    let load = |index: &usize| candidates[*index].in_progress;
+    let least_loaded = accepting().min_by(|left, right| load(left).total_cmp(&load(right)));
+    least_loaded.map(|candidate| PlainChoice { candidate, limit: u32::MAX })
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a small positive number")]
+const fn whole_requests(limit: f32) -> u32 {
+    limit.round() as u32
 }
 
 /// Returns the number of requests in progress at which an upstream is passed over, as in `choose`.
--- a/crates/bendhinge_placement/tests/plain.rs
+++ b/crates/bendhinge_placement/tests/plain.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bendhinge_ids::NameHash;
-use bendhinge_placement::{Distance, PlainCandidate, choose_plain};
+use bendhinge_placement::{Distance, PlainCandidate, PlainChoice, choose_plain};
 
 const DRAWS: u64 = 20_000;
 
@@ -15,17 +15,23 @@
         response_time: Duration::from_millis(*millis),
         failure_rate: 0.0,
         takes_work: true,
+        is_at_limit: false,
         counts_in_mean: true,
         distance: Distance::Local,
     };
     response_ms.iter().enumerate().map(candidate).collect()
 }
 
+/// Returns the index of the chosen candidate.
+fn choose(candidates: &[PlainCandidate], tie_breaker: u64) -> Option<usize> {
+    choose_plain(candidates, tie_breaker).map(|choice| choice.candidate)
+}
+
 /// Returns the share of requests that each candidate gets.
 fn shares(candidates: &[PlainCandidate]) -> Vec<f64> {
     let mut counts = vec![0_u32; candidates.len()];
     for draw in 0..DRAWS {
-        if let Some(chosen) = choose_plain(candidates, draw.wrapping_mul(0x9e37_79b9_7f4a_7c15)) {
+        if let Some(chosen) = choose(candidates, draw.wrapping_mul(0x9e37_79b9_7f4a_7c15)) {
             counts[chosen] += 1;
         }
     }
@@ -54,7 +60,7 @@
     let mut reduced = all.clone();
     reduced[2].takes_work = false;
     for draw in 0..2_000 {
-        let (before, after) = (choose_plain(&all, draw), choose_plain(&reduced, draw));
+        let (before, after) = (choose(&all, draw), choose(&reduced, draw));
         assert!(before == after || before == Some(2), "{before:?} became {after:?}");
     }
 }
@@ -66,10 +72,10 @@
     assert!(shares(&candidates)[0].abs() < f64::EPSILON);
     candidates[1].takes_work = false;
     candidates[2].takes_work = false;
-    assert_eq!(choose_plain(&candidates, 1), Some(0));
+    assert_eq!(choose(&candidates, 1), Some(0));
     candidates[0].takes_work = false;
-    assert_eq!(choose_plain(&candidates, 1), None);
-    assert_eq!(choose_plain(&[], 1), None);
+    assert_eq!(choose(&candidates, 1), None);
+    assert_eq!(choose(&[], 1), None);
 }
 
 #[test]
@@ -101,7 +107,7 @@
             candidate.response_time = Duration::from_millis(source.arbitrary()?);
             candidate.takes_work = source.arbitrary()?;
         }
-        let chosen = choose_plain(&candidates, source.arbitrary()?);
+        let chosen = choose(&candidates, source.arbitrary()?);
         let takes_work = |candidate: &PlainCandidate| candidate.takes_work;
         assert_eq!(
             chosen.map(|index| takes_work(&candidates[index])),
@@ -110,3 +116,37 @@
         Ok(())
     });
 }
+
+/// Guards against a request that is refused a permit and asks for one of the same upstream again.
+#[test]
+fn candidates_at_their_limit_are_passed_over() {
+    let mut candidates = candidates(&[40, 40, 40]);
+    candidates[0].is_at_limit = true;
+    candidates[2].is_at_limit = true;
+    for draw in 0..200 {
+        assert_eq!(choose(&candidates, draw), Some(1));
+    }
+}
+
+/// Guards against a pool that serves nothing while all of its upstreams are at a limit that is too low.
+#[test]
+fn if_all_are_at_their_limit_the_least_loaded_is_chosen_without_one() {
+    let mut candidates = candidates(&[40, 40, 40]);
+    for (candidate, in_progress) in candidates.iter_mut().zip([9.0, 7.0, 8.0]) {
+        candidate.is_at_limit = true;
+        candidate.in_progress = in_progress;
+    }
+    for draw in 0..200 {
+        assert_eq!(choose_plain(&candidates, draw), Some(PlainChoice { candidate: 1, limit: u32::MAX }));
+    }
+}
+
+/// Guards against permits by another limit than the one at which upstreams are passed over.
+#[test]
+fn permits_are_limited_to_a_multiple_of_the_mean() {
+    let mut candidates = candidates(&[40, 40, 40]);
+    for candidate in &mut candidates {
+        candidate.in_progress = 4.0;
+    }
+    assert_eq!(choose_plain(&candidates, 1).map(|choice| choice.limit), Some(8));
+}
