Plain pools: permits are refused above 1.25 times the mean of those that accept

The limit of a permit was the load limit, 1.5 times the mean and two, which allows for counts that are not exact.

--- a/crates/bendhinge_placement/src/plain.rs
+++ b/crates/bendhinge_placement/src/plain.rs
@@ -45,6 +45,10 @@
 const OWN_REQUEST_FACTOR: f32 = 0.5;
 /// Cost of an upstream in another data centre, as a multiple of the response time.
 const REMOTE_FACTOR: f32 = 1.0;
+/// Number of requests at which no permit is issued, as a multiple of the mean of the upstreams that accept requests, and
+/// in addition to it. Lower than the load limit, which allows for counts that are not exact.
+const PERMIT_LIMIT_FACTOR: f32 = 1.25;
+const PERMIT_LIMIT_SLACK: f32 = 1.0;
 /// Shortest response time that is told apart.
 const MIN_RESPONSE_SECS: f32 = 0.001;
 
@@ -69,6 +73,7 @@
     let within_limit = open().filter(|index| candidates[*index].in_progress < limit);
     let drawn = draw(candidates, within_limit, tie_breaker).or_else(|| draw(candidates, open(), tie_breaker));
     if let Some(candidate) = drawn {
+        let limit = limit.min(permit_limit(candidates));
         return Some(PlainChoice { candidate, limit: whole_requests(limit) });
     }
     let load = |index: &usize| candidates[*index].in_progress;
@@ -85,9 +90,19 @@
 fn load_limit(candidates: &[PlainCandidate]) -> f32 {
     let CostModel { load_bound_factor, load_bound_slack, .. } = CostModel::default();
     let counted = candidates.iter().filter(|candidate| candidate.counts_in_mean);
-    let (count, total) = counted
+    load_bound_factor * mean_load(counted) + load_bound_slack
+}
+
+/// Returns the number of requests in progress at which no permit is issued.
+fn permit_limit(candidates: &[PlainCandidate]) -> f32 {
+    let accepting = candidates.iter().filter(|candidate| candidate.takes_work);
+    PERMIT_LIMIT_FACTOR * mean_load(accepting) + PERMIT_LIMIT_SLACK
+}
+
+fn mean_load<'a>(candidates: impl Iterator<Item = &'a PlainCandidate>) -> f32 {
+    let (count, total) = candidates
         .fold((0.0_f32, 0.0_f32), |(count, total), candidate| (count + 1.0, total + candidate.in_progress));
-    load_bound_factor * total / count.max(1.0) + load_bound_slack
+    total / count.max(1.0)
 }
 
 /// Draws one of the candidates at `indices` with a probability in proportion to its weight.
--- a/crates/bendhinge_placement/tests/plain.rs
+++ b/crates/bendhinge_placement/tests/plain.rs
@@ -141,12 +141,17 @@
     }
 }
 
-/// Guards against permits by another limit than the one at which upstreams are passed over.
+/// Guards against permits by a limit that allows for counts that are not exact, which those of permits are.
 #[test]
-fn permits_are_limited_to_a_multiple_of_the_mean() {
+fn permits_are_limited_to_the_mean_of_the_upstreams_that_accept_requests() {
     let mut candidates = candidates(&[40, 40, 40]);
     for candidate in &mut candidates {
-        candidate.in_progress = 4.0;
+        candidate.in_progress = 8.0;
     }
-    assert_eq!(choose_plain(&candidates, 1).map(|choice| choice.limit), Some(8));
+    let limit = |candidates: &[PlainCandidate]| choose_plain(candidates, 1).map(|choice| choice.limit);
+    assert_eq!(limit(&candidates), Some(11));
+    // A drained upstream lowers the mean that the users' limit refers to.
+    candidates[2].in_progress = 0.0;
+    candidates[2].takes_work = false;
+    assert_eq!(limit(&candidates), Some(10));
 }
