Delivery: check the deadline again after the wait for a permit

Up to six issuers that do not answer delay a request by 0.3 s, after which it could be sent with no time left. Found by reading; no test of its own.

--- a/crates/bendhinge_fleet/src/roster.rs
+++ b/crates/bendhinge_fleet/src/roster.rs
@@ -358,8 +358,8 @@
     }
 
     /// Returns the router that issues the permits of an upstream: a live one, in the upstream's data centre if there is
-    /// one, and of these one with the fastest link, since requests wait for its answers. `own_data_centre` is that of this router if it issues permits itself. Routers that know the same members
-    /// agree on it.
+    /// one, and of these one with the fastest link, since requests wait for its answers. Routers that know the same
+    /// members agree on it. `own_data_centre` is that of this router if it issues permits itself.
     #[must_use]
     pub fn permit_issuer(
         &self,
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -254,6 +254,8 @@
         self.check_time_left()?;
         let tracked = self.track_send()?;
         let chosen = self.choose_upstream(self.retry_state.allows_hedge()).await?;
+        // The request may have waited for permits.
+        self.check_time_left()?;
         Ok(self.start_send(chosen, tracked, resume_after))
     }
 
