Delivery: check the deadline before a request is counted

The check after the choice dropped a request that was counted already, which would have taught the pool a response time of zero. Found by reading.

--- a/crates/bendhinge_gateway/src/delivery/choice.rs
+++ b/crates/bendhinge_gateway/src/delivery/choice.rs
@@ -26,6 +26,7 @@
             let asked_at = bendhinge_clock::now();
             let outcome = self.context.permits.request(request, data_centre).await;
             let waited = bendhinge_clock::now().since(asked_at);
+            self.check_time_left()?;
             self.context.metrics.record_permit(outcome.as_str(), waited);
             chosen.permit_wait = waited;
             chosen.refused_permits = refused.len();
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -254,8 +254,6 @@
         self.check_time_left()?;
         let tracked = self.track_send()?;
         let chosen = self.choose_upstream(self.retry_state.allows_hedge()).await?;
-        // The request may have waited for permits.
-        self.check_time_left()?;
         Ok(self.start_send(chosen, tracked, resume_after))
     }
 
@@ -267,7 +265,7 @@
         Ok(self.start_send(chosen, tracked, resume_after))
     }
 
-    fn check_time_left(&self) -> Result<(), DeliveryError> {
+    pub(super) fn check_time_left(&self) -> Result<(), DeliveryError> {
         if self.inbound.time_left().is_zero() {
             return Err(DeliveryError::Code(self.retry_state.final_code(true)));
         }
