Log: what the end of each send rests on, and refusals before they are sent

The record of the incident has no line of the refused request, and a line could not tell why an end counts as not run. The line of a request now has the status of responses that are not passed on, and why nothing was written. Metrics: unrun_total by code, log_lines_dropped.

Whether the second fails on the code before was not run.

--- a/crates/bendhinge_explain/src/log_entry.rs
+++ b/crates/bendhinge_explain/src/log_entry.rs
@@ -17,6 +17,10 @@
     pub at_ms: u64,
     /// How the send ended, unless its answer was forwarded to the caller.
     pub end: Option<String>,
+    /// Status of the upstream's response, if that was not passed on.
+    pub status: Option<u16>,
+    /// Why nothing was written to the connection: `withheld` or `returned`.
+    pub unsent: Option<String>,
     /// Why no connection was established: `refused`, `timeout` or `other`.
     pub connect: Option<String>,
     /// Time since any gateway had a response from the upstream, in milliseconds, if no connection was established.
--- a/crates/bendhinge_explain/src/render.rs
+++ b/crates/bendhinge_explain/src/render.rs
@@ -81,11 +81,14 @@
 }
 
 fn write_send(text: &mut String, send: &SendAttempt) -> std::fmt::Result {
-    let SendAttempt { upstream, why, load, at_ms, end, connect, responded_ms, framing, body_end, .. } = send;
+    let SendAttempt { upstream, why, load, at_ms, end, responded_ms, framing, body_end, .. } = send;
     let end = end.as_deref().unwrap_or("answered");
     write!(text, "  {at_ms:>6} ms  sent to {upstream} ({why}, {load:.1} requests believed there): {end}")?;
-    if let Some(connect) = connect {
-        write!(text, " ({connect})")?;
+    if let Some(reason) = send.connect.as_ref().or(send.unsent.as_ref()) {
+        write!(text, " ({reason})")?;
+    }
+    if let Some(status) = send.status {
+        write!(text, " with {status}")?;
     }
     if let Some(age) = responded_ms {
         write!(text, ", it had responded to a gateway {age} ms before")?;
--- a/crates/bendhinge_explain/tests/pause.rs
+++ b/crates/bendhinge_explain/tests/pause.rs
@@ -17,6 +17,8 @@
         load: 0.0,
         at_ms,
         end: None,
+        status: None,
+        unsent: None,
         connect: None,
         responded_ms: None,
         framing: None,
--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -45,6 +45,29 @@
     pub(super) body: Option<EndedBody>,
     /// Why no connection was established.
     pub(super) connect_failure: Option<ConnectFailure>,
+    /// Why nothing was written to the connection.
+    pub(super) unsent: Option<Unsent>,
+    /// The status of the response, if there was one.
+    pub(super) status: Option<StatusCode>,
+}
+
+/// Why nothing of a request was written to a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unsent {
+    /// It was no longer allowed to be sent.
+    Withheld,
+    /// The HTTP library returned it, because the connection was closed.
+    Returned,
+}
+
+impl Unsent {
+    /// The name used in logs.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Withheld => "withheld",
+            Self::Returned => "returned",
+        }
+    }
 }
 
 /// Why no connection to an upstream was established.
@@ -93,7 +116,13 @@
 
 impl From<SendOutcome> for SendError {
     fn from(end: SendOutcome) -> Self {
-        Self { end, error_response: None, body: None, connect_failure: None }
+        Self { end, error_response: None, body: None, connect_failure: None, unsent: None, status: None }
+    }
+}
+
+impl From<Unsent> for SendError {
+    fn from(unsent: Unsent) -> Self {
+        Self { unsent: Some(unsent), ..SendOutcome::NotSent.into() }
     }
 }
 
@@ -149,7 +178,9 @@
     let request = build_request(&context, &inbound, &chosen, timeout, resume_after.as_deref());
     let exchange = async {
         let (response, connection) = send_with_reconnect(&context, &inbound, &chosen, request).await?;
-        receive_response(&context, &inbound, &chosen, response, connection).await
+        let status = response.status();
+        let received = receive_response(&context, &inbound, &chosen, response, connection).await;
+        received.map_err(|error| SendError { status: Some(status), ..error })
     };
     let received = exchange.await;
     if received.as_ref().is_err_and(|error| error.error_response.is_none()) {
@@ -210,7 +241,7 @@
     // The deadline or the lease may have expired while the connection was established or the process was
     // suspended.
     if !context.may_be_sent(inbound, chosen) {
-        return Err(SendOutcome::NotSent.into());
+        return Err(Unsent::Withheld.into());
     }
     match send_on(&mut connection, request).await {
         Ok(response) => Ok((response, connection)),
@@ -220,12 +251,12 @@
             record_link(context, chosen, reconnecting.is_ok());
             connection = reconnecting?;
             if !context.may_be_sent(inbound, chosen) {
-                return Err(SendOutcome::NotSent.into());
+                return Err(Unsent::Withheld.into());
             }
-            let response = send_on(&mut connection, *request).await.map_err(|failure| failure.end())?;
+            let response = send_on(&mut connection, *request).await?;
             Ok((response, connection))
         }
-        Err(failure) => Err(failure.end().into()),
+        Err(failure) => Err(failure.into()),
     }
 }
 
@@ -234,11 +265,11 @@
     Ended(SendOutcome),
 }
 
-impl ExchangeError {
-    const fn end(&self) -> SendOutcome {
-        match self {
-            Self::NotSent(_) => SendOutcome::NotSent,
-            Self::Ended(end) => *end,
+impl From<ExchangeError> for SendError {
+    fn from(error: ExchangeError) -> Self {
+        match error {
+            ExchangeError::NotSent(_) => Unsent::Returned.into(),
+            ExchangeError::Ended(end) => end.into(),
         }
     }
 }
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -26,15 +26,15 @@
 use std::time::Duration;
 
 use bendhinge_admission::PacingDecision;
-use bendhinge_codes::ResultCode;
+use bendhinge_codes::{Ran, ResultCode};
 use bendhinge_delivery::RetryState;
 use bendhinge_http::{Body, BodyFraming, full_body};
 use bendhinge_ids::NameHash;
 use hyper::{Response, StatusCode};
 use rand::Rng;
 
-pub(crate) use self::attempt::ConnectFailure;
 use self::attempt::{AttemptParams, ErrorResponse, UpstreamResponse, send_to_upstream};
+pub(crate) use self::attempt::{ConnectFailure, Unsent};
 pub(crate) use self::context::DeliveryContext;
 pub(crate) use self::crash::CrashProbes;
 pub(crate) use self::cut::Cut;
@@ -102,21 +102,11 @@
         Ok(response) => Ok(delivery.into_response(response, in_progress)),
         Err(DeliveryError::ErrorResponse(response)) => Ok(delivery.error_response(*response)),
         Err(DeliveryError::RetryLater { code, retry_after }) => {
-            delivery.log_line.write_answered(
-                &context.log,
-                code.http_status(),
-                Some(code),
-                &delivery.retry_state,
-            );
+            delivery.record_refusal(code).await;
             Err(Refusal { was_sent: true, ..Refusal::with_retry_after(code, retry_after) })
         }
         Err(DeliveryError::Code(code)) => {
-            delivery.log_line.write_answered(
-                &context.log,
-                code.http_status(),
-                Some(code),
-                &delivery.retry_state,
-            );
+            delivery.record_refusal(code).await;
             // Right after the start, the first upstream list is expected within moments.
             let awaits_next_list = code == ResultCode::NoUpstream && context.upstreams.has_list();
             let retry_after = awaits_next_list.then(delay_until_next_list);
@@ -327,6 +317,17 @@
         }
     }
 
+    /// Logs that the request is refused with `code`. If that states that a request which was sent has not run, the line is
+    /// written before the response, so that it exists even if the process is killed right after it.
+    async fn record_refusal(&mut self, code: ResultCode) {
+        let Self { context, log_line, retry_state, .. } = self;
+        log_line.write_answered(&context.log, code.http_status(), Some(code), retry_state);
+        if code.ran() == Some(Ran::No) && log_line.was_sent() {
+            context.metrics.count_unrun(code);
+            context.log.flush().await;
+        }
+    }
+
     fn error_response(&mut self, response: ErrorResponse) -> Response<Body> {
         let ErrorResponse { mut head, body } = response;
         self.log_line.write_answered(&self.context.log, head.status.as_u16(), None, &self.retry_state);
--- a/crates/bendhinge_gateway/src/delivery/outcome.rs
+++ b/crates/bendhinge_gateway/src/delivery/outcome.rs
@@ -55,7 +55,8 @@
     /// Records a failed send; returns `Err` if it is not retried.
     pub(super) fn handle_failure(&mut self, failed: FailedSend) -> Result<(), DeliveryError> {
         let FailedSend { record, error } = failed;
-        let SendError { end, error_response, body, connect_failure } = error;
+        let SendError { end, error_response, body, connect_failure, unsent, status } = error;
+        self.log_line.record_basis(record.number, unsent, status);
         if let Some(connect_failure) = connect_failure {
             self.has_failed_to_connect = true;
             self.record_connect_failure(&record, connect_failure);
--- a/crates/bendhinge_gateway/src/log/mod.rs
+++ b/crates/bendhinge_gateway/src/log/mod.rs
@@ -3,14 +3,13 @@
 
 mod partition;
 mod quarantine;
+mod queue;
 mod request;
 mod sends;
 mod stream;
 
 use std::net::SocketAddr;
-use std::num::NonZeroUsize;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bendhinge_admission::engine::EnginePoolLoad;
@@ -20,67 +19,21 @@
 use bendhinge_ids::{DataCentreName, PoolName, UpstreamName};
 use bendhinge_peer::CallError;
 use serde::Serialize;
-use spdlog::formatter::{Formatter, FormatterContext};
+use spdlog::ThreadPool;
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink};
-use spdlog::{Record, StringBuf, ThreadPool};
 
+use self::queue::{CountingSink, LineFormatter, LinePriority, LineQueue};
 pub(crate) use self::request::RequestLogEntry;
 use crate::admission::RefusalCounts;
 use crate::metrics::ReplicaKind;
 use crate::quarantine::Suspect;
 
-/// The number of lines queued for writing above which further lines are dropped and counted.
-const MAX_QUEUED_LINES: usize = 1_024;
-/// The number of bytes queued for writing above which further lines are dropped and counted. Lines contain texts of callers,
-/// such as request IDs.
-const MAX_QUEUED_BYTES: usize = 4 << 20;
-
-/// Numbers of lines that were queued, written and dropped.
-#[derive(Debug, Default)]
-struct LineCounts {
-    queued: AtomicUsize,
-    written: AtomicUsize,
-    dropped: AtomicUsize,
-    queued_bytes: AtomicUsize,
-    written_bytes: AtomicUsize,
-}
-
-impl LineCounts {
-    /// Whether no further line may be queued.
-    fn is_full(&self) -> bool {
-        let difference = |queued: &AtomicUsize, written: &AtomicUsize| {
-            queued.load(Ordering::Relaxed).saturating_sub(written.load(Ordering::Relaxed))
-        };
-        difference(&self.queued, &self.written) >= MAX_QUEUED_LINES
-            || difference(&self.queued_bytes, &self.written_bytes) >= MAX_QUEUED_BYTES
-    }
-}
-
-/// Formats a record as its bare payload and counts the written lines.
-#[derive(Clone)]
-struct LineFormatter(Arc<LineCounts>);
-
-impl Formatter for LineFormatter {
-    fn format(
-        &self,
-        record: &Record<'_>,
-        text: &mut StringBuf,
-        _: &mut FormatterContext<'_>,
-    ) -> spdlog::Result<()> {
-        self.0.written.fetch_add(1, Ordering::Relaxed);
-        self.0.written_bytes.fetch_add(record.payload().len(), Ordering::Relaxed);
-        text.push_str(record.payload());
-        text.push('\n');
-        Ok(())
-    }
-}
-
 /// Asynchronous log writer, so that a slow reader of standard output blocks no request; cheap to
 /// clone.
 #[derive(Clone)]
 pub(crate) struct Log {
     logger: Arc<spdlog::Logger>,
-    counts: Arc<LineCounts>,
+    queue: Arc<LineQueue>,
 }
 
 /// The JSON form of a log line.
@@ -95,26 +48,28 @@
 impl Log {
     /// Creates a log that writes to standard output.
     pub(crate) fn new() -> Result<Self, spdlog::Error> {
-        let counts = Arc::new(LineCounts::default());
-        let formatter = LineFormatter(Arc::clone(&counts));
-        let output = StdStreamSink::builder().stdout().formatter(formatter).build_arc()?;
-        let capacity = NonZeroUsize::MIN.saturating_add(2 * MAX_QUEUED_LINES);
-        let pool = ThreadPool::builder().capacity(capacity).build_arc()?;
+        let queue = Arc::new(LineQueue::default());
+        let output = StdStreamSink::builder().stdout().formatter(LineFormatter).build_arc()?;
+        let pool = ThreadPool::builder().capacity(LineQueue::CAPACITY).build_arc()?;
         let sink = AsyncPoolSink::builder()
-            .sink(output)
+            .sink(Arc::new(CountingSink::new(output, Arc::clone(&queue))))
             .thread_pool(pool)
             .overflow_policy(OverflowPolicy::DropIncoming)
             .build_arc()?;
         let logger = spdlog::Logger::builder().sink(sink).build_arc()?;
-        Ok(Self { logger, counts })
+        Ok(Self { logger, queue })
     }
 
     fn log_event(&self, event: &str, fields: impl Serialize) {
-        if self.counts.is_full() {
-            self.counts.dropped.fetch_add(1, Ordering::Relaxed);
+        self.log_with_priority(event, fields, LinePriority::Usual);
+    }
+
+    fn log_with_priority(&self, event: &str, fields: impl Serialize, priority: LinePriority) {
+        if !self.queue.has_room(priority) {
+            self.queue.count_dropped();
             return;
         }
-        let dropped = self.counts.dropped.swap(0, Ordering::Relaxed);
+        let dropped = self.queue.take_unreported();
         if dropped > 0 {
             self.write_line("lines_dropped", DroppedLines { dropped });
         }
@@ -124,12 +79,21 @@
     fn write_line(&self, event: &str, fields: impl Serialize) {
         let line = Line { t: bendhinge_clock::now().0 / 1_000, event, fields };
         if let Ok(text) = serde_json::to_string(&line) {
-            self.counts.queued.fetch_add(1, Ordering::Relaxed);
-            self.counts.queued_bytes.fetch_add(text.len(), Ordering::Relaxed);
+            self.queue.count_queued(text.len());
             spdlog::info!(logger: self.logger, "{text}");
         }
     }
 
+    /// Waits until the lines queued so far are written, for a short time at most.
+    pub(crate) async fn flush(&self) {
+        self.queue.flush().await;
+    }
+
+    /// Returns the number of lines dropped since the start.
+    pub(crate) fn dropped_lines(&self) -> usize {
+        self.queue.dropped()
+    }
+
     /// Logs an event of the process, such as its start, stop or a reload of its settings.
     pub(crate) fn process_event(&self, event: &str, name: &str, detail: &str) {
         #[derive(Serialize)]
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -4,16 +4,18 @@
 use std::time::Duration;
 
 use bendhinge_admission::RetryDecision;
-use bendhinge_codes::ResultCode;
+use bendhinge_codes::{Ran, ResultCode};
 use bendhinge_delivery::{BodyEnd, RetryState, SendOutcome, StreamTiming};
 use bendhinge_http::BodyFraming;
 use bendhinge_ids::{Instant, NameHash, PartDigest, RequestDigest};
+use hyper::StatusCode;
 use serde::Serialize;
 
+use super::queue::LinePriority;
 use super::sends::{ForwardRecord, RetryFields, SendRecord};
 use super::stream::{CutFields, ResumptionFields, StreamFields};
 use super::{Log, whole_millis};
-use crate::delivery::{ConnectFailure, Cut, InboundRequest};
+use crate::delivery::{ConnectFailure, Cut, InboundRequest, Unsent};
 use crate::forwarding::{ForwardBasis, ForwardGuard};
 use crate::quarantine::Suspect;
 use crate::state::ChosenUpstream;
@@ -96,6 +98,8 @@
             list_age_ms: whole_millis(chosen.list_age),
             retry: self.allowed_retry.take(),
             end: None,
+            status: None,
+            unsent: None,
             connect: None,
             responded_ms: None,
             framing: None,
@@ -212,6 +216,14 @@
         }
     }
 
+    /// Records what the end of a send was concluded from: why nothing was written, or the status of the response.
+    pub(crate) fn record_basis(&mut self, index: usize, unsent: Option<Unsent>, status: Option<StatusCode>) {
+        if let Some(send) = self.sends.get_mut(index) {
+            send.unsent = unsent.map(Unsent::as_str);
+            send.status = status.map(|status| status.as_u16());
+        }
+    }
+
     /// Records why a send did not connect, and the time since any gateway last had a response from its upstream.
     pub(crate) fn record_connect_failure(
         &mut self,
@@ -306,7 +318,14 @@
             cut: self.cut.as_ref(),
         };
         self.is_written = true;
-        log.log_event("request", fields);
+        let is_promise = code.is_some_and(|code| code.ran() == Some(Ran::No));
+        let priority = if is_promise && self.was_sent() { LinePriority::High } else { LinePriority::Usual };
+        log.log_with_priority("request", fields, priority);
+    }
+
+    /// Whether the request was sent to an upstream or forwarded to a gateway, with whatever result.
+    pub(crate) const fn was_sent(&self) -> bool {
+        !self.sends.is_empty() || !self.forwards.is_empty()
     }
 
     /// Writes the line of a request that got a response from an upstream or a refusal.
--- a/crates/bendhinge_gateway/src/log/sends.rs
+++ b/crates/bendhinge_gateway/src/log/sends.rs
@@ -42,6 +42,12 @@
     pub(super) retry: Option<RetryFields>,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(super) end: Option<&'static str>,
+    /// Status of the response that is not passed on.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) status: Option<u16>,
+    /// Why nothing was written, if the send ended as `not_sent`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) unsent: Option<&'static str>,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(super) connect: Option<&'static str>,
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/crates/bendhinge_gateway/src/metrics/mod.rs
+++ b/crates/bendhinge_gateway/src/metrics/mod.rs
@@ -58,6 +58,7 @@
 pub(crate) struct GaugeValues {
     pub(crate) in_progress: usize,
     pub(crate) rules_age: Option<Duration>,
+    pub(crate) dropped_lines: usize,
     pub(crate) peer_connections: u64,
     pub(crate) peer_sent_bytes: u64,
     pub(crate) quarantined: QuarantinedCounts,
@@ -71,6 +72,7 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     results: Counter<u64>,
+    unrun: Counter<u64>,
     send_ends: Counter<u64>,
     connect_failures: Counter<u64>,
     body_ends: Counter<u64>,
@@ -89,6 +91,7 @@
     streams: StreamMetrics,
     in_progress: Gauge<u64>,
     rules_age: Gauge<f64>,
+    dropped_lines: Gauge<u64>,
     peer_connections: Gauge<u64>,
     peer_sent_bytes: Gauge<u64>,
     quarantined: QuarantineGauges,
@@ -116,6 +119,10 @@
         Ok(Self {
             requests: counter("bendhinge.gateway.requests", "Requests that were sent to an upstream"),
             results: counter("bendhinge.gateway.results", "Answers made by the gateway itself, by code"),
+            unrun: counter(
+                "bendhinge.gateway.unrun",
+                "Requests that were sent or forwarded and refused as not run, by code",
+            ),
             send_ends: counter(
                 "bendhinge.gateway.sends_ended",
                 "Sends without an answer that was passed on, by end",
@@ -166,6 +173,7 @@
             ),
             streams: StreamMetrics::new(seconds, counter),
             in_progress: gauge("bendhinge.gateway.requests_in_progress", "Requests in progress"),
+            dropped_lines: gauge("bendhinge.gateway.log_lines_dropped", "Log lines dropped since the start"),
             rules_age: meter
                 .f64_gauge("bendhinge.gateway.rules_age")
                 .with_unit("s")
@@ -204,6 +212,11 @@
         self.results.add(1, &[KeyValue::new("code", code.to_string())]);
     }
 
+    /// Counts a request that was sent or forwarded and is refused as not run.
+    pub(crate) fn count_unrun(&self, code: ResultCode) {
+        self.unrun.add(1, &[KeyValue::new("code", code.to_string())]);
+    }
+
     /// Counts a send for which no connection was established.
     pub(crate) fn count_connect_failure(&self, connect_failure: ConnectFailure) {
         self.connect_failures.add(1, &[KeyValue::new("reason", connect_failure.as_str())]);
@@ -389,6 +402,7 @@
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode_text(&self, gauges: &GaugeValues) -> String {
         self.in_progress.record(gauges.in_progress as u64, &[]);
+        self.dropped_lines.record(gauges.dropped_lines as u64, &[]);
         self.peer_connections.record(gauges.peer_connections, &[]);
         self.peer_sent_bytes.record(gauges.peer_sent_bytes, &[]);
         self.quarantined.record(gauges.quarantined);
--- a/crates/bendhinge_gateway/src/ready.rs
+++ b/crates/bendhinge_gateway/src/ready.rs
@@ -42,6 +42,7 @@
         GaugeValues {
             in_progress: self.lifecycle.in_progress(),
             rules_age: self.context.rules.age(bendhinge_clock::now()),
+            dropped_lines: self.context.log.dropped_lines(),
             peer_connections: self.traffic.open_connections(),
             peer_sent_bytes: self.traffic.sent_bytes(),
             quarantined: self.context.quarantine.quarantined_counts(),
--- /dev/null
+++ b/crates/bendhinge_lab/tests/gateway_refusals.rs
@@ -0,0 +1,43 @@
+//! Requests that a gateway refuses as not run: what such a refusal rests on, and what is logged of it.
+
+mod gateway_common;
+
+use bendhinge_lab::gateways::{FleetShape, Told, until};
+use bendhinge_standin::gateway::UpstreamFault;
+use gateway_common::{call, line_of, metric, run, send, smallest, start};
+
+/// Guards against a line that does not tell what the end of a send was concluded from.
+#[test]
+fn a_refused_request_is_logged_with_the_evidence_of_each_send() {
+    run(|tasks| async move {
+        let fleet = start(&tasks, FleetShape { gateways: 1, engines: 1, services: 2 }).await;
+        fleet.upstreams.iter().for_each(|upstream| upstream.set_fault(UpstreamFault::Full));
+        let call = call("/unsafe/x");
+        assert_eq!(send(&fleet, &call).await.told, Told::Status(503));
+        let line = line_of(&fleet, &call).await;
+        let sends = line["sends"].as_array().unwrap();
+        assert_eq!(sends.len(), 2, "{line}");
+        for send in sends {
+            assert_eq!((&send["end"], &send["status"]), (&"rejected".into(), &503.into()), "{line}");
+        }
+        assert_eq!(metric(&fleet, "bendhinge_gateway_unrun_total").await, Some(1));
+    });
+}
+
+/// Guards against a refusal without a line because the process is killed after it.
+#[test]
+fn a_refusal_is_logged_before_its_caller_is_told() {
+    const KILLS: usize = 10;
+    run(|tasks| async move {
+        let mut fleet = smallest(&tasks).await;
+        fleet.upstreams.iter().for_each(|upstream| upstream.set_fault(UpstreamFault::Full));
+        for _ in 0..KILLS {
+            let call = call("/unsafe/x");
+            until(async || send(&fleet, &call).await.told == Told::Status(503)).await;
+            let mut process = fleet.gateways[0].take().unwrap();
+            process.kill();
+            until(async || process.lines().iter().any(|line| line.contains(&call.id))).await;
+            fleet.restart(0);
+        }
+    });
+}
