--- a/crates/bendhinge_lab/src/gateways/linked_fleet.rs
+++ b/crates/bendhinge_lab/src/gateways/linked_fleet.rs
@@ -271,7 +271,7 @@
     }
 }
 
-async fn cut(link: &Proxy, how: Partition) {
+pub(super) async fn cut(link: &Proxy, how: Partition) {
     match how {
         Partition::Reset => {
             link.refuse_new().await;
--- a/crates/bendhinge_lab/src/gateways/soak.rs
+++ b/crates/bendhinge_lab/src/gateways/soak.rs
@@ -67,6 +67,18 @@
     is_over: RefCell<bool>,
 }
 
+/// The seeds of a soak: those that `BENDHINGE_SOAK_SEEDS` names as `FROM..TO`, or the `usual` ones.
+///
+/// # Panics
+///
+/// If the variable has another form.
+#[must_use]
+pub fn soak_seeds(usual: &[u64]) -> Vec<u64> {
+    let Ok(range) = std::env::var("BENDHINGE_SOAK_SEEDS") else { return usual.to_vec() };
+    let (from, to) = range.split_once("..").expect("FROM..TO");
+    (from.parse().unwrap()..to.parse().unwrap()).collect()
+}
+
 /// Runs the soak of `seed`: the same faults in the same order, each at a time that depends on the
 /// box.
 pub async fn soak(tasks: &Tasks, seed: u64) -> Findings {
--- a/crates/bendhinge_lab/tests/gateway_refusals.rs
+++ b/crates/bendhinge_lab/tests/gateway_refusals.rs
@@ -2,9 +2,10 @@
 
 mod gateway_common;
 
-use bendhinge_lab::gateways::{FleetShape, Told, until};
+use bendhinge_gateway::native::headers::{RAN, REQUEST, SIGNATURE};
+use bendhinge_lab::gateways::{Call, FleetShape, KEY, Told, until};
 use bendhinge_standin::gateway::UpstreamFault;
-use gateway_common::{call, line_of, metric, run, send, smallest, start};
+use gateway_common::{RawEnd, RawUpstream, call, line_of, metric, run, send, smallest, start};
 
 /// Guards against a line that does not tell what the end of a send was concluded from.
 #[test]
@@ -41,3 +42,37 @@
         }
     });
 }
+
+/// Guards against a caller who is told that its request did not run, because the upstream says so beside the result of the
+/// run.
+#[test]
+fn a_result_that_claims_that_nothing_ran_is_no_rejection() {
+    const STATUSES: [&str; 4] =
+        ["200 OK", "202 Accepted", "500 Internal Server Error", "504 Gateway Timeout"];
+    run(|tasks| async move {
+        let fleet = start(&tasks, FleetShape { gateways: 1, engines: 0, services: 0 }).await;
+        let mut wrong = Vec::new();
+        for (number, status) in STATUSES.into_iter().enumerate() {
+            let response = format!(
+                "HTTP/1.1 {status}\r\n{REQUEST}: {{id}}\r\n{SIGNATURE}: s\r\n{RAN}: no\r\ncontent-length: 4\r\n\r\ndone"
+            );
+            let raw = RawUpstream::start(&tasks, response, RawEnd::Keep, 0).await;
+            for (pool, call) in [("services", call("/unsafe/x")), ("engines", Call::stream("/stream/x", KEY))]
+            {
+                let name = format!("{pool}-{number}");
+                fleet.store.add(&name, pool, raw.address);
+                until(async || {
+                    let told = send(&fleet, &call).await.told;
+                    let ran = raw.requests().iter().any(|head| head.contains(&call.id));
+                    if ran && matches!(told, Told::Status(408 | 421 | 429 | 503)) {
+                        wrong.push(format!("{status} in {pool}: {told:?}"));
+                    }
+                    ran
+                })
+                .await;
+                fleet.store.remove(&name);
+            }
+        }
+        assert!(wrong.is_empty(), "{wrong:#?}");
+    });
+}
--- a/crates/bendhinge_lab/tests/gateway_soak.rs
+++ b/crates/bendhinge_lab/tests/gateway_soak.rs
@@ -1,9 +1,11 @@
-//! A few seeds of the soak in CI, and those that once failed.
+//! A few seeds of the soak in CI, and those that once failed. By hand more: `BENDHINGE_SOAK_SEEDS=100..150`.
 
 use std::collections::BTreeMap;
 
 use bendhinge_http::{Tasks, run_until};
-use bendhinge_lab::gateways::{Findings, part_soak, partition_soak, silence_soak, soak, software_soak};
+use bendhinge_lab::gateways::{
+    Findings, part_soak, partition_soak, silence_soak, soak, soak_seeds, software_soak,
+};
 
 /// Seeds of the short run, and seeds that once found something.
 const SEEDS: [u64; 4] = [1, 2, 3, 4];
@@ -21,7 +23,7 @@
 /// Guards against requests with a crashing part that reach engine after engine, and sound ones that are blamed.
 #[test]
 fn a_crashing_part_stays_known_while_gateways_fail() {
-    for seed in seeds(&PART_SEEDS) {
+    for seed in soak_seeds(&PART_SEEDS) {
         let told = check(seed, |tasks| async move { part_soak(&tasks, seed).await });
         assert!(
             told.contains_key("with the part: Status(503) BH0310"),
@@ -32,7 +34,7 @@
 
 #[test]
 fn no_stream_is_mixed_while_versions_overlap() {
-    for seed in seeds(&SOFTWARE_SEEDS) {
+    for seed in soak_seeds(&SOFTWARE_SEEDS) {
         let tasks = Tasks::default();
         let findings =
             run_until(&tasks, std::num::NonZeroUsize::MIN, software_soak(&Tasks::clone(&tasks), seed));
@@ -44,14 +46,14 @@
 
 #[test]
 fn no_promise_breaks_while_everything_fails() {
-    for seed in seeds(&SEEDS) {
+    for seed in soak_seeds(&SEEDS) {
         check(seed, |tasks| async move { soak(&tasks, seed).await });
     }
 }
 
 #[test]
 fn no_promise_breaks_while_gateways_are_partitioned() {
-    for seed in seeds(&PARTITION_SEEDS) {
+    for seed in soak_seeds(&PARTITION_SEEDS) {
         check(seed, |tasks| async move { partition_soak(&tasks, seed).await });
     }
 }
@@ -59,7 +61,7 @@
 /// Guards against gateways that cut responses of sound upstreams which fall silent for a second or so.
 #[test]
 fn no_response_is_cut_while_sound_upstreams_fall_silent() {
-    for seed in seeds(&SILENCE_SEEDS) {
+    for seed in soak_seeds(&SILENCE_SEEDS) {
         let told = check(seed, |tasks| async move { silence_soak(&tasks, seed).await });
         assert!(told.contains_key("Whole after a silence"), "seed {seed}: no response waited for a silence");
     }
@@ -74,10 +76,3 @@
     assert!(findings.told.contains_key("Whole"), "seed {seed}: nothing was served");
     findings.told
 }
-
-/// By hand more: `BENDHINGE_SOAK_SEEDS=100..150`.
-fn seeds(usual: &[u64]) -> Vec<u64> {
-    let Ok(range) = std::env::var("BENDHINGE_SOAK_SEEDS") else { return usual.to_vec() };
-    let (from, to) = range.split_once("..").expect("FROM..TO");
-    (from.parse().unwrap()..to.parse().unwrap()).collect()
-}
--- a/crates/bendhinge_standin/src/gateway/mod.rs
+++ b/crates/bendhinge_standin/src/gateway/mod.rs
@@ -6,8 +6,10 @@
 mod run;
 mod store;
 mod upstream;
+mod varied;
 
 pub use fault::{Framing, Silence, UpstreamFault};
 pub use run::Run;
 pub use store::{DATA_CENTRE, Store, StoreFault, UpstreamRecord};
 pub use upstream::Upstream;
+pub use varied::VariedUpstream;
