Delivery: a request did not run only if its end is evidence of that

Callers were told 503, which states that the request did not run, after upstreams had answered 200, 202, 500 or 504 with a header that denies the run: one header beside the result of a run was enough. A signed success is now passed on, and a failure counts as a run, whatever else they say.

An end that counts as not run is made from a NotRun, and that only from the request itself, which it consumes, or from the response to it; the constructors list all there is to audit. The names in logs and metrics are as before.

--- a/crates/bendhinge_delivery/src/retry.rs
+++ b/crates/bendhinge_delivery/src/retry.rs
@@ -2,17 +2,13 @@
 
 use bendhinge_codes::{Ran, ResultCode};
 
+use crate::{NotRun, NotRunReason};
+
 /// How a send failed to produce a response that can be forwarded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendOutcome {
-    /// No connection was established.
-    NotConnected,
-    /// The connection closed before a byte was written.
-    NotSent,
-    /// The upstream reported that it did not run the request.
-    Rejected,
-    /// The address belongs to another upstream, which did not run the request.
-    Replaced,
+    /// The request did not run there and will not.
+    NotRun(NotRun),
     /// The connection was lost after the upstream may have read part of the request.
     Lost,
     /// The upstream did not respond within the timeout.
@@ -27,27 +23,42 @@
     Superseded,
 }
 
+impl From<NotRun> for SendOutcome {
+    fn from(evidence: NotRun) -> Self {
+        Self::NotRun(evidence)
+    }
+}
+
 impl SendOutcome {
-    /// Whether the request certainly did not run on this upstream and will not.
+    /// Why the request certainly did not run on this upstream and will not; `None` if that is not certain.
     #[must_use]
-    pub const fn definitely_not_run(self) -> bool {
-        matches!(self, Self::NotConnected | Self::NotSent | Self::Rejected | Self::Replaced)
+    pub const fn not_run_reason(self) -> Option<NotRunReason> {
+        match self {
+            Self::NotRun(evidence) => Some(evidence.reason()),
+            _ => None,
+        }
     }
 
     /// Whether the request may have reached an upstream. Later sends then count against the retry budget.
     #[must_use]
     pub const fn reached_upstream(self) -> bool {
-        !matches!(self, Self::NotConnected | Self::NotSent)
+        !matches!(
+            self.not_run_reason(),
+            Some(NotRunReason::NotConnected | NotRunReason::Withheld | NotRunReason::Returned)
+        )
     }
 
     /// The name used in logs and metrics.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
         match self {
-            Self::NotConnected => "not_connected",
-            Self::NotSent => "not_sent",
-            Self::Rejected => "rejected",
-            Self::Replaced => "replaced",
+            Self::NotRun(evidence) => match evidence.reason() {
+                NotRunReason::NotConnected => "not_connected",
+                NotRunReason::Withheld | NotRunReason::Returned => "not_sent",
+                NotRunReason::Rejected => "rejected",
+                NotRunReason::Replaced => "replaced",
+                NotRunReason::Refused => "refused",
+            },
             Self::Lost => "lost",
             Self::TimedOut => "silent",
             Self::InvalidResponse => "spoilt",
@@ -96,7 +107,7 @@
         if end.reached_upstream() {
             self.reached_count += 1;
         }
-        if !end.definitely_not_run() {
+        if end.not_run_reason().is_none() {
             self.possible_runs += 1;
         }
         self.may_send()
@@ -166,9 +177,9 @@
     /// deadline has passed.
     #[must_use]
     pub const fn final_code(&self, deadline_exceeded: bool) -> ResultCode {
-        match (self.possible_runs, self.last_outcome) {
-            (0, None) => ResultCode::NoUpstream,
-            (0, Some(_)) => ResultCode::UpstreamNotReached,
+        match (self.ran(), self.last_outcome) {
+            (Ran::No, None) => ResultCode::NoUpstream,
+            (Ran::No, Some(_)) => ResultCode::UpstreamNotReached,
             (_, Some(SendOutcome::InvalidResponse)) => ResultCode::UpstreamBadAnswer,
             (_, Some(SendOutcome::TooLarge)) => ResultCode::AnswerTooLarge,
             (_, Some(SendOutcome::TimedOut)) => ResultCode::UpstreamTimeout,
--- a/crates/bendhinge_delivery/tests/retry.rs
+++ b/crates/bendhinge_delivery/tests/retry.rs
@@ -1,12 +1,33 @@
 //! Retry state: when a request may be sent again, and its final result code.
 
 use bendhinge_codes::{Ran, ResultCode};
-use bendhinge_delivery::{RetryPolicy, RetryState, SendOutcome};
+use bendhinge_delivery::{NotRun, RetryPolicy, RetryState, SendOutcome, UpstreamReport};
 
-use SendOutcome::{Failed, InvalidResponse, Lost, NotConnected, NotSent, Rejected, Replaced, TimedOut};
+use SendOutcome::{Failed, InvalidResponse, Lost, TimedOut};
 
-const ALL_OUTCOMES: [SendOutcome; 8] =
-    [NotConnected, NotSent, Rejected, Replaced, Lost, TimedOut, InvalidResponse, Failed];
+fn not_connected() -> SendOutcome {
+    NotRun::not_connected(()).into()
+}
+
+fn not_sent() -> SendOutcome {
+    NotRun::returned(()).into()
+}
+
+fn rejected() -> SendOutcome {
+    let report =
+        UpstreamReport { status: 503, is_to_request: true, not_executed: true, is_misdirected: false };
+    NotRun::reported(report).unwrap().into()
+}
+
+fn replaced() -> SendOutcome {
+    let report =
+        UpstreamReport { status: 421, is_to_request: true, not_executed: false, is_misdirected: true };
+    NotRun::reported(report).unwrap().into()
+}
+
+fn all_outcomes() -> [SendOutcome; 8] {
+    [not_connected(), not_sent(), rejected(), replaced(), Lost, TimedOut, InvalidResponse, Failed]
+}
 
 fn state(repeatable: bool, max_attempts: u32) -> RetryState {
     RetryState::new(RetryPolicy { repeatable, max_attempts })
@@ -15,34 +36,34 @@
 struct Case {
     repeatable: bool,
     max_attempts: u32,
-    outcomes: &'static [SendOutcome],
+    outcomes: Vec<SendOutcome>,
     may_send: bool,
     code: ResultCode,
 }
 
 #[test]
 fn retry_decisions_and_result_codes() {
-    let case = |repeatable, max_attempts, outcomes, may_send, code| Case {
+    let case = |repeatable, max_attempts, outcomes: &[SendOutcome], may_send, code| Case {
         repeatable,
         max_attempts,
-        outcomes,
+        outcomes: outcomes.to_vec(),
         may_send,
         code,
     };
     let cases = [
-        case(false, 1, &[Lost][..], false, ResultCode::UpstreamLost),
+        case(false, 1, &[Lost], false, ResultCode::UpstreamLost),
         case(false, 2, &[Lost], false, ResultCode::UpstreamLost),
         case(false, 1, &[TimedOut], false, ResultCode::UpstreamTimeout),
         case(false, 1, &[InvalidResponse], false, ResultCode::UpstreamBadAnswer),
-        case(false, 1, &[NotConnected], true, ResultCode::UpstreamNotReached),
-        case(false, 1, &[Rejected], true, ResultCode::UpstreamNotReached),
-        case(false, 1, &[Rejected, Replaced], true, ResultCode::UpstreamNotReached),
-        case(false, 1, &[Rejected, Replaced, NotSent], false, ResultCode::UpstreamNotReached),
-        case(false, 1, &[Rejected, Lost], false, ResultCode::UpstreamLost),
+        case(false, 1, &[not_connected()], true, ResultCode::UpstreamNotReached),
+        case(false, 1, &[rejected()], true, ResultCode::UpstreamNotReached),
+        case(false, 1, &[rejected(), replaced()], true, ResultCode::UpstreamNotReached),
+        case(false, 1, &[rejected(), replaced(), not_sent()], false, ResultCode::UpstreamNotReached),
+        case(false, 1, &[rejected(), Lost], false, ResultCode::UpstreamLost),
         case(true, 1, &[Lost], false, ResultCode::UpstreamLost),
         case(true, 2, &[Lost], true, ResultCode::UpstreamLost),
         case(true, 2, &[Lost, TimedOut], false, ResultCode::UpstreamTimeout),
-        case(true, 2, &[Failed, Rejected], true, ResultCode::UpstreamLost),
+        case(true, 2, &[Failed, rejected()], true, ResultCode::UpstreamLost),
         case(true, 2, &[Failed, Failed], false, ResultCode::UpstreamLost),
     ];
     for case in cases {
@@ -72,9 +93,9 @@
         let mut may_send = true;
         while may_send {
             assert!(may_have_run == 0 || repeatable, "sent again although it may have run");
-            let outcome = *source.choose(&ALL_OUTCOMES)?;
+            let outcome = *source.choose(&all_outcomes())?;
             may_send = state.record_outcome(outcome);
-            may_have_run += u32::from(!outcome.definitely_not_run());
+            may_have_run += u32::from(outcome.not_run_reason().is_none());
             assert!(may_have_run <= max_attempts);
             let code = state.final_code(source.arbitrary()?);
             assert_eq!(code.ran() == Some(Ran::No), may_have_run == 0, "{code}");
@@ -93,7 +114,7 @@
     assert!(state.may_send() && !state.allows_hedge());
     assert!(state.needs_retry_budget());
     assert_eq!(state.attempts_left(2), 1);
-    assert!(state.record_outcome(NotConnected), "it did not run");
+    assert!(state.record_outcome(not_connected()), "it did not run");
     assert!(!state.record_outcome(Lost), "the held response and this send may both have run");
     state.set_held_responses(0);
     assert!(!state.record_outcome(Lost));
--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_delivery::{BodyEnd, SendOutcome};
+use bendhinge_delivery::{BodyEnd, NotRun, SendOutcome, UpstreamReport};
 use bendhinge_fleet::UpstreamEntry;
 use bendhinge_http::{Body, BodyFraming, ConnectError, Connection, SendFailure, full_body};
 use bytes::Bytes;
@@ -45,31 +45,10 @@
     pub(super) body: Option<EndedBody>,
     /// Why no connection was established.
     pub(super) connect_failure: Option<ConnectFailure>,
-    /// Why nothing was written to the connection.
-    pub(super) unsent: Option<Unsent>,
     /// The status of the response, if there was one.
     pub(super) status: Option<StatusCode>,
 }
 
-/// Why nothing of a request was written to a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Unsent {
-    /// It was no longer allowed to be sent.
-    Withheld,
-    /// The HTTP library returned it, because the connection was closed.
-    Returned,
-}
-
-impl Unsent {
-    /// The name used in logs.
-    pub(crate) const fn as_str(self) -> &'static str {
-        match self {
-            Self::Withheld => "withheld",
-            Self::Returned => "returned",
-        }
-    }
-}
-
 /// Why no connection to an upstream was established.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnectFailure {
@@ -102,9 +81,10 @@
     }
 }
 
-impl From<ConnectError> for SendError {
-    fn from(error: ConnectError) -> Self {
-        Self { connect_failure: Some((&error).into()), ..SendOutcome::NotConnected.into() }
+impl SendError {
+    /// The error of a request for which no connection was established.
+    fn not_connected(request: Request<Body>, error: &ConnectError) -> Self {
+        Self { connect_failure: Some(error.into()), ..NotRun::not_connected(request).into() }
     }
 }
 
@@ -116,13 +96,13 @@
 
 impl From<SendOutcome> for SendError {
     fn from(end: SendOutcome) -> Self {
-        Self { end, error_response: None, body: None, connect_failure: None, unsent: None, status: None }
+        Self { end, error_response: None, body: None, connect_failure: None, status: None }
     }
 }
 
-impl From<Unsent> for SendError {
-    fn from(unsent: Unsent) -> Self {
-        Self { unsent: Some(unsent), ..SendOutcome::NotSent.into() }
+impl From<NotRun> for SendError {
+    fn from(evidence: NotRun) -> Self {
+        SendOutcome::from(evidence).into()
     }
 }
 
@@ -237,11 +217,14 @@
     if !connecting.as_ref().is_ok_and(|connection| connection.reused) {
         record_link(context, chosen, connecting.is_ok());
     }
-    let mut connection = connecting?;
+    let mut connection = match connecting {
+        Ok(connection) => connection,
+        Err(error) => return Err(SendError::not_connected(request, &error)),
+    };
     // The deadline or the lease may have expired while the connection was established or the process was
     // suspended.
     if !context.may_be_sent(inbound, chosen) {
-        return Err(Unsent::Withheld.into());
+        return Err(NotRun::withheld(request).into());
     }
     match send_on(&mut connection, request).await {
         Ok(response) => Ok((response, connection)),
@@ -249,9 +232,12 @@
             // The upstream closed an idle connection, which is no sign of a failure.
             let reconnecting = context.connection_pool.connect(address).await;
             record_link(context, chosen, reconnecting.is_ok());
-            connection = reconnecting?;
+            connection = match reconnecting {
+                Ok(connection) => connection,
+                Err(error) => return Err(SendError::not_connected(*request, &error)),
+            };
             if !context.may_be_sent(inbound, chosen) {
-                return Err(Unsent::Withheld.into());
+                return Err(NotRun::withheld(request).into());
             }
             let response = send_on(&mut connection, *request).await?;
             Ok((response, connection))
@@ -268,7 +254,7 @@
 impl From<ExchangeError> for SendError {
     fn from(error: ExchangeError) -> Self {
         match error {
-            ExchangeError::NotSent(_) => Unsent::Returned.into(),
+            ExchangeError::NotSent(request) => NotRun::returned(request).into(),
             ExchangeError::Ended(end) => end.into(),
         }
     }
@@ -304,9 +290,15 @@
         context.record_reported_state(inbound, chosen, &fields);
     }
     let framing = BodyFraming::of_response(&inbound.head.method, head.status, &head.headers);
-    if let Some(end) = reported_not_run(&fields) {
+    let report = UpstreamReport {
+        status: head.status.as_u16(),
+        is_to_request: fields.id == inbound.fields.id,
+        not_executed: fields.not_executed,
+        is_misdirected: fields.is_misdirected,
+    };
+    if let Some(evidence) = NotRun::reported(report) {
         drain_and_release(context, &head, framing, body, connection).await;
-        return Err(end.into());
+        return Err(evidence.into());
     }
     let is_success = head.status.is_success();
     if is_success && !fields.is_signed {
@@ -335,14 +327,6 @@
     content_type.is_some_and(|content_type| content_type.starts_with("text/event-stream"))
 }
 
-/// Returns the result of an attempt that the upstream explicitly reports as not run.
-const fn reported_not_run(fields: &ResponseFields) -> Option<SendOutcome> {
-    if fields.is_misdirected {
-        return Some(SendOutcome::Replaced);
-    }
-    if fields.not_executed { Some(SendOutcome::Rejected) } else { None }
-}
-
 /// Whether the status implies that the request did not run. Such a status is not relayed if the upstream does
 /// not also report explicitly that it did not run the request.
 pub(super) fn implies_not_run(status: StatusCode) -> bool {
--- a/crates/bendhinge_gateway/src/delivery/forward.rs
+++ b/crates/bendhinge_gateway/src/delivery/forward.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bendhinge_codes::{Ran, ResultCode};
-use bendhinge_delivery::SendOutcome;
+use bendhinge_codes::ResultCode;
+use bendhinge_delivery::{NotRun, SendOutcome};
 use bendhinge_http::{Body, BodyFraming, Connection, SendFailure, full_body};
 use futures_lite::FutureExt;
 use hyper::body::Incoming;
+use hyper::http::response;
 use hyper::{Request, Response};
 use smol::Timer;
 
@@ -42,8 +43,8 @@
 
 /// Why a gateway did not deliver a response.
 enum ForwardError {
-    /// The gateway was not reached, or closed the connection before a byte of the request was written.
-    NotSent(SendOutcome),
+    /// Nothing of the request was written.
+    NotSent(NotRun),
     /// The request may have run.
     Lost(SendOutcome),
 }
@@ -107,21 +108,26 @@
             self.open_forward = Some(number);
             let response = match self.exchange_with_gateway(guard.address, resume_after).await {
                 Ok(response) => response,
-                Err(ForwardError::NotSent(end)) => {
+                Err(ForwardError::NotSent(evidence)) => {
                     self.context.forwarding.record_failure(guard.address);
-                    self.record_forward_end(number, end);
+                    self.record_forward_end(number, evidence.into());
                     continue;
                 }
                 Err(ForwardError::Lost(end)) => return self.fail_forward(number, end),
             };
             let (response, connection) = response;
-            let Some(refusal) = headers::parse_refusal(response.headers()) else {
+            let (head, body) = response.into_parts();
+            let Some(refusal) = headers::parse_refusal(&head.headers) else {
                 let send = ForwardedSend { number, _guard: guard };
-                return self.receive_forwarded(response, connection, send).await;
+                return self.receive_forwarded(head, body, connection, send).await;
             };
             self.open_forward = None;
             self.log_line.record_forward_refusal(number, refusal.code);
             self.context.metrics.count_forward("refused");
+            if NotRun::refused(refusal.code).is_none() {
+                self.retry_state.record_forward(Some(SendOutcome::Lost));
+                return ForwardOutcome::Failed(DeliveryError::Code(refusal.code));
+            }
             if !may_try_another_gateway(refusal.code) {
                 return self.fail_with_refusal(refusal);
             }
@@ -139,32 +145,39 @@
         address: SocketAddr,
         resume_after: Option<&str>,
     ) -> Result<(Response<Incoming>, Connection), ForwardError> {
-        let idle = self.context.connection_pool.idle_connection(address, MAX_CONNECTION_IDLE_TIME);
-        let mut connection = match idle {
-            Some(connection) => connection,
-            None => self.connect_to_gateway(address).await?,
-        };
-        let mut request = self.forwarded_request(resume_after);
+        let mut idle = self.context.connection_pool.idle_connection(address, MAX_CONNECTION_IDLE_TIME);
+        let mut request = None;
         loop {
+            let connected = match idle.take() {
+                Some(connection) => Some(connection),
+                None => self.connect_to_gateway(address).await,
+            };
+            // Its fields depend on how long the connection took.
+            let unsent = request.take().unwrap_or_else(|| self.forwarded_request(resume_after));
+            let Some(mut connection) = connected else {
+                return Err(ForwardError::NotSent(NotRun::not_connected(unsent)));
+            };
             // The deadline or the lease may have expired while the connection was established.
             if self.inbound.time_left().is_zero() || !self.inbound.is_authorized(&self.context.rules) {
-                return Err(ForwardError::NotSent(SendOutcome::NotSent));
+                return Err(ForwardError::NotSent(NotRun::withheld(unsent)));
             }
-            match self.send_on(&mut connection, request).await? {
+            match self.send_on(&mut connection, unsent).await? {
                 Sent::Response(response) => return Ok((response, connection)),
                 // The gateway closed an idle connection.
-                Sent::Nothing(unsent) if connection.reused => request = *unsent,
-                Sent::Nothing(_) => return Err(ForwardError::NotSent(SendOutcome::NotSent)),
+                Sent::Nothing(returned) if connection.reused => request = Some(*returned),
+                Sent::Nothing(returned) => return Err(ForwardError::NotSent(NotRun::returned(returned))),
             }
-            connection = self.connect_to_gateway(address).await?;
         }
     }
 
-    async fn connect_to_gateway(&self, address: SocketAddr) -> Result<Connection, ForwardError> {
-        let not_connected = ForwardError::NotSent(SendOutcome::NotConnected);
-        let Some(stream) = self.context.forwarding.connect(address).await else { return Err(not_connected) };
-        let connected = self.context.connection_pool.connect_over(stream, address).await;
-        connected.map_err(|_| not_connected)
+    async fn connect_to_gateway(&self, address: SocketAddr) -> Option<Connection> {
+        let stream = self.context.forwarding.connect(address).await?;
+        self.context.connection_pool.connect_over(stream, address).await.ok()
+    }
+
+    /// Whether a response is to this request.
+    fn is_to_request(&self, head: &response::Parts) -> bool {
+        self.context.dialect.parse_response_head(head).id == self.inbound.fields.id
     }
 
     async fn send_on(
@@ -213,12 +226,12 @@
     /// Receives the response of an upstream that another gateway relays.
     async fn receive_forwarded(
         &mut self,
-        response: Response<Incoming>,
+        head: response::Parts,
+        body: Incoming,
         connection: Connection,
         send: ForwardedSend,
     ) -> ForwardOutcome {
-        let (head, body) = response.into_parts();
-        if self.context.dialect.parse_response_head(&head).id != self.inbound.fields.id {
+        if !self.is_to_request(&head) {
             return self.fail_forward(send.number, SendOutcome::InvalidResponse);
         }
         self.open_forward = None;
@@ -270,12 +283,8 @@
     }
 
     /// Passes the refusal of another gateway on to the caller as it is, unless the request may have run before.
-    fn fail_with_refusal(&mut self, refusal: ForwardRefusal) -> ForwardOutcome {
+    fn fail_with_refusal(&self, refusal: ForwardRefusal) -> ForwardOutcome {
         let ForwardRefusal { code, retry_after } = refusal;
-        if code.ran() != Some(Ran::No) {
-            self.retry_state.record_forward(Some(SendOutcome::Lost));
-            return ForwardOutcome::Failed(DeliveryError::Code(code));
-        }
         ForwardOutcome::Failed(match retry_after {
             Some(retry_after) => self.retry_later(code, retry_after),
             None => DeliveryError::Code(self.code_if_not_run(code)),
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -34,7 +34,7 @@
 use rand::Rng;
 
 use self::attempt::{AttemptParams, ErrorResponse, UpstreamResponse, send_to_upstream};
-pub(crate) use self::attempt::{ConnectFailure, Unsent};
+pub(crate) use self::attempt::ConnectFailure;
 pub(crate) use self::context::DeliveryContext;
 pub(crate) use self::crash::CrashProbes;
 pub(crate) use self::cut::Cut;
--- a/crates/bendhinge_gateway/src/delivery/outcome.rs
+++ b/crates/bendhinge_gateway/src/delivery/outcome.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bendhinge_delivery::SendOutcome;
+use bendhinge_delivery::{NotRunReason, SendOutcome};
 use bendhinge_fleet::UpstreamFailure;
 use bendhinge_ids::NameHash;
 
@@ -55,8 +55,8 @@
     /// Records a failed send; returns `Err` if it is not retried.
     pub(super) fn handle_failure(&mut self, failed: FailedSend) -> Result<(), DeliveryError> {
         let FailedSend { record, error } = failed;
-        let SendError { end, error_response, body, connect_failure, unsent, status } = error;
-        self.log_line.record_basis(record.number, unsent, status);
+        let SendError { end, error_response, body, connect_failure, status } = error;
+        self.log_line.record_basis(record.number, end, status);
         if let Some(connect_failure) = connect_failure {
             self.has_failed_to_connect = true;
             self.record_connect_failure(&record, connect_failure);
@@ -158,12 +158,8 @@
         let SendRecord { upstream, started_at, .. } = record;
         self.metrics.count_send_end(end);
         match end {
-            SendOutcome::Rejected if !self.is_paced(&inbound.pool) => {
-                self.admission.record_rejection(&inbound.pool);
-            }
-            SendOutcome::Rejected => {
-                let upstream_count = self.upstreams.count_accepting_work(&inbound.pool);
-                self.pacing.record_rejection(&inbound.pool, upstream.hash, upstream_count);
+            SendOutcome::NotRun(evidence) if evidence.reason() == NotRunReason::Rejected => {
+                self.record_rejection(inbound, record);
             }
             SendOutcome::Failed => {
                 self.record_response(inbound);
@@ -177,6 +173,16 @@
         }
     }
 
+    fn record_rejection(&self, inbound: &InboundRequest, record: &SendRecord) {
+        let pool = &inbound.pool;
+        if self.is_paced(pool) {
+            let upstream_count = self.upstreams.count_accepting_work(pool);
+            self.pacing.record_rejection(pool, record.upstream.hash, upstream_count);
+        } else {
+            self.admission.record_rejection(pool);
+        }
+    }
+
     /// Records a response for the pacing of the pool.
     pub(super) fn record_response(&self, inbound: &InboundRequest) {
         let InboundRequest { pool, received_at, route, .. } = inbound;
@@ -205,10 +211,13 @@
 /// Returns the failure to record for the upstream, if any.
 const fn upstream_failure(end: SendOutcome) -> Option<UpstreamFailure> {
     match end {
-        SendOutcome::NotConnected => Some(UpstreamFailure::ConnectFailed),
-        SendOutcome::NotSent | SendOutcome::Superseded => None,
-        SendOutcome::Rejected => Some(UpstreamFailure::Rejected),
-        SendOutcome::Replaced => Some(UpstreamFailure::WrongInstance),
+        SendOutcome::NotRun(evidence) => match evidence.reason() {
+            NotRunReason::NotConnected => Some(UpstreamFailure::ConnectFailed),
+            NotRunReason::Withheld | NotRunReason::Returned | NotRunReason::Refused => None,
+            NotRunReason::Rejected => Some(UpstreamFailure::Rejected),
+            NotRunReason::Replaced => Some(UpstreamFailure::WrongInstance),
+        },
+        SendOutcome::Superseded => None,
         SendOutcome::Lost | SendOutcome::InvalidResponse | SendOutcome::TooLarge => {
             Some(UpstreamFailure::ConnectionLost)
         }
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -5,7 +5,7 @@
 
 use bendhinge_admission::RetryDecision;
 use bendhinge_codes::{Ran, ResultCode};
-use bendhinge_delivery::{BodyEnd, RetryState, SendOutcome, StreamTiming};
+use bendhinge_delivery::{BodyEnd, NotRunReason, RetryState, SendOutcome, StreamTiming};
 use bendhinge_http::BodyFraming;
 use bendhinge_ids::{Instant, NameHash, PartDigest, RequestDigest};
 use hyper::StatusCode;
@@ -15,7 +15,7 @@
 use super::sends::{ForwardRecord, RetryFields, SendRecord};
 use super::stream::{CutFields, ResumptionFields, StreamFields};
 use super::{Log, whole_millis};
-use crate::delivery::{ConnectFailure, Cut, InboundRequest, Unsent};
+use crate::delivery::{ConnectFailure, Cut, InboundRequest};
 use crate::forwarding::{ForwardBasis, ForwardGuard};
 use crate::quarantine::Suspect;
 use crate::state::ChosenUpstream;
@@ -217,9 +217,13 @@
     }
 
     /// Records what the end of a send was concluded from: why nothing was written, or the status of the response.
-    pub(crate) fn record_basis(&mut self, index: usize, unsent: Option<Unsent>, status: Option<StatusCode>) {
+    pub(crate) fn record_basis(&mut self, index: usize, end: SendOutcome, status: Option<StatusCode>) {
         if let Some(send) = self.sends.get_mut(index) {
-            send.unsent = unsent.map(Unsent::as_str);
+            send.unsent = match end.not_run_reason() {
+                Some(NotRunReason::Withheld) => Some("withheld"),
+                Some(NotRunReason::Returned) => Some("returned"),
+                _ => None,
+            };
             send.status = status.map(|status| status.as_u16());
         }
     }
