Delivery: a request may run for as long as a send or a forward of it is open

RetryState knew the sends that had ended only. No path is known that refuses a request as not run while one is open; nothing but the order of the calls kept it from that. Sends and forwards are now counted from their beginning, and lines of requests whose caller left say unknown in place of yes.

--- a/crates/bendhinge_delivery/src/retry.rs
+++ b/crates/bendhinge_delivery/src/retry.rs
@@ -86,6 +86,8 @@
 pub struct RetryState {
     policy: RetryPolicy,
     sends: u32,
+    /// The number of sends and forwards that have begun and whose outcome is not recorded.
+    open_count: u32,
     possible_runs: u32,
     reached_count: u32,
     /// The number of responses that are read while another send is made.
@@ -97,12 +99,26 @@
     /// Creates the state of a request that has not been sent yet.
     #[must_use]
     pub const fn new(policy: RetryPolicy) -> Self {
-        Self { policy, sends: 0, possible_runs: 0, reached_count: 0, held_responses: 0, last_outcome: None }
+        Self {
+            policy,
+            sends: 0,
+            open_count: 0,
+            possible_runs: 0,
+            reached_count: 0,
+            held_responses: 0,
+            last_outcome: None,
+        }
+    }
+
+    /// Records that the request is sent or forwarded. Until the outcome is recorded, it may run there.
+    pub const fn begin_send(&mut self) {
+        self.open_count += 1;
     }
 
     /// Records the outcome of a send. Returns whether another may follow, subject to the retry budget.
     pub const fn record_outcome(&mut self, end: SendOutcome) -> bool {
         self.sends += 1;
+        self.open_count = self.open_count.saturating_sub(1);
         self.last_outcome = Some(end);
         if end.reached_upstream() {
             self.reached_count += 1;
@@ -123,6 +139,7 @@
     /// ended if there was no response.
     pub const fn record_forward(&mut self, end: Option<SendOutcome>) {
         self.sends += 1;
+        self.open_count = self.open_count.saturating_sub(1);
         self.reached_count += 1;
         self.possible_runs = if self.policy.max_attempts > 1 { self.policy.max_attempts } else { 1 };
         if end.is_some() {
@@ -130,6 +147,11 @@
         }
     }
 
+    /// Records that the request was forwarded and did not run, as the evidence shows.
+    pub const fn record_unrun_forward(&mut self, _evidence: NotRun) {
+        self.open_count = self.open_count.saturating_sub(1);
+    }
+
     /// Sets the number of responses that are read while another send is made. The request runs at their upstreams, too.
     pub const fn set_held_responses(&mut self, count: u32) {
         self.held_responses = count;
@@ -167,10 +189,10 @@
         self.reached_count > 0 || self.held_responses > 0
     }
 
-    /// Whether the request may have run, provided that no response was forwarded.
+    /// Whether the request may have run or may still run, provided that no response was forwarded.
     #[must_use]
     pub const fn ran(&self) -> Ran {
-        if self.possible_runs == 0 { Ran::No } else { Ran::Unknown }
+        if self.possible_runs == 0 && self.open_count == 0 { Ran::No } else { Ran::Unknown }
     }
 
     /// The result code when no further send is made. `deadline_exceeded` is true if the request's
--- a/crates/bendhinge_gateway/src/delivery/forward.rs
+++ b/crates/bendhinge_gateway/src/delivery/forward.rs
@@ -106,11 +106,13 @@
             tried.push(guard.address);
             let number = self.log_line.record_forward(&guard);
             self.open_forward = Some(number);
+            self.retry_state.begin_send();
             let response = match self.exchange_with_gateway(guard.address, resume_after).await {
                 Ok(response) => response,
                 Err(ForwardError::NotSent(evidence)) => {
                     self.context.forwarding.record_failure(guard.address);
                     self.record_forward_end(number, evidence.into());
+                    self.retry_state.record_unrun_forward(evidence);
                     continue;
                 }
                 Err(ForwardError::Lost(end)) => return self.fail_forward(number, end),
@@ -124,10 +126,11 @@
             self.open_forward = None;
             self.log_line.record_forward_refusal(number, refusal.code);
             self.context.metrics.count_forward("refused");
-            if NotRun::refused(refusal.code).is_none() {
+            let Some(evidence) = NotRun::refused(refusal.code) else {
                 self.retry_state.record_forward(Some(SendOutcome::Lost));
                 return ForwardOutcome::Failed(DeliveryError::Code(refusal.code));
-            }
+            };
+            self.retry_state.record_unrun_forward(evidence);
             if !may_try_another_gateway(refusal.code) {
                 return self.fail_with_refusal(refusal);
             }
--- a/crates/bendhinge_gateway/src/delivery/mod.rs
+++ b/crates/bendhinge_gateway/src/delivery/mod.rs
@@ -33,8 +33,8 @@
 use hyper::{Response, StatusCode};
 use rand::Rng;
 
-use self::attempt::{AttemptParams, ErrorResponse, UpstreamResponse, send_to_upstream};
 pub(crate) use self::attempt::ConnectFailure;
+use self::attempt::{AttemptParams, ErrorResponse, UpstreamResponse, send_to_upstream};
 pub(crate) use self::context::DeliveryContext;
 pub(crate) use self::crash::CrashProbes;
 pub(crate) use self::cut::Cut;
@@ -185,7 +185,7 @@
     fn drop(&mut self) {
         self.return_unused_retry();
         if !self.log_line.is_written() {
-            self.log_line.write_dropped(&self.context.log, &self.retry_state);
+            self.log_line.write_dropped(&self.context.log, self.retry_state.ran());
         }
     }
 }
@@ -280,6 +280,7 @@
         }
         let record = SendRecord::new(number, &chosen, tracked);
         self.open_sends.push(record.clone());
+        self.retry_state.begin_send();
         let params = AttemptParams {
             record: record.clone(),
             measured: MeasuredSend::start(&self.context.sends, chosen.entry.hash, &self.inbound),
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::time::Duration;
 
+use bendhinge_codes::Ran;
 use bendhinge_delivery::{BodyEnd, CompleteEvents, EventSplitter, SendOutcome, StreamTiming};
 use bendhinge_ids::{Instant, NameHash};
 use bytes::Bytes;
@@ -362,8 +363,8 @@
         if !self.is_finished {
             self.record_abandonment();
             self.report_timing();
-            let Delivery { log_line, context, retry_state, .. } = &mut self.delivery;
-            log_line.write_dropped(&context.log, retry_state);
+            let Delivery { log_line, context, .. } = &mut self.delivery;
+            log_line.write_dropped(&context.log, Ran::Yes);
         }
     }
 }
--- a/crates/bendhinge_gateway/src/log/request.rs
+++ b/crates/bendhinge_gateway/src/log/request.rs
@@ -264,14 +264,7 @@
         }
     }
 
-    fn write(
-        &mut self,
-        log: &Log,
-        outcome: &str,
-        status: u16,
-        code: Option<ResultCode>,
-        retry_state: &RetryState,
-    ) {
+    fn write(&mut self, log: &Log, outcome: &str, status: u16, code: Option<ResultCode>, ran: Ran) {
         #[derive(Serialize)]
         struct Fields<'a> {
             request: &'a str,
@@ -315,7 +308,7 @@
             forwards: &self.forwards,
             forwarded_by: self.forwarded_by,
             denied_retry: self.denied_retry,
-            ran: if code.is_none() { "yes" } else { retry_state.ran().as_str() },
+            ran: ran.as_str(),
             caller_framing: self.caller_framing.map(BodyFraming::as_str),
             resumption: &self.resumption,
             stream: &self.stream,
@@ -340,7 +333,8 @@
         code: Option<ResultCode>,
         retry_state: &RetryState,
     ) {
-        self.write(log, "answered", status, code, retry_state);
+        let ran = code.map_or(Ran::Yes, |_| retry_state.ran());
+        self.write(log, "answered", status, code, ran);
     }
 
     /// Whether the line is written.
@@ -349,8 +343,8 @@
     }
 
     /// Writes the line of a request that was dropped because its caller disconnected or its task panicked.
-    pub(crate) fn write_dropped(&mut self, log: &Log, retry_state: &RetryState) {
+    pub(crate) fn write_dropped(&mut self, log: &Log, ran: Ran) {
         let outcome = if std::thread::panicking() { "panicked" } else { "caller_left" };
-        self.write(log, outcome, 0, None, retry_state);
+        self.write(log, outcome, 0, None, ran);
     }
 }
