Forwarding: a refusal has to belong to the request, and to agree with its status

A gateway took the refusal headers of any response on the connection for a refusal of its request, before it compared the request's ID, and passed on a 503, 429, 421 or 408 that another gateway relayed without refusing.

--- a/crates/bendhinge_gateway/src/delivery/forward.rs
+++ b/crates/bendhinge_gateway/src/delivery/forward.rs
@@ -12,7 +12,9 @@
 use hyper::{Request, Response};
 use smol::Timer;
 
-use super::attempt::{ErrorResponse, MAX_CONNECTION_IDLE_TIME, UpstreamResponse, is_event_stream};
+use super::attempt::{
+    ErrorResponse, MAX_CONNECTION_IDLE_TIME, UpstreamResponse, implies_not_run, is_event_stream,
+};
 use super::stream_source::ResponseSource;
 use super::upstream_body::{UpstreamBody, read_complete_body};
 use super::{Delivery, DeliveryContext, DeliveryError, InboundRequest, delay_until_next_list};
@@ -119,7 +121,7 @@
             };
             let (response, connection) = response;
             let (head, body) = response.into_parts();
-            let Some(refusal) = headers::parse_refusal(&head.headers) else {
+            let Some(refusal) = self.parse_refusal(&head) else {
                 let send = ForwardedSend { number, _guard: guard };
                 return self.receive_forwarded(head, body, connection, send).await;
             };
@@ -183,6 +185,13 @@
         self.context.dialect.parse_response_head(head).id == self.inbound.fields.id
     }
 
+    /// Returns the refusal in the response of a gateway, if it is one.
+    fn parse_refusal(&self, head: &response::Parts) -> Option<ForwardRefusal> {
+        let refusal = headers::parse_refusal(&head.headers)?;
+        let is_consistent = head.status.as_u16() == refusal.code.http_status();
+        (is_consistent && self.is_to_request(head)).then_some(refusal)
+    }
+
     async fn send_on(
         &self,
         connection: &mut Connection,
@@ -226,7 +235,8 @@
         request
     }
 
-    /// Receives the response of an upstream that another gateway relays.
+    /// Receives the response of an upstream that another gateway relays. One that states that the request did not run is no
+    /// evidence of that unless it is a refusal.
     async fn receive_forwarded(
         &mut self,
         head: response::Parts,
@@ -234,7 +244,7 @@
         connection: Connection,
         send: ForwardedSend,
     ) -> ForwardOutcome {
-        if !self.is_to_request(&head) {
+        if !self.is_to_request(&head) || implies_not_run(head.status) {
             return self.fail_forward(send.number, SendOutcome::InvalidResponse);
         }
         self.open_forward = None;
