Streams: a gateway that has just started does not guess the software of unnamed streams

Callers that took up a stream again without naming its first request got a complete 200 joined from two versions of the upstreams' software, after all gateways had been killed at once and the old version had left meanwhile. A gateway that has just started took the only version that it saw for that of all streams; other callers were refused already.

It now has to have held the list, or to hear from another gateway that has watched it, for as long as a stream may last.

--- a/crates/bendhinge_fleet/src/software_history.rs
+++ b/crates/bendhinge_fleet/src/software_history.rs
@@ -64,6 +64,10 @@
     /// For how long before that other routers have missed none, or there were no streams.
     watched_before: Duration,
     confirmed_at: Option<Instant>,
+    /// When this router first had a list.
+    held_since: Option<Instant>,
+    /// For how long before that the versions are known.
+    held_before: Duration,
     pools: FxHashMap<NameHash, Vec<Served>>,
 }
 
@@ -83,6 +87,10 @@
             self.watched_since = Some(as_of);
             self.watched_before = if is_first { MAX_RETENTION } else { Duration::ZERO };
         }
+        if self.held_since.is_none() {
+            self.held_since = Some(as_of);
+            self.held_before = self.watched_before;
+        }
         self.confirmed_at = self.confirmed_at.max(Some(as_of));
     }
 
@@ -122,14 +130,19 @@
         if self.watched_for(now) < window {
             PoolSoftware::Unknown
         } else {
-            self.seen_software(pool, max_age, now)
+            self.software_within(pool, window, now)
         }
     }
 
-    /// Like [`SoftwareHistory::software_of`], but assumes that no version was missed.
+    /// Like [`SoftwareHistory::software_of`], but assumes that no version came and went while the list was not confirmed.
     #[must_use]
     pub fn seen_software(&self, pool: NameHash, max_age: Duration, now: Instant) -> PoolSoftware {
         let window = max_age + MAX_SERVICE_AFTER_REMOVAL;
+        let held_for = self.held_since.map_or(Duration::ZERO, |since| now.since(since) + self.held_before);
+        if held_for < window { PoolSoftware::Unknown } else { self.software_within(pool, window, now) }
+    }
+
+    fn software_within(&self, pool: NameHash, window: Duration, now: Instant) -> PoolSoftware {
         let pool = self.pools.get(&pool).map_or(&[][..], Vec::as_slice);
         let mut recent =
             pool.iter().filter(|served| served.is_listed || now.since(served.last_listed) < window);
@@ -189,6 +202,9 @@
         if let Some(since) = self.watched_since {
             self.watched_before = self.watched_before.max(watched_for.saturating_sub(as_of.since(since)));
         }
+        if let Some(since) = self.held_since {
+            self.held_before = self.held_before.max(watched_for.saturating_sub(as_of.since(since)));
+        }
     }
 
     /// Forgets versions that left long ago.
--- a/crates/bendhinge_fleet/tests/software_history.rs
+++ b/crates/bendhinge_fleet/tests/software_history.rs
@@ -90,6 +90,27 @@
     assert_eq!(pool_software(&history, 90), PoolSoftware::Single(software("v1")));
 }
 
+/// Guards against a router that has just started and takes the only version that it sees for that of all streams, and against
+/// one that refuses them all because its list was not confirmed for a while.
+#[test]
+fn seen_version_counts_once_the_list_was_held_for_long_enough() {
+    let seen =
+        |history: &SoftwareHistory, second| history.seen_software(NameHash::of(POOL), STREAM_AGE, at(second));
+    let mut history = SoftwareHistory::new(false);
+    history.record_list(&list(&["v2"]), at(0));
+    watch(&mut history, 0, 5);
+    assert_eq!(seen(&history, 20), PoolSoftware::Unknown);
+    watch(&mut history, 25, 30);
+    assert_eq!(seen(&history, LONG), PoolSoftware::Single(software("v2")));
+    assert_eq!(pool_software(&history, LONG), PoolSoftware::Unknown);
+
+    let mut vouched = SoftwareHistory::new(false);
+    vouched.record_list(&list(&["v2"]), at(0));
+    vouched.confirm(at(0));
+    vouched.merge(&[], Duration::from_secs(LONG), at(0));
+    assert_eq!(seen(&vouched, 1), PoolSoftware::Single(software("v2")));
+}
+
 #[test]
 fn history_of_another_router_is_taken_over() {
     let mut known = SoftwareHistory::new(true);
--- a/crates/bendhinge_gateway/src/delivery/software.rs
+++ b/crates/bendhinge_gateway/src/delivery/software.rs
@@ -69,7 +69,7 @@
         }
         let software = match self.inbound.stream_id(&self.context) {
             Some(stream) => self.find_software(stream).await,
-            // All streams of a pool with a single version have that one, as far as this gateway knows.
+            // Nothing tells these streams apart, and nobody can be asked.
             None => match self.seen_software() {
                 PoolSoftware::Single(software) => Some(software),
                 PoolSoftware::Several | PoolSoftware::Unknown => None,
--- a/crates/bendhinge_gateway/src/state/software.rs
+++ b/crates/bendhinge_gateway/src/state/software.rs
@@ -40,7 +40,7 @@
         self.state.lock().unwrap().software.software_of(pool_hash(pool), max_age, bendhinge_clock::now())
     }
 
-    /// Like [`UpstreamView::pool_software`], but assumes that no version was missed.
+    /// Like [`UpstreamView::pool_software`], but assumes that no version came and went while the list was not confirmed.
     pub(crate) fn seen_software(&self, pool: &PoolName, max_age: Duration) -> PoolSoftware {
         self.state.lock().unwrap().software.seen_software(pool_hash(pool), max_age, bendhinge_clock::now())
     }
--- a/crates/bendhinge_lab/tests/gateway_software.rs
+++ b/crates/bendhinge_lab/tests/gateway_software.rs
@@ -157,6 +157,29 @@
     });
 }
 
+/// Guards against streams that are joined from two versions because the old one left while all gateways were down, and the
+/// callers do not name the request that began them.
+#[test]
+fn unnamed_streams_are_not_joined_after_the_loss_of_all_gateways() {
+    run(|tasks| async move {
+        let mut fleet = start(&tasks, 3, &VERSIONS).await;
+        let mut streams = begin(&fleet, 0, 3).await;
+        records_are_sent().await;
+        (0..3).for_each(|gateway| kill(&mut fleet, gateway));
+        fleet.store.remove("engines-0");
+        fleet.store.remove("engines-1");
+        (0..3).for_each(|gateway| fleet.restart(gateway));
+        fleet.until_ready().await;
+        gateways_know_each_other().await;
+        for (number, stream) in streams.iter_mut().enumerate() {
+            stream.began_with = None;
+            stream.receive(&fleet.pool, fleet.callers(number % 3), ALL).await;
+        }
+        assert_eq!(mixed(&streams), 0);
+        begin(&fleet, 1, 3).await;
+    });
+}
+
 /// Guards against streams that go on at other software once no upstream with theirs is listed, also at a gateway that
 /// has started since.
 #[test]
