Engines: the sum of the slots of a pool does not overflow

An entry of another writer with a number of slots near 2^32 and a dead address is valid. With two of them, a gateway of a debug build panicked while it admitted a request of the pool, and each later request with it. A release build does not check: 8 slots and twice 4,294,967,295 wrap to 6, at which the pool would count as full.

slots_that_overflow_stop_no_request failed before with 'attempt to add with overflow', and passes in both interfaces now.

--- a/crates/bendhinge_gateway/src/state/engines.rs
+++ b/crates/bendhinge_gateway/src/state/engines.rs
@@ -93,7 +93,9 @@
             .map(|listed| (listed.entry.hash, self.estimated_load(listed, mean_load, now)))
             .collect();
         let configured_slots = rule.and_then(|rule| rule.slots);
-        let slots = accepting.map(|listed| configured_slots.unwrap_or(listed.entry.slots)).sum();
+        let slots = accepting
+            .map(|listed| configured_slots.unwrap_or(listed.entry.slots))
+            .fold(0, u32::saturating_add);
         let estimated: f32 = loads.iter().map(|(_, load)| load).sum();
         let in_progress = estimated.max(in_progress.unwrap_or_default());
         let work = self.engines.work.get_mut(pool);
