Tests: responses that are cut inside their head

Reported by other operators: a 200 with an empty or short body, framed as whole. Not the case here: every cut of three heads (with a length, without one, after 100 Continue), in both pools, is told as 502.

--- a/crates/bendhinge_lab/tests/gateway_body_ends.rs
+++ b/crates/bendhinge_lab/tests/gateway_body_ends.rs
@@ -421,3 +421,67 @@
         }
     });
 }
+
+/// An upstream that sends the first bytes of a response, as many as it has served requests before, and closes.
+async fn start_cutting_upstream(tasks: &Tasks, response: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let serving = async move {
+        let mut length = 0;
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let Some(head) = read_head(&mut stream).await else { continue };
+            let id = head.lines().find_map(|line| line.strip_prefix("x-bendhinge-request: "));
+            let response = response.replace("{id}", id.unwrap_or_default());
+            let _ = stream.write_all(&response.as_bytes()[..length.min(response.len())]).await;
+            length += 1;
+        }
+    };
+    tasks.spawn(serving).detach();
+    address
+}
+
+/// Reads a request's head; returns `None` if the connection is closed before.
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).await.ok()?;
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).ok()
+}
+
+/// Guards against a response that is cut inside its head and reaches the caller as a success with an empty or short body.
+#[test]
+fn responses_that_are_cut_inside_their_head_are_lost() {
+    const HEADS: [&str; 3] = [
+        "HTTP/1.1 200 OK\r\nx-bendhinge-request: {id}\r\nx-bendhinge-signature: s\r\ncontent-length: 4\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx-bendhinge-request: {id}\r\nx-bendhinge-signature: s\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nx-bendhinge-request: {id}\r\nx-bendhinge-signature: s\r\n\
+         content-type: text/event-stream\r\n\r\n",
+    ];
+    run(|tasks| async move {
+        let mut wrong = Vec::new();
+        for head in HEADS {
+            for (pool, path) in [("services", "/unsafe/x"), ("engines", "/stream/x")] {
+                let fleet = start(&tasks, FleetShape { gateways: 1, engines: 0, services: 0 }).await;
+                let length = head.len() - "{id}".len() + Call::new(path, KEY).id.len();
+                let address = start_cutting_upstream(&tasks, head.to_owned()).await;
+                fleet.store.add("cutting", pool, address);
+                let mut cuts = 0;
+                until(async || {
+                    let call = if pool == "engines" { Call::stream(path, KEY) } else { Call::new(path, KEY) };
+                    match send(&fleet, &call).await.told {
+                        Told::Status(503) => return false,
+                        Told::Status(502) => {}
+                        told => wrong.push(format!("{path}, {cuts} of {length} bytes: {told:?}")),
+                    }
+                    cuts += 1;
+                    cuts == length
+                })
+                .await;
+            }
+        }
+        assert!(wrong.is_empty(), "{wrong:#?}");
+    });
+}
