Unframed responses: all engines of a pool may end at once

Streams without a length or chunks ended as complete, in the middle, when all engines of a pool ended at the same moment. The gateway connects to other upstreams of the pool to tell the end of a process from the loss of its own link; if all refuse, it took its link for the cause, and the responses for complete.

It now also connects to upstreams of other pools, which the loss of its own link would not allow. What counts against requests and parts of prompts is as before: a pool that is lost as a whole blames none. A gateway that knows one pool only cannot tell.

streams_are_cut_when_all_engines_end_at_once failed before.

--- a/crates/bendhinge_gateway/src/delivery/crash.rs
+++ b/crates/bendhinge_gateway/src/delivery/crash.rs
@@ -74,18 +74,24 @@
     tasks.spawn(detection).detach();
 }
 
-/// Whether an upstream that closed the connection at the end of a response has crashed, so that the response is incomplete.
+/// Whether the process of an upstream that closed the connection at the end of a response ended in the middle of it, so
+/// that the response is incomplete.
 pub(super) async fn has_crashed_at_close(context: &Arc<DeliveryContext>, upstream: &UpstreamEntry) -> bool {
     if !context.verifies_close || !context.upstreams.accepts_work(upstream.hash) {
         return false;
     }
     let probe = context.close_probes.probe_for(upstream.hash, bendhinge_clock::now());
-    let refuses = || async {
+    let has_ended = || async {
         Timer::after(SOCKET_CLOSE_TIME).await;
         // Requests in progress show nothing: theirs may be the connections that were closed.
-        refuses_connections(context, upstream).await
+        match connection_refusal(context, upstream).await {
+            Refusal::None => false,
+            Refusal::ByUpstream => true,
+            // Without a link of its own, this gateway would not reach other pools either.
+            Refusal::ByPool => context.reaches_another_pool(&upstream.pool).await,
+        }
     };
-    *probe.has_crashed.get_or_init(refuses).await
+    *probe.has_crashed.get_or_init(has_ended).await
 }
 
 /// Records a crash of the upstream against the request, if there was one.
@@ -118,28 +124,39 @@
     let probe = context.crash_probes.probe_for(upstream.hash, lost_at);
     let refuses = || async {
         Timer::after(SOCKET_CLOSE_TIME).await;
-        !context.upstreams.has_own_requests(upstream.hash) && refuses_connections(context, upstream).await
+        !context.upstreams.has_own_requests(upstream.hash)
+            && connection_refusal(context, upstream).await == Refusal::ByUpstream
     };
     *probe.has_crashed.get_or_init(refuses).await
 }
 
-/// Whether the upstream's address refuses connections, which means that its process has ended. Requests in
-/// progress or an idle connection show that it is running; a new connection is made only without these, since
-/// a busy upstream may have none left. An unreachable box does not respond, which is not a crash. Neither is a link of
-/// this gateway on which the connections to all upstreams are refused.
-async fn refuses_connections(context: &Arc<DeliveryContext>, upstream: &UpstreamEntry) -> bool {
+/// Who refuses connections to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Refusal {
+    None,
+    /// Only the upstream, as far as others of its pool were tried: its process has ended.
+    ByUpstream,
+    /// All upstreams of the pool that were tried: their processes have ended, or this gateway has lost its link to them.
+    ByPool,
+}
+
+/// Finds out whether the upstream's address refuses connections. Requests in progress or an idle connection show that it
+/// is running; a new connection is made only without these, since a busy upstream may have none left. An unreachable box
+/// does not respond, which is not a refusal.
+async fn connection_refusal(context: &Arc<DeliveryContext>, upstream: &UpstreamEntry) -> Refusal {
     if context.connection_pool.has_idle_connection(upstream.address) {
-        return false;
+        return Refusal::None;
     }
     match context.connection_pool.connect(upstream.address).await {
         Ok(connection) => {
             context.connection_pool.release(connection).await;
-            false
+            Refusal::None
         }
         Err(ConnectError::Io(error)) if error.kind() == ErrorKind::ConnectionRefused => {
             context.record_connect_failure(upstream);
-            context.reaches_another_upstream(upstream).await
+            let is_other_reached = context.reaches_another_upstream(upstream).await;
+            if is_other_reached { Refusal::ByUpstream } else { Refusal::ByPool }
         }
-        Err(_) => false,
+        Err(_) => Refusal::None,
     }
 }
--- a/crates/bendhinge_gateway/src/delivery/link_probes.rs
+++ b/crates/bendhinge_gateway/src/delivery/link_probes.rs
@@ -115,6 +115,16 @@
         !has_others
     }
 
+    /// Whether a connection to an upstream of another pool is established.
+    pub(super) async fn reaches_another_pool(self: &Arc<Self>, pool: &PoolName) -> bool {
+        for other in self.upstreams.upstreams_of_other_pools(pool, PROBES_WHILE_SUSPECT) {
+            if Arc::clone(self).probe_link(other).await {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Connects to an upstream; returns whether that succeeded. The connection is kept for requests.
     async fn probe_link(self: Arc<Self>, upstream: Arc<UpstreamEntry>) -> bool {
         let connected = self.connection_pool.connect(upstream.address).await;
--- a/crates/bendhinge_gateway/src/state/links.rs
+++ b/crates/bendhinge_gateway/src/state/links.rs
@@ -1,5 +1,6 @@
 //! The links of this gateway to the upstreams, as its own connections show them.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 
 use bendhinge_fleet::{ReachabilityChange, UpstreamEntry, UpstreamFailure};
@@ -89,6 +90,18 @@
         entries
     }
 
+    /// Returns up to `count` upstreams of other pools, those with the latest results first.
+    pub(crate) fn upstreams_of_other_pools(&self, pool: &PoolName, count: usize) -> Vec<Arc<UpstreamEntry>> {
+        let now = bendhinge_clock::now();
+        let state = self.state.lock().unwrap();
+        let listed = state.directory.upstreams().iter();
+        let elsewhere = listed.filter(|listed| listed.entry.pool != *pool && listed.accepts_work(now));
+        let mut entries: Vec<_> = elsewhere.map(|listed| Arc::clone(&listed.entry)).collect();
+        entries.sort_by_key(|entry| Reverse(state.reachability.last_result(&entry.pool, entry.hash)));
+        entries.truncate(count);
+        entries
+    }
+
     /// Returns the pools from which this gateway is partitioned.
     pub(crate) fn partitioned_pools(&self) -> Vec<PoolName> {
         self.state.lock().unwrap().reachability.partitioned_pools().cloned().collect()
--- /dev/null
+++ b/crates/bendhinge_lab/tests/gateway_ends_of_processes.rs
@@ -0,0 +1,60 @@
+//! Unframed responses of upstreams whose processes end: while they leave, and all at once.
+
+mod gateway_common;
+
+use std::time::Duration;
+
+use bendhinge_http::Tasks;
+use bendhinge_lab::gateways::{Answer, Call, FleetShape, GatewayFleet, KEY, Told, until};
+use bendhinge_standin::gateway::{Framing, Upstream};
+use gateway_common::{PATIENCE, run};
+use smol::{Task, Timer};
+
+const SECTIONS: &str =
+    "[upstreams]\nverify_close = yes\n[forwarding]\nenabled = yes\n[retries]\nratio = 1\nslack = 200\n";
+/// The time between the events of a stream.
+const PACE: Duration = Duration::from_millis(60);
+const STREAMS: usize = 12;
+
+async fn unframed_engines(tasks: &Tasks, engines: usize) -> GatewayFleet {
+    let fleet = GatewayFleet::start(tasks, FleetShape { gateways: 1, engines, services: 1 }, SECTIONS).await;
+    for upstream in &fleet.upstreams {
+        upstream.set_framing(Framing::UntilClose);
+        upstream.set_pace(PACE);
+    }
+    fleet
+}
+
+/// Begins streams, and waits until each of them has some events.
+async fn begin(
+    tasks: &Tasks,
+    fleet: &GatewayFleet,
+    path: &'static str,
+    count: usize,
+) -> Vec<(Call, Task<Answer>)> {
+    let mut streams = Vec::new();
+    for _ in 0..count {
+        let call = Call::stream(path, KEY);
+        let (caller, address, sent) = (fleet.caller(), fleet.callers(0), call.clone());
+        streams.push((call, tasks.spawn(async move { caller.send(address, &sent, PATIENCE).await })));
+    }
+    until(async || fleet.upstreams.iter().map(Upstream::working).sum::<usize>() >= count).await;
+    Timer::after(PACE * 3).await;
+    streams
+}
+
+/// Guards against streams that look complete because all engines end at once, which a gateway takes for the loss of its own
+/// link although it reaches other pools.
+#[test]
+fn streams_are_cut_when_all_engines_end_at_once() {
+    run(|tasks| async move {
+        let fleet = unframed_engines(&tasks, 3).await;
+        let streams = begin(&tasks, &fleet, "/stream/x", STREAMS).await;
+        for proxy in &fleet.proxies[..3] {
+            proxy.end().await;
+        }
+        for (_, stream) in streams {
+            assert_eq!(stream.await.told, Told::Broken);
+        }
+    });
+}
