Unframed responses: several that end with a leaving upstream are not complete

Streams without a length or chunks ended as complete, in the middle, when their upstream had said that it leaves and its process ended: nothing was verified there, since an upstream may exit as soon as its last response is complete, which looks the same.

Two responses of one upstream hardly end at the same moment unless its process does. Within the time in which a process closes its sockets (10 ms), more than one of them beside a refused connection is now taken for that. A single one is complete as before: nothing tells it from the last response before a planned exit.

streams_that_end_together_with_a_leaving_upstream_are_cut_or_resumed failed before.

--- a/crates/bendhinge_gateway/src/delivery/crash.rs
+++ b/crates/bendhinge_gateway/src/delivery/crash.rs
@@ -1,6 +1,7 @@
 //! Detects whether an upstream crashed after a connection to it was lost.
 
 use std::io::ErrorKind;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -28,6 +29,8 @@
 struct CrashProbe {
     until: Instant,
     has_crashed: Arc<OnceCell<bool>>,
+    /// The number of connections that share the probe.
+    connections: Arc<AtomicUsize>,
 }
 
 /// The latest probe of each upstream.
@@ -43,9 +46,14 @@
         let applicable =
             latest.filter(|probe| lost_at <= probe.until || probe.has_crashed.get() == Some(&true));
         if let Some(probe) = applicable {
+            probe.connections.fetch_add(1, Ordering::Relaxed);
             return probe.clone();
         }
-        let probe = CrashProbe { until: lost_at + SOCKET_CLOSE_TIME, has_crashed: Arc::default() };
+        let probe = CrashProbe {
+            until: lost_at + SOCKET_CLOSE_TIME,
+            has_crashed: Arc::default(),
+            connections: Arc::new(AtomicUsize::new(1)),
+        };
         probes.insert(upstream, probe.clone());
         probe
     }
@@ -76,10 +84,14 @@
 
 /// Whether the process of an upstream that closed the connection at the end of a response ended in the middle of it, so
 /// that the response is incomplete.
+///
+/// An upstream that leaves may exit as soon as its last response is complete, which looks the same for that response. But
+/// two of its responses hardly end at the same moment unless its process does.
 pub(super) async fn has_crashed_at_close(context: &Arc<DeliveryContext>, upstream: &UpstreamEntry) -> bool {
-    if !context.verifies_close || !context.upstreams.accepts_work(upstream.hash) {
+    if !context.verifies_close {
         return false;
     }
+    let is_leaving = !context.upstreams.accepts_work(upstream.hash);
     let probe = context.close_probes.probe_for(upstream.hash, bendhinge_clock::now());
     let has_ended = || async {
         Timer::after(SOCKET_CLOSE_TIME).await;
@@ -91,7 +103,8 @@
             Refusal::ByPool => context.reaches_another_pool(&upstream.pool).await,
         }
     };
-    *probe.has_crashed.get_or_init(has_ended).await
+    let has_ended = *probe.has_crashed.get_or_init(has_ended).await;
+    has_ended && (!is_leaving || probe.connections.load(Ordering::Relaxed) > 1)
 }
 
 /// Records a crash of the upstream against the request, if there was one.
--- a/crates/bendhinge_lab/tests/gateway_ends_of_processes.rs
+++ b/crates/bendhinge_lab/tests/gateway_ends_of_processes.rs
@@ -43,6 +43,59 @@
     streams
 }
 
+/// Drains an engine and waits until the gateway knows it.
+async fn drain(fleet: &GatewayFleet, engine: usize) {
+    fleet.store.drain(&fleet.upstreams[engine].name());
+    let revision = fleet.store.revision();
+    let known = format!(r#""event":"belief","what":"upstreams","revision":{revision},"#);
+    until(async || fleet.gateway(0).lines().iter().any(|line| line.contains(&known))).await;
+}
+
+fn ran_at(upstream: &Upstream, call: &Call) -> bool {
+    upstream.runs().iter().any(|run| run.request == call.id)
+}
+
+/// Guards against streams that look complete although the process of their upstream ended in the middle of them, because it
+/// had said that it leaves.
+#[test]
+fn streams_that_end_together_with_a_leaving_upstream_are_cut_or_resumed() {
+    run(|tasks| async move {
+        for (path, expected) in [("/stream/x", Told::Broken), ("/resumable/x", Told::Whole)] {
+            let fleet = unframed_engines(&tasks, 2).await;
+            let streams = begin(&tasks, &fleet, path, STREAMS).await;
+            drain(&fleet, 0).await;
+            fleet.proxies[0].end().await;
+            let mut ended = 0;
+            for (call, stream) in streams {
+                let told = stream.await.told;
+                if ran_at(&fleet.upstreams[0], &call) {
+                    ended += 1;
+                    assert_eq!(told, expected, "{path}");
+                } else {
+                    assert_eq!(told, Told::Whole, "{path}");
+                }
+            }
+            assert!(ended > 1, "{path}: {ended} streams were at the upstream that left");
+        }
+    });
+}
+
+/// Guards against a complete stream that is cut because its upstream leaves and exits after it.
+#[test]
+fn the_last_stream_of_a_leaving_upstream_is_complete() {
+    run(|tasks| async move {
+        let fleet = unframed_engines(&tasks, 1).await;
+        let mut streams = begin(&tasks, &fleet, "/stream/x", 1).await;
+        drain(&fleet, 0).await;
+        while fleet.upstreams[0].working() > 0 {
+            Timer::after(Duration::from_micros(200)).await;
+        }
+        fleet.proxies[0].end().await;
+        let (_, stream) = streams.remove(0);
+        assert_eq!(stream.await.told, Told::Whole);
+    });
+}
+
 /// Guards against streams that look complete because all engines end at once, which a gateway takes for the loss of its own
 /// link although it reaches other pools.
 #[test]
