Unframed responses: a silent stream that ends with its leaving upstream is not complete

The only stream of a leaving upstream still ended as complete when the process ended in the middle of it. A process that exits after its last response closes the connection right after the last event; one that ends in the middle does so at any time between two.

a_silent_stream_that_ends_with_a_leaving_upstream_is_cut is new; before, nothing was verified there.

--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -311,7 +311,10 @@
     if is_success && ended.end == BodyEnd::Empty {
         return Err(SendError { body: Some(ended), ..SendOutcome::Lost.into() });
     }
-    if is_success && !framing.marks_end() && has_crashed_at_close(context, &chosen.entry).await {
+    if is_success
+        && !framing.marks_end()
+        && has_crashed_at_close(context, &chosen.entry, Duration::ZERO).await
+    {
         let ended = EndedBody { framing, end: BodyEnd::Failed };
         return Err(SendError { body: Some(ended), ..SendOutcome::Lost.into() });
     }
--- a/crates/bendhinge_gateway/src/delivery/crash.rs
+++ b/crates/bendhinge_gateway/src/delivery/crash.rs
@@ -83,11 +83,15 @@
 }
 
 /// Whether the process of an upstream that closed the connection at the end of a response ended in the middle of it, so
-/// that the response is incomplete.
+/// that the response is incomplete. `silence` is the time from the last event of a stream to the close.
 ///
-/// An upstream that leaves may exit as soon as its last response is complete, which looks the same for that response. But
-/// two of its responses hardly end at the same moment unless its process does.
-pub(super) async fn has_crashed_at_close(context: &Arc<DeliveryContext>, upstream: &UpstreamEntry) -> bool {
+/// An upstream that leaves may exit as soon as its last response is complete. It then closes the connection right after the
+/// last event, and no two of its responses end at the same moment.
+pub(super) async fn has_crashed_at_close(
+    context: &Arc<DeliveryContext>,
+    upstream: &UpstreamEntry,
+    silence: Duration,
+) -> bool {
     if !context.verifies_close {
         return false;
     }
@@ -104,7 +108,8 @@
         }
     };
     let has_ended = *probe.has_crashed.get_or_init(has_ended).await;
-    has_ended && (!is_leaving || probe.connections.load(Ordering::Relaxed) > 1)
+    let closed_alone = probe.connections.load(Ordering::Relaxed) == 1;
+    has_ended && !(is_leaving && closed_alone && silence <= SOCKET_CLOSE_TIME)
 }
 
 /// Records a crash of the upstream against the request, if there was one.
--- a/crates/bendhinge_gateway/src/delivery/relay.rs
+++ b/crates/bendhinge_gateway/src/delivery/relay.rs
@@ -204,8 +204,11 @@
         let Some(StreamSource { sender: ResponseSource::Upstream(send), framing, .. }) = &self.source else {
             return end;
         };
-        let is_marked = end != BodyEnd::Complete || framing.marks_end();
-        if is_marked || !has_crashed_at_close(&self.delivery.context, &send.record.upstream).await {
+        if end != BodyEnd::Complete || framing.marks_end() {
+            return end;
+        }
+        let silence = bendhinge_clock::now().since(self.awaited_since);
+        if !has_crashed_at_close(&self.delivery.context, &send.record.upstream, silence).await {
             return end;
         }
         BodyEnd::Failed
--- a/crates/bendhinge_lab/tests/gateway_ends_of_processes.rs
+++ b/crates/bendhinge_lab/tests/gateway_ends_of_processes.rs
@@ -6,7 +6,7 @@
 
 use bendhinge_http::Tasks;
 use bendhinge_lab::gateways::{Answer, Call, FleetShape, GatewayFleet, KEY, Told, until};
-use bendhinge_standin::gateway::{Framing, Upstream};
+use bendhinge_standin::gateway::{Framing, Silence, Upstream};
 use gateway_common::{PATIENCE, run};
 use smol::{Task, Timer};
 
@@ -80,19 +80,48 @@
     });
 }
 
-/// Guards against a complete stream that is cut because its upstream leaves and exits after it.
+/// Guards against a stream that looks complete because it was the only one that its leaving upstream had not finished.
 #[test]
-fn the_last_stream_of_a_leaving_upstream_is_complete() {
+fn a_silent_stream_that_ends_with_a_leaving_upstream_is_cut() {
     run(|tasks| async move {
         let fleet = unframed_engines(&tasks, 1).await;
         let mut streams = begin(&tasks, &fleet, "/stream/x", 1).await;
+        fleet.upstreams[0].set_silence(Silence::Events);
         drain(&fleet, 0).await;
-        while fleet.upstreams[0].working() > 0 {
-            Timer::after(Duration::from_micros(200)).await;
-        }
+        Timer::after(PACE * 3).await;
         fleet.proxies[0].end().await;
         let (_, stream) = streams.remove(0);
-        assert_eq!(stream.await.told, Told::Whole);
+        assert_eq!(stream.await.told, Told::Broken);
+    });
+}
+
+/// Guards against complete streams that are cut because their upstream leaves and exits after the last of them.
+#[test]
+fn streams_are_complete_while_upstreams_leave_as_planned() {
+    const RELEASES: usize = 10;
+    const STREAMS: usize = 4;
+    run(|tasks| async move {
+        let mut fleet = unframed_engines(&tasks, 1).await;
+        let mut leaving = 0;
+        for release in 0..RELEASES {
+            let mut streams = Vec::new();
+            for _ in 0..STREAMS {
+                streams.extend(begin(&tasks, &fleet, "/stream/x", 1).await);
+            }
+            fleet.add_engine(&format!("release-{release}"), "").await;
+            let newest = fleet.upstreams.len() - 1;
+            fleet.upstreams[newest].set_framing(Framing::UntilClose);
+            fleet.upstreams[newest].set_pace(PACE);
+            drain(&fleet, leaving).await;
+            while fleet.upstreams[leaving].working() > 0 {
+                Timer::after(Duration::from_micros(200)).await;
+            }
+            fleet.proxies[leaving].end().await;
+            leaving = newest;
+            for (_, stream) in streams {
+                assert_eq!(stream.await.told, Told::Whole, "release {release}");
+            }
+        }
     });
 }
 
