Streams: a gateway that has just started asks others about the software of unnamed streams

Since it does not guess any more, a gateway refused streams whose callers do not name the request that began them for a second after its start, until it asked another gateway for the history of the pool. It now asks when such a request arrives, as for named ones.

unnamed_streams_go_on_at_a_gateway_that_has_just_started passes before as well, a second later; tests assert no times.

--- a/crates/bendhinge_gateway/src/control/streams.rs
+++ b/crates/bendhinge_gateway/src/control/streams.rs
@@ -13,7 +13,7 @@
 use smol::channel::{Receiver, bounded};
 
 use super::ControlPlane;
-use crate::streams::{StreamLookup, StreamNotifications};
+use crate::streams::{NO_STREAM, StreamLookup, StreamNotifications};
 
 /// The number of gateways that hold a record besides the one that made it.
 const HOLDERS: usize = 2;
@@ -83,8 +83,7 @@
         let holders = control.roster.borrow().record_holders(rand::random(), 1, now);
         let Some(address) = holders.first().copied() else { continue };
         let asked_at = bendhinge_clock::now();
-        // No stream has this ID; only the history is of interest.
-        if let Ok(answer) = control.ask(address, StreamId(0), None).await {
+        if let Ok(answer) = control.ask(address, NO_STREAM, None).await {
             let watched_for = answer.watched_for;
             control.merge_answer(&answer, asked_at);
             if watched_for > HISTORY_REQUEST_INTERVAL * HISTORY_REQUESTS {
--- a/crates/bendhinge_gateway/src/delivery/software.rs
+++ b/crates/bendhinge_gateway/src/delivery/software.rs
@@ -9,6 +9,7 @@
 use super::{Delivery, DeliveryContext, DeliveryError, InboundRequest};
 use crate::forwarding::pool_hash;
 use crate::state::SoftwareRule;
+use crate::streams::NO_STREAM;
 
 /// Lifetime of a record as a multiple of the route's timeout: one for the response that is relayed, one for the caller
 /// to return.
@@ -69,11 +70,7 @@
         }
         let software = match self.inbound.stream_id(&self.context) {
             Some(stream) => self.find_software(stream).await,
-            // Nothing tells these streams apart, and nobody can be asked.
-            None => match self.seen_software() {
-                PoolSoftware::Single(software) => Some(software),
-                PoolSoftware::Several | PoolSoftware::Unknown => None,
-            },
+            None => self.find_only_software().await,
         };
         let Some(software) = software else {
             return Err(DeliveryError::Code(self.code_if_not_run(ResultCode::StreamSoftwareUnknown)));
@@ -109,6 +106,18 @@
         }
     }
 
+    /// Returns the software of a stream that the caller does not name: nothing tells the streams of a pool apart.
+    async fn find_only_software(&self) -> Option<NameHash> {
+        if self.seen_software() == PoolSoftware::Unknown {
+            // Other gateways may have watched the pool for longer.
+            self.context.streams.look_up(NO_STREAM, pool_hash(&self.inbound.pool)).await;
+        }
+        match self.seen_software() {
+            PoolSoftware::Single(software) => Some(software),
+            PoolSoftware::Several | PoolSoftware::Unknown => None,
+        }
+    }
+
     /// Returns the software that began any stream of the route that callers may still resume.
     fn pool_software(&self) -> PoolSoftware {
         let InboundRequest { pool, .. } = &*self.inbound;
--- a/crates/bendhinge_gateway/src/streams.rs
+++ b/crates/bendhinge_gateway/src/streams.rs
@@ -18,6 +18,9 @@
 /// The longest time for which a record is kept, whatever another gateway says.
 const MAX_RECORD_LIFETIME: Duration = Duration::from_mins(10);
 
+/// The ID of no stream. Looking it up only brings the history of the software of a pool.
+pub(crate) const NO_STREAM: StreamId = StreamId(0);
+
 /// A stream to be looked up at other gateways.
 pub(crate) struct StreamLookup {
     pub(crate) stream: StreamId,
--- a/crates/bendhinge_lab/tests/gateway_software.rs
+++ b/crates/bendhinge_lab/tests/gateway_software.rs
@@ -180,6 +180,27 @@
     });
 }
 
+/// Guards against streams that a gateway refuses for long after its start, although others know that the pool has had one
+/// version only.
+#[test]
+fn unnamed_streams_go_on_at_a_gateway_that_has_just_started() {
+    run(|tasks| async move {
+        let sections = format!("{SECTIONS}first_start = yes\n");
+        let mut fleet = GatewayFleet::start_versions(&tasks, 2, &["v1", "v1"], &sections).await;
+        let mut stream = begin(&fleet, 0, 3).await.remove(0);
+        stream.began_with = None;
+        kill(&mut fleet, 1);
+        fleet.settings[1].sections = SECTIONS.to_owned();
+        fleet.restart(1);
+        fleet.until_ready().await;
+        until(async || {
+            let mut resumed = stream.clone();
+            resumed.receive(&fleet.pool, fleet.callers(1), ALL).await == StreamEnd::Complete
+        })
+        .await;
+    });
+}
+
 /// Guards against streams that go on at other software once no upstream with theirs is listed, also at a gateway that
 /// has started since.
 #[test]
