--- a/crates/bendhinge_lab/src/gateways/linked_fleet.rs
+++ b/crates/bendhinge_lab/src/gateways/linked_fleet.rs
@@ -7,6 +7,8 @@
 
 use bendhinge_http::{Pool, Tasks, fetch_bytes};
 use bendhinge_standin::gateway::{Store, Upstream};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 
 use super::caller::{Answer, Call, GatewayCaller};
@@ -25,6 +27,17 @@
     OpenConnectionsStay,
 }
 
+impl Partition {
+    /// One of them at random.
+    pub(super) fn any(random: &mut ChaCha8Rng) -> Self {
+        match random.random_range(0..3) {
+            0 => Self::Reset,
+            1 => Self::Silent,
+            _ => Self::OpenConnectionsStay,
+        }
+    }
+}
+
 /// How a gateway is started.
 #[derive(Clone, Copy, Debug)]
 pub struct GatewayStart<'a> {
--- a/crates/bendhinge_lab/src/gateways/partition_soak.rs
+++ b/crates/bendhinge_lab/src/gateways/partition_soak.rs
@@ -94,11 +94,7 @@
 
     async fn one_strike(&self, random: &mut ChaCha8Rng) {
         let gateway = random.random_range(0..SHAPE.gateways);
-        let how = match random.random_range(0..3) {
-            0 => Partition::Reset,
-            1 => Partition::Silent,
-            _ => Partition::OpenConnectionsStay,
-        };
+        let how = Partition::any(random);
         match random.random_range(0..12) {
             0..=4 => self.fleet.borrow().partition(gateway, how).await,
             5 => self.fleet.borrow().partition_from(gateway, "engines", how).await,
--- a/crates/bendhinge_lab/src/gateways/refusal_soak.rs
+++ b/crates/bendhinge_lab/src/gateways/refusal_soak.rs
@@ -143,12 +143,12 @@
         let links = &self.links[gateway];
         match random.random_range(0..14) {
             0 | 1 => {
-                let how = any_partition(random);
+                let how = Partition::any(random);
                 for link in links {
                     cut(link, how).await;
                 }
             }
-            2 => cut(&links[random.random_range(0..links.len())], any_partition(random)).await,
+            2 => cut(&links[random.random_range(0..links.len())], Partition::any(random)).await,
             3..=5 => {
                 for link in links {
                     link.set(Harm::None);
@@ -220,14 +220,6 @@
     }
 }
 
-fn any_partition(random: &mut ChaCha8Rng) -> Partition {
-    match random.random_range(0..3) {
-        0 => Partition::Reset,
-        1 => Partition::Silent,
-        _ => Partition::OpenConnectionsStay,
-    }
-}
-
 fn any_harm(random: &mut ChaCha8Rng) -> Harm {
     match random.random_range(0..5) {
         0 => Harm::Delay(Duration::from_millis(random.random_range(5..120))),
