--- a/crates/bendhinge_lab/src/gateways/mod.rs
+++ b/crates/bendhinge_lab/src/gateways/mod.rs
@@ -25,6 +25,6 @@
 pub use proxy::{Harm, Proxy};
 pub use refusal_soak::refusal_soak;
 pub use silence_soak::silence_soak;
-pub use soak::{Findings, soak, soak_seeds};
+pub use soak::{Findings, run_soak, soak, soak_seeds};
 pub use software_soak::software_soak;
 pub use stream_caller::{StreamCaller, StreamEnd};
--- a/crates/bendhinge_lab/src/gateways/soak.rs
+++ b/crates/bendhinge_lab/src/gateways/soak.rs
@@ -3,11 +3,12 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::num::NonZeroUsize;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_http::Tasks;
+use bendhinge_http::{Tasks, run_until};
 use bendhinge_standin::gateway::{Framing, Run, StoreFault, Upstream, UpstreamFault};
 use hyper::Version;
 use rand::{Rng, SeedableRng};
@@ -79,6 +80,18 @@
     (from.parse().unwrap()..to.parse().unwrap()).collect()
 }
 
+/// Runs a soak, and its tasks for a moment more: they hold the executor alive that holds them, so that a connection which
+/// none of them sees the end of stays open for as long as the process lives.
+pub fn run_soak<F: Future<Output = Findings>>(soak: impl FnOnce(Tasks) -> F) -> Findings {
+    const CLOSING_TIME: Duration = Duration::from_millis(300);
+    let tasks = Tasks::default();
+    run_until(&tasks, NonZeroUsize::MIN, async {
+        let findings = soak(Tasks::clone(&tasks)).await;
+        Timer::after(CLOSING_TIME).await;
+        findings
+    })
+}
+
 /// Runs the soak of `seed`: the same faults in the same order, each at a time that depends on the
 /// box.
 pub async fn soak(tasks: &Tasks, seed: u64) -> Findings {
--- a/crates/bendhinge_lab/tests/gateway_refusal_soak.rs
+++ b/crates/bendhinge_lab/tests/gateway_refusal_soak.rs
@@ -1,9 +1,6 @@
 //! A few seeds of the soak of refusals in CI. By hand more: `BENDHINGE_SOAK_SEEDS=100..150`.
 
-use std::num::NonZeroUsize;
-
-use bendhinge_http::{Tasks, run_until};
-use bendhinge_lab::gateways::{refusal_soak, soak_seeds};
+use bendhinge_lab::gateways::{refusal_soak, run_soak, soak_seeds};
 
 /// Seeds of the short run, and seeds that once found something.
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -12,8 +9,7 @@
 #[test]
 fn no_refused_request_has_run() {
     for seed in soak_seeds(&SEEDS) {
-        let tasks = Tasks::default();
-        let findings = run_until(&tasks, NonZeroUsize::MIN, refusal_soak(&Tasks::clone(&tasks), seed));
+        let findings = run_soak(|tasks| async move { refusal_soak(&tasks, seed).await });
         println!("seed {seed}: {:?}", findings.told);
         assert!(findings.broken.is_empty(), "seed {seed}: {:#?}", findings.broken);
         assert!(findings.told.contains_key("Whole"), "seed {seed}: nothing was served");
--- a/crates/bendhinge_lab/tests/gateway_soak.rs
+++ b/crates/bendhinge_lab/tests/gateway_soak.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use bendhinge_http::{Tasks, run_until};
+use bendhinge_http::Tasks;
 use bendhinge_lab::gateways::{
-    Findings, part_soak, partition_soak, silence_soak, soak, soak_seeds, software_soak,
+    Findings, part_soak, partition_soak, run_soak, silence_soak, soak, soak_seeds, software_soak,
 };
 
 /// Seeds of the short run, and seeds that once found something.
@@ -35,9 +35,7 @@
 #[test]
 fn no_stream_is_mixed_while_versions_overlap() {
     for seed in soak_seeds(&SOFTWARE_SEEDS) {
-        let tasks = Tasks::default();
-        let findings =
-            run_until(&tasks, std::num::NonZeroUsize::MIN, software_soak(&Tasks::clone(&tasks), seed));
+        let findings = run_soak(|tasks| async move { software_soak(&tasks, seed).await });
         println!("seed {seed}: {:?}", findings.told);
         assert!(findings.broken.is_empty(), "seed {seed}: {:#?}", findings.broken);
         assert!(findings.told.contains_key("resumed: served"), "seed {seed}: no stream went on");
@@ -68,9 +66,7 @@
 }
 
 fn check<F: Future<Output = Findings>>(seed: u64, soak: impl FnOnce(Tasks) -> F) -> BTreeMap<String, usize> {
-    let tasks = Tasks::default();
-    let workers = std::num::NonZeroUsize::MIN;
-    let findings = run_until(&tasks, workers, soak(Tasks::clone(&tasks)));
+    let findings = run_soak(soak);
     println!("seed {seed}: {:?}", findings.told);
     assert!(findings.broken.is_empty(), "seed {seed}: {:#?}", findings.broken);
     assert!(findings.told.contains_key("Whole"), "seed {seed}: nothing was served");
