--- a/crates/bendhinge_delivery/tests/not_run.rs
+++ b/crates/bendhinge_delivery/tests/not_run.rs
@@ -1,4 +1,4 @@
-//! What shows that a request did not run, and what a request is told while its sends have any outcomes in any order.
+//! Evidence that a request did not run, and the result code for any order of sends and outcomes.
 
 use bendhinge_codes::{Ran, ResultCode};
 use bendhinge_delivery::{NotRun, NotRunReason, RetryPolicy, RetryState, SendOutcome, UpstreamReport};
--- a/crates/bendhinge_gateway/src/delivery/software.rs
+++ b/crates/bendhinge_gateway/src/delivery/software.rs
@@ -106,7 +106,8 @@
         }
     }
 
-    /// Returns the software of a stream that the caller does not name: nothing tells the streams of a pool apart.
+    /// Returns the software of a stream whose first request the caller does not name. It is known only if all streams of the
+    /// pool have the same.
     async fn find_only_software(&self) -> Option<NameHash> {
         if self.seen_software() == PoolSoftware::Unknown {
             // Other gateways may have watched the pool for longer.
--- a/crates/bendhinge_lab/tests/gateway_refusals.rs
+++ b/crates/bendhinge_lab/tests/gateway_refusals.rs
@@ -7,7 +7,7 @@
 use bendhinge_standin::gateway::UpstreamFault;
 use gateway_common::{RawEnd, RawUpstream, call, line_of, metric, run, send, smallest, start};
 
-/// Guards against a line that does not tell what the end of a send was concluded from.
+/// Guards against a log line without the evidence for the end of a send.
 #[test]
 fn a_refused_request_is_logged_with_the_evidence_of_each_send() {
     run(|tasks| async move {
@@ -43,8 +43,7 @@
     });
 }
 
-/// Guards against a caller who is told that its request did not run, because the upstream says so beside the result of the
-/// run.
+/// Guards against a request that is refused as not run after it ran, because a header of the response denies the run.
 #[test]
 fn a_result_that_claims_that_nothing_ran_is_no_rejection() {
     const STATUSES: [&str; 4] =
--- a/crates/bendhinge_standin/src/gateway/varied.rs
+++ b/crates/bendhinge_standin/src/gateway/varied.rs
@@ -1,4 +1,4 @@
-//! An upstream that treats each request differently and always tells the truth: what it rejects it never runs.
+//! An upstream that handles each request differently and never runs a request that it rejects.
 //!
 //! It reads and writes its connections itself, so that rejections can come before the body is read, twice, in pieces,
 //! or late in the place of the next response.
