--- a/crates/bendhinge_gateway/src/metrics/mod.rs
+++ b/crates/bendhinge_gateway/src/metrics/mod.rs
@@ -1,11 +1,11 @@
 //! The gateway's metrics; `docs/METRICS.md` lists them.
 
 mod callers;
+mod gauges;
 mod groups;
 
 use std::time::Duration;
 
-use bendhinge_buffers::BufferUsage;
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{BodyEnd, SendOutcome};
 use bendhinge_fleet::ListLoads;
@@ -17,13 +17,14 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
+pub(crate) use self::gauges::GaugeValues;
+use self::gauges::Gauges;
 use self::groups::{
-    AgeHistograms, BufferGauges, CallerConnectionCounters, ExchangeCounters, ForwardingCounters,
-    PermitMetrics, QuarantineGauges, StreamMetrics,
+    AgeHistograms, CallerConnectionCounters, ExchangeCounters, ForwardingCounters, PermitMetrics,
+    StreamMetrics,
 };
 pub(crate) use self::groups::{ResumedSoftware, Resumer};
 use crate::delivery::{ConnectFailure, Cut};
-use crate::quarantine::QuarantinedCounts;
 
 /// Bucket bounds of the time to first byte. They include 1.3 s, the target of its 95th percentile.
 const FIRST_BYTE_BUCKETS_SECONDS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 1.3, 2.5, 10.0];
@@ -54,18 +55,6 @@
 #[error("cannot set up metrics: {0}")]
 pub(crate) struct MetricsError(String);
 
-/// Values of the gauges that are read when metrics are scraped.
-pub(crate) struct GaugeValues {
-    pub(crate) in_progress: usize,
-    pub(crate) rules_age: Option<Duration>,
-    pub(crate) dropped_lines: usize,
-    pub(crate) peer_connections: u64,
-    pub(crate) peer_sent_bytes: u64,
-    pub(crate) quarantined: QuarantinedCounts,
-    pub(crate) upstreams_in_backoff: usize,
-    pub(crate) buffers: BufferUsage,
-}
-
 /// All metrics of a gateway.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -89,14 +78,7 @@
     caller_connections: CallerConnectionCounters,
     first_byte: Histogram<f64>,
     streams: StreamMetrics,
-    in_progress: Gauge<u64>,
-    rules_age: Gauge<f64>,
-    dropped_lines: Gauge<u64>,
-    peer_connections: Gauge<u64>,
-    peer_sent_bytes: Gauge<u64>,
-    quarantined: QuarantineGauges,
-    buffers: BufferGauges,
-    upstreams_in_backoff: Gauge<u64>,
+    gauges: Gauges,
     foreign_entries: Gauge<u64>,
 }
 
@@ -172,31 +154,11 @@
                 &FIRST_BYTE_BUCKETS_SECONDS,
             ),
             streams: StreamMetrics::new(seconds, counter),
-            in_progress: gauge("bendhinge.gateway.requests_in_progress", "Requests in progress"),
-            dropped_lines: gauge("bendhinge.gateway.log_lines_dropped", "Log lines dropped since the start"),
-            rules_age: meter
-                .f64_gauge("bendhinge.gateway.rules_age")
-                .with_unit("s")
-                .with_description("Age of the knowledge that the rules are current")
-                .build(),
+            gauges: Gauges::new(&meter, gauge),
             foreign_entries: gauge(
                 "bendhinge.gateway.foreign_entries",
                 "Entries of the store that name no upstream, as of the last read",
             ),
-            quarantined: QuarantineGauges::new(gauge),
-            buffers: BufferGauges::new(gauge),
-            upstreams_in_backoff: gauge(
-                "bendhinge.gateway.upstreams_resting",
-                "Upstreams that are spared since they asked for a rest",
-            ),
-            peer_connections: gauge(
-                "bendhinge.gateway.peer_connections",
-                "Open connections with other gateways, in both directions",
-            ),
-            peer_sent_bytes: gauge(
-                "bendhinge.gateway.peer_sent_bytes",
-                "Bytes sent to other gateways since the start, without TCP's own",
-            ),
             registry,
             _provider: provider,
         })
@@ -401,16 +363,7 @@
 
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode_text(&self, gauges: &GaugeValues) -> String {
-        self.in_progress.record(gauges.in_progress as u64, &[]);
-        self.dropped_lines.record(gauges.dropped_lines as u64, &[]);
-        self.peer_connections.record(gauges.peer_connections, &[]);
-        self.peer_sent_bytes.record(gauges.peer_sent_bytes, &[]);
-        self.quarantined.record(gauges.quarantined);
-        self.buffers.record(gauges.buffers);
-        self.upstreams_in_backoff.record(gauges.upstreams_in_backoff as u64, &[]);
-        if let Some(age) = gauges.rules_age {
-            self.rules_age.record(age.as_secs_f64(), &[]);
-        }
+        self.gauges.record(gauges);
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
     }
 }
