Review: streams without a length that their leaving runner cuts are complete for their callers

Callers got the last chunk of streams that lacked events: their leaving runner had ended two seconds after its notice.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,8 @@
 //! The cases of the review and their stand-ins: `review-2 CASE FOLDER`, started by the `run.sh` of each case.
 
 mod common;
+#[path = "../5/case.rs"]
+mod ends;
 #[path = "../4/case.rs"]
 mod evacuation;
 mod runner;
@@ -26,6 +28,7 @@
     };
     let run = match case.as_str() {
         "4" => evacuation::run,
+        "5" => ends::run,
         _ => return ExitCode::from(2),
     };
     let folder = Path::new(folder);
