Review: two runners work on one stream for as long as both are silent

A stream whose runner is silent goes on at a second one. Both worked on it until the caller gave up, over a second in place of 400 ms: the first is closed only when the second has sent an event.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,6 +6,8 @@
 #[path = "../4/case.rs"]
 mod evacuation;
 mod runner;
+#[path = "../6/case.rs"]
+mod twice;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -29,6 +31,7 @@
     let run = match case.as_str() {
         "4" => evacuation::run,
         "5" => ends::run,
+        "6" => twice::run,
         _ => return ExitCode::from(2),
     };
     let folder = Path::new(folder);
