Review: idle connections keep all new callers out of a gateway that says that it is ready

With 3,000 connections that callers have left open, each new one was closed unread to the end of 60 s of traffic, beside a ready answer. idleTimeoutMs of the configuration is read and not applied; connections rest for two minutes.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,8 @@
 mod ends;
 #[path = "../4/case.rs"]
 mod evacuation;
+#[path = "../7/case.rs"]
+mod idle;
 mod runner;
 #[path = "../6/case.rs"]
 mod twice;
@@ -32,6 +34,7 @@
         "4" => evacuation::run,
         "5" => ends::run,
         "6" => twice::run,
+        "7" => idle::run,
         _ => return ExitCode::from(2),
     };
     let folder = Path::new(folder);
