Review: bodies of requests with a home are forwarded to gateways in other regions

A gateway that was cut off from the upstreams of a pool forwarded its callers' requests, with their bodies, to a gateway in a region that is neither their home nor the callers'. The choice of the gateway knows no regions.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,8 +5,11 @@
 mod ends;
 #[path = "../4/case.rs"]
 mod evacuation;
+#[path = "../8/case.rs"]
+mod homes;
 #[path = "../7/case.rs"]
 mod idle;
+mod proxy;
 mod runner;
 #[path = "../6/case.rs"]
 mod twice;
@@ -35,6 +38,7 @@
         "5" => ends::run,
         "6" => twice::run,
         "7" => idle::run,
+        "8" => homes::run,
         _ => return ExitCode::from(2),
     };
     let folder = Path::new(folder);
