--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -47,7 +47,7 @@
 
 fn play(case: &Case) -> Result<Verdict, String> {
     let store = Store::start().map_err(|error| error.to_string())?;
-    write_configuration(&store, 15_000, None);
+    write_configuration(&store, None);
     let reports = Reports::default();
     let pool = RunnerPool::start(case, &reports, RUNNERS, &["8", "16.4", "chunked"])?;
     let zones: BTreeMap<&str, &str> = pool
--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -1,14 +1,14 @@
-//! ORDER and MIXED: a stream without a length, cut by the end of its leaving runner, is complete for its client.
+//! CONFIG: a configuration with a tenant whose name holds a blank is in force nowhere.
 
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::common::{
-    Answer, Case, Gateway, LLM, PORTAL, Reports, Runner, Sheet, Store, Verdict, next_id, read_answer,
-    request_text, write_configuration,
+    Case, Gateway, HOST, KEY, LLM, PORTAL, Record, Reports, Runner, Sheet, Store, Verdict, next_id, now_ms,
+    read_answer, write_version,
 };
 
 /// The sheet of `fjordvei-opptak`.
@@ -23,19 +23,22 @@
     evacuate_ms: None,
 };
 const GATEWAYS: usize = 6;
-const ENGINES: usize = 12;
-/// `scale_in`, `spot`: the runners that leave, a quarter of them, and the time from their notice to their end.
-const LEAVING: usize = ENGINES / 4;
-const NOTICE: Duration = Duration::from_secs(2);
-/// When new runners come after that.
-const RETURN_DELAY: Duration = Duration::from_secs(4);
-const SCALE_INS: usize = 4;
-const PERIOD: Duration = Duration::from_secs(9);
-/// `guidance-chat`: events of a stream of 3 tokens each, and requests a second.
-const EVENTS: usize = 240;
-const EVENT_GAP_MS: &str = "16.4";
+/// A key that the new version drops, and one of the tenant that it adds.
+const DROPPED_KEY: &str = "anfqasnmgkcuyj8pjbvk";
+const NEW_KEY: &str = "b0yaca7kq2m4vd93sxte";
+/// `configApplyMs` of the sheet, and what a request may need to its gateway.
+const APPLY_MS: f64 = 2_000.0;
+const TRANSIT_MS: f64 = 200.0;
 const REQUESTS_PER_SECOND: f64 = 10.0;
-const PATIENCE: Duration = Duration::from_millis(2_400);
+const CHANGE_AFTER: Duration = Duration::from_secs(5);
+const TRAFFIC_TIME: Duration = Duration::from_secs(25);
+
+/// A request, with the key that it carried and how it was answered.
+struct Answered {
+    key: &'static str,
+    sent_ms: f64,
+    status: u16,
+}
 
 pub fn run(case: &Case) -> Verdict {
     match play(case) {
@@ -44,105 +47,85 @@
     }
 }
 
-fn start_engine(case: &Case, store: &Store, reports: &Reports, index: usize) -> Result<Runner, String> {
-    let (id, zone) = (format!("i-{:08x}", 0x7f3a_9100 + index), SHEET.zones[index % 3]);
-    Runner::start(case, store, reports, (&id, LLM, zone), &[&EVENTS.to_string(), EVENT_GAP_MS, "close"])
-}
-
 fn play(case: &Case) -> Result<Verdict, String> {
     let store = Store::start().map_err(|error| error.to_string())?;
-    write_configuration(&store, 15_000, None);
+    write_version(&store, 7, None, &[("hule930", &[KEY, DROPPED_KEY])]);
     let reports = Reports::default();
-    let mut engines = Vec::new();
-    for index in 0..ENGINES {
-        engines.push(start_engine(case, &store, &reports, index)?);
-    }
-    let mut portals = Vec::new();
+    let mut runners = Vec::new();
     for (index, zone) in SHEET.zones.iter().enumerate() {
-        let id = format!("i-{:08x}", 0x02d9_e600 + index);
-        portals.push(Runner::start(case, &store, &reports, (&id, PORTAL, zone), &["0", "0", "chunked"])?);
+        for (service, first) in [(PORTAL, 0x02d9_e600), (LLM, 0x7f3a_9100)] {
+            let id = format!("i-{:08x}", first + index);
+            runners.push(Runner::start(
+                case,
+                &store,
+                &reports,
+                (&id, service, zone),
+                &["8", "16.4", "chunked"],
+            )?);
+        }
     }
     let gateways = Gateway::start_all(case, &SHEET, &store, GATEWAYS)?;
-    let fronts: Vec<_> = gateways.iter().map(|gateway| gateway.front).collect();
+    thread::sleep(Duration::from_secs(1));
 
     let answers = Arc::new(Mutex::new(Vec::new()));
-    let traffic_time = PERIOD * u32::try_from(SCALE_INS).unwrap_or(1) + Duration::from_secs(4);
-    let traffic = {
-        let (record, answers) = (case.record.clone(), Arc::clone(&answers));
-        thread::spawn(move || send_requests(&fronts, traffic_time, &record, &answers))
-    };
-    thread::sleep(Duration::from_secs(4));
-    let mut next_engine = ENGINES;
-    for _ in 0..SCALE_INS {
-        let round = Instant::now();
-        if case.has_trouble {
-            let mut leaving: Vec<Runner> = engines.drain(..LEAVING).collect();
-            for engine in &leaving {
-                case.record.line(&format!("runner {} says that it is draining", engine.id));
-                engine.write_entry(&store, "draining");
-            }
-            thread::sleep(NOTICE);
-            for engine in &mut leaving {
-                engine.kill();
-                case.record.line(&format!("runner {} has ended", engine.id));
-                store.remove(&format!("servers/{}", engine.id));
-            }
-            thread::sleep(RETURN_DELAY);
-            for _ in 0..leaving.len() {
-                engines.push(start_engine(case, &store, &reports, next_engine)?);
-                next_engine += 1;
-            }
+    let (began, mut sent, mut acknowledged_ms) = (Instant::now(), 0_usize, None);
+    while began.elapsed() < TRAFFIC_TIME {
+        if acknowledged_ms.is_none() && began.elapsed() >= CHANGE_AFTER {
+            let name = if case.has_trouble { "Vake council" } else { "Vake-council" };
+            write_version(&store, 8, None, &[("hule930", &[KEY]), (name, &[NEW_KEY])]);
+            acknowledged_ms = Some(now_ms());
+            case.record.line(&format!(
+                "the store acknowledges version 8: a key of hule930 is dropped, the tenant \"{name}\" is added"
+            ));
         }
-        thread::sleep(PERIOD.saturating_sub(round.elapsed()));
-    }
-    let _ = traffic.join();
-    thread::sleep(Duration::from_secs(7));
-    let answers = answers.lock().unwrap();
-    let count = |holds: &dyn Fn(&Answer) -> bool| answers.iter().filter(|answer| holds(answer)).count();
-    let whole = count(&|answer| answer.is_complete && answer.events == EVENTS);
-    let cut = count(&|answer| answer.status == 200 && !answer.is_complete);
-    let broken = count(&|answer| answer.status == 200 && answer.is_complete && answer.events < EVENTS);
-    case.record.line(&format!(
-        "{} answers: {whole} whole, {cut} visibly cut, {broken} complete before their last event",
-        answers.len()
-    ));
-    if whole * 2 < answers.len() {
-        return Err("under half of the streams were whole".to_owned());
-    }
-    Ok(if broken > 0 { Verdict::Broken } else { Verdict::Held })
-}
-
-fn send_requests(
-    fronts: &[std::net::SocketAddr],
-    time: Duration,
-    record: &crate::common::Record,
-    answers: &Arc<Mutex<Vec<Answer>>>,
-) {
-    let began = Instant::now();
-    let mut sent = 0;
-    while began.elapsed() < time {
         if began.elapsed().as_secs_f64() * REQUESTS_PER_SECOND > sent as f64 {
-            let front = fronts[sent % fronts.len()];
-            let (record, answers) = (record.clone(), Arc::clone(answers));
-            thread::spawn(move || {
-                let id = next_id();
-                record.line(&format!("client: {id} sent to {front}"));
-                let Ok(mut stream) = TcpStream::connect(front) else { return };
-                let _ = stream.write_all(request_text(&id, "/guidance-chat/a", 15_000, true).as_bytes());
-                let answer = read_answer(&stream, PATIENCE);
-                let wrong = answer.status == 200 && answer.is_complete && answer.events < EVENTS;
-                record.line(&format!(
-                    "client: {id} status {}, {} of {EVENTS} events, complete {} {}{}",
-                    answer.status,
-                    answer.events,
-                    answer.is_complete,
-                    answer.end,
-                    if wrong { " ORDER: complete before its last event" } else { "" }
-                ));
-                answers.lock().unwrap().push(answer);
-            });
+            let front = gateways[sent % GATEWAYS].front;
+            for key in [KEY, DROPPED_KEY, NEW_KEY] {
+                let (record, answers) = (case.record.clone(), Arc::clone(&answers));
+                thread::spawn(move || send(front, key, &record, &answers));
+            }
             sent += 1;
         }
         thread::sleep(Duration::from_millis(5));
     }
+    thread::sleep(Duration::from_secs(2));
+    let ready = gateways.iter().filter(|gateway| gateway.is_ready()).count();
+    case.record.line(&format!("{ready} of {GATEWAYS} gateways say that they are ready"));
+    let acknowledged_ms = acknowledged_ms.ok_or("no version was written")?;
+    Ok(judge(case, &answers.lock().unwrap(), acknowledged_ms))
+}
+
+fn send(front: SocketAddr, key: &'static str, record: &Record, answers: &Mutex<Vec<Answered>>) {
+    let (id, sent_ms) = (next_id(), now_ms());
+    let Ok(mut stream) = TcpStream::connect(front) else { return };
+    let request = format!(
+        "GET /deadline-status/a HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 1500\r\nAuthorization: Bearer {key}\r\n\r\n"
+    );
+    let _ = stream.write_all(request.as_bytes());
+    let status = read_answer(&stream, Duration::from_millis(1_700)).status;
+    record.line_at(sent_ms, &format!("client: {id} with {key}: status {status}"));
+    answers.lock().unwrap().push(Answered { key, sent_ms, status });
+}
+
+fn judge(case: &Case, answers: &[Answered], acknowledged_ms: f64) -> Verdict {
+    let in_force_ms = acknowledged_ms + APPLY_MS + TRANSIT_MS;
+    let count = |key: &str, holds: &dyn Fn(u16) -> bool| {
+        let later = answers.iter().filter(|answer| answer.key == key && answer.sent_ms > in_force_ms);
+        later.filter(|answer| holds(answer.status)).count()
+    };
+    let any = |_: u16| true;
+    let refused = count(NEW_KEY, &|status| status == 401);
+    let served = count(DROPPED_KEY, &|status| status == 200);
+    case.record.line(&format!(
+        "sent later than 2.2 s after the acknowledgement: {refused} of {} with the new key got 401, {served} of {} with the dropped key were served",
+        count(NEW_KEY, &any),
+        count(DROPPED_KEY, &any)
+    ));
+    case.record.line(&format!(
+        "and of {} with the key that both versions hold, {} were served and {} got 503",
+        count(KEY, &any),
+        count(KEY, &|status| status == 200),
+        count(KEY, &|status| status == 503)
+    ));
+    if refused + served > 0 { Verdict::Broken } else { Verdict::Held }
 }
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -608,8 +608,14 @@
 pub const HOST: &str = "fjordvei.example";
 pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
 
-/// The configuration, with the routes of the site's sheet. `homes` is the region in which receipts are to stay.
-pub fn write_configuration(store: &Store, idle_timeout_ms: u32, homes: Option<&str>) {
+/// Writes the configuration, with the routes of the site's sheet and one tenant. `homes` is the region in which receipts
+/// are to stay.
+pub fn write_configuration(store: &Store, homes: Option<&str>) {
+    write_version(store, 7, homes, &[("hule930", &[KEY])]);
+}
+
+/// Writes a version of the configuration with tenants and their keys.
+pub fn write_version(store: &Store, version: u32, homes: Option<&str>, tenants: &[(&str, &[&str])]) {
     let route = |name: &str,
                  prefix: &str,
                  kind: &str,
@@ -624,6 +630,11 @@
     let once = r#""priority":2,"maxAttempts":1,"sticky":true,"canResume":false,"targetGapMs":300"#;
     let resumed = r#""priority":0,"maxAttempts":2,"sticky":true,"canResume":true,"targetGapMs":300"#;
     let plain = r#""priority":2,"maxAttempts":2,"sticky":false,"canResume":false"#;
+    let tenants = tenants.iter().map(|(name, keys)| {
+        let keys: Vec<String> = keys.iter().map(|key| format!(r#""{key}""#)).collect();
+        format!(r#"{{"name":"{name}","apiKeys":[{}],"priority":1}}"#, keys.join(","))
+    });
+    let tenants: Vec<String> = tenants.collect();
     let unsafe_ = r#""priority":2,"maxAttempts":1,"sticky":false,"canResume":false"#;
     let homes = homes.map(|home| format!(r#","allowedRegions":["{home}"]"#)).unwrap_or_default();
     let routes = [
@@ -635,8 +646,9 @@
     store.put(
         "op/config",
         &format!(
-            r#"{{"version":7,"routes":[{}],"services":[{{"name":"{LLM}","healthPath":"/health","maxConnections":360,"protocol":"h1","tls":false,"engine":{{"slots":64,"kvCapacityTokens":232000,"tokenKvBytes":327680,"linkMbps":550000.0,"moves":true,"backups":true,"stride":3,"most":2,"pinMs":4000.0,"holdMs":2000.0,"handleS":5.0,"models":[{{"name":"m"}}]}}}},{{"name":"{PORTAL}","healthPath":"/health","maxConnections":96,"protocol":"h1","tls":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":{idle_timeout_ms}}},"tenants":[{{"name":"hule930","apiKeys":["{KEY}"],"priority":1}}]}}"#,
-            routes.join(",")
+            r#"{{"version":{version},"routes":[{}],"services":[{{"name":"{LLM}","healthPath":"/health","maxConnections":360,"protocol":"h1","tls":false,"engine":{{"slots":64,"kvCapacityTokens":232000,"tokenKvBytes":327680,"linkMbps":550000.0,"moves":true,"backups":true,"stride":3,"most":2,"pinMs":4000.0,"holdMs":2000.0,"handleS":5.0,"models":[{{"name":"m"}}]}}}},{{"name":"{PORTAL}","healthPath":"/health","maxConnections":96,"protocol":"h1","tls":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{}]}}"#,
+            routes.join(","),
+            tenants.join(",")
         ),
     );
 }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,16 +2,16 @@
 
 mod common;
 #[path = "../5/case.rs"]
+mod configuration;
+#[path = "../6/case.rs"]
 mod ends;
 #[path = "../4/case.rs"]
 mod evacuation;
 #[path = "../8/case.rs"]
 mod homes;
-#[path = "../7/case.rs"]
-mod idle;
 mod proxy;
 mod runner;
-#[path = "../6/case.rs"]
+#[path = "../7/case.rs"]
 mod twice;
 
 use std::path::Path;
@@ -35,9 +35,9 @@
     };
     let run = match case.as_str() {
         "4" => evacuation::run,
-        "5" => ends::run,
-        "6" => twice::run,
-        "7" => idle::run,
+        "5" => configuration::run,
+        "6" => ends::run,
+        "7" => twice::run,
         "8" => homes::run,
         _ => return ExitCode::from(2),
     };
