--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -23,6 +23,7 @@
     revoke_ms: 5_000,
     budget_slack: 170,
     evacuate_ms: Some(5_000),
+    is_strict: true,
 };
 const GATEWAYS: usize = 6;
 /// 140 runners of the sheet, and what two `scale_out` of a quarter add to them.
--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -21,6 +21,7 @@
     revoke_ms: 5_000,
     budget_slack: 52,
     evacuate_ms: None,
+    is_strict: true,
 };
 const GATEWAYS: usize = 6;
 /// A key that the new version drops, and one of the tenant that it adds.
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -9,10 +9,10 @@
 mod evacuation;
 #[path = "../8/case.rs"]
 mod homes;
+#[path = "../7/case.rs"]
+mod idle;
 mod proxy;
 mod runner;
-#[path = "../7/case.rs"]
-mod twice;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -37,7 +37,7 @@
         "4" => evacuation::run,
         "5" => configuration::run,
         "6" => ends::run,
-        "7" => twice::run,
+        "7" => idle::run,
         "8" => homes::run,
         _ => return ExitCode::from(2),
     };
