--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,15 +1,15 @@
 //! The cases of the review and their stand-ins: `review-2 CASE FOLDER`, started by the `run.sh` of each case.
 
 mod common;
-#[path = "../5/case.rs"]
+#[path = "../5/play.rs"]
 mod configuration;
-#[path = "../6/case.rs"]
+#[path = "../6/play.rs"]
 mod ends;
-#[path = "../4/case.rs"]
+#[path = "../4/play.rs"]
 mod evacuation;
-#[path = "../8/case.rs"]
+#[path = "../8/play.rs"]
 mod homes;
-#[path = "../7/case.rs"]
+#[path = "../7/play.rs"]
 mod idle;
 mod proxy;
 mod runner;
