Store: take drained data centres from the changes, at one revision with them

Callers saw: with over 200 upstreams, requests went on reaching an evacuated data centre for as long as nothing else changed in the store. The evacuation had been acknowledged between the two calls of a read.

Cause: a read of changes takes the drained data centres at revision A, then the changes up to B, and labelled both with B. A change of a drained data centre between A and B was parsed as `ChangedEntry::Other` and dropped.

Fix: evacuations, and their ends, are parsed from the changes and applied to the page that was read before. The last change of a data centre after the start of the read decides, so that list and label are of one revision whatever the order. The native protocol states both in its changes (`drained`, `restored`). Foreign entries of the page that the changes replace are dropped as well.

--- a/crates/bendhinge_gateway/src/control/pages.rs
+++ b/crates/bendhinge_gateway/src/control/pages.rs
@@ -117,7 +117,7 @@
     Changes {
         /// Start of the read.
         start: Instant,
-        /// All drained data centres.
+        /// All drained data centres as of the revision of the changes.
         drained: Vec<DataCentreName>,
         changes: LatestChanges,
     },
@@ -207,7 +207,11 @@
             collected.changes.extend(batch.changes);
         }
         let mut changes = collected.latest();
-        changes.foreign.extend(foreign);
+        // The store may have changed since the page was read; the changes show it.
+        let drained = changes.drained_since(drained);
+        let is_unchanged = |entry: &ForeignEntry| !changes.keys.contains(&entry.key);
+        let unchanged: Vec<_> = foreign.into_iter().filter(is_unchanged).collect();
+        changes.foreign.extend(unchanged);
         Ok(ReadOutcome::Changes { start, drained, changes })
     }
 
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -288,15 +288,8 @@
         self.update_list_from_store(contents.into_list(), at, start);
     }
 
-    fn apply_changes(
-        self: &Rc<Self>,
-        start: Instant,
-        mut drained: Vec<DataCentreName>,
-        changes: LatestChanges,
-    ) {
-        let LatestChanges { at, rules, updated, removed, foreign, keys } = changes;
-        drained.sort_unstable();
-        drained.dedup();
+    fn apply_changes(self: &Rc<Self>, start: Instant, drained: Vec<DataCentreName>, changes: LatestChanges) {
+        let LatestChanges { at, rules, updated, removed, foreign, keys, .. } = changes;
         let now = bendhinge_clock::now();
         let DeliveryContext { rules: held_rules, upstreams, .. } = &*self.context;
         match (rules, held_rules.held_version(now)) {
--- a/crates/bendhinge_gateway/src/dialect.rs
+++ b/crates/bendhinge_gateway/src/dialect.rs
@@ -180,6 +180,15 @@
         /// The invalid entry, if there is one.
         foreign: Option<ForeignEntry>,
     },
+    /// A data centre that was drained, or is no longer.
+    DataCentre {
+        /// The name of the data centre.
+        name: DataCentreName,
+        /// Whether it is drained.
+        is_drained: bool,
+    },
+    /// An invalid entry under a key of a drained data centre.
+    Foreign(ForeignEntry),
     /// An entry of another kind, which is not tracked by changes.
     Other,
 }
@@ -195,12 +204,30 @@
     pub updated: Vec<UpstreamEntry>,
     /// The upstreams whose entries were deleted or became invalid.
     pub removed: Vec<UpstreamName>,
+    /// The data centres that were drained.
+    pub drained: Vec<DataCentreName>,
+    /// The data centres that are no longer drained.
+    pub restored: Vec<DataCentreName>,
     /// The invalid entries.
     pub foreign: Vec<ForeignEntry>,
     /// The keys of all changed entries.
     pub keys: FxHashSet<String>,
 }
 
+impl LatestChanges {
+    /// Returns the drained data centres as of these changes, sorted. `base` are those of any revision from the start
+    /// of the changes to their end.
+    #[must_use]
+    pub fn drained_since(&self, base: Vec<DataCentreName>) -> Vec<DataCentreName> {
+        let mut drained = base;
+        drained.retain(|name| !self.restored.contains(name));
+        drained.extend(self.drained.iter().cloned());
+        drained.sort_unstable();
+        drained.dedup();
+        drained
+    }
+}
+
 impl StoreChanges {
     /// Returns the last change of each entry, in order.
     #[must_use]
@@ -220,6 +247,9 @@
                     latest.removed.extend(name);
                     latest.foreign.extend(foreign);
                 }
+                ChangedEntry::DataCentre { name, is_drained: true } => latest.drained.push(name),
+                ChangedEntry::DataCentre { name, is_drained: false } => latest.restored.push(name),
+                ChangedEntry::Foreign(foreign) => latest.foreign.push(foreign),
                 ChangedEntry::Other => {}
             }
         }
--- a/crates/bendhinge_gateway/src/native/store.rs
+++ b/crates/bendhinge_gateway/src/native/store.rs
@@ -18,6 +18,8 @@
 
 /// The key of the serving rules among changes. Upstream names contain no slash.
 const RULES_KEY: &str = "/rules";
+/// The prefix of the keys of data centres among changes.
+const DATA_CENTRE_KEY_PREFIX: &str = "/drained/";
 
 /// A page of the store's contents or changes.
 #[derive(Debug, Default, Deserialize, Serialize)]
@@ -28,9 +30,12 @@
     /// Each entry is parsed on its own, so that an invalid one does not affect the others.
     #[serde(default)]
     upstreams: Vec<Box<RawValue>>,
-    /// The drained data centres, which get no new work.
+    /// The drained data centres, which get no new work. In a list of changes, only those that were drained.
     #[serde(default)]
     drained: Vec<DataCentreName>,
+    /// In a list of changes, the data centres that are no longer drained.
+    #[serde(default)]
+    restored: Vec<DataCentreName>,
     #[serde(default)]
     next: Option<String>,
     /// In a list of changes, the upstreams that were deleted.
@@ -114,11 +119,19 @@
                 key,
             }
         });
+        let drained = page.drained.into_iter().map(|name| data_centre_change(name, true));
+        let restored = page.restored.into_iter().map(|name| data_centre_change(name, false));
         let rules = page.rules.map(stored_rules).map(ChangedEntry::Rules);
         let rules = rules.map(|entry| StoreChange { key: RULES_KEY.to_owned(), entry });
         Ok(StoreChanges {
             at: Revision(page.at),
-            changes: updated.chain(removed).chain(foreign).chain(rules).collect(),
+            changes: updated
+                .chain(removed)
+                .chain(foreign)
+                .chain(drained)
+                .chain(restored)
+                .chain(rules)
+                .collect(),
         })
     }
 
@@ -127,6 +140,11 @@
     }
 }
 
+fn data_centre_change(name: DataCentreName, is_drained: bool) -> StoreChange {
+    let key = format!("{DATA_CENTRE_KEY_PREFIX}{name}");
+    StoreChange { key, entry: ChangedEntry::DataCentre { name, is_drained } }
+}
+
 fn parse_json(body: &[u8]) -> Result<Page, ParseError> {
     serde_json::from_slice(body).map_err(|error| ParseError::new("store page", &error))
 }
--- a/crates/bendhinge_lab/tests/gateway_long_lists.rs
+++ b/crates/bendhinge_lab/tests/gateway_long_lists.rs
@@ -11,7 +11,7 @@
 
 use bendhinge_http::Tasks;
 use bendhinge_lab::gateways::{FleetShape, GatewayFleet, RULES, Told, until};
-use bendhinge_standin::gateway::StoreFault;
+use bendhinge_standin::gateway::{DATA_CENTRE, StoreFault};
 use gateway_common::{PATIENCE, call, run, send, start};
 
 /// Upstreams that get no requests, and make the list long.
@@ -20,6 +20,7 @@
 /// Where every page but the first of a read is asked for.
 const LATER_PAGES: &str = "/v1/fleet?after=";
 const CHANGES: &str = "/v1/fleet/changes";
+const DRAINED: &str = "/v1/fleet/drained";
 
 /// Gateways of which the first holds a list of four pages.
 async fn with_a_long_list(tasks: &Tasks, gateways: usize) -> GatewayFleet {
@@ -63,6 +64,20 @@
     });
 }
 
+/// Guards against an evacuation that the store acknowledges between the two calls of a read of changes, and that is
+/// in force nowhere until something else changes.
+#[test]
+fn an_evacuation_during_a_read_of_changes_is_in_force() {
+    run(|tasks| async move {
+        let fleet = with_a_long_list(&tasks, 1).await;
+        fleet.store.add_and_drain_after_read("spare-999", DRAINED, DATA_CENTRE);
+        let drained = format!(r#""event":"drained","data_centres":["{DATA_CENTRE}"]"#);
+        until(async || fleet.gateway(0).lines().iter().any(|line| line.contains(&drained))).await;
+        until_list(&fleet).await;
+        assert_eq!(send(&fleet, &call("/safe/x")).await.told, Told::Status(503));
+    });
+}
+
 #[test]
 fn changes_that_the_store_has_forgotten_are_found_in_the_whole_list() {
     run(|tasks| async move {
--- a/crates/bendhinge_standin/src/gateway/store.rs
+++ b/crates/bendhinge_standin/src/gateway/store.rs
@@ -12,6 +12,9 @@
 /// Where upstreams are unless they are placed elsewhere.
 pub const DATA_CENTRE: &str = "data_centre";
 
+/// Prefix of the names of drained data centres in the history. Names of upstreams contain no slash.
+const DRAINED_KEY_PREFIX: &str = "/drained/";
+
 /// How the store misbehaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreFault {
@@ -68,6 +71,8 @@
     page_entries: usize,
     /// What was asked for.
     paths: Vec<String>,
+    /// The path after whose next answer a data centre is drained, and the data centre.
+    drain_after_read: Option<(String, String)>,
 }
 
 impl State {
@@ -76,6 +81,22 @@
         self.history.push((self.revision, name.to_owned()));
     }
 
+    /// Adds an upstream at the present revision.
+    fn add(&mut self, name: &str, pool: &str, address: SocketAddr, software: &str) {
+        self.upstreams.push(UpstreamRecord {
+            name: name.to_owned(),
+            pool: pool.to_owned(),
+            address,
+            data_centre: DATA_CENTRE.to_owned(),
+            draining: false,
+            warm_up: Duration::ZERO,
+            warm_up_said: self.revision,
+            made: self.revision,
+            software: software.to_owned(),
+        });
+        self.note(name);
+    }
+
     /// What is answered at `path`: everything, or a part, from the entry behind `after` on.
     fn page(&self, path: &str, after: Option<&str>) -> Value {
         let has_rules = matches!(path, "/v1/fleet" | "/v1/fleet/rules") && after.is_none();
@@ -104,7 +125,35 @@
         let came: Vec<_> = later().filter_map(|name| named(name)).map(entry_item).collect();
         let gone: Vec<_> = later().filter(|name| named(name).is_none()).collect();
         let rules = self.rules.as_ref().filter(|(revision, _)| *revision > since).map(rules_item);
-        json!({ "at": self.revision, "rules": rules, "upstreams": came, "gone": gone })
+        let drain_names = || later().filter_map(|name| name.strip_prefix(DRAINED_KEY_PREFIX));
+        let is_drained = |name: &&str| self.drained.iter().any(|drained| drained == name);
+        let drained: Vec<_> = drain_names().filter(is_drained).collect();
+        let restored: Vec<_> = drain_names().filter(|name| !is_drained(name)).collect();
+        let gone: Vec<_> = gone.into_iter().filter(|name| !name.starts_with(DRAINED_KEY_PREFIX)).collect();
+        json!({
+            "at": self.revision,
+            "rules": rules,
+            "upstreams": came,
+            "gone": gone,
+            "drained": drained,
+            "restored": restored,
+        })
+    }
+
+    fn drain_data_centre(&mut self, data_centre: &str) {
+        self.drained.push(data_centre.to_owned());
+        self.note(&format!("{DRAINED_KEY_PREFIX}{data_centre}"));
+    }
+
+    /// Drains a data centre after an answer at `path`, if that was asked for.
+    fn drain_after_answer(&mut self, path: &str) {
+        if self.drain_after_read.as_ref().is_none_or(|(awaited, _)| awaited != path) {
+            return;
+        }
+        if let Some((_, data_centre)) = self.drain_after_read.take() {
+            self.revision += 1;
+            self.drain_data_centre(&data_centre);
+        }
     }
 }
 
@@ -176,20 +225,7 @@
 
     /// Adds an upstream with a version of its software.
     pub fn add_with_software(&self, name: &str, pool: &str, address: SocketAddr, software: &str) {
-        self.change(|state| {
-            state.upstreams.push(UpstreamRecord {
-                name: name.to_owned(),
-                pool: pool.to_owned(),
-                address,
-                data_centre: DATA_CENTRE.to_owned(),
-                draining: false,
-                warm_up: Duration::ZERO,
-                warm_up_said: state.revision,
-                made: state.revision,
-                software: software.to_owned(),
-            });
-            state.note(name);
-        });
+        self.change(|state| state.add(name, pool, address, software));
     }
 
     /// Says that an upstream is in another data centre than the usual one.
@@ -207,12 +243,24 @@
 
     /// Says that the upstreams of a data centre are to get nothing.
     pub fn drain_data_centre(&self, data_centre: &str) {
-        self.change(|state| state.drained.push(data_centre.to_owned()));
+        self.change(|state| state.drain_data_centre(data_centre));
+    }
+
+    /// Adds an upstream, and drains a data centre right after the next answer at `path`, so that the
+    /// second change comes between two calls of a read that the first one causes.
+    pub fn add_and_drain_after_read(&self, name: &str, path: &str, data_centre: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        state.add(name, "spares", ([127, 0, 0, 1], 9).into(), "");
+        state.drain_after_read = Some((path.to_owned(), data_centre.to_owned()));
     }
 
     /// Takes that back.
     pub fn give_back_data_centre(&self, data_centre: &str) {
-        self.change(|state| state.drained.retain(|drained| drained != data_centre));
+        self.change(|state| {
+            state.drained.retain(|drained| drained != data_centre);
+            state.note(&format!("{DRAINED_KEY_PREFIX}{data_centre}"));
+        });
     }
 
     /// Marks an upstream as leaving.
@@ -284,12 +332,13 @@
         }
     }
     let query = asked.query().unwrap_or_default();
-    let state = state.lock().unwrap();
+    let mut state = state.lock().unwrap();
     let page = match query.strip_prefix("since=").and_then(|since| since.parse().ok()) {
         Some(since) if since < state.forgotten_up_to => return with_status(StatusCode::GONE),
         Some(since) => state.changes(since),
         None => state.page(asked.path(), query.strip_prefix("after=")),
     };
+    state.drain_after_answer(asked.path());
     Response::new(full_body(page.to_string()))
 }
 
