Store: reads that change nothing wait like failed ones

Callers saw nothing at first; the store saw over 1,000 calls a second. After each answer that left a replica as old as before, the next read was due at once.

Cause: a read counted as successful once the store answered, and the time of the next one follows from the age of the replica. An answer that neither updates nor confirms the replica leaves that age as it is.

Fix: after an answer, the age of each replica that it concerns is compared with the start of the read. If it is older, the read waits like a failed one, the `dependency` line says why, and `store_read_seconds` counts it as `not_applied`.

Related paths: a refused document was fetched from each peer that held it, and logged each time; it is refused once for each revision now.

--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -272,7 +272,7 @@
         let context = &self.0.context;
         let has_fresher_evidence = control.sender_has_fresher_evidence(&message);
         let has_updates = message.has_partial_list && !context.upstreams.has_list_or_partial()
-            || message.rules.is_some_and(|held| context.rules.needs(held.version))
+            || message.rules.is_some_and(|held| control.needs_rules(held.version))
             || message.upstreams.is_some_and(|held| context.upstreams.needs(held.version));
         let now = bendhinge_clock::now();
         let content = match &message {
--- a/crates/bendhinge_gateway/src/control/fetching.rs
+++ b/crates/bendhinge_gateway/src/control/fetching.rs
@@ -62,7 +62,7 @@
     /// Fetches the values announced by `message` that this gateway lacks from the gateway at
     /// `address`.
     pub(super) async fn fetch_updates(self: &Rc<Self>, address: SocketAddr, message: &PeerMessage) {
-        let DeliveryContext { rules, upstreams, .. } = &*self.context;
+        let upstreams = &self.context.upstreams;
         let source = |held: HeldVersion| FetchSource { address, version: held.version };
         let list = async {
             if let Some(source) = message.upstreams.map(source) {
@@ -73,7 +73,7 @@
         };
         let document = async {
             if let Some(source) = message.rules.map(source) {
-                let needs = |version| rules.needs(version);
+                let needs = |version| self.needs_rules(version);
                 let fetch = async |address| self.fetch_rules(address).await;
                 self.rules_fetch.run(source, needs, fetch).await;
             }
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Returns whether rules of `version` are newer than the held ones and were not refused before.
+    pub(super) fn needs_rules(&self, version: Version) -> bool {
+        self.refused_rules.get() != Some(version.document()) && self.context.rules.needs(version)
+    }
+
     async fn fetch_rules(self: &Rc<Self>, address: SocketAddr) {
         let requested_at = bendhinge_clock::now();
         let fetched = self.peers.call(address, async |peer| peer.rules().await).await;
@@ -177,6 +182,7 @@
         let rules = match self.context.dialect.parse_rules(&document) {
             Ok(rules) => rules,
             Err(error) => {
+                self.refused_rules.set(Some(held.version.document()));
                 self.context.log.process_event("rules_refused", origin.as_str(), &error.to_string());
                 return UpdateOutcome::Stale;
             }
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -21,7 +21,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bendhinge_fleet::{Origin, PeerStates, Roster, RouterIncarnation};
+use bendhinge_fleet::{Origin, PeerStates, Revision, Roster, RouterIncarnation};
 use bendhinge_ids::Instant;
 use bendhinge_peer::{FleetClient, PeerPool, PeerPoolTimeouts, TrafficCounters, serve_fleet_and_streams};
 use rand::Rng;
@@ -80,6 +80,8 @@
     has_combined_read_timed_out: Cell<bool>,
     /// Whether the store could not return the changes, so that a full read is due.
     is_history_lost: Cell<bool>,
+    /// Revision of the last rules document that could not be parsed.
+    refused_rules: Cell<Option<Revision>>,
     peers: PeerPool<FleetClient>,
     /// Identifies this run of the process to peers.
     incarnation: RouterIncarnation,
@@ -117,6 +119,7 @@
             foreign_entries: RefCell::default(),
             has_combined_read_timed_out: Cell::new(false),
             is_history_lost: Cell::new(false),
+            refused_rules: Cell::new(None),
             peers,
             incarnation: RouterIncarnation(rand::rng().random_range(1..=u64::MAX)),
             peer_states: RefCell::new(PeerStates::new(PEER_STATE_RETENTION)),
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -15,6 +15,7 @@
 use super::pages::{ReadOutcome, StoreContents};
 use crate::delivery::DeliveryContext;
 use crate::dialect::{ForeignEntry, LatestChanges, StorePart, StoredRules};
+use crate::metrics::StoreReadResult;
 
 /// Maximum time between checks whether a read is due, since ranks and replica ages change meanwhile.
 const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -54,6 +55,15 @@
     }
 }
 
+/// A part of an answer of the store that neither updated nor confirmed the replica.
+#[derive(Debug, thiserror::Error)]
+enum NotApplied {
+    #[error("the answer neither updates nor confirms the list of upstreams")]
+    Upstreams,
+    #[error("the answer neither updates nor confirms the rules")]
+    Rules,
+}
+
 /// Reads the list of upstreams, and small rules with it, whenever it is due. Never returns.
 pub(super) async fn run_list_reads(control: Rc<ControlPlane>) {
     loop {
@@ -96,10 +106,9 @@
             None => self.read_part(part).await,
         };
         let now = bendhinge_clock::now();
-        self.context.metrics.record_store_read(now.since(start), outcome.is_ok());
+        let duration = now.since(start);
         match outcome {
             Ok(outcome) => {
-                reader.schedule.borrow_mut().record_success(now);
                 if part == StorePart::All {
                     // If the store held no rules, they must not be read again at once.
                     self.rules_reader.schedule.borrow_mut().record_success(now);
@@ -108,17 +117,21 @@
                     self.has_combined_read_timed_out.set(false);
                 }
                 self.is_history_lost.set(false);
-                self.log_store_state(reader, true, "");
                 let was_overdue = self.is_replica_overdue();
-                self.apply_outcome(part, outcome);
+                let check = self.apply_outcome(part, outcome);
+                self.record_applied(reader, duration, check);
                 if was_overdue {
                     // Peers wait for evidence that their versions are current, even if nothing
                     // changed.
                     self.spawn_push(Origin::Store);
                 }
             }
-            Err(error) if base.is_some() && error.is_history_lost() => self.is_history_lost.set(true),
+            Err(error) if base.is_some() && error.is_history_lost() => {
+                self.context.metrics.record_store_read(duration, StoreReadResult::Failed);
+                self.is_history_lost.set(true);
+            }
             Err(error) => {
+                self.context.metrics.record_store_read(duration, StoreReadResult::Failed);
                 reader.schedule.borrow_mut().record_failure(now);
                 if part == StorePart::All && error.is_timeout() {
                     // The timeout may be due to rules that have grown large.
@@ -129,12 +142,47 @@
         }
     }
 
-    fn apply_outcome(self: &Rc<Self>, part: StorePart, outcome: ReadOutcome) {
+    /// Records a read that the store answered. One that left a replica outdated waits like a failed one, since it
+    /// would be due again at once.
+    fn record_applied(&self, reader: &StoreReader, duration: Duration, check: Result<(), NotApplied>) {
+        let now = bendhinge_clock::now();
+        match check {
+            Ok(()) => {
+                self.context.metrics.record_store_read(duration, StoreReadResult::Answered);
+                reader.schedule.borrow_mut().record_success(now);
+                self.log_store_state(reader, true, "");
+            }
+            Err(error) => {
+                self.context.metrics.record_store_read(duration, StoreReadResult::NotApplied);
+                reader.schedule.borrow_mut().record_failure(now);
+                self.log_store_state(reader, false, &error.to_string());
+            }
+        }
+    }
+
+    /// Applies the outcome of a read, and checks that the replicas are as current as the read.
+    fn apply_outcome(self: &Rc<Self>, part: StorePart, outcome: ReadOutcome) -> Result<(), NotApplied> {
+        let (start, has_list, has_rules) = match &outcome {
+            ReadOutcome::Full(contents) => {
+                (contents.start, part.includes_upstreams(), contents.rules.is_some())
+            }
+            ReadOutcome::Changes { start, .. } => (*start, true, true),
+            ReadOutcome::SuppliedByPeer => return Ok(()),
+        };
         match outcome {
             ReadOutcome::Full(contents) => self.apply_contents(part, contents),
             ReadOutcome::Changes { start, drained, changes } => self.apply_changes(start, drained, changes),
             ReadOutcome::SuppliedByPeer => {}
         }
+        let now = bendhinge_clock::now();
+        let is_outdated = |age: Option<Duration>| age.is_none_or(|age| now - age < start);
+        if has_list && is_outdated(self.context.upstreams.age(now)) {
+            return Err(NotApplied::Upstreams);
+        }
+        if has_rules && is_outdated(self.context.rules.age(now)) {
+            return Err(NotApplied::Rules);
+        }
+        Ok(())
     }
 
     /// Returns the revision of the store up to which both list and rules are known.
@@ -321,7 +369,7 @@
     /// Updates the rules to those at store revision `at`, from a read started at `start`.
     fn update_rules_from_store(self: &Rc<Self>, rules: StoredRules, at: Revision, start: Instant) {
         let version = Version::of_document(rules.revision, at);
-        if self.context.rules.needs(version) {
+        if self.needs_rules(version) {
             self.update_rules(&current_at_read(version), start, rules.document, Origin::Store);
         } else {
             self.context.rules.confirm(version, start);
--- a/crates/bendhinge_gateway/src/metrics/mod.rs
+++ b/crates/bendhinge_gateway/src/metrics/mod.rs
@@ -23,7 +23,7 @@
     AgeHistograms, CallerConnectionCounters, ExchangeCounters, ForwardingCounters, PermitMetrics,
     StreamMetrics,
 };
-pub(crate) use self::groups::{ResumedSoftware, Resumer};
+pub(crate) use self::groups::{ResumedSoftware, Resumer, StoreReadResult};
 use crate::delivery::{ConnectFailure, Cut};
 
 /// Bucket bounds of the time to first byte. They include 1.3 s, the target of its 95th percentile.
@@ -248,8 +248,8 @@
     }
 
     /// Records the duration of a read of the store.
-    pub(crate) fn record_store_read(&self, time: Duration, succeeded: bool) {
-        self.store_reads.record(time.as_secs_f64(), &[result_label(succeeded)]);
+    pub(crate) fn record_store_read(&self, time: Duration, result: StoreReadResult) {
+        self.store_reads.record(time.as_secs_f64(), &[KeyValue::new("result", result.as_str())]);
     }
 
     /// Records the duration of a fetch of a replica from another gateway.
