Store: an answer at an older revision confirms nothing

Callers would be served with removed keys for as long as the store stays behind: a store that was restored from a backup, or lost its history, answers at an older revision, and gateways took each such answer for a confirmation of what they hold.

Cause: a read of changes that found a lower revision asked for no changes and confirmed list and rules at the held revision; a full read confirmed equal content whatever its revision.

Evidence: `an_older_revision_confirms_nothing` failed on the code before: the gateway stayed ready, and no read was counted as `not_applied`.

Fix: an answer below the revision that was held when the read began is not applied; it waits like a failed read, and the `dependency` line has both revisions.

--- a/crates/bendhinge_gateway/src/control/pages.rs
+++ b/crates/bendhinge_gateway/src/control/pages.rs
@@ -197,7 +197,7 @@
         let mut allowance = ReadAllowance::default();
         let StorePage { at, drained, foreign, .. } =
             self.read_page(StorePart::Drained, None, &mut allowance).await?;
-        let mut collected = StoreChanges { at: since, ..StoreChanges::default() };
+        let mut collected = StoreChanges { at: since.min(at), ..StoreChanges::default() };
         while collected.at < at {
             let batch = self.fetch_changes(collected.at, &mut allowance).await?;
             if batch.at <= collected.at {
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -58,6 +58,8 @@
 /// A part of an answer of the store that neither updated nor confirmed the replica.
 #[derive(Debug, thiserror::Error)]
 enum NotApplied {
+    #[error("the store is at revision {at}, before revision {held} which this gateway knows")]
+    OlderRevision { held: u64, at: u64 },
     #[error("the answer neither updates nor confirms the list of upstreams")]
     Upstreams,
     #[error("the answer neither updates nor confirms the rules")]
@@ -100,7 +102,8 @@
     /// Reads a part of the store, or all changes since the synced revision, and applies the result.
     async fn read(self: &Rc<Self>, part: StorePart, reader: &StoreReader) {
         let start = bendhinge_clock::now();
-        let base = self.synced_revision().filter(|_| self.reads_changes_only());
+        let held = self.synced_revision();
+        let base = held.filter(|_| self.reads_changes_only());
         let outcome = match base {
             Some(since) => self.read_changes(since).await,
             None => self.read_part(part).await,
@@ -118,7 +121,7 @@
                 }
                 self.is_history_lost.set(false);
                 let was_overdue = self.is_replica_overdue();
-                let check = self.apply_outcome(part, outcome);
+                let check = self.apply_outcome(part, outcome, held);
                 self.record_applied(reader, duration, check);
                 if was_overdue {
                     // Peers wait for evidence that their versions are current, even if nothing
@@ -160,15 +163,24 @@
         }
     }
 
-    /// Applies the outcome of a read, and checks that the replicas are as current as the read.
-    fn apply_outcome(self: &Rc<Self>, part: StorePart, outcome: ReadOutcome) -> Result<(), NotApplied> {
-        let (start, has_list, has_rules) = match &outcome {
+    /// Applies the outcome of a read, and checks that the replicas are as current as the read. `held` is the
+    /// revision that was known when the read started.
+    fn apply_outcome(
+        self: &Rc<Self>,
+        part: StorePart,
+        outcome: ReadOutcome,
+        held: Option<Revision>,
+    ) -> Result<(), NotApplied> {
+        let (start, at, has_list, has_rules) = match &outcome {
             ReadOutcome::Full(contents) => {
-                (contents.start, part.includes_upstreams(), contents.rules.is_some())
+                (contents.start, contents.revision, part.includes_upstreams(), contents.rules.is_some())
             }
-            ReadOutcome::Changes { start, .. } => (*start, true, true),
+            ReadOutcome::Changes { start, changes, .. } => (*start, changes.at, true, true),
             ReadOutcome::SuppliedByPeer => return Ok(()),
         };
+        if let Some(held) = held.filter(|held| at < *held) {
+            return Err(NotApplied::OlderRevision { held: held.0, at: at.0 });
+        }
         match outcome {
             ReadOutcome::Full(contents) => self.apply_contents(part, contents),
             ReadOutcome::Changes { start, drained, changes } => self.apply_changes(start, drained, changes),
--- a/crates/bendhinge_lab/tests/gateway_fruitless_reads.rs
+++ b/crates/bendhinge_lab/tests/gateway_fruitless_reads.rs
@@ -57,3 +57,17 @@
         until(async || count_lines(&fleet, r#""what":"store","there":true"#) > 1).await;
     });
 }
+/// Guards against a store that answers with an older revision, as after a loss of its history: a gateway took that for
+/// a confirmation of what it held, or read without a pause.
+#[test]
+fn an_older_revision_confirms_nothing() {
+    for spares in [0, 201] {
+        run(|tasks| async move {
+            let fleet = with_spares(&tasks, spares).await;
+            fleet.store.restore_revision(1);
+            assert_reads_wait(&fleet).await;
+            assert_eq!(count_lines(&fleet, r#""what":"store","there":false"#), 1);
+            until(async || !fleet.is_ready(0).await).await;
+        });
+    }
+}
--- a/crates/bendhinge_standin/src/gateway/store.rs
+++ b/crates/bendhinge_standin/src/gateway/store.rs
@@ -300,6 +300,11 @@
         });
     }
 
+    /// Counts its revisions from an earlier one on, as a store that was restored from a backup.
+    pub fn restore_revision(&self, revision: u64) {
+        self.state.lock().unwrap().revision = revision;
+    }
+
     /// How often it was asked at paths that begin so.
     #[must_use]
     pub fn reads_at(&self, path: &str) -> usize {
