Replicas: of two values of one revision, hold the one that was current later

Callers saw: once two gateways held different lists of one revision, they stayed apart until the store moved on.

Cause: `Replica::update` refused any value that was not of a higher revision, and `needs` asked a peer only for a higher one. Nothing compared the content.

Fix: of one revision, the value that the store confirmed later is held, so that any two gateways converge. A peer's value of that kind is fetched if it was current a second later, which bounds fetches between two releases that hash lists differently. Since changes are applied to the held list, and keep an error of it, the first in rank reads a long list in full when a peer's list differs, at most every 30 s (`list_conflict` line, `list_conflicts_total`). Rules compare by the revision of their document, and never go back.

Related paths: an answer that a newer value of a peer overtook is not counted as `not_applied`. Pages of one full read may be of several revisions; the label is the lowest, and the next read of changes makes the list exact: read, no test.

--- a/crates/bendhinge_fleet/src/fetch.rs
+++ b/crates/bendhinge_fleet/src/fetch.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use bendhinge_ids::Instant;
+
 use crate::replica::Version;
 
 /// A peer that announced a version needed by this router.
@@ -11,6 +13,8 @@
     pub address: SocketAddr,
     /// Version that the peer holds.
     pub version: Version,
+    /// Time as of which it was current.
+    pub as_of: Instant,
 }
 
 /// Fetch state of one value.
@@ -31,9 +35,9 @@
     /// Announcements of versions that are not needed, or that are older than the pending one, are
     /// ignored.
     #[must_use]
-    pub fn announce(&mut self, source: FetchSource, needs: impl Fn(Version) -> bool) -> bool {
+    pub fn announce(&mut self, source: FetchSource, needs: impl Fn(&FetchSource) -> bool) -> bool {
         let is_older = |pending: FetchSource| pending.version.revision > source.version.revision;
-        if !needs(source.version) || self.pending.is_some_and(is_older) {
+        if !needs(&source) || self.pending.is_some_and(is_older) {
             return false;
         }
         self.pending = Some(source);
@@ -41,8 +45,8 @@
     }
 
     /// Returns the next peer to fetch from, or `None` if no announced version is needed any more.
-    pub fn next_source(&mut self, needs: impl Fn(Version) -> bool) -> Option<FetchSource> {
-        let next = self.pending.take().filter(|source| needs(source.version));
+    pub fn next_source(&mut self, needs: impl Fn(&FetchSource) -> bool) -> Option<FetchSource> {
+        let next = self.pending.take().filter(|source| needs(source));
         self.is_in_flight = next.is_some();
         next
     }
--- a/crates/bendhinge_fleet/src/replica.rs
+++ b/crates/bendhinge_fleet/src/replica.rs
@@ -1,10 +1,15 @@
 //! Local replica of a value kept in the platform's store, with the time as of which it was current.
 
+use std::cmp::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bendhinge_ids::Instant;
 
+/// How much later than the held value a peer's value of the same revision must have been current to be fetched.
+/// Between two releases whose digests differ, this bounds the rate of fetches.
+const MIN_CONFLICT_ADVANCE: Duration = Duration::from_secs(1);
+
 /// Revision counter of the store, incremented with each change.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Revision(pub u64);
@@ -102,17 +107,29 @@
         self.age(now).is_some_and(|age| age <= max_age)
     }
 
-    /// Returns whether a peer's value of `version` is newer than the held one and has to be fetched.
+    /// Returns whether a peer's value of `version`, current as of `as_of`, is newer than the held one and has to be
+    /// fetched.
     #[must_use]
-    pub fn needs(&self, version: Version) -> bool {
+    pub fn needs(&self, version: Version, as_of: Instant) -> bool {
         match &self.0 {
             None => version.revision > Revision::default(),
+            Some(current) if self.conflicts_with(version) => as_of >= current.as_of + MIN_CONFLICT_ADVANCE,
             Some(current) => {
                 version.revision > current.version.revision && version.digest != current.version.digest
             }
         }
     }
 
+    /// Returns whether `version` has the revision of the held value and other content.
+    ///
+    /// One of the two was read wrongly then, or the digests are those of two releases.
+    #[must_use]
+    pub fn conflicts_with(&self, version: Version) -> bool {
+        self.0.as_ref().is_some_and(|current| {
+            version.revision == current.version.revision && version.digest != current.version.digest
+        })
+    }
+
     /// Records that the value of `version` was current as of `as_of`. Has no effect unless `version` has
     /// the digest of the held value.
     pub fn confirm(&mut self, version: Version, as_of: Instant) -> UpdateOutcome {
@@ -126,7 +143,8 @@
         if is_newer { UpdateOutcome::Confirmed } else { UpdateOutcome::Stale }
     }
 
-    /// Installs a value unless a newer or equal revision is held. Equal content only confirms the held value.
+    /// Installs a value unless a newer revision is held. Equal content only confirms the held value. Of two values
+    /// of one revision, the one that was current at a later time is held, so that replicas converge.
     pub fn update(
         &mut self,
         version: Version,
@@ -137,7 +155,12 @@
             if current.version.digest == version.digest {
                 return self.confirm(version, as_of);
             }
-            if version.revision <= current.version.revision {
+            let is_older = match version.revision.cmp(&current.version.revision) {
+                Ordering::Less => true,
+                Ordering::Equal => as_of <= current.as_of,
+                Ordering::Greater => false,
+            };
+            if is_older {
                 return UpdateOutcome::Stale;
             }
         }
--- a/crates/bendhinge_gateway/src/control/message.rs
+++ b/crates/bendhinge_gateway/src/control/message.rs
@@ -192,6 +192,9 @@
         control.context.log.upstream_suspected(&upstream.name, sender_address);
         control.context.metrics.count_suspected_upstream();
     }
+    if let Some(held) = message.upstreams {
+        control.check_for_list_conflict(sender_address, held.version);
+    }
     let Some(requested_at) = requested_at else { return };
     if let Some(totals) = &message.totals {
         control.context.totals.record_totals(sender_address, totals, requested_at);
--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! It runs on a single thread, because `capnp-rpc` objects cannot move between threads.
 
+mod conflict;
 mod exchange;
 mod fetching;
 mod message;
@@ -30,6 +31,7 @@
 use smol::net::TcpListener;
 use smol::{LocalExecutor, Timer};
 
+use self::conflict::ListConflict;
 use self::exchange::PeerRequestHandler;
 use self::fetching::FetchState;
 use self::store::StoreReader;
@@ -80,6 +82,8 @@
     has_combined_read_timed_out: Cell<bool>,
     /// Whether the store could not return the changes, so that a full read is due.
     is_history_lost: Cell<bool>,
+    /// Lists of one revision with other content, as announced by peers.
+    list_conflict: ListConflict,
     /// Revision of the last rules document that could not be parsed.
     refused_rules: Cell<Option<Revision>>,
     peers: PeerPool<FleetClient>,
@@ -119,6 +123,7 @@
             foreign_entries: RefCell::default(),
             has_combined_read_timed_out: Cell::new(false),
             is_history_lost: Cell::new(false),
+            list_conflict: ListConflict::default(),
             refused_rules: Cell::new(None),
             peers,
             incarnation: RouterIncarnation(rand::rng().random_range(1..=u64::MAX)),
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -103,7 +103,7 @@
     async fn read(self: &Rc<Self>, part: StorePart, reader: &StoreReader) {
         let start = bendhinge_clock::now();
         let held = self.synced_revision();
-        let base = held.filter(|_| self.reads_changes_only());
+        let base = held.filter(|_| self.reads_changes_only() && !self.resolves_list_conflict());
         let outcome = match base {
             Some(since) => self.read_changes(since).await,
             None => self.read_part(part).await,
@@ -182,16 +182,24 @@
             return Err(NotApplied::OlderRevision { held: held.0, at: at.0 });
         }
         match outcome {
-            ReadOutcome::Full(contents) => self.apply_contents(part, contents),
+            ReadOutcome::Full(contents) => {
+                self.apply_contents(part, contents);
+                if has_list {
+                    self.list_conflict.resolve(bendhinge_clock::now());
+                }
+            }
             ReadOutcome::Changes { start, drained, changes } => self.apply_changes(start, drained, changes),
             ReadOutcome::SuppliedByPeer => {}
         }
         let now = bendhinge_clock::now();
-        let is_outdated = |age: Option<Duration>| age.is_none_or(|age| now - age < start);
-        if has_list && is_outdated(self.context.upstreams.age(now)) {
+        // A peer may have supplied a newer value during the read.
+        let is_outdated = |held: Option<HeldVersion>| {
+            held.is_none_or(|held| now - held.age < start && held.version.revision <= at)
+        };
+        if has_list && is_outdated(self.context.upstreams.held_version(now)) {
             return Err(NotApplied::Upstreams);
         }
-        if has_rules && is_outdated(self.context.rules.age(now)) {
+        if has_rules && is_outdated(self.context.rules.held_version(now)) {
             return Err(NotApplied::Rules);
         }
         Ok(())
@@ -381,7 +389,7 @@
     /// Updates the rules to those at store revision `at`, from a read started at `start`.
     fn update_rules_from_store(self: &Rc<Self>, rules: StoredRules, at: Revision, start: Instant) {
         let version = Version::of_document(rules.revision, at);
-        if self.needs_rules(version) {
+        if self.needs_rules(version, start) {
             self.update_rules(&current_at_read(version), start, rules.document, Origin::Store);
         } else {
             self.context.rules.confirm(version, start);
--- a/crates/bendhinge_gateway/src/log/mod.rs
+++ b/crates/bendhinge_gateway/src/log/mod.rs
@@ -149,6 +149,20 @@
         self.log_event("fetch_failed", fields);
     }
 
+    /// Logs that a peer's list of upstreams differs from the held one of the same revision.
+    pub(crate) fn list_conflict(&self, peer: SocketAddr, version: Version, held_digest: u64) {
+        #[derive(Serialize)]
+        struct Fields {
+            peer: SocketAddr,
+            revision: u64,
+            digest: String,
+            held_digest: String,
+        }
+        let hex = |digest: u64| format!("{digest:016x}");
+        let (digest, held_digest) = (hex(version.digest), hex(held_digest));
+        self.log_event("list_conflict", Fields { peer, revision: version.revision.0, digest, held_digest });
+    }
+
     /// Logs that a dependency became unavailable or available again.
     pub(crate) fn dependency_changed(&self, what: &str, is_available: bool, detail: &str) {
         #[derive(Serialize)]
--- a/crates/bendhinge_gateway/src/metrics/mod.rs
+++ b/crates/bendhinge_gateway/src/metrics/mod.rs
@@ -80,6 +80,7 @@
     streams: StreamMetrics,
     gauges: Gauges,
     foreign_entries: Gauge<u64>,
+    list_conflicts: Counter<u64>,
 }
 
 impl Metrics {
@@ -155,6 +156,10 @@
             ),
             streams: StreamMetrics::new(seconds, counter),
             gauges: Gauges::new(&meter, gauge),
+            list_conflicts: counter(
+                "bendhinge.gateway.list_conflicts",
+                "Lists of other gateways that differed from the held one of the same revision",
+            ),
             foreign_entries: gauge(
                 "bendhinge.gateway.foreign_entries",
                 "Entries of the store that name no upstream, as of the last read",
@@ -341,6 +346,11 @@
         self.drain_announcements.add(1, &[]);
     }
 
+    /// Counts a list of another gateway that differs from the held one of the same revision.
+    pub(crate) fn count_list_conflict(&self) {
+        self.list_conflicts.add(1, &[]);
+    }
+
     /// Records the number of entries of the store that describe no upstream.
     pub(crate) fn record_foreign_entries(&self, count: usize) {
         self.foreign_entries.record(count as u64, &[]);
--- a/crates/bendhinge_gateway/src/state/upstreams.rs
+++ b/crates/bendhinge_gateway/src/state/upstreams.rs
@@ -172,9 +172,14 @@
         self.state.lock().unwrap().replica.value().cloned()
     }
 
-    /// Whether `version` is newer than the held one and has to be fetched.
-    pub(crate) fn needs(&self, version: Version) -> bool {
-        self.state.lock().unwrap().replica.needs(version)
+    /// Whether a peer's list of `version`, current as of `as_of`, is newer than the held one and has to be fetched.
+    pub(crate) fn needs(&self, version: Version, as_of: Instant) -> bool {
+        self.state.lock().unwrap().replica.needs(version, as_of)
+    }
+
+    /// Whether `version` has the revision of the held list and other content.
+    pub(crate) fn conflicts_with(&self, version: Version) -> bool {
+        self.state.lock().unwrap().replica.conflicts_with(version)
     }
 
     /// Records that the list of `version` was current as of `as_of`.
@@ -188,7 +193,7 @@
         outcome
     }
 
-    /// Installs a list unless a newer or equal revision is held.
+    /// Installs a list unless a newer one is held.
     pub(crate) fn update(&self, version: Version, as_of: Instant, list: UpstreamList) -> UpdateOutcome {
         let mut state = self.state.lock().unwrap();
         let State { replica, list_history, .. } = &mut *state;
