Configuration: leave out entries that cannot be used, not the whole version

Callers saw: one tenant whose name was refused kept a whole version out of force.

Cause: `read_rules` returned the error of the first entry that could not be translated, for the whole document.

Fix: each route, service and tenant, and the limits, are read by themselves. One that cannot be used is left out, named in a `rules_entry` line with a code, and counted by `rules_entries_left_out`. What is left out is not replaced: a route still takes its requests and refuses them (BH0318), a tenant's keys are refused with BH0317 and not 401, a route with regions that cannot be read is not open to all, and keys are required as long as any tenant stands in the document. A document that cannot be read at all is refused as before, and shows in `rules_refused_revision` before the lease ends.

Related: the native document of rules is refused as a whole as before; open.

--- a/crates/bendhinge_codes/src/code.rs
+++ b/crates/bendhinge_codes/src/code.rs
@@ -166,6 +166,12 @@
     BuffersFull = 316, 503, NOT_RUN, true,
         "This router has no memory left for the body of the request.",
         "Come back after `Retry-After` seconds; operators: look for what fills `bendhinge_gateway_buffered_bytes`.";
+    CustomerNotServed = 317, 503, NOT_RUN, false,
+        "The customer's entry in the configuration cannot be used, or its name cannot be sent to upstreams.",
+        "Do not send it again before `Retry-After`; operators: correct the customer's entry, which `rules_entry` in the logs names.";
+    RouteNotServed = 318, 503, NOT_RUN, false,
+        "The route's entry in the configuration cannot be used, or names no pool that can be.",
+        "Do not send it again before `Retry-After`; operators: correct the route's entry, which `rules_entry` in the logs names.";
     UpstreamNotReached = 401, 503, NOT_RUN, true,
         "No connection to an upstream could be made within the retry budget.",
         "Come back after `Retry-After` seconds.";
--- a/crates/bendhinge_gateway/src/control/fetching.rs
+++ b/crates/bendhinge_gateway/src/control/fetching.rs
@@ -10,7 +10,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use bendhinge_fleet::{FetchPlan, FetchSource, ListUpdate, Origin, UpdateOutcome, UpstreamList, Version};
+use bendhinge_fleet::{
+    FetchPlan, FetchSource, ListUpdate, Origin, Revision, UpdateOutcome, UpstreamList, Version,
+};
 use bendhinge_ids::Instant;
 use bendhinge_peer::{CallError, HeldVersion, PeerMessage};
 use bytes::Bytes;
@@ -21,6 +23,9 @@
 use crate::metrics::ReplicaKind;
 use crate::state::ActiveRules;
 
+/// Maximum number of log lines for the entries of one version of the rules that cannot be used.
+const MAX_LEFT_OUT_LINES: usize = 16;
+
 /// State of the fetches of one value.
 #[derive(Default)]
 pub(super) struct FetchState(RefCell<FetchPlan>);
@@ -185,11 +190,14 @@
         let rules = match self.context.dialect.parse_rules(&document) {
             Ok(rules) => rules,
             Err(error) => {
-                self.refused_rules.set(Some(held.version.document()));
+                let refused = held.version.document();
+                self.refused_rules.set(Some(refused));
+                self.context.metrics.record_refused_rules(refused);
                 self.context.log.process_event("rules_refused", origin.as_str(), &error.to_string());
                 return UpdateOutcome::Stale;
             }
         };
+        let left_out = rules.left_out.clone();
         let candidate = ActiveRules { rules, document };
         let outcome = self.context.rules.update(held.version, requested_at - held.age, candidate);
         if outcome == UpdateOutcome::Updated {
@@ -197,6 +205,9 @@
             // The log shows the revision of the document, which operators know the rules by.
             let logged_version = Version { revision: held.version.document(), ..held.version };
             self.context.log.replica_updated(ReplicaKind::Rules, logged_version, origin, age);
+            self.context.metrics.record_left_out_entries(left_out.len());
+            self.context.metrics.record_refused_rules(Revision::default());
+            left_out.iter().take(MAX_LEFT_OUT_LINES).for_each(|entry| self.context.log.rules_entry(entry));
         }
         outcome
     }
--- a/crates/bendhinge_gateway/src/dialect.rs
+++ b/crates/bendhinge_gateway/src/dialect.rs
@@ -318,6 +318,15 @@
     }
 }
 
+/// Returns a customer's name as the value of a header, in UTF-8, or `None` if it cannot be sent unchanged: recipients
+/// strip blanks at its ends, and control characters are not allowed (RFC 9110, section 5.5).
+#[must_use]
+pub fn customer_header(name: &CustomerName) -> Option<HeaderValue> {
+    let name = name.as_str();
+    let is_stripped = name.starts_with([' ', '\t']) || name.ends_with([' ', '\t']);
+    HeaderValue::from_bytes(name.as_bytes()).ok().filter(|_| !is_stripped)
+}
+
 /// Returns the backoff that an upstream requests with `Retry-After` in a 503 or 429 response, in seconds with an
 /// optional fraction. If there are several headers, the longest one counts. Dates are ignored, since the clocks of
 /// boxes are not synchronized, and so are invalid values.
--- a/crates/bendhinge_gateway/src/intake/mod.rs
+++ b/crates/bendhinge_gateway/src/intake/mod.rs
@@ -210,6 +210,9 @@
     }
 }
 
+/// Retry delay of requests whose route or customer is not served. Only another version of the rules can change that.
+const RULES_RETRY_DELAY: Duration = Duration::from_secs(5);
+
 /// Returns a random retry delay so that callers refused together do not return together.
 fn default_retry_after() -> Duration {
     Duration::from_millis(rand::rng().random_range(80..250))
@@ -225,7 +228,8 @@
     let rules = &current.rules;
     let route = rules.routes.find(host, head.uri.path()).ok_or(ResultCode::UnknownModel)?;
     let customer = authenticate(current, route, fields)?;
-    let pool = route.split.pool_at(split_point(split_id)).ok_or(ResultCode::NoUpstream)?;
+    let pool = route.split.pool_at(split_point(split_id));
+    let pool = pool.ok_or(Refusal::with_retry_after(ResultCode::RouteNotServed, RULES_RETRY_DELAY))?;
     Ok(Authorization { route: Arc::clone(route), pool: pool.clone(), customer, limits: rules.limits })
 }
 
@@ -239,6 +243,9 @@
     match &fields.key {
         Some(key) if customers.requires_key() => match customers.find_by_key(key) {
             Some(customer) => Ok(Some(Arc::clone(customer))),
+            None if customers.is_left_out(key) => {
+                Err(Refusal::with_retry_after(ResultCode::CustomerNotServed, RULES_RETRY_DELAY))
+            }
             None => Err(ResultCode::NoKey.into()),
         },
         None if customers.requires_key() && !route.allow_anonymous => Err(ResultCode::NoKey.into()),
--- a/crates/bendhinge_gateway/src/log/mod.rs
+++ b/crates/bendhinge_gateway/src/log/mod.rs
@@ -18,6 +18,7 @@
 use bendhinge_fleet::{Origin, Version};
 use bendhinge_ids::{DataCentreName, PoolName, UpstreamName};
 use bendhinge_peer::CallError;
+use bendhinge_routes::LeftOutEntry;
 use serde::Serialize;
 use spdlog::ThreadPool;
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink};
@@ -149,6 +150,20 @@
         self.log_event("fetch_failed", fields);
     }
 
+    /// Logs an entry of the rules that cannot be used.
+    pub(crate) fn rules_entry(&self, entry: &LeftOutEntry) {
+        #[derive(Serialize)]
+        struct Fields<'a> {
+            code: String,
+            kind: &'static str,
+            name: &'a str,
+            why: &'a str,
+        }
+        let (name, why) = (truncate(&entry.name), truncate(&entry.reason));
+        let code = ResultCode::InvalidValue.to_string();
+        self.log_event("rules_entry", Fields { code, kind: entry.kind.as_str(), name, why });
+    }
+
     /// Logs that a peer's list of upstreams differs from the held one of the same revision.
     pub(crate) fn list_conflict(&self, peer: SocketAddr, version: Version, held_digest: u64) {
         #[derive(Serialize)]
@@ -367,3 +382,9 @@
 fn whole_millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Truncates a text of the rules to a length suitable for a log line.
+fn truncate(text: &str) -> &str {
+    const MAX_TEXT_BYTES: usize = 160;
+    &text[..text.floor_char_boundary(MAX_TEXT_BYTES)]
+}
--- a/crates/bendhinge_gateway/src/metrics/mod.rs
+++ b/crates/bendhinge_gateway/src/metrics/mod.rs
@@ -8,7 +8,7 @@
 
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{BodyEnd, SendOutcome};
-use bendhinge_fleet::ListLoads;
+use bendhinge_fleet::{ListLoads, Revision};
 use bendhinge_http::BodyFraming;
 use bendhinge_peer::PeerMessage;
 use opentelemetry::KeyValue;
@@ -81,6 +81,8 @@
     gauges: Gauges,
     foreign_entries: Gauge<u64>,
     list_conflicts: Counter<u64>,
+    left_out_entries: Gauge<u64>,
+    refused_rules: Gauge<u64>,
 }
 
 impl Metrics {
@@ -156,6 +158,14 @@
             ),
             streams: StreamMetrics::new(seconds, counter),
             gauges: Gauges::new(&meter, gauge),
+            left_out_entries: gauge(
+                "bendhinge.gateway.rules_entries_left_out",
+                "Entries of the rules in force that cannot be used",
+            ),
+            refused_rules: gauge(
+                "bendhinge.gateway.rules_refused_revision",
+                "Revision of the last rules if they cannot be parsed, otherwise 0",
+            ),
             list_conflicts: counter(
                 "bendhinge.gateway.list_conflicts",
                 "Lists of other gateways that differed from the held one of the same revision",
@@ -346,6 +356,16 @@
         self.drain_announcements.add(1, &[]);
     }
 
+    /// Records the number of entries of the rules that cannot be used.
+    pub(crate) fn record_left_out_entries(&self, count: usize) {
+        self.left_out_entries.record(count as u64, &[]);
+    }
+
+    /// Records the revision of rules that cannot be parsed, or 0 once others are in force.
+    pub(crate) fn record_refused_rules(&self, revision: Revision) {
+        self.refused_rules.record(revision.0, &[]);
+    }
+
     /// Counts a list of another gateway that differs from the held one of the same revision.
     pub(crate) fn count_list_conflict(&self) {
         self.list_conflicts.add(1, &[]);
--- a/crates/bendhinge_gateway/src/native/rules.rs
+++ b/crates/bendhinge_gateway/src/native/rules.rs
@@ -178,6 +178,7 @@
             pools: pools.into_iter().collect::<Option<_>>()?,
             customers: CustomerTable::new(customers.into_iter().collect::<Option<Vec<_>>>()?),
             limits: limits?,
+            left_out: Vec::new(),
         })
     }
 
--- a/crates/bendhinge_gateway/src/native/upstreams.rs
+++ b/crates/bendhinge_gateway/src/native/upstreams.rs
@@ -12,7 +12,7 @@
 };
 use crate::dialect::{
     Availability, ParseError, ReportedLoad, ResponseFields, UpstreamDialect, UpstreamRequestFields,
-    insert_header, parse_retry_after,
+    customer_header, insert_header, parse_retry_after,
 };
 
 #[derive(Deserialize)]
@@ -29,8 +29,8 @@
         insert_header(headers, DEADLINE, &fields.time_left.as_millis().max(1).to_string());
         insert_header(headers, UPSTREAM, fields.upstream.name.as_str());
         insert_header(headers, PRIORITY, &fields.priority.to_string());
-        if let Some(customer) = fields.customer {
-            insert_header(headers, CUSTOMER, customer.as_str());
+        if let Some(customer) = fields.customer.and_then(customer_header) {
+            headers.insert(CUSTOMER, customer);
         }
         if let Some(source) = fields.fetch_from {
             insert_header(headers, FETCH_FROM, &source.to_string());
--- a/crates/bendhinge_routes/src/customer.rs
+++ b/crates/bendhinge_routes/src/customer.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bendhinge_ids::CustomerName;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::RegionFilter;
 
@@ -22,6 +22,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct CustomerTable {
     by_key: FxHashMap<Box<str>, Arc<Customer>>,
+    /// Keys of customers whose entries cannot be used.
+    left_out_keys: FxHashSet<Box<str>>,
     has_customers: bool,
 }
 
@@ -38,7 +40,19 @@
                 by_key.insert(key.into_boxed_str(), Arc::clone(&customer));
             }
         }
-        Self { by_key, has_customers }
+        Self { by_key, left_out_keys: FxHashSet::default(), has_customers }
+    }
+
+    /// Adds a customer that cannot be served, with the keys of its entry that can be read.
+    pub fn leave_out(&mut self, keys: Vec<String>) {
+        self.has_customers = true;
+        self.left_out_keys.extend(keys.into_iter().map(String::into_boxed_str));
+    }
+
+    /// Returns whether the API key `key` belongs to a customer that cannot be served.
+    #[must_use]
+    pub fn is_left_out(&self, key: &str) -> bool {
+        self.left_out_keys.contains(key)
     }
 
     /// Returns whether requests must carry an API key: true if any customer is configured, even one without keys.
--- a/crates/bendhinge_routes/src/lib.rs
+++ b/crates/bendhinge_routes/src/lib.rs
@@ -16,5 +16,5 @@
 pub use customer::{Customer, CustomerTable};
 pub use regions::RegionFilter;
 pub use route::{PoolWeights, Route, RouteKind, WeightedPool};
-pub use rules::{CallerLimits, PoolRule, ServingRules};
+pub use rules::{CallerLimits, EntryKind, LeftOutEntry, PoolRule, ServingRules};
 pub use table::{RouteTable, host_without_port};
--- a/crates/bendhinge_routes/src/route.rs
+++ b/crates/bendhinge_routes/src/route.rs
@@ -77,7 +77,7 @@
     }
 }
 
-/// A route.
+/// A route. Its requests are refused if no pool of its split has a positive weight.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
     /// Name used in logs and metrics.
@@ -105,3 +105,24 @@
     /// Pools that serve the requests.
     pub split: PoolWeights,
 }
+
+impl Route {
+    /// Creates a route whose requests are refused. It keeps them from routes with shorter prefixes.
+    #[must_use]
+    pub fn left_out(name: String, host: String, path_prefix: String) -> Self {
+        Self {
+            name,
+            host,
+            path_prefix,
+            kind: RouteKind::Unsafe,
+            timeout: Duration::ZERO,
+            target_latency: Duration::ZERO,
+            target_gap: None,
+            priority: 0,
+            max_attempts: 1,
+            allow_anonymous: false,
+            regions: RegionFilter::default(),
+            split: PoolWeights::new(Vec::new()),
+        }
+    }
+}
--- a/crates/bendhinge_routes/src/rules.rs
+++ b/crates/bendhinge_routes/src/rules.rs
@@ -45,6 +45,45 @@
     }
 }
 
+/// An entry of the rules that cannot be used.
+///
+/// The other entries are in force: one invalid entry must not keep removed keys and routes in use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeftOutEntry {
+    /// What the entry describes.
+    pub kind: EntryKind,
+    /// Its name, as far as it can be read.
+    pub name: String,
+    /// Why it cannot be used.
+    pub reason: String,
+}
+
+/// Kinds of entries of the rules.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EntryKind {
+    /// A route.
+    Route,
+    /// A pool.
+    Pool,
+    /// A customer.
+    Customer,
+    /// The limits on client requests and connections.
+    Limits,
+}
+
+impl EntryKind {
+    /// Returns the name of the kind in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Route => "route",
+            Self::Pool => "pool",
+            Self::Customer => "customer",
+            Self::Limits => "limits",
+        }
+    }
+}
+
 /// One version of the serving rules.
 #[derive(Clone, Debug, Default)]
 pub struct ServingRules {
@@ -58,4 +97,6 @@
     pub customers: CustomerTable,
     /// Limits on client requests and connections.
     pub limits: CallerLimits,
+    /// Entries that cannot be used.
+    pub left_out: Vec<LeftOutEntry>,
 }
