HTTP: responses without a final status are not responses

Callers got responses with the status 600, 777 or 999, and with 101, as an upstream had sent them. 101 says that the connection changes its protocol, which nobody had asked for: what the upstream sent after it was lost, and the caller's connection with it. 000, 001, 099, 20 were refused by the HTTP library already.

Fix: `Connection::send` takes statuses from 200 to 599 only. Every path of the client uses it: sends, retries, resumptions and hedges, the hop between gateways, the store, and the router. A send counts as `invalid_response`; it may have run, and its connection is not used again.

--- a/crates/bendhinge_gateway/src/delivery/attempt.rs
+++ b/crates/bendhinge_gateway/src/delivery/attempt.rs
@@ -266,6 +266,7 @@
 ) -> Result<Response<Incoming>, ExchangeError> {
     connection.send(request).await.map_err(|failure| match failure {
         SendFailure::NotSent(request) => ExchangeError::NotSent(request),
+        SendFailure::InvalidStatus(_) => ExchangeError::Ended(SendOutcome::InvalidResponse),
         SendFailure::Unknown(error) if error.is_parse() => ExchangeError::Ended(SendOutcome::InvalidResponse),
         SendFailure::Unknown(_) => ExchangeError::Ended(SendOutcome::Lost),
     })
--- a/crates/bendhinge_gateway/src/delivery/forward.rs
+++ b/crates/bendhinge_gateway/src/delivery/forward.rs
@@ -203,6 +203,7 @@
                 Ok(response) => Ok(Sent::Response(response)),
                 Err(SendFailure::NotSent(unsent)) => Ok(Sent::Nothing(unsent)),
                 Err(SendFailure::Unknown(_)) => Err(ForwardError::Lost(SendOutcome::Lost)),
+                Err(SendFailure::InvalidStatus(_)) => Err(ForwardError::Lost(SendOutcome::InvalidResponse)),
             }
         };
         let timed_out = async {
--- a/crates/bendhinge_http/src/client.rs
+++ b/crates/bendhinge_http/src/client.rs
@@ -121,6 +121,7 @@
     match failure {
         SendFailure::NotSent(_) => FetchError::NotSent,
         SendFailure::Unknown(error) => FetchError::ConnectionLost(error),
+        SendFailure::InvalidStatus(status) => FetchError::Status(status),
     }
 }
 
--- a/crates/bendhinge_http/src/pool.rs
+++ b/crates/bendhinge_http/src/pool.rs
@@ -9,7 +9,7 @@
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use smol::Timer;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
@@ -41,6 +41,8 @@
     NotSent(Box<Request<Body>>),
     /// Part of the request may have been written; it may have run.
     Unknown(hyper::Error),
+    /// The response has a status that is not final, or that HTTP does not define (RFC 9110, section 15).
+    InvalidStatus(StatusCode),
 }
 
 /// One connection to an upstream, used for one request at a time.
@@ -60,13 +62,24 @@
         self.head_allowance.begin();
         let sent = self.sender.try_send_request(request).await;
         self.head_allowance.end();
-        sent.map_err(|mut failure| match failure.take_message() {
+        let response = sent.map_err(|mut failure| match failure.take_message() {
             Some(request) => SendFailure::NotSent(Box::new(request)),
             None => SendFailure::Unknown(failure.into_error()),
-        })
+        })?;
+        if is_final(response.status()) {
+            Ok(response)
+        } else {
+            Err(SendFailure::InvalidStatus(response.status()))
+        }
     }
 }
 
+/// Returns whether a response with this status ends its exchange. Interim responses are skipped by the HTTP library,
+/// except for a change of protocol, which this client never asks for.
+fn is_final(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 200..=599)
+}
+
 struct IdleConnection {
     sender: SendRequest<Body>,
     head_allowance: HeadAllowance,
--- a/crates/bendhinge_lab/src/client.rs
+++ b/crates/bendhinge_lab/src/client.rs
@@ -199,7 +199,7 @@
                 let answer = connection.send(*request).await.ok()?;
                 Some((answer, connection))
             }
-            Err(SendFailure::Unknown(_)) => None,
+            Err(SendFailure::Unknown(_) | SendFailure::InvalidStatus(_)) => None,
         }
     }
 }
--- a/crates/bendhinge_lab/src/gateways/caller.rs
+++ b/crates/bendhinge_lab/src/gateways/caller.rs
@@ -177,6 +177,9 @@
                 answer
             }
             Err(SendFailure::Unknown(_)) => return broken(),
+            Err(SendFailure::InvalidStatus(status)) => {
+                return Answer { told: Told::Wrong(format!("status {status}")), headers: HeaderMap::new() };
+            }
         };
         let headers = answer.headers().clone();
         let told = judge(call, answer).await;
--- a/crates/bendhinge_router/src/delivery/attempt.rs
+++ b/crates/bendhinge_router/src/delivery/attempt.rs
@@ -134,6 +134,7 @@
             Err(SendFailure::NotSent(request)) => Err(Sent::Nothing(request.into_body())),
             Err(SendFailure::Unknown(error)) if error.is_parse() => Err(Sent::Ended(AttemptEnd::BadAnswer)),
             Err(SendFailure::Unknown(_)) => Err(Sent::Ended(AttemptEnd::Lost)),
+            Err(SendFailure::InvalidStatus(_)) => Err(Sent::Ended(AttemptEnd::BadAnswer)),
         }
     };
     let too_long = async {
