Intake: no request is sent on whose body arrives after the accept period

Callers lost requests in a planned stop in calm: one whose head came within the accept period and whose body came late in the grace period was passed on, and cut without an answer at its end, though it may not be repeated.

Cause: whether requests are still accepted was asked before the body was read.

Evidence: `a_body_that_arrives_after_the_accept_period_of_a_stop_is_not_run` failed on the code before: the connection closed without an answer after the request had been sent.

Fix: it is asked again once the body is there, and the request is refused as not run. Requests that other gateways forward take the same path.

Related: sends that wait within the accept period (permits, pacing: up to some 50 ms by reading) are sent after it; no test.

--- a/crates/bendhinge_gateway/src/intake/mod.rs
+++ b/crates/bendhinge_gateway/src/intake/mod.rs
@@ -157,6 +157,10 @@
         let head_bytes = head.extensions.get::<HeadBytes>().copied().unwrap_or_default();
         let buffers = RequestBuffers::new(&self.context.buffers, customer, head_bytes);
         let body = buffers.read_body(body, &authorization.limits, deadline, &self.context.tasks).await?;
+        // The body may have taken until long after the stop signal.
+        if !self.lifecycle.accepts_requests() {
+            return Err(ResultCode::RouterStopping.into());
+        }
         headers::prepare_for_upstream(&mut head.headers);
         let customer_priority = authorization.customer.as_ref().and_then(|customer| customer.priority);
         let inbound = InboundRequest {
--- a/crates/bendhinge_lab/tests/gateway_life.rs
+++ b/crates/bendhinge_lab/tests/gateway_life.rs
@@ -6,8 +6,10 @@
 
 use bendhinge_lab::gateways::{Call, FleetShape, GatewayFleet, Harm, KEY, RULES, Told, until};
 use bendhinge_standin::gateway::{DATA_CENTRE, StoreFault, UpstreamFault};
-use gateway_common::{PATIENCE, call, run, send, smallest, start};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use gateway_common::{PATIENCE, call, metric, run, send, smallest, start};
 use rustix::process::Signal;
+use smol::net::TcpStream;
 
 /// A lease short enough to wait for its end.
 const SHORT_LEASE: &str = "[beliefs]\nrules_lease_ms = 1500\n";
@@ -329,3 +331,31 @@
         until(async || ran_at_first().await.is_some_and(|ran| ran > 20)).await;
     });
 }
+
+/// Guards against a request whose body arrives late in the grace period of a stop: it was sent to an upstream and cut
+/// without an answer at the end of that period.
+#[test]
+fn a_body_that_arrives_after_the_accept_period_of_a_stop_is_not_run() {
+    run(|tasks| async move {
+        let shape = FleetShape { gateways: 1, engines: 0, services: 1 };
+        let stop = "[stop]\ngrace_s = 3\naccept_ms = 500\n";
+        let fleet = GatewayFleet::start(&tasks, shape, stop).await;
+        fleet.upstreams[0].set_work(Duration::from_secs(10));
+        let id = call("/unsafe/x").id;
+        let mut stream = TcpStream::connect(fleet.callers(0)).await.unwrap();
+        let head = format!(
+            "POST /unsafe/x HTTP/1.1\r\nhost: fleet.example\r\nauthorization: Bearer {KEY}\r\n\
+             x-bendhinge-request: {id}\r\ncontent-length: 4\r\n\r\nbo"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        until(async || metric(&fleet, "bendhinge_gateway_requests_in_progress").await == Some(1)).await;
+        fleet.gateway(0).signal(Signal::TERM);
+        let late = async || send(&fleet, &call("/stream/x")).await.code() == Some("BH0306");
+        until(late).await;
+        stream.write_all(b"dy").await.unwrap();
+        let mut answer = String::new();
+        let _ = stream.read_to_string(&mut answer).await;
+        assert!(answer.starts_with("HTTP/1.1 503 ") && answer.contains("BH0306"), "{answer:?}");
+        assert_eq!(fleet.runs_of(&id), 0);
+    });
+}
