Replicas: only the store decides between two values of one revision

A value that was read from the store replaces other content of its revision (`update_from_store`). Gateways that differ do not confirm each other, so each reads the store itself; one with a long list that a peer's differs from reads it in full, at most every 30 s.

--- a/crates/bendhinge_fleet/src/fetch.rs
+++ b/crates/bendhinge_fleet/src/fetch.rs
@@ -2,8 +2,6 @@
 
 use std::net::SocketAddr;
 
-use bendhinge_ids::Instant;
-
 use crate::replica::Version;
 
 /// A peer that announced a version needed by this router.
@@ -13,8 +11,6 @@
     pub address: SocketAddr,
     /// Version that the peer holds.
     pub version: Version,
-    /// Time as of which it was current.
-    pub as_of: Instant,
 }
 
 /// Fetch state of one value.
@@ -35,9 +31,9 @@
     /// Announcements of versions that are not needed, or that are older than the pending one, are
     /// ignored.
     #[must_use]
-    pub fn announce(&mut self, source: FetchSource, needs: impl Fn(&FetchSource) -> bool) -> bool {
+    pub fn announce(&mut self, source: FetchSource, needs: impl Fn(Version) -> bool) -> bool {
         let is_older = |pending: FetchSource| pending.version.revision > source.version.revision;
-        if !needs(&source) || self.pending.is_some_and(is_older) {
+        if !needs(source.version) || self.pending.is_some_and(is_older) {
             return false;
         }
         self.pending = Some(source);
@@ -45,8 +41,8 @@
     }
 
     /// Returns the next peer to fetch from, or `None` if no announced version is needed any more.
-    pub fn next_source(&mut self, needs: impl Fn(&FetchSource) -> bool) -> Option<FetchSource> {
-        let next = self.pending.take().filter(|source| needs(source));
+    pub fn next_source(&mut self, needs: impl Fn(Version) -> bool) -> Option<FetchSource> {
+        let next = self.pending.take().filter(|source| needs(source.version));
         self.is_in_flight = next.is_some();
         next
     }
--- a/crates/bendhinge_fleet/src/replica.rs
+++ b/crates/bendhinge_fleet/src/replica.rs
@@ -1,15 +1,10 @@
 //! Local replica of a value kept in the platform's store, with the time as of which it was current.
 
-use std::cmp::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bendhinge_ids::Instant;
 
-/// How much later than the held value a peer's value of the same revision must have been current to be fetched.
-/// Between two releases whose digests differ, this bounds the rate of fetches.
-const MIN_CONFLICT_ADVANCE: Duration = Duration::from_secs(1);
-
 /// Revision counter of the store, incremented with each change.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Revision(pub u64);
@@ -107,13 +102,11 @@
         self.age(now).is_some_and(|age| age <= max_age)
     }
 
-    /// Returns whether a peer's value of `version`, current as of `as_of`, is newer than the held one and has to be
-    /// fetched.
+    /// Returns whether a peer's value of `version` is newer than the held one and has to be fetched.
     #[must_use]
-    pub fn needs(&self, version: Version, as_of: Instant) -> bool {
+    pub fn needs(&self, version: Version) -> bool {
         match &self.0 {
             None => version.revision > Revision::default(),
-            Some(current) if self.conflicts_with(version) => as_of >= current.as_of + MIN_CONFLICT_ADVANCE,
             Some(current) => {
                 version.revision > current.version.revision && version.digest != current.version.digest
             }
@@ -143,8 +136,23 @@
         if is_newer { UpdateOutcome::Confirmed } else { UpdateOutcome::Stale }
     }
 
-    /// Installs a value unless a newer revision is held. Equal content only confirms the held value. Of two values
-    /// of one revision, the one that was current at a later time is held, so that replicas converge.
+    /// Installs a value that this router read from the store, like [`Replica::update`]. It also replaces other content
+    /// of its revision that was current at an earlier time: the store decides which of the two is right.
+    pub fn update_from_store(
+        &mut self,
+        version: Version,
+        as_of: Instant,
+        value: impl FnOnce() -> Arc<T>,
+    ) -> UpdateOutcome {
+        let is_older = |current: &VersionedValue<T>| as_of <= current.as_of;
+        if !self.conflicts_with(version) || self.0.as_ref().is_some_and(is_older) {
+            return self.update(version, as_of, value);
+        }
+        self.0 = Some(VersionedValue { version, value: value(), as_of });
+        UpdateOutcome::Updated
+    }
+
+    /// Installs a value unless a newer or equal revision is held. Equal content only confirms the held value.
     pub fn update(
         &mut self,
         version: Version,
@@ -155,12 +163,7 @@
             if current.version.digest == version.digest {
                 return self.confirm(version, as_of);
             }
-            let is_older = match version.revision.cmp(&current.version.revision) {
-                Ordering::Less => true,
-                Ordering::Equal => as_of <= current.as_of,
-                Ordering::Greater => false,
-            };
-            if is_older {
+            if version.revision <= current.version.revision {
                 return UpdateOutcome::Stale;
             }
         }
--- a/crates/bendhinge_gateway/src/control/conflict.rs
+++ b/crates/bendhinge_gateway/src/control/conflict.rs
@@ -1,7 +1,8 @@
 //! Lists of upstreams that differ between gateways though they are of one revision of the store.
 //!
-//! One of them was read wrongly then. Changes are applied to the held list and would keep its error, so the
-//! gateway that reads the store for the others reads the list in full.
+//! One of them was read wrongly then, and only the store can say which. Gateways do not confirm each other's lists
+//! then, so each reads the store itself. Changes are applied to the held list and would keep its error, so the list
+//! is read in full.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -12,7 +13,7 @@
 
 use super::ControlPlane;
 
-/// Minimum time between two full reads because of conflicts. Gateways of two releases may hash equal lists
+/// Minimum time between two full reads of a gateway because of conflicts. Gateways of two releases may hash equal lists
 /// differently, which no read resolves.
 const MIN_READ_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -51,7 +52,7 @@
     }
 
     /// Returns whether this gateway has to read the whole list because of a conflict.
-    pub(super) fn resolves_list_conflict(&self) -> bool {
-        self.list_conflict.is_known.get() && self.own_rank(bendhinge_clock::now()) == 0
+    pub(super) fn has_list_conflict(&self) -> bool {
+        self.list_conflict.is_known.get()
     }
 }
--- a/crates/bendhinge_gateway/src/control/exchange.rs
+++ b/crates/bendhinge_gateway/src/control/exchange.rs
@@ -273,8 +273,8 @@
         let has_fresher_evidence = control.sender_has_fresher_evidence(&message);
         let now = bendhinge_clock::now();
         let has_updates = message.has_partial_list && !context.upstreams.has_list_or_partial()
-            || message.rules.is_some_and(|held| control.needs_rules(held.version, now - held.age))
-            || message.upstreams.is_some_and(|held| context.upstreams.needs(held.version, now - held.age));
+            || message.rules.is_some_and(|held| control.needs_rules(held.version))
+            || message.upstreams.is_some_and(|held| context.upstreams.needs(held.version));
         let content = match &message {
             message if message.is_announcement => MessageContent::Brief,
             message if message.is_probe => MessageContent::Members,
--- a/crates/bendhinge_gateway/src/control/fetching.rs
+++ b/crates/bendhinge_gateway/src/control/fetching.rs
@@ -37,7 +37,7 @@
     async fn run(
         &self,
         source: FetchSource,
-        needs: impl Fn(&FetchSource) -> bool,
+        needs: impl Fn(Version) -> bool,
         fetch: impl AsyncFn(SocketAddr),
     ) {
         if !self.0.borrow_mut().announce(source, &needs) {
@@ -68,19 +68,17 @@
     /// `address`.
     pub(super) async fn fetch_updates(self: &Rc<Self>, address: SocketAddr, message: &PeerMessage) {
         let upstreams = &self.context.upstreams;
-        let now = bendhinge_clock::now();
-        let source =
-            |held: HeldVersion| FetchSource { address, version: held.version, as_of: now - held.age };
+        let source = |held: HeldVersion| FetchSource { address, version: held.version };
         let list = async {
             if let Some(source) = message.upstreams.map(source) {
-                let needs = |source: &FetchSource| upstreams.needs(source.version, source.as_of);
+                let needs = |version| upstreams.needs(version);
                 let fetch = async |address| self.fetch_upstream_list(address).await;
                 self.list_fetch.run(source, needs, fetch).await;
             }
         };
         let document = async {
             if let Some(source) = message.rules.map(source) {
-                let needs = |source: &FetchSource| self.needs_rules(source.version, source.as_of);
+                let needs = |version| self.needs_rules(version);
                 let fetch = async |address| self.fetch_rules(address).await;
                 self.rules_fetch.run(source, needs, fetch).await;
             }
@@ -88,8 +86,8 @@
         let partial_list = async {
             if message.has_partial_list {
                 // Partial lists have no versions; any of them will do.
-                let source = FetchSource { address, version: Version::default(), as_of: now };
-                let needs = |_: &FetchSource| !upstreams.has_list_or_partial();
+                let source = FetchSource { address, version: Version::default() };
+                let needs = |_| !upstreams.has_list_or_partial();
                 let fetch = async |address| self.fetch_partial_list(address).await;
                 self.partial_list_fetch.run(source, needs, fetch).await;
             }
@@ -109,10 +107,9 @@
         }
     }
 
-    /// Returns whether rules of `version`, current as of `as_of`, are newer than the held ones and were not refused
-    /// before.
-    pub(super) fn needs_rules(&self, version: Version, as_of: Instant) -> bool {
-        self.refused_rules.get() != Some(version.document()) && self.context.rules.needs(version, as_of)
+    /// Returns whether rules of `version` are newer than the held ones and were not refused before.
+    pub(super) fn needs_rules(&self, version: Version) -> bool {
+        self.refused_rules.get() != Some(version.document()) && self.context.rules.needs(version)
     }
 
     async fn fetch_rules(self: &Rc<Self>, address: SocketAddr) {
@@ -224,7 +221,7 @@
         let DeliveryContext { upstreams, log, .. } = &*self.context;
         let drained = list.drained.clone();
         let previously_drained = upstreams.list().map(|current| current.drained.clone()).unwrap_or_default();
-        let outcome = upstreams.update(held.version, requested_at - held.age, list);
+        let outcome = upstreams.update(held.version, requested_at - held.age, list, origin);
         if outcome == UpdateOutcome::Updated && drained != previously_drained {
             log.drained_data_centres_changed(&drained, origin);
         }
--- a/crates/bendhinge_gateway/src/control/store.rs
+++ b/crates/bendhinge_gateway/src/control/store.rs
@@ -103,7 +103,7 @@
     async fn read(self: &Rc<Self>, part: StorePart, reader: &StoreReader) {
         let start = bendhinge_clock::now();
         let held = self.synced_revision();
-        let base = held.filter(|_| self.reads_changes_only() && !self.resolves_list_conflict());
+        let base = held.filter(|_| self.reads_changes_only() && !self.has_list_conflict());
         let outcome = match base {
             Some(since) => self.read_changes(since).await,
             None => self.read_part(part).await,
@@ -389,7 +389,7 @@
     /// Updates the rules to those at store revision `at`, from a read started at `start`.
     fn update_rules_from_store(self: &Rc<Self>, rules: StoredRules, at: Revision, start: Instant) {
         let version = Version::of_document(rules.revision, at);
-        if self.needs_rules(version, start) {
+        if self.needs_rules(version) {
             self.update_rules(&current_at_read(version), start, rules.document, Origin::Store);
         } else {
             self.context.rules.confirm(version, start);
--- a/crates/bendhinge_gateway/src/state/rules.rs
+++ b/crates/bendhinge_gateway/src/state/rules.rs
@@ -93,10 +93,9 @@
         self.replica.lock().unwrap().current().map(|held| HeldVersion::new(held, now))
     }
 
-    /// Whether rules of `version`, current as of `as_of`, are newer than the held ones and have to be fetched.
-    pub(crate) fn needs(&self, version: Version, as_of: Instant) -> bool {
-        let replica = self.replica.lock().unwrap();
-        !is_older_document(&replica, version) && replica.needs(version, as_of)
+    /// Whether `version` is newer than the held one and has to be fetched.
+    pub(crate) fn needs(&self, version: Version) -> bool {
+        self.replica.lock().unwrap().needs(version)
     }
 
     /// Records that the rules of `version` were current as of `as_of`.
@@ -104,21 +103,10 @@
         self.replica.lock().unwrap().confirm(version, as_of)
     }
 
-    /// Installs rules unless newer ones are held, and wakes requests that wait for the first rules.
+    /// Installs rules unless a newer or equal revision is held, and wakes requests that wait for the first rules.
     pub(crate) fn update(&self, version: Version, as_of: Instant, rules: ActiveRules) -> UpdateOutcome {
-        let mut replica = self.replica.lock().unwrap();
-        if is_older_document(&replica, version) {
-            return UpdateOutcome::Stale;
-        }
-        let outcome = replica.update(version, as_of, || Arc::new(rules));
-        drop(replica);
+        let outcome = self.replica.lock().unwrap().update(version, as_of, || Arc::new(rules));
         self.first_sender.close();
         outcome
     }
 }
-
-/// Returns whether the document of `version` was written before the held one. Rules never revert, whatever revision of
-/// the store an answer states.
-fn is_older_document(replica: &Replica<ActiveRules>, version: Version) -> bool {
-    replica.current().is_some_and(|held| version.document() < held.version.document())
-}
--- a/crates/bendhinge_gateway/src/state/upstreams.rs
+++ b/crates/bendhinge_gateway/src/state/upstreams.rs
@@ -6,9 +6,9 @@
 
 use bendhinge_admission::Demand;
 use bendhinge_fleet::{
-    Directory, FailureDetector, KeyRequests, ListHistory, Loads, OutlierDetector, OverloadLog, Reachability,
-    Replica, RequestedBackoffs, SoftwareHistory, UpdateLog, UpdateLogLimits, UpdateOutcome, UpdateSource,
-    UpstreamEntry, UpstreamFailure, UpstreamList, UpstreamLoad, Version,
+    Directory, FailureDetector, KeyRequests, ListHistory, Loads, Origin, OutlierDetector, OverloadLog,
+    Reachability, Replica, RequestedBackoffs, SoftwareHistory, UpdateLog, UpdateLogLimits, UpdateOutcome,
+    UpdateSource, UpstreamEntry, UpstreamFailure, UpstreamList, UpstreamLoad, Version,
 };
 use bendhinge_ids::{Instant, NameHash, PoolName};
 use bendhinge_peer::HeldVersion;
@@ -172,9 +172,9 @@
         self.state.lock().unwrap().replica.value().cloned()
     }
 
-    /// Whether a peer's list of `version`, current as of `as_of`, is newer than the held one and has to be fetched.
-    pub(crate) fn needs(&self, version: Version, as_of: Instant) -> bool {
-        self.state.lock().unwrap().replica.needs(version, as_of)
+    /// Whether `version` is newer than the held one and has to be fetched.
+    pub(crate) fn needs(&self, version: Version) -> bool {
+        self.state.lock().unwrap().replica.needs(version)
     }
 
     /// Whether `version` has the revision of the held list and other content.
@@ -193,17 +193,27 @@
         outcome
     }
 
-    /// Installs a list unless a newer one is held.
-    pub(crate) fn update(&self, version: Version, as_of: Instant, list: UpstreamList) -> UpdateOutcome {
+    /// Installs a list unless a newer one is held, or an equal revision if it comes from a peer.
+    pub(crate) fn update(
+        &self,
+        version: Version,
+        as_of: Instant,
+        list: UpstreamList,
+        origin: Origin,
+    ) -> UpdateOutcome {
         let mut state = self.state.lock().unwrap();
         let State { replica, list_history, .. } = &mut *state;
         let held = replica.value().cloned();
-        let outcome = replica.update(version, as_of, || {
+        let list = || {
             Arc::new(match &held {
                 Some(held) => list.share_entries_with(held),
                 None => list,
             })
-        });
+        };
+        let outcome = match origin {
+            Origin::Store => replica.update_from_store(version, as_of, list),
+            Origin::Peer => replica.update(version, as_of, list),
+        };
         if let (UpdateOutcome::Updated, Some(held)) = (outcome, replica.current()) {
             list_history.push(held.version.digest, &held.value);
         }
