--- a/crates/bendhinge_gateway/src/settings/mod.rs
+++ b/crates/bendhinge_gateway/src/settings/mod.rs
@@ -25,7 +25,7 @@
 pub use schema::SCHEMA;
 pub use upstreams::UpstreamSettings;
 
-use self::values::{CommaSeparated, JsonRegions, QuotedName, YesNo};
+use self::values::{CommaSeparated, YesNo};
 
 /// All settings of a gateway.
 #[derive(Clone)]
@@ -221,8 +221,8 @@
         let streams = self.0.section("streams").map(|section| self.streams(section));
         let quarantine = self.0.section("quarantine").map(|section| self.quarantine(section));
         let name = self.0.value(gateway, "name");
-        let data_centre = self.0.value::<QuotedName<_>>(gateway, "data_centre");
-        let regions = self.regions(gateway);
+        let data_centre = self.0.value(gateway, "data_centre");
+        let regions: Vec<_> = self.0.sections("data_centre").map(|section| self.region(section)).collect();
         let caller_address = self.0.value(gateway, "callers");
         let readiness_address = self.0.value(gateway, "ready");
         let peer_address = self.0.value(gateway, "peers");
@@ -230,8 +230,8 @@
         let link = self.0.positive_number(gateway, "link_mbps");
         Some(Settings {
             name: name?,
-            data_centre: data_centre?.0,
-            regions: regions?,
+            data_centre: data_centre?,
+            regions: regions.into_iter().collect::<Option<_>>()?,
             caller_address: caller_address?,
             readiness_address: readiness_address?,
             peer_address: peer_address?,
@@ -252,14 +252,6 @@
         })
     }
 
-    /// The regions of the `[gateway]` section and of the sections of data centres.
-    fn regions(&self, gateway: &Section) -> Option<RegionMap> {
-        let regions: Vec<_> = self.0.sections("data_centre").map(|section| self.region(section)).collect();
-        let mut all = self.0.value::<JsonRegions>(gateway, "regions")?.0;
-        all.extend(regions.into_iter().collect::<Option<Vec<_>>>()?);
-        Some(all)
-    }
-
     fn region(&self, section: &Section) -> Option<(DataCentreName, RegionName)> {
         let data_centre = self.0.name(section);
         let region = self.0.value(section, "region");
--- a/crates/bendhinge_gateway/src/settings/schema.rs
+++ b/crates/bendhinge_gateway/src/settings/schema.rs
@@ -29,18 +29,7 @@
     help: "The gateway itself.",
     keys: &[
         Key::new("name", "name", None, "The box's name."),
-        Key::new(
-            "data_centre",
-            "name",
-            None,
-            "The box's data centre; a JSON string if its name cannot be written as it is.",
-        ),
-        Key::new(
-            "regions",
-            "JSON object",
-            Some(""),
-            "The regions of data centres by name, besides those that have a section of their own.",
-        ),
+        Key::new("data_centre", "name", None, "The box's data centre."),
         Key::new("callers", "address:port", None, "The address that callers connect to."),
         Key::new("ready", "address:port", None, "The address for readiness checks by a load balancer."),
         Key::new("peers", "address:port", None, "The address that other gateways connect to."),
--- a/crates/bendhinge_gateway/src/settings/values.rs
+++ b/crates/bendhinge_gateway/src/settings/values.rs
@@ -2,48 +2,6 @@
 
 use std::str::FromStr;
 
-use bendhinge_ids::{DataCentreName, RegionName};
-use rustc_hash::FxHashMap;
-
-/// A name as it is, or as a JSON string if it starts with a quotation mark.
-pub(super) struct QuotedName<T>(pub(super) T);
-
-/// A value that is no name.
-#[derive(Debug, thiserror::Error)]
-pub(super) enum InvalidName<E> {
-    #[error("expected a JSON string: {0}")]
-    Quoted(serde_json::Error),
-    #[error(transparent)]
-    Name(E),
-}
-
-impl<T: FromStr> FromStr for QuotedName<T> {
-    type Err = InvalidName<T::Err>;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        if !text.starts_with('"') {
-            return text.parse().map(Self).map_err(InvalidName::Name);
-        }
-        let name: String = serde_json::from_str(text).map_err(InvalidName::Quoted)?;
-        name.parse().map(Self).map_err(InvalidName::Name)
-    }
-}
-
-/// The regions of data centres as a JSON object; empty means none.
-#[derive(Default)]
-pub(super) struct JsonRegions(pub(super) FxHashMap<DataCentreName, RegionName>);
-
-impl FromStr for JsonRegions {
-    type Err = serde_json::Error;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        if text.is_empty() {
-            return Ok(Self::default());
-        }
-        serde_json::from_str(text).map(Self)
-    }
-}
-
 /// A comma-separated list of values.
 pub(super) struct CommaSeparated<T>(pub(super) Vec<T>);
 
