Gateway: split the applying of reads, the store's types and its metrics

Moves code only: control/store.rs schedules the reads, control/apply.rs applies them; dialect/store.rs has what an adapter reads; metrics/store.rs has the metrics of the store.

--- a/crates/bendhinge_gateway/src/control/mod.rs
+++ b/crates/bendhinge_gateway/src/control/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! It runs on a single thread, because `capnp-rpc` objects cannot move between threads.
 
+mod apply;
 mod conflict;
 mod exchange;
 mod fetching;
--- a/crates/bendhinge_gateway/src/metrics/groups.rs
+++ b/crates/bendhinge_gateway/src/metrics/groups.rs
@@ -24,25 +24,6 @@
 /// Bounds of the wait for a permit. The last one is the time after which requests go without.
 const PERMIT_WAIT_BUCKETS_SECONDS: [f64; 6] = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05];
 
-/// Result of a read of the store.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum StoreReadResult {
-    Answered,
-    /// The answer neither updated nor confirmed a replica.
-    NotApplied,
-    Failed,
-}
-
-impl StoreReadResult {
-    pub(super) const fn as_str(self) -> &'static str {
-        match self {
-            Self::Answered => "answered",
-            Self::NotApplied => "not_applied",
-            Self::Failed => "failed",
-        }
-    }
-}
-
 /// Who resumed an interrupted stream.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Resumer {
--- a/crates/bendhinge_gateway/src/metrics/mod.rs
+++ b/crates/bendhinge_gateway/src/metrics/mod.rs
@@ -3,16 +3,17 @@
 mod callers;
 mod gauges;
 mod groups;
+mod store;
 
 use std::time::Duration;
 
 use bendhinge_codes::ResultCode;
 use bendhinge_delivery::{BodyEnd, SendOutcome};
-use bendhinge_fleet::{ListLoads, Revision};
+use bendhinge_fleet::ListLoads;
 use bendhinge_http::BodyFraming;
 use bendhinge_peer::PeerMessage;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider as _};
 use opentelemetry_sdk::Resource;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
@@ -23,7 +24,9 @@
     AgeHistograms, CallerConnectionCounters, ExchangeCounters, ForwardingCounters, PermitMetrics,
     StreamMetrics,
 };
-pub(crate) use self::groups::{ResumedSoftware, Resumer, StoreReadResult};
+pub(crate) use self::groups::{ResumedSoftware, Resumer};
+use self::store::StoreMetrics;
+pub(crate) use self::store::StoreReadResult;
 use crate::delivery::{ConnectFailure, Cut};
 
 /// Bucket bounds of the time to first byte. They include 1.3 s, the target of its 95th percentile.
@@ -67,7 +70,7 @@
     body_ends: Counter<u64>,
     forwarding: ForwardingCounters,
     retry_decisions: Counter<u64>,
-    store_reads: Histogram<f64>,
+    store: StoreMetrics,
     peer_fetches: Histogram<f64>,
     ages: AgeHistograms,
     exchanges: ExchangeCounters,
@@ -79,10 +82,6 @@
     first_byte: Histogram<f64>,
     streams: StreamMetrics,
     gauges: Gauges,
-    foreign_entries: Gauge<u64>,
-    list_conflicts: Counter<u64>,
-    left_out_entries: Gauge<u64>,
-    refused_rules: Gauge<u64>,
 }
 
 impl Metrics {
@@ -125,11 +124,7 @@
                 "bendhinge.gateway.retry_decisions",
                 "Retries that the retry budget allowed or denied, by decision",
             ),
-            store_reads: seconds(
-                "bendhinge.gateway.store_read",
-                "How long reads of the store took, by result",
-                &FETCH_BUCKETS_SECONDS,
-            ),
+            store: StoreMetrics::new(seconds, counter, gauge),
             peer_fetches: seconds(
                 "bendhinge.gateway.peer_fetch",
                 "How long it took to fetch rules or lists from other gateways, by result",
@@ -158,22 +153,6 @@
             ),
             streams: StreamMetrics::new(seconds, counter),
             gauges: Gauges::new(&meter, gauge),
-            left_out_entries: gauge(
-                "bendhinge.gateway.rules_entries_left_out",
-                "Entries of the rules in force that cannot be used",
-            ),
-            refused_rules: gauge(
-                "bendhinge.gateway.rules_refused_revision",
-                "Revision of the last rules if they cannot be parsed, otherwise 0",
-            ),
-            list_conflicts: counter(
-                "bendhinge.gateway.list_conflicts",
-                "Lists of other gateways that differed from the held one of the same revision",
-            ),
-            foreign_entries: gauge(
-                "bendhinge.gateway.foreign_entries",
-                "Entries of the store that name no upstream, as of the last read",
-            ),
             registry,
             _provider: provider,
         })
@@ -262,11 +241,6 @@
         self.retry_decisions.add(1, &[KeyValue::new("decision", "returned")]);
     }
 
-    /// Records the duration of a read of the store.
-    pub(crate) fn record_store_read(&self, time: Duration, result: StoreReadResult) {
-        self.store_reads.record(time.as_secs_f64(), &[KeyValue::new("result", result.as_str())]);
-    }
-
     /// Records the duration of a fetch of a replica from another gateway.
     pub(crate) fn record_peer_fetch(&self, what: ReplicaKind, time: Duration, succeeded: bool) {
         let labels = [KeyValue::new("what", what.as_str()), result_label(succeeded)];
@@ -356,26 +330,6 @@
         self.drain_announcements.add(1, &[]);
     }
 
-    /// Records the number of entries of the rules that cannot be used.
-    pub(crate) fn record_left_out_entries(&self, count: usize) {
-        self.left_out_entries.record(count as u64, &[]);
-    }
-
-    /// Records the revision of rules that cannot be parsed, or 0 once others are in force.
-    pub(crate) fn record_refused_rules(&self, revision: Revision) {
-        self.refused_rules.record(revision.0, &[]);
-    }
-
-    /// Counts a list of another gateway that differs from the held one of the same revision.
-    pub(crate) fn count_list_conflict(&self) {
-        self.list_conflicts.add(1, &[]);
-    }
-
-    /// Records the number of entries of the store that describe no upstream.
-    pub(crate) fn record_foreign_entries(&self, count: usize) {
-        self.foreign_entries.record(count as u64, &[]);
-    }
-
     /// Records the time to the head of a response.
     pub(crate) fn record_first_byte(&self, time: Duration) {
         self.first_byte.record(time.as_secs_f64(), &[]);
