--- a/crates/bendhinge_gateway/src/intake/mod.rs
+++ b/crates/bendhinge_gateway/src/intake/mod.rs
@@ -157,7 +157,7 @@
         let head_bytes = head.extensions.get::<HeadBytes>().copied().unwrap_or_default();
         let buffers = RequestBuffers::new(&self.context.buffers, customer, head_bytes);
         let body = buffers.read_body(body, &authorization.limits, deadline, &self.context.tasks).await?;
-        // The body may have taken until long after the stop signal.
+        // The accept period may have ended while the body was received.
         if !self.lifecycle.accepts_requests() {
             return Err(ResultCode::RouterStopping.into());
         }
--- a/crates/bendhinge_gateway/src/state/mod.rs
+++ b/crates/bendhinge_gateway/src/state/mod.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod engines;
 mod links;
+mod list;
 mod load_limit;
 mod locality;
 mod overloads;
--- a/crates/bendhinge_gateway/src/state/upstreams.rs
+++ b/crates/bendhinge_gateway/src/state/upstreams.rs
@@ -6,12 +6,11 @@
 
 use bendhinge_admission::Demand;
 use bendhinge_fleet::{
-    Directory, FailureDetector, KeyRequests, ListHistory, Loads, Origin, OutlierDetector, OverloadLog,
-    Reachability, Replica, RequestedBackoffs, SoftwareHistory, UpdateLog, UpdateLogLimits, UpdateOutcome,
-    UpdateSource, UpstreamEntry, UpstreamFailure, UpstreamList, UpstreamLoad, Version,
+    Directory, FailureDetector, KeyRequests, ListHistory, Loads, OutlierDetector, OverloadLog, Reachability,
+    Replica, RequestedBackoffs, SoftwareHistory, UpdateLog, UpdateLogLimits, UpdateSource, UpstreamEntry,
+    UpstreamFailure, UpstreamList, UpstreamLoad,
 };
 use bendhinge_ids::{Instant, NameHash, PoolName};
-use bendhinge_peer::HeldVersion;
 use bendhinge_placement::{CachedPart, CachedParts, CostModel};
 use bendhinge_routes::RegionFilter;
 use rustc_hash::FxHashMap;
@@ -38,7 +37,7 @@
 pub(super) struct State {
     pub(super) replica: Replica<UpstreamList>,
     /// Incomplete list that is used until the first complete list arrives.
-    partial_list: Option<Arc<UpstreamList>>,
+    pub(super) partial_list: Option<Arc<UpstreamList>>,
     pub(super) directory: Directory,
     /// The software of the upstreams, also of those that left.
     pub(super) software: SoftwareHistory,
@@ -132,102 +131,6 @@
         self
     }
 
-    /// Whether a complete list is held.
-    pub(crate) fn has_list(&self) -> bool {
-        self.state.lock().unwrap().replica.current().is_some()
-    }
-
-    /// Whether a complete or a partial list is held.
-    pub(crate) fn has_list_or_partial(&self) -> bool {
-        let state = self.state.lock().unwrap();
-        state.replica.current().is_some() || state.partial_list.is_some()
-    }
-
-    /// Uses a partial list until a complete list arrives. Has no effect if a complete list is held.
-    pub(crate) fn apply_partial_list(&self, list: Arc<UpstreamList>) {
-        let mut state = self.state.lock().unwrap();
-        if state.replica.current().is_none() && !list.entries.is_empty() {
-            state.directory.apply(&list, bendhinge_clock::now());
-            state.partial_list = Some(list);
-        }
-    }
-
-    /// Returns the partial list, if no complete list is held yet.
-    pub(crate) fn partial_list(&self) -> Option<Arc<UpstreamList>> {
-        self.state.lock().unwrap().partial_list.clone()
-    }
-
-    /// Returns the time since the list was last known to be current.
-    pub(crate) fn age(&self, now: Instant) -> Option<Duration> {
-        self.state.lock().unwrap().replica.age(now)
-    }
-
-    /// Returns the held version and the time since it was last known to be current.
-    pub(crate) fn held_version(&self, now: Instant) -> Option<HeldVersion> {
-        self.state.lock().unwrap().replica.current().map(|held| HeldVersion::new(held, now))
-    }
-
-    /// Returns the held list.
-    pub(crate) fn list(&self) -> Option<Arc<UpstreamList>> {
-        self.state.lock().unwrap().replica.value().cloned()
-    }
-
-    /// Whether `version` is newer than the held one and has to be fetched.
-    pub(crate) fn needs(&self, version: Version) -> bool {
-        self.state.lock().unwrap().replica.needs(version)
-    }
-
-    /// Whether `version` has the revision of the held list and other content.
-    pub(crate) fn conflicts_with(&self, version: Version) -> bool {
-        self.state.lock().unwrap().replica.conflicts_with(version)
-    }
-
-    /// Records that the list of `version` was current as of `as_of`.
-    pub(crate) fn confirm(&self, version: Version, as_of: Instant) -> UpdateOutcome {
-        let mut state = self.state.lock().unwrap();
-        let outcome = state.replica.confirm(version, as_of);
-        if outcome == UpdateOutcome::Confirmed {
-            state.directory.confirm_current(as_of);
-            state.software.confirm(as_of);
-        }
-        outcome
-    }
-
-    /// Installs a list unless a newer one is held, or an equal revision if it comes from a peer.
-    pub(crate) fn update(
-        &self,
-        version: Version,
-        as_of: Instant,
-        list: UpstreamList,
-        origin: Origin,
-    ) -> UpdateOutcome {
-        let mut state = self.state.lock().unwrap();
-        let State { replica, list_history, .. } = &mut *state;
-        let held = replica.value().cloned();
-        let list = || {
-            Arc::new(match &held {
-                Some(held) => list.share_entries_with(held),
-                None => list,
-            })
-        };
-        let outcome = match origin {
-            Origin::Store => replica.update_from_store(version, as_of, list),
-            Origin::Peer => replica.update(version, as_of, list),
-        };
-        if let (UpdateOutcome::Updated, Some(held)) = (outcome, replica.current()) {
-            list_history.push(held.version.digest, &held.value);
-        }
-        if outcome != UpdateOutcome::Stale {
-            state.directory.confirm_current(as_of);
-            state.software.confirm(as_of);
-        }
-        if outcome == UpdateOutcome::Updated {
-            state.partial_list = None;
-            state.apply_list();
-        }
-        outcome
-    }
-
     /// Returns when the earliest requested backoff ends, if all upstreams of the pool that accept work in the allowed
     /// regions requested one.
     pub(crate) fn earliest_backoff_end(
@@ -398,7 +301,7 @@
 }
 
 impl State {
-    fn apply_list(&mut self) {
+    pub(super) fn apply_list(&mut self) {
         if let Some(list) = self.replica.value() {
             let now = bendhinge_clock::now();
             self.directory.apply(list, now);
--- a/crates/bendhinge_ids/tests/names.rs
+++ b/crates/bendhinge_ids/tests/names.rs
@@ -5,7 +5,7 @@
 #[test]
 fn names_that_operators_choose_are_free_text() {
     let long = "x".repeat(1_024);
-    for text in ["Vake council", " a ", "a/b", "a\nb", "ვაკე", "😀", &long] {
+    for text in ["a b", " a ", "a/b", "a\nb", "ვაკე", "😀", &long] {
         assert_eq!(text.parse::<CustomerName>().unwrap().as_str(), text);
         assert_eq!(text.parse::<PoolName>().unwrap().as_str(), text);
         assert_eq!(text.parse::<RegionName>().unwrap().as_str(), text);
