Tests: the upstream that cuts heads serves connections beside each other

Cause: its upstream read one connection at a time. The gateway also opens connections on which it sends nothing, to see whether a process still runs; a request that came behind one waited until its route's time was over.

--- a/crates/bendhinge_lab/tests/gateway_body_ends.rs
+++ b/crates/bendhinge_lab/tests/gateway_body_ends.rs
@@ -4,6 +4,8 @@
 
 use std::io::ErrorKind;
 use std::net::{Shutdown, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bendhinge_gateway::native::headers::{PROMPT, REQUEST, RESUME_AFTER};
 use bendhinge_http::Tasks;
@@ -422,21 +424,26 @@
     });
 }
 
-/// An upstream that sends the first bytes of a response, as many as it has served requests before, and closes.
+/// An upstream that sends the first bytes of a response, as many as it has served requests before, and closes. Each
+/// connection is served by itself, since the gateway also opens some on which it sends nothing.
 async fn start_cutting_upstream(tasks: &Tasks, response: String) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let serving = async move {
-        let mut length = 0;
+    let (served, spawning) = (Arc::new(AtomicUsize::new(0)), Arc::clone(tasks));
+    let accepting = async move {
         while let Ok((mut stream, _)) = listener.accept().await {
-            let Some(head) = read_head(&mut stream).await else { continue };
-            let id = head.lines().find_map(|line| line.strip_prefix("x-bendhinge-request: "));
-            let response = response.replace("{id}", id.unwrap_or_default());
-            let _ = stream.write_all(&response.as_bytes()[..length.min(response.len())]).await;
-            length += 1;
+            let (served, response) = (Arc::clone(&served), response.clone());
+            let serving = async move {
+                let Some(head) = read_head(&mut stream).await else { return };
+                let length = served.fetch_add(1, Ordering::SeqCst);
+                let id = head.lines().find_map(|line| line.strip_prefix("x-bendhinge-request: "));
+                let response = response.replace("{id}", id.unwrap_or_default());
+                let _ = stream.write_all(&response.as_bytes()[..length.min(response.len())]).await;
+            };
+            spawning.spawn(serving).detach();
         }
     };
-    tasks.spawn(serving).detach();
+    tasks.spawn(accepting).detach();
     address
 }
 
